--- /dev/null
+++ b/cmd/drumpath/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds is the command tree of drumpath.
+package cmds
--- /dev/null
+++ b/internal/standin/engine_run.go
@@ -0,0 +1,137 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/drumpath/drumpath/pkg/prompt"
+	"github.com/drumpath/drumpath/pkg/upstream"
+)
+
+// run serves one prompt: a slot, prefill of what is not cached, then tokens.
+func (e *Engine) run(c *fasthttp.RequestCtx) {
+	var req upstream.RunRequest
+	if !decode(c, &req) {
+		return
+	}
+	e.mu.Lock()
+	state := e.state
+	e.mu.Unlock()
+	switch {
+	case req.Model != state.Model || req.Weights != state.Weights || state.Loading:
+		refuse(c, upstream.ReasonWeights)
+		return
+	case e.slots.queued() >= e.cfg.MaxQueue:
+		refuse(c, upstream.ReasonFull)
+		return
+	}
+	e.mu.Lock()
+	e.runs[req.Prompt]++
+	e.mu.Unlock()
+	f := e.faults.get()
+	id := req.RequestID
+	if f.CrossAnswers {
+		id = "crossed-" + id
+	}
+	c.Response.Header.Set(upstream.HeaderRequestID, req.RequestID)
+	c.SetContentType("text/event-stream")
+	c.Response.ImmediateHeaderFlush = true
+	c.SetBodyStreamWriter(func(w *bufio.Writer) {
+		r := &engineRun{engine: e, req: req, id: id, breakAfter: f.BreakAfter, w: w}
+		ctx, cancel := context.WithCancel(e.ctx)
+		defer cancel()
+		r.serve(ctx)
+	})
+}
+
+// engineRun is one run of an engine.
+type engineRun struct {
+	engine     *Engine
+	req        upstream.RunRequest
+	id         string
+	breakAfter int
+	w          *bufio.Writer
+}
+
+func (r *engineRun) serve(ctx context.Context) {
+	e := r.engine
+	keys := prompt.Keys(r.req.CacheSalt, r.req.Prompt)
+	tokens := prompt.TokenCount(r.req.Prompt)
+	e.backlog.Add(int64(tokens))
+	waiting := int64(tokens)
+	defer func() { e.backlog.Add(-waiting) }()
+	if !e.slots.enter(ctx, r.req.Priority) {
+		return
+	}
+	defer e.slots.leave()
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	if !e.lane.enter(ctx, r.req.Priority) {
+		return
+	}
+	cached := e.cache.match(keys) * prompt.ChunkTokens
+	e.backlog.Add(int64(-cached))
+	waiting -= int64(cached)
+	ok := sleep(ctx, time.Duration(float64(tokens-cached)/e.cfg.PrefillRate*float64(time.Second)))
+	e.lane.leave()
+	e.backlog.Add(-waiting)
+	waiting = 0
+	if !ok {
+		return
+	}
+	e.cache.add(r.req.CacheSalt, keys)
+	e.mu.Lock()
+	e.computed += int64(tokens - cached)
+	e.reused += int64(cached)
+	e.mu.Unlock()
+	r.decode(ctx, cached)
+}
+
+// decode sends the answer's tokens; a caller who is gone ends it.
+func (r *engineRun) decode(ctx context.Context, cached int) {
+	base := xxhash.Sum64String(r.req.Prompt)
+	gap := time.Duration(r.engine.cfg.DecodeMS * float64(time.Millisecond))
+	for i := r.req.ResumeAfter; i < r.req.MaxTokens; i++ {
+		if r.breakAfter > 0 && i-r.req.ResumeAfter >= r.breakAfter {
+			return
+		}
+		ev := upstream.Event{RequestID: r.id, Index: i, Text: AnswerToken(base, i)}
+		if i == r.req.ResumeAfter {
+			ev.CachedTokens = cached
+		}
+		if !r.send(ev) || !sleep(ctx, gap) {
+			return
+		}
+	}
+	r.send(upstream.Event{RequestID: r.id, Index: r.req.MaxTokens, Done: true})
+}
+
+func (r *engineRun) send(ev upstream.Event) bool {
+	data, err := json.Marshal(ev)
+	if err != nil {
+		return false
+	}
+	_, _ = fmt.Fprintf(r.w, "data: %s\n\n", data) // Flush reports it.
+	return r.w.Flush() == nil
+}
+
+func (e *Engine) serveEvents(c *fasthttp.RequestCtx) {
+	last, events := e.cache.since(uint64(c.QueryArgs().GetUintOrZero("after")))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply(c, http.StatusOK, upstream.CacheEvents{Boot: e.boot, Last: last, Events: events})
+}
+
+func (e *Engine) serveBlocks(c *fasthttp.RequestCtx) {
+	seq, blocks := e.cache.all()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply(c, http.StatusOK, upstream.CacheBlocks{Boot: e.boot, Seq: seq, Blocks: blocks})
+}
--- /dev/null
+++ b/internal/standin/engine_transfer.go
@@ -0,0 +1,135 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/drumpath/drumpath/pkg/httpjson"
+	"github.com/drumpath/drumpath/pkg/prompt"
+	"github.com/drumpath/drumpath/pkg/upstream"
+)
+
+// transferChunks is how many blocks move in one message.
+const transferChunks = 64
+
+const pinTerm = 30 * time.Second
+
+func (e *Engine) blockBytes(chunks int) int64 {
+	return int64(chunks) * prompt.ChunkTokens * int64(e.cfg.TokenBytes)
+}
+
+// importBlocks fetches kept state: pin, read, verify, take in.
+func (e *Engine) importBlocks(c *fasthttp.RequestCtx) {
+	var o upstream.ImportOrder
+	if !decode(c, &o) {
+		return
+	}
+	start := time.Now()
+	wait := time.Duration(o.WaitMillis) * time.Millisecond
+	ctx, cancel := context.WithTimeout(e.ctx, wait)
+	defer cancel()
+	e.mu.Lock()
+	weights := e.state.Weights
+	e.mu.Unlock()
+	if weights != o.Weights {
+		refuse(c, upstream.ReasonWeights)
+		return
+	}
+	store := httpjson.NewClient(o.Store)
+	defer store.Close()
+	pin := upstream.Pin{
+		Key:        o.Object.Key,
+		Generation: o.Object.Generation,
+		Epoch:      o.Object.Epoch,
+		Reader:     o.RequestID,
+		Millis:     pinTerm.Milliseconds(),
+	}
+	if err := store.Call(ctx, http.MethodPost, upstream.PathStorePin, pin, nil); err != nil {
+		refuse(c, upstream.ReasonGone)
+		return
+	}
+	defer func() {
+		_ = store.Call(e.ctx, http.MethodPost, upstream.PathStoreUnpin, pin, nil) // The pin ends by itself.
+	}()
+	blocks, reason := e.fetch(ctx, store, o)
+	if reason != "" {
+		refuse(c, reason)
+		return
+	}
+	e.cache.add(o.CacheSalt, blocks)
+	reply(c, http.StatusOK, upstream.ImportAnswer{
+		Chunks: len(blocks),
+		Bytes:  e.blockBytes(len(blocks)),
+		Millis: time.Since(start).Milliseconds(),
+	})
+}
+
+// fetch reads the wanted blocks; it gives a reason if it can't.
+func (e *Engine) fetch(ctx context.Context, store *httpjson.Client, o upstream.ImportOrder) ([]prompt.Key, string) {
+	var blocks []prompt.Key
+	for from := 0; from < o.Chunks; from += transferChunks {
+		req := upstream.GetBlocks{
+			Key:        o.Object.Key,
+			Generation: o.Object.Generation,
+			Epoch:      o.Object.Epoch,
+			Reader:     o.RequestID,
+			From:       from,
+			Count:      min(transferChunks, o.Chunks-from),
+		}
+		var part upstream.Blocks
+		if err := store.Call(ctx, http.MethodPost, upstream.PathStoreGet, req, &part); err != nil {
+			return nil, upstream.ReasonGone
+		}
+		if !e.link.move(ctx, e.blockBytes(len(part.Blocks)), priorityImport) {
+			return nil, upstream.ReasonGone
+		}
+		blocks = append(blocks, part.Blocks...)
+	}
+	if len(blocks) != o.Chunks {
+		return nil, upstream.ReasonChecksum
+	}
+	if o.Chunks == o.Object.Chunks && checksumOf(blocks) != o.Object.Checksum {
+		return nil, upstream.ReasonChecksum
+	}
+	return blocks, ""
+}
+
+// exportBlocks copies kept state to a store: begin, put, seal.
+func (e *Engine) exportBlocks(c *fasthttp.RequestCtx) {
+	var o upstream.ExportOrder
+	if !decode(c, &o) {
+		return
+	}
+	start := time.Now()
+	keys := e.cache.chain(o.Key, o.Chunks)
+	if keys == nil {
+		refuse(c, upstream.ReasonGone)
+		return
+	}
+	store := httpjson.NewClient(o.Store)
+	defer store.Close()
+	var obj prompt.Object
+	begin := upstream.BeginPut{Key: o.Key, Chunks: o.Chunks, Bytes: e.blockBytes(o.Chunks), Marks: o.Marks}
+	if err := store.Call(e.ctx, http.MethodPost, upstream.PathStoreBegin, begin, &obj); err != nil {
+		refuse(c, upstream.ReasonNoSpace)
+		return
+	}
+	for from := 0; from < len(keys); from += transferChunks {
+		part := keys[from:min(from+transferChunks, len(keys))]
+		put := upstream.PutBlocks{Key: o.Key, Generation: obj.Generation, Blocks: part, Bytes: e.blockBytes(len(part))}
+		if !e.link.move(e.ctx, put.Bytes, priorityExport) ||
+			store.Call(e.ctx, http.MethodPost, upstream.PathStorePut, put, nil) != nil {
+			refuse(c, upstream.ReasonGone)
+			return
+		}
+	}
+	seal := upstream.Seal{Key: o.Key, Generation: obj.Generation, Checksum: checksumOf(keys)}
+	if err := store.Call(e.ctx, http.MethodPost, upstream.PathStoreSeal, seal, &obj); err != nil {
+		refuse(c, upstream.ReasonChecksum)
+		return
+	}
+	reply(c, http.StatusOK, upstream.ExportAnswer{Object: obj, Millis: time.Since(start).Milliseconds()})
+}
--- /dev/null
+++ b/internal/standin/objects.go
@@ -0,0 +1,49 @@
+package standin
+
+import (
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/drumpath/drumpath/pkg/platform"
+)
+
+// Objects stands in for the platform's object store.
+type Objects struct {
+	*host
+
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+// StartObjects starts an object store.
+func StartObjects(addr netip.AddrPort) (*Objects, error) {
+	h, err := newHost(addr)
+	if err != nil {
+		return nil, err
+	}
+	o := &Objects{host: h, objects: map[string][]byte{}}
+	h.router.PUT(platform.PathObjects+"{name:*}", o.put)
+	h.router.GET(platform.PathObjects+"{name:*}", o.get)
+	h.start()
+	return o, nil
+}
+
+func (o *Objects) put(c *fasthttp.RequestCtx) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.objects[c.UserValue("name").(string)] = append([]byte(nil), c.PostBody()...) // The route has it.
+}
+
+func (o *Objects) get(c *fasthttp.RequestCtx) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	body, ok := o.objects[c.UserValue("name").(string)] // The route has it.
+	if !ok {
+		c.Error("no such object", http.StatusNotFound)
+		return
+	}
+	c.SetBody(body)
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,54 @@
+package standin
+
+import (
+	"net/netip"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/drumpath/drumpath/pkg/upstream"
+)
+
+// Service stands in for a plain service; it answers with what it was sent and
+// counts how often each body came.
+type Service struct {
+	*host
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// StartService starts a plain service.
+func StartService(addr netip.AddrPort) (*Service, error) {
+	h, err := newHost(addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Service{host: h, runs: map[string]int{}}
+	h.router.ANY("/{path:*}", s.serve)
+	h.router.GET("/runs", s.report)
+	h.start()
+	return s, nil
+}
+
+// Runs is how often a body has come.
+func (s *Service) Runs(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[body]
+}
+
+func (s *Service) report(c *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply(c, fasthttp.StatusOK, s.runs)
+}
+
+func (s *Service) serve(c *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	s.runs[string(c.PostBody())]++
+	s.mu.Unlock()
+	c.Response.Header.SetBytesV(upstream.HeaderRequestID, c.Request.Header.Peek(upstream.HeaderRequestID))
+	c.SetContentTypeBytes(c.Request.Header.ContentType())
+	c.SetBody(c.PostBody())
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,104 @@
+package standin
+
+import (
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"github.com/drumpath/drumpath/pkg/platform"
+)
+
+// Table stands in for the platform's transactional table service.
+type Table struct {
+	*host
+
+	mu     sync.Mutex
+	rows   map[string]platform.Row
+	writes *rate.Limiter
+	count  int
+}
+
+// TableWritesPerSecond is how many transactions the table service takes.
+const TableWritesPerSecond = 300
+
+// StartTable starts a table service.
+func StartTable(addr netip.AddrPort) (*Table, error) {
+	h, err := newHost(addr)
+	if err != nil {
+		return nil, err
+	}
+	t := &Table{
+		host:   h,
+		rows:   map[string]platform.Row{},
+		writes: rate.NewLimiter(TableWritesPerSecond, TableWritesPerSecond),
+	}
+	h.router.POST(platform.PathCommit, t.commit)
+	h.router.POST(platform.PathRead, t.read)
+	h.start()
+	return t, nil
+}
+
+// Commits is how many transactions have taken effect.
+func (t *Table) Commits() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.count
+}
+
+// Row returns a row as it is.
+func (t *Table) Row(key string) platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.row(key)
+}
+
+func (t *Table) row(key string) platform.Row {
+	r := t.rows[key]
+	r.Key = key
+	return r
+}
+
+func (t *Table) commit(c *fasthttp.RequestCtx) {
+	var txn platform.Txn
+	if !decode(c, &txn) {
+		return
+	}
+	if !t.writes.Allow() {
+		c.Error("too many writes", http.StatusTooManyRequests)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var conflict platform.ConflictError
+	for _, cond := range txn.Conditions {
+		if r := t.row(cond.Key); r.Version != cond.Version {
+			conflict.Rows = append(conflict.Rows, r)
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		reply(c, http.StatusConflict, conflict)
+		return
+	}
+	for _, p := range txn.Puts {
+		t.rows[p.Key] = platform.Row{Key: p.Key, Version: t.rows[p.Key].Version + 1, Value: p.Value}
+	}
+	t.count++
+	reply(c, http.StatusOK, struct{}{})
+}
+
+func (t *Table) read(c *fasthttp.RequestCtx) {
+	var req platform.ReadRequest
+	if !decode(c, &req) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer := platform.ReadAnswer{Rows: make([]platform.Row, len(req.Keys))}
+	for i, key := range req.Keys {
+		answer.Rows[i] = t.row(key)
+	}
+	reply(c, http.StatusOK, answer)
+}
--- /dev/null
+++ b/pkg/config/state.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+)
+
+// State is the configuration at one version; it is never changed once built.
+type State struct {
+	Version       uint64                  `json:"version"`
+	Organisations map[string]Organisation `json:"organisations"`
+	Models        map[string]Model        `json:"models"`
+	Adapters      map[string]Adapter      `json:"adapters"`
+	Rules         map[string]Rule         `json:"rules"`
+	Upstreams     map[string]Upstream     `json:"upstreams"`
+	Nodes         map[string]NodeObject   `json:"nodes"`
+
+	byKeyHash map[string]string
+}
+
+// NewState returns the empty configuration, version 0.
+func NewState() *State {
+	s := &State{
+		Organisations: map[string]Organisation{},
+		Models:        map[string]Model{},
+		Adapters:      map[string]Adapter{},
+		Rules:         map[string]Rule{},
+		Upstreams:     map[string]Upstream{},
+		Nodes:         map[string]NodeObject{},
+	}
+	s.Index()
+	return s
+}
+
+// Index builds the look-up tables of a state that was decoded.
+func (s *State) Index() {
+	s.byKeyHash = make(map[string]string, len(s.Organisations))
+	for name, o := range s.Organisations {
+		s.byKeyHash[o.KeyHash] = name
+	}
+}
+
+// HashKey returns the form in which an API key is kept.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// OrganisationByKey finds the organisation that an API key belongs to.
+func (s *State) OrganisationByKey(key string) (Organisation, bool) {
+	name, ok := s.byKeyHash[HashKey(key)]
+	if !ok {
+		return Organisation{}, false
+	}
+	return s.Organisations[name], true
+}
+
+// RuleFor finds the reuse rule for an organisation's requests to a model.
+func (s *State) RuleFor(organisation, model string) (Rule, bool) {
+	var found Rule
+	var ok bool
+	for _, r := range s.Rules {
+		if r.Organisation != organisation || (r.Model != "" && r.Model != model) {
+			continue
+		}
+		if !ok || r.Model != "" {
+			found, ok = r, true
+		}
+	}
+	return found, ok
+}
+
+// UpstreamsOf lists upstreams of a kind that may take new work, by name.
+func (s *State) UpstreamsOf(kind UpstreamKind) []Upstream {
+	var list []Upstream
+	for _, name := range slices.Sorted(maps.Keys(s.Upstreams)) {
+		if u := s.Upstreams[name]; u.Kind == kind && !u.Drained {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// clone copies the state one level deep, so that Apply changes only the copy.
+func (s *State) clone() *State {
+	c := *s
+	c.Organisations = maps.Clone(s.Organisations)
+	c.Models = maps.Clone(s.Models)
+	c.Adapters = maps.Clone(s.Adapters)
+	c.Rules = maps.Clone(s.Rules)
+	c.Upstreams = maps.Clone(s.Upstreams)
+	c.Nodes = maps.Clone(s.Nodes)
+	return &c
+}
--- /dev/null
+++ b/pkg/control/claims.go
@@ -0,0 +1,383 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/platform"
+)
+
+const (
+	// claimBatch is the most rows in one transaction.
+	claimBatch = 100
+	// claimPause is the wait after a transaction that was not applied, or whose
+	// answer was lost.
+	claimPause = 50 * time.Millisecond
+	// maxRecorded is the largest body kept with a claim.
+	maxRecorded = 8 << 10
+	// maxPending bounds writes that wait for the service to come back.
+	maxPending = 10_000
+	// closeWait is how long Close tries to write what is pending.
+	closeWait = 2 * time.Second
+)
+
+// Claims lets requests that may run only once be run by at most one node.
+//
+// A claim is a row that is written before the first byte of the request goes
+// upstream. It is never handed on: whoever finds it held must not run the
+// request, even if its holder is long dead. A holder that is certain it has not
+// run the request and will not may void its claim.
+//
+// Writes are scarce, so one transaction at a time carries all that came in
+// while the last was under way.
+type Claims struct {
+	node  string
+	table table
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	pending []*claimWrite
+	wake    chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	closing chan struct{}
+	wg      sync.WaitGroup
+}
+
+// claimWrite is one row to be written and what its writer is told.
+type claimWrite struct {
+	claim  *Claim
+	value  claimRow
+	unsure bool // A write of it may have taken effect, or may yet.
+	done   chan error
+	given  bool // Its writer no longer waits.
+}
+
+// NewClaims starts the group commit of this node's claims.
+func NewClaims(node string, t *platform.Table, log *slog.Logger) *Claims {
+	return newClaims(node, t, log)
+}
+
+func newClaims(node string, t table, log *slog.Logger) *Claims {
+	c := &Claims{
+		node:    node,
+		table:   t,
+		log:     log,
+		wake:    make(chan struct{}, 1),
+		closing: make(chan struct{}),
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.wg.Go(c.run)
+	return c
+}
+
+// Close waits a while for pending writes and stops.
+func (c *Claims) Close() {
+	close(c.closing)
+	c.signal()
+	stop := time.AfterFunc(closeWait, c.cancel)
+	c.wg.Wait()
+	stop.Stop()
+	c.cancel()
+}
+
+// Pending is how many rows wait to be written.
+func (c *Claims) Pending() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending)
+}
+
+// Acquire claims an organisation's key. The error is a *TakenError, or wraps
+// ErrNoClaim; then the claim is voided in the background should its write still
+// land.
+func (c *Claims) Acquire(ctx context.Context, organisation, key string) (claim *Claim, err error) {
+	defer func() { err = eris.Wrap(err, "claim") }()
+	claim = &Claim{row: claimKey(organisation, key), nonce: newNonce()}
+	w := &claimWrite{
+		claim: claim,
+		value: claimRow{State: ClaimHeld, Nonce: claim.nonce, Node: c.node},
+		done:  make(chan error, 1),
+	}
+	if !c.add(w) {
+		return nil, ErrNoClaim
+	}
+	select {
+	case err := <-w.done:
+		if err != nil {
+			return nil, err
+		}
+		return claim, nil
+	case <-ctx.Done():
+	}
+	if c.abandon(w) {
+		return nil, ErrNoClaim
+	}
+	// It was decided just now.
+	if err := <-w.done; err != nil {
+		return nil, err
+	}
+	return claim, nil
+}
+
+// Finish records a result with a claim, in the background.
+func (c *Claims) Finish(claim *Claim, r Result) {
+	row := claimRow{State: ClaimDone, Nonce: claim.nonce, Node: c.node}
+	if len(r.Body) <= maxRecorded {
+		row.Result = &r
+	}
+	c.add(&claimWrite{claim: claim, value: row, done: make(chan error, 1), given: true})
+}
+
+// Void gives up a claim whose request was certainly not run; it waits until
+// that is written or ctx ends, and goes on in the background.
+func (c *Claims) Void(ctx context.Context, claim *Claim) {
+	w := &claimWrite{
+		claim: claim,
+		value: claimRow{State: ClaimVoid, Nonce: claim.nonce, Node: c.node},
+		done:  make(chan error, 1),
+	}
+	if !c.add(w) {
+		return
+	}
+	select {
+	case err := <-w.done:
+		if err != nil {
+			c.log.Warn("claim not voided", "row", claim.row, "err", err)
+		}
+	case <-ctx.Done():
+	}
+}
+
+func (c *Claims) add(w *claimWrite) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) >= maxPending || c.ctx.Err() != nil {
+		return false
+	}
+	c.pending = append(c.pending, w)
+	c.signal()
+	return true
+}
+
+func (c *Claims) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// abandon turns a claim nobody waits for any more into its voiding; it returns
+// false if the claim was decided already.
+func (c *Claims) abandon(w *claimWrite) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w.given {
+		return false
+	}
+	w.given = true
+	w.value.State = ClaimVoid
+	return true
+}
+
+// decide tells a write's outcome to whoever waits; it returns false if the
+// write has been abandoned meanwhile, so that it must go on as a voiding.
+func (c *Claims) decide(w *claimWrite, state ClaimState, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w.value.State != state {
+		return false
+	}
+	w.given = true
+	w.done <- err
+	return true
+}
+
+func (c *Claims) run() {
+	for {
+		select {
+		case <-c.wake:
+		case <-c.ctx.Done():
+			return
+		}
+		for c.writeBatch() {
+			if c.ctx.Err() != nil {
+				return
+			}
+		}
+		select {
+		case <-c.closing:
+			return
+		default:
+		}
+	}
+}
+
+// sent is a write and the state that the transaction under way carries for it.
+type sent struct {
+	*claimWrite
+	value claimRow
+}
+
+// writeBatch writes one transaction and returns whether anything is left.
+func (c *Claims) writeBatch() bool {
+	batch := c.nextBatch()
+	if len(batch) == 0 {
+		return false
+	}
+	txn, err := claimTxn(batch)
+	if err != nil {
+		c.log.Error("claims not encoded", "err", err)
+		c.requeue(batch)
+		return true
+	}
+	err = c.table.Commit(c.ctx, txn)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		c.committed(batch)
+	case errors.As(err, &conflict):
+		c.conflicted(batch, conflict.Rows)
+	case errors.Is(err, platform.ErrNotApplied):
+		c.notApplied(batch)
+		c.pause()
+	default:
+		for _, w := range batch {
+			w.unsure = true
+		}
+		c.requeue(batch)
+		c.pause()
+	}
+	return c.Pending() > 0
+}
+
+func (c *Claims) pause() {
+	select {
+	case <-time.After(claimPause):
+	case <-c.ctx.Done():
+	}
+}
+
+// nextBatch takes pending writes, at most one for each row.
+func (c *Claims) nextBatch() []sent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var batch []sent
+	var rest []*claimWrite
+	rows := map[string]bool{}
+	for _, w := range c.pending {
+		if len(batch) == claimBatch || rows[w.claim.row] {
+			rest = append(rest, w)
+			continue
+		}
+		rows[w.claim.row] = true
+		batch = append(batch, sent{claimWrite: w, value: w.value})
+	}
+	c.pending = rest
+	return batch
+}
+
+// requeue puts writes back before all others, so that the order of writes to
+// one row stays.
+func (c *Claims) requeue(batch []sent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	front := make([]*claimWrite, 0, len(batch)+len(c.pending))
+	for _, w := range batch {
+		front = append(front, w.claimWrite)
+	}
+	c.pending = append(front, c.pending...)
+	c.signal()
+}
+
+func claimTxn(batch []sent) (txn platform.Txn, err error) {
+	for _, w := range batch {
+		body, err := json.Marshal(w.value)
+		if err != nil {
+			return platform.Txn{}, err
+		}
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: w.claim.row, Version: w.claim.version})
+		txn.Puts = append(txn.Puts, platform.Put{Key: w.claim.row, Value: body})
+	}
+	return txn, nil
+}
+
+func (c *Claims) committed(batch []sent) {
+	var again []sent
+	for _, w := range batch {
+		w.claim.version++
+		w.unsure = false
+		if !c.decide(w.claimWrite, w.value.State, nil) {
+			again = append(again, w)
+		}
+	}
+	c.requeue(again)
+}
+
+// notApplied fails claims that certainly have not landed; everything else is
+// tried again.
+func (c *Claims) notApplied(batch []sent) {
+	var again []sent
+	for _, w := range batch {
+		switch {
+		case w.value.State == ClaimHeld && !w.unsure && c.decide(w.claimWrite, ClaimHeld, ErrNoClaim):
+		case w.value.State == ClaimVoid && w.claim.version == 0 && !w.unsure:
+			// There never was a claim to void.
+			c.decide(w.claimWrite, ClaimVoid, nil)
+		default:
+			again = append(again, w)
+		}
+	}
+	c.requeue(again)
+}
+
+// conflicted settles the writes whose row was not as expected, and sends the
+// others again.
+func (c *Claims) conflicted(batch []sent, rows []platform.Row) {
+	found := map[string]platform.Row{}
+	for _, r := range rows {
+		found[r.Key] = r
+	}
+	var again []sent
+	for _, w := range batch {
+		row, ok := found[w.claim.row]
+		if !ok || !c.settle(w, row) {
+			again = append(again, w)
+		}
+	}
+	c.requeue(again)
+}
+
+// settle decides a write by the row that was found; it returns false if the
+// write is to be sent again, on top of that row.
+func (c *Claims) settle(w sent, row platform.Row) bool {
+	var have claimRow
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &have); err != nil {
+			c.log.Error("claim row can't be read", "row", row.Key, "err", err)
+			return c.decide(w.claimWrite, w.value.State, &TakenError{State: ClaimHeld})
+		}
+	}
+	ours := row.Version > 0 && have.Nonce == w.claim.nonce
+	switch {
+	case ours && have.State == w.value.State:
+		// An earlier write of ours had landed, its answer lost.
+		w.claim.version = row.Version
+		return c.decide(w.claimWrite, w.value.State, nil)
+	case ours, row.Version == 0, have.State == ClaimVoid && w.value.State == ClaimHeld:
+		w.claim.version = row.Version
+		return false
+	case w.value.State == ClaimHeld:
+		return c.decide(w.claimWrite, ClaimHeld, &TakenError{State: have.State, Node: have.Node, Result: have.Result})
+	default:
+		// The row is another's, so ours neither landed nor can: voiding it is
+		// done, and a result has nowhere to go.
+		return c.decide(w.claimWrite, w.value.State, nil)
+	}
+}
--- /dev/null
+++ b/pkg/control/leases.go
@@ -0,0 +1,270 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/platform"
+)
+
+const (
+	// LeaseGroups is how many leases there are for the whole fleet. Duties are
+	// hashed into them, so the table service's load does not grow with the
+	// number of upstreams.
+	LeaseGroups = 16
+	// leaseMargin is the share of a term by which a holder stops early, for
+	// clocks that run at different rates and for the way of an order.
+	leaseMargin = 4
+	// RenewShare is the share of a term after which a lease is renewed.
+	RenewShare = 3
+)
+
+// Leases are this node's leases on duties that may have one doer only.
+//
+// A holder counts its validity on its own monotonic clock from before the
+// renewal was sent, less a margin. A taker waits a whole term during which the
+// row has not changed, on its own clock, from when it first saw that row. So no
+// clock is compared with another's. A holder that was frozen and still believes
+// in its lease is stopped by the fence, as its taker has a higher epoch.
+type Leases struct {
+	node    string
+	term    time.Duration
+	table   table
+	members *Members
+	log     *slog.Logger
+	now     func() time.Time
+
+	mu     sync.Mutex
+	leases map[string]*Lease
+}
+
+// NewLeases returns leases of which none is held.
+func NewLeases(node string, term time.Duration, t *platform.Table, m *Members, log *slog.Logger) *Leases {
+	return newLeases(node, term, t, m, log)
+}
+
+func newLeases(node string, term time.Duration, t table, m *Members, log *slog.Logger) *Leases {
+	l := &Leases{
+		node:    node,
+		term:    term,
+		table:   t,
+		members: m,
+		log:     log,
+		now:     time.Now,
+		leases:  map[string]*Lease{},
+	}
+	for i := range LeaseGroups {
+		name := fmt.Sprintf("lease/%02d", i)
+		l.leases[name] = &Lease{name: name}
+	}
+	return l
+}
+
+// GroupOf names the lease under which a duty is done.
+func GroupOf(duty string) string {
+	return fmt.Sprintf("lease/%02d", weigh(hashDuty(duty), "group")%LeaseGroups)
+}
+
+// Step renews held leases, takes free ones that fall to this node, and gives
+// back those that fall to another; the timer service calls it.
+func (l *Leases) Step(ctx context.Context) {
+	members := l.members.Working()
+	var read []string
+	for name := range l.leases {
+		owner, ok := Owner(members, name)
+		mine := ok && owner.Name == l.node
+		switch held := l.Held(name); {
+		case held && mine:
+			l.renew(ctx, name)
+		case held:
+			l.giveBack(ctx, name)
+		case mine:
+			read = append(read, name)
+		}
+	}
+	if len(read) == 0 {
+		return
+	}
+	rows, err := l.table.Read(ctx, read...)
+	if err != nil {
+		l.log.Debug("leases not read", "err", err)
+		return
+	}
+	for _, row := range rows {
+		if l.takeable(row) {
+			l.take(ctx, row.Key)
+		}
+	}
+}
+
+// Held says whether this node holds a lease now.
+func (l *Leases) Held(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now().Before(l.leases[name].until)
+}
+
+// Fence returns the fence for the next order under a lease; ok is false if it
+// is not held. It is to be called just before the order is sent.
+func (l *Leases) Fence(name string) (f Fence, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.leases[name]
+	if !l.now().Before(s.until) {
+		return Fence{}, false
+	}
+	s.seq++
+	return Fence{Epoch: s.row.Epoch, Seq: s.seq}, true
+}
+
+// Settled says whether a lease has been held for a whole term, so that an order
+// of the last holder that is under way has arrived. Orders to upstreams that do
+// not check fences wait for that.
+func (l *Leases) Settled(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.leases[name]
+	now := l.now()
+	return now.Before(s.until) && now.Sub(s.held) >= l.term
+}
+
+// Release gives all leases back, for a planned stop.
+func (l *Leases) Release(ctx context.Context) {
+	for name := range l.leases {
+		if l.Held(name) {
+			l.giveBack(ctx, name)
+		}
+	}
+}
+
+// Status lists the leases that are held.
+func (l *Leases) Status(now time.Time) []LeaseStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []LeaseStatus
+	for name, s := range l.leases {
+		if now.Before(s.until) {
+			list = append(list, LeaseStatus{Name: name, Epoch: s.row.Epoch, Valid: s.until.Sub(now)})
+		}
+	}
+	return list
+}
+
+// takeable notes a row as seen now and says whether its lease may be taken.
+func (l *Leases) takeable(row platform.Row) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.leases[row.Key]
+	now := l.now()
+	if row.Version != s.seen || s.since.IsZero() {
+		s.seen, s.since = row.Version, now
+		s.row = leaseRow{}
+		if row.Version > 0 {
+			if err := json.Unmarshal(row.Value, &s.row); err != nil {
+				l.log.Error("lease row can't be read", "row", row.Key, "err", err)
+				return false
+			}
+		}
+	}
+	return s.row.Holder == "" || now.Sub(s.since) >= l.term
+}
+
+func (l *Leases) take(ctx context.Context, name string) {
+	l.mu.Lock()
+	s := l.leases[name]
+	next := leaseRow{Holder: l.node, Epoch: s.row.Epoch + 1, Nonce: newNonce()}
+	l.mu.Unlock()
+	if l.write(ctx, name, next) {
+		l.log.Info("lease taken", "lease", name, "epoch", next.Epoch)
+	}
+}
+
+func (l *Leases) renew(ctx context.Context, name string) {
+	l.mu.Lock()
+	next := l.leases[name].row
+	l.mu.Unlock()
+	next.Nonce = newNonce()
+	l.write(ctx, name, next)
+}
+
+// giveBack ends a lease; it is not used from the moment the write is sent.
+func (l *Leases) giveBack(ctx context.Context, name string) {
+	l.mu.Lock()
+	s := l.leases[name]
+	s.until = time.Time{}
+	next := leaseRow{Epoch: s.row.Epoch, Nonce: newNonce()}
+	l.mu.Unlock()
+	if l.write(ctx, name, next) {
+		l.log.Info("lease given back", "lease", name)
+	}
+}
+
+// write writes a lease's row on the version last seen and says whether it did.
+// A lost answer is settled by reading the row; a write that is not known to
+// have landed extends nothing.
+func (l *Leases) write(ctx context.Context, name string, next leaseRow) bool {
+	l.mu.Lock()
+	s := l.leases[name]
+	base := s.seen
+	l.mu.Unlock()
+	body, err := json.Marshal(next)
+	if err != nil {
+		return false
+	}
+	// Validity counts from before the write is sent.
+	sent := l.now()
+	err = l.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: name, Version: base}},
+		Puts:       []platform.Put{{Key: name, Value: body}},
+	})
+	if err != nil && !l.landed(ctx, name, next.Nonce, base, err) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fresh := s.row.Epoch != next.Epoch
+	s.row = next
+	s.seen, s.since = base+1, sent
+	if next.Holder != l.node {
+		return true
+	}
+	if fresh {
+		s.held, s.seq = sent, 0
+	}
+	s.until = sent.Add(l.term - l.term/leaseMargin)
+	return true
+}
+
+// landed says whether a write whose answer was lost has taken effect.
+func (l *Leases) landed(ctx context.Context, name, nonce string, base uint64, err error) bool {
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		l.lost(name)
+		return false
+	}
+	if !eris.Is(err, platform.ErrUnknown) {
+		return false
+	}
+	rows, err := l.table.Read(ctx, name)
+	if err != nil || rows[0].Version != base+1 {
+		return false
+	}
+	var row leaseRow
+	return json.Unmarshal(rows[0].Value, &row) == nil && row.Nonce == nonce
+}
+
+// lost ends a lease whose row another has written.
+func (l *Leases) lost(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.leases[name]
+	s.until = time.Time{}
+	s.since = time.Time{}
+}
--- /dev/null
+++ b/pkg/control/log.go
@@ -0,0 +1,354 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/platform"
+)
+
+const (
+	rowHead           = "config/head"
+	snapshotName      = "config/snapshot"
+	logRing           = 4096 // Rows of the log in the table service.
+	snapshotEvery     = 64   // Versions between snapshots.
+	readBatch         = 64   // Log rows read at once.
+	keptEntries       = 1024 // Entries kept for peers.
+	settlePause       = 100 * time.Millisecond
+	maxPayloadEntries = 256
+)
+
+// Log is this node's copy of the configuration log.
+//
+// A change is accepted when its transaction on the head row commits: that
+// transaction has the head's version as its condition, so of two changes for
+// one version one commits. Nodes apply entries in order of version and never
+// step back, whatever order they arrive in and from whom.
+type Log struct {
+	node    string
+	table   table
+	objects objectStore
+	log     *slog.Logger
+
+	propose sync.Mutex // One proposal of this node at a time; taken before mu.
+
+	mu       sync.Mutex
+	state    *config.State
+	entries  []Entry // The newest entries, in order.
+	watchers []func(*config.State)
+	changed  chan struct{} // Closed and replaced at each change.
+}
+
+// NewLog returns an empty copy of the log.
+func NewLog(node string, t *platform.Table, o *platform.Objects, log *slog.Logger) *Log {
+	return newLog(node, t, o, log)
+}
+
+func newLog(node string, t table, o objectStore, log *slog.Logger) *Log {
+	return &Log{
+		node:    node,
+		table:   t,
+		objects: o,
+		log:     log,
+		state:   config.NewState(),
+		changed: make(chan struct{}),
+	}
+}
+
+// State returns the newest configuration this node has.
+func (l *Log) State() *config.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state
+}
+
+// Watch has fn called with each new configuration, in order, and at once with
+// the present one; fn must not call the log.
+func (l *Log) Watch(fn func(*config.State)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watchers = append(l.watchers, fn)
+	fn(l.state)
+}
+
+// Wait returns once the configuration has reached a version.
+func (l *Log) Wait(ctx context.Context, version uint64) error {
+	for {
+		l.mu.Lock()
+		reached, changed := l.state.Version >= version, l.changed
+		l.mu.Unlock()
+		if reached {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Since returns what brings a node at an older version up to date.
+func (l *Log) Since(version uint64) Delta {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version >= l.state.Version {
+		return Delta{}
+	}
+	missing := l.state.Version - version
+	if missing > uint64(len(l.entries)) || missing > maxPayloadEntries {
+		return Delta{State: l.state}
+	}
+	return Delta{Entries: l.entries[uint64(len(l.entries))-missing:]}
+}
+
+// Recent returns the newest entries, oldest first.
+func (l *Log) Recent(limit int) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Entry(nil), l.entries[max(0, len(l.entries)-limit):]...)
+}
+
+// Take applies what a peer sent; older or unconnected entries are ignored.
+func (l *Log) Take(d Delta) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d.State != nil && d.State.Version > l.state.Version {
+		d.State.Index()
+		l.entries = nil
+		l.setState(d.State)
+	}
+	for _, e := range d.Entries {
+		if e.Version == l.state.Version+1 {
+			l.applyEntry(e)
+		}
+	}
+}
+
+// applyEntry applies the next entry; the caller holds mu.
+func (l *Log) applyEntry(e Entry) {
+	next, err := l.state.Apply(e.Command)
+	if err != nil {
+		// Its writer had applied it to the same state, so this is a fault of
+		// the program; the version still counts, on every node alike.
+		l.log.Error("accepted command can't be applied", "version", e.Version, "err", err)
+		skipped := *l.state
+		skipped.Version = e.Version
+		next = &skipped
+	}
+	l.entries = append(l.entries, e)
+	if len(l.entries) > 2*keptEntries {
+		l.entries = append([]Entry(nil), l.entries[keptEntries:]...)
+	}
+	l.setState(next)
+}
+
+func (l *Log) setState(s *config.State) {
+	l.state = s
+	close(l.changed)
+	l.changed = make(chan struct{})
+	for _, fn := range l.watchers {
+		fn(s)
+	}
+}
+
+// Refresh catches up with the table service.
+func (l *Log) Refresh(ctx context.Context) (err error) {
+	defer func() { err = eris.Wrap(err, "refresh configuration") }()
+	rows, err := l.table.Read(ctx, rowHead)
+	if err != nil {
+		return err
+	}
+	return l.catchUp(ctx, rows[0].Version)
+}
+
+// catchUp reads entries up to a version, from a snapshot if they are gone.
+func (l *Log) catchUp(ctx context.Context, version uint64) error {
+	for {
+		have := l.State().Version
+		if have >= version {
+			return nil
+		}
+		if version-have > logRing/2 {
+			if err := l.takeSnapshot(ctx, have); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := l.readEntries(ctx, have, min(version, have+readBatch)); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *Log) readEntries(ctx context.Context, have, upTo uint64) error {
+	var keys []string
+	for v := have + 1; v <= upTo; v++ {
+		keys = append(keys, rowEntry(v))
+	}
+	rows, err := l.table.Read(ctx, keys...)
+	if err != nil {
+		return err
+	}
+	entries := make([]Entry, len(rows))
+	for i, row := range rows {
+		if err := json.Unmarshal(row.Value, &entries[i]); err != nil {
+			return eris.Wrapf(err, "log row %s", row.Key)
+		}
+		if entries[i].Version != have+1+uint64(i) {
+			return l.takeSnapshot(ctx, have)
+		}
+	}
+	l.Take(Delta{Entries: entries})
+	return nil
+}
+
+// takeSnapshot loads the snapshot, which must be newer than what there is.
+func (l *Log) takeSnapshot(ctx context.Context, have uint64) error {
+	var s config.State
+	if err := l.objects.Get(ctx, snapshotName, &s); err != nil {
+		return err
+	}
+	if s.Version <= have {
+		return eris.Errorf("snapshot is at version %d, not past %d", s.Version, have)
+	}
+	l.Take(Delta{State: &s})
+	return nil
+}
+
+func rowEntry(version uint64) string { return fmt.Sprintf("config/log/%d", version%logRing) }
+
+// Propose has a command accepted and returns its version. With ifVersion not 0
+// the configuration must be at that version. The error is a *ConflictError, a
+// *config.CommandError, a *OutcomeUnknownError, or wraps
+// platform.ErrNotApplied.
+func (l *Log) Propose(ctx context.Context, cmd config.Command, ifVersion uint64) (version uint64, err error) {
+	defer func() { err = eris.Wrap(err, "propose") }()
+	l.propose.Lock()
+	defer l.propose.Unlock()
+	for started := l.State().Version; ; {
+		base := l.State()
+		if ifVersion != 0 && base.Version != ifVersion {
+			return 0, &ConflictError{Wanted: ifVersion, Winner: base.Version}
+		}
+		if _, err := base.Apply(cmd); err != nil {
+			if other, ok := l.sameObject(cmd, started); ok {
+				return 0, &ConflictError{Winner: other.Version, With: other.Command.String()}
+			}
+			return 0, err
+		}
+		entry := Entry{Version: base.Version + 1, Nonce: newNonce(), Node: l.node, Command: cmd}
+		won, err := l.commitEntry(ctx, entry)
+		if err != nil {
+			return 0, err
+		}
+		if won {
+			l.Take(Delta{Entries: []Entry{entry}})
+			l.snapshot(ctx, entry.Version)
+			return entry.Version, nil
+		}
+		if err := l.Refresh(ctx); err != nil {
+			return 0, eris.Wrap(platform.ErrNotApplied, err.Error())
+		}
+		if other, ok := l.sameObject(cmd, started); ok {
+			return 0, &ConflictError{Winner: other.Version, With: other.Command.String()}
+		}
+	}
+}
+
+// sameObject finds an entry after a version that changed the command's object.
+func (l *Log) sameObject(cmd config.Command, after uint64) (Entry, bool) {
+	for _, e := range l.Recent(keptEntries) {
+		if e.Version > after && e.Command.Kind == cmd.Kind && e.Command.Name == cmd.Name {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// commitEntry tries to make the entry its version's one and says whether it
+// is. A transaction whose answer was lost is sent again: it is the same
+// conditional write, so at most one of them takes effect, and once another
+// entry has the version none of ours can land any more.
+func (l *Log) commitEntry(ctx context.Context, e Entry) (won bool, err error) {
+	txn, err := entryTxn(e)
+	if err != nil {
+		return false, err
+	}
+	unsure := false
+	for {
+		err := l.table.Commit(ctx, txn)
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil:
+			return true, nil
+		case errors.As(err, &conflict):
+			if !unsure {
+				return false, nil
+			}
+			if won, err := l.isOurs(ctx, e); err == nil {
+				return won, nil
+			}
+		case errors.Is(err, platform.ErrNotApplied):
+			if !unsure {
+				return false, err
+			}
+		default:
+			unsure = true
+		}
+		select {
+		case <-ctx.Done():
+			return false, &OutcomeUnknownError{Version: e.Version, Nonce: e.Nonce}
+		case <-time.After(settlePause):
+		}
+	}
+}
+
+func entryTxn(e Entry) (txn platform.Txn, err error) {
+	body, err := json.Marshal(e)
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	headBody, err := json.Marshal(head{Version: e.Version})
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	return platform.Txn{
+		Conditions: []platform.Condition{{Key: rowHead, Version: e.Version - 1}},
+		Puts:       []platform.Put{{Key: rowHead, Value: headBody}, {Key: rowEntry(e.Version), Value: body}},
+	}, nil
+}
+
+// isOurs reads back whose entry a version is.
+func (l *Log) isOurs(ctx context.Context, e Entry) (bool, error) {
+	rows, err := l.table.Read(ctx, rowEntry(e.Version))
+	if err != nil {
+		return false, err
+	}
+	var found Entry
+	if err := json.Unmarshal(rows[0].Value, &found); err != nil {
+		return false, err
+	}
+	if found.Version > e.Version {
+		return false, eris.New("the log has gone round since")
+	}
+	return found.Nonce == e.Nonce, nil
+}
+
+// snapshot writes a snapshot now and then; a failed one is made up by the next.
+func (l *Log) snapshot(ctx context.Context, version uint64) {
+	if version%snapshotEvery != 0 {
+		return
+	}
+	if err := l.objects.Put(ctx, snapshotName, l.State()); err != nil {
+		l.log.Warn("snapshot not written", "version", version, "err", err)
+	}
+}
--- /dev/null
+++ b/pkg/control/member.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"net/netip"
+)
+
+// MemberState is what is thought of a node.
+type MemberState uint8
+
+// Member states, in order of strength at the same incarnation.
+const (
+	MemberAlive MemberState = iota
+	MemberSuspect
+	MemberLeaving
+	MemberDead
+)
+
+var memberStateNames = [...]string{"alive", "suspect", "leaving", "dead"}
+
+// String names the state.
+func (s MemberState) String() string { return memberStateNames[min(int(s), len(memberStateNames)-1)] }
+
+// Member is one node as others know it. Its JSON names are short because it
+// travels on probes.
+type Member struct {
+	Name        string         `json:"n"`
+	Peer        netip.AddrPort `json:"p"`
+	Entry       netip.AddrPort `json:"e"`
+	DataHall    string         `json:"h"`
+	Incarnation uint64         `json:"i"`
+	State       MemberState    `json:"s"`
+}
+
+// Working says whether the node takes part in duties.
+func (m Member) Working() bool { return m.State == MemberAlive || m.State == MemberSuspect }
+
+// newer says whether m replaces what is known of the same node. Only a node
+// itself raises its incarnation; at the same one the graver state holds.
+func (m Member) newer(old Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	return m.State > old.State
+}
--- /dev/null
+++ b/pkg/control/members.go
@@ -0,0 +1,444 @@
+package control
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// ackShare is the share of a period after which others are asked.
+	ackShare = 3
+	// indirectProbes is how many others are asked to probe a silent node.
+	indirectProbes = 3
+	// maxUpdates bounds a probe's size whatever the fleet's.
+	maxUpdates = 6
+	// spreadFactor times log2 of the fleet is how often an update is sent on.
+	spreadFactor = 3
+	// suspectPeriods times log10 of the fleet is how long a node is suspect.
+	suspectPeriods = 4
+	// deadTerm is how long the dead are remembered, so that old news of them
+	// isn't taken for new.
+	deadTerm = 10 * time.Minute
+	// reachPeriods is every how many periods a dead node or a seed is probed,
+	// so that halves of a cut fleet find each other again.
+	reachPeriods = 8
+)
+
+// Members is this node's view of the fleet.
+//
+// Each period it probes one member, in a shuffled round; a silent one is probed
+// through others, then suspected, then held for dead unless it refutes with a
+// higher incarnation. News travels on probes, a bounded number on each, so the
+// cost a second is the same at any size. It does no I/O: Tick and Handle return
+// what is to be sent.
+type Members struct {
+	mu      sync.Mutex
+	self    Member
+	period  time.Duration
+	rng     *rand.Rand
+	seeds   []netip.AddrPort
+	known   map[string]*memberEntry
+	byPeer  map[netip.AddrPort]string
+	round   []string
+	seq     uint64
+	ticks   int
+	awaits  map[uint64]*await
+	news    map[string]int // Member to how often its update was sent.
+	watch   []func()
+	working []Member // Cached for Working; nil when out of date.
+}
+
+type memberEntry struct {
+	Member
+	since time.Time // When it came into its state.
+}
+
+// await is a probe that has not been answered.
+type await struct {
+	target  Member
+	sent    time.Time
+	asked   bool
+	origin  netip.AddrPort // Who asked for it, if it is an indirect one.
+	originQ uint64
+}
+
+// NewMembers returns a view that knows only this node and the seeds' addresses.
+func NewMembers(self Member, period time.Duration, seeds []netip.AddrPort, rng *rand.Rand) *Members {
+	if self.Incarnation == 0 {
+		// A restarted node must outbid what is remembered of its last life.
+		self.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	m := &Members{
+		self:   self,
+		period: period,
+		rng:    rng,
+		seeds:  seeds,
+		known:  map[string]*memberEntry{},
+		byPeer: map[netip.AddrPort]string{},
+		awaits: map[uint64]*await{},
+		news:   map[string]int{},
+	}
+	m.known[self.Name] = &memberEntry{Member: self}
+	m.news[self.Name] = 0
+	return m
+}
+
+// Watch has fn called, without locks, after each change of who works.
+func (m *Members) Watch(fn func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watch = append(m.watch, fn)
+}
+
+// AddSeed adds an address at which there should be a node.
+func (m *Members) AddSeed(addr netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !slices.Contains(m.seeds, addr) {
+		m.seeds = append(slices.Clone(m.seeds), addr)
+	}
+}
+
+// Self returns this node as others should know it.
+func (m *Members) Self() Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self
+}
+
+// All lists every member known, the dead included, by name.
+func (m *Members) All() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list(func(Member) bool { return true })
+}
+
+// Working lists the members that take part in duties, by name; the caller must
+// not change the list.
+func (m *Members) Working() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.working == nil {
+		m.working = m.list(Member.Working)
+	}
+	return m.working
+}
+
+func (m *Members) list(keep func(Member) bool) []Member {
+	var list []Member
+	for _, e := range m.known {
+		if keep(e.Member) {
+			list = append(list, e.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Leave marks this node as leaving and returns the news for every member that
+// a probe reaches at once.
+func (m *Members) Leave(now time.Time) []Packet {
+	m.mu.Lock()
+	m.self.Incarnation++
+	m.self.State = MemberLeaving
+	m.set(m.self, now)
+	var out []Packet
+	for _, e := range m.known {
+		if e.Name != m.self.Name && e.State != MemberDead {
+			out = append(out, m.packet(e.Peer, Probe{Kind: ProbePing, Seq: m.nextSeq()}))
+		}
+		if len(out) == maxLeavePackets {
+			break
+		}
+	}
+	m.mu.Unlock()
+	m.notify()
+	return out
+}
+
+// maxLeavePackets bounds the burst of a leaving node; the rest hear it from
+// those.
+const maxLeavePackets = 32
+
+// Tick is to be called every period; version is the configuration's.
+func (m *Members) Tick(now time.Time, version uint64) []Packet {
+	m.mu.Lock()
+	changed := m.expire(now)
+	out := m.probeNext(now)
+	m.stamp(out, version)
+	m.mu.Unlock()
+	if changed {
+		m.notify()
+	}
+	return out
+}
+
+// Late returns the indirect probes for members that have not answered in good
+// time; it is to be called a few times a period.
+func (m *Members) Late(now time.Time, version uint64) []Packet {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Packet
+	for seq, a := range m.awaits {
+		if a.asked || a.origin.IsValid() || now.Sub(a.sent) < m.period/ackShare {
+			continue
+		}
+		a.asked = true
+		for _, helper := range m.helpers(a.target.Name) {
+			out = append(out, m.packet(helper.Peer, Probe{
+				Kind:       ProbeIndirect,
+				Seq:        seq,
+				Target:     a.target.Peer,
+				TargetName: a.target.Name,
+			}))
+		}
+	}
+	m.stamp(out, version)
+	return out
+}
+
+// Handle takes a received probe and returns the answers.
+func (m *Members) Handle(from netip.AddrPort, p Probe, now time.Time, version uint64) []Packet {
+	m.mu.Lock()
+	changed := m.merge(p.Updates, now)
+	var out []Packet
+	switch p.Kind {
+	case ProbePing:
+		out = append(out, m.packet(from, Probe{Kind: ProbeAck, Seq: p.Seq}))
+	case ProbeIndirect:
+		seq := m.nextSeq()
+		m.awaits[seq] = &await{sent: now, origin: from, originQ: p.Seq, target: Member{Name: p.TargetName}}
+		out = append(out, m.packet(p.Target, Probe{Kind: ProbePing, Seq: seq}))
+	case ProbeAck:
+		if a, ok := m.awaits[p.Seq]; ok {
+			delete(m.awaits, p.Seq)
+			if a.origin.IsValid() {
+				out = append(out, m.packet(a.origin, Probe{Kind: ProbeAck, Seq: a.originQ}))
+			}
+		}
+	}
+	m.stamp(out, version)
+	m.mu.Unlock()
+	if changed {
+		m.notify()
+	}
+	return out
+}
+
+// Merge takes in a peer's whole list.
+func (m *Members) Merge(list []Member, now time.Time) {
+	m.mu.Lock()
+	changed := m.merge(list, now)
+	m.mu.Unlock()
+	if changed {
+		m.notify()
+	}
+}
+
+func (m *Members) notify() {
+	m.mu.Lock()
+	watch := slices.Clone(m.watch)
+	m.mu.Unlock()
+	for _, fn := range watch {
+		fn()
+	}
+}
+
+func (m *Members) nextSeq() uint64 {
+	m.seq++
+	return m.seq
+}
+
+// packet addresses a probe and adds news; the caller holds mu.
+//
+// A node that is held for suspect or dead is always told so, however old the
+// news is: only it can refute that, and no one else would ever bring it up.
+func (m *Members) packet(to netip.AddrPort, p Probe) Packet {
+	p.From = m.self.Name
+	p.Updates = m.takeNews()
+	if e := m.known[m.byPeer[to]]; e != nil && (e.State == MemberSuspect || e.State == MemberDead) {
+		p.Updates = append(p.Updates, e.Member)
+	}
+	return Packet{To: to, Probe: p}
+}
+
+func (m *Members) stamp(out []Packet, version uint64) {
+	for i := range out {
+		out[i].Probe.Version = version
+	}
+}
+
+// takeNews picks the updates that were sent least often.
+func (m *Members) takeNews() []Member {
+	names := make([]string, 0, len(m.news))
+	for name := range m.news {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(m.news[a], m.news[b]), cmp.Compare(a, b))
+	})
+	var list []Member
+	limit := spreadFactor * int(math.Ceil(math.Log2(float64(len(m.known)+1))))
+	for _, name := range names[:min(len(names), maxUpdates)] {
+		list = append(list, m.known[name].Member)
+		m.news[name]++
+		if m.news[name] >= limit {
+			delete(m.news, name)
+		}
+	}
+	return list
+}
+
+// merge takes in updates and says whether any changed the view.
+func (m *Members) merge(updates []Member, now time.Time) (changed bool) {
+	for _, u := range updates {
+		if u.Name == m.self.Name {
+			m.refute(u, now)
+			continue
+		}
+		old, known := m.known[u.Name]
+		if known && !u.newer(old.Member) {
+			continue
+		}
+		if !known && u.State == MemberDead {
+			continue
+		}
+		m.set(u, now)
+		changed = true
+	}
+	return changed
+}
+
+// refute outbids what others wrongly think of this node.
+func (m *Members) refute(u Member, now time.Time) {
+	if !u.newer(m.self) {
+		return
+	}
+	m.self.Incarnation = u.Incarnation + 1
+	m.set(m.self, now)
+}
+
+func (m *Members) set(u Member, now time.Time) {
+	m.known[u.Name] = &memberEntry{Member: u, since: now}
+	m.byPeer[u.Peer] = u.Name
+	m.news[u.Name] = 0
+	m.working = nil
+}
+
+// expire turns silent members suspect, suspects dead, and forgets the long
+// dead.
+func (m *Members) expire(now time.Time) (changed bool) {
+	for seq, a := range m.awaits {
+		if now.Sub(a.sent) < m.period {
+			continue
+		}
+		delete(m.awaits, seq)
+		e, known := m.known[a.target.Name]
+		if a.origin.IsValid() || !known || e.State == MemberDead || e.State == MemberSuspect {
+			continue
+		}
+		u := e.Member
+		// A leaving node that falls silent has left.
+		u.State = MemberSuspect
+		if e.State == MemberLeaving {
+			u.State = MemberDead
+		}
+		m.set(u, now)
+		changed = true
+	}
+	term := time.Duration(suspectPeriods*max(1, math.Log10(float64(len(m.known)+1)))) * m.period
+	for name, e := range m.known {
+		switch {
+		case e.State == MemberSuspect && now.Sub(e.since) >= term:
+			u := e.Member
+			u.State = MemberDead
+			m.set(u, now)
+			changed = true
+		case e.State == MemberDead && now.Sub(e.since) >= deadTerm:
+			delete(m.known, name)
+			delete(m.byPeer, e.Peer)
+			delete(m.news, name)
+		}
+	}
+	return changed
+}
+
+// probeNext probes the next member of the round, and now and then one that is
+// dead or only known as a seed.
+func (m *Members) probeNext(now time.Time) []Packet {
+	var out []Packet
+	m.ticks++
+	for range len(m.known) {
+		if len(m.round) == 0 {
+			m.newRound()
+		}
+		if len(m.round) == 0 {
+			break
+		}
+		name := m.round[0]
+		m.round = m.round[1:]
+		e, known := m.known[name]
+		if !known || e.State == MemberDead {
+			continue
+		}
+		seq := m.nextSeq()
+		m.awaits[seq] = &await{target: e.Member, sent: now}
+		out = append(out, m.packet(e.Peer, Probe{Kind: ProbePing, Seq: seq}))
+		break
+	}
+	if len(out) == 0 || m.ticks%reachPeriods == 0 {
+		if addr, ok := m.lost(); ok {
+			out = append(out, m.packet(addr, Probe{Kind: ProbePing, Seq: m.nextSeq()}))
+		}
+	}
+	return out
+}
+
+func (m *Members) newRound() {
+	for name, e := range m.known {
+		if name != m.self.Name && e.State != MemberDead {
+			m.round = append(m.round, name)
+		}
+	}
+	slices.Sort(m.round)
+	m.rng.Shuffle(len(m.round), func(i, j int) { m.round[i], m.round[j] = m.round[j], m.round[i] })
+}
+
+// lost picks a dead member or a seed that no working member has.
+func (m *Members) lost() (netip.AddrPort, bool) {
+	var addrs []netip.AddrPort
+	working := map[netip.AddrPort]bool{m.self.Peer: true}
+	for _, e := range m.known {
+		if e.State != MemberDead {
+			working[e.Peer] = true
+		}
+	}
+	for _, e := range m.known {
+		if !working[e.Peer] {
+			addrs = append(addrs, e.Peer)
+		}
+	}
+	for _, seed := range m.seeds {
+		if !working[seed] {
+			addrs = append(addrs, seed)
+		}
+	}
+	if len(addrs) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return addrs[m.rng.IntN(len(addrs))], true
+}
+
+// helpers picks members for indirect probes.
+func (m *Members) helpers(target string) []Member {
+	list := m.list(func(x Member) bool {
+		return x.State == MemberAlive && x.Name != m.self.Name && x.Name != target
+	})
+	m.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), indirectProbes)]
+}
--- /dev/null
+++ b/pkg/control/members_test.go
@@ -0,0 +1,198 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const testPeriod = time.Second
+
+// testFleet passes probes between views, in memory and in order.
+type testFleet struct {
+	now   time.Time
+	views []*Members
+	byAdr map[netip.AddrPort]int
+	cut   func(from, to int) bool
+	bytes []int // Sent by each view.
+}
+
+func newTestFleet(n int) *testFleet {
+	f := &testFleet{now: testNow, byAdr: map[netip.AddrPort]int{}, bytes: make([]int, n)}
+	f.cut = func(int, int) bool { return false }
+	for i := range n {
+		f.byAdr[testAddr(i)] = i
+		f.views = append(f.views, newTestView(i, 1))
+	}
+	return f
+}
+
+var testNow = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 9000)
+}
+
+func newTestView(i int, incarnation uint64) *Members {
+	self := Member{Name: fmt.Sprint("vm-", i), Peer: testAddr(i), DataHall: "north", Incarnation: incarnation}
+	return NewMembers(self, testPeriod, []netip.AddrPort{testAddr(0), testAddr(1)}, rand.New(rand.NewPCG(1, uint64(i))))
+}
+
+func (f *testFleet) send(from int, out []Packet) {
+	for _, p := range out {
+		body, _ := json.Marshal(p.Probe)
+		f.bytes[from] += len(body)
+		to, known := f.byAdr[p.To]
+		if !known || f.cut(from, to) {
+			continue
+		}
+		var probe Probe
+		_ = json.Unmarshal(body, &probe)
+		f.send(to, f.views[to].Handle(testAddr(from), probe, f.now, 0))
+	}
+}
+
+// run passes a number of periods.
+func (f *testFleet) run(periods int) {
+	for range periods {
+		for i, v := range f.views {
+			f.send(i, v.Tick(f.now, 0))
+		}
+		f.now = f.now.Add(testPeriod / 2)
+		for i, v := range f.views {
+			f.send(i, v.Late(f.now, 0))
+		}
+		f.now = f.now.Add(testPeriod / 2)
+	}
+}
+
+func (f *testFleet) stateOf(viewer, target int) MemberState {
+	for _, m := range f.views[viewer].All() {
+		if m.Name == fmt.Sprint("vm-", target) {
+			return m.State
+		}
+	}
+	return MemberDead
+}
+
+func TestMembersFindEachOther(t *testing.T) {
+	f := newTestFleet(30)
+	f.run(40)
+	for _, v := range f.views {
+		assert.Equal(t, len(v.Working()), 30)
+	}
+}
+
+func TestSilentMemberIsFoundDeadAndReturns(t *testing.T) {
+	f := newTestFleet(8)
+	f.run(30)
+	f.cut = func(from, to int) bool { return from == 3 || to == 3 }
+	f.run(30)
+	assert.Equal(t, f.stateOf(0, 3), MemberDead)
+	f.cut = func(int, int) bool { return false }
+	f.run(40)
+	assert.Equal(t, f.stateOf(0, 3), MemberAlive)
+}
+
+func TestCutBetweenTwoIsBridgedByOthers(t *testing.T) {
+	f := newTestFleet(8)
+	f.run(30)
+	f.cut = func(from, to int) bool { return (from == 1 && to == 2) || (from == 2 && to == 1) }
+	for range 60 {
+		f.run(1)
+		for viewer := range f.views {
+			assert.Assert(t, f.stateOf(viewer, 2) != MemberDead)
+		}
+	}
+}
+
+func TestHalvesFindEachOtherAfterACut(t *testing.T) {
+	f := newTestFleet(10)
+	f.run(30)
+	f.cut = func(from, to int) bool { return (from < 5) != (to < 5) }
+	f.run(60)
+	assert.Equal(t, len(f.views[0].Working()), 5)
+	f.cut = func(int, int) bool { return false }
+	f.run(120)
+	for _, v := range f.views {
+		assert.Equal(t, len(v.Working()), 10)
+	}
+}
+
+func TestLeavingIsKnownWithinSeconds(t *testing.T) {
+	f := newTestFleet(30)
+	f.run(40)
+	f.send(4, f.views[4].Leave(f.now))
+	f.run(3)
+	for viewer := range f.views {
+		assert.Equal(t, f.stateOf(viewer, 4), MemberLeaving)
+	}
+}
+
+func TestRestartedNodeOutbidsItsLastLife(t *testing.T) {
+	f := newTestFleet(8)
+	f.run(30)
+	f.cut = func(from, to int) bool { return from == 3 || to == 3 }
+	f.run(30)
+	f.cut = func(int, int) bool { return false }
+	f.views[3] = newTestView(3, 2)
+	f.run(20)
+	assert.Equal(t, f.stateOf(0, 3), MemberAlive)
+}
+
+func TestOwnerMovesOnlyWhatItMust(t *testing.T) {
+	f := newTestFleet(30)
+	f.run(40)
+	all := f.views[0].Working()
+	without := append(append([]Member(nil), all[:7]...), all[8:]...)
+	counts := map[string]int{}
+	for i := range 3000 {
+		duty := fmt.Sprint("duty-", i)
+		before, _ := Owner(all, duty)
+		after, _ := Owner(without, duty)
+		counts[before.Name]++
+		if before.Name != all[7].Name {
+			assert.Equal(t, before.Name, after.Name)
+		}
+		assert.Equal(t, Owners(all, duty, 1)[0].Name, before.Name)
+	}
+	for name, n := range counts {
+		assert.Assert(t, n > 50 && n < 200, "%s has %d of 3000 duties", name, n)
+	}
+}
+
+// BenchmarkMembers reports the cost of membership a node and second, at rest
+// and with the design size's churn.
+func BenchmarkMembers(b *testing.B) {
+	for _, n := range []int{8, 30, 100, 300, 900} {
+		b.Run(fmt.Sprint("nodes=", n), func(b *testing.B) {
+			f := newTestFleet(n)
+			for _, v := range f.views {
+				for i := range n {
+					v.Merge([]Member{{Name: fmt.Sprint("vm-", i), Peer: testAddr(i), DataHall: "north", Incarnation: 1}}, f.now)
+				}
+			}
+			for _, v := range f.views {
+				clear(v.news)
+			}
+			f.run(1)
+			clear(f.bytes)
+			periods := 0
+			for b.Loop() {
+				f.run(1)
+				periods++
+			}
+			total := 0
+			for _, sent := range f.bytes {
+				total += sent
+			}
+			b.ReportMetric(float64(total)/float64(n*periods), "B/node/period")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(n*periods), "ns/node/period")
+		})
+	}
+}
--- /dev/null
+++ b/pkg/control/platform.go
@@ -0,0 +1,23 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+
+	"github.com/drumpath/drumpath/pkg/platform"
+)
+
+// table is the part of the table service that this package uses.
+type table interface {
+	Commit(ctx context.Context, txn platform.Txn) error
+	Read(ctx context.Context, keys ...string) ([]platform.Row, error)
+}
+
+// objectStore is the part of the object store that this package uses.
+type objectStore interface {
+	Put(ctx context.Context, name string, v any) error
+	Get(ctx context.Context, name string, v any) error
+}
+
+// newNonce returns a text that no other writer uses.
+func newNonce() string { return rand.Text() }
--- /dev/null
+++ b/pkg/httpjson/client.go
@@ -0,0 +1,117 @@
+package httpjson
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	dialTimeout     = time.Second
+	maxConns        = 512
+	idleConn        = 5 * time.Second
+	maxResponseBody = 64 << 20
+	contentType     = "application/json"
+)
+
+// Client calls one server; it never repeats a call by itself.
+type Client struct {
+	addr string
+	http *fasthttp.HostClient
+}
+
+// NewClient returns a client of the server at addr.
+func NewClient(addr netip.AddrPort) *Client {
+	return &Client{
+		addr: addr.String(),
+		http: &fasthttp.HostClient{
+			Addr:                   addr.String(),
+			MaxConns:               maxConns,
+			MaxIdleConnDuration:    idleConn,
+			MaxResponseBodySize:    maxResponseBody,
+			DisablePathNormalizing: true,
+			Dial: func(addr string) (net.Conn, error) {
+				return fasthttp.DialTimeout(addr, dialTimeout)
+			},
+			// Whether a call may be repeated is the caller's decision.
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		},
+	}
+}
+
+// Call sends in as JSON, unless it is nil, and decodes the answer into out,
+// unless it is nil; the error is a *StatusError for an answer other than 2xx
+// and a *CallError when there was none.
+func (c *Client) Call(ctx context.Context, method, path string, in, out any) (err error) {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.Prepare(req, method, path, in); err != nil {
+		return err
+	}
+	if err := c.Do(ctx, req, resp); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return &CallError{Path: path, Err: err}
+	}
+	return nil
+}
+
+// Prepare fills a request for Do.
+func (c *Client) Prepare(req *fasthttp.Request, method, path string, in any) error {
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.addr + path)
+	if in == nil {
+		return nil
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req.Header.SetContentType(contentType)
+	req.SetBodyRaw(body)
+	return nil
+}
+
+// Do sends a request within the context's deadline; errors are as for Call.
+func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	path := string(req.URI().Path())
+	if err := ctx.Err(); err != nil {
+		return &CallError{Path: path, NotSent: true, Err: err}
+	}
+	var err error
+	if deadline, ok := ctx.Deadline(); ok {
+		err = c.http.DoDeadline(req, resp, deadline)
+	} else {
+		err = c.http.Do(req, resp)
+	}
+	if err != nil {
+		return &CallError{Path: path, NotSent: neverSent(err), Err: err}
+	}
+	if code := resp.StatusCode(); code/100 != 2 {
+		return &StatusError{Path: path, Code: code, Body: append([]byte(nil), resp.Body()...)}
+	}
+	return nil
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// neverSent says whether no byte of the request can have left.
+func neverSent(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	return errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout)
+}
--- /dev/null
+++ b/pkg/httpjson/doc.go
@@ -0,0 +1,2 @@
+// Package httpjson makes JSON calls over HTTP to the platform and to upstreams.
+package httpjson
--- /dev/null
+++ b/pkg/platform/errors.go
@@ -0,0 +1,14 @@
+package platform
+
+import "errors"
+
+var (
+	// ErrNotApplied says that a write did not and will not take effect.
+	ErrNotApplied = errors.New("not applied")
+	// ErrUnknown says that a write may have taken effect, or may yet.
+	ErrUnknown = errors.New("outcome unknown")
+	// ErrUnavailable says that the service gave no answer to a read.
+	ErrUnavailable = errors.New("platform service unavailable")
+	// ErrNotFound says that there is no object of that name.
+	ErrNotFound = errors.New("not found")
+)
--- /dev/null
+++ b/pkg/prompt/scope.go
@@ -0,0 +1,30 @@
+package prompt
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// Scope is everything that must be equal for two requests to share state.
+type Scope struct {
+	Organisation string
+	Model        string
+	Weights      string
+	Adapter      string
+	// Reuse is what the operator's reuse rule adds: nothing, a label, or the
+	// request's own id.
+	Reuse string
+}
+
+// Root returns the key at which the scope's chains start.
+func (s Scope) Root() Key {
+	h := sha256.New()
+	for _, part := range []string{s.Organisation, s.Model, s.Weights, s.Adapter, s.Reuse} {
+		// The length goes first, so that no two scopes give the same bytes.
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write([]byte(part))
+	}
+	return Key(h.Sum(nil)[:KeySize])
+}
--- /dev/null
+++ b/pkg/route/admission.go
@@ -0,0 +1,212 @@
+package route
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	minCapacity  = 4
+	holdWeight   = 0.05 // Of the newest hold in the mean hold.
+	defaultHold  = 300 * time.Millisecond
+	minRetry     = 100 * time.Millisecond
+	burstSeconds = 2 // Of an organisation's token limit.
+)
+
+// Tenant is what admission knows of an organisation.
+type Tenant struct {
+	Name            string
+	Share           float64
+	Concurrency     int
+	TokensPerSecond float64
+}
+
+// Admission lets requests in up to a capacity, in weighted fair order of
+// organisations, and within one by priority and deadline.
+//
+// It is start-time fair queueing: each organisation has a virtual time that
+// grows with the work it was given over its share, and the organisation that is
+// furthest behind goes next. So a large organisation's queue delays itself. A
+// request that would wait past its limit is refused at once.
+type Admission struct {
+	mu       sync.Mutex
+	capacity int
+	inside   int
+	virtual  float64
+	meanHold time.Duration
+	tenants  map[string]*tenantQueue
+	seq      uint64
+}
+
+type tenantQueue struct {
+	Tenant
+	finish  float64 // Virtual time up to which it has had its share.
+	inside  int
+	waiting places
+	tokens  *rate.Limiter
+}
+
+// NewAdmission returns an admission of the least capacity.
+func NewAdmission() *Admission {
+	return &Admission{capacity: minCapacity, meanHold: defaultHold, tenants: map[string]*tenantQueue{}}
+}
+
+// SetCapacity sets how many requests may be inside at once.
+func (a *Admission) SetCapacity(n int, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.capacity = max(minCapacity, n)
+	a.admit(now)
+}
+
+// Offer asks for a place: the answer is a place, which may be ready at once, or
+// a *RefusedError. The request must be inside before limit; cost is in tokens.
+func (a *Admission) Offer(t Tenant, cost float64, priority int, limit, now time.Time) (*Place, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	q := a.tenant(t)
+	if q.tokens != nil {
+		if ok, after := takeTokens(q.tokens, cost, now); !ok {
+			return nil, &RefusedError{Reason: RefusedRate, RetryAfter: after}
+		}
+	}
+	if wait := a.expectedWait(q, now); now.Add(wait).After(limit) {
+		return nil, &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}
+	}
+	a.seq++
+	p := &Place{
+		admission: a,
+		tenant:    q,
+		cost:      max(1, cost),
+		priority:  priority,
+		limit:     limit,
+		seq:       a.seq,
+		ready:     make(chan struct{}),
+	}
+	heap.Push(&q.waiting, p)
+	a.admit(now)
+	return p, nil
+}
+
+// takeTokens takes cost from a limiter, or says when to come back. One request
+// larger than the burst is let through when the bucket is full.
+func takeTokens(l *rate.Limiter, cost float64, now time.Time) (bool, time.Duration) {
+	n := min(int(cost), l.Burst())
+	r := l.ReserveN(now, n)
+	if wait := r.DelayFrom(now); wait > 0 {
+		r.CancelAt(now)
+		return false, max(minRetry, wait)
+	}
+	return true, 0
+}
+
+// tenant returns an organisation's queue with its present limits.
+func (a *Admission) tenant(t Tenant) *tenantQueue {
+	q, ok := a.tenants[t.Name]
+	if !ok {
+		q = &tenantQueue{}
+		a.tenants[t.Name] = q
+	}
+	if t.TokensPerSecond != q.TokensPerSecond {
+		q.tokens = nil
+		if t.TokensPerSecond > 0 {
+			q.tokens = rate.NewLimiter(rate.Limit(t.TokensPerSecond), max(1, int(burstSeconds*t.TokensPerSecond)))
+		}
+	}
+	q.Tenant = t
+	if q.Share <= 0 {
+		q.Share = 1
+	}
+	return q
+}
+
+// expectedWait is how long a new request of an organisation would wait: its own
+// queue drains at its share of the rate at which places come free.
+func (a *Admission) expectedWait(q *tenantQueue, _ time.Time) time.Duration {
+	if a.inside < a.capacity && len(q.waiting) == 0 && q.mayEnter() {
+		return 0
+	}
+	shares := q.Share
+	for _, other := range a.tenants {
+		if other != q && len(other.waiting) > 0 {
+			shares += other.Share
+		}
+	}
+	perSecond := float64(a.capacity) / max(a.meanHold.Seconds(), 1e-3) * q.Share / shares
+	if q.Concurrency > 0 {
+		perSecond = min(perSecond, float64(q.Concurrency)/max(a.meanHold.Seconds(), 1e-3))
+	}
+	return seconds(float64(len(q.waiting)+1) / perSecond)
+}
+
+func (q *tenantQueue) mayEnter() bool { return q.Concurrency == 0 || q.inside < q.Concurrency }
+
+// admit lets in whom there is room for; the caller holds mu.
+func (a *Admission) admit(now time.Time) {
+	for a.inside < a.capacity {
+		q := a.next()
+		if q == nil {
+			return
+		}
+		p := heap.Pop(&q.waiting).(*Place) // The heap holds nothing else.
+		a.virtual = max(a.virtual, q.finish)
+		q.finish = max(q.finish, a.virtual) + p.cost/q.Share
+		q.inside++
+		a.inside++
+		p.entered = now
+		p.inside = true
+		close(p.ready)
+	}
+}
+
+// next finds the organisation that is furthest behind its share.
+func (a *Admission) next() *tenantQueue {
+	var best *tenantQueue
+	for _, q := range a.tenants {
+		if len(q.waiting) == 0 || !q.mayEnter() {
+			continue
+		}
+		if best == nil || q.behind(a.virtual) < best.behind(a.virtual) ||
+			(q.behind(a.virtual) == best.behind(a.virtual) && q.waiting[0].seq < best.waiting[0].seq) {
+			best = q
+		}
+	}
+	return best
+}
+
+// behind is the virtual time at which an organisation's next request starts;
+// one that was idle starts now and has saved nothing up.
+func (q *tenantQueue) behind(virtual float64) float64 { return max(q.finish, virtual) }
+
+// AdmissionStatus is what a dump shows of admission.
+type AdmissionStatus struct {
+	Capacity int                     `json:"capacity"`
+	Inside   int                     `json:"inside"`
+	MeanHold time.Duration           `json:"mean_hold_ns"`
+	Tenants  map[string]TenantStatus `json:"organisations"`
+}
+
+// TenantStatus is what a dump shows of one organisation's queue.
+type TenantStatus struct {
+	Inside  int `json:"inside"`
+	Waiting int `json:"waiting"`
+}
+
+// Status returns the queues' lengths.
+func (a *Admission) Status() AdmissionStatus {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := AdmissionStatus{
+		Capacity: a.capacity,
+		Inside:   a.inside,
+		MeanHold: a.meanHold,
+		Tenants:  map[string]TenantStatus{},
+	}
+	for name, q := range a.tenants {
+		s.Tenants[name] = TenantStatus{Inside: q.inside, Waiting: len(q.waiting)}
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/route/booking.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// Booking is a transfer's reservation of two links.
+type Booking struct {
+	links    *Links
+	names    [2]string
+	bytes    int64
+	begun    time.Time
+	expected time.Duration
+	reserved [2]time.Duration
+	ended    bool
+}
+
+// Expected is how long the transfer was expected to take.
+func (k *Booking) Expected() time.Duration { return k.expected }
+
+// End gives the reservation back and learns from how long the transfer took;
+// moved is 0 for one that was refused, which says nothing of the links.
+func (k *Booking) End(moved int64, now time.Time) {
+	k.links.mu.Lock()
+	defer k.links.mu.Unlock()
+	if k.ended {
+		return
+	}
+	k.ended = true
+	took := now.Sub(k.begun)
+	for i, name := range k.names {
+		s := k.links.get(name)
+		// What is left of the reservation beyond now falls free.
+		if left := k.reserved[i] - took; left > 0 {
+			s.busy = s.busy.Add(-left)
+		}
+		if moved == 0 {
+			continue
+		}
+		s.moved += moved
+		if k.expected > 0 && moved == k.bytes {
+			ratio := k.expected.Seconds() / max(took.Seconds(), 1e-4)
+			s.learn(ratio, now)
+		}
+	}
+}
+
+// GiveUp ends a transfer that was too slow; it was at most halfway.
+func (k *Booking) GiveUp(now time.Time) {
+	k.links.mu.Lock()
+	for _, name := range k.names {
+		k.links.get(name).learn(k.expected.Seconds()/(2*max(now.Sub(k.begun).Seconds(), 1e-4)), now)
+	}
+	k.links.mu.Unlock()
+	k.End(0, now)
+}
+
+// learn moves the believed share of the nominal rate towards what was seen;
+// the caller holds the lock.
+func (s *linkState) learn(ratio float64, now time.Time) {
+	current := s.rate(now) / s.nominal
+	s.share = min(1, max(slowestShare, current*math.Pow(ratio, rateWeight)))
+	s.observed = now
+}
--- /dev/null
+++ b/pkg/route/estimator.go
@@ -0,0 +1,174 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/drumpath/drumpath/pkg/prompt"
+)
+
+const (
+	// hotCandidates is how many holders of a hot prefix are weighed.
+	hotCandidates = 4
+	// sampled is how many other replicas are weighed, drawn at random so that
+	// many nodes with the same old reports don't all choose the same one.
+	sampled = 6
+	// storeCandidates is how many stored copies are weighed for each replica.
+	storeCandidates = 2
+	// otherHall is added for a replica in another data hall.
+	otherHall = 2 * time.Millisecond
+	// minImport is the least gain in tokens for which an import is weighed.
+	minImport = 4 * prompt.ChunkTokens
+	// giveUpFactor is how much longer than recomputing an import may take
+	// before it is given up, for each unit of recompute price over latency.
+	giveUpFactor = 1
+)
+
+// estimator places a request by its estimated first-token time, with prices
+// for recomputed tokens and for links.
+//
+// The candidates are the holders of the longest hot prefixes, the replica that
+// the prompt's anchor hashes to, and a few drawn at random; each is weighed
+// with and without an import from each of the best stored copies. So a decision
+// costs the same for 20 replicas and for 7,000.
+type estimator struct {
+	fleet   *Fleet
+	links   *Links
+	weights Weights
+	imports bool
+}
+
+// Place implements Policy.
+func (p *estimator) Place(q *Request, now time.Time) (Decision, error) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	hot, stored := splitHoldings(q.Match.Holdings)
+	var best Decision
+	found := false
+	for _, r := range p.candidates(q, hot, now) {
+		for _, d := range p.options(q, r, hot[r.Name], stored, now) {
+			if !found || d.Score < best.Score {
+				best, found = d, true
+			}
+		}
+	}
+	if !found {
+		return Decision{}, ErrNoReplica
+	}
+	return best, nil
+}
+
+// splitHoldings sorts holdings into hot tokens by engine and stored copies,
+// longest first.
+func splitHoldings(all []prompt.Holding) (hot map[string]int, stored []prompt.Holding) {
+	hot = map[string]int{}
+	for _, h := range all {
+		if h.Object != nil {
+			stored = append(stored, h)
+			continue
+		}
+		hot[h.Upstream] = max(hot[h.Upstream], h.Tokens())
+	}
+	slices.SortStableFunc(stored, func(a, b prompt.Holding) int { return cmp.Compare(b.Chunks, a.Chunks) })
+	return hot, stored[:min(len(stored), storeCandidates)]
+}
+
+// candidates picks the replicas to weigh; the caller holds the fleet's lock.
+func (p *estimator) candidates(q *Request, hot map[string]int, now time.Time) []*replica {
+	var list []*replica
+	add := func(r *replica) {
+		if r != nil && p.fleet.usable(r, q, now) && !slices.Contains(list, r) {
+			list = append(list, r)
+		}
+	}
+	holders := make([]string, 0, len(hot))
+	for name := range hot {
+		holders = append(holders, name)
+	}
+	slices.SortFunc(holders, func(a, b string) int {
+		return cmp.Or(cmp.Compare(hot[b], hot[a]), cmp.Compare(a, b))
+	})
+	for _, name := range holders[:min(len(holders), hotCandidates)] {
+		add(p.fleet.replicas[name])
+	}
+	all := p.fleet.byModel[q.Model]
+	if len(all) <= sampled {
+		for _, r := range all {
+			add(r)
+		}
+		return list
+	}
+	anchor := q.Chain.Anchor()
+	add(all[xxhash.Sum64(anchor[:])%uint64(len(all))])
+	for range 2 * sampled {
+		if len(list) >= hotCandidates+sampled {
+			break
+		}
+		add(all[p.fleet.rng.IntN(len(all))])
+	}
+	if len(list) == 0 {
+		// Few are usable: look at all rather than refuse by bad luck.
+		for _, r := range all {
+			add(r)
+		}
+	}
+	return list
+}
+
+// options weighs a replica with what it holds hot and with each import.
+func (p *estimator) options(q *Request, r *replica, hotTokens int, stored []prompt.Holding, now time.Time) []Decision {
+	hotTokens = min(hotTokens, q.Chain.Tokens)
+	wait := r.wait(now)
+	if r.DataHall != q.DataHall {
+		wait += otherHall
+	}
+	list := []Decision{p.score(Decision{
+		Replica:   r.Name,
+		Cached:    hotTokens,
+		Recompute: q.Chain.Tokens - hotTokens,
+		Wait:      wait,
+		Prefill:   r.prefill(q.Chain.Tokens - hotTokens),
+	}, r, 0)}
+	if !p.imports {
+		return list
+	}
+	for _, h := range stored {
+		gain := h.Tokens() - hotTokens
+		if gain < minImport {
+			continue
+		}
+		bytes := int64(h.Tokens()) * int64(r.report.TokenBytes)
+		fetch := p.links.Estimate(h.Upstream, r.Name, bytes, now)
+		giveUp := r.prefill(gain) + wait
+		giveUp += time.Duration(float64(r.prefill(gain)) * giveUpFactor * p.weights.Recompute / p.weights.Latency)
+		list = append(list, p.score(Decision{
+			Replica:   r.Name,
+			Cached:    hotTokens,
+			Recompute: q.Chain.Tokens - h.Tokens(),
+			Import: &Import{
+				Store:  h.Upstream,
+				Object: *h.Object,
+				Chunks: h.Chunks,
+				Bytes:  bytes,
+				GiveUp: giveUp,
+			},
+			Wait:    wait,
+			Fetch:   fetch,
+			Prefill: r.prefill(q.Chain.Tokens - h.Tokens()),
+		}, r, bytes))
+	}
+	return list
+}
+
+// score prices a decision in weighted seconds.
+func (p *estimator) score(d Decision, r *replica, bytes int64) Decision {
+	d.Score = p.weights.Latency*d.FirstToken().Seconds() +
+		p.weights.Recompute*r.prefill(d.Recompute).Seconds()
+	if bytes > 0 {
+		d.Score += p.weights.Link * float64(bytes) / defaultLinkRate
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/route/fleet.go
@@ -0,0 +1,174 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Fleet is this node's view of the model engines.
+type Fleet struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	replicas map[string]*replica
+	byModel  map[string][]*replica
+	next     int // For round robin.
+	leaving  map[string]bool
+}
+
+// NewFleet returns an empty view.
+func NewFleet(rng *rand.Rand) *Fleet {
+	return &Fleet{rng: rng, replicas: map[string]*replica{}, byModel: map[string][]*replica{}}
+}
+
+// Configure sets which replicas there are; what is known of those that stay is
+// kept.
+func (f *Fleet) Configure(list []Replica, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.replicas
+	f.replicas = make(map[string]*replica, len(list))
+	f.byModel = map[string][]*replica{}
+	for _, r := range list {
+		known, ok := old[r.Name]
+		if !ok || known.Replica != r {
+			known = newReplica(r, now)
+		}
+		f.replicas[r.Name] = known
+		f.byModel[r.Model] = append(f.byModel[r.Model], known)
+	}
+}
+
+// Report takes in a load report; an older one than the last is ignored.
+func (f *Fleet) Report(name string, r Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known, ok := f.replicas[name]; ok && r.Taken.After(known.report.Taken) {
+		known.report = r
+	}
+}
+
+// SetLeaving sets which replicas are leaving by the platform's list.
+func (f *Fleet) SetLeaving(names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = make(map[string]bool, len(names))
+	for _, name := range names {
+		f.leaving[name] = true
+	}
+}
+
+// Slots is the sum of the slots of all replicas.
+func (f *Fleet) Slots() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for _, r := range f.replicas {
+		sum += r.slots()
+	}
+	return sum
+}
+
+// ReplicaStatus is what a dump shows of one replica.
+type ReplicaStatus struct {
+	Name     string        `json:"name"`
+	DataHall string        `json:"data_hall"`
+	Model    string        `json:"model"`
+	Report   Report        `json:"report"`
+	InFlight int           `json:"in_flight"`
+	Wait     time.Duration `json:"wait_ns"`
+	Ejected  bool          `json:"ejected"`
+}
+
+// Status lists all replicas, by name.
+func (f *Fleet) Status(now time.Time) []ReplicaStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []ReplicaStatus
+	for _, r := range f.replicas {
+		list = append(list, ReplicaStatus{
+			Name:     r.Name,
+			DataHall: r.DataHall,
+			Model:    r.Model,
+			Report:   r.report,
+			InFlight: len(r.tickets),
+			Wait:     r.wait(now),
+			Ejected:  r.ejected(now),
+		})
+	}
+	slices.SortFunc(list, func(a, b ReplicaStatus) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// usable says whether a request may go to a replica now; the caller holds mu.
+func (f *Fleet) usable(r *replica, q *Request, now time.Time) bool {
+	if r.Model != q.Model || r.report.Leaving || f.leaving[r.Name] || r.ejected(now) || slices.Contains(q.Exclude, r.Name) {
+		return false
+	}
+	// An unreported replica may be tried; it refuses other weights itself.
+	return r.report.Weights == "" || r.report.Weights == q.Weights
+}
+
+// ejectable says whether one more replica of a model may be ejected.
+func (f *Fleet) ejectable(model string, now time.Time) bool {
+	all := f.byModel[model]
+	out := 1
+	for _, r := range all {
+		if r.ejected(now) {
+			out++
+		}
+	}
+	return float64(out) <= ejectShare*float64(len(all))
+}
+
+// Begin records that a request was sent to a replica; tokens are those it has
+// to compute.
+func (f *Fleet) Begin(name string, tokens int, now time.Time) *Ticket {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &Ticket{fleet: f, name: name, begun: now, tokens: tokens}
+	if r, ok := f.replicas[name]; ok {
+		r.tickets[t] = struct{}{}
+	}
+	return t
+}
+
+// ReportOf returns the last load report of a replica.
+func (f *Fleet) ReportOf(name string) Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.replicas[name]; ok {
+		return r.report
+	}
+	return Report{}
+}
+
+// ServedWeights returns the weight version that a new request should use: the
+// configured one if a replica serves it, else, while the fleet is being
+// swapped, the one that most replicas serve.
+func (f *Fleet) ServedWeights(model, configured string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := map[string]int{}
+	for _, r := range f.byModel[model] {
+		if r.report.Weights != "" && !r.report.Leaving {
+			counts[r.report.Weights]++
+		}
+	}
+	best := configured
+	if counts[configured] > 0 {
+		return best
+	}
+	for weights, n := range counts {
+		if n > counts[best] || (n == counts[best] && weights > best) {
+			best = weights
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pkg/route/links.go
@@ -0,0 +1,120 @@
+package route
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	defaultLinkRate = 100e6
+	// slowestShare bounds how far observations pull a link's rate down.
+	slowestShare = 0.01
+	// rateWeight is how strongly one transfer moves the believed rate, as an
+	// exponent on the ratio of time taken to time expected.
+	rateWeight = 0.5
+	// recovery is how fast the believed rate of an unused link goes back to
+	// its nominal one, so that a link that was slow is tried again.
+	recovery = 20 * time.Second
+)
+
+// Links are the links of engines and stores as resources that are booked.
+type Links struct {
+	mu    sync.Mutex
+	links map[string]*linkState
+}
+
+type linkState struct {
+	nominal  float64 // Bytes a second.
+	share    float64 // Of the nominal rate, as observed.
+	observed time.Time
+	busy     time.Time // Booked until.
+	moved    int64
+}
+
+// NewLinks returns links of which nothing is known.
+func NewLinks() *Links { return &Links{links: map[string]*linkState{}} }
+
+func (l *Links) get(name string) *linkState {
+	s, ok := l.links[name]
+	if !ok {
+		s = &linkState{nominal: defaultLinkRate, share: 1}
+		l.links[name] = s
+	}
+	return s
+}
+
+// rate is the believed rate in bytes a second.
+func (s *linkState) rate(now time.Time) float64 {
+	idle := now.Sub(s.observed).Seconds() / recovery.Seconds()
+	share := s.share + (1-s.share)*(1-math.Exp(-max(0, idle)))
+	return s.nominal * share
+}
+
+// Report takes in a link's nominal rate and the bytes queued on it.
+func (l *Links) Report(name string, rate float64, queue int64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.get(name)
+	if rate > 0 {
+		s.nominal = rate
+	}
+	if end := now.Add(seconds(float64(queue) / s.rate(now))); end.After(s.busy) {
+		s.busy = end
+	}
+}
+
+// Estimate is how long a transfer over both links would take from now: it is
+// done when the slower has worked off what is booked and moved the bytes.
+func (l *Links) Estimate(a, b string, bytes int64, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.get(a).estimate(bytes, now), l.get(b).estimate(bytes, now))
+}
+
+func (s *linkState) estimate(bytes int64, now time.Time) time.Duration {
+	return max(0, s.busy.Sub(now)) + seconds(float64(bytes)/s.rate(now))
+}
+
+// Book reserves both links for a transfer; the caller ends the booking.
+func (l *Links) Book(a, b string, bytes int64, now time.Time) *Booking {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := &Booking{links: l, names: [2]string{a, b}, bytes: bytes, begun: now}
+	for i, name := range k.names {
+		s := l.get(name)
+		k.expected = max(k.expected, s.estimate(bytes, now))
+		k.reserved[i] = seconds(float64(bytes) / s.rate(now))
+		if s.busy.Before(now) {
+			s.busy = now
+		}
+		s.busy = s.busy.Add(k.reserved[i])
+	}
+	return k
+}
+
+// Booked is for how long a link is booked from now.
+func (l *Links) Booked(name string, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.get(name).busy.Sub(now))
+}
+
+// LinkStatus is what a dump shows of one link.
+type LinkStatus struct {
+	Name   string        `json:"name"`
+	Rate   float64       `json:"rate"` // Bytes a second, as believed now.
+	Booked time.Duration `json:"booked_ns"`
+	Moved  int64         `json:"moved"` // Bytes, on this node's orders.
+}
+
+// Status lists all links.
+func (l *Links) Status(now time.Time) []LinkStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []LinkStatus
+	for name, s := range l.links {
+		list = append(list, LinkStatus{Name: name, Rate: s.rate(now), Booked: max(0, s.busy.Sub(now)), Moved: s.moved})
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/route/retry.go
@@ -0,0 +1,37 @@
+package route
+
+import "sync"
+
+// maxRetryCredit bounds how many retries may be saved up.
+const maxRetryCredit = 20
+
+// RetryBudget lets retries be only a share of successes, so that failures can't
+// multiply load.
+type RetryBudget struct {
+	mu     sync.Mutex
+	share  float64
+	credit float64
+}
+
+// NewRetryBudget returns a budget that starts full.
+func NewRetryBudget(share float64) *RetryBudget {
+	return &RetryBudget{share: share, credit: maxRetryCredit}
+}
+
+// Success adds a success's share.
+func (b *RetryBudget) Success() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.credit = min(maxRetryCredit, b.credit+b.share)
+}
+
+// Take says whether a retry may be made, and counts it.
+func (b *RetryBudget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.credit < 1 {
+		return false
+	}
+	b.credit--
+	return true
+}
--- /dev/null
+++ b/pkg/timer/service.go
@@ -0,0 +1,153 @@
+package timer
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// jitterShare is the share of a period by which each tick is moved at random,
+// so that many nodes started together do not act together.
+const jitterShare = 0.1
+
+// Func is a subscriber's callback; ctx ends when its subscription closes.
+type Func func(ctx context.Context)
+
+// Service runs subscribed callbacks on a fixed pool of workers.
+//
+// A subscription is put back on the schedule only after its callback has
+// returned, so a slow callback is never run twice at once and never piles up.
+// Lock order: Service.mu is the only lock, and no callback runs under it.
+type Service struct {
+	mu     sync.Mutex
+	due    schedule
+	closed bool
+	wake   chan struct{}
+	ready  chan *Subscription
+	done   chan struct{}
+	wg     sync.WaitGroup
+}
+
+// NewService starts a timer service with the given number of workers.
+func NewService(workers int) *Service {
+	s := &Service{
+		wake:  make(chan struct{}, 1),
+		ready: make(chan *Subscription),
+		done:  make(chan struct{}),
+	}
+	s.wg.Add(1 + workers)
+	go s.dispatch()
+	for range workers {
+		go s.work()
+	}
+	return s
+}
+
+// Subscribe runs fn every period, first after one jittered period, until the
+// subscription or the service is closed.
+func (s *Service) Subscribe(every time.Duration, fn Func) *Subscription {
+	ctx, cancel := context.WithCancel(context.Background())
+	sub := &Subscription{service: s, every: every, fn: fn, ctx: ctx, cancel: cancel, index: -1}
+	s.mu.Lock()
+	s.push(sub, time.Now().Add(jitter(every)))
+	s.mu.Unlock()
+	return sub
+}
+
+// Close stops every subscription and waits for running callbacks to return.
+func (s *Service) Close() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		s.wg.Wait()
+		return
+	}
+	s.closed = true
+	for _, sub := range s.due {
+		sub.cancel()
+	}
+	s.mu.Unlock()
+	close(s.done)
+	s.wg.Wait()
+}
+
+// push schedules sub; the caller holds mu.
+func (s *Service) push(sub *Subscription, at time.Time) {
+	if s.closed || sub.closed {
+		return
+	}
+	sub.at = at
+	heap.Push(&s.due, sub)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) dispatch() {
+	defer s.wg.Done()
+	t := time.NewTimer(time.Hour)
+	defer t.Stop()
+	for {
+		sub, wait := s.next(time.Now())
+		if sub != nil {
+			select {
+			case s.ready <- sub:
+			case <-s.done:
+				sub.running.Done()
+				return
+			}
+			continue
+		}
+		t.Reset(wait)
+		select {
+		case <-t.C:
+		case <-s.wake:
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// next pops the first due subscription, or says how long to wait for one.
+func (s *Service) next(now time.Time) (*Subscription, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.due) == 0 {
+		return nil, time.Hour
+	}
+	if wait := s.due[0].at.Sub(now); wait > 0 {
+		return nil, wait
+	}
+	sub := heap.Pop(&s.due).(*Subscription) // The heap holds nothing else.
+	sub.running.Add(1)
+	return sub, 0
+}
+
+func (s *Service) work() {
+	defer s.wg.Done()
+	for {
+		select {
+		case sub := <-s.ready:
+			s.run(sub)
+		case <-s.done:
+			return
+		}
+	}
+}
+
+func (s *Service) run(sub *Subscription) {
+	defer sub.running.Done()
+	if sub.ctx.Err() == nil {
+		sub.fn(sub.ctx)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.push(sub, time.Now().Add(jitter(sub.every)))
+}
+
+func jitter(d time.Duration) time.Duration {
+	return d + time.Duration((rand.Float64()*2-1)*jitterShare*float64(d))
+}
--- /dev/null
+++ b/pkg/upstream/engine.go
@@ -0,0 +1,104 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/drumpath/drumpath/pkg/httpjson"
+)
+
+// Engine is a client of one model engine.
+type Engine struct {
+	name string
+	http *httpjson.Client
+}
+
+// NewEngine returns a client of the engine at addr.
+func NewEngine(name string, addr netip.AddrPort) *Engine {
+	return &Engine{name: name, http: httpjson.NewClient(addr)}
+}
+
+// Run starts a run and returns its answer stream, which the caller closes; the
+// error is a *NotRunError where it is certain that nothing ran, else a
+// *BrokenError or *CrossedError.
+func (e *Engine) Run(ctx context.Context, r RunRequest) (s *Stream, err error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	if err := e.http.Prepare(req, http.MethodPost, PathRun, r); err != nil {
+		return nil, &NotRunError{Upstream: e.name, Reason: err.Error()}
+	}
+	req.Header.Set(HeaderRequestID, r.RequestID)
+	resp := fasthttp.AcquireResponse()
+	resp.StreamBody = true
+	if err := e.http.Do(ctx, req, resp); err != nil {
+		closeResponse(resp)
+		return nil, classify(e.name, err)
+	}
+	if id := string(resp.Header.Peek(HeaderRequestID)); id != r.RequestID {
+		closeResponse(resp)
+		return nil, &CrossedError{Upstream: e.name, Want: r.RequestID, Found: id}
+	}
+	return newStream(ctx, e.name, r, resp), nil
+}
+
+// closeResponse gives a response back; an unread rest closes its connection.
+func closeResponse(resp *fasthttp.Response) {
+	_ = resp.CloseBodyStream() // There is nothing left to lose.
+	fasthttp.ReleaseResponse(resp)
+}
+
+// Load returns the engine's load report.
+func (e *Engine) Load(ctx context.Context) (r LoadReport, err error) {
+	defer func() { err = eris.Wrapf(err, "load of %s", e.name) }()
+	err = e.http.Call(ctx, http.MethodGet, PathLoad, nil, &r)
+	return r, err
+}
+
+// Events returns the cache events after a sequence number.
+func (e *Engine) Events(ctx context.Context, after uint64) (ev CacheEvents, err error) {
+	defer func() { err = eris.Wrapf(err, "cache events of %s", e.name) }()
+	err = e.http.Call(ctx, http.MethodGet, fmt.Sprintf("%s?after=%d", PathCacheEvents, after), nil, &ev)
+	return ev, err
+}
+
+// Blocks lists the engine's whole cache.
+func (e *Engine) Blocks(ctx context.Context) (b CacheBlocks, err error) {
+	defer func() { err = eris.Wrapf(err, "cache blocks of %s", e.name) }()
+	err = e.http.Call(ctx, http.MethodGet, PathCacheBlocks, nil, &b)
+	return b, err
+}
+
+// Import has the engine fetch kept state; any error means to recompute.
+func (e *Engine) Import(ctx context.Context, o ImportOrder) (a ImportAnswer, err error) {
+	defer func() { err = eris.Wrapf(err, "import on %s", e.name) }()
+	err = classify(e.name, e.http.Call(ctx, http.MethodPost, PathImport, o, &a))
+	return a, err
+}
+
+// Export has the engine copy kept state to a store.
+func (e *Engine) Export(ctx context.Context, o ExportOrder) (a ExportAnswer, err error) {
+	defer func() { err = eris.Wrapf(err, "export from %s", e.name) }()
+	err = classify(e.name, e.http.Call(ctx, http.MethodPost, PathExport, o, &a))
+	return a, err
+}
+
+// Order gives the engine an order; a *NotRunError says it was refused.
+func (e *Engine) Order(ctx context.Context, o Order) (err error) {
+	defer func() { err = eris.Wrapf(err, "order to %s", e.name) }()
+	return classify(e.name, e.http.Call(ctx, http.MethodPost, PathOrders, o, nil))
+}
+
+// State reads back what the engine serves.
+func (e *Engine) State(ctx context.Context) (s EngineState, err error) {
+	defer func() { err = eris.Wrapf(err, "state of %s", e.name) }()
+	err = e.http.Call(ctx, http.MethodGet, PathOrders, nil, &s)
+	return s, err
+}
+
+// Close drops idle connections.
+func (e *Engine) Close() { e.http.Close() }
--- /dev/null
+++ b/pkg/upstream/errors.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/drumpath/drumpath/pkg/httpjson"
+)
+
+// NotRunError says that an upstream did not run a request: either it said so
+// by protocol, or no byte of the request reached it.
+type NotRunError struct {
+	Upstream string
+	Reason   string
+}
+
+// Error names the upstream and its reason.
+func (e *NotRunError) Error() string {
+	return fmt.Sprintf("upstream %s did not run it: %s", e.Upstream, e.Reason)
+}
+
+// CrossedError is an answer that belongs to another request.
+type CrossedError struct {
+	Upstream string
+	Want     string
+	Found    string
+}
+
+// Error names both requests.
+func (e *CrossedError) Error() string {
+	return fmt.Sprintf("upstream %s answered request %s with the answer to %s", e.Upstream, e.Want, e.Found)
+}
+
+// BrokenError is an answer that ended before its last event.
+type BrokenError struct {
+	Upstream string
+	Tokens   int // Received until then.
+	Reason   string
+}
+
+// Error names the upstream, how far it came and why it ended.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("upstream %s broke off after %d tokens: %s", e.Upstream, e.Tokens, e.Reason)
+}
+
+// classify turns a call's error into a *NotRunError where that is certain.
+func classify(name string, err error) error {
+	if err == nil {
+		return nil
+	}
+	if httpjson.NotSent(err) {
+		return &NotRunError{Upstream: name, Reason: ReasonUnreachable}
+	}
+	var status *httpjson.StatusError
+	if !errors.As(err, &status) {
+		return &BrokenError{Upstream: name, Reason: err.Error()}
+	}
+	var refusal Refusal
+	refused := status.Code == http.StatusConflict || status.Code == http.StatusServiceUnavailable
+	if refused && json.Unmarshal(status.Body, &refusal) == nil && refusal.NotRun {
+		return &NotRunError{Upstream: name, Reason: refusal.Reason}
+	}
+	return &BrokenError{Upstream: name, Reason: status.Error()}
+}
--- /dev/null
+++ b/pkg/upstream/order.go
@@ -0,0 +1,29 @@
+package upstream
+
+// OrderAction is what an order tells an engine.
+type OrderAction string
+
+// Order actions.
+const (
+	OrderLoad  OrderAction = "load"
+	OrderDrain OrderAction = "drain"
+)
+
+// Order changes what an engine serves. Engines that check fences refuse an
+// order whose epoch and sequence are not higher than the last one's.
+type Order struct {
+	Epoch   uint64      `json:"epoch"`
+	Seq     uint64      `json:"seq"`
+	Action  OrderAction `json:"action"`
+	Model   string      `json:"model,omitempty"`
+	Weights string      `json:"weights,omitempty"`
+}
+
+// EngineState is what an engine serves, read back after orders.
+type EngineState struct {
+	Model   string `json:"model"`
+	Weights string `json:"weights"`
+	Loading bool   `json:"loading"`
+	Epoch   uint64 `json:"epoch"`
+	Seq     uint64 `json:"seq"`
+}
--- /dev/null
+++ b/pkg/upstream/store.go
@@ -0,0 +1,42 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/httpjson"
+)
+
+// Store is a client of one store of kept state. Blocks move between engines
+// and stores; nodes only list and free.
+type Store struct {
+	name string
+	http *httpjson.Client
+}
+
+// NewStore returns a client of the store at addr.
+func NewStore(name string, addr netip.AddrPort) *Store {
+	return &Store{name: name, http: httpjson.NewClient(addr)}
+}
+
+// List returns what has changed in a boot epoch since a sequence number, or
+// all that the store keeps if it can't tell.
+func (s *Store) List(ctx context.Context, epoch, after uint64) (l StoreListing, err error) {
+	defer func() { err = eris.Wrapf(err, "list of %s", s.name) }()
+	path := fmt.Sprintf("%s?epoch=%d&after=%d", PathStoreList, epoch, after)
+	err = s.http.Call(ctx, http.MethodGet, path, nil, &l)
+	return l, err
+}
+
+// Free hides an object and releases it once no reader has it pinned.
+func (s *Store) Free(ctx context.Context, f Free) (err error) {
+	defer func() { err = eris.Wrapf(err, "free on %s", s.name) }()
+	return classify(s.name, s.http.Call(ctx, http.MethodPost, PathStoreFree, f, nil))
+}
+
+// Close drops idle connections.
+func (s *Store) Close() { s.http.Close() }
--- /dev/null
+++ b/pkg/upstream/transfer.go
@@ -0,0 +1,119 @@
+package upstream
+
+import (
+	"net/netip"
+
+	"github.com/drumpath/drumpath/pkg/prompt"
+)
+
+// ExportOrder asks an engine to copy kept state to a store.
+type ExportOrder struct {
+	RequestID string         `json:"request_id"`
+	Key       prompt.Key     `json:"key"` // The last block of the chain.
+	Chunks    int            `json:"chunks"`
+	Store     netip.AddrPort `json:"store"`
+	// Marks go with the object, so that any node can list it.
+	Marks prompt.PackedMarks `json:"marks"`
+}
+
+// ImportOrder asks an engine to fetch kept state from a store.
+type ImportOrder struct {
+	RequestID string         `json:"request_id"`
+	CacheSalt prompt.Key     `json:"cache_salt"`
+	Weights   string         `json:"weights"`
+	Object    prompt.Object  `json:"object"`
+	Chunks    int            `json:"chunks"` // How much of the object is wanted.
+	Store     netip.AddrPort `json:"store"`
+	// WaitMillis is after how long the engine gives the import up.
+	WaitMillis int64 `json:"wait_ms"`
+}
+
+// ImportAnswer says what an import brought.
+type ImportAnswer struct {
+	Chunks int   `json:"chunks"`
+	Bytes  int64 `json:"bytes"`
+	Millis int64 `json:"ms"`
+}
+
+// ExportAnswer names the sealed object that an export made.
+type ExportAnswer struct {
+	Object prompt.Object `json:"object"`
+	Millis int64         `json:"ms"`
+}
+
+// BeginPut opens a new object in a store; it stays hidden until it is sealed.
+type BeginPut struct {
+	Key    prompt.Key         `json:"key"`
+	Chunks int                `json:"chunks"`
+	Bytes  int64              `json:"bytes"`
+	Marks  prompt.PackedMarks `json:"marks"`
+}
+
+// PutBlocks writes part of an open object.
+type PutBlocks struct {
+	Key        prompt.Key   `json:"key"`
+	Generation uint64       `json:"generation"`
+	Blocks     []prompt.Key `json:"blocks"`
+	Bytes      int64        `json:"bytes"`
+}
+
+// Seal makes an object visible; the store checks length and checksum first.
+type Seal struct {
+	Key        prompt.Key `json:"key"`
+	Generation uint64     `json:"generation"`
+	Checksum   uint64     `json:"checksum"`
+}
+
+// Pin keeps an object from being released for a time, named by generation and
+// boot epoch so that an older or newer one can't be meant.
+type Pin struct {
+	Key        prompt.Key `json:"key"`
+	Generation uint64     `json:"generation"`
+	Epoch      uint64     `json:"epoch"`
+	Reader     string     `json:"reader"`
+	Millis     int64      `json:"ms"`
+}
+
+// GetBlocks reads part of a pinned object.
+type GetBlocks struct {
+	Key        prompt.Key `json:"key"`
+	Generation uint64     `json:"generation"`
+	Epoch      uint64     `json:"epoch"`
+	Reader     string     `json:"reader"`
+	From       int        `json:"from"`
+	Count      int        `json:"count"`
+}
+
+// Blocks is part of an object's content.
+type Blocks struct {
+	Blocks []prompt.Key `json:"blocks"`
+}
+
+// Free hides an object at once and releases it when its pins have ended.
+type Free struct {
+	Key        prompt.Key `json:"key"`
+	Generation uint64     `json:"generation"`
+	Epoch      uint64     `json:"epoch"`
+}
+
+// StoreChange is one object sealed or freed.
+type StoreChange struct {
+	Freed  bool               `json:"freed,omitempty"`
+	Object prompt.Object      `json:"object"`
+	Marks  prompt.PackedMarks `json:"marks"`
+}
+
+// StoreListing is what a store keeps, or what has changed since a sequence
+// number.
+type StoreListing struct {
+	Epoch uint64 `json:"epoch"`
+	Seq   uint64 `json:"seq"`
+	// Full says that Changes has all there is, not just what is new.
+	Full      bool          `json:"full"`
+	Used      int64         `json:"used"`
+	Capacity  int64         `json:"capacity"`
+	LinkRate  float64       `json:"link_rate"`
+	LinkQueue int64         `json:"link_queue"`
+	Leaving   bool          `json:"leaving"`
+	Changes   []StoreChange `json:"changes"`
+}
--- /dev/null
+++ b/service/entry/failure.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/drumpath/drumpath/pkg/control"
+)
+
+// Ran says what is certain about whether a request ran.
+type Ran string
+
+// What can be certain.
+const (
+	// NotRun: no byte of it reached an upstream, or the upstream said so.
+	NotRun Ran = "not_run"
+	// OutcomeUnknown: it may have run, and must not be repeated unseen.
+	OutcomeUnknown Ran = "outcome_unknown"
+	// Failed: it ran at least in part, and may be repeated.
+	Failed Ran = "failed"
+)
+
+// Failure is an answer other than the one asked for.
+type Failure struct {
+	Status     int           `json:"-"`
+	Code       string        `json:"code"`
+	Ran        Ran           `json:"ran"`
+	Message    string        `json:"message"`
+	RequestID  string        `json:"request_id,omitempty"`
+	RetryAfter time.Duration `json:"-"`
+	// RetryAfterMillis is RetryAfter, for callers.
+	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
+
+	// replay is the recorded answer of an earlier run of the same request.
+	replay *control.Result
+}
+
+// Error gives code, certainty and message.
+func (f *Failure) Error() string { return fmt.Sprintf("%s (%s): %s", f.Code, f.Ran, f.Message) }
+
+// failureBody is the JSON form of a failure.
+type failureBody struct {
+	Error *Failure `json:"error"`
+}
+
+// Codes of failures.
+const (
+	CodeBadRequest   = "bad_request"
+	CodeTooLarge     = "too_large"
+	CodeUnauthorised = "unauthorised"
+	CodeNoModel      = "unknown_model"
+	CodeNoAdapter    = "unknown_adapter"
+	CodeNoService    = "unknown_service"
+	CodeNotFound     = "not_found"
+	CodeMethod       = "method_not_allowed"
+	CodeOverloaded   = "overloaded"
+	CodeRateLimited  = "rate_limited"
+	CodeNoUpstream   = "no_upstream"
+	CodeNoClaim      = "no_claim"
+	CodeClaimed      = "claimed_before"
+	CodeUpstream     = "upstream_failed"
+	CodeCutOff       = "cut_off"
+	CodeNotReady     = "not_ready"
+	CodeDeadline     = "deadline"
+	CodeGone         = "caller_gone"
+)
+
+// callerFault is a failure that is the caller's to mend.
+func callerFault(status int, code, format string, args ...any) *Failure {
+	return &Failure{Status: status, Code: code, Ran: NotRun, Message: fmt.Sprintf(format, args...)}
+}
+
+// refusal is a failure that says when to come back; the request did not run.
+func refusal(code string, after time.Duration, format string, args ...any) *Failure {
+	status := http.StatusServiceUnavailable
+	if code == CodeRateLimited || code == CodeOverloaded {
+		status = http.StatusTooManyRequests
+	}
+	return &Failure{
+		Status:     status,
+		Code:       code,
+		Ran:        NotRun,
+		Message:    fmt.Sprintf(format, args...),
+		RetryAfter: after,
+	}
+}
+
+// write answers a call with the failure.
+func (f *Failure) write(c *fasthttp.RequestCtx) {
+	c.Response.Reset()
+	if f.replay != nil {
+		c.Response.Header.Set(headerReplayed, "true")
+		c.SetStatusCode(f.replay.Status)
+		c.SetContentType(f.replay.ContentType)
+		c.SetBody(f.replay.Body)
+		return
+	}
+	c.SetStatusCode(f.Status)
+	c.SetContentType(jsonType)
+	if f.RetryAfter > 0 {
+		f.RetryAfterMillis = f.RetryAfter.Milliseconds()
+		seconds := int(math.Ceil(f.RetryAfter.Seconds()))
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	if f.RequestID != "" {
+		c.Response.Header.Set(headerRequestID, f.RequestID)
+	}
+	_ = json.NewEncoder(c).Encode(failureBody{Error: f}) // The body is memory.
+}
+
+const jsonType = "application/json"
--- /dev/null
+++ b/service/entry/parts.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/prompt"
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/upstream"
+)
+
+// directory is what this package needs of the directory of kept state.
+type directory interface {
+	Observe(ctx context.Context, chain prompt.Chain) prompt.Match
+	Placed(chain prompt.Chain, engine string)
+	Stored(chain prompt.Chain, store string, o prompt.Object)
+}
+
+// upstreams is what this package needs of the upstreams' clients.
+type upstreams interface {
+	Engine(name string) (*upstream.Engine, bool)
+	Store(name string) (config.Upstream, bool)
+	ServiceAt(path string, pick func(n int) int) (*upstream.Service, bool)
+	ExportTarget() (config.Upstream, bool)
+}
+
+// configuration is what this package needs of the configuration log.
+type configuration interface {
+	State() *config.State
+}
+
+// Parts are what requests are run with.
+type Parts struct {
+	Settings  config.Settings
+	Log       *slog.Logger
+	State     configuration
+	Members   *control.Members
+	Claims    *control.Claims
+	Directory directory
+	Upstreams upstreams
+	Fleet     *route.Fleet
+	Links     *route.Links
+	Policy    route.Policy
+	Admission *route.Admission
+	Retries   *route.RetryBudget
+	Keep      *route.Keep
+	Metrics   *Metrics
+}
--- /dev/null
+++ b/service/node/local.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/lang"
+	"github.com/drumpath/drumpath/pkg/prompt"
+	"github.com/drumpath/drumpath/pkg/route"
+)
+
+// local answers queries for what only this node knows.
+type local struct {
+	log       *control.Log
+	admission *route.Admission
+	links     *route.Links
+	watches   *Watches
+	leases    *control.Leases
+}
+
+// Rows implements the operator service's local.
+func (l *local) Rows(table string) (lang.Table, bool) {
+	switch table {
+	case "prompts":
+		return l.prompts(), true
+	case "queues":
+		return l.queues(), true
+	case "links":
+		return l.linkRows(), true
+	case "duties":
+		return l.duties(), true
+	case "leases":
+		return l.leaseRows(), true
+	case "versions":
+		version := strconv.FormatUint(l.log.State().Version, 10)
+		return lang.Table{Columns: []string{"version"}, Rows: [][]string{{version}}}, true
+	default:
+		return lang.Table{}, false
+	}
+}
+
+func (l *local) prompts() lang.Table {
+	t := lang.Table{Columns: []string{"store", "key", "tokens", "bytes", "generation"}}
+	for _, o := range l.watches.Objects() {
+		t.Rows = append(t.Rows, []string{
+			o.Store, o.Key.String(), strconv.Itoa(o.Chunks * prompt.ChunkTokens),
+			strconv.FormatInt(o.Bytes, 10), strconv.FormatUint(o.Generation, 10),
+		})
+	}
+	return t
+}
+
+func (l *local) queues() lang.Table {
+	t := lang.Table{Columns: []string{"organisation", "inside", "waiting"}}
+	for name, q := range l.admission.Status().Tenants {
+		t.Rows = append(t.Rows, []string{name, strconv.Itoa(q.Inside), strconv.Itoa(q.Waiting)})
+	}
+	sortRows(t)
+	return t
+}
+
+func (l *local) linkRows() lang.Table {
+	t := lang.Table{Columns: []string{"link", "bytes_per_second", "booked_ms", "moved_bytes"}}
+	for _, s := range l.links.Status(time.Now()) {
+		t.Rows = append(t.Rows, []string{
+			s.Name, strconv.FormatFloat(s.Rate, 'f', 0, 64),
+			strconv.FormatInt(s.Booked.Milliseconds(), 10), strconv.FormatInt(s.Moved, 10),
+		})
+	}
+	sortRows(t)
+	return t
+}
+
+func (l *local) duties() lang.Table {
+	t := lang.Table{Columns: []string{"upstream", "kind", "held", "resyncs", "freed"}}
+	for _, w := range l.watches.Status() {
+		t.Rows = append(t.Rows, []string{
+			w.Upstream, w.Kind, strconv.Itoa(w.Held), strconv.Itoa(w.Resyncs), strconv.Itoa(w.Freed),
+		})
+	}
+	sortRows(t)
+	return t
+}
+
+func (l *local) leaseRows() lang.Table {
+	t := lang.Table{Columns: []string{"lease", "epoch", "valid_ms"}}
+	for _, s := range l.leases.Status(time.Now()) {
+		t.Rows = append(t.Rows, []string{
+			s.Name, strconv.FormatUint(s.Epoch, 10), strconv.FormatInt(s.Valid.Milliseconds(), 10),
+		})
+	}
+	sortRows(t)
+	return t
+}
+
+func sortRows(t lang.Table) {
+	sort.Slice(t.Rows, func(i, j int) bool { return t.Rows[i][0] < t.Rows[j][0] })
+}
--- /dev/null
+++ b/service/node/upstreams.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/upstream"
+)
+
+// Upstreams has a client for each configured upstream.
+type Upstreams struct {
+	links *route.Links
+
+	mu       sync.RWMutex
+	engines  map[string]engineClient
+	stores   map[string]storeClient
+	services map[string]serviceClient
+}
+
+type engineClient struct {
+	config.Upstream
+	*upstream.Engine
+}
+
+type storeClient struct {
+	config.Upstream
+	*upstream.Store
+}
+
+type serviceClient struct {
+	config.Upstream
+	*upstream.Service
+}
+
+// NewUpstreams returns an empty table.
+func NewUpstreams(l *route.Links) *Upstreams {
+	return &Upstreams{
+		links:    l,
+		engines:  map[string]engineClient{},
+		stores:   map[string]storeClient{},
+		services: map[string]serviceClient{},
+	}
+}
+
+// Configure makes clients for new or changed upstreams. Clients of dropped ones
+// still serve whoever holds them.
+func (u *Upstreams) Configure(s *config.State) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	engines, stores, services := u.engines, u.stores, u.services
+	u.engines = map[string]engineClient{}
+	u.stores = map[string]storeClient{}
+	u.services = map[string]serviceClient{}
+	for name, c := range s.Upstreams {
+		switch c.Kind {
+		case config.UpstreamEngine:
+			e := engines[name]
+			if e.Engine == nil || e.Address != c.Address {
+				e.Engine = upstream.NewEngine(name, c.Address)
+			}
+			e.Upstream = c
+			u.engines[name] = e
+		case config.UpstreamStore:
+			st := stores[name]
+			if st.Store == nil || st.Address != c.Address {
+				st.Store = upstream.NewStore(name, c.Address)
+			}
+			st.Upstream = c
+			u.stores[name] = st
+		case config.UpstreamService:
+			sv := services[name]
+			if sv.Service == nil || sv.Address != c.Address {
+				sv.Service = upstream.NewService(name, c.Address)
+			}
+			sv.Upstream = c
+			u.services[name] = sv
+		}
+	}
+}
+
+// Engine returns the client of an engine.
+func (u *Upstreams) Engine(name string) (*upstream.Engine, bool) {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	e, ok := u.engines[name]
+	return e.Engine, ok
+}
+
+// Store returns the configuration of a store.
+func (u *Upstreams) Store(name string) (config.Upstream, bool) {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	s, ok := u.stores[name]
+	return s.Upstream, ok
+}
+
+// ServiceAt returns a plain service of a path that takes new work, for each
+// choice of pick among their number.
+func (u *Upstreams) ServiceAt(path string, pick func(n int) int) (*upstream.Service, bool) {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	var list []serviceClient
+	for _, s := range u.services {
+		if s.Path == path && !s.Drained {
+			list = append(list, s)
+		}
+	}
+	if len(list) == 0 {
+		return nil, false
+	}
+	return list[pick(len(list))].Service, true
+}
+
+// Engines lists the engines, drained ones included.
+func (u *Upstreams) Engines() []engineClient {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	list := make([]engineClient, 0, len(u.engines))
+	for _, e := range u.engines {
+		list = append(list, e)
+	}
+	return list
+}
+
+// Stores lists the stores, drained ones included.
+func (u *Upstreams) Stores() []storeClient {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	list := make([]storeClient, 0, len(u.stores))
+	for _, s := range u.stores {
+		list = append(list, s)
+	}
+	return list
+}
+
+// Close drops the clients' idle connections.
+func (u *Upstreams) Close() {
+	for _, e := range u.Engines() {
+		e.Close()
+	}
+	for _, s := range u.Stores() {
+		s.Close()
+	}
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	for _, s := range u.services {
+		s.Close()
+	}
+}
+
+// ExportTarget picks the store for an export: of two drawn at random, the one
+// whose link is free sooner. ok is false if there is no store.
+func (u *Upstreams) ExportTarget() (config.Upstream, bool) {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	var list []config.Upstream
+	for _, s := range u.stores {
+		if !s.Drained {
+			list = append(list, s.Upstream)
+		}
+	}
+	if len(list) == 0 {
+		return config.Upstream{}, false
+	}
+	a, b := list[rand.IntN(len(list))], list[rand.IntN(len(list))]
+	if now := time.Now(); u.links.Booked(b.Name, now) < u.links.Booked(a.Name, now) {
+		return b, true
+	}
+	return a, true
+}
--- /dev/null
+++ b/service/node/watches.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/prompt"
+	"github.com/drumpath/drumpath/pkg/route"
+)
+
+const (
+	watchTimeout = 2 * time.Second
+	// watchAtOnce bounds the upstreams polled at once.
+	watchAtOnce = 16
+)
+
+// Watches follows the upstreams that are this node's duty, and tells the
+// directory shards what they keep.
+//
+// Two nodes that both hold a duty for a while only send the same news twice, so
+// no lease is needed.
+type Watches struct {
+	self      string
+	members   *control.Members
+	upstreams *Upstreams
+	dir       *Directory
+	links     *route.Links
+	log       *slog.Logger
+
+	mu      sync.Mutex // Held over a round of polls.
+	engines map[string]*engineWatch
+	stores  map[string]*storeWatch
+
+	movedMu sync.Mutex
+	moved   bool
+}
+
+// NewWatches returns watches that poll nothing yet.
+func NewWatches(self string, m *control.Members, u *Upstreams, d *Directory, l *route.Links, log *slog.Logger) *Watches {
+	w := &Watches{
+		self:      self,
+		members:   m,
+		upstreams: u,
+		dir:       d,
+		links:     l,
+		log:       log,
+		engines:   map[string]*engineWatch{},
+		stores:    map[string]*storeWatch{},
+	}
+	m.Watch(w.membersChanged)
+	return w
+}
+
+// membersChanged notes that shards may have moved; the next poll acts on it.
+func (w *Watches) membersChanged() {
+	w.movedMu.Lock()
+	defer w.movedMu.Unlock()
+	w.moved = true
+}
+
+func (w *Watches) takeMoved() bool {
+	w.movedMu.Lock()
+	defer w.movedMu.Unlock()
+	moved := w.moved
+	w.moved = false
+	return moved
+}
+
+// Poll follows each upstream of this node's duty once; the timer service calls
+// it.
+func (w *Watches) Poll(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	moved := w.takeMoved()
+	w.assign()
+	var g errgroup.Group
+	g.SetLimit(watchAtOnce)
+	for name, watch := range w.engines {
+		g.Go(func() error {
+			if moved {
+				watch.membersChanged()
+			}
+			w.poll(ctx, name, watch.poll)
+			return nil
+		})
+	}
+	for name, watch := range w.stores {
+		g.Go(func() error {
+			if moved {
+				watch.membersChanged()
+			}
+			w.poll(ctx, name, watch.poll)
+			return nil
+		})
+	}
+	_ = g.Wait() // Each poll logs its own.
+}
+
+func (w *Watches) poll(ctx context.Context, name string, fn func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	if err := fn(ctx); err != nil && ctx.Err() == nil {
+		w.log.Debug("watch failed", "upstream", name, "err", err)
+	}
+}
+
+// assign starts and ends watches as duties come and go.
+func (w *Watches) assign() {
+	members := w.members.Working()
+	engines := map[string]*engineWatch{}
+	for _, e := range w.upstreams.Engines() {
+		if !ownerOf(members, w.self, e.Name) {
+			continue
+		}
+		watch, ok := w.engines[e.Name]
+		if !ok || watch.engine != e.Engine {
+			watch = newEngineWatch(e.Name, e.Engine, w.dir, w.log)
+		}
+		engines[e.Name] = watch
+	}
+	stores := map[string]*storeWatch{}
+	for _, s := range w.upstreams.Stores() {
+		if !ownerOf(members, w.self, s.Name) {
+			continue
+		}
+		watch, ok := w.stores[s.Name]
+		if !ok || watch.store != s.Store {
+			watch = newStoreWatch(s.Name, s.Store, w.dir, w.links, w.log)
+		}
+		stores[s.Name] = watch
+	}
+	w.engines, w.stores = engines, stores
+}
+
+// WatchStatus is what a dump shows of one watch.
+type WatchStatus struct {
+	Upstream string `json:"upstream"`
+	Kind     string `json:"kind"`
+	Seq      uint64 `json:"seq"`
+	Held     int    `json:"held"` // Blocks or objects.
+	Resyncs  int    `json:"resyncs"`
+	Freed    int    `json:"freed"`
+}
+
+// Status lists this node's watches.
+func (w *Watches) Status() []WatchStatus {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []WatchStatus
+	for name, e := range w.engines {
+		list = append(list, WatchStatus{Upstream: name, Kind: "engine", Seq: e.seq, Held: len(e.blocks), Resyncs: e.resync})
+	}
+	for name, s := range w.stores {
+		list = append(list, WatchStatus{Upstream: name, Kind: "store", Seq: s.seq, Held: len(s.objects), Freed: s.freed})
+	}
+	return list
+}
+
+// KeptObject is an object of a store that this node watches.
+type KeptObject struct {
+	Store string
+	prompt.Object
+}
+
+// Objects lists what the stores of this node's duty keep.
+func (w *Watches) Objects() []KeptObject {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []KeptObject
+	for name, s := range w.stores {
+		for _, e := range s.objects {
+			list = append(list, KeptObject{Store: name, Object: e.object})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/service/operator/doc.go
@@ -0,0 +1,3 @@
+// Package operator is the interface for operators: the query and command
+// language and the dump of a process's state.
+package operator
--- /dev/null
+++ b/service/operator/explain.go
@@ -0,0 +1,86 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/lang"
+	"github.com/drumpath/drumpath/pkg/prompt"
+	"github.com/drumpath/drumpath/pkg/route"
+)
+
+// explain answers where a request would run now, and why; it leaves no trace in
+// the directory.
+func (s *Service) explain(ctx context.Context, e *lang.Explain) (lang.Table, error) {
+	state := s.Log.State()
+	if _, ok := state.Organisations[e.Organisation]; !ok {
+		return lang.Table{}, &lang.QueryError{Message: fmt.Sprintf("organisation %q does not exist", e.Organisation)}
+	}
+	model, ok := state.Models[e.Model]
+	if !ok {
+		return lang.Table{}, &lang.QueryError{Message: fmt.Sprintf("model %q does not exist", e.Model)}
+	}
+	scope := prompt.Scope{
+		Organisation: e.Organisation,
+		Model:        e.Model,
+		Weights:      s.Fleet.ServedWeights(e.Model, model.Weights),
+		Adapter:      e.Adapter,
+	}
+	rule, _ := state.RuleFor(e.Organisation, e.Model)
+	scope.Reuse = rule.Scope(e.Label, "explain")
+	chain := prompt.NewChain(scope, e.Prompt)
+	match := s.Directory.Look(ctx, chain.Marks)
+	t := lang.Table{Columns: []string{"what", "value"}}
+	add := func(what, value string) { t.Rows = append(t.Rows, []string{what, value}) }
+	add("weights", scope.Weights)
+	add("reuse rule", ruleText(rule))
+	add("prompt tokens", strconv.Itoa(chain.Tokens))
+	for _, h := range match.Holdings {
+		kind := "hot on engine "
+		if h.Object != nil {
+			kind = "kept in store "
+		}
+		add(kind+h.Upstream, fmt.Sprintf("%d tokens", h.Tokens()))
+	}
+	for _, sg := range match.Sightings {
+		add(fmt.Sprintf("seen, first %d tokens", sg.Chunks*prompt.ChunkTokens),
+			fmt.Sprintf("%d times, last %s ago, mean gap %s", sg.Times, sg.Since, sg.Gap))
+	}
+	d, err := s.Policy.Place(&route.Request{
+		Model:    e.Model,
+		Weights:  scope.Weights,
+		DataHall: s.Settings.Node.DataHall,
+		Chain:    chain,
+		Match:    match,
+	}, time.Now())
+	if errors.Is(err, route.ErrNoReplica) {
+		add("decision", "refused: "+err.Error())
+		return t, nil
+	}
+	if err != nil {
+		return lang.Table{}, err
+	}
+	add("decision", "run on "+d.Replica)
+	if d.Import != nil {
+		add("import", fmt.Sprintf("%d tokens from %s, given up after %s",
+			d.Import.Chunks*prompt.ChunkTokens, d.Import.Store, d.Import.GiveUp.Round(time.Millisecond)))
+	}
+	add("recomputed tokens", strconv.Itoa(d.Recompute))
+	add("wait", d.Wait.Round(time.Microsecond).String())
+	add("import time", d.Fetch.Round(time.Microsecond).String())
+	add("prefill time", d.Prefill.Round(time.Microsecond).String())
+	add("first token", d.FirstToken().Round(time.Microsecond).String())
+	add("score", strconv.FormatFloat(d.Score, 'f', 4, 64))
+	return t, nil
+}
+
+func ruleText(r config.Rule) string {
+	if r.Name == "" {
+		return "none: the organisation shares"
+	}
+	return fmt.Sprintf("%s: %s", r.Name, r.Mode)
+}
--- /dev/null
+++ b/service/peer/client.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const dialTimeout = time.Second
+
+// Dial connects to a node and says hello.
+func Dial(ctx context.Context, addr netip.AddrPort, hello Hello) (c *jsonrpc2.Conn, err error) {
+	defer func() { err = eris.Wrapf(err, "dial %s", addr) }()
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	c = jsonrpc2.NewConn(context.Background(), newStream(conn), noHandler{})
+	if err := c.Call(ctx, MethodHello, hello, nil); err != nil {
+		_ = c.Close() // The hello's error is told.
+		return nil, err
+	}
+	return c, nil
+}
+
+// noHandler ignores calls on a connection that only makes them.
+type noHandler struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (noHandler) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+
+// Client calls other nodes over one kept connection each.
+type Client struct {
+	key string
+
+	mu     sync.Mutex
+	conns  map[netip.AddrPort]*lazyConn
+	closed bool
+}
+
+// lazyConn is dialled by the first call; others wait for that.
+type lazyConn struct {
+	ready chan struct{}
+	conn  *jsonrpc2.Conn
+	err   error
+}
+
+// NewClient returns a client that authenticates with the peers' key.
+func NewClient(key string) *Client {
+	return &Client{key: key, conns: map[netip.AddrPort]*lazyConn{}}
+}
+
+// Call calls a method of the node at addr; result may be nil.
+func (c *Client) Call(ctx context.Context, addr netip.AddrPort, method string, params, result any) (err error) {
+	defer func() { err = eris.Wrapf(err, "%s at %s", method, addr) }()
+	conn, err := c.conn(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return conn.Call(ctx, method, params, result)
+}
+
+// Notify sends a call without an answer to the node at addr.
+func (c *Client) Notify(ctx context.Context, addr netip.AddrPort, method string, params any) (err error) {
+	defer func() { err = eris.Wrapf(err, "%s at %s", method, addr) }()
+	conn, err := c.conn(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return conn.Notify(ctx, method, params)
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, l := range c.conns {
+		select {
+		case <-l.ready:
+			if l.conn != nil {
+				_ = l.conn.Close() // The peer sees it.
+			}
+		default:
+		}
+	}
+}
+
+func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, net.ErrClosed
+	}
+	l, ok := c.conns[addr]
+	if !ok {
+		l = &lazyConn{ready: make(chan struct{})}
+		c.conns[addr] = l
+		go c.dial(addr, l)
+	}
+	c.mu.Unlock()
+	select {
+	case <-l.ready:
+		return l.conn, l.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// dial fills in a connection and forgets it once it ends.
+func (c *Client) dial(addr netip.AddrPort, l *lazyConn) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	l.conn, l.err = Dial(ctx, addr, Hello{Role: RolePeer, Secret: c.key})
+	close(l.ready)
+	if l.err == nil {
+		c.mu.Lock()
+		closed := c.closed
+		c.mu.Unlock()
+		if closed {
+			_ = l.conn.Close() // Nobody has it.
+		}
+		<-l.conn.DisconnectNotify()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[addr] == l {
+		delete(c.conns, addr)
+	}
+}
