--- a/service/entry/failure.go
+++ b/service/entry/failure.go
@@ -93,7 +93,11 @@
 
 // write answers a call with the failure.
 func (f *Failure) write(c *fasthttp.RequestCtx) {
+	closing := c.Response.ConnectionClose()
 	c.Response.Reset()
+	if closing {
+		c.SetConnectionClose()
+	}
 	if f.replay != nil {
 		c.Response.Header.Set(headerReplayed, "true")
 		c.SetStatusCode(f.replay.Status)
--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -27,22 +27,23 @@
 	log     *slog.Logger
 	imports *importGroup
 
-	place    *route.Place
-	claim    *control.Claim
-	weights  string
-	chain    prompt.Chain
-	match    prompt.Match
-	decision route.Decision
-	exclude  []string
-	ticket   *route.Ticket
-	stream   *upstream.Stream
-	reached  bool // A byte of it may have reached an upstream.
-	first    upstream.Event
-	pending  bool // First has not been returned yet.
-	cached   int
-	source   string
-	tokens   int
-	done     bool
+	place     *route.Place
+	claim     *control.Claim
+	weights   string
+	chain     prompt.Chain
+	match     prompt.Match
+	decision  route.Decision
+	exclude   []string
+	ticket    *route.Ticket
+	stream    *upstream.Stream
+	reached   bool // A byte of it may have reached an upstream.
+	first     upstream.Event
+	pending   bool // First has not been returned yet.
+	cached    int
+	source    string
+	tokens    int
+	resumedAt int // Tokens had at the last break.
+	done      bool
 }
 
 // Source values say where a prompt's reused state came from.
@@ -129,11 +130,17 @@
 // connect tries replicas until one gives its first event. Resumed runs start
 // after the tokens that the caller has.
 func (r *Run) connect(resumeAfter int) *Failure {
+	var last *Failure
 	for {
 		f, again := r.attempt(resumeAfter)
 		if f == nil {
 			return nil
 		}
+		if last != nil && r.reached && f.Code == CodeNoUpstream {
+			// What went wrong before says more than that nobody is left.
+			return last
+		}
+		last = f
 		if !again || r.ctx.Err() != nil || !r.parts.Retries.Take() {
 			return f
 		}
@@ -213,13 +220,22 @@
 		r.pending = true
 		r.ticket.First()
 		if resumeAfter == 0 {
-			r.cached = r.first.CachedTokens
+			r.noteReuse(r.first.CachedTokens)
 		}
 		return nil, false
 	}
 	return r.sendFailed(d.Replica, err)
 }
 
+// noteReuse takes over what the engine says it reused; what was expected of it
+// may have been evicted meanwhile.
+func (r *Run) noteReuse(cached int) {
+	r.cached = cached
+	if cached == 0 {
+		r.source = SourceNone
+	}
+}
+
 // sendFailed sorts out why a run did not start.
 func (r *Run) sendFailed(replica string, err error) (f *Failure, again bool) {
 	r.exclude = append(r.exclude, replica)
@@ -298,6 +314,11 @@
 func (r *Run) resume(err error) *Failure {
 	replica := r.decision.Replica
 	had := r.stream.Tokens()
+	if had > r.resumedAt {
+		// It came further, so the others may be tried again.
+		r.exclude = nil
+	}
+	r.resumedAt = had
 	f, again := r.sendFailed(replica, err)
 	f.Code = CodeCutOff
 	if !again || r.ctx.Err() != nil || !r.parts.Retries.Take() {
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -57,10 +58,10 @@
 	}
 	s.goneSub = t.Subscribe(goneEvery, s.gone.check)
 	s.http = &fasthttp.Server{
-		Handler:               s.routes().Handler,
+		Handler:               limitBody(s.routes().Handler, int64(p.Settings.Entry.MaxBody)),
 		ErrorHandler:          handleError,
 		NoDefaultServerHeader: true,
-		MaxRequestBodySize:    int(p.Settings.Entry.MaxBody),
+		StreamRequestBody:     true,
 		IdleTimeout:           idleTimeout,
 		CloseOnShutdown:       true,
 	}
@@ -85,12 +86,38 @@
 	return r
 }
 
+// drainFactor times the largest body is read on before a body that is too large
+// is answered: a caller who is still sending would see a broken connection
+// instead of the answer.
+const drainFactor = 8
+
+// limitBody reads bodies up to a size and refuses larger ones.
+func limitBody(next fasthttp.RequestHandler, most int64) fasthttp.RequestHandler {
+	return func(c *fasthttp.RequestCtx) {
+		stream := c.RequestBodyStream()
+		if stream == nil {
+			next(c)
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(stream, most+1))
+		if err != nil {
+			c.SetConnectionClose()
+			callerFault(http.StatusBadRequest, CodeBadRequest, "body: %v", err).write(c)
+			return
+		}
+		if int64(len(body)) > most {
+			_, _ = io.CopyN(io.Discard, stream, drainFactor*most) // Whatever comes is refused.
+			c.SetConnectionClose()
+			callerFault(http.StatusRequestEntityTooLarge, CodeTooLarge, "the body has more than %d bytes", most).write(c)
+			return
+		}
+		c.Request.SetBodyRaw(body)
+		next(c)
+	}
+}
+
 // handleError answers what is not a request that could be read.
 func handleError(c *fasthttp.RequestCtx, err error) {
-	if eris.Is(err, fasthttp.ErrBodyTooLarge) {
-		callerFault(http.StatusRequestEntityTooLarge, CodeTooLarge, "the body is too large").write(c)
-		return
-	}
 	callerFault(http.StatusBadRequest, CodeBadRequest, "%v", err).write(c)
 }
 
