Decisions: properties, load generator, comparison of policies

Cause: nothing showed that placement pays, or that leases, links and fair queues hold.

Change: pkg/load (open loop, verified answers), drumpath load, a measuring program with the baselines as policies, rapid state machines for leases, admission and links, benchmarks of a decision.

--- a/cmd/drumpath/cmds/root.go
+++ b/cmd/drumpath/cmds/root.go
@@ -46,6 +46,7 @@
   drumpath serve -c node.json            run a node
   drumpath ctl -n 127.0.0.1:9080 -t TOKEN "show replicas order by wait_ms"
   drumpath dump -n 127.0.0.1:9080 -t TOKEN
+  drumpath load -p profile.json --entry 127.0.0.1:8080
   drumpath try --json                    see a prompt return, in one process
 
 Exit codes: 0 done, 1 failed, 2 wrong command line, 3 wrong settings,
@@ -65,6 +66,7 @@
 		{"ctl", "Query and change the system", ctlHelp, &ctlCommand{std: std}},
 		{"dump", "Show the state of a process", dumpHelp, &dumpCommand{std: std}},
 		{"log-level", "Change the log level of a process", logLevelHelp, &logLevelCommand{std: std}},
+		{"load", "Load a running system", loadHelp, &loadCommand{std: std}},
 		{"try", "See a prompt return, in one process", tryHelp, &tryCommand{std: std}},
 		{"version", "Show the version", "Shows the version of this program.", &versionCommand{std: std}},
 	}
--- a/cmd/drumpath/cmds/try.go
+++ b/cmd/drumpath/cmds/try.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/drumpath/drumpath/internal/standin"
+	"github.com/drumpath/drumpath/pkg/load"
 	"github.com/drumpath/drumpath/service/node"
 	"github.com/drumpath/drumpath/service/operator"
 )
@@ -189,17 +190,17 @@
 		return r, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	a, err := readStream(resp, start)
+	a, err := load.ReadStream(resp, start)
 	if err != nil {
 		return r, err
 	}
-	if want := standin.Answer(text, tokens); a.text != want {
-		return r, eris.Errorf("wrong answer: %q, wanted %q", a.text, want)
+	if want := standin.Answer(text, tokens); a.Text != want {
+		return r, eris.Errorf("wrong answer: %q, wanted %q", a.Text, want)
 	}
 	return tryRun{
-		TTFTMillis:       float64(a.first.Microseconds()) / 1000,
-		PromptTokens:     a.prompt,
-		RecomputedTokens: a.prompt - a.cached,
-		Source:           a.source,
+		TTFTMillis:       float64(a.First.Microseconds()) / 1000,
+		PromptTokens:     a.Prompt,
+		RecomputedTokens: a.Prompt - a.Cached,
+		Source:           a.Source,
 	}, nil
 }
--- /dev/null
+++ b/internal/measure/main.go
@@ -0,0 +1,33 @@
+// Command measure runs drumpath's measurements: real nodes and stand-ins in one
+// process, on loopback.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	p := flags.NewNamedParser("measure", flags.HelpFlag)
+	commands := []struct {
+		name, short string
+		data        flags.Commander
+	}{
+		{"policy", "Compare the placement policies under load and faults", &policyCommand{}},
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, c.short, c.data); err != nil {
+			fail(err)
+		}
+	}
+	if _, err := p.Parse(); err != nil {
+		fail(err)
+	}
+}
+
+func fail(err error) {
+	_, _ = fmt.Fprintln(os.Stderr, err) // There is nowhere else to say it.
+	os.Exit(1)
+}
--- /dev/null
+++ b/pkg/control/leases_test.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/drumpath/drumpath/pkg/platform"
+)
+
+// memTable is a table service in memory whose answers can be lost.
+type memTable struct {
+	rows map[string]platform.Row
+	lose bool // The next commit takes effect unanswered.
+	fail bool // The next call does nothing and is not answered.
+}
+
+func newMemTable() *memTable { return &memTable{rows: map[string]platform.Row{}} }
+
+func (m *memTable) Commit(_ context.Context, txn platform.Txn) error {
+	if m.fail {
+		m.fail = false
+		return platform.ErrUnknown
+	}
+	for _, c := range txn.Conditions {
+		if row := m.rows[c.Key]; row.Version != c.Version {
+			return &platform.ConflictError{Rows: []platform.Row{row}}
+		}
+	}
+	for _, p := range txn.Puts {
+		m.rows[p.Key] = platform.Row{Key: p.Key, Version: m.rows[p.Key].Version + 1, Value: p.Value}
+	}
+	if m.lose {
+		m.lose = false
+		return platform.ErrUnknown
+	}
+	return nil
+}
+
+func (m *memTable) Read(_ context.Context, keys ...string) ([]platform.Row, error) {
+	if m.fail {
+		m.fail = false
+		return nil, platform.ErrUnavailable
+	}
+	var rows []platform.Row
+	for _, k := range keys {
+		row := m.rows[k]
+		row.Key = k
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+const testTerm = 12 * time.Second
+
+// leaseWorld is a few nodes, each with a clock of its own rate and a view in
+// which it is alone, so that all want every lease.
+type leaseWorld struct {
+	table  *memTable
+	now    time.Time
+	nodes  []*Leases
+	engine Fence // Of the last order taken.
+}
+
+func newLeaseWorld(n int) *leaseWorld {
+	w := &leaseWorld{table: newMemTable(), now: testNow}
+	for i := range n {
+		name := fmt.Sprint("vm-", i)
+		m := NewMembers(Member{Name: name, Incarnation: 1}, time.Second, nil, rand.New(rand.NewPCG(1, 1)))
+		l := newLeases(name, testTerm, w.table, m, quiet)
+		rate := 1 + float64(i)*0.05
+		l.now = func() time.Time {
+			return testNow.Add(time.Duration(float64(w.now.Sub(testNow)) * rate))
+		}
+		w.nodes = append(w.nodes, l)
+	}
+	return w
+}
+
+const testLease = "lease/00"
+
+func (w *leaseWorld) holders() int {
+	n := 0
+	for _, l := range w.nodes {
+		if l.Held(testLease) {
+			n++
+		}
+	}
+	return n
+}
+
+// order gives an order to the engine, which checks fences.
+func (w *leaseWorld) order(f Fence) bool {
+	if f.Epoch < w.engine.Epoch || (f.Epoch == w.engine.Epoch && f.Seq <= w.engine.Seq) {
+		return false
+	}
+	w.engine = f
+	return true
+}
+
+// Whatever is lost, frozen or delayed, at most one node holds a lease, and an
+// engine that checks fences never takes an order older than its last.
+func TestLeasesStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newLeaseWorld(3)
+		epochOf := map[uint64]int{} // Epoch to the node that ordered under it.
+		var delayed []Fence
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")
+			l := w.nodes[i]
+			switch rapid.IntRange(0, 6).Draw(t, "op") {
+			case 0, 1:
+				// A node that makes no step for long is a frozen one.
+				l.Step(context.Background())
+			case 2:
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * time.Millisecond)
+			case 3:
+				w.table.lose = rapid.Bool().Draw(t, "lose")
+				w.table.fail = !w.table.lose
+			case 4:
+				if f, ok := l.Fence(testLease); ok {
+					owner, used := epochOf[f.Epoch]
+					assert.Assert(t, !used || owner == i, "epoch %d is given to two nodes", f.Epoch)
+					epochOf[f.Epoch] = i
+					delayed = append(delayed, f)
+				}
+			case 5:
+				if len(delayed) > 0 {
+					k := rapid.IntRange(0, len(delayed)-1).Draw(t, "order")
+					before := w.engine
+					if w.order(delayed[k]) {
+						assert.Assert(t, w.engine.Epoch >= before.Epoch)
+					}
+				}
+			case 6:
+				l.Release(context.Background())
+			}
+			assert.Assert(t, w.holders() <= 1, "%d nodes hold the lease", w.holders())
+		}
+	})
+}
+
+func TestTakerWaitsAWholeTerm(t *testing.T) {
+	w := newLeaseWorld(2)
+	a, b := w.nodes[0], w.nodes[1]
+	a.Step(t.Context())
+	assert.Assert(t, a.Held(testLease))
+	b.Step(t.Context())
+	w.now = w.now.Add(testTerm / 2)
+	b.Step(t.Context())
+	assert.Assert(t, !b.Held(testLease))
+	w.now = w.now.Add(testTerm/2 + time.Second)
+	assert.Assert(t, !a.Held(testLease), "a holder that does not renew stops before its term is over")
+	b.Step(t.Context())
+	assert.Assert(t, b.Held(testLease))
+	assert.Assert(t, !b.Settled(testLease), "orders without fences wait for another term")
+	f, ok := b.Fence(testLease)
+	assert.Assert(t, ok)
+	assert.Equal(t, f.Epoch, uint64(2))
+}
+
+func TestLostRenewalIsSettled(t *testing.T) {
+	w := newLeaseWorld(1)
+	a := w.nodes[0]
+	a.Step(t.Context())
+	w.now = w.now.Add(testTerm / 2)
+	w.table.lose = true
+	a.Step(t.Context())
+	w.now = w.now.Add(testTerm / 2)
+	assert.Assert(t, a.Held(testLease))
+}
+
+func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
+	w := newLeaseWorld(2)
+	w.nodes[0].Step(t.Context())
+	w.nodes[0].Release(t.Context())
+	w.nodes[1].Step(t.Context())
+	assert.Assert(t, w.nodes[1].Held(testLease))
+}
--- /dev/null
+++ b/pkg/load/report.go
@@ -0,0 +1,98 @@
+package load
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is what the callers of a load saw.
+type Report struct {
+	Profile  string  `json:"profile"`
+	Seconds  float64 `json:"seconds"` // Counted.
+	Sent     int     `json:"sent"`
+	Answered int     `json:"answered"`
+	// Refused are those told not_run.
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	Unknown int `json:"outcome_unknown"`
+	// Wrong are answers that are not the right one for their request.
+	Wrong int `json:"wrong"`
+	// Lost are requests without a final answer.
+	Lost            int     `json:"lost"`
+	InDeadline      int     `json:"in_deadline"`
+	FirstTokenP50   float64 `json:"first_token_p50_ms"`
+	FirstTokenP95   float64 `json:"first_token_p95_ms"`
+	FirstTokenP99   float64 `json:"first_token_p99_ms"`
+	BetweenP95      float64 `json:"between_tokens_p95_ms"`
+	RecomputedShare float64 `json:"recomputed_share"`
+	// Fairness is the worst organisation's 95th percentile over the median's.
+	Fairness      float64            `json:"fairness"`
+	Organisations map[string]float64 `json:"first_token_p95_ms_by_organisation"`
+	Sources       map[string]int     `json:"sources"`
+	Errors        map[string]int     `json:"errors,omitempty"`
+}
+
+const (
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+	p50, p95, p99   = 50, 95, 99
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax, histogramDigits)
+}
+
+// tally gathers results as they come.
+type tally struct {
+	mu         sync.Mutex
+	report     Report
+	first      *hdrhistogram.Histogram // Microseconds.
+	between    *hdrhistogram.Histogram
+	byOrg      map[string]*hdrhistogram.Histogram
+	prompt     int
+	recomputed int
+	done       int // Whether counted or not.
+}
+
+func newTally(name string) *tally {
+	return &tally{
+		report:  Report{Profile: name, Sources: map[string]int{}, Errors: map[string]int{}, Organisations: map[string]float64{}},
+		first:   newHistogram(),
+		between: newHistogram(),
+		byOrg:   map[string]*hdrhistogram.Histogram{},
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(histogramMax, max(1, d.Microseconds()))) // It is within the range.
+}
+
+// finish works out the figures that need all results.
+func (t *tally) finish(counted time.Duration) Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.report
+	r.Seconds = counted.Seconds()
+	r.FirstTokenP50 = quantile(t.first, p50)
+	r.FirstTokenP95 = quantile(t.first, p95)
+	r.FirstTokenP99 = quantile(t.first, p99)
+	r.BetweenP95 = quantile(t.between, p95)
+	r.RecomputedShare = float64(t.recomputed) / float64(max(1, t.prompt))
+	var all []float64
+	for name, h := range t.byOrg {
+		r.Organisations[name] = quantile(h, p95)
+		all = append(all, r.Organisations[name])
+	}
+	slices.Sort(all)
+	if n := len(all); n > 0 && all[n/2] > 0 {
+		r.Fairness = all[n-1] / all[n/2]
+	}
+	return r
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
--- /dev/null
+++ b/pkg/load/run.go
@@ -0,0 +1,222 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	// answerWait is how long a caller waits before its request counts as lost.
+	answerWait   = 60 * time.Second
+	maxIdleConns = 1024
+)
+
+// Options say how a load is put on.
+type Options struct {
+	// Entries are addresses to ask first which addresses to use.
+	Entries []netip.AddrPort
+	// Verify returns the right answer to a prompt, nil to verify nothing.
+	Verify func(text string, tokens int) string
+	// Progress is called about once a second.
+	Progress func(Progress)
+	// OnTime is called when the load has run for some time; it may be nil.
+	OnTime func(since time.Duration)
+}
+
+// Progress is how far a load has come.
+type Progress struct {
+	Since   time.Duration
+	Sent    int
+	Done    int
+	Refused int
+	Wrong   int
+}
+
+// runner puts one load on.
+type runner struct {
+	profile *Profile
+	opts    Options
+	client  *http.Client
+	entries *entryCache
+	tally   *tally
+	start   time.Time
+}
+
+// Run puts a load on and waits for its last answer.
+func Run(ctx context.Context, p Profile, opts Options) (r Report, err error) {
+	if err := p.check(); err != nil {
+		return r, err
+	}
+	transport := &http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: 10 * time.Second}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	run := &runner{
+		profile: &p,
+		opts:    opts,
+		client:  client,
+		entries: newEntryCache(client, opts.Entries),
+		tally:   newTally(p.Name),
+		start:   time.Now(),
+	}
+	run.sendAll(ctx)
+	return run.tally.finish(p.Duration.Std() - p.Warm.Std()), ctx.Err()
+}
+
+func (r *runner) sendAll(ctx context.Context) {
+	done := make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() { r.watch(done) })
+	var wg sync.WaitGroup
+	for _, a := range r.profile.schedule() {
+		select {
+		case <-time.After(time.Until(r.start.Add(a.at))):
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Go(func() { r.one(ctx, a) })
+	}
+	wg.Wait()
+	close(done)
+	watch.Wait()
+}
+
+// watch calls the options' callbacks as time goes on.
+func (r *runner) watch(done <-chan struct{}) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+		}
+		since := time.Since(r.start)
+		if r.opts.OnTime != nil {
+			r.opts.OnTime(since)
+		}
+		if r.opts.Progress != nil {
+			r.opts.Progress(r.progress(since))
+		}
+	}
+}
+
+func (r *runner) progress(since time.Duration) Progress {
+	r.tally.mu.Lock()
+	defer r.tally.mu.Unlock()
+	rep := r.tally.report
+	return Progress{Since: since, Sent: rep.Sent, Done: r.tally.done, Refused: rep.Refused, Wrong: rep.Wrong}
+}
+
+// requestBody is the body of a completion.
+type requestBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// one sends one request and tallies its end.
+func (r *runner) one(ctx context.Context, a arrival) {
+	ctx, cancel := context.WithTimeout(ctx, answerWait)
+	defer cancel()
+	text := r.profile.text(a)
+	start := time.Now()
+	s, err := r.send(ctx, a, text, start)
+	if a.at >= r.profile.Warm.Std() {
+		r.count(a, text, s, err)
+	}
+	r.tally.mu.Lock()
+	defer r.tally.mu.Unlock()
+	r.tally.done++
+}
+
+func (r *runner) send(ctx context.Context, a arrival, text string, start time.Time) (s Streamed, err error) {
+	entry, err := r.entries.get(ctx, a.organisation.Key)
+	if err != nil {
+		return s, err
+	}
+	body, err := json.Marshal(requestBody{
+		Model:     r.profile.Model,
+		Prompt:    text,
+		MaxTokens: r.profile.MaxTokens,
+		Stream:    true,
+	})
+	if err != nil {
+		return s, err
+	}
+	url := "http://" + entry.String() + "/v1/completions"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return s, err
+	}
+	req.Header.Set("Authorization", "Bearer "+a.organisation.Key)
+	if r.profile.SendDeadline {
+		req.Header.Set("Drumpath-Deadline", r.profile.Deadline.Std().String())
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		r.entries.forget(a.organisation.Key)
+		return s, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return ReadStream(resp, start)
+}
+
+// count tallies one request that came after the warm-up.
+func (r *runner) count(a arrival, text string, s Streamed, err error) {
+	t := r.tally
+	wrong := err == nil && r.opts.Verify != nil && s.Text != r.opts.Verify(text, r.profile.MaxTokens)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.report.Sent++
+	if err != nil {
+		t.countError(err)
+		return
+	}
+	if wrong {
+		t.report.Wrong++
+		return
+	}
+	t.report.Answered++
+	t.report.Sources[s.Source]++
+	t.prompt += s.Prompt
+	t.recomputed += s.Prompt - s.Cached
+	record(t.first, s.First)
+	if s.Tokens > 1 {
+		record(t.between, (s.Last-s.First)/time.Duration(s.Tokens-1))
+	}
+	if t.byOrg[a.organisation.Name] == nil {
+		t.byOrg[a.organisation.Name] = newHistogram()
+	}
+	record(t.byOrg[a.organisation.Name], s.First)
+	if d := r.profile.Deadline.Std(); d == 0 || s.First <= d {
+		t.report.InDeadline++
+	}
+}
+
+// countError tallies a request that was not answered; the caller holds mu.
+func (t *tally) countError(err error) {
+	var answer *AnswerError
+	if !errors.As(err, &answer) {
+		t.report.Lost++
+		t.report.Errors[err.Error()]++
+		return
+	}
+	t.report.Errors[answer.Code]++
+	switch answer.Ran {
+	case "not_run":
+		t.report.Refused++
+	case "outcome_unknown":
+		t.report.Unknown++
+	default:
+		t.report.Failed++
+	}
+}
--- a/cmd/drumpath/cmds/stream.go
+++ b/pkg/load/stream.go
@@ -1,4 +1,4 @@
-package cmds
+package load
 
 import (
 	"bufio"
@@ -10,20 +10,19 @@
 	"github.com/rotisserie/eris"
 )
 
-// streamed is what a caller saw of one streamed answer.
-type streamed struct {
-	text   string
-	first  time.Duration // To the first token.
-	last   time.Duration
-	tokens int
-	prompt int
-	cached int
-	source string
+// Streamed is what a caller saw of one streamed answer.
+type Streamed struct {
+	Text   string
+	First  time.Duration // To the first token.
+	Last   time.Duration
+	Tokens int
+	Prompt int // Tokens.
+	Cached int // Tokens.
+	Source string
 }
 
 // streamChunk is the part of an answer's chunk that is read.
 type streamChunk struct {
-	ID      string `json:"id"`
 	Choices []struct {
 		Text string `json:"text"`
 	} `json:"choices"`
@@ -34,11 +33,11 @@
 			Source       string `json:"source"`
 		} `json:"prompt_tokens_details"`
 	} `json:"usage"`
-	Error *answerError `json:"error"`
+	Error *AnswerError `json:"error"`
 }
 
-// answerError is the error body of the entry interface.
-type answerError struct {
+// AnswerError is the error body of the entry interface.
+type AnswerError struct {
 	Code             string `json:"code"`
 	Ran              string `json:"ran"`
 	Message          string `json:"message"`
@@ -46,21 +45,15 @@
 }
 
 // Error gives code, certainty and message.
-func (e *answerError) Error() string { return e.Code + " (" + e.Ran + "): " + e.Message }
+func (e *AnswerError) Error() string { return e.Code + " (" + e.Ran + "): " + e.Message }
 
 const maxStreamLine = 1 << 20
 
-// readStream reads a streamed answer to its end; an answer without its end mark
+// ReadStream reads a streamed answer to its end; an answer without its end mark
 // is an error.
-func readStream(resp *http.Response, start time.Time) (s streamed, err error) {
+func ReadStream(resp *http.Response, start time.Time) (s Streamed, err error) {
 	if resp.StatusCode != http.StatusOK {
-		var body struct {
-			Error *answerError `json:"error"`
-		}
-		if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || body.Error == nil {
-			return s, eris.Errorf("status %d", resp.StatusCode)
-		}
-		return s, body.Error
+		return s, readError(resp)
 	}
 	var text strings.Builder
 	scan := bufio.NewScanner(resp.Body)
@@ -90,26 +83,36 @@
 	if !ended {
 		return s, eris.New("the answer was cut without an error")
 	}
-	s.text = text.String()
+	s.Text = text.String()
 	return s, nil
 }
 
+func readError(resp *http.Response) error {
+	var body struct {
+		Error *AnswerError `json:"error"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || body.Error == nil {
+		return eris.Errorf("status %d", resp.StatusCode)
+	}
+	return body.Error
+}
+
 // take adds a chunk that came after some time.
-func (s *streamed) take(c streamChunk, text *strings.Builder, after time.Duration) {
+func (s *Streamed) take(c streamChunk, text *strings.Builder, after time.Duration) {
 	for _, ch := range c.Choices {
 		if ch.Text == "" {
 			continue
 		}
-		if s.tokens == 0 {
-			s.first = after
+		if s.Tokens == 0 {
+			s.First = after
 		}
-		s.tokens++
-		s.last = after
+		s.Tokens++
+		s.Last = after
 		text.WriteString(ch.Text)
 	}
 	if c.Usage != nil {
-		s.prompt = c.Usage.PromptTokens
-		s.cached = c.Usage.Details.CachedTokens
-		s.source = c.Usage.Details.Source
+		s.Prompt = c.Usage.PromptTokens
+		s.Cached = c.Usage.Details.CachedTokens
+		s.Source = c.Usage.Details.Source
 	}
 }
--- a/pkg/route/admission.go
+++ b/pkg/route/admission.go
@@ -38,7 +38,11 @@
 	virtual  float64
 	meanHold time.Duration
 	tenants  map[string]*tenantQueue
-	seq      uint64
+	// waiting has the organisations with a queue, so that the cost of a
+	// decision grows with these and not with all there are.
+	waiting map[*tenantQueue]struct{}
+	shares  float64 // Of those.
+	seq     uint64
 }
 
 type tenantQueue struct {
@@ -47,11 +51,17 @@
 	inside  int
 	waiting places
 	tokens  *rate.Limiter
+	noted   float64 // Its part of Admission.shares.
 }
 
 // NewAdmission returns an admission of the least capacity.
 func NewAdmission() *Admission {
-	return &Admission{capacity: minCapacity, meanHold: defaultHold, tenants: map[string]*tenantQueue{}}
+	return &Admission{
+		capacity: minCapacity,
+		meanHold: defaultHold,
+		tenants:  map[string]*tenantQueue{},
+		waiting:  map[*tenantQueue]struct{}{},
+	}
 }
 
 // SetCapacity sets how many requests may be inside at once.
@@ -73,7 +83,7 @@
 			return nil, &RefusedError{Reason: RefusedRate, RetryAfter: after}
 		}
 	}
-	if wait := a.expectedWait(q, now); now.Add(wait).After(limit) {
+	if wait := a.expectedWait(q); now.Add(wait).After(limit) {
 		return nil, &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}
 	}
 	a.seq++
@@ -87,10 +97,25 @@
 		ready:     make(chan struct{}),
 	}
 	heap.Push(&q.waiting, p)
+	a.noteWaiting(q)
 	a.admit(now)
 	return p, nil
 }
 
+// noteWaiting keeps the set of organisations with a queue.
+func (a *Admission) noteWaiting(q *tenantQueue) {
+	_, noted := a.waiting[q]
+	switch waits := len(q.waiting) > 0; {
+	case waits && !noted:
+		a.waiting[q] = struct{}{}
+		q.noted = q.Share
+		a.shares += q.noted
+	case !waits && noted:
+		delete(a.waiting, q)
+		a.shares -= q.noted
+	}
+}
+
 // takeTokens takes cost from a limiter, or says when to come back. One request
 // larger than the burst is let through when the bucket is full.
 func takeTokens(l *rate.Limiter, cost float64, now time.Time) (bool, time.Duration) {
@@ -125,15 +150,13 @@
 
 // expectedWait is how long a new request of an organisation would wait: its own
 // queue drains at its share of the rate at which places come free.
-func (a *Admission) expectedWait(q *tenantQueue, _ time.Time) time.Duration {
+func (a *Admission) expectedWait(q *tenantQueue) time.Duration {
 	if a.inside < a.capacity && len(q.waiting) == 0 && q.mayEnter() {
 		return 0
 	}
-	shares := q.Share
-	for _, other := range a.tenants {
-		if other != q && len(other.waiting) > 0 {
-			shares += other.Share
-		}
+	shares := a.shares
+	if _, noted := a.waiting[q]; !noted {
+		shares += q.Share
 	}
 	perSecond := float64(a.capacity) / max(a.meanHold.Seconds(), 1e-3) * q.Share / shares
 	if q.Concurrency > 0 {
@@ -152,6 +175,7 @@
 			return
 		}
 		p := heap.Pop(&q.waiting).(*Place) // The heap holds nothing else.
+		a.noteWaiting(q)
 		a.virtual = max(a.virtual, q.finish)
 		q.finish = max(q.finish, a.virtual) + p.cost/q.Share
 		q.inside++
@@ -165,8 +189,8 @@
 // next finds the organisation that is furthest behind its share.
 func (a *Admission) next() *tenantQueue {
 	var best *tenantQueue
-	for _, q := range a.tenants {
-		if len(q.waiting) == 0 || !q.mayEnter() {
+	for q := range a.waiting {
+		if !q.mayEnter() {
 			continue
 		}
 		if best == nil || q.behind(a.virtual) < best.behind(a.virtual) ||
--- /dev/null
+++ b/pkg/route/admission_test.go
@@ -0,0 +1,181 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var testNow = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func tenant(name string) Tenant { return Tenant{Name: name, Share: 1} }
+
+func inside(p *Place) bool {
+	select {
+	case <-p.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// No request is lost or let in twice, and never more are inside than may be.
+func TestAdmissionStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewAdmission()
+		now := testNow
+		capacity := minCapacity
+		var open []*Place
+		limits := map[string]int{"a": 0, "b": 3, "c": 0}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			switch op := rapid.IntRange(0, 4).Draw(t, "op"); {
+			case op <= 1:
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "tenant")
+				tn := Tenant{Name: name, Share: 1, Concurrency: limits[name]}
+				cost := rapid.Float64Range(1, 1000).Draw(t, "cost")
+				p, err := a.Offer(tn, cost, rapid.IntRange(0, 2).Draw(t, "priority"), now.Add(time.Hour), now)
+				assert.NilError(t, err)
+				open = append(open, p)
+			case op == 2 && len(open) > 0:
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "leave")
+				open[i].Leave(now)
+				open[i].Leave(now)
+				open = append(open[:i], open[i+1:]...)
+			case op == 3:
+				capacity = rapid.IntRange(minCapacity, 12).Draw(t, "capacity")
+				a.SetCapacity(capacity, now)
+			}
+			n, perTenant := 0, map[string]int{}
+			for _, p := range open {
+				if inside(p) {
+					n++
+					perTenant[p.tenant.Name]++
+				}
+			}
+			s := a.Status()
+			assert.Equal(t, s.Inside, n)
+			for name, q := range s.Tenants {
+				assert.Equal(t, q.Inside, perTenant[name])
+				assert.Assert(t, limits[name] == 0 || q.Inside <= limits[name])
+			}
+			waiting := len(open) - n
+			mayEnter := 0
+			for _, p := range open {
+				if !inside(p) && p.tenant.mayEnter() {
+					mayEnter++
+				}
+			}
+			assert.Assert(t, n >= min(capacity, n+mayEnter) || n > capacity, "%d inside of %d, %d wait", n, capacity, waiting)
+		}
+	})
+}
+
+func TestLargeOrganisationDoesNotStarveSmallOnes(t *testing.T) {
+	a := NewAdmission()
+	now := testNow
+	var big, small []*Place
+	for range 200 {
+		p, err := a.Offer(tenant("big"), 100, 0, now.Add(time.Hour), now)
+		assert.NilError(t, err)
+		big = append(big, p)
+	}
+	for range 10 {
+		p, err := a.Offer(tenant("small"), 100, 0, now.Add(time.Hour), now)
+		assert.NilError(t, err)
+		small = append(small, p)
+	}
+	// Each turn the first request that is inside leaves; by equal shares the
+	// small organisation's ten have been inside after about twenty turns.
+	all := append(big, small...)
+	for range 24 {
+		i := slices.IndexFunc(all, inside)
+		all[i].Leave(now)
+		all = slices.Delete(all, i, i+1)
+	}
+	for i, p := range small {
+		assert.Assert(t, inside(p), "request %d of the small organisation still waits", i)
+	}
+}
+
+func TestSharesAreWeighted(t *testing.T) {
+	a := NewAdmission()
+	now := testNow
+	open := map[string][]*Place{}
+	for range 300 {
+		for name, share := range map[string]float64{"one": 1, "three": 3} {
+			p, err := a.Offer(Tenant{Name: name, Share: share}, 10, 0, now.Add(time.Hour), now)
+			assert.NilError(t, err)
+			open[name] = append(open[name], p)
+		}
+	}
+	left := map[string]int{}
+	for range 200 {
+		for name, list := range open {
+			for i, p := range list {
+				if inside(p) {
+					p.Leave(now)
+					left[name]++
+					open[name] = append(list[:i:i], list[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+	ratio := float64(left["three"]) / float64(left["one"])
+	assert.Assert(t, ratio > 0.9, "%v", left)
+}
+
+func TestRefusalIsAtOnceAndSaysWhenToComeBack(t *testing.T) {
+	a := NewAdmission()
+	now := testNow
+	for range 100 {
+		_, err := a.Offer(tenant("o"), 1, 0, now.Add(time.Hour), now)
+		assert.NilError(t, err)
+	}
+	_, err := a.Offer(tenant("o"), 1, 0, now.Add(time.Second), now)
+	var refused *RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.Reason, RefusedLoad)
+	assert.Assert(t, refused.RetryAfter > time.Second)
+}
+
+func TestTokenLimit(t *testing.T) {
+	a := NewAdmission()
+	limited := Tenant{Name: "o", Share: 1, TokensPerSecond: 100}
+	_, err := a.Offer(limited, 200, 0, testNow.Add(time.Hour), testNow)
+	assert.NilError(t, err)
+	_, err = a.Offer(limited, 100, 0, testNow.Add(time.Hour), testNow)
+	var refused *RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.Reason, RefusedRate)
+	_, err = a.Offer(limited, 100, 0, testNow.Add(time.Hour), testNow.Add(refused.RetryAfter+time.Millisecond))
+	assert.NilError(t, err)
+}
+
+func BenchmarkAdmission(b *testing.B) {
+	for _, tenants := range []int{10, 100, 1000, 4600} {
+		b.Run(fmt.Sprint("organisations=", tenants), func(b *testing.B) {
+			a := NewAdmission()
+			a.SetCapacity(200, testNow)
+			for i := range tenants {
+				p, err := a.Offer(tenant(fmt.Sprint(i)), 1, 0, testNow.Add(time.Hour), testNow)
+				assert.NilError(b, err)
+				p.Leave(testNow)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p, err := a.Offer(tenant("17"), 1, 0, testNow.Add(time.Hour), testNow)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Leave(testNow)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/route/estimator_test.go
@@ -0,0 +1,236 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/prompt"
+)
+
+func testFleet(n int) *Fleet {
+	f := NewFleet(rand.New(rand.NewPCG(1, 2)))
+	var list []Replica
+	for i := range n {
+		list = append(list, Replica{Name: fmt.Sprint("e", i), DataHall: "north", Model: "m"})
+	}
+	f.Configure(list, testNow)
+	for i := range n {
+		f.Report(fmt.Sprint("e", i), testReport(0))
+	}
+	return f
+}
+
+func testReport(backlog int) Report {
+	return Report{
+		Taken:        testNow.Add(time.Millisecond),
+		Slots:        8,
+		PrefillQueue: backlog,
+		PrefillRate:  10_000,
+		TokenBytes:   1000,
+		Weights:      "w1",
+	}
+}
+
+func testRequest(chunks int) *Request {
+	text := strings.Repeat("spec", chunks*prompt.ChunkBytes/4)
+	return &Request{
+		Model:    "m",
+		Weights:  "w1",
+		DataHall: "north",
+		Chain:    prompt.NewChain(prompt.Scope{Organisation: "o"}, text),
+	}
+}
+
+func hot(engine string, chunks int) prompt.Holding {
+	return prompt.Holding{Upstream: engine, Chunks: chunks}
+}
+
+func kept(store string, chunks int) prompt.Holding {
+	return prompt.Holding{Upstream: store, Chunks: chunks, Object: &prompt.Object{Chunks: chunks}}
+}
+
+var evenWeights = Weights{Latency: 1, Recompute: 1, Link: 0.1}
+
+func place(t *testing.T, f *Fleet, l *Links, q *Request) Decision {
+	t.Helper()
+	d, err := NewPolicy(config.PolicyDrumpath, f, l, evenWeights).Place(q, testNow.Add(2*time.Millisecond))
+	assert.NilError(t, err)
+	return d
+}
+
+func TestPlaceGoesToTheHotPrefix(t *testing.T) {
+	q := testRequest(100)
+	q.Match.Holdings = []prompt.Holding{hot("e7", 100)}
+	d := place(t, testFleet(20), NewLinks(), q)
+	assert.Equal(t, d.Replica, "e7")
+	assert.Equal(t, d.Recompute, 0)
+}
+
+func TestPlaceImportsWhatIsOnlyStored(t *testing.T) {
+	q := testRequest(100)
+	q.Match.Holdings = []prompt.Holding{kept("s1", 100)}
+	d := place(t, testFleet(20), NewLinks(), q)
+	assert.Assert(t, d.Import != nil)
+	assert.Equal(t, d.Import.Chunks, 100)
+}
+
+func TestPlaceRecomputesWhenTheLinkIsBooked(t *testing.T) {
+	q := testRequest(100)
+	q.Match.Holdings = []prompt.Holding{kept("s1", 100)}
+	l := NewLinks()
+	l.Report("s1", 1e6, 50e6, testNow)
+	d := place(t, testFleet(20), l, q)
+	assert.Assert(t, d.Import == nil)
+}
+
+func TestPlaceLeavesAHotButBusyReplica(t *testing.T) {
+	f := testFleet(20)
+	q := testRequest(10)
+	f.Report("e7", Report{Taken: testNow.Add(2 * time.Millisecond), Slots: 8, PrefillQueue: 500_000, PrefillRate: 10_000, Weights: "w1"})
+	q.Match.Holdings = []prompt.Holding{hot("e7", 10)}
+	d := place(t, f, NewLinks(), q)
+	assert.Assert(t, d.Replica != "e7")
+}
+
+func TestPlaceNeverUsesOtherWeightsOrLeavingReplicas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := testFleet(12)
+		for i := range 12 {
+			r := testReport(rapid.IntRange(0, 10_000).Draw(t, "backlog"))
+			r.Taken = r.Taken.Add(time.Millisecond)
+			r.Weights = rapid.SampledFrom([]string{"w1", "w2"}).Draw(t, "weights")
+			r.Leaving = rapid.Bool().Draw(t, "leaving")
+			f.Report(fmt.Sprint("e", i), r)
+		}
+		q := testRequest(20)
+		q.Exclude = []string{"e0", "e1"}
+		q.Match.Holdings = []prompt.Holding{hot("e0", 20), hot("e3", 20), kept("s1", 20)}
+		for _, name := range []string{
+			config.PolicyDrumpath, config.PolicyNeverImport, config.PolicyLongestPrefix,
+			config.PolicyLeastLoaded, config.PolicyRoundRobin,
+		} {
+			d, err := NewPolicy(name, f, NewLinks(), evenWeights).Place(q, testNow)
+			if err != nil {
+				continue
+			}
+			r := f.replicas[d.Replica].report
+			assert.Assert(t, r.Weights == "w1" && !r.Leaving)
+			assert.Assert(t, d.Replica != "e0" && d.Replica != "e1")
+		}
+	})
+}
+
+// Bookings of one link follow each other: what is booked is never promised
+// twice, and what is given back is free again.
+func TestLinksAreNotOverbooked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLinks()
+		l.Report("s", 1e6, 0, testNow)
+		l.Report("e", 1e9, 0, testNow)
+		var booked time.Duration
+		var open []*Booking
+		for range rapid.IntRange(1, 30).Draw(t, "n") {
+			bytes := int64(rapid.IntRange(1, 5_000_000).Draw(t, "bytes"))
+			want := booked + seconds(float64(bytes)/1e6)
+			k := l.Book("s", "e", bytes, testNow)
+			assert.Assert(t, k.Expected() >= want-time.Microsecond, "expected %s, wanted %s", k.Expected(), want)
+			booked = want
+			open = append(open, k)
+		}
+		for _, k := range open {
+			k.End(0, testNow)
+			k.End(0, testNow)
+		}
+		assert.Assert(t, l.Booked("s", testNow) < time.Millisecond)
+	})
+}
+
+func TestSlowLinkIsNoticedAndRecovers(t *testing.T) {
+	l := NewLinks()
+	l.Report("s", 100e6, 0, testNow)
+	l.Report("e", 100e6, 0, testNow)
+	now := testNow
+	for range 6 {
+		k := l.Book("s", "e", 10e6, now)
+		now = now.Add(time.Second) // Ten times as long as it should take.
+		k.End(10e6, now)
+	}
+	assert.Assert(t, l.Estimate("s", "e", 10e6, now) > 500*time.Millisecond)
+	now = now.Add(5 * recovery)
+	assert.Assert(t, l.Estimate("s", "e", 10e6, now) < 150*time.Millisecond)
+}
+
+func TestOutliersAreEjectedUpToAShare(t *testing.T) {
+	f := testFleet(10)
+	now := testNow
+	for i := range 10 {
+		for range ejectFailures {
+			f.Begin(fmt.Sprint("e", i), 1, now).End(OutcomeFailed, now)
+		}
+	}
+	n := 0
+	for _, s := range f.Status(now) {
+		if s.Ejected {
+			n++
+		}
+	}
+	assert.Equal(t, n, int(10*ejectShare))
+	for _, s := range f.Status(now.Add(ejectFirst)) {
+		assert.Assert(t, !s.Ejected)
+	}
+}
+
+func TestRetryBudgetBoundsRetries(t *testing.T) {
+	b := NewRetryBudget(0.1)
+	n := 0
+	for range 1000 {
+		b.Success()
+		for b.Take() {
+			n++
+		}
+	}
+	assert.Assert(t, n <= maxRetryCredit+100, "%d retries for 1000 successes", n)
+}
+
+func TestKeepLearnsThatNewTailsDoNotReturn(t *testing.T) {
+	k := NewKeep(evenWeights)
+	in := KeepInput{Organisation: "o", Chain: testRequest(100).Chain, PrefillRate: 10_000, TokenBytes: 1000, LinkRate: 100e6}
+	_, ok := k.Export(in)
+	assert.Assert(t, ok, "a first prompt may return")
+	for range 100 {
+		k.Export(in)
+	}
+	_, ok = k.Export(in)
+	assert.Assert(t, !ok, "prompts of this organisation never return")
+	in.Match.Sightings = []prompt.Sighting{{Chunks: 60, Times: 3}}
+	mark, ok := k.Export(in)
+	assert.Assert(t, ok)
+	assert.Equal(t, mark.Chunks, 60)
+	in.Match.Holdings = []prompt.Holding{kept("s", 60)}
+	_, ok = k.Export(in)
+	assert.Assert(t, !ok, "it is stored already")
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{20, 200, 7000} {
+		b.Run(fmt.Sprint("replicas=", n), func(b *testing.B) {
+			f := testFleet(n)
+			q := testRequest(200)
+			q.Match.Holdings = []prompt.Holding{hot("e3", 200), hot("e5", 100), kept("s1", 200), kept("s2", 200)}
+			p := NewPolicy(config.PolicyDrumpath, f, NewLinks(), evenWeights)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := p.Place(q, testNow); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/pkg/route/place.go
+++ b/pkg/route/place.go
@@ -37,6 +37,7 @@
 	p.ended = true
 	if !p.inside {
 		heap.Remove(&p.tenant.waiting, p.index)
+		a.noteWaiting(p.tenant)
 		return
 	}
 	p.tenant.inside--
@@ -54,7 +55,7 @@
 		a.mu.Unlock()
 		return nil, true
 	}
-	wait := a.expectedWait(p.tenant, now)
+	wait := a.expectedWait(p.tenant)
 	a.mu.Unlock()
 	p.Leave(now)
 	return &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}, false
