Relay: encode a chunk's frame once a stream; choose owners in one pass

Each chunk was encoded whole though only its text differs.

Change: the frame is encoded once, a text without special characters is copied. Owners keeps the n best in one pass instead of sorting the fleet; names are hashed once a member.

Ruled out: joining several tokens in one write (callers see tokens later).

--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -69,7 +69,7 @@
 
 // GroupOf names the lease under which a duty is done.
 func GroupOf(duty string) string {
-	return fmt.Sprintf("lease/%02d", weigh(hashDuty(duty), "group")%LeaseGroups)
+	return fmt.Sprintf("lease/%02d", hashDuty(duty)%LeaseGroups)
 }
 
 // Step renews held leases, takes free ones that fall to this node, and gives
@@ -82,7 +82,9 @@
 		mine := ok && owner.Name == l.node
 		switch held := l.Held(name); {
 		case held && mine:
-			l.renew(ctx, name)
+			if l.renewable(name) {
+				l.renew(ctx, name)
+			}
 		case held:
 			l.giveBack(ctx, name)
 		case mine:
@@ -104,6 +106,13 @@
 	}
 }
 
+// renewable says whether a third of the term has passed since the last renewal.
+func (l *Leases) renewable(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now().Sub(l.leases[name].since) >= l.term/RenewShare
+}
+
 // Held says whether this node holds a lease now.
 func (l *Leases) Held(name string) bool {
 	l.mu.Lock()
--- a/pkg/control/member.go
+++ b/pkg/control/member.go
@@ -29,6 +29,8 @@
 	DataHall    string         `json:"h"`
 	Incarnation uint64         `json:"i"`
 	State       MemberState    `json:"s"`
+
+	hash uint64 // Of the name, for rendezvous hashing; 0 if not worked out.
 }
 
 // Working says whether the node takes part in duties.
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -324,6 +326,7 @@
 }
 
 func (m *Members) set(u Member, now time.Time) {
+	u.hash = xxhash.Sum64String(u.Name)
 	m.known[u.Name] = &memberEntry{Member: u, since: now}
 	m.byPeer[u.Peer] = u.Name
 	m.news[u.Name] = 0
--- a/pkg/control/members_test.go
+++ b/pkg/control/members_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -172,14 +173,7 @@
 	for _, n := range []int{8, 30, 100, 300, 900} {
 		b.Run(fmt.Sprint("nodes=", n), func(b *testing.B) {
 			f := newTestFleet(n)
-			for _, v := range f.views {
-				for i := range n {
-					v.Merge([]Member{{Name: fmt.Sprint("vm-", i), Peer: testAddr(i), DataHall: "north", Incarnation: 1}}, f.now)
-				}
-			}
-			for _, v := range f.views {
-				clear(v.news)
-			}
+			f.knowAll()
 			f.run(1)
 			clear(f.bytes)
 			periods := 0
@@ -196,3 +190,84 @@
 		})
 	}
 }
+
+// spread passes periods until every view has heard of a version that one node
+// has, as probes carry it, and returns how many it took.
+func (f *testFleet) spread() int {
+	has := make([]bool, len(f.views))
+	has[0] = true
+	version := func(i int) uint64 {
+		if has[i] {
+			return 1
+		}
+		return 0
+	}
+	var deliver func(from int, out []Packet)
+	deliver = func(from int, out []Packet) {
+		for _, p := range out {
+			to, known := f.byAdr[p.To]
+			if !known {
+				continue
+			}
+			has[to] = has[to] || p.Probe.Version > 0
+			deliver(to, f.views[to].Handle(testAddr(from), p.Probe, f.now, version(to)))
+		}
+	}
+	for periods := 1; ; periods++ {
+		for i, v := range f.views {
+			deliver(i, v.Tick(f.now, version(i)))
+		}
+		f.now = f.now.Add(testPeriod)
+		if !slices.Contains(has, false) {
+			return periods
+		}
+	}
+}
+
+// knowAll has every view know the whole fleet, with no news left to tell.
+func (f *testFleet) knowAll() {
+	for _, v := range f.views {
+		for i := range f.views {
+			v.Merge([]Member{{Name: fmt.Sprint("vm-", i), Peer: testAddr(i), DataHall: "north", Incarnation: 1}}, f.now)
+		}
+		clear(v.news)
+	}
+}
+
+// BenchmarkSpread reports after how many periods a change of configuration is
+// known everywhere.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{8, 30, 100, 300, 900} {
+		b.Run(fmt.Sprint("nodes=", n), func(b *testing.B) {
+			f := newTestFleet(n)
+			f.knowAll()
+			total, worst, runs := 0, 0, 0
+			for b.Loop() {
+				periods := f.spread()
+				total += periods
+				worst = max(worst, periods)
+				runs++
+			}
+			b.ReportMetric(float64(total)/float64(runs), "periods")
+			b.ReportMetric(float64(worst), "worst-periods")
+		})
+	}
+}
+
+func BenchmarkOwner(b *testing.B) {
+	for _, n := range []int{8, 100, 900} {
+		f := newTestFleet(n)
+		f.knowAll()
+		members := f.views[0].Working()
+		b.Run(fmt.Sprint("owner/nodes=", n), func(b *testing.B) {
+			for b.Loop() {
+				Owner(members, "some duty")
+			}
+		})
+		b.Run(fmt.Sprint("entries/nodes=", n), func(b *testing.B) {
+			for b.Loop() {
+				Owners(members, "some organisation", 4)
+			}
+		})
+	}
+}
--- a/pkg/control/rendezvous.go
+++ b/pkg/control/rendezvous.go
@@ -15,7 +15,7 @@
 	best := uint64(0)
 	h := hashDuty(duty)
 	for _, m := range members {
-		if w := weigh(h, m.Name); !ok || w > best {
+		if w := weigh(h, m.nameHash()); !ok || w > best {
 			owner, best, ok = m, w, true
 		}
 	}
@@ -23,18 +23,42 @@
 }
 
 // Owners returns up to n members in the order in which a duty falls to them.
+// It keeps the n best in one pass, as n is small and the fleet may not be.
 func Owners(members []Member, duty string, n int) []Member {
+	type ranked struct {
+		weight uint64
+		member int
+	}
 	h := hashDuty(duty)
-	list := slices.Clone(members)
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(weigh(h, b.Name), weigh(h, a.Name)) })
-	return list[:min(n, len(list))]
+	best := make([]ranked, 0, n+1)
+	for i := range members {
+		r := ranked{weight: weigh(h, members[i].nameHash()), member: i}
+		if len(best) == n && (n == 0 || r.weight <= best[n-1].weight) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, r, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+		best = slices.Insert(best, at, r)
+		best = best[:min(len(best), n)]
+	}
+	list := make([]Member, len(best))
+	for i, r := range best {
+		list[i] = members[r.member]
+	}
+	return list
+}
+
+func (m Member) nameHash() uint64 {
+	if m.hash != 0 {
+		return m.hash
+	}
+	return xxhash.Sum64String(m.Name)
 }
 
 func hashDuty(duty string) uint64 { return xxhash.Sum64String(duty) }
 
 // weigh mixes two hashes; both halves of the product are used, as neither
 // alone mixes all bits.
-func weigh(duty uint64, name string) uint64 {
-	hi, lo := bits.Mul64(duty^0x9E3779B97F4A7C15, xxhash.Sum64String(name)^0xD6E8FEB86659FD93)
+func weigh(duty, name uint64) uint64 {
+	hi, lo := bits.Mul64(duty^0x9E3779B97F4A7C15, name^0xD6E8FEB86659FD93)
 	return hi ^ lo
 }
--- a/pkg/load/profile.go
+++ b/pkg/load/profile.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -10,8 +11,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/tailscale/hujson"
 
-	"encoding/json"
-
 	"github.com/drumpath/drumpath/pkg/config"
 )
 
--- a/service/entry/answer.go
+++ b/service/entry/answer.go
@@ -118,6 +118,14 @@
 
 // answerStream relays the answer token by token.
 func (s *Server) answerStream(c *fasthttp.RequestCtx, r *Run) {
+	chunks, err := newChunkWriter(r)
+	if err != nil {
+		s.parts.Log.Error("answer not encoded", "request", r.call.RequestID, "err", err)
+		r.Close()
+		s.leave()
+		c.SetStatusCode(http.StatusInternalServerError)
+		return
+	}
 	c.SetContentType(streamType)
 	c.Response.ImmediateHeaderFlush = true
 	c.SetBodyStreamWriter(func(w *bufio.Writer) {
@@ -140,7 +148,7 @@
 			if r.call.Once {
 				text.WriteString(ev.Text)
 			}
-			if err := r.relay(w, ev); err != nil {
+			if err := r.relay(w, chunks, ev); err != nil {
 				s.parts.Metrics.CallersGone.Add(1)
 				return
 			}
@@ -153,11 +161,11 @@
 }
 
 // relay sends one event on.
-func (r *Run) relay(w *bufio.Writer, ev upstream.Event) error {
+func (r *Run) relay(w *bufio.Writer, chunks *chunkWriter, ev upstream.Event) error {
 	if ev.Done {
 		return writeEvent(w, r.message("", true, true))
 	}
-	return writeEvent(w, r.message(ev.Text, true, false))
+	return chunks.write(w, ev.Text)
 }
 
 func writeEvent(w *bufio.Writer, v any) error {
--- a/service/entry/entries.go
+++ b/service/entry/entries.go
@@ -6,7 +6,6 @@
 	"math"
 	"net/http"
 	"net/netip"
-	"slices"
 
 	"github.com/valyala/fasthttp"
 
@@ -43,25 +42,28 @@
 		f.write(c)
 		return
 	}
-	var list []control.Member
-	for _, m := range s.parts.Members.Working() {
-		if !state.Nodes[m.Name].Drained {
-			list = append(list, m)
-		}
-	}
 	hall := string(c.QueryArgs().Peek("data_hall"))
 	if hall == "" {
 		hall = string(c.Request.Header.Peek(headerDataHall))
 	}
-	ordered := control.Owners(list, "entries/"+terms.Organisation.Name, len(list))
-	slices.SortStableFunc(ordered, func(a, b control.Member) int {
-		return boolInt(b.DataHall == hall) - boolInt(a.DataHall == hall)
-	})
+	var near, far []control.Member
+	for _, m := range s.parts.Members.Working() {
+		switch {
+		case state.Nodes[m.Name].Drained:
+		case m.DataHall == hall:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	duty := "entries/" + terms.Organisation.Name
+	ordered := control.Owners(near, duty, entriesGiven)
+	ordered = append(ordered, control.Owners(far, duty, entriesGiven-len(ordered))...)
 	answer := entriesAnswer{
 		Entries:      []entryAddress{},
 		MaxAgeMillis: s.parts.Settings.Entry.MaxAge.Std().Milliseconds(),
 	}
-	for _, m := range ordered[:min(len(ordered), entriesGiven)] {
+	for _, m := range ordered {
 		answer.Entries = append(answer.Entries, entryAddress{Address: m.Entry, DataHall: m.DataHall})
 	}
 	if len(answer.Entries) == 0 {
@@ -79,10 +81,3 @@
 	c.SetContentType(jsonType)
 	c.SetBody(body)
 }
-
-func boolInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
