Soak, mutations, stream and block tests

Cause: proofs need to show that they can fail. _scripts/mutate breaks one mechanism at a time in a copy of the tree and wants its test red; a soak runs nodes and stand-ins as processes under kills, freezes, outages and changes.

--- /dev/null
+++ b/_scripts/mutate/mutations.go
@@ -0,0 +1,181 @@
+package main
+
+const scenarios = "./cmd/drumpath"
+
+var mutations = []mutation{
+	{
+		"identity covers the organisation", "pkg/prompt/scope.go",
+		"[]string{s.Organisation, s.Model,", "[]string{s.Model,",
+		"./pkg/prompt", "TestChainsShareKeysOnlyWithinScope",
+	},
+	{
+		"identity covers the organisation, as processes", "pkg/prompt/scope.go",
+		"[]string{s.Organisation, s.Model,", "[]string{s.Model,",
+		scenarios, "TestScenarios/answers",
+	},
+	{
+		"identity covers the weight version", "pkg/prompt/scope.go",
+		"s.Model, s.Weights,", "s.Model,",
+		scenarios, "TestScenarios/weights",
+	},
+	{
+		"identity: the length goes before each part", "pkg/prompt/scope.go",
+		"		h.Write(size[:])\n", "",
+		"./pkg/prompt", "TestChainsShareKeysOnlyWithinScope",
+	},
+	{
+		"a restarted store's old objects are dropped", "pkg/prompt/directory.go",
+		"		if !keep(*d.places[r].object) {", "		if false && !keep(*d.places[r].object) {",
+		"./pkg/prompt", "TestRestartedStoreForgetsOldEpoch",
+	},
+	{
+		"a free waits for pins", "internal/standin/store.go",
+		"		if now.Before(until) {", "		if false && now.Before(until) {",
+		"./internal/standin", "TestFreeWaitsForPins",
+	},
+	{
+		"an object is sealed before it is visible", "internal/standin/store.go",
+		"	if !o.sealed || o.freed {", "	if o.freed {",
+		"./internal/standin", "TestHalfWrittenObjectCannotBePinned",
+	},
+	{
+		"a gap in cache events is noticed", "service/node/engine_watch.go",
+		"!w.follows(ev.Events)", "!w.follows(ev.Events) && false",
+		"./service/node", "TestWatchResynchronisesAfterAGap",
+	},
+	{
+		"answers carry their request's id", "pkg/upstream/stream.go",
+		"ev.RequestID != s.id", "false",
+		"./pkg/upstream", "TestWrongAnswersAreErrors",
+	},
+	{
+		"answers' tokens are counted", "pkg/upstream/stream.go",
+		"ev.Index != s.next", "false",
+		"./pkg/upstream", "TestWrongAnswersAreErrors",
+	},
+	{
+		"crossed answers are discarded, as processes", "pkg/upstream/stream.go",
+		"ev.RequestID != s.id", "false",
+		scenarios, "TestScenarios/answers",
+	},
+	{
+		"a cancelled answer's connection is not used again", "pkg/upstream/stream.go",
+		"	if s.whole {\n		// The end", "	if true {\n		// The end",
+		"./pkg/upstream", "TestCancelledAnswerNeverReachesTheNextRequest",
+	},
+	{
+		"a broken run is resumed", "service/entry/run.go",
+		"	f.Code = CodeCutOff\n	if !again ||", "	f.Code = CodeCutOff\n	if true || !again ||",
+		scenarios, "TestScenarios/answers",
+	},
+	{
+		"not_run is said only if nothing was sent", "service/entry/run.go",
+		"	case !r.reached:\n", "	case true || !r.reached:\n",
+		scenarios, "TestScenarios/answers",
+	},
+	{
+		"a dropped connection may have run", "pkg/httpjson/client.go",
+		"	return errors.Is(err, fasthttp.ErrNoFreeConns)", "	return true || errors.Is(err, fasthttp.ErrNoFreeConns)",
+		"./pkg/upstream", "TestDroppedConnectionMayHaveRun",
+	},
+	{
+		"a claim goes before the first byte", "service/entry/service.go",
+		"	if t.Once {\n		if claim, f", "	if false && t.Once {\n		if claim, f",
+		scenarios, "TestScenarios/once_killed",
+	},
+	{
+		"a claim is given once", "pkg/control/claims.go",
+		"platform.Condition{Key: w.claim.row, Version: w.claim.version})", "platform.Condition{Key: w.claim.row + \"x\", Version: 0})",
+		"./pkg/control", "TestClaimIsGivenOnce",
+	},
+	{
+		"a claim given up on is voided", "pkg/control/claims.go",
+		"	w.given = true\n	w.value.State = ClaimVoid", "	w.given = true",
+		"./pkg/control", "TestLateClaimIsVoided",
+	},
+	{
+		"a lost answer of a claim is settled", "pkg/control/claims.go",
+		"	ours := row.Version > 0 && have.Nonce == w.claim.nonce", "	ours := false",
+		"./pkg/control", "TestLostAnswerOfAClaimIsSettled",
+	},
+	{
+		"of two changes for one version one wins", "pkg/control/log.go",
+		"		Conditions: []platform.Condition{{Key: rowHead, Version: e.Version - 1}},\n", "",
+		"./pkg/control", "TestLogHistoryUnderFaults|TestConflictsAreTyped",
+	},
+	{
+		"a lost answer of a change is settled by its nonce", "pkg/control/log.go",
+		"	return found.Nonce == e.Nonce, nil", "	return false, nil",
+		"./pkg/control", "TestProposeSettlesALostAnswer",
+	},
+	{
+		"configuration never steps back", "pkg/control/log.go",
+		"d.State != nil && d.State.Version > l.state.Version", "d.State != nil",
+		"./pkg/control", "TestTakeNeverStepsBack",
+	},
+	{
+		"a node that starts in an outage asks its peers", "service/node/node.go",
+		"		if err := n.Spread.Pull(ctx, seed); err != nil {", "		if err := ctx.Err(); err != nil {",
+		scenarios, "TestScenarios/configuration",
+	},
+	{
+		"probes carry the configuration's version", "service/node/node.go",
+		"		spread.Heard(from, p.Version)\n", "",
+		scenarios, "TestScenarios/configuration",
+	},
+	{
+		"a lease's taker waits a term", "pkg/control/leases.go",
+		`return s.row.Holder == "" || now.Sub(s.since) >= l.term`, "return true",
+		"./pkg/control", "TestLeasesStateMachine",
+	},
+	{
+		"a lease counts from before its write", "pkg/control/leases.go",
+		"	s.until = sent.Add(l.term - l.term/leaseMargin)", "	s.until = sent.Add(2 * l.term)",
+		"./pkg/control", "TestLeasesStateMachine",
+	},
+	{
+		"an order needs a lease that is held", "pkg/control/leases.go",
+		"	if !l.now().Before(s.until) {\n		return Fence{}, false\n	}\n	s.seq++", "	s.seq++",
+		"./pkg/control", "TestFenceNeedsAHeldLease",
+	},
+	{
+		"a held-for-dead node is told so", "pkg/control/members.go",
+		"e != nil && (e.State == MemberSuspect", "false && e != nil && (e.State == MemberSuspect",
+		"./pkg/control", "TestHalvesFindEachOtherAfterACut",
+	},
+	{
+		"a silent node is probed through others", "pkg/control/members.go",
+		"		for _, helper := range m.helpers(a.target.Name) {", "		for _, helper := range m.helpers(a.target.Name)[:0] {",
+		"./pkg/control", "TestCutBetweenTwoIsBridgedByOthers",
+	},
+	{
+		"a leaving upstream gets no new work", "pkg/route/fleet.go",
+		"r.report.Leaving || f.leaving[r.Name] ||", "f.leaving[r.Name] ||",
+		scenarios, "TestScenarios/leaving_upstream",
+	},
+	{
+		"an upstream that the platform lists as leaving gets no new work", "pkg/route/fleet.go",
+		"r.report.Leaving || f.leaving[r.Name] ||", "r.report.Leaving ||",
+		scenarios, "TestScenarios/leaving_upstream",
+	},
+	{
+		"a planned stop waits for requests", "service/node/node.go",
+		"	if err := n.Entry.Drain(ctx); err != nil {", "	if err := ctx.Err(); err != nil {",
+		scenarios, "TestScenarios/planned_stop",
+	},
+	{
+		"a planned stop serves callers who still come", "service/node/node.go",
+		"	case <-time.After(n.Settings.Entry.MaxAge.Std()):", "	case <-time.After(0):",
+		scenarios, "TestScenarios/planned_stop",
+	},
+	{
+		"fair queues", "pkg/route/admission.go",
+		"		q.finish = max(q.finish, a.virtual) + p.cost/q.Share", "		q.finish = 0",
+		"./pkg/route", "TestLargeOrganisationDoesNotStarveSmallOnes",
+	},
+	{
+		"links are not booked twice", "pkg/route/booking.go",
+		"	took := now.Sub(k.begun)\n", "	took := now.Sub(k.begun) - time.Hour\n",
+		"./pkg/route", "TestLinksAreNotOverbooked",
+	},
+}
--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -15,6 +15,8 @@
 		name, short string
 		data        flags.Commander
 	}{
+		{"nodes", "Measure idle nodes, and how fast a change spreads", &nodesCommand{}},
+		{"soak", "Run processes under load, kills, freezes and outages", &soakCommand{}},
 		{"policy", "Compare the placement policies under load and faults", &policyCommand{}},
 	}
 	for _, c := range commands {
--- a/pkg/control/leases_test.go
+++ b/pkg/control/leases_test.go
@@ -182,3 +182,19 @@
 	w.nodes[1].Step(t.Context())
 	assert.Assert(t, w.nodes[1].Held(testLease))
 }
+
+func TestFenceNeedsAHeldLease(t *testing.T) {
+	w := newLeaseWorld(1)
+	a := w.nodes[0]
+	_, ok := a.Fence(testLease)
+	assert.Assert(t, !ok)
+	a.Step(t.Context())
+	first, ok := a.Fence(testLease)
+	assert.Assert(t, ok)
+	second, ok := a.Fence(testLease)
+	assert.Assert(t, ok && second.Epoch == first.Epoch && second.Seq > first.Seq)
+	// Frozen past its term, the node wakes in the middle of giving an order.
+	w.now = w.now.Add(testTerm)
+	_, ok = a.Fence(testLease)
+	assert.Assert(t, !ok)
+}
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -14,6 +14,8 @@
 	Seconds  float64 `json:"seconds"` // Counted.
 	Sent     int     `json:"sent"`
 	Answered int     `json:"answered"`
+	// Again is how often a request was sent another time.
+	Again int `json:"again"`
 	// Refused are those told not_run.
 	Refused int `json:"refused"`
 	Failed  int `json:"failed"`
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -23,6 +23,13 @@
 	Entries []netip.AddrPort
 	// Verify returns the right answer to a prompt, nil to verify nothing.
 	Verify func(text string, tokens int) string
+	// Attempts is how often a caller sends a request at most, when it was
+	// refused with not_run or its node died; 0 stands for once. It waits for as
+	// long as it was told.
+	Attempts int
+	// Observe is called with each answer that came, its time since the load's
+	// start and to its first token; it may be nil.
+	Observe func(since, first time.Duration)
 	// Progress is called about once a second.
 	Progress func(Progress)
 	// OnTime is called when the load has run for some time; it may be nil.
@@ -130,6 +137,14 @@
 	text := r.profile.text(a)
 	start := time.Now()
 	s, err := r.send(ctx, a, text, start)
+	for n := 1; err != nil && n < r.opts.Attempts && ctx.Err() == nil; n++ {
+		r.pause(ctx, err)
+		r.again()
+		s, err = r.send(ctx, a, text, start)
+	}
+	if err == nil && r.opts.Observe != nil {
+		r.opts.Observe(time.Since(r.start), s.First)
+	}
 	if a.at >= r.profile.Warm.Std() {
 		r.count(a, text, s, err)
 	}
@@ -138,6 +153,27 @@
 	r.tally.done++
 }
 
+const minPause = 100 * time.Millisecond
+
+// pause waits before the next attempt, for as long as the answer asked.
+func (r *runner) pause(ctx context.Context, err error) {
+	wait := minPause
+	var answer *AnswerError
+	if errors.As(err, &answer) {
+		wait = max(wait, time.Duration(answer.RetryAfterMillis)*time.Millisecond)
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+}
+
+func (r *runner) again() {
+	r.tally.mu.Lock()
+	defer r.tally.mu.Unlock()
+	r.tally.report.Again++
+}
+
 func (r *runner) send(ctx context.Context, a arrival, text string, start time.Time) (s Streamed, err error) {
 	entry, err := r.entries.get(ctx, a.organisation.Key)
 	if err != nil {
--- /dev/null
+++ b/service/node/blocks_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/standin"
+)
+
+// Prompts return while the store fills up and frees, restarts, and loses blocks
+// on the way: every answer is right and no block is read that was freed or
+// half-written.
+func TestBlocksUnderEvictionAndRestart(t *testing.T) {
+	cfg := smallSite(2, 1)
+	cfg.Engine.CacheTokens = 9000
+	// Room for four of the ten prompts, so that eviction never rests.
+	cfg.Store.Capacity = 4 * 4096 * int64(cfg.Store.TokenBytes)
+	site := startSite(t, cfg)
+	defer site.Close()
+	n := startNode(t, site, "vm-1")
+	defer n.Close()
+	setUp(t, n, site)
+	store := site.Stores[0]
+	stop := make(chan struct{})
+	var faulty sync.WaitGroup
+	faulty.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				store.SetFault(standin.Fault{})
+				return
+			case <-time.After(150 * time.Millisecond):
+			}
+			store.SetFault(standin.Fault{Restart: i%5 == 0, PartialPut: i%3 == 0})
+		}
+	})
+	var wg sync.WaitGroup
+	for w := range 4 {
+		wg.Go(func() {
+			for i := range 25 {
+				text := strings.Repeat(string(rune('a'+(w*3+i*7)%10))+" specification ", 1000)
+				assert.Check(t, post(t, n, text, 4) == 5)
+			}
+		})
+	}
+	wg.Wait()
+	close(stop)
+	faulty.Wait()
+	s := store.Stats()
+	assert.Equal(t, s.BadReads, 0)
+	assert.Assert(t, n.Metrics.Imports.Value() > 0, "nothing was imported, so nothing was tested")
+}
+
+// A watch that misses events notices the gap and reads the whole cache.
+func TestWatchResynchronisesAfterAGap(t *testing.T) {
+	site := startSite(t, smallSite(1, 0))
+	defer site.Close()
+	n := startNode(t, site, "vm-1")
+	defer n.Close()
+	setUp(t, n, site)
+	held := func() int {
+		for _, w := range n.Watches.Status() {
+			return w.Held
+		}
+		return 0
+	}
+	post(t, n, strings.Repeat("first prompt ", 1000), 1)
+	waitUntil(t, func() bool { return held() == 50 })
+	site.Engines[0].SetFault(standin.Fault{SkipEvents: true})
+	post(t, n, strings.Repeat("missed prompt", 1000), 1)
+	site.Engines[0].SetFault(standin.Fault{})
+	post(t, n, strings.Repeat("third prompt ", 1000), 1)
+	waitUntil(t, func() bool { return held() == 150 })
+	assert.Assert(t, n.Watches.Status()[0].Resyncs > 1)
+}
+
+// Callers who go away have their runs broken off upstream.
+func TestCallerGoneCancelsTheRun(t *testing.T) {
+	cfg := smallSite(1, 0)
+	cfg.Engine.PrefillRate = 100
+	site := startSite(t, cfg)
+	defer site.Close()
+	n := startNode(t, site, "vm-1")
+	defer n.Close()
+	setUp(t, n, site)
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		postUntil(ctx, n, strings.Repeat("a long prompt ", 1000))
+	}()
+	waitUntil(t, func() bool { return n.Entry.InFlight() == 1 })
+	waitUntil(t, func() bool { return n.Admission.Status().Inside == 1 })
+	cancel()
+	<-gone
+	// Its prefill alone would take over half a minute.
+	waitUntil(t, func() bool { return n.Entry.InFlight() == 0 && n.Admission.Status().Inside == 0 })
+}
--- a/service/node/relay_test.go
+++ b/service/node/relay_test.go
@@ -162,3 +162,14 @@
 		})
 	}
 }
+
+// postUntil sends a completion and waits until it is answered or ctx ends.
+func postUntil(ctx context.Context, n *Node, text string) {
+	body, _ := json.Marshal(map[string]any{"model": "m", "prompt": text, "max_tokens": 2})
+	url := fmt.Sprintf("http://%s/v1/completions", n.Entry.Addr())
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	req.Header.Set("Authorization", "Bearer key-o")
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
