--- a/internal/standin/engine_run.go
+++ b/internal/standin/engine_run.go
@@ -41,6 +41,9 @@
 		id = "crossed-" + id
 	}
 	c.Response.Header.Set(upstream.HeaderRequestID, req.RequestID)
+	if load, err := json.Marshal(e.load.get()); err == nil {
+		c.Response.Header.SetBytesV(upstream.HeaderLoad, load)
+	}
 	c.SetContentType("text/event-stream")
 	c.Response.ImmediateHeaderFlush = true
 	c.SetBodyStreamWriter(func(w *bufio.Writer) {
@@ -77,6 +80,7 @@
 		return
 	}
 	cached := e.cache.match(keys) * prompt.ChunkTokens
+	e.cache.unhold(r.req.RequestID)
 	e.backlog.Add(int64(-cached))
 	waiting -= int64(cached)
 	ok := sleep(ctx, time.Duration(float64(tokens-cached)/e.cfg.PrefillRate*float64(time.Second)))
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -14,7 +14,7 @@
 	lane   *lane
 	rate   float64 // Bytes a second.
 	factor func() float64
-	queue  atomic.Int64 // Bytes not yet moved.
+	queue  atomic.Int64 // Bytes not yet moved that go before a new import.
 	moved  atomic.Int64
 }
 
@@ -24,9 +24,11 @@
 
 // move takes as long as the bytes need; it returns false if ctx ends first.
 func (l *link) move(ctx context.Context, bytes int64, priority int) bool {
-	l.queue.Add(bytes)
 	left := bytes
-	defer func() { l.queue.Add(-left) }()
+	if priority >= priorityImport {
+		l.queue.Add(bytes)
+		defer func() { l.queue.Add(-left) }()
+	}
 	for left > 0 {
 		if !l.lane.enter(ctx, priority) {
 			return false
@@ -42,7 +44,9 @@
 			return false
 		}
 		left -= part
-		l.queue.Add(-part)
+		if priority >= priorityImport {
+			l.queue.Add(-part)
+		}
 		l.moved.Add(part)
 	}
 	return true
--- a/pkg/config/apply.go
+++ b/pkg/config/apply.go
@@ -17,7 +17,7 @@
 	if reason := next.apply(cmd); reason != "" {
 		return nil, &CommandError{Command: cmd, Reason: reason}
 	}
-	if cmd.Kind == KindOrganisation {
+	if cmd.Kind == KindOrganisation || cmd.Kind == KindRule {
 		next.Index()
 	}
 	return next, nil
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -55,6 +55,9 @@
 	LatencyWeight   float64 `json:"latency_weight" validate:"gt=0"`
 	RecomputeWeight float64 `json:"recompute_weight" validate:"gte=0"`
 	LinkWeight      float64 `json:"link_weight" validate:"gte=0"`
+	// Patience is how much later the first token may come than it could, for a
+	// decision that is cheaper otherwise.
+	Patience Duration `json:"patience" validate:"gte=0"`
 }
 
 // LimitSettings bounds what a node takes on.
@@ -84,6 +87,7 @@
 			LatencyWeight:   1,
 			RecomputeWeight: 1,
 			LinkWeight:      defaultLinkWeight,
+			Patience:        Duration(defaultPatience),
 		},
 		Limits: LimitSettings{
 			QueueWait:     Duration(defaultQueueWait),
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -18,6 +18,7 @@
 	Nodes         map[string]NodeObject   `json:"nodes"`
 
 	byKeyHash map[string]string
+	rulesOf   map[string][]Rule // By organisation.
 }
 
 // NewState returns the empty configuration, version 0.
@@ -40,6 +41,11 @@
 	for name, o := range s.Organisations {
 		s.byKeyHash[o.KeyHash] = name
 	}
+	s.rulesOf = map[string][]Rule{}
+	for _, name := range slices.Sorted(maps.Keys(s.Rules)) {
+		r := s.Rules[name]
+		s.rulesOf[r.Organisation] = append(s.rulesOf[r.Organisation], r)
+	}
 }
 
 // HashKey returns the form in which an API key is kept.
@@ -61,8 +67,8 @@
 func (s *State) RuleFor(organisation, model string) (Rule, bool) {
 	var found Rule
 	var ok bool
-	for _, r := range s.Rules {
-		if r.Organisation != organisation || (r.Model != "" && r.Model != model) {
+	for _, r := range s.rulesOf[organisation] {
+		if r.Model != "" && r.Model != model {
 			continue
 		}
 		if !ok || r.Model != "" {
--- a/pkg/control/claims.go
+++ b/pkg/control/claims.go
@@ -38,7 +38,7 @@
 // while the last was under way.
 type Claims struct {
 	node  string
-	table table
+	table Table
 	log   *slog.Logger
 
 	mu      sync.Mutex
@@ -59,12 +59,9 @@
 	given  bool // Its writer no longer waits.
 }
 
-// NewClaims starts the group commit of this node's claims.
-func NewClaims(node string, t *platform.Table, log *slog.Logger) *Claims {
-	return newClaims(node, t, log)
-}
-
-func newClaims(node string, t table, log *slog.Logger) *Claims {
+// NewClaims starts the group commit of this node's claims to a table service,
+// or to what passes them on to one.
+func NewClaims(node string, t Table, log *slog.Logger) *Claims {
 	c := &Claims{
 		node:    node,
 		table:   t,
--- /dev/null
+++ b/pkg/control/collector.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/platform"
+)
+
+const (
+	// Collectors is how many nodes collect the claims of the whole fleet. Each
+	// has one transaction under way at a time, so the table service's load is
+	// bounded whatever the fleet's size.
+	Collectors = 4
+	// collectRows is the most rows in one transaction.
+	collectRows = 400
+	// collectPace is the least time between a collector's transactions. All
+	// collectors together stay under 200 a second, of the service's 300.
+	collectPace = 20 * time.Millisecond
+	// collectTimeout bounds a transaction of a collector.
+	collectTimeout = 5 * time.Second
+)
+
+// Collector joins independent transactions that come in at the same time into
+// one. If some conflict, the others go again without them, so that one claim's
+// conflict is not another's.
+type Collector struct {
+	table Table
+
+	mu      sync.Mutex
+	pending []*collected
+	busy    bool
+	closed  bool
+	wg      sync.WaitGroup
+}
+
+// collected is a transaction and where its outcome goes.
+type collected struct {
+	txn  platform.Txn
+	done chan error
+}
+
+// NewCollector returns a collector of transactions for a table service.
+func NewCollector(t *platform.Table) *Collector { return &Collector{table: t} }
+
+// Commit carries out a transaction, perhaps joined with others. The errors are
+// those of the table service.
+func (c *Collector) Commit(ctx context.Context, txn platform.Txn) error {
+	w := &collected{txn: txn, done: make(chan error, 1)}
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return platform.ErrNotApplied
+	}
+	c.pending = append(c.pending, w)
+	if !c.busy {
+		c.busy = true
+		c.wg.Go(c.drain)
+	}
+	c.mu.Unlock()
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return platform.ErrUnknown
+	}
+}
+
+// Close waits for what is under way; later transactions are not applied.
+func (c *Collector) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.wg.Wait()
+}
+
+// drain writes until nothing is pending.
+func (c *Collector) drain() {
+	for {
+		batch := c.next()
+		if len(batch) == 0 {
+			return
+		}
+		start := time.Now()
+		c.write(batch)
+		time.Sleep(collectPace - time.Since(start))
+	}
+}
+
+// next takes pending transactions that touch different rows.
+func (c *Collector) next() []*collected {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var batch, rest []*collected
+	rows := map[string]bool{}
+	for _, w := range c.pending {
+		if len(rows)+len(w.txn.Puts) > collectRows && len(batch) > 0 || touches(w.txn, rows) {
+			rest = append(rest, w)
+			continue
+		}
+		for _, p := range w.txn.Puts {
+			rows[p.Key] = true
+		}
+		batch = append(batch, w)
+	}
+	c.pending = rest
+	c.busy = len(batch) > 0
+	return batch
+}
+
+func touches(txn platform.Txn, rows map[string]bool) bool {
+	for _, p := range txn.Puts {
+		if rows[p.Key] {
+			return true
+		}
+	}
+	return false
+}
+
+// write commits a batch, without those that conflict.
+func (c *Collector) write(batch []*collected) {
+	ctx, cancel := context.WithTimeout(context.Background(), collectTimeout)
+	defer cancel()
+	for len(batch) > 0 {
+		var joined platform.Txn
+		for _, w := range batch {
+			joined.Conditions = append(joined.Conditions, w.txn.Conditions...)
+			joined.Puts = append(joined.Puts, w.txn.Puts...)
+		}
+		err := c.table.Commit(ctx, joined)
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			finish(batch, err)
+			return
+		}
+		left := conflicts(batch, conflict)
+		if len(left) == len(batch) {
+			// The conflict is on no row of theirs; nothing was applied.
+			finish(batch, platform.ErrNotApplied)
+			return
+		}
+		batch = left
+	}
+}
+
+func finish(batch []*collected, err error) {
+	for _, w := range batch {
+		w.done <- err
+	}
+}
+
+// conflicts ends the transactions that conflict, each with its own rows, and
+// returns the others.
+func conflicts(batch []*collected, conflict *platform.ConflictError) (left []*collected) {
+	for _, w := range batch {
+		own := &platform.ConflictError{}
+		for _, row := range conflict.Rows {
+			for _, cond := range w.txn.Conditions {
+				if cond.Key == row.Key {
+					own.Rows = append(own.Rows, row)
+				}
+			}
+		}
+		if len(own.Rows) == 0 {
+			left = append(left, w)
+			continue
+		}
+		w.done <- own
+	}
+	return left
+}
--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -36,7 +36,7 @@
 type Leases struct {
 	node    string
 	term    time.Duration
-	table   table
+	table   Table
 	members *Members
 	log     *slog.Logger
 	now     func() time.Time
@@ -50,7 +50,7 @@
 	return newLeases(node, term, t, m, log)
 }
 
-func newLeases(node string, term time.Duration, t table, m *Members, log *slog.Logger) *Leases {
+func newLeases(node string, term time.Duration, t Table, m *Members, log *slog.Logger) *Leases {
 	l := &Leases{
 		node:    node,
 		term:    term,
--- a/pkg/control/log.go
+++ b/pkg/control/log.go
@@ -34,7 +34,7 @@
 // step back, whatever order they arrive in and from whom.
 type Log struct {
 	node    string
-	table   table
+	table   Table
 	objects objectStore
 	log     *slog.Logger
 
@@ -52,7 +52,7 @@
 	return newLog(node, t, o, log)
 }
 
-func newLog(node string, t table, o objectStore, log *slog.Logger) *Log {
+func newLog(node string, t Table, o objectStore, log *slog.Logger) *Log {
 	return &Log{
 		node:    node,
 		table:   t,
--- a/pkg/control/platform.go
+++ b/pkg/control/platform.go
@@ -7,9 +7,11 @@
 	"github.com/drumpath/drumpath/pkg/platform"
 )
 
-// table is the part of the table service that this package uses.
-type table interface {
+// Table is the part of the table service that this package uses.
+type Table interface {
+	// Commit carries out a transaction, as platform.Table does.
 	Commit(ctx context.Context, txn platform.Txn) error
+	// Read returns rows by key, as platform.Table does.
 	Read(ctx context.Context, keys ...string) ([]platform.Row, error)
 }
 
--- a/pkg/route/admission.go
+++ b/pkg/route/admission.go
@@ -37,7 +37,10 @@
 	inside   int
 	virtual  float64
 	meanHold time.Duration
-	tenants  map[string]*tenantQueue
+	// meanFirst is the mean time from the way in to the first token.
+	meanFirst time.Duration
+	devFirst  time.Duration // Mean deviation from it.
+	tenants   map[string]*tenantQueue
 	// waiting has the organisations with a queue, so that the cost of a
 	// decision grows with these and not with all there are.
 	waiting map[*tenantQueue]struct{}
@@ -64,6 +67,40 @@
 	}
 }
 
+// Adapt lets more or fewer requests in, by what they wait at the replicas: a
+// queue in front of a prefill can't be ordered any more, and what was prepared
+// for a request is lost while it waits there, so what must wait waits here. most
+// is the largest capacity.
+func (a *Admission) Adapt(wait time.Duration, most int, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case wait > wantedWait:
+		a.capacity = int(float64(a.capacity) * shrink)
+	case a.inside >= a.capacity:
+		// Only a limit that is met is worth raising.
+		a.capacity += max(1, a.capacity/growPart)
+	}
+	a.capacity = max(minCapacity, min(a.capacity, most))
+	a.admit(now)
+}
+
+const (
+	// wantedWait is the wait at a replica that Adapt aims for.
+	wantedWait = 150 * time.Millisecond
+	shrink     = 0.9
+	growPart   = 10
+)
+
+// First is the time from the way in to the first token that most requests keep
+// to: the mean and twice the mean deviation.
+func (a *Admission) First() time.Duration {
+	const deviations = 2
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.meanFirst + deviations*a.devFirst
+}
+
 // SetCapacity sets how many requests may be inside at once.
 func (a *Admission) SetCapacity(n int, now time.Time) {
 	a.mu.Lock()
--- a/pkg/route/admission_test.go
+++ b/pkg/route/admission_test.go
@@ -179,3 +179,20 @@
 		})
 	}
 }
+
+func TestAdaptShrinksWhenReplicasQueueAndGrowsWhenTheyDoNot(t *testing.T) {
+	a := NewAdmission()
+	for range 50 {
+		_, err := a.Offer(tenant("o"), 1, 0, testNow.Add(time.Hour), testNow)
+		assert.NilError(t, err)
+	}
+	for range 40 {
+		a.Adapt(0, 30, testNow)
+	}
+	assert.Equal(t, a.Status().Inside, 30)
+	for range 40 {
+		a.Adapt(time.Second, 30, testNow)
+	}
+	assert.Equal(t, a.Status().Capacity, minCapacity)
+	assert.Equal(t, a.Status().Inside, 30, "nobody is put out")
+}
--- a/pkg/route/booking.go
+++ b/pkg/route/booking.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+const (
+	// lateWeight is the weight of the newest transfer in the mean lateness.
+	lateWeight = 0.25
+	// mostLate bounds what one transfer adds to it.
+	mostLate = 4
+)
+
 // Booking is a transfer's reservation of two links.
 type Booking struct {
 	links    *Links
@@ -31,6 +38,7 @@
 	took := now.Sub(k.begun)
 	for i, name := range k.names {
 		s := k.links.get(name)
+		delete(s.open, k)
 		// What is left of the reservation beyond now falls free.
 		if left := k.reserved[i] - took; left > 0 {
 			s.busy = s.busy.Add(-left)
@@ -41,25 +49,28 @@
 		s.moved += moved
 		if k.expected > 0 && moved == k.bytes {
 			ratio := k.expected.Seconds() / max(took.Seconds(), 1e-4)
-			s.learn(ratio, now)
+			s.learn(ratio, rateWeight, now)
 		}
 	}
 }
 
-// GiveUp ends a transfer that was too slow; it was at most halfway.
+// GiveUp ends a transfer that was too slow. How slow is not known, only that it
+// took longer than this, so the belief falls all the way to that bound.
 func (k *Booking) GiveUp(now time.Time) {
 	k.links.mu.Lock()
 	for _, name := range k.names {
-		k.links.get(name).learn(k.expected.Seconds()/(2*max(now.Sub(k.begun).Seconds(), 1e-4)), now)
+		k.links.get(name).learn(k.expected.Seconds()/max(now.Sub(k.begun).Seconds(), 1e-4), 1, now)
 	}
 	k.links.mu.Unlock()
 	k.End(0, now)
 }
 
-// learn moves the believed share of the nominal rate towards what was seen;
-// the caller holds the lock.
-func (s *linkState) learn(ratio float64, now time.Time) {
+// learn moves the believed share of the nominal rate towards what was seen, by
+// a weight from 0 to 1; the caller holds the lock.
+func (s *linkState) learn(ratio, weight float64, now time.Time) {
+	lateness := min(mostLate, max(0, 1/ratio-1))
+	s.late = s.late*s.memory(now)*(1-lateWeight) + lateness*lateWeight
 	current := s.rate(now) / s.nominal
-	s.share = min(1, max(slowestShare, current*math.Pow(ratio, rateWeight)))
+	s.share = min(1, max(slowestShare, current*math.Pow(ratio, weight)))
 	s.observed = now
 }
--- a/pkg/route/estimator.go
+++ b/pkg/route/estimator.go
@@ -22,9 +22,10 @@
 	otherHall = 2 * time.Millisecond
 	// minImport is the least gain in tokens for which an import is weighed.
 	minImport = 4 * prompt.ChunkTokens
-	// giveUpFactor is how much longer than recomputing an import may take
-	// before it is given up, for each unit of recompute price over latency.
-	giveUpFactor = 1
+	// lateFactor, lateGrace and the patience say when an import is much later
+	// than expected.
+	lateFactor = 1.5
+	lateGrace  = 100 * time.Millisecond
 )
 
 // estimator places a request by its estimated first-token time, with prices
@@ -46,19 +47,34 @@
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	hot, stored := splitHoldings(q.Match.Holdings)
-	var best Decision
-	found := false
+	var all []Decision
 	for _, r := range p.candidates(q, hot, now) {
-		for _, d := range p.options(q, r, hot[r.Name], stored, now) {
-			if !found || d.Score < best.Score {
-				best, found = d, true
-			}
-		}
+		all = p.options(all, q, r, hot[r.Name], stored, now)
 	}
-	if !found {
+	if len(all) == 0 {
 		return Decision{}, ErrNoReplica
 	}
-	return best, nil
+	return p.choose(all), nil
+}
+
+// choose takes the cheapest of the decisions that are not much slower than the
+// fastest. Prices alone would let the wait for a slow link or a busy replica
+// grow until it costs as much as what it saves.
+func (p *estimator) choose(all []Decision) Decision {
+	fastest := all[0].FirstToken()
+	for i := range all {
+		fastest = min(fastest, all[i].FirstToken())
+	}
+	best := -1
+	for i := range all {
+		if all[i].FirstToken() > fastest+p.weights.Patience {
+			continue
+		}
+		if best < 0 || all[i].Score < all[best].Score {
+			best = i
+		}
+	}
+	return all[best]
 }
 
 // splitHoldings sorts holdings into hot tokens by engine and stored copies,
@@ -118,20 +134,27 @@
 	return list
 }
 
-// options weighs a replica with what it holds hot and with each import.
-func (p *estimator) options(q *Request, r *replica, hotTokens int, stored []prompt.Holding, now time.Time) []Decision {
+// options adds to list a replica with what it holds hot, and with each import.
+func (p *estimator) options(
+	list []Decision,
+	q *Request,
+	r *replica,
+	hotTokens int,
+	stored []prompt.Holding,
+	now time.Time,
+) []Decision {
 	hotTokens = min(hotTokens, q.Chain.Tokens)
 	wait := r.wait(now)
 	if r.DataHall != q.DataHall {
 		wait += otherHall
 	}
-	list := []Decision{p.score(Decision{
+	list = append(list, p.score(Decision{
 		Replica:   r.Name,
 		Cached:    hotTokens,
 		Recompute: q.Chain.Tokens - hotTokens,
 		Wait:      wait,
 		Prefill:   r.prefill(q.Chain.Tokens - hotTokens),
-	}, r, 0)}
+	}, r, 0))
 	if !p.imports {
 		return list
 	}
@@ -142,8 +165,6 @@
 		}
 		bytes := int64(h.Tokens()) * int64(r.report.TokenBytes)
 		fetch := p.links.Estimate(h.Upstream, r.Name, bytes, now)
-		giveUp := r.prefill(gain) + wait
-		giveUp += time.Duration(float64(r.prefill(gain)) * giveUpFactor * p.weights.Recompute / p.weights.Latency)
 		list = append(list, p.score(Decision{
 			Replica:   r.Name,
 			Cached:    hotTokens,
@@ -153,22 +174,31 @@
 				Object: *h.Object,
 				Chunks: h.Chunks,
 				Bytes:  bytes,
-				GiveUp: giveUp,
+				GiveUp: p.giveUp(r, gain, wait, fetch),
 			},
 			Wait:    wait,
 			Fetch:   fetch,
 			Prefill: r.prefill(q.Chain.Tokens - h.Tokens()),
-		}, r, bytes))
+		}, r, p.links.Seconds(h.Upstream, r.Name, bytes, now)))
 	}
 	return list
 }
 
-// score prices a decision in weighted seconds.
-func (p *estimator) score(d Decision, r *replica, bytes int64) Decision {
+// giveUp is after how long an import is given up. It is the time after which
+// recomputing would have been the better choice; but an import that takes much
+// longer than it was expected to shows that the estimate was wrong, and says
+// nothing of when it will end, so it is given up sooner.
+func (p *estimator) giveUp(r *replica, gain int, wait, fetch time.Duration) time.Duration {
+	worth := wait + time.Duration(float64(r.prefill(gain))*(1+p.weights.Recompute/p.weights.Latency))
+	late := time.Duration(float64(fetch)*lateFactor) + max(lateGrace, p.weights.Patience)
+	return min(worth, late)
+}
+
+// score prices a decision in weighted seconds; link is for how long it occupies
+// a link.
+func (p *estimator) score(d Decision, r *replica, link float64) Decision {
 	d.Score = p.weights.Latency*d.FirstToken().Seconds() +
-		p.weights.Recompute*r.prefill(d.Recompute).Seconds()
-	if bytes > 0 {
-		d.Score += p.weights.Link * float64(bytes) / defaultLinkRate
-	}
+		p.weights.Recompute*r.prefill(d.Recompute).Seconds() +
+		p.weights.Link*link
 	return d
 }
--- a/pkg/route/fleet.go
+++ b/pkg/route/fleet.go
@@ -70,6 +70,22 @@
 	return sum
 }
 
+// MeanWait is the mean of what a new request would wait for a prefill, over the
+// replicas that have reported.
+func (f *Fleet) MeanWait(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sum time.Duration
+	n := 0
+	for _, r := range f.replicas {
+		if r.report.Weights != "" && !r.ejected(now) {
+			sum += r.wait(now)
+			n++
+		}
+	}
+	return sum / time.Duration(max(1, n))
+}
+
 // ReplicaStatus is what a dump shows of one replica.
 type ReplicaStatus struct {
 	Name     string        `json:"name"`
--- a/pkg/route/links.go
+++ b/pkg/route/links.go
@@ -27,9 +27,11 @@
 type linkState struct {
 	nominal  float64 // Bytes a second.
 	share    float64 // Of the nominal rate, as observed.
+	late     float64 // Mean lateness of transfers, as a share of the expected time.
 	observed time.Time
 	busy     time.Time // Booked until.
 	moved    int64
+	open     map[*Booking]struct{} // Transfers under way.
 }
 
 // NewLinks returns links of which nothing is known.
@@ -38,7 +40,7 @@
 func (l *Links) get(name string) *linkState {
 	s, ok := l.links[name]
 	if !ok {
-		s = &linkState{nominal: defaultLinkRate, share: 1}
+		s = &linkState{nominal: defaultLinkRate, share: 1, open: map[*Booking]struct{}{}}
 		l.links[name] = s
 	}
 	return s
@@ -46,11 +48,15 @@
 
 // rate is the believed rate in bytes a second.
 func (s *linkState) rate(now time.Time) float64 {
-	idle := now.Sub(s.observed).Seconds() / recovery.Seconds()
-	share := s.share + (1-s.share)*(1-math.Exp(-max(0, idle)))
+	share := 1 - (1-s.share)*s.memory(now)
 	return s.nominal * share
 }
 
+// memory is how much of what was observed still counts.
+func (s *linkState) memory(now time.Time) float64 {
+	return math.Exp(-max(0, now.Sub(s.observed).Seconds()/recovery.Seconds()))
+}
+
 // Report takes in a link's nominal rate and the bytes queued on it.
 func (l *Links) Report(name string, rate float64, queue int64, now time.Time) {
 	l.mu.Lock()
@@ -64,12 +70,41 @@
 	}
 }
 
-// Estimate is how long a transfer over both links would take from now: it is
-// done when the slower has worked off what is booked and moved the bytes.
+// Estimate is by when a transfer over both links should be done, from now: the
+// slower has worked off what is booked and moved the bytes, and it comes as late
+// as transfers lately have. Other nodes book the same links unseen, so a busy
+// link's transfers come late, and their mean lateness is the best sign of it.
 func (l *Links) Estimate(a, b string, bytes int64, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(l.get(a).estimate(bytes, now), l.get(b).estimate(bytes, now))
+	return max(l.get(a).cautious(bytes, now), l.get(b).cautious(bytes, now))
+}
+
+func (s *linkState) cautious(bytes int64, now time.Time) time.Duration {
+	late := max(s.late*s.memory(now), s.overdue(now))
+	return time.Duration(float64(s.estimate(bytes, now)) * (1 + late))
+}
+
+// overdue is the lateness so far of the latest transfer under way, so that a
+// link that has just become slow is noticed before its first transfer ends.
+func (s *linkState) overdue(now time.Time) float64 {
+	worst := 0.0
+	for k := range s.open {
+		worst = max(worst, now.Sub(k.begun).Seconds()/max(k.expected.Seconds(), minExpected)-1)
+	}
+	return min(worst, mostLate)
+}
+
+// minExpected keeps short transfers from looking late for the time that any
+// call takes.
+const minExpected = 0.05
+
+// Seconds is for how long a transfer occupies the slower of two links, without
+// what is booked.
+func (l *Links) Seconds(a, b string, bytes int64, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(bytes) / min(l.get(a).rate(now), l.get(b).rate(now))
 }
 
 func (s *linkState) estimate(bytes int64, now time.Time) time.Duration {
@@ -89,6 +124,7 @@
 			s.busy = now
 		}
 		s.busy = s.busy.Add(k.reserved[i])
+		s.open[k] = struct{}{}
 	}
 	return k
 }
--- a/pkg/route/place.go
+++ b/pkg/route/place.go
@@ -26,6 +26,16 @@
 // Ready is closed once the request is inside.
 func (p *Place) Ready() <-chan struct{} { return p.ready }
 
+// First notes that the first token has come.
+func (p *Place) First(now time.Time) {
+	a := p.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	off := now.Sub(p.entered) - a.meanFirst
+	a.meanFirst += time.Duration(holdWeight * float64(off))
+	a.devFirst += time.Duration(holdWeight * float64(off.Abs()-a.devFirst))
+}
+
 // Leave gives the place up, inside or still queued; later calls do nothing.
 func (p *Place) Leave(now time.Time) {
 	a := p.admission
--- a/pkg/route/weights.go
+++ b/pkg/route/weights.go
@@ -1,5 +1,7 @@
 package route
 
+import "time"
+
 // Weights price the parts of a decision against each other. Corrib's and
 // Milkline's settings differ only in these.
 type Weights struct {
@@ -9,4 +11,7 @@
 	Recompute float64
 	// Link is the price of a second of a link.
 	Link float64
+	// Patience is how much later than it could come the first token may come
+	// for a decision that is cheaper otherwise.
+	Patience time.Duration
 }
--- a/pkg/upstream/paths.go
+++ b/pkg/upstream/paths.go
@@ -14,6 +14,7 @@
 // Paths of stores.
 const (
 	PathStoreList  = "/v1/objects"
+	PathStoreLoad  = "/v1/load"
 	PathStoreBegin = "/v1/objects/begin"
 	PathStorePut   = "/v1/objects/put"
 	PathStoreSeal  = "/v1/objects/seal"
@@ -25,3 +26,6 @@
 
 // HeaderRequestID carries a request's id both ways.
 const HeaderRequestID = "X-Request-Id"
+
+// HeaderLoad carries an engine's load report, as JSON, with each answer.
+const HeaderLoad = "X-Load"
--- a/pkg/upstream/store.go
+++ b/pkg/upstream/store.go
@@ -32,6 +32,13 @@
 	return l, err
 }
 
+// Load returns the load of the store's link.
+func (s *Store) Load(ctx context.Context) (l StoreLoad, err error) {
+	defer func() { err = eris.Wrapf(err, "load of %s", s.name) }()
+	err = s.http.Call(ctx, http.MethodGet, PathStoreLoad, nil, &l)
+	return l, err
+}
+
 // Free hides an object and releases it once no reader has it pinned.
 func (s *Store) Free(ctx context.Context, f Free) (err error) {
 	defer func() { err = eris.Wrapf(err, "free on %s", s.name) }()
--- a/pkg/upstream/stream.go
+++ b/pkg/upstream/stream.go
@@ -35,10 +35,15 @@
 	body     io.Reader
 	scan     *bufio.Scanner
 	stop     func() bool
+	load     LoadReport
+	loaded   bool
 }
 
 func newStream(ctx context.Context, name string, r RunRequest, resp *fasthttp.Response) *Stream {
 	body := resp.BodyStream()
+	var load LoadReport
+	header := resp.Header.Peek(HeaderLoad)
+	loaded := len(header) > 0 && json.Unmarshal(header, &load) == nil
 	scan := bufio.NewScanner(body)
 	scan.Buffer(make([]byte, 0, streamRead), maxSSELine)
 	return &Stream{
@@ -47,6 +52,8 @@
 		next:     r.ResumeAfter,
 		resp:     resp,
 		body:     body,
+		load:     load,
+		loaded:   loaded,
 		scan:     scan,
 		// Ending the context interrupts a read that waits for the engine.
 		stop: context.AfterFunc(ctx, func() { _ = resp.CloseBodyStream() }), // The reader sees it.
@@ -98,6 +105,10 @@
 	return &BrokenError{Upstream: s.upstream, Tokens: s.next, Reason: reason}
 }
 
+// Load returns the engine's load report that came with the answer; ok is false
+// if there was none.
+func (s *Stream) Load() (r LoadReport, ok bool) { return s.load, s.loaded }
+
 // Tokens is how many answer tokens the caller has, counted from the answer's
 // first.
 func (s *Stream) Tokens() int { return s.next }
--- a/pkg/upstream/transfer.go
+++ b/pkg/upstream/transfer.go
@@ -33,6 +33,8 @@
 	Chunks int   `json:"chunks"`
 	Bytes  int64 `json:"bytes"`
 	Millis int64 `json:"ms"`
+	// Store is the load of the store's link, as of the last read.
+	Store StoreLoad `json:"store"`
 }
 
 // ExportAnswer names the sealed object that an export made.
@@ -87,6 +89,7 @@
 // Blocks is part of an object's content.
 type Blocks struct {
 	Blocks []prompt.Key `json:"blocks"`
+	Load   StoreLoad    `json:"load"`
 }
 
 // Free hides an object at once and releases it when its pins have ended.
@@ -96,6 +99,12 @@
 	Epoch      uint64     `json:"epoch"`
 }
 
+// StoreLoad is what a store says of its link.
+type StoreLoad struct {
+	LinkRate  float64 `json:"link_rate"`  // Bytes a second.
+	LinkQueue int64   `json:"link_queue"` // Bytes not yet moved.
+}
+
 // StoreChange is one object sealed or freed.
 type StoreChange struct {
 	Freed  bool               `json:"freed,omitempty"`
@@ -109,11 +118,9 @@
 	Epoch uint64 `json:"epoch"`
 	Seq   uint64 `json:"seq"`
 	// Full says that Changes has all there is, not just what is new.
-	Full      bool          `json:"full"`
-	Used      int64         `json:"used"`
-	Capacity  int64         `json:"capacity"`
-	LinkRate  float64       `json:"link_rate"`
-	LinkQueue int64         `json:"link_queue"`
-	Leaving   bool          `json:"leaving"`
-	Changes   []StoreChange `json:"changes"`
+	Full     bool          `json:"full"`
+	Used     int64         `json:"used"`
+	Capacity int64         `json:"capacity"`
+	Leaving  bool          `json:"leaving"`
+	Changes  []StoreChange `json:"changes"`
 }
--- a/service/entry/export.go
+++ b/service/entry/export.go
@@ -36,7 +36,6 @@
 	replica   string
 	chain     prompt.Chain
 	mark      prompt.Mark
-	bytes     int64
 }
 
 func newExporter(p *Parts) *exporter {
@@ -82,7 +81,6 @@
 		replica:   r.decision.Replica,
 		chain:     r.chain,
 		mark:      mark,
-		bytes:     int64(mark.Chunks) * prompt.ChunkTokens * int64(tokenBytes),
 	})
 }
 
@@ -110,6 +108,9 @@
 	}
 }
 
+// export copies one prompt's state. Links are not booked for it: exports give
+// way to imports, so they don't delay them, and their own time says little of a
+// link.
 func (e *exporter) export(j exportJob) {
 	store, ok := e.parts.Upstreams.ExportTarget()
 	if !ok {
@@ -122,7 +123,6 @@
 	m := e.parts.Metrics
 	ctx, cancel := context.WithTimeout(context.Background(), exportTimeout)
 	defer cancel()
-	booking := e.parts.Links.Book(store.Name, j.replica, j.bytes, time.Now())
 	answer, err := engine.Export(ctx, upstream.ExportOrder{
 		RequestID: j.requestID,
 		Key:       j.mark.Key,
@@ -131,13 +131,10 @@
 		Marks:     prompt.Pack(marksUpTo(j.chain, j.mark.Chunks)),
 	})
 	if err != nil {
-		booking.End(0, time.Now())
 		m.ExportsFailed.Add(1)
 		e.parts.Log.Info("export failed", "request", j.requestID, "store", store.Name, "err", err)
 		return
 	}
-	// Exports give way to imports, so their time says little of the link.
-	booking.End(0, time.Now())
 	m.Exports.Add(1)
 	m.ExportedTokens.Add(int64(j.mark.Chunks) * prompt.ChunkTokens)
 	e.parts.Directory.Stored(j.chain, store.Name, answer.Object)
--- a/service/entry/imports.go
+++ b/service/entry/imports.go
@@ -79,7 +79,8 @@
 	}
 	m := r.parts.Metrics
 	m.Imports.Add(1)
-	booking := r.parts.Links.Book(d.Import.Store, d.Replica, d.Import.Bytes, time.Now())
+	start := time.Now()
+	booking := r.parts.Links.Book(d.Import.Store, d.Replica, d.Import.Bytes, start)
 	// The import may serve others too, so it does not end with this caller.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), d.Import.GiveUp+importGrace)
 	defer cancel()
@@ -95,12 +96,13 @@
 	now := time.Now()
 	if err == nil {
 		booking.End(answer.Bytes, now)
+		r.parts.Links.Report(d.Import.Store, answer.Store.LinkRate, answer.Store.LinkQueue, now)
 		m.ImportedTokens.Add(int64(answer.Chunks) * prompt.ChunkTokens)
 		return true
 	}
 	m.ImportsFailed.Add(1)
 	r.log.Info("import gave nothing, recomputing", "store", d.Import.Store, "upstream", d.Replica, "err", err)
-	if now.Sub(r.call.Received) >= d.Import.GiveUp {
+	if now.Sub(start) >= d.Import.GiveUp {
 		booking.GiveUp(now)
 	} else {
 		booking.End(0, now)
--- a/service/entry/parts.go
+++ b/service/entry/parts.go
@@ -31,6 +31,11 @@
 	State() *config.State
 }
 
+// loads takes in load reports that come with answers.
+type loads interface {
+	Report(engine string, r upstream.LoadReport)
+}
+
 // Parts are what requests are run with.
 type Parts struct {
 	Settings  config.Settings
@@ -46,5 +51,6 @@
 	Admission *route.Admission
 	Retries   *route.RetryBudget
 	Keep      *route.Keep
+	Loads     loads
 	Metrics   *Metrics
 }
--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -66,6 +66,7 @@
 		r.voidClaim()
 		return f
 	}
+	r.place.First(time.Now())
 	r.parts.Metrics.FirstTokenMicro.Add(time.Since(r.call.Received).Microseconds())
 	r.parts.Metrics.PromptTokens.Add(int64(r.chain.Tokens))
 	r.parts.Metrics.CachedTokens.Add(int64(r.cached))
@@ -84,8 +85,11 @@
 // admit waits for the organisation's turn.
 func (r *Run) admit() *Failure {
 	limit := r.call.Received.Add(r.parts.Settings.Limits.QueueWait.Std())
-	if d := r.call.Deadline; !d.IsZero() && d.Before(limit) {
-		limit = d
+	if d := r.call.Deadline; !d.IsZero() {
+		// What is let in at the last moment still has its way to go.
+		if d = d.Add(-r.parts.Admission.First()); d.Before(limit) {
+			limit = d
+		}
 	}
 	o := r.call.Organisation
 	tenant := route.Tenant{
@@ -214,6 +218,9 @@
 	if err == nil {
 		r.reached = true
 		r.stream = stream
+		if load, ok := stream.Load(); ok {
+			r.parts.Loads.Report(d.Replica, load)
+		}
 		r.first, err = stream.Next()
 	}
 	if err == nil {
--- a/service/node/engine_watch.go
+++ b/service/node/engine_watch.go
@@ -97,20 +97,30 @@
 	return b.Key
 }
 
-// take applies events that follow.
+// take applies events that follow. Of a block that comes and goes within them
+// only the last change is told, as a shard takes in removals before additions.
 func (w *engineWatch) take(events []upstream.CacheEvent) {
+	last := make(map[prompt.Key]int, len(events))
+	for i, ev := range events {
+		last[ev.Key] = i
+	}
 	u := newShardUpdates(w.name)
-	for _, ev := range events {
+	discard := newShardUpdates(w.name)
+	for i, ev := range events {
 		w.seq = ev.Seq
+		told := discard
+		if last[ev.Key] == i {
+			told = u
+		}
 		if ev.Removed {
-			w.remove(u, ev.Key)
+			w.remove(told, ev.Key)
 			continue
 		}
 		anchor := ev.Key
-		if ev.Position > prompt.AnchorChunks {
-			anchor = w.blocks[ev.Parent].anchor
+		if parent, known := w.blocks[ev.Parent]; known && ev.Position > prompt.AnchorChunks {
+			anchor = parent.anchor
 		}
-		w.add(u, ev, anchor)
+		w.add(told, ev, anchor)
 	}
 	u.send(w.dir)
 }
--- a/service/node/loads.go
+++ b/service/node/loads.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,11 +20,20 @@
 	// larger fleet is shared out by rendezvous hashing, so that each engine is
 	// asked by about as many nodes.
 	loadSubset = 32
-	// loadBytes is about how long a load report is on the wire.
-	loadBytes = 400
-	// loadBudget is how many bytes a second a node spends on load reports.
-	loadBudget = 20_000
-	loadFast   = 200 * time.Millisecond
+	// loadBytes is about how long a load report is on the wire, with its
+	// request and headers.
+	loadBytes = 600
+	// loadBudget is how many bytes a second a node spends on asking for load.
+	loadBudget = 1_500
+	// maxCredit is how much of it can be saved up, so that a node that starts
+	// can ask its whole subset at once.
+	maxCredit = loadSubset * loadBytes
+	// storeBudget is the same for stores.
+	storeBudget = 1_200
+	storesEvery = time.Second
+	loadFast    = 100 * time.Millisecond
+	// loadFresh is how old a report must be for its engine to be asked.
+	loadFresh = 300 * time.Millisecond
 )
 
 // Loads asks engines for their load, as often as the budget allows.
@@ -34,28 +45,42 @@
 	links     *route.Links
 	log       *slog.Logger
 
-	mu   sync.Mutex
-	last time.Time
+	mu     sync.Mutex
+	last   time.Time
+	credit float64 // Bytes.
+
+	nextStore int // Only used by PollStores.
 }
 
 // NewLoads returns a poller that has asked nobody yet.
 func NewLoads(self string, m *control.Members, u *Upstreams, f *route.Fleet, l *route.Links, log *slog.Logger) *Loads {
-	return &Loads{self: self, members: m, upstreams: u, fleet: f, links: l, log: log}
+	return &Loads{
+		self:      self,
+		members:   m,
+		upstreams: u,
+		fleet:     f,
+		links:     l,
+		log:       log,
+		last:      time.Now(),
+		credit:    maxCredit,
+	}
 }
 
-// Poll asks the subset once, unless it is too soon for the budget.
+// Poll asks those of the subset that have not reported for longest, as many as
+// the budget allows. Reports that come with answers count, so a busy fleet is
+// hardly ever asked.
 func (l *Loads) Poll(ctx context.Context) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	subset := l.subset()
-	every := time.Duration(float64(len(subset)) * loadBytes / loadBudget * float64(time.Second))
-	if time.Since(l.last) < every {
-		return
-	}
-	l.last = time.Now()
+	now := time.Now()
+	l.credit = min(maxCredit, l.credit+now.Sub(l.last).Seconds()*loadBudget)
+	l.last = now
+	due := l.due(now)
+	due = due[:min(len(due), int(l.credit/loadBytes))]
+	l.credit -= float64(len(due) * loadBytes)
 	var g errgroup.Group
 	g.SetLimit(watchAtOnce)
-	for _, e := range subset {
+	for _, e := range due {
 		g.Go(func() error {
 			l.ask(ctx, e)
 			return nil
@@ -64,6 +89,43 @@
 	_ = g.Wait() // Each asks for itself.
 }
 
+// PollStores asks stores for the load of their links: as many as the budget
+// allows, in turn.
+func (l *Loads) PollStores(ctx context.Context) {
+	stores := l.upstreams.Stores()
+	if len(stores) == 0 {
+		return
+	}
+	slices.SortFunc(stores, func(a, b storeClient) int { return cmp.Compare(a.Name, b.Name) })
+	const atOnce = storeBudget / loadBytes
+	for range min(atOnce, len(stores)) {
+		l.nextStore++
+		st := stores[l.nextStore%len(stores)]
+		ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+		r, err := st.Load(ctx)
+		cancel()
+		if err != nil {
+			l.log.Debug("no load report", "upstream", st.Name, "err", err)
+			continue
+		}
+		l.links.Report(st.Name, r.LinkRate, r.LinkQueue, time.Now())
+	}
+}
+
+// due lists the engines whose last report is old, oldest first.
+func (l *Loads) due(now time.Time) []engineClient {
+	taken := map[string]time.Time{}
+	var list []engineClient
+	for _, e := range l.subset() {
+		taken[e.Name] = l.fleet.ReportOf(e.Name).Taken
+		if now.Sub(taken[e.Name]) >= loadFresh {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b engineClient) int { return taken[a.Name].Compare(taken[b.Name]) })
+	return list
+}
+
 func (l *Loads) ask(ctx context.Context, e engineClient) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
@@ -72,9 +134,14 @@
 		l.log.Debug("no load report", "upstream", e.Name, "err", err)
 		return
 	}
+	l.Report(e.Name, r)
+}
+
+// Report takes in a load report, asked for or sent with an answer.
+func (l *Loads) Report(engine string, r upstream.LoadReport) {
 	now := time.Now()
-	l.fleet.Report(e.Name, loadReport(r, now))
-	l.links.Report(e.Name, r.LinkRate, r.LinkQueue, now)
+	l.fleet.Report(engine, loadReport(r, now))
+	l.links.Report(engine, r.LinkRate, r.LinkQueue, now)
 }
 
 func loadReport(r upstream.LoadReport, now time.Time) route.Report {
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -27,7 +27,7 @@
 	timerWorkers   = 8
 	lateShare      = 3
 	watchEvery     = 200 * time.Millisecond
-	capacityEvery  = time.Second
+	capacityEvery  = 100 * time.Millisecond
 	reconcileEvery = time.Second
 	startTimeout   = 5 * time.Second
 	// overcommit is how many requests are let in for each slot of the engines,
@@ -46,6 +46,7 @@
 	Members    *control.Members
 	Config     *control.Log
 	Claims     *control.Claims
+	Collector  *control.Collector
 	Leases     *control.Leases
 	Table      *platform.Table
 	Objects    *platform.Objects
@@ -92,6 +93,7 @@
 		Latency:   s.Policy.LatencyWeight,
 		Recompute: s.Policy.RecomputeWeight,
 		Link:      s.Policy.LinkWeight,
+		Patience:  s.Policy.Patience.Std(),
 	}
 	return []any{
 		func() config.Settings { return s },
@@ -112,15 +114,26 @@
 		func(t *platform.Table, o *platform.Objects) *control.Log {
 			return control.NewLog(s.Node.Name, t, o, log)
 		},
-		func(t *platform.Table) *control.Claims { return control.NewClaims(s.Node.Name, t, log) },
+		control.NewCollector,
+		func(t *platform.Table, c *control.Collector, m *control.Members, p *peer.Client) *control.Claims {
+			return control.NewClaims(s.Node.Name, &claimTable{
+				self:    s.Node.Name,
+				members: m,
+				client:  p,
+				local:   c,
+				table:   t,
+				log:     log,
+				avoid:   map[string]time.Time{},
+			}, log)
+		},
 		func(t *platform.Table, m *control.Members) *control.Leases {
 			return control.NewLeases(s.Node.Name, s.Limits.LeaseTerm.Std(), t, m, log)
 		},
 		func(d *prompt.Directory, m *control.Members, c *peer.Client) *Directory {
 			return NewDirectory(s.Node.Name, d, m, c, log)
 		},
-		func(m *control.Members, u *Upstreams, d *Directory, l *route.Links) *Watches {
-			return NewWatches(s.Node.Name, m, u, d, l, log)
+		func(m *control.Members, u *Upstreams, d *Directory) *Watches {
+			return NewWatches(s.Node.Name, m, u, d, log)
 		},
 		func(m *control.Members, u *Upstreams, f *route.Fleet, l *route.Links) *Loads {
 			return NewLoads(s.Node.Name, m, u, f, l, log)
@@ -190,6 +203,7 @@
 	Admission *route.Admission
 	Retries   *route.RetryBudget
 	Keep      *route.Keep
+	Loads     *Loads
 	Metrics   *entry.Metrics
 }
 
@@ -208,6 +222,7 @@
 		Admission: in.Admission,
 		Retries:   in.Retries,
 		Keep:      in.Keep,
+		Loads:     in.Loads,
 		Metrics:   in.Metrics,
 	}
 }
@@ -254,6 +269,7 @@
 	p.Handle(peer.RolePeer, peer.MethodObserve, peer.Handle(n.observe))
 	p.Handle(peer.RolePeer, peer.MethodLook, peer.Handle(n.look))
 	p.Handle(peer.RolePeer, peer.MethodUpdate, peer.Handle(n.update))
+	p.Handle(peer.RolePeer, peer.MethodCommit, peer.Handle(n.commit))
 	p.Handle(peer.RolePeer, peer.MethodSince, peer.Handle(n.since))
 	p.Handle(peer.RolePeer, peer.MethodMembers, peer.Handle(n.listMembers))
 	p.Handle(peer.RolePeer, methodRows, peer.Handle(n.rows))
@@ -325,6 +341,7 @@
 	n.Timer.Subscribe(every/lateShare, n.probeLate)
 	n.Timer.Subscribe(tableEvery, n.Spread.Refresh)
 	n.Timer.Subscribe(loadFast, n.Loads.Poll)
+	n.Timer.Subscribe(storesEvery, n.Loads.PollStores)
 	n.Timer.Subscribe(watchEvery, n.Watches.Poll)
 	n.Timer.Subscribe(capacityEvery, n.setCapacity)
 	n.Timer.Subscribe(reconcileEvery, n.Reconciler.Step)
@@ -371,10 +388,12 @@
 	n.Probes.Send(n.Members.Late(time.Now(), n.Config.State().Version))
 }
 
-// setCapacity gives this node its share of the engines' slots.
+// setCapacity adapts how many requests are let in; at most this node's share of
+// the engines' slots.
 func (n *Node) setCapacity(context.Context) {
+	now := time.Now()
 	nodes := max(1, len(n.Members.Working()))
-	n.Admission.SetCapacity(int(overcommit*float64(n.Fleet.Slots()))/nodes, time.Now())
+	n.Admission.Adapt(n.Fleet.MeanWait(now), int(overcommit*float64(n.Fleet.Slots()))/nodes, now)
 }
 
 // Leave announces a planned stop, waits until no caller can still come by an
@@ -398,6 +417,7 @@
 	n.Timer.Close()
 	n.Spread.Close()
 	n.Claims.Close()
+	n.Collector.Close()
 	n.Probes.Close()
 	n.Peer.Close()
 	n.Client.Close()
--- a/service/node/store_watch.go
+++ b/service/node/store_watch.go
@@ -33,7 +33,6 @@
 	name  string
 	store *upstream.Store
 	dir   *Directory
-	links *route.Links
 	log   *slog.Logger
 
 	epoch   uint64
@@ -52,8 +51,8 @@
 // anchor is the shard key of the object's chain.
 func (e storedEntry) anchor() prompt.Key { return prompt.Chain{Marks: e.marks}.Anchor() }
 
-func newStoreWatch(name string, s *upstream.Store, d *Directory, l *route.Links, log *slog.Logger) *storeWatch {
-	return &storeWatch{name: name, store: s, dir: d, links: l, log: log, objects: map[prompt.Key]storedEntry{}}
+func newStoreWatch(name string, s *upstream.Store, d *Directory, log *slog.Logger) *storeWatch {
+	return &storeWatch{name: name, store: s, dir: d, log: log, objects: map[prompt.Key]storedEntry{}}
 }
 
 // poll reads what has changed and evicts if the store is nearly full.
@@ -62,7 +61,6 @@
 	if err != nil {
 		return err
 	}
-	w.links.Report(w.name, l.LinkRate, l.LinkQueue, time.Now())
 	if l.Epoch != w.epoch && w.epoch != 0 {
 		w.log.Info("store has restarted", "upstream", w.name, "epoch", l.Epoch)
 	}
--- a/service/node/watches.go
+++ b/service/node/watches.go
@@ -10,7 +10,6 @@
 
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/prompt"
-	"github.com/drumpath/drumpath/pkg/route"
 )
 
 const (
@@ -29,7 +28,6 @@
 	members   *control.Members
 	upstreams *Upstreams
 	dir       *Directory
-	links     *route.Links
 	log       *slog.Logger
 
 	mu      sync.Mutex // Held over a round of polls.
@@ -41,13 +39,12 @@
 }
 
 // NewWatches returns watches that poll nothing yet.
-func NewWatches(self string, m *control.Members, u *Upstreams, d *Directory, l *route.Links, log *slog.Logger) *Watches {
+func NewWatches(self string, m *control.Members, u *Upstreams, d *Directory, log *slog.Logger) *Watches {
 	w := &Watches{
 		self:      self,
 		members:   m,
 		upstreams: u,
 		dir:       d,
-		links:     l,
 		log:       log,
 		engines:   map[string]*engineWatch{},
 		stores:    map[string]*storeWatch{},
@@ -130,7 +127,7 @@
 		}
 		watch, ok := w.stores[s.Name]
 		if !ok || watch.store != s.Store {
-			watch = newStoreWatch(s.Name, s.Store, w.dir, w.links, w.log)
+			watch = newStoreWatch(s.Name, s.Store, w.dir, w.log)
 		}
 		stores[s.Name] = watch
 	}
--- a/service/peer/messages.go
+++ b/service/peer/messages.go
@@ -11,6 +11,7 @@
 	MethodObserve    = "directory.observe"
 	MethodLook       = "directory.look"
 	MethodUpdate     = "directory.update"
+	MethodCommit     = "claim.commit"
 	MethodSince      = "config.since"
 	MethodMembers    = "member.list"
 	MethodRun        = "operator.run"
