--- a/pkg/config/apply.go
+++ b/pkg/config/apply.go
@@ -17,6 +17,9 @@
 	if reason := next.apply(cmd); reason != "" {
 		return nil, &CommandError{Command: cmd, Reason: reason}
 	}
+	if cmd.Kind == KindUpstream {
+		next.UpstreamsVersion = next.Version
+	}
 	if cmd.Kind == KindOrganisation || cmd.Kind == KindRule {
 		next.Index()
 	}
--- a/pkg/config/state.go
+++ b/pkg/config/state.go
@@ -9,7 +9,10 @@
 
 // State is the configuration at one version; it is never changed once built.
 type State struct {
-	Version       uint64                  `json:"version"`
+	Version uint64 `json:"version"`
+	// UpstreamsVersion is the version that last changed an upstream.
+	UpstreamsVersion uint64 `json:"upstreams_version"`
+
 	Organisations map[string]Organisation `json:"organisations"`
 	Models        map[string]Model        `json:"models"`
 	Adapters      map[string]Adapter      `json:"adapters"`
--- a/pkg/prompt/chain_test.go
+++ b/pkg/prompt/chain_test.go
@@ -1,6 +1,7 @@
 package prompt
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -81,3 +82,16 @@
 		}
 	})
 }
+
+func BenchmarkNewChain(b *testing.B) {
+	for _, kib := range []int{4, 64, 512} {
+		text := strings.Repeat("x", kib<<10)
+		b.Run(fmt.Sprint("KiB=", kib), func(b *testing.B) {
+			b.SetBytes(int64(len(text)))
+			b.ReportAllocs()
+			for b.Loop() {
+				NewChain(Scope{Organisation: "o"}, text)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/service/node/bench_test.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/prompt"
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/service/peer"
+)
+
+// memory is the heap and the stacks in use.
+func memory() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkUpstreams reports what a configured engine costs a node in memory,
+// and a change of configuration in time.
+func BenchmarkUpstreams(b *testing.B) {
+	for _, n := range []int{20, 690, 6900} {
+		b.Run(fmt.Sprint("engines=", n), func(b *testing.B) {
+			s := config.NewState()
+			for i := range n {
+				name := fmt.Sprint("e", i)
+				addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+				s.Upstreams[name] = config.Upstream{Name: name, Kind: config.UpstreamEngine, Model: "m", Address: addr}
+			}
+			before := memory()
+			u := NewUpstreams(route.NewLinks())
+			f := route.NewFleet(rand.New(rand.NewPCG(1, 1)))
+			n2 := &Node{Upstreams: u, Fleet: f}
+			n2.configure(s)
+			each := (memory() - before) / float64(n)
+			for b.Loop() {
+				n2.configure(s)
+			}
+			b.ReportMetric(each, "B/engine")
+		})
+	}
+}
+
+// BenchmarkEngineWatch reports what one cache event costs, and what a watched
+// block costs in memory, against the number of nodes.
+func BenchmarkEngineWatch(b *testing.B) {
+	for _, nodes := range []int{8, 900} {
+		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
+			d := NewDirectory("vm-0", prompt.NewDirectory(100_000, time.Now()), fleetOf(nodes), peer.NewClient("k"), slog.New(slog.DiscardHandler))
+			defer d.Close()
+			w := newEngineWatch("e", nil, d, slog.New(slog.DiscardHandler))
+			w.blocks = map[prompt.Key]indexedBlock{}
+			w.owners = map[prompt.Key]string{}
+			events := chainEvents(prompt.Key{1}, strings.Repeat("x", 400*prompt.ChunkBytes), false)
+			before := memory()
+			const chains = 50
+			for i := range chains {
+				w.take(chainEvents(prompt.Key{2, byte(i)}, strings.Repeat("x", 400*prompt.ChunkBytes), false))
+			}
+			each := (memory() - before) / chains / 400
+			for b.Loop() {
+				w.take(events)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*len(events)), "ns/event")
+			b.ReportMetric(each, "B/block")
+		})
+	}
+}
+
+func fleetOf(nodes int) *control.Members {
+	m := control.NewMembers(control.Member{Name: "vm-0", Incarnation: 1}, time.Second, nil, rand.New(rand.NewPCG(1, 1)))
+	var list []control.Member
+	for i := 1; i < nodes; i++ {
+		// A port that nobody listens on: updates to others are dropped at once.
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 1)
+		list = append(list, control.Member{Name: fmt.Sprint("vm-", i), Peer: addr, Incarnation: 1})
+	}
+	m.Merge(list, time.Now())
+	return m
+}
+
+// BenchmarkPeerConnection reports what one connection between nodes costs both
+// ends together in memory, and a look-up over it in time.
+func BenchmarkPeerConnection(b *testing.B) {
+	secrets := map[peer.Role]string{peer.RolePeer: "k"}
+	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), secrets, slog.New(slog.DiscardHandler))
+	assert.NilError(b, err)
+	n := &Node{Shard: prompt.NewDirectory(10_000, time.Now())}
+	server.Handle(peer.RolePeer, peer.MethodObserve, peer.Handle(n.observe))
+	server.Start()
+	defer server.Close()
+	req := peer.ObserveRequest{Marks: prompt.Pack(prompt.NewChain(prompt.Scope{}, strings.Repeat("x", 64_000)).Marks)}
+	const conns = 200
+	var clients []*peer.Client
+	before := memory()
+	for range conns {
+		c := peer.NewClient("k")
+		defer c.Close()
+		var m prompt.Match
+		assert.NilError(b, c.Call(b.Context(), server.Addr(), peer.MethodObserve, req, &m))
+		clients = append(clients, c)
+	}
+	each := (memory() - before) / conns
+	for b.Loop() {
+		var m prompt.Match
+		assert.NilError(b, clients[0].Call(b.Context(), server.Addr(), peer.MethodObserve, req, &m))
+	}
+	b.ReportMetric(each, "B/connection")
+}
--- a/service/node/engine_watch.go
+++ b/service/node/engine_watch.go
@@ -130,7 +130,7 @@
 	if !prompt.IsMark(b.Position) {
 		return
 	}
-	owner, ok := w.dir.owner(anchor)
+	owner, ok := u.owner(w.dir, anchor)
 	if !ok {
 		return
 	}
@@ -148,7 +148,7 @@
 	if !prompt.IsMark(int(b.position)) {
 		return
 	}
-	if owner, ok := w.dir.owner(b.anchor); ok {
+	if owner, ok := u.owner(w.dir, b.anchor); ok {
 		req := u.to(owner)
 		req.Removed = append(req.Removed, key[:]...)
 	}
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -372,6 +372,9 @@
 
 // configure takes a new configuration into use; it is called in order.
 func (n *Node) configure(s *config.State) {
+	if s.UpstreamsVersion == n.Upstreams.Version() && s.UpstreamsVersion > 0 {
+		return
+	}
 	n.Upstreams.Configure(s)
 	var replicas []route.Replica
 	for _, u := range s.UpstreamsOf(config.UpstreamEngine) {
--- a/service/node/shard_index.go
+++ b/service/node/shard_index.go
@@ -12,6 +12,7 @@
 	upstream string
 	owners   map[string]control.Member
 	requests map[string]*peer.UpdateRequest
+	byAnchor map[prompt.Key]control.Member
 }
 
 func newShardUpdates(upstream string) *shardUpdates {
@@ -19,9 +20,23 @@
 		upstream: upstream,
 		owners:   map[string]control.Member{},
 		requests: map[string]*peer.UpdateRequest{},
+		byAnchor: map[prompt.Key]control.Member{},
 	}
 }
 
+// owner returns the holder of an anchor's shard. A batch names the same anchors
+// many times, and finding a holder takes as long as the fleet is large.
+func (u *shardUpdates) owner(d *Directory, anchor prompt.Key) (control.Member, bool) {
+	if m, known := u.byAnchor[anchor]; known {
+		return m, true
+	}
+	m, ok := d.owner(anchor)
+	if ok {
+		u.byAnchor[anchor] = m
+	}
+	return m, ok
+}
+
 // to returns the message to a holder.
 func (u *shardUpdates) to(owner control.Member) *peer.UpdateRequest {
 	req, ok := u.requests[owner.Name]
--- a/service/node/upstreams.go
+++ b/service/node/upstreams.go
@@ -15,6 +15,7 @@
 	links *route.Links
 
 	mu       sync.RWMutex
+	version  uint64 // Of the upstreams in use.
 	engines  map[string]engineClient
 	stores   map[string]storeClient
 	services map[string]serviceClient
@@ -50,6 +51,7 @@
 func (u *Upstreams) Configure(s *config.State) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.version = s.UpstreamsVersion
 	engines, stores, services := u.engines, u.stores, u.services
 	u.engines = map[string]engineClient{}
 	u.stores = map[string]storeClient{}
@@ -81,6 +83,13 @@
 	}
 }
 
+// Version is the configuration's UpstreamsVersion that is in use.
+func (u *Upstreams) Version() uint64 {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	return u.version
+}
+
 // Engine returns the client of an engine.
 func (u *Upstreams) Engine(name string) (*upstream.Engine, bool) {
 	u.mu.RLock()
