One priority queue instead of three, one way to keep clients and watches

Cause: the timer service, admission and the stand-ins' lanes each had a heap of the same shape; upstreams' clients were kept by three copies of one rule, and watches polled by two.

No behaviour changes; tests are as they were.

--- a/internal/standin/lane.go
+++ b/internal/standin/lane.go
@@ -1,10 +1,11 @@
 package standin
 
 import (
-	"container/heap"
 	"context"
 	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/queue"
 )
 
 // lane lets a number of holders in at once, by priority and then in order.
@@ -12,14 +13,15 @@
 	mu      sync.Mutex
 	free    int
 	seq     int
-	waiting waiters
+	waiting queue.Heap[*waiter]
 }
 
 type waiter struct {
+	queue.Position
+
 	priority int
 	seq      int
 	ready    chan struct{}
-	index    int
 }
 
 func newLane(width int) *lane { return &lane{free: width} }
@@ -27,14 +29,14 @@
 // enter waits for a place; it returns false if ctx ends first.
 func (l *lane) enter(ctx context.Context, priority int) bool {
 	l.mu.Lock()
-	if l.free > 0 && len(l.waiting) == 0 {
+	if l.free > 0 && l.waiting.Len() == 0 {
 		l.free--
 		l.mu.Unlock()
 		return true
 	}
 	l.seq++
 	w := &waiter{priority: priority, seq: l.seq, ready: make(chan struct{})}
-	heap.Push(&l.waiting, w)
+	l.waiting.Push(w)
 	l.mu.Unlock()
 	select {
 	case <-w.ready:
@@ -43,8 +45,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if w.index >= 0 {
-		heap.Remove(&l.waiting, w.index)
+	if w.Queued() {
+		l.waiting.Remove(w)
 		return false
 	}
 	l.pass()
@@ -59,49 +61,25 @@
 
 // pass hands a place on; the caller holds mu.
 func (l *lane) pass() {
-	if len(l.waiting) == 0 {
+	if l.waiting.Len() == 0 {
 		l.free++
 		return
 	}
-	w := heap.Pop(&l.waiting).(*waiter) // The heap holds nothing else.
-	close(w.ready)
+	close(l.waiting.Pop().ready)
 }
 
 func (l *lane) queued() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.waiting)
+	return l.waiting.Len()
 }
 
-type waiters []*waiter
-
-func (w waiters) Len() int { return len(w) }
-
-func (w waiters) Less(i, j int) bool {
-	if w[i].priority != w[j].priority {
-		return w[i].priority > w[j].priority
+// Before says whether the waiter goes before another.
+func (w *waiter) Before(other *waiter) bool {
+	if w.priority != other.priority {
+		return w.priority > other.priority
 	}
-	return w[i].seq < w[j].seq
-}
-
-func (w waiters) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].index = i
-	w[j].index = j
-}
-
-func (w *waiters) Push(x any) {
-	item := x.(*waiter) // The heap holds nothing else.
-	item.index = len(*w)
-	*w = append(*w, item)
-}
-
-func (w *waiters) Pop() any {
-	old := *w
-	last := old[len(old)-1]
-	last.index = -1
-	*w = old[:len(old)-1]
-	return last
+	return w.seq < other.seq
 }
 
 // sleep waits for d; it returns false if ctx ends first.
--- /dev/null
+++ b/pkg/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue has a priority queue from which any item can be taken.
+package queue
--- a/pkg/route/admission.go
+++ b/pkg/route/admission.go
@@ -1,11 +1,12 @@
 package route
 
 import (
-	"container/heap"
 	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/drumpath/drumpath/pkg/queue"
 )
 
 const (
@@ -52,7 +53,7 @@
 	Tenant
 	finish  float64 // Virtual time up to which it has had its share.
 	inside  int
-	waiting places
+	waiting queue.Heap[*Place]
 	tokens  *rate.Limiter
 	noted   float64 // Its part of Admission.shares.
 }
@@ -133,7 +134,7 @@
 		seq:       a.seq,
 		ready:     make(chan struct{}),
 	}
-	heap.Push(&q.waiting, p)
+	q.waiting.Push(p)
 	a.noteWaiting(q)
 	a.admit(now)
 	return p, nil
@@ -142,7 +143,7 @@
 // noteWaiting keeps the set of organisations with a queue.
 func (a *Admission) noteWaiting(q *tenantQueue) {
 	_, noted := a.waiting[q]
-	switch waits := len(q.waiting) > 0; {
+	switch waits := q.waiting.Len() > 0; {
 	case waits && !noted:
 		a.waiting[q] = struct{}{}
 		q.noted = q.Share
@@ -188,7 +189,7 @@
 // expectedWait is how long a new request of an organisation would wait: its own
 // queue drains at its share of the rate at which places come free.
 func (a *Admission) expectedWait(q *tenantQueue) time.Duration {
-	if a.inside < a.capacity && len(q.waiting) == 0 && q.mayEnter() {
+	if a.inside < a.capacity && q.waiting.Len() == 0 && q.mayEnter() {
 		return 0
 	}
 	shares := a.shares
@@ -199,7 +200,7 @@
 	if q.Concurrency > 0 {
 		perSecond = min(perSecond, float64(q.Concurrency)/max(a.meanHold.Seconds(), 1e-3))
 	}
-	return seconds(float64(len(q.waiting)+1) / perSecond)
+	return seconds(float64(q.waiting.Len()+1) / perSecond)
 }
 
 func (q *tenantQueue) mayEnter() bool { return q.Concurrency == 0 || q.inside < q.Concurrency }
@@ -211,7 +212,7 @@
 		if q == nil {
 			return
 		}
-		p := heap.Pop(&q.waiting).(*Place) // The heap holds nothing else.
+		p := q.waiting.Pop()
 		a.noteWaiting(q)
 		a.virtual = max(a.virtual, q.finish)
 		q.finish = max(q.finish, a.virtual) + p.cost/q.Share
@@ -231,7 +232,7 @@
 			continue
 		}
 		if best == nil || q.behind(a.virtual) < best.behind(a.virtual) ||
-			(q.behind(a.virtual) == best.behind(a.virtual) && q.waiting[0].seq < best.waiting[0].seq) {
+			(q.behind(a.virtual) == best.behind(a.virtual) && q.waiting.First().seq < best.waiting.First().seq) {
 			best = q
 		}
 	}
@@ -267,7 +268,7 @@
 		Tenants:  map[string]TenantStatus{},
 	}
 	for name, q := range a.tenants {
-		s.Tenants[name] = TenantStatus{Inside: q.inside, Waiting: len(q.waiting)}
+		s.Tenants[name] = TenantStatus{Inside: q.inside, Waiting: q.waiting.Len()}
 	}
 	return s
 }
--- a/pkg/route/place.go
+++ b/pkg/route/place.go
@@ -1,13 +1,16 @@
 package route
 
 import (
-	"container/heap"
 	"fmt"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/queue"
 )
 
 // Place is a request's place in admission, first in a queue and then inside.
 type Place struct {
+	queue.Position
+
 	admission *Admission
 	tenant    *tenantQueue
 	cost      float64
@@ -17,7 +20,6 @@
 	ready     chan struct{}
 
 	// Guarded by admission.mu.
-	index   int
 	inside  bool
 	ended   bool
 	entered time.Time
@@ -46,7 +48,7 @@
 	}
 	p.ended = true
 	if !p.inside {
-		heap.Remove(&p.tenant.waiting, p.index)
+		p.tenant.waiting.Remove(p)
 		a.noteWaiting(p.tenant)
 		return
 	}
@@ -91,37 +93,15 @@
 	return fmt.Sprintf("refused: %s, come back in %s", e.Reason, e.RetryAfter)
 }
 
-// places is a heap of waiting requests by priority, deadline and arrival.
-type places []*Place
-
-func (h places) Len() int { return len(h) }
-
-func (h places) Less(i, j int) bool {
-	if h[i].priority != h[j].priority {
-		return h[i].priority > h[j].priority
-	}
-	if !h[i].limit.Equal(h[j].limit) {
-		return h[i].limit.Before(h[j].limit)
+// Before says whether the place goes before another of its organisation: by
+// priority, then limit, then arrival.
+func (p *Place) Before(other *Place) bool {
+	switch {
+	case p.priority != other.priority:
+		return p.priority > other.priority
+	case !p.limit.Equal(other.limit):
+		return p.limit.Before(other.limit)
+	default:
+		return p.seq < other.seq
 	}
-	return h[i].seq < h[j].seq
-}
-
-func (h places) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-
-func (h *places) Push(x any) {
-	p := x.(*Place) // The heap holds nothing else.
-	p.index = len(*h)
-	*h = append(*h, p)
-}
-
-func (h *places) Pop() any {
-	old := *h
-	p := old[len(old)-1]
-	p.index = -1
-	*h = old[:len(old)-1]
-	return p
 }
--- a/pkg/timer/service.go
+++ b/pkg/timer/service.go
@@ -1,11 +1,12 @@
 package timer
 
 import (
-	"container/heap"
 	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/queue"
 )
 
 // jitterShare is the share of a period by which each tick is moved at random,
@@ -22,7 +23,7 @@
 // Lock order: Service.mu is the only lock, and no callback runs under it.
 type Service struct {
 	mu     sync.Mutex
-	due    schedule
+	due    queue.Heap[*Subscription]
 	closed bool
 	wake   chan struct{}
 	ready  chan *Subscription
@@ -49,7 +50,7 @@
 // subscription or the service is closed.
 func (s *Service) Subscribe(every time.Duration, fn Func) *Subscription {
 	ctx, cancel := context.WithCancel(context.Background())
-	sub := &Subscription{service: s, every: every, fn: fn, ctx: ctx, cancel: cancel, index: -1}
+	sub := &Subscription{service: s, every: every, fn: fn, ctx: ctx, cancel: cancel}
 	s.mu.Lock()
 	s.push(sub, time.Now().Add(jitter(every)))
 	s.mu.Unlock()
@@ -65,7 +66,7 @@
 		return
 	}
 	s.closed = true
-	for _, sub := range s.due {
+	for _, sub := range s.due.Items() {
 		sub.cancel()
 	}
 	s.mu.Unlock()
@@ -79,7 +80,7 @@
 		return
 	}
 	sub.at = at
-	heap.Push(&s.due, sub)
+	s.due.Push(sub)
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -115,13 +116,13 @@
 func (s *Service) next(now time.Time) (*Subscription, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.due) == 0 {
+	if s.due.Len() == 0 {
 		return nil, time.Hour
 	}
-	if wait := s.due[0].at.Sub(now); wait > 0 {
+	if wait := s.due.First().at.Sub(now); wait > 0 {
 		return nil, wait
 	}
-	sub := heap.Pop(&s.due).(*Subscription) // The heap holds nothing else.
+	sub := s.due.Pop()
 	sub.running.Add(1)
 	return sub, 0
 }
--- a/pkg/timer/subscription.go
+++ b/pkg/timer/subscription.go
@@ -1,14 +1,17 @@
 package timer
 
 import (
-	"container/heap"
 	"context"
 	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/queue"
 )
 
 // Subscription is one periodic callback of a Service.
 type Subscription struct {
+	queue.Position
+
 	service *Service
 	every   time.Duration
 	fn      Func
@@ -18,19 +21,19 @@
 
 	// Guarded by service.mu.
 	at     time.Time
-	index  int
 	closed bool
 }
 
+// Before says whether the subscription is due before another.
+func (s *Subscription) Before(other *Subscription) bool { return s.at.Before(other.at) }
+
 // Close ends the subscription and waits for a running callback to return; it
 // must not be called from that callback.
 func (s *Subscription) Close() {
 	s.cancel()
 	s.service.mu.Lock()
 	s.closed = true
-	if s.index >= 0 {
-		heap.Remove(&s.service.due, s.index)
-	}
+	s.service.due.Remove(s)
 	s.service.mu.Unlock()
 	// Waiting under the lock would block the callback's own rescheduling.
 	s.running.Wait()
--- a/service/node/upstreams.go
+++ b/service/node/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -59,30 +60,30 @@
 	for name, c := range s.Upstreams {
 		switch c.Kind {
 		case config.UpstreamEngine:
-			e := engines[name]
-			if e.Engine == nil || e.Address != c.Address {
-				e.Engine = upstream.NewEngine(name, c.Address)
-			}
-			e.Upstream = c
-			u.engines[name] = e
+			old := engines[name]
+			u.engines[name] = engineClient{c, kept(old.Engine, old.Upstream, c, upstream.NewEngine)}
 		case config.UpstreamStore:
-			st := stores[name]
-			if st.Store == nil || st.Address != c.Address {
-				st.Store = upstream.NewStore(name, c.Address)
-			}
-			st.Upstream = c
-			u.stores[name] = st
+			old := stores[name]
+			u.stores[name] = storeClient{c, kept(old.Store, old.Upstream, c, upstream.NewStore)}
 		case config.UpstreamService:
-			sv := services[name]
-			if sv.Service == nil || sv.Address != c.Address {
-				sv.Service = upstream.NewService(name, c.Address)
-			}
-			sv.Upstream = c
-			u.services[name] = sv
+			old := services[name]
+			u.services[name] = serviceClient{c, kept(old.Service, old.Upstream, c, upstream.NewService)}
 		}
 	}
 }
 
+// kept returns the client there is, or a new one if the address has changed.
+func kept[C any](
+	client *C,
+	old, now config.Upstream,
+	fresh func(name string, addr netip.AddrPort) *C,
+) *C {
+	if client != nil && old.Address == now.Address {
+		return client
+	}
+	return fresh(now.Name, now.Address)
+}
+
 // Version is the configuration's UpstreamsVersion that is in use.
 func (u *Upstreams) Version() uint64 {
 	u.mu.RLock()
--- a/service/node/watches.go
+++ b/service/node/watches.go
@@ -18,6 +18,14 @@
 	watchAtOnce = 16
 )
 
+// watch follows one upstream.
+type watch interface {
+	// poll reads what is new.
+	poll(ctx context.Context) error
+	// membersChanged tells shards' new holders what they should know.
+	membersChanged()
+}
+
 // Watches follows the upstreams that are this node's duty, and tells the
 // directory shards what they keep.
 //
@@ -77,7 +85,7 @@
 	w.assign()
 	var g errgroup.Group
 	g.SetLimit(watchAtOnce)
-	for name, watch := range w.engines {
+	follow := func(name string, watch watch) {
 		g.Go(func() error {
 			if moved {
 				watch.membersChanged()
@@ -86,14 +94,11 @@
 			return nil
 		})
 	}
-	for name, watch := range w.stores {
-		g.Go(func() error {
-			if moved {
-				watch.membersChanged()
-			}
-			w.poll(ctx, name, watch.poll)
-			return nil
-		})
+	for name, e := range w.engines {
+		follow(name, e)
+	}
+	for name, s := range w.stores {
+		follow(name, s)
 	}
 	_ = g.Wait() // Each poll logs its own.
 }
