--- a/internal/measure/soak.go
+++ b/internal/measure/soak.go
@@ -131,10 +131,10 @@
 		Entries:  s.fleet.entries(),
 		Verify:   standin.Answer,
 		Attempts: attempts,
-		Observe: func(since, first time.Duration) {
+		Observe: func(since time.Duration, a load.Streamed) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.firsts = append(s.firsts, firstToken{at: since, took: first})
+			s.firsts = append(s.firsts, firstToken{at: since, took: a.First})
 		},
 		Progress: func(p load.Progress) {
 			if int(p.Since.Seconds())%30 == 0 {
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -16,6 +16,7 @@
 	factor func() float64
 	queue  atomic.Int64 // Bytes not yet moved that go before a new import.
 	moved  atomic.Int64
+	busy   atomic.Int64 // Nanoseconds.
 }
 
 func newLink(rate float64, factor func() float64) *link {
@@ -37,6 +38,7 @@
 		part := min(left, max(1, int64(rate*linkSlice.Seconds())))
 		start := time.Now()
 		ok := sleep(ctx, time.Duration(float64(part)/rate*float64(time.Second)))
+		l.busy.Add(int64(time.Since(start)))
 		// A sleep that was too long has moved more than its part.
 		part = min(left, max(part, int64(rate*time.Since(start).Seconds())))
 		l.lane.leave()
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -137,7 +137,16 @@
 }
 
 func (s *Store) load(c *fasthttp.RequestCtx) {
-	reply(c, http.StatusOK, upstream.StoreLoad{LinkRate: s.cfg.LinkRate, LinkQueue: s.link.queue.Load()})
+	reply(c, http.StatusOK, s.linkLoad())
+}
+
+func (s *Store) linkLoad() upstream.StoreLoad {
+	return upstream.StoreLoad{
+		LinkRate:   s.cfg.LinkRate,
+		LinkQueue:  s.link.queue.Load(),
+		Moved:      s.link.moved.Load(),
+		BusyMillis: s.link.busy.Load() / int64(time.Millisecond),
+	}
 }
 
 // changed records a change for listings; the caller holds mu.
@@ -298,7 +307,7 @@
 	end := min(len(o.blocks), req.From+req.Count)
 	reply(c, http.StatusOK, upstream.Blocks{
 		Blocks: slices.Clone(o.blocks[min(req.From, end):end]),
-		Load:   upstream.StoreLoad{LinkRate: s.cfg.LinkRate, LinkQueue: s.link.queue.Load()},
+		Load:   s.linkLoad(),
 	})
 	s.releaseIfFree(o)
 }
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -53,6 +53,8 @@
 	news    map[string]int // Member to how often its update was sent.
 	watch   []func()
 	working []Member // Cached for Working; nil when out of date.
+	// generation rises with each change of who works.
+	generation uint64
 }
 
 type memberEntry struct {
@@ -120,6 +122,13 @@
 	return m.list(func(Member) bool { return true })
 }
 
+// Generation rises with each change of who works.
+func (m *Members) Generation() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.generation
+}
+
 // Working lists the members that take part in duties, by name; the caller must
 // not change the list.
 func (m *Members) Working() []Member {
@@ -327,6 +336,9 @@
 
 func (m *Members) set(u Member, now time.Time) {
 	u.hash = xxhash.Sum64String(u.Name)
+	if old := m.known[u.Name]; old == nil || old.Working() != u.Working() {
+		m.generation++
+	}
 	m.known[u.Name] = &memberEntry{Member: u, since: now}
 	m.byPeer[u.Peer] = u.Name
 	m.news[u.Name] = 0
--- a/pkg/load/entries.go
+++ b/pkg/load/entries.go
@@ -19,8 +19,12 @@
 
 	mu    sync.Mutex
 	byKey map[string]*cachedEntry
+	bad   map[netip.AddrPort]time.Time // Addresses that failed, until when to go round them.
 }
 
+// badTerm is how long a caller goes round an address that did not answer.
+const badTerm = 3 * time.Second
+
 type cachedEntry struct {
 	list  []netip.AddrPort
 	until time.Time
@@ -28,7 +32,7 @@
 }
 
 func newEntryCache(client *http.Client, first []netip.AddrPort) *entryCache {
-	return &entryCache{client: client, first: first, byKey: map[string]*cachedEntry{}}
+	return &entryCache{client: client, first: first, byKey: map[string]*cachedEntry{}, bad: map[netip.AddrPort]time.Time{}}
 }
 
 // get returns the address that a caller with this key should use now. Callers
@@ -45,15 +49,20 @@
 		e = fresh
 		c.byKey[key] = e
 	}
-	e.next++
+	for range e.list {
+		e.next++
+		if addr := e.list[e.next%len(e.list)]; time.Now().After(c.bad[addr]) {
+			return addr, nil
+		}
+	}
 	return e.list[e.next%len(e.list)], nil
 }
 
-// forget drops an answer that led to a node that did not answer.
-func (c *entryCache) forget(key string) {
+// failed notes an address that did not answer, so that the next one is used.
+func (c *entryCache) failed(addr netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.byKey, key)
+	c.bad[addr] = time.Now().Add(badTerm)
 }
 
 const askTimeout = 2 * time.Second
@@ -62,6 +71,9 @@
 func (c *entryCache) ask(ctx context.Context, key string) (*cachedEntry, error) {
 	err := eris.New("no entry addresses")
 	for _, addr := range c.first {
+		if !time.Now().After(c.bad[addr]) {
+			continue
+		}
 		var e *cachedEntry
 		if e, err = c.askOne(ctx, addr, key); err == nil {
 			return e, nil
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -27,9 +27,9 @@
 	// refused with not_run or its node died; 0 stands for once. It waits for as
 	// long as it was told.
 	Attempts int
-	// Observe is called with each answer that came, its time since the load's
-	// start and to its first token; it may be nil.
-	Observe func(since, first time.Duration)
+	// Observe is called with each answer that came and its time since the load's
+	// start; it may be nil.
+	Observe func(since time.Duration, s Streamed)
 	// Progress is called about once a second.
 	Progress func(Progress)
 	// OnTime is called when the load has run for some time; it may be nil.
@@ -143,7 +143,7 @@
 		s, err = r.send(ctx, a, text, start)
 	}
 	if err == nil && r.opts.Observe != nil {
-		r.opts.Observe(time.Since(r.start), s.First)
+		r.opts.Observe(time.Since(r.start), s)
 	}
 	if a.at >= r.profile.Warm.Std() {
 		r.count(a, text, s, err)
@@ -199,7 +199,7 @@
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		r.entries.forget(a.organisation.Key)
+		r.entries.failed(entry)
 		return s, err
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/pkg/route/estimator_test.go
+++ b/pkg/route/estimator_test.go
@@ -258,3 +258,17 @@
 		assert.Assert(t, d.FirstToken() <= hasty.FirstToken()+w.Patience)
 	})
 }
+
+func TestCountersShowARateBeforeAnyTransfer(t *testing.T) {
+	l := NewLinks()
+	l.Report("s", 100e6, 0, testNow)
+	l.Report("e", 100e6, 0, testNow)
+	l.Counted("s", 500e6, 5*time.Second, testNow)
+	assert.Equal(t, l.Estimate("s", "e", 10e6, testNow), 100*time.Millisecond)
+	l.Counted("s", 510e6, 6*time.Second, testNow)
+	assert.Equal(t, l.Estimate("s", "e", 10e6, testNow), time.Second)
+	l.Counted("s", 0, 0, testNow) // It has restarted.
+	l.Counted("s", 100e6, time.Second, testNow)
+	l.Counted("s", 200e6, 2*time.Second, testNow)
+	assert.Equal(t, l.Estimate("s", "e", 10e6, testNow), 100*time.Millisecond)
+}
--- a/pkg/route/fleet.go
+++ b/pkg/route/fleet.go
@@ -70,8 +70,11 @@
 	return sum
 }
 
-// MeanWait is the mean of what a new request would wait for a prefill, over the
-// replicas that have reported.
+// waitSample bounds the replicas that MeanWait looks at.
+const waitSample = 256
+
+// MeanWait is the mean of what a new request would wait for a prefill, over
+// replicas that have reported, or a random part of them in a large fleet.
 func (f *Fleet) MeanWait(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -82,6 +85,9 @@
 			sum += r.wait(now)
 			n++
 		}
+		if n == waitSample {
+			break
+		}
 	}
 	return sum / time.Duration(max(1, n))
 }
--- a/pkg/route/links.go
+++ b/pkg/route/links.go
@@ -31,7 +31,10 @@
 	observed time.Time
 	busy     time.Time // Booked until.
 	moved    int64
-	open     map[*Booking]struct{} // Transfers under way.
+	// The counters last reported by the link's own end.
+	countedMoved int64
+	countedBusy  time.Duration
+	open         map[*Booking]struct{} // Transfers under way.
 }
 
 // NewLinks returns links of which nothing is known.
@@ -70,6 +73,29 @@
 	}
 }
 
+// minCounted is the least busy time from which a rate is worked out.
+const minCounted = 50 * time.Millisecond
+
+// Counted takes in a link's own counters: the bytes it has moved and for how long
+// it was busy with them. Their growth shows the rate that it really has, before
+// this node has had a transfer over it.
+func (l *Links) Counted(name string, moved int64, busy time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.get(name)
+	bytes, took := moved-s.countedMoved, busy-s.countedBusy
+	if bytes >= 0 && took >= 0 && took < minCounted {
+		return
+	}
+	s.countedMoved, s.countedBusy = moved, busy
+	if bytes <= 0 || took <= 0 || bytes == moved {
+		// It has restarted, or this is its first report.
+		return
+	}
+	s.share = min(1, max(slowestShare, float64(bytes)/took.Seconds()/s.nominal))
+	s.observed = now
+}
+
 // Estimate is by when a transfer over both links should be done, from now: the
 // slower has worked off what is booked and moved the bytes, and it comes as late
 // as transfers lately have. Other nodes book the same links unseen, so a busy
--- a/pkg/upstream/transfer.go
+++ b/pkg/upstream/transfer.go
@@ -103,6 +103,9 @@
 type StoreLoad struct {
 	LinkRate  float64 `json:"link_rate"`  // Bytes a second.
 	LinkQueue int64   `json:"link_queue"` // Bytes not yet moved.
+	// Moved and BusyMillis count bytes and the time it took to move them.
+	Moved      int64 `json:"moved"`
+	BusyMillis int64 `json:"busy_ms"`
 }
 
 // StoreChange is one object sealed or freed.
--- a/service/entry/imports.go
+++ b/service/entry/imports.go
@@ -96,7 +96,7 @@
 	now := time.Now()
 	if err == nil {
 		booking.End(answer.Bytes, now)
-		r.parts.Links.Report(d.Import.Store, answer.Store.LinkRate, answer.Store.LinkQueue, now)
+		r.parts.Loads.ReportStore(d.Import.Store, answer.Store)
 		m.ImportedTokens.Add(int64(answer.Chunks) * prompt.ChunkTokens)
 		return true
 	}
--- a/service/entry/parts.go
+++ b/service/entry/parts.go
@@ -34,6 +34,7 @@
 // loads takes in load reports that come with answers.
 type loads interface {
 	Report(engine string, r upstream.LoadReport)
+	ReportStore(store string, r upstream.StoreLoad)
 }
 
 // Parts are what requests are run with.
--- a/service/node/loads.go
+++ b/service/node/loads.go
@@ -24,12 +24,12 @@
 	// request and headers.
 	loadBytes = 600
 	// loadBudget is how many bytes a second a node spends on asking for load.
-	loadBudget = 1_500
+	loadBudget = 1_000
 	// maxCredit is how much of it can be saved up, so that a node that starts
 	// can ask its whole subset at once.
 	maxCredit = loadSubset * loadBytes
 	// storeBudget is the same for stores.
-	storeBudget = 1_200
+	storeBudget = 600
 	storesEvery = time.Second
 	loadFast    = 100 * time.Millisecond
 	// loadFresh is how old a report must be for its engine to be asked.
@@ -44,8 +44,10 @@
 	fleet     *route.Fleet
 	links     *route.Links
 	log       *slog.Logger
+	duties    duties
 
 	mu     sync.Mutex
+	chosen []engineClient
 	last   time.Time
 	credit float64 // Bytes.
 
@@ -61,6 +63,7 @@
 		fleet:     f,
 		links:     l,
 		log:       log,
+		duties:    duties{members: m, upstreams: u},
 		last:      time.Now(),
 		credit:    maxCredit,
 	}
@@ -108,10 +111,18 @@
 			l.log.Debug("no load report", "upstream", st.Name, "err", err)
 			continue
 		}
-		l.links.Report(st.Name, r.LinkRate, r.LinkQueue, time.Now())
+		l.ReportStore(st.Name, r)
 	}
 }
 
+// ReportStore takes in the load of a store's link, asked for or sent with an
+// answer.
+func (l *Loads) ReportStore(store string, r upstream.StoreLoad) {
+	now := time.Now()
+	l.links.Report(store, r.LinkRate, r.LinkQueue, now)
+	l.links.Counted(store, r.Moved, time.Duration(r.BusyMillis)*time.Millisecond, now)
+}
+
 // due lists the engines whose last report is old, oldest first.
 func (l *Loads) due(now time.Time) []engineClient {
 	taken := map[string]time.Time{}
@@ -159,8 +170,16 @@
 	}
 }
 
-// subset picks the engines that this node asks.
+// subset picks the engines that this node asks; the caller holds mu.
 func (l *Loads) subset() []engineClient {
+	if !l.duties.stale() {
+		return l.chosen
+	}
+	l.chosen = l.choose()
+	return l.chosen
+}
+
+func (l *Loads) choose() []engineClient {
 	all := l.upstreams.Engines()
 	if len(all) <= loadSubset {
 		return all
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -272,6 +272,7 @@
 	p.Handle(peer.RolePeer, peer.MethodCommit, peer.Handle(n.commit))
 	p.Handle(peer.RolePeer, peer.MethodSince, peer.Handle(n.since))
 	p.Handle(peer.RolePeer, peer.MethodMembers, peer.Handle(n.listMembers))
+	p.Handle(peer.RolePeer, peer.MethodLeaving, peer.Handle(n.leaving))
 	p.Handle(peer.RolePeer, methodRows, peer.Handle(n.rows))
 	p.Handle(peer.RolePeer, methodVersion, peer.Handle(n.version))
 	p.Handle(peer.RoleOperator, peer.MethodRun, peer.Handle(n.Operator.Run))
@@ -304,7 +305,15 @@
 }
 
 func (n *Node) listMembers(context.Context, struct{}) (peer.MembersAnswer, error) {
-	return peer.MembersAnswer{Members: n.Members.All()}, nil
+	return peer.MembersAnswer{
+		Members:     n.Members.All(),
+		LeavingNews: peer.LeavingNews{Leaving: n.Platform.list()},
+	}, nil
+}
+
+func (n *Node) leaving(_ context.Context, news peer.LeavingNews) (struct{}, error) {
+	n.Platform.take(news.Leaving)
+	return struct{}{}, nil
 }
 
 func (n *Node) rows(_ context.Context, req operator.RowsRequest) (any, error) {
@@ -366,6 +375,7 @@
 		if err := n.Spread.Pull(ctx, seed); err != nil {
 			n.Log.Debug("configuration not pulled", "seed", seed, "err", err)
 		}
+		n.Platform.take(a.Leaving)
 	}
 	n.probe(ctx)
 }
--- a/service/node/reconcile.go
+++ b/service/node/reconcile.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -46,10 +45,11 @@
 	defer r.mu.Unlock()
 	r.leases.Step(ctx)
 	state := r.config.State()
+	turns := r.turns(state)
 	var g errgroup.Group
 	g.SetLimit(watchAtOnce)
 	for _, e := range r.upstreams.Engines() {
-		if !r.leases.Held(control.GroupOf(e.Name)) || !r.mayDiffer(state, e) {
+		if !turns[e.Name] || !r.leases.Held(control.GroupOf(e.Name)) {
 			continue
 		}
 		g.Go(func() error {
@@ -62,32 +62,27 @@
 	_ = g.Wait() // Each logs its own.
 }
 
-// mayDiffer says whether an engine's last report leaves anything to do, and
-// whether it is its turn.
-func (r *Reconciler) mayDiffer(state *config.State, e engineClient) bool {
-	want := state.Models[e.Model].Weights
-	if r.fleet.ReportOf(e.Name).Weights == want {
-		return false
-	}
-	return r.turn(state, e, want)
-}
-
-// turn lets a model's engines swap in waves, by name, so that most go on
+// turns names the engines whose last report differs from the configuration and
+// whose turn it is. A model's engines swap in waves, by name, so that most go on
 // serving.
-func (r *Reconciler) turn(state *config.State, e engineClient, want string) bool {
-	var names []string
-	for _, u := range state.UpstreamsOf(config.UpstreamEngine) {
-		if u.Model == e.Model {
-			names = append(names, u.Name)
-		}
+func (r *Reconciler) turns(state *config.State) map[string]bool {
+	turns := map[string]bool{}
+	count := map[string]int{}
+	engines := state.UpstreamsOf(config.UpstreamEngine)
+	for _, u := range engines {
+		count[u.Model]++
 	}
-	before := 0
-	for _, name := range names[:max(0, slices.Index(names, e.Name))] {
-		if r.fleet.ReportOf(name).Weights != want {
-			before++
+	differ := map[string]int{}
+	for _, u := range engines {
+		if r.fleet.ReportOf(u.Name).Weights == state.Models[u.Model].Weights {
+			continue
+		}
+		if differ[u.Model] < max(1, count[u.Model]/swapShare) {
+			turns[u.Name] = true
 		}
+		differ[u.Model]++
 	}
-	return before < max(1, len(names)/swapShare)
+	return turns
 }
 
 // reconcile reads what an engine serves and orders what differs.
--- a/service/node/watches.go
+++ b/service/node/watches.go
@@ -37,6 +37,7 @@
 	upstreams *Upstreams
 	dir       *Directory
 	log       *slog.Logger
+	duties    duties
 
 	mu      sync.Mutex // Held over a round of polls.
 	engines map[string]*engineWatch
@@ -54,6 +55,7 @@
 		upstreams: u,
 		dir:       d,
 		log:       log,
+		duties:    duties{members: m, upstreams: u},
 		engines:   map[string]*engineWatch{},
 		stores:    map[string]*storeWatch{},
 	}
@@ -113,6 +115,9 @@
 
 // assign starts and ends watches as duties come and go.
 func (w *Watches) assign() {
+	if !w.duties.stale() {
+		return
+	}
 	members := w.members.Working()
 	engines := map[string]*engineWatch{}
 	for _, e := range w.upstreams.Engines() {
--- a/service/peer/client.go
+++ b/service/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
@@ -21,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c = jsonrpc2.NewConn(context.Background(), newStream(conn), noHandler{})
+	c = jsonrpc2.NewConn(context.Background(), newStream(conn), noHandler{}, jsonrpc2.SetLogger(rpcLog{slog.New(slog.DiscardHandler)}))
 	if err := c.Call(ctx, MethodHello, hello, nil); err != nil {
 		_ = c.Close() // The hello's error is told.
 		return nil, err
--- a/service/peer/messages.go
+++ b/service/peer/messages.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"net/netip"
+
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/prompt"
 )
@@ -14,6 +16,7 @@
 	MethodCommit     = "claim.commit"
 	MethodSince      = "config.since"
 	MethodMembers    = "member.list"
+	MethodLeaving    = "platform.leaving"
 	MethodRun        = "operator.run"
 	MethodDump       = "operator.dump"
 	MethodLogLevel   = "operator.log-level"
@@ -67,8 +70,15 @@
 	Version uint64 `json:"version"`
 }
 
-// MembersAnswer is a node's whole view of the fleet.
+// LeavingNews says which VMs are leaving by the platform's list.
+type LeavingNews struct {
+	Leaving []netip.AddrPort `json:"leaving"`
+}
+
+// MembersAnswer is a node's whole view of the fleet, for one that joins.
 type MembersAnswer struct {
+	LeavingNews
+
 	Members []control.Member `json:"members"`
 }
 
--- a/service/peer/server.go
+++ b/service/peer/server.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -111,7 +112,7 @@
 
 func (s *Server) serve(conn net.Conn) {
 	h := &connHandler{server: s, slots: make(chan struct{}, maxConcurrent)}
-	c := jsonrpc2.NewConn(s.ctx, newStream(conn), h)
+	c := jsonrpc2.NewConn(s.ctx, newStream(conn), h, jsonrpc2.SetLogger(rpcLog{s.log}))
 	s.mu.Lock()
 	if s.closed {
 		_ = c.Close() // The peer sees it.
@@ -125,6 +126,13 @@
 	s.mu.Unlock()
 }
 
+// rpcLog takes what the library logs of broken connections, which are ordinary
+// here, into the debug log.
+type rpcLog struct{ log *slog.Logger }
+
+// Printf implements jsonrpc2.Logger.
+func (l rpcLog) Printf(format string, v ...any) { l.log.Debug(fmt.Sprintf(format, v...)) }
+
 // newStream frames JSON-RPC objects by a length.
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(deadlineConn{conn}, limitedCodec{})
