Large fleets: placement among replicas heard of, waves by lease

Change: requests that nobody holds anything for go to replicas whose load this node asks for; a stale report counts as at least the others' mean wait. The reconciler keeps what it read, swaps in waves by lease in a large fleet and reads one engine a round in rotation.

Ruled out: asking all engines (2.8 MB/s of a node at 6,900 and 1 s, worked out).

New tests have mutations that should turn them red; these have not been run yet.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -178,4 +178,24 @@
 		"	took := now.Sub(k.begun)\n", "	took := now.Sub(k.begun) - time.Hour\n",
 		"./pkg/route", "TestLinksAreNotOverbooked",
 	},
+	{
+		"no news of a replica is not no load", "pkg/route/fleet.go",
+		"	if near := f.near[model]; len(near) > 0 {", "	if near := f.near[model]; false && len(near) > 0 {",
+		"./pkg/route", "TestPlaceDoesNotTakeNoNewsForNoLoad",
+	},
+	{
+		"weights are swapped in waves", "service/node/reconcile.go",
+		"		if mine && differ[w] < max(1, r.count[w]/swapShare) {", "		if mine {",
+		"./service/node", "TestSwapGoesInWavesAndReadsFewEngines",
+	},
+	{
+		"a block that comes and goes is not hot", "service/node/engine_watch.go",
+		"		if last[ev.Key] == i {", "		if true || last[ev.Key] == i {",
+		"./service/node", "TestBlocksThatComeAndGoInOneBatchAreNotHot",
+	},
+	{
+		"the first token comes within the patience", "pkg/route/estimator.go",
+		"		if all[i].FirstToken() > fastest+p.weights.Patience {", "		if false && all[i].FirstToken() > fastest+p.weights.Patience {",
+		"./pkg/route", "TestPlaceIsPatientOnlySoLong",
+	},
 }
--- a/pkg/route/estimator.go
+++ b/pkg/route/estimator.go
@@ -110,7 +110,7 @@
 	for _, name := range holders[:min(len(holders), hotCandidates)] {
 		add(p.fleet.replicas[name])
 	}
-	all := p.fleet.byModel[q.Model]
+	all := p.fleet.pool(q.Model)
 	if len(all) <= sampled {
 		for _, r := range all {
 			add(r)
@@ -127,7 +127,7 @@
 	}
 	if len(list) == 0 {
 		// Few are usable: look at all rather than refuse by bad luck.
-		for _, r := range all {
+		for _, r := range p.fleet.byModel[q.Model] {
 			add(r)
 		}
 	}
@@ -144,7 +144,7 @@
 	now time.Time,
 ) []Decision {
 	hotTokens = min(hotTokens, q.Chain.Tokens)
-	wait := r.wait(now)
+	wait := p.fleet.waitAt(r, now)
 	if r.DataHall != q.DataHall {
 		wait += otherHall
 	}
--- a/pkg/route/estimator_test.go
+++ b/pkg/route/estimator_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -272,3 +273,31 @@
 	l.Counted("s", 200e6, 2*time.Second, testNow)
 	assert.Equal(t, l.Estimate("s", "e", 10e6, testNow), 100*time.Millisecond)
 }
+
+// In a large fleet most replicas are unheard of; they must not look idle.
+func TestPlaceDoesNotTakeNoNewsForNoLoad(t *testing.T) {
+	f := NewFleet(rand.New(rand.NewPCG(1, 2)))
+	var list []Replica
+	for i := range 1000 {
+		list = append(list, Replica{Name: fmt.Sprint("e", i), DataHall: "north", Model: "m"})
+	}
+	f.Configure(list, testNow)
+	var near []string
+	for i := range 30 {
+		near = append(near, fmt.Sprint("e", i))
+		f.Report(near[i], testReport(1000*i))
+	}
+	f.SetNear(near)
+	now := testNow.Add(time.Second)
+	f.MeanWait(now)
+	for range 50 {
+		d, err := NewPolicy(config.PolicyDrumpath, f, NewLinks(), evenWeights).Place(testRequest(20), now)
+		assert.NilError(t, err)
+		assert.Assert(t, slices.Contains(near, d.Replica), "%s is unheard of", d.Replica)
+	}
+	q := testRequest(20)
+	q.Match.Holdings = []prompt.Holding{hot("e999", 20)}
+	d, err := NewPolicy(config.PolicyDrumpath, f, NewLinks(), evenWeights).Place(q, testNow.Add(time.Minute))
+	assert.NilError(t, err)
+	assert.Assert(t, d.Replica != "e999" || d.Wait > 0, "a holder unheard of has at least the others' wait")
+}
--- a/pkg/route/fleet.go
+++ b/pkg/route/fleet.go
@@ -15,6 +15,10 @@
 	byModel  map[string][]*replica
 	next     int // For round robin.
 	leaving  map[string]bool
+	// near are, by model, the replicas whose load this node asks for.
+	near map[string][]*replica
+	// mean is the last result of MeanWait.
+	mean time.Duration
 }
 
 // NewFleet returns an empty view.
@@ -49,6 +53,42 @@
 	}
 }
 
+// SetNear sets whose load this node asks for. In a large fleet these are few,
+// and requests that no replica holds anything for are placed among them: of the
+// others nothing is known, and no news would look like no load.
+func (f *Fleet) SetNear(names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.near = map[string][]*replica{}
+	for _, name := range names {
+		if r, ok := f.replicas[name]; ok {
+			f.near[r.Model] = append(f.near[r.Model], r)
+		}
+	}
+}
+
+// pool is where a request goes that no replica holds anything for; the caller
+// holds mu.
+func (f *Fleet) pool(model string) []*replica {
+	if near := f.near[model]; len(near) > 0 {
+		return near
+	}
+	return f.byModel[model]
+}
+
+// staleTerm is how old a report may be before the mean of others is believed
+// rather than it.
+const staleTerm = 10 * time.Second
+
+// waitAt estimates what a new request waits at a replica; the caller holds mu.
+func (f *Fleet) waitAt(r *replica, now time.Time) time.Duration {
+	w := r.wait(now)
+	if now.Sub(r.report.Taken) > staleTerm {
+		return max(w, f.mean)
+	}
+	return w
+}
+
 // SetLeaving sets which replicas are leaving by the platform's list.
 func (f *Fleet) SetLeaving(names []string) {
 	f.mu.Lock()
@@ -81,7 +121,7 @@
 	var sum time.Duration
 	n := 0
 	for _, r := range f.replicas {
-		if r.report.Weights != "" && !r.ejected(now) {
+		if r.report.Weights != "" && !r.ejected(now) && now.Sub(r.report.Taken) <= staleTerm {
 			sum += r.wait(now)
 			n++
 		}
@@ -89,7 +129,8 @@
 			break
 		}
 	}
-	return sum / time.Duration(max(1, n))
+	f.mean = sum / time.Duration(max(1, n))
+	return f.mean
 }
 
 // ReplicaStatus is what a dump shows of one replica.
--- a/service/node/bench_test.go
+++ b/service/node/bench_test.go
@@ -119,3 +119,32 @@
 	}
 	b.ReportMetric(each, "B/connection")
 }
+
+// BenchmarkReconcileTurns reports what a round of the reconciler costs when all
+// engines are as they should be.
+func BenchmarkReconcileTurns(b *testing.B) {
+	for _, n := range []int{20, 690, 6900} {
+		b.Run(fmt.Sprint("engines=", n), func(b *testing.B) {
+			s := config.NewState()
+			s.Models["m"] = config.Model{Name: "m", Weights: "w"}
+			f := route.NewFleet(rand.New(rand.NewPCG(1, 1)))
+			var replicas []route.Replica
+			for i := range n {
+				name := fmt.Sprint("e", i)
+				s.Upstreams[name] = config.Upstream{Name: name, Kind: config.UpstreamEngine, Model: "m"}
+				replicas = append(replicas, route.Replica{Name: name, Model: "m"})
+			}
+			f.Configure(replicas, time.Now())
+			for _, r := range replicas {
+				f.Report(r.Name, route.Report{Taken: time.Now().Add(time.Hour), Weights: "w"})
+			}
+			leases := control.NewLeases("vm-0", time.Hour, nil, nil, slog.New(slog.DiscardHandler))
+			r := &Reconciler{fleet: f, leases: leases, read: map[string]string{}}
+			for b.Loop() {
+				if len(r.turns(s)) > 0 {
+					b.Fatal("an engine differs")
+				}
+			}
+		})
+	}
+}
--- a/service/node/loads.go
+++ b/service/node/loads.go
@@ -176,6 +176,11 @@
 		return l.chosen
 	}
 	l.chosen = l.choose()
+	names := make([]string, len(l.chosen))
+	for i, e := range l.chosen {
+		names[i] = e.Name
+	}
+	l.fleet.SetNear(names)
 	return l.chosen
 }
 
--- a/service/node/reconcile.go
+++ b/service/node/reconcile.go
@@ -31,12 +31,19 @@
 	upstreams *Upstreams
 	fleet     *route.Fleet
 
-	mu sync.Mutex // Held over a round.
+	mu      sync.Mutex // Held over a round.
+	version uint64     // Of the upstreams that engines was made from.
+	engines []leasedEngine
+	count   map[wave]int
+	next    int // In rotation.
+
+	readMu sync.Mutex
+	read   map[string]string // Weights by engine, as last read.
 }
 
 // NewReconciler returns a reconciler.
 func NewReconciler(c *control.Log, l *control.Leases, u *Upstreams, f *route.Fleet, log *slog.Logger) *Reconciler {
-	return &Reconciler{log: log, config: c, leases: l, upstreams: u, fleet: f}
+	return &Reconciler{log: log, config: c, leases: l, upstreams: u, fleet: f, read: map[string]string{}}
 }
 
 // Step goes over the engines of held leases once; the timer service calls it.
@@ -49,7 +56,7 @@
 	var g errgroup.Group
 	g.SetLimit(watchAtOnce)
 	for _, e := range r.upstreams.Engines() {
-		if !turns[e.Name] || !r.leases.Held(control.GroupOf(e.Name)) {
+		if !turns[e.Name] {
 			continue
 		}
 		g.Go(func() error {
@@ -62,29 +69,98 @@
 	_ = g.Wait() // Each logs its own.
 }
 
-// turns names the engines whose last report differs from the configuration and
-// whose turn it is. A model's engines swap in waves, by name, so that most go on
-// serving.
+// turns names the engines to look at now: those that are not known to serve what
+// the configuration names, in waves by name, so that most go on serving, and one
+// more in rotation.
+//
+// In a small fleet this node hears of every engine's load, and a wave is a share
+// of all. In a large one it hears of few; then each lease's engines have waves of
+// their own, which is the same share of all.
 func (r *Reconciler) turns(state *config.State) map[string]bool {
+	r.index(state)
 	turns := map[string]bool{}
-	count := map[string]int{}
-	engines := state.UpstreamsOf(config.UpstreamEngine)
-	for _, u := range engines {
-		count[u.Model]++
-	}
-	differ := map[string]int{}
-	for _, u := range engines {
-		if r.fleet.ReportOf(u.Name).Weights == state.Models[u.Model].Weights {
+	differ := map[wave]int{}
+	var held []string
+	for _, u := range r.engines {
+		mine := r.leases.Held(u.lease)
+		if mine {
+			held = append(held, u.Name)
+		}
+		if !mine && r.large() {
 			continue
 		}
-		if differ[u.Model] < max(1, count[u.Model]/swapShare) {
+		if r.weightsOf(u.Name) == state.Models[u.Model].Weights {
+			continue
+		}
+		w := r.waveOf(u)
+		if mine && differ[w] < max(1, r.count[w]/swapShare) {
 			turns[u.Name] = true
 		}
-		differ[u.Model]++
+		differ[w]++
+	}
+	if len(held) > 0 {
+		r.next++
+		turns[held[r.next%len(held)]] = true
 	}
 	return turns
 }
 
+// wave is a set of engines of which only a share may be between two versions.
+type wave struct{ model, group string }
+
+func (r *Reconciler) waveOf(u leasedEngine) wave {
+	if r.large() {
+		return wave{model: u.Model, group: u.lease}
+	}
+	return wave{model: u.Model}
+}
+
+// leasedEngine is an engine and the lease under which orders go to it.
+type leasedEngine struct {
+	config.Upstream
+	lease string
+}
+
+// large says whether this node does not hear of every engine's load.
+func (r *Reconciler) large() bool { return len(r.engines) > loadSubset }
+
+// weightsOf is what an engine serves, as far as is known: by its last load
+// report, else as it was last read.
+func (r *Reconciler) weightsOf(name string) string {
+	if weights := r.fleet.ReportOf(name).Weights; weights != "" {
+		return weights
+	}
+	r.readMu.Lock()
+	defer r.readMu.Unlock()
+	return r.read[name]
+}
+
+// note keeps what was read; an engine that is loading serves nothing yet.
+func (r *Reconciler) note(name string, have upstream.EngineState) {
+	r.readMu.Lock()
+	defer r.readMu.Unlock()
+	if have.Loading {
+		have.Weights = ""
+	}
+	r.read[name] = have.Weights
+}
+
+// index sorts the engines again only after a change of upstreams.
+func (r *Reconciler) index(state *config.State) {
+	if r.count != nil && r.version == state.UpstreamsVersion {
+		return
+	}
+	r.version = state.UpstreamsVersion
+	r.engines = nil
+	for _, u := range state.UpstreamsOf(config.UpstreamEngine) {
+		r.engines = append(r.engines, leasedEngine{Upstream: u, lease: control.GroupOf(u.Name)})
+	}
+	r.count = map[wave]int{}
+	for _, u := range r.engines {
+		r.count[r.waveOf(u)]++
+	}
+}
+
 // reconcile reads what an engine serves and orders what differs.
 func (r *Reconciler) reconcile(ctx context.Context, state *config.State, e engineClient) {
 	have, err := e.State(ctx)
@@ -92,6 +168,7 @@
 		r.log.Debug("engine not read", "upstream", e.Name, "err", err)
 		return
 	}
+	r.note(e.Name, have)
 	want := state.Models[e.Model].Weights
 	if have.Loading || (have.Model == e.Model && have.Weights == want) {
 		return
