Admission follows the median wait; plain services count as in flight

Calls to plain services were not counted, so a planned stop relied on the HTTP server alone to finish them.

Change: the median; in-flight counts services. The scenario of a killed claimer now waits for the call to have come instead of half a second.

Ruled out: leaving hot replicas out of the mean (which are hot is the question).

--- a/cmd/drumpath/scenario_test.go
+++ b/cmd/drumpath/scenario_test.go
@@ -318,14 +318,23 @@
 // cmdRuns checks how often an upstream has run what contains a text: runs
 // ADDRESS TEXT N.
 func cmdRuns(ts *testscript.TestScript, _ bool, args []string) {
+	if body, ok := ran(ts, args); !ok {
+		ts.Fatalf("%s did not run %s times: %s", args[1], args[2], body)
+	}
+}
+
+// cmdAwaitRuns waits until cmdRuns would pass.
+func cmdAwaitRuns(ts *testscript.TestScript, _ bool, args []string) {
+	await(ts, args[1]+" runs", func() (string, bool) { return ran(ts, args) })
+}
+
+func ran(ts *testscript.TestScript, args []string) (body string, ok bool) {
 	resp, err := http.Get("http://" + args[0] + "/runs")
 	ts.Check(err)
-	body, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(resp.Body)
 	ts.Check(err)
 	ts.Check(resp.Body.Close())
-	if got := countRuns(body, args[1]); fmt.Sprint(got) != args[2] {
-		ts.Fatalf("%s ran %d times, wanted %s: %s", args[1], got, args[2], body)
-	}
+	return string(text), fmt.Sprint(countRuns(text, args[1])) == args[2]
 }
 
 // cmdPut puts a body to a URL: put URL BODY.
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -9,6 +9,8 @@
 type Fault struct {
 	// LatencyMillis is added to each answer.
 	LatencyMillis int64 `json:"latency_ms"`
+	// HoldMillis is for how long a plain service works on each call.
+	HoldMillis int64 `json:"hold_ms"`
 	// Down closes each connection without an answer, and nothing takes effect.
 	Down bool `json:"down"`
 	// LoseAnswers is how many of the next calls take effect unanswered.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -48,6 +49,7 @@
 	s.mu.Lock()
 	s.runs[string(c.PostBody())]++
 	s.mu.Unlock()
+	time.Sleep(time.Duration(s.faults.get().HoldMillis) * time.Millisecond)
 	c.Response.Header.SetBytesV(upstream.HeaderRequestID, c.Request.Header.Peek(upstream.HeaderRequestID))
 	c.SetContentTypeBytes(c.Request.Header.ContentType())
 	c.SetBody(c.PostBody())
--- a/pkg/route/estimator_test.go
+++ b/pkg/route/estimator_test.go
@@ -289,7 +289,7 @@
 	}
 	f.SetNear(near)
 	now := testNow.Add(time.Second)
-	f.MeanWait(now)
+	f.MedianWait(now)
 	for range 50 {
 		d, err := NewPolicy(config.PolicyDrumpath, f, NewLinks(), evenWeights).Place(testRequest(20), now)
 		assert.NilError(t, err)
@@ -301,3 +301,11 @@
 	assert.NilError(t, err)
 	assert.Assert(t, d.Replica != "e999" || d.Wait > 0, "a holder unheard of has at least the others' wait")
 }
+
+func TestOneCrowdedReplicaDoesNotStandForAll(t *testing.T) {
+	f := testFleet(5)
+	r := testReport(10_000_000)
+	r.Taken = r.Taken.Add(time.Millisecond)
+	f.Report("e0", r)
+	assert.Equal(t, f.MedianWait(testNow.Add(3*time.Millisecond)), time.Duration(0))
+}
--- a/pkg/route/fleet.go
+++ b/pkg/route/fleet.go
@@ -17,8 +17,8 @@
 	leaving  map[string]bool
 	// near are, by model, the replicas whose load this node asks for.
 	near map[string][]*replica
-	// mean is the last result of MeanWait.
-	mean time.Duration
+	// median is the last result of MedianWait.
+	median time.Duration
 }
 
 // NewFleet returns an empty view.
@@ -76,7 +76,7 @@
 	return f.byModel[model]
 }
 
-// staleTerm is how old a report may be before the mean of others is believed
+// staleTerm is how old a report may be before the median of others is believed
 // rather than it.
 const staleTerm = 10 * time.Second
 
@@ -84,7 +84,7 @@
 func (f *Fleet) waitAt(r *replica, now time.Time) time.Duration {
 	w := r.wait(now)
 	if now.Sub(r.report.Taken) > staleTerm {
-		return max(w, f.mean)
+		return max(w, f.median)
 	}
 	return w
 }
@@ -110,27 +110,30 @@
 	return sum
 }
 
-// waitSample bounds the replicas that MeanWait looks at.
+// waitSample bounds the replicas that MedianWait looks at.
 const waitSample = 256
 
-// MeanWait is the mean of what a new request would wait for a prefill, over
-// replicas that have reported, or a random part of them in a large fleet.
-func (f *Fleet) MeanWait(now time.Time) time.Duration {
+// MedianWait is the median of what a new request would wait for a prefill, over
+// replicas that have reported, or a random part of them in a large fleet. The
+// mean would let one crowded replica stand for all.
+func (f *Fleet) MedianWait(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var sum time.Duration
-	n := 0
+	waits := make([]time.Duration, 0, min(len(f.replicas), waitSample))
 	for _, r := range f.replicas {
 		if r.report.Weights != "" && !r.ejected(now) && now.Sub(r.report.Taken) <= staleTerm {
-			sum += r.wait(now)
-			n++
+			waits = append(waits, r.wait(now))
 		}
-		if n == waitSample {
+		if len(waits) == waitSample {
 			break
 		}
 	}
-	f.mean = sum / time.Duration(max(1, n))
-	return f.mean
+	f.median = 0
+	if len(waits) > 0 {
+		slices.Sort(waits)
+		f.median = waits[len(waits)/2]
+	}
+	return f.median
 }
 
 // ReplicaStatus is what a dump shows of one replica.
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -188,7 +188,7 @@
 }
 
 // callContext returns a context that ends when the caller goes away.
-func (s *Server) callContext(c *fasthttp.RequestCtx, _ string) (context.Context, context.CancelFunc) {
+func (s *Server) callContext(c *fasthttp.RequestCtx) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	remove := s.gone.add(c.Conn(), cancel)
 	return ctx, func() {
@@ -214,7 +214,7 @@
 		imports: s.imports,
 		log:     s.parts.Log.With("request", call.RequestID, "organisation", call.Organisation.Name),
 	}
-	r.ctx, r.cancel = s.callContext(c, call.RequestID)
+	r.ctx, r.cancel = s.callContext(c)
 	if f := r.start(); f != nil {
 		r.Close()
 		s.leave()
--- a/service/entry/service.go
+++ b/service/entry/service.go
@@ -18,12 +18,14 @@
 
 // service passes a call on to a plain service.
 func (s *Server) service(c *fasthttp.RequestCtx) {
+	s.inFlight.Add(1)
+	defer s.leave()
 	terms, f := s.terms(c)
 	if f != nil {
 		s.fail(c, f)
 		return
 	}
-	ctx, cancel := s.callContext(c, terms.RequestID)
+	ctx, cancel := s.callContext(c)
 	defer cancel()
 	path, _ := c.UserValue("path").(string) // The route has it.
 	rest, _ := c.UserValue("rest").(string) // It may be absent.
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -406,7 +406,7 @@
 func (n *Node) setCapacity(context.Context) {
 	now := time.Now()
 	nodes := max(1, len(n.Members.Working()))
-	n.Admission.Adapt(n.Fleet.MeanWait(now), int(overcommit*float64(n.Fleet.Slots()))/nodes, now)
+	n.Admission.Adapt(n.Fleet.MedianWait(now), int(overcommit*float64(n.Fleet.Slots()))/nodes, now)
 }
 
 // Leave announces a planned stop, waits until no caller can still come by an
