--- a/pkg/control/log.go
+++ b/pkg/control/log.go
@@ -211,6 +211,13 @@
 	return nil
 }
 
+// Load takes in the snapshot, so that a node that starts asks its peers only for
+// what is newer; the state of a large fleet is megabytes.
+func (l *Log) Load(ctx context.Context) (err error) {
+	defer func() { err = eris.Wrap(err, "load configuration") }()
+	return l.takeSnapshot(ctx, l.State().Version)
+}
+
 // takeSnapshot loads the snapshot, which must be newer than what there is.
 func (l *Log) takeSnapshot(ctx context.Context, have uint64) error {
 	var s config.State
--- a/pkg/control/log_test.go
+++ b/pkg/control/log_test.go
@@ -111,7 +111,9 @@
 		assert.NilError(t, err)
 	}
 	b := f.log("b")
-	assert.NilError(t, b.takeSnapshot(t.Context(), 0))
+	assert.NilError(t, b.Load(t.Context()))
+	assert.Equal(t, b.State().Version, uint64(3*snapshotEvery))
+	assert.Assert(t, b.Load(t.Context()) != nil, "the snapshot brings nothing newer")
 	assert.Equal(t, b.State().Version, uint64(3*snapshotEvery))
 	c := f.log("c")
 	assert.NilError(t, c.Refresh(t.Context()))
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -341,6 +342,9 @@
 	n.Config.Watch(n.configure)
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
+	if err := n.Config.Load(ctx); err != nil {
+		n.Log.Debug("no snapshot", "err", err)
+	}
 	n.join(ctx)
 	n.Spread.Refresh(ctx)
 	n.Loads.Poll(ctx)
@@ -360,10 +364,18 @@
 		"version", n.Config.State().Version)
 }
 
-// join learns the fleet and the configuration from the seeds.
+// joinSeeds is how many seeds a starting node asks; each answer has the whole
+// fleet.
+const joinSeeds = 2
+
+// join learns the fleet and the configuration from seeds in random order, so
+// that many nodes that start together don't all ask the same.
 func (n *Node) join(ctx context.Context) {
-	for _, seed := range n.Settings.Peer.Seeds {
-		if seed == n.Peer.Addr() {
+	seeds := slices.Clone(n.Settings.Peer.Seeds)
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	answered := 0
+	for _, seed := range seeds {
+		if seed == n.Peer.Addr() || answered == joinSeeds {
 			continue
 		}
 		var a peer.MembersAnswer
@@ -371,6 +383,7 @@
 			n.Log.Debug("seed not reached", "seed", seed, "err", err)
 			continue
 		}
+		answered++
 		n.Members.Merge(a.Members, time.Now())
 		if err := n.Spread.Pull(ctx, seed); err != nil {
 			n.Log.Debug("configuration not pulled", "seed", seed, "err", err)
