--- a/pkg/route/admission.go
+++ b/pkg/route/admission.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -41,6 +42,7 @@
 	// meanFirst is the mean time from the way in to the first token.
 	meanFirst time.Duration
 	devFirst  time.Duration // Mean deviation from it.
+	lastFirst time.Time     // When the last one came.
 	tenants   map[string]*tenantQueue
 	// waiting has the organisations with a queue, so that the cost of a
 	// decision grows with these and not with all there are.
@@ -95,13 +97,24 @@
 
 // First is the time from the way in to the first token that most requests keep
 // to: the mean and twice the mean deviation.
-func (a *Admission) First() time.Duration {
+//
+// It fades while no first token comes, and is nothing while nobody is inside: if
+// it is ever longer than the deadlines, all would be refused and nothing would
+// show that the way is short again.
+func (a *Admission) First(now time.Time) time.Duration {
 	const deviations = 2
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.meanFirst + deviations*a.devFirst
+	if a.inside == 0 {
+		return 0
+	}
+	fade := math.Exp(-max(0, now.Sub(a.lastFirst).Seconds()/fadeTerm.Seconds()))
+	return time.Duration(fade * float64(a.meanFirst+deviations*a.devFirst))
 }
 
+// fadeTerm is how fast the allowance for the first token fades.
+const fadeTerm = time.Second
+
 // SetCapacity sets how many requests may be inside at once.
 func (a *Admission) SetCapacity(n int, now time.Time) {
 	a.mu.Lock()
--- a/pkg/route/admission_test.go
+++ b/pkg/route/admission_test.go
@@ -196,3 +196,19 @@
 	assert.Equal(t, a.Status().Capacity, minCapacity)
 	assert.Equal(t, a.Status().Inside, 30, "nobody is put out")
 }
+
+// Once first tokens have come so late that no deadline allows for them, requests
+// must be let in again to see whether that is still so.
+func TestAllowanceForTheFirstTokenFades(t *testing.T) {
+	a := NewAdmission()
+	p, err := a.Offer(tenant("o"), 1, 0, testNow.Add(time.Hour), testNow)
+	assert.NilError(t, err)
+	for range 200 {
+		p.First(testNow.Add(time.Minute))
+	}
+	late := testNow.Add(time.Minute)
+	assert.Assert(t, a.First(late) > 10*time.Second)
+	assert.Assert(t, a.First(late.Add(10*time.Second)) < 10*time.Millisecond)
+	p.Leave(late)
+	assert.Equal(t, a.First(late), time.Duration(0), "nobody is inside")
+}
--- a/pkg/route/place.go
+++ b/pkg/route/place.go
@@ -33,6 +33,7 @@
 	a := p.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.lastFirst = now
 	off := now.Sub(p.entered) - a.meanFirst
 	a.meanFirst += time.Duration(holdWeight * float64(off))
 	a.devFirst += time.Duration(holdWeight * float64(off.Abs()-a.devFirst))
--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -87,7 +87,7 @@
 	limit := r.call.Received.Add(r.parts.Settings.Limits.QueueWait.Std())
 	if d := r.call.Deadline; !d.IsZero() {
 		// What is let in at the last moment still has its way to go.
-		if d = d.Add(-r.parts.Admission.First()); d.Before(limit) {
+		if d = d.Add(-r.parts.Admission.First(r.call.Received)); d.Before(limit) {
 			limit = d
 		}
 	}
