Scenario of a returning prompt is sound again; node and members in smaller files

Besides, exports took turns with imports on a link and halved their rate, so an import could be given up; and the scenario raced the cache events.

Ruled out: a longer wait before imports are given up (would hide the cause).

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -114,12 +114,12 @@
 		"./pkg/control", "TestTakeNeverStepsBack",
 	},
 	{
-		"a node that starts in an outage asks its peers", "service/node/node.go",
-		"		if err := n.Spread.Pull(ctx, seed); err != nil {", "		if err := ctx.Err(); err != nil {",
+		"configuration is pulled from peers, by those who start and those who hear of it", "service/node/spread.go",
+		"	var d control.Delta\n	req", "	if true {\n		return nil\n	}\n	var d control.Delta\n	req",
 		scenarios, "TestScenarios/configuration",
 	},
 	{
-		"probes carry the configuration's version", "service/node/node.go",
+		"probes carry the configuration's version", "service/node/wiring.go",
 		"		spread.Heard(from, p.Version)\n", "",
 		scenarios, "TestScenarios/configuration",
 	},
@@ -139,7 +139,7 @@
 		"./pkg/control", "TestFenceNeedsAHeldLease",
 	},
 	{
-		"a held-for-dead node is told so", "pkg/control/members.go",
+		"a held-for-dead node is told so", "pkg/control/members_news.go",
 		"e != nil && (e.State == MemberSuspect", "false && e != nil && (e.State == MemberSuspect",
 		"./pkg/control", "TestHalvesFindEachOtherAfterACut",
 	},
--- a/cmd/drumpath/cmds/try.go
+++ b/cmd/drumpath/cmds/try.go
@@ -55,6 +55,10 @@
 	tryKeptWait     = 10 * time.Second
 	tryPoll         = 20 * time.Millisecond
 	tryReusedShare  = 0.1
+	// Computing the prompt takes about 1.6 s and importing it 0.4 s, long enough
+	// that what else the machine does hardly matters.
+	tryPrefillRate = 10_000
+	tryLinkRate    = 40e6
 )
 
 // Execute implements flags.Commander.
@@ -81,10 +85,13 @@
 
 func (c *tryCommand) run() (report tryReport, err error) {
 	defer func() { err = eris.Wrap(err, "try") }()
+	engine := standin.DefaultEngineConfig()
+	engine.PrefillRate = tryPrefillRate
+	engine.LinkRate = tryLinkRate
 	site, err := standin.StartSite(standin.SiteConfig{
 		Engines: 2,
 		Stores:  1,
-		Engine:  standin.DefaultEngineConfig(),
+		Engine:  engine,
 		Store:   standin.DefaultStoreConfig(),
 	})
 	if err != nil {
--- a/cmd/drumpath/main_test.go
+++ b/cmd/drumpath/main_test.go
@@ -33,6 +33,7 @@
 			"await-get":  cmdAwaitGet,
 			"await-runs": cmdAwaitRuns,
 			"ended":      cmdEnded,
+			"explained":  cmdExplained,
 			"fault":      cmdFault,
 			"long":       cmdLong,
 			"nodes":      cmdNodes,
--- a/cmd/drumpath/scenario_test.go
+++ b/cmd/drumpath/scenario_test.go
@@ -247,6 +247,16 @@
 	})
 }
 
+// cmdExplained waits until the explanation of where a prompt would go has a
+// text, or with ! no longer has it: explained TEXT ORGANISATION FILE.
+func cmdExplained(ts *testscript.TestScript, neg bool, args []string) {
+	text := strings.ReplaceAll(ts.ReadFile(args[2]), "'", "''")
+	await(ts, args[0], func() (string, bool) {
+		out := ctl(ts, 1, fmt.Sprintf("explain organisation %s model m prompt '%s'", args[1], text))
+		return out, strings.Contains(out, "decision") && strings.Contains(out, args[0]) != neg
+	})
+}
+
 // cmdRequest sends a request and writes its status, headers and body to the
 // file "answer": request [-bg NAME] ENTRY ORGANISATION PATH BODY [HEADER=VALUE...].
 // A BODY that starts with @ is a prompt file of a completion.
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -31,6 +31,13 @@
 		defer func() { l.queue.Add(-left) }()
 	}
 	for left > 0 {
+		if priority < priorityImport && l.queue.Load() > 0 {
+			// An import is under way; taking turns with it would halve its rate.
+			if !sleep(ctx, linkSlice) {
+				return false
+			}
+			continue
+		}
 		if !l.lane.enter(ctx, priority) {
 			return false
 		}
