--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -169,7 +169,7 @@
 		"./pkg/route", "TestLargeOrganisationDoesNotStarveSmallOnes",
 	},
 	{
-		"links are not booked twice", "pkg/route/booking.go",
+		"links are not booked twice", "pkg/route/links.go",
 		"		s.busy = s.busy.Add(k.reserved[i])\n", "",
 		"./pkg/route", "TestLinksAreNotOverbooked",
 	},
