Free addresses have an IP number of their own

Its port had been found free and closed again, and scenarios run side by side, so another process can have taken it; the wait for it to listen is satisfied by anyone.

Change: each free address is on its own IP number within 127.0.0.0/8.

--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
 )
 
 // Site is a set of stand-ins in one process, for trials and tests.
@@ -107,9 +109,17 @@
 	return text
 }
 
-// FreeAddr returns a loopback address whose port was free just now.
+// freeAddrs counts the calls of FreeAddr.
+var freeAddrs atomic.Uint32
+
+// FreeAddr returns a loopback address whose port was free just now. Each call
+// has an IP number of its own within 127.0.0.0/8, so that no one else is given
+// the port before it is used.
 func FreeAddr() (netip.AddrPort, error) {
-	ln, err := net.Listen("tcp", Loopback.String())
+	const ofPID = 200
+	n := freeAddrs.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%ofPID), byte(n >> 8), byte(n)})
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
