--- a/pkg/control/claims.go
+++ b/pkg/control/claims.go
@@ -43,6 +43,7 @@
 
 	mu      sync.Mutex
 	pending []*claimWrite
+	writing int // In the transaction under way.
 	wake    chan struct{}
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -84,11 +85,17 @@
 	c.cancel()
 }
 
-// Pending is how many rows wait to be written.
+// Pending is how many rows wait to be written or are being written.
 func (c *Claims) Pending() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.pending)
+	return len(c.pending) + c.writing
+}
+
+func (c *Claims) written() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = 0
 }
 
 // Acquire claims an organisation's key. The error is a *TakenError, or wraps
@@ -228,6 +235,7 @@
 	if len(batch) == 0 {
 		return false
 	}
+	defer c.written()
 	txn, err := claimTxn(batch)
 	if err != nil {
 		c.log.Error("claims not encoded", "err", err)
@@ -251,7 +259,7 @@
 		c.requeue(batch)
 		c.pause()
 	}
-	return c.Pending() > 0
+	return true
 }
 
 func (c *Claims) pause() {
@@ -277,6 +285,7 @@
 		batch = append(batch, sent{claimWrite: w, value: w.value})
 	}
 	c.pending = rest
+	c.writing = len(batch)
 	return batch
 }
 
