--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -102,6 +102,9 @@
 	place, err := r.parts.Admission.Offer(tenant, cost, r.call.Priority, limit, time.Now())
 	var refused *route.RefusedError
 	if errors.As(err, &refused) {
+		if refused.Reason == route.RefusedLoad && !r.call.Deadline.IsZero() {
+			return refusal(CodeDeadline, refused.RetryAfter, "the deadline can't be kept: %v", refused)
+		}
 		return admissionRefusal(refused)
 	}
 	r.place = place
