--- /dev/null
+++ b/cmd/drumpath/cmds/gateway.go
@@ -0,0 +1,62 @@
+package cmds
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/platform"
+	"github.com/drumpath/drumpath/service/gateway"
+	"github.com/drumpath/drumpath/service/node"
+)
+
+const gatewayHelp = `Runs a node on the users' platform: it forwards requests to the replicas
+that the platform lists, by the configuration that the operator keeps in
+the platform's store. It runs until SIGTERM or SIGINT, then serves on
+what still comes and finishes what is in flight.
+
+The settings file is the one that the platform laid, unless -c names one.
+
+Example: drumpath gateway -c settings.json`
+
+type gatewayCommand struct {
+	Config string `short:"c" long:"config" value-name:"FILE" description:"settings file, JSON with comments"`
+	std    stdio
+}
+
+var errNoSettings = errors.New("no settings file: name one with -c")
+
+// Execute implements flags.Commander.
+func (c *gatewayCommand) Execute([]string) error {
+	path := c.Config
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	if path == "" {
+		return errNoSettings
+	}
+	s, err := config.LoadGateway(path)
+	if err != nil {
+		return err
+	}
+	log, _ := node.NewLogger(s.Log, c.std.out)
+	g, err := gateway.New(s, gateway.Platform{
+		Store:   platform.NewStore(s.Platform.Store),
+		Engines: platform.NewEngines(),
+		Codec:   platform.Codec{},
+		Paths:   gateway.Paths{Ready: platform.PathReady, Resolve: platform.PathResolve, DataHall: platform.QueryDataHall},
+	}, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	g.Start()
+	<-signals
+	g.Leave()
+	g.Close()
+	return nil
+}
--- a/cmd/drumpath/cmds/root.go
+++ b/cmd/drumpath/cmds/root.go
@@ -62,6 +62,7 @@
 		data              flags.Commander
 	}{
 		{"serve", "Run a node", serveHelp, &serveCommand{std: std}},
+		{"gateway", "Run a node on the users' platform", gatewayHelp, &gatewayCommand{std: std}},
 		{"check", "Check a settings file", checkHelp, &checkCommand{std: std}},
 		{"ctl", "Query and change the system", ctlHelp, &ctlCommand{std: std}},
 		{"dump", "Show the state of a process", dumpHelp, &dumpCommand{std: std}},
--- a/pkg/config/reader.go
+++ b/pkg/config/reader.go
@@ -146,7 +146,7 @@
 	r.fault(path, v, wanted)
 }
 
-func (r *reader) validate(s *Settings) {
+func (r *reader) validate(s any) {
 	check := validator.New(validator.WithRequiredStructEnabled())
 	check.RegisterTagNameFunc(jsonName)
 	var invalid validator.ValidationErrors
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -261,3 +261,17 @@
 	m.seq++
 	return m.seq
 }
+
+// Greet returns probes for nodes of which only the address is known.
+func (m *Members) Greet(addrs []netip.AddrPort) []Packet {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Packet
+	for _, addr := range addrs {
+		if e := m.known[m.byPeer[addr]]; e != nil && e.State != MemberDead {
+			continue
+		}
+		out = append(out, m.packet(addr, Probe{Kind: ProbePing, Seq: m.nextSeq()}))
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/http1/conn.go
@@ -0,0 +1,52 @@
+package http1
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Dial connects to an address. A peer that acknowledges nothing for unacked
+// ends the connection: without that, one that has lost power holds a sender for
+// minutes.
+func Dial(addr string, timeout, unacked time.Duration) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:   timeout,
+		KeepAlive: -1,
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+	return d.Dial("tcp", addr)
+}
+
+// Quiet says whether a connection that rests between two messages is still open
+// and has nothing to be read; it may take a byte out, so one that is not quiet
+// has to be closed.
+func Quiet(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, err := unix.Read(int(fd), b[:])
+		quiet = n < 0 && err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -115,3 +115,40 @@
 	}
 	return errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout)
 }
+
+// CallWith is Call with further headers, for calls whose answer has no body of
+// interest.
+func (c *Client) CallWith(ctx context.Context, method, path string, in any, header map[string]string) error {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.Prepare(req, method, path, in); err != nil {
+		return err
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	return c.Do(ctx, req, resp)
+}
+
+// CallInto is Call without a body but with further headers.
+func (c *Client) CallInto(ctx context.Context, method, path string, header map[string]string, out any) error {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.Prepare(req, method, path, nil); err != nil {
+		return err
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	if err := c.Do(ctx, req, resp); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return &CallError{Path: path, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/rollout/lease.go
@@ -0,0 +1,167 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// Store is where the lease is kept.
+type Store interface {
+	List(ctx context.Context, t site.Table) (site.Listing, error)
+	Put(ctx context.Context, t site.Table, key string, value []byte, expected int64) (site.Listing, error)
+}
+
+const (
+	leaseKey = "weights"
+	// leaseTerm is for how long one renewal holds. It is short, as whoever takes
+	// over from a lost holder waits for its end.
+	leaseTerm = 2 * time.Second
+	// renewAfter leaves a second for a slow store.
+	renewAfter = leaseTerm / 2
+	// turnSlack is added to the pause between two holders for the way of an
+	// order.
+	turnSlack = 300 * time.Millisecond
+)
+
+// Lease says whether this node may give orders.
+//
+// The store tells a steady clock with each answer. A holder writes until when, on
+// that clock, it may give orders, and counts its own validity on its own steady
+// clock from before the write was sent; so it ends by its own count first. A
+// taker waits until the store's clock is past that end and a pause more.
+type Lease struct {
+	node  string
+	pause time.Duration
+	store Store
+	log   *slog.Logger
+	now   func() time.Time
+
+	mu      sync.Mutex
+	row     leaseRow
+	version int64
+	until   time.Time // Of this node's validity.
+	sent    time.Time // When the last renewal was sent.
+	clock   time.Duration
+	clockAt time.Time // When, at the latest, the store's clock was that.
+}
+
+type leaseRow struct {
+	Holder string        `json:"holder"`
+	Fence  int64         `json:"fence"`
+	Until  time.Duration `json:"until_ns"` // On the store's clock.
+}
+
+// NewLease returns a lease that is not held; pause is the least time between the
+// orders of two holders.
+func NewLease(node string, pause time.Duration, s Store, log *slog.Logger) *Lease {
+	return &Lease{node: node, pause: pause, store: s, log: log, now: time.Now}
+}
+
+// Held says whether an order may be given now; it is asked just before each.
+func (l *Lease) Held() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now().Before(l.until)
+}
+
+// Fence is the number under which orders are given; it rises with each holder.
+func (l *Lease) Fence() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.row.Fence
+}
+
+// Keep takes the lease if it is free, or renews it when that is due, and says
+// whether it is held.
+func (l *Lease) Keep(ctx context.Context) bool {
+	l.mu.Lock()
+	held := l.now().Before(l.until)
+	due := !held || l.now().Sub(l.sent) >= renewAfter
+	l.mu.Unlock()
+	if !due {
+		return true
+	}
+	if !held && !l.read(ctx) {
+		return false
+	}
+	return l.write(ctx, leaseTerm) || l.Held()
+}
+
+// Release gives the lease up, so that another need not wait for its end.
+func (l *Lease) Release(ctx context.Context) {
+	if !l.Held() {
+		return
+	}
+	l.mu.Lock()
+	l.until = time.Time{}
+	l.mu.Unlock()
+	l.write(ctx, 0)
+}
+
+// read looks at the row and says whether it may be taken.
+func (l *Lease) read(ctx context.Context) bool {
+	asked := l.now()
+	listing, err := l.store.List(ctx, site.TableLeases)
+	if err != nil {
+		l.log.Warn("lease not read", "err", err)
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.row, l.version = leaseRow{}, 0
+	for _, r := range listing.Rows {
+		if r.Key != leaseKey || r.Gone {
+			continue
+		}
+		if err := json.Unmarshal(r.Value, &l.row); err != nil {
+			l.log.Error("lease row can't be read", "err", err)
+			return false
+		}
+		l.version = r.Version
+	}
+	l.clock, l.clockAt = listing.Now, asked
+	free := l.row.Holder == "" || l.row.Holder == l.node
+	return free || listing.Now >= l.row.Until+l.pause+turnSlack
+}
+
+// write holds the lease for a term from now, or ends it with a term of 0.
+func (l *Lease) write(ctx context.Context, term time.Duration) bool {
+	l.mu.Lock()
+	sent := l.now()
+	next := l.row
+	if next.Holder != l.node {
+		next.Holder = l.node
+		next.Fence++
+	}
+	next.Until = l.clock + sent.Sub(l.clockAt) + term
+	base := l.version
+	l.mu.Unlock()
+	body, err := json.Marshal(next)
+	if err != nil {
+		return false
+	}
+	listing, err := l.store.Put(ctx, site.TableLeases, leaseKey, body, base)
+	if err != nil {
+		if !errors.Is(err, site.ErrConflict) {
+			l.log.Warn("lease not written", "err", err)
+		}
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if next.Fence != l.row.Fence {
+		l.log.Info("lease taken", "lease", leaseKey, "fence", next.Fence, "version", listing.Version)
+	}
+	l.row, l.version = next, listing.Version
+	l.sent = sent
+	if term > 0 {
+		l.until = sent.Add(term)
+	}
+	return term > 0
+}
--- /dev/null
+++ b/pkg/route/case.go
@@ -0,0 +1,87 @@
+package route
+
+import "time"
+
+// Case is one of this node's own requests in flight at a replica.
+type Case struct {
+	pool     *Pool
+	member   *member
+	tokens   int
+	read     int // Tokens expected to be read, with those before it.
+	begun    time.Time
+	expected time.Duration
+	first    bool
+	ended    bool
+}
+
+// Begin records that a request is sent to a chosen replica.
+func (p *Pool) Begin(c Choice, n *Need, now time.Time) *Case {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, ok := p.replicas[c.ID]
+	if !ok {
+		// It has just left; the request goes there all the same.
+		m = &member{Upstream: c.Upstream, cases: map[*Case]struct{}{}, late: 1}
+	}
+	k := &Case{
+		pool:     p,
+		member:   m,
+		tokens:   n.Tokens,
+		read:     n.Tokens + m.pending + m.others.Tokens,
+		begun:    now,
+		expected: c.Expected,
+	}
+	m.cases[k] = struct{}{}
+	m.pending += n.Tokens
+	return k
+}
+
+// First records that the first byte of the answer has come.
+func (k *Case) First(now time.Time) {
+	k.pool.mu.Lock()
+	defer k.pool.mu.Unlock()
+	k.noteFirst(now)
+}
+
+func (k *Case) noteFirst(now time.Time) {
+	if k.first {
+		return
+	}
+	k.first = true
+	k.member.pending -= k.tokens
+	took := now.Sub(k.begun)
+	ratio := max(took, leastExpected).Seconds() / max(k.expected, leastExpected).Seconds()
+	k.member.late = k.member.lateness(now)
+	k.member.late += lateShare * (min(ratio, mostLateness) - k.member.late)
+	k.member.lateAt = now
+	if k.tokens >= minSample {
+		k.pool.perToken += learnShare * (took.Seconds()/float64(k.read) - k.pool.perToken)
+	}
+}
+
+// minSample is the least prompt from which the time to read a token is learnt.
+const minSample = 512
+
+// End records how the request ended; later calls do nothing.
+func (k *Case) End(o Outcome, now time.Time) {
+	p := k.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k.ended {
+		return
+	}
+	k.ended = true
+	m := k.member
+	delete(m.cases, k)
+	switch {
+	case k.first:
+	case o == OutcomeOK:
+		k.noteFirst(now)
+	default:
+		m.pending -= k.tokens
+	}
+	if o == OutcomeOK && k.tokens == 0 {
+		p.meanRun += time.Duration(learnShare * float64(now.Sub(k.begun)-p.meanRun))
+	}
+	p.note(m, o, now)
+}
--- /dev/null
+++ b/pkg/route/kept.go
@@ -0,0 +1,296 @@
+package route
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// Kept is this node's view of what the stores of kept KV cache hold, and decides
+// where parts of prompts are taken from and where they are saved.
+//
+// A part counts as kept only when the store itself has told that it is whole: a
+// part that is still being written must not be read. The events of a store may
+// get lost; a part that is not known is read again and saved again, which costs
+// time only.
+type Kept struct {
+	mu     sync.Mutex
+	hall   string
+	links  *Links
+	stores map[string]*keptStore
+	names  []string
+}
+
+type keptStore struct {
+	site.Store
+	boot int64
+	// heard says that the store's events are being followed.
+	heard bool
+	// settled is from when on parts may be saved: after a restart every node
+	// must have noticed it, or one could read as whole what is being written
+	// anew.
+	settled time.Time
+	parts   map[partKey]int // To tokens.
+	used    int             // Tokens of parts that are whole.
+	saving  map[partKey]saving
+}
+
+type partKey struct{ realm, part string }
+
+// saving is a save that this node has asked for and that is not known to be done.
+type saving struct {
+	tokens int
+	until  time.Time
+}
+
+const (
+	// saveTerm is after how long a save that was not told of counts as lost.
+	saveTerm = 4 * time.Second
+	// restartTerm is for how long nothing is saved at a store that has
+	// restarted: longer than any node takes to notice.
+	restartTerm = 3 * time.Second
+	// roomShare is the part of a store that is filled; the rest is for saves of
+	// other nodes that are not known yet.
+	roomShare = 0.97
+	// crossHall is how much longer moves take between data halls.
+	crossHall = 2.0
+	// longestFetch is the longest expected fetch that is worth it: the prompt
+	// is read otherwise.
+	longestFetch = 400 * time.Millisecond
+)
+
+// NewKept returns a view in which no store has anything.
+func NewKept(hall string, links *Links) *Kept {
+	return &Kept{hall: hall, links: links, stores: map[string]*keptStore{}}
+}
+
+// Configure sets which stores there are.
+func (k *Kept) Configure(stores []*site.Service, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	old := k.stores
+	k.stores = make(map[string]*keptStore, len(stores))
+	k.names = k.names[:0]
+	for _, v := range stores {
+		s, ok := old[v.Name]
+		if !ok || s.Addr != v.Store.Addr {
+			s = &keptStore{parts: map[partKey]int{}, saving: map[partKey]saving{}}
+		}
+		s.Store = *v.Store
+		k.stores[v.Name] = s
+		k.names = append(k.names, v.Name)
+		k.links.Report(v.Name, v.Store.LinkRate, 0, now)
+	}
+}
+
+// Apply takes in changes that a store has told of.
+func (k *Kept) Apply(name string, c site.CacheChanges, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, ok := k.stores[name]
+	if !ok {
+		return
+	}
+	if s.boot != c.Boot {
+		if s.boot != 0 {
+			s.settled = now.Add(restartTerm)
+		}
+		s.boot = c.Boot
+		s.empty()
+	}
+	s.heard = true
+	for _, v := range c.Changes {
+		key := partKey{v.Realm, v.Part}
+		s.used += v.Tokens - s.parts[key]
+		if v.Tokens > 0 {
+			s.parts[key] = v.Tokens
+			delete(s.saving, key)
+		} else {
+			delete(s.parts, key)
+		}
+	}
+}
+
+// Silent records that a store's events can't be followed: nothing is read from
+// it or saved there until they can be again.
+func (k *Kept) Silent(name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s, ok := k.stores[name]; ok {
+		s.heard = false
+	}
+}
+
+func (s *keptStore) empty() {
+	clear(s.parts)
+	clear(s.saving)
+	s.used = 0
+}
+
+// Plan is where the parts of a prompt come from and where they go.
+type Plan struct {
+	Sources []netip.AddrPort
+	Saves   []netip.AddrPort
+	// Fetched and Saved are the tokens that move.
+	Fetched int
+	Saved   int
+	// Time is how long the fetch should take.
+	Time     time.Duration
+	bookings []*Booking
+}
+
+// Done ends the plan's hold on links.
+func (p *Plan) Done(now time.Time) {
+	for _, b := range p.bookings {
+		// How long the move took can't be told from the reading behind it.
+		b.End(0, now)
+	}
+	p.bookings = nil
+}
+
+// Plan decides for the shared parts of a prompt that runs at a replica. perToken is the time to read a
+// token; with save, parts that no store has are saved.
+func (k *Kept) Plan(realm, replica string, shared []site.Part, e *site.Engine, perToken float64, save bool, now time.Time) Plan {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var p Plan
+	k.links.Report(replica, e.LinkRate, 0, now)
+	p.Sources = make([]netip.AddrPort, len(shared)+1)
+	p.Saves = make([]netip.AddrPort, len(shared)+1)
+	for i, part := range shared {
+		key := partKey{realm, part.ID}
+		bytes := int64(part.Tokens) * int64(e.TokenBytes)
+		name, wait, kept := k.source(key, replica, part.Tokens, bytes, now)
+		switch {
+		case kept && wait < min(longestFetch, seconds(perToken*float64(part.Tokens))+fetchGrace):
+			p.Sources[i] = k.stores[name].Addr
+			p.Fetched += part.Tokens
+			p.Time += wait
+			p.bookings = append(p.bookings, k.links.Book(name, replica, bytes, now))
+		case kept || !save:
+		default:
+			if name := k.room(key, part.Tokens, now); name != "" {
+				s := k.stores[name]
+				p.Saves[i] = s.Addr
+				p.Saved += part.Tokens
+				s.saving[key] = saving{tokens: part.Tokens, until: now.Add(saveTerm)}
+			}
+		}
+	}
+	return p
+}
+
+// fetchGrace is how much longer than reading a fetch may take: it leaves the
+// replica free for others.
+const fetchGrace = 30 * time.Millisecond
+
+// source finds the store from which a part comes soonest.
+func (k *Kept) source(key partKey, replica string, tokens int, bytes int64, now time.Time) (name string, wait time.Duration, kept bool) {
+	for _, candidate := range k.names {
+		s := k.stores[candidate]
+		if !s.heard || s.parts[key] < tokens || tokens == 0 {
+			continue
+		}
+		w := k.links.Estimate(candidate, replica, bytes, now) + s.Latency
+		if s.DataHall != k.hall {
+			w = time.Duration(float64(w) * crossHall)
+		}
+		if !kept || w < wait {
+			name, wait, kept = candidate, w, true
+		}
+	}
+	return name, wait, kept
+}
+
+// room picks the store to save a part at, "" for none: the one with the largest
+// share of its room free, so that they fill evenly, and none if a save of the
+// same part is under way.
+func (k *Kept) room(key partKey, tokens int, now time.Time) string {
+	best, free := "", 0.0
+	for _, name := range k.names {
+		s := k.stores[name]
+		if v, ok := s.saving[key]; ok && now.Before(v.until) {
+			return ""
+		}
+		if !s.heard || now.Before(s.settled) || s.boot == 0 {
+			continue
+		}
+		left := roomShare*float64(s.Capacity) - float64(s.used+s.pending(now)+tokens)
+		if share := left / float64(max(1, s.Capacity)); left > 0 && share > free {
+			best, free = name, share
+		}
+	}
+	return best
+}
+
+// pending is the room that saves under way will take.
+func (s *keptStore) pending(now time.Time) int {
+	n := 0
+	for key, v := range s.saving {
+		if now.After(v.until) {
+			delete(s.saving, key)
+			continue
+		}
+		n += v.tokens
+	}
+	return n
+}
+
+// Surplus lists up to most parts of a store for which drop says that they will
+// not be used again, with the start of the store that they belong to.
+func (k *Kept) Surplus(name string, most int, drop func(realm string) bool) (list []site.Freed, boot int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, ok := k.stores[name]
+	if !ok || !s.heard {
+		return nil, 0
+	}
+	judged := map[string]bool{}
+	for key := range s.parts {
+		useless, known := judged[key.realm]
+		if !known {
+			useless = drop(key.realm)
+			judged[key.realm] = useless
+		}
+		if useless {
+			list = append(list, site.Freed{Realm: key.realm, Part: key.part})
+		}
+		if len(list) == most {
+			break
+		}
+	}
+	return list, s.boot
+}
+
+// StoreStatus is what a dump shows of one store.
+type StoreStatus struct {
+	Name     string `json:"name"`
+	Heard    bool   `json:"heard"`
+	Boot     int64  `json:"boot"`
+	Parts    int    `json:"parts"`
+	Used     int    `json:"used_tokens"`
+	Capacity int    `json:"capacity_tokens"`
+	Saving   int    `json:"saving"`
+}
+
+// Status lists all stores, by name.
+func (k *Kept) Status() []StoreStatus {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := make([]StoreStatus, 0, len(k.names))
+	for _, name := range k.names {
+		s := k.stores[name]
+		list = append(list, StoreStatus{
+			Name:     name,
+			Heard:    s.heard,
+			Boot:     s.boot,
+			Parts:    len(s.parts),
+			Used:     s.used,
+			Capacity: s.Capacity,
+			Saving:   len(s.saving),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/route/pool.go
@@ -0,0 +1,309 @@
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// Pool is this node's view of one service's replicas, and picks where requests
+// run.
+//
+// A pick weighs, for each replica, the work that is known to wait there (this
+// node's own requests, and what other nodes tell of theirs), the tokens that it
+// would have to read, how late it has been lately, and the way. All of it is in
+// time, so the parts need no weights against each other.
+type Pool struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	hall     string // Of this node.
+	replicas map[string]*member
+	list     []*member
+	// perToken is the learnt time to read one token, in seconds.
+	perToken float64
+	meanRun  time.Duration // Of requests without a prompt.
+	failing  float64       // Mean share of failures over all replicas.
+}
+
+// member is one replica of a pool.
+type member struct {
+	site.Upstream
+	hash    uint64
+	cases   map[*Case]struct{} // Own requests in flight.
+	pending int                // Tokens of those without a first answer byte.
+	others  PeerLoad           // In flight at other nodes.
+	late    float64            // Mean of the time taken over the time expected.
+	lateAt  time.Time
+	failing float64 // Mean share of failures.
+	outcome outlier
+	avoid   time.Time // Until when it is passed over if others can take over.
+	cold    time.Time // Slow until.
+}
+
+// PeerLoad is what other nodes have in flight at a replica.
+type PeerLoad struct {
+	Requests int
+	Tokens   int // To be read.
+}
+
+const (
+	// startPerToken is the time to read a token that is assumed before any was
+	// measured: some 20,000 tokens a second.
+	startPerToken = 50e-6
+	// startRun is how long a request without a prompt is assumed to take.
+	startRun = 50 * time.Millisecond
+	// learnShare is the weight of the newest sample in learnt means.
+	learnShare = 0.05
+	// lateShare is the weight of the newest sample in a replica's lateness.
+	lateShare = 0.2
+	// lateMemory is how fast an unused replica's lateness is forgotten.
+	lateMemory = 5 * time.Second
+	// leastExpected keeps short requests from looking late for the time that
+	// any takes.
+	leastExpected = 20 * time.Millisecond
+	mostLateness  = 20.0
+	// hallTime is the price of another data hall: the way there and back, and
+	// what the bytes between halls cost, in the time that is worth the same.
+	hallTime = 4 * time.Millisecond
+	// oldWeightsTime is the price of weights that are to be replaced.
+	oldWeightsTime = 150 * time.Millisecond
+	// coldTime is the price of a replica that is slow from its start.
+	coldTime = 100 * time.Millisecond
+	// runTime is the price of each request that runs at a replica: the others'
+	// tokens come more slowly for it.
+	runTime = 500 * time.Microsecond
+	// homeShare is the share of a prompt's shared tokens that its home replica
+	// is assumed to still have.
+	homeShare = 0.35
+)
+
+// NewPool returns a pool without replicas for a node in the given data hall.
+func NewPool(hall string, rng *rand.Rand) *Pool {
+	return &Pool{hall: hall, rng: rng, replicas: map[string]*member{}, perToken: startPerToken, meanRun: startRun}
+}
+
+// Configure sets which replicas there are; what is known of those that stay is
+// kept.
+func (p *Pool) Configure(list []site.Upstream, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.replicas
+	p.replicas = make(map[string]*member, len(list))
+	p.list = p.list[:0]
+	for _, u := range list {
+		m, ok := old[u.ID]
+		if !ok {
+			m = &member{hash: hashOf(u.ID), cases: map[*Case]struct{}{}, late: 1}
+		}
+		weights := m.Weights
+		m.Upstream = u
+		// What answers have told is newer than the list.
+		for model, v := range weights {
+			if v > u.Weights[model] {
+				m.setWeights(model, v)
+			}
+		}
+		if u.Cold > 0 {
+			m.cold = now.Add(u.Cold)
+		}
+		p.replicas[u.ID] = m
+		p.list = append(p.list, m)
+	}
+	slices.SortFunc(p.list, func(a, b *member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+}
+
+// setWeights notes a version; the map is replaced, as the old one is shared.
+func (m *member) setWeights(model string, v int64) {
+	next := make(map[string]int64, len(m.Weights)+1)
+	for k, old := range m.Weights {
+		next[k] = old
+	}
+	next[model] = v
+	m.Weights = next
+}
+
+// SetPeers sets what other nodes have in flight, by replica.
+func (p *Pool) SetPeers(loads map[string]PeerLoad) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.list {
+		m.others = loads[m.ID]
+	}
+}
+
+// Avoid has a replica passed over for a while where others can take over.
+func (p *Pool) Avoid(id string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m, ok := p.replicas[id]; ok && until.After(m.avoid) {
+		m.avoid = until
+	}
+}
+
+// Serves notes the version of a model's weights that a replica has, as it was
+// just seen.
+func (p *Pool) Serves(id, model string, version int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, ok := p.replicas[id]
+	if ok && version > 0 && m.Weights[model] != version {
+		m.setWeights(model, version)
+		m.avoid = time.Time{}
+	}
+}
+
+// Loads lists what this node has in flight, by replica.
+func (p *Pool) Loads() map[string]PeerLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	loads := map[string]PeerLoad{}
+	for _, m := range p.list {
+		if len(m.cases) > 0 {
+			loads[m.ID] = PeerLoad{Requests: len(m.cases), Tokens: m.pending}
+		}
+	}
+	return loads
+}
+
+// Size is how many replicas there are.
+func (p *Pool) Size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.list)
+}
+
+// Pick chooses a replica; ok is false if none may take the request.
+func (p *Pool) Pick(n *Need, now time.Time) (c Choice, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	home := p.home(n)
+	best := math.Inf(1)
+	var chosen *member
+	for pass := 0; pass < 2 && chosen == nil; pass++ {
+		for _, m := range p.list {
+			if !m.usable(n) || pass == 0 && m.passedOver(now) {
+				continue
+			}
+			cost := p.cost(m, n, m == home, now)
+			if cost < best {
+				best, chosen = cost, m
+			}
+		}
+	}
+	if chosen == nil {
+		return Choice{}, false
+	}
+	return Choice{
+		Upstream: chosen.Upstream,
+		Weights:  chosen.Weights[n.Model],
+		Expected: seconds(p.firstByte(chosen, n, chosen == home, now)),
+	}, true
+}
+
+// usable says whether a replica may take a request at all.
+func (m *member) usable(n *Need) bool {
+	if m.Draining || slices.Contains(n.Exclude, m.ID) {
+		return false
+	}
+	if n.Model == "" || len(m.Weights) == 0 {
+		return true
+	}
+	_, serves := m.Weights[n.Model]
+	return serves
+}
+
+// passedOver says whether a replica is left out as long as others are there.
+func (m *member) passedOver(now time.Time) bool {
+	return now.Before(m.avoid) || m.outcome.ejected(now)
+}
+
+// home is the replica to which a prompt's shared parts belong: all nodes take
+// the same one without a word, so it is the likeliest to have them.
+func (p *Pool) home(n *Need) *member {
+	if n.Affinity == 0 {
+		return nil
+	}
+	var best *member
+	weight := uint64(0)
+	for _, m := range p.list {
+		if m.Draining {
+			continue
+		}
+		if w := mix(n.Affinity, m.hash); best == nil || w > weight {
+			best, weight = m, w
+		}
+	}
+	return best
+}
+
+// cost is the price of a replica in seconds.
+func (p *Pool) cost(m *member, n *Need, home bool, now time.Time) float64 {
+	cost := p.firstByte(m, n, home, now)
+	if m.DataHall != p.hall {
+		cost += hallTime.Seconds()
+	}
+	if n.Newest > 0 && m.Weights[n.Model] < n.Newest {
+		cost += oldWeightsTime.Seconds() * n.Urgency
+	}
+	if now.Before(m.cold) {
+		cost += coldTime.Seconds()
+	}
+	// Ties are broken at random, so that nodes don't all choose the same.
+	return cost + p.rng.Float64()*tieTime.Seconds()
+}
+
+// tieTime is the difference below which replicas count as equal.
+const tieTime = time.Millisecond
+
+// firstByte is the expected time to the first byte of the answer, in seconds.
+func (p *Pool) firstByte(m *member, n *Need, home bool, now time.Time) float64 {
+	running := len(m.cases) + m.others.Requests
+	if n.Tokens == 0 {
+		wait := 0.0
+		if over := running + 1 - max(1, m.Slots); over > 0 {
+			wait = float64(over) * p.meanRun.Seconds() / float64(max(1, m.Slots))
+		}
+		// Replicas with some to do come after idle ones.
+		wait += p.meanRun.Seconds() * float64(running) / float64(4*max(1, m.Slots))
+		return (wait + p.meanRun.Seconds()) * m.lateness(now)
+	}
+	read := float64(n.Tokens)
+	if home {
+		read -= homeShare * float64(n.Shared)
+	}
+	waiting := float64(m.pending + m.others.Tokens)
+	return ((waiting+read)*p.perToken + float64(running)*runTime.Seconds()) * m.lateness(now)
+}
+
+// lateness is how much longer than expected the replica's answers take.
+func (m *member) lateness(now time.Time) float64 {
+	fade := math.Exp(-max(0, now.Sub(m.lateAt).Seconds()/lateMemory.Seconds()))
+	return 1 + (m.late-1)*fade
+}
+
+// PerToken is the learnt time to read one token, in seconds.
+func (p *Pool) PerToken() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.perToken
+}
+
+// Upstreams lists the replicas with what was last seen of them.
+func (p *Pool) Upstreams() []site.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]site.Upstream, 0, len(p.list))
+	for _, m := range p.list {
+		list = append(list, m.Upstream)
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/site/answer.go
@@ -0,0 +1,13 @@
+package site
+
+// Answer is what a replica's head says beside the status.
+type Answer struct {
+	// RequestID names the request that is answered.
+	RequestID string
+	// NotRun says that the replica did not run the request and will not.
+	NotRun bool
+	// Weights is the version that the request runs on, 0 if it does not say.
+	Weights int64
+	// Signed says that the answer was made by a replica's own work.
+	Signed bool
+}
--- /dev/null
+++ b/pkg/site/engine_report.go
@@ -0,0 +1,13 @@
+package site
+
+// EngineReport is a replica's own account of its state, some hundred
+// milliseconds old.
+type EngineReport struct {
+	// Busy says that an order is being carried out.
+	Busy bool
+	// Orders counts the orders taken since the replica's start.
+	Orders  int64
+	Weights map[string]int64
+	Queued  int
+	Active  int
+}
--- /dev/null
+++ b/service/gateway/beliefs.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// Beliefs is what this node holds for true of the site: the configuration, the
+// newest weights, and which upstreams there are. None of it ever goes back to
+// something older.
+type Beliefs struct {
+	codec      Codec
+	hall       string
+	returnTime time.Duration
+	kept       *route.Kept
+	log        *slog.Logger
+
+	snapshot atomic.Pointer[site.Snapshot]
+
+	mu        sync.Mutex
+	weights   map[string]newest
+	upstreams map[string]*upstreamEntry
+	pools     map[string]*route.Pool
+	// away is when the store's list was last not to be had.
+	away time.Time
+}
+
+// newest is the newest version of a model's weights.
+type newest struct {
+	version int64
+	since   time.Time // When this node heard of it.
+}
+
+type upstreamEntry struct {
+	site.Upstream
+	// gone is when the store dropped the entry, zero if it has it.
+	gone time.Time
+}
+
+// NewBeliefs returns beliefs of which none is held yet.
+func NewBeliefs(c Codec, hall string, returnTime time.Duration, k *route.Kept, log *slog.Logger) *Beliefs {
+	return &Beliefs{
+		codec:      c,
+		hall:       hall,
+		returnTime: returnTime,
+		kept:       k,
+		log:        log,
+		weights:    map[string]newest{},
+		upstreams:  map[string]*upstreamEntry{},
+		pools:      map[string]*route.Pool{},
+	}
+}
+
+// Snapshot is the configuration in force, nil if none is known yet.
+func (b *Beliefs) Snapshot() *site.Snapshot { return b.snapshot.Load() }
+
+// ApplyOperator takes in rows of the operator's table.
+func (b *Beliefs) ApplyOperator(rows []site.Row, now time.Time) {
+	for _, r := range rows {
+		if err := b.applyOperator(r, now); err != nil {
+			b.log.Error("configuration not usable, the last one stays", "row", r.Key, "version", r.Version, "err", err)
+		}
+	}
+}
+
+func (b *Beliefs) applyOperator(r site.Row, now time.Time) error {
+	s, err := b.codec.Configuration(r)
+	if err != nil {
+		return err
+	}
+	if s != nil {
+		b.configure(s, now)
+		return nil
+	}
+	model, version, ok, err := b.codec.Weights(r)
+	if err != nil || !ok {
+		return err
+	}
+	b.HearWeights(model, version, now)
+	return nil
+}
+
+// configure puts a configuration in force unless a newer one is.
+func (b *Beliefs) configure(s *site.Snapshot, now time.Time) {
+	for {
+		old := b.snapshot.Load()
+		if old != nil && old.Version >= s.Version {
+			return
+		}
+		if b.snapshot.CompareAndSwap(old, s) {
+			break
+		}
+	}
+	b.kept.Configure(s.Stores(), now)
+	b.log.Info("configuration in force", "version", s.Version, "routes", len(s.Routes()))
+}
+
+// HearWeights takes in that a model has weights of a version.
+func (b *Beliefs) HearWeights(model string, version int64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if version <= b.weights[model].version {
+		return
+	}
+	b.weights[model] = newest{version: version, since: now}
+	b.log.Info("weights named", "model", model, "version", version)
+}
+
+// Weights is the newest version of a model's weights, and since when it is known.
+func (b *Beliefs) Weights(model string) (version int64, since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.weights[model]
+	return n.version, n.since
+}
+
+// NewestWeights lists the newest versions of all models.
+func (b *Beliefs) NewestWeights() map[string]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make(map[string]int64, len(b.weights))
+	for model, n := range b.weights {
+		list[model] = n.version
+	}
+	return list
+}
+
+// StoreAway records that the list of upstreams can't be had.
+func (b *Beliefs) StoreAway(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.away = now
+}
+
+// awayTerm is how long after an absence of the store an entry that is dropped
+// may be one that lapsed meanwhile.
+const awayTerm = 4 * time.Second
+
+// ApplyUpstreams takes in rows of the list of upstreams; with whole they are all
+// that there are.
+func (b *Beliefs) ApplyUpstreams(rows []site.Row, whole bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	seen := map[string]bool{}
+	for _, r := range rows {
+		seen[r.Key] = true
+		if r.Gone {
+			b.drop(r.Key, now)
+			continue
+		}
+		u, err := b.codec.Upstream(r)
+		if err != nil {
+			b.log.Error("upstream not usable, left out", "row", r.Key, "err", err)
+			continue
+		}
+		b.take(u)
+	}
+	if whole {
+		for id := range b.upstreams {
+			if !seen[id] {
+				b.drop(id, now)
+			}
+		}
+	}
+	b.rebuild(now)
+}
+
+func (b *Beliefs) take(u site.Upstream) {
+	old, known := b.upstreams[u.ID]
+	if !known || old.Draining != u.Draining {
+		b.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "addr", u.Addr, "draining", u.Draining)
+	}
+	b.upstreams[u.ID] = &upstreamEntry{Upstream: u}
+}
+
+// drop takes an upstream out, at once unless the store was away: an entry may
+// then have run out for want of a heartbeat, and is given time to come back.
+func (b *Beliefs) drop(id string, now time.Time) {
+	e, known := b.upstreams[id]
+	if !known || !e.gone.IsZero() {
+		return
+	}
+	if now.Sub(b.away) < awayTerm && !b.away.IsZero() && !e.Draining {
+		e.gone = now
+		return
+	}
+	delete(b.upstreams, id)
+	b.log.Info("upstream dropped", "upstream", id, "service", e.Service)
+}
+
+// Expire drops upstreams whose entries have not come back; the timer service
+// calls it.
+func (b *Beliefs) Expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := false
+	for id, e := range b.upstreams {
+		if !e.gone.IsZero() && now.Sub(e.gone) >= b.returnTime {
+			delete(b.upstreams, id)
+			changed = true
+			b.log.Info("upstream dropped", "upstream", id, "service", e.Service, "missing", now.Sub(e.gone))
+		}
+	}
+	if changed {
+		b.rebuild(now)
+	}
+}
+
+func (b *Beliefs) rebuild(now time.Time) {
+	lists := map[string][]site.Upstream{}
+	for _, e := range b.upstreams {
+		lists[e.Service] = append(lists[e.Service], e.Upstream)
+	}
+	for service := range lists {
+		if b.pools[service] == nil {
+			b.pools[service] = route.NewPool(b.hall, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		}
+	}
+	for service, p := range b.pools {
+		p.Configure(lists[service], now)
+	}
+}
+
+// Pool returns the replicas of a service, nil if it never had any.
+func (b *Beliefs) Pool(service string) *route.Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pools[service]
+}
+
+// Pools lists all pools by service.
+func (b *Beliefs) Pools() map[string]*route.Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make(map[string]*route.Pool, len(b.pools))
+	for service, p := range b.pools {
+		list[service] = p
+	}
+	return list
+}
+
+// Upstreams is how many upstreams are known.
+func (b *Beliefs) Upstreams() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.upstreams)
+}
--- /dev/null
+++ b/service/gateway/client_conn.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/http1"
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// clientConn is one connection of a client. It carries one request at a time.
+//
+//	state     entered by            left by
+//	resting   accept, an answer     the first byte, a close, the idle limit, a stop
+//	heading   the first byte        the whole head, a fault, the limit of the head
+//	bodying   the head              the whole body, a fault, the request's limit
+//	serving   the body              the answer, the client's leaving
+//
+// While a request is served, another goroutine waits for the next byte, so that
+// a client that leaves is noticed at once.
+type clientConn struct {
+	g       *Gateway
+	conn    net.Conn
+	r       *bufio.Reader
+	resting atomic.Bool
+	// next tells when the first byte of the next request has come.
+	next chan error
+}
+
+const (
+	clientBuffer = 4 << 10
+	// writeSlack is how long after a request's limit its answer may be written.
+	writeSlack = 2 * time.Second
+	// lingerTime is for how long a client that is refused is read on, so that it
+	// sees the answer and not a reset.
+	lingerTime = 500 * time.Millisecond
+	// bodyTime bounds a body whose head tells no limit.
+	bodyTime = 10 * time.Second
+)
+
+func newClientConn(g *Gateway, conn net.Conn) *clientConn {
+	return &clientConn{g: g, conn: conn, r: bufio.NewReaderSize(conn, clientBuffer), next: make(chan error, 1)}
+}
+
+// serve carries requests until the connection ends.
+func (c *clientConn) serve() {
+	defer c.close()
+	c.await(nil)
+	for c.rest() {
+		if !c.one() {
+			return
+		}
+	}
+}
+
+// await waits for the next byte beside whatever else is done; left is called if
+// the client leaves instead.
+func (c *clientConn) await(left context.CancelCauseFunc) {
+	go func() {
+		_, err := c.r.Peek(1)
+		if err != nil && left != nil {
+			left(errClientLeft)
+		}
+		c.next <- err
+	}()
+}
+
+// rest waits for the next request and says whether there is one.
+func (c *clientConn) rest() bool {
+	c.resting.Store(true)
+	defer c.resting.Store(false)
+	c.setReadLimit(c.g.limits().IdleTimeout)
+	if c.g.stopping() && !c.g.serving() {
+		c.hurry()
+	}
+	return <-c.next == nil
+}
+
+// hurry ends a rest; a request that is on its way is still read.
+func (c *clientConn) hurry() { _ = c.conn.SetReadDeadline(time.Now()) } // A closed one has ended its rest.
+
+func (c *clientConn) setReadLimit(d time.Duration) {
+	_ = c.conn.SetReadDeadline(time.Now().Add(d)) // The next read tells.
+}
+
+// one serves one request and says whether another may follow.
+func (c *clientConn) one() bool {
+	limits := c.g.limits()
+	c.setReadLimit(limits.HeadTimeout)
+	head, err := http1.ReadRequest(c.r, limits.HeadBytes)
+	if err != nil {
+		c.refuseRead(err)
+		return false
+	}
+	came := time.Now()
+	terms, termsErr := c.g.codec.Terms(head)
+	body, err := c.readBody(head, &terms, limits, came)
+	if err != nil {
+		c.refuseRead(err)
+		return false
+	}
+	_ = c.conn.SetReadDeadline(time.Time{}) // The next read tells.
+	last := head.Close()
+	w := &clientWriter{
+		conn:     c.conn,
+		headless: head.Method == http.MethodHead,
+		old:      head.Minor == 0,
+		closing:  func() bool { return last || c.g.stopping() },
+	}
+	x := &exchange{g: c.g, out: w, head: head, body: body, terms: terms, came: came}
+	_ = c.conn.SetWriteDeadline(came.Add(c.g.holdMost(&terms) + writeSlack)) // The next write tells.
+	c.g.inFlight.Add(1)
+	defer c.g.inFlight.Add(-1)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	c.await(cancel)
+	if termsErr != nil {
+		x.limit = came
+		x.refuse(refuse(http.StatusBadRequest, reasonBadRequest))
+	} else {
+		x.serve(ctx)
+	}
+	return w.ended && !w.last()
+}
+
+// readBody reads a request's body within the time that the request has.
+func (c *clientConn) readBody(h *http1.Head, t *site.Terms, l site.Limits, came time.Time) ([]byte, error) {
+	b, err := http1.RequestBody(h, c.r)
+	if err != nil || b.Done() {
+		return nil, err
+	}
+	if strings.EqualFold(h.Get("Expect"), "100-continue") {
+		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return nil, err
+		}
+	}
+	within := bodyTime
+	if t.Patience > 0 {
+		within = t.Patience
+	}
+	_ = c.conn.SetReadDeadline(came.Add(within)) // The next read tells.
+	return http1.ReadAll(b, l.BodyBytes)
+}
+
+// refuseRead answers what could not be read as a request; a connection that has
+// broken is only closed.
+func (c *clientConn) refuseRead(err error) {
+	f := refusal{}
+	switch {
+	case errors.Is(err, http1.ErrMalformed):
+		f = refuse(http.StatusBadRequest, reasonBadRequest)
+	case errors.Is(err, http1.ErrHeadTooLarge):
+		f = refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeadTooLarge)
+	case errors.Is(err, http1.ErrBodyTooLarge):
+		f = refuse(http.StatusRequestEntityTooLarge, reasonTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f = refuse(http.StatusRequestTimeout, reasonTooSlow)
+	default:
+		return
+	}
+	c.g.metrics.refusal(f.reason)
+	_ = c.conn.SetWriteDeadline(time.Now().Add(lingerTime)) // The next write tells.
+	if _, err := c.conn.Write(f.message(c.g.codec, "", true)); err != nil {
+		return
+	}
+	c.linger()
+}
+
+// linger reads on for a while after a refusal: closing a connection with unread
+// bytes resets it, and the client would not see the answer.
+func (c *clientConn) linger() {
+	if t, ok := c.conn.(*net.TCPConn); ok {
+		_ = t.CloseWrite() // What is read on is dropped either way.
+	}
+	c.setReadLimit(lingerTime)
+	buf := make([]byte, clientBuffer)
+	for {
+		if _, err := c.conn.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
+func (c *clientConn) close() {
+	_ = c.conn.Close() // There is nothing left to be done with it.
+	c.g.clients.remove(c)
+}
--- /dev/null
+++ b/service/gateway/client_conns.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// clientConns are the open connections of clients.
+type clientConns struct {
+	mu   sync.Mutex
+	open map[*clientConn]struct{}
+	most int
+	wg   sync.WaitGroup
+}
+
+func newClientConns(most int) *clientConns {
+	return &clientConns{open: map[*clientConn]struct{}{}, most: most}
+}
+
+// accept serves connections until the listener is closed.
+func (s *clientConns) accept(g *Gateway, ln net.Listener) (err error) {
+	defer func() { err = eris.Wrap(err, "accept") }()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		c := newClientConn(g, conn)
+		if !s.add(c) {
+			_ = conn.Close() // The client tries elsewhere.
+			continue
+		}
+		go func() {
+			defer s.wg.Done()
+			c.serve()
+		}()
+	}
+}
+
+func (s *clientConns) add(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) >= s.most {
+		return false
+	}
+	s.open[c] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+func (s *clientConns) remove(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// endResting ends all connections that carry no request.
+func (s *clientConns) endResting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if c.resting.Load() {
+			c.hurry()
+		}
+	}
+}
+
+// closeAll closes all connections and waits for their ends.
+func (s *clientConns) closeAll() {
+	s.mu.Lock()
+	for c := range s.open {
+		_ = c.conn.Close() // Its goroutine notices.
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/service/gateway/directory.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+
+	"github.com/fasthttp/router"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+// sideServer answers small questions beside the requests: whether the node is
+// ready, and where callers are to go.
+type sideServer struct {
+	ln   net.Listener
+	http *fasthttp.Server
+	done chan struct{}
+}
+
+func newSideServer(addr string, r *router.Router) (s *sideServer, err error) {
+	defer func() { err = eris.Wrap(err, "side server") }()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &sideServer{
+		ln:   ln,
+		http: &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true, CloseOnShutdown: true},
+		done: make(chan struct{}),
+	}, nil
+}
+
+func (s *sideServer) start(g *Gateway) {
+	go func() {
+		defer close(s.done)
+		if err := s.http.Serve(s.ln); err != nil {
+			g.log.Error("side server ended", "err", err)
+		}
+	}()
+}
+
+// close stops serving; it does not wait for clients that keep a connection.
+func (s *sideServer) close() {
+	_ = s.ln.Close() // Serving ends all the same.
+	<-s.done
+}
+
+// readyRoutes answers the platform's question whether clients may be sent here.
+func (g *Gateway) readyRoutes() *router.Router {
+	r := router.New()
+	r.GET(g.platform.Paths.Ready, func(c *fasthttp.RequestCtx) {
+		if !g.ready() {
+			c.SetStatusCode(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+// directoryRoutes answers callers that ask where to go.
+func (g *Gateway) directoryRoutes() *router.Router {
+	r := router.New()
+	r.GET(g.platform.Paths.Resolve, func(c *fasthttp.RequestCtx) {
+		hall := string(c.QueryArgs().Peek(g.platform.Paths.DataHall))
+		addrs := g.nodes.entries(hall)
+		if len(addrs) == 0 {
+			c.SetStatusCode(http.StatusServiceUnavailable)
+			return
+		}
+		body, err := json.Marshal(g.codec.Addresses(addrs, g.settings.Entry.MaxAge.Std()))
+		if err != nil {
+			c.SetStatusCode(http.StatusInternalServerError)
+			return
+		}
+		c.SetContentType("application/json")
+		c.SetBody(body)
+	})
+	return r
+}
--- /dev/null
+++ b/service/gateway/dispatch.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// fetchTerm is for how long a fetch may take before the replica throws it away
+// and reads the prompt.
+const fetchTerm = 1500 * time.Millisecond
+
+// dispatch makes what a replica is told beside the request, with a plan for the
+// prompt's kept state.
+func (x *exchange) dispatch(c route.Choice, now time.Time) (*site.Dispatch, route.Plan) {
+	d := &site.Dispatch{Instance: c.ID, Left: x.limit.Sub(now), Priority: -1}
+	if x.organisation != nil {
+		d.Organisation = x.organisation.Name
+	}
+	if x.service.Engine == nil {
+		return d, route.Plan{}
+	}
+	d.Priority = x.priority()
+	if x.stream != nil {
+		d.LastEvent = x.stream.lastID
+	}
+	if c.Weights == 0 {
+		// What is kept there is of unknown weights: nothing of it may be used.
+		d.Realm = unknownRealm + x.terms.ID
+		return d, route.Plan{}
+	}
+	d.Weights = c.Weights
+	d.Realm = realmOf(x.need.Model, c.Weights, x.organisation)
+	shared := x.terms.Shared()
+	if !x.service.Engine.PlannedFetch || len(shared) == 0 {
+		return d, route.Plan{}
+	}
+	// While weights are being replaced, what a replica reads may be of either.
+	settled := c.Weights == x.need.Newest || x.need.Newest == 0
+	plan := x.g.kept.Plan(d.Realm, c.ID, shared, x.service.Engine, x.pool.PerToken(), settled, now)
+	d.Sources, d.Saves = plan.Sources, plan.Saves
+	if clock, ok := x.g.clock.read(now); ok && plan.Fetched > 0 {
+		d.FetchBy = clock + fetchTerm
+	}
+	return d, plan
+}
+
+// priority is the organisation's, or else the route's.
+func (x *exchange) priority() int {
+	if x.organisation != nil && x.organisation.HasPriority {
+		return x.organisation.Priority
+	}
+	return x.route.Priority
+}
+
+// unknownRealm begins realms that nobody shares.
+const unknownRealm = "?"
+
+// realmOf names the space of kept state that requests may share: that of one
+// model, one version of its weights and, where an organisation is isolated, of
+// that organisation. It is in the key, so no check can be forgotten.
+func realmOf(model string, version int64, o *site.Organisation) string {
+	r := model + "@" + strconv.FormatInt(version, 10)
+	if o != nil && o.Isolated {
+		r += "/" + o.Name
+	}
+	return r
+}
+
+// weightsOf reads a realm's model and version; ok is false if it is not one of
+// realmOf.
+func weightsOf(realm string) (model string, version int64, ok bool) {
+	model, rest, found := strings.Cut(realm, "@")
+	text, _, _ := strings.Cut(rest, "/")
+	version, err := strconv.ParseInt(text, 10, 64)
+	return model, version, found && err == nil
+}
--- /dev/null
+++ b/service/gateway/exchange.go
@@ -0,0 +1,350 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/drumpath/drumpath/pkg/http1"
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// exchange is one request of a client and its way to an answer.
+type exchange struct {
+	g     *Gateway
+	out   *clientWriter
+	head  *http1.Head
+	body  []byte
+	terms site.Terms
+	came  time.Time
+	limit time.Time // By when the final answer is given.
+
+	route        *site.Route
+	organisation *site.Organisation
+	service      *site.Service
+	pool         *route.Pool
+	need         route.Need
+
+	ran     int // Attempts that may have run.
+	refused int // Attempts that were refused, or could not be sent.
+	// held is a failure that a replica answered, kept while another is tried.
+	held *wholeAnswer
+	// stream is the answer's stream once it has begun.
+	stream *relay
+}
+
+// wholeAnswer is a replica's answer that has been read to its end.
+type wholeAnswer struct {
+	head *http1.Head
+	body []byte
+}
+
+// errClientLeft is the cause of a context whose client has gone.
+var errClientLeft = errors.New("the client has gone")
+
+const (
+	// mostRefusals is how often a request that was not run is offered to
+	// another replica.
+	mostRefusals = 3
+	// timeLeft is the least time for which another replica is worth trying.
+	timeLeft = 20 * time.Millisecond
+	// noReplicaRetry is when to come back when no replica is there.
+	noReplicaRetry = 500 * time.Millisecond
+	// fullRetry is when to come back when those that were asked were full.
+	fullRetry = 150 * time.Millisecond
+	// startRetry is when to come back to a node that has just started.
+	startRetry = 300 * time.Millisecond
+)
+
+// serve answers the request.
+func (x *exchange) serve(ctx context.Context) {
+	if f, ok := x.admit(); !ok {
+		x.refuse(f)
+		return
+	}
+	if budget := x.g.budget(x.service.Name); budget != nil {
+		budget.Request(x.came)
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.limit)
+	defer cancel()
+	for {
+		again, f := x.try(ctx)
+		switch {
+		case again:
+			continue
+		case context.Cause(ctx) == errClientLeft:
+			x.g.metrics.left.Add(1)
+			x.out.fail()
+		case f.status == 0:
+		case x.stream != nil:
+			x.g.log.Info("stream cut", "request", x.terms.ID, "route", x.route.Name, "reason", f.reason)
+			x.out.fail()
+		case x.held != nil:
+			x.writeWhole(x.held)
+		default:
+			x.refuse(f)
+		}
+		return
+	}
+}
+
+// admit finds out how the request is to be served; ok is false if it is refused.
+func (x *exchange) admit() (f refusal, ok bool) {
+	s := x.g.beliefs.Snapshot()
+	if s == nil {
+		return comeBack(reasonNoConfiguration, startRetry), false
+	}
+	if x.route = s.Route(x.head.Get("Host"), x.head.Path()); x.route == nil {
+		return refuse(http.StatusNotFound, reasonNoRoute), false
+	}
+	if s.Keyed {
+		x.organisation = s.Organisation(x.terms.Key)
+		if x.organisation == nil && !x.route.Anonymous {
+			return refuse(http.StatusUnauthorized, reasonUnknownKey), false
+		}
+	}
+	patience := x.route.Timeout
+	if t := x.terms.Patience; t > 0 && (patience == 0 || t < patience) {
+		patience = t
+	}
+	x.limit = x.came.Add(patience)
+	x.service = s.Services[x.route.ServiceAt(xxhash.Sum64String(x.terms.ID))]
+	if x.service == nil {
+		return comeBack(reasonNoReplica, noReplicaRetry), false
+	}
+	if x.pool = x.g.beliefs.Pool(x.service.Name); x.pool == nil {
+		return comeBack(reasonNoReplica, noReplicaRetry), false
+	}
+	x.need = x.needs()
+	return refusal{}, true
+}
+
+// needs works out what the pool has to know.
+func (x *exchange) needs() route.Need {
+	n := route.Need{}
+	if x.service.Engine == nil {
+		return n
+	}
+	n.Model = x.terms.Model
+	n.Tokens = x.terms.PromptTokens()
+	shared := x.terms.Shared()
+	for _, p := range shared {
+		n.Shared += p.Tokens
+	}
+	if len(shared) > 0 {
+		n.Affinity = xxhash.Sum64String(shared[len(shared)-1].ID)
+	}
+	return n
+}
+
+// freshTerm is for how long after new weights were named answers on older ones
+// count in full.
+const freshTerm = time.Second
+
+// refresh notes the newest weights, which may change between attempts.
+func (x *exchange) refresh(now time.Time) {
+	if x.need.Model == "" {
+		return
+	}
+	version, since := x.g.beliefs.Weights(x.need.Model)
+	x.need.Newest = version
+	x.need.Urgency = 0.3
+	if now.Sub(since) > freshTerm {
+		x.need.Urgency = 1
+	}
+}
+
+// try makes one attempt. It says whether another is to be made; otherwise the
+// request was answered, or f is what to answer if its status is set.
+func (x *exchange) try(ctx context.Context) (again bool, f refusal) {
+	now := time.Now()
+	if x.limit.Sub(now) < timeLeft {
+		return false, x.outOfTime()
+	}
+	x.refresh(now)
+	choice, ok := x.pool.Pick(&x.need, now)
+	if !ok {
+		return false, x.noneLeft()
+	}
+	dispatch, plan := x.dispatch(choice, now)
+	kase := x.pool.Begin(choice, &x.need, now)
+	defer func() { plan.Done(time.Now()) }()
+	a, fate, err := x.g.beginAttempt(ctx, x, choice, dispatch)
+	defer a.finish()
+	now = time.Now()
+	switch fate {
+	case fateAnswered:
+		if x.need.Model != "" && a.answer.Weights > 0 {
+			x.pool.Serves(choice.ID, x.need.Model, a.answer.Weights)
+		}
+		return x.take(ctx, a, kase)
+	case fateNotRun:
+		return x.notRun(a, kase, now)
+	case fateUnsent:
+		return x.unsent(ctx, a, kase, err, now)
+	default:
+		return x.unknown(ctx, a, kase, err, now)
+	}
+}
+
+// unsent goes on after a connection that could not be made.
+func (x *exchange) unsent(ctx context.Context, a *attempt, k *route.Case, err error, now time.Time) (bool, refusal) {
+	k.End(route.OutcomeFailed, now)
+	x.pool.Lost(a.choice.ID, now)
+	x.g.conns.lost(a.choice.ID)
+	x.g.log.Warn("replica not reached", "request", x.terms.ID, "replica", a.choice.ID, "addr", a.choice.Addr, "err", err)
+	x.need.Exclude = append(x.need.Exclude, a.choice.ID)
+	x.refused++
+	if x.refused > mostRefusals || ctx.Err() != nil {
+		return false, x.noneLeft()
+	}
+	return true, refusal{}
+}
+
+// notRun goes on after a replica that refused.
+func (x *exchange) notRun(a *attempt, k *route.Case, now time.Time) (bool, refusal) {
+	k.End(route.OutcomeNeutral, now)
+	x.learnRefusal(a, now)
+	x.need.Exclude = append(x.need.Exclude, a.choice.ID)
+	x.refused++
+	x.g.metrics.notRun.Add(1)
+	if x.refused > mostRefusals || !x.mayRetry(now) {
+		return false, x.noneLeft()
+	}
+	return true, refusal{}
+}
+
+const (
+	// fullTerm is for how long a replica that was full is passed over.
+	fullTerm = 60 * time.Millisecond
+	// otherTerm is for how long one is that is not what it was taken for.
+	otherTerm = 400 * time.Millisecond
+)
+
+// learnRefusal takes from a refusal what it says of the replica.
+func (x *exchange) learnRefusal(a *attempt, now time.Time) {
+	if a.head.Status != http.StatusMisdirectedRequest {
+		term := fullTerm
+		if x.need.Newest > a.choice.Weights && a.choice.Weights > 0 {
+			// It is likely changing its weights.
+			term = otherTerm
+		}
+		x.pool.Avoid(a.choice.ID, now.Add(term))
+		return
+	}
+	if x.need.Newest > a.choice.Weights && a.choice.Weights > 0 {
+		x.pool.Serves(a.choice.ID, x.need.Model, x.need.Newest)
+		return
+	}
+	x.pool.Avoid(a.choice.ID, now.Add(otherTerm))
+}
+
+// unknown goes on after a connection that was lost while the request may have
+// run: only a repeatable one may be sent again.
+func (x *exchange) unknown(ctx context.Context, a *attempt, k *route.Case, err error, now time.Time) (bool, refusal) {
+	x.ran++
+	if ctx.Err() != nil {
+		k.End(route.OutcomeNeutral, now)
+		return false, x.outOfTime()
+	}
+	k.End(route.OutcomeFailed, now)
+	if lostPeer(err) {
+		x.pool.Lost(a.choice.ID, now)
+		x.g.conns.lost(a.choice.ID)
+	}
+	x.g.log.Warn("answer lost", "request", x.terms.ID, "replica", a.choice.ID, "attempts", x.ran, "err", err)
+	return x.repeat(a.choice.ID, now)
+}
+
+// repeat says whether a request that may have run is sent again.
+func (x *exchange) repeat(failed string, now time.Time) (bool, refusal) {
+	x.need.Exclude = append(x.need.Exclude, failed)
+	if !x.route.Repeatable() || x.ran >= x.route.MaxAttempts || !x.mayRetry(now) {
+		return false, refuse(http.StatusBadGateway, reasonLost)
+	}
+	return true, refusal{}
+}
+
+// mayRetry says whether time and budget allow another attempt.
+func (x *exchange) mayRetry(now time.Time) bool {
+	if x.limit.Sub(now) < timeLeft {
+		return false
+	}
+	budget := x.g.budget(x.service.Name)
+	return budget == nil || budget.Take(now)
+}
+
+// outOfTime is the answer at the limit: it depends on whether the request may
+// have run.
+func (x *exchange) outOfTime() refusal {
+	if x.ran == 0 {
+		return comeBack(reasonDeadline, fullRetry)
+	}
+	return refuse(http.StatusGatewayTimeout, reasonDeadline)
+}
+
+// noneLeft is the answer when no replica takes the request.
+func (x *exchange) noneLeft() refusal {
+	switch {
+	case x.ran > 0:
+		return refuse(http.StatusBadGateway, reasonLost)
+	case x.refused > 0:
+		return comeBack(reasonReplicasFull, fullRetry)
+	default:
+		return comeBack(reasonNoReplica, noReplicaRetry)
+	}
+}
+
+// take delivers a replica's answer.
+func (x *exchange) take(ctx context.Context, a *attempt, k *route.Case) (bool, refusal) {
+	x.ran++
+	if x.route.Streaming && a.head.Status == http.StatusOK {
+		return x.takeStream(ctx, a, k)
+	}
+	k.First(time.Now())
+	body, err := a.readWhole()
+	now := time.Now()
+	if err != nil {
+		k.End(x.outcomeOf(ctx), now)
+		if ctx.Err() != nil {
+			return false, x.outOfTime()
+		}
+		x.g.log.Warn("answer cut short", "request", x.terms.ID, "replica", a.choice.ID, "err", err)
+		return x.repeat(a.choice.ID, now)
+	}
+	w := &wholeAnswer{head: a.head, body: body}
+	if !failedStatus(a.head.Status) {
+		k.End(route.OutcomeOK, now)
+		x.writeWhole(w)
+		return false, refusal{}
+	}
+	k.End(route.OutcomeFailed, now)
+	x.held = w
+	return x.repeat(a.choice.ID, now)
+}
+
+// outcomeOf blames the replica unless the request ended for another reason.
+func (x *exchange) outcomeOf(ctx context.Context) route.Outcome {
+	if ctx.Err() != nil {
+		return route.OutcomeNeutral
+	}
+	return route.OutcomeFailed
+}
+
+func (x *exchange) writeWhole(w *wholeAnswer) {
+	x.g.metrics.answered.Add(1)
+	x.out.whole(w.head.Status, w.head.EndToEnd(), w.body)
+}
+
+func (x *exchange) refuse(f refusal) {
+	x.g.metrics.refusal(f.reason)
+	if f.reason != reasonNoRoute && f.reason != reasonUnknownKey {
+		x.g.log.Info("refused", "request", x.terms.ID, "status", f.status, "reason", f.reason, "retry_after", f.retry,
+			"attempts", x.ran, "not_run", x.refused, "after", time.Since(x.came))
+	}
+	x.out.raw(f.message(x.g.codec, x.terms.ID, x.out.last()))
+}
--- /dev/null
+++ b/service/gateway/follow.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+const (
+	// followRetry and followRetryMost bound the pause after a failed call. Each
+	// call is paid for, and the store may be turning callers away.
+	followRetry     = 100 * time.Millisecond
+	followRetryMost = 800 * time.Millisecond
+)
+
+// follower keeps up with one table of the store.
+type follower struct {
+	store Store
+	table site.Table
+	name  string // For logs.
+	hold  time.Duration
+	// apply takes in rows; with whole they are the whole table.
+	apply func(rows []site.Row, whole bool, now time.Time)
+	// away is told of each failed call.
+	away func(now time.Time)
+	log  *slog.Logger
+
+	version int64
+	listed  bool
+	failed  time.Time // Since when calls fail, zero if they don't.
+	retry   time.Duration
+}
+
+// run follows the table until ctx ends. It goes on from the version that it has
+// reached; only when the store no longer knows the changes since then is the
+// whole table read again.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		now := time.Now()
+		switch {
+		case err == nil:
+			f.recovered(now)
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, site.ErrHistoryGone):
+			f.listed = false
+			f.away(now)
+		default:
+			f.lost(now, err)
+			f.away(now)
+			f.pause(ctx)
+		}
+	}
+}
+
+func (f *follower) step(ctx context.Context) error {
+	if !f.listed {
+		return f.list(ctx)
+	}
+	l, err := f.store.Changes(ctx, f.table, f.version, f.hold)
+	if err != nil {
+		return err
+	}
+	if l.Version > f.version {
+		f.version = l.Version
+	}
+	if len(l.Rows) > 0 {
+		f.apply(l.Rows, false, time.Now())
+	}
+	return nil
+}
+
+// errStale says that the store answered with something older than is known.
+var errStale = errors.New("the store is behind what it has told before")
+
+func (f *follower) list(ctx context.Context) error {
+	l, err := f.store.List(ctx, f.table)
+	if err != nil {
+		return err
+	}
+	if l.Version < f.version {
+		return errStale
+	}
+	f.apply(l.Rows, true, time.Now())
+	f.version, f.listed = l.Version, true
+	return nil
+}
+
+// lost logs the first failure of a row; recovered logs how long it lasted.
+func (f *follower) lost(now time.Time, err error) {
+	if f.failed.IsZero() {
+		f.failed = now
+		f.log.Warn("store lost", "table", f.name, "version", f.version, "err", err)
+	}
+}
+
+func (f *follower) recovered(now time.Time) {
+	if !f.failed.IsZero() {
+		f.log.Info("store back", "table", f.name, "version", f.version, "away", now.Sub(f.failed))
+	}
+	f.failed = time.Time{}
+	f.retry = 0
+}
+
+func (f *follower) pause(ctx context.Context) {
+	f.retry = min(followRetryMost, max(followRetry, 2*f.retry))
+	d := f.retry/2 + time.Duration(rand.Int64N(int64(f.retry)))
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/service/gateway/gateway.go
@@ -0,0 +1,314 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/rollout"
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/timer"
+	"github.com/drumpath/drumpath/service/peer"
+)
+
+const (
+	timerWorkers = 6
+	pruneEvery   = 500 * time.Millisecond
+	expireEvery  = 100 * time.Millisecond
+	watchEvery   = 200 * time.Millisecond
+	// memoryShare is the part of the memory limit that the runtime is told: the
+	// rest is for what it does not count, such as bytes in sockets.
+	memoryShare = 0.75
+	// spareDescriptors are kept for everything but clients' connections.
+	spareDescriptors = 0.4
+	defaultMost      = 10_000
+	bytesPerMB       = 1 << 20
+	// lostTime is the part of the grace period that is kept for the end itself.
+	lostTime = 700 * time.Millisecond
+	// steerAwayTime is for how long a stopping node serves on at least: callers
+	// keep an answer of the directory that long.
+	steerAwayTime = 1200 * time.Millisecond
+	// quietTime is for how long nothing may have come before a stopping node
+	// ends.
+	quietTime = 300 * time.Millisecond
+	stopEvery = 50 * time.Millisecond
+	// longestHold bounds a request that tells no limit.
+	longestHold = 60 * time.Second
+	// unknownNodes is how many nodes are assumed to share a budget while none
+	// is known.
+	unknownNodes = 64
+)
+
+// Gateway is one node.
+type Gateway struct {
+	settings config.GatewaySettings
+	platform Platform
+	codec    Codec
+	log      *slog.Logger
+	timer    *timer.Service
+	beliefs  *Beliefs
+	kept     *route.Kept
+	nodes    *nodes
+	stores   *stores
+	rollout  *rollout.Rollout
+	lease    *rollout.Lease
+	conns    *upstreamConns
+	clients  *clientConns
+	metrics  *metrics
+	clock    replicaClock
+
+	entry     net.Listener
+	readySide *sideServer
+	directory *sideServer
+
+	budgetMu sync.Mutex
+	budgets  map[string]*route.RetryShare
+
+	inFlight atomic.Int64
+	stop     atomic.Bool
+	closing  atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// New builds a node; it listens, but does not serve before Start.
+func New(s config.GatewaySettings, p Platform, log *slog.Logger) (g *Gateway, err error) {
+	defer func() { err = eris.Wrap(err, "new gateway") }()
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * bytesPerMB))
+	}
+	g = &Gateway{
+		settings: s,
+		platform: p,
+		codec:    p.Codec,
+		log:      log,
+		timer:    timer.NewService(timerWorkers),
+		conns:    newUpstreamConns(),
+		clients:  newClientConns(mostClients(s.Limits.Descriptors)),
+		metrics:  newMetrics(),
+		budgets:  map[string]*route.RetryShare{},
+	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.kept = route.NewKept(s.Node.DataHall, route.NewLinks())
+	g.beliefs = NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), g.kept, log)
+	if err := g.buildNodes(); err != nil {
+		return nil, err
+	}
+	g.stores = &stores{
+		engines: p.Engines,
+		beliefs: g.beliefs,
+		kept:    g.kept,
+		members: g.nodes.members,
+		self:    s.Node.Name,
+		clock:   &g.clock,
+		log:     log,
+		watched: map[string]context.CancelFunc{},
+	}
+	g.lease = rollout.NewLease(s.Node.Name, s.Orders.Pause.Std(), p.Store, log)
+	g.rollout = rollout.New(s.Node.Name, g.lease, p.Engines, &swaps{beliefs: g.beliefs, nodes: g.nodes}, log)
+	return g, g.listen()
+}
+
+func mostClients(descriptors int) int {
+	if descriptors <= 0 {
+		return defaultMost
+	}
+	return int((1 - spareDescriptors) * float64(descriptors))
+}
+
+func (g *Gateway) buildNodes() error {
+	s := g.settings
+	self := control.Member{Name: s.Node.Name, Peer: s.Peer.Listen, Entry: s.Entry.Listen, DataHall: s.Node.DataHall}
+	n := &nodes{
+		self:    self,
+		members: control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		store:   g.platform.Store,
+		beliefs: g.beliefs,
+		log:     g.log,
+		states:  map[string]heardState{},
+		steered: map[string]time.Time{},
+	}
+	handle := func(from netip.AddrPort, p control.Probe) []control.Packet {
+		return n.members.Handle(from, p, time.Now(), 0)
+	}
+	probes, err := peer.NewProbes(s.Peer.Listen, s.Peer.Key, handle, g.log)
+	if err != nil {
+		return err
+	}
+	probes.OnNote(noteState, n.hear)
+	n.probes = probes
+	g.nodes = n
+	return nil
+}
+
+func (g *Gateway) listen() (err error) {
+	if g.entry, err = net.Listen("tcp", g.settings.Entry.Listen.String()); err != nil {
+		return err
+	}
+	if g.readySide, err = newSideServer(g.settings.Entry.Ready.String(), g.readyRoutes()); err != nil {
+		return err
+	}
+	g.directory, err = newSideServer(g.settings.Entry.Directory.String(), g.directoryRoutes())
+	return err
+}
+
+// Start serves. Nothing that it needs has to be there yet.
+func (g *Gateway) Start() {
+	g.nodes.probes.Start()
+	g.readySide.start(g)
+	g.directory.start(g)
+	hold := g.settings.Platform.Hold.Std()
+	follow := func(f *follower) { g.wg.Go(func() { f.run(g.ctx) }) }
+	follow(&follower{
+		store: g.platform.Store, table: site.TableOperator, name: "operator", hold: hold, log: g.log,
+		apply: func(rows []site.Row, _ bool, now time.Time) { g.beliefs.ApplyOperator(rows, now) },
+		away:  func(time.Time) {},
+	})
+	follow(&follower{
+		store: g.platform.Store, table: site.TableUpstreams, name: "upstreams", hold: hold, log: g.log,
+		apply: g.beliefs.ApplyUpstreams,
+		away:  g.beliefs.StoreAway,
+	})
+	every := g.settings.Peer.ProbeEvery.Std()
+	g.timer.Subscribe(every, g.nodes.probe)
+	g.timer.Subscribe(every/lateShare, g.nodes.probeLate)
+	g.timer.Subscribe(g.settings.Peer.LoadEvery.Std(), g.nodes.tell)
+	g.timer.Subscribe(meetEvery, g.nodes.meet)
+	g.timer.Subscribe(pruneEvery, func(context.Context) { g.conns.prune(time.Now()) })
+	g.timer.Subscribe(expireEvery, func(context.Context) { g.beliefs.Expire(time.Now()) })
+	g.timer.Subscribe(watchEvery, g.stores.watch)
+	g.timer.Subscribe(freeEvery, g.stores.free)
+	g.timer.Subscribe(rollout.Every, g.rollout.Step)
+	g.timer.Subscribe(watchEvery, g.shareBudgets)
+	g.wg.Go(func() { g.nodes.meet(g.ctx) })
+	g.wg.Go(func() {
+		if err := g.clients.accept(g, g.entry); err != nil && !g.closing.Load() {
+			g.log.Error("no longer accepting", "err", err)
+		}
+	})
+	g.log.Info("node started", "node", g.settings.Node.Name, "entry", g.settings.Entry.Listen,
+		"directory", g.settings.Entry.Directory, "peer", g.settings.Peer.Listen, "store", g.settings.Platform.Store)
+}
+
+// lateShare is the part of a probe period after which others are asked.
+const lateShare = 3
+
+// ready says whether callers are to be sent here.
+func (g *Gateway) ready() bool {
+	return !g.stopping() && g.beliefs.Snapshot() != nil && g.beliefs.Upstreams() > 0
+}
+
+// stopping says whether the node has been told to stop.
+func (g *Gateway) stopping() bool { return g.stop.Load() }
+
+// serving says whether resting connections are still kept.
+func (g *Gateway) serving() bool { return !g.closing.Load() }
+
+func (g *Gateway) limits() site.Limits {
+	if s := g.beliefs.Snapshot(); s != nil {
+		return s.Limits
+	}
+	return site.DefaultLimits()
+}
+
+// holdMost is the longest that a request may be held.
+func (g *Gateway) holdMost(t *site.Terms) time.Duration {
+	if t.Patience > 0 {
+		return t.Patience
+	}
+	return longestHold
+}
+
+// budget is the retry budget for a service.
+func (g *Gateway) budget(service string) *route.RetryShare {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	b, ok := g.budgets[service]
+	if !ok {
+		b = route.NewRetryShare(g.settings.Retry.Share, g.settings.Retry.Window.Std())
+		b.SetSlack(g.slackShare())
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// slackShare is this node's part of the slack.
+func (g *Gateway) slackShare() float64 {
+	n := g.nodes.count()
+	if n <= 1 {
+		n = unknownNodes
+	}
+	return g.settings.Retry.Slack / float64(n)
+}
+
+func (g *Gateway) shareBudgets(context.Context) {
+	share := g.slackShare()
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	for _, b := range g.budgets {
+		b.SetSlack(share)
+	}
+}
+
+// Leave stops taking callers, serves on those that still come, and waits until
+// all requests are answered or the grace period is nearly over.
+func (g *Gateway) Leave() {
+	begun := time.Now()
+	end := begun.Add(g.settings.Stop.Grace.Std() - lostTime)
+	g.log.Info("stopping", "node", g.settings.Node.Name, "in_flight", g.inFlight.Load())
+	g.stop.Store(true)
+	g.nodes.leave()
+	g.releaseLease()
+	busy := begun
+	for now := begun; now.Before(end); now = time.Now() {
+		if g.inFlight.Load() > 0 {
+			busy = now
+		}
+		if now.Sub(begun) >= steerAwayTime {
+			g.closing.Store(true)
+			g.clients.endResting()
+			if now.Sub(busy) >= quietTime {
+				return
+			}
+		}
+		time.Sleep(stopEvery)
+	}
+	g.log.Warn("stopping with requests in flight", "in_flight", g.inFlight.Load())
+}
+
+func (g *Gateway) releaseLease() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	g.lease.Release(ctx)
+}
+
+// Close stops serving and waits for everything that was started.
+func (g *Gateway) Close() {
+	g.closing.Store(true)
+	_ = g.entry.Close() // Accepting ends all the same.
+	g.cancel()
+	g.clients.closeAll()
+	g.timer.Close()
+	g.rollout.Close()
+	g.stores.close()
+	g.readySide.close()
+	g.directory.close()
+	g.nodes.probes.Close()
+	g.conns.close()
+	g.platform.Store.Close()
+	g.platform.Engines.Close()
+	g.wg.Wait()
+	g.log.Info("node stopped", "node", g.settings.Node.Name)
+}
--- /dev/null
+++ b/service/gateway/refusal.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/http1"
+)
+
+// refusal is an answer of the node's own.
+type refusal struct {
+	status int
+	// reason is a word for logs, metrics and the caller.
+	reason string
+	// retry is when to come back; 0 if it is not said. Only refusals that say
+	// that the request did not run have one.
+	retry time.Duration
+}
+
+// Reasons of refusals.
+const (
+	reasonNoConfiguration = "no_configuration"
+	reasonNoRoute         = "no_route"
+	reasonUnknownKey      = "unknown_key"
+	reasonBadRequest      = "bad_request"
+	reasonTooLarge        = "too_large"
+	reasonHeadTooLarge    = "head_too_large"
+	reasonTooSlow         = "too_slow"
+	reasonNoReplica       = "no_replica"
+	reasonReplicasFull    = "replicas_full"
+	reasonOverloaded      = "overloaded"
+	reasonDeadline        = "deadline"
+	reasonLost            = "answer_lost"
+)
+
+func refuse(status int, reason string) refusal { return refusal{status: status, reason: reason} }
+
+// comeBack refuses a request that did not run and says when to come back.
+func comeBack(reason string, after time.Duration) refusal {
+	return refusal{status: http.StatusServiceUnavailable, reason: reason, retry: after}
+}
+
+// message makes the answer; id is the request's, "" if it has none.
+func (f refusal) message(codec Codec, id string, last bool) []byte {
+	body, err := json.Marshal(struct {
+		Error string `json:"error"`
+	}{f.reason})
+	if err != nil {
+		body = nil // A string always encodes.
+	}
+	fields := []http1.Field{{Name: "Content-Type", Value: "application/json"}}
+	if id != "" {
+		fields = append(fields, codec.Echo(id))
+	}
+	if f.retry > 0 {
+		seconds := strconv.FormatFloat(f.retry.Seconds(), 'f', 2, 64)
+		fields = append(fields, http1.Field{Name: "Retry-After", Value: seconds})
+	}
+	b := http1.AppendResponse(nil, f.status, fields, len(body), last)
+	return append(b, body...)
+}
--- /dev/null
+++ b/service/gateway/swaps.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/rollout"
+)
+
+// swaps is the fleet as the roll-out of weights sees it.
+type swaps struct {
+	beliefs *Beliefs
+	nodes   *nodes
+}
+
+// Behind implements rollout.Fleet.
+func (s *swaps) Behind() (list []rollout.Target, all int) {
+	newest := s.beliefs.NewestWeights()
+	if len(newest) == 0 {
+		return nil, 0
+	}
+	for _, p := range s.beliefs.Pools() {
+		for _, u := range p.Upstreams() {
+			for model, version := range u.Weights {
+				want, named := newest[model]
+				if !named || u.Draining {
+					continue
+				}
+				all++
+				if version < want {
+					list = append(list, rollout.Target{Upstream: u, Model: model, Version: want})
+				}
+			}
+		}
+	}
+	return list, all
+}
+
+// Steer implements rollout.Fleet.
+func (s *swaps) Steer(id string, d time.Duration) { s.nodes.steer(id, d) }
+
+// Serves implements rollout.Fleet.
+func (s *swaps) Serves(t rollout.Target, version int64) {
+	if p := s.beliefs.Pool(t.Service); p != nil {
+		p.Serves(t.ID, t.Model, version)
+	}
+}
--- /dev/null
+++ b/service/gateway/upstream_conns.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// upstreamConns keeps resting connections to replicas, by start of the replica.
+type upstreamConns struct {
+	mu     sync.Mutex
+	idle   map[string][]*upstreamConn
+	closed bool
+}
+
+func newUpstreamConns() *upstreamConns {
+	return &upstreamConns{idle: map[string][]*upstreamConn{}}
+}
+
+// take returns the connection that rested shortest and at most for a time, or
+// dials one. The error says that no byte has left.
+func (u *upstreamConns) take(id string, addr netip.AddrPort, most time.Duration) (*upstreamConn, error) {
+	now := time.Now()
+	for {
+		c := u.pop(id)
+		if c == nil {
+			return dialUpstream(addr.String())
+		}
+		if c.usable(now, most) {
+			return c, nil
+		}
+		c.close()
+	}
+}
+
+func (u *upstreamConns) pop(id string) *upstreamConn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	list := u.idle[id]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	u.idle[id] = list[:len(list)-1]
+	return c
+}
+
+// give takes back a connection that may be used again.
+func (u *upstreamConns) give(id string, c *upstreamConn) {
+	c.at = time.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		c.close()
+		return
+	}
+	u.idle[id] = append(u.idle[id], c)
+}
+
+// prune closes connections that have rested too long; the timer service calls
+// it.
+func (u *upstreamConns) prune(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, list := range u.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.at) < c.idle {
+				kept = append(kept, c)
+			} else {
+				c.close()
+			}
+		}
+		u.idle[id] = kept
+		if len(kept) == 0 {
+			delete(u.idle, id)
+		}
+	}
+}
+
+// lost closes the resting connections to a replica that can't be reached.
+func (u *upstreamConns) lost(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.idle[id] {
+		c.close()
+	}
+	delete(u.idle, id)
+}
+
+func (u *upstreamConns) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	for _, list := range u.idle {
+		for _, c := range list {
+			c.close()
+		}
+	}
+	clear(u.idle)
+}
--- a/service/peer/probes.go
+++ b/service/peer/probes.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	maxDatagram = 8 << 10
+	maxDatagram = 16 << 10
 	macSize     = 16
 )
 
@@ -32,10 +32,14 @@
 	key    []byte
 	log    *slog.Logger
 	handle ProbeHandler
+	notes  map[string]NoteHandler
 	wg     sync.WaitGroup
 	sent   atomic.Int64
 }
 
+// NoteHandler takes a received note; params are the sender's, as JSON.
+type NoteHandler func(params json.RawMessage)
+
 // NewProbes listens at addr.
 func NewProbes(addr netip.AddrPort, key string, handle ProbeHandler, log *slog.Logger) (p *Probes, err error) {
 	defer func() { err = eris.Wrap(err, "probe socket") }()
@@ -43,7 +47,31 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Probes{conn: conn, key: []byte(key), log: log, handle: handle}, nil
+	return &Probes{conn: conn, key: []byte(key), log: log, handle: handle, notes: map[string]NoteHandler{}}, nil
+}
+
+// OnNote has fn called with each note of a method; it is called before Start.
+func (p *Probes) OnNote(method string, fn NoteHandler) { p.notes[method] = fn }
+
+// Note tells several nodes something in a datagram each, which may be lost: for
+// news that the next note replaces.
+func (p *Probes) Note(to []netip.AddrPort, method string, params any) (err error) {
+	defer func() { err = eris.Wrapf(err, "note %s", method) }()
+	body, err := p.seal(method, params)
+	if err != nil {
+		return err
+	}
+	if len(body) > maxDatagram {
+		return eris.Errorf("%d bytes", len(body))
+	}
+	for _, addr := range to {
+		if _, err := p.conn.WriteToUDPAddrPort(body, addr); err != nil {
+			p.log.Debug("note not sent", "to", addr, "err", err)
+			continue
+		}
+		p.sent.Add(int64(len(body)))
+	}
+	return nil
 }
 
 // Start receives until Close.
@@ -61,7 +89,7 @@
 // Send sends packets; a lost one is made up by the protocol.
 func (p *Probes) Send(packets []control.Packet) {
 	for _, packet := range packets {
-		body, err := p.encode(packet.Probe)
+		body, err := p.seal(methodProbe, packet.Probe)
 		if err != nil {
 			p.log.Error("probe not encoded", "err", err)
 			continue
@@ -74,9 +102,10 @@
 	}
 }
 
-func (p *Probes) encode(probe control.Probe) ([]byte, error) {
-	req := jsonrpc2.Request{Method: methodProbe, Notif: true}
-	if err := req.SetParams(probe); err != nil {
+// seal encodes a notification behind its code.
+func (p *Probes) seal(method string, params any) ([]byte, error) {
+	req := jsonrpc2.Request{Method: method, Notif: true}
+	if err := req.SetParams(params); err != nil {
 		return nil, err
 	}
 	body, err := json.Marshal(req)
@@ -86,19 +115,34 @@
 	return append(p.mac(body), body...), nil
 }
 
-func (p *Probes) decode(datagram []byte) (probe control.Probe, err error) {
+func (p *Probes) open(datagram []byte) (req jsonrpc2.Request, err error) {
 	if len(datagram) < macSize || !hmac.Equal(datagram[:macSize], p.mac(datagram[macSize:])) {
-		return probe, eris.New("wrong key")
+		return req, eris.New("wrong key")
 	}
-	var req jsonrpc2.Request
 	if err := json.Unmarshal(datagram[macSize:], &req); err != nil {
-		return probe, err
+		return req, err
+	}
+	if req.Params == nil {
+		return req, eris.Errorf("method %q without parameters", req.Method)
+	}
+	return req, nil
+}
+
+// take hands a notification to whom it is for.
+func (p *Probes) take(from netip.AddrPort, req jsonrpc2.Request) error {
+	if fn, ok := p.notes[req.Method]; ok {
+		fn(*req.Params)
+		return nil
 	}
-	if req.Method != methodProbe || req.Params == nil {
-		return probe, eris.Errorf("unknown method %q", req.Method)
+	if req.Method != methodProbe {
+		return eris.Errorf("unknown method %q", req.Method)
 	}
-	err = json.Unmarshal(*req.Params, &probe)
-	return probe, err
+	var probe control.Probe
+	if err := json.Unmarshal(*req.Params, &probe); err != nil {
+		return err
+	}
+	p.Send(p.handle(from, probe))
+	return nil
 }
 
 func (p *Probes) mac(body []byte) []byte {
@@ -118,12 +162,13 @@
 			p.log.Debug("probe not received", "err", err)
 			continue
 		}
-		probe, err := p.decode(buf[:n])
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		req, err := p.open(buf[:n])
+		if err == nil {
+			err = p.take(from, req)
+		}
 		if err != nil {
-			p.log.Debug("probe dropped", "from", from, "err", err)
-			continue
+			p.log.Debug("datagram dropped", "from", from, "err", err)
 		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		p.Send(p.handle(from, probe))
 	}
 }
