Fetches are booked to the first byte and told to the other nodes

Cause: a link's load was known from one node's own bookings, which lasted to the end of a stream, and a waiting node asked for the lease at every step. Change: a plan's bookings end with the answer's first byte; nodes tell the bytes they are fetching by store; a lease held by another is asked for again when it could run out. Feeds are asked shortly while the store is away.

--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -9,10 +9,14 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/drumpath/drumpath/pkg/http1"
 )
 
 const (
-	dialTimeout     = time.Second
+	dialTimeout = time.Second
+	// unacked ends a connection whose server acknowledges nothing.
+	unacked         = 1200 * time.Millisecond
 	maxConns        = 512
 	idleConn        = 5 * time.Second
 	maxResponseBody = 64 << 20
@@ -36,7 +40,7 @@
 			MaxResponseBodySize:    maxResponseBody,
 			DisablePathNormalizing: true,
 			Dial: func(addr string) (net.Conn, error) {
-				return fasthttp.DialTimeout(addr, dialTimeout)
+				return http1.Dial(addr, dialTimeout, unacked)
 			},
 			// Whether a call may be repeated is the caller's decision.
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
--- a/pkg/rollout/lease.go
+++ b/pkg/rollout/lease.go
@@ -49,6 +49,7 @@
 	sent    time.Time // When the last renewal was sent.
 	clock   time.Duration
 	clockAt time.Time // When, at the latest, the store's clock was that.
+	again   time.Time // When it is worth asking for again.
 }
 
 type leaseRow struct {
@@ -87,10 +88,33 @@
 	if !due {
 		return true
 	}
-	if !held && !l.read(ctx) {
+	if held {
+		return l.write(ctx, leaseTerm) || l.Held()
+	}
+	return l.try(ctx)
+}
+
+// askAgain is the least pause between two looks at a lease that another holds,
+// or that could not be looked at.
+const askAgain = 400 * time.Millisecond
+
+// try takes the lease if it is free. One that is not is asked for again when it
+// could run out; if its holder renews it, that is moved on.
+func (l *Lease) try(ctx context.Context) bool {
+	l.mu.Lock()
+	wait := l.now().Before(l.again)
+	l.mu.Unlock()
+	if wait {
 		return false
 	}
-	return l.write(ctx, leaseTerm) || l.Held()
+	free, after := l.read(ctx)
+	if free && l.write(ctx, leaseTerm) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.again = l.now().Add(max(askAgain, after))
+	return false
 }
 
 // Release gives the lease up, so that another need not wait for its end.
@@ -104,13 +128,13 @@
 	l.write(ctx, 0)
 }
 
-// read looks at the row and says whether it may be taken.
-func (l *Lease) read(ctx context.Context) bool {
+// read looks at the row and says whether it may be taken, or when it could be.
+func (l *Lease) read(ctx context.Context) (free bool, after time.Duration) {
 	asked := l.now()
 	listing, err := l.store.List(ctx, site.TableLeases)
 	if err != nil {
 		l.log.Warn("lease not read", "err", err)
-		return false
+		return false, 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -121,13 +145,16 @@
 		}
 		if err := json.Unmarshal(r.Value, &l.row); err != nil {
 			l.log.Error("lease row can't be read", "err", err)
-			return false
+			return false, 0
 		}
 		l.version = r.Version
 	}
 	l.clock, l.clockAt = listing.Now, asked
-	free := l.row.Holder == "" || l.row.Holder == l.node
-	return free || listing.Now >= l.row.Until+l.pause+turnSlack
+	if l.row.Holder == "" || l.row.Holder == l.node {
+		return true, 0
+	}
+	after = l.row.Until + l.pause + turnSlack - listing.Now
+	return after <= 0, after
 }
 
 // write holds the lease for a term from now, or ends it with a term of 0.
--- a/pkg/route/case.go
+++ b/pkg/route/case.go
@@ -15,7 +15,7 @@
 }
 
 // Begin records that a request is sent to a chosen replica.
-func (p *Pool) Begin(c Choice, n *Need, now time.Time) *Case {
+func (p *Pool) Begin(c Choice, now time.Time) *Case {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m, ok := p.replicas[c.ID]
@@ -26,21 +26,23 @@
 	k := &Case{
 		pool:     p,
 		member:   m,
-		tokens:   n.Tokens,
-		read:     n.Tokens + m.pending + m.others.Tokens,
+		tokens:   c.Read,
+		read:     c.Read + m.pending + m.others.Tokens,
 		begun:    now,
 		expected: c.Expected,
 	}
 	m.cases[k] = struct{}{}
-	m.pending += n.Tokens
+	m.pending += c.Read
 	return k
 }
 
-// First records that the first byte of the answer has come.
-func (k *Case) First(now time.Time) {
+// First records that the first byte of the answer has come. It returns how long
+// that should have taken beside a fetch.
+func (k *Case) First(now time.Time) time.Duration {
 	k.pool.mu.Lock()
 	defer k.pool.mu.Unlock()
 	k.noteFirst(now)
+	return seconds(float64(k.read) * k.pool.perToken)
 }
 
 func (k *Case) noteFirst(now time.Time) {
--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -21,6 +21,8 @@
 	links  *Links
 	stores map[string]*keptStore
 	names  []string
+	// moving are the bytes of this node's fetches under way, by store.
+	moving map[string]int64
 }
 
 type keptStore struct {
@@ -63,7 +65,7 @@
 
 // NewKept returns a view in which no store has anything.
 func NewKept(hall string, links *Links) *Kept {
-	return &Kept{hall: hall, links: links, stores: map[string]*keptStore{}}
+	return &Kept{hall: hall, links: links, stores: map[string]*keptStore{}, moving: map[string]int64{}}
 }
 
 // Configure sets which stores there are.
@@ -113,6 +115,30 @@
 	}
 }
 
+// Moving lists the bytes of this node's fetches under way, by store.
+func (k *Kept) Moving() map[string]int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := map[string]int64{}
+	for name, bytes := range k.moving {
+		if bytes > 0 {
+			list[name] = bytes
+		}
+	}
+	return list
+}
+
+// SetPeers takes in the bytes of other nodes' fetches under way, by store.
+func (k *Kept) SetPeers(moving map[string]int64, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, bytes := range moving {
+		if s, ok := k.stores[name]; ok {
+			k.links.Report(name, s.LinkRate, bytes, now)
+		}
+	}
+}
+
 // Silent records that a store's events can't be followed: nothing is read from
 // it or saved there until they can be again.
 func (k *Kept) Silent(name string) {
@@ -139,15 +165,55 @@
 	// Time is how long the fetch should take.
 	Time     time.Duration
 	bookings []*Booking
+	kept     *Kept
+	moves    []move
+}
+
+// move is a fetch from a store that has not ended.
+type move struct {
+	store string
+	bytes int64
 }
 
-// Done ends the plan's hold on links.
+// book reserves the links for a fetch.
+func (p *Plan) book(k *Kept, store, replica string, bytes int64, now time.Time) {
+	p.kept = k
+	p.bookings = append(p.bookings, k.links.Book(store, replica, bytes, now))
+	p.moves = append(p.moves, move{store, bytes})
+	k.moving[store] += bytes
+}
+
+// unmove takes the plan's fetches off those under way.
+func (p *Plan) unmove() {
+	if p.kept == nil {
+		return
+	}
+	p.kept.mu.Lock()
+	defer p.kept.mu.Unlock()
+	for _, m := range p.moves {
+		p.kept.moving[m.store] -= m.bytes
+	}
+	p.moves = nil
+}
+
+// First ends the plan's hold on links when the first byte of the answer has
+// come, which took rest longer than the moves alone.
+func (p *Plan) First(rest time.Duration, now time.Time) {
+	for _, b := range p.bookings {
+		b.End(b.bytes, now.Add(-rest))
+	}
+	p.bookings = nil
+	p.unmove()
+}
+
+// Done ends the plan's hold on links without learning anything; later calls do
+// nothing.
 func (p *Plan) Done(now time.Time) {
 	for _, b := range p.bookings {
-		// How long the move took can't be told from the reading behind it.
 		b.End(0, now)
 	}
 	p.bookings = nil
+	p.unmove()
 }
 
 // Plan decides for the shared parts of a prompt that runs at a replica. perToken is the time to read a
@@ -168,7 +234,7 @@
 			p.Sources[i] = k.stores[name].Addr
 			p.Fetched += part.Tokens
 			p.Time += wait
-			p.bookings = append(p.bookings, k.links.Book(name, replica, bytes, now))
+			p.book(k, name, replica, bytes, now)
 		case kept || !save:
 		default:
 			if name := k.room(key, part.Tokens, now); name != "" {
@@ -182,6 +248,23 @@
 	return p
 }
 
+// Look says how many of a prompt's shared tokens, from its start on, can be
+// fetched, and how long that should take.
+func (k *Kept) Look(realm string, shared []site.Part, e *site.Engine, now time.Time) (tokens int, wait time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, part := range shared {
+		bytes := int64(part.Tokens) * int64(e.TokenBytes)
+		_, w, kept := k.source(partKey{realm, part.ID}, "", part.Tokens, bytes, now)
+		if !kept {
+			break
+		}
+		tokens += part.Tokens
+		wait += w
+	}
+	return tokens, wait
+}
+
 // fetchGrace is how much longer than reading a fetch may take: it leaves the
 // replica free for others.
 const fetchGrace = 30 * time.Millisecond
@@ -193,7 +276,12 @@
 		if !s.heard || s.parts[key] < tokens || tokens == 0 {
 			continue
 		}
-		w := k.links.Estimate(candidate, replica, bytes, now) + s.Latency
+		w := s.Latency
+		if replica == "" {
+			w += k.links.Estimate(candidate, candidate, bytes, now)
+		} else {
+			w += k.links.Estimate(candidate, replica, bytes, now)
+		}
 		if s.DataHall != k.hall {
 			w = time.Duration(float64(w) * crossHall)
 		}
--- a/pkg/route/need.go
+++ b/pkg/route/need.go
@@ -13,6 +13,10 @@
 	// have in common; both are 0 for requests without a prompt.
 	Tokens int
 	Shared int
+	// Kept are those of the shared tokens that can be fetched, Fetch is how long
+	// that should take.
+	Kept  int
+	Fetch time.Duration
 	// Affinity is a hash of the shared parts, 0 for none.
 	Affinity uint64
 	// Newest is the newest version of the model's weights, 0 if not known.
@@ -23,6 +27,24 @@
 	Exclude []string
 }
 
+// toRead is how many tokens a replica has to read; its home is likely to have
+// some of those that can't be fetched.
+func (n *Need) toRead(home bool) float64 {
+	read := float64(n.Tokens - n.Kept)
+	if home {
+		read -= homeShare * float64(n.Shared-n.Kept)
+	}
+	return read
+}
+
+// fetch is how long the fetch should take, in seconds.
+func (n *Need) fetch(home bool) float64 {
+	if home {
+		return (1 - homeShare) * n.Fetch.Seconds()
+	}
+	return n.Fetch.Seconds()
+}
+
 // Choice is the replica for a request.
 type Choice struct {
 	site.Upstream
@@ -30,4 +52,6 @@
 	Weights int64
 	// Expected is the expected time to the first byte of the answer.
 	Expected time.Duration
+	// Read are the tokens that the replica should have to read.
+	Read int
 }
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -206,6 +206,7 @@
 		Upstream: chosen.Upstream,
 		Weights:  chosen.Weights[n.Model],
 		Expected: seconds(p.firstByte(chosen, n, chosen == home, now)),
+		Read:     int(n.toRead(chosen == home)),
 	}, true
 }
 
@@ -276,12 +277,9 @@
 		wait += p.meanRun.Seconds() * float64(running) / float64(4*max(1, m.Slots))
 		return (wait + p.meanRun.Seconds()) * m.lateness(now)
 	}
-	read := float64(n.Tokens)
-	if home {
-		read -= homeShare * float64(n.Shared)
-	}
 	waiting := float64(m.pending + m.others.Tokens)
-	return ((waiting+read)*p.perToken + float64(running)*runTime.Seconds()) * m.lateness(now)
+	reading := (waiting + n.toRead(home)) * p.perToken
+	return (reading+float64(running)*runTime.Seconds())*m.lateness(now) + n.fetch(home)
 }
 
 // lateness is how much longer than expected the replica's answers take.
@@ -307,3 +305,19 @@
 	}
 	return list
 }
+
+// Majority is the version of a model's weights that most replicas have.
+func (p *Pool) Majority(model string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := map[int64]int{}
+	best := int64(0)
+	for _, m := range p.list {
+		v := m.Weights[model]
+		counts[v]++
+		if counts[v] > counts[best] || counts[v] == counts[best] && v > best {
+			best = v
+		}
+	}
+	return best
+}
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -34,6 +34,10 @@
 	conns  *upstreamConns
 	codec  Codec
 	choice route.Choice
+	kase   *route.Case
+	plan   route.Plan
+	begun  time.Time
+	took   time.Duration // To the first byte of the answer's body.
 	conn   *upstreamConn
 	stop   func() bool
 	// written is set once the whole request was handed to the connection.
@@ -46,16 +50,43 @@
 	answer site.Answer
 }
 
-// beginAttempt sends a request to a replica and waits for the head of its
-// answer. It ends when ctx does.
-func (g *Gateway) beginAttempt(ctx context.Context, x *exchange, c route.Choice, d *site.Dispatch) (a *attempt, f fate, err error) {
-	a = &attempt{conns: g.conns, codec: g.codec, choice: c, writing: make(chan struct{})}
+// newAttempt records that a request is about to be sent to a replica.
+func newAttempt(x *exchange, c route.Choice, p route.Plan, now time.Time) *attempt {
+	return &attempt{
+		conns:   x.g.conns,
+		codec:   x.g.codec,
+		choice:  c,
+		kase:    x.pool.Begin(c, now),
+		plan:    p,
+		begun:   now,
+		writing: make(chan struct{}),
+	}
+}
+
+// first records that the first byte of the answer has come.
+func (a *attempt) first(now time.Time) {
+	if a.took > 0 {
+		return
+	}
+	a.took = now.Sub(a.begun)
+	a.plan.First(a.kase.First(now), now)
+}
+
+// end records how the attempt ended.
+func (a *attempt) end(o route.Outcome, now time.Time) {
+	a.kase.End(o, now)
+	a.plan.Done(now)
+}
+
+// begin sends a request to a replica and waits for the head of its answer. It
+// ends when ctx does.
+func (a *attempt) begin(ctx context.Context, x *exchange, d *site.Dispatch) (f fate, err error) {
 	rested := restedLong
 	if !x.route.Repeatable() {
 		rested = restedShort
 	}
-	if a.conn, err = g.conns.take(c.ID, c.Addr, rested); err != nil {
-		return a, fateUnsent, err
+	if a.conn, err = a.conns.take(a.choice.ID, a.choice.Addr, rested); err != nil {
+		return fateUnsent, err
 	}
 	conn := a.conn.conn
 	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() }) // It ends reads and writes.
@@ -63,18 +94,18 @@
 	if len(x.body) > 0 || x.head.Has("Content-Length") || x.head.Has("Transfer-Encoding") {
 		length = len(x.body)
 	}
-	message := http1.AppendRequest(nil, x.head.Method, x.head.Target, g.codec.Forwarded(x.head, d), length)
+	message := http1.AppendRequest(nil, x.head.Method, x.head.Target, a.codec.Forwarded(x.head, d), length)
 	go a.write(message, x.body)
-	a.head, a.body, a.crossed, err = a.conn.readAnswer(x.head.Method, x.terms.ID, g.codec)
+	a.head, a.body, a.crossed, err = a.conn.readAnswer(x.head.Method, x.terms.ID, a.codec)
 	if err != nil {
 		a.discard()
-		return a, fateUnknown, err
+		return fateUnknown, err
 	}
-	a.answer = g.codec.Answer(a.head)
+	a.answer = a.codec.Answer(a.head)
 	if a.answer.NotRun {
-		return a, fateNotRun, nil
+		return fateNotRun, nil
 	}
-	return a, fateAnswered, nil
+	return fateAnswered, nil
 }
 
 const (
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -141,6 +141,17 @@
 	return n
 }
 
+// lookUp notes what of the prompt can be fetched.
+func (x *exchange) lookUp(now time.Time) {
+	e := x.service.Engine
+	if e == nil || !e.PlannedFetch || x.need.Newest == 0 && x.need.Model == "" {
+		return
+	}
+	version := x.pool.Majority(x.need.Model)
+	realm := realmOf(x.need.Model, version, x.organisation)
+	x.need.Kept, x.need.Fetch = x.g.kept.Look(realm, x.terms.Shared(), e, now)
+}
+
 // freshTerm is for how long after new weights were named answers on older ones
 // count in full.
 const freshTerm = time.Second
@@ -166,14 +177,14 @@
 		return false, x.outOfTime()
 	}
 	x.refresh(now)
+	x.lookUp(now)
 	choice, ok := x.pool.Pick(&x.need, now)
 	if !ok {
 		return false, x.noneLeft()
 	}
 	dispatch, plan := x.dispatch(choice, now)
-	kase := x.pool.Begin(choice, &x.need, now)
-	defer func() { plan.Done(time.Now()) }()
-	a, fate, err := x.g.beginAttempt(ctx, x, choice, dispatch)
+	a := newAttempt(x, choice, plan, now)
+	fate, err := a.begin(ctx, x, dispatch)
 	defer a.finish()
 	now = time.Now()
 	switch fate {
@@ -181,19 +192,19 @@
 		if x.need.Model != "" && a.answer.Weights > 0 {
 			x.pool.Serves(choice.ID, x.need.Model, a.answer.Weights)
 		}
-		return x.take(ctx, a, kase)
+		return x.take(ctx, a)
 	case fateNotRun:
-		return x.notRun(a, kase, now)
+		return x.notRun(a, now)
 	case fateUnsent:
-		return x.unsent(ctx, a, kase, err, now)
+		return x.unsent(ctx, a, err, now)
 	default:
-		return x.unknown(ctx, a, kase, err, now)
+		return x.unknown(ctx, a, err, now)
 	}
 }
 
 // unsent goes on after a connection that could not be made.
-func (x *exchange) unsent(ctx context.Context, a *attempt, k *route.Case, err error, now time.Time) (bool, refusal) {
-	k.End(route.OutcomeFailed, now)
+func (x *exchange) unsent(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
+	a.end(route.OutcomeFailed, now)
 	x.pool.Lost(a.choice.ID, now)
 	x.g.conns.lost(a.choice.ID)
 	x.g.log.Warn("replica not reached", "request", x.terms.ID, "replica", a.choice.ID, "addr", a.choice.Addr, "err", err)
@@ -206,8 +217,8 @@
 }
 
 // notRun goes on after a replica that refused.
-func (x *exchange) notRun(a *attempt, k *route.Case, now time.Time) (bool, refusal) {
-	k.End(route.OutcomeNeutral, now)
+func (x *exchange) notRun(a *attempt, now time.Time) (bool, refusal) {
+	a.end(route.OutcomeNeutral, now)
 	x.learnRefusal(a, now)
 	x.need.Exclude = append(x.need.Exclude, a.choice.ID)
 	x.refused++
@@ -245,13 +256,13 @@
 
 // unknown goes on after a connection that was lost while the request may have
 // run: only a repeatable one may be sent again.
-func (x *exchange) unknown(ctx context.Context, a *attempt, k *route.Case, err error, now time.Time) (bool, refusal) {
+func (x *exchange) unknown(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
 	x.ran++
 	if ctx.Err() != nil {
-		k.End(route.OutcomeNeutral, now)
+		a.end(route.OutcomeNeutral, now)
 		return false, x.outOfTime()
 	}
-	k.End(route.OutcomeFailed, now)
+	a.end(route.OutcomeFailed, now)
 	if lostPeer(err) {
 		x.pool.Lost(a.choice.ID, now)
 		x.g.conns.lost(a.choice.ID)
@@ -300,16 +311,16 @@
 }
 
 // take delivers a replica's answer.
-func (x *exchange) take(ctx context.Context, a *attempt, k *route.Case) (bool, refusal) {
+func (x *exchange) take(ctx context.Context, a *attempt) (bool, refusal) {
 	x.ran++
 	if x.route.Streaming && a.head.Status == http.StatusOK {
-		return x.takeStream(ctx, a, k)
+		return x.takeStream(ctx, a)
 	}
-	k.First(time.Now())
+	a.first(time.Now())
 	body, err := a.readWhole()
 	now := time.Now()
 	if err != nil {
-		k.End(x.outcomeOf(ctx), now)
+		a.end(x.outcomeOf(ctx), now)
 		if ctx.Err() != nil {
 			return false, x.outOfTime()
 		}
@@ -318,11 +329,12 @@
 	}
 	w := &wholeAnswer{head: a.head, body: body}
 	if !failedStatus(a.head.Status) {
-		k.End(route.OutcomeOK, now)
+		a.end(route.OutcomeOK, now)
 		x.writeWhole(w)
+		x.logAnswer(a, now)
 		return false, refusal{}
 	}
-	k.End(route.OutcomeFailed, now)
+	a.end(route.OutcomeFailed, now)
 	x.held = w
 	return x.repeat(a.choice.ID, now)
 }
@@ -340,6 +352,17 @@
 	x.out.whole(w.head.Status, w.head.EndToEnd(), w.body)
 }
 
+// logAnswer tells where a request ran, by what, and how long it took.
+func (x *exchange) logAnswer(a *attempt, now time.Time) {
+	x.g.log.Info("answered", "request", x.terms.ID, "route", x.route.Name, "replica", a.choice.ID,
+		"hall", a.choice.DataHall, "weights", a.choice.Weights, "newest", x.need.Newest,
+		"tokens", x.need.Tokens, "shared", x.need.Shared, "kept", x.need.Kept, "read", a.choice.Read,
+		"fetched", a.plan.Fetched, "saved", a.plan.Saved, "fetch_ms", a.plan.Time.Milliseconds(),
+		"expected_ms", a.choice.Expected.Milliseconds(), "first_ms", a.took.Milliseconds(),
+		"before_ms", a.begun.Sub(x.came).Milliseconds(), "all_ms", now.Sub(x.came).Milliseconds(),
+		"attempts", x.ran, "not_run", x.refused)
+}
+
 func (x *exchange) refuse(f refusal) {
 	x.g.metrics.refusal(f.reason)
 	if f.reason != reasonNoRoute && f.reason != reasonUnknownKey {
--- a/service/gateway/follow.go
+++ b/service/gateway/follow.go
@@ -15,6 +15,10 @@
 	// call is paid for, and the store may be turning callers away.
 	followRetry     = 100 * time.Millisecond
 	followRetryMost = 800 * time.Millisecond
+	// askTimeout and askMost bound a call that is made to see whether the store
+	// is back: it is not held, and a store that is slow takes some of that.
+	askTimeout = 500 * time.Millisecond
+	askMost    = 2 * time.Second
 )
 
 // follower keeps up with one table of the store.
@@ -23,6 +27,9 @@
 	table site.Table
 	name  string // For logs.
 	hold  time.Duration
+	// rest is kept after each change, so that changes come in groups: every
+	// call is paid for.
+	rest time.Duration
 	// apply takes in rows; with whole they are the whole table.
 	apply func(rows []site.Row, whole bool, now time.Time)
 	// away is told of each failed call.
@@ -62,7 +69,16 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	l, err := f.store.Changes(ctx, f.table, f.version, f.hold)
+	hold := f.hold
+	if !f.failed.IsZero() {
+		// A call that falls into an absence of the store is not to be waited
+		// for beyond the store's return.
+		hold = 0
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, min(askMost, askTimeout+f.retry))
+		defer cancel()
+	}
+	l, err := f.store.Changes(ctx, f.table, f.version, hold)
 	if err != nil {
 		return err
 	}
@@ -71,6 +87,7 @@
 	}
 	if len(l.Rows) > 0 {
 		f.apply(l.Rows, false, time.Now())
+		sleep(ctx, f.rest)
 	}
 	return nil
 }
@@ -109,7 +126,14 @@
 
 func (f *follower) pause(ctx context.Context) {
 	f.retry = min(followRetryMost, max(followRetry, 2*f.retry))
-	d := f.retry/2 + time.Duration(rand.Int64N(int64(f.retry)))
+	sleep(ctx, f.retry/2+time.Duration(rand.Int64N(int64(f.retry))))
+}
+
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -43,6 +43,9 @@
 	// ends.
 	quietTime = 300 * time.Millisecond
 	stopEvery = 50 * time.Millisecond
+	// upstreamsRest groups changes of the list of upstreams. It is well under
+	// the second or more that a leaving upstream still serves.
+	upstreamsRest = 400 * time.Millisecond
 	// longestHold bounds a request that tells no limit.
 	longestHold = 60 * time.Second
 	// unknownNodes is how many nodes are assumed to share a budget while none
@@ -136,6 +139,7 @@
 		members: control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		store:   g.platform.Store,
 		beliefs: g.beliefs,
+		kept:    g.kept,
 		log:     g.log,
 		states:  map[string]heardState{},
 		steered: map[string]time.Time{},
@@ -178,7 +182,7 @@
 	})
 	follow(&follower{
 		store: g.platform.Store, table: site.TableUpstreams, name: "upstreams", hold: hold, log: g.log,
-		apply: g.beliefs.ApplyUpstreams,
+		apply: g.beliefs.ApplyUpstreams, rest: upstreamsRest,
 		away:  g.beliefs.StoreAway,
 	})
 	every := g.settings.Peer.ProbeEvery.Std()
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -34,6 +34,7 @@
 	probes  *peer.Probes
 	store   Store
 	beliefs *Beliefs
+	kept    *route.Kept
 	log     *slog.Logger
 
 	mu        sync.Mutex
@@ -53,6 +54,7 @@
 	Loads map[string][2]int `json:"l,omitempty"` // Requests and tokens, by replica.
 	Steer map[string]int64  `json:"s,omitempty"` // Milliseconds, by replica.
 	Known map[string]int64  `json:"w,omitempty"` // Newest weights, by model.
+	Moves map[string]int64  `json:"m,omitempty"` // Bytes being fetched, by store.
 }
 
 type heardState struct {
@@ -145,6 +147,7 @@
 		Known: n.beliefs.NewestWeights(),
 		Loads: map[string][2]int{},
 		Steer: map[string]int64{},
+		Moves: n.kept.Moving(),
 	}
 	for _, p := range n.beliefs.Pools() {
 		for id, l := range p.Loads() {
@@ -210,6 +213,7 @@
 // merge adds up what the others have in flight.
 func (n *nodes) merge(now time.Time) {
 	sum := map[string]route.PeerLoad{}
+	moves := map[string]int64{}
 	n.mu.Lock()
 	for name, s := range n.states {
 		if now.Sub(s.at) > stateTerm {
@@ -222,8 +226,12 @@
 			v.Tokens += l[1]
 			sum[id] = v
 		}
+		for store, bytes := range s.Moves {
+			moves[store] += bytes
+		}
 	}
 	n.mu.Unlock()
+	n.kept.SetPeers(moves, now)
 	for _, p := range n.beliefs.Pools() {
 		p.SetPeers(sum)
 	}
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -35,25 +35,26 @@
 
 // takeStream passes a replica's stream on. If it breaks off, a resumable one
 // goes on elsewhere.
-func (x *exchange) takeStream(ctx context.Context, a *attempt, k *route.Case) (bool, refusal) {
+func (x *exchange) takeStream(ctx context.Context, a *attempt) (bool, refusal) {
 	first := x.stream == nil
 	r := x.stream
 	if first {
 		r = &relay{out: x.out, head: a.head}
 	}
 	r.held = nil
-	err := x.copyEvents(r, a, k)
+	err := x.copyEvents(r, a)
 	now := time.Now()
 	if x.out.begun.Load() {
 		x.stream = r
 	}
 	if err == nil {
-		k.End(route.OutcomeOK, now)
+		a.end(route.OutcomeOK, now)
 		x.g.metrics.answered.Add(1)
 		r.finish()
+		x.logAnswer(a, now)
 		return false, refusal{}
 	}
-	k.End(x.outcomeOf(ctx), now)
+	a.end(x.outcomeOf(ctx), now)
 	if ctx.Err() != nil {
 		return false, x.outOfTime()
 	}
@@ -65,12 +66,12 @@
 }
 
 // copyEvents passes events on until the stream's end, which it returns nil for.
-func (x *exchange) copyEvents(r *relay, a *attempt, k *route.Case) error {
+func (x *exchange) copyEvents(r *relay, a *attempt) error {
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := a.body.Read(buf)
 		if n > 0 {
-			k.First(time.Now())
+			a.first(time.Now())
 			r.take(buf[:n])
 		}
 		switch {
