A fetch's time follows from the bytes under way at its store

Cause: links were learnt to be slow from answers that were late for other reasons, so that of 1.4 million tokens that stores had, a quarter was fetched. Change: the time of a fetch is the bytes under way at the store, from all nodes, at its told rate, with what fetches from that store come later than answers that fetch nothing. The data hall is the replica's, not the node's.

--- a/pkg/route/case.go
+++ b/pkg/route/case.go
@@ -36,13 +36,13 @@
 	return k
 }
 
-// First records that the first byte of the answer has come. It returns how long
-// that should have taken beside a fetch.
-func (k *Case) First(now time.Time) time.Duration {
+// First records that the first byte of the answer has come. It returns by how
+// much later than expected.
+func (k *Case) First(now time.Time) (excess time.Duration) {
 	k.pool.mu.Lock()
 	defer k.pool.mu.Unlock()
 	k.noteFirst(now)
-	return seconds(float64(k.read) * k.pool.perToken)
+	return now.Sub(k.begun) - k.expected
 }
 
 func (k *Case) noteFirst(now time.Time) {
--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -17,12 +18,11 @@
 // time only.
 type Kept struct {
 	mu     sync.Mutex
-	hall   string
-	links  *Links
 	stores map[string]*keptStore
 	names  []string
-	// moving are the bytes of this node's fetches under way, by store.
-	moving map[string]int64
+	// late is the mean excess of the time to the first byte where nothing was
+	// fetched, against which stores are judged.
+	late time.Duration
 }
 
 type keptStore struct {
@@ -37,6 +37,10 @@
 	parts   map[partKey]int // To tokens.
 	used    int             // Tokens of parts that are whole.
 	saving  map[partKey]saving
+	moving  int64         // Bytes of this node's fetches under way.
+	others  int64         // Bytes of other nodes' fetches under way.
+	late    time.Duration // Mean excess of the time to the first byte.
+	lateAt  time.Time
 }
 
 type partKey struct{ realm, part string }
@@ -61,15 +65,15 @@
 	// longestFetch is the longest expected fetch that is worth it: the prompt
 	// is read otherwise.
 	longestFetch = 400 * time.Millisecond
+	// fetchLateShare is the weight of the newest fetch in a store's lateness.
+	fetchLateShare = 0.1
 )
 
 // NewKept returns a view in which no store has anything.
-func NewKept(hall string, links *Links) *Kept {
-	return &Kept{hall: hall, links: links, stores: map[string]*keptStore{}, moving: map[string]int64{}}
-}
+func NewKept() *Kept { return &Kept{stores: map[string]*keptStore{}} }
 
 // Configure sets which stores there are.
-func (k *Kept) Configure(stores []*site.Service, now time.Time) {
+func (k *Kept) Configure(stores []*site.Service) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	old := k.stores
@@ -83,7 +87,6 @@
 		s.Store = *v.Store
 		k.stores[v.Name] = s
 		k.names = append(k.names, v.Name)
-		k.links.Report(v.Name, v.Store.LinkRate, 0, now)
 	}
 }
 
@@ -120,22 +123,20 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	list := map[string]int64{}
-	for name, bytes := range k.moving {
-		if bytes > 0 {
-			list[name] = bytes
+	for name, s := range k.stores {
+		if s.moving > 0 {
+			list[name] = s.moving
 		}
 	}
 	return list
 }
 
-// SetPeers takes in the bytes of other nodes' fetches under way, by store.
-func (k *Kept) SetPeers(moving map[string]int64, now time.Time) {
+// SetPeers sets the bytes of other nodes' fetches under way, by store.
+func (k *Kept) SetPeers(moving map[string]int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for name, bytes := range moving {
-		if s, ok := k.stores[name]; ok {
-			k.links.Report(name, s.LinkRate, bytes, now)
-		}
+	for name, s := range k.stores {
+		s.others = moving[name]
 	}
 }
 
@@ -155,90 +156,32 @@
 	s.used = 0
 }
 
-// Plan is where the parts of a prompt come from and where they go.
-type Plan struct {
-	Sources []netip.AddrPort
-	Saves   []netip.AddrPort
-	// Fetched and Saved are the tokens that move.
-	Fetched int
-	Saved   int
-	// Time is how long the fetch should take.
-	Time     time.Duration
-	bookings []*Booking
-	kept     *Kept
-	moves    []move
-}
-
-// move is a fetch from a store that has not ended.
-type move struct {
-	store string
-	bytes int64
-}
-
-// book reserves the links for a fetch.
-func (p *Plan) book(k *Kept, store, replica string, bytes int64, now time.Time) {
-	p.kept = k
-	p.bookings = append(p.bookings, k.links.Book(store, replica, bytes, now))
-	p.moves = append(p.moves, move{store, bytes})
-	k.moving[store] += bytes
-}
-
-// unmove takes the plan's fetches off those under way.
-func (p *Plan) unmove() {
-	if p.kept == nil {
-		return
-	}
-	p.kept.mu.Lock()
-	defer p.kept.mu.Unlock()
-	for _, m := range p.moves {
-		p.kept.moving[m.store] -= m.bytes
-	}
-	p.moves = nil
-}
-
-// First ends the plan's hold on links when the first byte of the answer has
-// come, which took rest longer than the moves alone.
-func (p *Plan) First(rest time.Duration, now time.Time) {
-	for _, b := range p.bookings {
-		b.End(b.bytes, now.Add(-rest))
-	}
-	p.bookings = nil
-	p.unmove()
-}
-
-// Done ends the plan's hold on links without learning anything; later calls do
-// nothing.
-func (p *Plan) Done(now time.Time) {
-	for _, b := range p.bookings {
-		b.End(0, now)
-	}
-	p.bookings = nil
-	p.unmove()
-}
-
-// Plan decides for the shared parts of a prompt that runs at a replica. perToken is the time to read a
-// token; with save, parts that no store has are saved.
-func (k *Kept) Plan(realm, replica string, shared []site.Part, e *site.Engine, perToken float64, save bool, now time.Time) Plan {
+// Plan decides for the shared parts of a prompt that runs at a replica in a data
+// hall. perToken is the time to read a token; with save, parts that no store has
+// are saved.
+func (k *Kept) Plan(realm, hall string, shared []site.Part, e *site.Engine, perToken float64, save bool, now time.Time) *Plan {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var p Plan
-	k.links.Report(replica, e.LinkRate, 0, now)
-	p.Sources = make([]netip.AddrPort, len(shared)+1)
-	p.Saves = make([]netip.AddrPort, len(shared)+1)
+	p := &Plan{
+		kept:    k,
+		Sources: make([]netip.AddrPort, len(shared)+1),
+		Saves:   make([]netip.AddrPort, len(shared)+1),
+	}
 	for i, part := range shared {
 		key := partKey{realm, part.ID}
 		bytes := int64(part.Tokens) * int64(e.TokenBytes)
-		name, wait, kept := k.source(key, replica, part.Tokens, bytes, now)
+		s, wait := k.source(key, hall, part.Tokens, bytes, now)
+		read := seconds(perToken * float64(part.Tokens))
 		switch {
-		case kept && wait < min(longestFetch, seconds(perToken*float64(part.Tokens))+fetchGrace):
-			p.Sources[i] = k.stores[name].Addr
+		case s != nil && wait < min(longestFetch, fetchFactor*read+fetchGrace):
+			p.Sources[i] = s.Addr
 			p.Fetched += part.Tokens
 			p.Time += wait
-			p.book(k, name, replica, bytes, now)
-		case kept || !save:
+			p.moves = append(p.moves, move{s, bytes})
+			s.moving += bytes
+		case s != nil || !save:
 		default:
-			if name := k.room(key, part.Tokens, now); name != "" {
-				s := k.stores[name]
+			if s := k.room(key, part.Tokens, now); s != nil {
 				p.Saves[i] = s.Addr
 				p.Saved += part.Tokens
 				s.saving[key] = saving{tokens: part.Tokens, until: now.Add(saveTerm)}
@@ -249,14 +192,14 @@
 }
 
 // Look says how many of a prompt's shared tokens, from its start on, can be
-// fetched, and how long that should take.
-func (k *Kept) Look(realm string, shared []site.Part, e *site.Engine, now time.Time) (tokens int, wait time.Duration) {
+// fetched to a data hall, and how long that should take.
+func (k *Kept) Look(realm, hall string, shared []site.Part, e *site.Engine, now time.Time) (tokens int, wait time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, part := range shared {
 		bytes := int64(part.Tokens) * int64(e.TokenBytes)
-		_, w, kept := k.source(partKey{realm, part.ID}, "", part.Tokens, bytes, now)
-		if !kept {
+		s, w := k.source(partKey{realm, part.ID}, hall, part.Tokens, bytes, now)
+		if s == nil {
 			break
 		}
 		tokens += part.Tokens
@@ -265,49 +208,61 @@
 	return tokens, wait
 }
 
-// fetchGrace is how much longer than reading a fetch may take: it leaves the
-// replica free for others.
-const fetchGrace = 30 * time.Millisecond
+// fetchFactor and fetchGrace are by how much longer than reading a fetch may
+// take: it leaves the replica free for others, and reading a part again is paid
+// for.
+const (
+	fetchFactor = 2
+	fetchGrace  = 60 * time.Millisecond
+)
 
-// source finds the store from which a part comes soonest.
-func (k *Kept) source(key partKey, replica string, tokens int, bytes int64, now time.Time) (name string, wait time.Duration, kept bool) {
-	for _, candidate := range k.names {
-		s := k.stores[candidate]
+// source finds the store from which a part comes soonest, nil for none.
+func (k *Kept) source(key partKey, hall string, tokens int, bytes int64, now time.Time) (best *keptStore, wait time.Duration) {
+	for _, name := range k.names {
+		s := k.stores[name]
 		if !s.heard || s.parts[key] < tokens || tokens == 0 {
 			continue
 		}
-		w := s.Latency
-		if replica == "" {
-			w += k.links.Estimate(candidate, candidate, bytes, now)
-		} else {
-			w += k.links.Estimate(candidate, replica, bytes, now)
-		}
-		if s.DataHall != k.hall {
-			w = time.Duration(float64(w) * crossHall)
-		}
-		if !kept || w < wait {
-			name, wait, kept = candidate, w, true
+		if w := s.fetchTime(bytes, hall, now); best == nil || w < wait {
+			best, wait = s, w
 		}
 	}
-	return name, wait, kept
+	return best, wait
+}
+
+// fetchTime is how long a fetch from the store should take: behind those under
+// way, and as much later as fetches from it have lately come.
+func (s *keptStore) fetchTime(bytes int64, hall string, now time.Time) time.Duration {
+	t := float64(s.moving+s.others+bytes) / max(1, s.LinkRate)
+	if s.DataHall != hall {
+		t *= crossHall
+	}
+	return seconds(t) + s.Latency + s.lateness(now)
+}
+
+// lateness is how much later than expected fetches from the store come.
+func (s *keptStore) lateness(now time.Time) time.Duration {
+	fade := math.Exp(-max(0, now.Sub(s.lateAt).Seconds()/lateMemory.Seconds()))
+	return time.Duration(fade * float64(s.late))
 }
 
-// room picks the store to save a part at, "" for none: the one with the largest
+// room picks the store to save a part at, nil for none: the one with the largest
 // share of its room free, so that they fill evenly, and none if a save of the
 // same part is under way.
-func (k *Kept) room(key partKey, tokens int, now time.Time) string {
-	best, free := "", 0.0
+func (k *Kept) room(key partKey, tokens int, now time.Time) *keptStore {
+	var best *keptStore
+	free := 0.0
 	for _, name := range k.names {
 		s := k.stores[name]
 		if v, ok := s.saving[key]; ok && now.Before(v.until) {
-			return ""
+			return nil
 		}
 		if !s.heard || now.Before(s.settled) || s.boot == 0 {
 			continue
 		}
 		left := roomShare*float64(s.Capacity) - float64(s.used+s.pending(now)+tokens)
 		if share := left / float64(max(1, s.Capacity)); left > 0 && share > free {
-			best, free = name, share
+			best, free = s, share
 		}
 	}
 	return best
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -35,7 +35,7 @@
 	codec  Codec
 	choice route.Choice
 	kase   *route.Case
-	plan   route.Plan
+	plan   *route.Plan
 	begun  time.Time
 	took   time.Duration // To the first byte of the answer's body.
 	conn   *upstreamConn
@@ -51,7 +51,7 @@
 }
 
 // newAttempt records that a request is about to be sent to a replica.
-func newAttempt(x *exchange, c route.Choice, p route.Plan, now time.Time) *attempt {
+func newAttempt(x *exchange, c route.Choice, p *route.Plan, now time.Time) *attempt {
 	return &attempt{
 		conns:   x.g.conns,
 		codec:   x.g.codec,
@@ -75,7 +75,7 @@
 // end records how the attempt ended.
 func (a *attempt) end(o route.Outcome, now time.Time) {
 	a.kase.End(o, now)
-	a.plan.Done(now)
+	a.plan.Done()
 }
 
 // begin sends a request to a replica and waits for the head of its answer. It
--- a/service/gateway/beliefs.go
+++ b/service/gateway/beliefs.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	if s != nil {
-		b.configure(s, now)
+		b.configure(s)
 		return nil
 	}
 	model, version, ok, err := b.codec.Weights(r)
@@ -87,7 +87,7 @@
 }
 
 // configure puts a configuration in force unless a newer one is.
-func (b *Beliefs) configure(s *site.Snapshot, now time.Time) {
+func (b *Beliefs) configure(s *site.Snapshot) {
 	for {
 		old := b.snapshot.Load()
 		if old != nil && old.Version >= s.Version {
@@ -97,7 +97,7 @@
 			break
 		}
 	}
-	b.kept.Configure(s.Stores(), now)
+	b.kept.Configure(s.Stores())
 	b.log.Info("configuration in force", "version", s.Version, "routes", len(s.Routes()))
 }
 
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -15,13 +15,13 @@
 
 // dispatch makes what a replica is told beside the request, with a plan for the
 // prompt's kept state.
-func (x *exchange) dispatch(c route.Choice, now time.Time) (*site.Dispatch, route.Plan) {
+func (x *exchange) dispatch(c route.Choice, now time.Time) (*site.Dispatch, *route.Plan) {
 	d := &site.Dispatch{Instance: c.ID, Left: x.limit.Sub(now), Priority: -1}
 	if x.organisation != nil {
 		d.Organisation = x.organisation.Name
 	}
 	if x.service.Engine == nil {
-		return d, route.Plan{}
+		return d, &route.Plan{}
 	}
 	d.Priority = x.priority()
 	if x.stream != nil {
@@ -30,17 +30,17 @@
 	if c.Weights == 0 {
 		// What is kept there is of unknown weights: nothing of it may be used.
 		d.Realm = unknownRealm + x.terms.ID
-		return d, route.Plan{}
+		return d, &route.Plan{}
 	}
 	d.Weights = c.Weights
 	d.Realm = realmOf(x.need.Model, c.Weights, x.organisation)
 	shared := x.terms.Shared()
 	if !x.service.Engine.PlannedFetch || len(shared) == 0 {
-		return d, route.Plan{}
+		return d, &route.Plan{}
 	}
 	// While weights are being replaced, what a replica reads may be of either.
 	settled := c.Weights == x.need.Newest || x.need.Newest == 0
-	plan := x.g.kept.Plan(d.Realm, c.ID, shared, x.service.Engine, x.pool.PerToken(), settled, now)
+	plan := x.g.kept.Plan(d.Realm, c.DataHall, shared, x.service.Engine, x.pool.PerToken(), settled, now)
 	d.Sources, d.Saves = plan.Sources, plan.Saves
 	if clock, ok := x.g.clock.read(now); ok && plan.Fetched > 0 {
 		d.FetchBy = clock + fetchTerm
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -149,7 +149,7 @@
 	}
 	version := x.pool.Majority(x.need.Model)
 	realm := realmOf(x.need.Model, version, x.organisation)
-	x.need.Kept, x.need.Fetch = x.g.kept.Look(realm, x.terms.Shared(), e, now)
+	x.need.Kept, x.need.Fetch = x.g.kept.Look(realm, x.g.settings.Node.DataHall, x.terms.Shared(), e, now)
 }
 
 // freshTerm is for how long after new weights were named answers on older ones
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -104,7 +104,7 @@
 		budgets:  map[string]*route.RetryShare{},
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	g.kept = route.NewKept(s.Node.DataHall, route.NewLinks())
+	g.kept = route.NewKept()
 	g.beliefs = NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), g.kept, log)
 	if err := g.buildNodes(); err != nil {
 		return nil, err
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -231,7 +231,7 @@
 		}
 	}
 	n.mu.Unlock()
-	n.kept.SetPeers(moves, now)
+	n.kept.SetPeers(moves)
 	for _, p := range n.beliefs.Pools() {
 		p.SetPeers(sum)
 	}
