Nodes tell their load as soon as they have sent a prompt somewhere

Cause: for 150 ms all nodes took the same replica for the idlest, and a store's link for as free as one node's own fetches left it. Change: a node tells its state when it has sent a prompt, at most once in 3 ms for each node; moves take their time on a store's link as any node asks for them; a fetch may take half of the route's target, as reading again is paid for; a prompt's home has a tenth of its shared tokens, not a third.

--- a/pkg/route/case.go
+++ b/pkg/route/case.go
@@ -7,7 +7,8 @@
 	pool     *Pool
 	member   *member
 	tokens   int
-	read     int // Tokens expected to be read, with those before it.
+	read     int     // Tokens expected to be read, with those before it.
+	fetch    float64 // Expected time of its fetch, in seconds.
 	begun    time.Time
 	expected time.Duration
 	first    bool
@@ -28,6 +29,7 @@
 		member:   m,
 		tokens:   c.Read,
 		read:     c.Read + m.pending + m.others.Tokens,
+		fetch:    c.Fetch.Seconds(),
 		begun:    now,
 		expected: c.Expected,
 	}
@@ -56,13 +58,25 @@
 	k.member.late = k.member.lateness(now)
 	k.member.late += lateShare * (min(ratio, mostLateness) - k.member.late)
 	k.member.lateAt = now
-	if k.tokens >= minSample {
-		k.pool.perToken += learnShare * (took.Seconds()/float64(k.read) - k.pool.perToken)
-	}
+	k.pool.learn(k, took.Seconds())
 }
 
-// minSample is the least prompt from which the time to read a token is learnt.
-const minSample = 512
+// minSample is the least prompt from which the time to read a token is learnt;
+// from less, the time that any answer takes is.
+const minSample = 1024
+
+// learn fits the time to the first byte as a base and a time for each token.
+func (p *Pool) learn(k *Case, took float64) {
+	if k.tokens == 0 {
+		return
+	}
+	took -= k.fetch
+	if k.read < minSample {
+		p.base += learnShare * (max(0, took-p.perToken*float64(k.read)) - p.base)
+		return
+	}
+	p.perToken += learnShare * (max(0, took-p.base)/float64(k.read) - p.perToken)
+}
 
 // End records how the request ended; later calls do nothing.
 func (k *Case) End(o Outcome, now time.Time) {
--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -37,8 +37,8 @@
 	parts   map[partKey]int // To tokens.
 	used    int             // Tokens of parts that are whole.
 	saving  map[partKey]saving
-	moving  int64         // Bytes of this node's fetches under way.
-	others  int64         // Bytes of other nodes' fetches under way.
+	moved   int64         // Bytes of all moves that this node has asked for.
+	busy    time.Time     // Until when the link is taken by moves asked for.
 	late    time.Duration // Mean excess of the time to the first byte.
 	lateAt  time.Time
 }
@@ -62,9 +62,6 @@
 	roomShare = 0.97
 	// crossHall is how much longer moves take between data halls.
 	crossHall = 2.0
-	// longestFetch is the longest expected fetch that is worth it: the prompt
-	// is read otherwise.
-	longestFetch = 400 * time.Millisecond
 	// fetchLateShare is the weight of the newest fetch in a store's lateness.
 	fetchLateShare = 0.1
 )
@@ -118,26 +115,41 @@
 	}
 }
 
-// Moving lists the bytes of this node's fetches under way, by store.
-func (k *Kept) Moving() map[string]int64 {
+// Moved lists the bytes of all moves that this node has asked for, by store, for
+// other nodes to hear.
+func (k *Kept) Moved() map[string]int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	list := map[string]int64{}
 	for name, s := range k.stores {
-		if s.moving > 0 {
-			list[name] = s.moving
+		if s.moved > 0 {
+			list[name] = s.moved
 		}
 	}
 	return list
 }
 
-// SetPeers sets the bytes of other nodes' fetches under way, by store.
-func (k *Kept) SetPeers(moving map[string]int64) {
+// AddPeer takes in that other nodes have asked for moves of so many bytes.
+func (k *Kept) AddPeer(name string, bytes int64, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for name, s := range k.stores {
-		s.others = moving[name]
+	if s, ok := k.stores[name]; ok {
+		s.occupy(bytes, now)
+	}
+}
+
+// occupy has a move wait behind those that were asked for before.
+func (s *keptStore) occupy(bytes int64, now time.Time) {
+	if s.busy.Before(now) {
+		s.busy = now
 	}
+	s.busy = s.busy.Add(seconds(float64(bytes) / max(1, s.LinkRate)))
+}
+
+// book has this node's own move take its time on the link.
+func (s *keptStore) book(bytes int64, now time.Time) {
+	s.moved += bytes
+	s.occupy(bytes, now)
 }
 
 // Silent records that a store's events can't be followed: nothing is read from
@@ -157,9 +169,9 @@
 }
 
 // Plan decides for the shared parts of a prompt that runs at a replica in a data
-// hall. perToken is the time to read a token; with save, parts that no store has
+// hall. A fetch may take no more than longest; with save, parts that no store has
 // are saved.
-func (k *Kept) Plan(realm, hall string, shared []site.Part, e *site.Engine, perToken float64, save bool, now time.Time) *Plan {
+func (k *Kept) Plan(realm, hall string, shared []site.Part, e *site.Engine, longest time.Duration, save bool, now time.Time) *Plan {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p := &Plan{
@@ -171,20 +183,20 @@
 		key := partKey{realm, part.ID}
 		bytes := int64(part.Tokens) * int64(e.TokenBytes)
 		s, wait := k.source(key, hall, part.Tokens, bytes, now)
-		read := seconds(perToken * float64(part.Tokens))
 		switch {
-		case s != nil && wait < min(longestFetch, fetchFactor*read+fetchGrace):
+		case s != nil && p.Time+wait < longest:
 			p.Sources[i] = s.Addr
 			p.Fetched += part.Tokens
 			p.Time += wait
-			p.moves = append(p.moves, move{s, bytes})
-			s.moving += bytes
+			p.moves = append(p.moves, s)
+			s.book(bytes, now)
 		case s != nil || !save:
 		default:
 			if s := k.room(key, part.Tokens, now); s != nil {
 				p.Saves[i] = s.Addr
 				p.Saved += part.Tokens
 				s.saving[key] = saving{tokens: part.Tokens, until: now.Add(saveTerm)}
+				s.book(bytes, now)
 			}
 		}
 	}
@@ -208,14 +220,6 @@
 	return tokens, wait
 }
 
-// fetchFactor and fetchGrace are by how much longer than reading a fetch may
-// take: it leaves the replica free for others, and reading a part again is paid
-// for.
-const (
-	fetchFactor = 2
-	fetchGrace  = 60 * time.Millisecond
-)
-
 // source finds the store from which a part comes soonest, nil for none.
 func (k *Kept) source(key partKey, hall string, tokens int, bytes int64, now time.Time) (best *keptStore, wait time.Duration) {
 	for _, name := range k.names {
@@ -233,11 +237,11 @@
 // fetchTime is how long a fetch from the store should take: behind those under
 // way, and as much later as fetches from it have lately come.
 func (s *keptStore) fetchTime(bytes int64, hall string, now time.Time) time.Duration {
-	t := float64(s.moving+s.others+bytes) / max(1, s.LinkRate)
+	own := float64(bytes) / max(1, s.LinkRate)
 	if s.DataHall != hall {
-		t *= crossHall
+		own *= crossHall
 	}
-	return seconds(t) + s.Latency + s.lateness(now)
+	return max(0, s.busy.Sub(now)) + seconds(own) + s.Latency + s.lateness(now)
 }
 
 // lateness is how much later than expected fetches from the store come.
--- a/pkg/route/plan.go
+++ b/pkg/route/plan.go
@@ -18,17 +18,11 @@
 	Time time.Duration
 
 	kept  *Kept
-	moves []move
-}
-
-// move is a fetch from a store that has not ended.
-type move struct {
-	store *keptStore
-	bytes int64
+	moves []*keptStore // From which something is fetched.
 }
 
 // First records that the first byte of the answer has come, by how much later
-// than expected; it ends the plan's fetches.
+// than expected.
 //
 // How long a fetch took can't be told from the reading behind it. But requests
 // that fetch from a store that is slow come late, and others don't.
@@ -42,27 +36,8 @@
 		p.kept.late += time.Duration(fetchLateShare * float64(excess-p.kept.late))
 	}
 	for _, m := range p.moves {
-		late := m.store.lateness(now)
-		m.store.late = late + time.Duration(fetchLateShare*float64(max(0, excess+late-p.kept.late)-late))
-		m.store.lateAt = now
-	}
-	p.end()
-}
-
-// Done ends the plan's fetches without learning anything; later calls do
-// nothing.
-func (p *Plan) Done() {
-	if p.kept == nil {
-		return
-	}
-	p.kept.mu.Lock()
-	defer p.kept.mu.Unlock()
-	p.end()
-}
-
-func (p *Plan) end() {
-	for _, m := range p.moves {
-		m.store.moving -= m.bytes
+		late := m.lateness(now)
+		m.late = late + time.Duration(fetchLateShare*float64(max(0, excess+late-p.kept.late)-late))
+		m.lateAt = now
 	}
-	p.moves = nil
 }
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -23,8 +23,10 @@
 	hall     string // Of this node.
 	replicas map[string]*member
 	list     []*member
-	// perToken is the learnt time to read one token, in seconds.
+	// perToken is the learnt time to read one token, and base that of an answer
+	// with little to read, in seconds.
 	perToken float64
+	base     float64
 	meanRun  time.Duration // Of requests without a prompt.
 	failing  float64       // Mean share of failures over all replicas.
 }
@@ -54,6 +56,9 @@
 	// startPerToken is the time to read a token that is assumed before any was
 	// measured: some 20,000 tokens a second.
 	startPerToken = 50e-6
+	// startBase is the time to the first byte of a prompt with little to read
+	// that is assumed before any was measured.
+	startBase = 0.03
 	// startRun is how long a request without a prompt is assumed to take.
 	startRun = 50 * time.Millisecond
 	// learnShare is the weight of the newest sample in learnt means.
@@ -78,12 +83,12 @@
 	runTime = 500 * time.Microsecond
 	// homeShare is the share of a prompt's shared tokens that its home replica
 	// is assumed to still have.
-	homeShare = 0.35
+	homeShare = 0.1
 )
 
 // NewPool returns a pool without replicas for a node in the given data hall.
 func NewPool(hall string, rng *rand.Rand) *Pool {
-	return &Pool{hall: hall, rng: rng, replicas: map[string]*member{}, perToken: startPerToken, meanRun: startRun}
+	return &Pool{hall: hall, rng: rng, replicas: map[string]*member{}, perToken: startPerToken, base: startBase, meanRun: startRun}
 }
 
 // Configure sets which replicas there are; what is known of those that stay is
@@ -206,6 +211,7 @@
 		Upstream: chosen.Upstream,
 		Weights:  chosen.Weights[n.Model],
 		Expected: seconds(p.firstByte(chosen, n, chosen == home, now)),
+		Fetch:    seconds(n.fetch(chosen == home)),
 		Read:     int(n.toRead(chosen == home)),
 	}, true
 }
@@ -279,7 +285,7 @@
 	}
 	waiting := float64(m.pending + m.others.Tokens)
 	reading := (waiting + n.toRead(home)) * p.perToken
-	return (reading+float64(running)*runTime.Seconds())*m.lateness(now) + n.fetch(home)
+	return (p.base+reading+float64(running)*runTime.Seconds())*m.lateness(now) + n.fetch(home)
 }
 
 // lateness is how much longer than expected the replica's answers take.
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -31,15 +31,17 @@
 
 // attempt is one try of a request at one replica.
 type attempt struct {
-	conns  *upstreamConns
-	codec  Codec
-	choice route.Choice
-	kase   *route.Case
-	plan   *route.Plan
-	begun  time.Time
-	took   time.Duration // To the first byte of the answer's body.
-	conn   *upstreamConn
-	stop   func() bool
+	conns   *upstreamConns
+	codec   Codec
+	choice  route.Choice
+	kase    *route.Case
+	plan    *route.Plan
+	begun   time.Time
+	took    time.Duration // To the first byte of the answer's body.
+	last    time.Time     // When bytes of the body came last.
+	longest time.Duration // Pause between them.
+	conn    *upstreamConn
+	stop    func() bool
 	// written is set once the whole request was handed to the connection.
 	written atomic.Bool
 	writing chan struct{}
@@ -72,10 +74,17 @@
 	a.plan.First(a.kase.First(now), now)
 }
 
+// gap notes the pause before bytes of a stream.
+func (a *attempt) gap(now time.Time) {
+	if !a.last.IsZero() {
+		a.longest = max(a.longest, now.Sub(a.last))
+	}
+	a.last = now
+}
+
 // end records how the attempt ended.
 func (a *attempt) end(o route.Outcome, now time.Time) {
 	a.kase.End(o, now)
-	a.plan.Done()
 }
 
 // begin sends a request to a replica and waits for the head of its answer. It
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -40,7 +40,7 @@
 	}
 	// While weights are being replaced, what a replica reads may be of either.
 	settled := c.Weights == x.need.Newest || x.need.Newest == 0
-	plan := x.g.kept.Plan(d.Realm, c.DataHall, shared, x.service.Engine, x.pool.PerToken(), settled, now)
+	plan := x.g.kept.Plan(d.Realm, c.DataHall, shared, x.service.Engine, x.longestFetch(), settled, now)
 	d.Sources, d.Saves = plan.Sources, plan.Saves
 	if clock, ok := x.g.clock.read(now); ok && plan.Fetched > 0 {
 		d.FetchBy = clock + fetchTerm
@@ -48,6 +48,15 @@
 	return d, plan
 }
 
+// longestFetch is the longest that a fetch is expected to take: the answer must
+// still come in good time behind it.
+func (x *exchange) longestFetch() time.Duration {
+	return time.Duration(fetchShare * float64(x.route.Target))
+}
+
+// fetchShare is the part of a route's target that a fetch may take.
+const fetchShare = 0.5
+
 // priority is the organisation's, or else the route's.
 func (x *exchange) priority() int {
 	if x.organisation != nil && x.organisation.HasPriority {
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -184,6 +184,9 @@
 	}
 	dispatch, plan := x.dispatch(choice, now)
 	a := newAttempt(x, choice, plan, now)
+	if x.need.Tokens > 0 {
+		x.g.nodes.soon()
+	}
 	fate, err := a.begin(ctx, x, dispatch)
 	defer a.finish()
 	now = time.Now()
@@ -358,7 +361,7 @@
 		"hall", a.choice.DataHall, "weights", a.choice.Weights, "newest", x.need.Newest,
 		"tokens", x.need.Tokens, "shared", x.need.Shared, "kept", x.need.Kept, "read", a.choice.Read,
 		"fetched", a.plan.Fetched, "saved", a.plan.Saved, "fetch_ms", a.plan.Time.Milliseconds(),
-		"expected_ms", a.choice.Expected.Milliseconds(), "first_ms", a.took.Milliseconds(),
+		"expected_ms", a.choice.Expected.Milliseconds(), "first_ms", a.took.Milliseconds(), "gap_ms", a.longest.Milliseconds(),
 		"before_ms", a.begun.Sub(x.came).Milliseconds(), "all_ms", now.Sub(x.came).Milliseconds(),
 		"attempts", x.ran, "not_run", x.refused)
 }
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -143,6 +143,7 @@
 		log:     g.log,
 		states:  map[string]heardState{},
 		steered: map[string]time.Time{},
+		due:     make(chan struct{}, 1),
 	}
 	handle := func(from netip.AddrPort, p control.Probe) []control.Packet {
 		return n.members.Handle(from, p, time.Now(), 0)
@@ -183,12 +184,11 @@
 	follow(&follower{
 		store: g.platform.Store, table: site.TableUpstreams, name: "upstreams", hold: hold, log: g.log,
 		apply: g.beliefs.ApplyUpstreams, rest: upstreamsRest,
-		away:  g.beliefs.StoreAway,
+		away: g.beliefs.StoreAway,
 	})
 	every := g.settings.Peer.ProbeEvery.Std()
 	g.timer.Subscribe(every, g.nodes.probe)
 	g.timer.Subscribe(every/lateShare, g.nodes.probeLate)
-	g.timer.Subscribe(g.settings.Peer.LoadEvery.Std(), g.nodes.tell)
 	g.timer.Subscribe(meetEvery, g.nodes.meet)
 	g.timer.Subscribe(pruneEvery, func(context.Context) { g.conns.prune(time.Now()) })
 	g.timer.Subscribe(expireEvery, func(context.Context) { g.beliefs.Expire(time.Now()) })
@@ -197,6 +197,7 @@
 	g.timer.Subscribe(rollout.Every, g.rollout.Step)
 	g.timer.Subscribe(watchEvery, g.shareBudgets)
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
+	g.wg.Go(func() { g.nodes.run(g.ctx, g.settings.Peer.LoadEvery.Std()) })
 	g.wg.Go(func() {
 		if err := g.clients.accept(g, g.entry); err != nil && !g.closing.Load() {
 			g.log.Error("no longer accepting", "err", err)
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -36,6 +36,7 @@
 	beliefs *Beliefs
 	kept    *route.Kept
 	log     *slog.Logger
+	due     chan struct{} // Holds one when the state is to be told soon.
 
 	mu        sync.Mutex
 	seq       uint64
@@ -54,7 +55,7 @@
 	Loads map[string][2]int `json:"l,omitempty"` // Requests and tokens, by replica.
 	Steer map[string]int64  `json:"s,omitempty"` // Milliseconds, by replica.
 	Known map[string]int64  `json:"w,omitempty"` // Newest weights, by model.
-	Moves map[string]int64  `json:"m,omitempty"` // Bytes being fetched, by store.
+	Moves map[string]int64  `json:"m,omitempty"` // Bytes of all moves asked for, by store.
 }
 
 type heardState struct {
@@ -138,8 +139,37 @@
 	n.probes.Send(n.members.Greet(strangers))
 }
 
-// tell sends this node's state to the others; the timer service calls it.
-func (n *nodes) tell(context.Context) {
+// tellEach is for how long one state is kept from being followed by another, for
+// each other node: so the cost of telling is bounded whatever the fleet's size.
+const tellEach = 3 * time.Millisecond
+
+// soon has this node's state told at once, or as soon as the last one is old
+// enough: other nodes would choose the same replica until they hear.
+func (n *nodes) soon() {
+	select {
+	case n.due <- struct{}{}:
+	default:
+	}
+}
+
+// run tells this node's state when it is due, and at least every period.
+func (n *nodes) run(ctx context.Context, every time.Duration) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-n.due:
+		}
+		n.tell()
+		sleep(ctx, min(every, time.Duration(n.count())*tellEach))
+	}
+}
+
+// tell sends this node's state to the others.
+func (n *nodes) tell() {
 	now := time.Now()
 	state := nodeState{
 		From:  n.self.Name,
@@ -147,7 +177,7 @@
 		Known: n.beliefs.NewestWeights(),
 		Loads: map[string][2]int{},
 		Steer: map[string]int64{},
-		Moves: n.kept.Moving(),
+		Moves: n.kept.Moved(),
 	}
 	for _, p := range n.beliefs.Pools() {
 		for id, l := range p.Loads() {
@@ -200,6 +230,12 @@
 	if !newer {
 		return
 	}
+	n.merge(now)
+	for store, bytes := range s.Moves {
+		if more := bytes - old.Moves[store]; s.Boot == old.Boot && more > 0 {
+			n.kept.AddPeer(store, more, now)
+		}
+	}
 	for model, version := range s.Known {
 		n.beliefs.HearWeights(model, version, now)
 	}
@@ -213,7 +249,6 @@
 // merge adds up what the others have in flight.
 func (n *nodes) merge(now time.Time) {
 	sum := map[string]route.PeerLoad{}
-	moves := map[string]int64{}
 	n.mu.Lock()
 	for name, s := range n.states {
 		if now.Sub(s.at) > stateTerm {
@@ -226,12 +261,8 @@
 			v.Tokens += l[1]
 			sum[id] = v
 		}
-		for store, bytes := range s.Moves {
-			moves[store] += bytes
-		}
 	}
 	n.mu.Unlock()
-	n.kept.SetPeers(moves)
 	for _, p := range n.beliefs.Pools() {
 		p.SetPeers(sum)
 	}
@@ -246,7 +277,7 @@
 	for _, p := range n.beliefs.Pools() {
 		p.Avoid(id, now.Add(d))
 	}
-	n.tell(context.Background())
+	n.soon()
 }
 
 // leave tells the others that this node is stopping.
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -71,7 +71,9 @@
 	for {
 		n, err := a.body.Read(buf)
 		if n > 0 {
-			a.first(time.Now())
+			now := time.Now()
+			a.first(now)
+			a.gap(now)
 			r.take(buf[:n])
 		}
 		switch {
