Orders in groups, each under a lease of its own

Cause: one holder that was cut off from the store held up every replica until its lease had run out, and three seconds more. Change: the replicas are divided into six groups by hash; each group's lease goes to the first node in its rendezvous order, and to the next ones later. Old weights are ruled out shortly before the bound. A store's lateness follows the median, as a mean of what was clipped at zero only grew.

--- a/pkg/rollout/lease.go
+++ b/pkg/rollout/lease.go
@@ -18,7 +18,6 @@
 }
 
 const (
-	leaseKey = "weights"
 	// leaseTerm is for how long one renewal holds. It is short, as whoever takes
 	// over from a lost holder waits for its end.
 	leaseTerm = 2 * time.Second
@@ -36,6 +35,7 @@
 // clock from before the write was sent; so it ends by its own count first. A
 // taker waits until the store's clock is past that end and a pause more.
 type Lease struct {
+	key   string
 	node  string
 	pause time.Duration
 	store Store
@@ -58,10 +58,10 @@
 	Until  time.Duration `json:"until_ns"` // On the store's clock.
 }
 
-// NewLease returns a lease that is not held; pause is the least time between the
-// orders of two holders.
-func NewLease(node string, pause time.Duration, s Store, log *slog.Logger) *Lease {
-	return &Lease{node: node, pause: pause, store: s, log: log, now: time.Now}
+// NewLease returns a lease of a name that is not held; pause is the least time
+// between the orders of two holders.
+func NewLease(key, node string, pause time.Duration, s Store, log *slog.Logger) *Lease {
+	return &Lease{key: key, node: node, pause: pause, store: s, log: log, now: time.Now}
 }
 
 // Held says whether an order may be given now; it is asked just before each.
@@ -140,7 +140,7 @@
 	defer l.mu.Unlock()
 	l.row, l.version = leaseRow{}, 0
 	for _, r := range listing.Rows {
-		if r.Key != leaseKey || r.Gone {
+		if r.Key != l.key || r.Gone {
 			continue
 		}
 		if err := json.Unmarshal(r.Value, &l.row); err != nil {
@@ -173,7 +173,7 @@
 	if err != nil {
 		return false
 	}
-	listing, err := l.store.Put(ctx, site.TableLeases, leaseKey, body, base)
+	listing, err := l.store.Put(ctx, site.TableLeases, l.key, body, base)
 	if err != nil {
 		if !errors.Is(err, site.ErrConflict) {
 			l.log.Warn("lease not written", "err", err)
@@ -183,7 +183,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if next.Fence != l.row.Fence {
-		l.log.Info("lease taken", "lease", leaseKey, "fence", next.Fence, "version", listing.Version)
+		l.log.Info("lease taken", "lease", l.key, "fence", next.Fence, "version", listing.Version)
 	}
 	l.row, l.version = next, listing.Version
 	l.sent = sent
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -22,6 +25,8 @@
 	// Behind lists the replicas that don't serve a model's newest weights, with
 	// how many replicas serve it in all.
 	Behind() (list []Target, all int)
+	// Rank is how many nodes come before this one for a duty.
+	Rank(duty string) int
 	// Steer has all nodes send requests elsewhere for a while.
 	Steer(id string, d time.Duration)
 	// Serves notes what a replica has said that it serves.
@@ -38,16 +43,23 @@
 const (
 	// Every is the period of Step.
 	Every = 50 * time.Millisecond
+	// groups is into how many parts the replicas are divided. Each has a lease,
+	// so that a holder that is lost holds up its part only, and each swaps its
+	// replicas one after the other or a few at once.
+	groups = 6
 	// swapShare is the part of the replicas that is swapped at once: fewer take
 	// long, more leave too few to serve. Measured, docs/POLICY.md.
-	swapShare = 0.25
+	swapShare = 0.3
+	// rankPause is for how long each node leaves a lease to those that come
+	// before it.
+	rankPause = 600 * time.Millisecond
 	// steerTime is for how long requests are sent elsewhere before an order, so
 	// that most runs have ended.
 	steerTime = 250 * time.Millisecond
 	// steerTerm is for how long nodes pass a replica over at each word of it.
 	steerTerm = 600 * time.Millisecond
 	// askEvery is how often a swapping replica is asked how far it is.
-	askEvery = 200 * time.Millisecond
+	askEvery = 150 * time.Millisecond
 	// orderTerm is after how long an order of which nothing is seen is given
 	// again, and a replica that does not answer is left to the next round.
 	orderTerm = 1500 * time.Millisecond
@@ -58,80 +70,134 @@
 
 // Rollout gives the orders.
 type Rollout struct {
-	lease   *Lease
 	engines Engines
 	fleet   Fleet
 	node    string
 	log     *slog.Logger
 	now     func() time.Time
+	groups  [groups]*group
+
+	wg sync.WaitGroup
+}
+
+// group is a part of the replicas whose orders are given under one lease.
+type group struct {
+	name  string
+	lease *Lease
 
 	mu    sync.Mutex
 	swaps map[string]*swap
-	wg    sync.WaitGroup
+	since time.Time // When work was first seen, zero if there is none.
 }
 
 // swap is one replica that is being brought to other weights.
 type swap struct {
-	begun time.Time
 	until time.Time // Left alone until, once it has ended.
 	ended bool
 }
 
-// New returns a rollout that gives orders in a node's name.
-func New(node string, l *Lease, e Engines, f Fleet, log *slog.Logger) *Rollout {
-	return &Rollout{node: node, lease: l, engines: e, fleet: f, log: log, now: time.Now, swaps: map[string]*swap{}}
+// New returns a rollout that gives orders in a node's name; pause is the least
+// time between the orders of two nodes to a replica.
+func New(node string, pause time.Duration, st Store, e Engines, f Fleet, log *slog.Logger) *Rollout {
+	r := &Rollout{node: node, engines: e, fleet: f, log: log, now: time.Now}
+	for i := range r.groups {
+		name := fmt.Sprintf("weights/%d", i)
+		r.groups[i] = &group{name: name, lease: NewLease(name, node, pause, st, log), swaps: map[string]*swap{}}
+	}
+	return r
 }
 
+// groupOf says to which group a replica belongs.
+func groupOf(id string) int { return int(xxhash.Sum64String(id) % groups) }
+
 // Step begins swaps that are due; the timer service calls it. It returns at
 // once when there is nothing to do.
 func (r *Rollout) Step(ctx context.Context) {
 	behind, all := r.fleet.Behind()
-	if len(behind) == 0 && r.running() == 0 {
-		r.lease.Release(ctx)
+	var parts [groups][]Target
+	for _, t := range behind {
+		i := groupOf(t.ID)
+		parts[i] = append(parts[i], t)
+	}
+	most := max(1, int(math.Round(swapShare*float64(all)/groups)))
+	var wg sync.WaitGroup
+	for i, g := range r.groups {
+		if r.work(g, parts[i]) {
+			wg.Go(func() { r.step(ctx, g, parts[i], most) })
+		}
+	}
+	wg.Wait()
+}
+
+// work says whether a group has anything to be done.
+func (r *Rollout) work(g *group, behind []Target) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(behind) == 0 && g.running(r.now()) == 0 {
+		g.since = time.Time{}
+		return g.lease.Held()
+	}
+	if g.since.IsZero() {
+		g.since = r.now()
+	}
+	return true
+}
+
+func (r *Rollout) step(ctx context.Context, g *group, behind []Target, most int) {
+	g.mu.Lock()
+	since, idle := g.since, g.since.IsZero()
+	g.mu.Unlock()
+	if idle {
+		g.lease.Release(ctx)
 		return
 	}
-	if !r.lease.Keep(ctx) {
+	if !g.lease.Held() && r.now().Sub(since) < time.Duration(r.fleet.Rank(g.name))*rankPause {
+		return
+	}
+	if !g.lease.Keep(ctx) {
 		return
 	}
-	most := max(1, int(math.Ceil(swapShare*float64(all))))
 	for _, t := range behind {
-		if r.running() >= most {
-			return
-		}
-		r.begin(ctx, t)
+		r.begin(ctx, g, t, most)
+	}
+}
+
+// Release gives up what is held, for a planned stop.
+func (r *Rollout) Release(ctx context.Context) {
+	for _, g := range r.groups {
+		g.lease.Release(ctx)
 	}
 }
 
 // Close waits for swaps under way.
 func (r *Rollout) Close() { r.wg.Wait() }
 
-func (r *Rollout) running() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// running counts the swaps under way; the caller holds mu.
+func (g *group) running(now time.Time) int {
 	n := 0
-	for id, s := range r.swaps {
+	for id, s := range g.swaps {
 		switch {
 		case !s.ended:
 			n++
-		case r.now().After(s.until):
-			delete(r.swaps, id)
+		case now.After(s.until):
+			delete(g.swaps, id)
 		}
 	}
 	return n
 }
 
-func (r *Rollout) begin(ctx context.Context, t Target) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, known := r.swaps[t.ID]; known {
+func (r *Rollout) begin(ctx context.Context, g *group, t Target, most int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, known := g.swaps[t.ID]; known || g.running(r.now()) >= most {
 		return
 	}
-	s := &swap{begun: r.now()}
-	r.swaps[t.ID] = s
+	s := &swap{}
+	g.swaps[t.ID] = s
 	r.wg.Go(func() {
-		pause := r.swap(context.WithoutCancel(ctx), t)
-		r.mu.Lock()
-		defer r.mu.Unlock()
+		pause := r.swap(context.WithoutCancel(ctx), g, t)
+		g.mu.Lock()
+		defer g.mu.Unlock()
 		s.ended = true
 		s.until = r.now().Add(pause)
 	})
@@ -139,7 +205,7 @@
 
 // swap brings one replica to its weights and returns for how long it is to be
 // left alone.
-func (r *Rollout) swap(ctx context.Context, t Target) time.Duration {
+func (r *Rollout) swap(ctx context.Context, g *group, t Target) time.Duration {
 	r.fleet.Steer(t.ID, steerTime+steerTerm)
 	r.sleep(steerTime)
 	end := r.now().Add(orderTerm)
@@ -157,7 +223,7 @@
 			r.fleet.Steer(t.ID, steerTerm)
 			end = r.now().Add(orderTerm)
 		case !ordered:
-			ordered = r.order(ctx, t, report.Orders)
+			ordered = r.order(ctx, g, t, report.Orders)
 			if !ordered {
 				return backoffTerm
 			}
@@ -171,20 +237,20 @@
 }
 
 // order gives the order and says whether it may have been taken.
-func (r *Rollout) order(ctx context.Context, t Target, orders int64) bool {
-	if !r.lease.Held() {
+func (r *Rollout) order(ctx context.Context, g *group, t Target, orders int64) bool {
+	if !g.lease.Held() {
 		return false
 	}
 	outcome, err := r.engines.Order(ctx, t.Addr, site.Order{
 		Model:    t.Model,
 		Version:  t.Version,
 		Holder:   r.node,
-		Fence:    r.lease.Fence(),
+		Fence:    g.lease.Fence(),
 		Orders:   orders,
 		Instance: t.ID,
 	})
 	r.log.Info("order given", "replica", t.ID, "model", t.Model, "version", t.Version,
-		"fence", r.lease.Fence(), "orders", orders, "outcome", int(outcome), "err", err)
+		"fence", g.lease.Fence(), "orders", orders, "outcome", int(outcome), "err", err)
 	return outcome == site.OrderTaken || outcome == site.OrderUnknown
 }
 
--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -20,9 +20,6 @@
 	mu     sync.Mutex
 	stores map[string]*keptStore
 	names  []string
-	// late is the mean excess of the time to the first byte where nothing was
-	// fetched, against which stores are judged.
-	late time.Duration
 }
 
 type keptStore struct {
@@ -39,7 +36,7 @@
 	saving  map[partKey]saving
 	moved   int64         // Bytes of all moves that this node has asked for.
 	busy    time.Time     // Until when the link is taken by moves asked for.
-	late    time.Duration // Mean excess of the time to the first byte.
+	late    time.Duration // By how much fetches come later than expected.
 	lateAt  time.Time
 }
 
@@ -62,8 +59,6 @@
 	roomShare = 0.97
 	// crossHall is how much longer moves take between data halls.
 	crossHall = 2.0
-	// fetchLateShare is the weight of the newest fetch in a store's lateness.
-	fetchLateShare = 0.1
 )
 
 // NewKept returns a view in which no store has anything.
--- a/pkg/route/plan.go
+++ b/pkg/route/plan.go
@@ -24,20 +24,31 @@
 // First records that the first byte of the answer has come, by how much later
 // than expected.
 //
-// How long a fetch took can't be told from the reading behind it. But requests
-// that fetch from a store that is slow come late, and others don't.
+// How long a fetch took can't be told from the reading behind it. So a store's
+// lateness follows the median: it goes up by a step with each answer that came
+// late and down with each that came early, and a few very late ones move it no
+// further than others.
 func (p *Plan) First(excess time.Duration, now time.Time) {
 	if p.kept == nil {
 		return
 	}
 	p.kept.mu.Lock()
 	defer p.kept.mu.Unlock()
-	if len(p.moves) == 0 {
-		p.kept.late += time.Duration(fetchLateShare * float64(excess-p.kept.late))
-	}
-	for _, m := range p.moves {
-		late := m.lateness(now)
-		m.late = late + time.Duration(fetchLateShare*float64(max(0, excess+late-p.kept.late)-late))
-		m.lateAt = now
+	for _, s := range p.moves {
+		late := s.lateness(now)
+		step := max(fetchLateStep, late/fetchLateParts)
+		if excess < 0 {
+			step = -step
+		}
+		s.late = min(fetchLateMost, max(0, late+step))
+		s.lateAt = now
 	}
 }
+
+const (
+	// fetchLateStep and fetchLateParts say how far one answer moves a store's
+	// lateness: a link that has become slow is noticed within some ten answers.
+	fetchLateStep  = 8 * time.Millisecond
+	fetchLateParts = 6
+	fetchLateMost  = time.Second
+)
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -75,7 +75,7 @@
 	// what the bytes between halls cost, in the time that is worth the same.
 	hallTime = 4 * time.Millisecond
 	// oldWeightsTime is the price of weights that are to be replaced.
-	oldWeightsTime = 150 * time.Millisecond
+	oldWeightsTime = 100 * time.Millisecond
 	// coldTime is the price of a replica that is slow from its start.
 	coldTime = 100 * time.Millisecond
 	// runTime is the price of each request that runs at a replica: the others'
@@ -224,8 +224,8 @@
 	if n.Model == "" || len(m.Weights) == 0 {
 		return true
 	}
-	_, serves := m.Weights[n.Model]
-	return serves
+	version, serves := m.Weights[n.Model]
+	return serves && (!n.NewestOnly || version >= n.Newest)
 }
 
 // passedOver says whether a replica is left out as long as others are there.
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -152,9 +152,17 @@
 	x.need.Kept, x.need.Fetch = x.g.kept.Look(realm, x.g.settings.Node.DataHall, x.terms.Shared(), e, now)
 }
 
-// freshTerm is for how long after new weights were named answers on older ones
-// count in full.
-const freshTerm = time.Second
+const (
+	// freshTerm is for how long after new weights were named answers on older
+	// ones count nearly in full, and freshUrgency what they count less.
+	freshTerm    = time.Second
+	freshUrgency = 0.3
+	// withinMargin is how long before the time by which all replicas are to
+	// have new weights nothing is sent to older ones any more.
+	withinMargin = 1200 * time.Millisecond
+	// firstWeights is the version that models begin with.
+	firstWeights = 1
+)
 
 // refresh notes the newest weights, which may change between attempts.
 func (x *exchange) refresh(now time.Time) {
@@ -163,10 +171,13 @@
 	}
 	version, since := x.g.beliefs.Weights(x.need.Model)
 	x.need.Newest = version
-	x.need.Urgency = 0.3
-	if now.Sub(since) > freshTerm {
+	known := now.Sub(since)
+	x.need.Urgency = freshUrgency
+	if known > freshTerm {
 		x.need.Urgency = 1
 	}
+	within := x.g.settings.Orders.Within.Std()
+	x.need.NewestOnly = !since.IsZero() && version > firstWeights && known > within-withinMargin
 }
 
 // try makes one attempt. It says whether another is to be made; otherwise the
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -65,7 +65,6 @@
 	nodes    *nodes
 	stores   *stores
 	rollout  *rollout.Rollout
-	lease    *rollout.Lease
 	conns    *upstreamConns
 	clients  *clientConns
 	metrics  *metrics
@@ -119,8 +118,7 @@
 		log:     log,
 		watched: map[string]context.CancelFunc{},
 	}
-	g.lease = rollout.NewLease(s.Node.Name, s.Orders.Pause.Std(), p.Store, log)
-	g.rollout = rollout.New(s.Node.Name, g.lease, p.Engines, &swaps{beliefs: g.beliefs, nodes: g.nodes}, log)
+	g.rollout = rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, p.Engines, &swaps{beliefs: g.beliefs, nodes: g.nodes}, log)
 	return g, g.listen()
 }
 
@@ -275,7 +273,7 @@
 	g.log.Info("stopping", "node", g.settings.Node.Name, "in_flight", g.inFlight.Load())
 	g.stop.Store(true)
 	g.nodes.leave()
-	g.releaseLease()
+	g.releaseLeases()
 	busy := begun
 	for now := begun; now.Before(end); now = time.Now() {
 		if g.inFlight.Load() > 0 {
@@ -293,10 +291,10 @@
 	g.log.Warn("stopping with requests in flight", "in_flight", g.inFlight.Load())
 }
 
-func (g *Gateway) releaseLease() {
+func (g *Gateway) releaseLeases() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	g.lease.Release(ctx)
+	g.rollout.Release(ctx)
 }
 
 // Close stops serving and waits for everything that was started.
--- a/service/gateway/swaps.go
+++ b/service/gateway/swaps.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/rollout"
 )
 
@@ -44,3 +45,14 @@
 		p.Serves(t.ID, t.Model, version)
 	}
 }
+
+// Rank implements rollout.Fleet.
+func (s *swaps) Rank(duty string) int {
+	members := s.nodes.members.Working()
+	for i, m := range control.Owners(members, duty, len(members)) {
+		if m.Name == s.nodes.self.Name {
+			return i
+		}
+	}
+	return len(members)
+}
