Parts that replicas hold by chance of their use are not counted as moves

Cause: a prompt's common part was planned as a fetch although nearly every replica had it, so links looked busy, and all of them depended on one store. Change: the chance that a replica still has a part follows from its use, its capacity and the tokens that push it out; parts used often are saved at a faster store too; nodes tell of swapped replicas at once.

--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -20,6 +20,7 @@
 	mu     sync.Mutex
 	stores map[string]*keptStore
 	names  []string
+	use    *traffic
 }
 
 type keptStore struct {
@@ -62,7 +63,7 @@
 )
 
 // NewKept returns a view in which no store has anything.
-func NewKept() *Kept { return &Kept{stores: map[string]*keptStore{}} }
+func NewKept() *Kept { return &Kept{stores: map[string]*keptStore{}, use: newTraffic()} }
 
 // Configure sets which stores there are.
 func (k *Kept) Configure(stores []*site.Service) {
@@ -178,26 +179,73 @@
 		key := partKey{realm, part.ID}
 		bytes := int64(part.Tokens) * int64(e.TokenBytes)
 		s, wait := k.source(key, hall, part.Tokens, bytes, now)
-		switch {
-		case s != nil && p.Time+wait < longest:
-			p.Sources[i] = s.Addr
-			p.Fetched += part.Tokens
-			p.Time += wait
-			p.moves = append(p.moves, s)
-			s.book(bytes, now)
-		case s != nil || !save:
-		default:
-			if s := k.room(key, part.Tokens, now); s != nil {
-				p.Saves[i] = s.Addr
-				p.Saved += part.Tokens
-				s.saving[key] = saving{tokens: part.Tokens, until: now.Add(saveTerm)}
+		lacking := 1 - k.use.held(key, e.Capacity, now)
+		wait = time.Duration(lacking * float64(wait))
+		k.use.note(key, part.Tokens, now)
+		if s != nil && p.Time+wait < longest {
+			p.take(i, part.Tokens, s, wait)
+			if lacking > mostlyLacking {
+				p.moves = append(p.moves, s)
 				s.book(bytes, now)
 			}
 		}
+		if save && (s == nil || k.use.often(key, now)) {
+			k.save(p, i, key, part.Tokens, bytes, s, hall, now)
+		}
 	}
 	return p
 }
 
+// mostlyLacking is the chance that the replica lacks a part from which on its
+// fetch is counted on the links.
+const mostlyLacking = 0.5
+
+// save has a part saved where there is room; one that is used often is saved a
+// second time if that store is much faster.
+func (k *Kept) save(p *Plan, i int, key partKey, tokens int, bytes int64, has *keptStore, hall string, now time.Time) {
+	s := k.room(key, tokens, now)
+	if has != nil {
+		s = k.faster(key, tokens, bytes, has, hall, now)
+	}
+	if s == nil {
+		return
+	}
+	p.Saves[i] = s.Addr
+	p.Saved += tokens
+	s.saving[key] = saving{tokens: tokens, until: now.Add(saveTerm)}
+	s.book(bytes, now)
+}
+
+// faster picks a store with room from which a part would come in less than half
+// the time, nil for none.
+func (k *Kept) faster(key partKey, tokens int, bytes int64, has *keptStore, hall string, now time.Time) *keptStore {
+	var best *keptStore
+	least := has.fetchTime(bytes, hall, now) / 2
+	for _, name := range k.names {
+		s := k.stores[name]
+		if v, ok := s.saving[key]; ok && now.Before(v.until) {
+			return nil
+		}
+		if !s.open(now) || s.parts[key] > 0 || s.left(tokens, now) <= 0 {
+			continue
+		}
+		if t := s.fetchTime(bytes, hall, now); t < least {
+			best, least = s, t
+		}
+	}
+	return best
+}
+
+// open says whether parts may be saved at the store now.
+func (s *keptStore) open(now time.Time) bool {
+	return s.heard && s.boot != 0 && !now.Before(s.settled)
+}
+
+// left is the room in tokens behind one more part.
+func (s *keptStore) left(tokens int, now time.Time) float64 {
+	return roomShare*float64(s.Capacity) - float64(s.used+s.pending(now)+tokens)
+}
+
 // Look says how many of a prompt's shared tokens, from its start on, can be
 // fetched to a data hall, and how long that should take.
 func (k *Kept) Look(realm, hall string, shared []site.Part, e *site.Engine, now time.Time) (tokens int, wait time.Duration) {
@@ -210,7 +258,8 @@
 			break
 		}
 		tokens += part.Tokens
-		wait += w
+		lacking := 1 - k.use.held(partKey{realm, part.ID}, e.Capacity, now)
+		wait += time.Duration(lacking * float64(w))
 	}
 	return tokens, wait
 }
@@ -256,10 +305,10 @@
 		if v, ok := s.saving[key]; ok && now.Before(v.until) {
 			return nil
 		}
-		if !s.heard || now.Before(s.settled) || s.boot == 0 {
+		if !s.open(now) {
 			continue
 		}
-		left := roomShare*float64(s.Capacity) - float64(s.used+s.pending(now)+tokens)
+		left := s.left(tokens, now)
 		if share := left / float64(max(1, s.Capacity)); left > 0 && share > free {
 			best, free = s, share
 		}
--- a/pkg/route/plan.go
+++ b/pkg/route/plan.go
@@ -21,6 +21,13 @@
 	moves []*keptStore // From which something is fetched.
 }
 
+// take has a part fetched from a store.
+func (p *Plan) take(i, tokens int, s *keptStore, wait time.Duration) {
+	p.Sources[i] = s.Addr
+	p.Fetched += tokens
+	p.Time += wait
+}
+
 // First records that the first byte of the answer has come, by how much later
 // than expected.
 //
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,7 @@
 	seq       uint64
 	states    map[string]heardState
 	steered   map[string]time.Time // Replicas to pass over, and until when.
+	swaps     []swapped
 	announced bool
 	met       time.Time
 }
@@ -55,9 +57,21 @@
 	Loads map[string][2]int `json:"l,omitempty"` // Requests and tokens, by replica.
 	Steer map[string]int64  `json:"s,omitempty"` // Milliseconds, by replica.
 	Known map[string]int64  `json:"w,omitempty"` // Newest weights, by model.
+	Swaps []swapped         `json:"x,omitempty"`
 	Moves map[string]int64  `json:"m,omitempty"` // Bytes of all moves asked for, by store.
 }
 
+// swapped says that a replica has just got other weights.
+type swapped struct {
+	Replica string    `json:"r"`
+	Model   string    `json:"m"`
+	Version int64     `json:"v"`
+	At      time.Time `json:"-"`
+}
+
+// swappedTerm is for how long that is told; the list of upstreams tells it too.
+const swappedTerm = 2 * time.Second
+
 type heardState struct {
 	nodeState
 	at time.Time
@@ -194,6 +208,8 @@
 			delete(n.steered, id)
 		}
 	}
+	n.swaps = slices.DeleteFunc(n.swaps, func(w swapped) bool { return now.Sub(w.At) > swappedTerm })
+	state.Swaps = slices.Clone(n.swaps)
 	n.mu.Unlock()
 	if err := n.probes.Note(n.others(), noteState, state); err != nil {
 		n.log.Error("state not told", "err", err)
@@ -240,6 +256,9 @@
 		n.beliefs.HearWeights(model, version, now)
 	}
 	for _, p := range n.beliefs.Pools() {
+		for _, w := range s.Swaps {
+			p.Serves(w.Replica, w.Model, w.Version)
+		}
 		for id, ms := range s.Steer {
 			p.Avoid(id, now.Add(time.Duration(ms)*time.Millisecond))
 		}
@@ -280,6 +299,15 @@
 	n.soon()
 }
 
+// served tells all nodes that a replica has got other weights.
+func (n *nodes) served(id, model string, version int64) {
+	n.mu.Lock()
+	delete(n.steered, id)
+	n.swaps = append(n.swaps, swapped{Replica: id, Model: model, Version: version, At: time.Now()})
+	n.mu.Unlock()
+	n.soon()
+}
+
 // leave tells the others that this node is stopping.
 func (n *nodes) leave() { n.probes.Send(n.members.Leave(time.Now())) }
 
--- a/service/gateway/swaps.go
+++ b/service/gateway/swaps.go
@@ -43,6 +43,7 @@
 func (s *swaps) Serves(t rollout.Target, version int64) {
 	if p := s.beliefs.Pool(t.Service); p != nil {
 		p.Serves(t.ID, t.Model, version)
+		s.nodes.served(t.ID, t.Model, version)
 	}
 }
 
