A fetch is given up at 0.8 of the target, or 200 ms after it was expected

Cause: a fetch behind a slow link was waited for 1.5 s. Change: the replica is told to throw it away in time to read the prompt.

--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -9,9 +9,15 @@
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
-// fetchTerm is for how long a fetch may take before the replica throws it away
-// and reads the prompt.
-const fetchTerm = 1500 * time.Millisecond
+const (
+	// fetchTerm is the longest that any fetch may take before the replica throws
+	// it away and reads the prompt.
+	fetchTerm = 1500 * time.Millisecond
+	// fetchGrace is how much longer than expected a fetch may take; fetchMost is
+	// the part of the route's target that it may take in all.
+	fetchGrace = 200 * time.Millisecond
+	fetchMost  = 0.8
+)
 
 // dispatch makes what a replica is told beside the request, with a plan for the
 // prompt's kept state.
@@ -43,11 +49,17 @@
 	plan := x.g.kept.Plan(d.Realm, c.DataHall, shared, x.service.Engine, x.longestFetch(), settled, now)
 	d.Sources, d.Saves = plan.Sources, plan.Saves
 	if clock, ok := x.g.clock.read(now); ok && plan.Fetched > 0 {
-		d.FetchBy = clock + fetchTerm
+		d.FetchBy = clock + x.fetchTerm(plan.Time)
 	}
 	return d, plan
 }
 
+// fetchTerm is for how long a fetch may take that should take a time.
+func (x *exchange) fetchTerm(expected time.Duration) time.Duration {
+	most := time.Duration(fetchMost * float64(x.route.Target))
+	return min(fetchTerm, max(expected+fetchGrace, most))
+}
+
 // longestFetch is the longest that a fetch is expected to take: the answer must
 // still come in good time behind it.
 func (x *exchange) longestFetch() time.Duration {
