The bound of each version of weights counts from its own naming

Change: a node remembers when each version was named and rules out what was replaced too long ago; oldest weights are swapped first; a group swaps as many at once as its size allows and begins the next shortly before one is done.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -1,11 +1,13 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,9 +24,8 @@
 
 // Fleet is what is known of the replicas, and who hears of swaps.
 type Fleet interface {
-	// Behind lists the replicas that don't serve a model's newest weights, with
-	// how many replicas serve it in all.
-	Behind() (list []Target, all int)
+	// Targets lists the replicas of all models of which weights were named.
+	Targets() []Target
 	// Rank is how many nodes come before this one for a duty.
 	Rank(duty string) int
 	// Steer has all nodes send requests elsewhere for a while.
@@ -40,6 +41,9 @@
 	Version int64
 }
 
+// behind says whether the replica is yet to be swapped.
+func (t *Target) behind() bool { return t.Weights[t.Model] < t.Version }
+
 const (
 	// Every is the period of Step.
 	Every = 50 * time.Millisecond
@@ -88,12 +92,38 @@
 	mu    sync.Mutex
 	swaps map[string]*swap
 	since time.Time // When work was first seen, zero if there is none.
+	// loading is the mean time from an order to its being seen done.
+	loading time.Duration
+}
+
+// noteOrdered lets another swap begin shortly before this one is done.
+func (g *group) noteOrdered(id string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.swaps[id].free = now.Add(max(0, g.loading-steerTime))
 }
 
+// noteDone learns how long a swap took since its order.
+func (g *group) noteDone(took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loading += (took - g.loading) / loadingParts
+}
+
+const (
+	// startLoading is how long weights are assumed to take to load.
+	startLoading = 1500 * time.Millisecond
+	// loadingParts is one over the weight of the newest time.
+	loadingParts = 2
+)
+
 // swap is one replica that is being brought to other weights.
 type swap struct {
 	until time.Time // Left alone until, once it has ended.
 	ended bool
+	// free is from when on another may begin: the replica is expected to have
+	// its weights once the other's requests have been steered away.
+	free time.Time
 }
 
 // New returns a rollout that gives orders in a node's name; pause is the least
@@ -102,7 +132,7 @@
 	r := &Rollout{node: node, engines: e, fleet: f, log: log, now: time.Now}
 	for i := range r.groups {
 		name := fmt.Sprintf("weights/%d", i)
-		r.groups[i] = &group{name: name, lease: NewLease(name, node, pause, st, log), swaps: map[string]*swap{}}
+		r.groups[i] = &group{name: name, lease: NewLease(name, node, pause, st, log), swaps: map[string]*swap{}, loading: startLoading}
 	}
 	return r
 }
@@ -113,22 +143,27 @@
 // Step begins swaps that are due; the timer service calls it. It returns at
 // once when there is nothing to do.
 func (r *Rollout) Step(ctx context.Context) {
-	behind, all := r.fleet.Behind()
 	var parts [groups][]Target
-	for _, t := range behind {
+	var sizes [groups]int
+	for _, t := range r.fleet.Targets() {
 		i := groupOf(t.ID)
-		parts[i] = append(parts[i], t)
+		sizes[i]++
+		if t.behind() {
+			parts[i] = append(parts[i], t)
+		}
 	}
-	most := max(1, int(math.Round(swapShare*float64(all)/groups)))
 	var wg sync.WaitGroup
 	for i, g := range r.groups {
 		if r.work(g, parts[i]) {
-			wg.Go(func() { r.step(ctx, g, parts[i], most) })
+			wg.Go(func() { r.step(ctx, g, parts[i], mostAtOnce(sizes[i])) })
 		}
 	}
 	wg.Wait()
 }
 
+// mostAtOnce is how many of a group's replicas are swapped at once.
+func mostAtOnce(size int) int { return max(1, int(math.Round(swapShare*float64(size)))) }
+
 // work says whether a group has anything to be done.
 func (r *Rollout) work(g *group, behind []Target) bool {
 	g.mu.Lock()
@@ -157,6 +192,10 @@
 	if !g.lease.Keep(ctx) {
 		return
 	}
+	// Those with the oldest weights come first: they have least time left.
+	slices.SortStableFunc(behind, func(a, b Target) int {
+		return cmp.Compare(a.Weights[a.Model], b.Weights[b.Model])
+	})
 	for _, t := range behind {
 		r.begin(ctx, g, t, most)
 	}
@@ -177,8 +216,9 @@
 	n := 0
 	for id, s := range g.swaps {
 		switch {
-		case !s.ended:
+		case !s.ended && (s.free.IsZero() || now.Before(s.free)):
 			n++
+		case !s.ended:
 		case now.After(s.until):
 			delete(g.swaps, id)
 		}
@@ -209,7 +249,7 @@
 	r.fleet.Steer(t.ID, steerTime+steerTerm)
 	r.sleep(steerTime)
 	end := r.now().Add(orderTerm)
-	ordered := false
+	var ordered time.Time
 	for r.now().Before(end) {
 		report, err := r.engines.Report(ctx, t.Addr)
 		switch {
@@ -217,16 +257,20 @@
 			r.log.Warn("replica not asked", "replica", t.ID, "err", err)
 		case report.Weights[t.Model] >= t.Version:
 			r.fleet.Serves(t, report.Weights[t.Model])
+			if !ordered.IsZero() {
+				g.noteDone(r.now().Sub(ordered))
+			}
 			r.log.Info("replica serves new weights", "replica", t.ID, "model", t.Model, "version", report.Weights[t.Model])
 			return 0
 		case report.Busy:
 			r.fleet.Steer(t.ID, steerTerm)
 			end = r.now().Add(orderTerm)
-		case !ordered:
-			ordered = r.order(ctx, g, t, report.Orders)
-			if !ordered {
+		case ordered.IsZero():
+			if !r.order(ctx, g, t, report.Orders) {
 				return backoffTerm
 			}
+			ordered = r.now()
+			g.noteOrdered(t.ID, ordered)
 			r.fleet.Steer(t.ID, steerTerm)
 			end = r.now().Add(orderTerm)
 		}
--- a/pkg/route/need.go
+++ b/pkg/route/need.go
@@ -23,8 +23,8 @@
 	Newest int64
 	// Urgency, from 0 to 1 and more, says how much older weights count.
 	Urgency float64
-	// NewestOnly rules older weights out.
-	NewestOnly bool
+	// Oldest is the oldest version that may still be used, 0 for any.
+	Oldest int64
 	// Exclude are replicas that have already failed the request.
 	Exclude []string
 }
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -225,7 +225,7 @@
 		return true
 	}
 	version, serves := m.Weights[n.Model]
-	return serves && (!n.NewestOnly || version >= n.Newest)
+	return serves && version >= n.Oldest
 }
 
 // passedOver says whether a replica is left out as long as others are there.
--- a/service/gateway/beliefs.go
+++ b/service/gateway/beliefs.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,8 +36,13 @@
 type newest struct {
 	version int64
 	since   time.Time // When this node heard of it.
+	// older are the versions before it, the newest last.
+	older []newest
 }
 
+// mostOlder is how many older versions are remembered.
+const mostOlder = 8
+
 type upstreamEntry struct {
 	site.Upstream
 	// gone is when the store dropped the entry, zero if it has it.
@@ -105,10 +111,16 @@
 func (b *Beliefs) HearWeights(model string, version int64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if version <= b.weights[model].version {
+	old := b.weights[model]
+	if version <= old.version {
 		return
 	}
-	b.weights[model] = newest{version: version, since: now}
+	n := newest{version: version, since: now}
+	if old.version > 0 {
+		n.older = append(slices.Clone(old.older), newest{version: old.version, since: old.since})
+		n.older = n.older[max(0, len(n.older)-mostOlder):]
+	}
+	b.weights[model] = n
 	b.log.Info("weights named", "model", model, "version", version)
 }
 
@@ -120,6 +132,23 @@
 	return n.version, n.since
 }
 
+// WeightsBefore is the newest version of a model's weights that was known at a
+// time, 0 for none.
+func (b *Beliefs) WeightsBefore(model string, at time.Time) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.weights[model]
+	if n.version > 0 && !n.since.After(at) {
+		return n.version
+	}
+	for _, o := range slices.Backward(n.older) {
+		if !o.since.After(at) {
+			return o.version
+		}
+	}
+	return 0
+}
+
 // NewestWeights lists the newest versions of all models.
 func (b *Beliefs) NewestWeights() map[string]int64 {
 	b.mu.Lock()
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -160,8 +160,6 @@
 	// withinMargin is how long before the time by which all replicas are to
 	// have new weights nothing is sent to older ones any more.
 	withinMargin = 1200 * time.Millisecond
-	// firstWeights is the version that models begin with.
-	firstWeights = 1
 )
 
 // refresh notes the newest weights, which may change between attempts.
@@ -176,8 +174,8 @@
 	if known > freshTerm {
 		x.need.Urgency = 1
 	}
-	within := x.g.settings.Orders.Within.Std()
-	x.need.NewestOnly = !since.IsZero() && version > firstWeights && known > within-withinMargin
+	within := x.g.settings.Orders.Within.Std() - withinMargin
+	x.need.Oldest = x.g.beliefs.WeightsBefore(x.need.Model, now.Add(-within))
 }
 
 // try makes one attempt. It says whether another is to be made; otherwise the
--- a/service/gateway/swaps.go
+++ b/service/gateway/swaps.go
@@ -13,27 +13,22 @@
 	nodes   *nodes
 }
 
-// Behind implements rollout.Fleet.
-func (s *swaps) Behind() (list []rollout.Target, all int) {
+// Targets implements rollout.Fleet.
+func (s *swaps) Targets() (list []rollout.Target) {
 	newest := s.beliefs.NewestWeights()
 	if len(newest) == 0 {
-		return nil, 0
+		return nil
 	}
 	for _, p := range s.beliefs.Pools() {
 		for _, u := range p.Upstreams() {
-			for model, version := range u.Weights {
-				want, named := newest[model]
-				if !named || u.Draining {
-					continue
-				}
-				all++
-				if version < want {
+			for model := range u.Weights {
+				if want, named := newest[model]; named && !u.Draining {
 					list = append(list, rollout.Target{Upstream: u, Model: model, Version: want})
 				}
 			}
 		}
 	}
-	return list, all
+	return list
 }
 
 // Steer implements rollout.Fleet.
