Moves between data halls take twice the link's time

Change: such moves count twice, a replica in the hall of the store that has the prompt is preferred by its shorter fetch, and parts are saved near by.

--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -134,6 +134,14 @@
 	}
 }
 
+// effective is how many bytes of the link's time a move takes.
+func (s *keptStore) effective(bytes int64, hall string) int64 {
+	if s.DataHall != hall {
+		return int64(crossHall * float64(bytes))
+	}
+	return bytes
+}
+
 // occupy has a move wait behind those that were asked for before.
 func (s *keptStore) occupy(bytes int64, now time.Time) {
 	if s.busy.Before(now) {
@@ -143,7 +151,8 @@
 }
 
 // book has this node's own move take its time on the link.
-func (s *keptStore) book(bytes int64, now time.Time) {
+func (s *keptStore) book(bytes int64, hall string, now time.Time) {
+	bytes = s.effective(bytes, hall)
 	s.moved += bytes
 	s.occupy(bytes, now)
 }
@@ -186,7 +195,7 @@
 			p.take(i, part.Tokens, s, wait)
 			if lacking > mostlyLacking {
 				p.moves = append(p.moves, s)
-				s.book(bytes, now)
+				s.book(bytes, hall, now)
 			}
 		}
 		if save && (s == nil || k.use.often(key, now)) {
@@ -203,7 +212,7 @@
 // save has a part saved where there is room; one that is used often is saved a
 // second time if that store is much faster.
 func (k *Kept) save(p *Plan, i int, key partKey, tokens int, bytes int64, has *keptStore, hall string, now time.Time) {
-	s := k.room(key, tokens, now)
+	s := k.room(key, tokens, hall, now)
 	if has != nil {
 		s = k.faster(key, tokens, bytes, has, hall, now)
 	}
@@ -213,7 +222,7 @@
 	p.Saves[i] = s.Addr
 	p.Saved += tokens
 	s.saving[key] = saving{tokens: tokens, until: now.Add(saveTerm)}
-	s.book(bytes, now)
+	s.book(bytes, hall, now)
 }
 
 // faster picks a store with room from which a part would come in less than half
@@ -246,22 +255,31 @@
 	return roomShare*float64(s.Capacity) - float64(s.used+s.pending(now)+tokens)
 }
 
-// Look says how many of a prompt's shared tokens, from its start on, can be
-// fetched to a data hall, and how long that should take.
-func (k *Kept) Look(realm, hall string, shared []site.Part, e *site.Engine, now time.Time) (tokens int, wait time.Duration) {
+// Look says for each data hall how many of a prompt's shared tokens, from its
+// start on, can be fetched to a replica there, and how long that should take.
+func (k *Kept) Look(realm string, halls []string, shared []site.Part, e *site.Engine, now time.Time) map[string]Offer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	offers := make(map[string]Offer, len(halls))
+	for _, hall := range halls {
+		offers[hall] = k.offer(realm, hall, shared, e, now)
+	}
+	return offers
+}
+
+func (k *Kept) offer(realm, hall string, shared []site.Part, e *site.Engine, now time.Time) (o Offer) {
 	for _, part := range shared {
+		key := partKey{realm, part.ID}
 		bytes := int64(part.Tokens) * int64(e.TokenBytes)
-		s, w := k.source(partKey{realm, part.ID}, hall, part.Tokens, bytes, now)
+		s, wait := k.source(key, hall, part.Tokens, bytes, now)
 		if s == nil {
-			break
+			return o
 		}
-		tokens += part.Tokens
-		lacking := 1 - k.use.held(partKey{realm, part.ID}, e.Capacity, now)
-		wait += time.Duration(lacking * float64(w))
+		lacking := 1 - k.use.held(key, e.Capacity, now)
+		o.Tokens += part.Tokens
+		o.Wait += time.Duration(lacking * float64(wait))
 	}
-	return tokens, wait
+	return o
 }
 
 // source finds the store from which a part comes soonest, nil for none.
@@ -281,10 +299,7 @@
 // fetchTime is how long a fetch from the store should take: behind those under
 // way, and as much later as fetches from it have lately come.
 func (s *keptStore) fetchTime(bytes int64, hall string, now time.Time) time.Duration {
-	own := float64(bytes) / max(1, s.LinkRate)
-	if s.DataHall != hall {
-		own *= crossHall
-	}
+	own := float64(s.effective(bytes, hall)) / max(1, s.LinkRate)
 	return max(0, s.busy.Sub(now)) + seconds(own) + s.Latency + s.lateness(now)
 }
 
@@ -294,10 +309,14 @@
 	return time.Duration(fade * float64(s.late))
 }
 
+// nearShare is how much fuller a store in the replica's own data hall may be than
+// others for a part to be saved there.
+const nearShare = 0.3
+
 // room picks the store to save a part at, nil for none: the one with the largest
-// share of its room free, so that they fill evenly, and none if a save of the
-// same part is under way.
-func (k *Kept) room(key partKey, tokens int, now time.Time) *keptStore {
+// share of its room free, so that they fill evenly, but rather one in the same
+// data hall; and none if a save of the same part is under way.
+func (k *Kept) room(key partKey, tokens int, hall string, now time.Time) *keptStore {
 	var best *keptStore
 	free := 0.0
 	for _, name := range k.names {
@@ -309,7 +328,11 @@
 			continue
 		}
 		left := s.left(tokens, now)
-		if share := left / float64(max(1, s.Capacity)); left > 0 && share > free {
+		share := left / float64(max(1, s.Capacity))
+		if s.DataHall == hall {
+			share += nearShare
+		}
+		if left > 0 && share > free {
 			best, free = s, share
 		}
 	}
--- a/pkg/route/need.go
+++ b/pkg/route/need.go
@@ -13,10 +13,10 @@
 	// have in common; both are 0 for requests without a prompt.
 	Tokens int
 	Shared int
-	// Kept are those of the shared tokens that can be fetched, Fetch is how long
-	// that should take.
-	Kept  int
-	Fetch time.Duration
+	// Offers are what can be fetched to the replicas of each data hall.
+	Offers map[string]Offer
+	// LongestFetch is the longest that a fetch is worth.
+	LongestFetch time.Duration
 	// Affinity is a hash of the shared parts, 0 for none.
 	Affinity uint64
 	// Newest is the newest version of the model's weights, 0 if not known.
@@ -29,22 +29,29 @@
 	Exclude []string
 }
 
-// toRead is how many tokens a replica has to read; its home is likely to have
-// some of those that can't be fetched.
-func (n *Need) toRead(home bool) float64 {
-	read := float64(n.Tokens - n.Kept)
-	if home {
-		read -= homeShare * float64(n.Shared-n.Kept)
+// Offer is what of a prompt can be fetched.
+type Offer struct {
+	Tokens int
+	Wait   time.Duration
+}
+
+// offer is what is fetched to a replica in a data hall, nothing if that would
+// take too long.
+func (n *Need) offer(hall string) Offer {
+	if o := n.Offers[hall]; o.Wait < n.LongestFetch {
+		return o
 	}
-	return read
+	return Offer{}
 }
 
-// fetch is how long the fetch should take, in seconds.
-func (n *Need) fetch(home bool) float64 {
+// toRead is how many tokens a replica has to read; its home is likely to have
+// some of those that can't be fetched.
+func (n *Need) toRead(o Offer, home bool) float64 {
+	read := float64(n.Tokens - o.Tokens)
 	if home {
-		return (1 - homeShare) * n.Fetch.Seconds()
+		read -= homeShare * float64(n.Shared-o.Tokens)
 	}
-	return n.Fetch.Seconds()
+	return read
 }
 
 // Choice is the replica for a request.
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -23,6 +23,7 @@
 	hall     string // Of this node.
 	replicas map[string]*member
 	list     []*member
+	halls    []string // Of the replicas.
 	// perToken is the learnt time to read one token, and base that of an answer
 	// with little to read, in seconds.
 	perToken float64
@@ -99,6 +100,7 @@
 	old := p.replicas
 	p.replicas = make(map[string]*member, len(list))
 	p.list = p.list[:0]
+	p.halls = p.halls[:0]
 	for _, u := range list {
 		m, ok := old[u.ID]
 		if !ok {
@@ -116,6 +118,9 @@
 			m.cold = now.Add(u.Cold)
 		}
 		p.replicas[u.ID] = m
+		if !slices.Contains(p.halls, u.DataHall) {
+			p.halls = append(p.halls, u.DataHall)
+		}
 		p.list = append(p.list, m)
 	}
 	slices.SortFunc(p.list, func(a, b *member) int {
@@ -207,12 +212,13 @@
 	if chosen == nil {
 		return Choice{}, false
 	}
+	offer := n.offer(chosen.DataHall)
 	return Choice{
 		Upstream: chosen.Upstream,
 		Weights:  chosen.Weights[n.Model],
 		Expected: seconds(p.firstByte(chosen, n, chosen == home, now)),
-		Fetch:    seconds(n.fetch(chosen == home)),
-		Read:     int(n.toRead(chosen == home)),
+		Fetch:    offer.Wait,
+		Read:     int(n.toRead(offer, chosen == home)),
 	}, true
 }
 
@@ -284,8 +290,9 @@
 		return (wait + p.meanRun.Seconds()) * m.lateness(now)
 	}
 	waiting := float64(m.pending + m.others.Tokens)
-	reading := (waiting + n.toRead(home)) * p.perToken
-	return (p.base+reading+float64(running)*runTime.Seconds())*m.lateness(now) + n.fetch(home)
+	offer := n.offer(m.DataHall)
+	reading := (waiting + n.toRead(offer, home)) * p.perToken
+	return (p.base+reading+float64(running)*runTime.Seconds())*m.lateness(now) + offer.Wait.Seconds()
 }
 
 // lateness is how much longer than expected the replica's answers take.
@@ -327,3 +334,10 @@
 	}
 	return best
 }
+
+// Halls lists the data halls of the replicas.
+func (p *Pool) Halls() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.halls)
+}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -149,7 +149,8 @@
 	}
 	version := x.pool.Majority(x.need.Model)
 	realm := realmOf(x.need.Model, version, x.organisation)
-	x.need.Kept, x.need.Fetch = x.g.kept.Look(realm, x.g.settings.Node.DataHall, x.terms.Shared(), e, now)
+	x.need.Offers = x.g.kept.Look(realm, x.pool.Halls(), x.terms.Shared(), e, now)
+	x.need.LongestFetch = x.longestFetch()
 }
 
 const (
@@ -368,8 +369,8 @@
 func (x *exchange) logAnswer(a *attempt, now time.Time) {
 	x.g.log.Info("answered", "request", x.terms.ID, "route", x.route.Name, "replica", a.choice.ID,
 		"hall", a.choice.DataHall, "weights", a.choice.Weights, "newest", x.need.Newest,
-		"tokens", x.need.Tokens, "shared", x.need.Shared, "kept", x.need.Kept, "read", a.choice.Read,
-		"fetched", a.plan.Fetched, "saved", a.plan.Saved, "fetch_ms", a.plan.Time.Milliseconds(),
+		"tokens", x.need.Tokens, "shared", x.need.Shared, "kept", x.need.Offers[a.choice.DataHall].Tokens, "read", a.choice.Read,
+		"fetched", a.plan.Fetched, "saved", a.plan.Saved, "sources", a.plan.Sources, "fetch_ms", a.plan.Time.Milliseconds(),
 		"expected_ms", a.choice.Expected.Milliseconds(), "first_ms", a.took.Milliseconds(), "gap_ms", a.longest.Milliseconds(),
 		"before_ms", a.begun.Sub(x.came).Milliseconds(), "all_ms", now.Sub(x.came).Milliseconds(),
 		"attempts", x.ran, "not_run", x.refused)
