Prompts queue at the nodes, by priority, and are refused at once

Change: the product's admission stands in front of services of engines, with priorities before fairness between organisations; how many are let in follows the median wait at the replicas. What would wait longer than a quarter of the target is refused with when to come back. A fetch is given up by when the answer is expected.

--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -341,3 +341,21 @@
 	defer p.mu.Unlock()
 	return slices.Clone(p.halls)
 }
+
+// MedianWait is the median of what a new prompt would wait for those before it,
+// over the replicas that take some.
+func (p *Pool) MedianWait(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var waits []float64
+	for _, m := range p.list {
+		if !m.Draining && !m.passedOver(now) {
+			waits = append(waits, float64(m.pending+m.others.Tokens)*p.perToken*m.lateness(now))
+		}
+	}
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	return seconds(waits[len(waits)/2])
+}
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -49,12 +49,14 @@
 	plan := x.g.kept.Plan(d.Realm, c.DataHall, shared, x.service.Engine, x.longestFetch(), settled, now)
 	d.Sources, d.Saves = plan.Sources, plan.Saves
 	if clock, ok := x.g.clock.read(now); ok && plan.Fetched > 0 {
-		d.FetchBy = clock + x.fetchTerm(plan.Time)
+		d.FetchBy = clock + x.fetchTerm(c.Expected)
 	}
 	return d, plan
 }
 
-// fetchTerm is for how long a fetch may take that should take a time.
+// fetchTerm is for how long a fetch may take if the first byte is expected after
+// a time: a replica that is busy begins it late, and is not to read the prompt
+// for that.
 func (x *exchange) fetchTerm(expected time.Duration) time.Duration {
 	most := time.Duration(fetchMost * float64(x.route.Target))
 	return min(fetchTerm, max(expected+fetchGrace, most))
@@ -69,14 +71,20 @@
 // fetchShare is the part of a route's target that a fetch may take.
 const fetchShare = 0.5
 
-// priority is the organisation's, or else the route's.
+// priority ranks the request, 0 for the most urgent: by its organisation if that
+// has a priority, and behind that, or else, by its route.
 func (x *exchange) priority() int {
+	p := x.route.Priority
 	if x.organisation != nil && x.organisation.HasPriority {
-		return x.organisation.Priority
+		p = min(p, routeRanks-1) + routeRanks*x.organisation.Priority
 	}
-	return x.route.Priority
+	return p
 }
 
+// routeRanks is how many ranks of routes are told apart within one of
+// organisations.
+const routeRanks = 3
+
 // unknownRealm begins realms that nobody shares.
 const unknownRealm = "?"
 
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -29,8 +29,9 @@
 	pool         *route.Pool
 	need         route.Need
 
-	ran     int // Attempts that may have run.
-	refused int // Attempts that were refused, or could not be sent.
+	place   *route.Place // In the queue, or let in.
+	ran     int          // Attempts that may have run.
+	refused int          // Attempts that were refused, or could not be sent.
 	// held is a failure that a replica answered, kept while another is tried.
 	held *wholeAnswer
 	// stream is the answer's stream once it has begun.
@@ -71,6 +72,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.limit)
 	defer cancel()
+	defer func() { x.leaveQueue(time.Now()) }()
+	if f, ok := x.enqueue(ctx); !ok {
+		x.refuse(f)
+		return
+	}
 	for {
 		again, f := x.try(ctx)
 		switch {
@@ -329,7 +335,7 @@
 	if x.route.Streaming && a.head.Status == http.StatusOK {
 		return x.takeStream(ctx, a)
 	}
-	a.first(time.Now())
+	x.first(a, time.Now())
 	body, err := a.readWhole()
 	now := time.Now()
 	if err != nil {
@@ -352,6 +358,12 @@
 	return x.repeat(a.choice.ID, now)
 }
 
+// first records that the first byte of the answer has come.
+func (x *exchange) first(a *attempt, now time.Time) {
+	a.first(now)
+	x.leaveQueue(now)
+}
+
 // outcomeOf blames the replica unless the request ended for another reason.
 func (x *exchange) outcomeOf(ctx context.Context) route.Outcome {
 	if ctx.Err() != nil {
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -74,6 +74,9 @@
 	readySide *sideServer
 	directory *sideServer
 
+	admissionMu sync.Mutex
+	admissions  map[string]*route.Admission
+
 	budgetMu sync.Mutex
 	budgets  map[string]*route.RetryShare
 
@@ -101,6 +104,8 @@
 		clients:  newClientConns(mostClients(s.Limits.Descriptors)),
 		metrics:  newMetrics(),
 		budgets:  map[string]*route.RetryShare{},
+
+		admissions: map[string]*route.Admission{},
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.kept = route.NewKept()
@@ -194,6 +199,7 @@
 	g.timer.Subscribe(freeEvery, g.stores.free)
 	g.timer.Subscribe(rollout.Every, g.rollout.Step)
 	g.timer.Subscribe(watchEvery, g.shareBudgets)
+	g.timer.Subscribe(adaptEvery, g.adapt)
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
 	g.wg.Go(func() { g.nodes.run(g.ctx, g.settings.Peer.LoadEvery.Std()) })
 	g.wg.Go(func() {
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -72,7 +72,7 @@
 		n, err := a.body.Read(buf)
 		if n > 0 {
 			now := time.Now()
-			a.first(now)
+			x.first(a, now)
 			a.gap(now)
 			r.take(buf[:n])
 		}
