--- a/cmd/drumpath/cmds/gateway.go
+++ b/cmd/drumpath/cmds/gateway.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/platform"
@@ -51,12 +53,39 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	g.Start()
-	<-signals
+	serveUntilStopped(g, path, log, signals)
 	g.Leave()
 	g.Close()
 	return nil
 }
+
+// rereadEvery is how often the settings file is looked at: it may change without
+// a signal.
+const rereadEvery = 5 * time.Second
+
+// serveUntilStopped returns at a signal to stop. Settings that have changed are
+// put in force; if they can't be used, those in force stay.
+func serveUntilStopped(g *gateway.Gateway, path string, log *slog.Logger, signals <-chan os.Signal) {
+	t := time.NewTicker(rereadEvery)
+	defer t.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+			log.Info("settings file to be read again", "file", path)
+		case <-t.C:
+		}
+		settings, err := config.LoadGateway(path)
+		if err != nil {
+			log.Error("settings not usable, those in force stay", "file", path, "err", err)
+			continue
+		}
+		g.Reload(settings)
+	}
+}
--- /dev/null
+++ b/internal/standin/onplatform/beliefs_test.go
@@ -0,0 +1,247 @@
+package onplatform_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
+)
+
+func TestNodeWithoutConfigurationRefusesWithoutSayingNo(t *testing.T) {
+	s := newSite(t)
+	s.store.SetMode(onplatform.ModeRefusing)
+	n := s.start("n1")
+	s.until("the node asks the store", func() bool { return s.store.Calls() > 0 })
+	assert.Assert(t, !n.isReady())
+	got := n.send(request("GET", "/safe/x", ""))
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	s.store.SetMode(onplatform.ModeUp)
+	s.replica(app, "a")
+	s.until("the node is ready", n.isReady)
+	assert.Equal(t, n.send(request("GET", "/safe/x", "")).status, 200)
+}
+
+func TestConfigurationComesIntoForce(t *testing.T) {
+	s := newSite(t)
+	s.replica(app, "a")
+	n := s.node("n1")
+	s.routes = append(s.routes, map[string]any{
+		"name": "new", "host": host, "path_prefix": "/safe/new/", "kind": "idempotent", "timeout_ms": 1000, "service": llm, "max_attempts": 1,
+	})
+	s.replica(llm, "e")
+	s.configure()
+	s.until("the longer prefix goes first", func() bool { return n.send(request("GET", "/safe/new/x", "")).body == "from e" })
+	s.routes = s.routes[1:]
+	s.configure()
+	s.until("the dropped route is gone", func() bool { return n.send(request("POST", "/once/x", "b")).status == 404 })
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	s := newSite(t)
+	s.replica(app, "a")
+	n := s.node("n1")
+	s.store.SetMode(onplatform.ModeStale) // Whole tables are read as they are now.
+	s.routes = s.routes[1:]
+	s.configure()
+	gone := func() bool { return n.send(request("POST", "/once/x", "b")).status == 404 }
+	s.until("the dropped route is gone", gone)
+	calls := s.store.Calls()
+	s.store.Forget() // The node has to read the whole table, which is stale.
+	s.until("the node has read again", func() bool { return s.store.Calls() > calls+3 })
+	assert.Assert(t, gone())
+	s.version -= 2
+	s.routes = append([]map[string]any{{"name": "once", "host": host, "path_prefix": "/once/", "kind": "non_idempotent", "timeout_ms": 1000, "service": app}}, s.routes...)
+	s.store.SetMode(onplatform.ModeUp)
+	s.configure() // An older version, written later.
+	calls = s.store.Calls()
+	s.until("the node has read again", func() bool { return s.store.Calls() > calls+3 })
+	assert.Assert(t, gone())
+}
+
+func TestKeyThatIsTakenAwayIsRefused(t *testing.T) {
+	s := newSite(t)
+	s.replica(app, "a")
+	n := s.node("n1")
+	c := n.dial()
+	c.write(request("GET", "/safe/x", ""))
+	assert.Equal(t, c.read().status, 200)
+	s.tenants = s.tenants[1:]
+	s.configure()
+	s.until("the key is refused, also on a kept connection", func() bool {
+		c.write(request("GET", "/safe/x", ""))
+		return c.read().status == 401
+	})
+}
+
+func TestUnusableRowsAreLeftOut(t *testing.T) {
+	s := newSite(t)
+	s.replica(app, "a")
+	n := s.node("n1")
+	s.store.Put(onplatform.TableUpstreams, "odd", "no JSON")
+	s.store.Put(onplatform.TableUpstreams, "odder", map[string]any{"service": app, "addr": "nowhere", "state": "ready"})
+	s.store.Put(onplatform.TableOperator, "config", "no JSON either")
+	s.store.Put(onplatform.TableOperator, "unknown", map[string]any{"what": 1})
+	s.replica(app, "b")
+	s.until("what came behind them is used", func() bool { return n.send(request("GET", "/safe/x", "")).body == "from b" })
+}
+
+func TestLeavingReplicaGetsNothingNew(t *testing.T) {
+	s := newSite(t)
+	a := s.replica(app, "a")
+	s.replica(app, "b")
+	n := s.node("n1")
+	s.until("both serve", func() bool { return n.send(request("GET", "/safe/x", "")).body == "from a" })
+	s.list(app, a, "draining", 0)
+	// The node may be resting between two looks at the list.
+	s.until("the one that leaves gets nothing", func() bool {
+		before := len(a.Seen())
+		for range 20 {
+			n.send(request("GET", "/safe/x", ""))
+		}
+		return len(a.Seen()) == before
+	})
+	s.store.Drop(onplatform.TableUpstreams, "b")
+	s.until("nobody is left", func() bool { return n.send(request("GET", "/safe/x", "")).status == 503 })
+}
+
+// An entry that has run out while the store was away is given time to come back.
+func TestLapsedReplicaIsStillUsedForAWhile(t *testing.T) {
+	s := newSite(t)
+	a := s.replica(app, "a")
+	n := s.node("n1")
+	assert.Equal(t, n.send(request("GET", "/safe/x", "")).status, 200)
+	s.store.SetMode(onplatform.ModeRefusing)
+	calls := s.store.Calls()
+	s.until("the node has noticed", func() bool { return s.store.Calls() > calls+4 })
+	s.store.Drop(onplatform.TableUpstreams, "a")
+	s.store.SetMode(onplatform.ModeUp)
+	calls = s.store.Calls()
+	s.until("the node has heard of it", func() bool { return s.store.Calls() > calls+1 })
+	assert.Equal(t, n.send(request("GET", "/safe/x", "")).status, 200)
+	s.until("it is dropped in the end", func() bool { return n.send(request("GET", "/safe/x", "")).status == 503 })
+	s.list(app, a, "ready", 0)
+	s.until("it is back", func() bool { return n.send(request("GET", "/safe/x", "")).status == 200 })
+}
+
+func TestReturnOfASilentStoreIsNoticed(t *testing.T) {
+	s := newSite(t)
+	s.replica(app, "a")
+	n := s.node("n1")
+	s.store.SetMode(onplatform.ModeSilent)
+	calls := s.store.Calls()
+	s.until("the node has asked again", func() bool { return s.store.Calls() > calls+2 })
+	assert.Equal(t, n.send(request("GET", "/safe/x", "")).status, 200) // What is known stays in force.
+	s.routes = s.routes[1:]
+	s.configure()
+	s.store.SetMode(onplatform.ModeUp)
+	s.until("the new configuration is in force", func() bool { return n.send(request("POST", "/once/x", "b")).status == 404 })
+}
+
+func TestNodesFindEachOtherAndTellOfAStop(t *testing.T) {
+	s := newSite(t)
+	a := s.replica(app, "a")
+	n1, n2 := s.node("n1"), s.node("n2")
+	s.until("each tells of both", func() bool {
+		return strings.Contains(n1.addrs(), n2.entry) && strings.Contains(n2.addrs(), n1.entry)
+	})
+	begun := make(chan struct{})
+	release := make(chan struct{})
+	a.Script(func(w io.Writer, in *onplatform.Request) bool {
+		close(begun)
+		<-release
+		return onplatform.OK("whole")(w, in)
+	})
+	c := n2.dial()
+	c.write(request("POST", "/once/x", "body"))
+	<-begun
+	left := make(chan struct{})
+	go func() {
+		n2.Leave()
+		close(left)
+	}()
+	s.until("the node that stops is told of by nobody", func() bool {
+		return !strings.Contains(n1.addrs(), n2.entry) && !n2.isReady()
+	})
+	close(release)
+	got := c.read()
+	assert.Equal(t, got.body, "whole")
+	assert.Assert(t, got.last)
+	<-left
+	n2.end()
+}
+
+func TestRestingConnectionsEndAtAStop(t *testing.T) {
+	s := newSite(t)
+	s.replica(app, "a")
+	n := s.node("n1")
+	c := n.dial()
+	c.write(request("GET", "/safe/x", ""))
+	assert.Equal(t, c.read().status, 200)
+	go n.Leave()
+	_, err := c.r.ReadByte()
+	assert.Assert(t, err == io.EOF)
+}
+
+// prompt is a request with a prompt of three parts.
+func prompt(session string) string {
+	return request("POST", "/prompt/x", "text", "Model: "+model, "Token-Usage: 900,10",
+		fmt.Sprintf("Prefix-Hash: aa:500,%s:300,%x:100", session, requests.Add(1)))
+}
+
+func TestPromptsAreSentForTheWeightsThatAReplicaHas(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(llm, "e")
+	n := s.node("n1")
+	r.Script(onplatform.Events(1, 2, time.Millisecond, true))
+	assert.Equal(t, n.send(prompt("b0")).body, events(1, 2))
+	in := r.Seen()[0]
+	assert.Equal(t, in.Header.Get("Expect-Version"), "1")
+	shared := in.Header.Get("Cache-Salt")
+	assert.Assert(t, shared != "")
+	s.list(llm, r, "ready", 2)
+	s.until("the realm is another", func() bool {
+		n.send(prompt("b0"))
+		last := r.Seen()[len(r.Seen())-1]
+		return last.Header.Get("Cache-Salt") != shared && last.Header.Get("Expect-Version") == "2"
+	})
+}
+
+func TestIsolatedOrganisationSharesNoRealm(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(llm, "e")
+	n := s.node("n1")
+	r.Script(onplatform.Events(1, 2, time.Millisecond, true))
+	n.send(prompt("b0"))
+	n.send(strings.Replace(prompt("b0"), key, "key-two", 1))
+	seen := r.Seen()
+	assert.Equal(t, len(seen), 2)
+	assert.Assert(t, seen[0].Header.Get("Cache-Salt") != seen[1].Header.Get("Cache-Salt"))
+}
+
+func TestOverloadedEnginesAreRefusedForAtOnce(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(llm, "e")
+	n := s.node("n1")
+	r.Script(onplatform.Hang)
+	var clients []*client
+	for range 12 {
+		c := n.dial()
+		c.write(prompt("b0"))
+		clients = append(clients, c)
+	}
+	refused := 0
+	for _, c := range clients[4:] { // Four may be at the replicas at once.
+		got := c.read()
+		assert.Equal(t, got.status, 503)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+		refused++
+	}
+	assert.Equal(t, refused, 8)
+	assert.Equal(t, len(r.Seen()), 4)
+}
--- /dev/null
+++ b/internal/standin/onplatform/forward_test.go
@@ -0,0 +1,361 @@
+package onplatform_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
+)
+
+func TestRequestArrivesAsItWasSent(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(app, "a")
+	n := s.node("n1")
+	body := strings.Repeat("x\r\n\x00", 10_000)
+	got := n.send(request("POST", "/once/../a//b%2F?q=1&&r=%20", body,
+		"X-Other: kept", "Deadline-Ms: 3000", "Tenant: forged", "Kv-From: 1.2.3.4:5/6", "Hold: h", "Pin-Ms: 9", "Kv-Backup: 1.2.3.4:5",
+		"Cache-Salt: forged", "Priority: 0", "Expect-Instance: other", "Expect-Version: 9", "Connection: X-Hop", "X-Hop: dropped"))
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body, "from a")
+	assert.Equal(t, got.header.Get("Server-Stamp"), "s")
+	seen := r.Seen()
+	assert.Equal(t, len(seen), 1)
+	in := seen[0]
+	assert.Equal(t, in.Method, "POST")
+	assert.Equal(t, in.Target, "/once/../a//b%2F?q=1&&r=%20")
+	assert.Equal(t, in.Body, body)
+	assert.Equal(t, in.Header.Get("X-Other"), "kept")
+	assert.DeepEqual(t, in.Header["Tenant"], []string{"org-one"})
+	assert.DeepEqual(t, in.Header["Expect-Instance"], []string{"a"})
+	left, err := strconv.Atoi(in.Header.Get("Deadline-Ms"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 3000)
+	for _, name := range []string{"Authorization", "Kv-From", "Hold", "Pin-Ms", "Kv-Backup", "Cache-Salt", "Priority", "Expect-Version", "X-Hop"} {
+		assert.Equal(t, in.Header.Get(name), "", name)
+	}
+}
+
+func TestChunkedBodyArrivesWhole(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(app, "a")
+	n := s.node("n1")
+	c := n.dial()
+	c.write("POST /once/x HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: chunked-1\r\nAuthorization: Bearer " + key +
+		"\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n")
+	assert.Equal(t, c.read().status, 100)
+	c.write("3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	assert.Equal(t, c.read().status, 200)
+	assert.Equal(t, r.Seen()[0].Body, "abcde")
+}
+
+func TestSmuggledRequestsReachNoReplica(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(app, "a")
+	n := s.node("n1")
+	inner := request("POST", "/once/smuggled", "")
+	for _, fields := range []string{
+		"Content-Length: 4\r\nTransfer-Encoding: chunked",
+		"Content-Length: 0\r\nContent-Length: 4",
+		"Transfer-Encoding: xchunked",
+		"Transfer-Encoding : chunked",
+		"X: a\nContent-Length: 0",
+	} {
+		got := n.send("POST /once/x HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: outer\r\nAuthorization: Bearer " + key + "\r\n" + fields + "\r\n\r\n0\r\n\r\n" + inner)
+		assert.Equal(t, got.status, 400, fields)
+	}
+	assert.Equal(t, len(r.Seen()), 0)
+}
+
+func TestOneConnectionCarriesManyRequests(t *testing.T) {
+	s := newSite(t)
+	s.replica(app, "a")
+	n := s.node("n1")
+	c := n.dial()
+	c.write(request("GET", "/safe/1", "") + request("POST", "/once/2", "body")) // The second comes with the first.
+	assert.Equal(t, c.read().status, 200)
+	assert.Equal(t, c.read().status, 200)
+	c.write(request("HEAD", "/safe/3", ""))
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: "HEAD"})
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+	c.write(request("GET", "/safe/4", ""))
+	assert.Equal(t, c.read().body, "from a")
+}
+
+func TestWhoMayCome(t *testing.T) {
+	s := newSite(t)
+	s.routes = append(s.routes, map[string]any{
+		"name": "open", "host": host, "path_prefix": "/open/", "kind": "idempotent", "timeout_ms": 1000, "service": app, "max_attempts": 1, "allow_anonymous": true,
+	})
+	s.configure()
+	r := s.replica(app, "a")
+	n := s.node("n1")
+	s.until("the open route is there", func() bool { return n.send(request("GET", "/open/0", "")).status == 200 })
+	bare := func(target, auth string) reply {
+		return n.send("GET " + target + " HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: who\r\nTenant: forged\r\n" + auth + "\r\n")
+	}
+	assert.Equal(t, bare("/safe/x", "").status, 401)
+	assert.Equal(t, bare("/safe/x", "Authorization: Bearer wrong\r\n").status, 401)
+	assert.Equal(t, bare("/safe/x", "Authorization: Basic "+key+"\r\n").status, 401)
+	assert.Equal(t, bare("/nowhere/x", "Authorization: Bearer "+key+"\r\n").status, 404)
+	before := len(r.Seen())
+	assert.Equal(t, bare("/open/x", "").status, 200)
+	assert.Equal(t, r.Seen()[before].Header.Get("Tenant"), "")
+}
+
+func TestLimitsOfWhatClientsSend(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(app, "a")
+	n := s.node("n1")
+	assert.Equal(t, n.send(request("POST", "/once/x", strings.Repeat("x", 1<<20+1))).status, 413)
+	assert.Equal(t, n.send(request("POST", "/once/x", "", "X: "+strings.Repeat("x", 5000))).status, 431)
+	assert.Equal(t, n.send("GARBAGE\r\n\r\n").status, 400)
+	assert.Equal(t, n.send("GET /safe/x HTTP/1.1\r\nHost: "+host+"\r\n\r\n").status, 400) // No id.
+	assert.Equal(t, len(r.Seen()), 0)
+}
+
+func TestReplicaThatDidNotRunItIsReplaced(t *testing.T) {
+	for _, status := range []int{503, 429, 421} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			s := newSite(t)
+			a, b := s.replica(app, "a"), s.replica(app, "b")
+			n := s.node("n1")
+			a.Script(onplatform.NotRun(status))
+			for range 10 {
+				got := n.send(request("POST", "/once/x", "body"))
+				assert.Equal(t, got.status, 200)
+				assert.Equal(t, got.body, "from b")
+			}
+			assert.Equal(t, len(b.Seen()), 10)
+		})
+	}
+}
+
+func TestRefusalByAllSaysWhenToComeBack(t *testing.T) {
+	s := newSite(t)
+	for _, id := range []string{"a", "b"} {
+		s.replica(app, id).Script(onplatform.NotRun(503))
+	}
+	n := s.node("n1")
+	got := n.send(request("POST", "/once/x", "body"))
+	assert.Equal(t, got.status, 503)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 0)
+	assert.Equal(t, got.header.Get("Server-Stamp"), "")
+}
+
+// An answer that is lost leaves it open whether the request ran: one that may
+// run once only is not sent again, and nothing is promised.
+func TestLostAnswerOfWhatMayRunOnceOnly(t *testing.T) {
+	for name, script := range map[string]onplatform.Script{
+		"closed":        onplatform.Cut,
+		"cut in head":   onplatform.Raw("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\n", false),
+		"cut in body":   onplatform.Raw("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: s\r\nContent-Length: 9\r\n\r\nabc", false),
+		"not an answer": onplatform.Raw("\x00\x01\x02 what\r\n\r\n", false),
+		"no name":       onplatform.Raw("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 3\r\n\r\nabc", false),
+		"framed twice":  onplatform.Raw("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			a, b := s.replica(app, "a"), s.replica(app, "b")
+			n := s.node("n1")
+			a.Script(script)
+			b.Script(script)
+			got := n.send(request("POST", "/once/x", "body"))
+			assert.Equal(t, got.status, 502)
+			assert.Equal(t, got.header.Get("Retry-After"), "")
+			assert.Equal(t, len(a.Seen())+len(b.Seen()), 1)
+		})
+	}
+}
+
+func TestLostAnswerOfWhatMayRunAgain(t *testing.T) {
+	s := newSite(t)
+	a, b := s.replica(app, "a"), s.replica(app, "b")
+	n := s.node("n1")
+	a.Script(onplatform.Cut)
+	for range 6 {
+		assert.Equal(t, n.send(request("GET", "/safe/x", "")).body, "from b")
+	}
+	assert.Equal(t, len(b.Seen()), 6)
+}
+
+func TestFailureOfAReplicaIsDeliveredIfNoOtherDoesBetter(t *testing.T) {
+	s := newSite(t)
+	a, b := s.replica(app, "a"), s.replica(app, "b")
+	n := s.node("n1")
+	a.Script(onplatform.Failed)
+	b.Script(onplatform.Failed)
+	got := n.send(request("GET", "/safe/x", ""))
+	assert.Equal(t, got.status, 500)
+	assert.Equal(t, got.body, "oops")
+	assert.Equal(t, got.header.Get("Server-Stamp"), "s")
+	assert.Equal(t, len(a.Seen())+len(b.Seen()), 2)
+	assert.Equal(t, n.send(request("POST", "/once/x", "body")).status, 500)
+	assert.Equal(t, len(a.Seen())+len(b.Seen()), 3)
+}
+
+func TestUnreachableReplicaIsReplaced(t *testing.T) {
+	s := newSite(t)
+	a := s.replica(app, "a")
+	s.replica(app, "b")
+	n := s.node("n1")
+	a.Close() // Its entry stays.
+	for range 10 {
+		assert.Equal(t, n.send(request("POST", "/once/x", "body")).body, "from b")
+	}
+}
+
+// A surplus answer comes in the place of the next one.
+func TestAnswersOfOtherRequestsReachNobody(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(app, "a")
+	n := s.node("n1")
+	surplus := "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\nContent-Length: 5\r\n\r\nother"
+	own := "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: s\r\nContent-Length: 3\r\n\r\nown"
+	r.Script(onplatform.Raw(surplus+own, true))
+	for range 5 {
+		assert.Equal(t, n.send(request("POST", "/once/x", "body")).body, "own")
+	}
+	r.Script(onplatform.Raw(own+surplus, true))
+	for range 5 {
+		assert.Equal(t, n.send(request("POST", "/once/x", "body")).body, "own")
+	}
+	r.Script(onplatform.Raw(surplus+surplus+surplus+surplus, true))
+	assert.Equal(t, n.send(request("POST", "/once/x", "body")).status, 502)
+}
+
+func TestSurplusBytesWhileAConnectionRests(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(app, "a")
+	n := s.node("n1")
+	late := make(chan struct{})
+	r.Script(func(w io.Writer, in *onplatform.Request) bool {
+		onplatform.OK("own")(w, in)
+		_, err := io.WriteString(w, onplatform.Head(in, 200, 4)+"late")
+		if err == nil {
+			late <- struct{}{}
+		}
+		return true
+	})
+	for range 4 {
+		assert.Equal(t, n.send(request("POST", "/once/x", "body")).body, "own")
+		<-late
+	}
+}
+
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(app, "a")
+	n := s.node("n1")
+	body := strings.Repeat("x", 1<<20)
+	r.Script(onplatform.OK("early"))
+	for range 3 {
+		assert.Equal(t, n.send(request("POST", "/once/x", body)).body, "early")
+	}
+	for _, in := range r.Seen() {
+		assert.Equal(t, len(in.Body), len(body))
+	}
+}
+
+func TestSilentReplicaIsWaitedForNoLongerThanTheRouteAllows(t *testing.T) {
+	s := newSite(t)
+	a := s.replica(app, "a")
+	n := s.node("n1")
+	a.Script(onplatform.Hang)
+	got := n.send(request("GET", "/short/x", ""))
+	assert.Equal(t, got.status, 504) // It may have run, so nothing is promised.
+	assert.Equal(t, got.header.Get("Retry-After"), "")
+	in := a.Seen()[0]
+	s.until("the replica is told to stop", func() bool {
+		select {
+		case <-in.Gone:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+func TestClientThatLeavesHasTheReplicaStop(t *testing.T) {
+	s := newSite(t)
+	a := s.replica(app, "a")
+	n := s.node("n1")
+	a.Script(onplatform.Hang)
+	c := n.dial()
+	c.write(request("POST", "/once/x", "body"))
+	s.until("the request is at the replica", func() bool { return len(a.Seen()) == 1 })
+	assert.NilError(t, c.conn.Close())
+	<-a.Seen()[0].Gone
+}
+
+func TestStreamArrivesWhole(t *testing.T) {
+	s := newSite(t)
+	a := s.replica(app, "a")
+	n := s.node("n1")
+	a.Script(onplatform.Events(1, 5, time.Millisecond, true))
+	got := n.send(request("POST", "/stream/x", "body"))
+	assert.Assert(t, !got.cut)
+	assert.Equal(t, got.body, events(1, 5))
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestStreamThatBreaksOffDoesNotLookWhole(t *testing.T) {
+	s := newSite(t)
+	a, b := s.replica(app, "a"), s.replica(app, "b")
+	n := s.node("n1")
+	a.Script(onplatform.Events(1, 3, time.Millisecond, false))
+	b.Script(onplatform.Events(1, 3, time.Millisecond, false))
+	got := n.send(request("POST", "/stream/x", "body"))
+	assert.Assert(t, got.cut)
+	assert.Equal(t, got.body, events(1, 3))
+	assert.Equal(t, len(a.Seen())+len(b.Seen()), 1)
+}
+
+func TestUnframedStreamThatEndsInsideAnEventDoesNotLookWhole(t *testing.T) {
+	s := newSite(t)
+	a := s.replica(app, "a")
+	n := s.node("n1")
+	a.Script(onplatform.Raw("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n"+events(1, 2)+"id: 3\nda", false))
+	got := n.send(request("POST", "/stream/x", "body"))
+	assert.Assert(t, got.cut)
+	assert.Equal(t, got.body, events(1, 2))
+}
+
+// A resumable stream goes on at another replica behind the last whole event.
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	s := newSite(t)
+	a, b := s.replica(app, "a"), s.replica(app, "b")
+	n := s.node("n1")
+	script := func(w io.Writer, in *onplatform.Request) bool {
+		if in.Header.Get("Last-Event-Id") == "" {
+			onplatform.Events(1, 3, time.Millisecond, false)(w, in)
+			_, _ = io.WriteString(w, "8\r\nid: 4\nda\r\n") // The break is inside an event.
+			return false
+		}
+		assert.Check(t, in.Header.Get("Last-Event-Id") == "3")
+		return onplatform.Events(3, 6, time.Millisecond, true)(w, in) // One too many again.
+	}
+	a.Script(script)
+	b.Script(script)
+	got := n.send(request("POST", "/resume/x", "body"))
+	assert.Assert(t, !got.cut)
+	assert.Equal(t, got.body, events(1, 6))
+	assert.Equal(t, len(a.Seen()), 1)
+	assert.Equal(t, len(b.Seen()), 1)
+}
--- /dev/null
+++ b/internal/standin/onplatform/replica.go
@@ -0,0 +1,207 @@
+package onplatform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Request is one request as a replica got it.
+type Request struct {
+	Method string
+	Target string
+	Header http.Header
+	Body   string
+	// Gone is closed when the connection has ended.
+	Gone <-chan struct{}
+}
+
+// ID is the request's name.
+func (r *Request) ID() string { return r.Header.Get("Request-Id") }
+
+// Script answers a request by writing to its connection; when it returns false
+// the connection is closed.
+type Script func(w io.Writer, r *Request) bool
+
+// Replica is one replica whose answers a test scripts.
+type Replica struct {
+	ID string
+	ln net.Listener
+
+	mu     sync.Mutex
+	script Script
+	seen   []*Request
+	conns  map[net.Conn]struct{}
+	wg     sync.WaitGroup
+}
+
+// NewReplica starts a replica that answers 200 to everything.
+func NewReplica(id string) (*Replica, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{ID: id, ln: ln, script: OK("from " + id), conns: map[net.Conn]struct{}{}}
+	r.wg.Go(r.accept)
+	return r, nil
+}
+
+// Close stops the replica.
+func (r *Replica) Close() {
+	_ = r.ln.Close() // It has no state to lose.
+	r.mu.Lock()
+	for conn := range r.conns {
+		_ = conn.Close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+}
+
+// Addr is where the replica listens.
+func (r *Replica) Addr() netip.AddrPort { return r.ln.Addr().(*net.TCPAddr).AddrPort() }
+
+// Script sets how requests are answered from now on.
+func (r *Replica) Script(s Script) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.script = s
+}
+
+// Seen lists the requests that came, but for those of the platform's own paths.
+func (r *Replica) Seen() []*Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*Request(nil), r.seen...)
+}
+
+// Conns is how many connections are open.
+func (r *Replica) Conns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.conns)
+}
+
+func (r *Replica) accept() {
+	for {
+		conn, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.conns[conn] = struct{}{}
+		r.mu.Unlock()
+		r.wg.Go(func() { r.serve(conn) })
+	}
+}
+
+func (r *Replica) serve(conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, conn)
+	}()
+	b := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		gone := make(chan struct{})
+		next := make(chan struct{})
+		go func() {
+			if _, err := b.Peek(1); err != nil {
+				close(gone)
+			}
+			close(next)
+		}()
+		in := &Request{Method: req.Method, Target: req.RequestURI, Header: req.Header, Body: string(body), Gone: gone}
+		r.mu.Lock()
+		if !strings.HasPrefix(in.Target, "/-/") {
+			r.seen = append(r.seen, in)
+		}
+		script := r.script
+		r.mu.Unlock()
+		if !script(conn, in) {
+			return
+		}
+		<-next
+	}
+}
+
+// OK answers 200 with a body.
+func OK(body string) Script {
+	return func(w io.Writer, r *Request) bool {
+		write(w, Head(r, 200, len(body))+body)
+		return true
+	}
+}
+
+// NotRun answers that the request was not run.
+func NotRun(status int) Script {
+	return func(w io.Writer, r *Request) bool {
+		write(w, fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, r.ID()))
+		return true
+	}
+}
+
+// Failed answers 500 after running the request.
+func Failed(w io.Writer, r *Request) bool {
+	write(w, Head(r, 500, 4)+"oops")
+	return true
+}
+
+// Hang reads the request and never answers.
+func Hang(_ io.Writer, r *Request) bool {
+	<-r.Gone
+	return false
+}
+
+// Cut closes the connection without an answer.
+func Cut(io.Writer, *Request) bool { return false }
+
+// Raw writes text, with %ID% for the request's name, and keeps the connection if
+// keep is set.
+func Raw(text string, keep bool) Script {
+	return func(w io.Writer, r *Request) bool {
+		write(w, strings.ReplaceAll(text, "%ID%", r.ID()))
+		return keep
+	}
+}
+
+// Events streams events of the given numbers, with a pause after each, and ends
+// the stream if whole is set.
+func Events(from, to int, pause time.Duration, whole bool) Script {
+	return func(w io.Writer, r *Request) bool {
+		write(w, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nServer-Stamp: s\r\nRequest-Id: "+r.ID()+
+			"\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := from; i <= to; i++ {
+			event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+			write(w, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+			time.Sleep(pause)
+		}
+		if whole {
+			write(w, "0\r\n\r\n")
+		}
+		return whole
+	}
+}
+
+// Head is the head of an answer made by a replica's own work.
+func Head(r *Request, status, length int) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nServer-Stamp: s\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n", status, r.ID(), length)
+}
+
+func write(w io.Writer, text string) {
+	_, _ = io.WriteString(w, text) // A caller that has gone needs none.
+}
--- /dev/null
+++ b/internal/standin/onplatform/site_test.go
@@ -0,0 +1,259 @@
+package onplatform_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/platform"
+	"github.com/drumpath/drumpath/service/gateway"
+)
+
+const (
+	host    = "boards.example"
+	key     = "key-one"
+	app     = "app"
+	llm     = "llm"
+	model   = "m0"
+	waitFor = 20 * time.Second // A bound on conditions, not a time that is measured.
+)
+
+// site is a deployment of stand-ins, and the nodes before it.
+type site struct {
+	t       *testing.T
+	store   *onplatform.Store
+	version int
+	routes  []map[string]any
+	tenants []map[string]any
+	limits  map[string]any
+	extra   []map[string]any // Further services.
+}
+
+func newSite(t *testing.T) *site {
+	store, err := onplatform.NewStore()
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	s := &site{t: t, store: store}
+	s.routes = []map[string]any{
+		{"name": "once", "host": host, "path_prefix": "/once/", "kind": "non_idempotent", "timeout_ms": 4000, "target_latency_ms": 150, "service": app, "max_attempts": 1, "priority": 2},
+		{"name": "safe", "host": host, "path_prefix": "/safe/", "kind": "idempotent", "timeout_ms": 4000, "target_latency_ms": 150, "service": app, "max_attempts": 2, "priority": 2},
+		{"name": "resume", "host": host, "path_prefix": "/resume/", "kind": "streaming", "timeout_ms": 6000, "target_latency_ms": 300, "service": app, "max_attempts": 2, "resumable": true},
+		{"name": "stream", "host": host, "path_prefix": "/stream/", "kind": "streaming", "timeout_ms": 6000, "target_latency_ms": 300, "service": app, "max_attempts": 1},
+		{"name": "short", "host": host, "path_prefix": "/short/", "kind": "idempotent", "timeout_ms": 300, "target_latency_ms": 100, "service": app, "max_attempts": 2},
+		{"name": "prompt", "host": host, "path_prefix": "/prompt/", "kind": "streaming", "timeout_ms": 4000, "target_latency_ms": 500, "service": llm, "max_attempts": 1, "sticky": true},
+	}
+	s.tenants = []map[string]any{{"name": "org-one", "api_keys": []string{key}}, {"name": "org-two", "api_keys": []string{"key-two"}, "isolated": true}}
+	s.limits = map[string]any{"max_header_bytes": 4096, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+	s.configure()
+	return s
+}
+
+// configure writes the site's configuration as a new version.
+func (s *site) configure() {
+	s.version++
+	services := []map[string]any{
+		{"name": app, "health_path": "/healthz", "max_conns": 100},
+		{"name": llm, "health_path": "/healthz", "max_conns": 100, "engine": map[string]any{
+			"slots": 8, "kv_capacity_tokens": 40000, "kv_token_bytes": 1000, "link_mbps": 10000.0, "managed": true,
+			"models": []map[string]any{{"name": model}},
+		}},
+	}
+	s.store.Put(onplatform.TableOperator, "config", map[string]any{
+		"config_version": s.version, "routes": s.routes, "services": append(services, s.extra...), "limits": s.limits, "tenants": s.tenants,
+	})
+}
+
+// replica starts a replica of a service and lists it.
+func (s *site) replica(service, id string) *onplatform.Replica {
+	r, err := onplatform.NewReplica(id)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(r.Close)
+	s.list(service, r, "ready", 1)
+	return r
+}
+
+func (s *site) list(service string, r *onplatform.Replica, state string, weights int) {
+	row := map[string]any{"service": service, "addr": r.Addr().String(), "zone": "hall-a", "slots": 8, "state": state}
+	if service == llm {
+		row["models"] = []map[string]any{{"name": model, "config_version": weights}}
+	}
+	s.store.Put(onplatform.TableUpstreams, r.ID, row)
+}
+
+var nextIP atomic.Int32
+
+// freeIP is a loopback address that no other test uses.
+func freeIP() string {
+	n := nextIP.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, 1+n/200, 1+n%200)
+}
+
+// node is one node under test.
+type node struct {
+	*gateway.Gateway
+	s     *site
+	entry string
+	ready string
+	dir   string
+	stop  sync.Once
+}
+
+func (s *site) settings(name string) config.GatewaySettings {
+	ip := freeIP()
+	text := fmt.Sprintf(`{
+		"node": {"name": %q, "data_hall": "hall-a"},
+		"entry": {"listen": "%[2]s:8001", "ready": "%[2]s:8002", "directory": "%[2]s:8003", "max_age": "1s"},
+		"peer": {"listen": "%[2]s:8004", "key": "test-key-1"},
+		"platform": {"store": %[3]q, "hold": "300ms", "return_time": "600ms"},
+		"retry": {"share": 0.2, "window": "10s", "slack": 6400},
+		"stop": {"grace": "5s"},
+		"orders": {"pause": "300ms", "within": "10s"},
+		"log": {"level": "error"}
+	}`, name, ip, s.store.Addr().String())
+	settings, err := config.ParseGateway([]byte(text))
+	assert.NilError(s.t, err)
+	return settings
+}
+
+// start starts a node without waiting for it to be ready.
+func (s *site) start(name string) *node {
+	settings := s.settings(name)
+	g, err := gateway.New(settings, gateway.Platform{
+		Store:   platform.NewStore(settings.Platform.Store),
+		Engines: platform.NewEngines(),
+		Codec:   platform.Codec{},
+		Paths:   gateway.Paths{Ready: platform.PathReady, Resolve: platform.PathResolve, DataHall: platform.QueryDataHall},
+	}, slog.New(slog.DiscardHandler))
+	assert.NilError(s.t, err)
+	n := &node{
+		Gateway: g,
+		s:       s,
+		entry:   settings.Entry.Listen.String(),
+		ready:   settings.Entry.Ready.String(),
+		dir:     settings.Entry.Directory.String(),
+	}
+	s.t.Cleanup(n.end)
+	g.Start()
+	return n
+}
+
+func (n *node) end() { n.stop.Do(n.Close) }
+
+// node starts a node and waits until it has heard of the site.
+func (s *site) node(name string) *node {
+	n := s.start(name)
+	s.until("ready", func() bool { return n.isReady() })
+	return n
+}
+
+func (n *node) isReady() bool {
+	resp, err := http.Get("http://" + n.ready + platform.PathReady)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// until waits for a condition.
+func (s *site) until(what string, ok func() bool) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithTimeout(waitFor), poll.WithDelay(10*time.Millisecond))
+}
+
+var requests atomic.Int64
+
+// request is the text of a request with an id of its own.
+func request(method, target, body string, fields ...string) string {
+	id := fmt.Sprintf("r-%d", requests.Add(1))
+	head := []string{
+		method + " " + target + " HTTP/1.1", "Host: " + host, "Request-Id: " + id, "Authorization: Bearer " + key,
+	}
+	head = append(head, fields...)
+	if body != "" {
+		head = append(head, fmt.Sprintf("Content-Length: %d", len(body)))
+	}
+	return strings.Join(head, "\r\n") + "\r\n\r\n" + body
+}
+
+// reply is an answer as a client got it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// cut says that the answer broke off, or never came.
+	cut bool
+	// last says that the node ends the connection.
+	last bool
+}
+
+// client is one connection of a client.
+type client struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func (n *node) dial() *client {
+	conn, err := net.Dial("tcp", n.entry)
+	assert.NilError(n.s.t, err)
+	n.s.t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(n.s.t, conn.SetDeadline(time.Now().Add(waitFor)))
+	return &client{t: n.s.t, conn: conn, r: bufio.NewReader(conn)}
+}
+
+func (c *client) write(text string) {
+	_, err := io.WriteString(c.conn, text)
+	assert.NilError(c.t, err)
+}
+
+func (c *client) read() reply {
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return reply{cut: true}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), cut: err != nil, last: resp.Close}
+}
+
+// send sends one request on a connection of its own.
+func (n *node) send(text string) reply {
+	c := n.dial()
+	c.write(text)
+	return c.read()
+}
+
+// addrs asks a node where to go.
+func (n *node) addrs() string {
+	resp, err := http.Get("http://" + n.dir + platform.PathResolve + "?name=" + host + "&zone=hall-a")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(n.s.t, err)
+	return string(body)
+}
+
+func mustAddr(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
--- /dev/null
+++ b/internal/standin/onplatform/store.go
@@ -0,0 +1,283 @@
+package onplatform
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Tables of the store.
+const (
+	TableOperator  = "op"
+	TableUpstreams = "servers"
+	TableLeases    = "drumpath-leases"
+)
+
+// Row is one row.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"private_key"`
+	Value   []byte `json:"value,omitempty"`
+	Version int64  `json:"ver"`
+	Gone    bool   `json:"gone,omitempty"`
+}
+
+// Mode is how the store behaves.
+type Mode int
+
+// Modes of the store.
+const (
+	// ModeUp: it serves.
+	ModeUp Mode = iota
+	// ModeRefusing: it answers 503.
+	ModeRefusing
+	// ModeSilent: it takes calls and never answers.
+	ModeSilent
+	// ModeStale: whole tables are read as they were when the mode began.
+	ModeStale
+)
+
+// Store is the platform's store.
+type Store struct {
+	ln   net.Listener
+	http *http.Server
+
+	mu      sync.Mutex
+	rows    map[string]map[string]Row
+	old     map[string]map[string]Row
+	oldAt   int64
+	version int64
+	history int64 // Changes up to this version are forgotten.
+	changed chan struct{}
+	mode    Mode
+	calls   int
+	begun   time.Time
+}
+
+// NewStore starts a store without rows.
+func NewStore() (*Store, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{ln: ln, rows: map[string]map[string]Row{}, changed: make(chan struct{}), version: 1, begun: time.Now()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/rows-get", s.read)
+	mux.HandleFunc("GET /-/rows-feed", s.feed)
+	mux.HandleFunc("POST /-/rows-tx", s.write)
+	s.http = &http.Server{Handler: s.gate(mux)}
+	go func() { _ = s.http.Serve(ln) }() // It ends when it is closed.
+	return s, nil
+}
+
+// Close stops the store and drops its connections.
+func (s *Store) Close() { _ = s.http.Close() }
+
+// Addr is where the store listens.
+func (s *Store) Addr() netip.AddrPort { return s.ln.Addr().(*net.TCPAddr).AddrPort() }
+
+// SetMode changes how the store behaves.
+func (s *Store) SetMode(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m == ModeStale {
+		s.old, s.oldAt = clone(s.rows), s.version
+	}
+	s.mode = m
+	s.wake()
+}
+
+// Forget drops the history of changes up to now.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.history = s.version
+	s.wake()
+}
+
+// Calls is how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a row; value is encoded as JSON, unless it is a string.
+func (s *Store) Put(table, key string, value any) {
+	text, ok := value.(string)
+	body := []byte(text)
+	if !ok {
+		body, _ = json.Marshal(value) // Tests write values that encode.
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(Row{Table: table, Key: key, Value: body})
+}
+
+// Drop drops a row.
+func (s *Store) Drop(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(Row{Table: table, Key: key, Gone: true})
+}
+
+// Get returns a row.
+func (s *Store) Get(table, key string) Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[table][key]
+}
+
+func (s *Store) put(r Row) {
+	s.version++
+	r.Version = s.version
+	if s.rows[r.Table] == nil {
+		s.rows[r.Table] = map[string]Row{}
+	}
+	s.rows[r.Table][r.Key] = r
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func clone(rows map[string]map[string]Row) map[string]map[string]Row {
+	all := map[string]map[string]Row{}
+	for table, list := range rows {
+		all[table] = map[string]Row{}
+		for key, r := range list {
+			all[table][key] = r
+		}
+	}
+	return all
+}
+
+// gate lets calls through as the mode has it.
+func (s *Store) gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		mode := s.mode
+		s.mu.Unlock()
+		switch mode {
+		case ModeRefusing:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case ModeSilent:
+			<-r.Context().Done()
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+type listing struct {
+	Rows    []Row `json:"rows"`
+	More    bool  `json:"more"`
+	Version int64 `json:"ver"`
+	Now     int64 `json:"now_ms"`
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	rows, version := s.rows, s.version
+	if s.mode == ModeStale {
+		rows, version = s.old, s.oldAt
+	}
+	l := listing{Rows: []Row{}, Version: version, Now: time.Since(s.begun).Milliseconds()}
+	for _, row := range rows[r.FormValue("table")] {
+		if !row.Gone {
+			l.Rows = append(l.Rows, row)
+		}
+	}
+	s.mu.Unlock()
+	answer(w, l)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	after, errAfter := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	wait, errWait := strconv.Atoi(r.FormValue("wait_ms"))
+	if errAfter != nil || errWait != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		l, changed, gone := s.since(r.FormValue("table"), after)
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(l.Rows) > 0 {
+			answer(w, l)
+			return
+		}
+		select {
+		case <-changed:
+			if s.silent() {
+				<-r.Context().Done()
+				return
+			}
+		case <-end:
+			answer(w, l)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mode == ModeSilent
+}
+
+func (s *Store) since(table string, after int64) (l listing, changed chan struct{}, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l = listing{Rows: []Row{}, Version: s.version, Now: time.Since(s.begun).Milliseconds()}
+	for _, row := range s.rows[table] {
+		if row.Version > after {
+			l.Rows = append(l.Rows, row)
+		}
+	}
+	return l, s.changed, after < s.history
+}
+
+type transaction struct {
+	Expected []Row `json:"expected"`
+	Put      []Row `json:"put"`
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request) {
+	var tx transaction
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range tx.Expected {
+		if s.rows[e.Table][e.Key].Version != e.Version {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	for _, p := range tx.Put {
+		s.put(p)
+	}
+	answer(w, listing{Rows: []Row{}, Version: s.version, Now: time.Since(s.begun).Milliseconds()})
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // A caller that has gone needs none.
+}
--- a/service/gateway/directory.go
+++ b/service/gateway/directory.go
@@ -67,7 +67,7 @@
 			c.SetStatusCode(http.StatusServiceUnavailable)
 			return
 		}
-		body, err := json.Marshal(g.codec.Addresses(addrs, g.settings.Entry.MaxAge.Std()))
+		body, err := json.Marshal(g.codec.Addresses(addrs, g.conf().Entry.MaxAge.Std()))
 		if err != nil {
 			c.SetStatusCode(http.StatusInternalServerError)
 			return
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -26,13 +26,13 @@
 	if x.organisation != nil {
 		d.Organisation = x.organisation.Name
 	}
+	if x.stream != nil {
+		d.LastEvent = x.stream.lastID
+	}
 	if x.service.Engine == nil {
 		return d, &route.Plan{}
 	}
 	d.Priority = x.priority()
-	if x.stream != nil {
-		d.LastEvent = x.stream.lastID
-	}
 	if c.Weights == 0 {
 		// What is kept there is of unknown weights: nothing of it may be used.
 		d.Realm = unknownRealm + x.terms.ID
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -181,7 +181,7 @@
 	if known > freshTerm {
 		x.need.Urgency = 1
 	}
-	within := x.g.settings.Orders.Within.Std() - withinMargin
+	within := x.g.conf().Orders.Within.Std() - withinMargin
 	x.need.Oldest = x.g.beliefs.WeightsBefore(x.need.Model, now.Add(-within))
 }
 
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -55,7 +55,7 @@
 
 // Gateway is one node.
 type Gateway struct {
-	settings config.GatewaySettings
+	settings atomic.Pointer[config.GatewaySettings]
 	platform Platform
 	codec    Codec
 	log      *slog.Logger
@@ -95,7 +95,6 @@
 		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * bytesPerMB))
 	}
 	g = &Gateway{
-		settings: s,
 		platform: p,
 		codec:    p.Codec,
 		log:      log,
@@ -107,6 +106,7 @@
 
 		admissions: map[string]*route.Admission{},
 	}
+	g.settings.Store(&s)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.kept = route.NewKept()
 	g.beliefs = NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), g.kept, log)
@@ -135,7 +135,7 @@
 }
 
 func (g *Gateway) buildNodes() error {
-	s := g.settings
+	s := g.conf()
 	self := control.Member{Name: s.Node.Name, Peer: s.Peer.Listen, Entry: s.Entry.Listen, DataHall: s.Node.DataHall}
 	n := &nodes{
 		self:    self,
@@ -162,13 +162,13 @@
 }
 
 func (g *Gateway) listen() (err error) {
-	if g.entry, err = net.Listen("tcp", g.settings.Entry.Listen.String()); err != nil {
+	if g.entry, err = net.Listen("tcp", g.conf().Entry.Listen.String()); err != nil {
 		return err
 	}
-	if g.readySide, err = newSideServer(g.settings.Entry.Ready.String(), g.readyRoutes()); err != nil {
+	if g.readySide, err = newSideServer(g.conf().Entry.Ready.String(), g.readyRoutes()); err != nil {
 		return err
 	}
-	g.directory, err = newSideServer(g.settings.Entry.Directory.String(), g.directoryRoutes())
+	g.directory, err = newSideServer(g.conf().Entry.Directory.String(), g.directoryRoutes())
 	return err
 }
 
@@ -177,7 +177,7 @@
 	g.nodes.probes.Start()
 	g.readySide.start(g)
 	g.directory.start(g)
-	hold := g.settings.Platform.Hold.Std()
+	hold := g.conf().Platform.Hold.Std()
 	follow := func(f *follower) { g.wg.Go(func() { f.run(g.ctx) }) }
 	follow(&follower{
 		store: g.platform.Store, table: site.TableOperator, name: "operator", hold: hold, log: g.log,
@@ -189,7 +189,7 @@
 		apply: g.beliefs.ApplyUpstreams, rest: upstreamsRest,
 		away: g.beliefs.StoreAway,
 	})
-	every := g.settings.Peer.ProbeEvery.Std()
+	every := g.conf().Peer.ProbeEvery.Std()
 	g.timer.Subscribe(every, g.nodes.probe)
 	g.timer.Subscribe(every/lateShare, g.nodes.probeLate)
 	g.timer.Subscribe(meetEvery, g.nodes.meet)
@@ -201,19 +201,43 @@
 	g.timer.Subscribe(watchEvery, g.shareBudgets)
 	g.timer.Subscribe(adaptEvery, g.adapt)
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
-	g.wg.Go(func() { g.nodes.run(g.ctx, g.settings.Peer.LoadEvery.Std()) })
+	g.wg.Go(func() { g.nodes.run(g.ctx, g.conf().Peer.LoadEvery.Std()) })
 	g.wg.Go(func() {
 		if err := g.clients.accept(g, g.entry); err != nil && !g.closing.Load() {
 			g.log.Error("no longer accepting", "err", err)
 		}
 	})
-	g.log.Info("node started", "node", g.settings.Node.Name, "entry", g.settings.Entry.Listen,
-		"directory", g.settings.Entry.Directory, "peer", g.settings.Peer.Listen, "store", g.settings.Platform.Store)
+	g.log.Info("node started", "node", g.conf().Node.Name, "entry", g.conf().Entry.Listen,
+		"directory", g.conf().Entry.Directory, "peer", g.conf().Peer.Listen, "store", g.conf().Platform.Store)
 }
 
 // lateShare is the part of a probe period after which others are asked.
 const lateShare = 3
 
+// conf is the settings in force.
+func (g *Gateway) conf() *config.GatewaySettings { return g.settings.Load() }
+
+// Reload puts changed settings in force, as far as they can be while the node
+// runs: addresses and the node's own name stay.
+func (g *Gateway) Reload(s config.GatewaySettings) {
+	old := g.conf()
+	if s == *old {
+		return
+	}
+	kept := s
+	kept.Node, kept.Peer, kept.Platform.Store = old.Node, old.Peer, old.Platform.Store
+	kept.Entry = old.Entry
+	kept.Entry.MaxAge = s.Entry.MaxAge
+	if kept != s {
+		g.log.Warn("changed addresses hold only after a restart", "node", old.Node.Name)
+	}
+	g.settings.Store(&kept)
+	g.budgetMu.Lock()
+	clear(g.budgets)
+	g.budgetMu.Unlock()
+	g.log.Info("settings in force", "node", old.Node.Name, "retry_share", s.Retry.Share, "grace", s.Stop.Grace.Std())
+}
+
 // ready says whether callers are to be sent here.
 func (g *Gateway) ready() bool {
 	return !g.stopping() && g.beliefs.Snapshot() != nil && g.beliefs.Upstreams() > 0
@@ -246,7 +270,7 @@
 	defer g.budgetMu.Unlock()
 	b, ok := g.budgets[service]
 	if !ok {
-		b = route.NewRetryShare(g.settings.Retry.Share, g.settings.Retry.Window.Std())
+		b = route.NewRetryShare(g.conf().Retry.Share, g.conf().Retry.Window.Std())
 		b.SetSlack(g.slackShare())
 		g.budgets[service] = b
 	}
@@ -259,7 +283,7 @@
 	if n <= 1 {
 		n = unknownNodes
 	}
-	return g.settings.Retry.Slack / float64(n)
+	return g.conf().Retry.Slack / float64(n)
 }
 
 func (g *Gateway) shareBudgets(context.Context) {
@@ -275,8 +299,8 @@
 // all requests are answered or the grace period is nearly over.
 func (g *Gateway) Leave() {
 	begun := time.Now()
-	end := begun.Add(g.settings.Stop.Grace.Std() - lostTime)
-	g.log.Info("stopping", "node", g.settings.Node.Name, "in_flight", g.inFlight.Load())
+	end := begun.Add(g.conf().Stop.Grace.Std() - lostTime)
+	g.log.Info("stopping", "node", g.conf().Node.Name, "in_flight", g.inFlight.Load())
 	g.stop.Store(true)
 	g.nodes.leave()
 	g.releaseLeases()
@@ -319,5 +343,5 @@
 	g.platform.Store.Close()
 	g.platform.Engines.Close()
 	g.wg.Wait()
-	g.log.Info("node stopped", "node", g.settings.Node.Name)
+	g.log.Info("node stopped", "node", g.conf().Node.Name)
 }
