A replica that was not swapped in time is tried again

Cause: shown by a test that failed first (late, unanswered orders): replicas that were left alone for a while were forgotten only when another of their group was begun, so a group whose orders had all failed gave none again. Change: they are forgotten when the swaps under way are counted, which comes first. Tests of the roll-out (cut and late orders, pauses between holders, shares at once), of the pool, the retry budget and of what stores keep.

--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -166,7 +165,7 @@
 	if err != nil {
 		return false
 	}
-	defer resp.Body.Close()
+	defer closeBody(resp)
 	return resp.StatusCode == http.StatusOK
 }
 
@@ -232,7 +231,7 @@
 	if err != nil {
 		return reply{cut: true}
 	}
-	defer resp.Body.Close()
+	defer closeBody(resp)
 	body, err := io.ReadAll(resp.Body)
 	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), cut: err != nil, last: resp.Close}
 }
@@ -250,10 +249,10 @@
 	if err != nil {
 		return ""
 	}
-	defer resp.Body.Close()
+	defer closeBody(resp)
 	body, err := io.ReadAll(resp.Body)
 	assert.NilError(n.s.t, err)
 	return string(body)
 }
 
-func mustAddr(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
+func closeBody(resp *http.Response) { _ = resp.Body.Close() } // It has been read.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -229,7 +229,9 @@
 func (r *Rollout) begin(ctx context.Context, g *group, t Target, most int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, known := g.swaps[t.ID]; known || g.running(r.now()) >= most {
+	// Counting forgets those that were left alone for long enough.
+	running := g.running(r.now())
+	if _, known := g.swaps[t.ID]; known || running >= most {
 		return
 	}
 	s := &swap{}
--- /dev/null
+++ b/pkg/rollout/rollout_test.go
@@ -0,0 +1,366 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// memoryStore is the platform's store, in memory.
+type memoryStore struct {
+	mu    sync.Mutex
+	rows  map[string]site.Row
+	ver   int64
+	begun time.Time
+	down  map[string]bool // By node that calls.
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{rows: map[string]site.Row{}, ver: 1, begun: time.Now(), down: map[string]bool{}}
+}
+
+// view is the store as one node reaches it.
+type view struct {
+	*memoryStore
+	node string
+}
+
+func (v view) List(context.Context, site.Table) (site.Listing, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down[v.node] {
+		return site.Listing{}, fmt.Errorf("cut off")
+	}
+	l := site.Listing{Version: v.ver, Now: time.Since(v.begun)}
+	for _, r := range v.rows {
+		l.Rows = append(l.Rows, r)
+	}
+	return l, nil
+}
+
+func (v view) Put(_ context.Context, _ site.Table, key string, value []byte, expected int64) (site.Listing, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down[v.node] {
+		return site.Listing{}, fmt.Errorf("cut off")
+	}
+	if v.rows[key].Version != expected {
+		return site.Listing{}, site.ErrConflict
+	}
+	v.ver++
+	v.rows[key] = site.Row{Key: key, Value: value, Version: v.ver}
+	return site.Listing{Version: v.ver, Now: time.Since(v.begun)}, nil
+}
+
+func (s *memoryStore) cut(node string, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[node] = down
+}
+
+// given is one order as a replica got it.
+type given struct {
+	at      time.Time
+	replica string
+	order   site.Order
+}
+
+// fakeFleet is replicas that take a while to load, and who hears of swaps.
+type fakeFleet struct {
+	mu       sync.Mutex
+	replicas map[string]*fakeReplica
+	version  int64
+	given    []given
+	steered  []string
+	ranks    map[string]int
+	silent   bool // Orders are taken and not answered.
+	late     bool // And carried out seconds later.
+}
+
+type fakeReplica struct {
+	id      string
+	addr    netip.AddrPort
+	version int64
+	orders  int64
+	busy    bool
+}
+
+const loadTime = 760 * time.Millisecond
+
+func newFakeFleet(n int) *fakeFleet {
+	f := &fakeFleet{replicas: map[string]*fakeReplica{}, version: 1, ranks: map[string]int{}}
+	for i := range n {
+		id := fmt.Sprintf("r%02d", i)
+		f.replicas[id] = &fakeReplica{id: id, version: 1, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)}
+	}
+	return f
+}
+
+func (f *fakeFleet) at(addr netip.AddrPort) *fakeReplica {
+	for _, r := range f.replicas {
+		if r.addr == addr {
+			return r
+		}
+	}
+	return nil
+}
+
+func (f *fakeFleet) Report(_ context.Context, addr netip.AddrPort) (site.EngineReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.at(addr)
+	return site.EngineReport{Busy: r.busy, Orders: r.orders, Weights: map[string]int64{"m": r.version}}, nil
+}
+
+func (f *fakeFleet) Order(_ context.Context, addr netip.AddrPort, o site.Order) (site.OrderOutcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.at(addr)
+	f.given = append(f.given, given{at: time.Now(), replica: r.id, order: o})
+	if f.late {
+		go func() {
+			time.Sleep(5 * time.Second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.carryOut(r, o)
+		}()
+		return site.OrderUnknown, fmt.Errorf("no answer")
+	}
+	if !f.carryOut(r, o) {
+		return site.OrderRefused, fmt.Errorf("refused")
+	}
+	if f.silent {
+		return site.OrderUnknown, fmt.Errorf("no answer")
+	}
+	return site.OrderTaken, nil
+}
+
+// carryOut begins to load, unless others have ordered since; the caller holds mu.
+func (f *fakeFleet) carryOut(r *fakeReplica, o site.Order) bool {
+	if r.busy || r.orders != o.Orders {
+		return false
+	}
+	r.orders++
+	r.busy = true
+	go func() {
+		time.Sleep(loadTime)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		r.busy, r.version = false, o.Version
+	}()
+	return true
+}
+
+// eyes is the fleet as one node sees it.
+type eyes struct {
+	*fakeFleet
+	node string
+}
+
+func (e eyes) Targets() (list []Target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.replicas {
+		list = append(list, Target{
+			Upstream: site.Upstream{ID: r.id, Addr: r.addr, Weights: map[string]int64{"m": r.version}},
+			Model:    "m",
+			Version:  e.version,
+		})
+	}
+	return list
+}
+
+func (e eyes) Rank(string) int { return e.ranks[e.node] }
+
+func (e eyes) Steer(id string, _ time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.steered = append(e.steered, id)
+}
+
+func (e eyes) Serves(Target, int64) {}
+
+func (f *fakeFleet) name(version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = version
+}
+
+func (f *fakeFleet) behind() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range f.replicas {
+		if r.version < f.version {
+			n++
+		}
+	}
+	return n
+}
+
+const testPause = 3 * time.Second
+
+// start steps the rollouts of some nodes until the returned function is called.
+func start(t *testing.T, s *memoryStore, f *fakeFleet, nodes ...string) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i, node := range nodes {
+		f.ranks[node] = i
+		r := New(node, testPause, view{s, node}, f, eyes{f, node}, slog.New(slog.DiscardHandler))
+		wg.Go(func() {
+			defer r.Close()
+			for ctx.Err() == nil {
+				r.Step(ctx)
+				time.Sleep(Every)
+			}
+		})
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// checkOrders fails where orders of two nodes to one replica come closer than the
+// pause, or with a fence that does not rise.
+func checkOrders(t *testing.T, list []given) {
+	t.Helper()
+	last := map[string]given{}
+	for _, g := range list {
+		l, known := last[g.replica]
+		if known && l.order.Holder != g.order.Holder {
+			assert.Assert(t, g.at.Sub(l.at) >= testPause, "turns of %s and %s at %s within %s", l.order.Holder, g.order.Holder, g.replica, g.at.Sub(l.at))
+			assert.Assert(t, g.order.Fence > l.order.Fence)
+		}
+		assert.Assert(t, !known || g.order.Fence >= l.order.Fence)
+		last[g.replica] = g
+	}
+}
+
+func TestAllReplicasGetNewWeightsInAFewSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := newMemoryStore(), newFakeFleet(18)
+		stop := start(t, s, f, "n1", "n2", "n3")
+		time.Sleep(time.Second)
+		assert.Equal(t, len(f.given), 0, "nothing is ordered while nothing is named")
+		f.name(2)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, f.behind(), 0)
+		assert.Equal(t, len(f.given), 18, "each replica is ordered once")
+		assert.Assert(t, len(f.steered) >= 18)
+		checkOrders(t, f.given)
+		stop()
+	})
+}
+
+func TestNoMoreThanAShareIsSwappedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := newMemoryStore(), newFakeFleet(18)
+		stop := start(t, s, f, "n1")
+		f.name(2)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			f.mu.Lock()
+			busy := 0
+			for _, x := range f.replicas {
+				if x.busy {
+					busy++
+				}
+			}
+			f.mu.Unlock()
+			assert.Assert(t, busy <= 9, "%d of 18 at once", busy)
+		}
+		stop()
+	})
+}
+
+// A holder that is cut off from the store stops by itself, and another takes over
+// without ordering a replica within the pause.
+func TestHolderThatIsCutOffIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := newMemoryStore(), newFakeFleet(18)
+		stop := start(t, s, f, "n1", "n2")
+		f.name(2)
+		time.Sleep(800 * time.Millisecond)
+		s.cut("n1", true)
+		f.name(3)
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, f.behind(), 0)
+		f.mu.Lock()
+		checkOrders(t, f.given)
+		f.mu.Unlock()
+		stop()
+	})
+}
+
+// Orders that are not answered and come late find that others have come between.
+func TestLateOrdersDoNoHarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := newMemoryStore(), newFakeFleet(6)
+		f.late = true
+		stop := start(t, s, f, "n1")
+		f.name(2)
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		f.late = false
+		f.mu.Unlock()
+		f.name(3)
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, f.behind(), 0)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, f.behind(), 0, "no late order has put an older version back")
+		stop()
+	})
+}
+
+func TestUnansweredOrderIsNotGivenTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := newMemoryStore(), newFakeFleet(6)
+		f.silent = true
+		stop := start(t, s, f, "n1")
+		f.name(2)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, f.behind(), 0)
+		assert.Equal(t, len(f.given), 6)
+		stop()
+	})
+}
+
+// The lease is not held by two at once, whatever is cut off when.
+func TestLeaseHasOneHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newMemoryStore()
+		log := slog.New(slog.DiscardHandler)
+		a := NewLease("l", "a", testPause, view{s, "a"}, log)
+		b := NewLease("l", "b", testPause, view{s, "b"}, log)
+		assert.Assert(t, a.Keep(t.Context()))
+		fence := a.Fence()
+		s.cut("a", true)
+		last := time.Now()
+		for !b.Keep(t.Context()) {
+			if a.Keep(t.Context()) {
+				last = time.Now()
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, !a.Held())
+		assert.Assert(t, time.Since(last) >= testPause, "%s", time.Since(last))
+		assert.Assert(t, b.Fence() > fence)
+		s.cut("a", false)
+		assert.Assert(t, !a.Keep(t.Context()))
+		b.Release(t.Context())
+		var row leaseRow
+		assert.NilError(t, json.Unmarshal(s.rows["l"].Value, &row))
+		assert.Assert(t, row.Until <= time.Since(s.begun))
+	})
+}
--- /dev/null
+++ b/pkg/route/kept_test.go
@@ -0,0 +1,176 @@
+package route
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+var (
+	testEngine = &site.Engine{Slots: 8, Capacity: 40_000, TokenBytes: 18_000, LinkRate: 16e9, PlannedFetch: true}
+	testPrompt = []site.Part{{ID: "aa", Tokens: 2000}, {ID: "bb", Tokens: 5000}}
+)
+
+func testStore(name, hall, addr string, capacity int, rate float64) *site.Service {
+	return &site.Service{Name: name, Store: &site.Store{
+		Addr: netip.MustParseAddrPort(addr), DataHall: hall, Capacity: capacity, LinkRate: rate, Managed: true,
+	}}
+}
+
+func newTestKept(stores ...*site.Service) *Kept {
+	k := NewKept()
+	k.Configure(stores)
+	for _, s := range stores {
+		k.Apply(s.Name, site.CacheChanges{Boot: 1}, testNow)
+	}
+	return k
+}
+
+func plus(realm string, parts ...site.Part) []site.CacheChange {
+	var list []site.CacheChange
+	for _, p := range parts {
+		list = append(list, site.CacheChange{Realm: realm, Part: p.ID, Tokens: p.Tokens})
+	}
+	return list
+}
+
+// A part that is still being written, or that broke off, is never read.
+func TestOnlyPartsToldToBeWholeAreFetched(t *testing.T) {
+	s := testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9)
+	k := newTestKept(s)
+	p := k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow)
+	assert.Equal(t, p.Saved, 7000)
+	assert.Equal(t, p.Fetched, 0)
+	p = k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow.Add(time.Millisecond))
+	assert.Equal(t, p.Fetched, 0, "asked to be saved is not kept")
+	assert.Equal(t, p.Saved, 0, "a part is saved once")
+	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[0], site.Part{ID: "bb", Tokens: 4000})}, testNow)
+	p = k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow.Add(2*time.Millisecond))
+	assert.Assert(t, p.Sources[0].IsValid())
+	assert.Assert(t, !p.Sources[1].IsValid(), "a part that is kept in part is not whole")
+	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[1])}, testNow)
+	p = k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow.Add(3*time.Millisecond))
+	assert.Assert(t, p.Sources[1].IsValid())
+}
+
+func TestRealmsShareNothing(t *testing.T) {
+	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
+	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("m@1", testPrompt...)}, testNow)
+	for _, realm := range []string{"m@2", "m@1/org", "other@1"} {
+		assert.Equal(t, k.Plan(realm, "h0", testPrompt, testEngine, time.Second, false, testNow).Fetched, 0, realm)
+	}
+	assert.Equal(t, k.Plan("m@1", "h0", testPrompt, testEngine, time.Second, false, testNow).Fetched, 7000)
+}
+
+// After a restart nothing is read, and nothing is saved until all nodes must have
+// noticed: one that had not would read as whole what is being written anew.
+func TestRestartedStoreIsEmptyAndLeftAlone(t *testing.T) {
+	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
+	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
+	k.Apply("s", site.CacheChanges{Boot: 2}, testNow)
+	p := k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow.Add(time.Second))
+	assert.Equal(t, p.Fetched, 0)
+	assert.Equal(t, p.Saved, 0)
+	p = k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow.Add(restartTerm+time.Second))
+	assert.Equal(t, p.Saved, 7000)
+}
+
+func TestStoreThatIsNotHeardOfIsNotUsed(t *testing.T) {
+	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
+	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
+	k.Silent("s")
+	p := k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow)
+	assert.Equal(t, p.Fetched+p.Saved, 0)
+	k.Apply("s", site.CacheChanges{Boot: 1}, testNow)
+	assert.Equal(t, k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow).Fetched, 7000)
+}
+
+func TestFullStoreTakesNothing(t *testing.T) {
+	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 9_000, 10e9))
+	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", site.Part{ID: "cc", Tokens: 8000})}, testNow)
+	assert.Equal(t, k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow).Saved, 0)
+	k.Apply("s", site.CacheChanges{Boot: 1, Changes: []site.CacheChange{{Realm: "r", Part: "cc"}}}, testNow)
+	assert.Assert(t, k.Plan("r", "h0", testPrompt, testEngine, time.Second, true, testNow).Saved > 0)
+}
+
+func TestFetchComesFromWhereItIsSoonest(t *testing.T) {
+	slow := testStore("slow", "h0", "10.0.0.1:1", 100_000, 1e9)
+	fast := testStore("fast", "h1", "10.0.0.2:1", 100_000, 10e9)
+	k := newTestKept(slow, fast)
+	k.Apply("slow", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
+	k.Apply("fast", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
+	p := k.Plan("r", "h0", testPrompt, testEngine, time.Second, false, testNow)
+	assert.Equal(t, p.Sources[1], fast.Store.Addr)
+	k.AddPeer("fast", 20e9, testNow) // Other nodes have asked for much there.
+	p = k.Plan("r", "h0", testPrompt, testEngine, time.Second, false, testNow)
+	assert.Equal(t, p.Sources[1], slow.Store.Addr)
+}
+
+func TestStoreWhoseFetchesComeLateIsLeft(t *testing.T) {
+	a, b := testStore("a", "h0", "10.0.0.1:1", 100_000, 10e9), testStore("b", "h0", "10.0.0.2:1", 100_000, 9e9)
+	k := newTestKept(a, b)
+	// Prompts differ, so that no replica has one already.
+	source := func(i int, now time.Time) *Plan {
+		parts := []site.Part{{ID: fmt.Sprintf("p%d", i), Tokens: 5000}}
+		k.Apply("a", site.CacheChanges{Boot: 1, Changes: plus("r", parts...)}, now)
+		k.Apply("b", site.CacheChanges{Boot: 1, Changes: plus("r", parts...)}, now)
+		return k.Plan("r", "h0", parts, testEngine, time.Second, false, now)
+	}
+	now := testNow
+	for i := range 12 {
+		now = now.Add(100 * time.Millisecond)
+		p := source(i, now)
+		excess := -time.Millisecond
+		if p.Sources[0] == a.Store.Addr {
+			excess = 200 * time.Millisecond
+		}
+		p.First(excess, now)
+	}
+	now = now.Add(100 * time.Millisecond)
+	assert.Equal(t, source(20, now).Sources[0], b.Store.Addr)
+	later := now.Add(time.Minute) // A link that was slow is tried again.
+	assert.Equal(t, source(21, later).Sources[0], a.Store.Addr)
+}
+
+func TestOffersEndAtTheFirstPartThatIsNotKept(t *testing.T) {
+	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
+	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[1])}, testNow)
+	o := k.Look("r", []string{"h0", "h1"}, testPrompt, testEngine, testNow)
+	assert.Equal(t, o["h0"].Tokens, 0, "a part serves only behind all before it")
+	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[0])}, testNow)
+	o = k.Look("r", []string{"h0", "h1"}, testPrompt, testEngine, testNow)
+	assert.Equal(t, o["h0"].Tokens, 7000)
+	assert.Assert(t, o["h1"].Wait > o["h0"].Wait, "moves between data halls take longer")
+}
+
+func TestSurplusIsWhatWillNotBeUsed(t *testing.T) {
+	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
+	k.Apply("s", site.CacheChanges{Boot: 7, Changes: append(plus("m@1", testPrompt...), plus("m@2", testPrompt[0])...)}, testNow)
+	list, boot := k.Surplus("s", 10, func(realm string) bool { return realm == "m@1" })
+	assert.Equal(t, len(list), 2)
+	assert.Equal(t, boot, int64(7))
+	list, _ = k.Surplus("s", 1, func(string) bool { return true })
+	assert.Equal(t, len(list), 1)
+	k.Silent("s")
+	list, _ = k.Surplus("s", 10, func(string) bool { return true })
+	assert.Equal(t, len(list), 0, "what is not known to be there is not freed")
+}
+
+func TestPartUsedOftenIsHeldAndOneUsedOnceIsNot(t *testing.T) {
+	u := newTraffic()
+	now := testNow
+	for i := range 60 {
+		now = now.Add(50 * time.Millisecond)
+		u.note(partKey{"r", "often"}, 2000, now)
+		u.note(partKey{"r", string(rune('A' + i))}, 5000, now)
+	}
+	assert.Assert(t, u.held(partKey{"r", "often"}, 40_000, now) > 0.9)
+	assert.Assert(t, u.held(partKey{"r", "A"}, 40_000, now) < 0.5)
+	assert.Equal(t, u.held(partKey{"r", "never"}, 40_000, now), 0.0)
+	assert.Assert(t, u.held(partKey{"r", "often"}, 40_000, now.Add(time.Minute)) < 0.9)
+}
--- /dev/null
+++ b/pkg/route/pool_test.go
@@ -0,0 +1,238 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+func newTestPool(n int, weights int64) *Pool {
+	p := NewPool("h0", rand.New(rand.NewPCG(1, 2)))
+	p.Configure(testReplicas(n, weights), testNow)
+	return p
+}
+
+func testReplicas(n int, weights int64) []site.Upstream {
+	var list []site.Upstream
+	for i := range n {
+		list = append(list, site.Upstream{
+			ID: fmt.Sprintf("r%02d", i), DataHall: fmt.Sprintf("h%d", i%3), Slots: 4, Weights: map[string]int64{"m": weights},
+		})
+	}
+	return list
+}
+
+// Whatever happens to replicas, a pick names one that is there, does not leave,
+// was not excluded, and has weights that may still be used.
+func TestPickKeepsToWhatMayBeUsed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newTestPool(6, 1)
+		list := testReplicas(6, 1)
+		now := testNow
+		newest, oldest := int64(1), int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(list)-1).Draw(t, "replica")
+			switch rapid.IntRange(0, 6).Draw(t, "op") {
+			case 0:
+				list[i].Draining = !list[i].Draining
+				p.Configure(list, now)
+			case 1:
+				p.Lost(list[i].ID, now)
+			case 2:
+				p.Avoid(list[i].ID, now.Add(time.Second))
+			case 3:
+				newest++
+				p.Serves(list[i].ID, "m", newest)
+				list[i].Weights = map[string]int64{"m": newest}
+			case 4:
+				oldest = newest
+			default:
+			}
+			need := &Need{Model: "m", Tokens: 1000, Newest: newest, Oldest: oldest, Urgency: 1, Exclude: []string{"r00"}}
+			c, ok := p.Pick(need, now)
+			usable := 0
+			for _, u := range list {
+				if !u.Draining && u.ID != "r00" && u.Weights["m"] >= oldest {
+					usable++
+				}
+			}
+			assert.Equal(t, ok, usable > 0)
+			if !ok {
+				continue
+			}
+			for _, u := range list {
+				if u.ID == c.ID {
+					assert.Assert(t, !u.Draining && u.ID != "r00" && u.Weights["m"] >= oldest)
+					assert.Equal(t, c.Weights, u.Weights["m"])
+				}
+			}
+			k := p.Begin(c, now)
+			if rapid.Bool().Draw(t, "first") {
+				k.First(now)
+			}
+			k.End(Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")), now)
+		}
+		for _, l := range p.Loads() {
+			assert.Equal(t, l.Requests, 0)
+		}
+		for _, m := range p.list {
+			assert.Equal(t, m.pending, 0)
+		}
+	})
+}
+
+func TestPromptsGoWhereLeastIsToBeRead(t *testing.T) {
+	p := newTestPool(3, 1)
+	need := &Need{Model: "m", Tokens: 5000}
+	seen := map[string]bool{}
+	for range 3 {
+		c, ok := p.Pick(need, testNow)
+		assert.Assert(t, ok)
+		p.Begin(c, testNow)
+		seen[c.ID] = true
+	}
+	assert.Equal(t, len(seen), 3, "three prompts at once go to three replicas")
+}
+
+func TestWhatOtherNodesHaveThereCounts(t *testing.T) {
+	p := newTestPool(3, 1)
+	p.SetPeers(map[string]PeerLoad{"r00": {Requests: 2, Tokens: 9000}, "r01": {Requests: 2, Tokens: 9000}})
+	for range 5 {
+		c, ok := p.Pick(&Need{Model: "m", Tokens: 1000}, testNow)
+		assert.Assert(t, ok)
+		assert.Equal(t, c.ID, "r02")
+	}
+}
+
+func TestEjectionIsBounded(t *testing.T) {
+	p := newTestPool(10, 1)
+	for i := range 10 {
+		p.Lost(fmt.Sprintf("r%02d", i), testNow)
+	}
+	out := 0
+	for _, m := range p.list {
+		if m.outcome.ejected(testNow) {
+			out++
+		}
+	}
+	assert.Equal(t, out, 3)
+	one := newTestPool(2, 1)
+	one.Lost("r00", testNow)
+	one.Lost("r01", testNow)
+	_, ok := one.Pick(&Need{Model: "m"}, testNow)
+	assert.Assert(t, ok, "the last one is used whatever is thought of it")
+}
+
+// A service that fails some of its requests everywhere has no outliers.
+func TestFailuresThatAllHaveEjectNobody(t *testing.T) {
+	p := newTestPool(3, 1)
+	rng := rand.New(rand.NewPCG(3, 4))
+	now := testNow
+	for range 600 {
+		now = now.Add(10 * time.Millisecond)
+		c, ok := p.Pick(&Need{}, now)
+		assert.Assert(t, ok)
+		k := p.Begin(c, now)
+		o := OutcomeOK
+		if rng.Float64() < 0.14 {
+			o = OutcomeFailed
+		}
+		k.First(now)
+		k.End(o, now)
+	}
+	ejections := 0
+	for _, m := range p.list {
+		if m.outcome.ejection > 2*ejectFirst {
+			ejections++
+		}
+	}
+	assert.Equal(t, ejections, 0)
+}
+
+func TestReplicaThatFailsAShareIsEjected(t *testing.T) {
+	p := newTestPool(5, 1)
+	now := testNow
+	for i := range 40 {
+		now = now.Add(10 * time.Millisecond)
+		for _, m := range p.list {
+			k := p.Begin(Choice{Upstream: m.Upstream}, now)
+			o := OutcomeOK
+			if m.ID == "r02" && i%2 == 0 {
+				o = OutcomeFailed
+			}
+			k.First(now)
+			k.End(o, now)
+		}
+	}
+	assert.Assert(t, p.replicas["r02"].outcome.ejection > 0)
+	assert.Assert(t, p.replicas["r01"].outcome.ejection == 0)
+}
+
+func TestSlowReplicaIsChosenLessOften(t *testing.T) {
+	p := newTestPool(2, 1)
+	now := testNow
+	for range 20 {
+		for _, m := range p.list {
+			c := Choice{Upstream: m.Upstream, Expected: 50 * time.Millisecond, Read: 2000}
+			k := p.Begin(c, now)
+			took := 50 * time.Millisecond
+			if m.ID == "r01" {
+				took = 400 * time.Millisecond
+			}
+			k.First(now.Add(took))
+			k.End(OutcomeOK, now.Add(took))
+		}
+		now = now.Add(500 * time.Millisecond)
+	}
+	for range 10 {
+		c, ok := p.Pick(&Need{Model: "m", Tokens: 2000}, now)
+		assert.Assert(t, ok)
+		assert.Equal(t, c.ID, "r00")
+	}
+}
+
+// What all nodes spend together stays within the budget, in any window and with
+// any number of nodes.
+func TestRetryShareHoldsWithoutTalking(t *testing.T) {
+	const ratio, slack, window = 0.2, 54.0, 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "nodes")
+		begin := time.Now()
+		nodes := make([]*RetryShare, n)
+		for i := range nodes {
+			nodes[i] = NewRetryShare(ratio, window)
+			nodes[i].SetSlack(slack / float64(n))
+		}
+		var requests, retries []time.Time
+		now := begin
+		for range rapid.IntRange(1, 600).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			b := nodes[rapid.IntRange(0, n-1).Draw(t, "node")]
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests = append(requests, now)
+			} else if b.Take(now) {
+				retries = append(retries, now)
+			}
+		}
+		for _, end := range retries {
+			within := func(list []time.Time, span time.Duration) int {
+				c := 0
+				for _, at := range list {
+					if !at.After(end) && end.Sub(at) < span {
+						c++
+					}
+				}
+				return c
+			}
+			assert.Assert(t, float64(within(retries, window)) <= ratio*float64(within(requests, 2*window))+slack)
+		}
+	})
+}
--- a/service/gateway/client_writer.go
+++ b/service/gateway/client_writer.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync/atomic"
-	"time"
 
 	"github.com/drumpath/drumpath/pkg/http1"
 )
@@ -21,7 +20,6 @@
 	begun   atomic.Bool
 	failed  bool
 	ended   bool
-	limit   time.Time
 }
 
 // last says whether the connection ends after this answer.
