Loads are told at once within a data hall, as sums between halls

Change: a node tells its state in its own hall; one node of each hall tells the hall's sum to the others every 30 ms, and it is told on there.

--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -144,8 +144,7 @@
 		beliefs: g.beliefs,
 		kept:    g.kept,
 		log:     g.log,
-		states:  map[string]heardState{},
-		steered: map[string]time.Time{},
+		loads:   newLoads(),
 		due:     make(chan struct{}, 1),
 	}
 	handle := func(from netip.AddrPort, p control.Probe) []control.Packet {
@@ -155,7 +154,9 @@
 	if err != nil {
 		return err
 	}
-	probes.OnNote(noteState, n.hear)
+	probes.OnNote(noteState, n.hearState)
+	probes.OnNote(noteHall, n.hearHall)
+	probes.OnNote(noteNews, n.hearNews)
 	n.probes = probes
 	g.nodes = n
 	return nil
@@ -200,6 +201,7 @@
 	g.timer.Subscribe(rollout.Every, g.rollout.Step)
 	g.timer.Subscribe(watchEvery, g.shareBudgets)
 	g.timer.Subscribe(adaptEvery, g.adapt)
+	g.timer.Subscribe(hallEvery, g.nodes.speak)
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
 	g.wg.Go(func() { g.nodes.run(g.ctx, g.conf().Peer.LoadEvery.Std()) })
 	g.wg.Go(func() {
--- /dev/null
+++ b/service/gateway/loads.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/route"
+)
+
+// Nodes tell each other what they have in flight, so that each sees the whole
+// load of a replica or a link without asking it.
+//
+// Within a data hall every node tells every other, as soon as it has sent a
+// prompt somewhere. Between data halls one node of each tells the sum of its hall,
+// and whoever hears it tells it on in its own: bytes between halls are paid for,
+// and so their number does not grow with the nodes of a hall.
+const (
+	// noteState tells the nodes of a hall one node's state.
+	noteState = "gateway.state"
+	// noteHall tells the sum of another hall.
+	noteHall = "gateway.hall"
+	// stateTerm is after how long what was told is forgotten.
+	stateTerm = 1200 * time.Millisecond
+	// tellEach is for how long one state is kept from being followed by another,
+	// for each other node of the hall: so the cost of telling is bounded.
+	tellEach = 3 * time.Millisecond
+	// hallEvery is how often a hall's sum is told to the others.
+	hallEvery = 30 * time.Millisecond
+	// speakDuty names the duty of telling a hall's sum.
+	speakDuty = "speak/"
+)
+
+// load is what is in flight at a replica: requests and tokens to be read.
+type load [2]int
+
+// nodeState is what one node tells. Its JSON names are short, as it is sent many
+// times a second.
+type nodeState struct {
+	From  string           `json:"f"`
+	Hall  string           `json:"h"`
+	Boot  uint64           `json:"b"`
+	Seq   uint64           `json:"q"`
+	Loads map[string]load  `json:"l,omitempty"` // By replica.
+	Moves map[string]int64 `json:"m,omitempty"` // Bytes of all moves asked for, by store.
+}
+
+type heardState struct {
+	nodeState
+	at time.Time
+}
+
+// loads is what was told and heard of loads; nodes.mu guards it.
+type loads struct {
+	seq    uint64
+	states map[string]heardState // Of nodes of this hall.
+	halls  map[string]heardState // Sums of the others.
+	// moved are the bytes of moves that the whole hall has asked for.
+	moved map[string]int64
+	own   map[string]int64 // Of those, this node's when last summed.
+}
+
+func newLoads() loads {
+	return loads{
+		states: map[string]heardState{},
+		halls:  map[string]heardState{},
+		moved:  map[string]int64{},
+		own:    map[string]int64{},
+	}
+}
+
+// soon has this node's state told at once, or as soon as the last one is old
+// enough: other nodes would choose the same replica until they hear.
+func (n *nodes) soon() {
+	select {
+	case n.due <- struct{}{}:
+	default:
+	}
+}
+
+// run tells this node's state when it is due, and at least every period.
+func (n *nodes) run(ctx context.Context, every time.Duration) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-n.due:
+		}
+		peers := n.inHall(n.self.DataHall)
+		n.tell(peers)
+		sleep(ctx, min(every, time.Duration(len(peers))*tellEach))
+	}
+}
+
+// tell sends this node's state to the others of its hall.
+func (n *nodes) tell(peers []netip.AddrPort) {
+	s := n.state()
+	for _, p := range n.beliefs.Pools() {
+		for id, l := range p.Loads() {
+			s.Loads[id] = load{l.Requests, l.Tokens}
+		}
+	}
+	s.Moves = n.kept.Moved()
+	n.note(peers, noteState, s)
+	n.merge(time.Now())
+}
+
+func (n *nodes) state() nodeState {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads.seq++
+	return nodeState{
+		From:  n.self.Name,
+		Hall:  n.self.DataHall,
+		Boot:  n.members.Self().Incarnation,
+		Seq:   n.loads.seq,
+		Loads: map[string]load{},
+	}
+}
+
+func (n *nodes) note(to []netip.AddrPort, method string, params any) {
+	if err := n.probes.Note(to, method, params); err != nil {
+		n.log.Error("note not sent", "method", method, "err", err)
+	}
+}
+
+// inHall lists the addresses of the other nodes of a hall that may live.
+func (n *nodes) inHall(hall string) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, m := range n.members.All() {
+		if m.DataHall == hall && m.Name != n.self.Name && m.State != control.MemberDead {
+			list = append(list, m.Peer)
+		}
+	}
+	return list
+}
+
+// speakers are the nodes that tell their halls' sums, by hall.
+func (n *nodes) speakers() map[string]control.Member {
+	halls := map[string][]control.Member{}
+	for _, m := range n.members.Working() {
+		halls[m.DataHall] = append(halls[m.DataHall], m)
+	}
+	list := make(map[string]control.Member, len(halls))
+	for hall, members := range halls {
+		if m, ok := control.Owner(members, speakDuty+hall); ok {
+			list[hall] = m
+		}
+	}
+	return list
+}
+
+// speak tells the sum of this hall to the others, if that falls to this node;
+// the timer service calls it.
+func (n *nodes) speak(context.Context) {
+	speakers := n.speakers()
+	if speakers[n.self.DataHall].Name != n.self.Name || len(speakers) == 1 {
+		return
+	}
+	var others []netip.AddrPort
+	for hall, m := range speakers {
+		if hall != n.self.DataHall {
+			others = append(others, m.Peer)
+		}
+	}
+	s := n.state()
+	n.sumHall(&s)
+	n.note(others, noteHall, s)
+}
+
+// sumHall fills in what the nodes of this hall have in flight.
+func (n *nodes) sumHall(s *nodeState) {
+	for _, p := range n.beliefs.Pools() {
+		for id, l := range p.Loads() {
+			s.Loads[id] = load{l.Requests, l.Tokens}
+		}
+	}
+	moved := n.kept.Moved()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, state := range n.loads.states {
+		for id, l := range state.Loads {
+			sum := s.Loads[id]
+			s.Loads[id] = load{sum[0] + l[0], sum[1] + l[1]}
+		}
+	}
+	for store, bytes := range moved {
+		n.loads.moved[store] += bytes - n.loads.own[store]
+		n.loads.own[store] = bytes
+	}
+	s.Moves = make(map[string]int64, len(n.loads.moved))
+	for store, bytes := range n.loads.moved {
+		s.Moves[store] = bytes
+	}
+}
+
+// hearState takes in the state of another node of this hall.
+func (n *nodes) hearState(params json.RawMessage) {
+	if s, old, ok := n.hear(params, n.loads.states, func(s *nodeState) string { return s.From }); ok {
+		more := s.moreThan(old)
+		n.mu.Lock()
+		for store, bytes := range more {
+			n.loads.moved[store] += bytes
+		}
+		n.mu.Unlock()
+		n.apply(more)
+	}
+}
+
+// hearHall takes in the sum of another hall, and tells it on in this one if it
+// comes from there.
+func (n *nodes) hearHall(params json.RawMessage) {
+	s, old, ok := n.hear(params, n.loads.halls, func(s *nodeState) string { return s.Hall })
+	if !ok || s.Hall == n.self.DataHall {
+		return
+	}
+	if n.speakers()[n.self.DataHall].Name == n.self.Name {
+		n.note(n.inHall(n.self.DataHall), noteHall, s)
+	}
+	n.apply(s.moreThan(old))
+}
+
+// hear notes a state under its name and says whether it is newer than the last.
+func (n *nodes) hear(params json.RawMessage, under map[string]heardState, name func(*nodeState) string) (s nodeState, old heardState, ok bool) {
+	if err := json.Unmarshal(params, &s); err != nil {
+		n.log.Debug("state not understood", "err", err)
+		return s, old, false
+	}
+	if s.From == n.self.Name {
+		return s, old, false
+	}
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old = under[name(&s)]
+	same := s.From == old.From && s.Boot == old.Boot
+	if same && s.Seq <= old.Seq && now.Sub(old.at) < stateTerm {
+		return s, old, false
+	}
+	under[name(&s)] = heardState{nodeState: s, at: now}
+	return s, old, true
+}
+
+// moreThan are the bytes of moves since an older state of the same node.
+func (s *nodeState) moreThan(old heardState) map[string]int64 {
+	more := map[string]int64{}
+	if s.Boot != old.Boot || s.From != old.From {
+		return more
+	}
+	for store, bytes := range s.Moves {
+		if d := bytes - old.Moves[store]; d > 0 {
+			more[store] = d
+		}
+	}
+	return more
+}
+
+// apply has the bytes of others' moves take their time, and their loads count.
+func (n *nodes) apply(moves map[string]int64) {
+	now := time.Now()
+	for store, bytes := range moves {
+		n.kept.AddPeer(store, bytes, now)
+	}
+	n.merge(now)
+}
+
+// merge adds up what the others have in flight.
+func (n *nodes) merge(now time.Time) {
+	sum := map[string]route.PeerLoad{}
+	n.mu.Lock()
+	for _, heard := range []map[string]heardState{n.loads.states, n.loads.halls} {
+		for name, s := range heard {
+			if now.Sub(s.at) > stateTerm {
+				delete(heard, name)
+				continue
+			}
+			for id, l := range s.Loads {
+				v := sum[id]
+				v.Requests += l[0]
+				v.Tokens += l[1]
+				sum[id] = v
+			}
+		}
+	}
+	n.mu.Unlock()
+	for _, p := range n.beliefs.Pools() {
+		p.SetPeers(sum)
+	}
+}
