A prompt may wait half of its target in the queue

Change: a prompt may wait half of the route's target here (a quarter before), and the median one 0.45 of it at a replica (150 ms before), so both follow the deployment.

--- a/pkg/route/admission.go
+++ b/pkg/route/admission.go
@@ -51,6 +51,8 @@
 	seq     uint64
 	// strict has priorities go before fairness between organisations.
 	strict bool
+	// wanted is the wait at a replica that Adapt aims for.
+	wanted time.Duration
 }
 
 type tenantQueue struct {
@@ -66,6 +68,7 @@
 func NewAdmission() *Admission {
 	return &Admission{
 		capacity: minCapacity,
+		wanted:   wantedWait,
 		meanHold: defaultHold,
 		tenants:  map[string]*tenantQueue{},
 		waiting:  map[*tenantQueue]struct{}{},
@@ -80,6 +83,13 @@
 	return a
 }
 
+// Want sets the wait at a replica that Adapt aims for.
+func (a *Admission) Want(wait time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.wanted = wait
+}
+
 // Adapt lets more or fewer requests in, by what they wait at the replicas: a
 // queue in front of a prefill can't be ordered any more, and what was prepared
 // for a request is lost while it waits there, so what must wait waits here. most
@@ -88,7 +98,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case wait > wantedWait:
+	case wait > a.wanted:
 		a.capacity = int(float64(a.capacity) * shrink)
 	case a.inside >= a.capacity:
 		// Only a limit that is met is worth raising.
@@ -99,7 +109,8 @@
 }
 
 const (
-	// wantedWait is the wait at a replica that Adapt aims for.
+	// wantedWait is the wait at a replica that Adapt aims for unless Want has
+	// set another.
 	wantedWait = 150 * time.Millisecond
 	shrink     = 0.9
 	growPart   = 10
--- a/service/gateway/queue.go
+++ b/service/gateway/queue.go
@@ -13,8 +13,10 @@
 	// adaptEvery is how often it is decided how many prompts are let in.
 	adaptEvery = 100 * time.Millisecond
 	// queueShare is the part of a route's target for which a prompt may wait
-	// here. A refusal that comes sooner is made up for by coming back.
-	queueShare = 0.25
+	// here, wantedShare that for which the median prompt may wait at a replica.
+	// Measured, docs/POLICY.md.
+	queueShare  = 0.5
+	wantedShare = 0.45
 	// mostInside bounds the prompts of one node that wait at replicas, for each
 	// of these.
 	mostInside = 8
@@ -44,11 +46,29 @@
 		a := g.admissions[service]
 		g.admissionMu.Unlock()
 		if a != nil {
+			a.Want(time.Duration(wantedShare * float64(g.target(service))))
 			a.Adapt(p.MedianWait(now), mostInside*p.Size(), now)
 		}
 	}
 }
 
+// target is the longest target of the routes to a service.
+func (g *Gateway) target(service string) time.Duration {
+	longest := time.Duration(0)
+	s := g.beliefs.Snapshot()
+	if s == nil {
+		return longest
+	}
+	for _, r := range s.Routes() {
+		for _, share := range r.Split {
+			if share.Service == service {
+				longest = max(longest, r.Target)
+			}
+		}
+	}
+	return longest
+}
+
 // enqueue waits until the prompt is let in; ok is false if it is refused. What
 // is prepared for a prompt that waits inside a replica gives way before its run,
 // so what must wait waits here, in order of priority.
