Figures and a dump on an address of their own

Change: metrics with histograms of the time to the first byte, in all and before sending, queues, ages and stores on the settings' metrics address; /state dumps what is believed of each replica. The test of overload no longer supposes which of twelve concurrent prompts come first: each is refused with when to come back, or was seen by the replica.

--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -26,6 +26,8 @@
 	Listen    netip.AddrPort `json:"listen" validate:"required"`
 	Ready     netip.AddrPort `json:"ready" validate:"required"`
 	Directory netip.AddrPort `json:"directory" validate:"required"`
+	// Metrics is where figures and a dump are served, if it is set.
+	Metrics netip.AddrPort `json:"metrics"`
 	// MaxAge is for how long an answer of the directory holds.
 	MaxAge Duration `json:"max_age" validate:"gt=0"`
 }
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -372,3 +372,36 @@
 	}
 	return len(p.list), usable
 }
+
+// MemberStatus is what a dump shows of one replica.
+type MemberStatus struct {
+	site.Upstream
+
+	Requests int      `json:"requests"` // Of this node.
+	Tokens   int      `json:"tokens"`   // That they are to have read.
+	Others   PeerLoad `json:"others"`
+	Lateness float64  `json:"lateness"`
+	Failing  float64  `json:"failing"`
+	Ejected  bool     `json:"ejected"`
+	Avoided  bool     `json:"avoided"`
+}
+
+// Status lists the replicas, by name.
+func (p *Pool) Status(now time.Time) []MemberStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]MemberStatus, 0, len(p.list))
+	for _, m := range p.list {
+		list = append(list, MemberStatus{
+			Upstream: m.Upstream,
+			Requests: len(m.cases),
+			Tokens:   m.pending,
+			Others:   m.others,
+			Lateness: m.lateness(now),
+			Failing:  m.failing,
+			Ejected:  m.outcome.ejected(now),
+			Avoided:  now.Before(m.avoid),
+		})
+	}
+	return list
+}
--- a/pkg/site/route.go
+++ b/pkg/site/route.go
@@ -37,6 +37,20 @@
 // Repeatable says whether a request may run more than once.
 func (r *Route) Repeatable() bool { return r.Idempotent || r.Resumable }
 
+// Kind names how the route's requests are handled, for metrics.
+func (r *Route) Kind() string {
+	switch {
+	case r.Resumable:
+		return "stream_resumable"
+	case r.Streaming:
+		return "stream"
+	case r.Idempotent:
+		return "idempotent"
+	default:
+		return "at_most_once"
+	}
+}
+
 // ServiceAt picks a service of the split; at is a hash of the request.
 func (r *Route) ServiceAt(at uint64) string {
 	sum := 0
--- a/service/gateway/directory.go
+++ b/service/gateway/directory.go
@@ -4,10 +4,13 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/drumpath/drumpath/pkg/route"
 )
 
 // sideServer answers small questions beside the requests: whether the node is
@@ -67,13 +70,32 @@
 			c.SetStatusCode(http.StatusServiceUnavailable)
 			return
 		}
-		body, err := json.Marshal(g.codec.Addresses(addrs, g.conf().Entry.MaxAge.Std()))
-		if err != nil {
-			c.SetStatusCode(http.StatusInternalServerError)
-			return
+		writeJSON(c, g.codec.Addresses(addrs, g.conf().Entry.MaxAge.Std()))
+	})
+	return r
+}
+
+// metricsRoutes serves the node's figures, and a dump of what it believes of each
+// replica.
+func (g *Gateway) metricsRoutes() *router.Router {
+	r := router.New()
+	r.GET("/metrics", func(c *fasthttp.RequestCtx) { writeJSON(c, g.status()) })
+	r.GET("/state", func(c *fasthttp.RequestCtx) {
+		state := map[string][]route.MemberStatus{}
+		for service, p := range g.beliefs.Pools() {
+			state[service] = p.Status(time.Now())
 		}
-		c.SetContentType("application/json")
-		c.SetBody(body)
+		writeJSON(c, state)
 	})
 	return r
 }
+
+func writeJSON(c *fasthttp.RequestCtx, v any) {
+	body, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		c.SetStatusCode(http.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(body)
+}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -376,12 +376,12 @@
 }
 
 func (x *exchange) writeWhole(w *wholeAnswer) {
-	x.g.metrics.answered.Add(1)
 	x.out.whole(w.head.Status, w.head.EndToEnd(), w.body)
 }
 
 // logAnswer tells where a request ran, by what, and how long it took.
 func (x *exchange) logAnswer(a *attempt, now time.Time) {
+	x.g.metrics.answer(x.route.Kind(), a.begun.Sub(x.came), a.took, now.Sub(x.came))
 	x.g.log.Info("answered", "request", x.terms.ID, "route", x.route.Name, "replica", a.choice.ID,
 		"hall", a.choice.DataHall, "weights", a.choice.Weights, "newest", x.need.Newest,
 		"tokens", x.need.Tokens, "shared", x.need.Shared, "kept", x.need.Offers[a.choice.DataHall].Tokens, "read", a.choice.Read,
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -73,6 +73,7 @@
 	entry     net.Listener
 	readySide *sideServer
 	directory *sideServer
+	figures   *sideServer // Nil without an address for them.
 
 	admissionMu sync.Mutex
 	admissions  map[string]*route.Admission
@@ -169,7 +170,12 @@
 	if g.readySide, err = newSideServer(g.conf().Entry.Ready.String(), g.readyRoutes()); err != nil {
 		return err
 	}
-	g.directory, err = newSideServer(g.conf().Entry.Directory.String(), g.directoryRoutes())
+	if g.directory, err = newSideServer(g.conf().Entry.Directory.String(), g.directoryRoutes()); err != nil {
+		return err
+	}
+	if addr := g.conf().Entry.Metrics; addr.IsValid() {
+		g.figures, err = newSideServer(addr.String(), g.metricsRoutes())
+	}
 	return err
 }
 
@@ -178,6 +184,9 @@
 	g.nodes.probes.Start()
 	g.readySide.start(g)
 	g.directory.start(g)
+	if g.figures != nil {
+		g.figures.start(g)
+	}
 	hold := g.conf().Platform.Hold.Std()
 	follow := func(f *follower) { g.wg.Go(func() { f.run(g.ctx) }) }
 	follow(&follower{
@@ -189,7 +198,8 @@
 	follow(&follower{
 		store: g.platform.Store, table: site.TableUpstreams, name: "upstreams", hold: hold, log: g.log,
 		apply: g.beliefs.ApplyUpstreams, rest: upstreamsRest,
-		away: g.beliefs.StoreAway,
+		away:  g.beliefs.StoreAway,
+		heard: g.beliefs.StoreHeard,
 	})
 	every := g.conf().Peer.ProbeEvery.Std()
 	g.timer.Subscribe(every, g.nodes.probe)
@@ -341,6 +351,9 @@
 	g.stores.close()
 	g.readySide.close()
 	g.directory.close()
+	if g.figures != nil {
+		g.figures.close()
+	}
 	g.nodes.probes.Close()
 	g.conns.close()
 	g.platform.Store.Close()
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -49,7 +49,6 @@
 	}
 	if err == nil {
 		a.end(route.OutcomeOK, now)
-		x.g.metrics.answered.Add(1)
 		r.finish()
 		x.logAnswer(a, now)
 		return false, refusal{}
