One reader of the platform's store and one watcher of a store a data hall

Change: in a hall of more than four nodes one node, by rendezvous, reads each table and the others ask it; each answer tells its age, and who finds it silent or behind asks the store itself. Where there are more nodes than a store serves calls, one node of each hall follows it for the others.

--- a/service/gateway/follow.go
+++ b/service/gateway/follow.go
@@ -23,7 +23,10 @@
 
 // follower keeps up with one table of the store.
 type follower struct {
-	store Store
+	store interface {
+		List(ctx context.Context, t site.Table) (site.Listing, error)
+		Changes(ctx context.Context, t site.Table, after int64, wait time.Duration) (site.Listing, error)
+	}
 	table site.Table
 	name  string // For logs.
 	hold  time.Duration
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -63,6 +63,10 @@
 	beliefs  *Beliefs
 	kept     *route.Kept
 	nodes    *nodes
+	peers    *peer.Server
+	client   *peer.Client
+	readers  *readers
+	watchers *watchers
 	stores   *stores
 	rollout  *rollout.Rollout
 	conns    *upstreamConns
@@ -116,6 +120,7 @@
 	}
 	g.stores = &stores{
 		engines: p.Engines,
+		watch:   g.watchers,
 		beliefs: g.beliefs,
 		kept:    g.kept,
 		members: g.nodes.members,
@@ -155,6 +160,14 @@
 	if err != nil {
 		return err
 	}
+	g.client = peer.NewClient(s.Peer.Key)
+	g.readers = newReaders(g.platform.Store, self, n.members, g.client)
+	g.watchers = newWatchers(g.platform.Engines, self, n.members, g.client)
+	if g.peers, err = peer.NewServer(s.Peer.Listen, map[peer.Role]string{peer.RolePeer: s.Peer.Key}, g.log); err != nil {
+		return err
+	}
+	g.peers.Handle(peer.RolePeer, methodChanges, g.readers.serve)
+	g.peers.Handle(peer.RolePeer, methodEvents, g.watchers.serve)
 	probes.OnNote(noteState, n.hearState)
 	probes.OnNote(noteHall, n.hearHall)
 	probes.OnNote(noteNews, n.hearNews)
@@ -182,6 +195,7 @@
 // Start serves. Nothing that it needs has to be there yet.
 func (g *Gateway) Start() {
 	g.nodes.probes.Start()
+	g.peers.Start()
 	g.readySide.start(g)
 	g.directory.start(g)
 	if g.figures != nil {
@@ -190,13 +204,13 @@
 	hold := g.conf().Platform.Hold.Std()
 	follow := func(f *follower) { g.wg.Go(func() { f.run(g.ctx) }) }
 	follow(&follower{
-		store: g.platform.Store, table: site.TableOperator, name: "operator", hold: hold, log: g.log,
+		store: g.readers, table: site.TableOperator, name: "operator", hold: hold, log: g.log,
 		apply: func(rows []site.Row, _ bool, now time.Time) { g.beliefs.ApplyOperator(rows, now) },
 		away:  func(time.Time) {},
 		heard: func(time.Time) {},
 	})
 	follow(&follower{
-		store: g.platform.Store, table: site.TableUpstreams, name: "upstreams", hold: hold, log: g.log,
+		store: g.readers, table: site.TableUpstreams, name: "upstreams", hold: hold, log: g.log,
 		apply: g.beliefs.ApplyUpstreams, rest: upstreamsRest,
 		away:  g.beliefs.StoreAway,
 		heard: g.beliefs.StoreHeard,
@@ -207,7 +221,7 @@
 	g.timer.Subscribe(meetEvery, g.nodes.meet)
 	g.timer.Subscribe(pruneEvery, func(context.Context) { g.conns.prune(time.Now()) })
 	g.timer.Subscribe(expireEvery, func(context.Context) { g.beliefs.Expire(time.Now()) })
-	g.timer.Subscribe(watchEvery, g.stores.watch)
+	g.timer.Subscribe(watchEvery, g.stores.refresh)
 	g.timer.Subscribe(freeEvery, g.stores.free)
 	g.timer.Subscribe(rollout.Every, g.rollout.Step)
 	g.timer.Subscribe(watchEvery, g.shareBudgets)
@@ -355,6 +369,8 @@
 		g.figures.close()
 	}
 	g.nodes.probes.Close()
+	g.peers.Close()
+	g.client.Close()
 	g.conns.close()
 	g.platform.Store.Close()
 	g.platform.Engines.Close()
--- /dev/null
+++ b/service/gateway/readers.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/service/peer"
+)
+
+// In a large data hall one node reads the platform's store and the others ask it
+// for what is new, so that calls to the store grow with the halls and not with the
+// nodes. Whoever finds the reader silent, or behind the store, asks the store
+// itself; nothing has to be agreed for that.
+const (
+	// methodChanges asks a reader for changes of a table.
+	methodChanges = "gateway.changes"
+	// directMost is how many nodes of a hall each read the store for themselves:
+	// what one reader saves is not worth its failures then.
+	directMost = 4
+	// readDuty names the duty of reading a table for a hall.
+	readDuty = "read/"
+	// readerHold is for how long a call to a reader, and the reader's own to the
+	// store, are held. It bounds how long a frozen or cut off reader goes
+	// unnoticed.
+	readerHold = time.Second
+	// readerSlack is added for the answer.
+	readerSlack = 400 * time.Millisecond
+	// readerAge is the age of a reader's knowledge from which on it is not
+	// trusted: its call to the store should have ended long before.
+	readerAge = readerHold + 800*time.Millisecond
+	// directTerm is for how long a node asks the store itself after its reader
+	// has failed it.
+	directTerm = 3 * time.Second
+)
+
+// errReaderBehind says that a reader has not heard from the store for too long.
+var errReaderBehind = errors.New("the reader has not heard from the store lately")
+
+// changesRequest are methodChanges' parameters; Whole asks for the whole table.
+type changesRequest struct {
+	Table  site.Table `json:"table"`
+	After  int64      `json:"after"`
+	WaitMS int64      `json:"wait_ms"`
+	Whole  bool       `json:"whole"`
+}
+
+type changesAnswer struct {
+	Rows    []site.Row `json:"rows"`
+	Version int64      `json:"version"`
+	AgeMS   int64      `json:"age_ms"`
+	// Gone says that changes since the version asked for are not known here.
+	Gone bool `json:"gone"`
+}
+
+// readTable is what a node that reads a table has of it.
+type readTable struct {
+	rows    map[string]site.Row // Dropped rows included.
+	base    int64               // Changes since here are known.
+	version int64
+	heard   time.Time // When the store itself was last heard.
+	changed chan struct{}
+}
+
+// readers is the store as the nodes of a large hall read it together.
+type readers struct {
+	store   Store
+	self    control.Member
+	members *control.Members
+	client  *peer.Client
+
+	mu     sync.Mutex
+	tables map[site.Table]*readTable
+	direct time.Time // The store is asked until then.
+}
+
+func newReaders(s Store, self control.Member, m *control.Members, c *peer.Client) *readers {
+	return &readers{store: s, self: self, members: m, client: c, tables: map[site.Table]*readTable{}}
+}
+
+// reader is the node that reads a table for this hall; ok is false if this node
+// reads it itself.
+func (r *readers) reader(t site.Table) (addr netip.AddrPort, ok bool) {
+	hall := hallMembers(r.members, r.self.DataHall)
+	r.mu.Lock()
+	direct := time.Now().Before(r.direct)
+	r.mu.Unlock()
+	if direct || len(hall) <= directMost {
+		return addr, false
+	}
+	owner, found := control.Owner(hall, readDuty+tableName(t))
+	return owner.Peer, found && owner.Name != r.self.Name
+}
+
+func tableName(t site.Table) string {
+	if t == site.TableUpstreams {
+		return "upstreams"
+	}
+	return "operator"
+}
+
+// hallMembers lists the nodes of a hall that are well.
+func hallMembers(m *control.Members, hall string) []control.Member {
+	var list []control.Member
+	for _, x := range m.Working() {
+		if x.DataHall == hall && x.State == control.MemberAlive {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// List reads a whole table, from this hall's reader if there is one.
+func (r *readers) List(ctx context.Context, t site.Table) (l site.Listing, err error) {
+	if addr, ok := r.reader(t); ok {
+		if l, err = r.ask(ctx, addr, changesRequest{Table: t, Whole: true}); err == nil {
+			return l, nil
+		}
+		r.doubt()
+	}
+	l, err = r.store.List(ctx, t)
+	if err == nil {
+		r.take(t, l, true)
+	}
+	return l, err
+}
+
+// Changes waits for changes of a table, as Store does.
+func (r *readers) Changes(ctx context.Context, t site.Table, after int64, wait time.Duration) (l site.Listing, err error) {
+	hall := len(hallMembers(r.members, r.self.DataHall))
+	if hall > directMost {
+		wait = min(wait, readerHold)
+	}
+	if addr, ok := r.reader(t); ok {
+		l, err = r.ask(ctx, addr, changesRequest{Table: t, After: after, WaitMS: wait.Milliseconds()})
+		if err == nil || errors.Is(err, site.ErrHistoryGone) {
+			return l, err
+		}
+		r.doubt()
+	}
+	l, err = r.store.Changes(ctx, t, after, wait)
+	if err == nil {
+		r.take(t, l, false)
+	}
+	return l, err
+}
+
+// doubt has the store itself asked for a while.
+func (r *readers) doubt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.direct = time.Now().Add(directTerm)
+}
+
+func (r *readers) ask(ctx context.Context, addr netip.AddrPort, q changesRequest) (l site.Listing, err error) {
+	defer func() { err = eris.Wrap(err, "ask reader") }()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMS)*time.Millisecond+readerSlack)
+	defer cancel()
+	var a changesAnswer
+	if err := r.client.Call(ctx, addr, methodChanges, q, &a); err != nil {
+		return l, err
+	}
+	switch {
+	case time.Duration(a.AgeMS)*time.Millisecond > readerAge:
+		return l, errReaderBehind
+	case a.Gone:
+		return l, site.ErrHistoryGone
+	default:
+		return site.Listing{Rows: a.Rows, Version: a.Version}, nil
+	}
+}
+
+// take notes what the store has told, for those that ask.
+func (r *readers) take(t site.Table, l site.Listing, whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.tables[t]
+	if x == nil {
+		x = &readTable{changed: make(chan struct{})}
+		r.tables[t] = x
+	}
+	x.heard = time.Now()
+	if whole && l.Version >= x.version {
+		x.rows = map[string]site.Row{}
+		x.base = l.Version
+	}
+	if x.rows == nil {
+		return
+	}
+	for _, row := range l.Rows {
+		x.rows[row.Key] = row
+	}
+	if l.Version > x.version {
+		x.version = l.Version
+	}
+	if len(l.Rows) > 0 || whole {
+		close(x.changed)
+		x.changed = make(chan struct{})
+	}
+}
+
+// serve answers a node that asks; it waits for changes as the store does.
+func (r *readers) serve(ctx context.Context, params json.RawMessage) (any, error) {
+	var q changesRequest
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, eris.Wrap(err, "bad parameters")
+	}
+	end := time.After(min(readerHold, time.Duration(q.WaitMS)*time.Millisecond))
+	for {
+		a, changed, ok := r.answer(q)
+		if !ok {
+			return nil, errReaderBehind
+		}
+		if q.Whole || a.Gone || len(a.Rows) > 0 {
+			return a, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			a, _, _ = r.answer(q)
+			return a, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (r *readers) answer(q changesRequest) (a changesAnswer, changed chan struct{}, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.tables[q.Table]
+	if x == nil || x.rows == nil {
+		return a, nil, false
+	}
+	a = changesAnswer{Version: x.version, AgeMS: time.Since(x.heard).Milliseconds(), Gone: !q.Whole && q.After < x.base}
+	if a.Gone {
+		return a, x.changed, true
+	}
+	for _, row := range x.rows {
+		if q.Whole && !row.Gone || !q.Whole && row.Version > q.After {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	slices.SortFunc(a.Rows, func(p, q site.Row) int { return int(p.Version - q.Version) })
+	return a, x.changed, true
+}
--- /dev/null
+++ b/service/gateway/readers_test.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/service/peer"
+)
+
+// tableStore is the platform's store with one table that grows.
+type tableStore struct {
+	mu      sync.Mutex
+	rows    []site.Row
+	version int64
+	calls   int
+	fail    bool
+}
+
+func (s *tableStore) add(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows = append(s.rows, site.Row{Key: key, Version: s.version, Value: []byte(key)})
+}
+
+func (s *tableStore) List(context.Context, site.Table) (site.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.fail {
+		return site.Listing{}, fmt.Errorf("down")
+	}
+	return site.Listing{Rows: append([]site.Row(nil), s.rows...), Version: s.version}, nil
+}
+
+func (s *tableStore) Changes(_ context.Context, _ site.Table, after int64, _ time.Duration) (site.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.fail {
+		return site.Listing{}, fmt.Errorf("down")
+	}
+	l := site.Listing{Version: s.version}
+	for _, r := range s.rows {
+		if r.Version > after {
+			l.Rows = append(l.Rows, r)
+		}
+	}
+	return l, nil
+}
+
+func (s *tableStore) Put(context.Context, site.Table, string, []byte, int64) (site.Listing, error) {
+	return site.Listing{}, nil
+}
+func (s *tableStore) Announce(context.Context, site.Table, string, []byte) error { return nil }
+func (s *tableStore) Close()                                                     {}
+
+func (s *tableStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// testHall is the nodes of one hall, of which two are real: one that reads a table
+// and one that asks it.
+type testHall struct {
+	store         *tableStore
+	reader, asker *readers
+	server        *peer.Server
+}
+
+func newTestHall(t *testing.T) *testHall {
+	log := slog.New(slog.DiscardHandler)
+	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, log)
+	assert.NilError(t, err)
+	client := peer.NewClient("key")
+	var list []control.Member
+	for i := range directMost + 2 {
+		list = append(list, control.Member{Name: fmt.Sprintf("n%d", i), DataHall: "h", Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i)), Incarnation: 1})
+	}
+	owner, ok := control.Owner(list, readDuty+tableName(site.TableUpstreams))
+	assert.Assert(t, ok)
+	asker := control.Member{}
+	for i := range list {
+		if list[i].Name == owner.Name {
+			list[i].Peer = server.Addr()
+			owner = list[i]
+		} else {
+			asker = list[i]
+		}
+	}
+	members := func(self control.Member) *control.Members {
+		m := control.NewMembers(self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
+		m.Merge(list, time.Now())
+		return m
+	}
+	store := &tableStore{}
+	h := &testHall{
+		store:  store,
+		reader: newReaders(store, owner, members(owner), client),
+		asker:  newReaders(store, asker, members(asker), client),
+		server: server,
+	}
+	server.Handle(peer.RolePeer, methodChanges, h.reader.serve)
+	server.Start()
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return h
+}
+
+// read has the reader hear from the store.
+func (h *testHall) read(t *testing.T) {
+	t.Helper()
+	_, err := h.reader.List(t.Context(), site.TableUpstreams)
+	assert.NilError(t, err)
+}
+
+func TestOthersOfTheHallAskTheReader(t *testing.T) {
+	h := newTestHall(t)
+	h.store.add("a")
+	h.read(t)
+	before := h.store.count()
+	l, err := h.asker.List(t.Context(), site.TableUpstreams)
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Rows), 1)
+	assert.Equal(t, h.store.count(), before, "the store was not asked")
+	done := make(chan site.Listing, 1)
+	go func() {
+		l, err := h.asker.Changes(context.Background(), site.TableUpstreams, l.Version, time.Second)
+		assert.Check(t, err == nil)
+		done <- l
+	}()
+	h.store.add("b")
+	_, err = h.reader.Changes(t.Context(), site.TableUpstreams, l.Version, time.Second)
+	assert.NilError(t, err)
+	got := <-done
+	assert.Equal(t, got.Rows[len(got.Rows)-1].Key, "b")
+}
+
+func TestReaderThatIsBehindIsNotTrusted(t *testing.T) {
+	h := newTestHall(t)
+	h.store.add("a")
+	h.read(t)
+	h.reader.mu.Lock()
+	h.reader.tables[site.TableUpstreams].heard = time.Now().Add(-2 * readerAge)
+	h.reader.mu.Unlock()
+	h.store.add("b")
+	l, err := h.asker.List(t.Context(), site.TableUpstreams)
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Rows), 2, "the store itself was asked")
+	before := h.store.count()
+	_, err = h.asker.List(t.Context(), site.TableUpstreams)
+	assert.NilError(t, err)
+	assert.Equal(t, h.store.count(), before+1, "and is for a while")
+}
+
+func TestReaderThatIsGoneIsDoneWithout(t *testing.T) {
+	h := newTestHall(t)
+	h.store.add("a")
+	h.read(t)
+	h.server.Close()
+	l, err := h.asker.List(t.Context(), site.TableUpstreams)
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Rows), 1)
+}
+
+func TestReaderThatHasReadNothingAnswersNobody(t *testing.T) {
+	h := newTestHall(t)
+	h.store.add("a")
+	l, err := h.asker.List(t.Context(), site.TableUpstreams)
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Rows), 1)
+}
+
+func TestChangesBeforeTheReadersStartAreNotMadeUp(t *testing.T) {
+	h := newTestHall(t)
+	h.store.add("a")
+	h.store.add("b")
+	h.read(t)
+	_, err := h.asker.Changes(t.Context(), site.TableUpstreams, 1, 10*time.Millisecond)
+	assert.ErrorIs(t, err, site.ErrHistoryGone)
+}
+
+func TestSmallHallsReadForThemselves(t *testing.T) {
+	store := &tableStore{}
+	self := control.Member{Name: "n0", DataHall: "h", Incarnation: 1}
+	m := control.NewMembers(self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
+	var list []control.Member
+	for i := range directMost {
+		list = append(list, control.Member{Name: fmt.Sprintf("n%d", i), DataHall: "h", Incarnation: 1})
+	}
+	m.Merge(list, time.Now())
+	r := newReaders(store, self, m, peer.NewClient("key"))
+	_, ok := r.reader(site.TableUpstreams)
+	assert.Assert(t, !ok)
+}
+
+func TestWatcherTellsWhatItHasKept(t *testing.T) {
+	w := newWatchers(nil, control.Member{}, nil, nil)
+	ask := func(boot, since int64) (site.CacheChanges, error) {
+		params, err := json.Marshal(eventsRequest{Store: "s", Boot: boot, Since: since, WaitMS: 1})
+		assert.NilError(t, err)
+		a, err := w.serve(t.Context(), params)
+		if err != nil {
+			return site.CacheChanges{}, err
+		}
+		return a.(site.CacheChanges), nil
+	}
+	_, err := ask(0, 0)
+	assert.ErrorIs(t, err, errNotWatched)
+	batch := func(boot, next int64, part string) site.CacheChanges {
+		return site.CacheChanges{Boot: boot, Next: next, Changes: []site.CacheChange{{Realm: "r", Part: part, Tokens: 1}}}
+	}
+	w.keep("s", 0, batch(1, 10, "a"))
+	w.keep("s", 10, batch(1, 20, "b"))
+	c, err := ask(0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.Changes), 2)
+	assert.Equal(t, c.Next, int64(20))
+	c, err = ask(1, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.Changes), 1)
+	assert.Equal(t, c.Changes[0].Part, "b")
+	w.keep("s", 20, batch(2, 5, "c")) // The store has restarted.
+	c, err = ask(1, 20)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Boot, int64(2))
+	assert.Equal(t, len(c.Changes), 1)
+	w.mu.Lock()
+	w.lose("s")
+	w.mu.Unlock()
+	_, err = ask(2, 5)
+	assert.ErrorIs(t, err, errNotWatched, "a store that its watcher does not hear is not told of")
+}
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -28,6 +28,7 @@
 // be used again.
 type stores struct {
 	engines Engines
+	watch   *watchers
 	beliefs *Beliefs
 	kept    *route.Kept
 	members *control.Members
@@ -40,9 +41,9 @@
 	wg      sync.WaitGroup
 }
 
-// watch starts following stores that are new and stops following those that are
+// refresh starts following stores that are new and stops following those that are
 // gone; the timer service calls it.
-func (s *stores) watch(ctx context.Context) {
+func (s *stores) refresh(context.Context) {
 	snapshot := s.beliefs.Snapshot()
 	if snapshot == nil {
 		return
@@ -77,10 +78,10 @@
 
 // follow takes in one store's events until ctx ends.
 func (s *stores) follow(ctx context.Context, v *site.Service) {
-	since := int64(0)
+	boot, since := int64(0), int64(0)
 	lost := false
 	for ctx.Err() == nil {
-		c, err := s.engines.Changes(ctx, v.Store.Addr, since, eventWait)
+		c, err := s.watch.changes(ctx, v, boot, since, eventWait)
 		now := time.Now()
 		pause := eventPause
 		switch {
@@ -98,7 +99,7 @@
 				s.log.Info("store of kept state back", "store", v.Name, "boot", c.Boot)
 			}
 			lost = false
-			since = c.Next
+			boot, since = c.Boot, c.Next
 			s.clock.hear(c.Clock, now)
 			s.kept.Apply(v.Name, c, now)
 		}
--- a/service/peer/client.go
+++ b/service/peer/client.go
@@ -10,15 +10,20 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/drumpath/drumpath/pkg/http1"
 )
 
-const dialTimeout = time.Second
+const (
+	dialTimeout = time.Second
+	// unacked ends a connection whose peer acknowledges nothing.
+	unacked = 1500 * time.Millisecond
+)
 
 // Dial connects to a node and says hello.
 func Dial(ctx context.Context, addr netip.AddrPort, hello Hello) (c *jsonrpc2.Conn, err error) {
 	defer func() { err = eris.Wrapf(err, "dial %s", addr) }()
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr.String())
+	conn, err := http1.Dial(addr.String(), dialTimeout, unacked)
 	if err != nil {
 		return nil, err
 	}
