In a large hall the speaker sums the nodes' loads

Change: in a hall of more than four nodes a node tells its load to the speaker, which tells the sum to all; the speakers are worked out when the members change; stores' events are asked of a watcher less often; pkg/platform is now pkg/tablestore, so that it is not taken for platform/.

--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 // Objects stands in for the platform's object store.
@@ -25,8 +25,8 @@
 		return nil, err
 	}
 	o := &Objects{host: h, objects: map[string][]byte{}}
-	h.router.PUT(platform.PathObjects+"{name:*}", o.put)
-	h.router.GET(platform.PathObjects+"{name:*}", o.get)
+	h.router.PUT(tablestore.PathObjects+"{name:*}", o.put)
+	h.router.GET(tablestore.PathObjects+"{name:*}", o.get)
 	h.start()
 	return o, nil
 }
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 // Table stands in for the platform's transactional table service.
@@ -16,7 +16,7 @@
 	*host
 
 	mu     sync.Mutex
-	rows   map[string]platform.Row
+	rows   map[string]tablestore.Row
 	writes *rate.Limiter
 	count  int
 }
@@ -32,11 +32,11 @@
 	}
 	t := &Table{
 		host:   h,
-		rows:   map[string]platform.Row{},
+		rows:   map[string]tablestore.Row{},
 		writes: rate.NewLimiter(TableWritesPerSecond, TableWritesPerSecond),
 	}
-	h.router.POST(platform.PathCommit, t.commit)
-	h.router.POST(platform.PathRead, t.read)
+	h.router.POST(tablestore.PathCommit, t.commit)
+	h.router.POST(tablestore.PathRead, t.read)
 	h.start()
 	return t, nil
 }
@@ -49,20 +49,20 @@
 }
 
 // Row returns a row as it is.
-func (t *Table) Row(key string) platform.Row {
+func (t *Table) Row(key string) tablestore.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.row(key)
 }
 
-func (t *Table) row(key string) platform.Row {
+func (t *Table) row(key string) tablestore.Row {
 	r := t.rows[key]
 	r.Key = key
 	return r
 }
 
 func (t *Table) commit(c *fasthttp.RequestCtx) {
-	var txn platform.Txn
+	var txn tablestore.Txn
 	if !decode(c, &txn) {
 		return
 	}
@@ -72,7 +72,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var conflict platform.ConflictError
+	var conflict tablestore.ConflictError
 	for _, cond := range txn.Conditions {
 		if r := t.row(cond.Key); r.Version != cond.Version {
 			conflict.Rows = append(conflict.Rows, r)
@@ -83,20 +83,20 @@
 		return
 	}
 	for _, p := range txn.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Version: t.rows[p.Key].Version + 1, Value: p.Value}
+		t.rows[p.Key] = tablestore.Row{Key: p.Key, Version: t.rows[p.Key].Version + 1, Value: p.Value}
 	}
 	t.count++
 	reply(c, http.StatusOK, struct{}{})
 }
 
 func (t *Table) read(c *fasthttp.RequestCtx) {
-	var req platform.ReadRequest
+	var req tablestore.ReadRequest
 	if !decode(c, &req) {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	answer := platform.ReadAnswer{Rows: make([]platform.Row, len(req.Keys))}
+	answer := tablestore.ReadAnswer{Rows: make([]tablestore.Row, len(req.Keys))}
 	for i, key := range req.Keys {
 		answer.Rows[i] = t.row(key)
 	}
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 // VMs stands in for the platform's list of VMs.
@@ -15,7 +15,7 @@
 	*host
 
 	mu   sync.Mutex
-	list []platform.VM
+	list []tablestore.VM
 }
 
 // StartVMs starts a VM list.
@@ -24,22 +24,22 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &VMs{host: h, list: []platform.VM{}}
-	h.router.GET(platform.PathVMs, v.get)
-	h.router.PUT(platform.PathVMs, v.put)
+	v := &VMs{host: h, list: []tablestore.VM{}}
+	h.router.GET(tablestore.PathVMs, v.get)
+	h.router.PUT(tablestore.PathVMs, v.put)
 	h.start()
 	return v, nil
 }
 
 // Set replaces the list, as PUT does.
-func (v *VMs) Set(list []platform.VM) {
+func (v *VMs) Set(list []tablestore.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.list = list
 }
 
 func (v *VMs) put(c *fasthttp.RequestCtx) {
-	var list []platform.VM
+	var list []tablestore.VM
 	if decode(c, &list) {
 		v.Set(list)
 	}
--- a/pkg/control/claims.go
+++ b/pkg/control/claims.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 const (
@@ -243,13 +243,13 @@
 		return true
 	}
 	err = c.table.Commit(c.ctx, txn)
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	switch {
 	case err == nil:
 		c.committed(batch)
 	case errors.As(err, &conflict):
 		c.conflicted(batch, conflict.Rows)
-	case errors.Is(err, platform.ErrNotApplied):
+	case errors.Is(err, tablestore.ErrNotApplied):
 		c.notApplied(batch)
 		c.pause()
 	default:
@@ -302,14 +302,14 @@
 	c.signal()
 }
 
-func claimTxn(batch []sent) (txn platform.Txn, err error) {
+func claimTxn(batch []sent) (txn tablestore.Txn, err error) {
 	for _, w := range batch {
 		body, err := json.Marshal(w.value)
 		if err != nil {
-			return platform.Txn{}, err
+			return tablestore.Txn{}, err
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: w.claim.row, Version: w.claim.version})
-		txn.Puts = append(txn.Puts, platform.Put{Key: w.claim.row, Value: body})
+		txn.Conditions = append(txn.Conditions, tablestore.Condition{Key: w.claim.row, Version: w.claim.version})
+		txn.Puts = append(txn.Puts, tablestore.Put{Key: w.claim.row, Value: body})
 	}
 	return txn, nil
 }
@@ -345,8 +345,8 @@
 
 // conflicted settles the writes whose row was not as expected, and sends the
 // others again.
-func (c *Claims) conflicted(batch []sent, rows []platform.Row) {
-	found := map[string]platform.Row{}
+func (c *Claims) conflicted(batch []sent, rows []tablestore.Row) {
+	found := map[string]tablestore.Row{}
 	for _, r := range rows {
 		found[r.Key] = r
 	}
@@ -362,7 +362,7 @@
 
 // settle decides a write by the row that was found; it returns false if the
 // write is to be sent again, on top of that row.
-func (c *Claims) settle(w sent, row platform.Row) bool {
+func (c *Claims) settle(w sent, row tablestore.Row) bool {
 	var have claimRow
 	if row.Version > 0 {
 		if err := json.Unmarshal(row.Value, &have); err != nil {
--- a/pkg/control/claims_test.go
+++ b/pkg/control/claims_test.go
@@ -13,12 +13,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/internal/standin"
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 func (f *fixture) claims(t testing.TB, node string) *Claims {
 	t.Helper()
-	c := NewClaims(node, platform.NewTable(f.table.Addr(), testTimeout), quiet)
+	c := NewClaims(node, tablestore.NewTable(f.table.Addr(), testTimeout), quiet)
 	t.Cleanup(c.Close)
 	return c
 }
--- a/pkg/control/collector.go
+++ b/pkg/control/collector.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 const (
@@ -38,21 +38,21 @@
 
 // collected is a transaction and where its outcome goes.
 type collected struct {
-	txn  platform.Txn
+	txn  tablestore.Txn
 	done chan error
 }
 
 // NewCollector returns a collector of transactions for a table service.
-func NewCollector(t *platform.Table) *Collector { return &Collector{table: t} }
+func NewCollector(t *tablestore.Table) *Collector { return &Collector{table: t} }
 
 // Commit carries out a transaction, perhaps joined with others. The errors are
 // those of the table service.
-func (c *Collector) Commit(ctx context.Context, txn platform.Txn) error {
+func (c *Collector) Commit(ctx context.Context, txn tablestore.Txn) error {
 	w := &collected{txn: txn, done: make(chan error, 1)}
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		return platform.ErrNotApplied
+		return tablestore.ErrNotApplied
 	}
 	c.pending = append(c.pending, w)
 	if !c.busy {
@@ -64,7 +64,7 @@
 	case err := <-w.done:
 		return err
 	case <-ctx.Done():
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 }
 
@@ -110,7 +110,7 @@
 	return batch
 }
 
-func touches(txn platform.Txn, rows map[string]bool) bool {
+func touches(txn tablestore.Txn, rows map[string]bool) bool {
 	for _, p := range txn.Puts {
 		if rows[p.Key] {
 			return true
@@ -124,13 +124,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), collectTimeout)
 	defer cancel()
 	for len(batch) > 0 {
-		var joined platform.Txn
+		var joined tablestore.Txn
 		for _, w := range batch {
 			joined.Conditions = append(joined.Conditions, w.txn.Conditions...)
 			joined.Puts = append(joined.Puts, w.txn.Puts...)
 		}
 		err := c.table.Commit(ctx, joined)
-		var conflict *platform.ConflictError
+		var conflict *tablestore.ConflictError
 		if !errors.As(err, &conflict) {
 			finish(batch, err)
 			return
@@ -138,7 +138,7 @@
 		left := conflicts(batch, conflict)
 		if len(left) == len(batch) {
 			// The conflict is on no row of theirs; nothing was applied.
-			finish(batch, platform.ErrNotApplied)
+			finish(batch, tablestore.ErrNotApplied)
 			return
 		}
 		batch = left
@@ -153,9 +153,9 @@
 
 // conflicts ends the transactions that conflict, each with its own rows, and
 // returns the others.
-func conflicts(batch []*collected, conflict *platform.ConflictError) (left []*collected) {
+func conflicts(batch []*collected, conflict *tablestore.ConflictError) (left []*collected) {
 	for _, w := range batch {
-		own := &platform.ConflictError{}
+		own := &tablestore.ConflictError{}
 		for _, row := range conflict.Rows {
 			for _, cond := range w.txn.Conditions {
 				if cond.Key == row.Key {
--- a/pkg/control/collector_test.go
+++ b/pkg/control/collector_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/internal/standin"
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 func (f *fixture) collector(t testing.TB) *Collector {
@@ -21,10 +21,10 @@
 	return c
 }
 
-func putNew(key string) platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key}},
-		Puts:       []platform.Put{{Key: key, Value: []byte("v")}},
+func putNew(key string) tablestore.Txn {
+	return tablestore.Txn{
+		Conditions: []tablestore.Condition{{Key: key}},
+		Puts:       []tablestore.Put{{Key: key, Value: []byte("v")}},
 	}
 }
 
@@ -45,7 +45,7 @@
 				key = fmt.Sprint("taken", i/20)
 			}
 			err := c.Commit(t.Context(), putNew(key))
-			var conflict *platform.ConflictError
+			var conflict *tablestore.ConflictError
 			assert.Check(t, errors.As(err, &conflict) == (i%20 == 0), "%d: %v", i, err)
 			if conflict != nil {
 				assert.Check(t, len(conflict.Rows) == 1 && conflict.Rows[0].Key == key)
@@ -66,7 +66,7 @@
 	c := f.collector(t)
 	f.table.SetFault(standin.Fault{LoseAnswers: 1})
 	err := c.Commit(t.Context(), putNew("k"))
-	assert.Assert(t, errors.Is(err, platform.ErrUnknown), "%v", err)
+	assert.Assert(t, errors.Is(err, tablestore.ErrUnknown), "%v", err)
 }
 
 // BenchmarkCollect reports how many claims a second one collector writes with
--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 const (
@@ -46,7 +46,7 @@
 }
 
 // NewLeases returns leases of which none is held.
-func NewLeases(node string, term time.Duration, t *platform.Table, m *Members, log *slog.Logger) *Leases {
+func NewLeases(node string, term time.Duration, t *tablestore.Table, m *Members, log *slog.Logger) *Leases {
 	return newLeases(node, term, t, m, log)
 }
 
@@ -167,7 +167,7 @@
 }
 
 // takeable notes a row as seen now and says whether its lease may be taken.
-func (l *Leases) takeable(row platform.Row) bool {
+func (l *Leases) takeable(row tablestore.Row) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.leases[row.Key]
@@ -229,9 +229,9 @@
 	}
 	// Validity counts from before the write is sent.
 	sent := l.now()
-	err = l.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: name, Version: base}},
-		Puts:       []platform.Put{{Key: name, Value: body}},
+	err = l.table.Commit(ctx, tablestore.Txn{
+		Conditions: []tablestore.Condition{{Key: name, Version: base}},
+		Puts:       []tablestore.Put{{Key: name, Value: body}},
 	})
 	if err != nil && !l.landed(ctx, name, next.Nonce, base, err) {
 		return false
@@ -253,12 +253,12 @@
 
 // landed says whether a write whose answer was lost has taken effect.
 func (l *Leases) landed(ctx context.Context, name, nonce string, base uint64, err error) bool {
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	if errors.As(err, &conflict) {
 		l.lost(name)
 		return false
 	}
-	if !eris.Is(err, platform.ErrUnknown) {
+	if !eris.Is(err, tablestore.ErrUnknown) {
 		return false
 	}
 	rows, err := l.table.Read(ctx, name)
--- a/pkg/control/leases_test.go
+++ b/pkg/control/leases_test.go
@@ -10,44 +10,44 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 // memTable is a table service in memory whose answers can be lost.
 type memTable struct {
-	rows map[string]platform.Row
+	rows map[string]tablestore.Row
 	lose bool // The next commit takes effect unanswered.
 	fail bool // The next call does nothing and is not answered.
 }
 
-func newMemTable() *memTable { return &memTable{rows: map[string]platform.Row{}} }
+func newMemTable() *memTable { return &memTable{rows: map[string]tablestore.Row{}} }
 
-func (m *memTable) Commit(_ context.Context, txn platform.Txn) error {
+func (m *memTable) Commit(_ context.Context, txn tablestore.Txn) error {
 	if m.fail {
 		m.fail = false
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	for _, c := range txn.Conditions {
 		if row := m.rows[c.Key]; row.Version != c.Version {
-			return &platform.ConflictError{Rows: []platform.Row{row}}
+			return &tablestore.ConflictError{Rows: []tablestore.Row{row}}
 		}
 	}
 	for _, p := range txn.Puts {
-		m.rows[p.Key] = platform.Row{Key: p.Key, Version: m.rows[p.Key].Version + 1, Value: p.Value}
+		m.rows[p.Key] = tablestore.Row{Key: p.Key, Version: m.rows[p.Key].Version + 1, Value: p.Value}
 	}
 	if m.lose {
 		m.lose = false
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	return nil
 }
 
-func (m *memTable) Read(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (m *memTable) Read(_ context.Context, keys ...string) ([]tablestore.Row, error) {
 	if m.fail {
 		m.fail = false
-		return nil, platform.ErrUnavailable
+		return nil, tablestore.ErrUnavailable
 	}
-	var rows []platform.Row
+	var rows []tablestore.Row
 	for _, k := range keys {
 		row := m.rows[k]
 		row.Key = k
--- a/pkg/control/log.go
+++ b/pkg/control/log.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/drumpath/drumpath/pkg/config"
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 const (
@@ -48,7 +48,7 @@
 }
 
 // NewLog returns an empty copy of the log.
-func NewLog(node string, t *platform.Table, o *platform.Objects, log *slog.Logger) *Log {
+func NewLog(node string, t *tablestore.Table, o *tablestore.Objects, log *slog.Logger) *Log {
 	return newLog(node, t, o, log)
 }
 
@@ -236,7 +236,7 @@
 // Propose has a command accepted and returns its version. With ifVersion not 0
 // the configuration must be at that version. The error is a *ConflictError, a
 // *config.CommandError, a *OutcomeUnknownError, or wraps
-// platform.ErrNotApplied.
+// tablestore.ErrNotApplied.
 func (l *Log) Propose(ctx context.Context, cmd config.Command, ifVersion uint64) (version uint64, err error) {
 	defer func() { err = eris.Wrap(err, "propose") }()
 	l.propose.Lock()
@@ -263,7 +263,7 @@
 			return entry.Version, nil
 		}
 		if err := l.Refresh(ctx); err != nil {
-			return 0, eris.Wrap(platform.ErrNotApplied, err.Error())
+			return 0, eris.Wrap(tablestore.ErrNotApplied, err.Error())
 		}
 		if other, ok := l.sameObject(cmd, started); ok {
 			return 0, &ConflictError{Winner: other.Version, With: other.Command.String()}
@@ -293,7 +293,7 @@
 	unsure := false
 	for {
 		err := l.table.Commit(ctx, txn)
-		var conflict *platform.ConflictError
+		var conflict *tablestore.ConflictError
 		switch {
 		case err == nil:
 			return true, nil
@@ -304,7 +304,7 @@
 			if won, err := l.isOurs(ctx, e); err == nil {
 				return won, nil
 			}
-		case errors.Is(err, platform.ErrNotApplied):
+		case errors.Is(err, tablestore.ErrNotApplied):
 			if !unsure {
 				return false, err
 			}
@@ -319,18 +319,18 @@
 	}
 }
 
-func entryTxn(e Entry) (txn platform.Txn, err error) {
+func entryTxn(e Entry) (txn tablestore.Txn, err error) {
 	body, err := json.Marshal(e)
 	if err != nil {
-		return platform.Txn{}, err
+		return tablestore.Txn{}, err
 	}
 	headBody, err := json.Marshal(head{Version: e.Version})
 	if err != nil {
-		return platform.Txn{}, err
+		return tablestore.Txn{}, err
 	}
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: rowHead, Version: e.Version - 1}},
-		Puts:       []platform.Put{{Key: rowHead, Value: headBody}, {Key: rowEntry(e.Version), Value: body}},
+	return tablestore.Txn{
+		Conditions: []tablestore.Condition{{Key: rowHead, Version: e.Version - 1}},
+		Puts:       []tablestore.Put{{Key: rowHead, Value: headBody}, {Key: rowEntry(e.Version), Value: body}},
 	}, nil
 }
 
--- a/pkg/control/log_test.go
+++ b/pkg/control/log_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/drumpath/drumpath/internal/standin"
 	"github.com/drumpath/drumpath/pkg/config"
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 const testTimeout = 300 * time.Millisecond
@@ -24,8 +24,8 @@
 type fixture struct {
 	table   *standin.Table
 	objects *standin.Objects
-	client  *platform.Table
-	store   *platform.Objects
+	client  *tablestore.Table
+	store   *tablestore.Objects
 }
 
 func newFixture(t testing.TB) *fixture {
@@ -39,8 +39,8 @@
 	return &fixture{
 		table:   table,
 		objects: objects,
-		client:  platform.NewTable(table.Addr(), testTimeout),
-		store:   platform.NewObjects(objects.Addr(), testTimeout),
+		client:  tablestore.NewTable(table.Addr(), testTimeout),
+		store:   tablestore.NewObjects(objects.Addr(), testTimeout),
 	}
 }
 
@@ -58,7 +58,7 @@
 func TestProposeSettlesALostAnswer(t *testing.T) {
 	f := newFixture(t)
 	l := f.log("a")
-	f.table.SetFault(standin.Fault{LoseAnswers: 1, Path: platform.PathCommit})
+	f.table.SetFault(standin.Fault{LoseAnswers: 1, Path: tablestore.PathCommit})
 	v, err := l.Propose(t.Context(), createModel("m"), 0)
 	assert.NilError(t, err)
 	assert.Equal(t, v, uint64(1))
@@ -68,7 +68,7 @@
 func TestProposeSettlesALateWrite(t *testing.T) {
 	f := newFixture(t)
 	l := f.log("a")
-	f.table.SetFault(standin.Fault{LoseAnswers: 1, LateMillis: 200, Path: platform.PathCommit})
+	f.table.SetFault(standin.Fault{LoseAnswers: 1, LateMillis: 200, Path: tablestore.PathCommit})
 	v, err := l.Propose(t.Context(), createModel("m"), 0)
 	assert.NilError(t, err)
 	assert.Equal(t, v, uint64(1))
@@ -84,7 +84,7 @@
 	defer cancel()
 	_, err := l.Propose(ctx, createModel("m"), 0)
 	var unknown *OutcomeUnknownError
-	assert.Assert(t, errors.As(err, &unknown) || errors.Is(err, platform.ErrNotApplied), "%v", err)
+	assert.Assert(t, errors.As(err, &unknown) || errors.Is(err, tablestore.ErrNotApplied), "%v", err)
 }
 
 func TestConflictsAreTyped(t *testing.T) {
@@ -172,7 +172,7 @@
 	var wg sync.WaitGroup
 	for node := range 4 {
 		wg.Go(func() {
-			l := newLog(fmt.Sprint("n", node), platform.NewTable(f.table.Addr(), testTimeout), f.store, quiet)
+			l := newLog(fmt.Sprint("n", node), tablestore.NewTable(f.table.Addr(), testTimeout), f.store, quiet)
 			for i := range 8 {
 				in := logInput{name: fmt.Sprintf("m-%d-%d", node, i)}
 				call := time.Since(start)
@@ -192,7 +192,7 @@
 		})
 	}
 	for i := range 6 {
-		f.table.SetFault(standin.Fault{LoseAnswers: 2, LateMillis: int64(i%3) * 40, Path: platform.PathCommit})
+		f.table.SetFault(standin.Fault{LoseAnswers: 2, LateMillis: int64(i%3) * 40, Path: tablestore.PathCommit})
 		time.Sleep(30 * time.Millisecond)
 	}
 	wg.Wait()
--- a/pkg/control/platform.go
+++ b/pkg/control/platform.go
@@ -4,15 +4,15 @@
 	"context"
 	"crypto/rand"
 
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 // Table is the part of the table service that this package uses.
 type Table interface {
-	// Commit carries out a transaction, as platform.Table does.
-	Commit(ctx context.Context, txn platform.Txn) error
-	// Read returns rows by key, as platform.Table does.
-	Read(ctx context.Context, keys ...string) ([]platform.Row, error)
+	// Commit carries out a transaction, as tablestore.Table does.
+	Commit(ctx context.Context, txn tablestore.Txn) error
+	// Read returns rows by key, as tablestore.Table does.
+	Read(ctx context.Context, keys ...string) ([]tablestore.Row, error)
 }
 
 // objectStore is the part of the object store that this package uses.
--- a/pkg/platform/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package platform has the clients of what the platform gives: the
-// transactional table service, the object store and the list of VMs.
-package platform
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -46,7 +46,7 @@
 
 const (
 	// Every is the period of Step.
-	Every = 50 * time.Millisecond
+	Every = 100 * time.Millisecond
 	// groups is into how many parts the replicas are divided. Each has a lease,
 	// so that a holder that is lost holds up its part only, and each swaps its
 	// replicas one after the other or a few at once.
--- a/pkg/platform/row.go
+++ b/pkg/tablestore/row.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 // Row is one row of the table service.
 type Row struct {
--- a/pkg/platform/table.go
+++ b/pkg/tablestore/table.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"context"
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -25,7 +25,7 @@
 const (
 	timerWorkers = 6
 	pruneEvery   = 500 * time.Millisecond
-	expireEvery  = 100 * time.Millisecond
+	expireEvery  = 200 * time.Millisecond
 	watchEvery   = 200 * time.Millisecond
 	// memoryShare is the part of the memory limit that the runtime is told: the
 	// rest is for what it does not count, such as bytes in sockets.
@@ -226,8 +226,8 @@
 	g.timer.Subscribe(rollout.Every, g.rollout.Step)
 	g.timer.Subscribe(watchEvery, g.shareBudgets)
 	g.timer.Subscribe(adaptEvery, g.adapt)
-	g.timer.Subscribe(hallEvery, g.nodes.speak)
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
+	g.wg.Go(func() { g.nodes.runSpeaker(g.ctx) })
 	g.wg.Go(func() { g.nodes.run(g.ctx, g.conf().Peer.LoadEvery.Std()) })
 	g.wg.Go(func() {
 		if err := g.clients.accept(g, g.entry); err != nil && !g.closing.Load() {
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -13,10 +13,11 @@
 // Nodes tell each other what they have in flight, so that each sees the whole
 // load of a replica or a link without asking it.
 //
-// Within a data hall every node tells every other, as soon as it has sent a
-// prompt somewhere. Between data halls one node of each tells the sum of its hall,
-// and whoever hears it tells it on in its own: bytes between halls are paid for,
-// and so their number does not grow with the nodes of a hall.
+// Within a small data hall every node tells every other, as soon as it has sent a
+// prompt somewhere; in a large one it tells one node, the speaker, which tells the
+// sum to all. Between data halls the speakers tell each other, and whoever hears a
+// sum tells it on in its own hall: bytes between halls are paid for, and so
+// neither they nor the notes grow with the square of the nodes.
 const (
 	// noteState tells the nodes of a hall one node's state.
 	noteState = "gateway.state"
@@ -29,6 +30,8 @@
 	tellEach = 3 * time.Millisecond
 	// hallEvery is how often a hall's sum is told to the others.
 	hallEvery = 30 * time.Millisecond
+	// hallEach is by how much less often that is for each node of the hall.
+	hallEach = 3 * time.Millisecond
 	// speakDuty names the duty of telling a hall's sum.
 	speakDuty = "speak/"
 )
@@ -60,6 +63,11 @@
 	// moved are the bytes of moves that the whole hall has asked for.
 	moved map[string]int64
 	own   map[string]int64 // Of those, this node's when last summed.
+	told  map[string]load  // What this node told last.
+	heard map[string]int64 // This node's moves when its hall's sum was last heard.
+
+	speakers   map[string]control.Member
+	speakersAt uint64 // Generation of the members.
 }
 
 func newLoads() loads {
@@ -92,11 +100,24 @@
 		case <-n.due:
 		}
 		peers := n.inHall(n.self.DataHall)
-		n.tell(peers)
+		n.tell(n.audience(peers))
 		sleep(ctx, min(every, time.Duration(len(peers))*tellEach))
 	}
 }
 
+// audience are the nodes that this one tells its state: all others of its hall,
+// or the speaker of a large one.
+func (n *nodes) audience(peers []netip.AddrPort) []netip.AddrPort {
+	if len(peers) < directMost {
+		return peers
+	}
+	speaker, ok := n.speakers()[n.self.DataHall]
+	if !ok || speaker.Name == n.self.Name {
+		return nil
+	}
+	return []netip.AddrPort{speaker.Peer}
+}
+
 // tell sends this node's state to the others of its hall.
 func (n *nodes) tell(peers []netip.AddrPort) {
 	s := n.state()
@@ -107,6 +128,9 @@
 	}
 	s.Moves = n.kept.Moved()
 	n.note(peers, noteState, s)
+	n.mu.Lock()
+	n.loads.told = s.Loads
+	n.mu.Unlock()
 	n.merge(time.Now())
 }
 
@@ -140,8 +164,24 @@
 	return list
 }
 
-// speakers are the nodes that tell their halls' sums, by hall.
+// speakers are the nodes that tell their halls' sums, by hall. They are worked
+// out again when it changes who works.
 func (n *nodes) speakers() map[string]control.Member {
+	generation := n.members.Generation()
+	n.mu.Lock()
+	list, known := n.loads.speakers, n.loads.speakersAt
+	n.mu.Unlock()
+	if list != nil && known == generation {
+		return list
+	}
+	list = n.findSpeakers()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads.speakers, n.loads.speakersAt = list, generation
+	return list
+}
+
+func (n *nodes) findSpeakers() map[string]control.Member {
 	halls := map[string][]control.Member{}
 	for _, m := range n.members.Working() {
 		halls[m.DataHall] = append(halls[m.DataHall], m)
@@ -155,14 +195,30 @@
 	return list
 }
 
-// speak tells the sum of this hall to the others, if that falls to this node;
-// the timer service calls it.
-func (n *nodes) speak(context.Context) {
-	speakers := n.speakers()
-	if speakers[n.self.DataHall].Name != n.self.Name || len(speakers) == 1 {
-		return
+// runSpeaker tells the sum of this hall to the others while that falls to this
+// node.
+func (n *nodes) runSpeaker(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.speakers()[n.self.DataHall].Name != n.self.Name {
+			sleep(ctx, speakerAgain)
+			continue
+		}
+		n.speak()
+		sleep(ctx, hallEvery+time.Duration(len(n.inHall(n.self.DataHall)))*hallEach)
 	}
+}
+
+// speakerAgain is how often a node that is not its hall's speaker looks whether
+// it has become that.
+const speakerAgain = 250 * time.Millisecond
+
+// speak tells the sum of this hall to the others.
+func (n *nodes) speak() {
+	speakers := n.speakers()
 	var others []netip.AddrPort
+	if peers := n.inHall(n.self.DataHall); len(peers) >= directMost {
+		others = peers
+	}
 	for hall, m := range speakers {
 		if hall != n.self.DataHall {
 			others = append(others, m.Peer)
@@ -216,7 +272,11 @@
 // comes from there.
 func (n *nodes) hearHall(params json.RawMessage) {
 	s, old, ok := n.hear(params, n.loads.halls, func(s *nodeState) string { return s.Hall })
-	if !ok || s.Hall == n.self.DataHall {
+	if !ok {
+		return
+	}
+	if s.Hall == n.self.DataHall {
+		n.apply(n.withoutOwn(s.moreThan(old)))
 		return
 	}
 	if n.speakers()[n.self.DataHall].Name == n.self.Name {
@@ -225,6 +285,22 @@
 	n.apply(s.moreThan(old))
 }
 
+// withoutOwn takes this node's own moves out of those of its hall.
+func (n *nodes) withoutOwn(more map[string]int64) map[string]int64 {
+	moved := n.kept.Moved()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for store, bytes := range moved {
+		if left := more[store] - (bytes - n.loads.heard[store]); left > 0 {
+			more[store] = left
+		} else {
+			delete(more, store)
+		}
+	}
+	n.loads.heard = moved
+	return more
+}
+
 // hear notes a state under its name and says whether it is newer than the last.
 func (n *nodes) hear(params json.RawMessage, under map[string]heardState, name func(*nodeState) string) (s nodeState, old heardState, ok bool) {
 	if err := json.Unmarshal(params, &s); err != nil {
@@ -287,8 +363,22 @@
 			}
 		}
 	}
+	if _, summed := n.loads.halls[n.self.DataHall]; summed {
+		n.subtractTold(sum)
+	}
 	n.mu.Unlock()
 	for _, p := range n.beliefs.Pools() {
 		p.SetPeers(sum)
 	}
 }
+
+// subtractTold takes what this node told out of its hall's sum; the caller holds
+// mu.
+func (n *nodes) subtractTold(sum map[string]route.PeerLoad) {
+	for id, l := range n.loads.told {
+		v := sum[id]
+		v.Requests = max(0, v.Requests-l[0])
+		v.Tokens = max(0, v.Tokens-l[1])
+		sum[id] = v
+	}
+}
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -16,6 +16,8 @@
 	eventWait = time.Second
 	// eventPause is kept between two calls, so that events come in groups.
 	eventPause = 200 * time.Millisecond
+	// toldPause is kept instead where another node is asked: each of many does.
+	toldPause = 600 * time.Millisecond
 	// eventRetry is kept after a failed call.
 	eventRetry = 400 * time.Millisecond
 	// freeEvery is how often a store is looked at for what can be freed.
@@ -84,6 +86,9 @@
 		c, err := s.watch.changes(ctx, v, boot, since, eventWait)
 		now := time.Now()
 		pause := eventPause
+		if _, told := s.watch.watcher(v); told {
+			pause = toldPause
+		}
 		switch {
 		case err != nil && ctx.Err() != nil:
 			return
--- a/service/node/claim_table.go
+++ b/service/node/claim_table.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/control"
-	"github.com/drumpath/drumpath/pkg/platform"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 	"github.com/drumpath/drumpath/service/peer"
 )
 
@@ -24,8 +24,8 @@
 
 // commitAnswer is a collector's answer.
 type commitAnswer struct {
-	Committed bool           `json:"committed"`
-	Conflicts []platform.Row `json:"conflicts,omitempty"`
+	Committed bool             `json:"committed"`
+	Conflicts []tablestore.Row `json:"conflicts,omitempty"`
 	// NotApplied says that the transaction certainly had no effect.
 	NotApplied bool `json:"not_applied,omitempty"`
 }
@@ -38,7 +38,7 @@
 	members *control.Members
 	client  *peer.Client
 	local   *control.Collector
-	table   *platform.Table
+	table   *tablestore.Table
 	log     *slog.Logger
 
 	mu    sync.Mutex
@@ -46,7 +46,7 @@
 }
 
 // Commit implements the table that claims are written to.
-func (t *claimTable) Commit(ctx context.Context, txn platform.Txn) error {
+func (t *claimTable) Commit(ctx context.Context, txn tablestore.Txn) error {
 	owner, ok := t.collector(txn)
 	if !ok || owner.Name == t.self {
 		return t.local.Commit(ctx, txn)
@@ -59,27 +59,27 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.avoid[owner.Name] = time.Now().Add(collectorAvoid)
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 	switch {
 	case a.Committed:
 		return nil
 	case len(a.Conflicts) > 0:
-		return &platform.ConflictError{Rows: a.Conflicts}
+		return &tablestore.ConflictError{Rows: a.Conflicts}
 	case a.NotApplied:
-		return platform.ErrNotApplied
+		return tablestore.ErrNotApplied
 	default:
-		return platform.ErrUnknown
+		return tablestore.ErrUnknown
 	}
 }
 
 // Read implements the table that claims are written to.
-func (t *claimTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t *claimTable) Read(ctx context.Context, keys ...string) ([]tablestore.Row, error) {
 	return t.table.Read(ctx, keys...)
 }
 
 // collector picks the collector of a transaction; ok is false to go without.
-func (t *claimTable) collector(txn platform.Txn) (owner control.Member, ok bool) {
+func (t *claimTable) collector(txn tablestore.Txn) (owner control.Member, ok bool) {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(txn.Puts[0].Key)) // It never fails.
 	duty := "collector/" + strconv.Itoa(int(h.Sum32()%control.Collectors))
@@ -93,15 +93,15 @@
 }
 
 // commit serves a peer's transaction.
-func (n *Node) commit(ctx context.Context, txn platform.Txn) (a commitAnswer, err error) {
+func (n *Node) commit(ctx context.Context, txn tablestore.Txn) (a commitAnswer, err error) {
 	err = n.Collector.Commit(ctx, txn)
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	switch {
 	case err == nil:
 		a.Committed = true
 	case errors.As(err, &conflict):
 		a.Conflicts = conflict.Rows
-	case errors.Is(err, platform.ErrNotApplied):
+	case errors.Is(err, tablestore.ErrNotApplied):
 		a.NotApplied = true
 	}
 	return a, nil
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -12,9 +12,9 @@
 
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
-	"github.com/drumpath/drumpath/pkg/platform"
 	"github.com/drumpath/drumpath/pkg/prompt"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/entry"
 	"github.com/drumpath/drumpath/service/operator"
@@ -46,8 +46,8 @@
 	Claims     *control.Claims
 	Collector  *control.Collector
 	Leases     *control.Leases
-	Table      *platform.Table
-	Objects    *platform.Objects
+	Table      *tablestore.Table
+	Objects    *tablestore.Objects
 	Shard      *prompt.Directory
 	Directory  *Directory
 	Upstreams  *Upstreams
--- a/service/node/platform_list.go
+++ b/service/node/platform_list.go
@@ -13,8 +13,8 @@
 
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
-	"github.com/drumpath/drumpath/pkg/platform"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 	"github.com/drumpath/drumpath/service/peer"
 )
 
@@ -36,7 +36,7 @@
 // the others only which VMs are leaving, when that changes.
 type PlatformList struct {
 	name    string
-	client  *platform.VMs // Nil if the settings name none.
+	client  *tablestore.VMs // Nil if the settings name none.
 	members *control.Members
 	config  *control.Log
 	fleet   *route.Fleet
@@ -58,7 +58,7 @@
 ) *PlatformList {
 	l := &PlatformList{name: s.Node.Name, members: m, config: c, fleet: f, peers: p, log: log}
 	if s.Platform.VMs.IsValid() {
-		l.client = platform.NewVMs(s.Platform.VMs, s.Platform.Timeout.Std())
+		l.client = tablestore.NewVMs(s.Platform.VMs, s.Platform.Timeout.Std())
 	}
 	return l
 }
--- a/service/node/reconcile_test.go
+++ b/service/node/reconcile_test.go
@@ -12,8 +12,8 @@
 	"github.com/drumpath/drumpath/internal/standin"
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
-	"github.com/drumpath/drumpath/pkg/platform"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 	"github.com/drumpath/drumpath/pkg/upstream"
 )
 
@@ -23,7 +23,7 @@
 	assert.NilError(t, err)
 	defer table.Close()
 	m := control.NewMembers(control.Member{Name: "vm-0"}, time.Second, nil, rand.New(rand.NewPCG(1, 1)))
-	leases := control.NewLeases("vm-0", time.Hour, platform.NewTable(table.Addr(), time.Second), m, slog.New(slog.DiscardHandler))
+	leases := control.NewLeases("vm-0", time.Hour, tablestore.NewTable(table.Addr(), time.Second), m, slog.New(slog.DiscardHandler))
 	leases.Step(t.Context())
 	const engines = 640
 	s := config.NewState()
--- a/service/node/wiring.go
+++ b/service/node/wiring.go
@@ -10,9 +10,9 @@
 
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
-	"github.com/drumpath/drumpath/pkg/platform"
 	"github.com/drumpath/drumpath/pkg/prompt"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/entry"
 	"github.com/drumpath/drumpath/service/operator"
@@ -32,8 +32,8 @@
 		func() *slog.Logger { return log },
 		func() *slog.LevelVar { return level },
 		func() *timer.Service { return timer.NewService(timerWorkers) },
-		func() *platform.Table { return platform.NewTable(s.Platform.Table, s.Platform.Timeout.Std()) },
-		func() *platform.Objects { return platform.NewObjects(s.Platform.Object, s.Platform.Timeout.Std()) },
+		func() *tablestore.Table { return tablestore.NewTable(s.Platform.Table, s.Platform.Timeout.Std()) },
+		func() *tablestore.Objects { return tablestore.NewObjects(s.Platform.Object, s.Platform.Timeout.Std()) },
 		func() *peer.Client { return peer.NewClient(s.Peer.Key) },
 		func() *prompt.Directory { return prompt.NewDirectory(s.Limits.DirectoryKeys, time.Now()) },
 		func() *route.Fleet { return route.NewFleet(newRand()) },
@@ -43,11 +43,11 @@
 		func(f *route.Fleet, l *route.Links) route.Policy {
 			return route.NewPolicy(s.Policy.Name, f, l, weights)
 		},
-		func(t *platform.Table, o *platform.Objects) *control.Log {
+		func(t *tablestore.Table, o *tablestore.Objects) *control.Log {
 			return control.NewLog(s.Node.Name, t, o, log)
 		},
 		control.NewCollector,
-		func(t *platform.Table, c *control.Collector, m *control.Members, p *peer.Client) *control.Claims {
+		func(t *tablestore.Table, c *control.Collector, m *control.Members, p *peer.Client) *control.Claims {
 			return control.NewClaims(s.Node.Name, &claimTable{
 				self:    s.Node.Name,
 				members: m,
@@ -58,7 +58,7 @@
 				avoid:   map[string]time.Time{},
 			}, log)
 		},
-		func(t *platform.Table, m *control.Members) *control.Leases {
+		func(t *tablestore.Table, m *control.Members) *control.Leases {
 			return control.NewLeases(s.Node.Name, s.Limits.LeaseTerm.Std(), t, m, log)
 		},
 		func(d *prompt.Directory, m *control.Members, c *peer.Client) *Directory {
--- a/service/operator/service.go
+++ b/service/operator/service.go
@@ -8,9 +8,9 @@
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/lang"
-	"github.com/drumpath/drumpath/pkg/platform"
 	"github.com/drumpath/drumpath/pkg/prompt"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
 const (
@@ -158,7 +158,7 @@
 		return &Error{Kind: ErrorConflict, Message: conflict.Error(), Winner: conflict.Winner}
 	case errors.As(err, &unknown):
 		return &Error{Kind: ErrorUnknown, Message: unknown.Error()}
-	case errors.Is(err, platform.ErrNotApplied):
+	case errors.Is(err, tablestore.ErrNotApplied):
 		return &Error{Kind: ErrorPlatform, Message: "the change was not applied: " + err.Error()}
 	default:
 		return &Error{Kind: ErrorPlatform, Message: err.Error()}
