--- a/internal/standin/onplatform/beliefs_test.go
+++ b/internal/standin/onplatform/beliefs_test.go
@@ -250,3 +250,30 @@
 	assert.Equal(t, len(r.Seen()), held, "what was refused has not run")
 	assert.Assert(t, refused > 0 && held >= 4, "%d refused, %d held", refused, held)
 }
+
+// All nodes are gone at once and come back at other addresses.
+func TestAllNodesStartAgainTogether(t *testing.T) {
+	s := newSite(t)
+	s.replica(app, "a")
+	old := []*node{s.node("n1"), s.node("n2")}
+	for _, n := range old {
+		n.end()
+	}
+	n1, n2 := s.node("n1"), s.node("n2")
+	s.until("each tells of both, and of none of the old ones", func() bool {
+		for _, n := range []*node{n1, n2} {
+			addrs := n.addrs()
+			if !strings.Contains(addrs, n1.entry) || !strings.Contains(addrs, n2.entry) {
+				return false
+			}
+			for _, o := range old {
+				if strings.Contains(addrs, o.entry) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	assert.Equal(t, n1.send(request("GET", "/safe/x", "")).status, 200)
+	assert.Equal(t, n2.send(request("GET", "/safe/x", "")).status, 200)
+}
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -71,6 +71,9 @@
 		{"newest", "the newest version that was named"},
 		keyNotRun,
 	}},
+	{"replica failed", Failure, "A replica ran a request and answered with a failure; it is delivered if no other does better.", []Key{
+		keyRequest, keyRoute, keyReplica, {"status", "the replica's status"}, keyAttempts, keyAfter,
+	}},
 	{"replica not reached", Failure, "No connection to a replica could be made; nothing was sent.", []Key{
 		keyRequest, keyReplica, {"addr", "the replica's address"}, keyErr,
 	}},
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -20,6 +20,9 @@
 		return fmt.Sprintf("The client closed its connection after %s, %s.", short(last.Duration("after")), progress(r)), true
 	case "stream cut":
 		return fmt.Sprintf("The stream was broken off towards the client: %s.", stream(r, last)), true
+	case "replica failed":
+		return fmt.Sprintf("Replica %s ran it and answered %s after %s (%s); that answer was delivered.",
+			last.Text("replica"), last.Text("status"), short(last.Duration("after")), refusals(r)), true
 	case "answered":
 		return answered(r, last)
 	default:
@@ -102,6 +105,8 @@
 		switch l.Msg {
 		case "replica refused":
 			list = append(list, l.Text("replica")+" answered "+l.Text("status"))
+		case "replica failed":
+			list = append(list, l.Text("replica")+" answered "+l.Text("status")+" after running it")
 		case "replica not reached":
 			list = append(list, l.Text("replica")+" was not reached")
 		case "answer lost", "answer cut short", "stream broke off":
--- a/pkg/explain/report_test.go
+++ b/pkg/explain/report_test.go
@@ -20,6 +20,8 @@
   5.4000 n2 {"time":"2026-01-01T00:00:05.4Z","level":"WARN","msg":"stream broke off","request":"r3","replica":"a","last_event":"4","err":"HTTP body cut short"}
   5.5000 n2 {"time":"2026-01-01T00:00:05.5Z","level":"INFO","msg":"stream cut","request":"r3","route":"x","reason":"answer_lost"}
   5.6000 n2 {"time":"2026-01-01T00:00:05.6Z","level":"INFO","msg":"answered","request":"r4","replica":"a","weights":1,"newest":2,"shared":7000,"kept":0,"first_ms":900,"expected_ms":300,"all_ms":950,"attempts":1}
+  5.6500 n2 {"time":"2026-01-01T00:00:05.65Z","level":"INFO","msg":"replica failed","request":"r6","replica":"a","status":500,"attempts":1,"after":30000000}
+  5.6600 n2 {"time":"2026-01-01T00:00:05.66Z","level":"INFO","msg":"replica failed","request":"r6","replica":"b","status":500,"attempts":2,"after":70000000}
   5.7000 n2 {"time":"2026-01-01T00:00:05.7Z","level":"INFO","msg":"client left","request":"r5","after":90000000}
 `
 
@@ -32,6 +34,7 @@
 		"r2": {true, []string{"300ms", "3 of 18 replicas"}},
 		"r3": {true, []string{"broken off", "stream broke off", "replica a"}},
 		"r4": {false, []string{"900 ms", "weights 1 while 2", "7000 of its 7000"}},
+		"r6": {true, []string{"b ran it", "500", "a answered 500 after running it"}},
 		"r5": {true, []string{"client closed", "90ms"}},
 	} {
 		r, err := Read(id, strings.NewReader(log))
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -357,6 +357,8 @@
 		return false, refusal{}
 	}
 	a.end(route.OutcomeFailed, now)
+	x.g.log.Info("replica failed", "request", x.terms.ID, "route", x.route.Name, "replica", a.choice.ID,
+		"status", a.head.Status, "attempts", x.ran, "after", now.Sub(x.came))
 	x.held = w
 	return x.repeat(a.choice.ID, now)
 }
