--- a/pkg/control/rendezvous.go
+++ b/pkg/control/rendezvous.go
@@ -2,10 +2,9 @@
 
 import (
 	"cmp"
-	"math/bits"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/drumpath/drumpath/pkg/rendezvous"
 )
 
 // Owner returns the working member that a duty falls to, by rendezvous
@@ -15,7 +14,7 @@
 	best := uint64(0)
 	h := hashDuty(duty)
 	for _, m := range members {
-		if w := weigh(h, m.nameHash()); !ok || w > best {
+		if w := rendezvous.Weight(h, m.nameHash()); !ok || w > best {
 			owner, best, ok = m, w, true
 		}
 	}
@@ -32,7 +31,7 @@
 	h := hashDuty(duty)
 	best := make([]ranked, 0, n+1)
 	for i := range members {
-		r := ranked{weight: weigh(h, members[i].nameHash()), member: i}
+		r := ranked{weight: rendezvous.Weight(h, members[i].nameHash()), member: i}
 		if len(best) == n && (n == 0 || r.weight <= best[n-1].weight) {
 			continue
 		}
@@ -51,14 +50,7 @@
 	if m.hash != 0 {
 		return m.hash
 	}
-	return xxhash.Sum64String(m.Name)
+	return rendezvous.Hash(m.Name)
 }
 
-func hashDuty(duty string) uint64 { return xxhash.Sum64String(duty) }
-
-// weigh mixes two hashes; both halves of the product are used, as neither
-// alone mixes all bits.
-func weigh(duty, name uint64) uint64 {
-	hi, lo := bits.Mul64(duty^0x9E3779B97F4A7C15, name^0xD6E8FEB86659FD93)
-	return hi ^ lo
-}
+func hashDuty(duty string) uint64 { return rendezvous.Hash(duty) }
--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -51,7 +51,12 @@
 // Call sends in as JSON, unless it is nil, and decodes the answer into out,
 // unless it is nil; the error is a *StatusError for an answer other than 2xx
 // and a *CallError when there was none.
-func (c *Client) Call(ctx context.Context, method, path string, in, out any) (err error) {
+func (c *Client) Call(ctx context.Context, method, path string, in, out any) error {
+	return c.CallWith(ctx, method, path, nil, in, out)
+}
+
+// CallWith is Call with further headers.
+func (c *Client) CallWith(ctx context.Context, method, path string, header map[string]string, in, out any) error {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -59,6 +64,9 @@
 	if err := c.Prepare(req, method, path, in); err != nil {
 		return err
 	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
 	if err := c.Do(ctx, req, resp); err != nil {
 		return err
 	}
@@ -119,40 +127,3 @@
 	}
 	return errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout)
 }
-
-// CallWith is Call with further headers, for calls whose answer has no body of
-// interest.
-func (c *Client) CallWith(ctx context.Context, method, path string, in any, header map[string]string) error {
-	req := fasthttp.AcquireRequest()
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	if err := c.Prepare(req, method, path, in); err != nil {
-		return err
-	}
-	for name, value := range header {
-		req.Header.Set(name, value)
-	}
-	return c.Do(ctx, req, resp)
-}
-
-// CallInto is Call without a body but with further headers.
-func (c *Client) CallInto(ctx context.Context, method, path string, header map[string]string, out any) error {
-	req := fasthttp.AcquireRequest()
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	if err := c.Prepare(req, method, path, nil); err != nil {
-		return err
-	}
-	for name, value := range header {
-		req.Header.Set(name, value)
-	}
-	if err := c.Do(ctx, req, resp); err != nil {
-		return err
-	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
-		return &CallError{Path: path, Err: err}
-	}
-	return nil
-}
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/rendezvous"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -104,7 +105,7 @@
 	for _, u := range list {
 		m, ok := old[u.ID]
 		if !ok {
-			m = &member{hash: hashOf(u.ID), cases: map[*Case]struct{}{}, late: 1}
+			m = &member{hash: rendezvous.Hash(u.ID), cases: map[*Case]struct{}{}, late: 1}
 		}
 		weights := m.Weights
 		m.Upstream = u
@@ -251,7 +252,7 @@
 		if m.Draining {
 			continue
 		}
-		if w := mix(n.Affinity, m.hash); best == nil || w > weight {
+		if w := rendezvous.Weight(n.Affinity, m.hash); best == nil || w > weight {
 			best, weight = m, w
 		}
 	}
