Fewer looks at leases and at nodes' rows in a large fleet

Cause: each of 59 nodes looked at six leases within some seconds of a new version, and read the nodes' rows every 15 s. Change: a node leaves a lease to each one before it for a second; rows are read the more seldom the more nodes are known. Not measured alone.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -55,8 +55,8 @@
 	// long, more leave too few to serve. Measured, docs/POLICY.md.
 	swapShare = 0.3
 	// rankPause is for how long each node leaves a lease to those that come
-	// before it.
-	rankPause = 600 * time.Millisecond
+	// before it: in a large fleet few nodes ask for it at all.
+	rankPause = time.Second
 	// steerTime is for how long requests are sent elsewhere before an order, so
 	// that most runs have ended.
 	steerTime = 250 * time.Millisecond
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -17,9 +17,11 @@
 const (
 	// meetEvery is how often a node that knows no other looks for some.
 	meetEvery = time.Second
-	// meetAgain is how often one looks that knows others: two halves that were
-	// cut apart when they started find each other so.
+	// meetAgain is how often one of ten nodes looks that knows others, and more
+	// seldom the more there are: two halves that were cut apart when they started
+	// find each other so.
 	meetAgain = 15 * time.Second
+	meetNodes = 10
 )
 
 // nodes is what the nodes tell each other: who there is, what each has in flight,
@@ -59,8 +61,9 @@
 func (n *nodes) meet(ctx context.Context) {
 	now := time.Now()
 	n.mu.Lock()
-	alone := len(n.members.Working()) <= 1
-	due := !n.announced || alone || now.Sub(n.met) >= meetAgain
+	known := len(n.members.Working())
+	again := meetAgain * time.Duration(max(1, known/meetNodes))
+	due := !n.announced || known <= 1 || now.Sub(n.met) >= again
 	n.mu.Unlock()
 	if !due {
 		return
