--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
-	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -14,7 +12,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/drumpath/drumpath/pkg/config"
-	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/rollout"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -72,7 +69,7 @@
 	conns    *upstreamConns
 	clients  *clientConns
 	metrics  *metrics
-	clock    replicaClock
+	clock    *replicaClock
 
 	entry     net.Listener
 	readySide *sideServer
@@ -99,83 +96,37 @@
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * bytesPerMB))
 	}
+	in, err := build(s, p, log)
+	if err != nil {
+		return nil, err
+	}
 	g = &Gateway{
 		platform: p,
 		codec:    p.Codec,
 		log:      log,
-		timer:    timer.NewService(timerWorkers),
-		conns:    newUpstreamConns(),
-		clients:  newClientConns(mostClients(s.Limits.Descriptors)),
-		metrics:  newMetrics(),
-		budgets:  map[string]*route.RetryShare{},
+		timer:    in.Timer,
+		beliefs:  in.Beliefs,
+		kept:     in.Kept,
+		nodes:    in.Nodes,
+		peers:    in.Peers,
+		client:   in.Client,
+		readers:  in.Readers,
+		watchers: in.Watchers,
+		stores:   in.Stores,
+		rollout:  in.Rollout,
+		conns:    in.Conns,
+		clients:  in.Clients,
+		metrics:  in.Metrics,
+		clock:    in.Clock,
 
+		budgets:    map[string]*route.RetryShare{},
 		admissions: map[string]*route.Admission{},
 	}
 	g.settings.Store(&s)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	g.kept = route.NewKept()
-	g.beliefs = NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), g.kept, log)
-	if err := g.buildNodes(); err != nil {
-		return nil, err
-	}
-	g.stores = &stores{
-		engines: p.Engines,
-		watch:   g.watchers,
-		beliefs: g.beliefs,
-		kept:    g.kept,
-		members: g.nodes.members,
-		self:    s.Node.Name,
-		clock:   &g.clock,
-		log:     log,
-		watched: map[string]context.CancelFunc{},
-	}
-	g.rollout = rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, p.Engines, &swaps{beliefs: g.beliefs, nodes: g.nodes}, log)
 	return g, g.listen()
 }
 
-func mostClients(descriptors int) int {
-	if descriptors <= 0 {
-		return defaultMost
-	}
-	return int((1 - spareDescriptors) * float64(descriptors))
-}
-
-func (g *Gateway) buildNodes() error {
-	s := g.conf()
-	self := control.Member{Name: s.Node.Name, Peer: s.Peer.Listen, Entry: s.Entry.Listen, DataHall: s.Node.DataHall}
-	n := &nodes{
-		self:    self,
-		members: control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		store:   g.platform.Store,
-		beliefs: g.beliefs,
-		kept:    g.kept,
-		log:     g.log,
-		loads:   newLoads(),
-		due:     make(chan struct{}, 1),
-	}
-	handle := func(from netip.AddrPort, p control.Probe) []control.Packet {
-		return n.members.Handle(from, p, time.Now(), 0)
-	}
-	probes, err := peer.NewProbes(s.Peer.Listen, s.Peer.Key, handle, g.log)
-	if err != nil {
-		return err
-	}
-	g.client = peer.NewClient(s.Peer.Key)
-	g.readers = newReaders(g.platform.Store, self, n.members, g.client)
-	g.watchers = newWatchers(g.platform.Engines, self, n.members, g.client)
-	if g.peers, err = peer.NewServer(s.Peer.Listen, map[peer.Role]string{peer.RolePeer: s.Peer.Key}, g.log); err != nil {
-		return err
-	}
-	g.peers.Handle(peer.RolePeer, methodChanges, g.readers.serve)
-	g.peers.Handle(peer.RolePeer, methodEvents, g.watchers.serve)
-	probes.OnNote(noteState, n.hearState)
-	probes.OnNote(noteHall, n.hearHall)
-	probes.OnNote(noteNews, n.hearNews)
-	n.probes = probes
-	g.nodes = n
-	return nil
-}
-
 func (g *Gateway) listen() (err error) {
 	if g.entry, err = net.Listen("tcp", g.conf().Entry.Listen.String()); err != nil {
 		return err
--- /dev/null
+++ b/service/gateway/wiring.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/dig"
+
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/rollout"
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/timer"
+	"github.com/drumpath/drumpath/service/peer"
+)
+
+// parts are what a node is made of, as the container builds them.
+type parts struct {
+	dig.In
+
+	Timer    *timer.Service
+	Beliefs  *Beliefs
+	Kept     *route.Kept
+	Nodes    *nodes
+	Peers    *peer.Server
+	Client   *peer.Client
+	Readers  *readers
+	Watchers *watchers
+	Stores   *stores
+	Rollout  *rollout.Rollout
+	Conns    *upstreamConns
+	Clients  *clientConns
+	Metrics  *metrics
+	Clock    *replicaClock
+}
+
+// build has the container make the parts.
+func build(s config.GatewaySettings, p Platform, log *slog.Logger) (built parts, err error) {
+	defer func() { err = eris.Wrap(dig.RootCause(err), "build") }()
+	c := dig.New()
+	for _, constructor := range constructors(s, p, log) {
+		if err := c.Provide(constructor); err != nil {
+			return built, err
+		}
+	}
+	err = c.Invoke(func(in parts) { built = in })
+	return built, err
+}
+
+// constructors are what the container builds a node from.
+func constructors(s config.GatewaySettings, p Platform, log *slog.Logger) []any {
+	self := control.Member{Name: s.Node.Name, Peer: s.Peer.Listen, Entry: s.Entry.Listen, DataHall: s.Node.DataHall}
+	return []any{
+		func() config.GatewaySettings { return s },
+		func() *slog.Logger { return log },
+		func() Store { return p.Store },
+		func() Engines { return p.Engines },
+		func() control.Member { return self },
+		func() *timer.Service { return timer.NewService(timerWorkers) },
+		func() *peer.Client { return peer.NewClient(s.Peer.Key) },
+		func() *clientConns { return newClientConns(mostClients(s.Limits.Descriptors)) },
+		func() *replicaClock { return new(replicaClock) },
+		func() *control.Members {
+			return control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, newRand())
+		},
+		func(k *route.Kept) *Beliefs {
+			return NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), k, log)
+		},
+		func(b *Beliefs, n *nodes) *rollout.Rollout {
+			return rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, p.Engines, &swaps{beliefs: b, nodes: n}, log)
+		},
+		route.NewKept,
+		newUpstreamConns,
+		newMetrics,
+		newReaders,
+		newWatchers,
+		newStores,
+		newNodes,
+		newPeers,
+	}
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func mostClients(descriptors int) int {
+	if descriptors <= 0 {
+		return defaultMost
+	}
+	return int((1 - spareDescriptors) * float64(descriptors))
+}
+
+// newNodes listens for what other nodes tell.
+func newNodes(s config.GatewaySettings, self control.Member, m *control.Members, st Store, b *Beliefs, k *route.Kept, log *slog.Logger) (*nodes, error) {
+	n := &nodes{
+		self:    self,
+		members: m,
+		store:   st,
+		beliefs: b,
+		kept:    k,
+		log:     log,
+		loads:   newLoads(),
+		due:     make(chan struct{}, 1),
+	}
+	handle := func(from netip.AddrPort, p control.Probe) []control.Packet { return m.Handle(from, p, time.Now(), 0) }
+	var err error
+	if n.probes, err = peer.NewProbes(s.Peer.Listen, s.Peer.Key, handle, log); err != nil {
+		return nil, err
+	}
+	n.probes.OnNote(noteState, n.hearState)
+	n.probes.OnNote(noteHall, n.hearHall)
+	n.probes.OnNote(noteNews, n.hearNews)
+	return n, nil
+}
+
+// newPeers listens for nodes that ask this one.
+func newPeers(s config.GatewaySettings, r *readers, w *watchers, log *slog.Logger) (*peer.Server, error) {
+	server, err := peer.NewServer(s.Peer.Listen, map[peer.Role]string{peer.RolePeer: s.Peer.Key}, log)
+	if err != nil {
+		return nil, err
+	}
+	server.Handle(peer.RolePeer, methodChanges, r.serve)
+	server.Handle(peer.RolePeer, methodEvents, w.serve)
+	return server, nil
+}
+
+func newStores(
+	self control.Member,
+	e Engines,
+	w *watchers,
+	b *Beliefs,
+	k *route.Kept,
+	m *control.Members,
+	c *replicaClock,
+	log *slog.Logger,
+) *stores {
+	return &stores{
+		engines: e,
+		watch:   w,
+		beliefs: b,
+		kept:    k,
+		members: m,
+		self:    self.Name,
+		clock:   c,
+		log:     log,
+		watched: map[string]context.CancelFunc{},
+	}
+}
