--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -108,7 +108,8 @@
 	{"order given", Change, "A replica was told to change its weights.", []Key{
 		keyReplica, keyModel, keyVersion, keyFence,
 		{"orders", "orders that the replica had taken before"},
-		{"outcome", "0 unknown, 1 taken, 2 it has them, 3 refused, 4 not understood"}, keyErr,
+		{"outcome", "0 unknown, 1 taken, 2 it has them, 3 refused, 4 not understood"},
+		keyErr,
 	}},
 	{"replica serves new weights", Change, "A replica was seen to have its new weights.", []Key{keyReplica, keyModel, keyVersion}},
 	{"replica not asked", Failure, "A replica did not tell its state.", []Key{keyReplica, keyErr}},
