--- /dev/null
+++ b/pkg/route/pool_bench_test.go
@@ -0,0 +1,54 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// The cost of one pick by the number of replicas.
+func BenchmarkPoolPick(b *testing.B) {
+	for _, n := range []int{18, 60, 600, 2300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := newTestPool(n, 1)
+			need := &Need{Model: "m", Tokens: 9000, Shared: 7500, Affinity: 7}
+			b.ReportAllocs()
+			for b.Loop() {
+				c, ok := p.Pick(need, testNow)
+				if !ok {
+					b.Fatal("nothing picked")
+				}
+				k := p.Begin(c, testNow)
+				k.First(testNow)
+				k.End(OutcomeOK, testNow)
+			}
+		})
+	}
+}
+
+// The cost of one plan by the number of stores, each with 1,000 parts.
+func BenchmarkKeptPlan(b *testing.B) {
+	for _, n := range []int{5, 14, 140} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var stores []*site.Service
+			for i := range n {
+				stores = append(stores, testStore(fmt.Sprintf("s%d", i), fmt.Sprintf("h%d", i%3), fmt.Sprintf("10.0.%d.%d:1", i/200, 1+i%200), 2_000_000, 4e9))
+			}
+			k := newTestKept(stores...)
+			for i, s := range stores {
+				for j := range 1000 {
+					k.Apply(s.Name, site.CacheChanges{Boot: 1, Changes: plus("r", site.Part{ID: fmt.Sprintf("%d-%d", i, j), Tokens: 5000})}, testNow)
+				}
+			}
+			now := testNow
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(10 * time.Millisecond)
+				parts := []site.Part{{ID: "common", Tokens: 2500}, {ID: fmt.Sprintf("%d-%d", i%n, i%1000), Tokens: 5000}}
+				k.Plan("r", "h0", parts, testEngine, time.Second, false, now)
+			}
+		})
+	}
+}
