Parts saved while weights are replaced are not fetched

Change: while newer weights are named, only parts that were whole before that are fetched, and nothing is saved. Case is now Flight.

--- a/pkg/route/case.go
+++ b/pkg/route/flight.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Case is one of this node's own requests in flight at a replica.
-type Case struct {
+// Flight is one of this node's own requests in flight at a replica.
+type Flight struct {
 	pool     *Pool
 	member   *member
 	tokens   int
@@ -16,15 +16,15 @@
 }
 
 // Begin records that a request is sent to a chosen replica.
-func (p *Pool) Begin(c Choice, now time.Time) *Case {
+func (p *Pool) Begin(c Choice, now time.Time) *Flight {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m, ok := p.replicas[c.ID]
 	if !ok {
 		// It has just left; the request goes there all the same.
-		m = &member{Upstream: c.Upstream, cases: map[*Case]struct{}{}, late: 1}
+		m = &member{Upstream: c.Upstream, flights: map[*Flight]struct{}{}, late: 1}
 	}
-	k := &Case{
+	k := &Flight{
 		pool:     p,
 		member:   m,
 		tokens:   c.Read,
@@ -33,21 +33,21 @@
 		begun:    now,
 		expected: c.Expected,
 	}
-	m.cases[k] = struct{}{}
+	m.flights[k] = struct{}{}
 	m.pending += c.Read
 	return k
 }
 
 // First records that the first byte of the answer has come. It returns by how
 // much later than expected.
-func (k *Case) First(now time.Time) (excess time.Duration) {
+func (k *Flight) First(now time.Time) (excess time.Duration) {
 	k.pool.mu.Lock()
 	defer k.pool.mu.Unlock()
 	k.noteFirst(now)
 	return now.Sub(k.begun) - k.expected
 }
 
-func (k *Case) noteFirst(now time.Time) {
+func (k *Flight) noteFirst(now time.Time) {
 	if k.first {
 		return
 	}
@@ -66,7 +66,7 @@
 const minSample = 1024
 
 // learn fits the time to the first byte as a base and a time for each token.
-func (p *Pool) learn(k *Case, took float64) {
+func (p *Pool) learn(k *Flight, took float64) {
 	if k.tokens == 0 {
 		return
 	}
@@ -79,7 +79,7 @@
 }
 
 // End records how the request ended; later calls do nothing.
-func (k *Case) End(o Outcome, now time.Time) {
+func (k *Flight) End(o Outcome, now time.Time) {
 	p := k.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -88,7 +88,7 @@
 	}
 	k.ended = true
 	m := k.member
-	delete(m.cases, k)
+	delete(m.flights, k)
 	switch {
 	case k.first:
 	case o == OutcomeOK:
--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -32,8 +32,8 @@
 	// must have noticed it, or one could read as whole what is being written
 	// anew.
 	settled time.Time
-	parts   map[partKey]int // To tokens.
-	used    int             // Tokens of parts that are whole.
+	parts   map[partKey]whole
+	used    int // Tokens of parts that are whole.
 	saving  map[partKey]saving
 	moved   int64         // Bytes of all moves that this node has asked for.
 	busy    time.Time     // Until when the link is taken by moves asked for.
@@ -43,6 +43,12 @@
 
 type partKey struct{ realm, part string }
 
+// whole is a part that a store has told to be whole.
+type whole struct {
+	tokens int
+	since  time.Time
+}
+
 // saving is a save that this node has asked for and that is not known to be done.
 type saving struct {
 	tokens int
@@ -75,7 +81,7 @@
 	for _, v := range stores {
 		s, ok := old[v.Name]
 		if !ok || s.Addr != v.Store.Addr {
-			s = &keptStore{parts: map[partKey]int{}, saving: map[partKey]saving{}}
+			s = &keptStore{parts: map[partKey]whole{}, saving: map[partKey]saving{}}
 		}
 		s.Store = *v.Store
 		k.stores[v.Name] = s
@@ -101,9 +107,9 @@
 	s.heard = true
 	for _, v := range c.Changes {
 		key := partKey{v.Realm, v.Part}
-		s.used += v.Tokens - s.parts[key]
+		s.used += v.Tokens - s.parts[key].tokens
 		if v.Tokens > 0 {
-			s.parts[key] = v.Tokens
+			s.parts[key] = whole{tokens: v.Tokens, since: now}
 			delete(s.saving, key)
 		} else {
 			delete(s.parts, key)
@@ -173,10 +179,20 @@
 	s.used = 0
 }
 
+// Terms bound what a plan may do.
+type Terms struct {
+	// Longest is the longest that a fetch may be expected to take.
+	Longest time.Duration
+	// Save says that parts that no store has are saved.
+	Save bool
+	// Before, if set, is when a part must have been whole to be fetched: while
+	// weights are replaced, later ones may have been made under either.
+	Before time.Time
+}
+
 // Plan decides for the shared parts of a prompt that runs at a replica in a data
-// hall. A fetch may take no more than longest; with save, parts that no store has
-// are saved.
-func (k *Kept) Plan(realm, hall string, shared []site.Part, e *site.Engine, longest time.Duration, save bool, now time.Time) *Plan {
+// hall.
+func (k *Kept) Plan(realm, hall string, shared []site.Part, e *site.Engine, t Terms, now time.Time) *Plan {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p := &Plan{
@@ -187,18 +203,18 @@
 	for i, part := range shared {
 		key := partKey{realm, part.ID}
 		bytes := int64(part.Tokens) * int64(e.TokenBytes)
-		s, wait := k.source(key, hall, part.Tokens, bytes, now)
+		s, wait := k.source(key, hall, part.Tokens, bytes, t.Before, now)
 		lacking := 1 - k.use.held(key, e.Capacity, now)
 		wait = time.Duration(lacking * float64(wait))
 		k.use.note(key, part.Tokens, now)
-		if s != nil && p.Time+wait < longest {
+		if s != nil && p.Time+wait < t.Longest {
 			p.take(i, part.Tokens, s, wait)
 			if lacking > mostlyLacking {
 				p.moves = append(p.moves, s)
 				s.book(bytes, hall, now)
 			}
 		}
-		if save && (s == nil || k.use.often(key, now)) {
+		if t.Save && (s == nil || k.use.often(key, now)) {
 			k.save(p, i, key, part.Tokens, bytes, s, hall, now)
 		}
 	}
@@ -235,7 +251,7 @@
 		if v, ok := s.saving[key]; ok && now.Before(v.until) {
 			return nil
 		}
-		if !s.open(now) || s.parts[key] > 0 || s.left(tokens, now) <= 0 {
+		if !s.open(now) || s.parts[key].tokens > 0 || s.left(tokens, now) <= 0 {
 			continue
 		}
 		if t := s.fetchTime(bytes, hall, now); t < least {
@@ -256,22 +272,23 @@
 }
 
 // Look says for each data hall how many of a prompt's shared tokens, from its
-// start on, can be fetched to a replica there, and how long that should take.
-func (k *Kept) Look(realm string, halls []string, shared []site.Part, e *site.Engine, now time.Time) map[string]Offer {
+// start on, can be fetched to a replica there, and how long that should take;
+// before is as in Terms.
+func (k *Kept) Look(realm string, halls []string, shared []site.Part, e *site.Engine, before, now time.Time) map[string]Offer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	offers := make(map[string]Offer, len(halls))
 	for _, hall := range halls {
-		offers[hall] = k.offer(realm, hall, shared, e, now)
+		offers[hall] = k.offer(realm, hall, shared, e, before, now)
 	}
 	return offers
 }
 
-func (k *Kept) offer(realm, hall string, shared []site.Part, e *site.Engine, now time.Time) (o Offer) {
+func (k *Kept) offer(realm, hall string, shared []site.Part, e *site.Engine, before, now time.Time) (o Offer) {
 	for _, part := range shared {
 		key := partKey{realm, part.ID}
 		bytes := int64(part.Tokens) * int64(e.TokenBytes)
-		s, wait := k.source(key, hall, part.Tokens, bytes, now)
+		s, wait := k.source(key, hall, part.Tokens, bytes, before, now)
 		if s == nil {
 			return o
 		}
@@ -283,10 +300,11 @@
 }
 
 // source finds the store from which a part comes soonest, nil for none.
-func (k *Kept) source(key partKey, hall string, tokens int, bytes int64, now time.Time) (best *keptStore, wait time.Duration) {
+func (k *Kept) source(key partKey, hall string, tokens int, bytes int64, before, now time.Time) (best *keptStore, wait time.Duration) {
 	for _, name := range k.names {
 		s := k.stores[name]
-		if !s.heard || s.parts[key] < tokens || tokens == 0 {
+		w := s.parts[key]
+		if !s.heard || w.tokens < tokens || tokens == 0 || !before.IsZero() && w.since.After(before) {
 			continue
 		}
 		if w := s.fetchTime(bytes, hall, now); best == nil || w < wait {
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -37,10 +37,10 @@
 type member struct {
 	site.Upstream
 	hash    uint64
-	cases   map[*Case]struct{} // Own requests in flight.
-	pending int                // Tokens of those without a first answer byte.
-	others  PeerLoad           // In flight at other nodes.
-	late    float64            // Mean of the time taken over the time expected.
+	flights map[*Flight]struct{} // Own requests in flight.
+	pending int                  // Tokens of those without a first answer byte.
+	others  PeerLoad             // In flight at other nodes.
+	late    float64              // Mean of the time taken over the time expected.
 	lateAt  time.Time
 	failing float64 // Mean share of failures.
 	outcome outlier
@@ -105,7 +105,7 @@
 	for _, u := range list {
 		m, ok := old[u.ID]
 		if !ok {
-			m = &member{hash: rendezvous.Hash(u.ID), cases: map[*Case]struct{}{}, late: 1}
+			m = &member{hash: rendezvous.Hash(u.ID), flights: map[*Flight]struct{}{}, late: 1}
 		}
 		weights := m.Weights
 		m.Upstream = u
@@ -178,8 +178,8 @@
 	defer p.mu.Unlock()
 	loads := map[string]PeerLoad{}
 	for _, m := range p.list {
-		if len(m.cases) > 0 {
-			loads[m.ID] = PeerLoad{Requests: len(m.cases), Tokens: m.pending}
+		if len(m.flights) > 0 {
+			loads[m.ID] = PeerLoad{Requests: len(m.flights), Tokens: m.pending}
 		}
 	}
 	return loads
@@ -280,7 +280,7 @@
 
 // firstByte is the expected time to the first byte of the answer, in seconds.
 func (p *Pool) firstByte(m *member, n *Need, home bool, now time.Time) float64 {
-	running := len(m.cases) + m.others.Requests
+	running := len(m.flights) + m.others.Requests
 	if n.Tokens == 0 {
 		wait := 0.0
 		if over := running + 1 - max(1, m.Slots); over > 0 {
@@ -395,7 +395,7 @@
 	for _, m := range p.list {
 		list = append(list, MemberStatus{
 			Upstream: m.Upstream,
-			Requests: len(m.cases),
+			Requests: len(m.flights),
 			Tokens:   m.pending,
 			Others:   m.others,
 			Lateness: m.lateness(now),
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -34,7 +34,7 @@
 	conns   *upstreamConns
 	codec   Codec
 	choice  route.Choice
-	kase    *route.Case
+	flight  *route.Flight
 	plan    *route.Plan
 	begun   time.Time
 	took    time.Duration // To the first byte of the answer's body.
@@ -58,7 +58,7 @@
 		conns:   x.g.conns,
 		codec:   x.g.codec,
 		choice:  c,
-		kase:    x.pool.Begin(c, now),
+		flight:  x.pool.Begin(c, now),
 		plan:    p,
 		begun:   now,
 		writing: make(chan struct{}),
@@ -71,7 +71,7 @@
 		return
 	}
 	a.took = now.Sub(a.begun)
-	a.plan.First(a.kase.First(now), now)
+	a.plan.First(a.flight.First(now), now)
 }
 
 // gap notes the pause before bytes of a stream.
@@ -84,7 +84,7 @@
 
 // end records how the attempt ended.
 func (a *attempt) end(o route.Outcome, now time.Time) {
-	a.kase.End(o, now)
+	a.flight.End(o, now)
 }
 
 // begin sends a request to a replica and waits for the head of its answer. It
--- a/service/gateway/beliefs.go
+++ b/service/gateway/beliefs.go
@@ -150,6 +150,25 @@
 	return 0
 }
 
+// ReplacedAt is when the first version behind one of a model's weights was named,
+// zero if it is the newest.
+func (b *Beliefs) ReplacedAt(model string, version int64) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.weights[model]
+	if n.version <= version {
+		return time.Time{}
+	}
+	at := n.since
+	for _, o := range slices.Backward(n.older) {
+		if o.version <= version {
+			break
+		}
+		at = o.since
+	}
+	return at
+}
+
 // NewestWeights lists the newest versions of all models.
 func (b *Beliefs) NewestWeights() map[string]int64 {
 	b.mu.Lock()
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -44,9 +44,13 @@
 	if !x.service.Engine.PlannedFetch || len(shared) == 0 {
 		return d, &route.Plan{}
 	}
-	// While weights are being replaced, what a replica reads may be of either.
-	settled := c.Weights == x.need.Newest || x.need.Newest == 0
-	plan := x.g.kept.Plan(d.Realm, c.DataHall, shared, x.service.Engine, x.longestFetch(), settled, now)
+	replaced := x.g.beliefs.ReplacedAt(x.need.Model, c.Weights)
+	plan := x.g.kept.Plan(d.Realm, c.DataHall, shared, x.service.Engine, route.Terms{
+		Longest: x.longestFetch(),
+		// While weights are being replaced, what a replica reads may be of either.
+		Save:   replaced.IsZero(),
+		Before: replaced,
+	}, now)
 	d.Sources, d.Saves = plan.Sources, plan.Saves
 	if clock, ok := x.g.clock.read(now); ok && plan.Fetched > 0 {
 		d.FetchBy = clock + x.fetchTerm(c.Expected)
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -67,9 +67,7 @@
 		x.refuse(f)
 		return
 	}
-	if budget := x.g.budget(x.service.Name); budget != nil {
-		budget.Request(x.came)
-	}
+	x.g.budget(x.service.Name).Request(x.came)
 	ctx, cancel := context.WithDeadline(ctx, x.limit)
 	defer cancel()
 	defer func() { x.leaveQueue(time.Now()) }()
@@ -151,12 +149,12 @@
 // lookUp notes what of the prompt can be fetched.
 func (x *exchange) lookUp(now time.Time) {
 	e := x.service.Engine
-	if e == nil || !e.PlannedFetch || x.need.Newest == 0 && x.need.Model == "" {
+	if e == nil || !e.PlannedFetch || x.need.Model == "" {
 		return
 	}
 	version := x.pool.Majority(x.need.Model)
 	realm := realmOf(x.need.Model, version, x.organisation)
-	x.need.Offers = x.g.kept.Look(realm, x.pool.Halls(), x.terms.Shared(), e, now)
+	x.need.Offers = x.g.kept.Look(realm, x.pool.Halls(), x.terms.Shared(), e, x.g.beliefs.ReplacedAt(x.need.Model, version), now)
 	x.need.LongestFetch = x.longestFetch()
 }
 
@@ -307,8 +305,7 @@
 	if x.limit.Sub(now) < timeLeft {
 		return false
 	}
-	budget := x.g.budget(x.service.Name)
-	return budget == nil || budget.Take(now)
+	return x.g.budget(x.service.Name).Take(now)
 }
 
 // outOfTime is the answer at the limit: it depends on whether the request may
