Nine nodes follow the stores themselves

Cause: a store serves twelve calls for events; four were kept free, so the nine nodes of milkline had one watcher a hall and knew later what stores had. Change: two are kept free.

--- a/service/gateway/watchers.go
+++ b/service/gateway/watchers.go
@@ -24,8 +24,9 @@
 	// watchDuty names the duty of following a store for a hall.
 	watchDuty = "watch/"
 	// spareWatches are calls of a store that are left for nodes that start or
-	// take over.
-	spareWatches = 4
+	// take over. What a watcher tells is known later, so each node follows the
+	// stores itself as long as that fits.
+	spareWatches = 2
 	// keptBatches is how many answers of a store a watcher keeps for others.
 	keptBatches = 512
 )
