--- a/internal/standin/onplatform/beliefs_test.go
+++ b/internal/standin/onplatform/beliefs_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -188,6 +190,42 @@
 	assert.Assert(t, err == io.EOF)
 }
 
+// logLines is a log that counts its lines.
+type logLines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logLines) count(part string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), part)
+}
+
+func TestOneLineForEachLossAndReturnOfTheStore(t *testing.T) {
+	s := newSite(t)
+	lines := &logLines{}
+	s.log = slog.New(slog.NewTextHandler(lines, nil))
+	s.replica(app, "a")
+	s.node("n1")
+	for round, mode := range []onplatform.Mode{onplatform.ModeRefusing, onplatform.ModeSilent, onplatform.ModeRefusing} {
+		s.store.SetMode(mode)
+		s.until("both tables are lost", func() bool { return lines.count(`msg="store lost"`) == 2*(round+1) })
+		calls := s.store.Calls()
+		s.until("it was tried again", func() bool { return s.store.Calls() > calls+3 })
+		s.store.SetMode(onplatform.ModeUp)
+		s.until("both are back", func() bool { return lines.count(`msg="store back"`) == 2*(round+1) })
+	}
+	assert.Equal(t, lines.count(`msg="store lost"`), 6)
+	assert.Equal(t, lines.count(`table=operator`), 6)
+}
+
 // prompt is a request with a prompt of three parts.
 func prompt(session string) string {
 	return request("POST", "/prompt/x", "text", "Model: "+model, "Token-Usage: 900,10",
--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -41,13 +41,14 @@
 	tenants []map[string]any
 	limits  map[string]any
 	extra   []map[string]any // Further services.
+	log     *slog.Logger
 }
 
 func newSite(t *testing.T) *site {
 	store, err := onplatform.NewStore()
 	assert.NilError(t, err)
 	t.Cleanup(store.Close)
-	s := &site{t: t, store: store}
+	s := &site{t: t, store: store, log: slog.New(slog.DiscardHandler)}
 	s.routes = []map[string]any{
 		{"name": "once", "host": host, "path_prefix": "/once/", "kind": "non_idempotent", "timeout_ms": 4000, "target_latency_ms": 150, "service": app, "max_attempts": 1, "priority": 2},
 		{"name": "safe", "host": host, "path_prefix": "/safe/", "kind": "idempotent", "timeout_ms": 4000, "target_latency_ms": 150, "service": app, "max_attempts": 2, "priority": 2},
@@ -137,7 +138,7 @@
 		Engines: platform.NewEngines(),
 		Codec:   platform.Codec{},
 		Paths:   gateway.Paths{Ready: platform.PathReady, Resolve: platform.PathResolve, DataHall: platform.QueryDataHall},
-	}, slog.New(slog.DiscardHandler))
+	}, s.log)
 	assert.NilError(s.t, err)
 	n := &node{
 		Gateway: g,
