--- /dev/null
+++ b/pkg/route/pool_views.go
@@ -0,0 +1,106 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// Upstreams lists the replicas with what was last seen of them.
+func (p *Pool) Upstreams() []site.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]site.Upstream, 0, len(p.list))
+	for _, m := range p.list {
+		list = append(list, m.Upstream)
+	}
+	return list
+}
+
+// Majority is the version of a model's weights that most replicas have.
+func (p *Pool) Majority(model string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := map[int64]int{}
+	best := int64(0)
+	for _, m := range p.list {
+		v := m.Weights[model]
+		counts[v]++
+		if counts[v] > counts[best] || counts[v] == counts[best] && v > best {
+			best = v
+		}
+	}
+	return best
+}
+
+// Halls lists the data halls of the replicas.
+func (p *Pool) Halls() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.halls)
+}
+
+// MedianWait is the median of what a new prompt would wait for those before it,
+// over the replicas that take some.
+func (p *Pool) MedianWait(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var waits []float64
+	for _, m := range p.list {
+		if !m.Draining && !m.passedOver(now) {
+			waits = append(waits, float64(m.pending+m.others.Tokens)*p.perToken*m.lateness(now))
+		}
+	}
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	return seconds(waits[len(waits)/2])
+}
+
+// Count is how many replicas there are, and how many of them neither leave nor
+// are passed over.
+func (p *Pool) Count(now time.Time) (all, usable int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.list {
+		if !m.Draining && !m.passedOver(now) {
+			usable++
+		}
+	}
+	return len(p.list), usable
+}
+
+// MemberStatus is what a dump shows of one replica.
+type MemberStatus struct {
+	site.Upstream
+
+	Requests int      `json:"requests"` // Of this node.
+	Tokens   int      `json:"tokens"`   // That they are to have read.
+	Others   PeerLoad `json:"others"`
+	Lateness float64  `json:"lateness"`
+	Failing  float64  `json:"failing"`
+	Ejected  bool     `json:"ejected"`
+	Avoided  bool     `json:"avoided"`
+}
+
+// Status lists the replicas, by name.
+func (p *Pool) Status(now time.Time) []MemberStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]MemberStatus, 0, len(p.list))
+	for _, m := range p.list {
+		list = append(list, MemberStatus{
+			Upstream: m.Upstream,
+			Requests: len(m.flights),
+			Tokens:   m.pending,
+			Others:   m.others,
+			Lateness: m.lateness(now),
+			Failing:  m.failing,
+			Ejected:  m.outcome.ejected(now),
+			Avoided:  now.Before(m.avoid),
+		})
+	}
+	return list
+}
