--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -179,8 +179,8 @@
 	s.used = 0
 }
 
-// Terms bound what a plan may do.
-type Terms struct {
+// PlanLimits bound what a plan may do.
+type PlanLimits struct {
 	// Longest is the longest that a fetch may be expected to take.
 	Longest time.Duration
 	// Save says that parts that no store has are saved.
@@ -192,7 +192,7 @@
 
 // Plan decides for the shared parts of a prompt that runs at a replica in a data
 // hall.
-func (k *Kept) Plan(realm, hall string, shared []site.Part, e *site.Engine, t Terms, now time.Time) *Plan {
+func (k *Kept) Plan(realm, hall string, shared []site.Part, e *site.Engine, l PlanLimits, now time.Time) *Plan {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p := &Plan{
@@ -203,18 +203,18 @@
 	for i, part := range shared {
 		key := partKey{realm, part.ID}
 		bytes := int64(part.Tokens) * int64(e.TokenBytes)
-		s, wait := k.source(key, hall, part.Tokens, bytes, t.Before, now)
+		s, wait := k.source(key, hall, part.Tokens, bytes, l.Before, now)
 		lacking := 1 - k.use.held(key, e.Capacity, now)
 		wait = time.Duration(lacking * float64(wait))
 		k.use.note(key, part.Tokens, now)
-		if s != nil && p.Time+wait < t.Longest {
+		if s != nil && p.Time+wait < l.Longest {
 			p.take(i, part.Tokens, s, wait)
 			if lacking > mostlyLacking {
 				p.moves = append(p.moves, s)
 				s.book(bytes, hall, now)
 			}
 		}
-		if t.Save && (s == nil || k.use.often(key, now)) {
+		if l.Save && (s == nil || k.use.often(key, now)) {
 			k.save(p, i, key, part.Tokens, bytes, s, hall, now)
 		}
 	}
@@ -273,7 +273,7 @@
 
 // Look says for each data hall how many of a prompt's shared tokens, from its
 // start on, can be fetched to a replica there, and how long that should take;
-// before is as in Terms.
+// before is as in PlanLimits.
 func (k *Kept) Look(realm string, halls []string, shared []site.Part, e *site.Engine, before, now time.Time) map[string]Offer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/pkg/route/kept_test.go
+++ b/pkg/route/kept_test.go
@@ -43,18 +43,18 @@
 func TestOnlyPartsToldToBeWholeAreFetched(t *testing.T) {
 	s := testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9)
 	k := newTestKept(s)
-	p := k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow)
+	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow)
 	assert.Equal(t, p.Saved, 7000)
 	assert.Equal(t, p.Fetched, 0)
-	p = k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow.Add(time.Millisecond))
+	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(time.Millisecond))
 	assert.Equal(t, p.Fetched, 0, "asked to be saved is not kept")
 	assert.Equal(t, p.Saved, 0, "a part is saved once")
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[0], site.Part{ID: "bb", Tokens: 4000})}, testNow)
-	p = k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow.Add(2*time.Millisecond))
+	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(2*time.Millisecond))
 	assert.Assert(t, p.Sources[0].IsValid())
 	assert.Assert(t, !p.Sources[1].IsValid(), "a part that is kept in part is not whole")
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[1])}, testNow)
-	p = k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow.Add(3*time.Millisecond))
+	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(3*time.Millisecond))
 	assert.Assert(t, p.Sources[1].IsValid())
 }
 
@@ -62,9 +62,9 @@
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("m@1", testPrompt...)}, testNow)
 	for _, realm := range []string{"m@2", "m@1/org", "other@1"} {
-		assert.Equal(t, k.Plan(realm, "h0", testPrompt, testEngine, Terms{Longest: time.Second}, testNow).Fetched, 0, realm)
+		assert.Equal(t, k.Plan(realm, "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow).Fetched, 0, realm)
 	}
-	assert.Equal(t, k.Plan("m@1", "h0", testPrompt, testEngine, Terms{Longest: time.Second}, testNow).Fetched, 7000)
+	assert.Equal(t, k.Plan("m@1", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow).Fetched, 7000)
 }
 
 // After a restart nothing is read, and nothing is saved until all nodes must have
@@ -73,10 +73,10 @@
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
 	k.Apply("s", site.CacheChanges{Boot: 2}, testNow)
-	p := k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow.Add(time.Second))
+	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(time.Second))
 	assert.Equal(t, p.Fetched, 0)
 	assert.Equal(t, p.Saved, 0)
-	p = k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow.Add(restartTerm+time.Second))
+	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(restartTerm+time.Second))
 	assert.Equal(t, p.Saved, 7000)
 }
 
@@ -84,18 +84,18 @@
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
 	k.Silent("s")
-	p := k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow)
+	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow)
 	assert.Equal(t, p.Fetched+p.Saved, 0)
 	k.Apply("s", site.CacheChanges{Boot: 1}, testNow)
-	assert.Equal(t, k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow).Fetched, 7000)
+	assert.Equal(t, k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow).Fetched, 7000)
 }
 
 func TestFullStoreTakesNothing(t *testing.T) {
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 9_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", site.Part{ID: "cc", Tokens: 8000})}, testNow)
-	assert.Equal(t, k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow).Saved, 0)
+	assert.Equal(t, k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow).Saved, 0)
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: []site.CacheChange{{Realm: "r", Part: "cc"}}}, testNow)
-	assert.Assert(t, k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Save: true}, testNow).Saved > 0)
+	assert.Assert(t, k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow).Saved > 0)
 }
 
 func TestFetchComesFromWhereItIsSoonest(t *testing.T) {
@@ -104,10 +104,10 @@
 	k := newTestKept(slow, fast)
 	k.Apply("slow", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
 	k.Apply("fast", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
-	p := k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second}, testNow)
+	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
 	assert.Equal(t, p.Sources[1], fast.Store.Addr)
 	k.AddPeer("fast", 20e9, testNow) // Other nodes have asked for much there.
-	p = k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second}, testNow)
+	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
 	assert.Equal(t, p.Sources[1], slow.Store.Addr)
 }
 
@@ -119,7 +119,7 @@
 		parts := []site.Part{{ID: fmt.Sprintf("p%d", i), Tokens: 5000}}
 		k.Apply("a", site.CacheChanges{Boot: 1, Changes: plus("r", parts...)}, now)
 		k.Apply("b", site.CacheChanges{Boot: 1, Changes: plus("r", parts...)}, now)
-		return k.Plan("r", "h0", parts, testEngine, Terms{Longest: time.Second}, now)
+		return k.Plan("r", "h0", parts, testEngine, PlanLimits{Longest: time.Second}, now)
 	}
 	now := testNow
 	for i := range 12 {
@@ -182,7 +182,7 @@
 	named := testNow.Add(time.Second)
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[0])}, testNow)
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[1])}, named.Add(time.Millisecond))
-	p := k.Plan("r", "h0", testPrompt, testEngine, Terms{Longest: time.Second, Before: named}, named.Add(time.Second))
+	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Before: named}, named.Add(time.Second))
 	assert.Assert(t, p.Sources[0].IsValid())
 	assert.Assert(t, !p.Sources[1].IsValid())
 	o := k.Look("r", []string{"h0"}, testPrompt, testEngine, named, named.Add(time.Second))
