Test of how long clients may take: head, body, rest

The head's and the body's limits answer 408, which is true: nothing has run; a connection that rests too long is closed without a word.

--- a/internal/standin/onplatform/forward_test.go
+++ b/internal/standin/onplatform/forward_test.go
@@ -359,3 +359,26 @@
 	assert.Equal(t, len(a.Seen()), 1)
 	assert.Equal(t, len(b.Seen()), 1)
 }
+
+func TestLimitsOfHowLongClientsTake(t *testing.T) {
+	s := newSite(t)
+	s.limits["header_timeout_ms"] = 200
+	s.limits["idle_timeout_ms"] = 300
+	s.configure()
+	r := s.replica(app, "a")
+	n := s.node("n1")
+	head := n.dial()
+	head.write("POST /once/x HTTP/1.1\r\nHost: " + host + "\r\n") // The rest never comes.
+	got := head.read()
+	assert.Equal(t, got.status, 408)
+	assert.Assert(t, got.last)
+	body := n.dial()
+	body.write("POST /once/x HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: slow\r\nDeadline-Ms: 200\r\nContent-Length: 9\r\n\r\nabc")
+	assert.Equal(t, body.read().status, 408)
+	rest := n.dial()
+	rest.write(request("GET", "/safe/x", ""))
+	assert.Equal(t, rest.read().status, 200)
+	_, err := rest.r.ReadByte()
+	assert.Assert(t, err == io.EOF, "a connection that rests too long is closed without a word")
+	assert.Equal(t, len(r.Seen()), 1)
+}
