After a last read: a node's own loads are read in one place, dead state is gone

Cause: the loop over this node's loads stood in tell and in sumHall, the list of living nodes in loads.go and in news.go; answers and terms carried fields that nobody read; a flag of one goroutine was atomic; meet called the members under its lock, against the order that doc.go states, which itself left out the codec and the log. Change: one piece each; doc.go says what is called under a lock. No behaviour is meant to change.

--- a/pkg/site/answer.go
+++ b/pkg/site/answer.go
@@ -8,6 +8,4 @@
 	NotRun bool
 	// Weights is the version that the request runs on, 0 if it does not say.
 	Weights int64
-	// Signed says that the answer was made by a replica's own work.
-	Signed bool
 }
--- a/pkg/site/terms.go
+++ b/pkg/site/terms.go
@@ -16,8 +16,6 @@
 	Prompt []Part
 	// Out is the most tokens to be generated.
 	Out int
-	// LastEvent is the event behind which a stream is to go on, "" for its start.
-	LastEvent string
 }
 
 // PromptTokens is the length of the prompt.
--- a/service/gateway/client_writer.go
+++ b/service/gateway/client_writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"sync/atomic"
 
 	"github.com/drumpath/drumpath/pkg/http1"
 )
@@ -17,7 +16,7 @@
 	// closing says that the connection ends after this answer; it may become
 	// true while the request is served.
 	closing func() bool
-	begun   atomic.Bool
+	begun   bool
 	failed  bool
 	ended   bool
 }
@@ -30,7 +29,7 @@
 	if w.failed {
 		return
 	}
-	w.begun.Store(true)
+	w.begun = true
 	if _, err := w.conn.Write(b); err != nil {
 		w.failed = true
 	}
@@ -50,7 +49,6 @@
 		b = append(b, body...)
 	}
 	w.raw(b)
-	w.failed = w.failed || last
 }
 
 // headRoom is room for the head of an answer.
--- a/service/gateway/doc.go
+++ b/service/gateway/doc.go
@@ -5,6 +5,6 @@
 // It knows a site by the types of pkg/site only; how a platform spells them is
 // behind the interfaces of Platform.
 //
-// Lock order: no lock of this package is held while another package is called,
-// except those of pkg/route, which call nobody.
+// Lock order: while a lock of this package is held, of other packages only pkg/route,
+// the codec and the log are called, and those call nobody back.
 package gateway
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -121,11 +121,6 @@
 // tell sends this node's state to the others of its hall.
 func (n *nodes) tell(peers []netip.AddrPort) {
 	s := n.state()
-	for _, p := range n.beliefs.Pools() {
-		for id, l := range p.Loads() {
-			s.Loads[id] = load{l.Requests, l.Tokens}
-		}
-	}
 	s.Moves = n.kept.Moved()
 	n.note(peers, noteState, s)
 	n.mu.Lock()
@@ -134,17 +129,24 @@
 	n.merge(time.Now())
 }
 
+// state begins a note with what this node itself has in flight.
 func (n *nodes) state() nodeState {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.loads.seq++
-	return nodeState{
+	s := nodeState{
 		From:  n.self.Name,
 		Hall:  n.self.DataHall,
 		Boot:  n.members.Self().Incarnation,
-		Seq:   n.loads.seq,
 		Loads: map[string]load{},
 	}
+	for _, p := range n.beliefs.Pools() {
+		for id, l := range p.Loads() {
+			s.Loads[id] = load{l.Requests, l.Tokens}
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads.seq++
+	s.Seq = n.loads.seq
+	return s
 }
 
 func (n *nodes) note(to []netip.AddrPort, method string, params any) {
@@ -155,9 +157,18 @@
 
 // inHall lists the addresses of the other nodes of a hall that may live.
 func (n *nodes) inHall(hall string) []netip.AddrPort {
+	return n.addresses(func(m control.Member) bool { return m.DataHall == hall })
+}
+
+// others lists the addresses of all other nodes that may live.
+func (n *nodes) others() []netip.AddrPort {
+	return n.addresses(func(control.Member) bool { return true })
+}
+
+func (n *nodes) addresses(keep func(control.Member) bool) []netip.AddrPort {
 	var list []netip.AddrPort
 	for _, m := range n.members.All() {
-		if m.DataHall == hall && m.Name != n.self.Name && m.State != control.MemberDead {
+		if m.Name != n.self.Name && m.State != control.MemberDead && keep(m) {
 			list = append(list, m.Peer)
 		}
 	}
@@ -229,13 +240,8 @@
 	n.note(others, noteHall, s)
 }
 
-// sumHall fills in what the nodes of this hall have in flight.
+// sumHall adds what the other nodes of this hall have in flight, and all moves.
 func (n *nodes) sumHall(s *nodeState) {
-	for _, p := range n.beliefs.Pools() {
-		for id, l := range p.Loads() {
-			s.Loads[id] = load{l.Requests, l.Tokens}
-		}
-	}
 	moved := n.kept.Moved()
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -2,10 +2,7 @@
 
 import (
 	"encoding/json"
-	"net/netip"
 	"time"
-
-	"github.com/drumpath/drumpath/pkg/control"
 )
 
 const (
@@ -64,14 +61,3 @@
 		}
 	}
 }
-
-// others are the addresses of the other nodes that may live.
-func (n *nodes) others() []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, m := range n.members.All() {
-		if m.Name != n.self.Name && m.State != control.MemberDead {
-			list = append(list, m.Peer)
-		}
-	}
-	return list
-}
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -60,8 +60,8 @@
 // long as it has not, or knows nobody.
 func (n *nodes) meet(ctx context.Context) {
 	now := time.Now()
-	n.mu.Lock()
 	known := len(n.members.Working())
+	n.mu.Lock()
 	again := meetAgain * time.Duration(max(1, known/meetNodes))
 	due := !n.announced || known <= 1 || now.Sub(n.met) >= again
 	n.mu.Unlock()
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -44,7 +44,7 @@
 	r.held = nil
 	err := x.copyEvents(r, a)
 	now := time.Now()
-	if x.out.begun.Load() {
+	if x.out.begun {
 		x.stream = r
 	}
 	if err == nil {
@@ -130,7 +130,7 @@
 	if id := lastEventID(events); id != "" {
 		r.lastID = id
 	}
-	if !r.out.begun.Load() {
+	if !r.out.begun {
 		r.out.begin(r.head.Status, r.head.EndToEnd(), events)
 		return
 	}
@@ -143,7 +143,7 @@
 		r.pass(r.held)
 		r.held = nil
 	}
-	if !r.out.begun.Load() {
+	if !r.out.begun {
 		r.out.begin(r.head.Status, r.head.EndToEnd(), nil)
 	}
 	r.out.end()
