Nodes tell each other which fetches came late

Cause: each node learnt a store's lateness from its own fetches alone. One of 7 sees some two fetches a second from a store, one of 59 a fifth of one: a link slowed fourfold for 5 s was noticed when it was over, and while it lasted fetches queued there, were given up and read again. Change: what nodes tell of links is a tally of bytes and of fetches that came late or early; the others' count as a node's own. TestFetchesThatCameLateAtOtherNodesCount failed before (what was told had no such count).

--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -35,7 +35,7 @@
 	parts   map[partKey]whole
 	used    int // Tokens of parts that are whole.
 	saving  map[partKey]saving
-	moved   int64         // Bytes of all moves that this node has asked for.
+	own     Tally         // Of this node.
 	busy    time.Time     // Until when the link is taken by moves asked for.
 	late    time.Duration // By how much fetches come later than expected.
 	lateAt  time.Time
@@ -117,26 +117,28 @@
 	}
 }
 
-// Moved lists the bytes of all moves that this node has asked for, by store, for
-// other nodes to hear.
-func (k *Kept) Moved() map[string]int64 {
+// Tallies lists what this node has done with each store's link, for other nodes to
+// hear.
+func (k *Kept) Tallies() map[string]Tally {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	list := map[string]int64{}
+	list := map[string]Tally{}
 	for name, s := range k.stores {
-		if s.moved > 0 {
-			list[name] = s.moved
+		if !s.own.Empty() {
+			list[name] = s.own
 		}
 	}
 	return list
 }
 
-// AddPeer takes in that other nodes have asked for moves of so many bytes.
-func (k *Kept) AddPeer(name string, bytes int64, now time.Time) {
+// AddPeer takes in what other nodes have done with a store's link since they last
+// told.
+func (k *Kept) AddPeer(name string, t Tally, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if s, ok := k.stores[name]; ok {
-		s.occupy(bytes, now)
+		s.occupy(t.Bytes, now)
+		s.shift(t.Late-t.Early, now)
 	}
 }
 
@@ -159,7 +161,7 @@
 // book has this node's own move take its time on the link.
 func (s *keptStore) book(bytes int64, hall string, now time.Time) {
 	bytes = s.effective(bytes, hall)
-	s.moved += bytes
+	s.own.Bytes += bytes
 	s.occupy(bytes, now)
 }
 
@@ -321,6 +323,34 @@
 	return max(0, s.busy.Sub(now)) + seconds(own) + s.Latency + s.lateness(now)
 }
 
+// shift moves the store's lateness by a step for each fetch that came late over
+// those that came early, or the other way round.
+//
+// How long a fetch took can't be told from the reading behind it. So the lateness
+// follows the median: a few very late answers move it no further than others.
+func (s *keptStore) shift(late int64, now time.Time) {
+	for range min(late, fetchLateSteps) {
+		l := s.lateness(now)
+		s.late, s.lateAt = min(fetchLateMost, l+lateStep(l)), now
+	}
+	for range min(-late, fetchLateSteps) {
+		l := s.lateness(now)
+		s.late, s.lateAt = max(0, l-lateStep(l)), now
+	}
+}
+
+func lateStep(late time.Duration) time.Duration { return max(fetchLateStep, late/fetchLateParts) }
+
+const (
+	// fetchLateStep and fetchLateParts say how far one answer moves a store's
+	// lateness: a link that has become slow is noticed within some ten answers.
+	fetchLateStep  = 8 * time.Millisecond
+	fetchLateParts = 6
+	fetchLateMost  = time.Second
+	// fetchLateSteps bounds how far one word of another node moves it.
+	fetchLateSteps = 30
+)
+
 // lateness is how much later than expected fetches from the store come.
 func (s *keptStore) lateness(now time.Time) time.Duration {
 	fade := math.Exp(-max(0, now.Sub(s.lateAt).Seconds()/lateMemory.Seconds()))
--- a/pkg/route/kept_test.go
+++ b/pkg/route/kept_test.go
@@ -106,7 +106,7 @@
 	k.Apply("fast", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
 	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
 	assert.Equal(t, p.Sources[1], fast.Store.Addr)
-	k.AddPeer("fast", 20e9, testNow) // Other nodes have asked for much there.
+	k.AddPeer("fast", Tally{Bytes: 20e9}, testNow) // Other nodes have asked for much there.
 	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
 	assert.Equal(t, p.Sources[1], slow.Store.Addr)
 }
@@ -188,3 +188,31 @@
 	o := k.Look("r", []string{"h0"}, testPrompt, testEngine, named, named.Add(time.Second))
 	assert.Equal(t, o["h0"].Tokens, testPrompt[0].Tokens)
 }
+
+// One node of many sees a store too seldom to notice by itself that its link has
+// become slow; what the others have seen must count as its own does.
+func TestFetchesThatCameLateAtOtherNodesCount(t *testing.T) {
+	a, b := testStore("a", "h0", "10.0.0.1:1", 100_000, 10e9), testStore("b", "h0", "10.0.0.2:1", 100_000, 9e9)
+	k, other := newTestKept(a, b), newTestKept(a, b)
+	for _, x := range []*Kept{k, other} {
+		x.Apply("a", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
+		x.Apply("b", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
+	}
+	source := func(after time.Duration) netip.AddrPort { // Moves before it are done.
+		return k.Plan("r", "h0", testPrompt[1:], testEngine, PlanLimits{Longest: time.Second}, testNow.Add(after)).Sources[0]
+	}
+	assert.Equal(t, source(0), a.Store.Addr)
+	now := testNow
+	for i := range 12 {
+		now = now.Add(10 * time.Millisecond)
+		parts := []site.Part{{ID: fmt.Sprintf("p%d", i), Tokens: 10}}
+		other.Apply("a", site.CacheChanges{Boot: 1, Changes: plus("r", parts...)}, now)
+		other.Plan("r", "h0", parts, testEngine, PlanLimits{Longest: time.Second}, now).First(time.Second, now)
+	}
+	told := other.Tallies()["a"]
+	assert.Equal(t, told.Late, int64(12))
+	k.AddPeer("a", Tally{Late: told.Late}, now)
+	assert.Equal(t, source(time.Second), b.Store.Addr)
+	k.AddPeer("a", Tally{Early: 2 * told.Late}, now.Add(time.Second))
+	assert.Equal(t, source(2*time.Second), a.Store.Addr, "and those that came in time as well")
+}
--- a/pkg/route/plan.go
+++ b/pkg/route/plan.go
@@ -30,11 +30,6 @@
 
 // First records that the first byte of the answer has come, by how much later
 // than expected.
-//
-// How long a fetch took can't be told from the reading behind it. So a store's
-// lateness follows the median: it goes up by a step with each answer that came
-// late and down with each that came early, and a few very late ones move it no
-// further than others.
 func (p *Plan) First(excess time.Duration, now time.Time) {
 	if p.kept == nil {
 		return
@@ -42,20 +37,12 @@
 	p.kept.mu.Lock()
 	defer p.kept.mu.Unlock()
 	for _, s := range p.moves {
-		late := s.lateness(now)
-		step := max(fetchLateStep, late/fetchLateParts)
 		if excess < 0 {
-			step = -step
+			s.own.Early++
+			s.shift(-1, now)
+		} else {
+			s.own.Late++
+			s.shift(1, now)
 		}
-		s.late = min(fetchLateMost, max(0, late+step))
-		s.lateAt = now
 	}
 }
-
-const (
-	// fetchLateStep and fetchLateParts say how far one answer moves a store's
-	// lateness: a link that has become slow is noticed within some ten answers.
-	fetchLateStep  = 8 * time.Millisecond
-	fetchLateParts = 6
-	fetchLateMost  = time.Second
-)
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -42,12 +43,13 @@
 // nodeState is what one node tells. Its JSON names are short, as it is sent many
 // times a second.
 type nodeState struct {
-	From  string           `json:"f"`
-	Hall  string           `json:"h"`
-	Boot  uint64           `json:"b"`
-	Seq   uint64           `json:"q"`
-	Loads map[string]load  `json:"l,omitempty"` // By replica.
-	Moves map[string]int64 `json:"m,omitempty"` // Bytes of all moves asked for, by store.
+	From  string          `json:"f"`
+	Hall  string          `json:"h"`
+	Boot  uint64          `json:"b"`
+	Seq   uint64          `json:"q"`
+	Loads map[string]load `json:"l,omitempty"` // By replica.
+	// Links is what has been done with each store's link so far.
+	Links map[string]route.Tally `json:"m,omitempty"`
 }
 
 type heardState struct {
@@ -60,11 +62,11 @@
 	seq    uint64
 	states map[string]heardState // Of nodes of this hall.
 	halls  map[string]heardState // Sums of the others.
-	// moved are the bytes of moves that the whole hall has asked for.
-	moved map[string]int64
-	own   map[string]int64 // Of those, this node's when last summed.
-	told  map[string]load  // What this node told last.
-	heard map[string]int64 // This node's moves when its hall's sum was last heard.
+	// links is what the whole hall has done with each store's link.
+	links map[string]route.Tally
+	own   map[string]route.Tally // Of that, this node's when last summed.
+	told  map[string]load        // What this node told last.
+	heard map[string]route.Tally // This node's when its hall's sum was last heard.
 
 	speakers   map[string]control.Member
 	speakersAt uint64 // Generation of the members.
@@ -74,8 +76,8 @@
 	return loads{
 		states: map[string]heardState{},
 		halls:  map[string]heardState{},
-		moved:  map[string]int64{},
-		own:    map[string]int64{},
+		links:  map[string]route.Tally{},
+		own:    map[string]route.Tally{},
 	}
 }
 
@@ -121,7 +123,7 @@
 // tell sends this node's state to the others of its hall.
 func (n *nodes) tell(peers []netip.AddrPort) {
 	s := n.state()
-	s.Moves = n.kept.Moved()
+	s.Links = n.kept.Tallies()
 	n.note(peers, noteState, s)
 	n.mu.Lock()
 	n.loads.told = s.Loads
@@ -240,9 +242,10 @@
 	n.note(others, noteHall, s)
 }
 
-// sumHall adds what the other nodes of this hall have in flight, and all moves.
+// sumHall adds what the other nodes of this hall have in flight, and what all of
+// them have done with links.
 func (n *nodes) sumHall(s *nodeState) {
-	moved := n.kept.Moved()
+	own := n.kept.Tallies()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, state := range n.loads.states {
@@ -251,14 +254,11 @@
 			s.Loads[id] = load{sum[0] + l[0], sum[1] + l[1]}
 		}
 	}
-	for store, bytes := range moved {
-		n.loads.moved[store] += bytes - n.loads.own[store]
-		n.loads.own[store] = bytes
-	}
-	s.Moves = make(map[string]int64, len(n.loads.moved))
-	for store, bytes := range n.loads.moved {
-		s.Moves[store] = bytes
+	for store, t := range own {
+		n.loads.links[store] = n.loads.links[store].Plus(t.Since(n.loads.own[store]))
+		n.loads.own[store] = t
 	}
+	s.Links = maps.Clone(n.loads.links)
 }
 
 // hearState takes in the state of another node of this hall.
@@ -266,8 +266,8 @@
 	if s, old, ok := n.hear(params, n.loads.states, func(s *nodeState) string { return s.From }); ok {
 		more := s.moreThan(old)
 		n.mu.Lock()
-		for store, bytes := range more {
-			n.loads.moved[store] += bytes
+		for store, t := range more {
+			n.loads.links[store] = n.loads.links[store].Plus(t)
 		}
 		n.mu.Unlock()
 		n.apply(more)
@@ -291,19 +291,15 @@
 	n.apply(s.moreThan(old))
 }
 
-// withoutOwn takes this node's own moves out of those of its hall.
-func (n *nodes) withoutOwn(more map[string]int64) map[string]int64 {
-	moved := n.kept.Moved()
+// withoutOwn takes this node's own part out of what its hall has done with links.
+func (n *nodes) withoutOwn(more map[string]route.Tally) map[string]route.Tally {
+	own := n.kept.Tallies()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for store, bytes := range moved {
-		if left := more[store] - (bytes - n.loads.heard[store]); left > 0 {
-			more[store] = left
-		} else {
-			delete(more, store)
-		}
+	for store, t := range own {
+		more[store] = more[store].Since(t.Since(n.loads.heard[store]))
 	}
-	n.loads.heard = moved
+	n.loads.heard = own
 	return more
 }
 
@@ -328,25 +324,25 @@
 	return s, old, true
 }
 
-// moreThan are the bytes of moves since an older state of the same node.
-func (s *nodeState) moreThan(old heardState) map[string]int64 {
-	more := map[string]int64{}
+// moreThan is what has been done with links since an older state of the same node.
+func (s *nodeState) moreThan(old heardState) map[string]route.Tally {
+	more := map[string]route.Tally{}
 	if s.Boot != old.Boot || s.From != old.From {
 		return more
 	}
-	for store, bytes := range s.Moves {
-		if d := bytes - old.Moves[store]; d > 0 {
+	for store, t := range s.Links {
+		if d := t.Since(old.Links[store]); !d.Empty() {
 			more[store] = d
 		}
 	}
 	return more
 }
 
-// apply has the bytes of others' moves take their time, and their loads count.
-func (n *nodes) apply(moves map[string]int64) {
+// apply has others' moves take their time and their loads count.
+func (n *nodes) apply(links map[string]route.Tally) {
 	now := time.Now()
-	for store, bytes := range moves {
-		n.kept.AddPeer(store, bytes, now)
+	for store, t := range links {
+		n.kept.AddPeer(store, t, now)
 	}
 	n.merge(now)
 }
