Duties that send much fall to the nodes with the widest links

Ruled out: the followers' pauses (none for this table), processor time (0.02 of a core). Change: a node tells the rate of its link; readers, speakers and watchers are chosen among those with at least half of the widest. TestDutiesThatSendMuchFallToWideLinks failed before.

--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -57,6 +57,9 @@
 type GatewayLimitSettings struct {
 	MemoryMB    float64 `json:"memory_mb" validate:"gte=0"`
 	Descriptors int     `json:"descriptors" validate:"gte=0"`
+	// LinkMbps is the rate of the node's link in Mbit/s, 0 if it is not known.
+	// Duties that send much fall to the nodes with the widest links.
+	LinkMbps float64 `json:"link_mbps" validate:"gte=0"`
 }
 
 // RetrySettings is the budget of retries that all nodes share.
--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -23,6 +23,7 @@
 	"platform.addr|json":             `"10.200.1.7:8744"`,
 	"limits.memory_mb|json":          "284",
 	"limits.max_fds|json":            "4100",
+	"limits.link_mbps|json":          "1000.0",
 	"bounds.retry_budget_ratio|json": "0.2",
 	"bounds.budget_window_s":         "10",
 	"bounds.retry_budget_slack|json": "54",
@@ -52,6 +53,7 @@
 	assert.Equal(t, s.Node.DataHall, "hall-a")
 	assert.Equal(t, s.Peer.Listen.String(), "10.1.0.19:7580")
 	assert.Equal(t, s.Retry.Slack, 54.0)
+	assert.Equal(t, s.Limits.LinkMbps, 1000.0)
 	assert.Equal(t, s.Orders.Within.Std(), 10*time.Second)
 	assert.Equal(t, s.Stop.Grace.Std(), 8*time.Second)
 }
--- a/pkg/control/member.go
+++ b/pkg/control/member.go
@@ -29,6 +29,8 @@
 	DataHall    string         `json:"h"`
 	Incarnation uint64         `json:"i"`
 	State       MemberState    `json:"s"`
+	// Link is the rate of the node's own link in Mbit/s, 0 if it is not known.
+	Link float64 `json:"l,omitempty"`
 
 	hash uint64 // Of the name, for rendezvous hashing; 0 if not worked out.
 }
@@ -44,3 +46,24 @@
 	}
 	return m.State > old.State
 }
+
+// wideShare is the part of the widest link that a node's link must have for the
+// node to be among the widest.
+const wideShare = 0.5
+
+// Widest lists the members whose links are about as wide as the widest one's.
+// Duties that send much fall to these: a node with a narrow link would hold up all
+// that wait for it, and its own requests.
+func Widest(members []Member) []Member {
+	most := 0.0
+	for _, m := range members {
+		most = max(most, m.Link)
+	}
+	var list []Member
+	for _, m := range members {
+		if m.Link >= wideShare*most {
+			list = append(list, m)
+		}
+	}
+	return list
+}
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -201,7 +201,7 @@
 	}
 	list := make(map[string]control.Member, len(halls))
 	for hall, members := range halls {
-		if m, ok := control.Owner(members, speakDuty+hall); ok {
+		if m, ok := control.Owner(control.Widest(members), speakDuty+hall); ok {
 			list[hall] = m
 		}
 	}
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -96,7 +96,7 @@
 	if direct || len(hall) <= directMost {
 		return addr, false
 	}
-	owner, found := control.Owner(hall, readDuty+tableName(t))
+	owner, found := control.Owner(control.Widest(hall), readDuty+tableName(t))
 	return owner.Peer, found && owner.Name != r.self.Name
 }
 
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -208,6 +208,35 @@
 	assert.Assert(t, !ok)
 }
 
+// What is told to a whole hall is more than a narrow link carries: a configuration
+// of some 60 kB for 20 nodes holds one of 10 Mbit/s up for a second.
+func TestDutiesThatSendMuchFallToWideLinks(t *testing.T) {
+	wide := control.Member{Name: "wide", DataHall: "h", Incarnation: 1, Link: 200, Peer: netip.MustParseAddrPort("127.0.0.1:1")}
+	self := control.Member{Name: "n0", DataHall: "h", Incarnation: 1, Link: 10}
+	m := control.NewMembers(self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
+	list := []control.Member{wide}
+	for i := range 20 {
+		list = append(list, control.Member{Name: fmt.Sprintf("n%d", i), DataHall: "h", Incarnation: 1, Link: 10})
+	}
+	m.Merge(list, time.Now())
+	for _, table := range []site.Table{site.TableOperator, site.TableUpstreams} {
+		reader, ok := newReaders(nil, self, m, nil).reader(table)
+		assert.Assert(t, ok)
+		assert.Equal(t, reader, wide.Peer)
+	}
+	n := &nodes{self: self, members: m, loads: newLoads()}
+	assert.Equal(t, n.speakers()["h"].Name, wide.Name)
+	for i := range 8 {
+		store := &site.Service{Name: fmt.Sprint("s", i), Store: &site.Store{MaxWatches: 4}}
+		watcher, ok := newWatchers(nil, self, m, nil).watcher(store)
+		assert.Assert(t, ok)
+		assert.Equal(t, watcher, wide.Peer)
+	}
+	wide.State = control.MemberDead
+	m.Merge([]control.Member{wide}, time.Now())
+	assert.Assert(t, n.speakers()["h"].Name != wide.Name, "the others take over")
+}
+
 func TestWatcherTellsWhatItHasKept(t *testing.T) {
 	w := newWatchers(nil, control.Member{}, nil, nil)
 	ask := func(boot, since int64) (site.CacheChanges, error) {
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -53,7 +53,13 @@
 
 // constructors are what the container builds a node from.
 func constructors(s config.GatewaySettings, p Platform, log *slog.Logger) []any {
-	self := control.Member{Name: s.Node.Name, Peer: s.Peer.Listen, Entry: s.Entry.Listen, DataHall: s.Node.DataHall}
+	self := control.Member{
+		Name:     s.Node.Name,
+		Peer:     s.Peer.Listen,
+		Entry:    s.Entry.Listen,
+		DataHall: s.Node.DataHall,
+		Link:     s.Limits.LinkMbps,
+	}
 	return []any{
 		func() config.GatewaySettings { return s },
 		func() *slog.Logger { return log },
