A node that the store turns away asks other nodes

Cause: a node that the platform's store refused or that was cut off from it kept its last configuration until it was let in again. Ruled out: shorter retries, as the store answers nothing at all to some nodes; more than one reader a hall, as both may be turned away. Change: such a node asks other nodes, by turns of its hall and of any, what they have heard from the store within 3.5 s, and tries the store itself again every 2 s for 0.4 s. With the store away from all, nobody answers, as before. Also: two kinds of lines that `explain` was to show never matched what is logged; TestKindsOfBeliefsAreLogged. TestNodeThatTheStoreTurnsAwayAsksOthers failed before ('down').

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -96,6 +96,8 @@
 	{"upstream not usable, left out", Failure, "An entry of the list can't be used.", []Key{keyRow, keyErr}},
 	{"store lost", Failure, "Calls to the platform's store fail.", []Key{keyTable, keyVersion, keyErr}},
 	{"store back", Change, "They succeed again.", []Key{keyTable, keyVersion, keyAway}},
+	{"store not reached, other nodes are asked", Failure, "This node's own calls to the platform's store fail; it hears of changes from other nodes.", []Key{keyTable, keyErr}},
+	{"store reached again", Change, "This node's own calls succeed again.", []Key{keyTable, keyAway, {"asked", "how often other nodes were asked meanwhile"}}},
 	{"store of kept state lost", Failure, "The events of a store of kept state can't be followed; it is not used.", []Key{keyStore, keyErr}},
 	{"store of kept state back", Change, "They can be again.", []Key{keyStore, keyBoot, keyAway}},
 	{"parts freed", Change, "Parts made under replaced weights were freed.", []Key{keyStore, keyParts, keyBoot}},
--- a/pkg/explain/report.go
+++ b/pkg/explain/report.go
@@ -80,17 +80,19 @@
 // beliefKinds are lines of which the last one of a node tells what it believed;
 // the value is the key that tells such lines apart.
 var beliefKinds = map[string]string{
-	"configuration in force":        "",
-	"weights named":                 "model",
-	"store lost":                    "table",
-	"store back":                    "table",
-	"store of kept state lost":      "store",
-	"store of kept state back":      "store",
-	"stopping":                      "",
-	"node started":                  "",
-	"changed addresses hold only":   "",
-	"replica not swapped in time":   "replica",
-	"configuration not usable, the": "",
+	"configuration in force": "",
+	"weights named":          "model",
+	"store lost":             "table",
+	"store back":             "table",
+	"store not reached, other nodes are asked":     "table",
+	"store reached again":                          "table",
+	"store of kept state lost":                     "store",
+	"store of kept state back":                     "store",
+	"stopping":                                     "",
+	"node started":                                 "",
+	"changed addresses hold only after a restart":  "",
+	"replica not swapped in time":                  "replica",
+	"configuration not usable, the last one stays": "",
 }
 
 // replicaKinds are lines of any node that tell of a replica.
@@ -103,7 +105,11 @@
 }
 
 // pairs are kinds of which only the later one counts.
-var pairs = map[string]string{"store back": "store lost", "store of kept state back": "store of kept state lost"}
+var pairs = map[string]string{
+	"store back":               "store lost",
+	"store reached again":      "store not reached, other nodes are asked",
+	"store of kept state back": "store of kept state lost",
+}
 
 func beliefs(all []Line, nodes, replicas map[string]bool) []Line {
 	kept := map[string]Line{}
--- a/pkg/explain/report_test.go
+++ b/pkg/explain/report_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/events"
 )
 
 const log = `
@@ -57,6 +59,19 @@
 	assert.DeepEqual(t, kinds, []string{"n1 configuration in force", "n1 store back", "n1 replica not reached"})
 }
 
+// A kind that no line has would leave a belief out without a word.
+func TestKindsOfBeliefsAreLogged(t *testing.T) {
+	logged := map[string]bool{}
+	for _, e := range events.Catalogue {
+		logged[e.Name] = true
+	}
+	for _, kinds := range []map[string]string{beliefKinds, replicaKinds, pairs} {
+		for kind := range kinds {
+			assert.Assert(t, logged[kind], kind)
+		}
+	}
+}
+
 func TestUnknownRequest(t *testing.T) {
 	_, err := Read("r9", strings.NewReader(log))
 	assert.ErrorIs(t, err, ErrUnknown)
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"net/netip"
 	"slices"
 	"sync"
@@ -51,6 +52,17 @@
 	After  int64      `json:"after"`
 	WaitMS int64      `json:"wait_ms"`
 	Whole  bool       `json:"whole"`
+	// Detour says that the node that asks does not reach the store, so that
+	// older knowledge serves as well.
+	Detour bool `json:"detour"`
+}
+
+// oldest is the age from which on an answer is not used.
+func (q changesRequest) oldest() time.Duration {
+	if q.Detour {
+		return detourAge
+	}
+	return readerAge
 }
 
 type changesAnswer struct {
@@ -76,14 +88,24 @@
 	self    control.Member
 	members *control.Members
 	client  *peer.Client
+	log     *slog.Logger
 
-	mu     sync.Mutex
-	tables map[site.Table]*readTable
-	direct time.Time // The store is asked until then.
+	mu      sync.Mutex
+	tables  map[site.Table]*readTable
+	direct  time.Time // The hall's reader is not asked until then.
+	detours map[site.Table]detour
 }
 
-func newReaders(s Store, self control.Member, m *control.Members, c *peer.Client) *readers {
-	return &readers{store: s, self: self, members: m, client: c, tables: map[site.Table]*readTable{}}
+func newReaders(s Store, self control.Member, m *control.Members, c *peer.Client, log *slog.Logger) *readers {
+	return &readers{
+		store:   s,
+		self:    self,
+		members: m,
+		client:  c,
+		log:     log,
+		tables:  map[site.Table]*readTable{},
+		detours: map[site.Table]detour{},
+	}
 }
 
 // reader is the node that reads a table for this hall; ok is false if this node
@@ -120,17 +142,20 @@
 
 // List reads a whole table, from this hall's reader if there is one.
 func (r *readers) List(ctx context.Context, t site.Table) (l site.Listing, err error) {
+	q := changesRequest{Table: t, Whole: true}
 	if addr, ok := r.reader(t); ok {
-		if l, err = r.ask(ctx, addr, changesRequest{Table: t, Whole: true}); err == nil {
+		if l, err = r.ask(ctx, addr, q); err == nil {
 			return l, nil
 		}
 		r.doubt()
 	}
-	l, err = r.store.List(ctx, t)
-	if err == nil {
-		r.take(t, l, true)
-	}
-	return l, err
+	return r.fromStore(ctx, q, func(ctx context.Context) (site.Listing, error) {
+		l, err := r.store.List(ctx, t)
+		if err == nil {
+			r.take(t, l, true)
+		}
+		return l, err
+	})
 }
 
 // Changes waits for changes of a table, as Store does.
@@ -139,18 +164,24 @@
 	if hall > directMost {
 		wait = min(wait, readerHold)
 	}
+	q := changesRequest{Table: t, After: after, WaitMS: min(wait, readerHold).Milliseconds()}
 	if addr, ok := r.reader(t); ok {
-		l, err = r.ask(ctx, addr, changesRequest{Table: t, After: after, WaitMS: wait.Milliseconds()})
+		l, err = r.ask(ctx, addr, q)
 		if err == nil || errors.Is(err, site.ErrHistoryGone) {
 			return l, err
 		}
 		r.doubt()
 	}
-	l, err = r.store.Changes(ctx, t, after, wait)
-	if err == nil {
-		r.take(t, l, false)
-	}
-	return l, err
+	return r.fromStore(ctx, q, func(ctx context.Context) (site.Listing, error) {
+		if r.missing(t) {
+			wait = 0
+		}
+		l, err := r.store.Changes(ctx, t, after, wait)
+		if err == nil {
+			r.take(t, l, false)
+		}
+		return l, err
+	})
 }
 
 // doubt has the store itself asked for a while.
@@ -169,7 +200,7 @@
 		return l, err
 	}
 	switch {
-	case time.Duration(a.AgeMS)*time.Millisecond > readerAge:
+	case time.Duration(a.AgeMS)*time.Millisecond > q.oldest():
 		return l, errReaderBehind
 	case a.Gone:
 		return l, site.ErrHistoryGone
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -108,8 +108,8 @@
 	store := &tableStore{}
 	h := &testHall{
 		store:  store,
-		reader: newReaders(store, owner, members(owner), client),
-		asker:  newReaders(store, asker, members(asker), client),
+		reader: newReaders(store, owner, members(owner), client, log),
+		asker:  newReaders(store, asker, members(asker), client, log),
 		server: server,
 	}
 	server.Handle(peer.RolePeer, methodChanges, h.reader.serve)
@@ -203,11 +203,67 @@
 		list = append(list, control.Member{Name: fmt.Sprintf("n%d", i), DataHall: "h", Incarnation: 1})
 	}
 	m.Merge(list, time.Now())
-	r := newReaders(store, self, m, peer.NewClient("key"))
+	r := newReaders(store, self, m, peer.NewClient("key"), slog.New(slog.DiscardHandler))
 	_, ok := r.reader(site.TableUpstreams)
 	assert.Assert(t, !ok)
 }
 
+// A node that the store turns away hears from others what they have heard.
+func TestNodeThatTheStoreTurnsAwayAsksOthers(t *testing.T) {
+	h := newTestHall(t)
+	h.store.add("a")
+	h.read(t)
+	away := &tableStore{fail: true}
+	h.asker.store = away
+	h.asker.doubt() // Its hall's reader has failed it.
+	others := func() {
+		// All others of the hall answer at the address of the one that is real.
+		var list []control.Member
+		for _, m := range h.asker.members.All() {
+			if m.Name != h.asker.self.Name {
+				m.Peer, m.Incarnation = h.server.Addr(), m.Incarnation+1
+				list = append(list, m)
+			}
+		}
+		h.asker.members.Merge(list, time.Now())
+	}
+	others()
+	l, err := h.asker.List(t.Context(), site.TableUpstreams)
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Rows), 1)
+	h.store.add("b")
+	_, err = h.reader.Changes(t.Context(), site.TableUpstreams, l.Version, 0)
+	assert.NilError(t, err)
+	calls := away.count()
+	l, err = h.asker.Changes(t.Context(), site.TableUpstreams, l.Version, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, l.Rows[0].Key, "b")
+	assert.Equal(t, away.count(), calls, "the store is left alone for a while")
+	h.asker.mu.Lock()
+	h.asker.detours[site.TableUpstreams] = detour{lost: time.Now()}
+	h.asker.mu.Unlock()
+	away.mu.Lock()
+	away.fail, away.version, away.rows = false, l.Version, nil
+	away.mu.Unlock()
+	_, err = h.asker.Changes(t.Context(), site.TableUpstreams, l.Version, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, away.count() > calls, "and then tried again")
+	assert.Assert(t, !h.asker.missing(site.TableUpstreams))
+}
+
+// With the store away from all, no node passes on what it heard long ago.
+func TestOldKnowledgeIsNotPassedOn(t *testing.T) {
+	h := newTestHall(t)
+	h.read(t)
+	h.reader.mu.Lock()
+	h.reader.tables[site.TableUpstreams].heard = time.Now().Add(-detourAge - time.Second)
+	h.reader.mu.Unlock()
+	h.asker.store = &tableStore{fail: true}
+	h.asker.doubt()
+	_, err := h.asker.List(t.Context(), site.TableUpstreams)
+	assert.ErrorContains(t, err, "down")
+}
+
 // What is told to a whole hall is more than a narrow link carries: a configuration
 // of some 60 kB for 20 nodes holds one of 10 Mbit/s up for a second.
 func TestDutiesThatSendMuchFallToWideLinks(t *testing.T) {
@@ -220,7 +276,7 @@
 	}
 	m.Merge(list, time.Now())
 	for _, table := range []site.Table{site.TableOperator, site.TableUpstreams} {
-		reader, ok := newReaders(nil, self, m, nil).reader(table)
+		reader, ok := newReaders(nil, self, m, nil, nil).reader(table)
 		assert.Assert(t, ok)
 		assert.Equal(t, reader, wide.Peer)
 	}
