--- a/service/gateway/detour.go
+++ b/service/gateway/detour.go
@@ -31,6 +31,7 @@
 	lost  time.Time // Since when the store is not reached, zero if it is.
 	until time.Time // Others are asked until then.
 	asked int       // Others that were asked.
+	told  bool      // Whether it was logged.
 }
 
 // around says whether others are to be asked for a table.
@@ -48,16 +49,26 @@
 }
 
 // miss notes that the store was not reached.
-func (r *readers) miss(t site.Table, err error) {
+func (r *readers) miss(t site.Table) {
 	now := time.Now()
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	d := r.detours[t]
-	first := d.lost.IsZero()
-	if first {
+	if d.lost.IsZero() {
 		d.lost = now
 	}
 	d.until = now.Add(detourTerm)
 	r.detours[t] = d
+}
+
+// helped notes that another node told what the store, which failed by err, did
+// not. Where no node does, whoever follows the table logs that.
+func (r *readers) helped(t site.Table, err error) {
+	r.mu.Lock()
+	d := r.detours[t]
+	first := !d.told
+	d.told = true
+	r.detours[t] = d
 	r.mu.Unlock()
 	if first {
 		r.log.Warn("store not reached, other nodes are asked", "table", tableName(t), "err", err)
@@ -70,7 +81,7 @@
 	d := r.detours[t]
 	delete(r.detours, t)
 	r.mu.Unlock()
-	if !d.lost.IsZero() {
+	if d.told {
 		r.log.Info("store reached again", "table", tableName(t), "away", time.Since(d.lost), "asked", d.asked)
 	}
 }
@@ -90,11 +101,13 @@
 	if ctx.Err() != nil {
 		return l, err
 	}
-	r.miss(q.Table, err)
-	if other, e := r.askAnother(ctx, q); e == nil || errors.Is(e, site.ErrHistoryGone) {
-		return other, e
+	r.miss(q.Table)
+	other, e := r.askAnother(ctx, q)
+	if e != nil && !errors.Is(e, site.ErrHistoryGone) {
+		return l, err
 	}
-	return l, err
+	r.helped(q.Table, err)
+	return other, e
 }
 
 // tryStore makes one call to the store, a short one if the last did not reach it.
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -215,6 +217,8 @@
 	h.read(t)
 	away := &tableStore{fail: true}
 	h.asker.store = away
+	var logged bytes.Buffer
+	h.asker.log = slog.New(slog.NewTextHandler(&logged, nil))
 	h.asker.doubt() // Its hall's reader has failed it.
 	others := func() {
 		// All others of the hall answer at the address of the one that is real.
@@ -240,7 +244,9 @@
 	assert.Equal(t, l.Rows[0].Key, "b")
 	assert.Equal(t, away.count(), calls, "the store is left alone for a while")
 	h.asker.mu.Lock()
-	h.asker.detours[site.TableUpstreams] = detour{lost: time.Now()}
+	d := h.asker.detours[site.TableUpstreams]
+	d.until = time.Time{}
+	h.asker.detours[site.TableUpstreams] = d
 	h.asker.mu.Unlock()
 	away.mu.Lock()
 	away.fail, away.version, away.rows = false, l.Version, nil
@@ -249,6 +255,8 @@
 	assert.NilError(t, err)
 	assert.Assert(t, away.count() > calls, "and then tried again")
 	assert.Assert(t, !h.asker.missing(site.TableUpstreams))
+	assert.Equal(t, strings.Count(logged.String(), "store not reached"), 1, "one line for the loss")
+	assert.Equal(t, strings.Count(logged.String(), "store reached again"), 1, "and one for the return")
 }
 
 // With the store away from all, no node passes on what it heard long ago.
