A soak of gateways as processes, with faults from outside

Until now the soak knew the product's own interface only (`measure soak-own`). This one runs gateways as processes before stand-ins of the platform: a loopback proxy before the store of each node and before each replica delays, resets and cuts one way; processes are killed, paused, stopped and told to read their settings; the store refuses, falls silent, lies behind and forgets; replicas fail, hang, refuse, cut, leave and crash; configurations change. Seventeen kinds, by seed, overlapping. Checked: at most once, a true 'not run', whole answers of the right request, bodies and organisations as sent, nothing denied, nothing cut or held by a node that no fault struck, a stop within its grace, no process that ends by itself, all nodes by the newest configuration after the faults.

--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -16,7 +16,8 @@
 		data        flags.Commander
 	}{
 		{"nodes", "Measure idle nodes, and how fast a change spreads", &nodesCommand{}},
-		{"soak", "Run processes under load, kills, freezes and outages", &soakCommand{}},
+		{"soak", "Soak gateways on a platform of stand-ins with faults from outside", &platformSoakCommand{}},
+		{"soak-own", "Soak nodes behind the product's own interface", &soakCommand{}},
 		{"policy", "Compare the placement policies under load and faults", &policyCommand{}},
 	}
 	for _, c := range commands {
--- /dev/null
+++ b/internal/measure/platform_soak.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/drumpath/drumpath/internal/soak"
+)
+
+// platformSoakCommand runs soaks of gateways, one seed after the other.
+type platformSoakCommand struct {
+	Drumpath string        `long:"drumpath" required:"true" description:"the program under test"`
+	Nodes    int           `long:"nodes" default:"5"`
+	Replicas int           `long:"replicas" default:"6"`
+	Clients  int           `long:"clients" default:"24"`
+	Duration time.Duration `long:"duration" default:"20s" description:"of the faults, for each seed"`
+	Seed     uint64        `long:"seed" default:"1" description:"the first seed"`
+	Seeds    int           `long:"seeds" default:"1"`
+	Logs     string        `long:"logs" description:"folder in which the logs of seeds that failed are kept"`
+}
+
+var errBroken = errors.New("promises were broken")
+
+// Execute implements flags.Commander.
+func (c *platformSoakCommand) Execute([]string) error {
+	failed := 0
+	for i := range c.Seeds {
+		broken, err := c.one(c.Seed + uint64(i))
+		if err != nil {
+			return err
+		}
+		if broken {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%w with %d of %d seeds", errBroken, failed, c.Seeds)
+	}
+	return nil
+}
+
+// one runs one seed and prints its report on a line.
+func (c *platformSoakCommand) one(seed uint64) (broken bool, err error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return false, err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
+	r, err := soak.Run(context.Background(), soak.Config{
+		Program: c.Drumpath, Seed: seed, Nodes: c.Nodes, Replicas: c.Replicas, Clients: c.Clients, Duration: c.Duration, Dir: dir,
+	})
+	if err != nil {
+		return false, err
+	}
+	line, err := json.Marshal(r)
+	if err != nil {
+		return false, err
+	}
+	fmt.Println(string(line))
+	if len(r.Broken) == 0 || c.Logs == "" {
+		return len(r.Broken) > 0, nil
+	}
+	return true, os.CopyFS(filepath.Join(c.Logs, fmt.Sprint("seed-", seed)), os.DirFS(dir))
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
+)
+
+// fault is one thing that is done from outside; it returns when it is over.
+type fault struct {
+	name string
+	do   func(s *soak, rng *rand.Rand, d time.Duration)
+}
+
+const (
+	// faultEvery is the mean pause between two faults, faultLeast and faultMost
+	// bound how long one lasts.
+	faultEvery = 500 * time.Millisecond
+	faultLeast = 200 * time.Millisecond
+	faultMost  = 2500 * time.Millisecond
+	// restartMost bounds for how long a killed process stays away.
+	restartMost = time.Second
+	// drainTime is how long a replica that leaves serves on.
+	drainTime = 1500 * time.Millisecond
+	// delayMost bounds the delay of a proxy.
+	delayMost = 80 * time.Millisecond
+)
+
+var faults = []fault{
+	{"kill", (*soak).killNode},
+	{"pause", (*soak).pauseNode},
+	{"stop", (*soak).stopNode},
+	{"reread", (*soak).hupNode},
+	{"store refuses", storeMode(onplatform.ModeRefusing)},
+	{"store silent", storeMode(onplatform.ModeSilent)},
+	{"store behind", storeMode(onplatform.ModeStale)},
+	{"store forgets", func(s *soak, _ *rand.Rand, _ time.Duration) { s.store.Forget() }},
+	{"store cut", (*soak).cutStore},
+	{"store resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyNode(rng).store.reset() }},
+	{"replica slow", (*soak).slowReplica},
+	{"replica cut one way", (*soak).cutReplica},
+	{"replica resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyReplica(rng).proxy.reset() }},
+	{"replica faulty", (*soak).faultyReplica},
+	{"replica leaves", (*soak).drainReplica},
+	{"replica crashes", (*soak).crashReplica},
+	{"configuration", func(s *soak, _ *rand.Rand, _ time.Duration) { s.configure() }},
+}
+
+func (s *soak) anyNode(rng *rand.Rand) *node { return s.nodes[rng.IntN(len(s.nodes))] }
+
+func (s *soak) anyReplica(rng *rand.Rand) *replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replicas[rng.IntN(len(s.replicas))]
+}
+
+// takeNode picks a node whose process nothing is being done to, nil if the one
+// that was drawn is busy.
+func (s *soak) takeNode(rng *rand.Rand) *node {
+	if n := s.anyNode(rng); n.busy.TryLock() {
+		return n
+	}
+	return nil
+}
+
+func (s *soak) killNode(rng *rand.Rand, _ time.Duration) {
+	pause := time.Duration(rng.Int64N(int64(restartMost)))
+	if n := s.takeNode(rng); n != nil {
+		defer n.busy.Unlock()
+		s.note(n.kill(pause))
+	}
+}
+
+func (s *soak) pauseNode(rng *rand.Rand, d time.Duration) {
+	if n := s.takeNode(rng); n != nil {
+		defer n.busy.Unlock()
+		n.harm(d)
+		n.signal(syscall.SIGSTOP, false)
+		time.Sleep(d)
+		n.signal(syscall.SIGCONT, false)
+		n.harm(0)
+	}
+}
+
+func (s *soak) stopNode(rng *rand.Rand, _ time.Duration) {
+	if n := s.takeNode(rng); n != nil {
+		defer n.busy.Unlock()
+		s.note(n.stop())
+	}
+}
+
+func (s *soak) hupNode(rng *rand.Rand, _ time.Duration) {
+	if n := s.takeNode(rng); n != nil {
+		defer n.busy.Unlock()
+		n.signal(syscall.SIGHUP, false)
+	}
+}
+
+func storeMode(m onplatform.Mode) func(*soak, *rand.Rand, time.Duration) {
+	return func(s *soak, _ *rand.Rand, d time.Duration) {
+		s.store.SetMode(m)
+		time.Sleep(d)
+		s.store.SetMode(onplatform.ModeUp)
+	}
+}
+
+func (s *soak) cutStore(rng *rand.Rand, d time.Duration) {
+	n := s.anyNode(rng)
+	if rng.IntN(2) == 0 {
+		n.store.set(link{held: true}, link{})
+	} else {
+		n.store.set(link{}, link{held: true})
+	}
+	time.Sleep(d)
+	n.store.heal()
+}
+
+func (s *soak) slowReplica(rng *rand.Rand, d time.Duration) {
+	r := s.anyReplica(rng)
+	l := link{delay: time.Duration(rng.Int64N(int64(delayMost)))}
+	r.proxy.set(l, l)
+	time.Sleep(d)
+	r.proxy.heal()
+}
+
+func (s *soak) cutReplica(rng *rand.Rand, d time.Duration) {
+	r := s.anyReplica(rng)
+	if rng.IntN(2) == 0 {
+		r.proxy.set(link{held: true}, link{})
+	} else {
+		r.proxy.set(link{}, link{held: true})
+	}
+	time.Sleep(d)
+	r.proxy.heal()
+}
+
+func (s *soak) faultyReplica(rng *rand.Rand, d time.Duration) {
+	r := s.anyReplica(rng)
+	r.way.Store(1 + rng.Int32N(replicaWays-1))
+	time.Sleep(d)
+	r.way.Store(replicaServes)
+}
+
+// swapReplica puts a new replica in another's place and returns the old one.
+func (s *soak) swapReplica(rng *rand.Rand) (old *replica) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.made++
+	r, err := newReplica(fmt.Sprintf("replica-%d", s.made), s.ledger)
+	if err != nil {
+		s.ledger.fail("no new replica: %v", err)
+		return nil
+	}
+	i := rng.IntN(len(s.replicas))
+	old, s.replicas[i] = s.replicas[i], r
+	s.list(r, "ready")
+	return old
+}
+
+func (s *soak) drainReplica(rng *rand.Rand, _ time.Duration) {
+	if old := s.swapReplica(rng); old != nil {
+		s.list(old, "draining")
+		time.Sleep(drainTime)
+		s.store.Drop(onplatform.TableUpstreams, old.ID)
+		s.retire(old)
+	}
+}
+
+// crashReplica ends a replica, whose entry goes later.
+func (s *soak) crashReplica(rng *rand.Rand, d time.Duration) {
+	if old := s.swapReplica(rng); old != nil {
+		old.proxy.close()
+		time.Sleep(d)
+		s.store.Drop(onplatform.TableUpstreams, old.ID)
+		s.retire(old)
+	}
+}
+
+// retire keeps a replica that has left until the soak's end: runs that it has
+// begun end as they do.
+func (s *soak) retire(r *replica) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = append(s.gone, r)
+}
--- /dev/null
+++ b/internal/soak/replicas.go
@@ -0,0 +1,91 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
+)
+
+// Ways in which a replica treats requests.
+const (
+	replicaServes int32 = iota
+	replicaFails
+	replicaHangs
+	replicaRefuses
+	replicaCuts
+	replicaWays
+)
+
+// workTime is how long a replica works on a request or an event of a stream.
+const workTime = 15 * time.Millisecond
+
+// replica is one replica behind a proxy.
+type replica struct {
+	*onplatform.Replica
+	proxy  *proxy
+	ledger *ledger
+	way    atomic.Int32
+}
+
+func newReplica(id string, l *ledger) (*replica, error) {
+	r := &replica{ledger: l}
+	var err error
+	if r.Replica, err = onplatform.NewReplica(id); err != nil {
+		return nil, err
+	}
+	r.Script(r.answer)
+	r.proxy, err = newProxy(r.Addr())
+	return r, err
+}
+
+func (r *replica) close() {
+	r.proxy.close()
+	r.Close()
+}
+
+// answer runs a request, or does not, as the replica now is.
+func (r *replica) answer(w io.Writer, q *onplatform.Request) bool {
+	way := r.way.Load()
+	if way == replicaRefuses {
+		return onplatform.NotRun(503)(w, q)
+	}
+	id := q.ID()
+	r.ledger.run(id)
+	if !strings.HasPrefix(q.Body, id+" ") || !strings.HasSuffix(q.Body, " "+id) {
+		r.ledger.fail("replica %s got a body of %d bytes that is not that of %s", r.ID, len(q.Body), id)
+	}
+	if q.Header.Get("Authorization") != "" || q.Header.Get("Tenant") != tenant {
+		r.ledger.fail("replica %s got %s with a key or as %q", r.ID, id, q.Header.Get("Tenant"))
+	}
+	time.Sleep(workTime)
+	switch way {
+	case replicaFails:
+		return onplatform.Failed(w, q)
+	case replicaHangs:
+		return onplatform.Hang(w, q)
+	case replicaCuts:
+		_, _ = io.WriteString(w, onplatform.Head(q, 200, 5000)+"cut") // The reader sees the rest missing.
+		return false
+	}
+	if strings.HasPrefix(q.Target, "/"+kindStream+"/") {
+		return r.stream(w, q)
+	}
+	return onplatform.OK(answerOf(kindOnce, id))(w, q)
+}
+
+func (r *replica) stream(w io.Writer, q *onplatform.Request) bool {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nServer-Stamp: s\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", q.ID())
+	for i := 1; i <= streamEvents && err == nil; i++ {
+		time.Sleep(workTime)
+		event := eventOf(q.ID(), i)
+		_, err = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+	}
+	if err == nil {
+		_, err = io.WriteString(w, "0\r\n\r\n")
+	}
+	return err == nil
+}
