--- a/internal/measure/platform_soak.go
+++ b/internal/measure/platform_soak.go
@@ -9,7 +9,7 @@
 	"path/filepath"
 	"time"
 
-	"github.com/drumpath/drumpath/internal/soak"
+	platformsoak "github.com/drumpath/drumpath/internal/soak"
 )
 
 // platformSoakCommand runs soaks of gateways, one seed after the other.
@@ -51,7 +51,7 @@
 		return false, err
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
-	r, err := soak.Run(context.Background(), soak.Config{
+	r, err := platformsoak.Run(context.Background(), platformsoak.Config{
 		Program: c.Drumpath, Seed: seed, Nodes: c.Nodes, Replicas: c.Replicas, Clients: c.Clients, Duration: c.Duration, Dir: dir,
 	})
 	if err != nil {
