Nodes' addresses are not asked for each second while the store is away

Change: after a failure a node that knows others waits 5 s; one line for the loss and one for the return. TestNodesAreNotReadAtEachLookWhileTheStoreIsAway failed before (5 calls for 1).

--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -22,6 +24,9 @@
 	// find each other so.
 	meetAgain = 15 * time.Second
 	meetNodes = 10
+	// meetRetry is the pause after a failure for a node that knows others: each
+	// call is paid for, and it needs no more of them soon.
+	meetRetry = 5 * time.Second
 )
 
 // nodes is what the nodes tell each other: who there is, what each has in flight,
@@ -39,6 +44,8 @@
 	mu        sync.Mutex
 	announced bool
 	met       time.Time
+	meetNext  time.Time // Not looked for others before.
+	missed    time.Time // Since when the store does not tell the nodes, zero if it does.
 	loads     loads
 }
 
@@ -64,23 +71,44 @@
 	n.mu.Lock()
 	again := meetAgain * time.Duration(max(1, known/meetNodes))
 	due := !n.announced || known <= 1 || now.Sub(n.met) >= again
+	due = due && !now.Before(n.meetNext)
 	n.mu.Unlock()
 	if !due {
 		return
 	}
-	if err := n.announce(ctx); err != nil {
-		n.log.Warn("address not written", "err", err)
-		return
-	}
-	l, err := n.store.List(ctx, site.TableNodes)
+	rows, err := n.readNodes(ctx)
+	n.mu.Lock()
+	first := n.missed.IsZero()
+	missed := now.Sub(n.missed)
 	if err != nil {
-		n.log.Warn("nodes not read", "err", err)
-		return
+		if first {
+			n.missed = now
+		}
+		if known > 1 {
+			n.meetNext = now.Add(meetRetry)
+		}
+	} else {
+		n.met, n.missed = now, time.Time{}
 	}
-	n.mu.Lock()
-	n.met = now
 	n.mu.Unlock()
-	n.greet(l.Rows)
+	switch {
+	case err == nil:
+		if !first {
+			n.log.Info("nodes read again", "away", missed)
+		}
+		n.greet(rows)
+	case first:
+		n.log.Warn("nodes not read", "err", err)
+	}
+}
+
+// readNodes writes this node's address and reads those of others.
+func (n *nodes) readNodes(ctx context.Context) (rows []site.Row, err error) {
+	if err := n.announce(ctx); err != nil {
+		return nil, eris.Wrap(err, "write the own address")
+	}
+	l, err := n.store.List(ctx, site.TableNodes)
+	return l.Rows, eris.Wrap(err, "read the nodes' addresses")
 }
 
 func (n *nodes) announce(ctx context.Context) error {
--- /dev/null
+++ b/service/gateway/nodes_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"bytes"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/service/peer"
+)
+
+// A node that the store turns away and that knows others leaves it alone for a
+// while, and logs one line for the loss and one for the return.
+func TestNodesAreNotReadAtEachLookWhileTheStoreIsAway(t *testing.T) {
+	self := control.Member{Name: "n0", DataHall: "h", Incarnation: 1}
+	m := control.NewMembers(self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
+	m.Merge([]control.Member{{Name: "n1", DataHall: "h", Incarnation: 1}}, time.Now())
+	store := &tableStore{fail: true}
+	var logged bytes.Buffer
+	n := &nodes{
+		self: self, members: m, store: store, announced: true,
+		log: slog.New(slog.NewTextHandler(&logged, nil)), loads: newLoads(),
+	}
+	for range 5 {
+		n.meet(t.Context())
+	}
+	assert.Equal(t, store.count(), 1)
+	n.meetNext = time.Time{} // Later.
+	n.meet(t.Context())
+	assert.Equal(t, store.count(), 2)
+	assert.Equal(t, strings.Count(logged.String(), "nodes not read"), 1)
+	assert.Equal(t, strings.Count(logged.String(), "nodes read again"), 0)
+	store.fail = false
+	n.meetNext = time.Time{}
+	var err error
+	n.probes, err = peer.NewProbes(netip.MustParseAddrPort("127.0.0.1:0"), "key", nil, n.log)
+	assert.NilError(t, err)
+	n.probes.Start()
+	t.Cleanup(n.probes.Close)
+	n.meet(t.Context())
+	assert.Equal(t, strings.Count(logged.String(), "nodes read again"), 1)
+}
