Readers tell on what others told them, and never past a gap

A node that heard of a change from another and then read the store again had gone past that change: it told the newer version on without the change, and who asked it missed a configuration for good (20 s and more). So did a node that became its hall's reader after it had asked another one. Change: answers of other nodes are taken in as the store's own are, but for the age; what comes behind a gap empties the table instead of hiding the gap. TestWhatOthersToldIsPassedOn and TestGapsAreNotPassedOn failed before.

--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -152,7 +152,7 @@
 	return r.fromStore(ctx, q, func(ctx context.Context) (site.Listing, error) {
 		l, err := r.store.List(ctx, t)
 		if err == nil {
-			r.take(t, l, true)
+			r.take(q, l, true)
 		}
 		return l, err
 	})
@@ -178,7 +178,7 @@
 		}
 		l, err := r.store.Changes(ctx, t, after, wait)
 		if err == nil {
-			r.take(t, l, false)
+			r.take(q, l, true)
 		}
 		return l, err
 	})
@@ -205,28 +205,35 @@
 	case a.Gone:
 		return l, site.ErrHistoryGone
 	default:
-		return site.Listing{Rows: a.Rows, Version: a.Version}, nil
+		l = site.Listing{Rows: a.Rows, Version: a.Version}
+		r.take(q, l, false)
+		return l, nil
 	}
 }
 
-// take notes what the store has told, for those that ask.
-func (r *readers) take(t site.Table, l site.Listing, whole bool) {
+// take notes an answer for those that ask this node, whoever gave it: with changes
+// left out that came from others, what it tells on would have gaps. own says that
+// the store itself has answered.
+func (r *readers) take(q changesRequest, l site.Listing, own bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x := r.tables[t]
+	x := r.tables[q.Table]
 	if x == nil {
 		x = &readTable{changed: make(chan struct{})}
-		r.tables[t] = x
+		r.tables[q.Table] = x
 	}
-	if whole && l.Version < x.version {
+	switch {
+	case q.Whole && l.Version < x.version:
 		// The store is behind what it has told before. Taken in, its older rows
 		// would hide newer ones from nodes that ask for changes since then.
 		return
+	case q.Whole:
+		x.rows, x.base = map[string]site.Row{}, l.Version
+	case q.After > x.version:
+		x.rows = nil // What lies between was never heard.
 	}
-	x.heard = time.Now()
-	if whole {
-		x.rows = map[string]site.Row{}
-		x.base = l.Version
+	if own {
+		x.heard = time.Now()
 	}
 	if x.rows == nil {
 		return
@@ -234,10 +241,8 @@
 	for _, row := range l.Rows {
 		x.rows[row.Key] = row
 	}
-	if l.Version > x.version {
-		x.version = l.Version
-	}
-	if len(l.Rows) > 0 || whole {
+	x.version = max(x.version, l.Version)
+	if len(l.Rows) > 0 || q.Whole {
 		close(x.changed)
 		x.changed = make(chan struct{})
 	}
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -235,6 +235,44 @@
 	assert.Equal(t, l.Rows[0].Version, int64(2))
 }
 
+// A node that heard of a change from another tells it on when it reads the store
+// again, though the store does not tell it once more. Found by the soak, seed 129.
+func TestWhatOthersToldIsPassedOn(t *testing.T) {
+	h := newTestHall(t)
+	h.store.add("a")
+	h.read(t)
+	h.store.add("b")
+	_, err := h.reader.Changes(t.Context(), site.TableUpstreams, 1, 0)
+	assert.NilError(t, err)
+	_, err = h.asker.List(t.Context(), site.TableUpstreams)
+	assert.NilError(t, err)
+	h.store.add("c")
+	_, err = h.reader.Changes(t.Context(), site.TableUpstreams, 2, 0)
+	assert.NilError(t, err)
+	l, err := h.asker.Changes(t.Context(), site.TableUpstreams, 2, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, l.Rows[0].Key, "c")
+	h.asker.doubt() // It reads the store itself from now on.
+	h.store.add("d")
+	_, err = h.asker.Changes(t.Context(), site.TableUpstreams, l.Version, 0)
+	assert.NilError(t, err)
+	a, _, ok := h.asker.answer(changesRequest{Table: site.TableUpstreams, After: 2})
+	assert.Assert(t, ok)
+	assert.Equal(t, a.Version, int64(4))
+	assert.Equal(t, len(a.Rows), 2, "c and d")
+}
+
+// Where changes were missed, nothing is told on until the whole table is read.
+func TestGapsAreNotPassedOn(t *testing.T) {
+	h := newTestHall(t)
+	h.store.add("a")
+	h.read(t)
+	h.reader.take(changesRequest{Table: site.TableUpstreams, After: 5}, site.Listing{Version: 6}, true)
+	_, _, ok := h.reader.answer(changesRequest{Table: site.TableUpstreams, After: 1})
+	assert.Assert(t, !ok)
+	h.read(t)
+}
+
 // A node that the store turns away hears from others what they have heard.
 func TestNodeThatTheStoreTurnsAwayAsksOthers(t *testing.T) {
 	h := newTestHall(t)
