A hall's sum of loads is bounded, and told within a share of the link

Cause: the sum names every replica with something in flight. Change: the 400 busiest replicas are told of; a speaker tells its own sum, and each of the others, within a tenth of its link, and more seldom rather than more.

--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/control"
@@ -33,6 +35,12 @@
 	hallEvery = 30 * time.Millisecond
 	// hallEach is by how much less often that is for each node of the hall.
 	hallEach = 3 * time.Millisecond
+	// linkShare is the part of its link that a speaker takes for telling one
+	// hall's sum; it tells more seldom rather than more.
+	linkShare = 0.1
+	// sumMost is of how many replicas a sum tells, the busiest: it must fit a
+	// datagram, and idle ones need no word.
+	sumMost = 400
 	// speakDuty names the duty of telling a hall's sum.
 	speakDuty = "speak/"
 )
@@ -68,6 +76,8 @@
 	told  map[string]load        // What this node told last.
 	heard map[string]route.Tally // This node's when its hall's sum was last heard.
 
+	passNext map[string]time.Time // When the sum of a hall may be told on.
+
 	speakers   map[string]control.Member
 	speakersAt uint64 // Generation of the members.
 }
@@ -78,6 +88,8 @@
 		halls:  map[string]heardState{},
 		links:  map[string]route.Tally{},
 		own:    map[string]route.Tally{},
+
+		passNext: map[string]time.Time{},
 	}
 }
 
@@ -151,10 +163,13 @@
 	return s
 }
 
-func (n *nodes) note(to []netip.AddrPort, method string, params any) {
-	if err := n.probes.Note(to, method, params); err != nil {
+// note tells other nodes something and returns the bytes sent.
+func (n *nodes) note(to []netip.AddrPort, method string, params any) int {
+	sent, err := n.probes.Note(to, method, params)
+	if err != nil {
 		n.log.Error("note not sent", "method", method, "err", err)
 	}
+	return sent
 }
 
 // inHall lists the addresses of the other nodes of a hall that may live.
@@ -216,17 +231,26 @@
 			sleep(ctx, speakerAgain)
 			continue
 		}
-		n.speak()
-		sleep(ctx, hallEvery+time.Duration(len(n.inHall(n.self.DataHall)))*hallEach)
+		sent := n.speak()
+		sleep(ctx, max(n.linkTime(sent), hallEvery+time.Duration(len(n.inHall(n.self.DataHall)))*hallEach))
+	}
+}
+
+// linkTime is for how long bytes take this node's share of its link.
+func (n *nodes) linkTime(bytes int) time.Duration {
+	if n.self.Link <= 0 {
+		return 0 // Its rate is not known.
 	}
+	const bitsPerByte, megabit = 8, 1e6
+	return time.Duration(float64(bytes) * bitsPerByte / (linkShare * n.self.Link * megabit) * float64(time.Second))
 }
 
 // speakerAgain is how often a node that is not its hall's speaker looks whether
 // it has become that.
 const speakerAgain = 250 * time.Millisecond
 
-// speak tells the sum of this hall to the others.
-func (n *nodes) speak() {
+// speak tells the sum of this hall to the others and returns the bytes sent.
+func (n *nodes) speak() int {
 	speakers := n.speakers()
 	var others []netip.AddrPort
 	if peers := n.inHall(n.self.DataHall); len(peers) >= directMost {
@@ -239,7 +263,7 @@
 	}
 	s := n.state()
 	n.sumHall(&s)
-	n.note(others, noteHall, s)
+	return n.note(others, noteHall, s)
 }
 
 // sumHall adds what the other nodes of this hall have in flight, and what all of
@@ -254,6 +278,7 @@
 			s.Loads[id] = load{sum[0] + l[0], sum[1] + l[1]}
 		}
 	}
+	s.Loads = busiest(s.Loads, sumMost)
 	for store, t := range own {
 		n.loads.links[store] = n.loads.links[store].Plus(t.Since(n.loads.own[store]))
 		n.loads.own[store] = t
@@ -261,6 +286,23 @@
 	s.Links = maps.Clone(n.loads.links)
 }
 
+// busiest leaves only the replicas with the most to be read, and behind that with
+// the most requests.
+func busiest(loads map[string]load, most int) map[string]load {
+	if len(loads) <= most {
+		return loads
+	}
+	ids := slices.Collect(maps.Keys(loads))
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(loads[b][1], loads[a][1]), cmp.Compare(loads[b][0], loads[a][0]), cmp.Compare(a, b))
+	})
+	left := make(map[string]load, most)
+	for _, id := range ids[:most] {
+		left[id] = loads[id]
+	}
+	return left
+}
+
 // hearState takes in the state of another node of this hall.
 func (n *nodes) hearState(params json.RawMessage) {
 	if s, old, ok := n.hear(params, n.loads.states, func(s *nodeState) string { return s.From }); ok {
@@ -286,11 +328,27 @@
 		return
 	}
 	if n.speakers()[n.self.DataHall].Name == n.self.Name {
-		n.note(n.inHall(n.self.DataHall), noteHall, s)
+		n.passOn(s)
 	}
 	n.apply(s.moreThan(old))
 }
 
+// passOn tells the sum of another hall in this one, unless the last one has yet to
+// go through the link: what is left out is in the next.
+func (n *nodes) passOn(s nodeState) {
+	now := time.Now()
+	n.mu.Lock()
+	due := !now.Before(n.loads.passNext[s.Hall])
+	n.mu.Unlock()
+	if !due {
+		return
+	}
+	sent := n.note(n.inHall(n.self.DataHall), noteHall, s)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads.passNext[s.Hall] = now.Add(n.linkTime(sent))
+}
+
 // withoutOwn takes this node's own part out of what its hall has done with links.
 func (n *nodes) withoutOwn(more map[string]route.Tally) map[string]route.Tally {
 	own := n.kept.Tallies()
--- a/service/peer/probes.go
+++ b/service/peer/probes.go
@@ -54,24 +54,25 @@
 func (p *Probes) OnNote(method string, fn NoteHandler) { p.notes[method] = fn }
 
 // Note tells several nodes something in a datagram each, which may be lost: for
-// news that the next note replaces.
-func (p *Probes) Note(to []netip.AddrPort, method string, params any) (err error) {
+// news that the next note replaces. It returns the bytes sent.
+func (p *Probes) Note(to []netip.AddrPort, method string, params any) (sent int, err error) {
 	defer func() { err = eris.Wrapf(err, "note %s", method) }()
 	body, err := p.seal(method, params)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if len(body) > maxDatagram {
-		return eris.Errorf("%d bytes", len(body))
+		return 0, eris.Errorf("%d bytes", len(body))
 	}
 	for _, addr := range to {
 		if _, err := p.conn.WriteToUDPAddrPort(body, addr); err != nil {
 			p.log.Debug("note not sent", "to", addr, "err", err)
 			continue
 		}
-		p.sent.Add(int64(len(body)))
+		sent += len(body)
 	}
-	return nil
+	p.sent.Add(int64(sent))
+	return sent, nil
 }
 
 // Start receives until Close.
