A stop leaves connections alone on which a request has just come

Ending the resting connections looked whether one rests and then set its read deadline; a request that came between the two had its wait for the client's next byte fail, which counted as the client's leaving. Ruled out: the replica (it served), the store, the grace period. Change: both are done under one lock with the end of a rest.

--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/http1"
@@ -26,10 +26,13 @@
 // While a request is served, another goroutine waits for the next byte, so that
 // a client that leaves is noticed at once.
 type clientConn struct {
-	g       *Gateway
-	conn    net.Conn
-	r       *bufio.Reader
-	resting atomic.Bool
+	g    *Gateway
+	conn net.Conn
+	r    *bufio.Reader
+	// restMu keeps the end of a rest and its hurrying apart: a deadline that is
+	// set once a request is served would look as if its client had left.
+	restMu  sync.Mutex
+	resting bool
 	// next tells when the first byte of the next request has come.
 	next chan error
 }
@@ -74,17 +77,29 @@
 
 // rest waits for the next request and says whether there is one.
 func (c *clientConn) rest() bool {
-	c.resting.Store(true)
-	defer c.resting.Store(false)
 	c.setReadLimit(c.g.limits().IdleTimeout)
+	c.setResting(true)
+	defer c.setResting(false)
 	if c.g.stopping() && !c.g.serving() {
 		c.hurry()
 	}
 	return <-c.next == nil
 }
 
-// hurry ends a rest; a request that is on its way is still read.
-func (c *clientConn) hurry() { _ = c.conn.SetReadDeadline(time.Now()) } // A closed one has ended its rest.
+func (c *clientConn) setResting(resting bool) {
+	c.restMu.Lock()
+	defer c.restMu.Unlock()
+	c.resting = resting
+}
+
+// hurry ends a rest, if the connection rests.
+func (c *clientConn) hurry() {
+	c.restMu.Lock()
+	defer c.restMu.Unlock()
+	if c.resting {
+		_ = c.conn.SetReadDeadline(time.Now()) // A closed one has ended its rest.
+	}
+}
 
 func (c *clientConn) setReadLimit(d time.Duration) {
 	_ = c.conn.SetReadDeadline(time.Now().Add(d)) // The next read tells.
--- a/service/gateway/client_conns.go
+++ b/service/gateway/client_conns.go
@@ -61,9 +61,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if c.resting.Load() {
-			c.hurry()
-		}
+		c.hurry()
 	}
 }
 
