Tests of a hot prompt, of flapping replicas and of false health

The grown sites' new troubles had no tests of their own. These passed at once: hot prompts spread by the load that is known at replicas, ejections grow, and health is never asked for. No code is changed.

--- a/internal/standin/onplatform/forward_test.go
+++ b/internal/standin/onplatform/forward_test.go
@@ -203,6 +203,34 @@
 	assert.Equal(t, len(a.Seen())+len(b.Seen()), 3)
 }
 
+// What a replica says of its health is not asked for: it may be false either way,
+// also for some callers only. Its answers tell.
+func TestFalseHealthChangesNothing(t *testing.T) {
+	s := newSite(t)
+	well := s.replica(app, "well") // Says that it is ill.
+	well.Script(func(w io.Writer, r *onplatform.Request) bool {
+		if r.Target == "/healthz" {
+			return onplatform.NotRun(503)(w, r)
+		}
+		return onplatform.OK("from well")(w, r)
+	})
+	ill := s.replica(app, "ill") // Says that it is well.
+	ill.Script(func(w io.Writer, r *onplatform.Request) bool {
+		if r.Target == "/healthz" {
+			return onplatform.OK("")(w, r)
+		}
+		return onplatform.Failed(w, r)
+	})
+	n := s.node("n1")
+	for range 40 {
+		assert.Equal(t, n.send(request("POST", "/safe/x", "body")).body, "from well", "another replica is tried")
+	}
+	for _, r := range append(well.Seen(), ill.Seen()...) {
+		assert.Assert(t, r.Target != "/healthz", "probes are paid for")
+	}
+	assert.Assert(t, len(ill.Seen()) < 20, "it has been left out: %d", len(ill.Seen()))
+}
+
 func TestUnreachableReplicaIsReplaced(t *testing.T) {
 	s := newSite(t)
 	a := s.replica(app, "a")
--- a/pkg/route/pool_test.go
+++ b/pkg/route/pool_test.go
@@ -101,6 +101,43 @@
 	assert.Equal(t, len(seen), 3, "three prompts at once go to three replicas")
 }
 
+// One prompt that draws most of the traffic does not drown the replica that it
+// belongs to: its requests spread, and others are placed as before.
+func TestHotPromptIsSpread(t *testing.T) {
+	const replicas, requests = 10, 200
+	p := newTestPool(replicas, 1)
+	count := map[string]int{}
+	for i := range requests {
+		need := &Need{Model: "m", Tokens: 5000, Shared: 4000, Affinity: 42}
+		if i%4 == 0 {
+			need.Affinity = uint64(1000 + i)
+		}
+		c, ok := p.Pick(need, testNow)
+		assert.Assert(t, ok)
+		p.Begin(c, testNow)
+		count[c.ID]++
+	}
+	for id, n := range count {
+		assert.Assert(t, n <= 3*requests/replicas/2, "%s has %d of %d", id, n, requests)
+	}
+	assert.Equal(t, len(count), replicas)
+}
+
+// A replica that goes down and up by turns is left out longer each time.
+func TestFlappingReplicaIsLeftOutLonger(t *testing.T) {
+	p := newTestPool(4, 1)
+	now, last := testNow, time.Duration(0)
+	for range 3 {
+		p.Lost("r00", now)
+		m := p.replicas["r00"]
+		assert.Assert(t, m.outcome.ejected(now))
+		out := m.outcome.until.Sub(now)
+		assert.Assert(t, out > last, "%s after %s", out, last)
+		now, last = m.outcome.until, out
+		assert.Assert(t, !m.outcome.ejected(now), "it is tried again")
+	}
+}
+
 func TestWhatOtherNodesHaveThereCounts(t *testing.T) {
 	p := newTestPool(3, 1)
 	p.SetPeers(map[string]PeerLoad{"r00": {Requests: 2, Tokens: 9000}, "r01": {Requests: 2, Tokens: 9000}})
