--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -43,7 +43,6 @@
 }
 
 func (n *node) entry() string { return n.ip + ":8001" }
-func (n *node) ready() string { return n.ip + ":8002" }
 
 func newNode(dir, name, ip, program string, store *proxy, broken func(string, ...any)) (n *node, err error) {
 	defer func() { err = eris.Wrapf(err, "node %s", name) }()
