--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -124,14 +124,16 @@
 	if kind != kindStream {
 		return "answer to " + id + strings.Repeat(".", 500)
 	}
-	var b strings.Builder
-	for i := range streamEvents {
-		b.WriteString(eventOf(id, i+1))
-	}
-	return b.String()
+	return strings.Join(eventsOf(id), "")
 }
 
 // streamEvents is how many events a stream has.
 const streamEvents = 6
 
-func eventOf(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", i, id, i) }
+func eventsOf(id string) []string {
+	var events []string
+	for i := 1; i <= streamEvents; i++ {
+		events = append(events, fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", i, id, i))
+	}
+	return events
+}
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"io"
 	"strings"
 	"sync/atomic"
@@ -72,20 +71,7 @@
 		return false
 	}
 	if strings.HasPrefix(q.Target, "/"+kindStream+"/") {
-		return r.stream(w, q)
+		return onplatform.Stream(eventsOf(id), workTime, true)(w, q)
 	}
 	return onplatform.OK(answerOf(kindOnce, id))(w, q)
 }
-
-func (r *replica) stream(w io.Writer, q *onplatform.Request) bool {
-	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nServer-Stamp: s\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", q.ID())
-	for i := 1; i <= streamEvents && err == nil; i++ {
-		time.Sleep(workTime)
-		event := eventOf(q.ID(), i)
-		_, err = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
-	}
-	if err == nil {
-		_, err = io.WriteString(w, "0\r\n\r\n")
-	}
-	return err == nil
-}
--- a/internal/standin/onplatform/replica.go
+++ b/internal/standin/onplatform/replica.go
@@ -182,11 +182,22 @@
 // Events streams events of the given numbers, with a pause after each, and ends
 // the stream if whole is set.
 func Events(from, to int, pause time.Duration, whole bool) Script {
+	return func(w io.Writer, r *Request) bool {
+		events := make([]string, 0, to-from+1)
+		for i := from; i <= to; i++ {
+			events = append(events, fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i))
+		}
+		return Stream(events, pause, whole)(w, r)
+	}
+}
+
+// Stream streams events, with a pause after each, and ends the stream if whole is
+// set.
+func Stream(events []string, pause time.Duration, whole bool) Script {
 	return func(w io.Writer, r *Request) bool {
 		write(w, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nServer-Stamp: s\r\nRequest-Id: "+r.ID()+
 			"\r\nTransfer-Encoding: chunked\r\n\r\n")
-		for i := from; i <= to; i++ {
-			event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		for _, event := range events {
 			write(w, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
 			time.Sleep(pause)
 		}
