--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -177,11 +177,6 @@
 	return n.addresses(func(m control.Member) bool { return m.DataHall == hall })
 }
 
-// others lists the addresses of all other nodes that may live.
-func (n *nodes) others() []netip.AddrPort {
-	return n.addresses(func(control.Member) bool { return true })
-}
-
 func (n *nodes) addresses(keep func(control.Member) bool) []netip.AddrPort {
 	var list []netip.AddrPort
 	for _, m := range n.members.All() {
