--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -174,13 +174,9 @@
 
 // inHall lists the addresses of the other nodes of a hall that may live.
 func (n *nodes) inHall(hall string) []netip.AddrPort {
-	return n.addresses(func(m control.Member) bool { return m.DataHall == hall })
-}
-
-func (n *nodes) addresses(keep func(control.Member) bool) []netip.AddrPort {
 	var list []netip.AddrPort
 	for _, m := range n.members.All() {
-		if m.Name != n.self.Name && m.State != control.MemberDead && keep(m) {
+		if m.Name != n.self.Name && m.State != control.MemberDead && m.DataHall == hall {
 			list = append(list, m.Peer)
 		}
 	}
