The soak cuts one way in one place

Read once more: cutting a node's way to the store and a replica's were copies of each other, and waiting for all nodes to serve took a function that was always the same one.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -107,16 +107,7 @@
 	}
 }
 
-func (s *soak) cutStore(rng *rand.Rand, d time.Duration) {
-	n := s.anyNode(rng)
-	if rng.IntN(2) == 0 {
-		n.store.set(link{held: true}, link{})
-	} else {
-		n.store.set(link{}, link{held: true})
-	}
-	time.Sleep(d)
-	n.store.heal()
-}
+func (s *soak) cutStore(rng *rand.Rand, d time.Duration) { s.anyNode(rng).store.cutOneWay(rng, d) }
 
 func (s *soak) slowReplica(rng *rand.Rand, d time.Duration) {
 	r := s.anyReplica(rng)
@@ -126,16 +117,7 @@
 	r.proxy.heal()
 }
 
-func (s *soak) cutReplica(rng *rand.Rand, d time.Duration) {
-	r := s.anyReplica(rng)
-	if rng.IntN(2) == 0 {
-		r.proxy.set(link{held: true}, link{})
-	} else {
-		r.proxy.set(link{}, link{held: true})
-	}
-	time.Sleep(d)
-	r.proxy.heal()
-}
+func (s *soak) cutReplica(rng *rand.Rand, d time.Duration) { s.anyReplica(rng).proxy.cutOneWay(rng, d) }
 
 func (s *soak) faultyReplica(rng *rand.Rand, d time.Duration) {
 	r := s.anyReplica(rng)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -54,6 +55,17 @@
 
 func (p *proxy) heal() { p.set(link{}, link{}) }
 
+// cutOneWay holds the bytes of one direction up for a while.
+func (p *proxy) cutOneWay(rng *rand.Rand, d time.Duration) {
+	if rng.IntN(2) == 0 {
+		p.set(link{held: true}, link{})
+	} else {
+		p.set(link{}, link{held: true})
+	}
+	time.Sleep(d)
+	p.heal()
+}
+
 // reset resets all connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,7 +74,7 @@
 	if err := s.begin(); err != nil {
 		return rep, err
 	}
-	if !s.serving(newestRoute) {
+	if !s.serving() {
 		return rep, eris.New("the nodes did not begin to serve")
 	}
 	load, stop := context.WithCancel(ctx)
@@ -85,7 +85,7 @@
 		clients.Go(func() { c.run(load, clientPause) })
 	}
 	s.harm(ctx)
-	if !s.serving(newestRoute) {
+	if !s.serving() {
 		s.ledger.fail("not all nodes serve by the newest configuration %s after the faults", recoverTime)
 	}
 	stop()
@@ -197,9 +197,9 @@
 func newestRoute(version int) string { return fmt.Sprintf("version-%d", version) }
 
 // serving waits until every node serves the route of the newest configuration.
-func (s *soak) serving(route func(int) string) bool {
+func (s *soak) serving() bool {
 	s.mu.Lock()
-	path := "/" + route(s.version) + "/x"
+	path := "/" + newestRoute(s.version) + "/x"
 	s.mu.Unlock()
 	end := time.Now().Add(recoverTime)
 	for _, n := range s.nodes {
