What engines hold is known, engines give kept state, and memory counts

Cause: an engine's memory held five large prompts, and decisions knew nothing of it; what an engine held was a guess; all moves went over the stores' links.

Change: one node of each data hall follows the events of its engines, and tells them on in short form, once to each other hall (service/gateway/holdings.go). Look-ups are for each engine in its own weights' realm: what it holds itself, then stores, then other engines, but none of these once newer weights are named. Nodes tell each other the memory that prompts in flight hold; what goes past 0.9 of an engine's is priced by the time in which memory turns over, in placement and in what the least urgent wait.

Ruled out: engines before stores. The memory's part alone was not measured here.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -4,6 +4,7 @@
 var (
 	keyRequest  = Key{"request", "the client's name of its attempt"}
 	keyReplica  = Key{"replica", "the start of the replica"}
+	keyTeller   = Key{"peer", "the other node's address"}
 	keyRoute    = Key{"route", "the route's name"}
 	keyErr      = Key{"err", "what went wrong"}
 	keyAttempts = Key{"attempts", "attempts that may have run"}
@@ -35,7 +36,8 @@
 		{"newest", "the newest version that was named"},
 		{"tokens", "tokens of the prompt"},
 		{"shared", "of those, the tokens that other requests may share"},
-		{"kept", "of those, the tokens that stores have for the replica's data hall"},
+		{"kept", "of those, the tokens that the replica holds or can fetch"},
+		{"held", "of those, the tokens that the replica itself holds"},
 		{"read", "tokens that the replica was expected to read"},
 		{"fetched", "tokens that were to be fetched"},
 		{"saved", "tokens that were to be saved"},
@@ -100,6 +102,11 @@
 	{"store reached again", Change, "This node's own calls succeed again.", []Key{keyTable, keyAway, {"asked", "how often other nodes were asked meanwhile"}}},
 	{"store of kept state lost", Failure, "The events of a store of kept state can't be followed; it is not used.", []Key{keyStore, keyErr}},
 	{"store of kept state back", Change, "They can be again.", []Key{keyStore, keyBoot, keyAway}},
+	{"engine's events lost", Failure, "The events of an engine can't be followed; what it holds is guessed, and nothing is fetched from it.", []Key{keyReplica, keyErr}},
+	{"engine's events back", Change, "They can be again.", []Key{keyReplica, keyBoot}},
+	{"teller of held state lost", Failure, "The node that tells this one what engines hold does not answer.", []Key{keyTeller, keyErr}},
+	{"teller of held state back", Change, "It answers again.", []Key{keyTeller}},
+	{"news of held state not understood", Failure, "Another node told what an engine holds in a form that can't be read; it is left out.", []Key{keyErr}},
 	{"parts freed", Change, "Parts made under replaced weights were freed.", []Key{keyStore, keyParts, keyBoot}},
 	{"parts not freed", Failure, "A store did not free parts; it is tried again.", []Key{keyStore, keyParts, keyErr}},
 
--- a/pkg/route/flight.go
+++ b/pkg/route/flight.go
@@ -7,6 +7,7 @@
 	pool     *Pool
 	member   *member
 	tokens   int
+	memory   int     // Tokens held of an engine's memory.
 	read     int     // Tokens expected to be read, with those before it.
 	fetch    float64 // Expected time of its fetch, in seconds.
 	begun    time.Time
@@ -28,6 +29,7 @@
 		pool:     p,
 		member:   m,
 		tokens:   c.Read,
+		memory:   c.Memory,
 		read:     c.Read + m.pending + m.others.Tokens,
 		fetch:    c.Fetch.Seconds(),
 		begun:    now,
@@ -35,6 +37,7 @@
 	}
 	m.flights[k] = struct{}{}
 	m.pending += c.Read
+	m.memory += c.Memory
 	return k
 }
 
@@ -89,6 +92,7 @@
 	k.ended = true
 	m := k.member
 	delete(m.flights, k)
+	m.memory -= k.memory
 	switch {
 	case k.first:
 	case o == OutcomeOK:
@@ -96,6 +100,9 @@
 	default:
 		m.pending -= k.tokens
 	}
+	if o == OutcomeOK && k.memory > 0 {
+		p.memory.note(k.memory, now.Sub(k.begun))
+	}
 	if o == OutcomeOK && k.tokens == 0 {
 		p.meanRun += time.Duration(learnShare * float64(now.Sub(k.begun)-p.meanRun))
 	}
--- /dev/null
+++ b/pkg/route/held.go
@@ -0,0 +1,181 @@
+package route
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// PartHash stands for a part in a realm where knowledge of what engines hold is kept
+// and told: engines hold many parts, and its eight bytes are a tenth of their names.
+type PartHash uint64
+
+// HashPart returns the hash of a part in a realm.
+func HashPart(realm, part string) PartHash {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(realm)  // It never fails.
+	_, _ = d.WriteString("\x00") // Nor does it appear in a realm.
+	_, _ = d.WriteString(part)
+	return PartHash(d.Sum64())
+}
+
+// HeldChange says that an engine holds more or less of a part: Tokens are those held
+// now, 0 for none.
+type HeldChange struct {
+	Part   PartHash
+	Tokens int
+}
+
+// HeldChanges is news of what one engine holds.
+type HeldChanges struct {
+	Engine string
+	// Silent says that the engine's own word can't be heard: what is known of it is
+	// not to be used until it can be again.
+	Silent bool
+	// Whole says that the changes are all that it holds, and that what was known
+	// before is void.
+	Whole   bool
+	Changes []HeldChange
+}
+
+// heldEngine is what this node knows of what one engine holds. It is the engine's own
+// word, some hundred milliseconds old.
+type heldEngine struct {
+	site.Upstream
+	keptLink
+	heard bool
+	parts map[PartHash]int // Tokens held.
+	// doubted is until when nothing is fetched from the engine.
+	doubted time.Time
+}
+
+// SetEngines sets which engines of a service there are; what is known of those that
+// stay is kept.
+func (k *Kept) SetEngines(service string, list []site.Upstream, e *site.Engine) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	there := make(map[string]bool, len(list))
+	for _, u := range list {
+		there[u.ID] = true
+		h, ok := k.engines[u.ID]
+		if !ok {
+			h = &heldEngine{parts: map[PartHash]int{}}
+			k.engines[u.ID] = h
+		}
+		h.Upstream = u
+		h.hall, h.rate = u.DataHall, e.LinkRate
+	}
+	for id, h := range k.engines {
+		if h.Service == service && !there[id] {
+			k.clear(h)
+			delete(k.engines, id)
+		}
+	}
+}
+
+// ApplyHeld takes in news of what an engine holds.
+func (k *Kept) ApplyHeld(c HeldChanges) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h, ok := k.engines[c.Engine]
+	if !ok {
+		return
+	}
+	h.heard = !c.Silent
+	if c.Whole {
+		k.clear(h)
+	}
+	for _, v := range c.Changes {
+		k.hold(h, v)
+	}
+}
+
+// hold notes a change, also in the index of who holds a part; the caller holds mu.
+func (k *Kept) hold(h *heldEngine, c HeldChange) {
+	holders := k.holders[c.Part]
+	at := slices.Index(holders, h)
+	switch {
+	case c.Tokens > 0:
+		h.parts[c.Part] = c.Tokens
+		if at < 0 {
+			k.holders[c.Part] = append(holders, h)
+		}
+		return
+	case at < 0:
+		return
+	case len(holders) == 1:
+		delete(k.holders, c.Part)
+	default:
+		k.holders[c.Part] = slices.Delete(holders, at, at+1)
+	}
+	delete(h.parts, c.Part)
+}
+
+// clear forgets all that an engine holds; the caller holds mu.
+func (k *Kept) clear(h *heldEngine) {
+	for part := range maps.Clone(h.parts) {
+		k.hold(h, HeldChange{Part: part})
+	}
+}
+
+// Held lists all that an engine is known to hold, for other nodes to hear.
+func (k *Kept) Held(id string) HeldChanges {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := HeldChanges{Engine: id, Whole: true, Silent: true}
+	if h, ok := k.engines[id]; ok {
+		c.Silent = !h.heard
+		for part, tokens := range h.parts {
+			c.Changes = append(c.Changes, HeldChange{Part: part, Tokens: tokens})
+		}
+	}
+	return c
+}
+
+// DoubtEngine has nothing fetched from an engine for a while: it was not reached, or
+// its answer was lost, and a dead one costs whoever fetches from it more than reading
+// does.
+func (k *Kept) DoubtEngine(id string, until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if h, ok := k.engines[id]; ok && until.After(h.doubted) {
+		h.doubted = until
+	}
+}
+
+// gives says whether a part can be fetched from an engine to another.
+func (h *heldEngine) gives(part PartHash, tokens int, now time.Time) bool {
+	return h.heard && !h.Draining && !now.Before(h.doubted) && h.parts[part] >= tokens
+}
+
+// EngineHalls lists the data halls of all engines, by ID.
+func (k *Kept) EngineHalls() map[string]string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := make(map[string]string, len(k.engines))
+	for id, h := range k.engines {
+		list[id] = h.DataHall
+	}
+	return list
+}
+
+// NoteRead notes that an engine has read, or fetched, the shared parts of a prompt, so
+// that the next prompt needn't wait for the engine's own word.
+func (k *Kept) NoteRead(id, realm string, shared []site.Part) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h, ok := k.engines[id]
+	if !ok || !h.heard {
+		return
+	}
+	for _, part := range shared {
+		if part.Tokens > 0 {
+			k.hold(h, HeldChange{Part: HashPart(realm, part.ID), Tokens: part.Tokens})
+		}
+	}
+}
--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -20,11 +19,15 @@
 	mu     sync.Mutex
 	stores map[string]*keptStore
 	names  []string
-	use    *traffic
+	// engines are by ID; holders says which of them hold a part.
+	engines map[string]*heldEngine
+	holders map[PartHash][]*heldEngine
+	use     *traffic
 }
 
 type keptStore struct {
 	site.Store
+	keptLink
 	boot int64
 	// heard says that the store's events are being followed.
 	heard bool
@@ -35,10 +38,6 @@
 	parts   map[partKey]whole
 	used    int // Tokens of parts that are whole.
 	saving  map[partKey]saving
-	own     Tally         // Of this node.
-	busy    time.Time     // Until when the link is taken by moves asked for.
-	late    time.Duration // By how much fetches come later than expected.
-	lateAt  time.Time
 }
 
 type partKey struct{ realm, part string }
@@ -64,12 +63,17 @@
 	// roomShare is the part of a store that is filled; the rest is for saves of
 	// other nodes that are not known yet.
 	roomShare = 0.97
-	// crossHall is how much longer moves take between data halls.
-	crossHall = 2.0
 )
 
 // NewKept returns a view in which no store has anything.
-func NewKept() *Kept { return &Kept{stores: map[string]*keptStore{}, use: newTraffic()} }
+func NewKept() *Kept {
+	return &Kept{
+		stores:  map[string]*keptStore{},
+		engines: map[string]*heldEngine{},
+		holders: map[PartHash][]*heldEngine{},
+		use:     newTraffic(),
+	}
+}
 
 // Configure sets which stores there are.
 func (k *Kept) Configure(stores []*site.Service) {
@@ -84,6 +88,7 @@
 			s = &keptStore{parts: map[partKey]whole{}, saving: map[partKey]saving{}}
 		}
 		s.Store = *v.Store
+		s.hall, s.rate, s.latency = v.Store.DataHall, v.Store.LinkRate, v.Store.Latency
 		k.stores[v.Name] = s
 		k.names = append(k.names, v.Name)
 	}
@@ -142,29 +147,6 @@
 	}
 }
 
-// effective is how many bytes of the link's time a move takes.
-func (s *keptStore) effective(bytes int64, hall string) int64 {
-	if s.DataHall != hall {
-		return int64(crossHall * float64(bytes))
-	}
-	return bytes
-}
-
-// occupy has a move wait behind those that were asked for before.
-func (s *keptStore) occupy(bytes int64, now time.Time) {
-	if s.busy.Before(now) {
-		s.busy = now
-	}
-	s.busy = s.busy.Add(seconds(float64(bytes) / max(1, s.LinkRate)))
-}
-
-// book has this node's own move take its time on the link.
-func (s *keptStore) book(bytes int64, hall string, now time.Time) {
-	bytes = s.effective(bytes, hall)
-	s.own.Bytes += bytes
-	s.occupy(bytes, now)
-}
-
 // Silent records that a store's events can't be followed: nothing is read from
 // it or saved there until they can be again.
 func (k *Kept) Silent(name string) {
@@ -192,9 +174,8 @@
 	Before time.Time
 }
 
-// Plan decides for the shared parts of a prompt that runs at a replica in a data
-// hall.
-func (k *Kept) Plan(realm, hall string, shared []site.Part, e *site.Engine, l PlanLimits, now time.Time) *Plan {
+// Plan decides for the shared parts of a prompt that runs at an engine.
+func (k *Kept) Plan(realm string, at site.Upstream, shared []site.Part, e *site.Engine, l PlanLimits, now time.Time) *Plan {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p := &Plan{
@@ -205,24 +186,38 @@
 	for i, part := range shared {
 		key := partKey{realm, part.ID}
 		bytes := int64(part.Tokens) * int64(e.TokenBytes)
-		s, wait := k.source(key, hall, part.Tokens, bytes, l.Before, now)
-		lacking := 1 - k.use.held(key, e.Capacity, now)
-		wait = time.Duration(lacking * float64(wait))
+		s := k.source(key, at, part.Tokens, bytes, l.Before, now)
+		lacking := k.lacking(at.ID, key, part.Tokens, e, now)
+		wait := time.Duration(lacking * float64(s.wait))
 		k.use.note(key, part.Tokens, now)
-		if s != nil && p.Time+wait < l.Longest {
-			p.take(i, part.Tokens, s, wait)
+		if s.link != nil && p.Time+wait < l.Longest {
+			p.take(i, part.Tokens, s.addr, wait)
 			if lacking > mostlyLacking {
-				p.moves = append(p.moves, s)
-				s.book(bytes, hall, now)
+				p.moves = append(p.moves, s.link)
+				s.link.book(bytes, at.DataHall, now)
 			}
 		}
-		if l.Save && (s == nil || k.use.often(key, now)) {
-			k.save(p, i, key, part.Tokens, bytes, s, hall, now)
+		if l.Save && (s.store == nil || k.use.often(key, now)) {
+			k.save(p, i, key, part.Tokens, bytes, s.store, at.DataHall, now)
 		}
 	}
 	return p
 }
 
+// lacking is the chance that an engine lacks a part: by its own word, or else by how
+// often the part is used.
+func (k *Kept) lacking(engine string, key partKey, tokens int, e *site.Engine, now time.Time) float64 {
+	h, ok := k.engines[engine]
+	switch {
+	case !ok || !h.heard:
+		return 1 - k.use.held(key, e.Capacity, now)
+	case h.parts[HashPart(key.realm, key.part)] >= tokens:
+		return 0
+	default:
+		return 1
+	}
+}
+
 // mostlyLacking is the chance that the replica lacks a part from which on its
 // fetch is counted on the links.
 const mostlyLacking = 0.5
@@ -273,88 +268,129 @@
 	return roomShare*float64(s.Capacity) - float64(s.used+s.pending(now)+tokens)
 }
 
-// Look says for each data hall how many of a prompt's shared tokens, from its
-// start on, can be fetched to a replica there, and how long that should take;
-// before is as in PlanLimits.
-func (k *Kept) Look(realm string, halls []string, shared []site.Part, e *site.Engine, before, now time.Time) map[string]Offer {
+// Realm is the name space of what may be used by a prompt on some version of weights.
+type Realm struct {
+	Name string
+	// Before is as in PlanLimits.
+	Before time.Time
+}
+
+// Look says for each engine how many of a prompt's shared tokens, from its start on,
+// it holds, how many can be fetched to it within longest, and how long that should
+// take. realm is that of the version of the weights that an engine has.
+func (k *Kept) Look(at []site.Upstream, model string, realm func(version int64) Realm, shared []site.Part, e *site.Engine, longest time.Duration, now time.Time) map[string]Offer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	offers := make(map[string]Offer, len(halls))
-	for _, hall := range halls {
-		offers[hall] = k.offer(realm, hall, shared, e, before, now)
+	versions := map[int64]*lookUp{}
+	offers := make(map[string]Offer, len(at))
+	for _, u := range at {
+		v := u.Weights[model]
+		if v == 0 {
+			continue
+		}
+		l, ok := versions[v]
+		if !ok {
+			l = newLookUp(realm(v), shared, longest)
+			versions[v] = l
+		}
+		offers[u.ID] = k.offer(l, u, shared, e, now)
 	}
 	return offers
 }
 
-func (k *Kept) offer(realm, hall string, shared []site.Part, e *site.Engine, before, now time.Time) (o Offer) {
-	for _, part := range shared {
-		key := partKey{realm, part.ID}
-		bytes := int64(part.Tokens) * int64(e.TokenBytes)
-		s, wait := k.source(key, hall, part.Tokens, bytes, before, now)
-		if s == nil {
+// lookUp is a look-up of a prompt's shared parts in one realm; sources are by data
+// hall, as engines there have the same.
+type lookUp struct {
+	Realm
+	longest time.Duration // That a fetch may take.
+	hashes  []PartHash
+	sources map[string][]partSource
+}
+
+func newLookUp(r Realm, shared []site.Part, longest time.Duration) *lookUp {
+	l := &lookUp{Realm: r, longest: longest, hashes: make([]PartHash, len(shared)), sources: map[string][]partSource{}}
+	for i, part := range shared {
+		l.hashes[i] = HashPart(r.Name, part.ID)
+	}
+	return l
+}
+
+func (k *Kept) offer(l *lookUp, at site.Upstream, shared []site.Part, e *site.Engine, now time.Time) (o Offer) {
+	sources, ok := l.sources[at.DataHall]
+	if !ok {
+		sources = make([]partSource, len(shared))
+		for i, part := range shared {
+			bytes := int64(part.Tokens) * int64(e.TokenBytes)
+			sources[i] = k.source(partKey{l.Name, part.ID}, site.Upstream{DataHall: at.DataHall}, part.Tokens, bytes, l.Before, now)
+		}
+		l.sources[at.DataHall] = sources
+	}
+	h, ok := k.engines[at.ID]
+	o.Known = ok && h.heard
+	for i, part := range shared {
+		if o.Known && h.parts[l.hashes[i]] >= part.Tokens {
+			o.Held += part.Tokens
+			continue
+		}
+		if sources[i].link == nil {
+			return o
+		}
+		lacking := 1.0
+		if !o.Known {
+			lacking -= k.use.held(partKey{l.Name, part.ID}, e.Capacity, now)
+		}
+		wait := time.Duration(lacking * float64(sources[i].wait))
+		if o.Wait+wait >= l.longest {
 			return o
 		}
-		lacking := 1 - k.use.held(key, e.Capacity, now)
-		o.Tokens += part.Tokens
-		o.Wait += time.Duration(lacking * float64(wait))
+		o.Fetched += part.Tokens
+		o.Wait += wait
 	}
 	return o
 }
 
-// source finds the store from which a part comes soonest, nil for none.
-func (k *Kept) source(key partKey, hall string, tokens int, bytes int64, before, now time.Time) (best *keptStore, wait time.Duration) {
+// partSource is where a part is fetched from; link is nil if there is none.
+type partSource struct {
+	link *keptLink
+	addr netip.AddrPort
+	wait time.Duration
+	// store is a store that has the part, nil if none has: an engine may drop it
+	// any time.
+	store *keptStore
+}
+
+// source finds where a part comes from soonest. Engines give nothing once newer
+// weights have been named: a run that was begun on the older ones may have made the
+// rest of a part on the newer.
+func (k *Kept) source(key partKey, at site.Upstream, tokens int, bytes int64, before, now time.Time) (best partSource) {
+	if tokens == 0 {
+		return best
+	}
+	better := func(l *keptLink, addr netip.AddrPort) {
+		if w := l.fetchTime(bytes, at.DataHall, now); best.link == nil || w < best.wait {
+			best.link, best.addr, best.wait = l, addr, w
+		}
+	}
 	for _, name := range k.names {
 		s := k.stores[name]
 		w := s.parts[key]
-		if !s.heard || w.tokens < tokens || tokens == 0 || !before.IsZero() && w.since.After(before) {
+		if !s.heard || w.tokens < tokens || !before.IsZero() && w.since.After(before) {
 			continue
 		}
-		if w := s.fetchTime(bytes, hall, now); best == nil || w < wait {
-			best, wait = s, w
+		if better(&s.keptLink, s.Addr); best.addr == s.Addr {
+			best.store = s
 		}
 	}
-	return best, wait
-}
-
-// fetchTime is how long a fetch from the store should take: behind those under
-// way, and as much later as fetches from it have lately come.
-func (s *keptStore) fetchTime(bytes int64, hall string, now time.Time) time.Duration {
-	own := float64(s.effective(bytes, hall)) / max(1, s.LinkRate)
-	return max(0, s.busy.Sub(now)) + seconds(own) + s.Latency + s.lateness(now)
-}
-
-// shift moves the store's lateness by a step for each fetch that came late over
-// those that came early, or the other way round.
-//
-// How long a fetch took can't be told from the reading behind it. So the lateness
-// follows the median: a few very late answers move it no further than others.
-func (s *keptStore) shift(late int64, now time.Time) {
-	for range min(late, fetchLateSteps) {
-		l := s.lateness(now)
-		s.late, s.lateAt = min(fetchLateMost, l+lateStep(l)), now
+	if !before.IsZero() || best.store != nil {
+		return best
 	}
-	for range min(-late, fetchLateSteps) {
-		l := s.lateness(now)
-		s.late, s.lateAt = max(0, l-lateStep(l)), now
+	hash := HashPart(key.realm, key.part)
+	for _, h := range k.holders[hash] {
+		if h.ID != at.ID && h.gives(hash, tokens, now) {
+			better(&h.keptLink, h.Addr)
+		}
 	}
-}
-
-func lateStep(late time.Duration) time.Duration { return max(fetchLateStep, late/fetchLateParts) }
-
-const (
-	// fetchLateStep and fetchLateParts say how far one answer moves a store's
-	// lateness: a link that has become slow is noticed within some ten answers.
-	fetchLateStep  = 8 * time.Millisecond
-	fetchLateParts = 6
-	fetchLateMost  = time.Second
-	// fetchLateSteps bounds how far one word of another node moves it.
-	fetchLateSteps = 30
-)
-
-// lateness is how much later than expected fetches from the store come.
-func (s *keptStore) lateness(now time.Time) time.Duration {
-	fade := math.Exp(-max(0, now.Sub(s.lateAt).Seconds()/lateMemory.Seconds()))
-	return time.Duration(fade * float64(s.late))
+	return best
 }
 
 // nearShare is how much fuller a store in the replica's own data hall may be than
--- a/pkg/route/kept_test.go
+++ b/pkg/route/kept_test.go
@@ -39,22 +39,28 @@
 	return list
 }
 
+// look looks testPrompt up in the realm "r" for three engines, one in each hall.
+func look(k *Kept, before, now time.Time) map[string]Offer {
+	realm := func(int64) Realm { return Realm{Name: "r", Before: before} }
+	return k.Look(testReplicas(3, 1), "m", realm, testPrompt, testEngine, time.Second, now)
+}
+
 // A part that is still being written, or that broke off, is never read.
 func TestOnlyPartsToldToBeWholeAreFetched(t *testing.T) {
 	s := testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9)
 	k := newTestKept(s)
-	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow)
+	p := k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow)
 	assert.Equal(t, p.Saved, 7000)
 	assert.Equal(t, p.Fetched, 0)
-	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(time.Millisecond))
+	p = k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(time.Millisecond))
 	assert.Equal(t, p.Fetched, 0, "asked to be saved is not kept")
 	assert.Equal(t, p.Saved, 0, "a part is saved once")
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[0], site.Part{ID: "bb", Tokens: 4000})}, testNow)
-	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(2*time.Millisecond))
+	p = k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(2*time.Millisecond))
 	assert.Assert(t, p.Sources[0].IsValid())
 	assert.Assert(t, !p.Sources[1].IsValid(), "a part that is kept in part is not whole")
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[1])}, testNow)
-	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(3*time.Millisecond))
+	p = k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(3*time.Millisecond))
 	assert.Assert(t, p.Sources[1].IsValid())
 }
 
@@ -62,9 +68,9 @@
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("m@1", testPrompt...)}, testNow)
 	for _, realm := range []string{"m@2", "m@1/org", "other@1"} {
-		assert.Equal(t, k.Plan(realm, "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow).Fetched, 0, realm)
+		assert.Equal(t, k.Plan(realm, site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow).Fetched, 0, realm)
 	}
-	assert.Equal(t, k.Plan("m@1", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow).Fetched, 7000)
+	assert.Equal(t, k.Plan("m@1", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow).Fetched, 7000)
 }
 
 // After a restart nothing is read, and nothing is saved until all nodes must have
@@ -73,10 +79,10 @@
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
 	k.Apply("s", site.CacheChanges{Boot: 2}, testNow)
-	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(time.Second))
+	p := k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(time.Second))
 	assert.Equal(t, p.Fetched, 0)
 	assert.Equal(t, p.Saved, 0)
-	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(restartTerm+time.Second))
+	p = k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow.Add(restartTerm+time.Second))
 	assert.Equal(t, p.Saved, 7000)
 }
 
@@ -84,18 +90,18 @@
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
 	k.Silent("s")
-	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow)
+	p := k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow)
 	assert.Equal(t, p.Fetched+p.Saved, 0)
 	k.Apply("s", site.CacheChanges{Boot: 1}, testNow)
-	assert.Equal(t, k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow).Fetched, 7000)
+	assert.Equal(t, k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow).Fetched, 7000)
 }
 
 func TestFullStoreTakesNothing(t *testing.T) {
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 9_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", site.Part{ID: "cc", Tokens: 8000})}, testNow)
-	assert.Equal(t, k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow).Saved, 0)
+	assert.Equal(t, k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow).Saved, 0)
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: []site.CacheChange{{Realm: "r", Part: "cc"}}}, testNow)
-	assert.Assert(t, k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow).Saved > 0)
+	assert.Assert(t, k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow).Saved > 0)
 }
 
 func TestFetchComesFromWhereItIsSoonest(t *testing.T) {
@@ -104,10 +110,10 @@
 	k := newTestKept(slow, fast)
 	k.Apply("slow", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
 	k.Apply("fast", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
-	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
+	p := k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
 	assert.Equal(t, p.Sources[1], fast.Store.Addr)
 	k.AddPeer("fast", Tally{Bytes: 20e9}, testNow) // Other nodes have asked for much there.
-	p = k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
+	p = k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
 	assert.Equal(t, p.Sources[1], slow.Store.Addr)
 }
 
@@ -119,7 +125,7 @@
 		parts := []site.Part{{ID: fmt.Sprintf("p%d", i), Tokens: 5000}}
 		k.Apply("a", site.CacheChanges{Boot: 1, Changes: plus("r", parts...)}, now)
 		k.Apply("b", site.CacheChanges{Boot: 1, Changes: plus("r", parts...)}, now)
-		return k.Plan("r", "h0", parts, testEngine, PlanLimits{Longest: time.Second}, now)
+		return k.Plan("r", site.Upstream{DataHall: "h0"}, parts, testEngine, PlanLimits{Longest: time.Second}, now)
 	}
 	now := testNow
 	for i := range 12 {
@@ -140,12 +146,12 @@
 func TestOffersEndAtTheFirstPartThatIsNotKept(t *testing.T) {
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[1])}, testNow)
-	o := k.Look("r", []string{"h0", "h1"}, testPrompt, testEngine, time.Time{}, testNow)
-	assert.Equal(t, o["h0"].Tokens, 0, "a part serves only behind all before it")
+	o := look(k, time.Time{}, testNow)
+	assert.Equal(t, o["r00"].Fetched, 0, "a part serves only behind all before it")
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[0])}, testNow)
-	o = k.Look("r", []string{"h0", "h1"}, testPrompt, testEngine, time.Time{}, testNow)
-	assert.Equal(t, o["h0"].Tokens, 7000)
-	assert.Assert(t, o["h1"].Wait > o["h0"].Wait, "moves between data halls take longer")
+	o = look(k, time.Time{}, testNow)
+	assert.Equal(t, o["r00"].Fetched, 7000)
+	assert.Assert(t, o["r01"].Wait > o["r00"].Wait, "moves between data halls take longer")
 }
 
 func TestSurplusIsWhatWillNotBeUsed(t *testing.T) {
@@ -182,11 +188,11 @@
 	named := testNow.Add(time.Second)
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[0])}, testNow)
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt[1])}, named.Add(time.Millisecond))
-	p := k.Plan("r", "h0", testPrompt, testEngine, PlanLimits{Longest: time.Second, Before: named}, named.Add(time.Second))
+	p := k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Before: named}, named.Add(time.Second))
 	assert.Assert(t, p.Sources[0].IsValid())
 	assert.Assert(t, !p.Sources[1].IsValid())
-	o := k.Look("r", []string{"h0"}, testPrompt, testEngine, named, named.Add(time.Second))
-	assert.Equal(t, o["h0"].Tokens, testPrompt[0].Tokens)
+	o := look(k, named, named.Add(time.Second))
+	assert.Equal(t, o["r00"].Fetched, testPrompt[0].Tokens)
 }
 
 // One node of many sees a store too seldom to notice by itself that its link has
@@ -199,7 +205,7 @@
 		x.Apply("b", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
 	}
 	source := func(after time.Duration) netip.AddrPort { // Moves before it are done.
-		return k.Plan("r", "h0", testPrompt[1:], testEngine, PlanLimits{Longest: time.Second}, testNow.Add(after)).Sources[0]
+		return k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt[1:], testEngine, PlanLimits{Longest: time.Second}, testNow.Add(after)).Sources[0]
 	}
 	assert.Equal(t, source(0), a.Store.Addr)
 	now := testNow
@@ -207,7 +213,7 @@
 		now = now.Add(10 * time.Millisecond)
 		parts := []site.Part{{ID: fmt.Sprintf("p%d", i), Tokens: 10}}
 		other.Apply("a", site.CacheChanges{Boot: 1, Changes: plus("r", parts...)}, now)
-		other.Plan("r", "h0", parts, testEngine, PlanLimits{Longest: time.Second}, now).First(time.Second, now)
+		other.Plan("r", site.Upstream{DataHall: "h0"}, parts, testEngine, PlanLimits{Longest: time.Second}, now).First(time.Second, now)
 	}
 	told := other.Tallies()["a"]
 	assert.Equal(t, told.Late, int64(12))
--- /dev/null
+++ b/pkg/route/memory.go
@@ -0,0 +1,49 @@
+package route
+
+import "time"
+
+const (
+	// memoryShare is the part of an engine's memory that prompts in flight are
+	// expected to fill without harm: the rest is for what they generate, and for
+	// what other nodes have sent that is not known yet.
+	memoryShare = 0.9
+	// startHold is how long a prompt is assumed to hold an engine's memory before
+	// any was measured.
+	startHold = time.Second
+)
+
+// memoryUse is what prompts hold of engines' memory and for how long, learnt from
+// this node's own: the time in which memory that is full turns over.
+type memoryUse struct {
+	tokens  float64 // Of recent prompts, in a decaying sum.
+	seconds float64 // Of the same sum, weighted by tokens.
+}
+
+// note takes in a prompt that held tokens for a time. Larger prompts weigh more, as
+// it is they that fill the memory.
+func (u *memoryUse) note(tokens int, held time.Duration) {
+	u.tokens = (1-learnShare)*u.tokens + float64(tokens)
+	u.seconds = (1-learnShare)*u.seconds + float64(tokens)*held.Seconds()
+}
+
+// mean is the mean of what a prompt holds, in tokens.
+func (u *memoryUse) mean() int { return int(learnShare * u.tokens) }
+
+// hold is the mean time for which a token is held, in seconds.
+func (u *memoryUse) hold() float64 {
+	if u.tokens == 0 {
+		return startHold.Seconds()
+	}
+	return u.seconds / u.tokens
+}
+
+// memoryWait is how long a prompt waits at an engine until others have given up the
+// memory that it needs, in seconds. What is let in past an engine's memory has
+// another prompt preempted, and that one is read again.
+func (p *Pool) memoryWait(m *member, tokens int) float64 {
+	if p.capacity <= 0 {
+		return 0
+	}
+	over := float64(m.memory+m.others.Memory+tokens) - memoryShare*float64(p.capacity)
+	return max(0, over) / float64(p.capacity) * p.memory.hold()
+}
--- a/pkg/route/need.go
+++ b/pkg/route/need.go
@@ -13,10 +13,12 @@
 	// have in common; both are 0 for requests without a prompt.
 	Tokens int
 	Shared int
-	// Offers are what can be fetched to the replicas of each data hall.
+	// Memory is what the request will hold of an engine's memory, in tokens, and
+	// Capacity how much an engine has; both are 0 if that is not known.
+	Memory   int
+	Capacity int
+	// Offers are what each replica has of the prompt or can fetch, by ID.
 	Offers map[string]Offer
-	// LongestFetch is the longest that a fetch is worth.
-	LongestFetch time.Duration
 	// Affinity is a hash of the shared parts, 0 for none.
 	Affinity uint64
 	// Newest is the newest version of the model's weights, 0 if not known.
@@ -29,27 +31,21 @@
 	Exclude []string
 }
 
-// Offer is what of a prompt can be fetched.
+// Offer is what a replica has of a prompt's shared tokens, or can fetch.
 type Offer struct {
-	Tokens int
-	Wait   time.Duration
-}
-
-// offer is what is fetched to a replica in a data hall, nothing if that would
-// take too long.
-func (n *Need) offer(hall string) Offer {
-	if o := n.Offers[hall]; o.Wait < n.LongestFetch {
-		return o
-	}
-	return Offer{}
+	// Known says that the replica itself tells what it holds; Held is that.
+	Known   bool
+	Held    int
+	Fetched int
+	Wait    time.Duration // Of the fetch.
 }
 
-// toRead is how many tokens a replica has to read; its home is likely to have
-// some of those that can't be fetched.
+// toRead is how many tokens a replica has to read. Where it does not tell what it
+// holds, a prompt's home is likely to have some of what can't be fetched.
 func (n *Need) toRead(o Offer, home bool) float64 {
-	read := float64(n.Tokens - o.Tokens)
-	if home {
-		read -= homeShare * float64(n.Shared-o.Tokens)
+	read := float64(n.Tokens - o.Held - o.Fetched)
+	if home && !o.Known {
+		read -= homeShare * float64(n.Shared-o.Fetched)
 	}
 	return read
 }
@@ -65,4 +61,6 @@
 	Fetch time.Duration
 	// Read are the tokens that the replica should have to read.
 	Read int
+	// Memory are the tokens of the replica's memory that it will hold.
+	Memory int
 }
--- a/pkg/route/plan.go
+++ b/pkg/route/plan.go
@@ -18,12 +18,12 @@
 	Time time.Duration
 
 	kept  *Kept
-	moves []*keptStore // From which something is fetched.
+	moves []*keptLink // Over which something is fetched.
 }
 
-// take has a part fetched from a store.
-func (p *Plan) take(i, tokens int, s *keptStore, wait time.Duration) {
-	p.Sources[i] = s.Addr
+// take has a part fetched.
+func (p *Plan) take(i, tokens int, addr netip.AddrPort, wait time.Duration) {
+	p.Sources[i] = addr
 	p.Fetched += tokens
 	p.Time += wait
 }
@@ -36,13 +36,13 @@
 	}
 	p.kept.mu.Lock()
 	defer p.kept.mu.Unlock()
-	for _, s := range p.moves {
+	for _, l := range p.moves {
 		if excess < 0 {
-			s.own.Early++
-			s.shift(-1, now)
+			l.own.Early++
+			l.shift(-1, now)
 		} else {
-			s.own.Late++
-			s.shift(1, now)
+			l.own.Late++
+			l.shift(1, now)
 		}
 	}
 }
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -31,6 +31,8 @@
 	base     float64
 	meanRun  time.Duration // Of requests without a prompt.
 	failing  float64       // Mean share of failures over all replicas.
+	memory   memoryUse
+	capacity int // Of an engine's memory, in tokens; 0 if not known.
 }
 
 // member is one replica of a pool.
@@ -39,6 +41,7 @@
 	hash    uint64
 	flights map[*Flight]struct{} // Own requests in flight.
 	pending int                  // Tokens of those without a first answer byte.
+	memory  int                  // Tokens that they hold of an engine's memory.
 	others  PeerLoad             // In flight at other nodes.
 	late    float64              // Mean of the time taken over the time expected.
 	lateAt  time.Time
@@ -52,6 +55,7 @@
 type PeerLoad struct {
 	Requests int
 	Tokens   int // To be read.
+	Memory   int // Tokens held of an engine's memory.
 }
 
 const (
@@ -179,7 +183,7 @@
 	loads := map[string]PeerLoad{}
 	for _, m := range p.list {
 		if len(m.flights) > 0 {
-			loads[m.ID] = PeerLoad{Requests: len(m.flights), Tokens: m.pending}
+			loads[m.ID] = PeerLoad{Requests: len(m.flights), Tokens: m.pending, Memory: m.memory}
 		}
 	}
 	return loads
@@ -196,6 +200,7 @@
 func (p *Pool) Pick(n *Need, now time.Time) (c Choice, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.capacity = max(p.capacity, n.Capacity)
 	home := p.home(n)
 	best := math.Inf(1)
 	var chosen *member
@@ -213,13 +218,14 @@
 	if chosen == nil {
 		return Choice{}, false
 	}
-	offer := n.offer(chosen.DataHall)
+	offer := n.Offers[chosen.ID]
 	return Choice{
 		Upstream: chosen.Upstream,
 		Weights:  chosen.Weights[n.Model],
 		Expected: seconds(p.firstByte(chosen, n, chosen == home, now)),
 		Fetch:    offer.Wait,
 		Read:     int(n.toRead(offer, chosen == home)),
+		Memory:   n.Memory,
 	}, true
 }
 
@@ -291,9 +297,9 @@
 		return (wait + p.meanRun.Seconds()) * m.lateness(now)
 	}
 	waiting := float64(m.pending + m.others.Tokens)
-	offer := n.offer(m.DataHall)
+	offer := n.Offers[m.ID]
 	reading := (waiting + n.toRead(offer, home)) * p.perToken
-	return (p.base+reading+float64(running)*runTime.Seconds())*m.lateness(now) + offer.Wait.Seconds()
+	return (p.base+reading+float64(running)*runTime.Seconds())*m.lateness(now) + offer.Wait.Seconds() + p.memoryWait(m, n.Memory)
 }
 
 // lateness is how much longer than expected the replica's answers take.
--- a/pkg/route/pool_bench_test.go
+++ b/pkg/route/pool_bench_test.go
@@ -47,7 +47,7 @@
 			for i := 0; b.Loop(); i++ {
 				now = now.Add(10 * time.Millisecond)
 				parts := []site.Part{{ID: "common", Tokens: 2500}, {ID: fmt.Sprintf("%d-%d", i%n, i%1000), Tokens: 5000}}
-				k.Plan("r", "h0", parts, testEngine, PlanLimits{Longest: time.Second}, now)
+				k.Plan("r", site.Upstream{DataHall: "h0"}, parts, testEngine, PlanLimits{Longest: time.Second}, now)
 			}
 		})
 	}
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -49,7 +49,7 @@
 	var waits []float64
 	for _, m := range p.list {
 		if !m.Draining && !m.passedOver(now) {
-			waits = append(waits, float64(m.pending+m.others.Tokens)*p.perToken*m.lateness(now))
+			waits = append(waits, float64(m.pending+m.others.Tokens)*p.perToken*m.lateness(now)+p.memoryWait(m, p.memory.mean()))
 		}
 	}
 	if len(waits) == 0 {
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -36,6 +36,7 @@
 	choice  route.Choice
 	flight  *route.Flight
 	plan    *route.Plan
+	realm   string // Of the prompt's kept state.
 	begun   time.Time
 	took    time.Duration // To the first byte of the answer's body.
 	last    time.Time     // When bytes of the body came last.
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -49,7 +49,7 @@
 		return d, &route.Plan{}
 	}
 	replaced := x.g.beliefs.ReplacedAt(x.need.Model, c.Weights)
-	plan := x.g.kept.Plan(d.Realm, c.DataHall, shared, x.service.Engine, route.PlanLimits{
+	plan := x.g.kept.Plan(d.Realm, c.Upstream, shared, x.service.Engine, route.PlanLimits{
 		Longest: x.longestFetch(),
 		// While weights are being replaced, what a replica reads may be of either.
 		Save:   replaced.IsZero(),
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -136,6 +136,8 @@
 	}
 	n.Model = x.terms.Model
 	n.Tokens = x.terms.PromptTokens()
+	n.Memory = n.Tokens + x.terms.Out
+	n.Capacity = x.service.Engine.Capacity
 	shared := x.terms.Shared()
 	for _, p := range shared {
 		n.Shared += p.Tokens
@@ -152,10 +154,13 @@
 	if e == nil || !e.PlannedFetch || x.need.Model == "" {
 		return
 	}
-	version := x.pool.Majority(x.need.Model)
-	realm := realmOf(x.need.Model, version, x.organisation)
-	x.need.Offers = x.g.kept.Look(realm, x.pool.Halls(), x.terms.Shared(), e, x.g.beliefs.ReplacedAt(x.need.Model, version), now)
-	x.need.LongestFetch = x.longestFetch()
+	realm := func(version int64) route.Realm {
+		return route.Realm{
+			Name:   realmOf(x.need.Model, version, x.organisation),
+			Before: x.g.beliefs.ReplacedAt(x.need.Model, version),
+		}
+	}
+	x.need.Offers = x.g.kept.Look(x.pool.Upstreams(), x.need.Model, realm, x.terms.Shared(), e, x.longestFetch(), now)
 }
 
 const (
@@ -199,6 +204,7 @@
 	}
 	dispatch, plan := x.dispatch(choice, now)
 	a := newAttempt(x, choice, plan, now)
+	a.realm = dispatch.Realm
 	if x.need.Tokens > 0 {
 		x.g.nodes.soon()
 	}
@@ -223,8 +229,7 @@
 // unsent goes on after a connection that could not be made.
 func (x *exchange) unsent(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
 	a.end(route.OutcomeFailed, now)
-	x.pool.Lost(a.choice.ID, now)
-	x.g.conns.lost(a.choice.ID)
+	x.lost(a.choice.ID, now)
 	x.g.log.Warn("replica not reached", "request", x.terms.ID, "replica", a.choice.ID, "addr", a.choice.Addr, "err", err)
 	x.need.Exclude = append(x.need.Exclude, a.choice.ID)
 	x.refused++
@@ -234,6 +239,16 @@
 	return true, refusal{}
 }
 
+// doubtTerm is for how long nothing is fetched from an engine that was not reached.
+const doubtTerm = 2 * time.Second
+
+// lost notes that a replica can't be reached.
+func (x *exchange) lost(id string, now time.Time) {
+	x.pool.Lost(id, now)
+	x.g.conns.lost(id)
+	x.g.kept.DoubtEngine(id, now.Add(doubtTerm))
+}
+
 // notRun goes on after a replica that refused.
 func (x *exchange) notRun(a *attempt, now time.Time) (bool, refusal) {
 	a.end(route.OutcomeNeutral, now)
@@ -284,8 +299,7 @@
 	}
 	a.end(route.OutcomeFailed, now)
 	if lostPeer(err) {
-		x.pool.Lost(a.choice.ID, now)
-		x.g.conns.lost(a.choice.ID)
+		x.lost(a.choice.ID, now)
 	}
 	x.g.log.Warn("answer lost", "request", x.terms.ID, "replica", a.choice.ID, "attempts", x.ran, "err", err)
 	return x.repeat(a.choice.ID, now)
@@ -362,6 +376,9 @@
 
 // first records that the first byte of the answer has come.
 func (x *exchange) first(a *attempt, now time.Time) {
+	if a.took == 0 && a.realm != "" {
+		x.g.kept.NoteRead(a.choice.ID, a.realm, x.terms.Shared())
+	}
 	a.first(now)
 	x.leaveQueue(now)
 }
@@ -380,10 +397,11 @@
 
 // logAnswer tells where a request ran, by what, and how long it took.
 func (x *exchange) logAnswer(a *attempt, now time.Time) {
+	offer := x.need.Offers[a.choice.ID]
 	x.g.metrics.answer(x.route.Kind(), a.begun.Sub(x.came), a.took, now.Sub(x.came))
 	x.g.log.Info("answered", "request", x.terms.ID, "route", x.route.Name, "replica", a.choice.ID,
 		"hall", a.choice.DataHall, "weights", a.choice.Weights, "newest", x.need.Newest,
-		"tokens", x.need.Tokens, "shared", x.need.Shared, "kept", x.need.Offers[a.choice.DataHall].Tokens, "read", a.choice.Read,
+		"tokens", x.need.Tokens, "shared", x.need.Shared, "kept", offer.Held+offer.Fetched, "held", offer.Held, "read", a.choice.Read,
 		"fetched", a.plan.Fetched, "saved", a.plan.Saved, "sources", a.plan.Sources, "fetch_ms", a.plan.Time.Milliseconds(),
 		"expected_ms", a.choice.Expected.Milliseconds(), "first_ms", a.took.Milliseconds(), "gap_ms", a.longest.Milliseconds(),
 		"before_ms", a.begun.Sub(x.came).Milliseconds(), "all_ms", now.Sub(x.came).Milliseconds(),
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -65,6 +65,7 @@
 	readers  *readers
 	watchers *watchers
 	stores   *stores
+	holdings *holdings
 	rollout  *rollout.Rollout
 	conns    *upstreamConns
 	clients  *clientConns
@@ -113,6 +114,7 @@
 		readers:  in.Readers,
 		watchers: in.Watchers,
 		stores:   in.Stores,
+		holdings: in.Holdings,
 		rollout:  in.Rollout,
 		conns:    in.Conns,
 		clients:  in.Clients,
@@ -173,6 +175,7 @@
 	g.timer.Subscribe(pruneEvery, func(context.Context) { g.conns.prune(time.Now()) })
 	g.timer.Subscribe(expireEvery, func(context.Context) { g.beliefs.Expire(time.Now()) })
 	g.timer.Subscribe(watchEvery, g.stores.refresh)
+	g.timer.Subscribe(watchEvery, g.holdings.refresh)
 	g.timer.Subscribe(freeEvery, g.stores.free)
 	g.timer.Subscribe(rollout.Every, g.rollout.Step)
 	g.timer.Subscribe(watchEvery, g.shareBudgets)
@@ -314,6 +317,7 @@
 	g.timer.Close()
 	g.rollout.Close()
 	g.stores.close()
+	g.holdings.close()
 	g.readySide.close()
 	g.directory.close()
 	if g.figures != nil {
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -45,8 +45,11 @@
 	speakDuty = "speak/"
 )
 
-// load is what is in flight at a replica: requests and tokens to be read.
-type load [2]int
+// load is what is in flight at a replica: requests, tokens to be read, and tokens
+// held of an engine's memory.
+type load [3]int
+
+func (l load) plus(o load) load { return load{l[0] + o[0], l[1] + o[1], l[2] + o[2]} }
 
 // nodeState is what one node tells. Its JSON names are short, as it is sent many
 // times a second.
@@ -153,7 +156,7 @@
 	}
 	for _, p := range n.beliefs.Pools() {
 		for id, l := range p.Loads() {
-			s.Loads[id] = load{l.Requests, l.Tokens}
+			s.Loads[id] = load{l.Requests, l.Tokens, l.Memory}
 		}
 	}
 	n.mu.Lock()
@@ -266,7 +269,7 @@
 	for _, state := range n.loads.states {
 		for id, l := range state.Loads {
 			sum := s.Loads[id]
-			s.Loads[id] = load{sum[0] + l[0], sum[1] + l[1]}
+			s.Loads[id] = sum.plus(l)
 		}
 	}
 	s.Loads = busiest(s.Loads, sumMost)
@@ -410,6 +413,7 @@
 				v := sum[id]
 				v.Requests += l[0]
 				v.Tokens += l[1]
+				v.Memory += l[2]
 				sum[id] = v
 			}
 		}
@@ -430,6 +434,7 @@
 		v := sum[id]
 		v.Requests = max(0, v.Requests-l[0])
 		v.Tokens = max(0, v.Tokens-l[1])
+		v.Memory = max(0, v.Memory-l[2])
 		sum[id] = v
 	}
 }
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -31,6 +31,7 @@
 	Readers  *readers
 	Watchers *watchers
 	Stores   *stores
+	Holdings *holdings
 	Rollout  *rollout.Rollout
 	Conns    *upstreamConns
 	Clients  *clientConns
@@ -85,6 +86,7 @@
 		newReaders,
 		newWatchers,
 		newStores,
+		newHoldings,
 		newNodes,
 		newPeers,
 	}
@@ -123,13 +125,14 @@
 }
 
 // newPeers listens for nodes that ask this one.
-func newPeers(s config.GatewaySettings, r *readers, w *watchers, log *slog.Logger) (*peer.Server, error) {
+func newPeers(s config.GatewaySettings, r *readers, w *watchers, h *holdings, log *slog.Logger) (*peer.Server, error) {
 	server, err := peer.NewServer(s.Peer.Listen, map[peer.Role]string{peer.RolePeer: s.Peer.Key}, log)
 	if err != nil {
 		return nil, err
 	}
 	server.Handle(peer.RolePeer, methodChanges, r.serve)
 	server.Handle(peer.RolePeer, methodEvents, w.serve)
+	server.Handle(peer.RolePeer, methodHeld, h.serve)
 	return server, nil
 }
 
