Prompts wait at the nodes until an engine is expected to begin them soon

Change: route.PromptQueue. A prompt is sent when its engine is expected to begin it within a quarter of the target, by tokens that wait there before it (told by urgency, in four bands) and by memory. Prompts that can still be in time go first. Nothing is refused that can be answered before its deadline.

--- a/pkg/route/flight.go
+++ b/pkg/route/flight.go
@@ -7,6 +7,7 @@
 	pool     *Pool
 	member   *member
 	tokens   int
+	band     int
 	memory   int     // Tokens held of an engine's memory.
 	read     int     // Tokens expected to be read, with those before it.
 	fetch    float64 // Expected time of its fetch, in seconds.
@@ -30,13 +31,14 @@
 		member:   m,
 		tokens:   c.Read,
 		memory:   c.Memory,
-		read:     c.Read + m.pending + m.others.Tokens,
+		band:     c.Band,
+		read:     c.Read + c.Ahead,
 		fetch:    c.Fetch.Seconds(),
 		begun:    now,
 		expected: c.Expected,
 	}
 	m.flights[k] = struct{}{}
-	m.pending += c.Read
+	m.pending[k.band] += c.Read
 	m.memory += c.Memory
 	return k
 }
@@ -55,7 +57,7 @@
 		return
 	}
 	k.first = true
-	k.member.pending -= k.tokens
+	k.member.pending[k.band] -= k.tokens
 	took := now.Sub(k.begun)
 	ratio := max(took, leastExpected).Seconds() / max(k.expected, leastExpected).Seconds()
 	k.member.late = k.member.lateness(now)
@@ -98,7 +100,7 @@
 	case o == OutcomeOK:
 		k.noteFirst(now)
 	default:
-		m.pending -= k.tokens
+		m.pending[k.band] -= k.tokens
 	}
 	if o == OutcomeOK && k.memory > 0 {
 		p.memory.note(k.memory, now.Sub(k.begun))
--- a/pkg/route/memory_test.go
+++ b/pkg/route/memory_test.go
@@ -12,7 +12,7 @@
 func TestPromptGoesWhereItFitsIntoMemory(t *testing.T) {
 	p := newTestPool(2, 1)
 	need := &Need{Model: "m", Tokens: 10_000, Memory: 10_000, Capacity: 40_000}
-	loads := map[string]PeerLoad{"r00": {Requests: 4, Memory: 38_000}, "r01": {Requests: 4, Tokens: 2000, Memory: 8000}}
+	loads := map[string]PeerLoad{"r00": {Requests: 4, Memory: 38_000}, "r01": {Requests: 4, Tokens: Banded{2000}, Memory: 8000}}
 	p.SetPeers(loads)
 	c, ok := p.Pick(need, testNow)
 	assert.Assert(t, ok)
--- a/pkg/route/need.go
+++ b/pkg/route/need.go
@@ -13,6 +13,8 @@
 	// have in common; both are 0 for requests without a prompt.
 	Tokens int
 	Shared int
+	// Priority ranks the request, 0 for the most urgent.
+	Priority int
 	// Memory is what the request will hold of an engine's memory, in tokens, and
 	// Capacity how much an engine has; both are 0 if that is not known.
 	Memory   int
@@ -61,6 +63,11 @@
 	Fetch time.Duration
 	// Read are the tokens that the replica should have to read.
 	Read int
+	// Ahead are those that it reads before, and Band how urgent the request is.
+	Ahead int
+	Band  int
+	// Wait is the part of Expected until the replica begins the request.
+	Wait time.Duration
 	// Memory are the tokens of the replica's memory that it will hold.
 	Memory int
 }
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -40,7 +40,7 @@
 	site.Upstream
 	hash    uint64
 	flights map[*Flight]struct{} // Own requests in flight.
-	pending int                  // Tokens of those without a first answer byte.
+	pending Banded               // Tokens of those without a first answer byte.
 	memory  int                  // Tokens that they hold of an engine's memory.
 	others  PeerLoad             // In flight at other nodes.
 	late    float64              // Mean of the time taken over the time expected.
@@ -54,8 +54,22 @@
 // PeerLoad is what other nodes have in flight at a replica.
 type PeerLoad struct {
 	Requests int
-	Tokens   int // To be read.
-	Memory   int // Tokens held of an engine's memory.
+	Tokens   Banded // To be read.
+	Memory   int    // Tokens held of an engine's memory.
+}
+
+// Plus is the sum of two loads.
+func (l PeerLoad) Plus(o PeerLoad) PeerLoad {
+	return PeerLoad{Requests: l.Requests + o.Requests, Tokens: l.Tokens.Plus(o.Tokens), Memory: l.Memory + o.Memory}
+}
+
+// Minus takes another load away; nothing becomes less than none.
+func (l PeerLoad) Minus(o PeerLoad) PeerLoad {
+	return PeerLoad{
+		Requests: max(0, l.Requests-o.Requests),
+		Tokens:   l.Tokens.Minus(o.Tokens),
+		Memory:   max(0, l.Memory-o.Memory),
+	}
 }
 
 const (
@@ -226,6 +240,9 @@
 		Fetch:    offer.Wait,
 		Read:     int(n.toRead(offer, chosen == home)),
 		Memory:   n.Memory,
+		Ahead:    chosen.ahead(n),
+		Band:     bandOf(n.Priority),
+		Wait:     seconds(p.promptWait(chosen, n, now)),
 	}, true
 }
 
@@ -296,10 +313,29 @@
 		wait += p.meanRun.Seconds() * float64(running) / float64(4*max(1, m.Slots))
 		return (wait + p.meanRun.Seconds()) * m.lateness(now)
 	}
-	waiting := float64(m.pending + m.others.Tokens)
 	offer := n.Offers[m.ID]
-	reading := (waiting + n.toRead(offer, home)) * p.perToken
-	return (p.base+reading+float64(running)*runTime.Seconds())*m.lateness(now) + offer.Wait.Seconds() + p.memoryWait(m, n.Memory)
+	own := (p.base+n.toRead(offer, home)*p.perToken)*m.lateness(now) + offer.Wait.Seconds()
+	return own + p.wait(m, n, now)
+}
+
+// promptWait is wait, and nothing for requests without a prompt.
+func (p *Pool) promptWait(m *member, n *Need, now time.Time) float64 {
+	if n.Tokens == 0 {
+		return 0
+	}
+	return p.wait(m, n, now)
+}
+
+// wait is how long a prompt waits at a replica until it is begun, in seconds.
+func (p *Pool) wait(m *member, n *Need, now time.Time) float64 {
+	running := float64(len(m.flights) + m.others.Requests)
+	reading := float64(m.ahead(n)) * p.perToken
+	return (reading+running*runTime.Seconds())*m.lateness(now) + p.memoryWait(m, n.Memory)
+}
+
+// ahead is how many tokens are read at a replica before a prompt's.
+func (m *member) ahead(n *Need) int {
+	return m.pending.Plus(m.others.Tokens).upTo(bandOf(n.Priority))
 }
 
 // lateness is how much longer than expected the replica's answers take.
--- a/pkg/route/pool_test.go
+++ b/pkg/route/pool_test.go
@@ -83,7 +83,7 @@
 			assert.Equal(t, l.Requests, 0)
 		}
 		for _, m := range p.list {
-			assert.Equal(t, m.pending, 0)
+			assert.Equal(t, m.pending, Banded{})
 		}
 	})
 }
@@ -140,7 +140,7 @@
 
 func TestWhatOtherNodesHaveThereCounts(t *testing.T) {
 	p := newTestPool(3, 1)
-	p.SetPeers(map[string]PeerLoad{"r00": {Requests: 2, Tokens: 9000}, "r01": {Requests: 2, Tokens: 9000}})
+	p.SetPeers(map[string]PeerLoad{"r00": {Requests: 2, Tokens: Banded{9000}}, "r01": {Requests: 2, Tokens: Banded{9000}}})
 	for range 5 {
 		c, ok := p.Pick(&Need{Model: "m", Tokens: 1000}, testNow)
 		assert.Assert(t, ok)
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -41,15 +41,16 @@
 	return slices.Clone(p.halls)
 }
 
-// MedianWait is the median of what a new prompt would wait for those before it,
-// over the replicas that take some.
+// MedianWait is the median of what the least urgent of prompts would wait, over the
+// replicas that take some.
 func (p *Pool) MedianWait(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	n := &Need{Priority: bands - 1, Memory: p.memory.mean()}
 	var waits []float64
 	for _, m := range p.list {
 		if !m.Draining && !m.passedOver(now) {
-			waits = append(waits, float64(m.pending+m.others.Tokens)*p.perToken*m.lateness(now)+p.memoryWait(m, p.memory.mean()))
+			waits = append(waits, p.wait(m, n, now))
 		}
 	}
 	if len(waits) == 0 {
@@ -77,7 +78,7 @@
 	site.Upstream
 
 	Requests int      `json:"requests"` // Of this node.
-	Tokens   int      `json:"tokens"`   // That they are to have read.
+	Tokens   Banded   `json:"tokens"`   // That they are to have read, by urgency.
 	Others   PeerLoad `json:"others"`
 	Lateness float64  `json:"lateness"`
 	Failing  float64  `json:"failing"`
--- /dev/null
+++ b/pkg/route/prompt_queue.go
@@ -0,0 +1,223 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/queue"
+)
+
+// PromptQueue is where a node's prompts wait until an engine has room for them.
+//
+// What waits inside an engine can't be ordered any more, what was prepared for it
+// gives way before its run, and what is let in past an engine's memory has another
+// prompt read again. So a prompt is sent only when an engine is expected to begin it
+// soon, and waits here otherwise.
+//
+// Prompts that can still be answered in good time go before those that can't: under
+// load a queue in order of arrival has all of them come late. Then the more urgent
+// go first, then the organisation that has had the least (start-time fair queueing),
+// then who came first. Nobody is passed by: a large prompt that finds no room has the
+// engines drain until it does.
+//
+// The lock is taken before that of a Pool, which Ask.Fits looks into.
+type PromptQueue struct {
+	mu      sync.Mutex
+	waiting queue.Heap[*WaitingPrompt]
+	// virtual is the start tag of the last prompt let in, finish up to where each
+	// organisation has had its part.
+	virtual float64
+	finish  map[string]float64
+	seq     uint64
+	// sending was let in and is not yet sent: until then the pool does not count it.
+	sending *WaitingPrompt
+	// interval is the mean time between prompts let in while others wait.
+	interval time.Duration
+	last     time.Time // When one was let in, zero if nobody has waited since.
+}
+
+const (
+	// startInterval is the time between prompts let in that is assumed before any
+	// was measured.
+	startInterval = 20 * time.Millisecond
+	// intervalWeight is the weight of the newest such time.
+	intervalWeight = 0.1
+	// finishMost bounds the organisations that are remembered.
+	finishMost = 10_000
+)
+
+// Ask is what a prompt asks of the queue.
+type Ask struct {
+	Organisation string
+	Cost         float64 // In tokens.
+	Priority     int     // The lowest goes first.
+	// Limit is the time after which it is not worth being sent.
+	Limit time.Time
+	// Fits says whether an engine is expected to begin it soon; late is as in
+	// WaitingPrompt.Late. It is called with the queue's lock held.
+	Fits func(late bool, now time.Time) bool
+}
+
+// WaitingPrompt is a prompt's place in the queue.
+type WaitingPrompt struct {
+	queue.Position
+	Ask
+
+	queue *PromptQueue
+	ready chan struct{}
+	late  bool
+	tag   float64 // Of start-time fair queueing.
+	seq   uint64
+	in    bool
+}
+
+// NewPromptQueue returns an empty queue.
+func NewPromptQueue() *PromptQueue {
+	return &PromptQueue{finish: map[string]float64{}, interval: startInterval}
+}
+
+// Offer queues a prompt; it may be let in at once. One that is not expected to be let
+// in before its limit is refused with a *RefusedError.
+func (q *PromptQueue) Offer(a Ask, now time.Time) (*WaitingPrompt, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.seq++
+	w := &WaitingPrompt{Ask: a, queue: q, ready: make(chan struct{}), seq: q.seq}
+	w.tag = max(q.virtual, q.finish[a.Organisation])
+	if wait := q.expected(w); now.Add(wait).After(a.Limit) {
+		return nil, &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}
+	}
+	if len(q.finish) >= finishMost {
+		clear(q.finish) // They begin anew, all alike.
+	}
+	q.finish[a.Organisation] = w.tag + a.Cost
+	q.waiting.Push(w)
+	q.step(now)
+	return w, nil
+}
+
+// expected is how long a prompt would wait behind those that go before it.
+func (q *PromptQueue) expected(w *WaitingPrompt) time.Duration {
+	ahead := 0
+	for _, o := range q.waiting.Items() {
+		if o.Before(w) {
+			ahead++
+		}
+	}
+	return time.Duration(ahead) * q.interval
+}
+
+// Step lets in whom there is room for.
+func (q *PromptQueue) Step(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.step(now)
+}
+
+func (q *PromptQueue) step(now time.Time) {
+	if q.sending != nil || q.waiting.Len() == 0 {
+		return
+	}
+	w := q.waiting.First()
+	if !w.Fits(w.late, now) {
+		if q.last.IsZero() {
+			q.last = now
+		}
+		return
+	}
+	q.waiting.Pop()
+	q.virtual = max(q.virtual, w.tag)
+	q.sending = w
+	w.in = true
+	if !q.last.IsZero() {
+		q.interval += time.Duration(intervalWeight * float64(now.Sub(q.last)-q.interval))
+	}
+	q.last = now
+	if q.waiting.Len() == 0 {
+		q.last = time.Time{}
+	}
+	close(w.ready)
+}
+
+// Len is how many prompts wait.
+func (q *PromptQueue) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting.Len()
+}
+
+// Ready is closed once the prompt is let in.
+func (w *WaitingPrompt) Ready() <-chan struct{} { return w.ready }
+
+// Late notes that the prompt can't be answered in good time any more.
+func (w *WaitingPrompt) Late(now time.Time) {
+	w.queue.mu.Lock()
+	defer w.queue.mu.Unlock()
+	if w.in || w.late || !w.Queued() {
+		return
+	}
+	w.queue.waiting.Remove(w)
+	w.late = true
+	w.queue.waiting.Push(w)
+	w.queue.step(now)
+}
+
+// Done says that the prompt has been sent, or has left; it may be called again.
+func (w *WaitingPrompt) Done(now time.Time) {
+	q := w.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting.Remove(w)
+	if q.sending == w {
+		q.sending = nil
+	}
+	q.step(now)
+}
+
+// GiveUp leaves the queue and returns the refusal to answer with; in says that the
+// prompt was let in just now after all.
+func (w *WaitingPrompt) GiveUp(now time.Time) (refused *RefusedError, in bool) {
+	w.queue.mu.Lock()
+	in = w.in
+	wait := w.queue.expected(w)
+	w.queue.mu.Unlock()
+	if in {
+		return nil, true
+	}
+	w.Done(now)
+	return &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}, false
+}
+
+// Before says whether the prompt goes before another.
+func (w *WaitingPrompt) Before(o *WaitingPrompt) bool {
+	switch {
+	case w.late != o.late:
+		return o.late
+	case w.Priority != o.Priority:
+		return w.Priority < o.Priority
+	case w.tag != o.tag:
+		return w.tag < o.tag
+	default:
+		return w.seq < o.seq
+	}
+}
+
+// QueueStatus is what a dump shows of a queue.
+type QueueStatus struct {
+	Waiting  int           `json:"waiting"`
+	Late     int           `json:"late"` // Of those.
+	Interval time.Duration `json:"interval_ns"`
+}
+
+// Status returns the queue's length.
+func (q *PromptQueue) Status() QueueStatus {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := QueueStatus{Waiting: q.waiting.Len(), Interval: q.interval}
+	for _, w := range q.waiting.Items() {
+		if w.late {
+			s.Late++
+		}
+	}
+	return s
+}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -29,9 +29,9 @@
 	pool         *route.Pool
 	need         route.Need
 
-	place   *route.Place // In the queue, or let in.
-	ran     int          // Attempts that may have run.
-	refused int          // Attempts that were refused, or could not be sent.
+	place   *route.WaitingPrompt // In the queue, or let in.
+	ran     int                  // Attempts that may have run.
+	refused int                  // Attempts that were refused, or could not be sent.
 	// held is a failure that a replica answered, kept while another is tried.
 	held *wholeAnswer
 	// stream is the answer's stream once it has begun.
@@ -136,6 +136,7 @@
 	}
 	n.Model = x.terms.Model
 	n.Tokens = x.terms.PromptTokens()
+	n.Priority = x.priority()
 	n.Memory = n.Tokens + x.terms.Out
 	n.Capacity = x.service.Engine.Capacity
 	shared := x.terms.Shared()
@@ -189,6 +190,13 @@
 	x.need.Oldest = x.g.beliefs.WeightsBefore(x.need.Model, now.Add(-within))
 }
 
+// pick chooses a replica by what is known now.
+func (x *exchange) pick(now time.Time) (route.Choice, bool) {
+	x.refresh(now)
+	x.lookUp(now)
+	return x.pool.Pick(&x.need, now)
+}
+
 // try makes one attempt. It says whether another is to be made; otherwise the
 // request was answered, or f is what to answer if its status is set.
 func (x *exchange) try(ctx context.Context) (again bool, f refusal) {
@@ -196,15 +204,14 @@
 	if x.limit.Sub(now) < timeLeft {
 		return false, x.outOfTime()
 	}
-	x.refresh(now)
-	x.lookUp(now)
-	choice, ok := x.pool.Pick(&x.need, now)
+	choice, ok := x.pick(now)
 	if !ok {
 		return false, x.noneLeft()
 	}
 	dispatch, plan := x.dispatch(choice, now)
 	a := newAttempt(x, choice, plan, now)
 	a.realm = dispatch.Realm
+	x.leaveQueue(now)
 	if x.need.Tokens > 0 {
 		x.g.nodes.soon()
 	}
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -77,8 +77,8 @@
 	directory *sideServer
 	figures   *sideServer // Nil without an address for them.
 
-	admissionMu sync.Mutex
-	admissions  map[string]*route.Admission
+	queuesMu sync.Mutex
+	queues   map[string]*route.PromptQueue
 
 	budgetMu sync.Mutex
 	budgets  map[string]*route.RetryShare
@@ -121,8 +121,8 @@
 		metrics:  in.Metrics,
 		clock:    in.Clock,
 
-		budgets:    map[string]*route.RetryShare{},
-		admissions: map[string]*route.Admission{},
+		budgets: map[string]*route.RetryShare{},
+		queues:  map[string]*route.PromptQueue{},
 	}
 	g.settings.Store(&s)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
@@ -179,7 +179,7 @@
 	g.timer.Subscribe(freeEvery, g.stores.free)
 	g.timer.Subscribe(rollout.Every, g.rollout.Step)
 	g.timer.Subscribe(watchEvery, g.shareBudgets)
-	g.timer.Subscribe(adaptEvery, g.adapt)
+	g.timer.Subscribe(queueEvery, g.stepQueues)
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
 	g.wg.Go(func() { g.nodes.runSpeaker(g.ctx) })
 	g.wg.Go(func() { g.nodes.run(g.ctx, g.conf().Peer.LoadEvery.Std()) })
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -45,11 +45,35 @@
 	speakDuty = "speak/"
 )
 
-// load is what is in flight at a replica: requests, tokens to be read, and tokens
-// held of an engine's memory.
-type load [3]int
+// load is what is in flight at a replica: requests, tokens held of an engine's memory,
+// and tokens to be read by urgency. Zeros at its end are left out.
+type load []int
 
-func (l load) plus(o load) load { return load{l[0] + o[0], l[1] + o[1], l[2] + o[2]} }
+// loadFixed is how many numbers of a load come before the tokens to be read.
+const loadFixed = 2
+
+func loadOf(l route.PeerLoad) load {
+	list := append(load{l.Requests, l.Memory}, l.Tokens[:]...)
+	for len(list) > 0 && list[len(list)-1] == 0 {
+		list = list[:len(list)-1]
+	}
+	return list
+}
+
+// peerLoad reads a load; numbers that this node knows nothing of are left out.
+func (l load) peerLoad() (p route.PeerLoad) {
+	for i, n := range l {
+		switch {
+		case i == 0:
+			p.Requests = n
+		case i == 1:
+			p.Memory = n
+		case i-loadFixed < len(p.Tokens):
+			p.Tokens[i-loadFixed] = n
+		}
+	}
+	return p
+}
 
 // nodeState is what one node tells. Its JSON names are short, as it is sent many
 // times a second.
@@ -156,7 +180,7 @@
 	}
 	for _, p := range n.beliefs.Pools() {
 		for id, l := range p.Loads() {
-			s.Loads[id] = load{l.Requests, l.Tokens, l.Memory}
+			s.Loads[id] = loadOf(l)
 		}
 	}
 	n.mu.Lock()
@@ -268,8 +292,7 @@
 	defer n.mu.Unlock()
 	for _, state := range n.loads.states {
 		for id, l := range state.Loads {
-			sum := s.Loads[id]
-			s.Loads[id] = sum.plus(l)
+			s.Loads[id] = loadOf(s.Loads[id].peerLoad().Plus(l.peerLoad()))
 		}
 	}
 	s.Loads = busiest(s.Loads, sumMost)
@@ -280,15 +303,16 @@
 	s.Links = maps.Clone(n.loads.links)
 }
 
-// busiest leaves only the replicas with the most to be read, and behind that with
-// the most requests.
+// busiest leaves only the replicas of whose memory the most is held, and behind that
+// those with the most requests.
 func busiest(loads map[string]load, most int) map[string]load {
 	if len(loads) <= most {
 		return loads
 	}
 	ids := slices.Collect(maps.Keys(loads))
 	slices.SortFunc(ids, func(a, b string) int {
-		return cmp.Or(cmp.Compare(loads[b][1], loads[a][1]), cmp.Compare(loads[b][0], loads[a][0]), cmp.Compare(a, b))
+		first, second := loads[a].peerLoad(), loads[b].peerLoad()
+		return cmp.Or(cmp.Compare(second.Memory, first.Memory), cmp.Compare(second.Requests, first.Requests), cmp.Compare(a, b))
 	})
 	left := make(map[string]load, most)
 	for _, id := range ids[:most] {
@@ -410,11 +434,7 @@
 				continue
 			}
 			for id, l := range s.Loads {
-				v := sum[id]
-				v.Requests += l[0]
-				v.Tokens += l[1]
-				v.Memory += l[2]
-				sum[id] = v
+				sum[id] = sum[id].Plus(l.peerLoad())
 			}
 		}
 	}
@@ -431,10 +451,6 @@
 // mu.
 func (n *nodes) subtractTold(sum map[string]route.PeerLoad) {
 	for id, l := range n.loads.told {
-		v := sum[id]
-		v.Requests = max(0, v.Requests-l[0])
-		v.Tokens = max(0, v.Tokens-l[1])
-		v.Memory = max(0, v.Memory-l[2])
-		sum[id] = v
+		sum[id] = sum[id].Minus(l.peerLoad())
 	}
 }
--- a/service/gateway/loads_test.go
+++ b/service/gateway/loads_test.go
@@ -20,7 +20,7 @@
 	for node := range 20 {
 		s := nodeState{From: fmt.Sprint("n", node), Loads: map[string]load{}}
 		for i := node; i < replicas; i += 20 {
-			s.Loads[fmt.Sprintf("i-%012d", i)] = load{1, i, 9000}
+			s.Loads[fmt.Sprintf("i-%012d", i)] = load{1, 9000 + i, i}
 		}
 		n.loads.states[s.From] = heardState{nodeState: s, at: time.Now()}
 	}
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -97,22 +97,22 @@
 
 // metricsStatus is what is served; docs/METRICS.md tells units and meaning.
 type metricsStatus struct {
-	Answered int64                            `json:"answered"`
-	Kinds    map[string]int64                 `json:"answered_by_kind"`
-	Left     int64                            `json:"clients_left"`
-	NotRun   int64                            `json:"refused_by_replicas"`
-	Refused  map[string]int64                 `json:"refused"`
-	InFlight int64                            `json:"in_flight"`
-	First    latencyStatus                    `json:"first_byte"`
-	Whole    latencyStatus                    `json:"whole"`
-	Queued   latencyStatus                    `json:"before_sending"`
-	Queues   map[string]route.AdmissionStatus `json:"queues"`
-	Config   int64                            `json:"configuration"`
-	ListAge  float64                          `json:"upstreams_age_s"`
-	Nodes    int                              `json:"nodes"`
-	Replicas map[string]replicaCount          `json:"replicas"`
-	Weights  map[string]int64                 `json:"weights_named"`
-	Stores   []route.StoreStatus              `json:"stores"`
+	Answered int64                        `json:"answered"`
+	Kinds    map[string]int64             `json:"answered_by_kind"`
+	Left     int64                        `json:"clients_left"`
+	NotRun   int64                        `json:"refused_by_replicas"`
+	Refused  map[string]int64             `json:"refused"`
+	InFlight int64                        `json:"in_flight"`
+	First    latencyStatus                `json:"first_byte"`
+	Whole    latencyStatus                `json:"whole"`
+	Queued   latencyStatus                `json:"before_sending"`
+	Queues   map[string]route.QueueStatus `json:"queues"`
+	Config   int64                        `json:"configuration"`
+	ListAge  float64                      `json:"upstreams_age_s"`
+	Nodes    int                          `json:"nodes"`
+	Replicas map[string]replicaCount      `json:"replicas"`
+	Weights  map[string]int64             `json:"weights_named"`
+	Stores   []route.StoreStatus          `json:"stores"`
 }
 
 // replicaCount is how many replicas a service has, and how many may be used.
@@ -135,7 +135,7 @@
 		Queued:   m.queued.status(),
 		Kinds:    map[string]int64{},
 		Refused:  map[string]int64{},
-		Queues:   map[string]route.AdmissionStatus{},
+		Queues:   map[string]route.QueueStatus{},
 		Replicas: map[string]replicaCount{},
 		Nodes:    g.nodes.count(),
 		Weights:  g.beliefs.NewestWeights(),
@@ -148,9 +148,9 @@
 		s.Replicas[service] = replicaCount{All: all, Usable: usable}
 	}
 	m.copyCounts(&s)
-	g.admissionMu.Lock()
-	defer g.admissionMu.Unlock()
-	for service, a := range g.admissions {
+	g.queuesMu.Lock()
+	defer g.queuesMu.Unlock()
+	for service, a := range g.queues {
 		s.Queues[service] = a.Status()
 	}
 	return s
--- a/service/gateway/queue.go
+++ b/service/gateway/queue.go
@@ -10,102 +10,120 @@
 )
 
 const (
-	// adaptEvery is how often it is decided how many prompts are let in.
-	adaptEvery = 100 * time.Millisecond
-	// queueShare is the part of a route's target for which a prompt may wait
-	// here, wantedShare that for which the median prompt may wait at a replica.
-	// Measured, docs/POLICY.md.
-	queueShare  = 0.5
-	wantedShare = 0.45
-	// mostInside bounds the prompts of one node that wait at replicas, for each
-	// of these.
-	mostInside = 8
+	// queueEvery is how often it is looked whether an engine has room for the
+	// first prompt that waits, beside each time that this node's own leave some.
+	queueEvery = 20 * time.Millisecond
+	// beginShare is the part of a route's target within which an engine must be
+	// expected to begin a prompt for it to be sent there.
+	beginShare = 0.25
+	// lateBeginShare is that for a prompt that can't be answered in good time: it
+	// is not to delay those that can.
+	lateBeginShare = 0.1
 	// leastRetry is the least time after which a refused caller is to come back:
 	// sooner would find the same queue.
 	leastRetry = 250 * time.Millisecond
 )
 
-// admission is the queue in front of a service of engines.
-func (g *Gateway) admission(service string) *route.Admission {
-	g.admissionMu.Lock()
-	defer g.admissionMu.Unlock()
-	a, ok := g.admissions[service]
+// promptQueue is the queue in front of a service of engines.
+func (g *Gateway) promptQueue(service string) *route.PromptQueue {
+	g.queuesMu.Lock()
+	defer g.queuesMu.Unlock()
+	q, ok := g.queues[service]
 	if !ok {
-		a = route.NewStrictAdmission()
-		g.admissions[service] = a
+		q = route.NewPromptQueue()
+		g.queues[service] = q
 	}
-	return a
+	return q
 }
 
-// adapt lets more or fewer prompts in by what they wait at the replicas; the
-// timer service calls it.
-func (g *Gateway) adapt(context.Context) {
-	now := time.Now()
-	for service, p := range g.beliefs.Pools() {
-		g.admissionMu.Lock()
-		a := g.admissions[service]
-		g.admissionMu.Unlock()
-		if a != nil {
-			a.Want(time.Duration(wantedShare * float64(g.target(service))))
-			a.Adapt(p.MedianWait(now), mostInside*p.Size(), now)
-		}
-	}
-}
-
-// target is the longest target of the routes to a service.
-func (g *Gateway) target(service string) time.Duration {
-	longest := time.Duration(0)
-	s := g.beliefs.Snapshot()
-	if s == nil {
-		return longest
+// stepQueues lets in prompts for which there is room; the timer service calls it.
+func (g *Gateway) stepQueues(context.Context) {
+	g.queuesMu.Lock()
+	list := make([]*route.PromptQueue, 0, len(g.queues))
+	for _, q := range g.queues {
+		list = append(list, q)
 	}
-	for _, r := range s.Routes() {
-		for _, share := range r.Split {
-			if share.Service == service {
-				longest = max(longest, r.Target)
-			}
-		}
+	g.queuesMu.Unlock()
+	now := time.Now()
+	for _, q := range list {
+		q.Step(now)
 	}
-	return longest
 }
 
-// enqueue waits until the prompt is let in; ok is false if it is refused. What
-// is prepared for a prompt that waits inside a replica gives way before its run,
-// so what must wait waits here, in order of priority.
+// enqueue waits until the prompt is let in; ok is false if it is refused.
 func (x *exchange) enqueue(ctx context.Context) (f refusal, ok bool) {
 	if x.service.Engine == nil || x.need.Tokens == 0 {
 		return refusal{}, true
 	}
 	now := time.Now()
-	limit := x.came.Add(time.Duration(queueShare * float64(x.route.Target)))
-	if limit.Before(now) {
-		limit = now
+	own := x.ownTime(now)
+	ask := route.Ask{
+		Cost:     float64(x.need.Tokens),
+		Priority: x.priority(),
+		Limit:    x.limit.Add(-own),
+		Fits:     x.fits,
 	}
-	name := ""
 	if x.organisation != nil {
-		name = x.organisation.Name
+		ask.Organisation = x.organisation.Name
 	}
-	a := x.g.admission(x.service.Name)
-	place, err := a.Offer(route.Tenant{Name: name, Share: 1}, float64(x.need.Tokens), -x.priority(), limit, now)
+	w, err := x.g.promptQueue(x.service.Name).Offer(ask, now)
 	if err != nil {
 		return overloaded(err), false
 	}
-	x.place = place
-	t := time.NewTimer(limit.Sub(now))
-	defer t.Stop()
-	select {
-	case <-place.Ready():
+	x.place = w
+	select { // Most need no timers.
+	case <-w.Ready():
 		return refusal{}, true
-	case <-ctx.Done():
-		place.Leave(time.Now())
-		return refuse(http.StatusGatewayTimeout, reasonDeadline), false
-	case <-t.C:
+	default:
 	}
-	refused, inside := place.GiveUp(time.Now())
-	if inside {
-		return refusal{}, true
+	return x.wait(ctx, w, x.came.Add(x.route.Target-own).Sub(now), ask.Limit.Sub(now))
+}
+
+// wait waits in the queue: from late on the prompt gives way to those that can be
+// answered in good time, and at the limit it is refused.
+func (x *exchange) wait(ctx context.Context, w *route.WaitingPrompt, late, limit time.Duration) (f refusal, ok bool) {
+	lateTimer, limitTimer := time.NewTimer(late), time.NewTimer(limit)
+	defer lateTimer.Stop()
+	defer limitTimer.Stop()
+	for {
+		select {
+		case <-w.Ready():
+			return refusal{}, true
+		case <-ctx.Done():
+			w.Done(time.Now())
+			return refuse(http.StatusGatewayTimeout, reasonDeadline), false
+		case <-lateTimer.C:
+			w.Late(time.Now())
+			continue
+		case <-limitTimer.C:
+		}
+		refused, in := w.GiveUp(time.Now())
+		if in {
+			return refusal{}, true
+		}
+		return overloaded(refused), false
+	}
+}
+
+// ownTime is how long the prompt takes at an engine to its first token, without what
+// waits there before it; 0 if there is no engine for it.
+func (x *exchange) ownTime(now time.Time) time.Duration {
+	c, ok := x.pick(now)
+	if !ok {
+		return 0
+	}
+	return c.Expected - c.Wait
+}
+
+// fits says whether an engine is expected to begin the prompt soon. Where there is no
+// engine at all it says so too: the attempt finds out, and the caller is told at once.
+func (x *exchange) fits(late bool, now time.Time) bool {
+	c, ok := x.pick(now)
+	share := beginShare
+	if late {
+		share = lateBeginShare
 	}
-	return overloaded(refused), false
+	return !ok || c.Wait <= time.Duration(share*float64(x.route.Target))
 }
 
 func overloaded(err error) refusal {
@@ -117,12 +135,9 @@
 	return comeBack(reasonOverloaded, retry)
 }
 
-// leaveQueue gives the place inside up: the replica has begun to answer, or the
-// request is over.
+// leaveQueue lets the next prompt be looked at: this one has been sent, or is over.
 func (x *exchange) leaveQueue(now time.Time) {
-	if x.place == nil {
-		return
+	if x.place != nil {
+		x.place.Done(now)
 	}
-	x.place.Leave(now)
-	x.place = nil
 }
