--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -274,8 +274,11 @@
 const (
 	// fullTerm is for how long a replica that was full is passed over.
 	fullTerm = 60 * time.Millisecond
-	// otherTerm is for how long one is that is not what it was taken for.
+	// otherTerm is for how long one is that is likely changing its weights.
 	otherTerm = 400 * time.Millisecond
+	// goneTerm is for how long one is at whose address another answers: its entry
+	// in the list lasts up to three heartbeats, some seconds, after its end.
+	goneTerm = 4 * time.Second
 )
 
 // learnRefusal takes from a refusal what it says of the replica.
@@ -293,7 +296,8 @@
 		x.pool.Serves(a.choice.ID, x.need.Model, x.need.Newest)
 		return
 	}
-	x.pool.Avoid(a.choice.ID, now.Add(otherTerm))
+	x.pool.Avoid(a.choice.ID, now.Add(goneTerm))
+	x.g.kept.DoubtEngine(a.choice.ID, now.Add(goneTerm))
 }
 
 // unknown goes on after a connection that was lost while the request may have
