No more than a third of all replicas change weights at once

Cause: each of six groups may swap one replica at least, so of nine engines five were loaded at once: the load took 2.5 s instead of 1.1, and two engines were left.

Change: a group begins another only while fewer than swapShare of all replicas are being swapped, by the word that nodes are steered by; groups begin 60 ms apart, so that each has heard of the one before it. Leases and groups stay as they are.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -30,6 +30,9 @@
 	Rank(duty string) int
 	// Steer has all nodes send requests elsewhere for a while.
 	Steer(id string, d time.Duration)
+	// Steered is how many replicas requests are sent elsewhere from, at the word of
+	// any node.
+	Steered() int
 	// Serves notes what a replica has said that it serves.
 	Serves(t Target, version int64)
 }
@@ -54,6 +57,9 @@
 	// swapShare is the part of the replicas that is swapped at once: fewer take
 	// long, more leave too few to serve. Measured, docs/POLICY.md.
 	swapShare = 0.3
+	// groupPause is by how much each group begins later than the one before it, so
+	// that its holder has heard what the others have begun.
+	groupPause = 60 * time.Millisecond
 	// rankPause is for how long each node leaves a lease to those that come
 	// before it: in a large fleet few nodes ask for it at all.
 	rankPause = time.Second
@@ -145,9 +151,11 @@
 func (r *Rollout) Step(ctx context.Context) {
 	var parts [groups][]Target
 	var sizes [groups]int
+	all := 0
 	for _, t := range r.fleet.Targets() {
 		i := groupOf(t.ID)
 		sizes[i]++
+		all++
 		if t.behind() {
 			parts[i] = append(parts[i], t)
 		}
@@ -155,13 +163,22 @@
 	var wg sync.WaitGroup
 	for i, g := range r.groups {
 		if r.work(g, parts[i]) {
-			wg.Go(func() { r.step(ctx, g, parts[i], mostAtOnce(sizes[i])) })
+			wg.Go(func() {
+				r.step(ctx, g, parts[i], atOnce{group: mostAtOnce(sizes[i]), all: mostAtOnce(all), after: time.Duration(i) * groupPause})
+			})
 		}
 	}
 	wg.Wait()
 }
 
-// mostAtOnce is how many of a group's replicas are swapped at once.
+// atOnce bounds how many replicas are swapped at once: of a group, and of all. In a
+// small fleet one of each group is too many. after is when the group begins.
+type atOnce struct {
+	group, all int
+	after      time.Duration
+}
+
+// mostAtOnce is how many of some replicas are swapped at once.
 func mostAtOnce(size int) int { return max(1, int(math.Round(swapShare*float64(size)))) }
 
 // work says whether a group has anything to be done.
@@ -178,7 +195,7 @@
 	return true
 }
 
-func (r *Rollout) step(ctx context.Context, g *group, behind []Target, most int) {
+func (r *Rollout) step(ctx context.Context, g *group, behind []Target, most atOnce) {
 	g.mu.Lock()
 	since, idle := g.since, g.since.IsZero()
 	g.mu.Unlock()
@@ -196,6 +213,9 @@
 	slices.SortStableFunc(behind, func(a, b Target) int {
 		return cmp.Compare(a.Weights[a.Model], b.Weights[b.Model])
 	})
+	if r.now().Sub(since) < most.after {
+		return
+	}
 	for _, t := range behind {
 		r.begin(ctx, g, t, most)
 	}
@@ -226,14 +246,15 @@
 	return n
 }
 
-func (r *Rollout) begin(ctx context.Context, g *group, t Target, most int) {
+func (r *Rollout) begin(ctx context.Context, g *group, t Target, most atOnce) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// Counting forgets those that were left alone for long enough.
 	running := g.running(r.now())
-	if _, known := g.swaps[t.ID]; known || running >= most {
+	if _, known := g.swaps[t.ID]; known || running >= most.group || r.fleet.Steered() >= most.all {
 		return
 	}
+	r.fleet.Steer(t.ID, steerTime+steerTerm)
 	s := &swap{}
 	g.swaps[t.ID] = s
 	r.wg.Go(func() {
@@ -248,7 +269,6 @@
 // swap brings one replica to its weights and returns for how long it is to be
 // left alone.
 func (r *Rollout) swap(ctx context.Context, g *group, t Target) time.Duration {
-	r.fleet.Steer(t.ID, steerTime+steerTerm)
 	r.sleep(steerTime)
 	end := r.now().Add(orderTerm)
 	var ordered time.Time
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -82,6 +82,7 @@
 	version  int64
 	given    []given
 	steered  []string
+	until    map[string]time.Time // Steered away from, by replica.
 	ranks    map[string]int
 	silent   bool // Orders are taken and not answered.
 	late     bool // And carried out seconds later.
@@ -98,7 +99,7 @@
 const loadTime = 760 * time.Millisecond
 
 func newFakeFleet(n int) *fakeFleet {
-	f := &fakeFleet{replicas: map[string]*fakeReplica{}, version: 1, ranks: map[string]int{}}
+	f := &fakeFleet{replicas: map[string]*fakeReplica{}, version: 1, ranks: map[string]int{}, until: map[string]time.Time{}}
 	for i := range n {
 		id := fmt.Sprintf("r%02d", i)
 		f.replicas[id] = &fakeReplica{id: id, version: 1, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)}
@@ -182,13 +183,31 @@
 
 func (e eyes) Rank(string) int { return e.ranks[e.node] }
 
-func (e eyes) Steer(id string, _ time.Duration) {
+func (e eyes) Steer(id string, d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.until[id] = time.Now().Add(d)
 	e.steered = append(e.steered, id)
 }
 
-func (e eyes) Serves(Target, int64) {}
+// Steered counts those that load: nodes hear at once what others begin.
+func (e eyes) Steered() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, until := range e.until {
+		if time.Now().Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e eyes) Serves(t Target, _ int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.until, t.ID)
+}
 
 func (f *fakeFleet) name(version int64) {
 	f.mu.Lock()
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -48,6 +48,7 @@
 	failing float64 // Mean share of failures.
 	outcome outlier
 	avoid   time.Time // Until when it is passed over if others can take over.
+	steered time.Time // Until when its weights are expected to be being replaced.
 	cold    time.Time // Slow until.
 }
 
@@ -178,6 +179,29 @@
 	}
 }
 
+// Steer has a replica passed over while its weights are replaced.
+func (p *Pool) Steer(id string, until time.Time) {
+	p.Avoid(id, until)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m, ok := p.replicas[id]; ok && until.After(m.steered) {
+		m.steered = until
+	}
+}
+
+// Steered is how many replicas are passed over as their weights are replaced.
+func (p *Pool) Steered(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, m := range p.list {
+		if now.Before(m.steered) {
+			n++
+		}
+	}
+	return n
+}
+
 // Serves notes the version of a model's weights that a replica has, as it was
 // just seen.
 func (p *Pool) Serves(id, model string, version int64) {
@@ -186,7 +210,7 @@
 	m, ok := p.replicas[id]
 	if ok && version > 0 && m.Weights[model] != version {
 		m.setWeights(model, version)
-		m.avoid = time.Time{}
+		m.avoid, m.steered = time.Time{}, time.Time{}
 	}
 }
 
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -133,7 +133,7 @@
 	until := time.Now().Add(time.Duration(w.Avoid) * time.Millisecond)
 	for _, p := range n.beliefs.Pools() {
 		if w.Avoid > 0 {
-			p.Avoid(w.Replica, until)
+			p.Steer(w.Replica, until)
 		}
 		if w.Version > 0 {
 			p.Serves(w.Replica, w.Model, w.Version)
--- a/service/gateway/swaps.go
+++ b/service/gateway/swaps.go
@@ -34,6 +34,15 @@
 // Steer implements rollout.Fleet.
 func (s *swaps) Steer(id string, d time.Duration) { s.nodes.steer(id, d) }
 
+// Steered implements rollout.Fleet.
+func (s *swaps) Steered() int {
+	n, now := 0, time.Now()
+	for _, p := range s.beliefs.Pools() {
+		n += p.Steered(now)
+	}
+	return n
+}
+
 // Serves implements rollout.Fleet.
 func (s *swaps) Serves(t rollout.Target, version int64) {
 	if p := s.beliefs.Pool(t.Service); p != nil {
