Late prompts are served in the end; silent engines show; a stop ends the queue

Changes: the gate of late prompts grows to half of the target until their limit; prompts that would wait in vain are refused once that shows; a stopping node's queue ends after a second with refusals that say when to come back; word of a swap names the version; what is overdue at an engine, and slots that are taken, count as wait; memory's turnover is learnt from at most 5 s.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -29,7 +29,7 @@
 	// Rank is how many nodes come before this one for a duty.
 	Rank(duty string) int
 	// Steer has all nodes send requests elsewhere for a while.
-	Steer(id string, d time.Duration)
+	Steer(t Target, d time.Duration)
 	// Steered is how many replicas requests are sent elsewhere from, at the word of
 	// any node.
 	Steered() int
@@ -254,7 +254,7 @@
 	if _, known := g.swaps[t.ID]; known || running >= most.group || r.fleet.Steered() >= most.all {
 		return
 	}
-	r.fleet.Steer(t.ID, steerTime+steerTerm)
+	r.fleet.Steer(t, steerTime+steerTerm)
 	s := &swap{}
 	g.swaps[t.ID] = s
 	r.wg.Go(func() {
@@ -285,7 +285,7 @@
 			r.log.Info("replica serves new weights", "replica", t.ID, "model", t.Model, "version", report.Weights[t.Model])
 			return 0
 		case report.Busy:
-			r.fleet.Steer(t.ID, steerTerm)
+			r.fleet.Steer(t, steerTerm)
 			end = r.now().Add(orderTerm)
 		case ordered.IsZero():
 			if !r.order(ctx, g, t, report.Orders) {
@@ -293,7 +293,7 @@
 			}
 			ordered = r.now()
 			g.noteOrdered(t.ID, ordered)
-			r.fleet.Steer(t.ID, steerTerm)
+			r.fleet.Steer(t, steerTerm)
 			end = r.now().Add(orderTerm)
 		}
 		r.sleep(askEvery)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -183,11 +183,11 @@
 
 func (e eyes) Rank(string) int { return e.ranks[e.node] }
 
-func (e eyes) Steer(id string, d time.Duration) {
+func (e eyes) Steer(t Target, d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.until[id] = time.Now().Add(d)
-	e.steered = append(e.steered, id)
+	e.until[t.ID] = time.Now().Add(d)
+	e.steered = append(e.steered, t.ID)
 }
 
 // Steered counts those that load: nodes hear at once what others begin.
--- a/pkg/route/memory.go
+++ b/pkg/route/memory.go
@@ -10,6 +10,9 @@
 	// startHold is how long a prompt is assumed to hold an engine's memory before
 	// any was measured.
 	startHold = time.Second
+	// mostHold bounds what is learnt: at a node that stood still, or behind a lost
+	// answer, prompts seem to hold memory for much longer than they do.
+	mostHold = 5 * time.Second
 )
 
 // memoryUse is what prompts hold of engines' memory and for how long, learnt from
@@ -23,7 +26,7 @@
 // it is they that fill the memory.
 func (u *memoryUse) note(tokens int, held time.Duration) {
 	u.tokens = (1-learnShare)*u.tokens + float64(tokens)
-	u.seconds = (1-learnShare)*u.seconds + float64(tokens)*held.Seconds()
+	u.seconds = (1-learnShare)*u.seconds + float64(tokens)*min(held, mostHold).Seconds()
 }
 
 // mean is the mean of what a prompt holds, in tokens.
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -179,12 +179,19 @@
 	}
 }
 
-// Steer has a replica passed over while its weights are replaced.
-func (p *Pool) Steer(id string, until time.Time) {
-	p.Avoid(id, until)
+// Steer has a replica passed over while it gets weights of a version. Word of that
+// may come after word that it has them, and is void then.
+func (p *Pool) Steer(id, model string, version int64, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m, ok := p.replicas[id]; ok && until.After(m.steered) {
+	m, ok := p.replicas[id]
+	if !ok || m.Weights[model] >= version {
+		return
+	}
+	if until.After(m.avoid) {
+		m.avoid = until
+	}
+	if until.After(m.steered) {
 		m.steered = until
 	}
 }
@@ -354,7 +361,24 @@
 func (p *Pool) wait(m *member, n *Need, now time.Time) float64 {
 	running := float64(len(m.flights) + m.others.Requests)
 	reading := float64(m.ahead(n)) * p.perToken
-	return (reading+running*runTime.Seconds())*m.lateness(now) + p.memoryWait(m, n.Memory)
+	slots := 0.0
+	if over := running + 1 - float64(m.Slots); m.Slots > 0 && over > 0 {
+		slots = over / float64(m.Slots) * p.memory.hold()
+	}
+	return (reading+running*runTime.Seconds())*m.lateness(now) + slots + p.memoryWait(m, n.Memory) + m.overdue(now)
+}
+
+// overdue is by how much the first byte of this node's longest unanswered prompt at a
+// replica is overdue, in seconds: a replica that has fallen silent shows by nothing
+// else until time is up, and the next prompt would wait no less.
+func (m *member) overdue(now time.Time) float64 {
+	most := time.Duration(0)
+	for k := range m.flights {
+		if !k.first && k.tokens > 0 {
+			most = max(most, now.Sub(k.begun)-2*k.expected)
+		}
+	}
+	return most.Seconds()
 }
 
 // ahead is how many tokens are read at a replica before a prompt's.
--- a/pkg/route/prompt_queue.go
+++ b/pkg/route/prompt_queue.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -69,6 +70,8 @@
 	tag   float64 // Of start-time fair queueing.
 	seq   uint64
 	in    bool
+	// refused is set when the prompt is not expected to be let in in time.
+	refused *RefusedError
 }
 
 // NewPromptQueue returns an empty queue.
@@ -84,7 +87,7 @@
 	q.seq++
 	w := &WaitingPrompt{Ask: a, queue: q, ready: make(chan struct{}), seq: q.seq}
 	w.tag = max(q.virtual, q.finish[a.Organisation])
-	if wait := q.expected(w); now.Add(wait).After(a.Limit) {
+	if wait := q.expected(w, now); now.Add(wait).After(a.Limit) {
 		return nil, &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}
 	}
 	if len(q.finish) >= finishMost {
@@ -97,14 +100,50 @@
 }
 
 // expected is how long a prompt would wait behind those that go before it.
-func (q *PromptQueue) expected(w *WaitingPrompt) time.Duration {
+func (q *PromptQueue) expected(w *WaitingPrompt, now time.Time) time.Duration {
 	ahead := 0
 	for _, o := range q.waiting.Items() {
 		if o.Before(w) {
 			ahead++
 		}
 	}
-	return time.Duration(ahead) * q.interval
+	return time.Duration(ahead) * q.pace(now)
+}
+
+// pace is the time expected between prompts let in: as measured, but no less than it
+// has now taken since the last.
+func (q *PromptQueue) pace(now time.Time) time.Duration {
+	if q.last.IsZero() {
+		return q.interval
+	}
+	return max(q.interval, now.Sub(q.last))
+}
+
+// shed refuses those that are no longer expected to be let in before their limit, the
+// first excepted: to wait any longer would be in vain.
+func (q *PromptQueue) shed(now time.Time) {
+	list := slices.SortedFunc(slices.Values(q.waiting.Items()), func(a, b *WaitingPrompt) int {
+		if a.Before(b) {
+			return -1
+		}
+		return 1
+	})
+	pace := q.pace(now)
+	ahead := 0
+	for _, w := range list {
+		wait := time.Duration(ahead) * pace
+		if ahead > 0 && now.Add(wait).After(w.Limit) {
+			q.refuse(w, wait)
+			continue
+		}
+		ahead++
+	}
+}
+
+func (q *PromptQueue) refuse(w *WaitingPrompt, wait time.Duration) {
+	q.waiting.Remove(w)
+	w.refused = &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}
+	close(w.ready)
 }
 
 // Step lets in whom there is room for.
@@ -123,6 +162,7 @@
 		if q.last.IsZero() {
 			q.last = now
 		}
+		q.shed(now)
 		return
 	}
 	q.waiting.Pop()
@@ -146,7 +186,8 @@
 	return q.waiting.Len()
 }
 
-// Ready is closed once the prompt is let in.
+// Ready is closed once the prompt waits no longer: it is let in, unless Refused says
+// otherwise.
 func (w *WaitingPrompt) Ready() <-chan struct{} { return w.ready }
 
 // Late notes that the prompt can't be answered in good time any more.
@@ -174,18 +215,24 @@
 	q.step(now)
 }
 
-// GiveUp leaves the queue and returns the refusal to answer with; in says that the
-// prompt was let in just now after all.
-func (w *WaitingPrompt) GiveUp(now time.Time) (refused *RefusedError, in bool) {
+// GiveUp refuses a prompt that has not been let in by now.
+func (w *WaitingPrompt) GiveUp(now time.Time) {
 	w.queue.mu.Lock()
-	in = w.in
-	wait := w.queue.expected(w)
-	w.queue.mu.Unlock()
-	if in {
-		return nil, true
+	defer w.queue.mu.Unlock()
+	if w.Queued() {
+		w.queue.refuse(w, w.queue.expected(w, now))
+		w.queue.step(now)
+	}
+}
+
+// Refused is the refusal to answer with, nil if there is none; Ready must be closed.
+func (w *WaitingPrompt) Refused() error {
+	w.queue.mu.Lock()
+	defer w.queue.mu.Unlock()
+	if w.refused == nil {
+		return nil
 	}
-	w.Done(now)
-	return &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}, false
+	return w.refused
 }
 
 // Before says whether the prompt goes before another.
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -29,9 +29,13 @@
 	pool         *route.Pool
 	need         route.Need
 
-	place   *route.WaitingPrompt // In the queue, or let in.
-	ran     int                  // Attempts that may have run.
-	refused int                  // Attempts that were refused, or could not be sent.
+	place *route.WaitingPrompt // In the queue, or let in.
+	// lateFrom is from when on the answer can't come in good time if the prompt is
+	// not sent yet, and sendBy by when it must be sent to be answered at all.
+	lateFrom time.Time
+	sendBy   time.Time
+	ran      int // Attempts that may have run.
+	refused  int // Attempts that were refused, or could not be sent.
 	// held is a failure that a replica answered, kept while another is tried.
 	held *wholeAnswer
 	// stream is the answer's stream once it has begun.
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -85,6 +85,7 @@
 
 	inFlight atomic.Int64
 	stop     atomic.Bool
+	stopped  chan struct{} // Closed with stop.
 	closing  atomic.Bool
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -123,6 +124,7 @@
 
 		budgets: map[string]*route.RetryShare{},
 		queues:  map[string]*route.PromptQueue{},
+		stopped: make(chan struct{}),
 	}
 	g.settings.Store(&s)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
@@ -283,6 +285,7 @@
 	end := begun.Add(g.conf().Stop.Grace.Std() - lostTime)
 	g.log.Info("stopping", "node", g.conf().Node.Name, "in_flight", g.inFlight.Load())
 	g.stop.Store(true)
+	close(g.stopped)
 	g.nodes.leave()
 	g.releaseLeases()
 	busy := begun
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -31,9 +31,10 @@
 // news is about one replica.
 type news struct {
 	Replica string `json:"r"`
-	// Avoid is for how many milliseconds it is to be passed over.
+	// Avoid is for how many milliseconds it is to be passed over while it gets the
+	// weights; without it, it has them.
 	Avoid int64 `json:"a,omitempty"`
-	// Model and Version are the weights that it has now.
+	// Model and Version are the weights.
 	Model   string `json:"m,omitempty"`
 	Version int64  `json:"v,omitempty"`
 }
@@ -46,8 +47,8 @@
 }
 
 // steer has all nodes pass a replica over for a while, beginning at once.
-func (n *nodes) steer(id string, d time.Duration) {
-	n.spread(news{Replica: id, Avoid: d.Milliseconds()})
+func (n *nodes) steer(id, model string, version int64, d time.Duration) {
+	n.spread(news{Replica: id, Avoid: d.Milliseconds(), Model: model, Version: version})
 }
 
 // served tells all nodes that a replica has got other weights.
@@ -132,10 +133,10 @@
 func (n *nodes) take(w news) {
 	until := time.Now().Add(time.Duration(w.Avoid) * time.Millisecond)
 	for _, p := range n.beliefs.Pools() {
-		if w.Avoid > 0 {
-			p.Steer(w.Replica, until)
-		}
-		if w.Version > 0 {
+		switch {
+		case w.Avoid > 0:
+			p.Steer(w.Replica, w.Model, w.Version, until)
+		case w.Version > 0:
 			p.Serves(w.Replica, w.Model, w.Version)
 		}
 	}
--- a/service/gateway/queue.go
+++ b/service/gateway/queue.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/route"
@@ -16,9 +15,14 @@
 	// beginShare is the part of a route's target within which an engine must be
 	// expected to begin a prompt for it to be sent there.
 	beginShare = 0.25
-	// lateBeginShare is that for a prompt that can't be answered in good time: it
-	// is not to delay those that can.
+	// lateBeginShare is that for a prompt that can no longer be answered in good
+	// time: it is not to delay those that can, at other nodes too. The share grows
+	// to lateMostShare until the prompt's limit, so that it is served all the same.
 	lateBeginShare = 0.1
+	lateMostShare  = 0.5
+	// stopTime is for how long a prompt waits once the node has been told to stop:
+	// what is sent later may not end within the grace period.
+	stopTime = time.Second
 	// leastRetry is the least time after which a refused caller is to come back:
 	// sooner would find the same queue.
 	leastRetry = 250 * time.Millisecond
@@ -57,10 +61,11 @@
 	}
 	now := time.Now()
 	own := x.ownTime(now)
+	x.lateFrom, x.sendBy = x.came.Add(x.route.Target-own), x.limit.Add(-own)
 	ask := route.Ask{
 		Cost:     float64(x.need.Tokens),
 		Priority: x.priority(),
-		Limit:    x.limit.Add(-own),
+		Limit:    x.sendBy,
 		Fits:     x.fits,
 	}
 	if x.organisation != nil {
@@ -73,36 +78,46 @@
 	x.place = w
 	select { // Most need no timers.
 	case <-w.Ready():
-		return refusal{}, true
+		return letIn(w)
 	default:
 	}
-	return x.wait(ctx, w, x.came.Add(x.route.Target-own).Sub(now), ask.Limit.Sub(now))
+	return x.wait(ctx, w, now)
 }
 
-// wait waits in the queue: from late on the prompt gives way to those that can be
-// answered in good time, and at the limit it is refused.
-func (x *exchange) wait(ctx context.Context, w *route.WaitingPrompt, late, limit time.Duration) (f refusal, ok bool) {
-	lateTimer, limitTimer := time.NewTimer(late), time.NewTimer(limit)
+// wait waits in the queue. Once the prompt can't be answered in good time any more it
+// gives way to those that can; when it can't be answered at all it is refused.
+func (x *exchange) wait(ctx context.Context, w *route.WaitingPrompt, now time.Time) (f refusal, ok bool) {
+	lateTimer, limitTimer := time.NewTimer(x.lateFrom.Sub(now)), time.NewTimer(x.sendBy.Sub(now))
 	defer lateTimer.Stop()
 	defer limitTimer.Stop()
+	stopped := x.g.stopped
 	for {
 		select {
 		case <-w.Ready():
-			return refusal{}, true
+			return letIn(w)
+		case <-stopped:
+			stopped = nil
+			limitTimer.Reset(min(stopTime, time.Until(x.sendBy)))
+			continue
 		case <-ctx.Done():
 			w.Done(time.Now())
-			return refuse(http.StatusGatewayTimeout, reasonDeadline), false
+			return x.outOfTime(), false
 		case <-lateTimer.C:
 			w.Late(time.Now())
 			continue
 		case <-limitTimer.C:
 		}
-		refused, in := w.GiveUp(time.Now())
-		if in {
-			return refusal{}, true
-		}
-		return overloaded(refused), false
+		w.GiveUp(time.Now())
+		return letIn(w)
+	}
+}
+
+// letIn says whether a prompt that waits no longer was let in.
+func letIn(w *route.WaitingPrompt) (f refusal, ok bool) {
+	if err := w.Refused(); err != nil {
+		return overloaded(err), false
 	}
+	return refusal{}, true
 }
 
 // ownTime is how long the prompt takes at an engine to its first token, without what
@@ -121,7 +136,8 @@
 	c, ok := x.pick(now)
 	share := beginShare
 	if late {
-		share = lateBeginShare
+		past := float64(now.Sub(x.lateFrom)) / float64(max(1, x.sendBy.Sub(x.lateFrom)))
+		share = lateBeginShare + past*(lateMostShare-lateBeginShare)
 	}
 	return !ok || c.Wait <= time.Duration(share*float64(x.route.Target))
 }
--- a/service/gateway/swaps.go
+++ b/service/gateway/swaps.go
@@ -32,7 +32,9 @@
 }
 
 // Steer implements rollout.Fleet.
-func (s *swaps) Steer(id string, d time.Duration) { s.nodes.steer(id, d) }
+func (s *swaps) Steer(t rollout.Target, d time.Duration) {
+	s.nodes.steer(t.ID, t.Model, t.Version, d)
+}
 
 // Steered implements rollout.Fleet.
 func (s *swaps) Steered() int {
