Tests of the queue, of swaps at once, of silence, of stops

The queue's expected wait counts a standstill once and not for each prompt ahead: a queue of 11 that had moved for 0.1 s was refused as if it took 1.2 s.

--- a/internal/standin/onplatform/beliefs_test.go
+++ b/internal/standin/onplatform/beliefs_test.go
@@ -315,3 +315,64 @@
 	assert.Equal(t, n1.send(request("GET", "/safe/x", "")).status, 200)
 	assert.Equal(t, n2.send(request("GET", "/safe/x", "")).status, 200)
 }
+
+// A stopping node does not hold prompts in its queue beyond its grace period: they are
+// told to go elsewhere.
+func TestQueueEndsWithItsNode(t *testing.T) {
+	s := newSite(t)
+	r := s.replica(llm, "e")
+	n := s.node("n1")
+	release := make(chan struct{})
+	let := sync.OnceFunc(func() { close(release) })
+	defer let() // The engine waits for it at its end.
+	r.Script(func(w io.Writer, r *onplatform.Request) bool {
+		<-release
+		return onplatform.Events(1, 1, 0, true)(w, r)
+	})
+	const sent = 12
+	answers := make(chan reply, sent)
+	for range sent {
+		c := n.dial()
+		c.write(strings.Replace(prompt("b0"), "/prompt/", "/patient/", 1))
+		go func() { answers <- c.read() }()
+	}
+	s.until("the engine has some", func() bool { return len(r.Seen()) >= 2 })
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.Leave()
+	}()
+	s.until("those that wait are refused", func() bool { return len(answers) == sent-len(r.Seen()) })
+	held := len(r.Seen())
+	assert.Assert(t, held < sent)
+	for range sent - held {
+		got := <-answers
+		assert.Equal(t, got.status, 503)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+	}
+	let()
+	for range held {
+		assert.Equal(t, (<-answers).status, 200, "what the engine has begun is answered")
+	}
+	<-stopped
+	assert.Equal(t, len(r.Seen()), held, "what was refused has not run")
+}
+
+// Where another start of a replica answers, the one that was meant has gone, though
+// the list still has it: it costs an attempt every few seconds and no more.
+func TestReplicaThatHasStartedAnewIsLeft(t *testing.T) {
+	s := newSite(t)
+	gone, there := s.replica(app, "a"), s.replica(app, "b")
+	n := s.node("n1")
+	gone.Script(onplatform.NotRun(421))
+	begun := time.Now()
+	const sent = 60
+	for range sent {
+		assert.Equal(t, n.send(request("GET", "/safe/x", "")).status, 200)
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, len(there.Seen()), sent)
+	assert.Assert(t, len(gone.Seen()) >= 1)
+	most := 1 + int(time.Since(begun)/(3*time.Second))
+	assert.Assert(t, len(gone.Seen()) <= most, "%d attempts", len(gone.Seen()))
+}
--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -56,6 +56,7 @@
 		{"name": "stream", "host": host, "path_prefix": "/stream/", "kind": "streaming", "timeout_ms": 6000, "target_latency_ms": 300, "service": app, "max_attempts": 1},
 		{"name": "short", "host": host, "path_prefix": "/short/", "kind": "idempotent", "timeout_ms": 300, "target_latency_ms": 100, "service": app, "max_attempts": 2},
 		{"name": "prompt", "host": host, "path_prefix": "/prompt/", "kind": "streaming", "timeout_ms": 4000, "target_latency_ms": 500, "service": llm, "max_attempts": 1, "sticky": true},
+		{"name": "patient", "host": host, "path_prefix": "/patient/", "kind": "streaming", "timeout_ms": 60000, "target_latency_ms": 500, "service": llm, "max_attempts": 1, "sticky": true},
 	}
 	s.tenants = []map[string]any{{"name": "org-one", "api_keys": []string{key}}, {"name": "org-two", "api_keys": []string{"key-two"}, "isolated": true}}
 	s.limits = map[string]any{"max_header_bytes": 4096, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -282,25 +282,29 @@
 	})
 }
 
+// In a small fleet one replica of each group would be more than may be away at once.
 func TestNoMoreThanAShareIsSwappedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s, f := newMemoryStore(), newFakeFleet(18)
-		stop := start(t, s, f, "n1")
-		f.name(2)
-		for range 100 {
-			time.Sleep(50 * time.Millisecond)
-			f.mu.Lock()
-			busy := 0
-			for _, x := range f.replicas {
-				if x.busy {
-					busy++
+	for _, n := range []int{4, 9, 18, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			s, f := newMemoryStore(), newFakeFleet(n)
+			stop := start(t, s, f, "n1", "n2", "n3")
+			f.name(2)
+			for range 400 {
+				time.Sleep(25 * time.Millisecond)
+				f.mu.Lock()
+				busy := 0
+				for _, x := range f.replicas {
+					if x.busy {
+						busy++
+					}
 				}
+				f.mu.Unlock()
+				assert.Assert(t, busy <= mostAtOnce(n), "%d of %d at once", busy, n)
 			}
-			f.mu.Unlock()
-			assert.Assert(t, busy <= 9, "%d of 18 at once", busy)
-		}
-		stop()
-	})
+			assert.Equal(t, f.behind(), 0, "all of %d are done", n)
+			stop()
+		})
+	}
 }
 
 // A holder that is cut off from the store stops by itself, and another takes over
--- a/pkg/route/pool_test.go
+++ b/pkg/route/pool_test.go
@@ -273,3 +273,61 @@
 		}
 	})
 }
+
+// Word of a swap may come again after word that it is done: the replica is not passed
+// over for that.
+func TestWordOfASwapThatIsDoneIsVoid(t *testing.T) {
+	p := newTestPool(2, 1)
+	p.Steer("r00", "m", 2, testNow.Add(time.Second))
+	assert.Equal(t, p.Steered(testNow), 1)
+	c, ok := p.Pick(&Need{Model: "m", Tokens: 1000}, testNow)
+	assert.Assert(t, ok && c.ID == "r01")
+	p.Serves("r00", "m", 2)
+	p.Steer("r00", "m", 2, testNow.Add(time.Second))
+	assert.Equal(t, p.Steered(testNow), 0)
+	c, ok = p.Pick(&Need{Model: "m", Tokens: 1000, Newest: 2, Urgency: 1}, testNow)
+	assert.Assert(t, ok && c.ID == "r00")
+	p.Steer("r00", "m", 3, testNow.Add(time.Second))
+	assert.Equal(t, p.Steered(testNow), 1, "a newer version's swap is another")
+}
+
+// A replica that answers nothing any more is left while its answers are overdue, long
+// before their time is up.
+func TestReplicaWhoseAnswersAreOverdueIsLeft(t *testing.T) {
+	p := newTestPool(3, 1)
+	need := &Need{Model: "m", Tokens: 1000, Memory: 1000, Capacity: 40_000}
+	c, ok := p.Pick(need, testNow)
+	assert.Assert(t, ok)
+	k := p.Begin(c, testNow)
+	now := testNow.Add(time.Second)
+	for range 20 {
+		next, ok := p.Pick(need, now)
+		assert.Assert(t, ok)
+		assert.Assert(t, next.ID != c.ID)
+		other := p.Begin(next, now)
+		other.First(now.Add(50 * time.Millisecond))
+		other.End(OutcomeOK, now.Add(60*time.Millisecond))
+	}
+	k.First(now)
+	k.End(OutcomeOK, now)
+	used := false
+	for range 20 {
+		next, _ := p.Pick(need, now.Add(time.Minute))
+		used = used || next.ID == c.ID
+	}
+	assert.Assert(t, used, "once it answers it is used again")
+}
+
+// A prompt waits behind those as urgent as it is, and not behind others.
+func TestUrgentPromptsDoNotWaitForOthers(t *testing.T) {
+	p := newTestPool(1, 1)
+	p.SetPeers(map[string]PeerLoad{"r00": {Requests: 3, Tokens: Banded{0, 20_000}}})
+	urgent, ok := p.Pick(&Need{Model: "m", Tokens: 1000}, testNow)
+	assert.Assert(t, ok)
+	other, ok := p.Pick(&Need{Model: "m", Tokens: 1000, Priority: 1}, testNow)
+	assert.Assert(t, ok)
+	assert.Assert(t, other.Wait > urgent.Wait+500*time.Millisecond, "%s, %s", other.Wait, urgent.Wait)
+	lower, ok := p.Pick(&Need{Model: "m", Tokens: 1000, Priority: 9}, testNow)
+	assert.Assert(t, ok)
+	assert.Equal(t, lower.Wait, other.Wait)
+}
--- a/pkg/route/prompt_queue.go
+++ b/pkg/route/prompt_queue.go
@@ -107,16 +107,18 @@
 			ahead++
 		}
 	}
-	return time.Duration(ahead) * q.pace(now)
+	return q.behind(ahead, now)
 }
 
-// pace is the time expected between prompts let in: as measured, but no less than it
-// has now taken since the last.
-func (q *PromptQueue) pace(now time.Time) time.Duration {
-	if q.last.IsZero() {
-		return q.interval
+// behind is how long a prompt would wait behind some others: for each the time that
+// has lately passed between two let in, and as long again as it has now taken since
+// the last.
+func (q *PromptQueue) behind(ahead int, now time.Time) time.Duration {
+	wait := time.Duration(ahead) * q.interval
+	if !q.last.IsZero() && ahead > 0 {
+		wait += max(0, now.Sub(q.last)-q.interval)
 	}
-	return max(q.interval, now.Sub(q.last))
+	return wait
 }
 
 // shed refuses those that are no longer expected to be let in before their limit, the
@@ -128,10 +130,9 @@
 		}
 		return 1
 	})
-	pace := q.pace(now)
 	ahead := 0
 	for _, w := range list {
-		wait := time.Duration(ahead) * pace
+		wait := q.behind(ahead, now)
 		if ahead > 0 && now.Add(wait).After(w.Limit) {
 			q.refuse(w, wait)
 			continue
--- /dev/null
+++ b/pkg/route/prompt_queue_test.go
@@ -0,0 +1,200 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// room is what fits at the engines, as a test sets it.
+type room struct{ left int }
+
+func (r *room) ask(priority int, limit time.Time) Ask {
+	return Ask{Cost: 1000, Priority: priority, Limit: limit, Fits: func(bool, time.Time) bool { return r.left > 0 }}
+}
+
+func letIn(w *WaitingPrompt) bool {
+	select {
+	case <-w.Ready():
+		return w.Refused() == nil
+	default:
+		return false
+	}
+}
+
+// sent has a prompt that was let in take its room.
+func (r *room) sent(w *WaitingPrompt, now time.Time) {
+	r.left--
+	w.Done(now)
+}
+
+// Whatever happens, a prompt is let in only while there is room, each is let in or
+// refused once, and nobody is forgotten.
+func TestPromptQueueStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, r, now := NewPromptQueue(), &room{left: 3}, testNow
+		var open []*WaitingPrompt
+		settle := func() {
+			for progress := true; progress; {
+				progress = false
+				for i, w := range open {
+					select {
+					case <-w.Ready():
+						if w.Refused() == nil {
+							assert.Assert(t, r.left > 0, "let in without room")
+							r.left--
+						}
+						w.Done(now)
+						open = append(open[:i:i], open[i+1:]...)
+						progress = true
+					default:
+						continue
+					}
+					break
+				}
+			}
+			assert.Equal(t, q.Len(), len(open))
+			assert.Assert(t, len(open) == 0 || r.left == 0, "room for somebody, and nobody let in")
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
+			case 0, 1:
+				limit := now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "limit")) * time.Millisecond)
+				ask := r.ask(rapid.IntRange(0, 3).Draw(t, "priority"), limit)
+				ask.Organisation = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation")
+				if w, err := q.Offer(ask, now); err == nil {
+					open = append(open, w)
+				}
+			case 2:
+				r.left++
+				q.Step(now)
+			case 3:
+				if len(open) > 0 {
+					open[rapid.IntRange(0, len(open)-1).Draw(t, "late")].Late(now)
+				}
+			case 4:
+				if len(open) > 0 {
+					open[rapid.IntRange(0, len(open)-1).Draw(t, "gives up")].GiveUp(now)
+				}
+			case 5:
+				if len(open) > 0 {
+					i := rapid.IntRange(0, len(open)-1).Draw(t, "leaves")
+					open[i].Done(now)
+					open[i].Done(now)
+					open = append(open[:i:i], open[i+1:]...)
+				}
+			}
+			settle()
+		}
+	})
+}
+
+// Prompts that can still be in time go first, then the more urgent, then those of who
+// has had least.
+func TestPromptQueueOrder(t *testing.T) {
+	q, r, now := NewPromptQueue(), &room{}, testNow
+	limit := now.Add(time.Minute)
+	offer := func(priority int, organisation string) *WaitingPrompt {
+		ask := r.ask(priority, limit)
+		ask.Organisation = organisation
+		w, err := q.Offer(ask, now)
+		assert.NilError(t, err)
+		return w
+	}
+	late := offer(0, "a")
+	second, third := offer(1, "a"), offer(1, "a")
+	other := offer(1, "b")
+	urgent := offer(0, "a")
+	late.Late(now)
+	for i, w := range []*WaitingPrompt{urgent, other, second, third, late} {
+		r.left = 1
+		q.Step(now)
+		assert.Assert(t, letIn(w), "number %d", i)
+		r.sent(w, now)
+	}
+}
+
+// What was let in takes its room only once it is sent: until then nobody else is let
+// in on the same room.
+func TestPromptsAreLetInOneAtATime(t *testing.T) {
+	q, r, now := NewPromptQueue(), &room{}, testNow
+	var list []*WaitingPrompt
+	for range 2 {
+		w, err := q.Offer(r.ask(0, now.Add(time.Minute)), now)
+		assert.NilError(t, err)
+		list = append(list, w)
+	}
+	r.left = 1
+	q.Step(now)
+	q.Step(now)
+	assert.Assert(t, letIn(list[0]) && !letIn(list[1]))
+	r.sent(list[0], now)
+	assert.Assert(t, !letIn(list[1]))
+	r.left = 1
+	q.Step(now)
+	assert.Assert(t, letIn(list[1]))
+}
+
+// Engines that begin nothing any more: those that would wait in vain are refused well
+// before their limits, and say when to come back, and new ones at once.
+func TestWhoWouldWaitInVainIsRefused(t *testing.T) {
+	q, r, now := NewPromptQueue(), &room{}, testNow
+	limit := now.Add(4 * time.Second)
+	var list []*WaitingPrompt
+	for range 5 {
+		w, err := q.Offer(r.ask(0, limit), now)
+		assert.NilError(t, err)
+		list = append(list, w)
+	}
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		q.Step(now)
+	}
+	refused := 0
+	for _, w := range list {
+		select {
+		case <-w.Ready():
+			refused++
+			var err *RefusedError
+			assert.Assert(t, errors.As(w.Refused(), &err))
+			assert.Assert(t, err.RetryAfter >= minRetry)
+		default:
+		}
+	}
+	assert.Assert(t, refused >= 3, "%d refused after half of their time", refused)
+	_, err := q.Offer(r.ask(0, now.Add(time.Second)), now)
+	var refusal *RefusedError
+	assert.Assert(t, errors.As(err, &refusal))
+}
+
+// The pace is learnt, so that a queue that moves is joined and one that doesn't is not.
+func TestQueueThatMovesIsJoined(t *testing.T) {
+	q, r, now := NewPromptQueue(), &room{}, testNow
+	var waiting []*WaitingPrompt
+	for i := range 200 {
+		now = now.Add(10 * time.Millisecond)
+		ask := r.ask(0, now.Add(time.Second))
+		ask.Organisation = fmt.Sprint(i % 3)
+		w, err := q.Offer(ask, now)
+		assert.NilError(t, err, "prompt %d", i)
+		waiting = append(waiting, w)
+		if i < 20 {
+			continue // A queue of 20 builds up, which takes 200 ms to get through.
+		}
+		r.left = 1
+		q.Step(now)
+		for j, w := range waiting {
+			if letIn(w) {
+				r.sent(w, now)
+				waiting = append(waiting[:j:j], waiting[j+1:]...)
+				break
+			}
+		}
+	}
+	assert.Equal(t, len(waiting), 20)
+}
