Connections may rest longer before what may run once only

Change: they may rest for 6 s instead of 1.5 s; the part of the replica's own idle time (0.6 of it) bounds them as before.

--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -123,7 +123,7 @@
 	// replica may forget one early, and a request lost that way must not be
 	// sent again if it may run once only.
 	restedLong  = 10 * time.Second
-	restedShort = 1500 * time.Millisecond
+	restedShort = 6 * time.Second
 )
 
 // write sends the request; reading the answer notices when it fails.
