A node that starts anew learns of all others

A probe carried news only, and a node that has been there for long is in nobody's: one that starts and probes it learns nothing of it. Change: each probe and each answer tells of its sender. The test (nine nodes, three started anew with addresses only) knew one of nine before.

--- a/pkg/control/members_news.go
+++ b/pkg/control/members_news.go
@@ -13,10 +13,17 @@
 // packet addresses a probe and adds news; the caller holds mu.
 //
 // A node that is held for suspect or dead is always told so, however old the
-// news is: only it can refute that, and no one else would ever bring it up.
+// news is: only it can refute that, and no one else would ever bring it up. Each
+// answer and each probe tells of its sender, too: one that has been there for long is
+// in nobody's news any more, and a node that starts knows only addresses. Without it
+// a third of the nodes heard nothing of the others' load for the rest of a day on
+// which all were restarted.
 func (m *Members) packet(to netip.AddrPort, p Probe) Packet {
 	p.From = m.self.Name
 	p.Updates = m.takeNews()
+	if !slices.ContainsFunc(p.Updates, func(u Member) bool { return u.Name == m.self.Name }) {
+		p.Updates = append(p.Updates, m.self)
+	}
 	if e := m.known[m.byPeer[to]]; e != nil && (e.State == MemberSuspect || e.State == MemberDead) {
 		p.Updates = append(p.Updates, e.Member)
 	}
--- a/pkg/control/members_test.go
+++ b/pkg/control/members_test.go
@@ -146,6 +146,30 @@
 	assert.Equal(t, f.stateOf(0, 3), MemberAlive)
 }
 
+// A node that starts anew knows only addresses. Those that have been there for long
+// are in nobody's news any more, and it must learn of all of them all the same.
+func TestRestartedNodeLearnsOfAllOthersAtOnce(t *testing.T) {
+	const nodes = 9
+	f := newTestFleet(nodes)
+	f.run(60)
+	for _, restarted := range []int{3, 0, 7} {
+		f.views[restarted] = newTestView(restarted, 2)
+		var addrs []netip.AddrPort
+		for i := range nodes {
+			if i != restarted {
+				addrs = append(addrs, testAddr(i))
+			}
+		}
+		f.send(restarted, f.views[restarted].Greet(addrs))
+		assert.Equal(t, len(f.views[restarted].Working()), nodes)
+		f.run(2)
+		for viewer := range nodes {
+			assert.Equal(t, f.stateOf(viewer, restarted), MemberAlive)
+		}
+	}
+}
+
+
 func TestOwnerMovesOnlyWhatItMust(t *testing.T) {
 	f := newTestFleet(30)
 	f.run(40)
