What no decision uses any more is gone; freed parts are not freed again

Removed: the strict mode of the product's admission, which the prompts' queue has replaced on the platform, the pool's list of halls and its majority of weights.

What was asked to be freed is now forgotten at once; the test frees a second time without that.

--- a/pkg/control/members_test.go
+++ b/pkg/control/members_test.go
@@ -169,7 +169,6 @@
 	}
 }
 
-
 func TestOwnerMovesOnlyWhatItMust(t *testing.T) {
 	f := newTestFleet(30)
 	f.run(40)
--- a/pkg/route/admission.go
+++ b/pkg/route/admission.go
@@ -49,8 +49,6 @@
 	waiting map[*tenantQueue]struct{}
 	shares  float64 // Of those.
 	seq     uint64
-	// strict has priorities go before fairness between organisations.
-	strict bool
 	// wanted is the wait at a replica that Adapt aims for.
 	wanted time.Duration
 }
@@ -75,14 +73,6 @@
 	}
 }
 
-// NewStrictAdmission returns an admission in which a request of higher priority
-// goes before all others, whoever's it is.
-func NewStrictAdmission() *Admission {
-	a := NewAdmission()
-	a.strict = true
-	return a
-}
-
 // Want sets the wait at a replica that Adapt aims for.
 func (a *Admission) Want(wait time.Duration) {
 	a.mu.Lock()
@@ -155,7 +145,7 @@
 			return nil, &RefusedError{Reason: RefusedRate, RetryAfter: after}
 		}
 	}
-	if wait := a.expectedWait(q, priority); now.Add(wait).After(limit) {
+	if wait := a.expectedWait(q); now.Add(wait).After(limit) {
 		return nil, &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}
 	}
 	a.seq++
@@ -222,10 +212,7 @@
 
 // expectedWait is how long a new request of an organisation would wait: its own
 // queue drains at its share of the rate at which places come free.
-func (a *Admission) expectedWait(q *tenantQueue, priority int) time.Duration {
-	if a.strict {
-		return a.strictWait(priority)
-	}
+func (a *Admission) expectedWait(q *tenantQueue) time.Duration {
 	if a.inside < a.capacity && q.waiting.Len() == 0 && q.mayEnter() {
 		return 0
 	}
@@ -240,23 +227,6 @@
 	return seconds(float64(q.waiting.Len()+1) / perSecond)
 }
 
-// strictWait is how long a new request of a priority would wait behind all that
-// go before it.
-func (a *Admission) strictWait(priority int) time.Duration {
-	ahead := 0
-	for q := range a.waiting {
-		for _, p := range q.waiting.Items() {
-			if p.priority >= priority {
-				ahead++
-			}
-		}
-	}
-	if a.inside < a.capacity && ahead == 0 {
-		return 0
-	}
-	return seconds(float64(ahead+1) * a.meanHold.Seconds() / float64(a.capacity))
-}
-
 func (q *tenantQueue) mayEnter() bool { return q.Concurrency == 0 || q.inside < q.Concurrency }
 
 // admit lets in whom there is room for; the caller holds mu.
@@ -295,9 +265,6 @@
 // goesBefore says whether one organisation's next request goes before another's.
 func (a *Admission) goesBefore(q, other *tenantQueue) bool {
 	first, second := q.waiting.First(), other.waiting.First()
-	if a.strict && first.priority != second.priority {
-		return first.priority > second.priority
-	}
 	if q.behind(a.virtual) != other.behind(a.virtual) {
 		return q.behind(a.virtual) < other.behind(a.virtual)
 	}
--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -462,6 +462,21 @@
 	return list, s.boot
 }
 
+// Freed notes that a store has dropped parts: its own word of that may get lost.
+func (k *Kept) Freed(name string, boot int64, list []site.Freed) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, ok := k.stores[name]
+	if !ok || s.boot != boot {
+		return
+	}
+	for _, f := range list {
+		key := partKey{f.Realm, f.Part}
+		s.used -= s.parts[key].tokens
+		delete(s.parts, key)
+	}
+}
+
 // StoreStatus is what a dump shows of one store.
 type StoreStatus struct {
 	Name     string `json:"name"`
--- a/pkg/route/kept_test.go
+++ b/pkg/route/kept_test.go
@@ -181,6 +181,21 @@
 	assert.Assert(t, u.held(partKey{"r", "often"}, 40_000, now.Add(time.Minute)) < 0.9)
 }
 
+// A store's own word of what it has freed may get lost: it is not freed again and again.
+func TestWhatWasFreedIsNotFreedAgain(t *testing.T) {
+	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
+	k.Apply("s", site.CacheChanges{Boot: 7, Changes: plus("m@1", testPrompt...)}, testNow)
+	all := func(string) bool { return true }
+	list, boot := k.Surplus("s", 10, all)
+	k.Freed("s", boot+1, list) // Another start of the store.
+	again, _ := k.Surplus("s", 10, all)
+	assert.Equal(t, len(again), 2)
+	k.Freed("s", boot, list)
+	again, _ = k.Surplus("s", 10, all)
+	assert.Equal(t, len(again), 0)
+	assert.Equal(t, k.Status()[0].Used, 0)
+}
+
 // A run that goes on while its replica gets other weights saves what it reads
 // under the old ones' realm: what became whole since then is not to be trusted.
 func TestPartsSavedWhileWeightsAreReplacedAreNotFetched(t *testing.T) {
--- a/pkg/route/place.go
+++ b/pkg/route/place.go
@@ -68,7 +68,7 @@
 		a.mu.Unlock()
 		return nil, true
 	}
-	wait := a.expectedWait(p.tenant, p.priority)
+	wait := a.expectedWait(p.tenant)
 	a.mu.Unlock()
 	p.Leave(now)
 	return &RefusedError{Reason: RefusedLoad, RetryAfter: max(minRetry, wait)}, false
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -24,7 +24,6 @@
 	hall     string // Of this node.
 	replicas map[string]*member
 	list     []*member
-	halls    []string // Of the replicas.
 	// perToken is the learnt time to read one token, and base that of an answer
 	// with little to read, in seconds.
 	perToken float64
@@ -120,7 +119,6 @@
 	old := p.replicas
 	p.replicas = make(map[string]*member, len(list))
 	p.list = p.list[:0]
-	p.halls = p.halls[:0]
 	for _, u := range list {
 		m, ok := old[u.ID]
 		if !ok {
@@ -138,9 +136,6 @@
 			m.cold = now.Add(u.Cold)
 		}
 		p.replicas[u.ID] = m
-		if !slices.Contains(p.halls, u.DataHall) {
-			p.halls = append(p.halls, u.DataHall)
-		}
 		p.list = append(p.list, m)
 	}
 	slices.SortFunc(p.list, func(a, b *member) int {
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -18,29 +18,6 @@
 	return list
 }
 
-// Majority is the version of a model's weights that most replicas have.
-func (p *Pool) Majority(model string) int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	counts := map[int64]int{}
-	best := int64(0)
-	for _, m := range p.list {
-		v := m.Weights[model]
-		counts[v]++
-		if counts[v] > counts[best] || counts[v] == counts[best] && v > best {
-			best = v
-		}
-	}
-	return best
-}
-
-// Halls lists the data halls of the replicas.
-func (p *Pool) Halls() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Clone(p.halls)
-}
-
 // MedianWait is the median of what the least urgent of prompts would wait, over the
 // replicas that take some.
 func (p *Pool) MedianWait(now time.Time) time.Duration {
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -136,6 +136,7 @@
 			s.log.Warn("parts not freed", "store", v.Name, "parts", len(list), "err", err)
 			continue
 		}
+		s.kept.Freed(v.Name, boot, list)
 		s.log.Info("parts freed", "store", v.Name, "parts", len(list), "boot", boot)
 	}
 }
