A save asked of an engine that did not run the prompt is asked again

Change: Plan.Cancel, for attempts that were refused or not sent; not for those whose answer was lost, as a part that broke off keeps its room at the store.

--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -234,6 +234,7 @@
 	}
 	p.Saves[i] = s.Addr
 	p.Saved += tokens
+	p.saves = append(p.saves, plannedSave{store: s, key: key})
 	s.saving[key] = saving{tokens: tokens, until: now.Add(saveTerm)}
 	s.book(bytes, hall, now)
 }
--- a/pkg/route/kept_test.go
+++ b/pkg/route/kept_test.go
@@ -64,6 +64,20 @@
 	assert.Assert(t, p.Sources[1].IsValid())
 }
 
+// A save that was asked of an engine that did not run the prompt is asked again.
+func TestSaveOfAnAttemptThatDidNotRunIsAskedAgain(t *testing.T) {
+	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
+	plan := func() *Plan {
+		return k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second, Save: true}, testNow)
+	}
+	first := plan()
+	assert.Equal(t, first.Saved, 7000)
+	assert.Equal(t, plan().Saved, 0)
+	first.Cancel()
+	assert.Equal(t, plan().Saved, 7000)
+	(&Plan{}).Cancel() // Of a request without a prompt.
+}
+
 func TestRealmsShareNothing(t *testing.T) {
 	k := newTestKept(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	k.Apply("s", site.CacheChanges{Boot: 1, Changes: plus("m@1", testPrompt...)}, testNow)
--- a/pkg/route/plan.go
+++ b/pkg/route/plan.go
@@ -19,6 +19,13 @@
 
 	kept  *Kept
 	moves []*keptLink // Over which something is fetched.
+	saves []plannedSave
+}
+
+// plannedSave is a part that is to be saved at a store.
+type plannedSave struct {
+	store *keptStore
+	key   partKey
 }
 
 // take has a part fetched.
@@ -28,6 +35,21 @@
 	p.Time += wait
 }
 
+// Cancel is to be called when the prompt was not read: what was to be saved may be
+// saved by another attempt. Without it nothing that is sent again was saved for
+// saveTerm, and on a day on which a third of the engines crash three times a sixth of
+// the shared tokens were read again for that.
+func (p *Plan) Cancel() {
+	if p.kept == nil {
+		return
+	}
+	p.kept.mu.Lock()
+	defer p.kept.mu.Unlock()
+	for _, s := range p.saves {
+		delete(s.store.saving, s.key)
+	}
+}
+
 // First records that the first byte of the answer has come, by how much later
 // than expected.
 func (p *Plan) First(excess time.Duration, now time.Time) {
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -240,6 +240,7 @@
 // unsent goes on after a connection that could not be made.
 func (x *exchange) unsent(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
 	a.end(route.OutcomeFailed, now)
+	a.plan.Cancel()
 	x.lost(a.choice.ID, now)
 	x.g.log.Warn("replica not reached", "request", x.terms.ID, "replica", a.choice.ID, "addr", a.choice.Addr, "err", err)
 	x.need.Exclude = append(x.need.Exclude, a.choice.ID)
@@ -263,6 +264,7 @@
 // notRun goes on after a replica that refused.
 func (x *exchange) notRun(a *attempt, now time.Time) (bool, refusal) {
 	a.end(route.OutcomeNeutral, now)
+	a.plan.Cancel()
 	x.learnRefusal(a, now)
 	x.need.Exclude = append(x.need.Exclude, a.choice.ID)
 	x.refused++
