--- a/pkg/route/pool_bench_test.go
+++ b/pkg/route/pool_bench_test.go
@@ -52,3 +52,27 @@
 		})
 	}
 }
+
+// The cost of one look-up by the number of engines, each of which holds 20 parts.
+func BenchmarkKeptLook(b *testing.B) {
+	for _, n := range []int{9, 60, 256} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			engines := testReplicas(n, 1)
+			k := NewKept()
+			k.SetEngines("", engines, testEngine)
+			for i, u := range engines {
+				parts := []site.Part{{ID: "common", Tokens: 2500}}
+				for j := range 19 {
+					parts = append(parts, site.Part{ID: fmt.Sprint(i*7+j), Tokens: 5000})
+				}
+				k.ApplyHeld(HeldChanges{Engine: u.ID, Whole: true, Changes: held("r", parts...)})
+			}
+			realm := func(int64) Realm { return Realm{Name: "r"} }
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				parts := []site.Part{{ID: "common", Tokens: 2500}, {ID: fmt.Sprint(i % (7 * n)), Tokens: 5000}}
+				k.Look(engines, "m", realm, parts, testEngine, time.Second, testNow)
+			}
+		})
+	}
+}
