--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -89,7 +89,7 @@
 	}
 	shared, kept := l.Int("shared"), l.Int("kept")
 	if shared > 0 && kept < shared {
-		why = append(why, fmt.Sprintf("no store had %d of its %d shared tokens, so they were read", shared-kept, shared))
+		why = append(why, fmt.Sprintf("%d of its %d shared tokens were neither held by the replica nor to be fetched, so they were read", shared-kept, shared))
 	}
 	if l.Int("fetched") > 0 && l.Int("first_ms") > 2*l.Int("expected_ms") {
 		why = append(why, fmt.Sprintf("it fetched %d tokens, and what it fetched or the replica came later than expected", l.Int("fetched")))
