--- a/pkg/route/prompt_queue.go
+++ b/pkg/route/prompt_queue.go
@@ -19,8 +19,8 @@
 // Prompts that can still be answered in good time go before those that can't: under
 // load a queue in order of arrival has all of them come late. Then the more urgent
 // go first, then the organisation that has had the least (start-time fair queueing),
-// then who came first. Nobody is passed by: a large prompt that finds no room has the
-// engines drain until it does.
+// then who came first. At its own node nobody is passed by: a large prompt that finds no
+// room is not overtaken by smaller ones behind it.
 //
 // The lock is taken before that of a Pool, which Ask.Fits looks into.
 type PromptQueue struct {
