Two groups of one node no longer begin swaps on the same look

Groups step side by side, and two looked how many were steered away from before either had begun. Looking and steering are now one step.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -86,6 +86,8 @@
 	log     *slog.Logger
 	now     func() time.Time
 	groups  [groups]*group
+	// beginMu guards mayBegin; it is taken behind a group's mu.
+	beginMu sync.Mutex
 
 	wg sync.WaitGroup
 }
@@ -253,10 +255,9 @@
 	defer g.mu.Unlock()
 	// Counting forgets those that were left alone for long enough.
 	running := g.running(r.now())
-	if _, known := g.swaps[t.ID]; known || running >= most.group || r.fleet.Steered() >= most.all {
+	if _, known := g.swaps[t.ID]; known || running >= most.group || !r.mayBegin(t, most.all) {
 		return
 	}
-	r.fleet.Steer(t, steerTime+steerTerm)
 	s := &swap{}
 	g.swaps[t.ID] = s
 	r.wg.Go(func() {
@@ -268,6 +269,18 @@
 	})
 }
 
+// mayBegin says whether another replica of all may be swapped, and has it steered away
+// from if so. Groups step side by side, so that both are done as one.
+func (r *Rollout) mayBegin(t Target, most int) bool {
+	r.beginMu.Lock()
+	defer r.beginMu.Unlock()
+	if r.fleet.Steered() >= most {
+		return false
+	}
+	r.fleet.Steer(t, steerTime+steerTerm)
+	return true
+}
+
 // swap brings one replica to its weights and returns for how long it is to be
 // left alone.
 func (r *Rollout) swap(ctx context.Context, g *group, t Target) time.Duration {
