Admission's wish for another wait is gone: nobody has one any more

Want was called by the platform's queue only, which route.PromptQueue has replaced; the product's own admission always aimed at wantedWait. No behaviour is changed.

--- a/pkg/route/admission.go
+++ b/pkg/route/admission.go
@@ -49,8 +49,6 @@
 	waiting map[*tenantQueue]struct{}
 	shares  float64 // Of those.
 	seq     uint64
-	// wanted is the wait at a replica that Adapt aims for.
-	wanted time.Duration
 }
 
 type tenantQueue struct {
@@ -66,20 +64,12 @@
 func NewAdmission() *Admission {
 	return &Admission{
 		capacity: minCapacity,
-		wanted:   wantedWait,
 		meanHold: defaultHold,
 		tenants:  map[string]*tenantQueue{},
 		waiting:  map[*tenantQueue]struct{}{},
 	}
 }
 
-// Want sets the wait at a replica that Adapt aims for.
-func (a *Admission) Want(wait time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.wanted = wait
-}
-
 // Adapt lets more or fewer requests in, by what they wait at the replicas: a
 // queue in front of a prefill can't be ordered any more, and what was prepared
 // for a request is lost while it waits there, so what must wait waits here. most
@@ -88,7 +78,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case wait > a.wanted:
+	case wait > wantedWait:
 		a.capacity = int(float64(a.capacity) * shrink)
 	case a.inside >= a.capacity:
 		// Only a limit that is met is worth raising.
@@ -99,8 +89,7 @@
 }
 
 const (
-	// wantedWait is the wait at a replica that Adapt aims for unless Want has
-	// set another.
+	// wantedWait is the wait at a replica that Adapt aims for.
 	wantedWait = 150 * time.Millisecond
 	shrink     = 0.9
 	growPart   = 10
