Nodes log what came of the operator's table, and when a reader is passed over

A node that did without its hall's reader said nothing of it, and a configuration's line told neither who had told it, nor how large it was, nor how long it took: late configurations could not be told apart by cause (a reader that is slow, one that is gone, a store that does not answer, a value that takes longer than a call may).

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -100,6 +100,16 @@
 	{"store back", Change, "They succeed again.", []Key{keyTable, keyVersion, keyAway}},
 	{"store not reached, other nodes are asked", Failure, "This node's own calls to the platform's store fail; it hears of changes from other nodes.", []Key{keyTable, keyErr}},
 	{"store reached again", Change, "This node's own calls succeed again.", []Key{keyTable, keyAway, {"asked", "how often other nodes were asked meanwhile"}}},
+	{"operator's rows heard", Change, "Rows of the operator's table came.", []Key{
+		keyVersion,
+		{"rows", "how many"},
+		{"bytes", "of their values"},
+		{"by", "who told them: store, or the other node's address"},
+		{"after", "nanoseconds since they were asked for, the wait for a change included"},
+	}},
+	{"reader passed over", Failure, "The node that reads a table for this hall failed; the store is asked for a while.", []Key{
+		keyTable, keyTeller, {"after", "nanoseconds since it was asked"}, keyErr,
+	}},
 	{"store of kept state lost", Failure, "The events of a store of kept state can't be followed; it is not used.", []Key{keyStore, keyErr}},
 	{"store of kept state back", Change, "They can be again.", []Key{keyStore, keyBoot, keyAway}},
 	{"engine's events lost", Failure, "The events of an engine can't be followed; what it holds is guessed, and nothing is fetched from it.", []Key{keyReplica, keyErr}},
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -144,15 +144,21 @@
 func (r *readers) List(ctx context.Context, t site.Table) (l site.Listing, err error) {
 	q := changesRequest{Table: t, Whole: true}
 	if addr, ok := r.reader(t); ok {
+		begun := time.Now()
 		if l, err = r.ask(ctx, addr, q); err == nil {
 			return l, nil
 		}
-		r.doubt()
+		if ctx.Err() != nil {
+			return l, err
+		}
+		r.doubt(t, addr, begun, err)
 	}
 	return r.fromStore(ctx, q, func(ctx context.Context) (site.Listing, error) {
+		begun := time.Now()
 		l, err := r.store.List(ctx, t)
 		if err == nil {
 			r.take(q, l, true)
+			r.tell(q, l, byStore, begun)
 		}
 		return l, err
 	})
@@ -166,26 +172,46 @@
 	}
 	q := changesRequest{Table: t, After: after, WaitMS: min(wait, readerHold).Milliseconds()}
 	if addr, ok := r.reader(t); ok {
+		begun := time.Now()
 		l, err = r.ask(ctx, addr, q)
-		if err == nil || errors.Is(err, site.ErrHistoryGone) {
+		if err == nil || errors.Is(err, site.ErrHistoryGone) || ctx.Err() != nil {
 			return l, err
 		}
-		r.doubt()
+		r.doubt(t, addr, begun, err)
 	}
 	return r.fromStore(ctx, q, func(ctx context.Context) (site.Listing, error) {
 		if r.missing(t) {
 			wait = 0
 		}
+		begun := time.Now()
 		l, err := r.store.Changes(ctx, t, after, wait)
 		if err == nil {
 			r.take(q, l, true)
+			r.tell(q, l, byStore, begun)
 		}
 		return l, err
 	})
 }
 
-// doubt has the store itself asked for a while.
-func (r *readers) doubt() {
+// byStore names the store where a log line tells who told something.
+const byStore = "store"
+
+// tell logs what came of the operator's table, which is seldom and may be large.
+func (r *readers) tell(q changesRequest, l site.Listing, by string, begun time.Time) {
+	if q.Table != site.TableOperator || len(l.Rows) == 0 {
+		return
+	}
+	size := 0
+	for _, row := range l.Rows {
+		size += len(row.Value)
+	}
+	r.log.Info("operator's rows heard", "version", l.Version, "rows", len(l.Rows),
+		"bytes", size, "by", by, "after", time.Since(begun))
+}
+
+// doubt has the store itself asked for a while, as the reader has failed by err.
+func (r *readers) doubt(t site.Table, addr netip.AddrPort, begun time.Time, err error) {
+	r.log.Warn("reader passed over", "table", tableName(t), "peer", addr, "after", time.Since(begun), "err", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.direct = time.Now().Add(directTerm)
@@ -195,6 +221,7 @@
 	defer func() { err = eris.Wrap(err, "ask reader") }()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMS)*time.Millisecond+readerSlack)
 	defer cancel()
+	begun := time.Now()
 	var a changesAnswer
 	if err := r.client.Call(ctx, addr, methodChanges, q, &a); err != nil {
 		return l, err
@@ -207,6 +234,7 @@
 	default:
 		l = site.Listing{Rows: a.Rows, Version: a.Version}
 		r.take(q, l, false)
+		r.tell(q, l, addr.String(), begun)
 		return l, nil
 	}
 }
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -123,6 +123,11 @@
 	return h
 }
 
+// doubt has the asker do without its hall's reader.
+func (h *testHall) doubt() {
+	h.asker.doubt(site.TableUpstreams, h.server.Addr(), time.Now(), errReaderBehind)
+}
+
 // read has the reader hear from the store.
 func (h *testHall) read(t *testing.T) {
 	t.Helper()
@@ -252,7 +257,7 @@
 	l, err := h.asker.Changes(t.Context(), site.TableUpstreams, 2, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, l.Rows[0].Key, "c")
-	h.asker.doubt() // It reads the store itself from now on.
+	h.doubt() // It reads the store itself from now on.
 	h.store.add("d")
 	_, err = h.asker.Changes(t.Context(), site.TableUpstreams, l.Version, 0)
 	assert.NilError(t, err)
@@ -282,7 +287,7 @@
 	h.asker.store = away
 	var logged bytes.Buffer
 	h.asker.log = slog.New(slog.NewTextHandler(&logged, nil))
-	h.asker.doubt() // Its hall's reader has failed it.
+	h.doubt() // Its hall's reader has failed it.
 	others := func() {
 		// All others of the hall answer at the address of the one that is real.
 		var list []control.Member
@@ -330,7 +335,7 @@
 	h.reader.tables[site.TableUpstreams].heard = time.Now().Add(-detourAge - time.Second)
 	h.reader.mu.Unlock()
 	h.asker.store = &tableStore{fail: true}
-	h.asker.doubt()
+	h.doubt()
 	_, err := h.asker.List(t.Context(), site.TableUpstreams)
 	assert.ErrorContains(t, err, "down")
 }
