A stop tells what it cut, by request and by how far it was

A request whose connection the node closed at its own end was logged as "client left", and one that was still being read left no line at all. Now each that was served leaves "cut by a stop", the stop one line with how many were being read or served and how long it took ("requests cut by a stop", in place of "stopping with requests in flight", which told less), and the counter cut_by_stop counts them. A connection knows its state for it; the test of hurry enters states where it set a flag, and asks for the same.

explain knows the new line.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -10,6 +10,7 @@
 	keyAttempts = Key{"attempts", "attempts that may have run"}
 	keyNotRun   = Key{"not_run", "attempts that were refused or could not be sent"}
 	keyAfter    = Key{"after", "nanoseconds since the request's head had come"}
+	keyStopTime = Key{"after", "nanoseconds since the node was told to stop"}
 	keyModel    = Key{"model", "the model"}
 	keyVersion  = Key{"version", "the version: of the weights, the configuration, or the store's row"}
 	keyNode     = Key{"node", "the node's name"}
@@ -66,6 +67,7 @@
 		keyInFlight,
 	}},
 	{"client left", Failure, "A client closed its connection before its answer was whole.", []Key{keyRequest, keyRoute, keyAfter, keyAttempts}},
+	{"cut by a stop", Failure, "A request was cut by the end of its node; it may have run.", []Key{keyRequest, keyRoute, keyAfter, keyAttempts}},
 	{"replica refused", Failure, "A replica said that it did not run a request.", []Key{
 		keyRequest, keyReplica,
 		{"status", "the replica's status"},
@@ -138,8 +140,13 @@
 		keyNode, {"entry", "where clients come"}, {"directory", "where clients ask"}, {"peer", "where nodes talk"}, keyStore,
 	}},
 	{"stopping", Change, "The process was told to stop.", []Key{keyNode, keyInFlight}},
-	{"stopping with requests in flight", Failure, "The grace period is nearly over.", []Key{keyInFlight}},
-	{"node stopped", Change, "The process has ended its work.", []Key{keyNode}},
+	{"requests cut by a stop", Failure, "A stop has closed connections that carried requests.", []Key{
+		keyNode, keyStopTime,
+		{"heading", "requests whose head was being read"},
+		{"bodying", "requests whose body was being read"},
+		{"serving", "requests that were being served"},
+	}},
+	{"node stopped", Change, "The process has ended its work.", []Key{keyNode, keyStopTime, {"cut", "requests that its stop has cut"}}},
 	{"settings file to be read again", Change, "A signal came to read the settings again.", []Key{keyFile}},
 	{"settings in force", Change, "Changed settings were put in force.", []Key{
 		keyNode, {"retry_share", "retries for each request"}, {"grace", "nanoseconds from a signal to stop to the kill"},
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -18,6 +18,8 @@
 		return refusal(r, last), true
 	case "client left":
 		return fmt.Sprintf("The client closed its connection after %s, %s.", short(last.Duration("after")), progress(r)), true
+	case "cut by a stop":
+		return fmt.Sprintf("The node was stopped and closed the connection after %s, %s.", short(last.Duration("after")), progress(r)), true
 	case "stream cut":
 		return fmt.Sprintf("The stream was broken off towards the client: %s.", stream(r, last)), true
 	case "replica failed":
--- a/pkg/explain/report_test.go
+++ b/pkg/explain/report_test.go
@@ -25,6 +25,7 @@
   5.6500 n2 {"time":"2026-01-01T00:00:05.65Z","level":"INFO","msg":"replica failed","request":"r6","replica":"a","status":500,"attempts":1,"after":30000000}
   5.6600 n2 {"time":"2026-01-01T00:00:05.66Z","level":"INFO","msg":"replica failed","request":"r6","replica":"b","status":500,"attempts":2,"after":70000000}
   5.7000 n2 {"time":"2026-01-01T00:00:05.7Z","level":"INFO","msg":"client left","request":"r5","after":90000000}
+  5.8000 n2 {"time":"2026-01-01T00:00:05.8Z","level":"WARN","msg":"cut by a stop","request":"r7","route":"x","after":40000000,"attempts":1}
 `
 
 func TestCauseOfEachKindOfFailure(t *testing.T) {
@@ -38,6 +39,7 @@
 		"r4": {false, []string{"900 ms", "weights 1 while 2", "7000 of its 7000"}},
 		"r6": {true, []string{"b ran it", "500", "a answered 500 after running it"}},
 		"r5": {true, []string{"client closed", "90ms"}},
+		"r7": {true, []string{"node was stopped", "40ms"}},
 	} {
 		r, err := Read(id, strings.NewReader(log))
 		assert.NilError(t, err)
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -22,6 +22,7 @@
 //	heading   the first byte        the whole head, a fault, the limit of the head
 //	bodying   the head              the whole body, a fault, the request's limit
 //	serving   the body              the answer, the client's leaving
+//	refused   a fault               the client's close, a short while
 //
 // While a request is served, another goroutine waits for the next byte, so that
 // a client that leaves is noticed at once.
@@ -29,14 +30,27 @@
 	g    *Gateway
 	conn net.Conn
 	r    *bufio.Reader
-	// restMu keeps the end of a rest and its hurrying apart: a deadline that is
-	// set once a request is served would look as if its client had left.
-	restMu  sync.Mutex
-	resting bool
+	// mu keeps the end of a rest and its hurrying apart: a deadline that is set
+	// once a request is served would look as if its client had left.
+	mu    sync.Mutex
+	state connState
 	// next tells when the first byte of the next request has come.
 	next chan error
 }
 
+// connState is what a connection carries.
+type connState int
+
+// States of connections.
+const (
+	connResting connState = iota
+	connHeading
+	connBodying
+	connServing
+	connRefused
+	connStates // How many there are.
+)
+
 const (
 	clientBuffer = 4 << 10
 	// writeSlack is how long after a request's limit its answer may be written.
@@ -64,11 +78,15 @@
 }
 
 // await waits for the next byte beside whatever else is done; left is called if
-// the client leaves instead.
+// the connection ends instead.
 func (c *clientConn) await(left context.CancelCauseFunc) {
 	go func() {
 		_, err := c.r.Peek(1)
-		if err != nil && left != nil {
+		switch {
+		case err == nil || left == nil:
+		case errors.Is(err, net.ErrClosed):
+			left(errStopped)
+		default:
 			left(errClientLeft)
 		}
 		c.next <- err
@@ -78,25 +96,31 @@
 // rest waits for the next request and says whether there is one.
 func (c *clientConn) rest() bool {
 	c.setReadLimit(c.g.limits().IdleTimeout)
-	c.setResting(true)
-	defer c.setResting(false)
+	c.enter(connResting)
+	defer c.enter(connHeading)
 	if c.g.stopping() && !c.g.serving() {
 		c.hurry()
 	}
 	return <-c.next == nil
 }
 
-func (c *clientConn) setResting(resting bool) {
-	c.restMu.Lock()
-	defer c.restMu.Unlock()
-	c.resting = resting
+func (c *clientConn) enter(s connState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = s
+}
+
+func (c *clientConn) carries() connState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
 }
 
 // hurry ends a rest, if the connection rests.
 func (c *clientConn) hurry() {
-	c.restMu.Lock()
-	defer c.restMu.Unlock()
-	if c.resting {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connResting {
 		_ = c.conn.SetReadDeadline(time.Now()) // A closed one has ended its rest.
 	}
 }
@@ -114,6 +138,7 @@
 		c.refuseRead(err)
 		return false
 	}
+	c.enter(connBodying)
 	came := time.Now()
 	terms, termsErr := c.g.codec.Terms(head)
 	body, err := c.readBody(head, &terms, limits, came)
@@ -121,6 +146,7 @@
 		c.refuseRead(err)
 		return false
 	}
+	c.enter(connServing)
 	_ = c.conn.SetReadDeadline(time.Time{}) // The next read tells.
 	last := head.Close()
 	w := &clientWriter{
@@ -167,6 +193,7 @@
 // refuseRead answers what could not be read as a request; a connection that has
 // broken is only closed.
 func (c *clientConn) refuseRead(err error) {
+	c.enter(connRefused)
 	f := refusal{}
 	switch {
 	case errors.Is(err, http1.ErrMalformed):
--- a/service/gateway/client_conn_test.go
+++ b/service/gateway/client_conn_test.go
@@ -13,13 +13,13 @@
 func TestStopDoesNotHurryAConnectionThatNoLongerRests(t *testing.T) {
 	near, far := net.Pipe()
 	c := newClientConn(nil, near)
-	c.setResting(true)
-	c.setResting(false) // The first byte of a request has come.
+	c.enter(connResting)
+	c.enter(connHeading) // The first byte of a request has come.
 	c.hurry()
 	go func() { _, _ = far.Write([]byte("x")) }() // The read below tells.
 	_, err := c.r.Peek(1)
 	assert.NilError(t, err)
-	c.setResting(true)
+	c.enter(connResting)
 	c.hurry()
 	_, err = c.r.Peek(2)
 	assert.ErrorContains(t, err, "timeout")
--- a/service/gateway/client_conns.go
+++ b/service/gateway/client_conns.go
@@ -65,12 +65,21 @@
 	}
 }
 
-// closeAll closes all connections and waits for their ends.
-func (s *clientConns) closeAll() {
+// cutRequests are the requests that a stop has cut, by how far they were.
+type cutRequests struct{ heading, bodying, serving int }
+
+func (r cutRequests) sum() int { return r.heading + r.bodying + r.serving }
+
+// closeAll closes all connections, waits for their ends, and tells what they
+// still carried.
+func (s *clientConns) closeAll() cutRequests {
+	var by [connStates]int
 	s.mu.Lock()
 	for c := range s.open {
+		by[c.carries()]++
 		_ = c.conn.Close() // Its goroutine notices.
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
+	return cutRequests{heading: by[connHeading], bodying: by[connBodying], serving: by[connServing]}
 }
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -48,8 +48,11 @@
 	body []byte
 }
 
-// errClientLeft is the cause of a context whose client has gone.
-var errClientLeft = errors.New("the client has gone")
+// Causes of contexts whose connection has ended.
+var (
+	errClientLeft = errors.New("the client has gone")
+	errStopped    = errors.New("the node has closed the connection at its stop")
+)
 
 const (
 	// mostRefusals is how often a request that was not run is offered to
@@ -88,6 +91,9 @@
 			x.g.metrics.left.Add(1)
 			x.g.log.Info("client left", "request", x.terms.ID, "route", x.route.Name, "after", time.Since(x.came), "attempts", x.ran)
 			x.out.fail()
+		case context.Cause(ctx) == errStopped:
+			x.g.log.Warn("cut by a stop", "request", x.terms.ID, "route", x.route.Name, "after", time.Since(x.came), "attempts", x.ran)
+			x.out.fail()
 		case f.status == 0:
 		case x.stream != nil:
 			x.g.log.Info("stream cut", "request", x.terms.ID, "route", x.route.Name, "reason", f.reason)
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -84,8 +84,8 @@
 	budgets  map[string]*route.RetryShare
 
 	inFlight atomic.Int64
-	stop     atomic.Bool
-	stopped  chan struct{} // Closed with stop.
+	told     atomic.Pointer[time.Time] // When the node was told to stop, nil before.
+	stopped  chan struct{}             // Closed then.
 	closing  atomic.Bool
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -227,7 +227,7 @@
 }
 
 // stopping says whether the node has been told to stop.
-func (g *Gateway) stopping() bool { return g.stop.Load() }
+func (g *Gateway) stopping() bool { return g.told.Load() != nil }
 
 // serving says whether resting connections are still kept.
 func (g *Gateway) serving() bool { return !g.closing.Load() }
@@ -284,7 +284,7 @@
 	begun := time.Now()
 	end := begun.Add(g.conf().Stop.Grace.Std() - lostTime)
 	g.log.Info("stopping", "node", g.conf().Node.Name, "in_flight", g.inFlight.Load())
-	g.stop.Store(true)
+	g.told.Store(&begun)
 	close(g.stopped)
 	g.nodes.leave()
 	g.releaseLeases()
@@ -302,7 +302,6 @@
 		}
 		time.Sleep(stopEvery)
 	}
-	g.log.Warn("stopping with requests in flight", "in_flight", g.inFlight.Load())
 }
 
 func (g *Gateway) releaseLeases() {
@@ -313,10 +312,19 @@
 
 // Close stops serving and waits for everything that was started.
 func (g *Gateway) Close() {
+	begun := time.Now()
+	if told := g.told.Load(); told != nil {
+		begun = *told
+	}
 	g.closing.Store(true)
 	_ = g.entry.Close() // Accepting ends all the same.
 	g.cancel()
-	g.clients.closeAll()
+	cut := g.clients.closeAll()
+	g.metrics.cut.Add(int64(cut.sum()))
+	if cut.sum() > 0 {
+		g.log.Warn("requests cut by a stop", "node", g.conf().Node.Name, "after", time.Since(begun),
+			"heading", cut.heading, "bodying", cut.bodying, "serving", cut.serving)
+	}
 	g.timer.Close()
 	g.rollout.Close()
 	g.stores.close()
@@ -333,5 +341,5 @@
 	g.platform.Store.Close()
 	g.platform.Engines.Close()
 	g.wg.Wait()
-	g.log.Info("node stopped", "node", g.conf().Node.Name)
+	g.log.Info("node stopped", "node", g.conf().Node.Name, "after", time.Since(begun), "cut", cut.sum())
 }
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -58,6 +58,7 @@
 type metrics struct {
 	answered atomic.Int64
 	left     atomic.Int64
+	cut      atomic.Int64
 	notRun   atomic.Int64
 	first    *latency // To the first byte, from the request's sending.
 	whole    *latency // To the end, from the request's coming.
@@ -100,6 +101,7 @@
 	Answered int64                        `json:"answered"`
 	Kinds    map[string]int64             `json:"answered_by_kind"`
 	Left     int64                        `json:"clients_left"`
+	Cut      int64                        `json:"cut_by_stop"`
 	NotRun   int64                        `json:"refused_by_replicas"`
 	Refused  map[string]int64             `json:"refused"`
 	InFlight int64                        `json:"in_flight"`
@@ -128,6 +130,7 @@
 	s := metricsStatus{
 		Answered: m.answered.Load(),
 		Left:     m.left.Load(),
+		Cut:      m.cut.Load(),
 		NotRun:   m.notRun.Load(),
 		InFlight: g.inFlight.Load(),
 		First:    m.first.status(),
