A test of a configuration that grows in a hall with narrow links: it fails

Each node of a hall is behind a TCP proxy that gives it a rate shared by all its connections. The stand-in store encodes each row once and makes up configurations of many routes.

--- /dev/null
+++ b/internal/standin/onplatform/configuration.go
@@ -0,0 +1,96 @@
+package onplatform
+
+import (
+	"fmt"
+	"math/rand/v2"
+)
+
+// Configuration is what an operator writes under "config" for a site with many
+// routes.
+type Configuration struct {
+	Version  int64          `json:"config_version"`
+	Routes   []Route        `json:"routes"`
+	Services []Service      `json:"services"`
+	Limits   map[string]int `json:"limits"`
+}
+
+// Route is one route of a Configuration.
+type Route struct {
+	Name        string  `json:"name"`
+	Host        string  `json:"host"`
+	Prefix      string  `json:"path_prefix"`
+	Kind        string  `json:"kind"`
+	Timeout     int     `json:"timeout_ms"`
+	Target      int     `json:"target_latency_ms"`
+	Priority    int     `json:"priority"`
+	Service     string  `json:"service"`
+	Split       []Share `json:"traffic_split"`
+	MaxAttempts int     `json:"max_attempts"`
+	Sticky      bool    `json:"sticky"`
+	Resumable   bool    `json:"resumable"`
+}
+
+// Share is a service's part of a Route.
+type Share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// Service is one service of a Configuration.
+type Service struct {
+	Name       string `json:"name"`
+	HealthPath string `json:"health_path"`
+	MaxConns   int    `json:"max_conns"`
+}
+
+// configurationServices is how many services the routes of a Configuration share.
+const configurationServices = 12
+
+// NewConfiguration makes up a configuration with so many routes on so many hosts.
+// One with more routes begins with the same ones, as when routes are added.
+func NewConfiguration(version int64, routes, hosts int) Configuration {
+	r := rand.New(rand.NewPCG(1, 2))
+	c := Configuration{
+		Version: version,
+		Limits:  map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+	for range configurationServices {
+		c.Services = append(c.Services, Service{Name: madeUp(r), HealthPath: "/healthz", MaxConns: 360})
+	}
+	names := make([]string, hosts)
+	for i := range names {
+		names[i] = madeUp(r) + ".example"
+	}
+	for range routes {
+		c.Routes = append(c.Routes, c.route(r, names[r.IntN(hosts)]))
+	}
+	return c
+}
+
+func (c *Configuration) route(r *rand.Rand, host string) Route {
+	service := func() string { return c.Services[r.IntN(len(c.Services))].Name }
+	kinds := []string{"idempotent", "non_idempotent", "streaming"}
+	weight := 50 + r.IntN(50)
+	return Route{
+		Name:        madeUp(r),
+		Host:        host,
+		Prefix:      "/" + madeUp(r) + "/" + madeUp(r) + "/",
+		Kind:        kinds[r.IntN(len(kinds))],
+		Timeout:     1000 + 500*r.IntN(20),
+		Target:      100 + 50*r.IntN(20),
+		Priority:    r.IntN(4),
+		Service:     service(),
+		Split:       []Share{{Service: service(), Weight: weight}, {Service: service(), Weight: 100 - weight}},
+		MaxAttempts: 1 + r.IntN(3),
+		Sticky:      r.IntN(2) == 0,
+	}
+}
+
+// madeUp is a random name of two syllables and a number, as the platform's are.
+func madeUp(r *rand.Rand) string {
+	const consonants, vowels = "bcdfghjklmnpqrstvwxyz", "aeiou"
+	syllable := func() string {
+		return string([]byte{consonants[r.IntN(len(consonants))], vowels[r.IntN(len(vowels))]})
+	}
+	return fmt.Sprintf("%s%s%05x", syllable(), syllable(), r.IntN(1<<20))
+}
--- a/internal/standin/onplatform/store.go
+++ b/internal/standin/onplatform/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -25,6 +26,10 @@
 	Value   []byte `json:"value,omitempty"`
 	Version int64  `json:"ver"`
 	Gone    bool   `json:"gone,omitempty"`
+
+	// encoded is the row as JSON. Rows of megabytes are encoded once, and not
+	// for each call: the callers of a test share its processor.
+	encoded []byte
 }
 
 // Mode is how the store behaves.
@@ -137,6 +142,7 @@
 func (s *Store) put(r Row) {
 	s.version++
 	r.Version = s.version
+	r.encoded, _ = json.Marshal(r) // A row's fields encode.
 	if s.rows[r.Table] == nil {
 		s.rows[r.Table] = map[string]Row{}
 	}
@@ -179,10 +185,9 @@
 }
 
 type listing struct {
-	Rows    []Row `json:"rows"`
-	More    bool  `json:"more"`
-	Version int64 `json:"ver"`
-	Now     int64 `json:"now_ms"`
+	Rows    []Row
+	Version int64
+	Now     int64
 }
 
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
@@ -277,7 +282,15 @@
 	answer(w, listing{Rows: []Row{}, Version: s.version, Now: time.Since(s.begun).Milliseconds()})
 }
 
-func answer(w http.ResponseWriter, v any) {
+func answer(w http.ResponseWriter, l listing) {
+	body := []byte(`{"rows":[`)
+	for i, r := range l.Rows {
+		if i > 0 {
+			body = append(body, ',')
+		}
+		body = append(body, r.encoded...)
+	}
+	body = fmt.Appendf(body, `],"more":false,"ver":%d,"now_ms":%d}`, l.Version, l.Now)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // A caller that has gone needs none.
+	_, _ = w.Write(body) // A caller that has gone needs none.
 }
--- /dev/null
+++ b/service/gateway/grown_configuration_test.go
@@ -0,0 +1,383 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/platform"
+	"github.com/drumpath/drumpath/service/peer"
+)
+
+const (
+	// grownNodes is how many nodes a large data hall has. Where each may have to
+	// read the whole for itself there are fewNodes, the least that have a reader
+	// and one more, so that the links are measured and not the processor that the
+	// nodes of a test share.
+	grownNodes = 20
+	fewNodes   = directMost + 2
+	// narrowMbit and wideMbit are the rates of nodes' links in Mbit/s: the store's
+	// answer with 5,640 routes takes a narrow one 1.9 s, a wide one 0.1 s.
+	narrowMbit = 10
+	wideMbit   = 200
+	// grownBy is how many routes are added at once, and grownHosts on how many
+	// hosts all are.
+	grownBy    = 1400
+	grownHosts = 200
+	// firstRoutes is how many routes there are before the first change.
+	firstRoutes = 40
+	// grownEvery is how long after one change the next is made. It leaves room
+	// behind inForceWithin, so that each version is judged by itself.
+	grownEvery = 3500 * time.Millisecond
+	// inForceWithin is how long after the store has a configuration a node may
+	// handle requests by the one before; users hold large sites to it.
+	inForceWithin = 3 * time.Second
+	// grownHold is for how long a node has calls for changes held, the product's
+	// default.
+	grownHold = 2500 * time.Millisecond
+	// changeBytes bounds what a node receives for a change, in bytes. A change of
+	// 1,400 routes is 60 kB when compressed and all of 5,640 are 240 kB, so a
+	// node that is sent the whole exceeds it.
+	changeBytes = 200_000
+	// wholeBytes bounds it where nobody may be able to pass the change on in
+	// time, in bytes: the store's answer with 5,640 routes has 2.4 MB and may be
+	// read once.
+	wholeBytes = 2_450_000 + changeBytes
+	// freezeBefore is how long before a change a reader stops answering. Calls
+	// that wait for changes are under way then.
+	freezeBefore = 200 * time.Millisecond
+)
+
+// operatorKey is the row that has the configuration.
+const operatorKey = "config"
+
+// grownCase is one way in which a configuration grows.
+type grownCase struct {
+	name  string
+	nodes int
+	// wide is how many nodes have wide links.
+	wide int
+	// begin is how many changes the nodes already have, end how many there are.
+	begin, end int
+	// freeze stops the reader before the last change.
+	freeze bool
+	// late has one node start only after the last change, with nothing.
+	late bool
+	// most bounds the bytes that a node receives for a change.
+	most int64
+}
+
+// The operator added 1,400 routes to the configuration several times, a few seconds
+// apart, with nothing out of order. In data halls of some 20 nodes, most of them on
+// links of 10 Mbit/s, the nodes went on by the version before for more than 3 s after
+// the store had the new one, and answered 404 on the routes that were new.
+//
+// One node of a hall reads the store's row and sends it whole to each of the others.
+// With 4,240 routes that is 1.8 MB and takes a narrow link 1.5 s, with 5,640 routes
+// 2.4 MB and 1.9 s. A call to the reader ends 1.4 s after it was made, up to one of
+// which it has waited for the change, and one to the store 1.7 s after, however much
+// has arrived: a version that takes longer is begun again and again and never comes.
+// What was given up goes on filling the link meanwhile, so that versions which would
+// fit are late, too. Played four times with 20 nodes, the first version was in force
+// at all after at most 0.8 s; the second was late at 4 to 15 nodes, the third at 16 to
+// 18, the fourth at 18, which are all with narrow links. For the last two, links
+// brought up to 4.4 MB in 3.5 s, which is all that they can.
+func TestGrownConfigurationIsInForceInTime(t *testing.T) {
+	for _, c := range []grownCase{
+		{name: "wide reader", nodes: grownNodes, wide: 2, end: 4, most: changeBytes},
+		// It ends with 4,240 routes: the links alone take 1.5 s for these and 1.9 s
+		// for 5,640, which leaves too little for nodes that share a processor.
+		{name: "all links narrow", nodes: fewNodes, begin: 1, end: 3, most: wholeBytes},
+		{name: "reader stops answering", nodes: grownNodes, wide: 2, begin: 3, end: 4, freeze: true, most: wholeBytes},
+		{name: "node starts with nothing", nodes: grownNodes, wide: 2, begin: 4, end: 4, late: true, most: wholeBytes},
+	} {
+		t.Run(c.name, func(t *testing.T) { newGrownHall(t, c).play() })
+	}
+}
+
+// grownHall is the nodes of one data hall, each behind a link of its own, and the
+// store.
+type grownHall struct {
+	t     *testing.T
+	c     grownCase
+	store *onplatform.Store
+	links *links
+	nodes []*grownNode
+	codec *onceCodec
+}
+
+// grownNode is what keeps a node's configuration up to date.
+type grownNode struct {
+	member  control.Member
+	link    *link
+	server  *peer.Server
+	client  *peer.Client
+	store   Store
+	members *control.Members
+	readers *readers
+	beliefs *Beliefs
+
+	mu      sync.Mutex
+	inForce map[int64]time.Time // Since when, by version.
+}
+
+func newGrownHall(t *testing.T, c grownCase) *grownHall {
+	store, err := onplatform.NewStore()
+	assert.NilError(t, err)
+	h := &grownHall{t: t, c: c, store: store, links: newLinks(), codec: &onceCodec{decoded: map[string]*site.Snapshot{}}}
+	for i := range c.nodes {
+		h.nodes = append(h.nodes, h.node(i))
+	}
+	for _, n := range h.nodes {
+		h.introduce(n)
+		n.server.Start()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		h.links.Close()
+		wg.Wait()
+		for _, n := range h.nodes {
+			n.client.Close()
+			n.server.Close()
+			n.store.Close()
+		}
+		store.Close()
+	})
+	h.put(c.begin)
+	l := h.read()
+	for _, n := range h.nodes {
+		f := n.follower()
+		if n != h.late() {
+			n.begin(f, l)
+		}
+		wg.Go(func() { f.run(ctx) })
+	}
+	return h
+}
+
+func (h *grownHall) node(i int) *grownNode {
+	log := slog.New(slog.DiscardHandler)
+	mbit := float64(narrowMbit)
+	if i < h.c.wide {
+		mbit = wideMbit
+	}
+	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, log)
+	assert.NilError(h.t, err)
+	n := &grownNode{
+		member:  control.Member{Name: fmt.Sprintf("n%02d", i), Peer: server.Addr(), DataHall: "h", Incarnation: 1, Link: mbit},
+		link:    newLink(mbit),
+		server:  server,
+		client:  peer.NewClient("key"),
+		beliefs: NewBeliefs(h.codec, "h", time.Second, route.NewKept(), log),
+		inForce: map[int64]time.Time{},
+	}
+	n.store = platform.NewStore(h.links.connect(h.t, n.link, nil, h.store.Addr()))
+	n.members = control.NewMembers(n.member, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
+	n.readers = newReaders(n.store, n.member, n.members, n.client, log)
+	server.Handle(peer.RolePeer, methodChanges, n.readers.serve)
+	return n
+}
+
+// introduce has a node know the others, each at an address behind both links.
+func (h *grownHall) introduce(n *grownNode) {
+	var list []control.Member
+	for _, x := range h.nodes {
+		if x != n {
+			m := x.member
+			m.Peer = h.links.connect(h.t, n.link, x.link, x.server.Addr())
+			list = append(list, m)
+		}
+	}
+	n.members.Merge(list, time.Now())
+}
+
+// reader is the node that reads the operator's table for the hall.
+func (h *grownHall) reader() *grownNode {
+	var list []control.Member
+	for _, n := range h.nodes {
+		list = append(list, n.member)
+	}
+	owner, ok := control.Owner(control.Widest(list), readDuty+tableName(site.TableOperator))
+	assert.Assert(h.t, ok)
+	for _, n := range h.nodes {
+		if n.member.Name == owner.Name {
+			return n
+		}
+	}
+	return nil
+}
+
+// late is the node that starts with nothing, nil if there is none.
+func (h *grownHall) late() *grownNode {
+	if !h.c.late {
+		return nil
+	}
+	return h.nodes[len(h.nodes)-1]
+}
+
+// put has the operator write the configuration after so many changes, and returns
+// its version and when the store has it.
+func (h *grownHall) put(changes int) (version int64, at time.Time) {
+	version = int64(1 + changes)
+	value, err := json.Marshal(onplatform.NewConfiguration(version, firstRoutes+changes*grownBy, grownHosts))
+	assert.NilError(h.t, err)
+	assert.NilError(h.t, h.codec.expect(value))
+	h.store.Put(onplatform.TableOperator, operatorKey, string(value))
+	return version, time.Now()
+}
+
+// read reads the operator's table past all links.
+func (h *grownHall) read() site.Listing {
+	direct := platform.NewStore(h.store.Addr())
+	defer direct.Close()
+	l, err := direct.List(h.t.Context(), site.TableOperator)
+	assert.NilError(h.t, err)
+	return l
+}
+
+// play makes the changes and checks each.
+func (h *grownHall) play() {
+	if h.c.late {
+		h.judge([]*grownNode{h.late()}, int64(1+h.c.begin), time.Now(), make([]int64, len(h.nodes)))
+		return
+	}
+	nodes := h.nodes
+	for change := h.c.begin + 1; change <= h.c.end; change++ {
+		if h.c.freeze && change == h.c.end {
+			nodes = h.freeze()
+		}
+		got := received(nodes)
+		version, at := h.put(change)
+		h.judge(nodes, version, at, got)
+	}
+}
+
+// freeze stops the reader and returns the nodes that go on.
+func (h *grownHall) freeze() (nodes []*grownNode) {
+	reader := h.reader()
+	reader.link.frozen.Store(true)
+	time.Sleep(freezeBefore)
+	for _, n := range h.nodes {
+		if n != reader {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+// judge waits for the time of one change to pass and checks where the version is in
+// force, and what it has cost each node since it had received before.
+func (h *grownHall) judge(nodes []*grownNode, version int64, at time.Time, before []int64) {
+	time.Sleep(time.Until(at.Add(grownEvery)))
+	late, slowest, most := 0, time.Duration(0), int64(0)
+	for i, n := range nodes {
+		since := n.since(version)
+		if since.IsZero() || since.Sub(at) > inForceWithin {
+			late++
+		}
+		if !since.IsZero() {
+			slowest = max(slowest, since.Sub(at))
+		}
+		most = max(most, n.link.got.Load()-before[i])
+	}
+	h.t.Logf("version %d: late at %d of %d nodes, slowest of those that have it %v, most received %d bytes",
+		version, late, len(nodes), slowest.Round(time.Millisecond), most)
+	assert.Check(h.t, late == 0, "version %d is not in force within %v at %d of %d nodes", version, inForceWithin, late, len(nodes))
+	assert.Check(h.t, most <= h.c.most, "a node received %d bytes for version %d, bound %d", most, version, h.c.most)
+}
+
+// received is how many bytes each node has received.
+func received(nodes []*grownNode) []int64 {
+	list := make([]int64, len(nodes))
+	for i, n := range nodes {
+		list[i] = n.link.got.Load()
+	}
+	return list
+}
+
+// follower keeps up with the operator's table.
+func (n *grownNode) follower() *follower {
+	return &follower{
+		store: n.readers, table: site.TableOperator, name: "operator", hold: grownHold,
+		apply: func(rows []site.Row, _ bool, now time.Time) {
+			n.beliefs.ApplyOperator(rows, now)
+			n.note()
+		},
+		away:  func(time.Time) {},
+		heard: func(time.Time) {},
+		log:   slog.New(slog.DiscardHandler),
+	}
+}
+
+// begin has the node know what it has read before.
+func (n *grownNode) begin(f *follower, l site.Listing) {
+	n.readers.take(changesRequest{Table: site.TableOperator, Whole: true}, l, true)
+	f.apply(l.Rows, true, time.Now())
+	f.version, f.listed = l.Version, true
+}
+
+// note records that the configuration is in force.
+func (n *grownNode) note() {
+	s := n.beliefs.Snapshot()
+	if s == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for v := s.Version; v > 0 && n.inForce[v].IsZero(); v-- {
+		n.inForce[v] = time.Now()
+	}
+}
+
+// since is since when a version or a newer one is in force, zero if none is.
+func (n *grownNode) since(version int64) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.inForce[version]
+}
+
+// onceCodec decodes each configuration once for all nodes, which in the field have a
+// processor each, and knows only what the operator wrote, byte by byte.
+type onceCodec struct {
+	platform.Codec
+
+	mu      sync.Mutex
+	decoded map[string]*site.Snapshot // By the row's value.
+}
+
+// expect decodes what the operator is about to write.
+func (c *onceCodec) expect(value []byte) error {
+	s, err := c.Codec.Configuration(site.Row{Key: operatorKey, Value: value})
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decoded[string(value)] = s
+	return nil
+}
+
+// Configuration implements Codec.
+func (c *onceCodec) Configuration(r site.Row) (*site.Snapshot, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.decoded[string(r.Value)]
+	if !ok {
+		return nil, fmt.Errorf("the operator wrote no such value of %d bytes", len(r.Value))
+	}
+	return s, nil
+}
--- /dev/null
+++ b/service/gateway/links_test.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// linkChunk is how many bytes pass a link at once, so that connections share
+	// it evenly: 3 ms of 10 Mbit/s.
+	linkChunk = 4 << 10
+	// linkBuffer bounds what a connection holds before the link, in bytes, so
+	// that a sender notices the link's rate.
+	linkBuffer = 64 << 10
+	// linkCatchUp is what a link makes up for when timers are late.
+	linkCatchUp = 10 * time.Millisecond
+	// bytesPerMbit turns Mbit/s into bytes a second.
+	bytesPerMbit = 1e6 / 8
+)
+
+// link is how a node is connected; all its connections share the rate of each
+// direction.
+type link struct {
+	in, out lane
+	// got is how many bytes have come in.
+	got atomic.Int64
+	// frozen links carry nothing more, though connections stay open and are
+	// accepted, as those of a process that is stopped.
+	frozen atomic.Bool
+}
+
+func newLink(mbit float64) *link {
+	rate := mbit * bytesPerMbit
+	return &link{in: lane{rate: rate}, out: lane{rate: rate}}
+}
+
+// lane is one direction of a link.
+type lane struct {
+	rate float64 // Bytes a second.
+
+	mu   sync.Mutex
+	free time.Time // When all that was let in before has passed.
+}
+
+// pass lets n bytes in and returns when they are through.
+func (l *lane) pass(n int, now time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if late := now.Add(-linkCatchUp); l.free.Before(late) {
+		l.free = late
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+	return l.free
+}
+
+// links carries connections between nodes that have links.
+type links struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu   sync.Mutex
+	open map[io.Closer]struct{}
+}
+
+func newLinks() *links {
+	l := &links{open: map[io.Closer]struct{}{}}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
+}
+
+// Close ends all connections and waits.
+func (l *links) Close() {
+	l.mu.Lock()
+	l.cancel()
+	for c := range l.open {
+		_ = c.Close() // What it carries ends.
+	}
+	l.mu.Unlock()
+	l.wg.Wait()
+}
+
+// keep has Close close c; ok is false when that is over.
+func (l *links) keep(c io.Closer) (ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		_ = c.Close() // Nobody has it.
+		return false
+	}
+	l.open[c] = struct{}{}
+	return true
+}
+
+func (l *links) drop(c io.Closer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+	_ = c.Close() // Both ends see it.
+}
+
+// connect returns an address at which the node at the near link reaches a target
+// behind the far one; a link that is nil has no bound.
+func (l *links) connect(t testing.TB, near, far *link, target netip.AddrPort) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l.keep(ln)
+	l.wg.Go(func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			l.wg.Go(func() { l.join(conn, near, far, target) })
+		}
+	})
+	return ln.Addr().(*net.TCPAddr).AddrPort() // It listens on TCP.
+}
+
+// join carries one connection until either end closes it.
+func (l *links) join(from net.Conn, near, far *link, target netip.AddrPort) {
+	to, err := net.Dial("tcp", target.String())
+	if err != nil {
+		_ = from.Close() // The dialler sees it.
+		return
+	}
+	for _, c := range []net.Conn{from, to} {
+		_ = c.(*net.TCPConn).SetReadBuffer(linkBuffer) // Only the sender's view depends on it.
+		if !l.keep(c) {
+			return
+		}
+	}
+	var both sync.WaitGroup
+	both.Go(func() { l.carry(to, from, near, far) })
+	both.Go(func() { l.carry(from, to, far, near) })
+	both.Wait()
+}
+
+// carry copies what src sends at the pace of the sender's and the receiver's link.
+func (l *links) carry(dst, src net.Conn, sender, receiver *link) {
+	defer l.drop(src)
+	defer l.drop(dst)
+	buf := make([]byte, linkChunk)
+	for {
+		n, err := src.Read(buf)
+		if err != nil || !l.pace(n, sender, receiver) {
+			return
+		}
+		if _, err := dst.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// pace waits until n bytes have passed both links; ok is false if they never do.
+func (l *links) pace(n int, sender, receiver *link) (ok bool) {
+	now := time.Now()
+	due := now
+	if sender != nil {
+		due = sender.out.pass(n, now)
+	}
+	if receiver != nil {
+		if in := receiver.in.pass(n, now); in.After(due) {
+			due = in
+		}
+	}
+	sleep(l.ctx, time.Until(due))
+	for _, x := range []*link{sender, receiver} {
+		if x != nil && x.frozen.Load() {
+			<-l.ctx.Done()
+		}
+	}
+	if receiver != nil {
+		receiver.got.Add(int64(n))
+	}
+	return l.ctx.Err() == nil
+}
+
+// A link that lets more through than its rate would hide what narrow ones delay.
+func TestLinkKeepsItsRateForAllConnections(t *testing.T) {
+	const (
+		mbit  = 10
+		total = 500_000
+		took  = total / (mbit * bytesPerMbit) * float64(time.Second)
+	)
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := newLinks()
+	defer l.Close()
+	defer func() { _ = server.Close() }() // It has served.
+	near := newLink(mbit)
+	addr := l.connect(t, near, nil, server.Addr().(*net.TCPAddr).AddrPort())
+	begun := time.Now()
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			conn, err := server.Accept()
+			assert.Check(t, err)
+			_, err = conn.Write(make([]byte, total/2))
+			assert.Check(t, err)
+			_ = conn.Close() // All is written.
+		})
+		wg.Go(func() {
+			conn, err := net.Dial("tcp", addr.String())
+			assert.Check(t, err)
+			n, err := io.Copy(io.Discard, conn)
+			assert.Check(t, err)
+			assert.Check(t, n == total/2)
+			_ = conn.Close() // All is read.
+		})
+	}
+	wg.Wait()
+	assert.Assert(t, float64(time.Since(begun)+2*linkCatchUp) > took, "%v", time.Since(begun))
+	assert.Equal(t, near.got.Load(), int64(total))
+}
