Calls are given up when nothing comes, not when much comes

A call had a limit of time as a whole, whatever its answer's size and its link: 1.4 s between nodes, 1.5 and 1.7 s to the store. 2 MB over 10 Mbit/s take 1.6 s, so what was large was begun again and again and never came, and filled the link meanwhile. A write between nodes had 2 s for its whole message, too; past it the connection ended with all other calls on it (376 lines "store of kept state lost" in two seconds).

Now an answer must begin within the limit and is waited for while its bytes keep coming; a message is written in pieces with a limit each. The same cause elsewhere: events of stores and of engines that a node is told by another, and the pull of a configuration on the product's own interface.

Ruled out: a longer limit, which would hold a node up that long at a silent peer.

--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -40,7 +40,11 @@
 			MaxResponseBodySize:    maxResponseBody,
 			DisablePathNormalizing: true,
 			Dial: func(addr string) (net.Conn, error) {
-				return http1.Dial(addr, dialTimeout, unacked)
+				conn, err := http1.Dial(addr, dialTimeout, unacked)
+				if err != nil {
+					return nil, err
+				}
+				return &patientConn{Conn: conn}, nil
 			},
 			// Whether a call may be repeated is the caller's decision.
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -49,8 +53,8 @@
 }
 
 // Call sends in as JSON, unless it is nil, and decodes the answer into out,
-// unless it is nil; the error is a *StatusError for an answer other than 2xx
-// and a *CallError when there was none.
+// unless it is nil; the answer must begin by the context's deadline. The error is
+// a *StatusError for an answer other than 2xx and a *CallError when there was none.
 func (c *Client) Call(ctx context.Context, method, path string, in, out any) error {
 	return c.CallWith(ctx, method, path, nil, in, out)
 }
@@ -95,7 +99,8 @@
 	return nil
 }
 
-// Do sends a request within the context's deadline; errors are as for Call.
+// Do sends a request; its answer must begin by the context's deadline, and goes on
+// while its bytes keep coming. Errors are as for Call.
 func (c *Client) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
 	path := string(req.URI().Path())
 	if err := ctx.Err(); err != nil {
--- /dev/null
+++ b/pkg/httpjson/patience_test.go
@@ -0,0 +1,68 @@
+package httpjson
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A store told a table of 2 MB over a link of 10 Mbit/s, which takes 1.6 s; calls
+// ended after 1.5 s in all, so that the table was begun again and again. What
+// settled it: calls of such nodes failed with "timeout" while the bytes that they had
+// read showed the whole table several times over.
+func TestAnswerThatKeepsComingIsReadToItsEnd(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	pause := make(chan time.Duration, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d := <-pause
+		_, _ = w.Write([]byte(`"`)) // A caller that has gone needs none.
+		for range 6 {
+			w.(http.Flusher).Flush()
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(d):
+			}
+			_, _ = w.Write([]byte(strings.Repeat("x", 1000)))
+		}
+		_, _ = w.Write([]byte(`"`))
+	}))
+	defer server.Close()
+	c := NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	defer c.Close()
+	call := func() (got string, err error) {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		err = c.Call(ctx, http.MethodGet, "/", nil, &got)
+		return got, err
+	}
+	pause <- limit / 2 // Three times the limit in all.
+	got, err := call()
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), 6000)
+	pause <- 2 * answerPause
+	begun := time.Now()
+	_, err = call()
+	assert.ErrorContains(t, err, "timeout")
+	assert.Assert(t, time.Since(begun) < 2*answerPause, "silence within an answer ends it")
+}
+
+func TestAnswerThatDoesNotBeginInTimeIsGivenUp(t *testing.T) {
+	end := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-end }))
+	defer server.Close()
+	defer close(end)
+	c := NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	begun := time.Now()
+	assert.ErrorContains(t, c.Call(ctx, http.MethodGet, "/", nil, nil), "timeout")
+	assert.Assert(t, time.Since(begun) < answerPause)
+}
--- a/service/gateway/holdings.go
+++ b/service/gateway/holdings.go
@@ -281,9 +281,7 @@
 }
 
 func (h *holdings) call(ctx context.Context, addr netip.AddrPort, q heldRequest) (a heldAnswer, err error) {
-	ctx, cancel := context.WithTimeout(ctx, heldWait+readerSlack)
-	defer cancel()
-	err = h.client.Call(ctx, addr, methodHeld, q, &a)
+	err = h.client.CallWithin(ctx, heldWait+readerSlack, addr, methodHeld, q, &a)
 	return a, err
 }
 
--- a/service/gateway/watchers.go
+++ b/service/gateway/watchers.go
@@ -78,10 +78,8 @@
 // changes waits for a store's events since a point of its start boot.
 func (w *watchers) changes(ctx context.Context, v *site.Service, boot, since int64, wait time.Duration) (c site.CacheChanges, err error) {
 	if addr, ok := w.watcher(v); ok {
-		ctx, cancel := context.WithTimeout(ctx, wait+readerSlack)
-		defer cancel()
 		q := eventsRequest{Store: v.Name, Boot: boot, Since: since, WaitMS: wait.Milliseconds()}
-		err = w.client.Call(ctx, addr, methodEvents, q, &c)
+		err = w.client.CallWithin(ctx, wait+readerSlack, addr, methodEvents, q, &c)
 		return c, eris.Wrap(err, "ask watcher")
 	}
 	c, err = w.engines.Changes(ctx, v.Store.Addr, since, wait)
--- a/service/node/spread.go
+++ b/service/node/spread.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	// pullTimeout is within what time a peer must begin to answer.
 	pullTimeout = 2 * time.Second
 	// tableEvery is how often a node reads the head of the configuration log
 	// for itself; changes come much sooner from peers.
@@ -25,6 +26,8 @@
 	config *control.Log
 	client *peer.Client
 
+	ctx     context.Context
+	cancel  context.CancelFunc
 	mu      sync.Mutex
 	pulling bool
 	closed  bool
@@ -33,7 +36,9 @@
 
 // NewSpread returns a spreader.
 func NewSpread(c *control.Log, client *peer.Client, log *slog.Logger) *Spread {
-	return &Spread{log: log, config: c, client: client}
+	s := &Spread{log: log, config: c, client: client}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
 }
 
 // Heard is told of a peer's version; a newer one is fetched in the background.
@@ -48,9 +53,7 @@
 	}
 	s.pulling = true
 	s.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-		defer cancel()
-		if err := s.Pull(ctx, from); err != nil {
+		if err := s.Pull(s.ctx, from); err != nil {
 			s.log.Debug("configuration not pulled", "from", from, "err", err)
 		}
 		s.mu.Lock()
@@ -63,7 +66,7 @@
 func (s *Spread) Pull(ctx context.Context, from netip.AddrPort) error {
 	var d control.Delta
 	req := peer.SinceRequest{Version: s.config.State().Version}
-	if err := s.client.Call(ctx, from, peer.MethodSince, req, &d); err != nil {
+	if err := s.client.CallWithin(ctx, pullTimeout, from, peer.MethodSince, req, &d); err != nil {
 		return err
 	}
 	s.config.Take(d)
@@ -77,8 +80,9 @@
 	}
 }
 
-// Close waits for a pull under way.
+// Close ends a pull under way and waits.
 func (s *Spread) Close() {
+	s.cancel()
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
--- a/service/peer/client.go
+++ b/service/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -22,17 +23,23 @@
 
 // Dial connects to a node and says hello.
 func Dial(ctx context.Context, addr netip.AddrPort, hello Hello) (c *jsonrpc2.Conn, err error) {
+	c, _, err = dial(ctx, addr, hello)
+	return c, err
+}
+
+func dial(ctx context.Context, addr netip.AddrPort, hello Hello) (c *jsonrpc2.Conn, timed *timedConn, err error) {
 	defer func() { err = eris.Wrapf(err, "dial %s", addr) }()
 	conn, err := http1.Dial(addr.String(), dialTimeout, unacked)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	c = jsonrpc2.NewConn(context.Background(), newStream(conn), noHandler{}, jsonrpc2.SetLogger(rpcLog{slog.New(slog.DiscardHandler)}))
+	timed = &timedConn{Conn: conn}
+	c = jsonrpc2.NewConn(context.Background(), newStream(timed), noHandler{}, jsonrpc2.SetLogger(rpcLog{slog.New(slog.DiscardHandler)}))
 	if err := c.Call(ctx, MethodHello, hello, nil); err != nil {
 		_ = c.Close() // The hello's error is told.
-		return nil, err
+		return nil, nil, err
 	}
-	return c, nil
+	return c, timed, nil
 }
 
 // noHandler ignores calls on a connection that only makes them.
@@ -54,6 +61,7 @@
 type lazyConn struct {
 	ready chan struct{}
 	conn  *jsonrpc2.Conn
+	timed *timedConn
 	err   error
 }
 
@@ -65,21 +73,42 @@
 // Call calls a method of the node at addr; result may be nil.
 func (c *Client) Call(ctx context.Context, addr netip.AddrPort, method string, params, result any) (err error) {
 	defer func() { err = eris.Wrapf(err, "%s at %s", method, addr) }()
-	conn, err := c.conn(ctx, addr)
+	l, err := c.lazy(ctx, addr)
 	if err != nil {
 		return err
 	}
-	return conn.Call(ctx, method, params, result)
+	return l.conn.Call(ctx, method, params, result)
+}
+
+// CallWithin is Call for an answer that may be large: it must begin within a time,
+// and is then waited for while bytes of that node keep coming.
+func (c *Client) CallWithin(ctx context.Context, within time.Duration, addr netip.AddrPort, method string, params, result any) (err error) {
+	defer func() { err = eris.Wrapf(err, "%s at %s", method, addr) }()
+	limit := time.Now().Add(within)
+	reach, cancelReach := context.WithDeadline(ctx, limit)
+	defer cancelReach()
+	l, err := c.lazy(reach, addr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer l.timed.endWhenSilent(cancel, limit)()
+	err = l.conn.Call(ctx, method, params, result)
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return errSilent
+	}
+	return err
 }
 
 // Notify sends a call without an answer to the node at addr.
 func (c *Client) Notify(ctx context.Context, addr netip.AddrPort, method string, params any) (err error) {
 	defer func() { err = eris.Wrapf(err, "%s at %s", method, addr) }()
-	conn, err := c.conn(ctx, addr)
+	l, err := c.lazy(ctx, addr)
 	if err != nil {
 		return err
 	}
-	return conn.Notify(ctx, method, params)
+	return l.conn.Notify(ctx, method, params)
 }
 
 // Close ends all connections.
@@ -98,7 +127,8 @@
 	}
 }
 
-func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (*jsonrpc2.Conn, error) {
+// lazy is the connection to a node, dialled if there is none.
+func (c *Client) lazy(ctx context.Context, addr netip.AddrPort) (*lazyConn, error) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -113,7 +143,7 @@
 	c.mu.Unlock()
 	select {
 	case <-l.ready:
-		return l.conn, l.err
+		return l, l.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -123,7 +153,7 @@
 func (c *Client) dial(addr netip.AddrPort, l *lazyConn) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	l.conn, l.err = Dial(ctx, addr, Hello{Role: RolePeer, Secret: c.key})
+	l.conn, l.timed, l.err = dial(ctx, addr, Hello{Role: RolePeer, Secret: c.key})
 	close(l.ready)
 	if l.err == nil {
 		c.mu.Lock()
--- a/service/peer/deadline.go
+++ b/service/peer/deadline.go
@@ -1,21 +1,81 @@
 package peer
 
 import (
+	"context"
+	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
-// writeTimeout bounds how long a write may wait for a peer that does not read,
-// such as a frozen one; the connection ends then.
-const writeTimeout = 2 * time.Second
+const (
+	// writeTimeout bounds how long a write may wait for a peer that does not read,
+	// such as a frozen one; the connection ends then.
+	writeTimeout = 2 * time.Second
+	// writePiece is what is written under one such bound, in bytes: 50 ms of a link
+	// of 10 Mbit/s. Under one bound for the whole, a message of 2.5 MB ended its
+	// connection there, and each call that was under way on it.
+	writePiece = 64 << 10
+	// comingPause is the longest pause within bytes that are taken to be an answer
+	// on its way, and comingMost how much longer than its limit one is waited for
+	// in all: 6 MB at 10 Mbit/s.
+	comingPause = 300 * time.Millisecond
+	comingMost  = 5 * time.Second
+)
+
+// errSilent ends a call whose peer has said nothing for too long.
+var errSilent = errors.New("no answer in time")
+
+// timedConn gives each piece of a write a deadline, and tells when bytes came last.
+type timedConn struct {
+	net.Conn
+	came atomic.Int64 // Nanoseconds of the Unix epoch.
+}
 
-// deadlineConn gives each write a deadline.
-type deadlineConn struct{ net.Conn }
+// Read implements net.Conn.
+func (c *timedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.came.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
 
 // Write implements net.Conn.
-func (c deadlineConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+func (c *timedConn) Write(b []byte) (written int, err error) {
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(b[written:min(len(b), written+writePiece)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
 	}
-	return c.Conn.Write(b)
+}
+
+// endWhenSilent cancels a call at its limit, or once no bytes have come for
+// comingPause behind that: an answer that is large for its link is not given up and
+// asked for again while it is coming. The returned function stops it.
+func (c *timedConn) endWhenSilent(cancel context.CancelCauseFunc, limit time.Time) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		t := time.NewTimer(time.Until(limit))
+		defer t.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-t.C:
+				next := time.Unix(0, c.came.Load()).Add(comingPause)
+				if !next.After(now) || now.Sub(limit) >= comingMost {
+					cancel(errSilent)
+					return
+				}
+				t.Reset(next.Sub(now))
+			}
+		}
+	}()
+	return func() { close(done) }
 }
--- a/service/peer/server.go
+++ b/service/peer/server.go
@@ -112,7 +112,7 @@
 
 func (s *Server) serve(conn net.Conn) {
 	h := &connHandler{server: s, slots: make(chan struct{}, maxConcurrent)}
-	c := jsonrpc2.NewConn(s.ctx, newStream(conn), h, jsonrpc2.SetLogger(rpcLog{s.log}))
+	c := jsonrpc2.NewConn(s.ctx, newStream(&timedConn{Conn: conn}), h, jsonrpc2.SetLogger(rpcLog{s.log}))
 	s.mu.Lock()
 	if s.closed {
 		_ = c.Close() // The peer sees it.
@@ -135,7 +135,7 @@
 
 // newStream frames JSON-RPC objects by a length.
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(deadlineConn{conn}, limitedCodec{})
+	return jsonrpc2.NewBufferedStream(conn, limitedCodec{})
 }
 
 // maxObject bounds one message, so that a peer can't have a node allocate
