A route is found by the path's own prefixes

Each route of a host was compared in turn: 13.3 us with 5,600 routes, 80.9 us with 20,000, for each request. Now 0.08 and 0.10 us (BenchmarkRoute, one run each).

--- a/pkg/site/snapshot.go
+++ b/pkg/site/snapshot.go
@@ -14,7 +14,7 @@
 	// Keyed says that requests need a key, except on anonymous routes.
 	Keyed bool
 
-	byHost map[string][]*Route // Longest prefix first.
+	byHost map[string]hostRoutes
 	byKey  map[string]*Organisation
 	routes []*Route
 }
@@ -25,19 +25,57 @@
 		Version:  version,
 		Services: services,
 		Limits:   l,
-		byHost:   map[string][]*Route{},
+		byHost:   map[string]hostRoutes{},
 		byKey:    map[string]*Organisation{},
 		routes:   routes,
 	}
 	for _, r := range routes {
-		s.byHost[r.Host] = append(s.byHost[r.Host], r)
-	}
-	for _, list := range s.byHost {
-		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		s.byHost[r.Host] = s.byHost[r.Host].add(r)
 	}
 	return s
 }
 
+// hostRoutes are the routes of one host. Those whose prefix ends with a slash, as
+// all should, are found by the path's own prefixes: with 5,600 routes of a host a
+// look-up took 13 us when each was compared, and takes 0.08.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	others   []*Route // Longest prefix first.
+}
+
+func (h hostRoutes) add(r *Route) hostRoutes {
+	if h.byPrefix == nil {
+		h.byPrefix = map[string]*Route{}
+	}
+	if !strings.HasSuffix(r.Prefix, "/") {
+		at, _ := slices.BinarySearchFunc(h.others, len(r.Prefix)-1, func(o *Route, n int) int { return cmp.Compare(n, len(o.Prefix)) })
+		h.others = slices.Insert(h.others, at, r)
+	} else if h.byPrefix[r.Prefix] == nil {
+		h.byPrefix[r.Prefix] = r // The first one of two alike.
+	}
+	return h
+}
+
+// longest finds the route with the longest prefix of a path, nil if there is none.
+func (h hostRoutes) longest(path string) *Route {
+	var found *Route
+	for end := len(path); end > 0 && found == nil; end-- {
+		if end = strings.LastIndexByte(path[:end], '/') + 1; end == 0 {
+			break
+		}
+		found = h.byPrefix[path[:end]]
+	}
+	for _, r := range h.others {
+		if strings.HasPrefix(path, r.Prefix) {
+			if found == nil || len(r.Prefix) > len(found.Prefix) {
+				return r
+			}
+			break
+		}
+	}
+	return found
+}
+
 // Grant lets a key act for an organisation; it is called before the snapshot
 // is in use.
 func (s *Snapshot) Grant(key string, o *Organisation) { s.byKey[key] = o }
@@ -45,17 +83,12 @@
 // Route finds the route of a request, nil if there is none. A host may carry a
 // port; it is compared without regard to case.
 func (s *Snapshot) Route(host, path string) *Route {
-	list, ok := s.byHost[host]
+	routes, ok := s.byHost[host]
 	if !ok {
 		name, _, _ := strings.Cut(strings.ToLower(host), ":")
-		list = s.byHost[name]
-	}
-	for _, r := range list {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
+		routes = s.byHost[name]
 	}
-	return nil
+	return routes.longest(path)
 }
 
 // Routes lists all routes.
