Nodes tell each other what has changed of a configuration, compressed

Cause: the reader of a hall sent each configuration whole to each node, 2.5 MB for 5,600 routes, encoded anew for each. Links of 10 Mbit/s take two seconds for that, and where the reader failed, each node asked the store for as much.

Now what is told is compressed against a value that both have: 1,400 routes more are 36 kB on the wire at 5,600 routes and 38 at 20,000, packed once for all nodes that ask. A reader's duty falls to a second node when the first one fails, and a node that is asked without having heard of the store asks it once for all. A hall without a wide link is told by wide nodes of other halls; a narrow node of a small hall is told, too. The call has a new name, so that nodes of before ask the store and don't take an answer for an empty one.

Ruled out: telling on in a tree of nodes, as 31 kB for each of 129 nodes take a link of 200 Mbit/s 0.2 s.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -109,9 +109,10 @@
 		{"by", "who told them: store, or the other node's address"},
 		{"after", "nanoseconds since they were asked for, the wait for a change included"},
 	}},
-	{"reader passed over", Failure, "The node that reads a table for this hall failed; the store is asked for a while.", []Key{
+	{"reader passed over", Failure, "A node that reads a table for this one failed; another, or the store, is asked for a while.", []Key{
 		keyTable, keyTeller, {"after", "nanoseconds since it was asked"}, keyErr,
 	}},
+	{"store not read for another node", Failure, "A node that was asked for a table had not heard of it lately, nor could it read the store.", []Key{keyTable, keyErr}},
 	{"store of kept state lost", Failure, "The events of a store of kept state can't be followed; it is not used.", []Key{keyStore, keyErr}},
 	{"store of kept state back", Change, "They can be again.", []Key{keyStore, keyBoot, keyAway}},
 	{"engine's events lost", Failure, "The events of an engine can't be followed; what it holds is guessed, and nothing is fetched from it.", []Key{keyReplica, keyErr}},
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,23 +24,29 @@
 // itself; nothing has to be agreed for that.
 const (
 	// methodChanges asks a reader for changes of a table.
-	methodChanges = "gateway.changes"
+	methodChanges = "gateway.table_changes"
 	// directMost is how many nodes of a hall each read the store for themselves:
 	// what one reader saves is not worth its failures then.
 	directMost = 4
 	// readDuty names the duty of reading a table for a hall.
 	readDuty = "read/"
+	// readersTried is how many nodes a reader's duty falls to in turn. With one, its
+	// loss sent each node of its hall to the store, where a configuration of 2.5 MB
+	// takes a link of 10 Mbit/s two seconds.
+	readersTried = 2
 	// readerHold is for how long a call to a reader, and the reader's own to the
 	// store, are held. It bounds how long a frozen or cut off reader goes
 	// unnoticed.
 	readerHold = time.Second
-	// readerSlack is added for the answer.
+	// readerSlack is added for the answer to begin.
 	readerSlack = 400 * time.Millisecond
 	// readerAge is the age of a reader's knowledge from which on it is not
 	// trusted: its call to the store should have ended long before.
 	readerAge = readerHold + 800*time.Millisecond
-	// directTerm is for how long a node asks the store itself after its reader
-	// has failed it.
+	// refreshTime is for how long a node that is asked and knows too little may
+	// take to ask the store itself.
+	refreshTime = time.Second
+	// directTerm is for how long a node does without a reader that has failed it.
 	directTerm = 3 * time.Second
 )
 
@@ -55,6 +62,10 @@
 	// Detour says that the node that asks does not reach the store, so that
 	// older knowledge serves as well.
 	Detour bool `json:"detour"`
+	// Have is a large value that the node that asks has already.
+	Have rowRef `json:"have,omitzero"`
+
+	have []byte // That value.
 }
 
 // oldest is the age from which on an answer is not used.
@@ -66,9 +77,9 @@
 }
 
 type changesAnswer struct {
-	Rows    []site.Row `json:"rows"`
-	Version int64      `json:"version"`
-	AgeMS   int64      `json:"age_ms"`
+	Rows    toldRows `json:"rows,omitzero"`
+	Version int64    `json:"version"`
+	AgeMS   int64    `json:"age_ms"`
 	// Gone says that changes since the version asked for are not known here.
 	Gone bool `json:"gone"`
 }
@@ -80,6 +91,20 @@
 	version int64
 	heard   time.Time // When the store itself was last heard.
 	changed chan struct{}
+	former  map[string]formerValues // Of large values, by key.
+	told    map[toldKey]toldRows    // Of the rows as they are.
+	// asking is closed when this node's own call to the store ends, nil without one.
+	asking chan struct{}
+}
+
+// tableAt returns what is known of a table; the caller holds mu.
+func (r *readers) tableAt(t site.Table) *readTable {
+	x := r.tables[t]
+	if x == nil {
+		x = &readTable{changed: make(chan struct{}), former: map[string]formerValues{}}
+		r.tables[t] = x
+	}
+	return x
 }
 
 // readers is the store as the nodes of a large hall read it together.
@@ -92,7 +117,7 @@
 
 	mu      sync.Mutex
 	tables  map[site.Table]*readTable
-	direct  time.Time // The hall's reader is not asked until then.
+	doubted map[netip.AddrPort]time.Time // Readers that are not asked until then.
 	detours map[site.Table]detour
 }
 
@@ -104,22 +129,56 @@
 		client:  c,
 		log:     log,
 		tables:  map[site.Table]*readTable{},
+		doubted: map[netip.AddrPort]time.Time{},
 		detours: map[site.Table]detour{},
 	}
 }
 
-// reader is the node that reads a table for this hall; ok is false if this node
-// reads it itself.
+// reader is the node that reads a table for this one; ok is false if this node
+// reads it itself. What a hall has to be told is more than narrow links carry: a
+// hall without a wide one is told by nodes of others.
 func (r *readers) reader(t site.Table) (addr netip.AddrPort, ok bool) {
-	hall := hallMembers(r.members, r.self.DataHall)
-	r.mu.Lock()
-	direct := time.Now().Before(r.direct)
-	r.mu.Unlock()
-	if direct || len(hall) <= directMost {
+	everyone := alive(r.members)
+	hall := inHall(everyone, r.self.DataHall)
+	if len(hall) <= directMost && !r.narrow(everyone) {
 		return addr, false
 	}
-	owner, found := control.Owner(control.Widest(hall), readDuty+tableName(t))
-	return owner.Peer, found && owner.Name != r.self.Name
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range control.Owners(r.widest(hall, everyone), readDuty+tableName(t), readersTried) {
+		if m.Name == r.self.Name {
+			return addr, false
+		}
+		if now.After(r.doubted[m.Peer]) {
+			return m.Peer, true
+		}
+	}
+	return addr, false
+}
+
+// widest lists the nodes of a hall with the widest links, or of all halls if those
+// of this one are all narrow.
+func (r *readers) widest(hall, everyone []control.Member) []control.Member {
+	all := control.Widest(everyone)
+	if near := inHall(all, r.self.DataHall); len(near) > 0 {
+		return near
+	}
+	if len(all) > 0 {
+		return all
+	}
+	return hall
+}
+
+// asked says whether other nodes may ask this one: they trust it for a time.
+func (r *readers) asked() bool {
+	everyone := alive(r.members)
+	return len(inHall(everyone, r.self.DataHall)) > directMost || len(control.Widest(everyone)) < len(everyone)
+}
+
+// narrow says whether this node's link is known and not among the widest.
+func (r *readers) narrow(everyone []control.Member) bool {
+	return r.self.Link > 0 && !slices.ContainsFunc(control.Widest(everyone), func(m control.Member) bool { return m.Name == r.self.Name })
 }
 
 func tableName(t site.Table) string {
@@ -129,75 +188,109 @@
 	return "operator"
 }
 
+// alive lists the nodes that are well.
+func alive(m *control.Members) []control.Member {
+	return slices.DeleteFunc(m.Working(), func(x control.Member) bool { return x.State != control.MemberAlive })
+}
+
 // hallMembers lists the nodes of a hall that are well.
-func hallMembers(m *control.Members, hall string) []control.Member {
-	var list []control.Member
-	for _, x := range m.Working() {
-		if x.DataHall == hall && x.State == control.MemberAlive {
-			list = append(list, x)
+func hallMembers(m *control.Members, hall string) []control.Member { return inHall(alive(m), hall) }
+
+func inHall(list []control.Member, hall string) (near []control.Member) {
+	for _, x := range list {
+		if x.DataHall == hall {
+			near = append(near, x)
 		}
 	}
-	return list
+	return near
 }
 
-// List reads a whole table, from this hall's reader if there is one.
+// List reads a whole table, from a reader if there is one.
 func (r *readers) List(ctx context.Context, t site.Table) (l site.Listing, err error) {
-	q := changesRequest{Table: t, Whole: true}
-	if addr, ok := r.reader(t); ok {
-		begun := time.Now()
-		if l, err = r.ask(ctx, addr, q); err == nil {
-			return l, nil
-		}
-		if ctx.Err() != nil {
-			return l, err
-		}
-		r.doubt(t, addr, begun, err)
-	}
-	return r.fromStore(ctx, q, func(ctx context.Context) (site.Listing, error) {
-		begun := time.Now()
-		l, err := r.store.List(ctx, t)
-		if err == nil {
-			r.take(q, l, true)
-			r.tell(q, l, byStore, begun)
-		}
-		return l, err
-	})
+	return r.read(ctx, r.request(t, changesRequest{Whole: true}), 0)
 }
 
 // Changes waits for changes of a table, as Store does.
 func (r *readers) Changes(ctx context.Context, t site.Table, after int64, wait time.Duration) (l site.Listing, err error) {
-	hall := len(hallMembers(r.members, r.self.DataHall))
-	if hall > directMost {
+	if r.asked() {
 		wait = min(wait, readerHold)
 	}
-	q := changesRequest{Table: t, After: after, WaitMS: min(wait, readerHold).Milliseconds()}
-	if addr, ok := r.reader(t); ok {
+	q := changesRequest{After: after, WaitMS: min(wait, readerHold).Milliseconds()}
+	return r.read(ctx, r.request(t, q), wait)
+}
+
+// request completes a request with the largest value that this node has.
+func (r *readers) request(t site.Table, q changesRequest) changesRequest {
+	q.Table = t
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, row := range r.tableAt(t).rows {
+		if len(row.Value) >= max(baseLeast, len(q.have)) {
+			q.Have, q.have = rowRef{Key: row.Key, Version: row.Version}, row.Value
+		}
+	}
+	return q
+}
+
+// read asks the readers in turn, and then the store.
+func (r *readers) read(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
+	for range readersTried {
+		addr, ok := r.reader(q.Table)
+		if !ok {
+			break
+		}
 		begun := time.Now()
 		l, err = r.ask(ctx, addr, q)
 		if err == nil || errors.Is(err, site.ErrHistoryGone) || ctx.Err() != nil {
 			return l, err
 		}
-		r.doubt(t, addr, begun, err)
+		r.doubt(q.Table, addr, begun, err)
 	}
-	return r.fromStore(ctx, q, func(ctx context.Context) (site.Listing, error) {
-		if r.missing(t) {
-			wait = 0
-		}
-		begun := time.Now()
-		l, err := r.store.Changes(ctx, t, after, wait)
-		if err == nil {
-			r.take(q, l, true)
-			r.tell(q, l, byStore, begun)
+	return r.fromStore(ctx, q, func(ctx context.Context) (site.Listing, error) { return r.own(ctx, q, wait) })
+}
+
+// own reads the store itself.
+func (r *readers) own(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
+	begun := time.Now()
+	if r.missing(q.Table) {
+		wait = 0
+	}
+	done := r.beginOwn(q.Table)
+	defer done()
+	if q.Whole {
+		l, err = r.store.List(ctx, q.Table)
+	} else {
+		l, err = r.store.Changes(ctx, q.Table, q.After, wait)
+	}
+	if err == nil {
+		r.take(q, l, true)
+		r.logRows(q, l, byStore, begun)
+	}
+	return l, err
+}
+
+// beginOwn notes that this node's own call to the store is under way; the returned
+// function ends that.
+func (r *readers) beginOwn(t site.Table) func() {
+	asking := make(chan struct{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tableAt(t).asking = asking
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if x := r.tables[t]; x.asking == asking {
+			x.asking = nil
 		}
-		return l, err
-	})
+		close(asking)
+	}
 }
 
 // byStore names the store where a log line tells who told something.
 const byStore = "store"
 
-// tell logs what came of the operator's table, which is seldom and may be large.
-func (r *readers) tell(q changesRequest, l site.Listing, by string, begun time.Time) {
+// logRows logs what came of the operator's table, which is seldom and may be large.
+func (r *readers) logRows(q changesRequest, l site.Listing, by string, begun time.Time) {
 	if q.Table != site.TableOperator || len(l.Rows) == 0 {
 		return
 	}
@@ -209,21 +302,20 @@
 		"bytes", size, "by", by, "after", time.Since(begun))
 }
 
-// doubt has the store itself asked for a while, as the reader has failed by err.
+// doubt has a reader that has failed by err done without for a while.
 func (r *readers) doubt(t site.Table, addr netip.AddrPort, begun time.Time, err error) {
 	r.log.Warn("reader passed over", "table", tableName(t), "peer", addr, "after", time.Since(begun), "err", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.direct = time.Now().Add(directTerm)
+	r.doubted[addr] = time.Now().Add(directTerm)
 }
 
 func (r *readers) ask(ctx context.Context, addr netip.AddrPort, q changesRequest) (l site.Listing, err error) {
 	defer func() { err = eris.Wrap(err, "ask reader") }()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMS)*time.Millisecond+readerSlack)
-	defer cancel()
 	begun := time.Now()
 	var a changesAnswer
-	if err := r.client.Call(ctx, addr, methodChanges, q, &a); err != nil {
+	within := time.Duration(q.WaitMS)*time.Millisecond + readerSlack
+	if err := r.client.CallWithin(ctx, within, addr, methodChanges, q, &a); err != nil {
 		return l, err
 	}
 	switch {
@@ -231,12 +323,19 @@
 		return l, errReaderBehind
 	case a.Gone:
 		return l, site.ErrHistoryGone
-	default:
-		l = site.Listing{Rows: a.Rows, Version: a.Version}
-		r.take(q, l, false)
-		r.tell(q, l, addr.String(), begun)
-		return l, nil
 	}
+	var base []byte
+	if a.Rows.Base == q.Have {
+		base = q.have
+	}
+	rows, err := a.Rows.unpack(base)
+	if err != nil {
+		return l, err
+	}
+	l = site.Listing{Rows: rows, Version: a.Version}
+	r.take(q, l, false)
+	r.logRows(q, l, addr.String(), begun)
+	return l, nil
 }
 
 // take notes an answer for those that ask this node, whoever gave it: with changes
@@ -245,11 +344,8 @@
 func (r *readers) take(q changesRequest, l site.Listing, own bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	x := r.tables[q.Table]
-	if x == nil {
-		x = &readTable{changed: make(chan struct{})}
-		r.tables[q.Table] = x
-	}
+	x := r.tableAt(q.Table)
+	old := x.rows
 	switch {
 	case q.Whole && l.Version < x.version:
 		// The store is behind what it has told before. Taken in, its older rows
@@ -267,10 +363,18 @@
 		return
 	}
 	for _, row := range l.Rows {
+		was := old[row.Key]
+		if was.Version > row.Version {
+			continue // Another answer has overtaken this one.
+		}
+		if len(was.Value) >= baseLeast && was.Version < row.Version {
+			x.former[row.Key] = x.former[row.Key].add(was)
+		}
 		x.rows[row.Key] = row
 	}
 	x.version = max(x.version, l.Version)
 	if len(l.Rows) > 0 || q.Whole {
+		x.told = nil
 		close(x.changed)
 		x.changed = make(chan struct{})
 	}
@@ -283,41 +387,120 @@
 		return nil, eris.Wrap(err, "bad parameters")
 	}
 	end := time.After(min(readerHold, time.Duration(q.WaitMS)*time.Millisecond))
+	r.refresh(ctx, q)
 	for {
-		a, changed, ok := r.answer(q)
-		if !ok {
-			return nil, errReaderBehind
+		a, changed, err := r.answer(q)
+		if err != nil {
+			return nil, err
 		}
-		if q.Whole || a.Gone || len(a.Rows) > 0 {
+		if q.Whole || a.Gone || len(a.Rows.Data) > 0 {
 			return a, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
-			a, _, _ = r.answer(q)
-			return a, nil
+			a, _, err = r.answer(q)
+			return a, err
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
-func (r *readers) answer(q changesRequest) (a changesAnswer, changed chan struct{}, ok bool) {
+// refresh has this node ask the store itself, if it is asked for a table of which it
+// has not heard lately: another reader has failed, or this node has just started.
+// Turned away instead, a hall would go to the store node by node.
+func (r *readers) refresh(ctx context.Context, q changesRequest) {
+	end := time.After(refreshTime)
+	for {
+		r.mu.Lock()
+		x := r.tableAt(q.Table)
+		whole, after, asking := x.rows == nil, x.version, x.asking
+		fresh := !whole && time.Since(x.heard) <= q.oldest()
+		lost := !r.detours[q.Table].lost.IsZero()
+		var turn chan struct{}
+		if !fresh && !lost && asking == nil {
+			turn = make(chan struct{})
+			x.asking = turn
+		}
+		r.mu.Unlock()
+		switch {
+		case fresh, lost:
+			return
+		case turn != nil:
+			defer close(turn)
+			ctx, cancel := context.WithTimeout(ctx, refreshTime)
+			defer cancel()
+			if _, err := r.own(ctx, changesRequest{Table: q.Table, Whole: whole, After: after}, 0); err != nil {
+				r.log.Warn("store not read for another node", "table", tableName(q.Table), "err", err)
+			}
+			return
+		}
+		select {
+		case <-asking:
+		case <-end:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// answer is what is known of a table; the error is errReaderBehind if that is not
+// enough to answer.
+func (r *readers) answer(q changesRequest) (a changesAnswer, changed chan struct{}, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.tables[q.Table]
 	if x == nil || x.rows == nil {
-		return a, nil, false
+		return a, nil, errReaderBehind
 	}
 	a = changesAnswer{Version: x.version, AgeMS: time.Since(x.heard).Milliseconds(), Gone: !q.Whole && q.After < x.base}
 	if a.Gone {
-		return a, x.changed, true
+		return a, x.changed, nil
 	}
+	a.Rows, err = x.tell(q)
+	return a, x.changed, err
+}
+
+// tell packs the rows that a request asks for. Nodes that ask for the same are told
+// the same bytes, packed once: 20 nodes are told in the time of one.
+func (x *readTable) tell(q changesRequest) (t toldRows, err error) {
+	var rows []site.Row
+	key := toldKey{whole: q.Whole}
 	for _, row := range x.rows {
 		if q.Whole && !row.Gone || !q.Whole && row.Version > q.After {
-			a.Rows = append(a.Rows, row)
+			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(a.Rows, func(p, q site.Row) int { return int(p.Version - q.Version) })
-	return a, x.changed, true
+	if len(rows) == 0 {
+		return t, nil
+	}
+	slices.SortFunc(rows, func(p, q site.Row) int { return cmp.Compare(p.Version, q.Version) })
+	key.first = rows[0].Version
+	var base []byte
+	if slices.ContainsFunc(rows, func(row site.Row) bool { return row.Key == q.Have.Key }) {
+		if base = x.baseOf(q.Have); base != nil {
+			key.base = q.Have.Version
+		}
+	}
+	if t, ok := x.told[key]; ok {
+		return t, nil
+	}
+	if t, err = packRows(rows, q.Have, base); err != nil {
+		return t, err
+	}
+	if x.told == nil || len(x.told) >= toldKept {
+		x.told = map[toldKey]toldRows{}
+	}
+	x.told[key] = t
+	return t, nil
+}
+
+// baseOf is the value that a node has by its own word, nil if it is not known here.
+func (x *readTable) baseOf(have rowRef) []byte {
+	if row := x.rows[have.Key]; row.Version == have.Version && !row.Gone {
+		return row.Value
+	}
+	return x.former[have.Key].find(have.Version)
 }
--- /dev/null
+++ b/service/gateway/told_test.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// routesText is the value of a configuration of n routes; more routes begin with the
+// same ones.
+func routesText(version, n int) []byte {
+	rng := rand.New(rand.NewPCG(1, 2))
+	word := func(n int) string {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = "abcdefghijklmnopqrstuvwxyz0123456789"[rng.IntN(36)]
+		}
+		return string(b)
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"config_version":%d,"routes":[`, version)
+	for i := range n {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"name":"r-%s","host":"%s.example","path_prefix":"/%s/","kind":"streaming","timeout_ms":4000,`+
+			`"target_latency_ms":500,"priority":1,"service":"huvo11a","max_attempts":2,"allow_anonymous":false,"sticky":true,"resumable":false,"gap_aim_ms":400}`,
+			word(7), word(6), word(7))
+	}
+	b.WriteString(`],"services":[],"limits":{}}`)
+	return b.Bytes()
+}
+
+func TestRowsSurviveThePacking(t *testing.T) {
+	rows := func(values ...[]byte) (list []site.Row) {
+		for i, v := range values {
+			list = append(list, site.Row{Key: fmt.Sprint("k", i), Version: int64(i + 1), Value: v})
+		}
+		return append(list, site.Row{Key: "dropped", Version: 99, Gone: true})
+	}
+	noise := make([]byte, 100_000)
+	for i := range noise {
+		noise[i] = byte(rand.IntN(256))
+	}
+	large := bytes.Repeat(routesText(1, 5600), 12) // With its base over the widest window.
+	for _, c := range []struct {
+		name string
+		rows []site.Row
+		base []byte
+	}{
+		{"none", nil, nil},
+		{"small", rows([]byte("a"), nil, []byte("{}")), nil},
+		{"no text", rows(noise), nil},
+		{"many", rows(routesText(2, 10), routesText(3, 20), noise), nil},
+		{"large", rows(routesText(2, 5600)), nil},
+		{"against a base", rows(routesText(2, 5600)), routesText(1, 4200)},
+		{"against what it does not resemble", rows(routesText(2, 100)), noise},
+		{"against itself", rows(noise), noise},
+		{"over the window", rows(large), append([]byte("x"), large...)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			told, err := packRows(c.rows, rowRef{Key: "k0", Version: 1}, c.base)
+			assert.NilError(t, err)
+			got, err := told.unpack(c.base)
+			assert.NilError(t, err)
+			assert.Equal(t, len(got), len(c.rows))
+			for i := range got {
+				assert.Assert(t, bytes.Equal(got[i].Value, c.rows[i].Value))
+				assert.Equal(t, got[i].Key, c.rows[i].Key)
+				assert.Equal(t, got[i].Version, c.rows[i].Version)
+				assert.Equal(t, got[i].Gone, c.rows[i].Gone)
+			}
+		})
+	}
+}
+
+// What is told grows with what has changed, not with the whole.
+func TestWhatIsToldGrowsWithTheChange(t *testing.T) {
+	size := func(n, more int) int {
+		told, err := packRows([]site.Row{{Key: "c", Version: 2, Value: routesText(2, n+more)}}, rowRef{Key: "c", Version: 1}, routesText(1, n))
+		assert.NilError(t, err)
+		return len(told.Data)
+	}
+	const perRoute, head = 30, 2000 // Bytes; a route's random letters alone are 13.
+	for _, n := range []int{100, 1400, 5600, 20_000} {
+		for _, more := range []int{0, 10, 1400} {
+			got := size(n, more)
+			t.Logf("%d routes, %d more: %d bytes", n, more, got)
+			assert.Assert(t, got < head+perRoute*more+n/8, "%d routes, %d more: %d bytes", n, more, got)
+		}
+	}
+}
+
+// Rows that were packed against a value which this node lacks, or has otherwise, are
+// an error and not other rows.
+func TestRowsPackedAgainstAnotherBaseAreAnError(t *testing.T) {
+	told, err := packRows([]site.Row{{Key: "c", Version: 2, Value: routesText(2, 500)}}, rowRef{Key: "c", Version: 1}, routesText(1, 400))
+	assert.NilError(t, err)
+	_, err = told.unpack(nil)
+	assert.ErrorIs(t, err, errNoBase)
+	other := routesText(1, 400)
+	other[2000] ^= 1
+	_, err = told.unpack(other)
+	assert.Assert(t, err != nil)
+	told.Data[len(told.Data)/2] ^= 1
+	_, err = told.unpack(routesText(1, 400))
+	assert.Assert(t, err != nil)
+}
+
+func TestFormerValuesAreBounded(t *testing.T) {
+	var f formerValues
+	for v := range int64(basesKept + 3) {
+		f = f.add(site.Row{Version: v, Value: make([]byte, baseLeast)})
+	}
+	assert.Equal(t, len(f), basesKept)
+	assert.Assert(t, f.find(basesKept+2) != nil)
+	assert.Assert(t, f.find(0) == nil)
+	f = f.add(site.Row{Version: 100, Value: make([]byte, basesBytes-baseLeast)})
+	assert.Equal(t, len(f), 2)
+	f = f.add(site.Row{Version: 101, Value: make([]byte, basesBytes+1)})
+	assert.Equal(t, len(f), 0)
+}
+
+// One answer to a node, by how many routes there are; "told" is its size.
+func BenchmarkTold(b *testing.B) {
+	for _, n := range []int{100, 1000, 5600, 20_000} {
+		for _, c := range []struct {
+			name string
+			more int
+			base []byte
+		}{
+			{"one_more", 1, routesText(1, n)},
+			{"1400_more", 1400, routesText(1, n)},
+			{"whole", 0, nil},
+		} {
+			rows := []site.Row{{Key: "c", Version: 2, Value: routesText(2, n+c.more)}}
+			told, err := packRows(rows, rowRef{Key: "c", Version: 1}, c.base)
+			assert.NilError(b, err)
+			b.Run(fmt.Sprintf("pack/%s/%d", c.name, n), func(b *testing.B) {
+				for b.Loop() {
+					_, err := packRows(rows, rowRef{Key: "c", Version: 1}, c.base)
+					assert.NilError(b, err)
+				}
+				b.ReportMetric(float64(len(told.Data)), "told")
+				b.ReportMetric(float64(len(rows[0].Value)), "value")
+			})
+			b.Run(fmt.Sprintf("unpack/%s/%d", c.name, n), func(b *testing.B) {
+				for b.Loop() {
+					_, err := told.unpack(c.base)
+					assert.NilError(b, err)
+				}
+			})
+		}
+	}
+}
