A node that is asked reads the whole table where the store has dropped its changes

Found by reading: it asked for the changes since its own version again each time, and those that asked it went to the store one by one. The test had no such store.

--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -431,7 +431,11 @@
 			defer close(turn)
 			ctx, cancel := context.WithTimeout(ctx, refreshTime)
 			defer cancel()
-			if _, err := r.own(ctx, changesRequest{Table: q.Table, Whole: whole, After: after}, 0); err != nil {
+			_, err := r.own(ctx, changesRequest{Table: q.Table, Whole: whole, After: after}, 0)
+			if errors.Is(err, site.ErrHistoryGone) {
+				_, err = r.own(ctx, changesRequest{Table: q.Table, Whole: true}, 0)
+			}
+			if err != nil {
 				r.log.Warn("store not read for another node", "table", tableName(q.Table), "err", err)
 			}
 			return
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex
 	rows    []site.Row
 	version int64
+	history int64 // Changes up to here are no longer told.
 	calls   int
 	fail    bool
 }
@@ -53,6 +54,9 @@
 	if s.fail {
 		return site.Listing{}, fmt.Errorf("down")
 	}
+	if after < s.history {
+		return site.Listing{}, site.ErrHistoryGone
+	}
 	l := site.Listing{Version: s.version}
 	for _, r := range s.rows {
 		if r.Version > after {
@@ -189,16 +193,29 @@
 	h.read(t)
 	h.age()
 	h.store.add("b")
+	h.readOnceForAll(t, 1)
+	h.age()
+	h.store.add("c")
+	h.store.mu.Lock()
+	h.store.history = h.store.version
+	h.store.mu.Unlock()
+	h.readOnceForAll(t, 2) // The changes since then, and the whole.
+}
+
+// readOnceForAll has several nodes read all rows at once, for so many calls to the
+// store.
+func (h *testHall) readOnceForAll(t *testing.T, calls int) {
+	t.Helper()
 	before := h.store.count()
 	var wg sync.WaitGroup
 	for range 8 {
 		wg.Go(func() {
 			l, err := h.asker.List(t.Context(), site.TableUpstreams)
-			assert.Check(t, err == nil && len(l.Rows) == 2, "%v", err)
+			assert.Check(t, err == nil && len(l.Rows) == len(h.store.rows), "%v", err)
 		})
 	}
 	wg.Wait()
-	assert.Equal(t, h.store.count(), before+1)
+	assert.Equal(t, h.store.count(), before+calls)
 }
 
 func TestReaderThatIsGoneIsDoneWithout(t *testing.T) {
