A stop waits for every connection that carries a request, read whole or not

Cause: the stop looked every 50 ms how many requests were being served, ended when it had seen none for 0.3 s, and then closed every connection. Requests that were being read were not counted, short ones fell between looks, and nothing kept one from being passed on between the last look and the closing.

Now the wait is for the connections themselves. 1.2 s after the signal the node closes its listener and ends the connections that rest, whose read decides: it has got a byte and the request is served, or it has not and the connection ends. From that step on, under the same lock, none is added, so an open connection is one with a request or one that is just ending, and the stop ends with the last, or 0.7 s before the end of the grace period. Giving leases back, which may take a second, no longer stands in for looking.

Of the same class: whether an answer ends its connection was asked for its head and again at its end; a stop in between closed a connection that had been promised. Asked once now.

--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -98,7 +98,7 @@
 	c.setReadLimit(c.g.limits().IdleTimeout)
 	c.enter(connResting)
 	defer c.enter(connHeading)
-	if c.g.stopping() && !c.g.serving() {
+	if !c.g.serving() {
 		c.hurry()
 	}
 	return <-c.next == nil
--- a/service/gateway/client_conns.go
+++ b/service/gateway/client_conns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"sync"
 
@@ -9,14 +10,17 @@
 
 // clientConns are the open connections of clients.
 type clientConns struct {
-	mu   sync.Mutex
-	open map[*clientConn]struct{}
 	most int
 	wg   sync.WaitGroup
+
+	mu       sync.Mutex
+	open     map[*clientConn]struct{}
+	draining bool          // No connection is added any more.
+	drained  chan struct{} // Closed once none is left then.
 }
 
 func newClientConns(most int) *clientConns {
-	return &clientConns{open: map[*clientConn]struct{}{}, most: most}
+	return &clientConns{open: map[*clientConn]struct{}{}, most: most, drained: make(chan struct{})}
 }
 
 // accept serves connections until the listener is closed.
@@ -42,7 +46,7 @@
 func (s *clientConns) add(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.open) >= s.most {
+	if s.draining || len(s.open) >= s.most {
 		return false
 	}
 	s.open[c] = struct{}{}
@@ -54,15 +58,35 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, c)
+	if s.draining && len(s.open) == 0 {
+		close(s.drained)
+	}
+}
+
+// drain takes no connection any more, ends those that rest, and waits until none
+// is left or ctx ends.
+func (s *clientConns) drain(ctx context.Context) {
+	if s.endResting() {
+		return
+	}
+	// A wait for a count of requests would miss those that are still being read;
+	// an open connection is one that carries a request or is just ending.
+	select {
+	case <-s.drained:
+	case <-ctx.Done():
+	}
 }
 
-// endResting ends all connections that carry no request.
-func (s *clientConns) endResting() {
+// endResting ends all connections that carry no request, and says whether there
+// were none at all.
+func (s *clientConns) endResting() (none bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.draining = true
 	for c := range s.open {
 		c.hurry()
 	}
+	return len(s.open) == 0
 }
 
 // cutRequests are the requests that a stop has cut, by how far they were.
@@ -75,6 +99,7 @@
 func (s *clientConns) closeAll() cutRequests {
 	var by [connStates]int
 	s.mu.Lock()
+	s.draining = true
 	for c := range s.open {
 		by[c.carries()]++
 		_ = c.conn.Close() // Its goroutine notices.
--- a/service/gateway/client_writer.go
+++ b/service/gateway/client_writer.go
@@ -24,6 +24,14 @@
 // last says whether the connection ends after this answer.
 func (w *clientWriter) last() bool { return w.closing() || w.failed }
 
+// settle fixes what last says from now on: a stop that comes behind the head must
+// not close a connection of which the client was told that it may use it again.
+func (w *clientWriter) settle() bool {
+	last := w.last()
+	w.closing = func() bool { return last }
+	return last
+}
+
 // write sends bytes; after an error nothing more is sent.
 func (w *clientWriter) write(b []byte) {
 	if w.failed {
@@ -43,7 +51,7 @@
 
 // whole sends an answer with its whole body.
 func (w *clientWriter) whole(status int, fields []http1.Field, body []byte) {
-	last := w.last()
+	last := w.settle()
 	b := http1.AppendResponse(make([]byte, 0, headRoom+len(body)), status, fields, len(body), last)
 	if !w.headless {
 		b = append(b, body...)
@@ -57,7 +65,10 @@
 // begin sends the head of an answer whose length is not known, and its first
 // bytes.
 func (w *clientWriter) begin(status int, fields []http1.Field, first []byte) {
-	last := w.last() || w.old
+	if w.old {
+		w.closing = func() bool { return true } // Its end is the connection's.
+	}
+	last := w.settle()
 	var b []byte
 	if w.old {
 		b = http1.AppendClosing(nil, status, fields)
@@ -65,9 +76,6 @@
 		b = http1.AppendResponse(nil, status, fields, http1.NoLength, last)
 	}
 	w.write(w.chunk(b, first))
-	if last {
-		w.closing = func() bool { return true }
-	}
 }
 
 func (w *clientWriter) chunk(b, data []byte) []byte {
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -458,5 +458,5 @@
 func (x *exchange) refuse(f refusal) {
 	x.g.metrics.refusal(f.reason)
 	x.logRefusal(f, time.Now())
-	x.out.raw(f.message(x.g.codec, x.terms.ID, x.out.last()))
+	x.out.raw(f.message(x.g.codec, x.terms.ID, x.out.settle()))
 }
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -33,13 +33,13 @@
 	bytesPerMB       = 1 << 20
 	// lostTime is the part of the grace period that is kept for the end itself.
 	lostTime = 700 * time.Millisecond
-	// steerAwayTime is for how long a stopping node serves on at least: callers
-	// keep an answer of the directory that long.
+	// steerAwayTime is for how long a stopping node takes new connections: callers
+	// keep an answer of the directory for a second (max_age), and the word of the
+	// stop takes some of the rest to reach the other nodes.
 	steerAwayTime = 1200 * time.Millisecond
-	// quietTime is for how long nothing may have come before a stopping node
-	// ends.
-	quietTime = 300 * time.Millisecond
-	stopEvery = 50 * time.Millisecond
+	// releaseTime bounds the giving back of leases, so that a slow store does not
+	// hold the stop: they end by themselves.
+	releaseTime = time.Second
 	// upstreamsRest groups changes of the list of upstreams. It is well under
 	// the second or more that a leaving upstream still serves.
 	upstreamsRest = 400 * time.Millisecond
@@ -278,34 +278,27 @@
 	}
 }
 
-// Leave stops taking callers, serves on those that still come, and waits until
-// all requests are answered or the grace period is nearly over.
+// Leave serves on for a while those that still come. Then it takes no connection
+// any more, ends those that rest, and waits until the others have had their
+// answers or the grace period is nearly over.
 func (g *Gateway) Leave() {
 	begun := time.Now()
-	end := begun.Add(g.conf().Stop.Grace.Std() - lostTime)
+	within := g.conf().Stop.Grace.Std() - lostTime
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(within))
+	defer cancel()
 	g.log.Info("stopping", "node", g.conf().Node.Name, "in_flight", g.inFlight.Load())
 	g.told.Store(&begun)
 	close(g.stopped)
 	g.nodes.leave()
-	g.releaseLeases()
-	busy := begun
-	for now := begun; now.Before(end); now = time.Now() {
-		if g.inFlight.Load() > 0 {
-			busy = now
-		}
-		if now.Sub(begun) >= steerAwayTime {
-			g.closing.Store(true)
-			g.clients.endResting()
-			if now.Sub(busy) >= quietTime {
-				return
-			}
-		}
-		time.Sleep(stopEvery)
-	}
+	g.releaseLeases(ctx)
+	time.Sleep(time.Until(begun.Add(min(steerAwayTime, within))))
+	g.closing.Store(true)
+	_ = g.entry.Close() // What has not been accepted is sent again elsewhere.
+	g.clients.drain(ctx)
 }
 
-func (g *Gateway) releaseLeases() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+func (g *Gateway) releaseLeases(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTime)
 	defer cancel()
 	g.rollout.Release(ctx)
 }
