A stopping node does not take its leases again

It gave them back at the beginning of its stop, and the next look, 100 ms later, found them free and its own. Others then waited for the rest of the term. Leaving is now for good. A renewal that is under way at that moment may still reach the store; its lease runs out as before, and this node does not hold to it.

--- a/pkg/rollout/lease.go
+++ b/pkg/rollout/lease.go
@@ -50,6 +50,7 @@
 	clock   time.Duration
 	clockAt time.Time // When, at the latest, the store's clock was that.
 	again   time.Time // When it is worth asking for again.
+	left    bool      // It is not to be taken again.
 }
 
 type leaseRow struct {
@@ -82,9 +83,13 @@
 // whether it is held.
 func (l *Lease) Keep(ctx context.Context) bool {
 	l.mu.Lock()
+	left := l.left
 	held := l.now().Before(l.until)
 	due := !held || l.now().Sub(l.sent) >= renewAfter
 	l.mu.Unlock()
+	if left {
+		return false
+	}
 	if !due {
 		return true
 	}
@@ -128,6 +133,14 @@
 	l.write(ctx, 0)
 }
 
+// Leave gives the lease up for good.
+func (l *Lease) Leave(ctx context.Context) {
+	l.mu.Lock()
+	l.left = true
+	l.mu.Unlock()
+	l.Release(ctx)
+}
+
 // read looks at the row and says whether it may be taken, or when it could be.
 func (l *Lease) read(ctx context.Context) (free bool, after time.Duration) {
 	asked := l.now()
@@ -187,8 +200,8 @@
 	}
 	l.row, l.version = next, listing.Version
 	l.sent = sent
-	if term > 0 {
+	if term > 0 && !l.left {
 		l.until = sent.Add(term)
 	}
-	return term > 0
+	return term > 0 && !l.left
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -225,10 +225,11 @@
 	}
 }
 
-// Release gives up what is held, for a planned stop.
+// Release gives up what is held, for a planned stop. The node steps on until it
+// ends: a lease that it took again would be missing to the others for its term.
 func (r *Rollout) Release(ctx context.Context) {
 	for _, g := range r.groups {
-		g.lease.Release(ctx)
+		g.lease.Leave(ctx)
 	}
 }
 
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -360,6 +360,30 @@
 }
 
 // The lease is not held by two at once, whatever is cut off when.
+// Symptom: a node that was stopped held up new weights for the rest of a lease's term.
+// Sequence: it gave its leases back at the beginning of its stop, looked again 100 ms
+// later, found them free and its own, and took them.
+// Cause: giving back for good was the same as giving back what is not needed just now.
+// What settled it: the rows after a stop, with the node as their holder for 2 s more.
+func TestStoppingNodeTakesNoLeaseAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := newMemoryStore(), newFakeFleet(18)
+		f.name(2)
+		r := New("n1", testPause, view{s, "n1"}, f, eyes{f, "n1"}, slog.New(slog.DiscardHandler))
+		defer r.Close()
+		r.Step(t.Context())
+		assert.Assert(t, len(s.rows) > 0)
+		r.Release(t.Context())
+		time.Sleep(Every)
+		r.Step(t.Context())
+		for key, row := range s.rows {
+			var l leaseRow
+			assert.NilError(t, json.Unmarshal(row.Value, &l))
+			assert.Assert(t, l.Until <= time.Since(s.begun), key)
+		}
+	})
+}
+
 func TestLeaseHasOneHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newMemoryStore()
