A series of reloads no longer hides a signal to stop

All signals shared a channel of four, and one that finds it full is dropped: five signals to reload while the settings file was slow to read, then one to stop, and the node went on until it was killed, with what it served. The signal to stop has a channel of its own now; that to reload needs room for one, as any reading is of the newest file.

TestSignalsOfAGateway asks for the same, with the stop sent once the reload was taken: the order of two channels is not fixed.

--- a/cmd/drumpath/cmds/gateway.go
+++ b/cmd/drumpath/cmds/gateway.go
@@ -59,11 +59,10 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	in := takeSignals()
+	defer in.close()
 	g.Start()
-	serveUntilStopped(g, path, log, signals)
+	serveUntilStopped(g, path, log, in)
 	g.Leave()
 	g.Close()
 	return nil
@@ -77,17 +76,36 @@
 // a signal.
 const rereadEvery = 5 * time.Second
 
+// gatewaySignals are the signals to a gateway. A signal that finds its channel full
+// is dropped: a stop has a channel of its own, so that a series of reloads can't
+// have it lost while the settings file is slow to read.
+type gatewaySignals struct {
+	stop   chan os.Signal
+	reload chan os.Signal // Holds one: it has the newest file read, whatever came.
+}
+
+func takeSignals() gatewaySignals {
+	s := gatewaySignals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+func (s gatewaySignals) close() {
+	signal.Stop(s.stop)
+	signal.Stop(s.reload)
+}
+
 // serveUntilStopped returns at a signal to stop. Settings that have changed are
 // put in force; if they can't be used, those in force stay.
-func serveUntilStopped(g *gateway.Gateway, path string, log *slog.Logger, signals <-chan os.Signal) {
+func serveUntilStopped(g *gateway.Gateway, path string, log *slog.Logger, in gatewaySignals) {
 	t := time.NewTicker(rereadEvery)
 	defer t.Stop()
 	for {
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return
-			}
+		case <-in.stop:
+			return
+		case <-in.reload:
 			log.Info("settings file to be read again", "file", path)
 		case <-t.C:
 		}
