A reader that is still receiving the store's answer is waited for

Cause: a reader was taken to know nothing new from 1.8 s on after the store's last word, also while 1.8 MB were coming over its link of 10 Mbit/s. The other nodes passed it over, asked the second reader and then the store, and had their own links full with what the reader was about to tell. A reader's knowledge is as old as when its call began, for 3.5 s.

The comment at a stop's time for steering callers away said that they keep an answer for a second; it tells what that time is for.

--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -33,9 +33,9 @@
 	bytesPerMB       = 1 << 20
 	// lostTime is the part of the grace period that is kept for the end itself.
 	lostTime = 700 * time.Millisecond
-	// steerAwayTime is for how long a stopping node takes new connections: callers
-	// keep an answer of the directory for a second (max_age), and the word of the
-	// stop takes some of the rest to reach the other nodes.
+	// steerAwayTime is for how long a stopping node takes new connections: other
+	// nodes have heard of the stop by then and name it to callers no more. One that
+	// keeps an older answer finds the connection refused and takes another node.
 	steerAwayTime = 1200 * time.Millisecond
 	// releaseTime bounds the giving back of leases, so that a slow store does not
 	// hold the stop: they end by themselves.
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -43,6 +43,10 @@
 	// readerAge is the age of a reader's knowledge from which on it is not
 	// trusted: its call to the store should have ended long before.
 	readerAge = readerHold + 800*time.Millisecond
+	// underWayMost is for how long a reader's own call to the store may be under way
+	// until it is not trusted any more: it waits for up to readerHold, and 2.5 MB take
+	// a link of 10 Mbit/s two seconds.
+	underWayMost = readerHold + 2500*time.Millisecond
 	// refreshTime is for how long a node that is asked and knows too little may
 	// take to ask the store itself.
 	refreshTime = time.Second
@@ -93,8 +97,21 @@
 	changed chan struct{}
 	former  map[string]formerValues // Of large values, by key.
 	told    map[toldKey]toldRows    // Of the rows as they are.
-	// asking is closed when this node's own call to the store ends, nil without one.
+	// asking is closed when this node's own call to the store ends, nil without one;
+	// asked is when that was begun.
 	asking chan struct{}
+	asked  time.Time
+}
+
+// age is how old the knowledge of a table is. While this node's own call to the store
+// is under way, it is as old as it was when that began: a large answer that is still
+// coming is waited for, and a hall is not sent to read the store once more over links
+// that are as narrow.
+func (x *readTable) age(now time.Time) time.Duration {
+	if x.asking != nil && now.Sub(x.asked) < underWayMost {
+		return x.asked.Sub(x.heard)
+	}
+	return now.Sub(x.heard)
 }
 
 // tableAt returns what is known of a table; the caller holds mu.
@@ -275,11 +292,12 @@
 	asking := make(chan struct{})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tableAt(t).asking = asking
+	x := r.tableAt(t)
+	x.asking, x.asked = asking, time.Now()
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if x := r.tables[t]; x.asking == asking {
+		if x.asking == asking {
 			x.asking = nil
 		}
 		close(asking)
@@ -416,12 +434,12 @@
 		r.mu.Lock()
 		x := r.tableAt(q.Table)
 		whole, after, asking := x.rows == nil, x.version, x.asking
-		fresh := !whole && time.Since(x.heard) <= q.oldest()
+		fresh := !whole && x.age(time.Now()) <= q.oldest()
 		lost := !r.detours[q.Table].lost.IsZero()
 		var turn chan struct{}
 		if !fresh && !lost && asking == nil {
 			turn = make(chan struct{})
-			x.asking = turn
+			x.asking, x.asked = turn, time.Now()
 		}
 		r.mu.Unlock()
 		switch {
@@ -459,7 +477,7 @@
 	if x == nil || x.rows == nil {
 		return a, nil, errReaderBehind
 	}
-	a = changesAnswer{Version: x.version, AgeMS: time.Since(x.heard).Milliseconds(), Gone: !q.Whole && q.After < x.base}
+	a = changesAnswer{Version: x.version, AgeMS: x.age(time.Now()).Milliseconds(), Gone: !q.Whole && q.After < x.base}
 	if a.Gone {
 		return a, x.changed, nil
 	}
