--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -132,8 +132,9 @@
 }
 
 // start starts a node without waiting for it to be ready.
-func (s *site) start(name string) *node {
-	settings := s.settings(name)
+func (s *site) start(name string) *node { return s.startWith(s.settings(name)) }
+
+func (s *site) startWith(settings config.GatewaySettings) *node {
 	g, err := gateway.New(settings, gateway.Platform{
 		Store:   platform.NewStore(settings.Platform.Store),
 		Engines: platform.NewEngines(),
