--- a/internal/standin/onplatform/gone_test.go
+++ b/internal/standin/onplatform/gone_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,44 @@
 	return time.Now()
 }
 
+var idField = regexp.MustCompile(`Request-Id: (\S+)`)
+
+func TestClientThatLeavesTheQueueIsNotSent(t *testing.T) {
+	s := newSite(t)
+	k := &work{}
+	r := s.replica(llm, "e")
+	release := make(chan struct{})
+	let := sync.OnceFunc(func() { close(release) })
+	defer let() // The engine waits for it at its end.
+	r.Script(k.on(func(w io.Writer, r *onplatform.Request) bool {
+		<-release
+		return onplatform.Events(1, 1, 0, true)(w, r)
+	}))
+	n := s.node("n1")
+	const sent = 12
+	clients := map[string]*client{}
+	for range sent {
+		text := strings.Replace(prompt("b0"), "/prompt/", "/patient/", 1)
+		c := n.dial()
+		c.write(text)
+		clients[idField.FindStringSubmatch(text)[1]] = c
+	}
+	s.until("the engine has some", func() bool { return len(r.Seen()) >= 2 })
+	time.Sleep(workTime) // No more are let in.
+	held := r.Seen()
+	assert.Assert(t, len(held) < sent, "none waits")
+	for _, in := range held {
+		delete(clients, in.ID())
+	}
+	var left time.Time
+	for _, c := range clients {
+		left = c.leave()
+	}
+	let() // The engine has room at the moment at which they leave.
+	k.assertEnded(t, left, r)
+	assert.Equal(t, len(r.Seen()), len(held))
+}
+
 // keptStore starts a store that tells of two parts of the prompt.
 func (s *site) keptStore() {
 	r, err := onplatform.NewReplica("kv")
@@ -224,6 +263,39 @@
 	k.assertEnded(t, time.Now(), a)
 }
 
+// The node comes to a request only once its client has left: it was busy with the one
+// before it.
+func TestRequestThatTheNodeReadsAfterItsClientHasLeftIsNotSent(t *testing.T) {
+	s := newSite(t)
+	k := &work{}
+	a := s.replica(app, "a")
+	n := s.node("n1")
+	at, end := make(chan struct{}), make(chan struct{})
+	a.Script(k.on(func(w io.Writer, r *onplatform.Request) bool {
+		at <- struct{}{}
+		<-end
+		return onplatform.OK("done")(w, r)
+	}))
+	const rounds = 20
+	var left time.Time
+	for range rounds {
+		c := n.dial()
+		c.write(request("GET", "/safe/x", ""))
+		<-at
+		c.write(request("GET", "/safe/x", ""))
+		left = c.leave()
+		end <- struct{}{}
+		select {
+		case <-at:
+			end <- struct{}{}
+			t.Error("a request has arrived whose client had left before it was read")
+		case <-time.After(workTime):
+		}
+	}
+	k.assertEnded(t, left, a)
+	assert.Equal(t, len(a.Seen()), rounds)
+}
+
 // Many clients at once give up as soon as they have sent.
 func TestClientsThatLeaveAtOnceLeaveNoWork(t *testing.T) {
 	for name, linger := range map[string]int{"closed": -1, "reset": 0} {
