A node looks whether the client is still there before each attempt

Cause: only the goroutine that waits for the client's next byte told that the client had left. What ran beside it sent all the same where it came first: a prompt that was let in (the queue's two events are taken in any order), a request that was read behind the client's close, and a second attempt, for which nothing looked at the context at all.

Ruled out: the queue (a place whose request ends is given up at once) and the end of an attempt under way (its connection is closed as the context ends).

Change: before each attempt the state of the client's socket is asked for, which tells a close or reset also behind bytes that are not read. A request that ends in the queue because its client has left, or by a stop, is logged as that and no longer as refused.

--- a/internal/standin/onplatform/gone_test.go
+++ b/internal/standin/onplatform/gone_test.go
@@ -174,6 +174,48 @@
 	assert.Equal(t, len(a.Seen()), 0)
 }
 
+// A client leaves at the moment at which its first attempt ends without an answer to
+// deliver.
+func TestClientThatLeavesHasNoSecondAttempt(t *testing.T) {
+	for name, script := range map[string]onplatform.Script{
+		"refused": onplatform.NotRun(503),
+		"failed":  onplatform.Failed,
+		"lost":    onplatform.Cut,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			k := &work{}
+			a, b := s.replica(app, "a"), s.replica(app, "b")
+			n := s.node("n1")
+			at, end := make(chan struct{}), make(chan struct{})
+			ended := k.on(func(w io.Writer, r *onplatform.Request) bool {
+				at <- struct{}{}
+				<-end
+				return script(w, r)
+			})
+			a.Script(ended)
+			b.Script(ended)
+			const rounds = 20
+			var left time.Time
+			for range rounds {
+				c := n.dial()
+				c.write(request("GET", "/safe/x", ""))
+				<-at
+				left = c.leave()
+				end <- struct{}{}
+				select {
+				case <-at:
+					end <- struct{}{}
+					t.Error("a second attempt has arrived")
+				case <-time.After(workTime):
+				}
+			}
+			k.assertEnded(t, left, a, b)
+			assert.Equal(t, arrivals([]*onplatform.Replica{a, b}), rounds)
+		})
+	}
+}
+
 func TestClientThatLeavesHasTheSecondAttemptEnd(t *testing.T) {
 	s := newSite(t)
 	k := &work{}
--- a/pkg/http1/conn.go
+++ b/pkg/http1/conn.go
@@ -29,6 +29,25 @@
 	return d.Dial("tcp", addr)
 }
 
+// PeerLeft says whether the peer of a TCP connection has closed it, or its own side of
+// it, or reset it. It tells so also while bytes that came before are unread, where
+// reading would not. The error says that the connection was closed here.
+func PeerLeft(conn net.Conn) (left bool, err error) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false, nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, failed := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		left = failed == nil && info.State != unix.BPF_TCP_ESTABLISHED
+	})
+	return left, err
+}
+
 // Quiet says whether a connection that rests between two messages is still open
 // and has nothing to be read; it may take a byte out, so one that is not quiet
 // has to be closed.
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -82,17 +82,34 @@
 func (c *clientConn) await(left context.CancelCauseFunc) {
 	go func() {
 		_, err := c.r.Peek(1)
-		switch {
-		case err == nil || left == nil:
-		case errors.Is(err, net.ErrClosed):
-			left(errStopped)
-		default:
-			left(errClientLeft)
+		if err != nil && left != nil {
+			left(leaveCause(err))
 		}
 		c.next <- err
 	}()
 }
 
+// clientLeft is why a client's connection carries no answer any more, nil if it does.
+func clientLeft(conn net.Conn) error {
+	left, err := http1.PeerLeft(conn)
+	switch {
+	case err != nil:
+		return leaveCause(err)
+	case left:
+		return errClientLeft
+	default:
+		return nil
+	}
+}
+
+// leaveCause tells a connection that the node has closed from one that its client has.
+func leaveCause(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return errStopped
+	}
+	return errClientLeft
+}
+
 // rest waits for the next request and says whether there is one.
 func (c *clientConn) rest() bool {
 	c.setReadLimit(c.g.limits().IdleTimeout)
@@ -155,13 +172,13 @@
 		old:      head.Minor == 0,
 		closing:  func() bool { return last || c.g.stopping() },
 	}
-	x := &exchange{g: c.g, out: w, head: head, body: body, terms: terms, came: came}
 	_ = c.conn.SetWriteDeadline(came.Add(c.g.holdMost(&terms) + writeSlack)) // The next write tells.
 	c.g.inFlight.Add(1)
 	defer c.g.inFlight.Add(-1)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	c.await(cancel)
+	x := &exchange{g: c.g, out: w, head: head, body: body, terms: terms, came: came, leave: cancel}
 	if termsErr != nil {
 		x.limit = came
 		x.refuse(refuse(http.StatusBadRequest, reasonBadRequest))
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -22,6 +22,8 @@
 	terms site.Terms
 	came  time.Time
 	limit time.Time // By when the final answer is given.
+	// leave ends the request because its client's connection has ended.
+	leave context.CancelCauseFunc
 
 	route        *site.Route
 	organisation *site.Organisation
@@ -79,34 +81,49 @@
 	defer cancel()
 	defer func() { x.leaveQueue(time.Now()) }()
 	if f, ok := x.enqueue(ctx); !ok {
-		x.refuse(f)
+		x.conclude(ctx, f)
 		return
 	}
 	for {
-		again, f := x.try(ctx)
-		switch {
-		case again:
-			continue
-		case context.Cause(ctx) == errClientLeft:
-			x.g.metrics.left.Add(1)
-			x.g.log.Info("client left", "request", x.terms.ID, "route", x.route.Name, "after", time.Since(x.came), "attempts", x.ran)
-			x.out.fail()
-		case context.Cause(ctx) == errStopped:
-			x.g.log.Warn("cut by a stop", "request", x.terms.ID, "route", x.route.Name, "after", time.Since(x.came), "attempts", x.ran)
-			x.out.fail()
-		case f.status == 0:
-		case x.stream != nil:
-			x.g.log.Info("stream cut", "request", x.terms.ID, "route", x.route.Name, "reason", f.reason)
-			x.out.fail()
-		case x.held != nil:
-			x.writeWhole(x.held)
-		default:
-			x.refuse(f)
+		if again, f := x.try(ctx); !again {
+			x.conclude(ctx, f)
+			return
 		}
-		return
 	}
 }
 
+// conclude ends a request that is not tried again: with f, if its status is set and
+// there is somebody to tell and nothing better to say.
+func (x *exchange) conclude(ctx context.Context, f refusal) {
+	switch {
+	case context.Cause(ctx) == errClientLeft:
+		x.g.metrics.left.Add(1)
+		x.g.log.Info("client left", "request", x.terms.ID, "route", x.route.Name, "after", time.Since(x.came), "attempts", x.ran)
+		x.out.fail()
+	case context.Cause(ctx) == errStopped:
+		x.g.log.Warn("cut by a stop", "request", x.terms.ID, "route", x.route.Name, "after", time.Since(x.came), "attempts", x.ran)
+		x.out.fail()
+	case f.status == 0:
+	case x.stream != nil:
+		x.g.log.Info("stream cut", "request", x.terms.ID, "route", x.route.Name, "reason", f.reason)
+		x.out.fail()
+	case x.held != nil:
+		x.writeWhole(x.held)
+	default:
+		x.refuse(f)
+	}
+}
+
+// over says whether there is nobody to send the request for any more. It looks at the
+// connection itself: a client's close may have come, and the goroutine that waits for
+// it not have run.
+func (x *exchange) over(ctx context.Context) bool {
+	if err := clientLeft(x.out.conn); err != nil {
+		x.leave(err)
+	}
+	return ctx.Err() != nil
+}
+
 // admit finds out how the request is to be served; ok is false if it is refused.
 func (x *exchange) admit() (f refusal, ok bool) {
 	s := x.g.beliefs.Snapshot()
@@ -211,7 +228,7 @@
 // request was answered, or f is what to answer if its status is set.
 func (x *exchange) try(ctx context.Context) (again bool, f refusal) {
 	now := time.Now()
-	if x.limit.Sub(now) < timeLeft {
+	if x.limit.Sub(now) < timeLeft || x.over(ctx) {
 		return false, x.outOfTime()
 	}
 	choice, ok := x.pick(now)
