A test: a client that leaves behind its next request is not noticed

While a replica works on a request the client sends more and closes: its whole next request, a part of it, or more than the node buffers.

--- a/internal/standin/onplatform/gone_test.go
+++ b/internal/standin/onplatform/gone_test.go
@@ -305,6 +305,32 @@
 	k.assertEnded(t, time.Now(), a)
 }
 
+// Behind the request that a replica works on, the node has bytes of the client's next
+// ones when the client leaves.
+func TestClientThatLeavesBehindItsNextRequestHasTheReplicaStop(t *testing.T) {
+	whole := request("GET", "/safe/x", "")
+	for name, next := range map[string]string{
+		"whole":                      whole,
+		"part":                       whole[:20],
+		"more than the node buffers": request("POST", "/safe/x", strings.Repeat("x", 64<<10)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			k := &work{}
+			a := s.replica(app, "a")
+			a.Script(k.on(onplatform.Hang))
+			n := s.node("n1")
+			c := n.dial()
+			c.write(request("GET", "/safe/x", ""))
+			s.until("the request is at the replica", func() bool { return len(a.Seen()) == 1 })
+			c.write(next)
+			time.Sleep(workTime) // The node has read it.
+			k.assertEnded(t, c.leave(), a)
+			assert.Equal(t, len(a.Seen()), 1)
+		})
+	}
+}
+
 // The node comes to a request only once its client has left: it was busy with the one
 // before it.
 func TestRequestThatTheNodeReadsAfterItsClientHasLeftIsNotSent(t *testing.T) {
