--- a/internal/standin/onplatform/gone_test.go
+++ b/internal/standin/onplatform/gone_test.go
@@ -1,16 +1,20 @@
 package onplatform_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
@@ -292,6 +296,75 @@
 	k.assertEnded(t, c.leave(), a)
 }
 
+// deafReplica is a replica whose connections are not read until it is told to.
+type deafReplica struct {
+	ln      net.Listener
+	hear    chan struct{}
+	came    chan struct{}
+	arrived atomic.Int64 // Requests that were whole.
+}
+
+// deafBuffer is the receive buffer of such a connection, in bytes.
+const deafBuffer = 4 << 10
+
+func (s *site) deaf(service, id string) *deafReplica {
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		if err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, deafBuffer)
+		}); err != nil {
+			return err
+		}
+		return failed
+	}}
+	ln, err := lc.Listen(s.t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(s.t, err)
+	r := &deafReplica{ln: ln, hear: make(chan struct{}), came: make(chan struct{}, 1)}
+	s.t.Cleanup(func() { _ = ln.Close() })
+	go r.accept()
+	s.store.Put(onplatform.TableUpstreams, id, map[string]any{"service": service, "addr": ln.Addr().String(), "zone": "hall-a", "slots": 8, "state": "ready"})
+	return r
+}
+
+func (r *deafReplica) accept() {
+	for {
+		conn, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		r.came <- struct{}{}
+		go r.serve(conn)
+	}
+}
+
+func (r *deafReplica) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	<-r.hear
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err == nil {
+		r.arrived.Add(1)
+	}
+}
+
+// The replica takes no bytes for a while, and then what the node's system still holds.
+func TestClientThatLeavesASilentReplicaIsNotSentLate(t *testing.T) {
+	s := newSite(t)
+	r := s.deaf(app, "a")
+	n := s.node("n1")
+	c := n.dial()
+	c.write(request("POST", "/safe/x", strings.Repeat("x", 512<<10)))
+	<-r.came
+	time.Sleep(workTime / 2) // It is being sent.
+	left := c.leave()
+	time.Sleep(time.Until(left.Add(leaveTime + workTime)))
+	close(r.hear)
+	time.Sleep(lateTime)
+	assert.Equal(t, r.arrived.Load(), int64(0), "it arrived after its client had left")
+}
+
 func TestClientThatEndsItsSideHasTheReplicaStop(t *testing.T) {
 	s := newSite(t)
 	k := &work{}
--- /dev/null
+++ b/service/gateway/attempt_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/http1"
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/platform"
+)
+
+// A client may leave while the connection to a replica is being made, which takes a
+// round trip: the replica is not to get its request then.
+func TestAttemptWhoseClientLeftWhileItConnectedSendsNothing(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, ln.Close()) }()
+	ctx, leave := context.WithCancelCause(t.Context())
+	leave(errClientLeft)
+	near, far := net.Pipe()
+	defer func() { assert.NilError(t, near.Close()) }()
+	defer func() { assert.NilError(t, far.Close()) }()
+	x := &exchange{
+		out:   &clientWriter{conn: near},
+		head:  &http1.Head{Method: "GET", Target: "/x"},
+		terms: site.Terms{ID: "r"},
+		route: &site.Route{},
+		leave: leave,
+	}
+	for range 20 {
+		a := &attempt{
+			conns:   newUpstreamConns(),
+			codec:   platform.Codec{},
+			choice:  route.Choice{Upstream: site.Upstream{ID: "a", Addr: ln.Addr().(*net.TCPAddr).AddrPort()}},
+			writing: make(chan struct{}),
+		}
+		_, _ = a.begin(ctx, x, &site.Dispatch{Instance: "a"}) // What arrives tells.
+		a.finish()
+		conn, err := ln.Accept()
+		assert.NilError(t, err)
+		got, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), "")
+		assert.NilError(t, conn.Close())
+	}
+}
