What a replica has not taken is dropped when its request ends

Cause: an attempt ends by closing its connection, and the system goes on sending what was written to one that is closed. A replica that falls silent and comes back so got whole requests late. And an attempt did not look at the client between connecting, which takes a round trip, and writing.

Ruled out: a reset in all cases. It is not sent again if it is lost, while a close is, so a connection whose bytes the replica has all acknowledged is closed as before.

Change: a connection with unacknowledged bytes is reset when its request ends, by the client's leaving or by its limit; and the client is looked for once more behind the connecting. Nothing is then noted against the replica.

--- a/pkg/http1/conn.go
+++ b/pkg/http1/conn.go
@@ -48,6 +48,28 @@
 	return left, err
 }
 
+// Abort closes a connection and drops what its peer has not acknowledged: after a mere
+// close the system goes on sending that. Where there is nothing to drop the close is an
+// orderly one, which is told again if it is lost, as a reset is not.
+func Abort(conn net.Conn) {
+	if t, ok := conn.(*net.TCPConn); ok && unacknowledged(t) {
+		_ = t.SetLinger(0) // A connection that has been closed has nothing to drop.
+	}
+	_ = conn.Close() // Nothing is left to be done with it.
+}
+
+func unacknowledged(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) // A socket of TCP has it.
+	})
+	return err == nil && n > 0
+}
+
 // Quiet says whether a connection that rests between two messages is still open
 // and has nothing to be read; it may take a byte out, so one that is not quiet
 // has to be closed.
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -21,6 +21,8 @@
 const (
 	// fateUnsent: no byte has left, so it did not run.
 	fateUnsent fate = iota
+	// fateOver: no byte has left, as there is nobody to send it for any more.
+	fateOver
 	// fateNotRun: the replica says that it did not run.
 	fateNotRun
 	// fateUnknown: it may have run.
@@ -99,7 +101,14 @@
 		return fateUnsent, err
 	}
 	conn := a.conn.conn
-	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() }) // It ends reads and writes.
+	if x.over(ctx) { // Connecting may have taken long.
+		a.conn.close()
+		a.conn = nil
+		return fateOver, nil
+	}
+	// It ends reads and writes, and what a replica has not yet taken does not reach it
+	// late.
+	a.stop = context.AfterFunc(ctx, func() { http1.Abort(conn) })
 	length := http1.NoLength
 	if len(x.body) > 0 || x.head.Has("Content-Length") || x.head.Has("Transfer-Encoding") {
 		length = len(x.body)
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -255,6 +255,10 @@
 		return x.notRun(a, now)
 	case fateUnsent:
 		return x.unsent(ctx, a, err, now)
+	case fateOver:
+		a.end(route.OutcomeNeutral, now)
+		a.plan.Cancel()
+		return false, x.outOfTime()
 	default:
 		return x.unknown(ctx, a, err, now)
 	}
