A node goes on taking connections after a shortage

Cause: accepting ended for good at its first error, on the listener for requests and on those beside it (whether the node is ready, where clients are to go). And a node whose places were all taken closed each new connection, also where those that took them only rested.

Ruled out: slow clients. Their places are free again once the time for a head, and half a second in which the refusal can be read, are over.

Change: a listener that goes on after a failure, one log line for each row of failures ("accept failed"); with no place left the connection that has rested longest, for 0.1 s at least, ends to make room.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -158,6 +158,9 @@
 	{"node row can't be read", Failure, "Another node's address is not understood.", []Key{keyRow, keyErr}},
 	{"note not sent", Failure, "A note to other nodes could not be made.", []Key{{"method", "the note"}, keyErr}},
 	{"side server ended", Failure, "A listener beside the one for requests failed.", []Key{keyErr}},
+	{"accept failed", Failure, "A listener could not take a connection, most often for want of descriptors; it is tried again until it can.", []Key{
+		{"listen", "the listener's address"}, keyErr,
+	}},
 	{"no longer accepting", Failure, "The listener for requests failed.", []Key{keyErr}},
 	{"lines left out", Failure, "Lines were left out since the last of this kind, by class.", []Key{
 		{"routine", "lines of class routine"}, {"change", "of class change"}, {"failure", "of class failure"},
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -32,8 +32,10 @@
 	r    *bufio.Reader
 	// mu keeps the end of a rest and its hurrying apart: a deadline that is set
 	// once a request is served would look as if its client had left.
-	mu    sync.Mutex
-	state connState
+	mu      sync.Mutex
+	state   connState
+	entered time.Time // The state.
+	hurried bool      // The rest is ending.
 	// next tells when the first byte of the next request has come.
 	next chan error
 }
@@ -66,7 +68,13 @@
 )
 
 func newClientConn(g *Gateway, conn net.Conn) *clientConn {
-	return &clientConn{g: g, conn: conn, r: bufio.NewReaderSize(conn, clientBuffer), next: make(chan error, 1)}
+	return &clientConn{
+		g:       g,
+		conn:    conn,
+		r:       bufio.NewReaderSize(conn, clientBuffer),
+		entered: time.Now(),
+		next:    make(chan error, 1),
+	}
 }
 
 // serve carries requests until the connection ends.
@@ -148,7 +156,7 @@
 func (c *clientConn) enter(s connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state = s
+	c.state, c.entered, c.hurried = s, time.Now(), false
 }
 
 func (c *clientConn) carries() connState {
@@ -157,13 +165,24 @@
 	return c.state
 }
 
-// hurry ends a rest, if the connection rests.
-func (c *clientConn) hurry() {
+// restsSince is when the connection came to rest; ok is false if it does not rest, or
+// its rest is ending.
+func (c *clientConn) restsSince() (t time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entered, c.state == connResting && !c.hurried
+}
+
+// hurry ends a rest, and says whether the connection rests.
+func (c *clientConn) hurry() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == connResting {
-		_ = c.conn.SetReadDeadline(time.Now()) // A closed one has ended its rest.
+	if c.state != connResting {
+		return false
 	}
+	c.hurried = true
+	_ = c.conn.SetReadDeadline(time.Now()) // A closed one has ended its rest.
+	return true
 }
 
 func (c *clientConn) setReadLimit(d time.Duration) {
--- a/service/gateway/client_conns.go
+++ b/service/gateway/client_conns.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -19,6 +20,10 @@
 	return &clientConns{open: map[*clientConn]struct{}{}, most: most}
 }
 
+// leastRest is how long a connection must have rested to give way to another: the next
+// request of one that rests for less, or is new, is likely on its way.
+const leastRest = 100 * time.Millisecond
+
 // accept serves connections until the listener is closed.
 func (s *clientConns) accept(g *Gateway, ln net.Listener) (err error) {
 	defer func() { err = eris.Wrap(err, "accept") }()
@@ -42,7 +47,7 @@
 func (s *clientConns) add(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.open) >= s.most {
+	if len(s.open) >= s.most && !s.makeRoom(time.Now()) {
 		return false
 	}
 	s.open[c] = struct{}{}
@@ -50,6 +55,20 @@
 	return true
 }
 
+// makeRoom ends the connection that has rested longest, and says whether there is one
+// that has rested for long enough. Clients that keep connections without using them
+// would else keep all others out.
+func (s *clientConns) makeRoom(now time.Time) bool {
+	var longest *clientConn
+	since := now.Add(-leastRest)
+	for c := range s.open {
+		if t, ok := c.restsSince(); ok && t.Before(since) {
+			longest, since = c, t
+		}
+	}
+	return longest != nil && longest.hurry()
+}
+
 func (s *clientConns) remove(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/service/gateway/directory.go
+++ b/service/gateway/directory.go
@@ -37,7 +37,7 @@
 func (s *sideServer) start(g *Gateway) {
 	go func() {
 		defer close(s.done)
-		if err := s.http.Serve(s.ln); err != nil {
+		if err := s.http.Serve(&listener{Listener: s.ln, log: g.log}); err != nil {
 			g.log.Error("side server ended", "err", err)
 		}
 	}()
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -186,7 +186,7 @@
 	g.wg.Go(func() { g.nodes.runSpeaker(g.ctx) })
 	g.wg.Go(func() { g.nodes.run(g.ctx, g.conf().Peer.LoadEvery.Std()) })
 	g.wg.Go(func() {
-		if err := g.clients.accept(g, g.entry); err != nil && !g.closing.Load() {
+		if err := g.clients.accept(g, &listener{Listener: g.entry, log: g.log}); err != nil && !g.closing.Load() {
 			g.log.Error("no longer accepting", "err", err)
 		}
 	})
