--- a/pkg/http1/conn.go
+++ b/pkg/http1/conn.go
@@ -29,6 +29,47 @@
 	return d.Dial("tcp", addr)
 }
 
+// PeerLeft says whether the peer of a TCP connection has closed it, or its own side of
+// it, or reset it. It tells so also while bytes that came before are unread, where
+// reading would not. The error says that the connection was closed here.
+func PeerLeft(conn net.Conn) (left bool, err error) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false, nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, failed := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		left = failed == nil && info.State != unix.BPF_TCP_ESTABLISHED
+	})
+	return left, err
+}
+
+// Abort closes a connection and drops what its peer has not acknowledged: after a mere
+// close the system goes on sending that. Where there is nothing to drop the close is an
+// orderly one, which is told again if it is lost, as a reset is not.
+func Abort(conn net.Conn) {
+	if t, ok := conn.(*net.TCPConn); ok && unacknowledged(t) {
+		_ = t.SetLinger(0) // A connection that has been closed has nothing to drop.
+	}
+	_ = conn.Close() // Nothing is left to be done with it.
+}
+
+func unacknowledged(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) // A socket of TCP has it.
+	})
+	return err == nil && n > 0
+}
+
 // Quiet says whether a connection that rests between two messages is still open
 // and has nothing to be read; it may take a byte out, so one that is not quiet
 // has to be closed.
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -32,8 +32,10 @@
 	r    *bufio.Reader
 	// mu keeps the end of a rest and its hurrying apart: a deadline that is set
 	// once a request is served would look as if its client had left.
-	mu    sync.Mutex
-	state connState
+	mu      sync.Mutex
+	state   connState
+	entered time.Time // The state.
+	hurried bool      // The rest is ending.
 	// next tells when the first byte of the next request has come.
 	next chan error
 }
@@ -58,18 +60,27 @@
 	// lingerTime is for how long a client that is refused is read on, so that it
 	// sees the answer and not a reset.
 	lingerTime = 500 * time.Millisecond
+	// leaveEvery is how often it is looked whether a client has left that has sent
+	// more: a fifth of the half second within which a replica is to stop.
+	leaveEvery = 100 * time.Millisecond
 	// bodyTime bounds a body whose head tells no limit.
 	bodyTime = 10 * time.Second
 )
 
 func newClientConn(g *Gateway, conn net.Conn) *clientConn {
-	return &clientConn{g: g, conn: conn, r: bufio.NewReaderSize(conn, clientBuffer), next: make(chan error, 1)}
+	return &clientConn{
+		g:       g,
+		conn:    conn,
+		r:       bufio.NewReaderSize(conn, clientBuffer),
+		entered: time.Now(),
+		next:    make(chan error, 1),
+	}
 }
 
 // serve carries requests until the connection ends.
 func (c *clientConn) serve() {
 	defer c.close()
-	c.await(nil)
+	c.await(context.Background(), nil)
 	for c.rest() {
 		if !c.one() {
 			return
@@ -77,22 +88,60 @@
 	}
 }
 
-// await waits for the next byte beside whatever else is done; left is called if
-// the connection ends instead.
-func (c *clientConn) await(left context.CancelCauseFunc) {
+// await waits for the next byte beside whatever else is done until ctx ends; left is
+// called if the connection ends instead, or behind that byte.
+func (c *clientConn) await(ctx context.Context, left context.CancelCauseFunc) {
 	go func() {
 		_, err := c.r.Peek(1)
-		switch {
-		case err == nil || left == nil:
-		case errors.Is(err, net.ErrClosed):
-			left(errStopped)
-		default:
-			left(errClientLeft)
+		if err != nil && left != nil {
+			left(leaveCause(err))
 		}
 		c.next <- err
+		if err == nil && left != nil {
+			c.watch(ctx, left)
+		}
 	}()
 }
 
+// watch looks whether the client leaves. Bytes of its next request, which nobody reads
+// yet, keep a read from telling so.
+func (c *clientConn) watch(ctx context.Context, left context.CancelCauseFunc) {
+	t := time.NewTicker(leaveEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if err := clientLeft(c.conn); err != nil {
+			left(err)
+			return
+		}
+	}
+}
+
+// clientLeft is why a client's connection carries no answer any more, nil if it does.
+func clientLeft(conn net.Conn) error {
+	left, err := http1.PeerLeft(conn)
+	switch {
+	case err != nil:
+		return leaveCause(err)
+	case left:
+		return errClientLeft
+	default:
+		return nil
+	}
+}
+
+// leaveCause tells a connection that the node has closed from one that its client has.
+func leaveCause(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return errStopped
+	}
+	return errClientLeft
+}
+
 // rest waits for the next request and says whether there is one.
 func (c *clientConn) rest() bool {
 	c.setReadLimit(c.g.limits().IdleTimeout)
@@ -107,7 +156,7 @@
 func (c *clientConn) enter(s connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state = s
+	c.state, c.entered, c.hurried = s, time.Now(), false
 }
 
 func (c *clientConn) carries() connState {
@@ -116,13 +165,24 @@
 	return c.state
 }
 
-// hurry ends a rest, if the connection rests.
-func (c *clientConn) hurry() {
+// restsSince is when the connection came to rest; ok is false if it does not rest, or
+// its rest is ending.
+func (c *clientConn) restsSince() (t time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == connResting {
-		_ = c.conn.SetReadDeadline(time.Now()) // A closed one has ended its rest.
+	return c.entered, c.state == connResting && !c.hurried
+}
+
+// hurry ends a rest, and says whether the connection rests.
+func (c *clientConn) hurry() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != connResting {
+		return false
 	}
+	c.hurried = true
+	_ = c.conn.SetReadDeadline(time.Now()) // A closed one has ended its rest.
+	return true
 }
 
 func (c *clientConn) setReadLimit(d time.Duration) {
@@ -155,13 +215,13 @@
 		old:      head.Minor == 0,
 		closing:  func() bool { return last || c.g.stopping() },
 	}
-	x := &exchange{g: c.g, out: w, head: head, body: body, terms: terms, came: came}
 	_ = c.conn.SetWriteDeadline(came.Add(c.g.holdMost(&terms) + writeSlack)) // The next write tells.
 	c.g.inFlight.Add(1)
 	defer c.g.inFlight.Add(-1)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	c.await(cancel)
+	c.await(ctx, cancel)
+	x := &exchange{g: c.g, out: w, head: head, body: body, terms: terms, came: came, leave: cancel}
 	if termsErr != nil {
 		x.limit = came
 		x.refuse(refuse(http.StatusBadRequest, reasonBadRequest))
