--- /dev/null
+++ b/internal/netproxy/doc.go
@@ -0,0 +1,3 @@
+// Package netproxy is a loopback proxy that brings faults upon the connections
+// through it.
+package netproxy
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
 )
 
@@ -39,10 +40,10 @@
 	{"store behind", storeMode(onplatform.ModeStale)},
 	{"store forgets", func(s *soak, _ *rand.Rand, _ time.Duration) { s.store.Forget() }},
 	{"store cut", (*soak).cutStore},
-	{"store resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyNode(rng).store.reset() }},
+	{"store resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyNode(rng).store.Reset() }},
 	{"replica slow", (*soak).slowReplica},
 	{"replica cut one way", (*soak).cutReplica},
-	{"replica resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyReplica(rng).proxy.reset() }},
+	{"replica resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyReplica(rng).proxy.Reset() }},
 	{"replica faulty", (*soak).faultyReplica},
 	{"replica leaves", (*soak).drainReplica},
 	{"replica crashes", (*soak).crashReplica},
@@ -107,17 +108,17 @@
 	}
 }
 
-func (s *soak) cutStore(rng *rand.Rand, d time.Duration) { s.anyNode(rng).store.cutOneWay(rng, d) }
+func (s *soak) cutStore(rng *rand.Rand, d time.Duration) { s.anyNode(rng).store.CutOneWay(rng, d) }
 
 func (s *soak) slowReplica(rng *rand.Rand, d time.Duration) {
 	r := s.anyReplica(rng)
-	l := link{delay: time.Duration(rng.Int64N(int64(delayMost)))}
-	r.proxy.set(l, l)
+	l := netproxy.Link{Delay: time.Duration(rng.Int64N(int64(delayMost)))}
+	r.proxy.Set(l, l)
 	time.Sleep(d)
-	r.proxy.heal()
+	r.proxy.Heal()
 }
 
-func (s *soak) cutReplica(rng *rand.Rand, d time.Duration) { s.anyReplica(rng).proxy.cutOneWay(rng, d) }
+func (s *soak) cutReplica(rng *rand.Rand, d time.Duration) { s.anyReplica(rng).proxy.CutOneWay(rng, d) }
 
 func (s *soak) faultyReplica(rng *rand.Rand, d time.Duration) {
 	r := s.anyReplica(rng)
@@ -154,7 +155,7 @@
 // crashReplica ends a replica, whose entry goes later.
 func (s *soak) crashReplica(rng *rand.Rand, d time.Duration) {
 	if old := s.swapReplica(rng); old != nil {
-		old.proxy.close()
+		old.proxy.Close()
 		time.Sleep(d)
 		s.store.Drop(onplatform.TableUpstreams, old.ID)
 		s.retire(old)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/internal/netproxy"
 )
 
 const (
@@ -28,7 +30,7 @@
 	ip      string
 	file    string
 	log     *os.File
-	store   *proxy // Before the platform's store.
+	store   *netproxy.Proxy // Before the platform's store.
 	program string
 
 	busy sync.Mutex // Held while a fault of the process itself goes on.
@@ -44,7 +46,7 @@
 
 func (n *node) entry() string { return n.ip + ":8001" }
 
-func newNode(dir, name, ip, program string, store *proxy, broken func(string, ...any)) (n *node, err error) {
+func newNode(dir, name, ip, program string, store *netproxy.Proxy, broken func(string, ...any)) (n *node, err error) {
 	defer func() { err = eris.Wrapf(err, "node %s", name) }()
 	n = &node{name: name, ip: ip, file: filepath.Join(dir, name+".json"), store: store, program: program, broken: broken}
 	text := fmt.Sprintf(`{
@@ -55,7 +57,7 @@
 	"retry": {"share": 0.2, "window": "10s", "slack": 50},
 	"stop": {"grace": %[4]q},
 	"orders": {"pause": "1s", "within": "10s"}
-}`, name, ip, store.addr().String(), grace)
+}`, name, ip, store.Addr().String(), grace)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -155,5 +157,5 @@
 	n.signal(syscall.SIGKILL, true)
 	<-n.ended
 	_ = n.log.Close() // It was written by the process.
-	n.store.close()
+	n.store.Close()
 }
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
 )
 
@@ -25,7 +26,7 @@
 // replica is one replica behind a proxy.
 type replica struct {
 	*onplatform.Replica
-	proxy  *proxy
+	proxy  *netproxy.Proxy
 	ledger *ledger
 	way    atomic.Int32
 }
@@ -37,12 +38,12 @@
 		return nil, err
 	}
 	r.Script(r.answer)
-	r.proxy, err = newProxy(r.Addr())
+	r.proxy, err = netproxy.New(r.Addr())
 	return r, err
 }
 
 func (r *replica) close() {
-	r.proxy.close()
+	r.proxy.Close()
 	r.Close()
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
 )
 
@@ -113,7 +114,7 @@
 		s.list(r, "ready")
 	}
 	for i := range s.cfg.Nodes {
-		p, err := newProxy(s.store.Addr())
+		p, err := netproxy.New(s.store.Addr())
 		if err != nil {
 			return err
 		}
@@ -167,7 +168,7 @@
 // list writes a replica's entry.
 func (s *soak) list(r *replica, state string) {
 	s.store.Put(onplatform.TableUpstreams, r.ID, map[string]any{
-		"service": service, "addr": r.proxy.addr().String(), "zone": "hall-a", "slots": 32, "state": state,
+		"service": service, "addr": r.proxy.Addr().String(), "zone": "hall-a", "slots": 32, "state": state,
 	})
 }
 
