--- a/service/peer/deadline.go
+++ b/service/peer/deadline.go
@@ -21,6 +21,10 @@
 	// in all: 6 MB at 10 Mbit/s.
 	comingPause = 300 * time.Millisecond
 	comingMost  = 5 * time.Second
+	// silentTerm is for how long nothing may come of a node that owes an answer
+	// until its connection is taken to be dead. A link of 10 Mbit/s that carries a
+	// burst of 0.5 MB besides pauses for 0.4 s.
+	silentTerm = 700 * time.Millisecond
 )
 
 // errSilent ends a call whose peer has said nothing for too long.
