A silent connection to a node is closed by the call that notices

Cause: a call that ended by its limit left its connection in use. Where a path had gone silent without a reset, held news, tables and configurations were asked for on it again and again; nothing but an unacknowledged byte ended it, and a path that acknowledges shows none.

Now a call that ends by its limit closes its connection if nothing has come on it for 0.7 s. One that is shorter, or during which something came, has a ping find out whether the node still answers, and so has a note on a connection where nothing was heard lately; the ping closes it after the same time. Nodes of before refuse the ping, which is an answer, too. A call finds no connection that has ended in the meantime.

The next call after a silent one of 1.4 s is answered on a new connection; it never was. Ruled out: closing after each call that ends by its limit, which would end the calls of others beside a slow one (TestSlowCallLeavesItsConnectionOpen); pings on resting connections, which cost bytes on narrow links for what the next call finds out by itself.

--- a/service/peer/client.go
+++ b/service/peer/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,6 +64,69 @@
 	conn  *jsonrpc2.Conn
 	timed *timedConn
 	err   error
+	// pinging is set while it is being found out whether the node still answers.
+	pinging atomic.Bool
+}
+
+// call makes a call. One that has ended by its limit may have met a path that no
+// longer carries this connection: kept, it would lose every later call as well.
+func (l *lazyConn) call(ctx context.Context, method string, params, result any) error {
+	sent := time.Now()
+	err := l.conn.Call(ctx, method, params, result)
+	if err == nil || ctx.Err() == nil {
+		return err
+	}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSilent):
+		err = errSilent
+	case !errors.Is(cause, context.DeadlineExceeded):
+		return err
+	}
+	if since := l.timed.heard(); since.After(sent) {
+		sent = since
+	}
+	if time.Since(sent) >= silentTerm {
+		_ = l.conn.Close() // Nothing comes on it any more.
+	} else {
+		l.ping()
+	}
+	return err
+}
+
+// ping finds out whether the node still answers on this connection, and closes it
+// otherwise.
+func (l *lazyConn) ping() {
+	if !l.pinging.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer l.pinging.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), silentTerm)
+		defer cancel()
+		before := l.timed.heard()
+		err := l.conn.Call(ctx, methodPing, nil, nil)
+		if err != nil && ctx.Err() != nil && l.timed.heard().Equal(before) {
+			_ = l.conn.Close() // Nothing comes on it any more.
+		}
+	}()
+}
+
+// ended says whether the connection was made and has been closed since.
+func (l *lazyConn) ended() bool {
+	select {
+	case <-l.ready:
+	default:
+		return false
+	}
+	if l.err != nil {
+		return false // Those who wait for it are told.
+	}
+	select {
+	case <-l.conn.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
 }
 
 // NewClient returns a client that authenticates with the peers' key.
@@ -77,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	return l.conn.Call(ctx, method, params, result)
+	return l.call(ctx, method, params, result)
 }
 
 // CallWithin is Call for an answer that may be large: it must begin within a time,
@@ -94,11 +158,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer l.timed.endWhenSilent(cancel, limit)()
-	err = l.conn.Call(ctx, method, params, result)
-	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
-		return errSilent
-	}
-	return err
+	return l.call(ctx, method, params, result)
 }
 
 // Notify sends a call without an answer to the node at addr.
@@ -108,6 +168,9 @@
 	if err != nil {
 		return err
 	}
+	if time.Since(l.timed.heard()) >= silentTerm {
+		l.ping() // Nothing else answers where only notes are sent.
+	}
 	return l.conn.Notify(ctx, method, params)
 }
 
@@ -135,7 +198,7 @@
 		return nil, net.ErrClosed
 	}
 	l, ok := c.conns[addr]
-	if !ok {
+	if !ok || l.ended() {
 		l = &lazyConn{ready: make(chan struct{})}
 		c.conns[addr] = l
 		go c.dial(addr, l)
--- a/service/peer/deadline.go
+++ b/service/peer/deadline.go
@@ -36,6 +36,9 @@
 	came atomic.Int64 // Nanoseconds of the Unix epoch.
 }
 
+// heard is when bytes came last.
+func (c *timedConn) heard() time.Time { return time.Unix(0, c.came.Load()) }
+
 // Read implements net.Conn.
 func (c *timedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -72,7 +75,7 @@
 			case <-done:
 				return
 			case now := <-t.C:
-				next := time.Unix(0, c.came.Load()).Add(comingPause)
+				next := c.heard().Add(comingPause)
 				if !next.After(now) || now.Sub(limit) >= comingMost {
 					cancel(errSilent)
 					return
--- a/service/peer/messages.go
+++ b/service/peer/messages.go
@@ -21,6 +21,7 @@
 	MethodDump       = "operator.dump"
 	MethodLogLevel   = "operator.log-level"
 	methodProbe      = "member.probe"
+	methodPing       = "ping"
 	errUnauthorised  = -32001
 	errUnknownMethod = -32601
 	errInternal      = -32603
--- a/service/peer/server.go
+++ b/service/peer/server.go
@@ -185,6 +185,10 @@
 		h.hello(ctx, c, req)
 		return
 	}
+	if req.Method == methodPing {
+		_ = c.Reply(ctx, req.ID, struct{}{}) // The caller sees it.
+		return
+	}
 	fn, ok := h.server.handlers[h.role][req.Method]
 	if !ok {
 		h.refuse(ctx, c, req)
