A call that timed out drops the other resting connections to its server

Cause: connections of a pool that go silent at the same moment were found out one by one, each by a call's whole limit: six calls for five connections, up to 1.5 s each for the store. Now the first time-out closes those that rest, and the next call dials: one limit in all. A call that never left (no connection, no answer to a dial) drops none.

Ruled out: taking the connection that rested shortest first, which only changes the order in which silent ones are met; keep-alive calls on resting connections, as calls to the store and to replicas are rationed.

--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -113,7 +113,13 @@
 		err = c.http.Do(req, resp)
 	}
 	if err != nil {
-		return &CallError{Path: path, NotSent: neverSent(err), Err: err}
+		failed := &CallError{Path: path, NotSent: neverSent(err), Err: err}
+		if !failed.NotSent && timedOut(err) {
+			// The path may have lost what was open on it: each connection that
+			// rests would cost a call its limit.
+			c.http.CloseIdleConnections()
+		}
+		return failed
 	}
 	if code := resp.StatusCode(); code/100 != 2 {
 		return &StatusError{Path: path, Code: code, Body: append([]byte(nil), resp.Body()...)}
@@ -124,6 +130,12 @@
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// timedOut says whether a server did not answer, or acknowledge, in time.
+func timedOut(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // neverSent says whether no byte of the request can have left.
 func neverSent(err error) bool {
 	var op *net.OpError
