A server of nodes starts no call behind the end of its connection

Cause: a connection's end waits for the calls that are being served, while the last messages of that connection are still being handled: a call that was read just then started beside the wait, and ran on after Close.

--- a/service/peer/server.go
+++ b/service/peer/server.go
@@ -120,7 +120,7 @@
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	<-c.DisconnectNotify()
-	h.wg.Wait()
+	h.end()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -175,8 +175,20 @@
 type connHandler struct {
 	server *Server
 	slots  chan struct{}
-	wg     sync.WaitGroup
 	role   Role // Only touched by the reading goroutine.
+
+	mu    sync.Mutex
+	ended bool
+	wg    sync.WaitGroup
+}
+
+// end waits for the calls that are being served; what is still read from the
+// connection starts none, which nobody would wait for.
+func (h *connHandler) end() {
+	h.mu.Lock()
+	h.ended = true
+	h.mu.Unlock()
+	h.wg.Wait()
 }
 
 // Handle implements jsonrpc2.Handler; it is called in order of arrival.
@@ -195,6 +207,11 @@
 		return
 	}
 	h.slots <- struct{}{}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return
+	}
 	h.wg.Go(func() {
 		defer func() { <-h.slots }()
 		h.call(ctx, c, req, fn)
