An answer that is being decoded is not taken for silent

Cause: the wait for an answer counted from its last bytes, also while a message that had come whole was being decoded. On a busy machine that took longer than the 0.3 s that are allowed between bytes, and the call was given up and made anew.

Found by TestLargeAnswerPassesANarrowLink, which failed once in ten runs of its package and once in 150 beside itself.

--- a/service/peer/deadline.go
+++ b/service/peer/deadline.go
@@ -34,10 +34,27 @@
 type timedConn struct {
 	net.Conn
 	came atomic.Int64 // Nanoseconds of the Unix epoch.
+	// decoding is set while a message that has come whole is decoded, which takes
+	// longer than comingPause for some MB on a busy machine.
+	decoding atomic.Bool
 }
 
-// heard is when bytes came last.
-func (c *timedConn) heard() time.Time { return time.Unix(0, c.came.Load()) }
+// heard is when bytes came last, or were still being taken in.
+func (c *timedConn) heard() time.Time {
+	if c.decoding.Load() {
+		return time.Now()
+	}
+	return time.Unix(0, c.came.Load())
+}
+
+// decodes notes that a message is being decoded until the returned function is called.
+func (c *timedConn) decodes() (done func()) {
+	c.decoding.Store(true)
+	return func() {
+		c.came.Store(time.Now().UnixNano())
+		c.decoding.Store(false)
+	}
+}
 
 // Read implements net.Conn.
 func (c *timedConn) Read(b []byte) (int, error) {
--- a/service/peer/patience_test.go
+++ b/service/peer/patience_test.go
@@ -110,3 +110,31 @@
 	}
 	assert.NilError(t, <-done)
 }
+
+// slowText is a value that takes long to decode, and notes what that looks like.
+type slowText struct {
+	conn  *timedConn
+	quiet time.Duration
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (v *slowText) UnmarshalJSON([]byte) error {
+	time.Sleep(2 * comingPause)
+	v.quiet = time.Since(v.conn.heard())
+	return nil
+}
+
+// An answer of 0.5 MB had come whole and was given up while it was decoded, which took
+// longer than the pause that is allowed between its bytes: a busy machine asked for the
+// same again. What settled it: calls that ended as silent had read the answer's last
+// byte 300 ms before.
+func TestAnswerThatIsBeingDecodedIsNotSilent(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }() // It has been written.
+	c := &timedConn{Conn: near}
+	go func() { _, _ = far.Write([]byte{2, '"', '"'}) }() // The reader sees it.
+	v := &slowText{conn: c}
+	assert.NilError(t, newStream(c).ReadObject(v))
+	assert.Assert(t, v.quiet < comingPause, "%v", v.quiet)
+	assert.Assert(t, time.Since(c.heard()) < comingPause)
+}
--- a/service/peer/server.go
+++ b/service/peer/server.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/subtle"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -134,8 +137,8 @@
 func (l rpcLog) Printf(format string, v ...any) { l.log.Debug(fmt.Sprintf(format, v...)) }
 
 // newStream frames JSON-RPC objects by a length.
-func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, limitedCodec{})
+func newStream(conn *timedConn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, limitedCodec{conn: conn})
 }
 
 // maxObject bounds one message, so that a peer can't have a node allocate
@@ -143,7 +146,10 @@
 const maxObject = 64 << 20
 
 // limitedCodec is the library's varint framing with a bound on length.
-type limitedCodec struct{ jsonrpc2.VarintObjectCodec }
+type limitedCodec struct {
+	jsonrpc2.VarintObjectCodec
+	conn *timedConn
+}
 
 // ReadObject implements jsonrpc2.ObjectCodec.
 func (c limitedCodec) ReadObject(r *bufio.Reader, v any) error {
@@ -158,7 +164,16 @@
 	if size, ok := uvarint(head); !ok || size > maxObject {
 		return eris.Errorf("message of %d bytes is too long", size)
 	}
-	return c.VarintObjectCodec.ReadObject(r, v)
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	var message bytes.Buffer
+	if _, err := io.CopyN(&message, r, int64(size)); err != nil {
+		return err
+	}
+	defer c.conn.decodes()()
+	return json.Unmarshal(message.Bytes(), v)
 }
 
 func uvarint(b []byte) (size uint64, ok bool) {
