Tests of connections that go silent: to replicas, the store and kept state

One for each kind of connection and each way that may be lost: to the far end, from it, both. The others hold already, those between nodes since calls close what they find silent.

Requests of a site's test may now be sent through proxies, and the part of two nodes' tests that found a node that is told by another is one function.

--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/platform"
@@ -42,6 +44,7 @@
 	limits  map[string]any
 	extra   []map[string]any // Further services.
 	log     *slog.Logger
+	way     *netproxy.Proxy // To the store, nil for none.
 }
 
 func newSite(t *testing.T) *site {
@@ -89,7 +92,12 @@
 }
 
 func (s *site) list(service string, r *onplatform.Replica, state string, weights int) {
-	row := map[string]any{"service": service, "addr": r.Addr().String(), "zone": "hall-a", "slots": 8, "state": state}
+	s.listAt(service, r, r.Addr(), state, weights)
+}
+
+// listAt lists a replica that is reached at another address.
+func (s *site) listAt(service string, r *onplatform.Replica, addr netip.AddrPort, state string, weights int) {
+	row := map[string]any{"service": service, "addr": addr.String(), "zone": "hall-a", "slots": 8, "state": state}
 	if service == llm {
 		row["models"] = []map[string]any{{"name": model, "config_version": weights}}
 	}
@@ -116,6 +124,10 @@
 
 func (s *site) settings(name string) config.GatewaySettings {
 	ip := freeIP()
+	store := s.store.Addr()
+	if s.way != nil {
+		store = s.way.Addr()
+	}
 	text := fmt.Sprintf(`{
 		"node": {"name": %q, "data_hall": "hall-a"},
 		"entry": {"listen": "%[2]s:8001", "ready": "%[2]s:8002", "directory": "%[2]s:8003", "max_age": "1s"},
@@ -125,7 +137,7 @@
 		"stop": {"grace": "5s"},
 		"orders": {"pause": "300ms", "within": "10s"},
 		"log": {"level": "error"}
-	}`, name, ip, s.store.Addr().String())
+	}`, name, ip, store.String())
 	settings, err := config.ParseGateway([]byte(text))
 	assert.NilError(s.t, err)
 	return settings
--- a/service/gateway/holdings_test.go
+++ b/service/gateway/holdings_test.go
@@ -134,16 +134,7 @@
 	server.Handle(peer.RolePeer, methodHeld, teller.serve)
 	server.Start()
 	t.Cleanup(server.Close)
-	var wantTold *holdings
-	for i := range 20 { // Find a name for which the teller is not the node itself.
-		owner := control.Member{Name: "n0", DataHall: "h", State: control.MemberAlive, Peer: server.Addr(), Incarnation: 1}
-		told := newTestHoldings(t, fmt.Sprintf("told%d", i), nil, owner)
-		if addr, ok := told.source("h"); ok && addr == server.Addr() {
-			wantTold = told
-			break
-		}
-	}
-	assert.Assert(t, wantTold != nil)
+	wantTold := toldBy(t, server.Addr())
 	teller.refresh(t.Context())
 	wantTold.refresh(t.Context())
 	eventually(t, "what is held is told on", func() bool { return wantTold.holds("a") })
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
@@ -80,12 +81,15 @@
 	store         *tableStore
 	reader, asker *readers
 	server        *peer.Server
+	way           *netproxy.Proxy // To the reader.
 }
 
 func newTestHall(t *testing.T) *testHall {
 	log := slog.New(slog.DiscardHandler)
 	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, log)
 	assert.NilError(t, err)
+	way, err := netproxy.New(server.Addr())
+	assert.NilError(t, err)
 	client := peer.NewClient("key")
 	var list []control.Member
 	for i := range directMost + 2 {
@@ -96,7 +100,7 @@
 	asker := control.Member{}
 	for i := range list {
 		if list[i].Name == owner.Name {
-			list[i].Peer = server.Addr()
+			list[i].Peer = way.Addr()
 			owner = list[i]
 		} else {
 			asker = list[i]
@@ -113,19 +117,28 @@
 		reader: newReaders(store, owner, members(owner), client, log),
 		asker:  newReaders(store, asker, members(asker), client, log),
 		server: server,
+		way:    way,
 	}
 	server.Handle(peer.RolePeer, methodChanges, h.reader.serve)
 	server.Start()
 	t.Cleanup(func() {
 		client.Close()
+		way.Close()
 		server.Close()
 	})
 	return h
 }
 
+// trust has the asker no longer do without its hall's reader.
+func (h *testHall) trust() {
+	h.asker.mu.Lock()
+	defer h.asker.mu.Unlock()
+	clear(h.asker.doubted)
+}
+
 // doubt has the asker do without its hall's reader.
 func (h *testHall) doubt() {
-	h.asker.doubt(site.TableUpstreams, h.server.Addr(), time.Now(), errReaderBehind)
+	h.asker.doubt(site.TableUpstreams, h.way.Addr(), time.Now(), errReaderBehind)
 }
 
 // age has the reader not have heard from the store for long.
@@ -340,7 +353,7 @@
 		var list []control.Member
 		for _, m := range h.asker.members.All() {
 			if m.Name != h.asker.self.Name {
-				m.Peer, m.Incarnation = h.server.Addr(), m.Incarnation+1
+				m.Peer, m.Incarnation = h.way.Addr(), m.Incarnation+1
 				list = append(list, m)
 			}
 		}
--- /dev/null
+++ b/service/gateway/silence_test.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/netproxy"
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/service/peer"
+)
+
+// serveBehind serves a method between nodes; it is reached through the proxy only.
+func serveBehind(t *testing.T, method string, fn peer.HandlerFunc) *netproxy.Proxy {
+	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	server.Handle(peer.RolePeer, method, fn)
+	server.Start()
+	t.Cleanup(server.Close)
+	p, err := netproxy.New(server.Addr())
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
+
+// eachWay runs a test for each way in which a path may lose what is on it.
+func eachWay(t *testing.T, test func(t *testing.T, silence func(*netproxy.Proxy))) {
+	for name, way := range map[string][2]bool{"to": {true, false}, "from": {false, true}, "both": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(t, func(p *netproxy.Proxy) {
+				assert.Equal(t, p.Silence(way[0], way[1], func() bool { return true }), 1)
+			})
+		})
+	}
+}
+
+// callTime is by when a call that is held by another node for a second must have ended
+// once its connection is silent, and one on a new connection have been answered.
+const callTime = heldWait + readerSlack + heldRetry + time.Second
+
+// What engines hold is told on one connection between two nodes. After it went silent,
+// the node that was told had nothing of that hall's engines for good.
+func TestTellerIsHeardAgainAfterItsConnectionWentSilent(t *testing.T) {
+	eachWay(t, func(t *testing.T, silence func(*netproxy.Proxy)) {
+		e := &tellingEngines{}
+		e.tell(part("a", 100))
+		teller := newTestHoldings(t, "n0", e)
+		p := serveBehind(t, methodHeld, teller.serve)
+		told := toldBy(t, p.Addr())
+		teller.refresh(t.Context())
+		told.refresh(t.Context())
+		eventually(t, "what is held is told on", func() bool { return told.holds("a") })
+		silence(p)
+		begun := time.Now()
+		e.tell(part("b", 100))
+		eventually(t, "changes are told on", func() bool { return told.holds("b") })
+		assert.Assert(t, time.Since(begun) < callTime, "%v", time.Since(begun))
+	})
+}
+
+// toldBy returns a node that is told what engines hold by the node at addr.
+func toldBy(t *testing.T, addr netip.AddrPort) *holdings {
+	for i := range 20 { // Find a name for which the teller is not the node itself.
+		owner := control.Member{Name: "n0", DataHall: "h", State: control.MemberAlive, Peer: addr, Incarnation: 1}
+		told := newTestHoldings(t, fmt.Sprintf("told%d", i), nil, owner)
+		if from, ok := told.source("h"); ok && from == addr {
+			return told
+		}
+	}
+	t.Fatal("each node tells itself")
+	return nil
+}
+
+// A reader's connection went silent: the store is asked instead, and the reader again
+// once it is no longer passed over.
+func TestReaderIsAskedAgainAfterItsConnectionWentSilent(t *testing.T) {
+	eachWay(t, func(t *testing.T, silence func(*netproxy.Proxy)) {
+		h := newTestHall(t)
+		h.store.add("a")
+		h.read(t)
+		h.store.add("b")
+		_, err := h.reader.Changes(t.Context(), site.TableUpstreams, 1, 0)
+		assert.NilError(t, err)
+		changes := func() {
+			t.Helper()
+			begun := time.Now()
+			l, err := h.asker.Changes(t.Context(), site.TableUpstreams, 1, readerHold)
+			assert.NilError(t, err)
+			assert.Equal(t, len(l.Rows), 1)
+			assert.Assert(t, time.Since(begun) < callTime)
+		}
+		changes()
+		silence(h.way)
+		before := h.store.count()
+		changes()
+		assert.Equal(t, h.store.count(), before+1)
+		h.trust()
+		changes()
+		assert.Equal(t, h.store.count(), before+1, "the reader is asked again")
+	})
+}
+
+// A store's events are told on by the node that follows it.
+func TestWatcherIsHeardAgainAfterItsConnectionWentSilent(t *testing.T) {
+	eachWay(t, func(t *testing.T, silence func(*netproxy.Proxy)) {
+		follows := newWatchers(nil, control.Member{}, nil, nil)
+		batch := site.CacheChanges{Boot: 1, Next: 10, Changes: []site.CacheChange{{Realm: "r", Part: "a", Tokens: 1}}}
+		follows.keep("s", 0, batch)
+		p := serveBehind(t, methodEvents, follows.serve)
+		self := control.Member{Name: "n0", DataHall: "h", Incarnation: 1, Link: 10}
+		other := control.Member{Name: "n1", DataHall: "h", Incarnation: 1, Link: 200, Peer: p.Addr()}
+		m := control.NewMembers(self, time.Second, nil, newRand())
+		m.Merge([]control.Member{other}, time.Now())
+		client := peer.NewClient("key")
+		t.Cleanup(client.Close)
+		asks := newWatchers(nil, self, m, client)
+		store := &site.Service{Name: "s", Store: &site.Store{MaxWatches: spareWatches + 1}}
+		ask := func() (site.CacheChanges, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), callTime)
+			defer cancel()
+			return asks.changes(ctx, store, 1, 0, eventWait)
+		}
+		c, err := ask()
+		assert.NilError(t, err)
+		assert.Equal(t, len(c.Changes), 1)
+		silence(p)
+		_, err = ask()
+		assert.ErrorContains(t, err, "no answer in time")
+		c, err = ask()
+		assert.NilError(t, err)
+		assert.Equal(t, len(c.Changes), 1)
+	})
+}
