A silence on one connection to a replica drops those that rest

Cause: connections to a replica that went silent while they rested were tried one by one. Each took a request with it, which may run once only and so ended with 504 at its limit; behind the first of five, the next one was lost, too, and only their age (2.4 s where the replica tells none) ended that. What is not acknowledged is ended after 0.9 s, but a path may acknowledge and lose.

Now a request that is given up after a second or more in which nothing came closes the connections to that replica that rest: the log line "resting connections closed" and the counter resting_connections_closed tell of it. The request itself is answered as before and sent once.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -81,6 +81,11 @@
 	{"replica not reached", Failure, "No connection to a replica could be made; nothing was sent.", []Key{
 		keyRequest, keyReplica, {"addr", "the replica's address"}, keyErr,
 	}},
+	{"resting connections closed", Failure, "An answer was given up after a silence; the connections to its replica that rested may be as silent.", []Key{
+		keyRequest, keyReplica,
+		{"quiet", "nanoseconds for which nothing had come"},
+		{"closed", "how many connections"},
+	}},
 	{"answer lost", Failure, "A connection broke before the head of the answer; the request may have run.", []Key{keyRequest, keyReplica, keyAttempts, keyErr}},
 	{"answer cut short", Failure, "An answer's body broke off; the request has run.", []Key{keyRequest, keyReplica, keyErr}},
 	{"stream broke off", Failure, "A stream of events broke off at its replica.", []Key{
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -175,6 +175,29 @@
 	return errors.As(err, &timeout) && timeout.Timeout() && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// silentLeast is for how long a replica must have said nothing on a connection that is
+// given up for those that rest to be given up with it. Most answers begin sooner, so
+// that slow ones cost few new connections.
+const silentLeast = time.Second
+
+// dropResting closes the resting connections to a replica from which an attempt that
+// ended had heard nothing for long: where a path has lost what was open on it, each of
+// them would cost another request its whole time.
+func (x *exchange) dropResting(a *attempt, now time.Time) {
+	heard := a.begun
+	if a.last.After(heard) {
+		heard = a.last
+	}
+	quiet := now.Sub(heard)
+	if quiet < silentLeast {
+		return
+	}
+	if n := x.g.conns.lost(a.choice.ID); n > 0 {
+		x.g.metrics.dropped.Add(int64(n))
+		x.g.log.Warn("resting connections closed", "request", x.terms.ID, "replica", a.choice.ID, "quiet", quiet, "closed", n)
+	}
+}
+
 // readWhole reads a body that is answered whole.
 func (a *attempt) readWhole() ([]byte, error) { return http1.ReadAll(a.body, maxWhole) }
 
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -320,6 +320,7 @@
 	x.ran++
 	if ctx.Err() != nil {
 		a.end(route.OutcomeNeutral, now)
+		x.dropResting(a, now)
 		return false, x.outOfTime()
 	}
 	a.end(route.OutcomeFailed, now)
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -60,9 +60,10 @@
 	left     atomic.Int64
 	cut      atomic.Int64
 	notRun   atomic.Int64
-	first    *latency // To the first byte, from the request's sending.
-	whole    *latency // To the end, from the request's coming.
-	queued   *latency // Before the request is sent.
+	dropped  atomic.Int64 // Resting connections that were taken to be silent.
+	first    *latency     // To the first byte, from the request's sending.
+	whole    *latency     // To the end, from the request's coming.
+	queued   *latency     // Before the request is sent.
 
 	mu      sync.Mutex
 	refused map[string]int64
@@ -103,6 +104,7 @@
 	Left     int64                        `json:"clients_left"`
 	Cut      int64                        `json:"cut_by_stop"`
 	NotRun   int64                        `json:"refused_by_replicas"`
+	Dropped  int64                        `json:"resting_connections_closed"`
 	Refused  map[string]int64             `json:"refused"`
 	InFlight int64                        `json:"in_flight"`
 	First    latencyStatus                `json:"first_byte"`
@@ -132,6 +134,7 @@
 		Left:     m.left.Load(),
 		Cut:      m.cut.Load(),
 		NotRun:   m.notRun.Load(),
+		Dropped:  m.dropped.Load(),
 		InFlight: g.inFlight.Load(),
 		First:    m.first.status(),
 		Whole:    m.whole.status(),
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -55,6 +55,7 @@
 	}
 	a.end(x.outcomeOf(ctx), now)
 	if ctx.Err() != nil {
+		x.dropResting(a, now)
 		return false, x.outOfTime()
 	}
 	if x.out.failed {
--- a/service/gateway/upstream_conns.go
+++ b/service/gateway/upstream_conns.go
@@ -78,14 +78,17 @@
 	}
 }
 
-// lost closes the resting connections to a replica that can't be reached.
-func (u *upstreamConns) lost(id string) {
+// lost closes the resting connections to a replica that can't be reached, and says how
+// many there were.
+func (u *upstreamConns) lost(id string) (closed int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	closed = len(u.idle[id])
 	for _, c := range u.idle[id] {
 		c.close()
 	}
 	delete(u.idle, id)
+	return closed
 }
 
 func (u *upstreamConns) close() {
