Operations: how each kind of connection that falls silent is noticed

A table tells, for each connection, how and within what time, what is seen meanwhile, which line and counter tell of it, and the test. The test of the pages' names reads this page, too. New is the test for what nodes tell each other in datagrams, where a lost way shows nothing either.

--- a/internal/standin/onplatform/docs_test.go
+++ b/internal/standin/onplatform/docs_test.go
@@ -30,7 +30,7 @@
 		return err
 	})
 	assert.NilError(t, err)
-	for _, page := range []string{"PLATFORM.md", "FINDINGS.md"} {
+	for _, page := range []string{"PLATFORM.md", "FINDINGS.md", "OPERATIONS.md"} {
 		text, err := os.ReadFile(filepath.Join(root, "docs", page))
 		assert.NilError(t, err)
 		for _, name := range testName.FindAllString(string(text), -1) {
--- a/service/gateway/loads_test.go
+++ b/service/gateway/loads_test.go
@@ -44,3 +44,18 @@
 	unknown := &nodes{}
 	assert.Equal(t, unknown.linkTime(125_000), time.Duration(0))
 }
+
+// A way on which notes are lost shows nothing: what was told on it must not be believed
+// for good, and what others tell must.
+func TestLoadOfANodeThatIsNoLongerHeardIsForgotten(t *testing.T) {
+	n := newsFleet(3)
+	now := time.Now()
+	for name, at := range map[string]time.Time{"a-1": now.Add(-stateTerm / 2), "a-2": now.Add(-stateTerm - time.Millisecond)} {
+		n.loads.states[name] = heardState{nodeState: nodeState{From: name, Loads: map[string]load{"r": {1}}}, at: at}
+	}
+	n.merge(now)
+	_, heard := n.loads.states["a-1"]
+	assert.Assert(t, heard)
+	_, heard = n.loads.states["a-2"]
+	assert.Assert(t, !heard)
+}
