The soak silences open connections while new ones pass

Two faults more: some of the open connections of a node to the store, or of all nodes to a replica, carry nothing any more, one way or both. Nodes reach each other directly in the soak; those connections are left to the tests of their own.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -41,6 +41,8 @@
 	{"store forgets", func(s *soak, _ *rand.Rand, _ time.Duration) { s.store.Forget() }},
 	{"store cut", (*soak).cutStore},
 	{"store resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyNode(rng).store.Reset() }},
+	{"store connections silent", func(s *soak, rng *rand.Rand, _ time.Duration) { silence(rng, s.anyNode(rng).store) }},
+	{"replica connections silent", func(s *soak, rng *rand.Rand, _ time.Duration) { silence(rng, s.anyReplica(rng).proxy) }},
 	{"replica slow", (*soak).slowReplica},
 	{"replica cut one way", (*soak).cutReplica},
 	{"replica resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyReplica(rng).proxy.Reset() }},
@@ -110,6 +112,14 @@
 
 func (s *soak) cutStore(rng *rand.Rand, d time.Duration) { s.anyNode(rng).store.CutOneWay(rng, d) }
 
+// silence takes away what passes on some of the open connections, one way or both; new
+// ones pass.
+func silence(rng *rand.Rand, p *netproxy.Proxy) {
+	ways := [...]struct{ to, from bool }{{true, false}, {false, true}, {true, true}}
+	way := ways[rng.IntN(len(ways))]
+	p.Silence(way.to, way.from, func() bool { return rng.IntN(2) == 0 })
+}
+
 func (s *soak) slowReplica(rng *rand.Rand, d time.Duration) {
 	r := s.anyReplica(rng)
 	l := netproxy.Link{Delay: time.Duration(rng.Int64N(int64(delayMost)))}
