An age just over the bound is over it; a refusal is noted before others go on

A node's own failed call is noted before those that wait for it go on, so that they don't make it once more (found by reading).

--- a/service/gateway/reader_serve.go
+++ b/service/gateway/reader_serve.go
@@ -101,9 +101,6 @@
 			}
 			if err != nil {
 				r.log.Warn("store not read for another node", "table", tableName(q.Table), "err", err)
-				r.mu.Lock()
-				x.refused = time.Now()
-				r.mu.Unlock()
 			}
 			return
 		}
@@ -127,7 +124,10 @@
 		return a, nil, until, errReaderBehind
 	}
 	age, until := x.age(time.Now(), r.store.LargeSince(), q.oldest())
-	a = changesAnswer{Version: x.version, AgeMS: age.Milliseconds(), Gone: !q.Whole && q.After < x.base}
+	// Rounded down, an age just over the bound was within it: a reader that had been cut
+	// off was asked for another second.
+	ageMS := (age + time.Millisecond - 1).Milliseconds()
+	a = changesAnswer{Version: x.version, AgeMS: ageMS, Gone: !q.Whole && q.After < x.base}
 	if a.Gone {
 		return a, x.changed, until, nil
 	}
--- a/service/gateway/reader_table.go
+++ b/service/gateway/reader_table.go
@@ -21,7 +21,7 @@
 	// asked is when that was begun.
 	asking  chan struct{}
 	askedAt time.Time
-	refused time.Time // When a call for other nodes last failed.
+	refused time.Time // When this node's own call last failed.
 }
 
 // age is how old the knowledge of a table is, and until when that is to be trusted for
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -46,7 +46,7 @@
 	// is waited for: 2.5 MB take a link of 10 Mbit/s two seconds, and another reader
 	// has to be asked within the time that is left.
 	receiveMost = 2200 * time.Millisecond
-	// refreshPause is kept after a failed call that was made for other nodes.
+	// refreshPause is kept after a failed call of this node until one is made for others.
 	refreshPause = 500 * time.Millisecond
 	// refreshTime is for how long a node that is asked and knows too little may
 	// take to ask the store itself.
@@ -215,11 +215,22 @@
 	} else {
 		l, err = r.store.Changes(ctx, q.Table, q.After, wait)
 	}
-	if err == nil {
-		r.take(q, l, true)
-		r.logRows(q, l, byStore, begun)
+	if err != nil {
+		if !errors.Is(err, site.ErrHistoryGone) {
+			r.refused(q.Table)
+		}
+		return l, err
 	}
-	return l, err
+	r.take(q, l, true)
+	r.logRows(q, l, byStore, begun)
+	return l, nil
+}
+
+// refused notes that this node's own call has failed, before those that wait for it go on.
+func (r *readers) refused(t site.Table) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tableAt(t).refused = time.Now()
 }
 
 // beginOwn notes that this node's own call to the store is under way; the returned
