A last read: the widest links are worked out once, and what was written twice is not

- readers.reader worked out the widest links twice for each call, and had a way out for a list that can't be empty where the hall's is not; nearest takes the list as it is.
- stores.follow waited with a copy of sleep.
- A comment named a field by its former name, and one line was too long.

Nothing is decided otherwise and no assertion is touched.

--- a/internal/standin/onplatform/gone_test.go
+++ b/internal/standin/onplatform/gone_test.go
@@ -365,15 +365,20 @@
 	assert.Equal(t, r.arrived.Load(), int64(0), "it arrived after its client had left")
 }
 
-func TestClientThatEndsItsSideHasTheReplicaStop(t *testing.T) {
+// underWay is a client whose request a replica works on, and does not end.
+func underWay(t *testing.T) (k *work, a *onplatform.Replica, c *client) {
 	s := newSite(t)
-	k := &work{}
-	a := s.replica(app, "a")
+	k = &work{}
+	a = s.replica(app, "a")
 	a.Script(k.on(onplatform.Hang))
-	n := s.node("n1")
-	c := n.dial()
+	c = s.node("n1").dial()
 	c.write(request("GET", "/safe/x", ""))
 	s.until("the request is at the replica", func() bool { return len(a.Seen()) == 1 })
+	return k, a, c
+}
+
+func TestClientThatEndsItsSideHasTheReplicaStop(t *testing.T) {
+	k, a, c := underWay(t)
 	assert.NilError(t, c.conn.(*net.TCPConn).CloseWrite())
 	k.assertEnded(t, time.Now(), a)
 }
@@ -388,14 +393,7 @@
 		"more than the node buffers": request("POST", "/safe/x", strings.Repeat("x", 64<<10)),
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newSite(t)
-			k := &work{}
-			a := s.replica(app, "a")
-			a.Script(k.on(onplatform.Hang))
-			n := s.node("n1")
-			c := n.dial()
-			c.write(request("GET", "/safe/x", ""))
-			s.until("the request is at the replica", func() bool { return len(a.Seen()) == 1 })
+			k, a, c := underWay(t)
 			c.write(next)
 			time.Sleep(workTime) // The node has read it.
 			k.assertEnded(t, c.leave(), a)
--- a/service/gateway/reader_serve.go
+++ b/service/gateway/reader_serve.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// answer is what is known of a table, and until when that is trusted; the error is errReaderBehind if that is not
-// enough to answer.
+// answer is what is known of a table, and until when that is trusted; the error is
+// errReaderBehind if that is not enough to answer.
 func (r *readers) answer(q changesRequest) (a changesAnswer, changed chan struct{}, until time.Time, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/service/gateway/reader_table.go
+++ b/service/gateway/reader_table.go
@@ -18,7 +18,7 @@
 	former  map[string]formerValues // Of large values, by key.
 	told    map[toldKey]toldRows    // Of the rows as they are.
 	// asking is closed when this node's own call to the store ends, nil without one;
-	// asked is when that was begun.
+	// askedAt is when that was begun.
 	asking  chan struct{}
 	askedAt time.Time
 	refused time.Time // When this node's own call last failed.
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -90,14 +90,14 @@
 // hall without a wide one is told by nodes of others.
 func (r *readers) reader(t site.Table) (addr netip.AddrPort, ok bool) {
 	everyone := alive(r.members)
-	hall := inHall(everyone, r.self.DataHall)
-	if len(hall) <= directMost && !r.narrow(everyone) {
+	wide := control.Widest(everyone)
+	if len(inHall(everyone, r.self.DataHall)) <= directMost && !r.narrow(wide) {
 		return addr, false
 	}
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, m := range control.Owners(r.widest(hall, everyone), readDuty+tableName(t), readersTried) {
+	for _, m := range control.Owners(r.nearest(wide), readDuty+tableName(t), readersTried) {
 		if m.Name == r.self.Name {
 			return addr, false
 		}
@@ -108,17 +108,13 @@
 	return addr, false
 }
 
-// widest lists the nodes of a hall with the widest links, or of all halls if those
-// of this one are all narrow.
-func (r *readers) widest(hall, everyone []control.Member) []control.Member {
-	all := control.Widest(everyone)
-	if near := inHall(all, r.self.DataHall); len(near) > 0 {
+// nearest lists those of the nodes with the widest links that are of this hall, or all
+// of them if its own links are all narrow.
+func (r *readers) nearest(wide []control.Member) []control.Member {
+	if near := inHall(wide, r.self.DataHall); len(near) > 0 {
 		return near
 	}
-	if len(all) > 0 {
-		return all
-	}
-	return hall
+	return wide
 }
 
 // mayBeAsked says whether other nodes may ask this one: they trust it for a time.
@@ -128,8 +124,8 @@
 }
 
 // narrow says whether this node's link is known and not among the widest.
-func (r *readers) narrow(everyone []control.Member) bool {
-	return r.self.Link > 0 && !slices.ContainsFunc(control.Widest(everyone), func(m control.Member) bool { return m.Name == r.self.Name })
+func (r *readers) narrow(wide []control.Member) bool {
+	return r.self.Link > 0 && !slices.ContainsFunc(wide, func(m control.Member) bool { return m.Name == r.self.Name })
 }
 
 func tableName(t site.Table) string {
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -108,10 +108,7 @@
 			s.clock.hear(c.Clock, now)
 			s.kept.Apply(v.Name, c, now)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		sleep(ctx, pause)
 	}
 }
 
--- a/service/gateway/told_test.go
+++ b/service/gateway/told_test.go
@@ -86,7 +86,7 @@
 		assert.NilError(t, err)
 		return len(told.Data)
 	}
-	const perRoute, head = 30, 2000 // Bytes; a route's random letters alone are 13.
+	const perRoute, head = 30, 2000 // Bytes; a route's random characters alone are 13.
 	for _, n := range []int{100, 1400, 5600, 20_000} {
 		for _, more := range []int{0, 10, 1400} {
 			got := size(n, more)
