--- a/cmd/drumpath/cmds/check.go
+++ b/cmd/drumpath/cmds/check.go
@@ -1,13 +1,19 @@
 package cmds
 
-import "github.com/drumpath/drumpath/pkg/config"
+import (
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/config"
+)
 
 const checkHelp = `Checks a settings file and lists every fault with its line, what was
 found and what is wanted. Nothing is started.
 
 Examples:
   drumpath check -c node.json
-  drumpath check --gateway -c settings.json`
+  drumpath check --gateway --strict -c settings.json`
 
 type settingsFlag struct {
 	Config string `short:"c" long:"config" value-name:"FILE" required:"true" description:"settings file, JSON with comments"`
@@ -16,6 +22,7 @@
 type checkCommand struct {
 	settingsFlag
 	Gateway bool `long:"gateway" description:"the file is a gateway's"`
+	Strict  bool `long:"strict" description:"refuse settings that are for measurements only"`
 	std     stdio
 }
 
@@ -30,7 +37,10 @@
 
 func (c *checkCommand) check() error {
 	if c.Gateway {
-		_, err := config.LoadGateway(c.Config)
+		s, err := config.LoadGateway(c.Config)
+		if off := s.Without.Names(); err == nil && c.Strict && len(off) > 0 {
+			return eris.Errorf("%s: without: mechanisms are off: %s", c.Config, strings.Join(off, ", "))
+		}
 		return err
 	}
 	_, err := config.Load(c.Config)
--- a/cmd/drumpath/cmds/gateway_test.go
+++ b/cmd/drumpath/cmds/gateway_test.go
@@ -94,3 +94,14 @@
 	assert.Assert(t, strings.Contains(text, "retry_share=0.3"))
 	assert.Equal(t, strings.Count(text, `msg="settings not usable, those in force stay"`), 1)
 }
+
+func TestStrictCheckRefusesMechanismsThatAreOff(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	text := fmt.Sprintf(gatewaySettings, "127.0.0.1", "0.1")
+	text = strings.TrimSuffix(strings.TrimSpace(text), "}") + `, "without": {"saves": true, "held": true}}`
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	c := checkCommand{settingsFlag: settingsFlag{Config: path}, Gateway: true}
+	assert.NilError(t, c.check())
+	c.Strict = true
+	assert.ErrorContains(t, c.check(), "held, saves")
+}
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -17,6 +17,7 @@
 	Stop     StopSettings            `json:"stop"`
 	Orders   OrderSettings           `json:"orders"`
 	Log      LogSettings             `json:"log"`
+	Without  WithoutSettings         `json:"without"`
 }
 
 // GatewayEntrySettings is where callers reach the node.
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -143,6 +143,10 @@
 	{"replica not asked", Failure, "A replica did not tell its state.", []Key{keyReplica, keyErr}},
 	{"replica not swapped in time", Failure, "An order was not seen to be carried out; it is tried again.", []Key{keyReplica, keyModel, keyVersion}},
 
+	{"mechanisms are off", Change, "The settings switch off mechanisms of the decisions, which is for measurements only.", []Key{
+		keyNode,
+		{"without", "the settings' names of those that are off"},
+	}},
 	{"node started", Change, "The process serves.", []Key{
 		keyNode, {"entry", "where clients come"}, {"directory", "where clients ask"}, {"peer", "where nodes talk"}, keyStore,
 	}},
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -85,7 +85,9 @@
 	node    string
 	log     *slog.Logger
 	now     func() time.Time
-	groups  [groups]*group
+	// unbounded lets all replicas be swapped at once.
+	unbounded bool
+	groups    [groups]*group
 	// beginMu guards mayBegin; it is taken behind a group's mu.
 	beginMu sync.Mutex
 
@@ -145,6 +147,9 @@
 	return r
 }
 
+// Unbounded lets all replicas be swapped at once; it is to be called before Step.
+func (r *Rollout) Unbounded() { r.unbounded = true }
+
 // groupOf says to which group a replica belongs.
 func groupOf(id string) int { return int(xxhash.Sum64String(id) % groups) }
 
@@ -166,7 +171,7 @@
 	for i, g := range r.groups {
 		if r.work(g, parts[i]) {
 			wg.Go(func() {
-				r.step(ctx, g, parts[i], atOnce{group: mostAtOnce(sizes[i]), all: mostAtOnce(all), after: time.Duration(i) * groupPause})
+				r.step(ctx, g, parts[i], r.atOnce(i, sizes[i], all))
 			})
 		}
 	}
@@ -182,6 +187,13 @@
 	after      time.Duration
 }
 
+func (r *Rollout) atOnce(i, size, all int) atOnce {
+	if r.unbounded {
+		return atOnce{group: size, all: all}
+	}
+	return atOnce{group: mostAtOnce(size), all: mostAtOnce(all), after: time.Duration(i) * groupPause}
+}
+
 // mostAtOnce is how many of some replicas are swapped at once.
 func mostAtOnce(size int) int { return max(1, int(math.Round(swapShare*float64(size)))) }
 
--- a/pkg/route/flight.go
+++ b/pkg/route/flight.go
@@ -60,7 +60,7 @@
 	k.member.pending[k.band] -= k.tokens
 	took := now.Sub(k.begun)
 	ratio := max(took, leastExpected).Seconds() / max(k.expected, leastExpected).Seconds()
-	k.member.late = k.member.lateness(now)
+	k.member.late = k.pool.lateness(k.member, now)
 	k.member.late += lateShare * (min(ratio, mostLateness) - k.member.late)
 	k.member.lateAt = now
 	k.pool.learn(k, took.Seconds())
--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -23,6 +24,7 @@
 	engines map[string]*heldEngine
 	holders map[PartHash][]*heldEngine
 	use     *traffic
+	without config.WithoutSettings
 }
 
 type keptStore struct {
@@ -75,6 +77,9 @@
 	}
 }
 
+// Without switches mechanisms off; it is to be called before the view is used.
+func (k *Kept) Without(w config.WithoutSettings) { k.without = w }
+
 // Configure sets which stores there are.
 func (k *Kept) Configure(stores []*site.Service) {
 	k.mu.Lock()
@@ -197,7 +202,7 @@
 				s.link.book(bytes, at.DataHall, now)
 			}
 		}
-		if l.Save && (s.store == nil || k.use.often(key, now)) {
+		if l.Save && !k.without.Saves && (s.store == nil || k.use.often(key, now)) {
 			k.save(p, i, key, part.Tokens, bytes, s.store, at.DataHall, now)
 		}
 	}
@@ -377,14 +382,14 @@
 	for _, name := range k.names {
 		s := k.stores[name]
 		w := s.parts[key]
-		if !s.heard || w.tokens < tokens || !before.IsZero() && w.since.After(before) {
+		if k.without.StoreFetches || !s.heard || w.tokens < tokens || !before.IsZero() && w.since.After(before) {
 			continue
 		}
 		if better(&s.keptLink, s.Addr); best.addr == s.Addr {
 			best.store = s
 		}
 	}
-	if !before.IsZero() || best.store != nil {
+	if !before.IsZero() || best.store != nil || k.without.EngineFetches {
 		return best
 	}
 	hash := HashPart(key.realm, key.part)
--- a/pkg/route/memory.go
+++ b/pkg/route/memory.go
@@ -45,7 +45,7 @@
 // memory that it needs, in seconds. What is let in past an engine's memory has
 // another prompt preempted, and that one is read again.
 func (p *Pool) memoryWait(m *member, tokens int) float64 {
-	if p.capacity <= 0 {
+	if p.capacity <= 0 || p.without.Memory {
 		return 0
 	}
 	over := float64(m.memory+m.others.Memory+tokens) - memoryShare*float64(p.capacity)
--- a/pkg/route/outlier.go
+++ b/pkg/route/outlier.go
@@ -73,6 +73,9 @@
 }
 
 func (p *Pool) mayEject(now time.Time) bool {
+	if p.without.Ejection {
+		return false
+	}
 	out := 1
 	for _, m := range p.list {
 		if m.outcome.ejected(now) {
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/rendezvous"
 	"github.com/drumpath/drumpath/pkg/site"
 )
@@ -32,6 +33,7 @@
 	failing  float64       // Mean share of failures over all replicas.
 	memory   memoryUse
 	capacity int // Of an engine's memory, in tokens; 0 if not known.
+	without  config.WithoutSettings
 }
 
 // member is one replica of a pool.
@@ -111,6 +113,9 @@
 	return &Pool{hall: hall, rng: rng, replicas: map[string]*member{}, perToken: startPerToken, base: startBase, meanRun: startRun}
 }
 
+// Without switches mechanisms off; it is to be called before the pool is used.
+func (p *Pool) Without(w config.WithoutSettings) { p.without = w }
+
 // Configure sets which replicas there are; what is known of those that stay is
 // kept.
 func (p *Pool) Configure(list []site.Upstream, now time.Time) {
@@ -169,7 +174,7 @@
 func (p *Pool) Avoid(id string, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m, ok := p.replicas[id]; ok && until.After(m.avoid) {
+	if m, ok := p.replicas[id]; ok && until.After(m.avoid) && !p.without.Avoidance {
 		m.avoid = until
 	}
 }
@@ -183,7 +188,7 @@
 	if !ok || m.Weights[model] >= version {
 		return
 	}
-	if until.After(m.avoid) {
+	if until.After(m.avoid) && !p.without.Steering {
 		m.avoid = until
 	}
 	if until.After(m.steered) {
@@ -292,7 +297,7 @@
 // home is the replica to which a prompt's shared parts belong: all nodes take
 // the same one without a word, so it is the likeliest to have them.
 func (p *Pool) home(n *Need) *member {
-	if n.Affinity == 0 {
+	if n.Affinity == 0 || p.without.Home {
 		return nil
 	}
 	var best *member
@@ -337,10 +342,10 @@
 		}
 		// Replicas with some to do come after idle ones.
 		wait += p.meanRun.Seconds() * float64(running) / float64(4*max(1, m.Slots))
-		return (wait + p.meanRun.Seconds()) * m.lateness(now)
+		return (wait + p.meanRun.Seconds()) * p.lateness(m, now)
 	}
 	offer := n.Offers[m.ID]
-	own := (p.base+n.toRead(offer, home)*p.perToken)*m.lateness(now) + offer.Wait.Seconds()
+	own := (p.base+n.toRead(offer, home)*p.perToken)*p.lateness(m, now) + offer.Wait.Seconds()
 	return own + p.wait(m, n, now)
 }
 
@@ -360,13 +365,16 @@
 	if over := running + 1 - float64(m.Slots); m.Slots > 0 && over > 0 {
 		slots = over / float64(m.Slots) * p.memory.hold()
 	}
-	return (reading+running*runTime.Seconds())*m.lateness(now) + slots + p.memoryWait(m, n.Memory) + m.overdue(now)
+	return (reading+running*runTime.Seconds())*p.lateness(m, now) + slots + p.memoryWait(m, n.Memory) + p.overdue(m, now)
 }
 
 // overdue is by how much the first byte of this node's longest unanswered prompt at a
 // replica is overdue, in seconds: a replica that has fallen silent shows by nothing
 // else until time is up, and the next prompt would wait no less.
-func (m *member) overdue(now time.Time) float64 {
+func (p *Pool) overdue(m *member, now time.Time) float64 {
+	if p.without.Overdue {
+		return 0
+	}
 	most := time.Duration(0)
 	for k := range m.flights {
 		if !k.first && k.tokens > 0 {
@@ -382,7 +390,10 @@
 }
 
 // lateness is how much longer than expected the replica's answers take.
-func (m *member) lateness(now time.Time) float64 {
+func (p *Pool) lateness(m *member, now time.Time) float64 {
+	if p.without.Lateness {
+		return 1
+	}
 	fade := math.Exp(-max(0, now.Sub(m.lateAt).Seconds()/lateMemory.Seconds()))
 	return 1 + (m.late-1)*fade
 }
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -74,7 +74,7 @@
 			Requests: len(m.flights),
 			Tokens:   m.pending,
 			Others:   m.others,
-			Lateness: m.lateness(now),
+			Lateness: p.lateness(m, now),
 			Failing:  m.failing,
 			Ejected:  m.outcome.ejected(now),
 			Avoided:  now.Before(m.avoid),
--- a/service/gateway/beliefs.go
+++ b/service/gateway/beliefs.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 )
@@ -20,6 +21,7 @@
 	hall       string
 	returnTime time.Duration
 	kept       *route.Kept
+	without    config.WithoutSettings
 	log        *slog.Logger
 
 	snapshot atomic.Pointer[site.Snapshot]
@@ -292,6 +294,7 @@
 	for service := range lists {
 		if b.pools[service] == nil {
 			b.pools[service] = route.NewPool(b.hall, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+			b.pools[service].Without(b.without)
 		}
 	}
 	for service, p := range b.pools {
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -192,6 +192,9 @@
 	})
 	g.log.Info("node started", "node", g.conf().Node.Name, "entry", g.conf().Entry.Listen,
 		"directory", g.conf().Entry.Directory, "peer", g.conf().Peer.Listen, "store", g.conf().Platform.Store)
+	if off := g.conf().Without.Names(); len(off) > 0 {
+		g.log.Warn("mechanisms are off", "node", g.conf().Node.Name, "without", off)
+	}
 }
 
 // lateShare is the part of a probe period after which others are asked.
@@ -209,7 +212,7 @@
 	}
 	kept := s
 	kept.Node, kept.Peer, kept.Platform.Store = old.Node, old.Peer, old.Platform.Store
-	kept.Entry = old.Entry
+	kept.Entry, kept.Without = old.Entry, old.Without
 	kept.Entry.MaxAge = s.Entry.MaxAge
 	if kept != s {
 		g.log.Warn("changed addresses hold only after a restart", "node", old.Node.Name)
--- a/service/gateway/holdings.go
+++ b/service/gateway/holdings.go
@@ -133,7 +133,7 @@
 func (h *holdings) enginesByHall() map[string][]site.Upstream {
 	list := map[string][]site.Upstream{}
 	s := h.beliefs.Snapshot()
-	if s == nil {
+	if s == nil || h.beliefs.without.Held {
 		return list
 	}
 	for name, p := range h.beliefs.Pools() {
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -429,6 +429,9 @@
 	n.mu.Lock()
 	for _, heard := range []map[string]heardState{n.loads.states, n.loads.halls} {
 		for name, s := range heard {
+			if n.ignores(s.Hall) {
+				continue
+			}
 			if now.Sub(s.at) > stateTerm {
 				delete(heard, name)
 				continue
@@ -447,6 +450,14 @@
 	}
 }
 
+// ignores says whether what nodes of a hall have in flight is left out of account.
+func (n *nodes) ignores(hall string) bool {
+	if hall == n.self.DataHall {
+		return n.beliefs.without.HallLoads
+	}
+	return n.beliefs.without.FarLoads
+}
+
 // subtractTold takes what this node told out of its hall's sum; the caller holds
 // mu.
 func (n *nodes) subtractTold(sum map[string]route.PeerLoad) {
--- a/service/gateway/queue.go
+++ b/service/gateway/queue.go
@@ -56,7 +56,7 @@
 
 // enqueue waits until the prompt is let in; ok is false if it is refused.
 func (x *exchange) enqueue(ctx context.Context) (f refusal, ok bool) {
-	if x.service.Engine == nil || x.need.Tokens == 0 {
+	if x.service.Engine == nil || x.need.Tokens == 0 || x.g.beliefs.without.PromptQueue {
 		return refusal{}, true
 	}
 	now := time.Now()
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -65,6 +65,7 @@
 	members *control.Members
 	client  *peer.Client
 	log     *slog.Logger
+	alone   bool // Each node reads for itself.
 
 	mu      sync.Mutex
 	tables  map[site.Table]*readTable
@@ -89,6 +90,9 @@
 // reads it itself. What a hall has to be told is more than narrow links carry: a
 // hall without a wide one is told by nodes of others.
 func (r *readers) reader(t site.Table) (addr netip.AddrPort, ok bool) {
+	if r.alone {
+		return addr, false
+	}
 	everyone := alive(r.members)
 	wide := control.Widest(everyone)
 	if len(inHall(everyone, r.self.DataHall)) <= directMost && !r.narrow(wide) {
--- a/service/gateway/upstream_conns.go
+++ b/service/gateway/upstream_conns.go
@@ -10,7 +10,7 @@
 type upstreamConns struct {
 	mu     sync.Mutex
 	idle   map[string][]*upstreamConn
-	closed bool
+	closed bool // None is kept any more.
 }
 
 func newUpstreamConns() *upstreamConns {
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -75,15 +75,33 @@
 			return control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, newRand())
 		},
 		func(k *route.Kept) *Beliefs {
-			return NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), k, log)
+			b := NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), k, log)
+			b.without = s.Without
+			return b
 		},
 		func(b *Beliefs, n *nodes) *rollout.Rollout {
-			return rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, p.Engines, &swaps{beliefs: b, nodes: n}, log)
+			r := rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, p.Engines, &swaps{beliefs: b, nodes: n}, log)
+			if s.Without.SwapBound {
+				r.Unbounded()
+			}
+			return r
+		},
+		func() *route.Kept {
+			k := route.NewKept()
+			k.Without(s.Without)
+			return k
+		},
+		func() *upstreamConns {
+			u := newUpstreamConns()
+			u.closed = s.Without.Resting
+			return u
+		},
+		func(m *control.Members, c *peer.Client) *readers {
+			r := newReaders(p.Store, self, m, c, log)
+			r.alone = s.Without.SharedReading
+			return r
 		},
-		route.NewKept,
-		newUpstreamConns,
 		newMetrics,
-		newReaders,
 		newWatchers,
 		newStores,
 		newHoldings,
