RED: a list of the nodes that are well changes the one kept for all

Duties, shares and counts are worked out from a list of working nodes that Members keeps for all callers. One caller deletes from it to leave out nodes under suspicion: from then on the kept list lacks them and ends with zero members. The test shows it: the name of the last node is empty after one call.

--- a/service/gateway/nodes_test.go
+++ b/service/gateway/nodes_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -46,3 +47,24 @@
 	n.meet(t.Context())
 	assert.Equal(t, strings.Count(logged.String(), "nodes read again"), 1)
 }
+
+// Symptom: duties fell to a node without a name, so that nobody did them, and the nodes
+// under suspicion were missing from every list of those that work.
+// Sequence: one node was suspect; a list of the nodes that are well was made.
+// Cause: the list was made by deleting from the one that Members keeps for all callers.
+// What settled it: the kept list had ended with a zero member after one such call.
+func TestListOfNodesThatAreWellLeavesTheKeptOneAsItIs(t *testing.T) {
+	n := newsFleet(3)
+	before := slices.Clone(n.members.Working())
+	n.members.Merge([]control.Member{{Name: "a-1", DataHall: "a", Incarnation: 1, State: control.MemberSuspect}}, time.Now())
+	assert.Equal(t, len(alive(n.members)), len(before)-1)
+	var names []string
+	for _, m := range n.members.Working() {
+		names = append(names, m.Name)
+	}
+	var want []string
+	for _, m := range before {
+		want = append(want, m.Name)
+	}
+	assert.DeepEqual(t, names, want)
+}
