Lists of members are made once a change and are nobody's to alter

View is what is known at one moment, made anew after a change only; lists by hall come with it. Nothing deletes from them.

--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -36,20 +35,20 @@
 // cost a second is the same at any size. It does no I/O: Tick and Handle return
 // what is to be sent.
 type Members struct {
-	mu      sync.Mutex
-	self    Member
-	period  time.Duration
-	rng     *rand.Rand
-	seeds   []netip.AddrPort
-	known   map[string]*memberEntry
-	byPeer  map[netip.AddrPort]string
-	round   []string
-	seq     uint64
-	ticks   int
-	awaits  map[uint64]*await
-	news    map[string]int // Member to how often its update was sent.
-	watch   []func()
-	working []Member // Cached for Working; nil when out of date.
+	mu     sync.Mutex
+	self   Member
+	period time.Duration
+	rng    *rand.Rand
+	seeds  []netip.AddrPort
+	known  map[string]*memberEntry
+	byPeer map[netip.AddrPort]string
+	round  []string
+	seq    uint64
+	ticks  int
+	awaits map[uint64]*await
+	news   map[string]int // Member to how often its update was sent.
+	watch  []func()
+	view   *View // Nil when out of date.
 	// generation rises with each change of who works.
 	generation uint64
 }
@@ -112,12 +111,9 @@
 	return m.self
 }
 
-// All lists every member known, the dead included, by name.
-func (m *Members) All() []Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.list(func(Member) bool { return true })
-}
+// All lists every member known, the dead included, by name; the caller must not change
+// the list.
+func (m *Members) All() []Member { return m.View().All }
 
 // Generation rises with each change of who works.
 func (m *Members) Generation() uint64 {
@@ -128,25 +124,7 @@
 
 // Working lists the members that take part in duties, by name; the caller must
 // not change the list.
-func (m *Members) Working() []Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.working == nil {
-		m.working = m.list(Member.Working)
-	}
-	return m.working
-}
-
-func (m *Members) list(keep func(Member) bool) []Member {
-	var list []Member
-	for _, e := range m.known {
-		if keep(e.Member) {
-			list = append(list, e.Member)
-		}
-	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return list
-}
+func (m *Members) Working() []Member { return m.View().Working }
 
 // Leave marks this node as leaving and returns the news for every member that
 // a probe reaches at once.
--- a/pkg/control/members_news.go
+++ b/pkg/control/members_news.go
@@ -94,5 +94,5 @@
 	m.known[u.Name] = &memberEntry{Member: u, since: now}
 	m.byPeer[u.Peer] = u.Name
 	m.news[u.Name] = 0
-	m.working = nil
+	m.view = nil
 }
--- a/pkg/control/members_probing.go
+++ b/pkg/control/members_probing.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -40,6 +41,7 @@
 			delete(m.known, name)
 			delete(m.byPeer, e.Peer)
 			delete(m.news, name)
+			m.view = nil
 		}
 	}
 	return changed
@@ -113,9 +115,13 @@
 
 // helpers picks members for indirect probes.
 func (m *Members) helpers(target string) []Member {
-	list := m.list(func(x Member) bool {
-		return x.State == MemberAlive && x.Name != m.self.Name && x.Name != target
-	})
+	var list []Member
+	for _, e := range m.known {
+		if e.State == MemberAlive && e.Name != m.self.Name && e.Name != target {
+			list = append(list, e.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	m.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(len(list), indirectProbes)]
 }
--- /dev/null
+++ b/pkg/control/view.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+)
+
+// View is what is known of the fleet at one moment. All its lists are by name and are
+// shared by all callers: they must not be changed.
+//
+// It is made anew only after a change: with 295 nodes, a list for each question took 0.1
+// to 0.3 ms, several times a second.
+type View struct {
+	// All are the members known, the dead included.
+	All []Member
+	// Working take part in duties.
+	Working []Member
+	// Alive are well: neither suspect nor leaving.
+	Alive []Member
+
+	halls map[string]HallView
+}
+
+// HallView is the part of a View that is of one data hall.
+type HallView struct {
+	// Present are all but the dead.
+	Present []Member
+	Working []Member
+	Alive   []Member
+}
+
+// Hall returns the members of a data hall.
+func (v *View) Hall(name string) HallView { return v.halls[name] }
+
+// Halls lists the data halls in which there are members, by name.
+func (v *View) Halls() []string {
+	list := make([]string, 0, len(v.halls))
+	for name := range v.halls {
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// View returns what is known now. Two calls return the same pointer unless something
+// has changed between them.
+func (m *Members) View() *View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.view == nil {
+		m.view = m.newView()
+	}
+	return m.view
+}
+
+// newView lists the members; the caller holds mu.
+func (m *Members) newView() *View {
+	v := &View{All: make([]Member, 0, len(m.known)), halls: map[string]HallView{}}
+	for _, e := range m.known {
+		v.All = append(v.All, e.Member)
+	}
+	slices.SortFunc(v.All, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	for _, x := range v.All {
+		hall := v.halls[x.DataHall]
+		if x.State != MemberDead {
+			hall.Present = append(hall.Present, x)
+		}
+		if x.Working() {
+			v.Working = append(v.Working, x)
+			hall.Working = append(hall.Working, x)
+		}
+		if x.State == MemberAlive {
+			v.Alive = append(v.Alive, x)
+			hall.Alive = append(hall.Alive, x)
+		}
+		v.halls[x.DataHall] = hall
+	}
+	return v
+}
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -140,12 +140,10 @@
 }
 
 // alive lists the nodes that are well.
-func alive(m *control.Members) []control.Member {
-	return slices.DeleteFunc(m.Working(), func(x control.Member) bool { return x.State != control.MemberAlive })
-}
+func alive(m *control.Members) []control.Member { return m.View().Alive }
 
 // hallMembers lists the nodes of a hall that are well.
-func hallMembers(m *control.Members, hall string) []control.Member { return inHall(alive(m), hall) }
+func hallMembers(m *control.Members, hall string) []control.Member { return m.View().Hall(hall).Alive }
 
 func inHall(list []control.Member, hall string) (near []control.Member) {
 	for _, x := range list {
