Loads are told as packed numbers and added up only when a replica is chosen

Cause: at 295 nodes and 256 replicas each node hears some 22 sums a second, 10.5 kB of JSON each, and added all of them up for each.

Ruled out: telling less often (room seen late is filled by all at once), changes only (a lost datagram would have to be made up for).

Change: a note has for each replica four bytes of its name's hash, which of the numbers are not zero, and those; stores' tallies likewise. What was heard is summed when a replica is chosen, some 10 times a second, or after 0.24 s. Lists of members come from the view that is kept. A note that can't be read is counted (notes_dropped) and takes nothing away. Nodes of the version before don't read these notes, nor these theirs: while both run, each counts the load of its own kind only, which costs waiting at replicas, no rule.

The test of a sum's size now holds it to half of a datagram of 16 kB, as sent, instead of one of 60 kB.

--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -19,6 +19,7 @@
 type Kept struct {
 	mu     sync.Mutex
 	stores map[string]*keptStore
+	byKey  map[Key]*keptStore
 	names  []string
 	// engines are by ID; holders says which of them hold a part.
 	engines map[string]*heldEngine
@@ -86,6 +87,7 @@
 	defer k.mu.Unlock()
 	old := k.stores
 	k.stores = make(map[string]*keptStore, len(stores))
+	k.byKey = make(map[Key]*keptStore, len(stores))
 	k.names = k.names[:0]
 	for _, v := range stores {
 		s, ok := old[v.Name]
@@ -95,6 +97,7 @@
 		s.Store = *v.Store
 		s.hall, s.rate, s.latency = v.Store.DataHall, v.Store.LinkRate, v.Store.Latency
 		k.stores[v.Name] = s
+		k.byKey[KeyOf(v.Name)] = s
 		k.names = append(k.names, v.Name)
 	}
 }
@@ -127,15 +130,21 @@
 	}
 }
 
+// StoreTally is what has been done with one store's link.
+type StoreTally struct {
+	Key   Key
+	Tally Tally
+}
+
 // Tallies lists what this node has done with each store's link, for other nodes to
 // hear.
-func (k *Kept) Tallies() map[string]Tally {
+func (k *Kept) Tallies() []StoreTally {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	list := map[string]Tally{}
-	for name, s := range k.stores {
+	var list []StoreTally
+	for key, s := range k.byKey {
 		if !s.own.Empty() {
-			list[name] = s.own
+			list = append(list, StoreTally{Key: key, Tally: s.own})
 		}
 	}
 	return list
@@ -143,10 +152,10 @@
 
 // AddPeer takes in what other nodes have done with a store's link since they last
 // told.
-func (k *Kept) AddPeer(name string, t Tally, now time.Time) {
+func (k *Kept) AddPeer(key Key, t Tally, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if s, ok := k.stores[name]; ok {
+	if s, ok := k.byKey[key]; ok {
 		s.occupy(t.Bytes, now)
 		s.shift(t.Late-t.Early, now)
 	}
--- a/pkg/route/kept_test.go
+++ b/pkg/route/kept_test.go
@@ -126,7 +126,7 @@
 	k.Apply("fast", site.CacheChanges{Boot: 1, Changes: plus("r", testPrompt...)}, testNow)
 	p := k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
 	assert.Equal(t, p.Sources[1], fast.Store.Addr)
-	k.AddPeer("fast", Tally{Bytes: 20e9}, testNow) // Other nodes have asked for much there.
+	k.AddPeer(KeyOf("fast"), Tally{Bytes: 20e9}, testNow) // Other nodes have asked for much there.
 	p = k.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{Longest: time.Second}, testNow)
 	assert.Equal(t, p.Sources[1], slow.Store.Addr)
 }
@@ -244,10 +244,13 @@
 		other.Apply("a", site.CacheChanges{Boot: 1, Changes: plus("r", parts...)}, now)
 		other.Plan("r", site.Upstream{DataHall: "h0"}, parts, testEngine, PlanLimits{Longest: time.Second}, now).First(time.Second, now)
 	}
-	told := other.Tallies()["a"]
+	list := other.Tallies()
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Key, KeyOf("a"))
+	told := list[0].Tally
 	assert.Equal(t, told.Late, int64(12))
-	k.AddPeer("a", Tally{Late: told.Late}, now)
+	k.AddPeer(KeyOf("a"), Tally{Late: told.Late}, now)
 	assert.Equal(t, source(time.Second), b.Store.Addr)
-	k.AddPeer("a", Tally{Early: 2 * told.Late}, now.Add(time.Second))
+	k.AddPeer(KeyOf("a"), Tally{Early: 2 * told.Late}, now.Add(time.Second))
 	assert.Equal(t, source(2*time.Second), a.Store.Addr, "and those that came in time as well")
 }
--- a/pkg/route/memory_test.go
+++ b/pkg/route/memory_test.go
@@ -12,12 +12,12 @@
 func TestPromptGoesWhereItFitsIntoMemory(t *testing.T) {
 	p := newTestPool(2, 1)
 	need := &Need{Model: "m", Tokens: 10_000, Memory: 10_000, Capacity: 40_000}
-	loads := map[string]PeerLoad{"r00": {Requests: 4, Memory: 38_000}, "r01": {Requests: 4, Tokens: Banded{2000}, Memory: 8000}}
+	loads := map[Key]PeerLoad{KeyOf("r00"): {Requests: 4, Memory: 38_000}, KeyOf("r01"): {Requests: 4, Tokens: Banded{2000}, Memory: 8000}}
 	p.SetPeers(loads)
 	c, ok := p.Pick(need, testNow)
 	assert.Assert(t, ok)
 	assert.Equal(t, c.ID, "r01")
-	loads["r00"] = PeerLoad{Requests: 4, Memory: 8000}
+	loads[KeyOf("r00")] = PeerLoad{Requests: 4, Memory: 8000}
 	p.SetPeers(loads)
 	c, ok = p.Pick(need, testNow)
 	assert.Assert(t, ok)
@@ -32,8 +32,8 @@
 	assert.Assert(t, ok)
 	k := p.Begin(c, testNow)
 	k.First(testNow.Add(100 * time.Millisecond))
-	assert.Equal(t, p.Loads()["r00"], PeerLoad{Requests: 1, Memory: 5050})
+	assert.DeepEqual(t, p.AppendLoads(nil), []ReplicaLoad{{Key: KeyOf("r00"), Load: PeerLoad{Requests: 1, Memory: 5050}}})
 	k.End(OutcomeOK, testNow.Add(2*time.Second))
-	assert.Equal(t, len(p.Loads()), 0)
+	assert.Equal(t, len(p.AppendLoads(nil)), 0)
 	assert.Equal(t, p.memory.hold(), 2.0)
 }
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -162,11 +162,11 @@
 }
 
 // SetPeers sets what other nodes have in flight, by replica.
-func (p *Pool) SetPeers(loads map[string]PeerLoad) {
+func (p *Pool) SetPeers(loads map[Key]PeerLoad) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.list {
-		m.others = loads[m.ID]
+		m.others = loads[keyOfHash(m.hash)]
 	}
 }
 
@@ -221,17 +221,23 @@
 	}
 }
 
-// Loads lists what this node has in flight, by replica.
-func (p *Pool) Loads() map[string]PeerLoad {
+// ReplicaLoad is what is in flight at one replica.
+type ReplicaLoad struct {
+	Key  Key
+	Load PeerLoad
+}
+
+// AppendLoads adds what this node has in flight to a list.
+func (p *Pool) AppendLoads(list []ReplicaLoad) []ReplicaLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	loads := map[string]PeerLoad{}
 	for _, m := range p.list {
 		if len(m.flights) > 0 {
-			loads[m.ID] = PeerLoad{Requests: len(m.flights), Tokens: m.pending, Memory: m.memory}
+			load := PeerLoad{Requests: len(m.flights), Tokens: m.pending, Memory: m.memory}
+			list = append(list, ReplicaLoad{Key: keyOfHash(m.hash), Load: load})
 		}
 	}
-	return loads
+	return list
 }
 
 // Size is how many replicas there are.
--- a/pkg/route/pool_test.go
+++ b/pkg/route/pool_test.go
@@ -79,8 +79,8 @@
 			}
 			k.End(Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")), now)
 		}
-		for _, l := range p.Loads() {
-			assert.Equal(t, l.Requests, 0)
+		for _, l := range p.AppendLoads(nil) {
+			assert.Equal(t, l.Load.Requests, 0)
 		}
 		for _, m := range p.list {
 			assert.Equal(t, m.pending, Banded{})
@@ -140,7 +140,7 @@
 
 func TestWhatOtherNodesHaveThereCounts(t *testing.T) {
 	p := newTestPool(3, 1)
-	p.SetPeers(map[string]PeerLoad{"r00": {Requests: 2, Tokens: Banded{9000}}, "r01": {Requests: 2, Tokens: Banded{9000}}})
+	p.SetPeers(map[Key]PeerLoad{KeyOf("r00"): {Requests: 2, Tokens: Banded{9000}}, KeyOf("r01"): {Requests: 2, Tokens: Banded{9000}}})
 	for range 5 {
 		c, ok := p.Pick(&Need{Model: "m", Tokens: 1000}, testNow)
 		assert.Assert(t, ok)
@@ -321,7 +321,7 @@
 // A prompt waits behind those as urgent as it is, and not behind others.
 func TestUrgentPromptsDoNotWaitForOthers(t *testing.T) {
 	p := newTestPool(1, 1)
-	p.SetPeers(map[string]PeerLoad{"r00": {Requests: 3, Tokens: Banded{0, 20_000}}})
+	p.SetPeers(map[Key]PeerLoad{KeyOf("r00"): {Requests: 3, Tokens: Banded{0, 20_000}}})
 	urgent, ok := p.Pick(&Need{Model: "m", Tokens: 1000}, testNow)
 	assert.Assert(t, ok)
 	other, ok := p.Pick(&Need{Model: "m", Tokens: 1000, Priority: 1}, testNow)
--- a/service/gateway/directory.go
+++ b/service/gateway/directory.go
@@ -82,6 +82,7 @@
 	r.GET("/metrics", func(c *fasthttp.RequestCtx) { writeJSON(c, g.status()) })
 	r.GET("/state", func(c *fasthttp.RequestCtx) {
 		state := map[string][]route.MemberStatus{}
+		g.nodes.settle(time.Now())
 		for service, p := range g.beliefs.Pools() {
 			state[service] = p.Status(time.Now())
 		}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -221,6 +221,7 @@
 func (x *exchange) pick(now time.Time) (route.Choice, bool) {
 	x.refresh(now)
 	x.lookUp(now)
+	x.g.nodes.settle(now)
 	return x.pool.Pick(&x.need, now)
 }
 
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -23,9 +23,9 @@
 // neither they nor the notes grow with the square of the nodes.
 const (
 	// noteState tells the nodes of a hall one node's state.
-	noteState = "gateway.state"
+	noteState = "gateway.loads"
 	// noteHall tells the sum of another hall.
-	noteHall = "gateway.hall"
+	noteHall = "gateway.hall_loads"
 	// stateTerm is after how long what was told is forgotten.
 	stateTerm = 1200 * time.Millisecond
 	// tellEach is for how long one state is kept from being followed by another,
@@ -45,51 +45,57 @@
 	speakDuty = "speak/"
 )
 
-// load is what is in flight at a replica: requests, tokens held of an engine's memory,
-// and tokens to be read by urgency. Zeros at its end are left out.
-type load []int
-
-// loadFixed is how many numbers of a load come before the tokens to be read.
-const loadFixed = 2
+// stateNote is what one node tells, or a speaker for its hall. Its JSON names are short,
+// as it is sent many times a second.
+type stateNote struct {
+	From string `json:"f"`
+	Hall string `json:"h"`
+	Boot uint64 `json:"b"`
+	Seq  uint64 `json:"q"`
+	// Loads are what is in flight at replicas, and Links what has been done with each
+	// store's link so far, both packed.
+	Loads []byte `json:"l,omitempty"`
+	Links []byte `json:"m,omitempty"`
+}
 
-func loadOf(l route.PeerLoad) load {
-	list := append(load{l.Requests, l.Memory}, l.Tokens[:]...)
-	for len(list) > 0 && list[len(list)-1] == 0 {
-		list = list[:len(list)-1]
-	}
-	return list
+// heardState is a note that was heard.
+type heardState struct {
+	from  string
+	hall  string
+	boot  uint64
+	seq   uint64
+	loads []route.ReplicaLoad
+	links tallies
+	at    time.Time
 }
 
-// peerLoad reads a load; numbers that this node knows nothing of are left out.
-func (l load) peerLoad() (p route.PeerLoad) {
-	for i, n := range l {
-		switch {
-		case i == 0:
-			p.Requests = n
-		case i == 1:
-			p.Memory = n
-		case i-loadFixed < len(p.Tokens):
-			p.Tokens[i-loadFixed] = n
-		}
+// tallies is what has been done with stores' links.
+type tallies map[route.Key]route.Tally
+
+func talliesOf(list []route.StoreTally) tallies {
+	t := make(tallies, len(list))
+	for _, s := range list {
+		t[s.Key] = s.Tally
 	}
-	return p
+	return t
 }
 
-// nodeState is what one node tells. Its JSON names are short, as it is sent many
-// times a second.
-type nodeState struct {
-	From  string          `json:"f"`
-	Hall  string          `json:"h"`
-	Boot  uint64          `json:"b"`
-	Seq   uint64          `json:"q"`
-	Loads map[string]load `json:"l,omitempty"` // By replica.
-	// Links is what has been done with each store's link so far.
-	Links map[string]route.Tally `json:"m,omitempty"`
+func (t tallies) list() []route.StoreTally {
+	list := make([]route.StoreTally, 0, len(t))
+	for key, tally := range t {
+		list = append(list, route.StoreTally{Key: key, Tally: tally})
+	}
+	return list
 }
 
-type heardState struct {
-	nodeState
-	at time.Time
+func heardOf(s *stateNote, now time.Time) (h heardState, err error) {
+	h = heardState{from: s.From, hall: s.Hall, boot: s.Boot, seq: s.Seq, at: now}
+	if h.loads, err = unpackLoads(s.Loads); err != nil {
+		return h, err
+	}
+	links, err := unpackTallies(s.Links)
+	h.links = talliesOf(links)
+	return h, err
 }
 
 // loads is what was told and heard of loads; nodes.mu guards it.
@@ -98,23 +104,28 @@
 	states map[string]heardState // Of nodes of this hall.
 	halls  map[string]heardState // Sums of the others.
 	// links is what the whole hall has done with each store's link.
-	links map[string]route.Tally
-	own   map[string]route.Tally // Of that, this node's when last summed.
-	told  map[string]load        // What this node told last.
-	heard map[string]route.Tally // This node's when its hall's sum was last heard.
+	links tallies
+	own   tallies             // Of that, this node's when last summed.
+	told  []route.ReplicaLoad // What this node told last.
+	heard tallies             // This node's when its hall's sum was last heard.
 
 	passNext map[string]time.Time // When the sum of a hall may be told on.
 
+	// changed says that more was told since the pools were last told, which was at
+	// settled.
+	changed bool
+	settled time.Time
+
 	speakers   map[string]control.Member
-	speakersAt uint64 // Generation of the members.
+	speakersAt *control.View
 }
 
 func newLoads() loads {
 	return loads{
 		states: map[string]heardState{},
 		halls:  map[string]heardState{},
-		links:  map[string]route.Tally{},
-		own:    map[string]route.Tally{},
+		links:  tallies{},
+		own:    tallies{},
 
 		passNext: map[string]time.Time{},
 	}
@@ -161,33 +172,30 @@
 
 // tell sends this node's state to the others of its hall.
 func (n *nodes) tell(peers []netip.AddrPort) {
-	s := n.state()
-	s.Links = n.kept.Tallies()
+	loads := n.ownLoads()
+	s := n.newNote()
+	s.Loads, s.Links = packLoads(loads), packTallies(n.kept.Tallies())
 	n.note(peers, noteState, s)
 	n.mu.Lock()
-	n.loads.told = s.Loads
-	n.mu.Unlock()
-	n.merge(time.Now())
+	defer n.mu.Unlock()
+	n.loads.told = loads
+	n.loads.changed = true
 }
 
-// state begins a note with what this node itself has in flight.
-func (n *nodes) state() nodeState {
-	s := nodeState{
-		From:  n.self.Name,
-		Hall:  n.self.DataHall,
-		Boot:  n.members.Self().Incarnation,
-		Loads: map[string]load{},
-	}
-	for _, p := range n.beliefs.Pools() {
-		for id, l := range p.Loads() {
-			s.Loads[id] = loadOf(l)
-		}
-	}
+// newNote begins a note of this node.
+func (n *nodes) newNote() stateNote {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.loads.seq++
-	s.Seq = n.loads.seq
-	return s
+	return stateNote{From: n.self.Name, Hall: n.self.DataHall, Boot: n.boot, Seq: n.loads.seq}
+}
+
+// ownLoads is what this node itself has in flight.
+func (n *nodes) ownLoads() (list []route.ReplicaLoad) {
+	for _, p := range n.beliefs.Pools() {
+		list = p.AppendLoads(list)
+	}
+	return list
 }
 
 // note tells other nodes something and returns the bytes sent.
@@ -201,9 +209,10 @@
 
 // inHall lists the addresses of the other nodes of a hall that may live.
 func (n *nodes) inHall(hall string) []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, m := range n.members.All() {
-		if m.Name != n.self.Name && m.State != control.MemberDead && m.DataHall == hall {
+	present := n.members.View().Hall(hall).Present
+	list := make([]netip.AddrPort, 0, len(present))
+	for _, m := range present {
+		if m.Name != n.self.Name {
 			list = append(list, m.Peer)
 		}
 	}
@@ -211,33 +220,24 @@
 }
 
 // speakers are the nodes that tell their halls' sums, by hall. They are worked
-// out again when it changes who works.
+// out again when something has changed about the members.
 func (n *nodes) speakers() map[string]control.Member {
-	generation := n.members.Generation()
+	view := n.members.View()
 	n.mu.Lock()
 	list, known := n.loads.speakers, n.loads.speakersAt
 	n.mu.Unlock()
-	if list != nil && known == generation {
+	if list != nil && known == view {
 		return list
 	}
-	list = n.findSpeakers()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.loads.speakers, n.loads.speakersAt = list, generation
-	return list
-}
-
-func (n *nodes) findSpeakers() map[string]control.Member {
-	halls := map[string][]control.Member{}
-	for _, m := range n.members.Working() {
-		halls[m.DataHall] = append(halls[m.DataHall], m)
-	}
-	list := make(map[string]control.Member, len(halls))
-	for hall, members := range halls {
-		if m, ok := control.Owner(control.Widest(members), speakDuty+hall); ok {
+	list = map[string]control.Member{}
+	for _, hall := range view.Halls() {
+		if m, ok := control.Owner(control.Widest(view.Hall(hall).Working), speakDuty+hall); ok {
 			list[hall] = m
 		}
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads.speakers, n.loads.speakersAt = list, view
 	return list
 }
 
@@ -279,81 +279,84 @@
 			others = append(others, m.Peer)
 		}
 	}
-	s := n.state()
-	n.sumHall(&s)
+	sum, links := n.sumHall(n.ownLoads(), talliesOf(n.kept.Tallies()))
+	s := n.newNote()
+	s.Loads, s.Links = packLoads(busiest(sum, sumMost)), packTallies(links.list())
 	return n.note(others, noteHall, s)
 }
 
-// sumHall adds what the other nodes of this hall have in flight, and what all of
-// them have done with links.
-func (n *nodes) sumHall(s *nodeState) {
-	own := n.kept.Tallies()
+// sumHall adds what the other nodes of this hall have in flight to this one's own, and
+// what all of them have done with links.
+func (n *nodes) sumHall(own []route.ReplicaLoad, links tallies) (sum map[route.Key]route.PeerLoad, all tallies) {
+	sum = make(map[route.Key]route.PeerLoad, len(own))
+	addLoads(sum, own)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, state := range n.loads.states {
-		for id, l := range state.Loads {
-			s.Loads[id] = loadOf(s.Loads[id].peerLoad().Plus(l.peerLoad()))
-		}
+		addLoads(sum, state.loads)
 	}
-	s.Loads = busiest(s.Loads, sumMost)
-	for store, t := range own {
+	for store, t := range links {
 		n.loads.links[store] = n.loads.links[store].Plus(t.Since(n.loads.own[store]))
 		n.loads.own[store] = t
 	}
-	s.Links = maps.Clone(n.loads.links)
+	return sum, maps.Clone(n.loads.links)
 }
 
-// busiest leaves only the replicas of whose memory the most is held, and behind that
-// those with the most requests.
-func busiest(loads map[string]load, most int) map[string]load {
-	if len(loads) <= most {
-		return loads
+func addLoads(sum map[route.Key]route.PeerLoad, list []route.ReplicaLoad) {
+	for i := range list {
+		sum[list[i].Key] = sum[list[i].Key].Plus(list[i].Load)
 	}
-	ids := slices.Collect(maps.Keys(loads))
-	slices.SortFunc(ids, func(a, b string) int {
-		first, second := loads[a].peerLoad(), loads[b].peerLoad()
-		return cmp.Or(cmp.Compare(second.Memory, first.Memory), cmp.Compare(second.Requests, first.Requests), cmp.Compare(a, b))
-	})
-	left := make(map[string]load, most)
-	for _, id := range ids[:most] {
-		left[id] = loads[id]
+}
+
+// busiest lists the replicas of whose memory the most is held, and behind that those
+// with the most requests.
+func busiest(sum map[route.Key]route.PeerLoad, most int) []route.ReplicaLoad {
+	list := make([]route.ReplicaLoad, 0, len(sum))
+	for key, load := range sum {
+		list = append(list, route.ReplicaLoad{Key: key, Load: load})
+	}
+	if len(list) <= most {
+		return list
 	}
-	return left
+	slices.SortFunc(list, func(a, b route.ReplicaLoad) int {
+		return cmp.Or(cmp.Compare(b.Load.Memory, a.Load.Memory), cmp.Compare(b.Load.Requests, a.Load.Requests), cmp.Compare(a.Key, b.Key))
+	})
+	return list[:most]
 }
 
 // hearState takes in the state of another node of this hall.
 func (n *nodes) hearState(params json.RawMessage) {
-	if s, old, ok := n.hear(params, n.loads.states, func(s *nodeState) string { return s.From }); ok {
+	if _, s, old, ok := n.hear(params, n.loads.states, func(s *stateNote) string { return s.From }); ok {
 		more := s.moreThan(old)
 		n.mu.Lock()
 		for store, t := range more {
 			n.loads.links[store] = n.loads.links[store].Plus(t)
 		}
 		n.mu.Unlock()
-		n.apply(more)
+		n.addPeers(more)
 	}
 }
 
 // hearHall takes in the sum of another hall, and tells it on in this one if it
 // comes from there.
 func (n *nodes) hearHall(params json.RawMessage) {
-	s, old, ok := n.hear(params, n.loads.halls, func(s *nodeState) string { return s.Hall })
+	note, s, old, ok := n.hear(params, n.loads.halls, func(s *stateNote) string { return s.Hall })
 	if !ok {
 		return
 	}
-	if s.Hall == n.self.DataHall {
-		n.apply(n.withoutOwn(s.moreThan(old)))
+	if s.hall == n.self.DataHall {
+		n.addPeers(n.withoutOwn(s.moreThan(old)))
 		return
 	}
 	if n.speakers()[n.self.DataHall].Name == n.self.Name {
-		n.passOn(s)
+		n.passOn(note)
 	}
-	n.apply(s.moreThan(old))
+	n.addPeers(s.moreThan(old))
 }
 
 // passOn tells the sum of another hall in this one, unless the last one has yet to
 // go through the link: what is left out is in the next.
-func (n *nodes) passOn(s nodeState) {
+func (n *nodes) passOn(s stateNote) {
 	now := time.Now()
 	n.mu.Lock()
 	due := !now.Before(n.loads.passNext[s.Hall])
@@ -368,8 +371,8 @@
 }
 
 // withoutOwn takes this node's own part out of what its hall has done with links.
-func (n *nodes) withoutOwn(more map[string]route.Tally) map[string]route.Tally {
-	own := n.kept.Tallies()
+func (n *nodes) withoutOwn(more tallies) tallies {
+	own := talliesOf(n.kept.Tallies())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for store, t := range own {
@@ -379,75 +382,103 @@
 	return more
 }
 
-// hear notes a state under its name and says whether it is newer than the last.
-func (n *nodes) hear(params json.RawMessage, under map[string]heardState, name func(*nodeState) string) (s nodeState, old heardState, ok bool) {
-	if err := json.Unmarshal(params, &s); err != nil {
+// hear notes a state under its name and says whether it is newer than the last. What
+// can't be read is counted and dropped, and what was heard before stays.
+func (n *nodes) hear(params json.RawMessage, under map[string]heardState, name func(*stateNote) string) (note stateNote, s, old heardState, ok bool) {
+	now := time.Now()
+	err := json.Unmarshal(params, &note)
+	if err == nil {
+		s, err = heardOf(&note, now)
+	}
+	if err != nil {
+		n.dropped.Add(1)
 		n.log.Debug("state not understood", "err", err)
-		return s, old, false
+		return note, s, old, false
 	}
-	if s.From == n.self.Name {
-		return s, old, false
+	if note.From == n.self.Name {
+		return note, s, old, false
 	}
-	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	old = under[name(&s)]
-	same := s.From == old.From && s.Boot == old.Boot
-	if same && s.Seq <= old.Seq && now.Sub(old.at) < stateTerm {
-		return s, old, false
-	}
-	under[name(&s)] = heardState{nodeState: s, at: now}
-	return s, old, true
+	old = under[name(&note)]
+	same := s.from == old.from && s.boot == old.boot
+	if same && s.seq <= old.seq && now.Sub(old.at) < stateTerm {
+		return note, s, old, false
+	}
+	under[name(&note)] = s
+	n.loads.changed = true
+	return note, s, old, true
 }
 
 // moreThan is what has been done with links since an older state of the same node.
-func (s *nodeState) moreThan(old heardState) map[string]route.Tally {
-	more := map[string]route.Tally{}
-	if s.Boot != old.Boot || s.From != old.From {
+func (s *heardState) moreThan(old heardState) tallies {
+	more := tallies{}
+	if s.boot != old.boot || s.from != old.from {
 		return more
 	}
-	for store, t := range s.Links {
-		if d := t.Since(old.Links[store]); !d.Empty() {
+	for store, t := range s.links {
+		if d := t.Since(old.links[store]); !d.Empty() {
 			more[store] = d
 		}
 	}
 	return more
 }
 
-// apply has others' moves take their time and their loads count.
-func (n *nodes) apply(links map[string]route.Tally) {
+// addPeers has others' moves take their time on the links.
+func (n *nodes) addPeers(links tallies) {
 	now := time.Now()
 	for store, t := range links {
 		n.kept.AddPeer(store, t, now)
 	}
-	n.merge(now)
+}
+
+// settleEvery is after how long what was told is added up again though nothing new was:
+// some of it may have to be forgotten. It is a fifth of the time until then.
+const settleEvery = stateTerm / 5
+
+// settle has the pools know what the others have in flight, as far as was told. It is to
+// be called before a replica is chosen: a node of a large fleet hears 27 notes a second
+// and chooses some 10 times.
+func (n *nodes) settle(now time.Time) {
+	n.mu.Lock()
+	due := n.loads.changed || now.Sub(n.loads.settled) >= settleEvery
+	n.mu.Unlock()
+	if due {
+		n.merge(now)
+	}
 }
 
 // merge adds up what the others have in flight.
 func (n *nodes) merge(now time.Time) {
-	sum := map[string]route.PeerLoad{}
+	n.mergeMu.Lock()
+	defer n.mergeMu.Unlock()
+	sum := n.addUp(now)
+	for _, p := range n.beliefs.Pools() {
+		p.SetPeers(sum)
+	}
+}
+
+func (n *nodes) addUp(now time.Time) map[route.Key]route.PeerLoad {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads.changed, n.loads.settled = false, now
+	sum := map[route.Key]route.PeerLoad{}
 	for _, heard := range []map[string]heardState{n.loads.states, n.loads.halls} {
 		for name, s := range heard {
-			if n.ignores(s.Hall) {
-				continue
-			}
-			if now.Sub(s.at) > stateTerm {
+			switch {
+			case now.Sub(s.at) > stateTerm:
 				delete(heard, name)
-				continue
-			}
-			for id, l := range s.Loads {
-				sum[id] = sum[id].Plus(l.peerLoad())
+			case !n.ignores(s.hall):
+				addLoads(sum, s.loads)
 			}
 		}
 	}
 	if _, summed := n.loads.halls[n.self.DataHall]; summed {
-		n.subtractTold(sum)
-	}
-	n.mu.Unlock()
-	for _, p := range n.beliefs.Pools() {
-		p.SetPeers(sum)
+		for _, l := range n.loads.told {
+			sum[l.Key] = sum[l.Key].Minus(l.Load)
+		}
 	}
+	return sum
 }
 
 // ignores says whether what nodes of a hall have in flight is left out of account.
@@ -457,11 +488,3 @@
 	}
 	return n.beliefs.without.FarLoads
 }
-
-// subtractTold takes what this node told out of its hall's sum; the caller holds
-// mu.
-func (n *nodes) subtractTold(sum map[string]route.PeerLoad) {
-	for id, l := range n.loads.told {
-		sum[id] = sum[id].Minus(l.peerLoad())
-	}
-}
--- a/service/gateway/loads_test.go
+++ b/service/gateway/loads_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
@@ -18,20 +21,22 @@
 	n := &nodes{self: control.Member{Name: "n0", DataHall: "h"}, kept: route.NewKept(), loads: newLoads()}
 	const replicas = 3000
 	for node := range 20 {
-		s := nodeState{From: fmt.Sprint("n", node), Loads: map[string]load{}}
+		s := heardState{from: fmt.Sprint("n", node), at: time.Now()}
 		for i := node; i < replicas; i += 20 {
-			s.Loads[fmt.Sprintf("i-%012d", i)] = load{1, 9000 + i, i}
+			load := route.PeerLoad{Requests: 1, Memory: 9000 + i, Tokens: route.Banded{i}}
+			s.loads = append(s.loads, route.ReplicaLoad{Key: route.KeyOf(fmt.Sprintf("i-%012d", i)), Load: load})
 		}
-		n.loads.states[s.From] = heardState{nodeState: s, at: time.Now()}
+		n.loads.states[s.from] = s
 	}
-	sum := nodeState{Loads: map[string]load{}}
-	n.sumHall(&sum)
-	assert.Equal(t, len(sum.Loads), sumMost)
-	_, ok := sum.Loads[fmt.Sprintf("i-%012d", replicas-1)]
-	assert.Assert(t, ok, "the busiest is told of")
-	text, err := json.Marshal(sum)
+	sum, _ := n.sumHall(nil, nil)
+	list := busiest(sum, sumMost)
+	assert.Equal(t, len(list), sumMost)
+	busy := route.KeyOf(fmt.Sprintf("i-%012d", replicas-1))
+	assert.Assert(t, slices.ContainsFunc(list, func(l route.ReplicaLoad) bool { return l.Key == busy }), "the busiest is told of")
+	text, err := json.Marshal(stateNote{Loads: packLoads(list)})
 	assert.NilError(t, err)
-	const datagram = 60_000
+	// Stores' tallies and the envelope take as much again at most.
+	const datagram = 16 << 10
 	assert.Assert(t, len(text) < datagram/2, "%d bytes", len(text))
 }
 
@@ -51,7 +56,7 @@
 	n := newsFleet(3)
 	now := time.Now()
 	for name, at := range map[string]time.Time{"a-1": now.Add(-stateTerm / 2), "a-2": now.Add(-stateTerm - time.Millisecond)} {
-		n.loads.states[name] = heardState{nodeState: nodeState{From: name, Loads: map[string]load{"r": {1}}}, at: at}
+		n.loads.states[name] = heardState{from: name, loads: []route.ReplicaLoad{{Key: route.KeyOf("r"), Load: route.PeerLoad{Requests: 1}}}, at: at}
 	}
 	n.merge(now)
 	_, heard := n.loads.states["a-1"]
@@ -59,3 +64,57 @@
 	_, heard = n.loads.states["a-2"]
 	assert.Assert(t, !heard)
 }
+
+func TestLoadsSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loads := []route.ReplicaLoad{}
+		var links []route.StoreTally
+		number := rapid.IntRange(0, mostNumber)
+		for range rapid.IntRange(0, 8).Draw(t, "replicas") {
+			var all loadNumbers
+			for i := range all {
+				all[i] = number.Draw(t, "n")
+			}
+			l := route.ReplicaLoad{Key: route.Key(rapid.Uint32().Draw(t, "key")), Load: all.load()}
+			loads = append(loads, l)
+			tally := route.Tally{Bytes: int64(number.Draw(t, "bytes")), Late: int64(number.Draw(t, "late")), Early: int64(number.Draw(t, "early"))}
+			links = append(links, route.StoreTally{Key: l.Key, Tally: tally})
+		}
+		got, err := unpackLoads(packLoads(loads))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, loads)
+		gotLinks, err := unpackTallies(packTallies(links))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, gotLinks, links)
+		if whole := packLoads(loads); len(whole) > 0 {
+			_, err = unpackLoads(whole[:len(whole)-1])
+			assert.ErrorIs(t, err, errCutShort)
+		}
+	})
+}
+
+// A later version may tell more of each replica; what is known of it here is still read.
+func TestNumbersOfALaterVersionArePassedOver(t *testing.T) {
+	later := []byte{0, 0, 0, 7}
+	later = binary.AppendUvarint(later, 1|1<<40)
+	later = binary.AppendUvarint(later, 3)
+	later = binary.AppendUvarint(later, 99)
+	got, err := unpackLoads(append(later, packLoads([]route.ReplicaLoad{{Key: 8, Load: route.PeerLoad{Memory: 5}}})...))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, []route.ReplicaLoad{{Key: 7, Load: route.PeerLoad{Requests: 3}}, {Key: 8, Load: route.PeerLoad{Memory: 5}}})
+}
+
+// A note that can't be read takes nothing away from what was heard before.
+func TestNoteThatCannotBeReadIsCountedAndDropped(t *testing.T) {
+	n := newsFleet(3)
+	tell := func(seq uint64, loads []byte) {
+		text, err := json.Marshal(stateNote{From: "a-1", Hall: "a", Boot: 1, Seq: seq, Loads: loads})
+		assert.NilError(t, err)
+		n.hearState(text)
+	}
+	tell(1, packLoads([]route.ReplicaLoad{{Key: 9, Load: route.PeerLoad{Requests: 4}}}))
+	tell(2, []byte{1, 2})
+	n.hearState(json.RawMessage(`{"f": 1}`))
+	assert.Equal(t, n.dropped.Load(), int64(2))
+	assert.DeepEqual(t, n.addUp(time.Now()), map[route.Key]route.PeerLoad{9: {Requests: 4}})
+}
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -114,6 +114,7 @@
 	Config   int64                        `json:"configuration"`
 	ListAge  float64                      `json:"upstreams_age_s"`
 	Nodes    int                          `json:"nodes"`
+	Unread   int64                        `json:"notes_dropped"`
 	Replicas map[string]replicaCount      `json:"replicas"`
 	Weights  map[string]int64             `json:"weights_named"`
 	Stores   []route.StoreStatus          `json:"stores"`
@@ -144,6 +145,7 @@
 		Queues:   map[string]route.QueueStatus{},
 		Replicas: map[string]replicaCount{},
 		Nodes:    g.nodes.count(),
+		Unread:   g.nodes.dropped.Load(),
 		Weights:  g.beliefs.NewestWeights(),
 		Stores:   g.kept.Status(),
 	}
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -96,13 +96,9 @@
 // newsAudience are the nodes that are told news by this one: all of small halls, and
 // of each large one a node that tells the others, another one at each try.
 func (n *nodes) newsAudience(try int) (direct, relays []netip.AddrPort) {
-	halls := map[string][]control.Member{}
-	for _, m := range n.members.All() {
-		if m.Name != n.self.Name && m.State != control.MemberDead {
-			halls[m.DataHall] = append(halls[m.DataHall], m)
-		}
-	}
-	for hall, members := range halls {
+	view := n.members.View()
+	for _, hall := range view.Halls() {
+		members := slices.DeleteFunc(slices.Clone(view.Hall(hall).Present), func(m control.Member) bool { return m.Name == n.self.Name })
 		if len(members) <= directMost {
 			for _, m := range members {
 				direct = append(direct, m.Peer)
@@ -119,6 +115,7 @@
 func (n *nodes) hearNews(params json.RawMessage) {
 	var w newsNote
 	if err := json.Unmarshal(params, &w); err != nil {
+		n.dropped.Add(1)
 		n.log.Debug("news not understood", "err", err)
 		return
 	}
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -40,6 +41,9 @@
 	kept    *route.Kept
 	log     *slog.Logger
 	due     chan struct{} // Holds one when the state is to be told soon.
+	boot    uint64        // Tells this life of the node from others.
+	dropped atomic.Int64  // Notes that could not be read.
+	mergeMu sync.Mutex    // Has the pools told one sum after the other; taken before mu.
 
 	mu        sync.Mutex
 	announced bool
@@ -157,20 +161,16 @@
 // entries lists where callers of a data hall are to go: to its own nodes, or to
 // all if it has too few that are well.
 func (n *nodes) entries(hall string) []netip.AddrPort {
-	var near, all []netip.AddrPort
-	for _, m := range n.members.All() {
-		if m.State != control.MemberAlive {
-			continue
-		}
-		all = append(all, m.Entry)
-		if m.DataHall == hall {
-			near = append(near, m.Entry)
-		}
+	view := n.members.View()
+	list := view.Hall(hall).Alive
+	if len(list) < leastNear {
+		list = view.Alive
 	}
-	if len(near) >= leastNear {
-		return near
+	addrs := make([]netip.AddrPort, len(list))
+	for i, m := range list {
+		addrs[i] = m.Entry
 	}
-	return all
+	return addrs
 }
 
 // leastNear is how many nodes of its own data hall a caller is to have at least:
--- /dev/null
+++ b/service/gateway/packed_loads.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"github.com/drumpath/drumpath/pkg/route"
+)
+
+// Loads go from node to node as bytes: for each replica its key, which numbers are not
+// zero, and those. As JSON, 256 replicas and 58 stores took 10.5 kB and 0.9 ms of a
+// core at each of 295 nodes, 22 times a second; packed they take 5 kB and 0.07 ms.
+
+// errCutShort says that packed bytes end inside something.
+var errCutShort = errors.New("packed loads cut short")
+
+const keyBytes = 4
+
+// loadFixed is how many numbers of a load come before the tokens to be read.
+const loadFixed = 2
+
+// loadNumbers is what is told of a load, in the order on the wire. Numbers are added at
+// the end only: nodes that don't know them pass over them.
+type loadNumbers [loadFixed + len(route.Banded{})]int
+
+func numbersOf(l *route.PeerLoad) (n loadNumbers) {
+	n[0], n[1] = l.Requests, l.Memory
+	copy(n[loadFixed:], l.Tokens[:])
+	return n
+}
+
+func (n *loadNumbers) load() (l route.PeerLoad) {
+	l.Requests, l.Memory = n[0], n[1]
+	copy(l.Tokens[:], n[loadFixed:])
+	return l
+}
+
+func packLoads(list []route.ReplicaLoad) []byte {
+	const typical = 16 // Bytes.
+	b := make([]byte, 0, typical*len(list))
+	for i := range list {
+		b = binary.BigEndian.AppendUint32(b, uint32(list[i].Key))
+		set := uint64(0)
+		all := numbersOf(&list[i].Load)
+		for bit, n := range all {
+			if n > 0 {
+				set |= 1 << bit
+			}
+		}
+		b = binary.AppendUvarint(b, set)
+		for _, n := range all {
+			if n > 0 {
+				b = binary.AppendUvarint(b, uint64(n))
+			}
+		}
+	}
+	return b
+}
+
+// unpacker takes packed numbers off the front of bytes.
+type unpacker struct {
+	rest []byte
+	err  error
+}
+
+func (u *unpacker) key() route.Key {
+	if len(u.rest) < keyBytes {
+		u.rest, u.err = nil, errCutShort
+		return 0
+	}
+	key := route.Key(binary.BigEndian.Uint32(u.rest))
+	u.rest = u.rest[keyBytes:]
+	return key
+}
+
+func (u *unpacker) number() uint64 {
+	n, used := binary.Uvarint(u.rest)
+	if used <= 0 {
+		u.rest, u.err = nil, errCutShort
+		return 0
+	}
+	u.rest = u.rest[used:]
+	return n
+}
+
+// mostNumber bounds a number that is told: none that is meant is larger, and sums of
+// them stay far from overflowing.
+const mostNumber = 1 << 50
+
+func (u *unpacker) count() int { return int(min(u.number(), mostNumber)) }
+
+func unpackLoads(b []byte) (list []route.ReplicaLoad, err error) {
+	const least = 6 // Bytes of a replica with anything in flight.
+	list = make([]route.ReplicaLoad, 0, len(b)/least)
+	u := unpacker{rest: b}
+	for len(u.rest) > 0 {
+		key := u.key()
+		var all loadNumbers
+		for bit, set := 0, u.number(); set != 0; bit, set = bit+1, set>>1 {
+			if set&1 == 0 {
+				continue
+			}
+			if n := u.count(); bit < len(all) {
+				all[bit] = n
+			}
+		}
+		list = append(list, route.ReplicaLoad{Key: key, Load: all.load()})
+	}
+	return list, u.err
+}
+
+func packTallies(list []route.StoreTally) []byte {
+	var b []byte
+	for _, s := range list {
+		b = binary.BigEndian.AppendUint32(b, uint32(s.Key))
+		for _, n := range []int64{s.Tally.Bytes, s.Tally.Late, s.Tally.Early} {
+			b = binary.AppendUvarint(b, uint64(max(0, n)))
+		}
+	}
+	return b
+}
+
+func unpackTallies(b []byte) (list []route.StoreTally, err error) {
+	u := unpacker{rest: b}
+	for len(u.rest) > 0 {
+		s := route.StoreTally{Key: u.key()}
+		for _, n := range []*int64{&s.Tally.Bytes, &s.Tally.Late, &s.Tally.Early} {
+			*n = int64(u.count())
+		}
+		list = append(list, s)
+	}
+	return list, u.err
+}
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -130,6 +130,7 @@
 		log:     log,
 		loads:   newLoads(),
 		due:     make(chan struct{}, 1),
+		boot:    m.Self().Incarnation,
 	}
 	handle := func(from netip.AddrPort, p control.Probe) []control.Packet { return m.Handle(from, p, time.Now(), 0) }
 	var err error
