--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -159,12 +159,7 @@
 		g.figures.start(g)
 	}
 	hold := g.conf().Platform.Hold.Std()
-	follow := func(f *follower) {
-		g.wg.Go(func() {
-			g.nodes.gather(g.ctx)
-			f.run(g.ctx)
-		})
-	}
+	follow := func(f *follower) { g.wg.Go(func() { f.run(g.ctx) }) }
 	follow(&follower{
 		store: g.readers, table: site.TableOperator, name: "operator", hold: hold, log: g.log,
 		apply: func(rows []site.Row, _ bool, now time.Time) { g.beliefs.ApplyOperator(rows, now) },
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -30,15 +28,6 @@
 	// meetRetry is the pause after a failure for a node that knows others: each
 	// call is paid for, and it needs no more of them soon.
 	meetRetry = 5 * time.Second
-	// meetSpread is over what time nodes that start together look for others after they
-	// have told the store of themselves: whom one of them has greeted by then need not.
-	// It is a small part of the time within which a site has to serve again after a loss
-	// of power.
-	meetSpread = 250 * time.Millisecond
-	// gatherTime is for how long a node that starts alone waits for others before it
-	// reads the store for itself.
-	gatherTime = 500 * time.Millisecond
-	gatherLook = 20 * time.Millisecond
 )
 
 // nodes is what the nodes tell each other: who there is, what each has in flight,
@@ -93,9 +82,6 @@
 		return
 	}
 	rows, err := n.readNodes(ctx)
-	if errors.Is(err, errGreeted) {
-		rows, err = nil, nil
-	}
 	n.mu.Lock()
 	first := n.missed.IsZero()
 	missed := now.Sub(n.missed)
@@ -121,58 +107,33 @@
 	}
 }
 
-// errGreeted says that the others' addresses need not be read: one of them has found
-// this node.
-var errGreeted = errors.New("greeted by another node")
-
-// readNodes writes this node's address and reads those of others. Where it has just been
-// written, the node waits a little: of 295 that start together each would read the
-// addresses of all.
+// readNodes writes this node's address and reads those of others.
 func (n *nodes) readNodes(ctx context.Context) (rows []site.Row, err error) {
-	first, err := n.announce(ctx)
-	if err != nil {
+	if err := n.announce(ctx); err != nil {
 		return nil, eris.Wrap(err, "write the own address")
 	}
-	if first {
-		sleep(ctx, time.Duration(rand.Int64N(int64(meetSpread))))
-		if len(n.members.Working()) > 1 {
-			return nil, errGreeted
-		}
-	}
 	l, err := n.store.List(ctx, site.TableNodes)
 	return l.Rows, eris.Wrap(err, "read the nodes' addresses")
 }
 
-// announce writes this node's address unless it has been, and says whether it has done so.
-func (n *nodes) announce(ctx context.Context) (first bool, err error) {
+func (n *nodes) announce(ctx context.Context) error {
 	n.mu.Lock()
 	done := n.announced
 	n.mu.Unlock()
 	if done {
-		return false, nil
+		return nil
 	}
 	body, err := json.Marshal(nodeRow{Peer: n.self.Peer})
 	if err != nil {
-		return false, err
+		return err
 	}
 	if err := n.store.Announce(ctx, site.TableNodes, n.self.Name, body); err != nil {
-		return false, err
+		return err
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.announced = true
-	return true, nil
-}
-
-// gather waits until another node is known, or for gatherTime: nodes that start together
-// ask each other for the configuration and the replicas, and few of them the store.
-func (n *nodes) gather(ctx context.Context) {
-	for end := time.Now().Add(gatherTime); time.Now().Before(end) && ctx.Err() == nil; {
-		if len(n.members.Working()) > 1 {
-			return
-		}
-		sleep(ctx, gatherLook)
-	}
+	return nil
 }
 
 func (n *nodes) greet(rows []site.Row) {
--- a/service/peer/probes.go
+++ b/service/peer/probes.go
@@ -50,9 +50,6 @@
 	return &Probes{conn: conn, key: []byte(key), log: log, handle: handle, notes: map[string]NoteHandler{}}, nil
 }
 
-// Addr is the address that is listened at.
-func (p *Probes) Addr() netip.AddrPort { return p.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
-
 // OnNote has fn called with each note of a method; it is called before Start.
 func (p *Probes) OnNote(method string, fn NoteHandler) { p.notes[method] = fn }
 
