--- /dev/null
+++ b/_scripts/ablate/main.go
@@ -0,0 +1,26 @@
+// Command ablate plays days of load with one mechanism of the decisions switched off at a
+// time, and prints what each is worth.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Play  playCommand  `command:"play" description:"play what is not yet in the results"`
+	Table tableCommand `command:"table" description:"print what each mechanism is worth"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
