A few replicas are weighed for each prompt, drawn at random, in place of all

Hypothesis: at 295 nodes prompts come late because news of the others' loads is 0.2 to 0.4 s old: the replica that looks least busy is sent what comes to all nodes until they hear of it.

Change: two of all that may be used are weighed, and two of those that would be soonest if nothing waited: such as hold the prompt, or stand in the same hall. Switch: without.choices.

--- a/pkg/config/without.go
+++ b/pkg/config/without.go
@@ -20,6 +20,8 @@
 	HallLoads bool `json:"hall_loads"`
 	// FarLoads is that data halls tell each other that.
 	FarLoads bool `json:"far_loads"`
+	// Choices is that a few replicas are weighed, drawn at random, and not all.
+	Choices bool `json:"choices"`
 	// Memory is that what prompts hold of engines' memory counts in placement.
 	Memory bool `json:"memory"`
 	// PromptQueue is that prompts wait at the nodes until an engine has room.
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -34,6 +34,8 @@
 	memory   memoryUse
 	capacity int // Of an engine's memory, in tokens; 0 if not known.
 	without  config.WithoutSettings
+	// candidates is kept for choose.
+	candidates []candidate
 }
 
 // member is one replica of a pool.
@@ -253,19 +255,7 @@
 	defer p.mu.Unlock()
 	p.capacity = max(p.capacity, n.Capacity)
 	home := p.home(n)
-	best := math.Inf(1)
-	var chosen *member
-	for pass := 0; pass < 2 && chosen == nil; pass++ {
-		for _, m := range p.list {
-			if !m.usable(n) || pass == 0 && m.passedOver(now) {
-				continue
-			}
-			cost := p.cost(m, n, m == home, now)
-			if cost < best {
-				best, chosen = cost, m
-			}
-		}
-	}
+	chosen := p.choose(n, home, now)
 	if chosen == nil {
 		return Choice{}, false
 	}
@@ -319,9 +309,9 @@
 	return best
 }
 
-// cost is the price of a replica in seconds.
-func (p *Pool) cost(m *member, n *Need, home bool, now time.Time) float64 {
-	cost := p.firstByte(m, n, home, now)
+// idleCost is the price of a replica at which nothing waits, in seconds.
+func (p *Pool) idleCost(m *member, n *Need, home bool, now time.Time) float64 {
+	cost := p.idleTime(m, n, home, now)
 	if m.DataHall != p.hall {
 		cost += hallTime.Seconds()
 	}
@@ -331,28 +321,36 @@
 	if now.Before(m.cold) {
 		cost += coldTime.Seconds()
 	}
-	// Ties are broken at random, so that nodes don't all choose the same.
-	return cost + p.rng.Float64()*tieTime.Seconds()
+	return cost
 }
 
-// tieTime is the difference below which replicas count as equal.
-const tieTime = time.Millisecond
-
 // firstByte is the expected time to the first byte of the answer, in seconds.
 func (p *Pool) firstByte(m *member, n *Need, home bool, now time.Time) float64 {
-	running := len(m.flights) + m.others.Requests
+	return p.idleTime(m, n, home, now) + p.busyTime(m, n, now)
+}
+
+// idleTime is the part of firstByte that a replica at which nothing waits would take.
+func (p *Pool) idleTime(m *member, n *Need, home bool, now time.Time) float64 {
 	if n.Tokens == 0 {
-		wait := 0.0
-		if over := running + 1 - max(1, m.Slots); over > 0 {
-			wait = float64(over) * p.meanRun.Seconds() / float64(max(1, m.Slots))
-		}
-		// Replicas with some to do come after idle ones.
-		wait += p.meanRun.Seconds() * float64(running) / float64(4*max(1, m.Slots))
-		return (wait + p.meanRun.Seconds()) * p.lateness(m, now)
+		return p.meanRun.Seconds() * p.lateness(m, now)
 	}
 	offer := n.Offers[m.ID]
-	own := (p.base+n.toRead(offer, home)*p.perToken)*p.lateness(m, now) + offer.Wait.Seconds()
-	return own + p.wait(m, n, now)
+	return (p.base+n.toRead(offer, home)*p.perToken)*p.lateness(m, now) + offer.Wait.Seconds()
+}
+
+// busyTime is the part of firstByte that comes from others at the replica.
+func (p *Pool) busyTime(m *member, n *Need, now time.Time) float64 {
+	if n.Tokens > 0 {
+		return p.wait(m, n, now)
+	}
+	running := len(m.flights) + m.others.Requests
+	wait := 0.0
+	if over := running + 1 - max(1, m.Slots); over > 0 {
+		wait = float64(over) * p.meanRun.Seconds() / float64(max(1, m.Slots))
+	}
+	// Replicas with some to do come after idle ones.
+	wait += p.meanRun.Seconds() * float64(running) / float64(4*max(1, m.Slots))
+	return wait * p.lateness(m, now)
 }
 
 // promptWait is wait, and nothing for requests without a prompt.
