What the change to held state and loads left unused goes

Read once more: Kept.EngineHalls and Pool.Size have had no caller since a node ranks the engines that it keeps and the limit on a service's engines went. Behaviour is as it was: nothing called them.

--- a/_scripts/ablate/play.go
+++ b/_scripts/ablate/play.go
@@ -105,7 +105,7 @@
 	breach = regexp.MustCompile(`(?m)^\s*[A-Z]{3,}\b`)
 )
 
-// play plays one day and takes its figures from what the bench prints.
+// play plays one day and takes its figures from what is printed.
 func (c *playCommand) play(ts *trees, p play, site string) (r result, err error) {
 	dir, err := ts.get(p.Without)
 	if err != nil {
--- a/pkg/route/held.go
+++ b/pkg/route/held.go
@@ -155,17 +155,6 @@
 	return h.heard && !h.Draining && !now.Before(h.doubted) && h.parts[part] >= tokens
 }
 
-// EngineHalls lists the data halls of all engines, by ID.
-func (k *Kept) EngineHalls() map[string]string {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	list := make(map[string]string, len(k.engines))
-	for id, h := range k.engines {
-		list[id] = h.DataHall
-	}
-	return list
-}
-
 // NoteRead notes that an engine has read, or fetched, the shared parts of a prompt, so
 // that the next prompt needn't wait for the engine's own word.
 func (k *Kept) NoteRead(id, realm string, shared []site.Part) {
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -242,13 +242,6 @@
 	return list
 }
 
-// Size is how many replicas there are.
-func (p *Pool) Size() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.list)
-}
-
 // Pick chooses a replica; ok is false if none may take the request.
 func (p *Pool) Pick(n *Need, now time.Time) (c Choice, ok bool) {
 	p.mu.Lock()
