--- /dev/null
+++ b/internal/standin/onplatform/shift_test.go
@@ -0,0 +1,226 @@
+package onplatform_test
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
+)
+
+// row is a replica's row as it writes it itself, with some fields replaced.
+func row(service string, r *onplatform.Replica, fields map[string]any) map[string]any {
+	w := map[string]any{
+		"service": service, "addr": r.Addr().String(), "zone": "hall-a", "config_version": "v1",
+		"slots": 8, "state": "ready", "cold_left_ms": 0, "call_seq": 0, "born": 1_700_000_000_000,
+	}
+	for k, v := range fields {
+		if v == nil {
+			delete(w, k)
+			continue
+		}
+		w[k] = v
+	}
+	return w
+}
+
+func (s *site) put(r *onplatform.Replica, w map[string]any) {
+	s.store.Put(onplatform.TableUpstreams, r.ID, w)
+}
+
+func (s *site) newReplica(id string) *onplatform.Replica {
+	r, err := onplatform.NewReplica(id)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(r.Close)
+	return r
+}
+
+// reaches says whether any of some requests reaches a replica.
+func (n *node) reaches(r *onplatform.Replica) bool {
+	before := len(r.Seen())
+	for range 20 {
+		n.send(request("GET", "/safe/x", ""))
+	}
+	return len(r.Seen()) > before
+}
+
+// Symptom: operators evacuated a data hall, and requests went on to its replicas.
+// Sequence: two halls serve, the node's own first; the row of the evacuation is written,
+// and taken back later.
+// Cause: nodes did not know of such rows.
+func TestEvacuatedHallGetsNothingUntilItIsTakenBack(t *testing.T) {
+	s := newSite(t)
+	a, b := s.newReplica("a"), s.newReplica("b")
+	s.put(a, row(app, a, nil))
+	s.put(b, row(app, b, map[string]any{"zone": "hall-b"}))
+	n := s.node("n1")
+	s.until("its own hall serves", func() bool { return n.reaches(a) })
+	s.store.Put(onplatform.TableOperator, "evacuate/hall-a", map[string]any{})
+	s.until("the evacuated hall gets nothing", func() bool { return !n.reaches(a) && n.reaches(b) })
+	s.store.Put(onplatform.TableOperator, "evacuate/hall-b", "what it says does not matter")
+	s.until("nobody is left", func() bool {
+		got := n.send(request("GET", "/safe/x", ""))
+		return got.status == 503 && got.body == `{"error":"evacuated"}`
+	})
+	s.store.Forget() // The whole table is read again.
+	s.store.Drop(onplatform.TableOperator, "evacuate/hall-b")
+	s.until("the hall that was taken back serves", func() bool { return n.reaches(b) })
+	assert.Assert(t, !n.reaches(a))
+	s.store.Drop(onplatform.TableOperator, "evacuate/hall-a")
+	s.until("so does the other", func() bool { return n.reaches(a) })
+}
+
+// A bad row never takes a good one away.
+func TestBadRowBesideAnEvacuationChangesNothing(t *testing.T) {
+	s := newSite(t)
+	a, b := s.newReplica("a"), s.newReplica("b")
+	s.put(a, row(app, a, nil))
+	s.put(b, row(app, b, map[string]any{"zone": "hall-b"}))
+	n := s.node("n1")
+	s.store.Put(onplatform.TableOperator, "evacuate/hall-a", map[string]any{})
+	s.until("the evacuated hall gets nothing", func() bool { return !n.reaches(a) && n.reaches(b) })
+	s.store.Put(onplatform.TableOperator, "evacuate/", map[string]any{})
+	s.store.Put(onplatform.TableOperator, "evacuate/nowhere", map[string]any{})
+	s.store.Put(onplatform.TableOperator, "config", "no JSON")
+	s.store.Drop(onplatform.TableUpstreams, "b")
+	c := s.newReplica("c")
+	s.put(c, row(app, c, map[string]any{"zone": "hall-b"}))
+	s.until("what came behind them is used", func() bool { return n.send(request("GET", "/safe/x", "")).body == "from c" })
+	assert.Assert(t, !n.reaches(a))
+}
+
+// Symptom: requests went to a replica whose row another writer had spoilt.
+// Sequence: a good row, then one under the same key in which a field is missing or of
+// another type.
+// Cause: the last good row stayed, and fields that were missing counted as nothing.
+func TestSpoiltRowNamesNoReplica(t *testing.T) {
+	for name, spoilt := range map[string]map[string]any{
+		"no service":         {"service": nil},
+		"service of numbers": {"service": 7},
+		"no address":         {"addr": nil},
+		"address nowhere":    {"addr": "nowhere"},
+		"no data hall":       {"zone": nil},
+		"slots in text":      {"slots": "8"},
+		"no slots":           {"slots": nil},
+		"no state":           {"state": nil},
+		"unknown state":      {"state": "resting"},
+		"no cold time":       {"cold_left_ms": nil},
+		"cold time in text":  {"cold_left_ms": "0"},
+		"negative cold time": {"cold_left_ms": -1},
+		"no count of orders": {"call_seq": nil},
+		"count of a half":    {"call_seq": 0.5},
+		"no software":        {"config_version": nil},
+		"software of a list": {"config_version": []int{1}},
+		"start of a half":    {"born": 1.5},
+		"start in text":      {"born": "1700000000000"},
+		"models in text":     {"models": "m0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			a, b := s.newReplica("a"), s.newReplica("b")
+			s.put(a, row(app, a, nil))
+			s.put(b, row(app, b, nil))
+			n := s.node("n1")
+			s.until("both serve", func() bool { return n.reaches(a) && n.reaches(b) })
+			s.put(b, row(app, b, spoilt))
+			s.until("the spoilt one gets nothing", func() bool { return !n.reaches(b) })
+			assert.Assert(t, n.reaches(a), "the other one holds")
+			s.put(b, row(app, b, nil))
+			s.until("it is back with a good row", func() bool { return n.reaches(b) })
+		})
+	}
+}
+
+// Symptom: a replica that had started again under its ID was asked for weights that it had
+// lost, and refused each request.
+// Sequence: it answers on version 2; it starts again and its row says version 1.
+// Cause: what answers had told counted as newer than the row, whichever start it was of.
+func TestReplicaThatHasStartedAgainHasTheWeightsOfItsRow(t *testing.T) {
+	s := newSite(t)
+	e := s.newReplica("e")
+	models := func(version int) []map[string]any {
+		return []map[string]any{{"name": model, "config_version": version}}
+	}
+	s.put(e, row(llm, e, map[string]any{"models": models(1)}))
+	e.Script(onplatform.Raw("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: %ID%\r\nVersions: 2\r\nContent-Length: 2\r\n\r\nok", true))
+	n := s.node("n1")
+	expected := func() string {
+		n.send(request("POST", "/prompt/x", "b", "Model: "+model, "Prefix-Hash: p1:100,p2:50", "Token-Usage: 150,10"))
+		seen := e.Seen()
+		if len(seen) == 0 {
+			return ""
+		}
+		return seen[len(seen)-1].Header.Get("Expect-Version")
+	}
+	s.until("its answers tell of version 2", func() bool { return expected() == "2" })
+	e.Script(onplatform.OK("ok"))
+	s.put(e, row(llm, e, map[string]any{"models": models(1), "born": 1_700_000_009_000}))
+	s.until("the new start has version 1", func() bool { return expected() == "1" })
+	s.put(e, row(llm, e, map[string]any{"models": models(2), "born": 1_700_000_000_000}))
+	s.replica(app, "later")
+	s.until("later rows are heard", func() bool { return n.send(request("GET", "/safe/x", "")).status == 200 })
+	assert.Equal(t, expected(), "1", "a row of an older start is void")
+}
+
+// Symptom: a replica that had come back cold got more requests in a second than it bears.
+// Sequence: four nodes, a cold replica beside a warm one, more load than both are to get.
+// Cause: its row's word of that was a price only.
+func TestColdReplicaGetsNoMoreThanItBears(t *testing.T) {
+	s := newSite(t)
+	s.cold = map[string]any{"cold_s": 3.0, "cold_per_s": 10.0}
+	s.configure()
+	a := s.newReplica("a")
+	var mu sync.Mutex
+	var came []time.Time
+	a.Script(func(w io.Writer, r *onplatform.Request) bool {
+		mu.Lock()
+		came = append(came, time.Now())
+		mu.Unlock()
+		return onplatform.OK("from a")(w, r)
+	})
+	s.put(a, row(app, a, map[string]any{"cold_left_ms": 3000}))
+	var nodes []*node
+	for i := range 4 {
+		nodes = append(nodes, s.node(fmt.Sprintf("n%d", i)))
+	}
+	begun := time.Now()
+	var served, refused atomic.Int64
+	var wg sync.WaitGroup
+	for _, n := range nodes {
+		wg.Go(func() {
+			for time.Since(begun) < 2*time.Second {
+				switch got := n.send(request("GET", "/safe/x", "")); got.status {
+				case 200:
+					served.Add(1)
+				case 503:
+					refused.Add(1)
+					assert.Check(t, got.header.Get("Retry-After") != "")
+				default:
+					t.Errorf("status %d", got.status)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	const bound = 15 // 10 a second, times 1.5.
+	for i := range came {
+		n := 0
+		for _, at := range came[i:] {
+			if at.Sub(came[i]) < time.Second {
+				n++
+			}
+		}
+		assert.Assert(t, n <= bound, "%d requests in one second", n)
+	}
+	assert.Assert(t, refused.Load() > 0)
+	assert.Assert(t, served.Load() > 0, "what it bears is used")
+}
--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -42,6 +43,7 @@
 	routes  []map[string]any
 	tenants []map[string]any
 	limits  map[string]any
+	cold    map[string]any   // Further fields of the service app.
 	extra   []map[string]any // Further services.
 	log     *slog.Logger
 	way     *netproxy.Proxy // To the store, nil for none.
@@ -71,7 +73,7 @@
 func (s *site) configure() {
 	s.version++
 	services := []map[string]any{
-		{"name": app, "health_path": "/healthz", "max_conns": 100},
+		s.app(),
 		{"name": llm, "health_path": "/healthz", "max_conns": 100, "engine": map[string]any{
 			"slots": 8, "kv_capacity_tokens": 40000, "kv_token_bytes": 1000, "link_mbps": 10000.0, "managed": true,
 			"models": []map[string]any{{"name": model}},
@@ -82,6 +84,12 @@
 	})
 }
 
+func (s *site) app() map[string]any {
+	v := map[string]any{"name": app, "health_path": "/healthz", "max_conns": 100}
+	maps.Copy(v, s.cold)
+	return v
+}
+
 // replica starts a replica of a service and lists it.
 func (s *site) replica(service, id string) *onplatform.Replica {
 	r, err := onplatform.NewReplica(id)
@@ -97,7 +105,7 @@
 
 // listAt lists a replica that is reached at another address.
 func (s *site) listAt(service string, r *onplatform.Replica, addr netip.AddrPort, state string, weights int) {
-	row := map[string]any{"service": service, "addr": addr.String(), "zone": "hall-a", "slots": 8, "state": state}
+	row := map[string]any{"service": service, "addr": addr.String(), "zone": "hall-a", "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 0, "config_version": "v1"}
 	if service == llm {
 		row["models"] = []map[string]any{{"name": model, "config_version": weights}}
 	}
