--- a/cmd/drumpath/cmds/gateway.go
+++ b/cmd/drumpath/cmds/gateway.go
@@ -56,7 +56,7 @@
 		Store:   platform.NewStore(s.Platform.Store),
 		Engines: platform.NewEngines(),
 		Codec:   platform.Codec{},
-		Paths:   gateway.Paths{Ready: platform.PathReady, Resolve: platform.PathResolve, DataHall: platform.QueryDataHall},
+		Paths:   platform.Paths(),
 	}, log)
 	if err != nil {
 		return err
--- a/cmd/drumpath/cmds/gateway_test.go
+++ b/cmd/drumpath/cmds/gateway_test.go
@@ -65,7 +65,7 @@
 		Store:   platform.NewStore(s.Platform.Store),
 		Engines: platform.NewEngines(),
 		Codec:   platform.Codec{},
-		Paths:   gateway.Paths{Ready: platform.PathReady, Resolve: platform.PathResolve, DataHall: platform.QueryDataHall},
+		Paths:   platform.Paths(),
 	}, log)
 	assert.NilError(t, err)
 	g.Start()
--- a/internal/standin/onplatform/shift_test.go
+++ b/internal/standin/onplatform/shift_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -224,3 +225,44 @@
 	assert.Assert(t, refused.Load() > 0)
 	assert.Assert(t, served.Load() > 0, "what it bears is used")
 }
+
+// Symptom: requests ran outside the regions that operators allow.
+// Sequence: replicas in two regions; a route with homes, an organisation with others.
+// Cause: nodes did not read where requests may run.
+func TestRequestsWithHomesFindNoReplicaElsewhere(t *testing.T) {
+	s := newSite(t)
+	s.regions = `{"hall-a": "one", "hall-b": "two", "hall-c": "three"}`
+	s.tenants = append(s.tenants, map[string]any{"name": "at-home", "api_keys": []string{"key-home"}, "allowed_regions": []string{"two"}})
+	homed := map[string]any{"name": "homed", "host": host, "path_prefix": "/homed/", "kind": "idempotent", "timeout_ms": 4000, "service": app, "max_attempts": 2, "allowed_regions": []string{"two", "three"}}
+	s.routes = append(s.routes, homed)
+	s.configure()
+	a, b := s.newReplica("a"), s.newReplica("b")
+	s.put(a, row(app, a, nil))
+	n := s.node("n1")
+	refused := func(text string) {
+		got := n.send(text)
+		assert.Equal(t, got.status, 503)
+		assert.Equal(t, got.body, `{"error":"outside_homes"}`)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+	}
+	asOrganisation := func(target string) string {
+		return strings.Replace(request("GET", target, ""), "Bearer "+key, "Bearer key-home", 1)
+	}
+	assert.Equal(t, n.send(request("GET", "/safe/x", "")).status, 200)
+	refused(request("GET", "/homed/x", ""))
+	refused(asOrganisation("/safe/x"))
+	s.put(b, row(app, b, map[string]any{"zone": "hall-b"}))
+	for _, text := range []func() string{
+		func() string { return request("GET", "/homed/x", "") },
+		func() string { return asOrganisation("/safe/x") },
+		func() string { return asOrganisation("/homed/x") },
+	} {
+		s.until("the replica at home serves", func() bool { return n.send(text()).body == "from b" })
+	}
+	homed["allowed_regions"] = []string{"three"}
+	s.configure()
+	s.until("route and organisation have no region in common", func() bool {
+		return n.send(asOrganisation("/homed/x")).body == `{"error":"outside_homes"}`
+	})
+	assert.Equal(t, len(a.Seen()), 1)
+}
--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"log/slog"
@@ -44,6 +45,7 @@
 	tenants []map[string]any
 	limits  map[string]any
 	cold    map[string]any   // Further fields of the service app.
+	regions string           // Of data halls, as JSON; "" for none.
 	extra   []map[string]any // Further services.
 	log     *slog.Logger
 	way     *netproxy.Proxy // To the store, nil for none.
@@ -144,8 +146,9 @@
 		"retry": {"share": 0.2, "window": "10s", "slack": 6400},
 		"stop": {"grace": "5s"},
 		"orders": {"pause": "300ms", "within": "10s"},
+		"regions": %[4]s,
 		"log": {"level": "error"}
-	}`, name, ip, store.String())
+	}`, name, ip, store.String(), cmp.Or(s.regions, "{}"))
 	settings, err := config.ParseGateway([]byte(text))
 	assert.NilError(s.t, err)
 	return settings
@@ -159,7 +162,7 @@
 		Store:   platform.NewStore(settings.Platform.Store),
 		Engines: platform.NewEngines(),
 		Codec:   platform.Codec{},
-		Paths:   gateway.Paths{Ready: platform.PathReady, Resolve: platform.PathResolve, DataHall: platform.QueryDataHall},
+		Paths:   platform.Paths(),
 	}, s.log)
 	assert.NilError(s.t, err)
 	n := &node{
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -8,7 +8,9 @@
 // GatewaySettings is everything a gateway reads from its settings file. What
 // the site consists of comes from the platform.
 type GatewaySettings struct {
-	Node     NodeSettings            `json:"node"`
+	Node NodeSettings `json:"node"`
+	// Regions is the region of each data hall.
+	Regions  map[string]string       `json:"regions"`
 	Entry    GatewayEntrySettings    `json:"entry"`
 	Peer     GatewayPeerSettings     `json:"peer"`
 	Platform GatewayPlatformSettings `json:"platform"`
@@ -16,8 +18,11 @@
 	Retry    RetrySettings           `json:"retry"`
 	Stop     StopSettings            `json:"stop"`
 	Orders   OrderSettings           `json:"orders"`
-	Log      LogSettings             `json:"log"`
-	Without  WithoutSettings         `json:"without"`
+	Cold     ColdSettings            `json:"cold"`
+	// Evacuation is how a data hall is left that operators evacuate.
+	Evacuation EvacuationSettings `json:"evacuation"`
+	Log        LogSettings        `json:"log"`
+	Without    WithoutSettings    `json:"without"`
 }
 
 // GatewayEntrySettings is where callers reach the node.
@@ -84,6 +89,19 @@
 	Within Duration `json:"within" validate:"gt=0"`
 }
 
+// ColdSettings bounds what all nodes together send to one replica that is cold: in any
+// second as many requests as its service says that one bears, times Overage, and Slack.
+type ColdSettings struct {
+	Overage float64 `json:"overage" validate:"gte=1"`
+	Slack   float64 `json:"slack" validate:"gte=0"`
+}
+
+// EvacuationSettings is how a data hall is left.
+type EvacuationSettings struct {
+	// Within is by when its replicas get nothing more.
+	Within Duration `json:"within" validate:"gt=0"`
+}
+
 // Defaults of a gateway.
 const (
 	// defaultGatewayProbe finds a lost node in about a second at ten nodes.
@@ -98,6 +116,8 @@
 	// defaultReturnTime: the users' rules of work say that the entries of
 	// upstreams that live are back about two seconds after the store.
 	defaultReturnTime = 1800 * time.Millisecond
+	// defaultEvacuation is the least that operators of the users' sites allow.
+	defaultEvacuation = 5 * time.Second
 )
 
 // GatewayDefaults returns the settings that hold where the file is silent.
@@ -115,6 +135,10 @@
 		Retry:  RetrySettings{Share: defaultRetryShare, Window: Duration(10 * time.Second)},
 		Stop:   StopSettings{Grace: Duration(8 * time.Second)},
 		Orders: OrderSettings{Pause: Duration(3 * time.Second), Within: Duration(10 * time.Second)},
-		Log:    LogSettings{Level: "info", Format: "json", RoutinePerSecond: defaultRoutineLines},
+		Cold:   ColdSettings{Overage: 1},
+
+		Evacuation: EvacuationSettings{Within: Duration(defaultEvacuation)},
+
+		Log: LogSettings{Level: "info", Format: "json", RoutinePerSecond: defaultRoutineLines},
 	}
 }
--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -18,6 +18,14 @@
 	"listen_addrs.front|json":        `"10.1.0.19:8749"`,
 	"listen_addrs.ready|json":        `"10.1.0.19:8741"`,
 	"listen_addrs.directory|json":    `"10.1.0.19:8747"`,
+	"zones|json":                     `{"hall-a":"region-1","hall-b":"region-2"}`,
+	"#bounds.cold_overage":           "",
+	"/bounds.cold_overage":           "",
+	"bounds.cold_overage|json":       "1.5",
+	"bounds.cold_slack|json":         "5",
+	"#bounds.evacuation_ms":          "",
+	"/bounds.evacuation_ms":          "",
+	"bounds.evacuation_ms":           "5000",
 	"internal_port_range.0":          "7580",
 	"platform.addr":                  "10.200.1.7:8744",
 	"platform.addr|json":             `"10.200.1.7:8744"`,
@@ -56,6 +64,9 @@
 	assert.Equal(t, s.Limits.LinkMbps, 1000.0)
 	assert.Equal(t, s.Orders.Within.Std(), 10*time.Second)
 	assert.Equal(t, s.Stop.Grace.Std(), 8*time.Second)
+	assert.DeepEqual(t, s.Regions, map[string]string{"hall-a": "region-1", "hall-b": "region-2"})
+	assert.Equal(t, s.Cold, ColdSettings{Overage: 1.5, Slack: 5})
+	assert.Equal(t, s.Evacuation.Within.Std(), 5*time.Second)
 }
 
 // Every fault is named by its field and line.
--- a/pkg/config/reader.go
+++ b/pkg/config/reader.go
@@ -76,6 +76,8 @@
 		r.object(path, v, into)
 	case reflect.Slice:
 		r.array(path, v, into)
+	case reflect.Map:
+		r.table(path, v, into)
 	default:
 		r.literal(path, v, into)
 	}
@@ -120,6 +122,22 @@
 	}
 }
 
+// table reads an object whose keys are free and whose values are strings.
+func (r *reader) table(path string, v hujson.Value, into reflect.Value) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		r.fault(path, v, "an object")
+		return
+	}
+	into.Set(reflect.MakeMapWithSize(into.Type(), len(obj.Members)))
+	for _, m := range obj.Members {
+		name := m.Name.Value.(hujson.Literal).String() // Member names are literals.
+		value := reflect.New(into.Type().Elem()).Elem()
+		r.value(path+"."+name, m.Value, value)
+		into.SetMapIndex(reflect.ValueOf(name), value)
+	}
+}
+
 func (r *reader) array(path string, v hujson.Value, into reflect.Value) {
 	arr, ok := v.Value.(*hujson.Array)
 	if !ok {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -24,6 +24,7 @@
 	keyBoot     = Key{"boot", "the start of the store"}
 	keyLease    = Key{"lease", "the lease's name"}
 	keyFence    = Key{"fence", "the number that rises with each holder"}
+	keyHall     = Key{"hall", "the data hall"}
 	keyParts    = Key{"parts", "how many parts of prompts"}
 	keyAway     = Key{"away", "nanoseconds for which it was lost"}
 )
@@ -97,12 +98,22 @@
 	{"configuration not usable, the last one stays", Failure, "A row of the operator's can't be used.", []Key{keyRow, keyVersion, keyErr}},
 	{"weights named", Change, "New weights of a model were named.", []Key{keyModel, keyVersion}},
 	{"upstream listed", Change, "The list of upstreams has a replica, or says that it leaves.", []Key{
-		keyUpstream, keyService, {"addr", "its address"}, {"draining", "whether it leaves"},
+		keyUpstream, keyService,
+		{"addr", "its address"},
+		{"draining", "whether it leaves"},
+		{"started", "when it started, by its own clock; the year 1 if it does not say"},
+		{"cold", "nanoseconds for which it said that it is cold"},
+		{"restarted", "whether it has started again under the ID that it had"},
 	}},
 	{"upstream dropped", Change, "The list no longer has a replica.", []Key{
 		keyUpstream, keyService, {"missing", "nanoseconds for which its entry was waited for, after an absence of the store"},
 	}},
-	{"upstream not usable, left out", Failure, "An entry of the list can't be used.", []Key{keyRow, keyErr}},
+	{"upstream not usable, left out", Failure, "An entry of the list can't be used: it names no replica, whatever it said before.", []Key{keyRow, keyVersion, keyErr}},
+	{"data hall evacuated", Change, "Operators have a data hall get no more requests.", []Key{keyHall, keyVersion}},
+	{"data hall taken back", Change, "It may get requests again.", []Key{
+		keyHall, keyVersion, {"after", "nanoseconds since this node heard of the evacuation"},
+	}},
+	{"evacuation of a data hall that is not known", Failure, "The row is passed over.", []Key{keyHall, keyVersion}},
 	{"store lost", Failure, "Calls to the platform's store fail.", []Key{keyTable, keyVersion, keyErr}},
 	{"store back", Change, "They succeed again.", []Key{keyTable, keyVersion, keyAway}},
 	{"store not reached, other nodes are asked", Failure, "This node's own calls to the platform's store fail; it hears of changes from other nodes.", []Key{keyTable, keyErr}},
@@ -188,6 +199,9 @@
 	{"head_too_large", "the head is over the limit (431)"},
 	{"too_slow", "the head or body did not come in time (408)"},
 	{"no_replica", "no replica of the service may be used (503)"},
+	{"cold", "the replicas that may be used are cold, or taken to be, and this node's share of them is used up (503)"},
+	{"evacuated", "the replicas that may be used are in data halls that are evacuated (503)"},
+	{"outside_homes", "no replica is in a region in which the request may run (503)"},
 	{"replicas_full", "those that were asked refused (503)"},
 	{"overloaded", "the prompt would wait too long (503)"},
 	{"deadline", "the time is over: 503 if nothing was sent, 504 if it may have run"},
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -48,6 +48,13 @@
 	case "no_replica":
 		why = fmt.Sprintf("%s of %s replicas of service %s could be used; the list of upstreams was %s old%s",
 			l.Text("usable"), l.Text("replicas"), l.Text("service"), short(l.Duration("list_age")), away(l))
+	case "cold":
+		why = fmt.Sprintf("the replicas of service %s that may be used were left out: cold, or taken to be as they had not been reached, and this node's share of them was used up (%s of %s could be used)",
+			l.Text("service"), l.Text("usable"), l.Text("replicas"))
+	case "evacuated":
+		why = fmt.Sprintf("the replicas of service %s that may be used were left out: their data halls are evacuated", l.Text("service"))
+	case "outside_homes":
+		why = fmt.Sprintf("the replicas of service %s were left out: they are outside the homes of the request", l.Text("service"))
 	case "deadline":
 		why = "its time was over" + waiting(r)
 	case "answer_lost":
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -305,6 +305,9 @@
 		switch {
 		case err != nil:
 			r.log.Warn("replica not asked", "replica", t.ID, "err", err)
+		case !report.Started.IsZero() && !t.Started.IsZero() && !report.Started.Equal(t.Started):
+			// It has started anew: what it has and has taken is listed anew, too.
+			return backoffTerm
 		case report.Weights[t.Model] >= t.Version:
 			r.fleet.Serves(t, report.Weights[t.Model])
 			if !ordered.IsZero() {
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -40,7 +40,7 @@
 	for _, passedOver := range []bool{false, true} {
 		list, least := p.candidates[:0], math.Inf(1)
 		for _, m := range p.list {
-			if m.usable(n) && m.passedOver(now) == passedOver {
+			if m.usable(n) && m.passedOver(now) == passedOver && p.mayTake(m, now) {
 				c := candidate{m: m, idle: p.idleCost(m, n, m == home, now)}
 				list, least = append(list, c), min(least, c.idle)
 			}
--- /dev/null
+++ b/pkg/route/cold_test.go
@@ -0,0 +1,409 @@
+package route
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/drumpath/drumpath/pkg/rendezvous"
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// sharesOf divides a limit among some of many nodes by hashing, for one of them.
+type sharesOf struct {
+	node, nodes int
+	users, each int
+	known       map[uint64]int
+}
+
+func (o *sharesOf) Share(replica uint64, _ string, _ int) int {
+	if share, ok := o.known[replica]; ok {
+		return share
+	}
+	weight := func(i int) uint64 { return rendezvous.Weight(replica, rendezvous.Hash(fmt.Sprint("node", i))) }
+	before := 0
+	for i := range o.nodes {
+		if weight(i) > weight(o.node) {
+			before++
+		}
+	}
+	o.known[replica] = 0
+	if before < o.users {
+		o.known[replica] = o.each
+	}
+	return o.known[replica]
+}
+
+// divide gives as many nodes a share as a limit has requests.
+func divide(node, nodes, most int) *sharesOf { return among(node, nodes, min(nodes, most), most) }
+
+// among gives some nodes a share of a limit.
+func among(node, nodes, users, most int) *sharesOf {
+	return &sharesOf{node: node, nodes: nodes, users: users, each: most / users, known: map[uint64]int{}}
+}
+
+func TestColdLimitIsWhatAReplicaBears(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 500).Draw(t, "rate")
+		overage := rapid.Float64Range(1, 3).Draw(t, "overage")
+		slack := rapid.Float64Range(0, 10).Draw(t, "slack")
+		most, ok := NewColdLimit(rate, overage, slack)
+		assert.Equal(t, ok, rate > 0)
+		assert.Assert(t, float64(most) <= rate*overage+slack)
+		assert.Assert(t, !ok || most > 0 || rate*overage+slack < 1)
+	})
+}
+
+// A node sends a cold replica no more than its share in any second, whatever comes, and
+// nothing if it has none.
+func TestNodeKeepsToItsShareOfAColdReplica(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := testNow
+		p := newTestPool(1, 1)
+		shares := divide(0, rapid.IntRange(1, 8).Draw(t, "nodes"), rapid.IntRange(1, 20).Draw(t, "most"))
+		p.LimitCold(0, shares)
+		share := shares.Share(rendezvous.Hash("r00"), "", 0)
+		list := testReplicas(1, 1)
+		list[0].ColdUntil = now.Add(time.Minute)
+		p.Configure(list, now)
+		var sent []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			c, ok := p.Pick(&Need{Model: "m", Tokens: 100, Send: true}, now)
+			if !ok {
+				why := p.WhyNone(&Need{Model: "m", Tokens: 100}, now)
+				assert.Equal(t, why.Cold, 1)
+				assert.Assert(t, why.Retry >= leastColdRetry)
+				continue
+			}
+			sent = append(sent, now)
+			p.Begin(c, now).End(OutcomeOK, now)
+		}
+		if share == 0 {
+			assert.Equal(t, len(sent), 0)
+		}
+		for i := share; i < len(sent); i++ {
+			assert.Assert(t, sent[i].Sub(sent[i-share]) >= coldWindow)
+		}
+	})
+}
+
+// A replica that was not reached may have started again: it is taken to be cold, the other
+// nodes are told once a second, and a node that reaches nobody tells nothing.
+func TestReplicaThatWasNotReachedIsTakenToBeCold(t *testing.T) {
+	p := newTestPool(6, 1)
+	p.LimitCold(10, divide(0, 1, 10))
+	assert.Assert(t, p.Lost("r00", testNow))
+	assert.Assert(t, !p.Lost("r00", testNow.Add(100*time.Millisecond)), "it was told of a moment ago")
+	assert.Equal(t, p.CountCold(testNow), 1)
+	p.Begin(pickFrom(t, p), testNow).End(OutcomeOK, testNow)
+	assert.Assert(t, p.Lost("r00", testNow.Add(2*time.Second)))
+	assert.Assert(t, p.Lost("r01", testNow.Add(2*time.Second)))
+	assert.Assert(t, !p.Lost("r02", testNow.Add(2*time.Second)), "this node's own way is at fault")
+	p.Presume(Whom{ID: "r03"}, testNow.Add(2*time.Second))
+	assert.Equal(t, p.CountCold(testNow.Add(2*time.Second)), 3)
+	assert.Equal(t, p.CountCold(testNow.Add(2*time.Second+presumeTerm)), 0)
+	p.Begin(pickFrom(t, p), testNow).End(OutcomeOK, testNow)
+	p.Broke("r04", testNow.Add(2*time.Second))
+	assert.Equal(t, p.CountCold(testNow.Add(2*time.Second)), 4)
+	p = newTestPool(6, 1)
+	p.LimitCold(10, divide(0, 1, 10))
+	for i := range 6 {
+		p.Broke(fmt.Sprintf("r%02d", i), testNow)
+	}
+	assert.Equal(t, p.CountCold(testNow), ownFault-1, "this node's connections are at fault")
+	unlimited := newTestPool(6, 1)
+	assert.Assert(t, !unlimited.Lost("r00", testNow), "its replicas are never cold")
+	assert.Equal(t, unlimited.CountCold(testNow), 0)
+}
+
+func pickFrom(t *testing.T, p *Pool) Choice {
+	c, ok := p.Pick(&Need{Model: "m", Tokens: 100}, testNow)
+	assert.Assert(t, ok)
+	return c
+}
+
+// What is told of one start of a replica does not touch another, and nothing that was known
+// of the last one stays.
+func TestStartUnderTheSameIDBeginsAnew(t *testing.T) {
+	p := newTestPool(2, 1)
+	list := testReplicas(2, 1)
+	list[0].Started = testNow.Add(-time.Hour)
+	p.Configure(list, testNow)
+	old := WhomOf(&list[0])
+	p.Serves(old, "m", 3)
+	p.Lost("r00", testNow)
+	c, ok := p.Pick(&Need{Model: "m", Tokens: 100, Exclude: []string{"r01"}}, testNow)
+	assert.Assert(t, ok && c.Weights == 3)
+	p.Begin(c, testNow)
+	list[0].Started = testNow
+	p.Configure(list, testNow)
+	c, ok = p.Pick(&Need{Model: "m", Tokens: 100, Exclude: []string{"r01"}}, testNow)
+	assert.Assert(t, ok && c.Weights == 1 && c.Ahead == 0)
+	assert.Equal(t, len(p.AppendLoads(nil)), 0)
+	assert.Assert(t, !p.Status(testNow)[0].Ejected)
+	p.Serves(old, "m", 5) // Word of the old start comes late.
+	p.Steer(old, "m", 5, testNow.Add(time.Second))
+	assert.Equal(t, p.Steered(testNow), 0)
+	assert.Equal(t, p.Upstreams()[0].Weights["m"], int64(1))
+	p.SetPeers(map[Key]PeerLoad{KeyOf(list[0].ID + "@0"): {Requests: 9}})
+	assert.Equal(t, p.Status(testNow)[0].Others.Requests, 0)
+}
+
+// Requests run in the regions of their homes only.
+func TestRequestsStayInTheirHomes(t *testing.T) {
+	p := newTestPool(6, 1)
+	list := testReplicas(6, 1)
+	for i := range list {
+		list[i].Region = fmt.Sprintf("region%d", i%3)
+	}
+	list[5].Region = "" // Not known.
+	p.Configure(list, testNow)
+	for range 50 {
+		c, ok := p.Pick(&Need{Model: "m", Tokens: 100, Homed: true, Homes: []string{"region1", "region2"}}, testNow)
+		assert.Assert(t, ok && (c.ID == "r01" || c.ID == "r02" || c.ID == "r04"))
+	}
+	need := &Need{Model: "m", Tokens: 100, Homed: true}
+	_, ok := p.Pick(need, testNow)
+	assert.Assert(t, !ok, "route and organisation have no region in common")
+	assert.Equal(t, p.WhyNone(need, testNow).Outside, 6)
+}
+
+// coldReplay is a data hall's outage and return: a third of 60 replicas is down for 1 s while
+// the nodes' lists still have them, and comes back cold and empty at one moment, which no
+// list tells: each node hears of it 0.1 to 1.3 s later. What was not reached the nodes tell
+// each other 50 ms late, and what they have in flight 0.1 s late.
+type coldReplay struct {
+	nodes int
+	rate  float64 // Requests a second, of all clients.
+	// shares tells what each node may send to cold replicas, nil for no limit.
+	shares func(node int) ColdShares
+}
+
+// coldOutcome is what came of it, from the return on.
+type coldOutcome struct {
+	worst int     // The most requests that a cold replica got in a second.
+	used  float64 // Of the 11 requests a second that cold replicas bear, what they were sent.
+	none  float64 // The part of the requests that found no replica.
+}
+
+const (
+	hallReplicas = 60
+	hallCold     = 20
+	hallBefore   = time.Second
+	hallDown     = time.Second
+	hallTerm     = 3 * time.Second // For which they are cold.
+	hallTell     = 100 * time.Millisecond
+	hallNews     = 50 * time.Millisecond
+)
+
+// hallEnd is a request under way.
+type hallEnd struct {
+	at     time.Time
+	flight *Flight
+}
+
+type hallNote struct {
+	at time.Time
+	id string
+}
+
+// hall is a coldReplay under way.
+type hall struct {
+	coldReplay
+	rng   *rand.Rand
+	list  []site.Upstream
+	cold  []site.Upstream // The same, once it is known that they are cold.
+	pools []*Pool
+	hears []time.Time // When each node hears of that; zero once it has.
+	ends  []hallEnd
+	notes []hallNote
+	came  map[string][]time.Time
+	sent  int
+	none  int
+}
+
+func (r coldReplay) run(seed uint64) (o coldOutcome) {
+	h := &hall{coldReplay: r, rng: rand.New(rand.NewPCG(seed, 2)), list: testReplicas(hallReplicas, 1), came: map[string][]time.Time{}}
+	slices.SortFunc(h.list, func(a, b site.Upstream) int { return cmp.Compare(a.DataHall, b.DataHall) })
+	down := testNow.Add(hallBefore)
+	back := down.Add(hallDown)
+	for i := range h.list {
+		h.list[i].Slots = 64
+	}
+	h.cold = slices.Clone(h.list)
+	for i := range hallCold {
+		h.cold[i].ColdUntil = back.Add(hallTerm)
+	}
+	for i := range r.nodes {
+		p := NewPool(fmt.Sprintf("h%d", i%3), rand.New(rand.NewPCG(seed, uint64(i))))
+		p.Configure(h.list, testNow)
+		if r.shares != nil {
+			p.LimitCold(0, r.shares(i))
+		}
+		h.pools = append(h.pools, p)
+		h.hears = append(h.hears, back.Add(time.Duration(100+h.rng.IntN(1200))*time.Millisecond))
+	}
+	tell := testNow
+	for now := testNow; now.Before(back.Add(hallTerm)); now = now.Add(time.Duration(h.rng.ExpFloat64() / r.rate * float64(time.Second))) {
+		h.settle(now)
+		if !now.Before(tell) {
+			tell = now.Add(hallTell)
+			tellAll(h.pools)
+		}
+		h.request(h.rng.IntN(r.nodes), now, down, back)
+	}
+	return h.outcome()
+}
+
+// settle ends what is over by now, and tells what is due.
+func (h *hall) settle(now time.Time) {
+	for len(h.ends) > 0 && !h.ends[0].at.After(now) {
+		h.ends[0].flight.First(h.ends[0].at)
+		h.ends[0].flight.End(OutcomeOK, h.ends[0].at)
+		h.ends = h.ends[1:]
+	}
+	for len(h.notes) > 0 && !h.notes[0].at.After(now) {
+		for _, p := range h.pools {
+			p.Presume(Whom{ID: h.notes[0].id}, now)
+		}
+		h.notes = h.notes[1:]
+	}
+}
+
+// request sends one request from a node, to up to three replicas.
+func (h *hall) request(node int, now, down, back time.Time) {
+	p := h.pools[node]
+	if at := h.hears[node]; !at.IsZero() && !now.Before(at) {
+		h.hears[node] = time.Time{}
+		p.Configure(h.cold, now)
+	}
+	need := &Need{Model: "m", Tokens: 3000, Memory: 3000, Capacity: 40_000, Send: true}
+	after := !now.Before(back)
+	if after {
+		h.sent++
+	}
+	for range 3 {
+		c, ok := p.Pick(need, now)
+		if !ok {
+			break
+		}
+		f := p.Begin(c, now)
+		if c.DataHall == h.list[0].DataHall && !now.Before(down) && !after {
+			f.End(OutcomeFailed, now)
+			if p.Lost(c.ID, now) {
+				h.notes = append(h.notes, hallNote{now.Add(hallNews), c.ID})
+			}
+			need.Exclude = append(need.Exclude, c.ID)
+			continue
+		}
+		if after {
+			h.came[c.ID] = append(h.came[c.ID], now)
+		}
+		e := hallEnd{at: now.Add(c.Expected), flight: f}
+		at, _ := slices.BinarySearchFunc(h.ends, e, func(a, b hallEnd) int { return a.at.Compare(b.at) })
+		h.ends = slices.Insert(h.ends, at, e)
+		return
+	}
+	if after {
+		h.none++
+	}
+}
+
+func (h *hall) outcome() (o coldOutcome) {
+	got := 0
+	for i := range hallCold {
+		times := h.came[h.list[i].ID]
+		got += len(times)
+		o.worst = max(o.worst, mostInASecond(times))
+	}
+	o.used = float64(got) / (hallCold * 11 * hallTerm.Seconds())
+	o.none = float64(h.none) / float64(h.sent)
+	return o
+}
+
+func mostInASecond(times []time.Time) (most int) {
+	first := 0
+	for i := range times {
+		for times[i].Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// tellAll has each node know what the others have in flight.
+func tellAll(pools []*Pool) {
+	sum := map[Key]PeerLoad{}
+	own := make([][]ReplicaLoad, len(pools))
+	for i, p := range pools {
+		own[i] = p.AppendLoads(nil)
+		for _, l := range own[i] {
+			sum[l.Key] = sum[l.Key].Plus(l.Load)
+		}
+	}
+	for i, p := range pools {
+		others := maps.Clone(sum)
+		for _, l := range own[i] {
+			others[l.Key] = others[l.Key].Minus(l.Load)
+		}
+		p.SetPeers(others)
+	}
+}
+
+const (
+	hallRate = 900 // Requests a second: some 2.7 times the mean of 337.
+	hallMost = 16  // Requests that a cold replica may get in a second: 1.5 times 11.
+)
+
+// A data hall goes and comes back cold under the worst load. Without a limit a replica gets
+// more than the 21 requests in a second that are allowed; with shares none does, and a good
+// part of what cold replicas bear is used.
+func TestHallThatComesBackColdIsNotOverrun(t *testing.T) {
+	for _, nodes := range []int{7, 71, 295} {
+		for seed := range uint64(2) {
+			shares := func(node int) ColdShares { return divide(node, nodes, hallMost) }
+			o := coldReplay{nodes: nodes, rate: hallRate, shares: shares}.run(seed)
+			t.Logf("%d nodes: %+v", nodes, o)
+			assert.Assert(t, o.worst <= 21)
+			assert.Equal(t, o.none, 0.0)
+			assert.Assert(t, o.used > 0.15)
+		}
+	}
+	worst := 0
+	for seed := range uint64(2) {
+		o := coldReplay{nodes: 71, rate: hallRate}.run(seed)
+		t.Logf("no limit: %+v", o)
+		worst = max(worst, o.worst)
+	}
+	assert.Assert(t, worst > 21, "the replay is too mild: %d in a second without a limit", worst)
+}
+
+// The shares of more or fewer nodes, by the most that a cold replica gets in a second and the
+// part of what they bear that is used.
+func BenchmarkColdShares(b *testing.B) {
+	for _, nodes := range []int{7, 71, 295, 900} {
+		for _, users := range []int{0, 1, 2, 4, 8, 16} {
+			r := coldReplay{nodes: nodes, rate: hallRate}
+			if users > 0 {
+				r.shares = func(node int) ColdShares { return among(node, nodes, min(users, nodes), hallMost) }
+			}
+			b.Run(fmt.Sprintf("%d nodes/%d share", nodes, users), func(b *testing.B) {
+				var o coldOutcome
+				for b.Loop() {
+					o = r.run(1)
+				}
+				b.ReportMetric(float64(o.worst), "worst/s")
+				b.ReportMetric(o.used, "used")
+			})
+		}
+	}
+}
--- a/pkg/route/held.go
+++ b/pkg/route/held.go
@@ -152,7 +152,16 @@
 
 // gives says whether a part can be fetched from an engine to another.
 func (h *heldEngine) gives(part PartHash, tokens int, now time.Time) bool {
-	return h.heard && !h.Draining && !now.Before(h.doubted) && h.parts[part] >= tokens
+	return h.heard && !h.Draining && !h.Evacuated && !now.Before(h.doubted) && h.parts[part] >= tokens
+}
+
+// Restarted forgets what an engine held: it has started anew, and holds nothing of before.
+func (k *Kept) Restarted(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if h, ok := k.engines[id]; ok {
+		k.clear(h)
+	}
 }
 
 // NoteRead notes that an engine has read, or fetched, the shared parts of a prompt, so
--- a/pkg/route/kept.go
+++ b/pkg/route/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -183,11 +184,19 @@
 	Longest time.Duration
 	// Save says that parts that no store has are saved.
 	Save bool
+	// Homed says that nothing is saved outside the regions of Homes.
+	Homed bool
+	Homes []string
 	// Before, if set, is when a part must have been whole to be fetched: while
 	// weights are replaced, later ones may have been made under either.
 	Before time.Time
 }
 
+// mayKeepIn says whether parts may be saved in a region.
+func (l *PlanLimits) mayKeepIn(region string) bool {
+	return !l.Homed || slices.Contains(l.Homes, region)
+}
+
 // Plan decides for the shared parts of a prompt that runs at an engine.
 func (k *Kept) Plan(realm string, at site.Upstream, shared []site.Part, e *site.Engine, l PlanLimits, now time.Time) *Plan {
 	k.mu.Lock()
@@ -212,7 +221,7 @@
 			}
 		}
 		if l.Save && !k.without.Saves && (s.store == nil || k.use.often(key, now)) {
-			k.save(p, i, key, part.Tokens, bytes, s.store, at.DataHall, now)
+			k.save(p, i, key, part.Tokens, bytes, s.store, at.DataHall, &l, now)
 		}
 	}
 	return p
@@ -238,10 +247,10 @@
 
 // save has a part saved where there is room; one that is used often is saved a
 // second time if that store is much faster.
-func (k *Kept) save(p *Plan, i int, key partKey, tokens int, bytes int64, has *keptStore, hall string, now time.Time) {
-	s := k.room(key, tokens, hall, now)
+func (k *Kept) save(p *Plan, i int, key partKey, tokens int, bytes int64, has *keptStore, hall string, l *PlanLimits, now time.Time) {
+	s := k.room(key, tokens, hall, l, now)
 	if has != nil {
-		s = k.faster(key, tokens, bytes, has, hall, now)
+		s = k.faster(key, tokens, bytes, has, hall, l, now)
 	}
 	if s == nil {
 		return
@@ -255,7 +264,7 @@
 
 // faster picks a store with room from which a part would come in less than half
 // the time, nil for none.
-func (k *Kept) faster(key partKey, tokens int, bytes int64, has *keptStore, hall string, now time.Time) *keptStore {
+func (k *Kept) faster(key partKey, tokens int, bytes int64, has *keptStore, hall string, l *PlanLimits, now time.Time) *keptStore {
 	var best *keptStore
 	least := has.fetchTime(bytes, hall, now) / 2
 	for _, name := range k.names {
@@ -263,7 +272,7 @@
 		if v, ok := s.saving[key]; ok && now.Before(v.until) {
 			return nil
 		}
-		if !s.open(now) || s.parts[key].tokens > 0 || s.left(tokens, now) <= 0 {
+		if !s.open(now) || !l.mayKeepIn(s.Region) || s.parts[key].tokens > 0 || s.left(tokens, now) <= 0 {
 			continue
 		}
 		if t := s.fetchTime(bytes, hall, now); t < least {
@@ -417,7 +426,7 @@
 // room picks the store to save a part at, nil for none: the one with the largest
 // share of its room free, so that they fill evenly, but rather one in the same
 // data hall; and none if a save of the same part is under way.
-func (k *Kept) room(key partKey, tokens int, hall string, now time.Time) *keptStore {
+func (k *Kept) room(key partKey, tokens int, hall string, l *PlanLimits, now time.Time) *keptStore {
 	var best *keptStore
 	free := 0.0
 	for _, name := range k.names {
@@ -425,7 +434,7 @@
 		if v, ok := s.saving[key]; ok && now.Before(v.until) {
 			return nil
 		}
-		if !s.open(now) {
+		if !s.open(now) || !l.mayKeepIn(s.Region) {
 			continue
 		}
 		left := s.left(tokens, now)
--- a/pkg/route/need.go
+++ b/pkg/route/need.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/site"
@@ -31,6 +32,11 @@
 	Oldest int64
 	// Exclude are replicas that have already failed the request.
 	Exclude []string
+	// Homed says that the request may run in the regions of Homes only.
+	Homed bool
+	Homes []string
+	// Send says that the request is about to be sent to the replica that is picked.
+	Send bool
 }
 
 // Offer is what a replica has of a prompt's shared tokens, or can fetch.
@@ -52,6 +58,9 @@
 	return read
 }
 
+// mayRunIn says whether the request may run in a region.
+func (n *Need) mayRunIn(region string) bool { return !n.Homed || slices.Contains(n.Homes, region) }
+
 // Choice is the replica for a request.
 type Choice struct {
 	site.Upstream
--- a/pkg/route/outlier.go
+++ b/pkg/route/outlier.go
@@ -35,6 +35,9 @@
 		return
 	}
 	failed := 0.0
+	if o == OutcomeOK {
+		p.lostInRow = 0
+	}
 	if o == OutcomeFailed {
 		failed = 1
 		m.outcome.row++
@@ -62,14 +65,19 @@
 	m.failing = p.failing
 }
 
-// Lost records that a replica can't be reached, which one look suffices for.
-func (p *Pool) Lost(id string, now time.Time) {
+// Lost records that a replica can't be reached, which one look suffices for. It says
+// whether the other nodes are to hear of it.
+func (p *Pool) Lost(id string, now time.Time) (tell bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m, ok := p.replicas[id]
-	if ok && !m.outcome.ejected(now) && p.mayEject(now) {
+	if !ok {
+		return false
+	}
+	if !m.outcome.ejected(now) && p.mayEject(now) {
 		p.eject(m, now)
 	}
+	return p.doubt(m, now)
 }
 
 func (p *Pool) mayEject(now time.Time) bool {
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -33,7 +33,14 @@
 	failing  float64       // Mean share of failures over all replicas.
 	memory   memoryUse
 	capacity int // Of an engine's memory, in tokens; 0 if not known.
-	without  config.WithoutSettings
+	// coldMost is how many requests a cold replica may get from all nodes in a second, if
+	// coldLimited, and coldShares tells this node's share.
+	coldLimited bool
+	coldMost    int
+	coldShares  ColdShares
+	// lostInRow counts replicas that were not reached since one last answered.
+	lostInRow int
+	without   config.WithoutSettings
 	// candidates is kept for choose.
 	candidates []candidate
 }
@@ -41,7 +48,9 @@
 // member is one replica of a pool.
 type member struct {
 	site.Upstream
-	hash    uint64
+	hash uint64 // Of the ID.
+	// key is of this start of the replica: what was told of an earlier one is not its.
+	key     Key
 	flights map[*Flight]struct{} // Own requests in flight.
 	pending Banded               // Tokens of those without a first answer byte.
 	memory  int                  // Tokens that they hold of an engine's memory.
@@ -52,7 +61,11 @@
 	outcome outlier
 	avoid   time.Time // Until when it is passed over if others can take over.
 	steered time.Time // Until when its weights are expected to be being replaced.
-	cold    time.Time // Slow until.
+	cold    time.Time // Bears little until.
+	// presumed is until when the replica is taken to be cold though it has not said so:
+	// it was not reached, and may have started again.
+	presumed time.Time
+	sends    []time.Time // Of requests within coldWindow, if there is a limit.
 }
 
 // PeerLoad is what other nodes have in flight at a replica.
@@ -100,8 +113,6 @@
 	hallTime = 4 * time.Millisecond
 	// oldWeightsTime is the price of weights that are to be replaced.
 	oldWeightsTime = 100 * time.Millisecond
-	// coldTime is the price of a replica that is slow from its start.
-	coldTime = 100 * time.Millisecond
 	// runTime is the price of each request that runs at a replica: the others'
 	// tokens come more slowly for it.
 	runTime = 500 * time.Microsecond
@@ -128,8 +139,10 @@
 	p.list = p.list[:0]
 	for _, u := range list {
 		m, ok := old[u.ID]
-		if !ok {
-			m = &member{hash: rendezvous.Hash(u.ID), flights: map[*Flight]struct{}{}, late: 1}
+		if !ok || m.OlderStart(&u) {
+			// What is known of an earlier start goes with it: its weights, its lateness,
+			// its failures and what was in flight there.
+			m = &member{hash: rendezvous.Hash(u.ID), key: KeyOf(u.StartKey()), flights: map[*Flight]struct{}{}, late: 1}
 		}
 		weights := m.Weights
 		m.Upstream = u
@@ -139,8 +152,8 @@
 				m.setWeights(model, v)
 			}
 		}
-		if u.Cold > 0 {
-			m.cold = now.Add(u.Cold)
+		if u.ColdUntil.After(now) {
+			m.cold = u.ColdUntil
 		}
 		p.replicas[u.ID] = m
 		p.list = append(p.list, m)
@@ -168,7 +181,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.list {
-		m.others = loads[keyOfHash(m.hash)]
+		m.others = loads[m.key]
 	}
 }
 
@@ -181,12 +194,32 @@
 	}
 }
 
+// Whom names a replica of which something is told.
+type Whom struct {
+	ID string
+	// Started tells its start, zero if that is not known; what is told of another start
+	// than the one that this node knows is void.
+	Started time.Time
+}
+
+// WhomOf names an upstream.
+func WhomOf(u *site.Upstream) Whom { return Whom{ID: u.ID, Started: u.Started} }
+
+// find returns the replica that is meant, if this node knows that start of it.
+func (p *Pool) find(w Whom) (m *member, ok bool) {
+	m, ok = p.replicas[w.ID]
+	if ok && !w.Started.IsZero() && !m.Started.IsZero() && !w.Started.Equal(m.Started) {
+		return nil, false
+	}
+	return m, ok
+}
+
 // Steer has a replica passed over while it gets weights of a version. Word of that
 // may come after word that it has them, and is void then.
-func (p *Pool) Steer(id, model string, version int64, until time.Time) {
+func (p *Pool) Steer(w Whom, model string, version int64, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m, ok := p.replicas[id]
+	m, ok := p.find(w)
 	if !ok || m.Weights[model] >= version {
 		return
 	}
@@ -213,10 +246,10 @@
 
 // Serves notes the version of a model's weights that a replica has, as it was
 // just seen.
-func (p *Pool) Serves(id, model string, version int64) {
+func (p *Pool) Serves(w Whom, model string, version int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m, ok := p.replicas[id]
+	m, ok := p.find(w)
 	if ok && version > 0 && m.Weights[model] != version {
 		m.setWeights(model, version)
 		m.avoid, m.steered = time.Time{}, time.Time{}
@@ -236,7 +269,7 @@
 	for _, m := range p.list {
 		if len(m.flights) > 0 {
 			load := PeerLoad{Requests: len(m.flights), Tokens: m.pending, Memory: m.memory}
-			list = append(list, ReplicaLoad{Key: keyOfHash(m.hash), Load: load})
+			list = append(list, ReplicaLoad{Key: m.key, Load: load})
 		}
 	}
 	return list
@@ -252,6 +285,9 @@
 	if chosen == nil {
 		return Choice{}, false
 	}
+	if n.Send {
+		p.noteSend(chosen, now)
+	}
 	offer := n.Offers[chosen.ID]
 	return Choice{
 		Upstream: chosen.Upstream,
@@ -268,7 +304,7 @@
 
 // usable says whether a replica may take a request at all.
 func (m *member) usable(n *Need) bool {
-	if m.Draining || slices.Contains(n.Exclude, m.ID) {
+	if m.Draining || m.Evacuated || !n.mayRunIn(m.Region) || slices.Contains(n.Exclude, m.ID) {
 		return false
 	}
 	if n.Model == "" || len(m.Weights) == 0 {
@@ -311,9 +347,7 @@
 	if n.Newest > 0 && m.Weights[n.Model] < n.Newest {
 		cost += oldWeightsTime.Seconds() * n.Urgency
 	}
-	if now.Before(m.cold) {
-		cost += coldTime.Seconds()
-	}
+	cost += p.warmCost(m, now).Seconds()
 	return cost
 }
 
--- a/pkg/route/pool_test.go
+++ b/pkg/route/pool_test.go
@@ -49,7 +49,7 @@
 				p.Avoid(list[i].ID, now.Add(time.Second))
 			case 3:
 				newest++
-				p.Serves(list[i].ID, "m", newest)
+				p.Serves(WhomOf(&list[i]), "m", newest)
 				list[i].Weights = map[string]int64{"m": newest}
 			case 4:
 				oldest = newest
@@ -278,16 +278,16 @@
 // over for that.
 func TestWordOfASwapThatIsDoneIsVoid(t *testing.T) {
 	p := newTestPool(2, 1)
-	p.Steer("r00", "m", 2, testNow.Add(time.Second))
+	p.Steer(Whom{ID: "r00"}, "m", 2, testNow.Add(time.Second))
 	assert.Equal(t, p.Steered(testNow), 1)
 	c, ok := p.Pick(&Need{Model: "m", Tokens: 1000}, testNow)
 	assert.Assert(t, ok && c.ID == "r01")
-	p.Serves("r00", "m", 2)
-	p.Steer("r00", "m", 2, testNow.Add(time.Second))
+	p.Serves(Whom{ID: "r00"}, "m", 2)
+	p.Steer(Whom{ID: "r00"}, "m", 2, testNow.Add(time.Second))
 	assert.Equal(t, p.Steered(testNow), 0)
 	c, ok = p.Pick(&Need{Model: "m", Tokens: 1000, Newest: 2, Urgency: 1}, testNow)
 	assert.Assert(t, ok && c.ID == "r00")
-	p.Steer("r00", "m", 3, testNow.Add(time.Second))
+	p.Steer(Whom{ID: "r00"}, "m", 3, testNow.Add(time.Second))
 	assert.Equal(t, p.Steered(testNow), 1, "a newer version's swap is another")
 }
 
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -26,7 +26,7 @@
 	n := &Need{Priority: bands - 1, Memory: p.memory.mean()}
 	var waits []float64
 	for _, m := range p.list {
-		if !m.Draining && !m.passedOver(now) {
+		if !m.Draining && !m.Evacuated && !m.passedOver(now) {
 			waits = append(waits, p.wait(m, n, now))
 		}
 	}
@@ -43,13 +43,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.list {
-		if !m.Draining && !m.passedOver(now) {
+		if !m.Draining && !m.Evacuated && !m.passedOver(now) && !p.limited(m, now) {
 			usable++
 		}
 	}
 	return len(p.list), usable
 }
 
+// CountCold is how many replicas are cold, or taken to be.
+func (p *Pool) CountCold(now time.Time) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.list {
+		if p.limited(m, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // MemberStatus is what a dump shows of one replica.
 type MemberStatus struct {
 	site.Upstream
@@ -61,6 +73,7 @@
 	Failing  float64  `json:"failing"`
 	Ejected  bool     `json:"ejected"`
 	Avoided  bool     `json:"avoided"`
+	Cold     bool     `json:"cold"` // Or taken to be.
 }
 
 // Status lists the replicas, by name.
@@ -78,6 +91,7 @@
 			Failing:  m.failing,
 			Ejected:  m.outcome.ejected(now),
 			Avoided:  now.Before(m.avoid),
+			Cold:     p.limited(m, now),
 		})
 	}
 	return list
--- a/pkg/site/organisation.go
+++ b/pkg/site/organisation.go
@@ -8,4 +8,6 @@
 	HasPriority bool
 	// Isolated organisations share no kept state with others.
 	Isolated bool
+	// Homes are as those of a Route; where both have some, both hold.
+	Homes []string
 }
--- a/pkg/site/route.go
+++ b/pkg/site/route.go
@@ -25,7 +25,10 @@
 	GapTarget   time.Duration
 	MaxAttempts int
 	Priority    int // 0 is the most urgent.
-	Split       []Share
+	// Homes are the regions in which requests may run and their state be kept, nil for
+	// all.
+	Homes []string
+	Split []Share
 }
 
 // Share is a service's part of a route's traffic.
--- a/pkg/site/service.go
+++ b/pkg/site/service.go
@@ -11,6 +11,10 @@
 	HealthPath string
 	// MaxConns bounds a replica's connections from all nodes together.
 	MaxConns int
+	// ColdTerm is for how long a replica is cold after a start, and ColdRate how many
+	// requests a second one bears meanwhile; both are 0 if replicas are never cold.
+	ColdTerm time.Duration
+	ColdRate float64
 	// Engine is set for a service of model engines.
 	Engine *Engine
 	// Store is set for a store of kept KV cache.
@@ -33,6 +37,8 @@
 type Store struct {
 	Addr     netip.AddrPort
 	DataHall string
+	// Region is that of its data hall, "" if it is not known.
+	Region   string
 	Capacity int     // Tokens.
 	LinkRate float64 // Bytes a second.
 	// Managed stores drop nothing by themselves.
--- a/pkg/site/snapshot.go
+++ b/pkg/site/snapshot.go
@@ -17,6 +17,7 @@
 	byHost map[string]hostRoutes
 	byKey  map[string]*Organisation
 	routes []*Route
+	homes  map[string][]string // Of the hosts of which all routes have some.
 }
 
 // NewSnapshot indexes a configuration.
@@ -28,9 +29,20 @@
 		byHost:   map[string]hostRoutes{},
 		byKey:    map[string]*Organisation{},
 		routes:   routes,
+		homes:    map[string][]string{},
 	}
+	free := map[string]bool{}
 	for _, r := range routes {
 		s.byHost[r.Host] = s.byHost[r.Host].add(r)
+		if free[r.Host] = free[r.Host] || len(r.Homes) == 0; free[r.Host] {
+			delete(s.homes, r.Host)
+			continue
+		}
+		for _, region := range r.Homes {
+			if !slices.Contains(s.homes[r.Host], region) {
+				s.homes[r.Host] = append(s.homes[r.Host], region)
+			}
+		}
 	}
 	return s
 }
@@ -93,6 +105,10 @@
 	return routes.longest(path)
 }
 
+// HomesOf are the regions in which the requests to a host may run, nil if those of some of
+// its routes may run in all.
+func (s *Snapshot) HomesOf(host string) []string { return s.homes[strings.ToLower(host)] }
+
 // Routes lists all routes.
 func (s *Snapshot) Routes() []*Route { return s.routes }
 
--- a/service/gateway/beliefs.go
+++ b/service/gateway/beliefs.go
@@ -22,7 +22,14 @@
 	returnTime time.Duration
 	kept       *route.Kept
 	without    config.WithoutSettings
-	log        *slog.Logger
+	regions    map[string]string // Of data halls.
+	cold       config.ColdSettings
+	shares     route.ColdShares
+	// leaveTime is for how long a data hall is left gradually that is evacuated.
+	leaveTime time.Duration
+	// restarted is told of each replica that has started anew under its ID.
+	restarted func(id string)
+	log       *slog.Logger
 
 	snapshot atomic.Pointer[site.Snapshot]
 
@@ -30,6 +37,9 @@
 	weights   map[string]newest
 	upstreams map[string]*upstreamEntry
 	pools     map[string]*route.Pool
+	evacuated map[string]*evacuation // By data hall.
+	// unusable counts rows of the list of upstreams that named none.
+	unusable int64
 	// rebuilt counts the changes of the list of upstreams.
 	rebuilt int
 	// away is when the store's list was last not to be had, heard when it was.
@@ -50,6 +60,7 @@
 
 type upstreamEntry struct {
 	site.Upstream
+	version int64 // Of the row.
 	// gone is when the store dropped the entry, zero if it has it.
 	gone time.Time
 }
@@ -65,27 +76,40 @@
 		weights:    map[string]newest{},
 		upstreams:  map[string]*upstreamEntry{},
 		pools:      map[string]*route.Pool{},
+		evacuated:  map[string]*evacuation{},
+		restarted:  func(string) {},
 	}
 }
 
 // Snapshot is the configuration in force, nil if none is known yet.
 func (b *Beliefs) Snapshot() *site.Snapshot { return b.snapshot.Load() }
 
-// ApplyOperator takes in rows of the operator's table.
-func (b *Beliefs) ApplyOperator(rows []site.Row, now time.Time) {
+// ApplyOperator takes in rows of the operator's table; with whole they are all that there
+// are.
+func (b *Beliefs) ApplyOperator(rows []site.Row, whole bool, now time.Time) {
 	for _, r := range rows {
 		if err := b.applyOperator(r, now); err != nil {
 			b.log.Error("configuration not usable, the last one stays", "row", r.Key, "version", r.Version, "err", err)
 		}
 	}
+	if whole {
+		b.endEvacuations(rows, now)
+	}
 }
 
 func (b *Beliefs) applyOperator(r site.Row, now time.Time) error {
+	if hall, on, ok := b.codec.Evacuation(r); ok {
+		b.evacuate(hall, on, r.Version, now)
+		return nil
+	}
 	s, err := b.codec.Configuration(r)
 	if err != nil {
 		return err
 	}
 	if s != nil {
+		for _, v := range s.Stores() {
+			v.Store.Region = b.regions[v.Store.DataHall]
+		}
 		b.configure(s)
 		return nil
 	}
@@ -109,6 +133,7 @@
 		}
 	}
 	b.kept.Configure(s.Stores())
+	b.limitCold(s)
 	b.log.Info("configuration in force", "version", s.Version, "routes", len(s.Routes()))
 }
 
@@ -226,16 +251,7 @@
 	seen := map[string]bool{}
 	for _, r := range rows {
 		seen[r.Key] = true
-		if r.Gone {
-			b.drop(r.Key, now)
-			continue
-		}
-		u, err := b.codec.Upstream(r)
-		if err != nil {
-			b.log.Error("upstream not usable, left out", "row", r.Key, "err", err)
-			continue
-		}
-		b.take(u)
+		b.applyUpstream(r, now)
 	}
 	if whole {
 		for id := range b.upstreams {
@@ -247,12 +263,51 @@
 	b.rebuild(now)
 }
 
-func (b *Beliefs) take(u site.Upstream) {
+// applyUpstream takes in one row. What is older than what is known is passed over; a row
+// that can't be used names no replica, whatever stood there before.
+func (b *Beliefs) applyUpstream(r site.Row, now time.Time) {
+	old, known := b.upstreams[r.Key]
+	if known && r.Version < old.version {
+		return
+	}
+	if r.Gone {
+		b.drop(r.Key, now)
+		return
+	}
+	u, err := b.codec.Upstream(r)
+	if err != nil {
+		b.unusable++
+		delete(b.upstreams, r.Key)
+		b.log.Error("upstream not usable, left out", "row", r.Key, "version", r.Version, "err", err)
+		return
+	}
+	if known && u.OlderStart(&old.Upstream) {
+		return
+	}
+	b.take(u, r.Version, now)
+}
+
+// take notes a row that can be used. Its cold term counts from when the row was written, so
+// a row that is heard again does not begin it anew.
+func (b *Beliefs) take(u site.Upstream, version int64, now time.Time) {
 	old, known := b.upstreams[u.ID]
-	if !known || old.Draining != u.Draining {
-		b.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "addr", u.Addr, "draining", u.Draining)
+	restarted := known && old.OlderStart(&u)
+	if !known || restarted || old.Draining != u.Draining {
+		b.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "addr", u.Addr, "draining", u.Draining,
+			"started", u.Started, "cold", u.Cold, "restarted", restarted)
+	}
+	if restarted {
+		b.kept.Restarted(u.ID)
+		b.restarted(u.ID)
+	}
+	u.Region = b.regions[u.DataHall]
+	switch {
+	case known && version > 0 && version == old.version:
+		u.ColdUntil = old.ColdUntil
+	case u.Cold > 0:
+		u.ColdUntil = now.Add(u.Cold)
 	}
-	b.upstreams[u.ID] = &upstreamEntry{Upstream: u}
+	b.upstreams[u.ID] = &upstreamEntry{Upstream: u, version: version}
 }
 
 // drop takes an upstream out, at once unless the store was away: an entry may
@@ -283,7 +338,7 @@
 			b.log.Info("upstream dropped", "upstream", id, "service", e.Service, "missing", now.Sub(e.gone))
 		}
 	}
-	if changed {
+	if changed || b.leaving(now) {
 		b.rebuild(now)
 	}
 }
@@ -292,12 +347,14 @@
 	b.rebuilt++
 	lists := map[string][]site.Upstream{}
 	for _, e := range b.upstreams {
+		e.Evacuated = b.evacuates(&e.Upstream, now)
 		lists[e.Service] = append(lists[e.Service], e.Upstream)
 	}
 	for service := range lists {
 		if b.pools[service] == nil {
 			b.pools[service] = route.NewPool(b.hall, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 			b.pools[service].Without(b.without)
+			b.limitPool(b.snapshot.Load(), service)
 		}
 	}
 	for service, p := range b.pools {
--- /dev/null
+++ b/service/gateway/cold_shares_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/rendezvous"
+)
+
+// membersOf are nodes in some halls, of which the first ones are dead.
+func membersOf(n, halls, dead int) (list []control.Member) {
+	for i := range n {
+		m := control.Member{Name: fmt.Sprintf("n%03d", i), DataHall: fmt.Sprintf("h%d", i%halls)}
+		if i < dead {
+			m.State = control.MemberDead
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// All shares of a replica together are within the limit, also where nodes think different
+// ones dead, and none is left unused that a node could have.
+func TestSharesOfAColdReplicaAddUpToNoMoreThanItBears(t *testing.T) {
+	for _, nodes := range []int{1, 2, 7, 9, 59, 71, 295, 900} {
+		for _, most := range []int{0, 1, 3, 16, 40} {
+			for r := range 20 {
+				of := coldShare{replica: rendezvous.Hash(fmt.Sprint("r", r)), hall: fmt.Sprintf("h%d", r%3), most: most}
+				sum, users := 0, 0
+				for i := range nodes {
+					share := shareOf(membersOf(nodes, 3, i%5), fmt.Sprintf("n%03d", i), of)
+					sum += share
+					if share > 0 {
+						users++
+					}
+				}
+				assert.Assert(t, sum <= most, "%d nodes: %d of %d", nodes, sum, most)
+				assert.Assert(t, 2*sum >= min(most, 2*most-1), "%d nodes: %d of %d", nodes, sum, most)
+				assert.Assert(t, users <= most)
+			}
+		}
+	}
+}
+
+// A node that has not read who the others are can't know its share.
+func TestNodeThatKnowsNobodyHasNoShare(t *testing.T) {
+	self := control.Member{Name: "n000", DataHall: "h0", Incarnation: 1}
+	m := control.NewMembers(self, time.Second, nil, newRand())
+	c := newColdShares(self, m)
+	assert.Equal(t, c.Share(1, "h0", 16), 0)
+	c.haveMet(time.Now())
+	assert.Equal(t, c.Share(1, "h0", 16), 0, "the others have had no time to answer")
+	c.met = time.Now().Add(-meetTime)
+	assert.Equal(t, c.Share(1, "h0", 16), 16)
+	m.Merge(membersOf(8, 1, 0)[1:], time.Now())
+	assert.Equal(t, c.Share(1, "h0", 16), 2)
+}
+
+// The directory's answers stay inside the homes of a host and the caller's region, as long
+// as there is a node.
+func TestDirectoryStaysInsideHomes(t *testing.T) {
+	self := control.Member{Name: "a0", DataHall: "a", Incarnation: 1}
+	m := control.NewMembers(self, time.Second, nil, newRand())
+	list := []control.Member{
+		{Name: "b0", DataHall: "b", Incarnation: 1},
+		{Name: "b1", DataHall: "b", Incarnation: 1},
+		{Name: "c0", DataHall: "c", Incarnation: 1},
+		{Name: "c1", DataHall: "c", Incarnation: 1},
+		{Name: "d0", DataHall: "d", Incarnation: 1},
+	}
+	m.Merge(list, time.Now())
+	n := &nodes{self: self, members: m, regions: map[string]string{"a": "one", "b": "one", "c": "two", "d": "three"}}
+	assert.Equal(t, len(n.entries("b", "one", nil)), 2, "enough of its own hall")
+	assert.Equal(t, len(n.entries("a", "one", nil)), 3, "those of its region")
+	assert.Equal(t, len(n.entries("d", "three", nil)), 6, "all")
+	assert.Equal(t, len(n.entries("d", "three", []string{"two"})), 2, "those of the homes")
+	assert.Equal(t, len(n.entries("elsewhere", "four", []string{"two"})), 2)
+	assert.Equal(t, len(n.entries("d", "three", []string{"nowhere"})), 1, "its own region")
+	assert.Equal(t, len(n.entries("elsewhere", "four", []string{"nowhere"})), 6, "somebody has to refuse")
+}
--- a/service/gateway/directory.go
+++ b/service/gateway/directory.go
@@ -64,8 +64,9 @@
 func (g *Gateway) directoryRoutes() *router.Router {
 	r := router.New()
 	r.GET(g.platform.Paths.Resolve, func(c *fasthttp.RequestCtx) {
-		hall := string(c.QueryArgs().Peek(g.platform.Paths.DataHall))
-		addrs := g.nodes.entries(hall)
+		q := c.QueryArgs()
+		hall, region := string(q.Peek(g.platform.Paths.DataHall)), string(q.Peek(g.platform.Paths.Region))
+		addrs := g.nodes.entries(hall, region, g.homesOf(string(q.Peek(g.platform.Paths.Host))))
 		if len(addrs) == 0 {
 			c.SetStatusCode(http.StatusServiceUnavailable)
 			return
@@ -75,6 +76,16 @@
 	return r
 }
 
+// homesOf are the regions in which requests to a host may run, nil where some of its routes
+// may in all, or there are none.
+func (g *Gateway) homesOf(host string) (homes []string) {
+	s := g.beliefs.Snapshot()
+	if s == nil {
+		return nil
+	}
+	return s.HomesOf(host)
+}
+
 // metricsRoutes serves the node's figures, and a dump of what it believes of each
 // replica.
 func (g *Gateway) metricsRoutes() *router.Router {
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -43,7 +44,7 @@
 		return d, &route.Plan{}
 	}
 	d.Weights = c.Weights
-	d.Realm = realmOf(x.need.Model, c.Weights, x.organisation)
+	d.Realm = x.realm(c.Weights)
 	shared := x.terms.Shared()
 	if !x.service.Engine.PlannedFetch || len(shared) == 0 {
 		return d, &route.Plan{}
@@ -54,6 +55,8 @@
 		// While weights are being replaced, what a replica reads may be of either.
 		Save:   replaced.IsZero(),
 		Before: replaced,
+		Homed:  x.need.Homed,
+		Homes:  x.need.Homes,
 	}, now)
 	d.Sources, d.Saves = plan.Sources, plan.Saves
 	if clock, ok := x.g.clock.read(now); ok && plan.Fetched > 0 {
@@ -96,14 +99,28 @@
 // unknownRealm begins realms that nobody shares.
 const unknownRealm = "?"
 
+// realm names the space of kept state that the request may share where the model's
+// weights have a version.
+func (x *exchange) realm(version int64) string {
+	var homes []string
+	if x.need.Homed {
+		homes = x.need.Homes
+	}
+	return realmOf(x.need.Model, version, x.organisation, homes)
+}
+
 // realmOf names the space of kept state that requests may share: that of one
-// model, one version of its weights and, where an organisation is isolated, of
-// that organisation. It is in the key, so no check can be forgotten.
-func realmOf(model string, version int64, o *site.Organisation) string {
+// model, one version of its weights, where an organisation is isolated, of that
+// organisation, and where requests have homes, of those that have the same. It is in the
+// key, so no check can be forgotten.
+func realmOf(model string, version int64, o *site.Organisation, homes []string) string {
 	r := model + "@" + strconv.FormatInt(version, 10)
 	if o != nil && o.Isolated {
 		r += "/" + o.Name
 	}
+	if len(homes) > 0 {
+		r += "/in:" + strings.Join(slices.Sorted(slices.Values(homes)), "+")
+	}
 	return r
 }
 
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -152,9 +153,24 @@
 		return comeBack(reasonNoReplica, noReplicaRetry), false
 	}
 	x.need = x.needs()
+	x.need.Homes, x.need.Homed = x.homes()
 	return refusal{}, true
 }
 
+// homes are the regions in which the request may run; homed is false if it may in all.
+// Where its route and its organisation both have some, both hold.
+func (x *exchange) homes() (list []string, homed bool) {
+	list = x.route.Homes
+	if x.organisation == nil || len(x.organisation.Homes) == 0 {
+		return list, len(list) > 0
+	}
+	if len(list) == 0 {
+		return x.organisation.Homes, true
+	}
+	both := slices.DeleteFunc(slices.Clone(list), func(r string) bool { return !slices.Contains(x.organisation.Homes, r) })
+	return both, true
+}
+
 // needs works out what the pool has to know.
 func (x *exchange) needs() route.Need {
 	n := route.Need{}
@@ -184,7 +200,7 @@
 	}
 	realm := func(version int64) route.Realm {
 		return route.Realm{
-			Name:   realmOf(x.need.Model, version, x.organisation),
+			Name:   x.realm(version),
 			Before: x.g.beliefs.ReplacedAt(x.need.Model, version),
 		}
 	}
@@ -232,7 +248,9 @@
 	if x.limit.Sub(now) < timeLeft || x.over(ctx) {
 		return false, x.outOfTime()
 	}
+	x.need.Send = true
 	choice, ok := x.pick(now)
+	x.need.Send = false
 	if !ok {
 		return false, x.noneLeft()
 	}
@@ -249,7 +267,7 @@
 	switch fate {
 	case fateAnswered:
 		if x.need.Model != "" && a.answer.Weights > 0 {
-			x.pool.Serves(choice.ID, x.need.Model, a.answer.Weights)
+			x.pool.Serves(route.WhomOf(&choice.Upstream), x.need.Model, a.answer.Weights)
 		}
 		return x.take(ctx, a)
 	case fateNotRun:
@@ -269,7 +287,7 @@
 func (x *exchange) unsent(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
 	a.end(route.OutcomeFailed, now)
 	a.plan.Cancel()
-	x.lost(a.choice.ID, now)
+	x.lost(&a.choice.Upstream, now)
 	x.g.log.Warn("replica not reached", "request", x.terms.ID, "replica", a.choice.ID, "addr", a.choice.Addr, "err", err)
 	x.need.Exclude = append(x.need.Exclude, a.choice.ID)
 	x.refused++
@@ -283,10 +301,12 @@
 const doubtTerm = 2 * time.Second
 
 // lost notes that a replica can't be reached.
-func (x *exchange) lost(id string, now time.Time) {
-	x.pool.Lost(id, now)
-	x.g.conns.lost(id)
-	x.g.kept.DoubtEngine(id, now.Add(doubtTerm))
+func (x *exchange) lost(u *site.Upstream, now time.Time) {
+	if x.pool.Lost(u.ID, now) {
+		x.g.nodes.doubt(route.WhomOf(u))
+	}
+	x.g.conns.lost(u.ID)
+	x.g.kept.DoubtEngine(u.ID, now.Add(doubtTerm))
 }
 
 // notRun goes on after a replica that refused.
@@ -329,7 +349,7 @@
 		return
 	}
 	if x.need.Newest > a.choice.Weights && a.choice.Weights > 0 {
-		x.pool.Serves(a.choice.ID, x.need.Model, x.need.Newest)
+		x.pool.Serves(route.WhomOf(&a.choice.Upstream), x.need.Model, x.need.Newest)
 		return
 	}
 	x.pool.Avoid(a.choice.ID, now.Add(goneTerm))
@@ -347,7 +367,9 @@
 	}
 	a.end(route.OutcomeFailed, now)
 	if lostPeer(err) {
-		x.lost(a.choice.ID, now)
+		x.lost(&a.choice.Upstream, now)
+	} else {
+		x.pool.Broke(a.choice.ID, now)
 	}
 	x.g.log.Warn("answer lost", "request", x.terms.ID, "replica", a.choice.ID, "attempts", x.ran, "err", err)
 	return x.repeat(a.choice.ID, now)
@@ -386,6 +408,21 @@
 		return refuse(http.StatusBadGateway, reasonLost)
 	case x.refused > 0:
 		return comeBack(reasonReplicasFull, fullRetry)
+	default:
+		return x.absent(time.Now())
+	}
+}
+
+// absent is the answer when there is no replica that may be asked at all.
+func (x *exchange) absent(now time.Time) refusal {
+	why := x.pool.WhyNone(&x.need, now)
+	switch {
+	case why.Cold > 0:
+		return comeBack(reasonCold, why.Retry)
+	case why.Evacuated > 0:
+		return comeBack(reasonEvacuated, noReplicaRetry)
+	case why.Outside > 0:
+		return comeBack(reasonOutsideHomes, noReplicaRetry)
 	default:
 		return comeBack(reasonNoReplica, noReplicaRetry)
 	}
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"reflect"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -162,7 +163,7 @@
 	follow := func(f *follower) { g.wg.Go(func() { f.run(g.ctx) }) }
 	follow(&follower{
 		store: g.readers, table: site.TableOperator, name: "operator", hold: hold, log: g.log,
-		apply: func(rows []site.Row, _ bool, now time.Time) { g.beliefs.ApplyOperator(rows, now) },
+		apply: g.beliefs.ApplyOperator,
 		away:  func(time.Time) {},
 		heard: func(time.Time) {},
 	})
@@ -209,14 +210,15 @@
 // runs: addresses and the node's own name stay.
 func (g *Gateway) Reload(s config.GatewaySettings) {
 	old := g.conf()
-	if s == *old {
+	if reflect.DeepEqual(s, *old) {
 		return
 	}
 	kept := s
 	kept.Node, kept.Peer, kept.Platform.Store = old.Node, old.Peer, old.Platform.Store
 	kept.Entry, kept.Without = old.Entry, old.Without
+	kept.Regions, kept.Cold, kept.Evacuation = old.Regions, old.Cold, old.Evacuation
 	kept.Entry.MaxAge = s.Entry.MaxAge
-	if kept != s {
+	if !reflect.DeepEqual(kept, s) {
 		g.log.Warn("changed addresses hold only after a restart", "node", old.Node.Name)
 	}
 	g.settings.Store(&kept)
--- a/service/gateway/grown_configuration_test.go
+++ b/service/gateway/grown_configuration_test.go
@@ -325,7 +325,7 @@
 	return &follower{
 		store: n.readers, table: site.TableOperator, name: "operator", hold: grownHold,
 		apply: func(rows []site.Row, _ bool, now time.Time) {
-			n.beliefs.ApplyOperator(rows, now)
+			n.beliefs.ApplyOperator(rows, false, now)
 			n.note()
 		},
 		away:  func(time.Time) {},
--- a/service/gateway/holdings.go
+++ b/service/gateway/holdings.go
@@ -191,7 +191,9 @@
 	}
 	for name, p := range telling {
 		var of []site.Upstream
-		for hall, engines := range route.Followed(h.self.DataHall, p.Upstreams(), heldMost/len(telling)) {
+		// Engines that are evacuated are to be sent nothing, these calls included.
+		there := slices.DeleteFunc(p.Upstreams(), func(u site.Upstream) bool { return u.Evacuated })
+		for hall, engines := range route.Followed(h.self.DataHall, there, heldMost/len(telling)) {
 			list[hall] = append(list[hall], engines...)
 			of = append(of, engines...)
 		}
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -117,6 +117,8 @@
 	Unread   int64                        `json:"notes_dropped"`
 	Replicas map[string]replicaCount      `json:"replicas"`
 	Weights  map[string]int64             `json:"weights_named"`
+	Unusable int64                        `json:"upstream_rows_unusable"`
+	Away     []string                     `json:"evacuated"`
 	Stores   []route.StoreStatus          `json:"stores"`
 }
 
@@ -124,6 +126,7 @@
 type replicaCount struct {
 	All    int `json:"all"`
 	Usable int `json:"usable"`
+	Cold   int `json:"cold"`
 }
 
 // status collects what is served.
@@ -147,13 +150,15 @@
 		Nodes:    g.nodes.count(),
 		Unread:   g.nodes.dropped.Load(),
 		Weights:  g.beliefs.NewestWeights(),
+		Unusable: g.beliefs.Unusable(),
+		Away:     g.beliefs.EvacuatedHalls(),
 		Stores:   g.kept.Status(),
 	}
 	config, heard, _ := g.beliefs.Ages(now)
 	s.Config, s.ListAge = config, heard.Seconds()
 	for service, p := range g.beliefs.Pools() {
 		all, usable := p.Count(now)
-		s.Replicas[service] = replicaCount{All: all, Usable: usable}
+		s.Replicas[service] = replicaCount{All: all, Usable: usable, Cold: p.CountCold(now)}
 	}
 	m.copyCounts(&s)
 	g.queuesMu.Lock()
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/route"
 )
 
 // News of replicas go to every node. In a small fleet each is told at once and to
@@ -31,6 +32,10 @@
 // news is about one replica.
 type news struct {
 	Replica string `json:"r"`
+	// Started is the replica's start that is meant, in Unix milliseconds; 0 for any.
+	Started int64 `json:"t,omitempty"`
+	// Lost says that it was not reached: it may have started again, and be cold.
+	Lost bool `json:"x,omitempty"`
 	// Avoid is for how many milliseconds it is to be passed over while it gets the
 	// weights; without it, it has them.
 	Avoid int64 `json:"a,omitempty"`
@@ -47,13 +52,34 @@
 }
 
 // steer has all nodes pass a replica over for a while, beginning at once.
-func (n *nodes) steer(id, model string, version int64, d time.Duration) {
-	n.spread(news{Replica: id, Avoid: d.Milliseconds(), Model: model, Version: version})
+func (n *nodes) steer(w route.Whom, model string, version int64, d time.Duration) {
+	n.spread(newsOf(w, news{Avoid: d.Milliseconds(), Model: model, Version: version}))
 }
 
 // served tells all nodes that a replica has got other weights.
-func (n *nodes) served(id, model string, version int64) {
-	n.spread(news{Replica: id, Model: model, Version: version})
+func (n *nodes) served(w route.Whom, model string, version int64) {
+	n.spread(newsOf(w, news{Model: model, Version: version}))
+}
+
+// doubt tells all nodes that a replica was not reached.
+func (n *nodes) doubt(w route.Whom) { n.spread(newsOf(w, news{Lost: true})) }
+
+// newsOf completes news with the replica that they are of.
+func newsOf(w route.Whom, about news) news {
+	about.Replica = w.ID
+	if !w.Started.IsZero() {
+		about.Started = w.Started.UnixMilli()
+	}
+	return about
+}
+
+// whom names the replica that news are of.
+func (w *news) whom() route.Whom {
+	who := route.Whom{ID: w.Replica}
+	if w.Started > 0 {
+		who.Started = time.UnixMilli(w.Started)
+	}
+	return who
 }
 
 // spread tells news to all nodes, this one included.
@@ -128,13 +154,16 @@
 }
 
 func (n *nodes) take(w news) {
-	until := time.Now().Add(time.Duration(w.Avoid) * time.Millisecond)
+	now := time.Now()
+	until := now.Add(time.Duration(w.Avoid) * time.Millisecond)
 	for _, p := range n.beliefs.Pools() {
 		switch {
+		case w.Lost:
+			p.Presume(w.whom(), now)
 		case w.Avoid > 0:
-			p.Steer(w.Replica, w.Model, w.Version, until)
+			p.Steer(w.whom(), w.Model, w.Version, until)
 		case w.Version > 0:
-			p.Serves(w.Replica, w.Model, w.Version)
+			p.Serves(w.whom(), w.Model, w.Version)
 		}
 	}
 }
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,8 @@
 // which replicas to pass over, and the newest weights.
 type nodes struct {
 	self    control.Member
+	regions map[string]string // Of data halls.
+	shares  *coldShares
 	members *control.Members
 	probes  *peer.Probes
 	store   Store
@@ -102,6 +105,7 @@
 			n.log.Info("nodes read again", "away", missed)
 		}
 		n.greet(rows)
+		n.shares.haveMet(now)
 	case first:
 		n.log.Warn("nodes not read", "err", err)
 	}
@@ -158,12 +162,25 @@
 // count is how many nodes there are, as far as is known.
 func (n *nodes) count() int { return max(1, len(n.members.Working())) }
 
-// entries lists where callers of a data hall are to go: to its own nodes, or to
-// all if it has too few that are well.
-func (n *nodes) entries(hall string) []netip.AddrPort {
+// entries lists where callers of a data hall are to go: to its own nodes, to those of its
+// region if it has too few that are well, or else to all, where what they ask for has homes
+// to those of these regions.
+func (n *nodes) entries(hall, region string, homes []string) []netip.AddrPort {
 	view := n.members.View()
 	list := view.Hall(hall).Alive
+	if region == "" {
+		region = n.regions[hall]
+	}
+	if len(list) < leastNear {
+		list = orAll(n.inRegions(view.Alive, []string{region}), list)
+	}
 	if len(list) < leastNear {
+		list = orAll(n.inRegions(view.Alive, homes), list)
+	}
+	if len(list) < leastNear && len(homes) == 0 {
+		list = view.Alive
+	}
+	if len(list) == 0 {
 		list = view.Alive
 	}
 	addrs := make([]netip.AddrPort, len(list))
@@ -173,6 +190,24 @@
 	return addrs
 }
 
+// inRegions lists those of some nodes that stand in one of the regions.
+func (n *nodes) inRegions(list []control.Member, regions []string) (in []control.Member) {
+	for _, m := range list {
+		if region := n.regions[m.DataHall]; region != "" && slices.Contains(regions, region) {
+			in = append(in, m)
+		}
+	}
+	return in
+}
+
+// orAll is the larger one of two lists, the second if they are alike.
+func orAll(more, list []control.Member) []control.Member {
+	if len(more) > len(list) {
+		return more
+	}
+	return list
+}
+
 // leastNear is how many nodes of its own data hall a caller is to have at least:
 // with one alone it would have nowhere to go when that one fails.
 const leastNear = 2
--- a/service/gateway/nodes_test.go
+++ b/service/gateway/nodes_test.go
@@ -25,7 +25,7 @@
 	store := &tableStore{fail: true}
 	var logged bytes.Buffer
 	n := &nodes{
-		self: self, members: m, store: store, announced: true,
+		self: self, members: m, store: store, announced: true, shares: newColdShares(self, m),
 		log: slog.New(slog.NewTextHandler(&logged, nil)), loads: newLoads(),
 	}
 	for range 5 {
--- a/service/gateway/platform.go
+++ b/service/gateway/platform.go
@@ -40,6 +40,9 @@
 	Configuration(r site.Row) (*site.Snapshot, error)
 	// Weights decodes the row that names a model's weights.
 	Weights(r site.Row) (model string, version int64, ok bool, err error)
+	// Evacuation reads the row that has a data hall get no more requests; on is false where
+	// that is taken back, ok where it is another row.
+	Evacuation(r site.Row) (hall string, on, ok bool)
 	Upstream(r site.Row) (site.Upstream, error)
 	// Terms reads a request's head.
 	Terms(h *http1.Head) (site.Terms, error)
@@ -53,18 +56,10 @@
 	Addresses(addrs []netip.AddrPort, ttl time.Duration) any
 }
 
-// Paths are where the platform and callers ask a node.
-type Paths struct {
-	Ready   string
-	Resolve string
-	// DataHall is the query argument with the caller's data hall.
-	DataHall string
-}
-
 // Platform is all that a node needs of the platform.
 type Platform struct {
 	Store   Store
 	Engines Engines
 	Codec   Codec
-	Paths   Paths
+	Paths   site.Paths
 }
--- a/service/gateway/swaps.go
+++ b/service/gateway/swaps.go
@@ -5,6 +5,7 @@
 
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/rollout"
+	"github.com/drumpath/drumpath/pkg/route"
 )
 
 // swaps is the fleet as the roll-out of weights sees it.
@@ -22,7 +23,7 @@
 	for _, p := range s.beliefs.Pools() {
 		for _, u := range p.Upstreams() {
 			for model := range u.Weights {
-				if want, named := newest[model]; named && !u.Draining {
+				if want, named := newest[model]; named && !u.Draining && !u.Evacuated {
 					list = append(list, rollout.Target{Upstream: u, Model: model, Version: want})
 				}
 			}
@@ -33,7 +34,7 @@
 
 // Steer implements rollout.Fleet.
 func (s *swaps) Steer(t rollout.Target, d time.Duration) {
-	s.nodes.steer(t.ID, t.Model, t.Version, d)
+	s.nodes.steer(route.WhomOf(&t.Upstream), t.Model, t.Version, d)
 }
 
 // Steered implements rollout.Fleet.
@@ -48,8 +49,8 @@
 // Serves implements rollout.Fleet.
 func (s *swaps) Serves(t rollout.Target, version int64) {
 	if p := s.beliefs.Pool(t.Service); p != nil {
-		p.Serves(t.ID, t.Model, version)
-		s.nodes.served(t.ID, t.Model, version)
+		p.Serves(route.WhomOf(&t.Upstream), t.Model, version)
+		s.nodes.served(route.WhomOf(&t.Upstream), t.Model, version)
 	}
 }
 
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -74,11 +74,14 @@
 		func() *control.Members {
 			return control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, newRand())
 		},
-		func(k *route.Kept) *Beliefs {
+		func(k *route.Kept, o *coldShares, u *upstreamConns) *Beliefs {
 			b := NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), k, log)
-			b.without = s.Without
+			b.without, b.regions, b.cold, b.shares = s.Without, s.Regions, s.Cold, o
+			b.leaveTime = time.Duration(leaveShare * float64(s.Evacuation.Within))
+			b.restarted = func(id string) { u.lost(id) }
 			return b
 		},
+		newColdShares,
 		func(b *Beliefs, n *nodes) *rollout.Rollout {
 			r := rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, p.Engines, &swaps{beliefs: b, nodes: n}, log)
 			if s.Without.SwapBound {
@@ -120,9 +123,11 @@
 }
 
 // newNodes listens for what other nodes tell.
-func newNodes(s config.GatewaySettings, self control.Member, m *control.Members, st Store, b *Beliefs, k *route.Kept, log *slog.Logger) (*nodes, error) {
+func newNodes(s config.GatewaySettings, self control.Member, m *control.Members, o *coldShares, st Store, b *Beliefs, k *route.Kept, log *slog.Logger) (*nodes, error) {
 	n := &nodes{
 		self:    self,
+		regions: s.Regions,
+		shares:  o,
 		members: m,
 		store:   st,
 		beliefs: b,
