A replica's lateness is against that of all replicas, not against what was expected

Hypothesis: under the worst load prompts are kept at the nodes for engines that could begin them, as lateness is learnt as a mean of ratios, which few very late answers make large, and is counted on each replica beside the time to read a token, which has learnt the same. In a test with noise alike at all replicas each counted as 3.3 times as late.

Now a replica's lateness is the mean of its own ratios over that of all; one that is six times as slow as the others still counts as late.

--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -86,7 +86,7 @@
 func (p *Pool) weigh(list []candidate, n *Need, now time.Time) (chosen *member) {
 	best := math.Inf(1)
 	for _, c := range list {
-		cost := c.idle + p.busyTime(c.m, n, now) + p.rng.Float64()*tieTime.Seconds()
+		cost := c.idle + p.busyTime(c.m, n, p.lateness(c.m, now), now) + p.rng.Float64()*tieTime.Seconds()
 		if cost < best {
 			best, chosen = cost, c.m
 		}
--- a/pkg/route/cold.go
+++ b/pkg/route/cold.go
@@ -68,11 +68,11 @@
 }
 
 // LimitCold sets how many requests a replica may get from all nodes in a second while it is
-// cold, and what this node's share of them is.
+// cold, and what this node's share of them is; without shares there is no limit.
 func (p *Pool) LimitCold(most int, s ColdShares) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.coldLimited, p.coldMost, p.coldShares = true, most, s
+	p.coldLimited, p.coldMost, p.coldShares = s != nil, most, s
 }
 
 // shareOf is this node's share of what a replica may get while it is cold.
--- a/pkg/route/cold_test.go
+++ b/pkg/route/cold_test.go
@@ -119,6 +119,8 @@
 		p.Broke(fmt.Sprintf("r%02d", i), testNow)
 	}
 	assert.Equal(t, p.CountCold(testNow), ownFault-1, "this node's connections are at fault")
+	p.LimitCold(0, nil)
+	assert.Equal(t, p.CountCold(testNow), 0, "the configuration has no limit any more")
 	unlimited := newTestPool(6, 1)
 	assert.Assert(t, !unlimited.Lost("r00", testNow), "its replicas are never cold")
 	assert.Equal(t, unlimited.CountCold(testNow), 0)
--- a/pkg/route/flight.go
+++ b/pkg/route/flight.go
@@ -13,6 +13,7 @@
 	fetch    float64 // Expected time of its fetch, in seconds.
 	begun    time.Time
 	expected time.Duration
+	plain    time.Duration // As in Choice.
 	first    bool
 	ended    bool
 }
@@ -36,6 +37,7 @@
 		fetch:    c.Fetch.Seconds(),
 		begun:    now,
 		expected: c.Expected,
+		plain:    c.Plain,
 	}
 	m.flights[k] = struct{}{}
 	m.pending[k.band] += c.Read
@@ -59,10 +61,11 @@
 	k.first = true
 	k.member.pending[k.band] -= k.tokens
 	took := now.Sub(k.begun)
-	ratio := max(took, leastExpected).Seconds() / max(k.expected, leastExpected).Seconds()
-	k.member.late = k.pool.lateness(k.member, now)
-	k.member.late += lateShare * (min(ratio, mostLateness) - k.member.late)
+	ratio := min(mostLateness, max(took, leastExpected).Seconds()/max(k.plain, leastExpected).Seconds())
+	k.member.late = k.pool.ownLate(k.member, now)
+	k.member.late += lateShare * (ratio - k.member.late)
 	k.member.lateAt = now
+	k.pool.late += learnShare * (ratio - k.pool.late)
 	k.pool.learn(k, took.Seconds())
 }
 
--- a/pkg/route/need.go
+++ b/pkg/route/need.go
@@ -68,7 +68,9 @@
 	Weights int64
 	// Expected is the expected time to the first byte of the answer.
 	Expected time.Duration
-	// Fetch is the part of it that is for a fetch.
+	// Plain is what Expected would be if the replica were as late as the others.
+	Plain time.Duration
+	// Fetch is the part of Expected that is for a fetch.
 	Fetch time.Duration
 	// Read are the tokens that the replica should have to read.
 	Read int
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -31,6 +31,8 @@
 	base     float64
 	meanRun  time.Duration // Of requests without a prompt.
 	failing  float64       // Mean share of failures over all replicas.
+	// late is the mean over all replicas of the time taken over the time expected.
+	late     float64
 	memory   memoryUse
 	capacity int // Of an engine's memory, in tokens; 0 if not known.
 	// coldMost is how many requests a cold replica may get from all nodes in a second, if
@@ -123,7 +125,7 @@
 
 // NewPool returns a pool without replicas for a node in the given data hall.
 func NewPool(hall string, rng *rand.Rand) *Pool {
-	return &Pool{hall: hall, rng: rng, replicas: map[string]*member{}, perToken: startPerToken, base: startBase, meanRun: startRun}
+	return &Pool{hall: hall, rng: rng, replicas: map[string]*member{}, perToken: startPerToken, base: startBase, meanRun: startRun, late: 1}
 }
 
 // Without switches mechanisms off; it is to be called before the pool is used.
@@ -292,7 +294,8 @@
 	return Choice{
 		Upstream: chosen.Upstream,
 		Weights:  chosen.Weights[n.Model],
-		Expected: seconds(p.firstByte(chosen, n, chosen == home, now)),
+		Expected: seconds(p.firstByte(chosen, n, chosen == home, p.lateness(chosen, now), now)),
+		Plain:    seconds(p.firstByte(chosen, n, chosen == home, 1, now)),
 		Fetch:    offer.Wait,
 		Read:     int(n.toRead(offer, chosen == home)),
 		Memory:   n.Memory,
@@ -340,7 +343,7 @@
 
 // idleCost is the price of a replica at which nothing waits, in seconds.
 func (p *Pool) idleCost(m *member, n *Need, home bool, now time.Time) float64 {
-	cost := p.idleTime(m, n, home, now)
+	cost := p.idleTime(m, n, home, p.lateness(m, now))
 	if m.DataHall != p.hall {
 		cost += hallTime.Seconds()
 	}
@@ -352,23 +355,23 @@
 }
 
 // firstByte is the expected time to the first byte of the answer, in seconds.
-func (p *Pool) firstByte(m *member, n *Need, home bool, now time.Time) float64 {
-	return p.idleTime(m, n, home, now) + p.busyTime(m, n, now)
+func (p *Pool) firstByte(m *member, n *Need, home bool, late float64, now time.Time) float64 {
+	return p.idleTime(m, n, home, late) + p.busyTime(m, n, late, now)
 }
 
 // idleTime is the part of firstByte that a replica at which nothing waits would take.
-func (p *Pool) idleTime(m *member, n *Need, home bool, now time.Time) float64 {
+func (p *Pool) idleTime(m *member, n *Need, home bool, late float64) float64 {
 	if n.Tokens == 0 {
-		return p.meanRun.Seconds() * p.lateness(m, now)
+		return p.meanRun.Seconds() * late
 	}
 	offer := n.Offers[m.ID]
-	return (p.base+n.toRead(offer, home)*p.perToken)*p.lateness(m, now) + offer.Wait.Seconds()
+	return (p.base+n.toRead(offer, home)*p.perToken)*late + offer.Wait.Seconds()
 }
 
 // busyTime is the part of firstByte that comes from others at the replica.
-func (p *Pool) busyTime(m *member, n *Need, now time.Time) float64 {
+func (p *Pool) busyTime(m *member, n *Need, late float64, now time.Time) float64 {
 	if n.Tokens > 0 {
-		return p.wait(m, n, now)
+		return p.wait(m, n, late, now)
 	}
 	running := len(m.flights) + m.others.Requests
 	wait := 0.0
@@ -377,7 +380,7 @@
 	}
 	// Replicas with some to do come after idle ones.
 	wait += p.meanRun.Seconds() * float64(running) / float64(4*max(1, m.Slots))
-	return wait * p.lateness(m, now)
+	return wait * late
 }
 
 // promptWait is wait, and nothing for requests without a prompt.
@@ -385,18 +388,18 @@
 	if n.Tokens == 0 {
 		return 0
 	}
-	return p.wait(m, n, now)
+	return p.wait(m, n, p.lateness(m, now), now)
 }
 
 // wait is how long a prompt waits at a replica until it is begun, in seconds.
-func (p *Pool) wait(m *member, n *Need, now time.Time) float64 {
+func (p *Pool) wait(m *member, n *Need, late float64, now time.Time) float64 {
 	running := float64(len(m.flights) + m.others.Requests)
 	reading := float64(m.ahead(n)) * p.perToken
 	slots := 0.0
 	if over := running + 1 - float64(m.Slots); m.Slots > 0 && over > 0 {
 		slots = over / float64(m.Slots) * p.memory.hold()
 	}
-	return (reading+running*runTime.Seconds())*p.lateness(m, now) + slots + p.memoryWait(m, n.Memory) + p.overdue(m, now)
+	return (reading+running*runTime.Seconds())*late + slots + p.memoryWait(m, n.Memory) + p.overdue(m, now)
 }
 
 // overdue is by how much the first byte of this node's longest unanswered prompt at a
@@ -420,11 +423,21 @@
 	return m.pending.Plus(m.others.Tokens).upTo(bandOf(n.Priority))
 }
 
-// lateness is how much longer than expected the replica's answers take.
+// lateness is how much longer than the others' the replica's answers take.
+//
+// The load pattern that it answers is a replica that is slow among others that are not. When
+// all are late, as under a burst, that is learnt as the time that a token takes to be read, and
+// is not to be counted once more for each replica that answered last.
 func (p *Pool) lateness(m *member, now time.Time) float64 {
 	if p.without.Lateness {
 		return 1
 	}
+	return min(mostLateness, p.ownLate(m, now)/p.late)
+}
+
+// ownLate is the mean of the time taken over the time expected at one replica; the longer ago
+// the last answer, the more it is that of all.
+func (p *Pool) ownLate(m *member, now time.Time) float64 {
 	fade := math.Exp(-max(0, now.Sub(m.lateAt).Seconds()/lateMemory.Seconds()))
-	return 1 + (m.late-1)*fade
+	return p.late + (m.late-p.late)*fade
 }
--- a/pkg/route/pool_test.go
+++ b/pkg/route/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -331,3 +332,37 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, lower.Wait, other.Wait)
 }
+
+// Under a burst all replicas answer late, some requests very late. That is no reason to hold any
+// of them for slow, and a replica that is slow among them still shows.
+func TestLatenessIsAgainstThatOfAllReplicas(t *testing.T) {
+	p := newTestPool(10, 1)
+	rng := rand.New(rand.NewPCG(5, 6))
+	now := testNow
+	answer := func(u site.Upstream, times float64) {
+		f := p.Begin(Choice{Upstream: u, Plain: 100 * time.Millisecond, Expected: 100 * time.Millisecond}, now)
+		now = now.Add(20 * time.Millisecond)
+		end := f.begun.Add(time.Duration(times * float64(100*time.Millisecond)))
+		f.First(end)
+		f.End(OutcomeOK, end)
+	}
+	for range 400 {
+		for _, u := range p.Upstreams() {
+			times := math.Exp(rng.NormFloat64())
+			if u.ID == "r03" {
+				times *= 6
+			}
+			answer(u, 2*times)
+		}
+	}
+	slow, others := 0.0, 0.0
+	for _, s := range p.Status(now) {
+		if s.ID == "r03" {
+			slow = s.Lateness
+			continue
+		}
+		others += s.Lateness / 9
+	}
+	assert.Assert(t, others < 1.3, "the others count as %.1f times as late", others)
+	assert.Assert(t, slow > 1.5*others, "%.1f, the others %.1f", slow, others)
+}
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -27,7 +27,7 @@
 	var waits []float64
 	for _, m := range p.list {
 		if !m.Draining && !m.Evacuated && !m.passedOver(now) {
-			waits = append(waits, p.wait(m, n, now))
+			waits = append(waits, p.wait(m, n, p.lateness(m, now), now))
 		}
 	}
 	if len(waits) == 0 {
--- a/service/gateway/evacuations.go
+++ b/service/gateway/evacuations.go
@@ -149,7 +149,10 @@
 	if s == nil || s.Services[service] == nil || b.shares == nil {
 		return
 	}
-	if most, ok := route.NewColdLimit(s.Services[service].ColdRate, b.cold.Overage, b.cold.Slack); ok {
-		b.pools[service].LimitCold(most, b.shares)
+	most, ok := route.NewColdLimit(s.Services[service].ColdRate, b.cold.Overage, b.cold.Slack)
+	if !ok {
+		b.pools[service].LimitCold(0, nil)
+		return
 	}
+	b.pools[service].LimitCold(most, b.shares)
 }
