--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -4,11 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -125,122 +122,6 @@
 	return ctx.Err() != nil
 }
 
-// admit finds out how the request is to be served; ok is false if it is refused.
-func (x *exchange) admit() (f refusal, ok bool) {
-	s := x.g.beliefs.Snapshot()
-	if s == nil {
-		return comeBack(reasonNoConfiguration, startRetry), false
-	}
-	if x.route = s.Route(x.head.Get("Host"), x.head.Path()); x.route == nil {
-		return refuse(http.StatusNotFound, reasonNoRoute), false
-	}
-	if s.Keyed {
-		x.organisation = s.Organisation(x.terms.Key)
-		if x.organisation == nil && !x.route.Anonymous {
-			return refuse(http.StatusUnauthorized, reasonUnknownKey), false
-		}
-	}
-	patience := x.route.Timeout
-	if t := x.terms.Patience; t > 0 && (patience == 0 || t < patience) {
-		patience = t
-	}
-	x.limit = x.came.Add(patience)
-	x.service = s.Services[x.route.ServiceAt(xxhash.Sum64String(x.terms.ID))]
-	if x.service == nil {
-		return comeBack(reasonNoReplica, noReplicaRetry), false
-	}
-	if x.pool = x.g.beliefs.Pool(x.service.Name); x.pool == nil {
-		return comeBack(reasonNoReplica, noReplicaRetry), false
-	}
-	x.need = x.needs()
-	x.need.Homes, x.need.Homed = x.homes()
-	return refusal{}, true
-}
-
-// homes are the regions in which the request may run; homed is false if it may in all.
-// Where its route and its organisation both have some, both hold.
-func (x *exchange) homes() (list []string, homed bool) {
-	list = x.route.Homes
-	if x.organisation == nil || len(x.organisation.Homes) == 0 {
-		return list, len(list) > 0
-	}
-	if len(list) == 0 {
-		return x.organisation.Homes, true
-	}
-	both := slices.DeleteFunc(slices.Clone(list), func(r string) bool { return !slices.Contains(x.organisation.Homes, r) })
-	return both, true
-}
-
-// needs works out what the pool has to know.
-func (x *exchange) needs() route.Need {
-	n := route.Need{}
-	if x.service.Engine == nil {
-		return n
-	}
-	n.Model = x.terms.Model
-	n.Tokens = x.terms.PromptTokens()
-	n.Priority = x.priority()
-	n.Memory = n.Tokens + x.terms.Out
-	n.Capacity = x.service.Engine.Capacity
-	shared := x.terms.Shared()
-	for _, p := range shared {
-		n.Shared += p.Tokens
-	}
-	if len(shared) > 0 {
-		n.Affinity = xxhash.Sum64String(shared[len(shared)-1].ID)
-	}
-	return n
-}
-
-// lookUp notes what of the prompt can be fetched.
-func (x *exchange) lookUp(now time.Time) {
-	e := x.service.Engine
-	if e == nil || !e.PlannedFetch || x.need.Model == "" {
-		return
-	}
-	realm := func(version int64) route.Realm {
-		return route.Realm{
-			Name:   x.realm(version),
-			Before: x.g.beliefs.ReplacedAt(x.need.Model, version),
-		}
-	}
-	x.need.Offers = x.g.kept.Look(x.pool.Upstreams(), x.need.Model, realm, x.terms.Shared(), e, x.longestFetch(), now)
-}
-
-const (
-	// freshTerm is for how long after new weights were named answers on older
-	// ones count nearly in full, and freshUrgency what they count less.
-	freshTerm    = time.Second
-	freshUrgency = 0.3
-	// withinMargin is how long before the time by which all replicas are to
-	// have new weights nothing is sent to older ones any more.
-	withinMargin = 1200 * time.Millisecond
-)
-
-// refresh notes the newest weights, which may change between attempts.
-func (x *exchange) refresh(now time.Time) {
-	if x.need.Model == "" {
-		return
-	}
-	version, since := x.g.beliefs.Weights(x.need.Model)
-	x.need.Newest = version
-	known := now.Sub(since)
-	x.need.Urgency = freshUrgency
-	if known > freshTerm {
-		x.need.Urgency = 1
-	}
-	within := x.g.conf().Orders.Within.Std() - withinMargin
-	x.need.Oldest = x.g.beliefs.WeightsBefore(x.need.Model, now.Add(-within))
-}
-
-// pick chooses a replica by what is known now.
-func (x *exchange) pick(now time.Time) (route.Choice, bool) {
-	x.refresh(now)
-	x.lookUp(now)
-	x.g.nodes.settle(now)
-	return x.pool.Pick(&x.need, now)
-}
-
 // try makes one attempt. It says whether another is to be made; otherwise the
 // request was answered, or f is what to answer if its status is set.
 func (x *exchange) try(ctx context.Context) (again bool, f refusal) {
@@ -480,41 +361,6 @@
 	x.out.whole(w.head.Status, w.head.EndToEnd(), w.body)
 }
 
-// logAnswer tells where a request ran, by what, and how long it took.
-func (x *exchange) logAnswer(a *attempt, now time.Time) {
-	offer := x.need.Offers[a.choice.ID]
-	x.g.metrics.answer(x.route.Kind(), a.begun.Sub(x.came), a.took, now.Sub(x.came))
-	x.g.log.Info("answered", "request", x.terms.ID, "route", x.route.Name, "replica", a.choice.ID,
-		"hall", a.choice.DataHall, "weights", a.choice.Weights, "newest", x.need.Newest,
-		"tokens", x.need.Tokens, "shared", x.need.Shared, "kept", offer.Held+offer.Fetched, "held", offer.Held, "read", a.choice.Read,
-		"fetched", a.plan.Fetched, "saved", a.plan.Saved, "sources", a.plan.Sources, "fetch_ms", a.plan.Time.Milliseconds(),
-		"expected_ms", a.choice.Expected.Milliseconds(), "first_ms", a.took.Milliseconds(), "gap_ms", a.longest.Milliseconds(),
-		"before_ms", a.begun.Sub(x.came).Milliseconds(), "all_ms", now.Sub(x.came).Milliseconds(),
-		"attempts", x.ran, "not_run", x.refused)
-}
-
-// logRefusal tells why a request got an answer of the node's own, and by what
-// beliefs, of what age.
-func (x *exchange) logRefusal(f refusal, now time.Time) {
-	route, service, replicas, usable := "", "", 0, 0
-	if x.route != nil {
-		route = x.route.Name
-	}
-	wait := time.Duration(0)
-	if x.service != nil {
-		service = x.service.Name
-	}
-	if x.pool != nil {
-		replicas, usable = x.pool.Count(now)
-		wait = x.pool.MedianWait(now)
-	}
-	config, heard, away := x.g.beliefs.Ages(now)
-	x.g.log.Info("refused", "request", x.terms.ID, "status", f.status, "reason", f.reason, "route", route, "service", service,
-		"retry_after", f.retry, "after", now.Sub(x.came), "attempts", x.ran, "not_run", x.refused,
-		"config", config, "list_age", heard, "store_away", away, "replicas", replicas, "usable", usable,
-		"median_wait", wait, "in_flight", x.g.inFlight.Load())
-}
-
 func (x *exchange) refuse(f refusal) {
 	x.g.metrics.refusal(f.reason)
 	x.logRefusal(f, time.Now())
