--- a/service/gateway/beliefs_test.go
+++ b/service/gateway/beliefs_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
 )
 
 // Each version's time counts from its own naming, whatever came behind it.
@@ -30,3 +31,50 @@
 	version, since := b.Weights("m")
 	assert.Assert(t, version == 4 && since.Equal(at(14)))
 }
+
+// Symptom: a node stood still for good: it answered nobody and did not stop.
+// Sequence: a prompt's parts are looked up, which asks when weights were replaced, while the
+// list of upstreams tells that a replica has started again under its ID.
+// Cause: what the replica had held was forgotten with the lock of the beliefs held, and the
+// look-up asks the beliefs with that of the held parts.
+// What settled it: a dump of the process, with Beliefs.take waiting in Kept.Restarted and
+// everything else for the beliefs.
+func TestReplicaThatHasStartedAgainDoesNotStopLookUps(t *testing.T) {
+	k := route.NewKept()
+	b := NewBeliefs(nil, "h", time.Second, k, slog.New(slog.DiscardHandler))
+	u := site.Upstream{ID: "e", Service: "s", DataHall: "h", Started: time.UnixMilli(1), Weights: map[string]int64{"m": 1}}
+	b.applyRestart(u, time.Now())
+	inside, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		realm := func(version int64) route.Realm {
+			close(inside)
+			time.Sleep(100 * time.Millisecond) // For the list to come meanwhile.
+			return route.Realm{Name: "r", Before: b.ReplacedAt("m", version)}
+		}
+		k.Look([]site.Upstream{u}, "m", realm, []site.Part{{ID: "p", Tokens: 10}}, &site.Engine{}, time.Second, time.Now())
+	}()
+	<-inside
+	again := u
+	again.Started = time.UnixMilli(2)
+	go b.applyRestart(again, time.Now())
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the look-up does not end")
+	}
+}
+
+// oneUpstream decodes every row as the same upstream.
+type oneUpstream struct {
+	Codec
+	u site.Upstream
+}
+
+func (c oneUpstream) Upstream(site.Row) (site.Upstream, error) { return c.u, nil }
+
+// applyRestart takes in a row of an upstream.
+func (b *Beliefs) applyRestart(u site.Upstream, now time.Time) {
+	b.codec = oneUpstream{u: u}
+	b.ApplyUpstreams([]site.Row{{Key: u.ID, Version: u.Started.UnixMilli()}}, false, now)
+}
