What a replica held before it started again is forgotten without the beliefs' lock

Cause: ApplyUpstreams forgot it with the lock of the beliefs held, and Kept.Look asks the beliefs when weights were replaced with its own lock held. A replica that started again under its ID at that moment stopped the node for good. Ruled out by the dump: a lost answer, the stand-in, the stop. Other places that hold one of the two locks and take the other were looked for: none.

The starts are listed under the lock and forgotten behind it.

--- a/service/gateway/beliefs.go
+++ b/service/gateway/beliefs.go
@@ -246,12 +246,24 @@
 // ApplyUpstreams takes in rows of the list of upstreams; with whole they are all
 // that there are.
 func (b *Beliefs) ApplyUpstreams(rows []site.Row, whole bool, now time.Time) {
+	// What was held before is forgotten without the lock: look-ups of it ask the beliefs
+	// with a lock of their own.
+	for _, id := range b.applyUpstreams(rows, whole, now) {
+		b.kept.Restarted(id)
+		b.restarted(id)
+	}
+}
+
+// applyUpstreams lists the replicas that have started anew under their IDs.
+func (b *Beliefs) applyUpstreams(rows []site.Row, whole bool, now time.Time) (restarted []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	seen := map[string]bool{}
 	for _, r := range rows {
 		seen[r.Key] = true
-		b.applyUpstream(r, now)
+		if b.applyUpstream(r, now) {
+			restarted = append(restarted, r.Key)
+		}
 	}
 	if whole {
 		for id := range b.upstreams {
@@ -261,45 +273,43 @@
 		}
 	}
 	b.rebuild(now)
+	return restarted
 }
 
 // applyUpstream takes in one row. What is older than what is known is passed over; a row
-// that can't be used names no replica, whatever stood there before.
-func (b *Beliefs) applyUpstream(r site.Row, now time.Time) {
+// that can't be used names no replica, whatever stood there before. It says whether the
+// replica has started anew under its ID.
+func (b *Beliefs) applyUpstream(r site.Row, now time.Time) (restarted bool) {
 	old, known := b.upstreams[r.Key]
 	if known && r.Version < old.version {
-		return
+		return false
 	}
 	if r.Gone {
 		b.drop(r.Key, now)
-		return
+		return false
 	}
 	u, err := b.codec.Upstream(r)
 	if err != nil {
 		b.unusable++
 		delete(b.upstreams, r.Key)
 		b.log.Error("upstream not usable, left out", "row", r.Key, "version", r.Version, "err", err)
-		return
+		return false
 	}
 	if known && u.OlderStart(&old.Upstream) {
-		return
+		return false
 	}
-	b.take(u, r.Version, now)
+	return b.take(u, r.Version, now)
 }
 
-// take notes a row that can be used. Its cold term counts from when the row was written, so
-// a row that is heard again does not begin it anew.
-func (b *Beliefs) take(u site.Upstream, version int64, now time.Time) {
+// take notes a row that can be used, and says whether it is of a new start. Its cold term
+// counts from when the row was written, so a row that is heard again does not begin it anew.
+func (b *Beliefs) take(u site.Upstream, version int64, now time.Time) (restarted bool) {
 	old, known := b.upstreams[u.ID]
-	restarted := known && old.OlderStart(&u)
+	restarted = known && old.OlderStart(&u)
 	if !known || restarted || old.Draining != u.Draining {
 		b.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "addr", u.Addr, "draining", u.Draining,
 			"started", u.Started, "cold", u.Cold, "restarted", restarted)
 	}
-	if restarted {
-		b.kept.Restarted(u.ID)
-		b.restarted(u.ID)
-	}
 	u.Region = b.regions[u.DataHall]
 	switch {
 	case known && version > 0 && version == old.version:
@@ -308,6 +318,7 @@
 		u.ColdUntil = now.Add(u.Cold)
 	}
 	b.upstreams[u.ID] = &upstreamEntry{Upstream: u, version: version}
+	return restarted
 }
 
 // drop takes an upstream out, at once unless the store was away: an entry may
