A replica's row of the tests is written in one place, and three smaller repeats go

Read again: the row that a stand-in replica writes of itself stood in four places, one of them the soak, which so knew the platform's names; onplatform.UpstreamRow has it now. Behaviour, bounds and the tests' assertions are as before.

Checked: tests of pkg/route, service/gateway, internal/soak, those of the changed stand-ins; vet and format clean.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -167,9 +167,7 @@
 
 // list writes a replica's entry.
 func (s *soak) list(r *replica, state string) {
-	s.store.Put(onplatform.TableUpstreams, r.ID, map[string]any{
-		"service": service, "addr": r.proxy.Addr().String(), "zone": "hall-a", "slots": 32, "state": state, "cold_left_ms": 0, "call_seq": 0, "config_version": "v1",
-	})
+	s.store.Put(onplatform.TableUpstreams, r.ID, onplatform.UpstreamRow(service, r.proxy.Addr(), 32, state))
 }
 
 // configure writes a new configuration, with a route that only it has.
--- a/internal/standin/onplatform/gone_test.go
+++ b/internal/standin/onplatform/gone_test.go
@@ -322,7 +322,7 @@
 	r := &deafReplica{ln: ln, hear: make(chan struct{}), came: make(chan struct{}, 1)}
 	s.t.Cleanup(func() { _ = ln.Close() })
 	go r.accept()
-	s.store.Put(onplatform.TableUpstreams, id, map[string]any{"service": service, "addr": ln.Addr().String(), "zone": "hall-a", "slots": 8, "state": "ready", "cold_left_ms": 0, "call_seq": 0, "config_version": "v1"})
+	s.store.Put(onplatform.TableUpstreams, id, onplatform.UpstreamRow(service, ln.Addr().(*net.TCPAddr).AddrPort(), 8, "ready"))
 	return r
 }
 
--- a/internal/standin/onplatform/shift_test.go
+++ b/internal/standin/onplatform/shift_test.go
@@ -16,10 +16,8 @@
 
 // row is a replica's row as it writes it itself, with some fields replaced.
 func row(service string, r *onplatform.Replica, fields map[string]any) map[string]any {
-	w := map[string]any{
-		"service": service, "addr": r.Addr().String(), "zone": "hall-a", "config_version": "v1",
-		"slots": 8, "state": "ready", "cold_left_ms": 0, "call_seq": 0, "born": 1_700_000_000_000,
-	}
+	w := onplatform.UpstreamRow(service, r.Addr(), 8, "ready")
+	w["born"] = 1_700_000_000_000
 	for k, v := range fields {
 		if v == nil {
 			delete(w, k)
--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -107,7 +107,7 @@
 
 // listAt lists a replica that is reached at another address.
 func (s *site) listAt(service string, r *onplatform.Replica, addr netip.AddrPort, state string, weights int) {
-	row := map[string]any{"service": service, "addr": addr.String(), "zone": "hall-a", "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 0, "config_version": "v1"}
+	row := onplatform.UpstreamRow(service, addr, 8, state)
 	if service == llm {
 		row["models"] = []map[string]any{{"name": model, "config_version": weights}}
 	}
--- a/pkg/route/cold.go
+++ b/pkg/route/cold.go
@@ -196,9 +196,5 @@
 	if m.presumed.After(until) {
 		until = m.presumed
 	}
-	wait := until.Sub(now)
-	if p.shareOf(m) > 0 {
-		wait = min(wait, p.untilSend(m, now))
-	}
-	return wait
+	return min(until.Sub(now), p.untilSend(m, now))
 }
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -102,11 +102,7 @@
 // realm names the space of kept state that the request may share where the model's
 // weights have a version.
 func (x *exchange) realm(version int64) string {
-	var homes []string
-	if x.need.Homed {
-		homes = x.need.Homes
-	}
-	return realmOf(x.need.Model, version, x.organisation, homes)
+	return realmOf(x.need.Model, version, x.organisation, x.need.Homes)
 }
 
 // realmOf names the space of kept state that requests may share: that of one
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -172,15 +172,12 @@
 		region = n.regions[hall]
 	}
 	if len(list) < leastNear {
-		list = orAll(n.inRegions(view.Alive, []string{region}), list)
+		list = larger(n.inRegions(view.Alive, []string{region}), list)
 	}
 	if len(list) < leastNear {
-		list = orAll(n.inRegions(view.Alive, homes), list)
+		list = larger(n.inRegions(view.Alive, homes), list)
 	}
-	if len(list) < leastNear && len(homes) == 0 {
-		list = view.Alive
-	}
-	if len(list) == 0 {
+	if len(list) == 0 || len(list) < leastNear && len(homes) == 0 {
 		list = view.Alive
 	}
 	addrs := make([]netip.AddrPort, len(list))
@@ -200,8 +197,8 @@
 	return in
 }
 
-// orAll is the larger one of two lists, the second if they are alike.
-func orAll(more, list []control.Member) []control.Member {
+// larger is the larger one of two lists, the second if they are alike.
+func larger(more, list []control.Member) []control.Member {
 	if len(more) > len(list) {
 		return more
 	}
