Sight: lines of lost answers tell which requests have the same content

The logs could not tell one request that ends each replica from requests that are only under way where replicas end: each attempt of a caller has another ID. A keyed hash was ruled out: it has to be the same at nodes of mixed versions and after a reload; a fast hash too, as somebody could make a request that is taken for another organisation's.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -7,6 +7,7 @@
 	keyTeller   = Key{"peer", "the other node's address"}
 	keyRoute    = Key{"route", "the route's name"}
 	keyErr      = Key{"err", "what went wrong"}
+	keyContent  = Key{"content", "the fingerprint of what the request asks and for whom, alike for each attempt of its caller"}
 	keyAttempts = Key{"attempts", "attempts that may have run"}
 	keyNotRun   = Key{"not_run", "attempts that were refused or could not be sent"}
 	keyAfter    = Key{"after", "nanoseconds since the request's head had come"}
@@ -87,10 +88,10 @@
 		{"quiet", "nanoseconds for which nothing had come"},
 		{"closed", "how many connections"},
 	}},
-	{"answer lost", Failure, "A connection broke before the head of the answer; the request may have run.", []Key{keyRequest, keyReplica, keyAttempts, keyErr}},
-	{"answer cut short", Failure, "An answer's body broke off; the request has run.", []Key{keyRequest, keyReplica, keyErr}},
+	{"answer lost", Failure, "A connection broke before the head of the answer; the request may have run.", []Key{keyRequest, keyContent, keyReplica, keyAttempts, keyErr}},
+	{"answer cut short", Failure, "An answer's body broke off; the request has run.", []Key{keyRequest, keyContent, keyReplica, keyErr}},
 	{"stream broke off", Failure, "A stream of events broke off at its replica.", []Key{
-		keyRequest, keyReplica, {"last_event", "the last event that was passed on"}, keyErr,
+		keyRequest, keyContent, keyReplica, {"last_event", "the last event that was passed on"}, keyErr,
 	}},
 	{"stream cut", Failure, "A stream that had begun was broken off towards the client.", []Key{keyRequest, keyRoute, {"reason", "why"}}},
 
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -40,6 +40,9 @@
 	held *wholeAnswer
 	// stream is the answer's stream once it has begun.
 	stream *relay
+
+	hashed  bool
+	content site.Fingerprint // Set once hashed is.
 }
 
 // wholeAnswer is a replica's answer that has been read to its end.
@@ -252,7 +255,7 @@
 	} else {
 		x.pool.Broke(a.choice.ID, now)
 	}
-	x.g.log.Warn("answer lost", "request", x.terms.ID, "replica", a.choice.ID, "attempts", x.ran, "err", err)
+	x.g.log.Warn("answer lost", "request", x.terms.ID, "content", x.fingerprint(), "replica", a.choice.ID, "attempts", x.ran, "err", err)
 	return x.repeat(a.choice.ID, now)
 }
 
@@ -323,7 +326,7 @@
 		if ctx.Err() != nil {
 			return false, x.outOfTime()
 		}
-		x.g.log.Warn("answer cut short", "request", x.terms.ID, "replica", a.choice.ID, "err", err)
+		x.g.log.Warn("answer cut short", "request", x.terms.ID, "content", x.fingerprint(), "replica", a.choice.ID, "err", err)
 		return x.repeat(a.choice.ID, now)
 	}
 	w := &wholeAnswer{head: a.head, body: body}
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -61,7 +61,7 @@
 	if x.out.failed {
 		return false, refusal{}
 	}
-	x.g.log.Warn("stream broke off", "request", x.terms.ID, "replica", a.choice.ID, "last_event", r.lastID, "err", err)
+	x.g.log.Warn("stream broke off", "request", x.terms.ID, "content", x.fingerprint(), "replica", a.choice.ID, "last_event", r.lastID, "err", err)
 	return x.repeat(a.choice.ID, now)
 }
 
