Requests under which replicas end are remembered, by all nodes together, and barred

Cause: whatever nodes remembered was of replicas (lateness, ejection, doubt) and went with them; nothing was remembered of a request, so each repeat began without a past, at any node.

Change: pkg/suspect decides by content, without input and output. A first end changes nothing, from the second on a content runs once at a time among all nodes, with the third it is sent no more (400 ends_replicas, final; 502 where it has run). A finish by any replica speaks for runs near it, so that what is often in flight is served. First ends are told to three owners by hashing, the rest to all nodes; a digest each second reaches those that were cut off; barred contents stand in one row beside the nodes' addresses for when all have started anew. An end is a refused connection after a lost answer, or what the platform's list says; an unreachable replica proves nothing.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -7,6 +7,9 @@
 	keyTeller   = Key{"peer", "the other node's address"}
 	keyRoute    = Key{"route", "the route's name"}
 	keyErr      = Key{"err", "what went wrong"}
+	keyEnds     = Key{"ends", "how many replicas ended under the content, as far as known"}
+	keyEnded    = Key{"replicas", "the starts of these replicas"}
+	keyVerdict  = Key{"verdict", "free, watched (runs once at a time) or barred (is not sent)"}
 	keyContent  = Key{"content", "the fingerprint of what the request asks and for whom, alike for each attempt of its caller"}
 	keyAttempts = Key{"attempts", "attempts that may have run"}
 	keyNotRun   = Key{"not_run", "attempts that were refused or could not be sent"}
@@ -93,6 +96,15 @@
 	{"stream broke off", Failure, "A stream of events broke off at its replica.", []Key{
 		keyRequest, keyContent, keyReplica, {"last_event", "the last event that was passed on"}, keyErr,
 	}},
+	{"replica ended under a request", Failure, "A replica took no connection any more, or started anew, after the answer to a request in flight there was lost.", []Key{
+		keyRequest, keyContent, keyReplica, keyEnds, keyVerdict,
+		{"finished_before", "whether a replica is known to have finished the same content; ends near it don't count"},
+	}},
+	{"request suspected", Failure, "What is known of a content has it run once at a time among all nodes, or no more.", []Key{keyContent, keyVerdict, keyEnds, keyEnded}},
+	{"request no longer suspected", Change, "A replica has finished a content under which replicas had ended.", []Key{keyContent}},
+	{"request barred", Failure, "A request was not sent on, as replicas had ended under its content.", []Key{keyRequest, keyContent, keyEnds, keyEnded, keyAttempts}},
+	{"barred requests not written", Failure, "The row for nodes that start later was not written; it is tried again.", []Key{keyErr}},
+	{"row of barred requests can't be read", Failure, "The row for nodes that start later can't be read.", []Key{keyRow, keyErr}},
 	{"stream cut", Failure, "A stream that had begun was broken off towards the client.", []Key{keyRequest, keyRoute, {"reason", "why"}}},
 
 	{"configuration in force", Change, "A configuration was put in force.", []Key{keyVersion, {"routes", "how many routes"}}},
@@ -207,4 +219,6 @@
 	{"overloaded", "the prompt would wait too long (503)"},
 	{"deadline", "the time is over: 503 if nothing was sent, 504 if it may have run"},
 	{"answer_lost", "the answer was lost and the request may have run (502)"},
+	{"ends_replicas", "replicas have ended under what the request asks; it was not sent (400), or not again (502)"},
+	{"suspected", "replicas have ended under what the request asks, and another such request is under way; come back (503)"},
 }
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"time"
@@ -59,6 +60,10 @@
 		why = "its time was over" + waiting(r)
 	case "answer_lost":
 		why = "the answer was lost: " + lost(r)
+	case "ends_replicas":
+		why = "replicas ended under the same content: " + ended(r)
+	case "suspected":
+		why = "replicas ended under the same content, and another such request was under way"
 	case "no_configuration":
 		why = "the node had just started and knew no configuration" + away(l)
 	case "no_route":
@@ -138,6 +143,17 @@
 	return refusals(r)
 }
 
+// ended lists the replicas that ended under what the request asks.
+func ended(r *Report) string {
+	for i := len(r.Lines) - 1; i >= 0; i-- {
+		var list []string
+		if l := &r.Lines[i]; l.Msg == "request barred" && json.Unmarshal(l.Values["replicas"], &list) == nil {
+			return strings.Join(list, ", ")
+		}
+	}
+	return "no line tells which"
+}
+
 func stream(r *Report, l *Line) string {
 	if l.Text("reason") == "deadline" {
 		return "its time was over while it streamed"
--- a/pkg/explain/report.go
+++ b/pkg/explain/report.go
@@ -56,7 +56,7 @@
 
 func report(request string, all []Line) (Report, error) {
 	r := Report{Request: request}
-	nodes, replicas := map[string]bool{}, map[string]bool{}
+	nodes, replicas, contents := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	last := -1
 	for i := range all {
 		if all[i].Text("request") != request {
@@ -67,12 +67,15 @@
 		if id := all[i].Text("replica"); id != "" {
 			replicas[id] = true
 		}
+		if content := all[i].Text("content"); content != "" {
+			contents[content] = true
+		}
 		last = i
 	}
 	if last < 0 {
 		return r, ErrUnknown
 	}
-	r.Before = beliefs(all[:last], nodes, replicas)
+	r.Before = beliefs(all[:last], nodes, replicas, contents)
 	r.Cause, r.Failed = cause(&r)
 	return r, nil
 }
@@ -104,6 +107,14 @@
 	"replica not reached":        "replica",
 }
 
+// contentKinds are lines of any node that tell of a content, whichever request had it; the
+// value is the key that tells such lines apart.
+var contentKinds = map[string]string{
+	"replica ended under a request": "replica",
+	"request suspected":             "verdict",
+	"request no longer suspected":   "content",
+}
+
 // pairs are kinds of which only the later one counts.
 var pairs = map[string]string{
 	"store back":               "store lost",
@@ -111,7 +122,7 @@
 	"store of kept state back": "store of kept state lost",
 }
 
-func beliefs(all []Line, nodes, replicas map[string]bool) []Line {
+func beliefs(all []Line, nodes, replicas, contents map[string]bool) []Line {
 	kept := map[string]Line{}
 	for _, l := range all {
 		if key, ok := beliefKinds[l.Msg]; ok && nodes[l.Node] {
@@ -124,6 +135,9 @@
 		if key, ok := replicaKinds[l.Msg]; ok && replicas[l.Text(key)] {
 			kept[l.Msg+"\x00"+l.Text(key)] = l
 		}
+		if key, ok := contentKinds[l.Msg]; ok && contents[l.Text("content")] {
+			kept[l.Msg+"\x00"+l.Text(key)] = l
+		}
 	}
 	list := make([]Line, 0, len(kept))
 	for _, l := range kept {
--- a/pkg/explain/report_test.go
+++ b/pkg/explain/report_test.go
@@ -26,6 +26,12 @@
   5.6600 n2 {"time":"2026-01-01T00:00:05.66Z","level":"INFO","msg":"replica failed","request":"r6","replica":"b","status":500,"attempts":2,"after":70000000}
   5.7000 n2 {"time":"2026-01-01T00:00:05.7Z","level":"INFO","msg":"client left","request":"r5","after":90000000}
   5.8000 n2 {"time":"2026-01-01T00:00:05.8Z","level":"WARN","msg":"cut by a stop","request":"r7","route":"x","after":40000000,"attempts":1}
+  6.0000 n1 {"time":"2026-01-01T00:00:06Z","level":"WARN","msg":"replica ended under a request","request":"s1","content":"c1","replica":"d","ends":1,"verdict":"free"}
+  6.1000 n2 {"time":"2026-01-01T00:00:06.1Z","level":"WARN","msg":"replica ended under a request","request":"s2","content":"c1","replica":"e","ends":2,"verdict":"watched"}
+  6.2000 n1 {"time":"2026-01-01T00:00:06.2Z","level":"WARN","msg":"replica ended under a request","request":"s3","content":"c2","replica":"f","ends":1,"verdict":"free"}
+  6.3000 n1 {"time":"2026-01-01T00:00:06.3Z","level":"WARN","msg":"request barred","request":"r11","content":"c1","ends":3,"replicas":["d","e","g"],"attempts":0}
+  6.3000 n1 {"time":"2026-01-01T00:00:06.3Z","level":"INFO","msg":"refused","request":"r11","status":400,"reason":"ends_replicas","after":100000,"attempts":0}
+  6.4000 n1 {"time":"2026-01-01T00:00:06.4Z","level":"INFO","msg":"refused","request":"r12","status":503,"reason":"suspected","after":100000,"attempts":0}
 `
 
 func TestCauseOfEachKindOfFailure(t *testing.T) {
@@ -33,13 +39,15 @@
 		failed bool
 		words  []string
 	}{
-		"r1": {true, []string{"503", "all 2 replicas", "a answered 503", "b was not reached", "did not run"}},
-		"r2": {true, []string{"300ms", "3 of 18 replicas"}},
-		"r3": {true, []string{"broken off", "stream broke off", "replica a"}},
-		"r4": {false, []string{"900 ms", "weights 1 while 2", "7000 of its 7000"}},
-		"r6": {true, []string{"b ran it", "500", "a answered 500 after running it"}},
-		"r5": {true, []string{"client closed", "90ms"}},
-		"r7": {true, []string{"node was stopped", "40ms"}},
+		"r1":  {true, []string{"503", "all 2 replicas", "a answered 503", "b was not reached", "did not run"}},
+		"r2":  {true, []string{"300ms", "3 of 18 replicas"}},
+		"r3":  {true, []string{"broken off", "stream broke off", "replica a"}},
+		"r4":  {false, []string{"900 ms", "weights 1 while 2", "7000 of its 7000"}},
+		"r6":  {true, []string{"b ran it", "500", "a answered 500 after running it"}},
+		"r5":  {true, []string{"client closed", "90ms"}},
+		"r7":  {true, []string{"node was stopped", "40ms"}},
+		"r11": {true, []string{"400", "ended under the same content: d, e, g", "did not run"}},
+		"r12": {true, []string{"503", "another such request was under way", "did not run"}},
 	} {
 		r, err := Read(id, strings.NewReader(log))
 		assert.NilError(t, err)
@@ -74,6 +82,19 @@
 	}
 }
 
+// A barred request has an ID of its own; the replicas ended under others of its content.
+func TestBarredRequestLeadsToTheReplicasThatEnded(t *testing.T) {
+	r, err := Read("r11", strings.NewReader(log))
+	assert.NilError(t, err)
+	var ended []string
+	for _, l := range r.Before {
+		if l.Msg == "replica ended under a request" {
+			ended = append(ended, l.Node+" "+l.Text("request")+" "+l.Text("replica"))
+		}
+	}
+	assert.DeepEqual(t, ended, []string{"n1 s1 d", "n2 s2 e"})
+}
+
 func TestUnknownRequest(t *testing.T) {
 	_, err := Read("r9", strings.NewReader(log))
 	assert.ErrorIs(t, err, ErrUnknown)
--- /dev/null
+++ b/pkg/suspect/case.go
@@ -0,0 +1,147 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// Verdict is what is to be done with a request.
+type Verdict int
+
+// Verdicts.
+const (
+	// Free requests are sent like all others.
+	Free Verdict = iota
+	// Watched requests run once at a time among all nodes.
+	Watched
+	// Barred requests are not sent.
+	Barred
+)
+
+// String names the verdict.
+func (v Verdict) String() string {
+	switch v {
+	case Barred:
+		return "barred"
+	case Watched:
+		return "watched"
+	default:
+		return "free"
+	}
+}
+
+const (
+	// watchEnds is from how many ends on a request runs once at a time. A good one may be
+	// in flight where a replica ends, and so may its repeat: at two, a bar would hit one
+	// of those in some hundred where replicas come and go.
+	watchEnds = 2
+	// barEnds is with how many ends a request is sent no more: operators allow three, and
+	// a few that were under way.
+	barEnds = 3
+	// barRounds is in how many rounds they must have come: when many replicas end at one
+	// moment for another reason, what is asked most often is in flight at several of them.
+	barRounds = 2
+	// mostEnds bounds what is kept of one case: more change nothing.
+	mostEnds = 6
+	// finishTerm is for how long after a finish runs that begin count for nothing: what is
+	// asked so often that it is in flight wherever a replica ends is finished many times
+	// meanwhile. It is short, as new weights may make of a good request another one.
+	finishTerm = 10 * time.Second
+)
+
+// End is the end of one replica while a request was in flight there.
+type End struct {
+	// Replica names the start of the replica.
+	Replica string
+	// Begun is when the request was sent there, At when the replica had ended.
+	Begun, At time.Time
+}
+
+// Case is what is known of one request.
+type Case struct {
+	Content site.Fingerprint
+	// Sketch is a quick hash of the same, by which finishes are remembered.
+	Sketch uint64
+	// Ends are by time.
+	Ends []End
+	// Finished is when a replica last finished the request, as far as is known; zero for
+	// never.
+	Finished time.Time
+}
+
+// Last is when something was last known to happen to the request.
+func (c *Case) Last() time.Time {
+	last := c.Finished
+	for _, e := range c.Ends {
+		if e.At.After(last) {
+			last = e.At
+		}
+	}
+	return last
+}
+
+// Verdict judges the case.
+func (c *Case) Verdict() Verdict {
+	switch n := len(c.Ends); {
+	case n >= barEnds && c.rounds() >= barRounds:
+		return Barred
+	case n >= watchEnds:
+		return Watched
+	default:
+		return Free
+	}
+}
+
+// rounds counts how often the request was sent anew after a replica had ended under it.
+// Runs that were in flight together are one round.
+func (c *Case) rounds() int {
+	n := 0
+	var first time.Time // End of the round.
+	for _, e := range c.Ends {
+		if n == 0 || e.Begun.After(first) {
+			n++
+			first = e.At
+		}
+	}
+	return n
+}
+
+// merge takes in what else is known and says whether it was new.
+func (c *Case) merge(other Case) (changed bool) {
+	if c.Sketch == 0 {
+		c.Sketch = other.Sketch
+	}
+	if other.Finished.After(c.Finished) {
+		c.Finished = other.Finished
+		changed = true
+	}
+	c.Ends = slices.DeleteFunc(c.Ends, c.outdated)
+	for _, e := range other.Ends {
+		known := slices.ContainsFunc(c.Ends, func(k End) bool { return k.Replica == e.Replica })
+		if known || c.outdated(e) || len(c.Ends) >= mostEnds {
+			continue
+		}
+		c.Ends = append(c.Ends, e)
+		changed = true
+	}
+	slices.SortFunc(c.Ends, func(a, b End) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Replica, b.Replica)) })
+	return changed
+}
+
+// outdated says whether an end does not count, as the request was finished about when that
+// run began, or later.
+func (c *Case) outdated(e End) bool {
+	return !c.Finished.IsZero() && e.Begun.Before(c.Finished.Add(finishTerm))
+}
+
+// Replicas names the replicas that ended.
+func (c *Case) Replicas() []string {
+	list := make([]string, len(c.Ends))
+	for i, e := range c.Ends {
+		list[i] = e.Replica
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/suspect/finishes.go
@@ -0,0 +1,47 @@
+package suspect
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sketch hashes what a request asks and for whom, in 10 us for 100 kB. Somebody who makes
+// two requests alike by it gains that one speaks for the other, among that organisation's
+// own.
+func Sketch(organisation, method, host, target string, body []byte) uint64 {
+	h := xxhash.New()
+	for _, text := range []string{organisation, method, strings.ToLower(host), target} {
+		_, _ = h.WriteString(text + "\x00") // It never fails.
+	}
+	_, _ = h.Write(body) // It never fails.
+	return max(1, h.Sum64())
+}
+
+// finishes remembers when requests were last finished at this node, for finishTerm at
+// least and for twice as long at most.
+type finishes struct {
+	newer, older map[uint64]time.Time
+	begun        time.Time // Of newer.
+}
+
+// mostFinishes bounds each half of the memory, 40 bytes each: 400 requests a second, six
+// times the share of a node of 900 at the peak of 60,000.
+const mostFinishes = 4096
+
+// note remembers a finish. Beyond the bound the oldest half goes early.
+func (m *finishes) note(sketch uint64, now time.Time) {
+	if m.newer == nil || now.Sub(m.begun) >= finishTerm || len(m.newer) >= mostFinishes {
+		m.older, m.newer, m.begun = m.newer, map[uint64]time.Time{}, now
+	}
+	m.newer[sketch] = now
+}
+
+// at is when a request was last finished, zero if that is not remembered.
+func (m *finishes) at(sketch uint64) time.Time {
+	if t, ok := m.newer[sketch]; ok {
+		return t
+	}
+	return m.older[sketch]
+}
--- /dev/null
+++ b/pkg/suspect/register.go
@@ -0,0 +1,232 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+const (
+	// freeTerm is for how long a case is remembered that changes nothing yet. Callers
+	// repeat within seconds; a minute bears a caller that waits in between.
+	freeTerm = time.Minute
+	// heldTerm is for how long one is that is watched or barred, since the last end: an
+	// hour is far over what callers repeat within, and lets a request be tried again some
+	// time after the engines' software was mended.
+	heldTerm = time.Hour
+	// mostCases bounds the memory: some 200 bytes each. One in flight at each slot of some
+	// fifty replicas that end at one moment fit.
+	mostCases = 4096
+)
+
+// Register is what one node knows of requests under which replicas ended. Its methods may
+// be called at the same time.
+type Register struct {
+	// cases counts the entries, so that nothing has to be hashed while there are none.
+	cases atomic.Int64
+
+	mu       sync.Mutex
+	known    map[site.Fingerprint]*entry
+	finishes finishes
+}
+
+type entry struct {
+	Case
+
+	// running is until when a run of a watched request is taken to be under way, unless
+	// something is heard of it.
+	running time.Time
+	// told says that other nodes know of the last finish.
+	told bool
+}
+
+// NewRegister returns an empty register.
+func NewRegister() *Register { return &Register{known: map[site.Fingerprint]*entry{}} }
+
+// Empty says whether nothing is known of any request.
+func (r *Register) Empty() bool { return r.cases.Load() == 0 }
+
+// Case returns what is known of a request.
+func (r *Register) Case(f site.Fingerprint) Case {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.known[f]
+	if e == nil {
+		return Case{Content: f}
+	}
+	return e.copy()
+}
+
+func (e *entry) copy() Case {
+	c := e.Case
+	c.Ends = slices.Clone(e.Ends)
+	return c
+}
+
+// Finished remembers that a replica has finished a request at this node.
+func (r *Register) Finished(sketch uint64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.finishes.note(sketch, now)
+}
+
+// Change is what a piece of news has done to a case.
+type Change struct {
+	Before, After Verdict
+	// New says that anything was not known before.
+	New bool
+	// Own says that this node has finished the request, and others may not know.
+	Own bool
+}
+
+// Merge takes in what was seen here or told by another node, and what this node remembers
+// of the request itself.
+func (r *Register) Merge(c Case) (done Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.known[c.Content]
+	if e == nil {
+		if len(c.Ends) == 0 {
+			return done // A finish of which nothing else is known.
+		}
+		r.makeRoom()
+		e = &entry{Case: Case{Content: c.Content}}
+		r.known[c.Content] = e
+		r.cases.Store(int64(len(r.known)))
+	}
+	done.Before = e.Verdict()
+	done.New = e.merge(c)
+	if done.New {
+		e.running = time.Time{} // What was under way has ended, or does not matter any more.
+		e.told = !c.Finished.IsZero()
+	}
+	if own := r.finishes.at(e.Sketch); own.After(e.Finished) {
+		e.merge(Case{Finished: own})
+		done.New, done.Own = true, !e.told
+	}
+	done.After = e.Verdict()
+	return done
+}
+
+// MayTell says whether this node is to tell of its own finish of a request: nobody has
+// told of one since the last end.
+func (r *Register) MayTell(f site.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.known[f]
+	if e == nil || e.told {
+		return false
+	}
+	e.told = true
+	return true
+}
+
+// Run asks whether a watched request may be sent now; it counts as under way for at most
+// a time, unless something is heard of it before.
+func (r *Register) Run(f site.Fingerprint, most time.Duration, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.known[f]
+	switch {
+	case e == nil || e.Verdict() == Free:
+		return true
+	case e.Verdict() == Barred || now.Before(e.running):
+		return false
+	}
+	e.running = now.Add(most)
+	return true
+}
+
+// Over notes that a watched request is no longer under way, with no word of its replica.
+func (r *Register) Over(f site.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.known[f]; e != nil {
+		e.running = time.Time{}
+	}
+}
+
+// Held lists the cases that are watched or barred, the newest first.
+func (r *Register) Held(most int) (list []Case) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.known {
+		if e.Verdict() != Free {
+			list = append(list, e.copy())
+		}
+	}
+	slices.SortFunc(list, func(a, b Case) int { return b.Last().Compare(a.Last()) })
+	return list[:min(len(list), most)]
+}
+
+// Count tells how many requests are watched, and how many barred.
+func (r *Register) Count() (watched, barred int) {
+	if r.Empty() {
+		return 0, 0
+	}
+	for _, c := range r.Held(mostCases) {
+		if c.Verdict() == Barred {
+			barred++
+		} else {
+			watched++
+		}
+	}
+	return watched, barred
+}
+
+// Digest is alike at two nodes that hold the same of watched and barred requests, 0 where
+// there are none.
+func (r *Register) Digest() (sum uint64) {
+	if r.Empty() {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for f, e := range r.known {
+		if v := e.Verdict(); v != Free {
+			sum += xxhash.Sum64String(string(f[:]) + v.String())
+		}
+	}
+	return sum
+}
+
+// Expire forgets what is old.
+func (r *Register) Expire(now time.Time) {
+	if r.Empty() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for f, e := range r.known {
+		term := heldTerm
+		if e.Verdict() == Free {
+			term = freeTerm
+		}
+		if now.Sub(e.Last()) >= term {
+			delete(r.known, f)
+		}
+	}
+	r.cases.Store(int64(len(r.known)))
+}
+
+// makeRoom drops the case that matters least if there is no room for another; the caller
+// holds mu. Barred ones go last, so that nobody can have one forgotten by sending many
+// requests that are only in flight where replicas end.
+func (r *Register) makeRoom() {
+	if len(r.known) < mostCases {
+		return
+	}
+	var least *entry
+	for _, e := range r.known {
+		if least == nil || cmp.Or(cmp.Compare(e.Verdict(), least.Verdict()), e.Last().Compare(least.Last())) < 0 {
+			least = e
+		}
+	}
+	delete(r.known, least.Content)
+}
--- /dev/null
+++ b/pkg/suspect/register_test.go
@@ -0,0 +1,166 @@
+package suspect_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/suspect"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func content(name string) site.Fingerprint {
+	return site.NewFingerprint("org-one", "POST", "boards.example", "/x", []byte(name))
+}
+
+func sketch(name string) uint64 {
+	return suspect.Sketch("org-one", "POST", "boards.example", "/x", []byte(name))
+}
+
+// end is that a replica ended under a request, after a run of 0.1 s.
+func end(name, replica string, s float64) suspect.Case {
+	return suspect.Case{Content: content(name), Sketch: sketch(name), Ends: []suspect.End{{Replica: replica, Begun: at(s - 0.1), At: at(s)}}}
+}
+
+func verdict(r *suspect.Register, name string) suspect.Verdict {
+	c := r.Case(content(name))
+	return c.Verdict()
+}
+
+func TestThirdEndBarsARequest(t *testing.T) {
+	r := suspect.NewRegister()
+	assert.Assert(t, r.Empty())
+	for i, want := range []suspect.Verdict{suspect.Free, suspect.Watched, suspect.Barred, suspect.Barred} {
+		done := r.Merge(end("a", fmt.Sprint("r", i), float64(i)))
+		assert.Assert(t, done.New)
+		assert.Equal(t, done.After, want, "end %d", i)
+		assert.Assert(t, !r.Merge(end("a", fmt.Sprint("r", i), float64(i))).New, "told twice")
+	}
+	assert.Equal(t, verdict(r, "b"), suspect.Free)
+	watched, barred := r.Count()
+	assert.Equal(t, watched, 0)
+	assert.Equal(t, barred, 1)
+}
+
+// Many replicas end at one moment for another reason: what is in flight at several of them
+// gets one more run.
+func TestEndsOfOneMomentDoNotBar(t *testing.T) {
+	r := suspect.NewRegister()
+	for i := range 5 {
+		r.Merge(end("a", fmt.Sprint("r", i), 1+float64(i)*0.01))
+	}
+	assert.Equal(t, verdict(r, "a"), suspect.Watched)
+	assert.Equal(t, r.Merge(end("a", "later", 2)).After, suspect.Barred)
+}
+
+func TestFinishSpeaksForRunsNearIt(t *testing.T) {
+	finished := func(s float64) suspect.Case {
+		return suspect.Case{Content: content("a"), Sketch: sketch("a"), Finished: at(s)}
+	}
+	r := suspect.NewRegister()
+	r.Merge(end("a", "r1", 1))
+	r.Merge(end("a", "r2", 2))
+	assert.Equal(t, verdict(r, "a"), suspect.Watched)
+	done := r.Merge(finished(3))
+	assert.Equal(t, done.After, suspect.Free)
+	r.Merge(end("a", "r1", 1)) // Told late.
+	r.Merge(end("a", "r3", 9))
+	r.Merge(end("a", "r4", 10))
+	assert.Equal(t, verdict(r, "a"), suspect.Free, "runs that began soon after it")
+	for i, s := range []float64{14, 15, 16} {
+		r.Merge(end("a", fmt.Sprint("s", i), s))
+	}
+	assert.Equal(t, verdict(r, "a"), suspect.Barred, "a request may turn bad")
+	assert.Equal(t, r.Merge(finished(17)).After, suspect.Free)
+}
+
+// A finish that this node has seen counts though nobody spoke of ends then.
+func TestOwnFinishIsRemembered(t *testing.T) {
+	r := suspect.NewRegister()
+	r.Finished(sketch("a"), at(1))
+	told := end("a", "r1", 2)
+	told.Ends = append(told.Ends, suspect.End{Replica: "r2", Begun: at(2), At: at(3)})
+	done := r.Merge(told)
+	assert.Equal(t, done.After, suspect.Free)
+	assert.Assert(t, done.Own, "others are to hear of it")
+	assert.Assert(t, r.MayTell(content("a")))
+	assert.Assert(t, !r.MayTell(content("a")), "once")
+	other := suspect.NewRegister()
+	other.Merge(told)
+	assert.Equal(t, verdict(other, "a"), suspect.Watched)
+	other.Merge(r.Case(content("a")))
+	assert.Equal(t, verdict(other, "a"), suspect.Free)
+}
+
+func TestWatchedRequestRunsOnceAtATime(t *testing.T) {
+	r := suspect.NewRegister()
+	f := content("a")
+	assert.Assert(t, r.Run(f, time.Second, at(0)) && r.Run(f, time.Second, at(0)), "not watched")
+	r.Merge(end("a", "r1", 1))
+	r.Merge(end("a", "r2", 2))
+	assert.Assert(t, r.Run(f, time.Second, at(3)))
+	assert.Assert(t, !r.Run(f, time.Second, at(3.5)))
+	assert.Assert(t, r.Run(f, time.Second, at(4.1)), "nothing was heard of it in its time")
+	r.Over(f)
+	assert.Assert(t, r.Run(f, time.Second, at(4.2)))
+	r.Merge(end("a", "r3", 4.3))
+	assert.Assert(t, !r.Run(f, time.Second, at(9)), "barred")
+}
+
+func TestOldCasesAreForgotten(t *testing.T) {
+	r := suspect.NewRegister()
+	r.Merge(end("once", "r1", 0))
+	for i := range 3 {
+		r.Merge(end("barred", fmt.Sprint("r", i), float64(i)))
+	}
+	r.Expire(at(59))
+	assert.Equal(t, len(r.Case(content("once")).Ends), 1)
+	r.Expire(at(61))
+	assert.Equal(t, len(r.Case(content("once")).Ends), 0)
+	assert.Equal(t, verdict(r, "barred"), suspect.Barred)
+	r.Expire(at(3602))
+	assert.Assert(t, r.Empty())
+}
+
+// Somebody sends a great many requests: what is barred stays so, and memory is bounded.
+func TestManyCasesDoNotDriveOutABar(t *testing.T) {
+	r := suspect.NewRegister()
+	for i := range 3 {
+		r.Merge(end("barred", fmt.Sprint("r", i), float64(i)))
+	}
+	for i := range 5000 {
+		r.Merge(end(fmt.Sprint("b", i), "r9", 4+float64(i)/1000))
+	}
+	assert.Equal(t, verdict(r, "barred"), suspect.Barred)
+	assert.Equal(t, len(r.Case(content("b0")).Ends), 0, "the oldest went")
+	assert.Equal(t, len(r.Case(content("b4999")).Ends), 1)
+	assert.Equal(t, len(r.Held(10)), 1)
+}
+
+func TestDigestIsAlikeWhereTheSameIsHeld(t *testing.T) {
+	a, b := suspect.NewRegister(), suspect.NewRegister()
+	assert.Equal(t, a.Digest(), uint64(0))
+	for i := range 3 {
+		a.Merge(end("x", fmt.Sprint("r", i), float64(i)))
+		b.Merge(end("x", fmt.Sprint("r", i+1), float64(i)))
+	}
+	assert.Equal(t, a.Digest(), b.Digest())
+	a.Merge(end("y", "r1", 5))
+	assert.Equal(t, a.Digest(), b.Digest(), "a first end is told to owners only")
+	a.Merge(end("y", "r2", 6))
+	assert.Assert(t, a.Digest() != b.Digest())
+}
+
+func BenchmarkSketch(b *testing.B) {
+	body := make([]byte, 100_000)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		suspect.Sketch("org-one", "POST", "boards.example", "/screen/1", body)
+	}
+}
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -49,6 +49,8 @@
 	written atomic.Bool
 	writing chan struct{}
 	crossed bool
+	// answered is set once the replica has given its whole answer.
+	answered bool
 
 	head   *http1.Head
 	body   *http1.Body
--- a/service/gateway/beliefs.go
+++ b/service/gateway/beliefs.go
@@ -28,8 +28,10 @@
 	// leaveTime is for how long a data hall is left gradually that is evacuated.
 	leaveTime time.Duration
 	// restarted is told of each replica that has started anew under its ID.
-	restarted func(id string)
-	log       *slog.Logger
+	restarted func(id string, now time.Time)
+	// ended is told of each replica whose entry went though it had not said that it leaves.
+	ended func(id string, now time.Time)
+	log   *slog.Logger
 
 	snapshot atomic.Pointer[site.Snapshot]
 
@@ -42,6 +44,8 @@
 	unusable int64
 	// rebuilt counts the changes of the list of upstreams.
 	rebuilt int
+	// dropped are replicas of which ended has still to be told.
+	dropped []string
 	// away is when the store's list was last not to be had, heard when it was.
 	away  time.Time
 	heard time.Time
@@ -77,7 +81,8 @@
 		upstreams:  map[string]*upstreamEntry{},
 		pools:      map[string]*route.Pool{},
 		evacuated:  map[string]*evacuation{},
-		restarted:  func(string) {},
+		restarted:  func(string, time.Time) {},
+		ended:      func(string, time.Time) {},
 	}
 }
 
@@ -250,7 +255,19 @@
 	// with a lock of their own.
 	for _, id := range b.applyUpstreams(rows, whole, now) {
 		b.kept.Restarted(id)
-		b.restarted(id)
+		b.restarted(id, now)
+	}
+	b.tellDropped(now)
+}
+
+// tellDropped tells of replicas that were dropped, without the lock.
+func (b *Beliefs) tellDropped(now time.Time) {
+	b.mu.Lock()
+	list := b.dropped
+	b.dropped = nil
+	b.mu.Unlock()
+	for _, id := range list {
+		b.ended(id, now)
 	}
 }
 
@@ -332,19 +349,28 @@
 		e.gone = now
 		return
 	}
-	delete(b.upstreams, id)
+	b.forget(id, e)
 	b.log.Info("upstream dropped", "upstream", id, "service", e.Service)
 }
 
+// forget takes an entry out; the caller holds mu.
+func (b *Beliefs) forget(id string, e *upstreamEntry) {
+	delete(b.upstreams, id)
+	if !e.Draining {
+		b.dropped = append(b.dropped, id)
+	}
+}
+
 // Expire drops upstreams whose entries have not come back; the timer service
 // calls it.
 func (b *Beliefs) Expire(now time.Time) {
+	defer b.tellDropped(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := false
 	for id, e := range b.upstreams {
 		if !e.gone.IsZero() && now.Sub(e.gone) >= b.returnTime {
-			delete(b.upstreams, id)
+			b.forget(id, e)
 			changed = true
 			b.log.Info("upstream dropped", "upstream", id, "service", e.Service, "missing", now.Sub(e.gone))
 		}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -43,6 +43,7 @@
 
 	hashed  bool
 	content site.Fingerprint // Set once hashed is.
+	watched bool             // The attempt under way was let run by the request's owner.
 }
 
 // wholeAnswer is a replica's answer that has been read to its end.
@@ -77,6 +78,10 @@
 		x.refuse(f)
 		return
 	}
+	if f, yes := x.barred(); yes {
+		x.refuse(f)
+		return
+	}
 	x.g.budget(x.service.Name).Request(x.came)
 	ctx, cancel := context.WithDeadline(ctx, x.limit)
 	defer cancel()
@@ -138,6 +143,10 @@
 	if !ok {
 		return false, x.noneLeft()
 	}
+	if f, ok := x.cleared(ctx); !ok {
+		return false, f
+	}
+	now = time.Now()
 	dispatch, plan := x.dispatch(choice, now)
 	a := newAttempt(x, choice, plan, now)
 	a.realm = dispatch.Realm
@@ -146,7 +155,10 @@
 		x.g.nodes.soon()
 	}
 	fate, err := a.begin(ctx, x, dispatch)
-	defer a.finish()
+	defer func() {
+		x.sent(a.answered)
+		a.finish()
+	}()
 	now = time.Now()
 	switch fate {
 	case fateAnswered:
@@ -171,7 +183,7 @@
 func (x *exchange) unsent(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
 	a.end(route.OutcomeFailed, now)
 	a.plan.Cancel()
-	x.lost(&a.choice.Upstream, now)
+	x.notReached(&a.choice.Upstream, err, now)
 	x.g.log.Warn("replica not reached", "request", x.terms.ID, "replica", a.choice.ID, "addr", a.choice.Addr, "err", err)
 	x.need.Exclude = append(x.need.Exclude, a.choice.ID)
 	x.refused++
@@ -244,6 +256,7 @@
 // run: only a repeatable one may be sent again.
 func (x *exchange) unknown(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
 	x.ran++
+	x.lostRun(ctx, a, now)
 	if ctx.Err() != nil {
 		a.end(route.OutcomeNeutral, now)
 		x.dropResting(a, now)
@@ -323,12 +336,15 @@
 	now := time.Now()
 	if err != nil {
 		a.end(x.outcomeOf(ctx), now)
+		x.lostRun(ctx, a, now)
 		if ctx.Err() != nil {
 			return false, x.outOfTime()
 		}
 		x.g.log.Warn("answer cut short", "request", x.terms.ID, "content", x.fingerprint(), "replica", a.choice.ID, "err", err)
 		return x.repeat(a.choice.ID, now)
 	}
+	a.answered = true
+	x.finished(now)
 	w := &wholeAnswer{head: a.head, body: body}
 	if !failedStatus(a.head.Status) {
 		a.end(route.OutcomeOK, now)
--- a/service/gateway/exchange_needs.go
+++ b/service/gateway/exchange_needs.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/drumpath/drumpath/pkg/route"
-	"github.com/drumpath/drumpath/pkg/site"
 )
 
 // admit finds out how the request is to be served; ok is false if it is refused.
@@ -43,20 +42,6 @@
 	return refusal{}, true
 }
 
-// fingerprint names what the request asks and for whom. It is made only once, and only
-// for requests that need it.
-func (x *exchange) fingerprint() site.Fingerprint {
-	if !x.hashed {
-		organisation := ""
-		if x.organisation != nil {
-			organisation = x.organisation.Name
-		}
-		x.content = site.NewFingerprint(organisation, x.head.Method, x.head.Get("Host"), x.head.Target, x.body)
-		x.hashed = true
-	}
-	return x.content
-}
-
 // homes are the regions in which the request may run; homed is false if it may in all.
 // Where its route and its organisation both have some, both hold.
 func (x *exchange) homes() (list []string, homed bool) {
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -67,6 +67,7 @@
 	watchers *watchers
 	stores   *stores
 	holdings *holdings
+	suspects *suspects
 	rollout  *rollout.Rollout
 	conns    *upstreamConns
 	clients  *clientConns
@@ -118,6 +119,7 @@
 		watchers: in.Watchers,
 		stores:   in.Stores,
 		holdings: in.Holdings,
+		suspects: in.Suspects,
 		rollout:  in.Rollout,
 		conns:    in.Conns,
 		clients:  in.Clients,
@@ -184,6 +186,8 @@
 	g.timer.Subscribe(freeEvery, g.stores.free)
 	g.timer.Subscribe(rollout.Every, g.rollout.Step)
 	g.timer.Subscribe(watchEvery, g.shareBudgets)
+	g.timer.Subscribe(suspectsEvery, g.suspects.step)
+	g.timer.Subscribe(suspectsEvery, g.suspects.keep)
 	g.wg.Go(func() { g.runQueues(g.ctx) })
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
 	g.wg.Go(func() { g.nodes.runSpeaker(g.ctx) })
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -120,6 +120,15 @@
 	Unusable int64                        `json:"upstream_rows_unusable"`
 	Away     []string                     `json:"evacuated"`
 	Stores   []route.StoreStatus          `json:"stores"`
+	Suspects suspectsStatus               `json:"suspects"`
+}
+
+// suspectsStatus is what is known of requests under which replicas ended.
+type suspectsStatus struct {
+	Ends    int64 `json:"ends"`
+	Untold  int64 `json:"ends_untold"`
+	Watched int   `json:"watched"`
+	Barred  int   `json:"barred"`
 }
 
 // replicaCount is how many replicas a service has, and how many may be used.
@@ -153,6 +162,7 @@
 		Unusable: g.beliefs.Unusable(),
 		Away:     g.beliefs.EvacuatedHalls(),
 		Stores:   g.kept.Status(),
+		Suspects: g.suspects.status(),
 	}
 	config, heard, _ := g.beliefs.Ages(now)
 	s.Config, s.ListAge = config, heard.Seconds()
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -37,16 +37,18 @@
 	self    control.Member
 	regions map[string]string // Of data halls.
 	shares  *coldShares
-	members *control.Members
-	probes  *peer.Probes
-	store   Store
-	beliefs *Beliefs
-	kept    *route.Kept
-	log     *slog.Logger
-	due     chan struct{} // Holds one when the state is to be told soon.
-	boot    uint64        // Tells this life of the node from others.
-	dropped atomic.Int64  // Notes that could not be read.
-	mergeMu sync.Mutex    // Has the pools told one sum after the other; taken before mu.
+	// suspects are told of what the nodes' table has of them.
+	suspects *suspects
+	members  *control.Members
+	probes   *peer.Probes
+	store    Store
+	beliefs  *Beliefs
+	kept     *route.Kept
+	log      *slog.Logger
+	due      chan struct{} // Holds one when the state is to be told soon.
+	boot     uint64        // Tells this life of the node from others.
+	dropped  atomic.Int64  // Notes that could not be read.
+	mergeMu  sync.Mutex    // Has the pools told one sum after the other; taken before mu.
 
 	mu        sync.Mutex
 	announced bool
@@ -143,6 +145,10 @@
 func (n *nodes) greet(rows []site.Row) {
 	var strangers []netip.AddrPort
 	for _, r := range rows {
+		if r.Key == rowBarred {
+			n.suspects.load(r, time.Now())
+			continue
+		}
 		var row nodeRow
 		if err := json.Unmarshal(r.Value, &row); err != nil {
 			n.log.Error("node row can't be read", "row", r.Key, "err", err)
--- a/service/gateway/refusal.go
+++ b/service/gateway/refusal.go
@@ -36,6 +36,8 @@
 	reasonOverloaded      = "overloaded"
 	reasonDeadline        = "deadline"
 	reasonLost            = "answer_lost"
+	reasonEndsReplicas    = "ends_replicas"
+	reasonWatched         = "suspected"
 )
 
 func refuse(status int, reason string) refusal { return refusal{status: status, reason: reason} }
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -49,11 +49,14 @@
 	}
 	if err == nil {
 		a.end(route.OutcomeOK, now)
+		a.answered = true
+		x.finished(now)
 		r.finish()
 		x.logAnswer(a, now)
 		return false, refusal{}
 	}
 	a.end(x.outcomeOf(ctx), now)
+	x.lostRun(ctx, a, now)
 	if ctx.Err() != nil {
 		x.dropResting(a, now)
 		return false, x.outOfTime()
--- /dev/null
+++ b/service/gateway/suspects_news.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/suspect"
+)
+
+// noteTeller sends notes, which may be lost, to other nodes.
+type noteTeller interface {
+	note(to []netip.AddrPort, method string, params any) (sent int)
+	newsAudience(try int) (direct, relays []netip.AddrPort)
+	inHall(hall string) []netip.AddrPort
+}
+
+const (
+	// noteSuspects tells of requests under which replicas ended.
+	noteSuspects = "gateway.suspects"
+	// noteDigest tells of what a node holds of them.
+	noteDigest = "gateway.suspects_digest"
+	// suspectsEvery is how often a node compares what it holds with one other's, which
+	// takes 0.2 kB: one that was cut off has heard of a bar by its third look.
+	suspectsEvery = time.Second
+	// suspectsMost is how many go in one note, some 400 bytes each, and suspectsNotes how
+	// many notes answer a digest.
+	suspectsMost  = 30
+	suspectsNotes = 2
+)
+
+// caseNews is a case as one node tells it to another, or writes it to the store. Times are
+// told as ages, as nodes have no clock in common.
+type caseNews struct {
+	Content site.Fingerprint `json:"c"`
+	Sketch  uint64           `json:"s"`
+	Ends    []endNews        `json:"e,omitempty"`
+	// Finished is how many milliseconds ago the request was finished, 0 for never.
+	Finished int64 `json:"f,omitempty"`
+}
+
+type endNews struct {
+	Replica string `json:"r"`
+	Begun   int64  `json:"b"` // How many milliseconds ago.
+	At      int64  `json:"a"` // How many milliseconds ago.
+}
+
+func newsOfCase(c suspect.Case, now time.Time) caseNews {
+	news := caseNews{Content: c.Content, Sketch: c.Sketch}
+	if !c.Finished.IsZero() {
+		news.Finished = max(1, now.Sub(c.Finished).Milliseconds())
+	}
+	for _, e := range c.Ends {
+		news.Ends = append(news.Ends, endNews{e.Replica, now.Sub(e.Begun).Milliseconds(), now.Sub(e.At).Milliseconds()})
+	}
+	return news
+}
+
+// caseAt is the case that is told of, if the news is of a time.
+func (w *caseNews) caseAt(at time.Time) suspect.Case {
+	ago := func(ms int64) time.Time { return at.Add(-time.Duration(max(0, ms)) * time.Millisecond) }
+	c := suspect.Case{Content: w.Content, Sketch: w.Sketch}
+	if w.Finished > 0 {
+		c.Finished = ago(w.Finished)
+	}
+	for _, e := range w.Ends {
+		c.Ends = append(c.Ends, suspect.End{Replica: e.Replica, Begun: ago(e.Begun), At: ago(e.At)})
+	}
+	return c
+}
+
+// suspectsNote is what is told in one note.
+type suspectsNote struct {
+	Cases []caseNews `json:"c"`
+	// Collect says that the hearer owns the request: it tells all nodes if need be.
+	Collect bool `json:"o,omitempty"`
+	// Pass says that the hearer tells it on in its hall.
+	Pass bool `json:"p,omitempty"`
+}
+
+// digestNote tells of what a node holds.
+type digestNote struct {
+	From   netip.AddrPort `json:"f"`
+	Digest uint64         `json:"d"`
+	// Answer says that it answers such a note.
+	Answer bool `json:"a,omitempty"`
+}
+
+// tell tells other nodes what this one has seen of a request.
+func (s *suspects) tell(c suspect.Case, change suspect.Change, now time.Time) {
+	if change.Before != suspect.Free || change.After != suspect.Free {
+		s.spread(c)
+		return
+	}
+	if !s.mayTell(now) {
+		s.metrics.untold.Add(1)
+		return
+	}
+	s.twice(func(int) {
+		var to []netip.AddrPort
+		for _, o := range s.owners(c.Content) {
+			if o.Name != s.self.Name {
+				to = append(to, o.Peer)
+			}
+		}
+		s.notes.note(to, noteSuspects, suspectsNote{Cases: []caseNews{newsOfCase(c, time.Now())}, Collect: true})
+	})
+}
+
+// mayTell bounds what is told of first ends.
+func (s *suspects) mayTell(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.toldFrom) >= time.Second {
+		s.told, s.toldFrom = 0, now
+	}
+	s.told++
+	return s.told <= mostToldEnds
+}
+
+// spread tells all nodes.
+func (s *suspects) spread(c suspect.Case) {
+	s.twice(func(try int) {
+		news := []caseNews{newsOfCase(c, time.Now())}
+		direct, relays := s.notes.newsAudience(try)
+		s.notes.note(direct, noteSuspects, suspectsNote{Cases: news})
+		s.notes.note(relays, noteSuspects, suspectsNote{Cases: news, Pass: true})
+	})
+}
+
+// twice does something now and once more a little later, as notes may be lost.
+func (s *suspects) twice(send func(try int)) {
+	send(0)
+	time.AfterFunc(newsAgain, func() { send(1) })
+}
+
+// hear takes in what another node tells.
+func (s *suspects) hear(params json.RawMessage) {
+	var w suspectsNote
+	if err := json.Unmarshal(params, &w); err != nil {
+		s.log.Debug("suspects not understood", "err", err)
+		return
+	}
+	if w.Pass {
+		s.notes.note(s.notes.inHall(s.self.DataHall), noteSuspects, suspectsNote{Cases: w.Cases})
+	}
+	now := time.Now()
+	for i := range w.Cases {
+		s.take(w.Cases[i].caseAt(now), w.Collect)
+	}
+}
+
+// finishSpread is over what time nodes that have finished a request which others suspect
+// say so. The first ones save the rest the word.
+const finishSpread = 400 * time.Millisecond
+
+// take takes in what another node tells of a request; its owners tell all nodes if need be.
+func (s *suspects) take(told suspect.Case, collect bool) {
+	change := s.register.Merge(told)
+	c := s.register.Case(told.Content)
+	s.changed(c, change)
+	switch {
+	case collect && change.New && change.After != suspect.Free:
+		s.spread(c)
+	case change.Own && told.Verdict() != suspect.Free:
+		time.AfterFunc(rand.N(finishSpread), func() {
+			if s.register.MayTell(c.Content) {
+				s.spread(s.register.Case(c.Content))
+			}
+		})
+	}
+}
+
+// step forgets what is old and compares what this node holds with another one's; the timer
+// service calls it.
+func (s *suspects) step(context.Context) {
+	s.register.Expire(time.Now())
+	var others []control.Member
+	for _, m := range s.members.View().All { // The dead too: this node may have been cut off.
+		if m.Name != s.self.Name {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	to := others[rand.IntN(len(others))].Peer
+	s.notes.note([]netip.AddrPort{to}, noteDigest, digestNote{From: s.self.Peer, Digest: s.register.Digest()})
+}
+
+// compare answers a node that holds something else than this one.
+func (s *suspects) compare(params json.RawMessage) {
+	var w digestNote
+	if err := json.Unmarshal(params, &w); err != nil || !w.From.IsValid() {
+		s.log.Debug("digest not understood", "err", err)
+		return
+	}
+	own := s.register.Digest()
+	if own == w.Digest {
+		return
+	}
+	to := []netip.AddrPort{w.From}
+	if !w.Answer {
+		s.notes.note(to, noteDigest, digestNote{From: s.self.Peer, Digest: own, Answer: true})
+	}
+	held := s.register.Held(mostHeld)
+	rand.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
+	now := time.Now()
+	for range suspectsNotes {
+		part := held[:min(suspectsMost, len(held))]
+		held = held[len(part):]
+		if len(part) == 0 {
+			return
+		}
+		note := suspectsNote{}
+		for _, c := range part {
+			note.Cases = append(note.Cases, newsOfCase(c, now))
+		}
+		s.notes.note(to, noteSuspects, note)
+	}
+}
+
+// mostHeld is over what a node may hold.
+const mostHeld = 1 << 20
+
+// serveRun answers a node that asks whether a watched request may run.
+func (s *suspects) serveRun(_ context.Context, params json.RawMessage) (any, error) {
+	var q runRequest
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, eris.Wrap(err, "bad parameters")
+	}
+	most := min(time.Duration(q.MostMS)*time.Millisecond, longestHold)
+	return runAnswer{Run: s.register.Run(q.Content, most, time.Now())}, nil
+}
+
+func (s *suspects) serveOver(_ context.Context, params json.RawMessage) (any, error) {
+	var q runRequest
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, eris.Wrap(err, "bad parameters")
+	}
+	s.register.Over(q.Content)
+	return struct{}{}, nil
+}
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -32,6 +32,7 @@
 	Watchers *watchers
 	Stores   *stores
 	Holdings *holdings
+	Suspects *suspects
 	Rollout  *rollout.Rollout
 	Conns    *upstreamConns
 	Clients  *clientConns
@@ -74,14 +75,19 @@
 		func() *control.Members {
 			return control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, newRand())
 		},
-		func(k *route.Kept, o *coldShares, u *upstreamConns) *Beliefs {
+		func(k *route.Kept, o *coldShares, u *upstreamConns, x *suspects) *Beliefs {
 			b := NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), k, log)
 			b.without, b.regions, b.cold, b.shares = s.Without, s.Regions, s.Cold, o
 			b.leaveTime = time.Duration(leaveShare * float64(s.Evacuation.Within))
-			b.restarted = func(id string) { u.lost(id) }
+			b.restarted = func(id string, now time.Time) {
+				u.lost(id)
+				x.restarted(id, now)
+			}
+			b.ended = x.dropped
 			return b
 		},
 		newColdShares,
+		newSuspects,
 		func(b *Beliefs, n *nodes) *rollout.Rollout {
 			r := rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, p.Engines, &swaps{beliefs: b, nodes: n}, log)
 			if s.Without.SwapBound {
@@ -123,19 +129,20 @@
 }
 
 // newNodes listens for what other nodes tell.
-func newNodes(s config.GatewaySettings, self control.Member, m *control.Members, o *coldShares, st Store, b *Beliefs, k *route.Kept, log *slog.Logger) (*nodes, error) {
+func newNodes(s config.GatewaySettings, self control.Member, m *control.Members, o *coldShares, x *suspects, st Store, b *Beliefs, k *route.Kept, log *slog.Logger) (*nodes, error) {
 	n := &nodes{
-		self:    self,
-		regions: s.Regions,
-		shares:  o,
-		members: m,
-		store:   st,
-		beliefs: b,
-		kept:    k,
-		log:     log,
-		loads:   newLoads(),
-		due:     make(chan struct{}, 1),
-		boot:    m.Self().Incarnation,
+		self:     self,
+		regions:  s.Regions,
+		shares:   o,
+		suspects: x,
+		members:  m,
+		store:    st,
+		beliefs:  b,
+		kept:     k,
+		log:      log,
+		loads:    newLoads(),
+		due:      make(chan struct{}, 1),
+		boot:     m.Self().Incarnation,
 	}
 	handle := func(from netip.AddrPort, p control.Probe) []control.Packet { return m.Handle(from, p, time.Now(), 0) }
 	var err error
@@ -145,11 +152,14 @@
 	n.probes.OnNote(noteState, n.hearState)
 	n.probes.OnNote(noteHall, n.hearHall)
 	n.probes.OnNote(noteNews, n.hearNews)
+	n.probes.OnNote(noteSuspects, x.hear)
+	n.probes.OnNote(noteDigest, x.compare)
+	x.notes = n
 	return n, nil
 }
 
 // newPeers listens for nodes that ask this one.
-func newPeers(s config.GatewaySettings, r *readers, w *watchers, h *holdings, log *slog.Logger) (*peer.Server, error) {
+func newPeers(s config.GatewaySettings, r *readers, w *watchers, h *holdings, x *suspects, log *slog.Logger) (*peer.Server, error) {
 	server, err := peer.NewServer(s.Peer.Listen, map[peer.Role]string{peer.RolePeer: s.Peer.Key}, log)
 	if err != nil {
 		return nil, err
@@ -158,6 +168,8 @@
 	server.Handle(peer.RolePeer, methodEvents, w.serve)
 	server.Handle(peer.RolePeer, methodEventsOf, w.serveSeveral)
 	server.Handle(peer.RolePeer, methodHeld, h.serve)
+	server.Handle(peer.RolePeer, methodRun, x.serveRun)
+	server.Handle(peer.RolePeer, methodOver, x.serveOver)
 	return server, nil
 }
 
