--- a/service/gateway/suspects.go
+++ b/service/gateway/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -31,7 +32,7 @@
 	self     control.Member
 	members  *control.Members
 	store    Store
-	client   *peer.Client
+	client   caller
 	register *suspect.Register
 	log      *slog.Logger
 	notes    noteTeller
@@ -45,6 +46,12 @@
 	keepNext time.Time // The store is not written before.
 }
 
+// caller calls other nodes.
+type caller interface {
+	CallWithin(ctx context.Context, within time.Duration, addr netip.AddrPort, method string, params, result any) error
+	Notify(ctx context.Context, addr netip.AddrPort, method string, params any) error
+}
+
 type suspectMetrics struct {
 	ends   atomic.Int64 // Replicas that ended, counted for each request in flight there.
 	untold atomic.Int64 // Of these, not told to other nodes for want of time.
@@ -139,9 +146,10 @@
 	kept := s.lost[:0]
 	for _, r := range s.lost {
 		switch {
+		case now.Sub(r.at) >= listedTerm: // What happens now has nothing to do with it.
 		case ended(&r):
 			list = append(list, r)
-		case now.Sub(r.at) < listedTerm:
+		default:
 			kept = append(kept, r)
 		}
 	}
