--- /dev/null
+++ b/internal/standin/onplatform/suspended_test.go
@@ -0,0 +1,75 @@
+package onplatform_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/netproxy"
+	"github.com/drumpath/drumpath/pkg/boottime"
+)
+
+// A machine was suspended for seconds. The steady clock does not count that time, so its
+// node took what it remembered for as fresh as before: in its first milliseconds it sent on
+// requests of a key that had been taken away meanwhile and to data halls that were
+// evacuated, and said that it was ready. A process that is only stopped finds by its clock
+// how old its knowledge is; here both clocks have to be compared.
+
+// away holds up all between the site's nodes and its store.
+func (s *site) away() (back func()) {
+	held := netproxy.Link{Held: true}
+	s.way.Set(held, held)
+	return s.way.Heal
+}
+
+func TestSuspendedNodeActsOnNothingOldOnceItWakes(t *testing.T) {
+	for _, d := range []time.Duration{2 * time.Second, 8 * time.Second, 30 * time.Second} {
+		t.Run(d.String(), func(t *testing.T) {
+			s := newSite(t)
+			s.way = s.proxy(s.store.Addr())
+			a, b := s.newReplica("a"), s.newReplica("b")
+			s.put(a, row(app, a, nil))
+			s.put(b, row(app, b, map[string]any{"zone": "hall-b"}))
+			n := s.node("n1")
+			assert.Equal(t, n.send(request("GET", "/safe/x", "")).status, 200)
+			asTwo := func() string {
+				return strings.Replace(request("GET", "/safe/x", ""), "Bearer "+key, "Bearer key-two", 1)
+			}
+			assert.Equal(t, n.send(asTwo()).status, 200)
+			before := len(a.Seen()) + len(b.Seen())
+			back := s.away()
+			s.tenants = s.tenants[:1]
+			s.configure()
+			boottime.Skip(d)
+			woke := time.Now()
+			got := n.send(asTwo())
+			back()
+			assert.Assert(t, got.status == 503 || got.status == 401, "status %d", got.status)
+			assert.Equal(t, len(a.Seen())+len(b.Seen()), before, "a key that was taken away")
+			s.until("it knows that the key is gone", func() bool { return n.send(asTwo()).status == 401 })
+			s.until("it serves again", func() bool { return n.send(request("GET", "/safe/x", "")).status == 200 })
+			assert.Assert(t, time.Since(woke) < time.Second, "no longer than a start: %v", time.Since(woke))
+			assert.Assert(t, n.isReady())
+		})
+	}
+}
+
+func TestSuspendedNodeIsNotReadyUntilItHasHeard(t *testing.T) {
+	s := newSite(t)
+	s.way = s.proxy(s.store.Addr())
+	s.replica(app, "a")
+	n := s.node("n1")
+	defer s.away()()
+	boottime.Skip(8 * time.Second)
+	assert.Assert(t, !n.isReady())
+	assert.Equal(t, n.addrs(), "", "it does not know where callers are to go")
+	got := n.send(request("GET", "/safe/x", ""))
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.body, `{"error":"suspended"}`)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	// The store stays away. Then its knowledge is as good as that of other nodes then.
+	s.until("it serves", func() bool { return n.send(request("GET", "/safe/x", "")).status == 200 })
+	assert.Assert(t, n.isReady())
+}
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -448,3 +449,14 @@
 		assert.Assert(t, row.Until <= time.Since(s.begun))
 	})
 }
+
+// A holder's machine is suspended, and another node takes the lease meanwhile. The steady
+// clock of the first has not moved on.
+func TestLeaseIsOverAfterASuspension(t *testing.T) {
+	s := newMemoryStore()
+	l := NewLease("l", "a", testPause, view{s, "a"}, slog.New(slog.DiscardHandler))
+	assert.Assert(t, l.Keep(t.Context()))
+	assert.Assert(t, l.Held())
+	boottime.Skip(leaseTerm)
+	assert.Assert(t, !l.Held())
+}
