A node whose machine was suspended hears anew what holds before it acts on it

Cause: all ages went by the steady clock, which stands still while a machine is suspended. Ruled out: reading the clock that counts everything for each time (0.4 us, some fifty for a request), the time of day (it steps), a watcher that ticks (the first milliseconds come before it).

Change: ages of a gateway go by pkg/boottime; it looks before each request, each send, each tick, each answer about readiness and addresses, and around each call to the store. From 0.1 s on the node is not ready, refuses (503 suspended) and asks for both tables at once; after 2 s without an answer it goes on as where the store is away. Resting connections are closed, stores' events followed anew; leases, also those of the product's own interface, look each time.

TestAttemptWhoseClientLeft... needs a node and a limit now; what it checks is as before.

--- a/internal/standin/onplatform/suspended_test.go
+++ b/internal/standin/onplatform/suspended_test.go
@@ -1,6 +1,7 @@
 package onplatform_test
 
 import (
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/internal/netproxy"
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
 	"github.com/drumpath/drumpath/pkg/boottime"
 )
 
@@ -73,3 +75,20 @@
 	s.until("it serves", func() bool { return n.send(request("GET", "/safe/x", "")).status == 200 })
 	assert.Assert(t, n.isReady())
 }
+
+// A request's caller has waited on while the machine was suspended: what is over is not
+// sent again, and "not run" is true.
+func TestRequestWhoseTimePassedWhileSuspendedIsNotSentAgain(t *testing.T) {
+	s := newSite(t)
+	a, b := s.replica(app, "a"), s.replica(app, "b")
+	n := s.node("n1")
+	sleepThen := func(w io.Writer, r *onplatform.Request) bool {
+		boottime.Skip(8 * time.Second)
+		return onplatform.NotRun(503)(w, r)
+	}
+	a.Script(sleepThen)
+	b.Script(sleepThen)
+	got := n.send(request("POST", "/once/x", "b"))
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, len(a.Seen())+len(b.Seen()), 1)
+}
--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
@@ -57,7 +58,7 @@
 		table:   t,
 		members: m,
 		log:     log,
-		now:     time.Now,
+		now:     boottime.LookNow,
 		leases:  map[string]*Lease{},
 	}
 	for i := range LeaseGroups {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -96,6 +96,13 @@
 	{"stream broke off", Failure, "A stream of events broke off at its replica.", []Key{
 		keyRequest, keyContent, keyReplica, {"last_event", "the last event that was passed on"}, keyErr,
 	}},
+	{"machine was suspended", Change, "The node's machine was suspended; what the node knew is asked anew.", []Key{
+		keyNode, {"for", "nanoseconds"}, keyInFlight,
+		{"resting", "resting connections to replicas that were closed"},
+		{"stores", "stores of kept state of which nothing is known until they are heard"},
+	}},
+	{"serves again after a suspension", Change, "The node has heard what holds, or waited long enough for that.", []Key{keyNode, {"after", "nanoseconds since the suspension was found"}}},
+	{"suspensions of the machine are not found", Failure, "The system has no clock that counts them.", []Key{keyNode, keyErr}},
 	{"replica ended under a request", Failure, "A replica took no connection any more, or started anew, after the answer to a request in flight there was lost.", []Key{
 		keyRequest, keyContent, keyReplica, keyEnds, keyVerdict,
 		{"finished_before", "whether a replica is known to have finished the same content; ends near it don't count"},
@@ -220,5 +227,6 @@
 	{"deadline", "the time is over: 503 if nothing was sent, 504 if it may have run"},
 	{"answer_lost", "the answer was lost and the request may have run (502)"},
 	{"ends_replicas", "replicas have ended under what the request asks; it was not sent (400), or not again (502)"},
+	{"suspended", "the node's machine was suspended, and it has not heard yet what holds now (503)"},
 	{"suspected", "replicas have ended under what the request asks, and another such request is under way; come back (503)"},
 }
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -64,6 +64,8 @@
 		why = "replicas ended under the same content: " + ended(r)
 	case "suspected":
 		why = "replicas ended under the same content, and another such request was under way"
+	case "suspended":
+		why = "the node's machine had been suspended, and it had not heard yet what held then"
 	case "no_configuration":
 		why = "the node had just started and knew no configuration" + away(l)
 	case "no_route":
--- a/pkg/httpjson/patience.go
+++ b/pkg/httpjson/patience.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/boottime"
 )
 
 const (
@@ -43,7 +45,8 @@
 	}
 	now := time.Now()
 	if c.got < largeAnswer && c.got+n >= largeAnswer {
-		c.c.large.Store(&now)
+		large := boottime.Now()
+		c.c.large.Store(&large)
 	}
 	c.got += n
 	next := now.Add(answerPause)
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -139,7 +140,7 @@
 // New returns a rollout that gives orders in a node's name; pause is the least
 // time between the orders of two nodes to a replica.
 func New(node string, pause time.Duration, st Store, e Engines, f Fleet, log *slog.Logger) *Rollout {
-	r := &Rollout{node: node, engines: e, fleet: f, log: log, now: time.Now}
+	r := &Rollout{node: node, engines: e, fleet: f, log: log, now: boottime.LookNow}
 	for i := range r.groups {
 		name := fmt.Sprintf("weights/%d", i)
 		r.groups[i] = &group{name: name, lease: NewLease(name, node, pause, st, log), swaps: map[string]*swap{}, loading: startLoading}
--- a/service/gateway/attempt_test.go
+++ b/service/gateway/attempt_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -26,6 +28,8 @@
 	defer func() { assert.NilError(t, near.Close()) }()
 	defer func() { assert.NilError(t, far.Close()) }()
 	x := &exchange{
+		g:     &Gateway{suspension: newSuspension()},
+		limit: boottime.Now().Add(time.Minute),
 		out:   &clientWriter{conn: near},
 		head:  &http1.Head{Method: "GET", Target: "/x"},
 		terms: site.Terms{ID: "r"},
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/site"
 )
@@ -199,7 +200,8 @@
 		return false
 	}
 	c.enter(connBodying)
-	came := time.Now()
+	c.g.look()
+	came := boottime.Now()
 	terms, termsErr := c.g.codec.Terms(head)
 	body, err := c.readBody(head, &terms, limits, came)
 	if err != nil {
@@ -215,7 +217,7 @@
 		old:      head.Minor == 0,
 		closing:  func() bool { return last || c.g.stopping() },
 	}
-	_ = c.conn.SetWriteDeadline(came.Add(c.g.holdMost(&terms) + writeSlack)) // The next write tells.
+	_ = c.conn.SetWriteDeadline(boottime.Steady(came.Add(c.g.holdMost(&terms) + writeSlack))) // The next write tells.
 	c.g.inFlight.Add(1)
 	defer c.g.inFlight.Add(-1)
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -246,7 +248,7 @@
 	if t.Patience > 0 {
 		within = t.Patience
 	}
-	_ = c.conn.SetReadDeadline(came.Add(within)) // The next read tells.
+	_ = c.conn.SetReadDeadline(boottime.Steady(came.Add(within))) // The next read tells.
 	return http1.ReadAll(b, l.BodyBytes)
 }
 
--- a/service/gateway/cold_shares.go
+++ b/service/gateway/cold_shares.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/rendezvous"
 )
@@ -52,7 +53,7 @@
 	view := c.members.View()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.met.IsZero() || time.Since(c.met) < meetTime {
+	if c.met.IsZero() || boottime.Since(c.met) < meetTime {
 		return 0
 	}
 	if c.view != view {
--- a/service/gateway/detour.go
+++ b/service/gateway/detour.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
 )
@@ -38,7 +39,7 @@
 func (r *readers) around(t site.Table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Now().Before(r.detours[t].until)
+	return boottime.Now().Before(r.detours[t].until)
 }
 
 // missing says whether the store was not reached lately.
@@ -50,7 +51,7 @@
 
 // miss notes that the store was not reached.
 func (r *readers) miss(t site.Table) {
-	now := time.Now()
+	now := boottime.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := r.detours[t]
@@ -82,7 +83,7 @@
 	delete(r.detours, t)
 	r.mu.Unlock()
 	if d.told {
-		r.log.Info("store reached again", "table", tableName(t), "away", time.Since(d.lost), "asked", d.asked)
+		r.log.Info("store reached again", "table", tableName(t), "away", boottime.Since(d.lost), "asked", d.asked)
 	}
 }
 
--- a/service/gateway/directory.go
+++ b/service/gateway/directory.go
@@ -4,12 +4,12 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
@@ -67,7 +67,8 @@
 		q := c.QueryArgs()
 		hall, region := string(q.Peek(g.platform.Paths.DataHall)), string(q.Peek(g.platform.Paths.Region))
 		addrs := g.nodes.entries(hall, region, g.homesOf(string(q.Peek(g.platform.Paths.Host))))
-		if len(addrs) == 0 {
+		g.look()
+		if len(addrs) == 0 || !g.awake() {
 			c.SetStatusCode(http.StatusServiceUnavailable)
 			return
 		}
@@ -93,9 +94,9 @@
 	r.GET("/metrics", func(c *fasthttp.RequestCtx) { writeJSON(c, g.status()) })
 	r.GET("/state", func(c *fasthttp.RequestCtx) {
 		state := map[string][]route.MemberStatus{}
-		g.nodes.settle(time.Now())
+		g.nodes.settle(boottime.Now())
 		for service, p := range g.beliefs.Pools() {
-			state[service] = p.Status(time.Now())
+			state[service] = p.Status(boottime.Now())
 		}
 		writeJSON(c, state)
 	})
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -74,6 +75,10 @@
 
 // serve answers the request.
 func (x *exchange) serve(ctx context.Context) {
+	if !x.g.awake() {
+		x.refuse(comeBack(reasonSuspended, startRetry))
+		return
+	}
 	if f, ok := x.admit(); !ok {
 		x.refuse(f)
 		return
@@ -83,9 +88,9 @@
 		return
 	}
 	x.g.budget(x.service.Name).Request(x.came)
-	ctx, cancel := context.WithDeadline(ctx, x.limit)
+	ctx, cancel := context.WithTimeout(ctx, boottime.Until(x.limit))
 	defer cancel()
-	defer func() { x.leaveQueue(time.Now()) }()
+	defer func() { x.leaveQueue(boottime.Now()) }()
 	if f, ok := x.enqueue(ctx); !ok {
 		x.conclude(ctx, f)
 		return
@@ -104,10 +109,10 @@
 	switch {
 	case context.Cause(ctx) == errClientLeft:
 		x.g.metrics.left.Add(1)
-		x.g.log.Info("client left", "request", x.terms.ID, "route", x.route.Name, "after", time.Since(x.came), "attempts", x.ran)
+		x.g.log.Info("client left", "request", x.terms.ID, "route", x.route.Name, "after", boottime.Since(x.came), "attempts", x.ran)
 		x.out.fail()
 	case context.Cause(ctx) == errStopped:
-		x.g.log.Warn("cut by a stop", "request", x.terms.ID, "route", x.route.Name, "after", time.Since(x.came), "attempts", x.ran)
+		x.g.log.Warn("cut by a stop", "request", x.terms.ID, "route", x.route.Name, "after", boottime.Since(x.came), "attempts", x.ran)
 		x.out.fail()
 	case f.status == 0:
 	case x.stream != nil:
@@ -122,8 +127,13 @@
 
 // over says whether there is nobody to send the request for any more. It looks at the
 // connection itself: a client's close may have come, and the goroutine that waits for
-// it not have run.
+// it not have run. It looks at the clock, too: of a machine that has been suspended
+// nothing is sent on until the node has heard what holds now.
 func (x *exchange) over(ctx context.Context) bool {
+	x.g.look()
+	if !x.g.awake() || boottime.Until(x.limit) < timeLeft {
+		return true
+	}
 	if err := clientLeft(x.out.conn); err != nil {
 		x.leave(err)
 	}
@@ -133,10 +143,10 @@
 // try makes one attempt. It says whether another is to be made; otherwise the
 // request was answered, or f is what to answer if its status is set.
 func (x *exchange) try(ctx context.Context) (again bool, f refusal) {
-	now := time.Now()
-	if x.limit.Sub(now) < timeLeft || x.over(ctx) {
+	if x.over(ctx) {
 		return false, x.outOfTime()
 	}
+	now := boottime.Now()
 	x.need.Send = true
 	choice, ok := x.pick(now)
 	x.need.Send = false
@@ -146,7 +156,7 @@
 	if f, ok := x.cleared(ctx); !ok {
 		return false, f
 	}
-	now = time.Now()
+	now = boottime.Now()
 	dispatch, plan := x.dispatch(choice, now)
 	a := newAttempt(x, choice, plan, now)
 	a.realm = dispatch.Realm
@@ -159,7 +169,7 @@
 		x.sent(a.answered)
 		a.finish()
 	}()
-	now = time.Now()
+	now = boottime.Now()
 	switch fate {
 	case fateAnswered:
 		if x.need.Model != "" && a.answer.Weights > 0 {
@@ -292,6 +302,9 @@
 // outOfTime is the answer at the limit: it depends on whether the request may
 // have run.
 func (x *exchange) outOfTime() refusal {
+	if x.ran == 0 && !x.g.awake() {
+		return comeBack(reasonSuspended, startRetry)
+	}
 	if x.ran == 0 {
 		return comeBack(reasonDeadline, fullRetry)
 	}
@@ -306,7 +319,7 @@
 	case x.refused > 0:
 		return comeBack(reasonReplicasFull, fullRetry)
 	default:
-		return x.absent(time.Now())
+		return x.absent(boottime.Now())
 	}
 }
 
@@ -331,9 +344,9 @@
 	if x.route.Streaming && a.head.Status == http.StatusOK {
 		return x.takeStream(ctx, a)
 	}
-	x.first(a, time.Now())
+	x.first(a, boottime.Now())
 	body, err := a.readWhole()
-	now := time.Now()
+	now := boottime.Now()
 	if err != nil {
 		a.end(x.outcomeOf(ctx), now)
 		x.lostRun(ctx, a, now)
@@ -382,6 +395,6 @@
 
 func (x *exchange) refuse(f refusal) {
 	x.g.metrics.refusal(f.reason)
-	x.logRefusal(f, time.Now())
+	x.logRefusal(f, boottime.Now())
 	x.out.raw(f.message(x.g.codec, x.terms.ID, x.out.settle()))
 }
--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
 )
@@ -63,7 +64,7 @@
 		return f, false
 	}
 	c := x.suspected()
-	if c.Verdict() == suspect.Free || x.g.suspects.mayRun(ctx, c.Content, time.Until(x.limit)) {
+	if c.Verdict() == suspect.Free || x.g.suspects.mayRun(ctx, c.Content, boottime.Until(x.limit)) {
 		x.watched = c.Verdict() != suspect.Free
 		return f, true
 	}
@@ -112,8 +113,8 @@
 		run.alive = true
 		x.g.suspects.remember(run)
 	case refusedDial(err):
-		x.lost(u, time.Now())
-		x.g.suspects.ended(run, time.Now())
+		x.lost(u, boottime.Now())
+		x.g.suspects.ended(run, boottime.Now())
 	default:
 		x.g.suspects.remember(run)
 	}
--- a/service/gateway/follow.go
+++ b/service/gateway/follow.go
@@ -5,8 +5,10 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -33,10 +35,14 @@
 	apply func(rows []site.Row, whole bool, now time.Time)
 	// away is told of each failed call.
 	away func(now time.Time)
-	// heard is told of each call that succeeded.
-	heard func(now time.Time)
+	// heard is told of each call that succeeded, and when it was begun.
+	heard func(begun, now time.Time)
 	log   *slog.Logger
 
+	mu     sync.Mutex
+	cancel context.CancelFunc // Of the call under way.
+	woken  bool               // The next call is not to be held.
+
 	version int64
 	listed  bool
 	failed  time.Time // Since when calls fail, zero if they don't.
@@ -48,14 +54,22 @@
 // whole table read again.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := f.step(ctx)
-		now := time.Now()
+		before := boottime.Look()
+		begun := boottime.Now()
+		call, hold, done := f.begin(ctx)
+		err := f.step(call, hold)
+		woken := call.Err() != nil
+		done()
+		now := boottime.LookNow()
 		switch {
+		case err == nil && boottime.Suspended()-before >= leastSuspension:
+			// The answer may have come before the machine was suspended.
 		case err == nil:
 			f.recovered(now)
-			f.heard(now)
+			f.heard(begun, now)
 		case ctx.Err() != nil:
 			return
+		case woken: // It is asked anew at once.
 		case errors.Is(err, site.ErrHistoryGone):
 			f.listed = false
 			f.away(now)
@@ -67,11 +81,32 @@
 	}
 }
 
-func (f *follower) step(ctx context.Context) error {
+// begin makes the context of a call that wake ends, and says for how long it is held.
+func (f *follower) begin(ctx context.Context) (call context.Context, hold time.Duration, done context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	call, f.cancel = context.WithCancel(ctx)
+	if !f.woken {
+		hold = f.hold
+	}
+	f.woken = false
+	return call, hold, f.cancel
+}
+
+// wake has the table asked for anew at once: the machine was suspended.
+func (f *follower) wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.woken = true
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+func (f *follower) step(ctx context.Context, hold time.Duration) error {
 	if !f.listed {
 		return f.list(ctx)
 	}
-	hold := f.hold
 	if !f.failed.IsZero() {
 		// A call that falls into an absence of the store is not to be waited
 		// for beyond the store's return. It has no limit of its own: one on the whole
@@ -86,7 +121,7 @@
 		f.version = l.Version
 	}
 	if len(l.Rows) > 0 {
-		f.apply(l.Rows, false, time.Now())
+		f.apply(l.Rows, false, boottime.Now())
 		sleep(ctx, f.rest)
 	}
 	return nil
@@ -103,7 +138,7 @@
 	if l.Version < f.version {
 		return errStale
 	}
-	f.apply(l.Rows, true, time.Now())
+	f.apply(l.Rows, true, boottime.Now())
 	f.version, f.listed = l.Version, true
 	return nil
 }
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/rollout"
 	"github.com/drumpath/drumpath/pkg/route"
@@ -86,6 +87,9 @@
 	budgetMu sync.Mutex
 	budgets  map[string]*route.RetryShare
 
+	followers  []*follower // Of the store's tables.
+	suspension *suspension
+
 	inFlight atomic.Int64
 	told     atomic.Pointer[time.Time] // When the node was told to stop, nil before.
 	stopped  chan struct{}             // Closed then.
@@ -129,6 +133,9 @@
 		budgets: map[string]*route.RetryShare{},
 		queues:  map[string]*route.PromptQueue{},
 		queued:  make(chan struct{}, 1),
+
+		suspension: newSuspension(),
+
 		stopped: make(chan struct{}),
 	}
 	g.settings.Store(&s)
@@ -162,32 +169,39 @@
 		g.figures.start(g)
 	}
 	hold := g.conf().Platform.Hold.Std()
-	follow := func(f *follower) { g.wg.Go(func() { f.run(g.ctx) }) }
-	follow(&follower{
-		store: g.readers, table: site.TableOperator, name: "operator", hold: hold, log: g.log,
-		apply: g.beliefs.ApplyOperator,
-		away:  func(time.Time) {},
-		heard: func(time.Time) {},
-	})
-	follow(&follower{
-		store: g.readers, table: site.TableUpstreams, name: "upstreams", hold: hold, log: g.log,
-		apply: g.beliefs.ApplyUpstreams, rest: upstreamsRest,
-		away:  g.beliefs.StoreAway,
-		heard: g.beliefs.StoreHeard,
-	})
+	g.followers = []*follower{
+		{
+			store: g.readers, table: site.TableOperator, name: "operator", hold: hold, log: g.log,
+			apply: g.beliefs.ApplyOperator,
+			away:  func(time.Time) {},
+			heard: func(begun, _ time.Time) { g.suspension.hear(site.TableOperator, begun) },
+		},
+		{
+			store: g.readers, table: site.TableUpstreams, name: "upstreams", hold: hold, log: g.log,
+			apply: g.beliefs.ApplyUpstreams, rest: upstreamsRest,
+			away: g.beliefs.StoreAway,
+			heard: func(begun, now time.Time) {
+				g.beliefs.StoreHeard(now)
+				g.suspension.hear(site.TableUpstreams, begun)
+			},
+		},
+	}
+	for _, f := range g.followers {
+		g.wg.Go(func() { f.run(g.ctx) })
+	}
 	every := g.conf().Peer.ProbeEvery.Std()
-	g.timer.Subscribe(every, g.nodes.probe)
-	g.timer.Subscribe(every/lateShare, g.nodes.probeLate)
-	g.timer.Subscribe(meetEvery, g.nodes.meet)
-	g.timer.Subscribe(pruneEvery, func(context.Context) { g.conns.prune(time.Now()) })
-	g.timer.Subscribe(expireEvery, func(context.Context) { g.beliefs.Expire(time.Now()) })
-	g.timer.Subscribe(watchEvery, g.stores.refresh)
-	g.timer.Subscribe(watchEvery, g.holdings.refresh)
-	g.timer.Subscribe(freeEvery, g.stores.free)
-	g.timer.Subscribe(rollout.Every, g.rollout.Step)
-	g.timer.Subscribe(watchEvery, g.shareBudgets)
-	g.timer.Subscribe(suspectsEvery, g.suspects.step)
-	g.timer.Subscribe(suspectsEvery, g.suspects.keep)
+	g.every(every, g.nodes.probe)
+	g.every(every/lateShare, g.nodes.probeLate)
+	g.every(meetEvery, g.nodes.meet)
+	g.every(pruneEvery, func(context.Context) { g.conns.prune(boottime.Now()) })
+	g.every(expireEvery, func(context.Context) { g.beliefs.Expire(boottime.Now()) })
+	g.every(watchEvery, g.stores.refresh)
+	g.every(watchEvery, g.holdings.refresh)
+	g.every(freeEvery, g.stores.free)
+	g.every(rollout.Every, g.rollout.Step)
+	g.every(watchEvery, g.shareBudgets)
+	g.every(suspectsEvery, g.suspects.step)
+	g.every(suspectsEvery, g.suspects.keep)
 	g.wg.Go(func() { g.runQueues(g.ctx) })
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
 	g.wg.Go(func() { g.nodes.runSpeaker(g.ctx) })
@@ -199,6 +213,9 @@
 	})
 	g.log.Info("node started", "node", g.conf().Node.Name, "entry", g.conf().Entry.Listen,
 		"directory", g.conf().Entry.Directory, "peer", g.conf().Peer.Listen, "store", g.conf().Platform.Store)
+	if err := boottime.Err(); err != nil {
+		g.log.Warn("suspensions of the machine are not found", "node", g.conf().Node.Name, "err", err)
+	}
 	if off := g.conf().Without.Names(); len(off) > 0 {
 		g.log.Warn("mechanisms are off", "node", g.conf().Node.Name, "without", off)
 	}
@@ -234,7 +251,8 @@
 
 // ready says whether callers are to be sent here.
 func (g *Gateway) ready() bool {
-	return !g.stopping() && g.beliefs.Snapshot() != nil && g.beliefs.Upstreams() > 0
+	g.look()
+	return g.awake() && !g.stopping() && g.beliefs.Snapshot() != nil && g.beliefs.Upstreams() > 0
 }
 
 // stopping says whether the node has been told to stop.
--- a/service/gateway/grown_configuration_test.go
+++ b/service/gateway/grown_configuration_test.go
@@ -329,7 +329,7 @@
 			n.note()
 		},
 		away:  func(time.Time) {},
-		heard: func(time.Time) {},
+		heard: func(_, _ time.Time) {},
 		log:   slog.New(slog.DiscardHandler),
 	}
 }
--- a/service/gateway/holdings.go
+++ b/service/gateway/holdings.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -101,15 +102,25 @@
 	}
 }
 
+// stop ends all following; the caller holds mu.
+func (h *holdings) stop() {
+	h.refollow(nil)
+	h.reask(nil)
+}
+
+// restart follows the engines anew: connections may have ended without a sign.
+func (h *holdings) restart() {
+	h.mu.Lock()
+	h.stop()
+	h.at = heldInputs{}
+	h.mu.Unlock()
+	h.refresh(context.Background())
+}
+
 // close stops following and waits.
 func (h *holdings) close() {
 	h.mu.Lock()
-	for _, cancel := range h.followed {
-		cancel()
-	}
-	for _, a := range h.asked {
-		a.cancel()
-	}
+	h.stop()
 	h.mu.Unlock()
 	h.wg.Wait()
 }
@@ -270,7 +281,7 @@
 		if lost {
 			h.log.Info("engine's events back", "replica", u.ID, "boot", c.Boot)
 		}
-		h.clock.hear(c.Clock, time.Now())
+		h.clock.hear(c.Clock, boottime.Now())
 		whole := since == 0 || c.Lost || c.Boot != boot
 		if whole || lost || len(c.Changes) > 0 {
 			h.take(heldOf(u.ID, whole, c))
@@ -300,7 +311,7 @@
 	if !kept {
 		return
 	}
-	if time.Since(h.told) > tellsTerm {
+	if boottime.Since(h.told) > tellsTerm {
 		h.news.skip() // Packing and keeping them takes most of the time otherwise.
 		return
 	}
--- a/service/gateway/holdings_serve.go
+++ b/service/gateway/holdings_serve.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/boottime"
 )
 
 // heldRequest are methodHeld's parameters: news from a point on, about the engines of
@@ -44,7 +46,7 @@
 		return nil, eris.Wrap(err, "bad parameters")
 	}
 	h.mu.Lock()
-	h.told = time.Now()
+	h.told = boottime.Now()
 	h.mu.Unlock()
 	end := time.After(min(heldWait, time.Duration(q.WaitMS)*time.Millisecond))
 	for {
--- a/service/gateway/loads_heard.go
+++ b/service/gateway/loads_heard.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
@@ -61,7 +62,7 @@
 // passOn tells the sum of another hall in this one, unless the last one has yet to
 // go through the link: what is left out is in the next.
 func (n *nodes) passOn(s stateNote) {
-	now := time.Now()
+	now := boottime.Now()
 	n.mu.Lock()
 	due := !now.Before(n.loads.passNext[s.Hall])
 	n.mu.Unlock()
@@ -89,7 +90,7 @@
 // hear notes a state under its name and says whether it is newer than the last. What
 // can't be read is counted and dropped, and what was heard before stays.
 func (n *nodes) hear(params json.RawMessage, under map[string]heardState, name func(*stateNote) string) (note stateNote, s, old heardState, ok bool) {
-	now := time.Now()
+	now := boottime.Now()
 	err := json.Unmarshal(params, &note)
 	if err == nil {
 		s, err = heardOf(&note, now)
@@ -130,7 +131,7 @@
 
 // addPeers has others' moves take their time on the links.
 func (n *nodes) addPeers(links tallies) {
-	now := time.Now()
+	now := boottime.Now()
 	for store, t := range links {
 		n.kept.AddPeer(store, t, now)
 	}
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
@@ -121,6 +122,7 @@
 	Away     []string                     `json:"evacuated"`
 	Stores   []route.StoreStatus          `json:"stores"`
 	Suspects suspectsStatus               `json:"suspects"`
+	Slept    int64                        `json:"suspensions"`
 }
 
 // suspectsStatus is what is known of requests under which replicas ended.
@@ -140,7 +142,7 @@
 
 // status collects what is served.
 func (g *Gateway) status() metricsStatus {
-	now := time.Now()
+	now := boottime.Now()
 	m := g.metrics
 	s := metricsStatus{
 		Answered: m.answered.Load(),
@@ -163,6 +165,7 @@
 		Away:     g.beliefs.EvacuatedHalls(),
 		Stores:   g.kept.Status(),
 		Suspects: g.suspects.status(),
+		Slept:    g.suspension.count.Load(),
 	}
 	config, heard, _ := g.beliefs.Ages(now)
 	s.Config, s.ListAge = config, heard.Seconds()
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 )
@@ -154,7 +155,7 @@
 }
 
 func (n *nodes) take(w news) {
-	now := time.Now()
+	now := boottime.Now()
 	until := now.Add(time.Duration(w.Avoid) * time.Millisecond)
 	for _, p := range n.beliefs.Pools() {
 		switch {
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -76,7 +77,7 @@
 // meet writes this node's address to the store and learns those of others, as
 // long as it has not, or knows nobody.
 func (n *nodes) meet(ctx context.Context) {
-	now := time.Now()
+	now := boottime.Now()
 	known := len(n.members.Working())
 	n.mu.Lock()
 	again := meetAgain * time.Duration(max(1, known/meetNodes))
@@ -146,7 +147,7 @@
 	var strangers []netip.AddrPort
 	for _, r := range rows {
 		if r.Key == rowBarred {
-			n.suspects.load(r, time.Now())
+			n.suspects.load(r, boottime.Now())
 			continue
 		}
 		var row nodeRow
--- a/service/gateway/queue.go
+++ b/service/gateway/queue.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
@@ -63,7 +64,7 @@
 		list = append(list, q)
 	}
 	g.queuesMu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	for _, q := range list {
 		q.Step(now)
 		waiting = waiting || q.Len() > 0
@@ -76,7 +77,7 @@
 	if x.service.Engine == nil || x.need.Tokens == 0 || x.g.beliefs.without.PromptQueue {
 		return refusal{}, true
 	}
-	now := time.Now()
+	now := boottime.Now()
 	own := x.ownTime(now)
 	x.lateFrom, x.sendBy = x.came.Add(x.route.Target-own), x.limit.Add(-own)
 	ask := route.Ask{
@@ -118,17 +119,17 @@
 			return letIn(w)
 		case <-stopped:
 			stopped = nil
-			limitTimer.Reset(min(stopTime, time.Until(x.sendBy)))
+			limitTimer.Reset(min(stopTime, boottime.Until(x.sendBy)))
 			continue
 		case <-ctx.Done():
-			w.Done(time.Now())
+			w.Done(boottime.Now())
 			return x.outOfTime(), false
 		case <-lateTimer.C:
-			w.Late(time.Now())
+			w.Late(boottime.Now())
 			continue
 		case <-limitTimer.C:
 		}
-		w.GiveUp(time.Now())
+		w.GiveUp(boottime.Now())
 		return letIn(w)
 	}
 }
--- a/service/gateway/reader_serve.go
+++ b/service/gateway/reader_serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -55,12 +56,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if q.Whole || a.Gone || len(a.Rows.Data) > 0 || !time.Now().Before(until) {
+		if q.Whole || a.Gone || len(a.Rows.Data) > 0 || !boottime.Now().Before(until) {
 			return a, nil
 		}
 		select {
 		case <-changed:
-		case <-time.After(time.Until(until)): // The node that asks is to ask another.
+		case <-time.After(boottime.Until(until)): // The node that asks is to ask another.
 		case <-end:
 			a, _, _, err = r.answer(q)
 			return a, err
@@ -79,13 +80,13 @@
 		r.mu.Lock()
 		x := r.tableAt(q.Table)
 		whole, after, asking := x.rows == nil, x.version, x.asking
-		age, _ := x.age(time.Now(), r.store.LargeSince(), q.oldest())
+		age, _ := x.age(boottime.Now(), r.store.LargeSince(), q.oldest())
 		fresh := !whole && age <= q.oldest()
-		lost := !r.detours[q.Table].lost.IsZero() || time.Since(x.refused) < refreshPause
+		lost := !r.detours[q.Table].lost.IsZero() || boottime.Since(x.refused) < refreshPause
 		var turn chan struct{}
 		if !fresh && !lost && asking == nil {
 			turn = make(chan struct{})
-			x.asking, x.askedAt = turn, time.Now()
+			x.asking, x.askedAt = turn, boottime.Now()
 		}
 		r.mu.Unlock()
 		switch {
@@ -123,7 +124,7 @@
 	if x == nil || x.rows == nil {
 		return a, nil, until, errReaderBehind
 	}
-	age, until := x.age(time.Now(), r.store.LargeSince(), q.oldest())
+	age, until := x.age(boottime.Now(), r.store.LargeSince(), q.oldest())
 	// Rounded down, an age just over the bound was within it: a reader that had been cut
 	// off was asked for another second.
 	ageMS := (age + time.Millisecond - 1).Milliseconds()
--- a/service/gateway/reader_table.go
+++ b/service/gateway/reader_table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -66,7 +67,7 @@
 		x.rows = nil // What lies between was never heard.
 	}
 	if own {
-		x.heard = time.Now()
+		x.heard = boottime.Now()
 	}
 	if x.rows == nil {
 		return
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
@@ -142,7 +143,7 @@
 // reader is the node that reads a table for this one; ok is false if this node
 // reads it itself.
 func (r *readers) reader(t site.Table) (addr netip.AddrPort, ok bool) {
-	now := time.Now()
+	now := boottime.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.planned().owners[t] {
@@ -204,7 +205,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return min(wait, max(leastHold, readerHold-time.Since(r.tableAt(t).heard)))
+	return min(wait, max(leastHold, readerHold-boottime.Since(r.tableAt(t).heard)))
 }
 
 // request completes a request with the largest value that this node has.
@@ -228,7 +229,7 @@
 		if !ok {
 			break
 		}
-		begun := time.Now()
+		begun := boottime.Now()
 		l, err = r.ask(ctx, addr, q)
 		if err == nil || errors.Is(err, site.ErrHistoryGone) || ctx.Err() != nil {
 			return l, err
@@ -241,7 +242,8 @@
 
 // own reads the store itself.
 func (r *readers) own(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
-	begun := time.Now()
+	before := boottime.Look()
+	begun := boottime.Now()
 	if r.missing(q.Table) {
 		wait = 0
 	}
@@ -258,7 +260,8 @@
 		}
 		return l, err
 	}
-	r.take(q, l, true)
+	// An answer may have come before the machine was suspended: it is not new then.
+	r.take(q, l, boottime.Look()-before < leastSuspension)
 	r.logRows(q, l, byStore, begun)
 	return l, nil
 }
@@ -267,7 +270,7 @@
 func (r *readers) refused(t site.Table) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tableAt(t).refused = time.Now()
+	r.tableAt(t).refused = boottime.Now()
 }
 
 // beginOwn notes that this node's own call to the store is under way; the returned
@@ -277,7 +280,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.tableAt(t)
-	x.asking, x.askedAt = asking, time.Now()
+	x.asking, x.askedAt = asking, boottime.Now()
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -301,20 +304,20 @@
 		size += len(row.Value)
 	}
 	r.log.Info("operator's rows heard", "version", l.Version, "rows", len(l.Rows),
-		"bytes", size, "by", by, "after", time.Since(begun))
+		"bytes", size, "by", by, "after", boottime.Since(begun))
 }
 
 // doubt has a reader that has failed by err done without for a while.
 func (r *readers) doubt(t site.Table, addr netip.AddrPort, begun time.Time, err error) {
-	r.log.Warn("reader passed over", "table", tableName(t), "peer", addr, "after", time.Since(begun), "err", err)
+	r.log.Warn("reader passed over", "table", tableName(t), "peer", addr, "after", boottime.Since(begun), "err", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.doubted[addr] = time.Now().Add(directTerm)
+	r.doubted[addr] = boottime.Now().Add(directTerm)
 }
 
 func (r *readers) ask(ctx context.Context, addr netip.AddrPort, q changesRequest) (l site.Listing, err error) {
 	defer func() { err = eris.Wrap(err, "ask reader") }()
-	begun := time.Now()
+	begun := boottime.Now()
 	var a changesAnswer
 	within := time.Duration(q.WaitMS)*time.Millisecond + readerSlack
 	if q.WaitMS == 0 {
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -673,7 +673,7 @@
 	f := &follower{
 		store: h.asker, table: site.TableUpstreams, name: "upstreams", hold: readerHold,
 		apply: func(rows []site.Row, _ bool, _ time.Time) { got <- len(rows[0].Value) },
-		away:  func(time.Time) {}, heard: func(time.Time) {}, log: slog.New(slog.DiscardHandler),
+		away:  func(time.Time) {}, heard: func(_, _ time.Time) {}, log: slog.New(slog.DiscardHandler),
 		version: 1, listed: true, failed: time.Now(), retry: followRetry,
 	}
 	var wg sync.WaitGroup
@@ -855,7 +855,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	f := &follower{
 		store: s, table: site.TableOperator, name: "operator", hold: 100 * time.Millisecond,
-		apply: func([]site.Row, bool, time.Time) {}, away: func(time.Time) {}, heard: func(time.Time) {},
+		apply: func([]site.Row, bool, time.Time) {}, away: func(time.Time) {}, heard: func(_, _ time.Time) {},
 		log: slog.New(slog.DiscardHandler), version: 1, listed: true,
 	}
 	done := make(chan struct{})
--- a/service/gateway/refusal.go
+++ b/service/gateway/refusal.go
@@ -38,6 +38,7 @@
 	reasonLost            = "answer_lost"
 	reasonEndsReplicas    = "ends_replicas"
 	reasonWatched         = "suspected"
+	reasonSuspended       = "suspended"
 )
 
 func refuse(status int, reason string) refusal { return refusal{status: status, reason: reason} }
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -5,8 +5,8 @@
 	"context"
 	"io"
 	"strconv"
-	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/route"
 )
@@ -43,7 +43,7 @@
 	}
 	r.held = nil
 	err := x.copyEvents(r, a)
-	now := time.Now()
+	now := boottime.Now()
 	if x.out.begun {
 		x.stream = r
 	}
@@ -74,7 +74,7 @@
 	for {
 		n, err := a.body.Read(buf)
 		if n > 0 {
-			now := time.Now()
+			now := boottime.Now()
 			x.first(a, now)
 			a.gap(now)
 			r.take(buf[:n])
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -140,6 +143,24 @@
 	}
 }
 
+// restart forgets that it knows what stores have, and follows them anew, as of where it
+// was: what was freed meanwhile is not to be fetched. It says how many there are.
+func (s *stores) restart() int {
+	s.mu.Lock()
+	names := slices.Collect(maps.Keys(s.watched))
+	for _, f := range s.watched {
+		f.stop()
+	}
+	s.ask(nil)
+	s.at = storeInputs{}
+	s.mu.Unlock()
+	for _, name := range names {
+		s.kept.Silent(name)
+	}
+	s.refresh(context.Background())
+	return len(names)
+}
+
 func (s *stores) close() {
 	s.mu.Lock()
 	for _, f := range s.watched {
@@ -223,7 +244,7 @@
 // heard takes in a store's events, or that they were not to be had, and says whether they
 // were.
 func (s *stores) heard(f *followedStore, c site.CacheChanges, err error) bool {
-	now, name := time.Now(), f.service.Name
+	now, name := boottime.Now(), f.service.Name
 	s.mu.Lock()
 	lost := f.lost
 	f.lost = err != nil
@@ -253,7 +274,7 @@
 	if snapshot == nil {
 		return
 	}
-	now := time.Now()
+	now := boottime.Now()
 	for _, v := range snapshot.Stores() {
 		owner, ok := control.Owner(s.members.Working(), "store/"+v.Name)
 		if !ok || owner.Name != s.self || !v.Store.Managed {
--- a/service/gateway/suspects.go
+++ b/service/gateway/suspects.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
@@ -245,7 +246,7 @@
 			return a.Run
 		}
 	}
-	return s.register.Run(f, most, time.Now())
+	return s.register.Run(f, most, boottime.Now())
 }
 
 // over tells that a watched request has ended with no word of its replica.
--- a/service/gateway/suspects_kept.go
+++ b/service/gateway/suspects_kept.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
 )
@@ -48,7 +49,7 @@
 // keep writes the row if there are barred requests that it lacks and that fall to this
 // node; the timer service calls it.
 func (s *suspects) keep(ctx context.Context) {
-	now := time.Now()
+	now := boottime.Now()
 	if s.register.Empty() || !s.mustKeep(now) {
 		return
 	}
--- a/service/gateway/suspects_news.go
+++ b/service/gateway/suspects_news.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
@@ -109,7 +110,7 @@
 				to = append(to, o.Peer)
 			}
 		}
-		s.notes.note(to, noteSuspects, suspectsNote{Cases: []caseNews{newsOfCase(c, time.Now())}, Collect: true})
+		s.notes.note(to, noteSuspects, suspectsNote{Cases: []caseNews{newsOfCase(c, boottime.Now())}, Collect: true})
 	})
 }
 
@@ -127,7 +128,7 @@
 // spread tells all nodes.
 func (s *suspects) spread(c suspect.Case) {
 	s.twice(func(try int) {
-		news := []caseNews{newsOfCase(c, time.Now())}
+		news := []caseNews{newsOfCase(c, boottime.Now())}
 		direct, relays := s.notes.newsAudience(try)
 		s.notes.note(direct, noteSuspects, suspectsNote{Cases: news})
 		s.notes.note(relays, noteSuspects, suspectsNote{Cases: news, Pass: true})
@@ -150,7 +151,7 @@
 	if w.Pass {
 		s.notes.note(s.notes.inHall(s.self.DataHall), noteSuspects, suspectsNote{Cases: w.Cases})
 	}
-	now := time.Now()
+	now := boottime.Now()
 	for i := range w.Cases {
 		s.take(w.Cases[i].caseAt(now), w.Collect)
 	}
@@ -180,7 +181,7 @@
 // step forgets what is old and compares what this node holds with another one's; the timer
 // service calls it.
 func (s *suspects) step(context.Context) {
-	s.register.Expire(time.Now())
+	s.register.Expire(boottime.Now())
 	var others []control.Member
 	for _, m := range s.members.View().All { // The dead too: this node may have been cut off.
 		if m.Name != s.self.Name {
@@ -211,7 +212,7 @@
 	}
 	held := s.register.Held(mostHeld)
 	rand.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
-	now := time.Now()
+	now := boottime.Now()
 	for range suspectsNotes {
 		part := held[:min(suspectsMost, len(held))]
 		held = held[len(part):]
@@ -236,7 +237,7 @@
 		return nil, eris.Wrap(err, "bad parameters")
 	}
 	most := min(time.Duration(q.MostMS)*time.Millisecond, longestHold)
-	return runAnswer{Run: s.register.Run(q.Content, most, time.Now())}, nil
+	return runAnswer{Run: s.register.Run(q.Content, most, boottime.Now())}, nil
 }
 
 func (s *suspects) serveOver(_ context.Context, params json.RawMessage) (any, error) {
--- a/service/gateway/swaps.go
+++ b/service/gateway/swaps.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/rollout"
 	"github.com/drumpath/drumpath/pkg/route"
@@ -39,7 +40,7 @@
 
 // Steered implements rollout.Fleet.
 func (s *swaps) Steered() int {
-	n, now := 0, time.Now()
+	n, now := 0, boottime.Now()
 	for _, p := range s.beliefs.Pools() {
 		n += p.Steered(now)
 	}
--- a/service/gateway/upstream_conns.go
+++ b/service/gateway/upstream_conns.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/boottime"
 )
 
 // upstreamConns keeps resting connections to replicas, by start of the replica.
@@ -20,7 +22,7 @@
 // take returns the connection that rested shortest and at most for a time, or
 // dials one. The error says that no byte has left.
 func (u *upstreamConns) take(id string, addr netip.AddrPort, most time.Duration) (*upstreamConn, error) {
-	now := time.Now()
+	now := boottime.Now()
 	for {
 		c := u.pop(id)
 		if c == nil {
@@ -47,7 +49,7 @@
 
 // give takes back a connection that may be used again.
 func (u *upstreamConns) give(id string, c *upstreamConn) {
-	c.at = time.Now()
+	c.at = boottime.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.closed {
@@ -91,14 +93,23 @@
 	return closed
 }
 
-func (u *upstreamConns) close() {
+// lostAll closes all resting connections, and says how many there were.
+func (u *upstreamConns) lostAll() (closed int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.closed = true
 	for _, list := range u.idle {
 		for _, c := range list {
 			c.close()
 		}
+		closed += len(list)
 	}
 	clear(u.idle)
+	return closed
+}
+
+func (u *upstreamConns) close() {
+	u.mu.Lock()
+	u.closed = true
+	u.mu.Unlock()
+	u.lostAll()
 }
