A replica that goes while its answer is still waited for counts as ended

Found by a test that failed first: a replica that loses power lapses from the platform's list after three heartbeats, and a patient caller's request is given up only later; the end was looked for among lost answers before there was one. Now a replica's going is remembered as long as a request is held.

--- a/service/gateway/suspects.go
+++ b/service/gateway/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -41,8 +42,9 @@
 
 	mu       sync.Mutex
 	lost     []lostRun
-	told     int       // Ends told since toldFrom.
-	toldFrom time.Time // Begin of a second.
+	gone     map[string]time.Time // When replicas that had not said that they leave went, by ID.
+	told     int                  // Ends told since toldFrom.
+	toldFrom time.Time            // Begin of a second.
 	kept     map[site.Fingerprint]bool
 	keepNext time.Time // The store is not written before.
 }
@@ -97,6 +99,7 @@
 		register: suspect.NewRegister(),
 		log:      log,
 		kept:     map[site.Fingerprint]bool{},
+		gone:     map[string]time.Time{},
 	}
 }
 
@@ -112,14 +115,35 @@
 // more. A path that is cut shows nothing of the kind: every replica would seem to end.
 func refusedDial(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// remember notes a request whose replica may have ended.
+// remember notes a request whose replica may have ended, or has while its answer was still
+// waited for.
 func (s *suspects) remember(run lostRun) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.lost) >= mostLost {
-		s.lost = s.lost[1:]
+	ended := s.gone[run.replica].After(run.begun)
+	if !ended {
+		if len(s.lost) >= mostLost {
+			s.lost = s.lost[1:]
+		}
+		s.lost = append(s.lost, run)
+	}
+	s.mu.Unlock()
+	if ended {
+		s.ended(run, run.at)
 	}
-	s.lost = append(s.lost, run)
+}
+
+// went notes that a replica has gone, or started anew.
+func (s *suspects) went(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone[id] = now
+}
+
+// forgetGone forgets replicas that went longer ago than any request is held.
+func (s *suspects) forgetGone(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.gone, func(_ string, at time.Time) bool { return now.Sub(at) > longestHold })
 }
 
 // refused notes that a replica's address takes no connections any more.
@@ -132,11 +156,13 @@
 // dropped notes that the platform's list has no longer a replica that did not say that it
 // was leaving.
 func (s *suspects) dropped(id string, now time.Time) {
+	s.went(id, now)
 	s.confirm(now, func(r *lostRun) bool { return r.replica == id && !r.alive })
 }
 
 // restarted notes that a replica has started anew under its ID.
 func (s *suspects) restarted(id string, now time.Time) {
+	s.went(id, now)
 	s.confirm(now, func(r *lostRun) bool { return r.replica == id })
 }
 
--- a/service/gateway/suspects_news.go
+++ b/service/gateway/suspects_news.go
@@ -181,7 +181,9 @@
 // step forgets what is old and compares what this node holds with another one's; the timer
 // service calls it.
 func (s *suspects) step(context.Context) {
-	s.register.Expire(boottime.Now())
+	now := boottime.Now()
+	s.register.Expire(now)
+	s.forgetGone(now)
 	var others []control.Member
 	for _, m := range s.members.View().All { // The dead too: this node may have been cut off.
 		if m.Name != s.self.Name {
--- a/service/gateway/suspects_test.go
+++ b/service/gateway/suspects_test.go
@@ -348,6 +348,29 @@
 	assert.Equal(t, len(s.lost), 0, "what is old is forgotten")
 }
 
+// A replica that loses power answers nothing more. Its entry may lapse before a patient
+// caller's time is over, and the answer be given up only then.
+func TestEndThatIsListedBeforeTheAnswerIsGivenUpCounts(t *testing.T) {
+	f := newSuspectFleet(1, 1, func() time.Duration { return 0 })
+	s := f.nodes[0]
+	now := time.Now()
+	lost := func(name string, begun time.Time) lostRun {
+		c := site.NewFingerprint("", "POST", "h", "/x", []byte(name))
+		return lostRun{content: c, sketch: 1, replica: name, life: name, begun: begun, at: now.Add(4 * time.Second)}
+	}
+	ends := func(name string) int { return len(s.register.Case(lost(name, now).content).Ends) }
+	s.dropped("dropped", now.Add(3600*time.Millisecond))
+	s.restarted("restarted", now.Add(3600*time.Millisecond))
+	s.restarted("before", now.Add(-time.Second))
+	s.dropped("long ago", now.Add(-7*time.Second))
+	for _, name := range []string{"dropped", "restarted", "before", "long ago"} {
+		s.remember(lost(name, now))
+	}
+	for name, want := range map[string]int{"dropped": 1, "restarted": 1, "before": 0, "long ago": 0} {
+		assert.Equal(t, ends(name), want, name)
+	}
+}
+
 // Barred requests are in the store for nodes that all start anew.
 func TestBarredRequestsAreKept(t *testing.T) {
 	f := newSuspectFleet(1, 1, func() time.Duration { return 0 })
