--- a/internal/standin/onplatform/poison_test.go
+++ b/internal/standin/onplatform/poison_test.go
@@ -37,7 +37,9 @@
 	// settleTime is within what all nodes are to have heard of an end. Operators allow
 	// some seconds.
 	settleTime = 500 * time.Millisecond
-	mostEnded  = 5 // Three, and those that were under way meanwhile.
+	// pauseTime is after how long a caller that was refused comes again.
+	pauseTime = 5 * time.Millisecond
+	mostEnded = 5 // Three, and those that were under way meanwhile.
 )
 
 // fleet is a service whose replicas end under one request and come back.
@@ -139,8 +141,16 @@
 	return len(f.ended), later
 }
 
+// once sends one request on a connection that it closes: many of them are sent.
+func (n *node) once(text string) reply {
+	c := n.dial()
+	defer func() { _ = c.conn.Close() }() // The answer has been read.
+	c.write(text)
+	return c.read()
+}
+
 // deadlyAt sends the deadly request to a node.
-func (n *node) deadlyAt() reply { return n.send(request("POST", "/resume/x", deadly)) }
+func (n *node) deadlyAt() reply { return n.once(request("POST", "/resume/x", deadly)) }
 
 // repeat has a caller send the deadly request again and again, at one node after the
 // other.
@@ -196,10 +206,11 @@
 				if j%2 == 0 {
 					body = fmt.Sprintf("body %d of node %d", j, i)
 				}
-				if n.send(request("POST", "/resume/x", body)).status == 200 {
+				if n.once(request("POST", "/resume/x", body)).status == 200 {
 					served.Add(1)
 				} else {
 					failed.Add(1)
+					time.Sleep(pauseTime)
 				}
 			}
 		})
@@ -269,10 +280,13 @@
 						return
 					default:
 					}
-					got := n.send(request("POST", "/resume/x", popular))
+					got := n.once(request("POST", "/resume/x", popular))
 					mu.Lock()
 					statuses[got.status]++
 					mu.Unlock()
+					if got.status != 200 {
+						time.Sleep(pauseTime)
+					}
 				}
 			})
 		}
@@ -287,6 +301,17 @@
 	assert.Equal(t, statuses[400], 0, "%v", statuses)
 	assert.Assert(t, statuses[200] > 500, "%v", statuses)
 	for _, n := range nodes {
-		s.until("it is served everywhere", func() bool { return n.send(request("POST", "/resume/x", popular)).status == 200 })
+		last := reply{}
+		defer func() {
+			if t.Failed() {
+				f.mu.Lock()
+				t.Logf("last answer: %d %s; %d replicas live", last.status, last.body, len(f.live))
+				f.mu.Unlock()
+			}
+		}()
+		s.until("it is served everywhere", func() bool {
+			last = n.send(request("POST", "/resume/x", popular))
+			return last.status == 200
+		})
 	}
 }
--- a/internal/standin/onplatform/replica.go
+++ b/internal/standin/onplatform/replica.go
@@ -38,6 +38,7 @@
 	script Script
 	seen   []*Request
 	conns  map[net.Conn]struct{}
+	closed bool
 	wg     sync.WaitGroup
 }
 
@@ -56,6 +57,7 @@
 func (r *Replica) Close() {
 	_ = r.ln.Close() // It has no state to lose.
 	r.mu.Lock()
+	r.closed = true
 	for conn := range r.conns {
 		_ = conn.Close()
 	}
@@ -94,6 +96,9 @@
 			return
 		}
 		r.mu.Lock()
+		if r.closed { // It came as the listener was closed, and nobody would end it.
+			_ = conn.Close()
+		}
 		r.conns[conn] = struct{}{}
 		r.mu.Unlock()
 		r.wg.Go(func() { r.serve(conn) })
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -146,17 +146,17 @@
 	if x.over(ctx) {
 		return false, x.outOfTime()
 	}
+	if f, ok := x.cleared(ctx); !ok {
+		return false, f
+	}
 	now := boottime.Now()
 	x.need.Send = true
 	choice, ok := x.pick(now)
 	x.need.Send = false
 	if !ok {
+		x.sent(false)
 		return false, x.noneLeft()
 	}
-	if f, ok := x.cleared(ctx); !ok {
-		return false, f
-	}
-	now = boottime.Now()
 	dispatch, plan := x.dispatch(choice, now)
 	a := newAttempt(x, choice, plan, now)
 	a.realm = dispatch.Realm
@@ -266,7 +266,7 @@
 // run: only a repeatable one may be sent again.
 func (x *exchange) unknown(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
 	x.ran++
-	x.lostRun(ctx, a, now)
+	x.lostRun(ctx, a, err, now)
 	if ctx.Err() != nil {
 		a.end(route.OutcomeNeutral, now)
 		x.dropResting(a, now)
@@ -349,7 +349,7 @@
 	now := boottime.Now()
 	if err != nil {
 		a.end(x.outcomeOf(ctx), now)
-		x.lostRun(ctx, a, now)
+		x.lostRun(ctx, a, err, now)
 		if ctx.Err() != nil {
 			return false, x.outOfTime()
 		}
--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -90,8 +90,8 @@
 
 // lostRun notes that the answer to an attempt was lost while it may have run. Whether its
 // replica has ended a new connection tells, or else the attempts of others and the
-// platform's list.
-func (x *exchange) lostRun(ctx context.Context, a *attempt, now time.Time) {
+// platform's list. One whose connection fell silent is not asked: that could take long.
+func (x *exchange) lostRun(ctx context.Context, a *attempt, err error, now time.Time) {
 	u := &a.choice.Upstream
 	run := lostRun{
 		content: x.fingerprint(),
@@ -102,7 +102,7 @@
 		begun:   a.begun,
 		at:      now,
 	}
-	if ctx.Err() != nil { // Its client left, or its time was over.
+	if ctx.Err() != nil || lostPeer(err) { // Its client left, or its time was over.
 		x.g.suspects.remember(run)
 		return
 	}
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -56,7 +56,7 @@
 		return false, refusal{}
 	}
 	a.end(x.outcomeOf(ctx), now)
-	x.lostRun(ctx, a, now)
+	x.lostRun(ctx, a, err, now)
 	if ctx.Err() != nil {
 		x.dropResting(a, now)
 		return false, x.outOfTime()
--- a/service/gateway/suspects.go
+++ b/service/gateway/suspects.go
@@ -86,7 +86,7 @@
 	listedTerm = 10 * time.Second
 	// mostLost bounds the answers that are remembered as lost, some 100 bytes each.
 	mostLost = 2048
-	// mostTold is how many first ends a node tells in a second, some 150 bytes six times.
+	// mostToldEnds is how many first ends a node tells in a second, some 150 bytes six times.
 	mostToldEnds = 100
 )
 
