--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -49,6 +48,7 @@
 	{"replica faulty", (*soak).faultyReplica},
 	{"replica leaves", (*soak).drainReplica},
 	{"replica crashes", (*soak).crashReplica},
+	{"deadly request", (*soak).repeatDeadly},
 	{"configuration", func(s *soak, _ *rand.Rand, _ time.Duration) { s.configure() }},
 }
 
@@ -141,13 +141,16 @@
 func (s *soak) swapReplica(rng *rand.Rand) (old *replica) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.made++
-	r, err := newReplica(fmt.Sprintf("replica-%d", s.made), s.ledger)
+	return s.replace(rng.IntN(len(s.replicas)))
+}
+
+// replace puts a new replica in the place of one and returns that; the caller holds mu.
+func (s *soak) replace(i int) (old *replica) {
+	r, err := s.newReplica()
 	if err != nil {
 		s.ledger.fail("no new replica: %v", err)
 		return nil
 	}
-	i := rng.IntN(len(s.replicas))
 	old, s.replicas[i] = s.replicas[i], r
 	s.list(r, "ready")
 	return old
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"sync/atomic"
@@ -29,10 +30,15 @@
 	proxy  *netproxy.Proxy
 	ledger *ledger
 	way    atomic.Int32
+	// deadly is told of a request under which the replica is to end.
+	deadly func(r *replica, body string)
+	ending bool // It has ended under a request; soak.mu guards it.
 }
 
-func newReplica(id string, l *ledger) (*replica, error) {
-	r := &replica{ledger: l}
+func (s *soak) newReplica() (*replica, error) {
+	s.made++
+	id := fmt.Sprintf("replica-%d", s.made)
+	r := &replica{ledger: s.ledger, deadly: s.endUnder}
 	var err error
 	if r.Replica, err = onplatform.NewReplica(id); err != nil {
 		return nil, err
@@ -53,6 +59,11 @@
 	if way == replicaRefuses {
 		return onplatform.NotRun(503)(w, q)
 	}
+	if strings.HasPrefix(q.Body, deadlyBody) {
+		time.Sleep(workTime)
+		r.deadly(r, q.Body)
+		return false
+	}
 	id := q.ID()
 	r.ledger.run(id)
 	if !strings.HasPrefix(q.Body, id+" ") || !strings.HasSuffix(q.Body, " "+id) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -65,12 +65,13 @@
 	made     int
 	version  int // Of the configuration.
 	done     map[string]int
+	ended    map[string]int // Replicas that ended under a request, by its body.
 }
 
 // Run runs one soak.
 func Run(ctx context.Context, cfg Config) (rep Report, err error) {
 	defer func() { err = eris.Wrapf(err, "soak with seed %d", cfg.Seed) }()
-	s := &soak{cfg: cfg, ledger: newLedger(), done: map[string]int{}}
+	s := &soak{cfg: cfg, ledger: newLedger(), done: map[string]int{}, ended: map[string]int{}}
 	defer s.end()
 	if err := s.begin(); err != nil {
 		return rep, err
@@ -105,8 +106,7 @@
 	}
 	s.configure()
 	for range s.cfg.Replicas {
-		s.made++
-		r, err := newReplica(fmt.Sprintf("replica-%d", s.made), s.ledger)
+		r, err := s.newReplica()
 		if err != nil {
 			return err
 		}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -34,6 +34,8 @@
 	EventLagMS  int64   `json:"event_lag_ms"`
 	LoadMS      int64   `json:"load_ms"` // To swap weights.
 	Unfenced    bool    `json:"unfenced"`
+	// EndUnder has the engine's process end when it begins a prompt with this text.
+	EndUnder string `json:"end_under"`
 }
 
 // DefaultEngineConfig is a small, quick engine for tests and trials.
--- a/internal/standin/engine_run.go
+++ b/internal/standin/engine_run.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +34,9 @@
 		refuse(c, upstream.ReasonFull)
 		return
 	}
+	if end := e.cfg.EndUnder; end != "" && strings.Contains(req.Prompt, end) {
+		os.Exit(1)
+	}
 	e.mu.Lock()
 	e.runs[req.Prompt]++
 	e.mu.Unlock()
