--- a/pkg/control/view.go
+++ b/pkg/control/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 )
 
@@ -77,3 +78,33 @@
 	}
 	return v
 }
+
+// Audience are the addresses to tell what all other members are to hear: all of halls with
+// at most so many others, and of each larger one a member that tells it on there, another
+// one at each try. duty names the duty of telling it on.
+func (v *View) Audience(self string, most int, duty string, try int) (direct, relays []netip.AddrPort) {
+	for _, hall := range v.Halls() {
+		others := slices.DeleteFunc(slices.Clone(v.Hall(hall).Present), func(m Member) bool { return m.Name == self })
+		if len(others) <= most {
+			for _, m := range others {
+				direct = append(direct, m.Peer)
+			}
+			continue
+		}
+		owners := Owners(Widest(others), duty+hall, try+1)
+		relays = append(relays, owners[len(owners)-1].Peer)
+	}
+	return direct, relays
+}
+
+// Others are the addresses of all but one member of a hall that may live.
+func (v *View) Others(self, hall string) []netip.AddrPort {
+	present := v.Hall(hall).Present
+	list := make([]netip.AddrPort, 0, len(present))
+	for _, m := range present {
+		if m.Name != self {
+			list = append(list, m.Peer)
+		}
+	}
+	return list
+}
--- a/service/entry/failure.go
+++ b/service/entry/failure.go
@@ -69,6 +69,8 @@
 	CodeNotReady     = "not_ready"
 	CodeDeadline     = "deadline"
 	CodeGone         = "caller_gone"
+	CodeEndsEngines  = "ends_engines"
+	CodeSuspected    = "suspected"
 )
 
 // callerFault is a failure that is the caller's to mend.
--- a/service/entry/parts.go
+++ b/service/entry/parts.go
@@ -9,6 +9,7 @@
 	"github.com/drumpath/drumpath/pkg/prompt"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/upstream"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 // directory is what this package needs of the directory of kept state.
@@ -54,4 +55,5 @@
 	Keep      *route.Keep
 	Loads     loads
 	Metrics   *Metrics
+	Suspects  *suspects.Suspects
 }
--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/prompt"
 	"github.com/drumpath/drumpath/pkg/route"
@@ -44,6 +45,9 @@
 	tokens    int
 	resumedAt int // Tokens had at the last break.
 	done      bool
+	sent      time.Time // The attempt under way.
+	life      time.Time // The engine's start, as its answer told it.
+	watched   bool      // Another node has let it run, as engines have ended under its content.
 }
 
 // Source values say where a prompt's reused state came from.
@@ -139,6 +143,9 @@
 func (r *Run) connect(resumeAfter int) *Failure {
 	var last *Failure
 	for {
+		if f := r.suspected(); f != nil {
+			return f
+		}
 		f, again := r.attempt(resumeAfter)
 		if f == nil {
 			return nil
@@ -207,6 +214,7 @@
 // send starts the run on an engine and waits for its first event.
 func (r *Run) send(engine *upstream.Engine, d route.Decision, resumeAfter int) (f *Failure, again bool) {
 	r.ticket = r.parts.Fleet.Begin(d.Replica, d.Recompute, time.Now())
+	r.sent, r.life = boottime.Now(), time.Time{}
 	stream, err := engine.Run(r.ctx, upstream.RunRequest{
 		RequestID:   r.call.RequestID,
 		Model:       r.call.Model,
@@ -223,6 +231,7 @@
 		r.stream = stream
 		if load, ok := stream.Load(); ok {
 			r.parts.Loads.Report(d.Replica, load)
+			r.life = time.UnixMilli(int64(load.Boot))
 		}
 		r.first, err = stream.Next()
 	}
@@ -261,6 +270,7 @@
 		r.log.Error("answer of another request discarded", "upstream", replica, "err", err)
 	default:
 		r.log.Warn("upstream failed", "upstream", replica, "err", err)
+		r.noteLost(replica, err)
 	}
 	r.reached = true
 	f = r.failure(&Failure{Status: statusBadGateway, Code: CodeUpstream, Message: err.Error()})
@@ -362,6 +372,7 @@
 		r.parts.Retries.Success()
 	}
 	r.endAttempt(outcome)
+	r.noteOver()
 	if r.place != nil {
 		r.place.Leave(time.Now())
 	}
--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -8,6 +8,7 @@
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 // watchedRetry is when to come back with a watched request while another of its kind is
@@ -38,10 +39,10 @@
 
 // suspected judges the request by what is known of its content.
 func (x *exchange) suspected() suspect.Case {
-	if x.g.suspects.register.Empty() {
+	if x.g.suspects.Empty() {
 		return suspect.Case{} // Nothing has to be hashed.
 	}
-	return x.g.suspects.register.Case(x.fingerprint())
+	return x.g.suspects.Case(x.fingerprint())
 }
 
 // barred refuses a request under which replicas have ended. Without it each repeat ended
@@ -64,7 +65,7 @@
 		return f, false
 	}
 	c := x.suspected()
-	if c.Verdict() == suspect.Free || x.g.suspects.mayRun(ctx, c.Content, boottime.Until(x.limit)) {
+	if c.Verdict() == suspect.Free || x.g.suspects.MayRun(ctx, c.Content, boottime.Until(x.limit)) {
 		x.watched = c.Verdict() != suspect.Free
 		return f, true
 	}
@@ -78,14 +79,14 @@
 // heard of this one, or at once.
 func (x *exchange) sent(finished bool) {
 	if x.watched && !finished {
-		x.g.suspects.over(x.content)
+		x.g.suspects.Over(x.content)
 	}
 	x.watched = false
 }
 
 // finished notes that a replica ran the request to its end.
 func (x *exchange) finished(now time.Time) {
-	x.g.suspects.finished(x.sketch(), x.fingerprint, now)
+	x.g.suspects.Finished(x.sketch(), x.fingerprint, now)
 }
 
 // lostRun notes that the answer to an attempt was lost while it may have run. Whether its
@@ -93,37 +94,37 @@
 // platform's list. One whose connection fell silent is not asked: that could take long.
 func (x *exchange) lostRun(ctx context.Context, a *attempt, err error, now time.Time) {
 	u := &a.choice.Upstream
-	run := lostRun{
-		content: x.fingerprint(),
-		sketch:  x.sketch(),
-		request: x.terms.ID,
-		replica: u.ID,
-		life:    lifeOf(u),
-		begun:   a.begun,
-		at:      now,
+	run := suspects.LostRun{
+		Content: x.fingerprint(),
+		Sketch:  x.sketch(),
+		Request: x.terms.ID,
+		Replica: u.ID,
+		Life:    suspects.LifeOf(u.ID, u.Started),
+		Begun:   a.begun,
+		At:      now,
 	}
 	if ctx.Err() != nil || lostPeer(err) { // Its client left, or its time was over.
-		x.g.suspects.remember(run)
+		x.g.suspects.Remember(run)
 		return
 	}
 	conn, err := dialUpstream(u.Addr.String())
 	switch {
 	case err == nil:
 		x.g.conns.give(u.ID, conn)
-		run.alive = true
-		x.g.suspects.remember(run)
-	case refusedDial(err):
+		run.Alive = true
+		x.g.suspects.Remember(run)
+	case suspects.ShowsEnd(err):
 		x.lost(u, boottime.Now())
-		x.g.suspects.ended(run, boottime.Now())
+		x.g.suspects.Ended(run, boottime.Now())
 	default:
-		x.g.suspects.remember(run)
+		x.g.suspects.Remember(run)
 	}
 }
 
 // notReached notes that a replica took no connection.
 func (x *exchange) notReached(u *site.Upstream, err error, now time.Time) {
 	x.lost(u, now)
-	if refusedDial(err) {
-		x.g.suspects.refused(u, now)
+	if suspects.ShowsEnd(err) {
+		x.g.suspects.Refused(suspects.LifeOf(u.ID, u.Started), now)
 	}
 }
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/peer"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 const (
@@ -68,7 +69,7 @@
 	watchers *watchers
 	stores   *stores
 	holdings *holdings
-	suspects *suspects
+	suspects *suspects.Suspects
 	rollout  *rollout.Rollout
 	conns    *upstreamConns
 	clients  *clientConns
@@ -200,8 +201,8 @@
 	g.every(freeEvery, g.stores.free)
 	g.every(rollout.Every, g.rollout.Step)
 	g.every(watchEvery, g.shareBudgets)
-	g.every(suspectsEvery, g.suspects.step)
-	g.every(suspectsEvery, g.suspects.keep)
+	g.every(suspects.Every, g.suspects.Step)
+	g.every(suspects.Every, g.suspects.Keep)
 	g.wg.Go(func() { g.runQueues(g.ctx) })
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
 	g.wg.Go(func() { g.nodes.runSpeaker(g.ctx) })
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -187,14 +187,7 @@
 
 // inHall lists the addresses of the other nodes of a hall that may live.
 func (n *nodes) inHall(hall string) []netip.AddrPort {
-	present := n.members.View().Hall(hall).Present
-	list := make([]netip.AddrPort, 0, len(present))
-	for _, m := range present {
-		if m.Name != n.self.Name {
-			list = append(list, m.Peer)
-		}
-	}
-	return list
+	return n.members.View().Others(n.self.Name, hall)
 }
 
 // speakers are the nodes that tell their halls' sums, by hall. They are worked
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 // Bounds of the latency histograms, in microseconds.
@@ -121,18 +122,10 @@
 	Unusable int64                        `json:"upstream_rows_unusable"`
 	Away     []string                     `json:"evacuated"`
 	Stores   []route.StoreStatus          `json:"stores"`
-	Suspects suspectsStatus               `json:"suspects"`
+	Suspects suspects.Status              `json:"suspects"`
 	Slept    int64                        `json:"suspensions"`
 }
 
-// suspectsStatus is what is known of requests under which replicas ended.
-type suspectsStatus struct {
-	Ends    int64 `json:"ends"`
-	Untold  int64 `json:"ends_untold"`
-	Watched int   `json:"watched"`
-	Barred  int   `json:"barred"`
-}
-
 // replicaCount is how many replicas a service has, and how many may be used.
 type replicaCount struct {
 	All    int `json:"all"`
@@ -164,7 +157,7 @@
 		Unusable: g.beliefs.Unusable(),
 		Away:     g.beliefs.EvacuatedHalls(),
 		Stores:   g.kept.Status(),
-		Suspects: g.suspects.status(),
+		Suspects: g.suspects.Status(),
 		Slept:    g.suspension.count.Load(),
 	}
 	config, heard, _ := g.beliefs.Ages(now)
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
-	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
@@ -123,19 +122,7 @@
 // newsAudience are the nodes that are told news by this one: all of small halls, and
 // of each large one a node that tells the others, another one at each try.
 func (n *nodes) newsAudience(try int) (direct, relays []netip.AddrPort) {
-	view := n.members.View()
-	for _, hall := range view.Halls() {
-		members := slices.DeleteFunc(slices.Clone(view.Hall(hall).Present), func(m control.Member) bool { return m.Name == n.self.Name })
-		if len(members) <= directMost {
-			for _, m := range members {
-				direct = append(direct, m.Peer)
-			}
-			continue
-		}
-		owners := control.Owners(control.Widest(members), newsDuty+hall, try+1)
-		relays = append(relays, owners[len(owners)-1].Peer)
-	}
-	return direct, relays
+	return n.members.View().Audience(n.self.Name, directMost, newsDuty, try)
 }
 
 // hearNews takes in another node's news, and tells them on if it is asked to.
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -17,6 +17,7 @@
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 const (
@@ -39,7 +40,7 @@
 	regions map[string]string // Of data halls.
 	shares  *coldShares
 	// suspects are told of what the nodes' table has of them.
-	suspects *suspects
+	suspects *suspects.Suspects
 	members  *control.Members
 	probes   *peer.Probes
 	store    Store
@@ -146,8 +147,8 @@
 func (n *nodes) greet(rows []site.Row) {
 	var strangers []netip.AddrPort
 	for _, r := range rows {
-		if r.Key == rowBarred {
-			n.suspects.load(r, boottime.Now())
+		if r.Key == suspects.RowBarred {
+			n.suspects.Load(r, boottime.Now())
 			continue
 		}
 		var row nodeRow
@@ -215,3 +216,19 @@
 // leastNear is how many nodes of its own data hall a caller is to have at least:
 // with one alone it would have nowhere to go when that one fails.
 const leastNear = 2
+
+// suspectTeller tells other nodes of suspects.
+type suspectTeller struct{ n *nodes }
+
+// Note implements suspects.Teller.
+func (t suspectTeller) Note(to []netip.AddrPort, method string, params any) int {
+	return t.n.note(to, method, params)
+}
+
+// Audience implements suspects.Teller.
+func (t suspectTeller) Audience(try int) (direct, relays []netip.AddrPort) {
+	return t.n.newsAudience(try)
+}
+
+// InHall implements suspects.Teller.
+func (t suspectTeller) InHall() []netip.AddrPort { return t.n.inHall(t.n.self.DataHall) }
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -16,6 +16,7 @@
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/peer"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 // parts are what a node is made of, as the container builds them.
@@ -32,7 +33,7 @@
 	Watchers *watchers
 	Stores   *stores
 	Holdings *holdings
-	Suspects *suspects
+	Suspects *suspects.Suspects
 	Rollout  *rollout.Rollout
 	Conns    *upstreamConns
 	Clients  *clientConns
@@ -75,19 +76,21 @@
 		func() *control.Members {
 			return control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, newRand())
 		},
-		func(k *route.Kept, o *coldShares, u *upstreamConns, x *suspects) *Beliefs {
+		func(k *route.Kept, o *coldShares, u *upstreamConns, x *suspects.Suspects) *Beliefs {
 			b := NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), k, log)
 			b.without, b.regions, b.cold, b.shares = s.Without, s.Regions, s.Cold, o
 			b.leaveTime = time.Duration(leaveShare * float64(s.Evacuation.Within))
 			b.restarted = func(id string, now time.Time) {
 				u.lost(id)
-				x.restarted(id, now)
+				x.Restarted(id, now)
 			}
-			b.ended = x.dropped
+			b.ended = x.Dropped
 			return b
 		},
 		newColdShares,
-		newSuspects,
+		func(m *control.Members, c *peer.Client) *suspects.Suspects {
+			return suspects.New(self, m, p.Store, c, log)
+		},
 		func(b *Beliefs, n *nodes) *rollout.Rollout {
 			r := rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, p.Engines, &swaps{beliefs: b, nodes: n}, log)
 			if s.Without.SwapBound {
@@ -129,7 +132,7 @@
 }
 
 // newNodes listens for what other nodes tell.
-func newNodes(s config.GatewaySettings, self control.Member, m *control.Members, o *coldShares, x *suspects, st Store, b *Beliefs, k *route.Kept, log *slog.Logger) (*nodes, error) {
+func newNodes(s config.GatewaySettings, self control.Member, m *control.Members, o *coldShares, x *suspects.Suspects, st Store, b *Beliefs, k *route.Kept, log *slog.Logger) (*nodes, error) {
 	n := &nodes{
 		self:     self,
 		regions:  s.Regions,
@@ -152,14 +155,14 @@
 	n.probes.OnNote(noteState, n.hearState)
 	n.probes.OnNote(noteHall, n.hearHall)
 	n.probes.OnNote(noteNews, n.hearNews)
-	n.probes.OnNote(noteSuspects, x.hear)
-	n.probes.OnNote(noteDigest, x.compare)
-	x.notes = n
+	n.probes.OnNote(suspects.NoteCases, x.Hear)
+	n.probes.OnNote(suspects.NoteDigest, x.Compare)
+	x.Attach(suspectTeller{n})
 	return n, nil
 }
 
 // newPeers listens for nodes that ask this one.
-func newPeers(s config.GatewaySettings, r *readers, w *watchers, h *holdings, x *suspects, log *slog.Logger) (*peer.Server, error) {
+func newPeers(s config.GatewaySettings, r *readers, w *watchers, h *holdings, x *suspects.Suspects, log *slog.Logger) (*peer.Server, error) {
 	server, err := peer.NewServer(s.Peer.Listen, map[peer.Role]string{peer.RolePeer: s.Peer.Key}, log)
 	if err != nil {
 		return nil, err
@@ -168,8 +171,8 @@
 	server.Handle(peer.RolePeer, methodEvents, w.serve)
 	server.Handle(peer.RolePeer, methodEventsOf, w.serveSeveral)
 	server.Handle(peer.RolePeer, methodHeld, h.serve)
-	server.Handle(peer.RolePeer, methodRun, x.serveRun)
-	server.Handle(peer.RolePeer, methodOver, x.serveOver)
+	server.Handle(peer.RolePeer, suspects.MethodRun, x.ServeRun)
+	server.Handle(peer.RolePeer, suspects.MethodOver, x.ServeOver)
 	return server, nil
 }
 
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/drumpath/drumpath/service/entry"
 	"github.com/drumpath/drumpath/service/operator"
 	"github.com/drumpath/drumpath/service/peer"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 const (
@@ -59,6 +60,7 @@
 	Loads      *Loads
 	Spread     *Spread
 	Reconciler *Reconciler
+	Suspects   *suspects.Suspects
 	Client     *peer.Client
 	Peer       *peer.Server
 	Probes     *peer.Probes
@@ -82,6 +84,7 @@
 		return nil, eris.Wrap(dig.RootCause(err), "build")
 	}
 	n.handle()
+	n.handleSuspects()
 	return n, nil
 }
 
@@ -110,6 +113,7 @@
 	n.Timer.Subscribe(capacityEvery, n.setCapacity)
 	n.Timer.Subscribe(reconcileEvery, n.Reconciler.Step)
 	n.Timer.Subscribe(vmsEvery, n.Platform.poll)
+	n.Timer.Subscribe(suspects.Every, n.Suspects.Step)
 	n.Entry.Start()
 	n.Log.Info("node started", "node", n.Settings.Node.Name, "entry", n.Entry.Addr(), "peer", n.Peer.Addr(),
 		"version", n.Config.State().Version)
--- /dev/null
+++ b/service/node/suspects.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"log/slog"
+	"net/netip"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/service/peer"
+	"github.com/drumpath/drumpath/service/suspects"
+)
+
+const (
+	// directMost is up to how many nodes of a data hall are told directly; in larger ones
+	// one tells the others, so that bytes between halls don't grow with the nodes.
+	directMost = 16
+	// suspectsDuty names the duty of telling that on in a hall.
+	suspectsDuty = "suspects/"
+)
+
+// suspectTeller tells other nodes of prompts under which engines ended.
+type suspectTeller struct {
+	self    string
+	hall    string
+	members *control.Members
+	probes  *peer.Probes
+	log     *slog.Logger
+}
+
+// Note implements suspects.Teller.
+func (t *suspectTeller) Note(to []netip.AddrPort, method string, params any) int {
+	sent, err := t.probes.Note(to, method, params)
+	if err != nil {
+		t.log.Error("note not sent", "method", method, "err", err)
+	}
+	return sent
+}
+
+// Audience implements suspects.Teller.
+func (t *suspectTeller) Audience(try int) (direct, relays []netip.AddrPort) {
+	return t.members.View().Audience(t.self, directMost, suspectsDuty, try)
+}
+
+// InHall implements suspects.Teller.
+func (t *suspectTeller) InHall() []netip.AddrPort { return t.members.View().Others(t.self, t.hall) }
+
+// handleSuspects sets what other nodes tell and ask of such prompts.
+func (n *Node) handleSuspects() {
+	s := n.Suspects
+	s.Attach(&suspectTeller{
+		self:    n.Settings.Node.Name,
+		hall:    n.Settings.Node.DataHall,
+		members: n.Members,
+		probes:  n.Probes,
+		log:     n.Log,
+	})
+	n.Probes.OnNote(suspects.NoteCases, s.Hear)
+	n.Probes.OnNote(suspects.NoteDigest, s.Compare)
+	n.Peer.Handle(peer.RolePeer, suspects.MethodRun, s.ServeRun)
+	n.Peer.Handle(peer.RolePeer, suspects.MethodOver, s.ServeOver)
+}
--- a/service/node/wiring.go
+++ b/service/node/wiring.go
@@ -17,6 +17,7 @@
 	"github.com/drumpath/drumpath/service/entry"
 	"github.com/drumpath/drumpath/service/operator"
 	"github.com/drumpath/drumpath/service/peer"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 // constructors are what the container builds a node from.
@@ -70,6 +71,9 @@
 		func(m *control.Members, u *Upstreams, f *route.Fleet, l *route.Links) *Loads {
 			return NewLoads(s.Node.Name, m, u, f, l, log)
 		},
+		func(m *control.Members, c *peer.Client) *suspects.Suspects {
+			return suspects.New(m.Self(), m, nil, c, log)
+		},
 		route.NewLinks,
 		route.NewAdmission,
 		NewUpstreams,
@@ -137,6 +141,7 @@
 	Keep      *route.Keep
 	Loads     *Loads
 	Metrics   *entry.Metrics
+	Suspects  *suspects.Suspects
 }
 
 func newParts(in partsIn) *entry.Parts {
@@ -156,6 +161,7 @@
 		Keep:      in.Keep,
 		Loads:     in.Loads,
 		Metrics:   in.Metrics,
+		Suspects:  in.Suspects,
 	}
 }
 
--- a/service/gateway/suspects_kept.go
+++ b/service/suspects/kept.go
@@ -1,4 +1,4 @@
-package gateway
+package suspects
 
 import (
 	"context"
@@ -16,7 +16,10 @@
 // that a node reads as it starts: it costs no call until there is one, and nodes that have
 // all started anew know of them with their first answer.
 const (
-	rowBarred = "requests/barred"
+	// RowBarred is the key of that row in the table of the nodes.
+	RowBarred = "requests/barred"
+	// keepRetry is the pause after a failure: each call is paid for.
+	keepRetry = 5 * time.Second
 	// mostKept is how many are kept, the newest: some 400 bytes each of a row of 64 kB.
 	mostKept = 120
 )
@@ -29,8 +32,8 @@
 	Cases   []caseNews `json:"cases"`
 }
 
-// load takes in the row.
-func (s *suspects) load(r site.Row, now time.Time) {
+// Load takes in the row.
+func (s *Suspects) Load(r site.Row, now time.Time) {
 	var row barredRow
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		s.log.Error("row of barred requests can't be read", "row", r.Key, "err", err)
@@ -46,23 +49,23 @@
 	}
 }
 
-// keep writes the row if there are barred requests that it lacks and that fall to this
+// Keep writes the row if there are barred requests that it lacks and that fall to this
 // node; the timer service calls it.
-func (s *suspects) keep(ctx context.Context) {
+func (s *Suspects) Keep(ctx context.Context) {
 	now := boottime.Now()
-	if s.register.Empty() || !s.mustKeep(now) {
+	if s.store == nil || s.register.Empty() || !s.mustKeep(now) {
 		return
 	}
 	if err := s.writeKept(ctx, now); err != nil {
 		s.mu.Lock()
-		s.keepNext = now.Add(meetRetry)
+		s.keepNext = now.Add(keepRetry)
 		s.mu.Unlock()
 		s.log.Warn("barred requests not written", "err", err)
 	}
 }
 
 // mustKeep says whether this node has a barred request to write.
-func (s *suspects) mustKeep(now time.Time) bool {
+func (s *Suspects) mustKeep(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now.Before(s.keepNext) {
@@ -80,16 +83,16 @@
 }
 
 // writeKept adds to the row what it lacks.
-func (s *suspects) writeKept(ctx context.Context, now time.Time) error {
+func (s *Suspects) writeKept(ctx context.Context, now time.Time) error {
 	l, err := s.store.List(ctx, site.TableNodes)
 	if err != nil {
 		return eris.Wrap(err, "read the row")
 	}
 	version := int64(0)
 	for _, r := range l.Rows {
-		if r.Key == rowBarred {
+		if r.Key == RowBarred {
 			version = r.Version
-			s.load(r, now)
+			s.Load(r, now)
 		}
 	}
 	row := barredRow{Written: now.UnixMilli()}
@@ -102,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.store.Put(ctx, site.TableNodes, rowBarred, value, version); err != nil {
+	if _, err := s.store.Put(ctx, site.TableNodes, RowBarred, value, version); err != nil {
 		return eris.Wrap(err, "write the row")
 	}
 	s.mu.Lock()
--- a/service/gateway/suspects_news.go
+++ b/service/suspects/news.go
@@ -1,4 +1,4 @@
-package gateway
+package suspects
 
 import (
 	"context"
@@ -15,25 +15,18 @@
 	"github.com/drumpath/drumpath/pkg/suspect"
 )
 
-// noteTeller sends notes, which may be lost, to other nodes.
-type noteTeller interface {
-	note(to []netip.AddrPort, method string, params any) (sent int)
-	newsAudience(try int) (direct, relays []netip.AddrPort)
-	inHall(hall string) []netip.AddrPort
-}
-
 const (
-	// noteSuspects tells of requests under which replicas ended.
-	noteSuspects = "gateway.suspects"
-	// noteDigest tells of what a node holds of them.
-	noteDigest = "gateway.suspects_digest"
-	// suspectsEvery is how often a node compares what it holds with one other's, which
+	// NoteCases tells of requests under which replicas ended.
+	NoteCases = "suspects.cases"
+	// NoteDigest tells of what a node holds of them.
+	NoteDigest = "suspects.digest"
+	// Every is how often a node compares what it holds with one other's, which
 	// takes 0.2 kB: one that was cut off has heard of a bar by its third look.
-	suspectsEvery = time.Second
-	// suspectsMost is how many go in one note, some 400 bytes each, and suspectsNotes how
+	Every = time.Second
+	// casesMost is how many go in one note, some 400 bytes each, and casesNotes how
 	// many notes answer a digest.
-	suspectsMost  = 30
-	suspectsNotes = 2
+	casesMost  = 30
+	casesNotes = 2
 )
 
 // caseNews is a case as one node tells it to another, or writes it to the store. Times are
@@ -76,8 +69,8 @@
 	return c
 }
 
-// suspectsNote is what is told in one note.
-type suspectsNote struct {
+// casesNote is what is told in one note.
+type casesNote struct {
 	Cases []caseNews `json:"c"`
 	// Collect says that the hearer owns the request: it tells all nodes if need be.
 	Collect bool `json:"o,omitempty"`
@@ -94,7 +87,7 @@
 }
 
 // tell tells other nodes what this one has seen of a request.
-func (s *suspects) tell(c suspect.Case, change suspect.Change, now time.Time) {
+func (s *Suspects) tell(c suspect.Case, change suspect.Change, now time.Time) {
 	if change.Before != suspect.Free || change.After != suspect.Free {
 		s.spread(c)
 		return
@@ -110,12 +103,12 @@
 				to = append(to, o.Peer)
 			}
 		}
-		s.notes.note(to, noteSuspects, suspectsNote{Cases: []caseNews{newsOfCase(c, boottime.Now())}, Collect: true})
+		s.notes.Note(to, NoteCases, casesNote{Cases: []caseNews{newsOfCase(c, boottime.Now())}, Collect: true})
 	})
 }
 
 // mayTell bounds what is told of first ends.
-func (s *suspects) mayTell(now time.Time) bool {
+func (s *Suspects) mayTell(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now.Sub(s.toldFrom) >= time.Second {
@@ -126,30 +119,33 @@
 }
 
 // spread tells all nodes.
-func (s *suspects) spread(c suspect.Case) {
+func (s *Suspects) spread(c suspect.Case) {
 	s.twice(func(try int) {
 		news := []caseNews{newsOfCase(c, boottime.Now())}
-		direct, relays := s.notes.newsAudience(try)
-		s.notes.note(direct, noteSuspects, suspectsNote{Cases: news})
-		s.notes.note(relays, noteSuspects, suspectsNote{Cases: news, Pass: true})
+		direct, relays := s.notes.Audience(try)
+		s.notes.Note(direct, NoteCases, casesNote{Cases: news})
+		s.notes.Note(relays, NoteCases, casesNote{Cases: news, Pass: true})
 	})
 }
 
+// tellAgain is after how long a note is sent once more, as it may be lost.
+const tellAgain = 120 * time.Millisecond
+
 // twice does something now and once more a little later, as notes may be lost.
-func (s *suspects) twice(send func(try int)) {
+func (s *Suspects) twice(send func(try int)) {
 	send(0)
-	time.AfterFunc(newsAgain, func() { send(1) })
+	time.AfterFunc(tellAgain, func() { send(1) })
 }
 
-// hear takes in what another node tells.
-func (s *suspects) hear(params json.RawMessage) {
-	var w suspectsNote
+// Hear takes in what another node tells.
+func (s *Suspects) Hear(params json.RawMessage) {
+	var w casesNote
 	if err := json.Unmarshal(params, &w); err != nil {
 		s.log.Debug("suspects not understood", "err", err)
 		return
 	}
 	if w.Pass {
-		s.notes.note(s.notes.inHall(s.self.DataHall), noteSuspects, suspectsNote{Cases: w.Cases})
+		s.notes.Note(s.notes.InHall(), NoteCases, casesNote{Cases: w.Cases})
 	}
 	now := boottime.Now()
 	for i := range w.Cases {
@@ -162,7 +158,7 @@
 const finishSpread = 400 * time.Millisecond
 
 // take takes in what another node tells of a request; its owners tell all nodes if need be.
-func (s *suspects) take(told suspect.Case, collect bool) {
+func (s *Suspects) take(told suspect.Case, collect bool) {
 	change := s.register.Merge(told)
 	c := s.register.Case(told.Content)
 	s.changed(c, change)
@@ -178,9 +174,9 @@
 	}
 }
 
-// step forgets what is old and compares what this node holds with another one's; the timer
+// Step forgets what is old and compares what this node holds with another one's; the timer
 // service calls it.
-func (s *suspects) step(context.Context) {
+func (s *Suspects) Step(context.Context) {
 	now := boottime.Now()
 	s.register.Expire(now)
 	s.forgetGone(now)
@@ -194,11 +190,11 @@
 		return
 	}
 	to := others[rand.IntN(len(others))].Peer
-	s.notes.note([]netip.AddrPort{to}, noteDigest, digestNote{From: s.self.Peer, Digest: s.register.Digest()})
+	s.notes.Note([]netip.AddrPort{to}, NoteDigest, digestNote{From: s.self.Peer, Digest: s.register.Digest()})
 }
 
-// compare answers a node that holds something else than this one.
-func (s *suspects) compare(params json.RawMessage) {
+// Compare answers a node that holds something else than this one.
+func (s *Suspects) Compare(params json.RawMessage) {
 	var w digestNote
 	if err := json.Unmarshal(params, &w); err != nil || !w.From.IsValid() {
 		s.log.Debug("digest not understood", "err", err)
@@ -210,39 +206,39 @@
 	}
 	to := []netip.AddrPort{w.From}
 	if !w.Answer {
-		s.notes.note(to, noteDigest, digestNote{From: s.self.Peer, Digest: own, Answer: true})
+		s.notes.Note(to, NoteDigest, digestNote{From: s.self.Peer, Digest: own, Answer: true})
 	}
 	held := s.register.Held(mostHeld)
 	rand.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
 	now := boottime.Now()
-	for range suspectsNotes {
-		part := held[:min(suspectsMost, len(held))]
+	for range casesNotes {
+		part := held[:min(casesMost, len(held))]
 		held = held[len(part):]
 		if len(part) == 0 {
 			return
 		}
-		note := suspectsNote{}
+		note := casesNote{}
 		for _, c := range part {
 			note.Cases = append(note.Cases, newsOfCase(c, now))
 		}
-		s.notes.note(to, noteSuspects, note)
+		s.notes.Note(to, NoteCases, note)
 	}
 }
 
 // mostHeld is over what a node may hold.
 const mostHeld = 1 << 20
 
-// serveRun answers a node that asks whether a watched request may run.
-func (s *suspects) serveRun(_ context.Context, params json.RawMessage) (any, error) {
+// ServeRun answers a node that asks whether a watched request may run.
+func (s *Suspects) ServeRun(_ context.Context, params json.RawMessage) (any, error) {
 	var q runRequest
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, eris.Wrap(err, "bad parameters")
 	}
-	most := min(time.Duration(q.MostMS)*time.Millisecond, longestHold)
+	most := min(time.Duration(q.MostMS)*time.Millisecond, longestRun)
 	return runAnswer{Run: s.register.Run(q.Content, most, boottime.Now())}, nil
 }
 
-func (s *suspects) serveOver(_ context.Context, params json.RawMessage) (any, error) {
+func (s *Suspects) ServeOver(_ context.Context, params json.RawMessage) (any, error) {
 	var q runRequest
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, eris.Wrap(err, "bad parameters")
--- a/service/gateway/suspects.go
+++ b/service/suspects/suspects.go
@@ -1,4 +1,4 @@
-package gateway
+package suspects
 
 import (
 	"context"
@@ -16,10 +16,9 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
-	"github.com/drumpath/drumpath/service/peer"
 )
 
-// suspects is what this node and the others know of requests under which replicas ended.
+// Suspects is what this node and the others know of requests under which replicas ended.
 //
 // What a node has seen it tells to a few nodes that hashing gives the request to, and they
 // tell all nodes once it is watched or barred. A replica that ends has up to some dozens
@@ -30,18 +29,18 @@
 //	a further one; a finish              all nodes, twice
 //	a digest that differs, each second   one node at random, both ways
 //	a bar                                the platform's store, for when all start anew
-type suspects struct {
+type Suspects struct {
 	self     control.Member
 	members  *control.Members
 	store    Store
-	client   caller
+	client   Caller
 	register *suspect.Register
 	log      *slog.Logger
-	notes    noteTeller
-	metrics  suspectMetrics
+	notes    Teller
+	metrics  metrics
 
 	mu       sync.Mutex
-	lost     []lostRun
+	lost     []LostRun
 	gone     map[string]time.Time // When replicas that had not said that they leave went, by ID.
 	told     int                  // Ends told since toldFrom.
 	toldFrom time.Time            // Begin of a second.
@@ -49,28 +48,47 @@
 	keepNext time.Time // The store is not written before.
 }
 
-// caller calls other nodes.
-type caller interface {
+// Store is where barred requests are kept.
+type Store interface {
+	List(ctx context.Context, t site.Table) (site.Listing, error)
+	// Put writes a row that has the expected version; the error wraps site.ErrConflict
+	// when it has another.
+	Put(ctx context.Context, t site.Table, key string, value []byte, expected int64) (site.Listing, error)
+}
+
+// Teller sends notes, which may be lost, to other nodes.
+type Teller interface {
+	// Note sends one to some nodes, and returns the bytes sent.
+	Note(to []netip.AddrPort, method string, params any) (sent int)
+	// Audience are the nodes to tell what all are to hear, and those that tell it on in
+	// their halls, others at each try.
+	Audience(try int) (direct, relays []netip.AddrPort)
+	// InHall are the other nodes of this one's hall.
+	InHall() []netip.AddrPort
+}
+
+// Caller calls other nodes.
+type Caller interface {
 	CallWithin(ctx context.Context, within time.Duration, addr netip.AddrPort, method string, params, result any) error
 	Notify(ctx context.Context, addr netip.AddrPort, method string, params any) error
 }
 
-type suspectMetrics struct {
+type metrics struct {
 	ends   atomic.Int64 // Replicas that ended, counted for each request in flight there.
 	untold atomic.Int64 // Of these, not told to other nodes for want of time.
 }
 
-// lostRun is a request whose replica gave no whole answer, and may have ended.
-type lostRun struct {
-	content site.Fingerprint
-	sketch  uint64
-	request string
-	replica string // Its ID.
-	life    string // Its start.
-	begun   time.Time
-	at      time.Time
-	// alive says that the replica took a connection afterwards.
-	alive bool
+// LostRun is a request whose replica gave no whole answer, and may have ended.
+type LostRun struct {
+	Content site.Fingerprint
+	Sketch  uint64
+	Request string // The caller's name of its attempt.
+	Replica string // The replica's ID.
+	Life    string // Its start.
+	Begun   time.Time
+	At      time.Time // When the answer was lost.
+	// Alive says that the replica took a connection afterwards.
+	Alive bool
 }
 
 const (
@@ -84,14 +102,18 @@
 	// listedTerm is that before the platform's list drops the replica, which takes up to
 	// three of its heartbeats, or has a new start of it.
 	listedTerm = 10 * time.Second
+	// longestRun is over how long any request is held.
+	longestRun = time.Minute
 	// mostLost bounds the answers that are remembered as lost, some 100 bytes each.
 	mostLost = 2048
 	// mostToldEnds is how many first ends a node tells in a second, some 150 bytes six times.
 	mostToldEnds = 100
 )
 
-func newSuspects(self control.Member, m *control.Members, st Store, c *peer.Client, log *slog.Logger) *suspects {
-	return &suspects{
+// New returns what a node knows, which is nothing yet. Without a store nothing outlasts all
+// nodes. Attach is to be called before anything else.
+func New(self control.Member, m *control.Members, st Store, c Caller, log *slog.Logger) *Suspects {
+	return &Suspects{
 		self:     self,
 		members:  m,
 		store:    st,
@@ -103,23 +125,32 @@
 	}
 }
 
-// lifeOf names a replica's start.
-func lifeOf(u *site.Upstream) string {
-	if u.Started.IsZero() {
-		return u.ID
+// Attach says by whom other nodes are told.
+func (s *Suspects) Attach(t Teller) { s.notes = t }
+
+// Empty says whether nothing is known of any request.
+func (s *Suspects) Empty() bool { return s.register.Empty() }
+
+// Case is what is known of a request.
+func (s *Suspects) Case(f site.Fingerprint) suspect.Case { return s.register.Case(f) }
+
+// LifeOf names a start of a replica; started is zero where that is not known.
+func LifeOf(id string, started time.Time) string {
+	if started.IsZero() {
+		return id
 	}
-	return u.ID + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10)
+	return id + "@" + strconv.FormatInt(started.UnixMilli(), 10)
 }
 
-// refusedDial says whether an error of a new connection shows that no process listens any
+// ShowsEnd says whether an error of a new connection shows that no process listens any
 // more. A path that is cut shows nothing of the kind: every replica would seem to end.
-func refusedDial(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+func ShowsEnd(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// remember notes a request whose replica may have ended, or has while its answer was still
+// Remember notes a request whose replica may have ended, or has while its answer was still
 // waited for.
-func (s *suspects) remember(run lostRun) {
+func (s *Suspects) Remember(run LostRun) {
 	s.mu.Lock()
-	ended := s.gone[run.replica].After(run.begun)
+	ended := s.gone[run.Replica].After(run.Begun)
 	if !ended {
 		if len(s.lost) >= mostLost {
 			s.lost = s.lost[1:]
@@ -128,52 +159,52 @@
 	}
 	s.mu.Unlock()
 	if ended {
-		s.ended(run, run.at)
+		s.Ended(run, run.At)
 	}
 }
 
 // went notes that a replica has gone, or started anew.
-func (s *suspects) went(id string, now time.Time) {
+func (s *Suspects) went(id string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gone[id] = now
 }
 
 // forgetGone forgets replicas that went longer ago than any request is held.
-func (s *suspects) forgetGone(now time.Time) {
+func (s *Suspects) forgetGone(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maps.DeleteFunc(s.gone, func(_ string, at time.Time) bool { return now.Sub(at) > longestHold })
+	maps.DeleteFunc(s.gone, func(_ string, at time.Time) bool { return now.Sub(at) > longestRun })
 }
 
-// refused notes that a replica's address takes no connections any more.
-func (s *suspects) refused(u *site.Upstream, now time.Time) {
-	s.confirm(now, func(r *lostRun) bool {
-		return r.life == lifeOf(u) && !r.alive && now.Sub(r.at) < refusedTerm
+// Refused notes that the address of a start of a replica takes no connections any more.
+func (s *Suspects) Refused(life string, now time.Time) {
+	s.confirm(now, func(r *LostRun) bool {
+		return r.Life == life && !r.Alive && now.Sub(r.At) < refusedTerm
 	})
 }
 
-// dropped notes that the platform's list has no longer a replica that did not say that it
+// Dropped notes that the platform's list has no longer a replica that did not say that it
 // was leaving.
-func (s *suspects) dropped(id string, now time.Time) {
+func (s *Suspects) Dropped(id string, now time.Time) {
 	s.went(id, now)
-	s.confirm(now, func(r *lostRun) bool { return r.replica == id && !r.alive })
+	s.confirm(now, func(r *LostRun) bool { return r.Replica == id && !r.Alive })
 }
 
-// restarted notes that a replica has started anew under its ID.
-func (s *suspects) restarted(id string, now time.Time) {
+// Restarted notes that a replica has started anew under its ID.
+func (s *Suspects) Restarted(id string, now time.Time) {
 	s.went(id, now)
-	s.confirm(now, func(r *lostRun) bool { return r.replica == id })
+	s.confirm(now, func(r *LostRun) bool { return r.Replica == id })
 }
 
 // confirm takes those of the lost answers whose replica has ended as ends.
-func (s *suspects) confirm(now time.Time, ended func(*lostRun) bool) {
-	var list []lostRun
+func (s *Suspects) confirm(now time.Time, ended func(*LostRun) bool) {
+	var list []LostRun
 	s.mu.Lock()
 	kept := s.lost[:0]
 	for _, r := range s.lost {
 		switch {
-		case now.Sub(r.at) >= listedTerm: // What happens now has nothing to do with it.
+		case now.Sub(r.At) >= listedTerm: // What happens now has nothing to do with it.
 		case ended(&r):
 			list = append(list, r)
 		default:
@@ -184,20 +215,20 @@
 	s.lost = kept
 	s.mu.Unlock()
 	for _, r := range list {
-		s.ended(r, now)
+		s.Ended(r, now)
 	}
 }
 
-// ended notes that a replica ended while a request was in flight there.
-func (s *suspects) ended(r lostRun, now time.Time) {
+// Ended notes that a replica ended while a request was in flight there.
+func (s *Suspects) Ended(r LostRun, now time.Time) {
 	change := s.register.Merge(suspect.Case{
-		Content: r.content,
-		Sketch:  r.sketch,
-		Ends:    []suspect.End{{Replica: r.life, Begun: r.begun, At: now}},
+		Content: r.Content,
+		Sketch:  r.Sketch,
+		Ends:    []suspect.End{{Replica: r.Life, Begun: r.Begun, At: now}},
 	})
-	c := s.register.Case(r.content)
+	c := s.register.Case(r.Content)
 	s.metrics.ends.Add(1)
-	s.log.Warn("replica ended under a request", "request", r.request, "content", r.content, "replica", r.replica,
+	s.log.Warn("replica ended under a request", "request", r.Request, "content", r.Content, "replica", r.Replica,
 		"ends", len(c.Ends), "verdict", change.After.String(), "finished_before", !c.Finished.IsZero())
 	s.changed(c, change)
 	if change.New && len(c.Ends) > 0 {
@@ -205,8 +236,8 @@
 	}
 }
 
-// finished notes that a replica finished a request.
-func (s *suspects) finished(sketch uint64, content func() site.Fingerprint, now time.Time) {
+// Finished notes that a replica finished a request.
+func (s *Suspects) Finished(sketch uint64, content func() site.Fingerprint, now time.Time) {
 	s.register.Finished(sketch, now)
 	if s.register.Empty() {
 		return // Nothing has to be hashed.
@@ -224,7 +255,7 @@
 }
 
 // changed logs a change of what is done with a request.
-func (s *suspects) changed(c suspect.Case, change suspect.Change) {
+func (s *Suspects) changed(c suspect.Case, change suspect.Change) {
 	if change.Before == change.After {
 		return
 	}
@@ -236,17 +267,17 @@
 }
 
 // owners are the nodes that collect what is known of a request.
-func (s *suspects) owners(f site.Fingerprint) []control.Member {
+func (s *Suspects) owners(f site.Fingerprint) []control.Member {
 	return control.Owners(s.members.View().Working, endsDuty+f.String(), endOwners)
 }
 
 const (
-	// askTerm bounds a call for leave to run a watched request: its caller waits.
+	// askTerm bounds a call for leave to run a watched request: its Caller waits.
 	askTerm = 150 * time.Millisecond
-	// methodRun asks an owner whether a watched request may be sent now, and methodOver
+	// MethodRun asks an owner whether a watched request may be sent now, and MethodOver
 	// tells it that nothing came of that.
-	methodRun  = "gateway.run_suspect"
-	methodOver = "gateway.suspect_over"
+	MethodRun  = "suspects.run"
+	MethodOver = "suspects.over"
 )
 
 // runRequest are the parameters of methodRun and methodOver.
@@ -259,24 +290,24 @@
 	Run bool `json:"run"`
 }
 
-// mayRun asks whether a watched request may be sent now: the first of its owners that
+// MayRun asks whether a watched request may be sent now: the first of its owners that
 // answers lets one at a time, for at most a time. Where none does, this node lets one of
 // its own.
-func (s *suspects) mayRun(ctx context.Context, f site.Fingerprint, most time.Duration) bool {
+func (s *Suspects) MayRun(ctx context.Context, f site.Fingerprint, most time.Duration) bool {
 	for _, o := range s.owners(f) {
 		if o.Name == s.self.Name {
 			break
 		}
 		var a runAnswer
-		if err := s.client.CallWithin(ctx, askTerm, o.Peer, methodRun, runRequest{f, most.Milliseconds()}, &a); err == nil {
+		if err := s.client.CallWithin(ctx, askTerm, o.Peer, MethodRun, runRequest{f, most.Milliseconds()}, &a); err == nil {
 			return a.Run
 		}
 	}
 	return s.register.Run(f, most, boottime.Now())
 }
 
-// over tells that a watched request has ended with no word of its replica.
-func (s *suspects) over(f site.Fingerprint) {
+// Over tells that a watched request has ended with no word of its replica.
+func (s *Suspects) Over(f site.Fingerprint) {
 	s.register.Over(f)
 	owners := s.owners(f)
 	if len(owners) == 0 || owners[0].Name == s.self.Name {
@@ -284,14 +315,23 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTerm)
 	defer cancel()
-	if err := s.client.Notify(ctx, owners[0].Peer, methodOver, runRequest{Content: f}); err != nil {
+	if err := s.client.Notify(ctx, owners[0].Peer, MethodOver, runRequest{Content: f}); err != nil {
 		s.log.Debug("end of a watched request not told", "err", err) // It lapses.
 	}
 }
 
-func (s *suspects) status() suspectsStatus {
+// Status is what is served of it.
+type Status struct {
+	Ends    int64 `json:"ends"`
+	Untold  int64 `json:"ends_untold"`
+	Watched int   `json:"watched"`
+	Barred  int   `json:"barred"`
+}
+
+// Status counts what is known.
+func (s *Suspects) Status() Status {
 	watched, barred := s.register.Count()
-	return suspectsStatus{
+	return Status{
 		Ends:    s.metrics.ends.Load(),
 		Untold:  s.metrics.untold.Load(),
 		Watched: watched,
--- a/service/gateway/suspects_test.go
+++ b/service/suspects/suspects_test.go
@@ -1,4 +1,4 @@
-package gateway
+package suspects
 
 import (
 	"context"
@@ -23,8 +23,8 @@
 // suspectFleet is nodes that tell each other of suspects by notes that come late or not at
 // all, in virtual time.
 type suspectFleet struct {
-	nodes  []*suspects
-	byPeer map[netip.AddrPort]*suspects
+	nodes  []*Suspects
+	byPeer map[netip.AddrPort]*Suspects
 	late   func() time.Duration
 	rnd    *rand.Rand
 
@@ -39,7 +39,7 @@
 
 func newSuspectFleet(n, halls int, late func() time.Duration) *suspectFleet {
 	f := &suspectFleet{
-		byPeer: map[netip.AddrPort]*suspects{},
+		byPeer: map[netip.AddrPort]*Suspects{},
 		late:   late,
 		rnd:    rand.New(rand.NewPCG(uint64(n), 7)),
 		cut:    map[string]bool{},
@@ -60,10 +60,9 @@
 	return f
 }
 
-func (f *suspectFleet) add(m control.Member, members *control.Members) *suspects {
-	s := newSuspects(m, members, nil, nil, slog.New(slog.DiscardHandler))
-	s.notes = &lateNotes{nodes: &nodes{self: m, members: members}, f: f}
-	s.client = &lateCalls{f: f, from: m.Name}
+func (f *suspectFleet) add(m control.Member, members *control.Members) *Suspects {
+	s := New(m, members, nil, &lateCalls{f: f, from: m.Name}, slog.New(slog.DiscardHandler))
+	s.Attach(&lateNotes{self: m, members: members, f: f})
 	f.nodes = append(f.nodes, s)
 	f.byPeer[m.Peer] = s
 	return s
@@ -84,11 +83,24 @@
 
 // lateNotes delivers notes late.
 type lateNotes struct {
-	*nodes
-	f *suspectFleet
+	self    control.Member
+	members *control.Members
+	f       *suspectFleet
 }
 
-func (l *lateNotes) note(to []netip.AddrPort, method string, params any) (sent int) {
+// smallHall is up to how many nodes a hall has for all of them to be told directly.
+const smallHall = 8
+
+// Audience tells large halls through one of their nodes, another one at each try.
+func (l *lateNotes) Audience(try int) (direct, relays []netip.AddrPort) {
+	return l.members.View().Audience(l.self.Name, smallHall, "news/", try)
+}
+
+func (l *lateNotes) InHall() []netip.AddrPort {
+	return l.members.View().Others(l.self.Name, l.self.DataHall)
+}
+
+func (l *lateNotes) Note(to []netip.AddrPort, method string, params any) (sent int) {
 	body, err := json.Marshal(params)
 	if err != nil || len(body) > 16<<10 {
 		panic(fmt.Sprint(len(body), " bytes ", err))
@@ -102,10 +114,10 @@
 			continue
 		}
 		time.AfterFunc(l.f.late(), func() {
-			if method == noteDigest {
-				s.compare(body)
+			if method == NoteDigest {
+				s.Compare(body)
 			} else {
-				s.hear(body)
+				s.Hear(body)
 			}
 		})
 	}
@@ -128,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := s.serveRun(ctx, body)
+	a, err := s.ServeRun(ctx, body)
 	*result.(*runAnswer) = a.(runAnswer)
 	return err
 }
@@ -142,20 +154,20 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.serveOver(ctx, body)
+	_, err = s.ServeOver(ctx, body)
 	return err
 }
 
 var deadlyContent = site.NewFingerprint("org-one", "POST", "h", "/x", []byte("deadly"))
 
 // run has a request that ends its replica after 0.1 s come to a node.
-func (f *suspectFleet) run(s *suspects) {
+func (f *suspectFleet) run(s *Suspects) {
 	c := s.register.Case(deadlyContent)
 	switch c.Verdict() {
 	case suspect.Barred:
 		return
 	case suspect.Watched:
-		if !s.mayRun(context.Background(), deadlyContent, 4*time.Second) {
+		if !s.MayRun(context.Background(), deadlyContent, 4*time.Second) {
 			return
 		}
 	}
@@ -169,11 +181,11 @@
 	f.mu.Lock()
 	f.ended = append(f.ended, now)
 	f.mu.Unlock()
-	s.ended(lostRun{content: deadlyContent, sketch: 1, replica: life, life: life, begun: begun, at: now}, now)
+	s.Ended(LostRun{Content: deadlyContent, Sketch: 1, Replica: life, Life: life, Begun: begun, At: now}, now)
 }
 
 // repeat sends it at any node again and again, several at once, and lets time pass.
-func (f *suspectFleet) repeat(every, d time.Duration, at []*suspects) {
+func (f *suspectFleet) repeat(every, d time.Duration, at []*Suspects) {
 	var wg sync.WaitGroup
 	begun := time.Now()
 	for next := begun; time.Since(begun) < d; next = next.Add(every) {
@@ -190,10 +202,10 @@
 func (f *suspectFleet) steps(ctx context.Context) {
 	for _, s := range f.nodes {
 		go func() {
-			time.Sleep(rand.N(suspectsEvery))
+			time.Sleep(rand.N(Every))
 			for ctx.Err() == nil {
-				s.step(ctx)
-				time.Sleep(suspectsEvery)
+				s.Step(ctx)
+				time.Sleep(Every)
 			}
 		}()
 	}
@@ -279,7 +291,7 @@
 			for i := range each {
 				c := site.NewFingerprint("", "POST", "h", "/x", fmt.Appendf(nil, "%d %d", r, i))
 				life := fmt.Sprint("replica", r)
-				f.nodes[rand.IntN(len(f.nodes))].ended(lostRun{content: c, sketch: 1, replica: life, life: life, begun: now, at: now}, now)
+				f.nodes[rand.IntN(len(f.nodes))].Ended(LostRun{Content: c, Sketch: 1, Replica: life, Life: life, Begun: now, At: now}, now)
 			}
 		}
 		time.Sleep(time.Second)
@@ -307,7 +319,7 @@
 		now := time.Now()
 		for i, s := range f.nodes[:3] {
 			life := fmt.Sprint("replica", i)
-			s.ended(lostRun{content: deadlyContent, sketch: sketch, replica: life, life: life, begun: now, at: now}, now)
+			s.Ended(LostRun{Content: deadlyContent, Sketch: sketch, Replica: life, Life: life, Begun: now, At: now}, now)
 		}
 		time.Sleep(2 * time.Second)
 		for _, s := range f.nodes {
@@ -323,23 +335,23 @@
 	f := newSuspectFleet(3, 1, func() time.Duration { return 0 })
 	s := f.nodes[0]
 	now := time.Now()
-	lost := func(name string, alive bool) lostRun {
+	lost := func(name string, alive bool) LostRun {
 		c := site.NewFingerprint("", "POST", "h", "/x", []byte(name))
-		return lostRun{content: c, sketch: 1, replica: name, life: name, begun: now, at: now, alive: alive}
+		return LostRun{Content: c, Sketch: 1, Replica: name, Life: name, Begun: now, At: now, Alive: alive}
 	}
-	ends := func(name string) int { return len(s.register.Case(lost(name, false).content).Ends) }
+	ends := func(name string) int { return len(s.register.Case(lost(name, false).Content).Ends) }
 	for _, name := range []string{"silent", "refused", "dropped", "restarted", "old"} {
-		s.remember(lost(name, false))
+		s.Remember(lost(name, false))
 	}
-	s.remember(lost("alive", true))
-	s.remember(lost("alive, restarted", true))
-	s.refused(&site.Upstream{ID: "refused"}, now.Add(time.Second))
-	s.refused(&site.Upstream{ID: "alive"}, now.Add(time.Second))
-	s.dropped("dropped", now.Add(4*time.Second))
-	s.dropped("alive", now.Add(4*time.Second))
-	s.restarted("restarted", now.Add(4*time.Second))
-	s.restarted("alive, restarted", now.Add(4*time.Second))
-	s.dropped("old", now.Add(11*time.Second))
+	s.Remember(lost("alive", true))
+	s.Remember(lost("alive, restarted", true))
+	s.Refused("refused", now.Add(time.Second))
+	s.Refused("alive", now.Add(time.Second))
+	s.Dropped("dropped", now.Add(4*time.Second))
+	s.Dropped("alive", now.Add(4*time.Second))
+	s.Restarted("restarted", now.Add(4*time.Second))
+	s.Restarted("alive, restarted", now.Add(4*time.Second))
+	s.Dropped("old", now.Add(11*time.Second))
 	for name, want := range map[string]int{
 		"silent": 0, "refused": 1, "dropped": 1, "restarted": 1, "alive": 0, "alive, restarted": 1, "old": 0,
 	} {
@@ -349,22 +361,22 @@
 }
 
 // A replica that loses power answers nothing more. Its entry may lapse before a patient
-// caller's time is over, and the answer be given up only then.
+// Caller's time is over, and the answer be given up only then.
 func TestEndThatIsListedBeforeTheAnswerIsGivenUpCounts(t *testing.T) {
 	f := newSuspectFleet(1, 1, func() time.Duration { return 0 })
 	s := f.nodes[0]
 	now := time.Now()
-	lost := func(name string, begun time.Time) lostRun {
+	lost := func(name string, begun time.Time) LostRun {
 		c := site.NewFingerprint("", "POST", "h", "/x", []byte(name))
-		return lostRun{content: c, sketch: 1, replica: name, life: name, begun: begun, at: now.Add(4 * time.Second)}
+		return LostRun{Content: c, Sketch: 1, Replica: name, Life: name, Begun: begun, At: now.Add(4 * time.Second)}
 	}
-	ends := func(name string) int { return len(s.register.Case(lost(name, now).content).Ends) }
-	s.dropped("dropped", now.Add(3600*time.Millisecond))
-	s.restarted("restarted", now.Add(3600*time.Millisecond))
-	s.restarted("before", now.Add(-time.Second))
-	s.dropped("long ago", now.Add(-7*time.Second))
+	ends := func(name string) int { return len(s.register.Case(lost(name, now).Content).Ends) }
+	s.Dropped("dropped", now.Add(3600*time.Millisecond))
+	s.Restarted("restarted", now.Add(3600*time.Millisecond))
+	s.Restarted("before", now.Add(-time.Second))
+	s.Dropped("long ago", now.Add(-7*time.Second))
 	for _, name := range []string{"dropped", "restarted", "before", "long ago"} {
-		s.remember(lost(name, now))
+		s.Remember(lost(name, now))
 	}
 	for name, want := range map[string]int{"dropped": 1, "restarted": 1, "before": 0, "long ago": 0} {
 		assert.Equal(t, ends(name), want, name)
@@ -378,7 +390,7 @@
 	store := &keptStore{}
 	s.store = store
 	now := time.Now()
-	s.keep(t.Context())
+	s.Keep(t.Context())
 	assert.Equal(t, store.writes, 0)
 	for i := range 3 {
 		life := fmt.Sprint("replica", i)
@@ -387,22 +399,22 @@
 		}})
 	}
 	store.fail = true
-	s.keep(t.Context())
-	s.keep(t.Context())
+	s.Keep(t.Context())
+	s.Keep(t.Context())
 	assert.Equal(t, store.lists, 1, "a store that fails is not asked at each look")
 	store.fail = false
 	s.keepNext = time.Time{}
-	s.keep(t.Context())
-	s.keep(t.Context())
+	s.Keep(t.Context())
+	s.Keep(t.Context())
 	assert.Equal(t, store.writes, 1)
 	other := newSuspectFleet(1, 1, func() time.Duration { return 0 }).nodes[0]
-	other.load(site.Row{Key: rowBarred, Value: []byte("no JSON")}, time.Now())
+	other.Load(site.Row{Key: RowBarred, Value: []byte("no JSON")}, time.Now())
 	assert.Assert(t, other.register.Empty())
-	other.load(store.row, time.Now())
+	other.Load(store.row, time.Now())
 	c := other.register.Case(deadlyContent)
 	assert.Equal(t, c.Verdict(), suspect.Barred)
 	other.store = store
-	other.keep(t.Context())
+	other.Keep(t.Context())
 	assert.Equal(t, store.writes, 1, "it stands there")
 	other.register.Expire(time.Now().Add(58 * time.Minute))
 	assert.Assert(t, !other.register.Empty())
