--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -193,4 +193,64 @@
 		"		if all[i].FirstToken() > fastest+p.weights.Patience {", "		if false && all[i].FirstToken() > fastest+p.weights.Patience {",
 		"./pkg/route", "TestPlaceIsPatientOnlySoLong",
 	},
+	{
+		"suspects: the fingerprint covers the organisation", "pkg/site/fingerprint.go",
+		"[]string{organisation, method,", "[]string{method,",
+		"./pkg/site", "TestFingerprintIsOfContentAndOrganisation",
+	},
+	{
+		"suspects: the third end bars", "pkg/suspect/case.go",
+		"	barEnds = 3\n", "	barEnds = 30\n",
+		"./internal/standin/onplatform", "TestRequestThatEndsReplicasIsStoppedByAllNodes",
+	},
+	{
+		"suspects: ends of one moment are one round", "pkg/suspect/case.go",
+		"		if n == 0 || e.Begun.After(first) {", "		if n == 0 || true || e.Begun.After(first) {",
+		"./pkg/suspect", "TestEndsOfOneMomentDoNotBar",
+	},
+	{
+		"suspects: a finish speaks for runs near it", "pkg/suspect/case.go",
+		"	return !c.Finished.IsZero() && e.Begun", "	return false && e.Begun",
+		"./pkg/suspect", "TestFinishSpeaksForRunsNearIt",
+	},
+	{
+		"suspects: a watched request runs once at a time", "pkg/suspect/register.go",
+		"	case e.Verdict() == Barred || now.Before(e.running):", "	case e.Verdict() == Barred:",
+		"./pkg/suspect", "TestWatchedRequestRunsOnceAtATime",
+	},
+	{
+		"suspects: owners tell all nodes", "service/suspects/news.go",
+		"	case collect && change.New && change.After != suspect.Free:\n		s.spread(c)\n", "",
+		"./service/suspects", "TestRepeatsAreStoppedAtAllSizes",
+	},
+	{
+		"suspects: nodes compare what they hold", "service/suspects/news.go",
+		"	if own == w.Digest {", "	if true || own == w.Digest {",
+		"./service/suspects", "TestNodesThatWereCutOffHearOfABar",
+	},
+	{
+		"suspects: a bar is kept", "service/suspects/kept.go",
+		"	if s.store == nil || s.register.Empty()", "	if true || s.register.Empty()",
+		"./internal/standin/onplatform", "TestNodeThatStartsKnowsWhatReplicasEndedUnder",
+	},
+	{
+		"suspects: engines", "service/entry/run_suspects.go",
+		"	if s.Empty() {", "	if true || s.Empty() {",
+		scenarios, "TestScenarios/deadly_prompt",
+	},
+	{
+		"suspended: nothing is sent on before the node has heard", "service/gateway/suspension.go",
+		"	s.since.Store(&now)\n", "	_ = now\n",
+		"./internal/standin/onplatform", "TestSuspendedNode",
+	},
+	{
+		"suspended: what is over is not sent again", "service/gateway/exchange.go",
+		"	x.g.look()\n	if !x.g.awake() || boottime.Until(x.limit) < timeLeft {", "	if boottime.Until(x.limit) < timeLeft {",
+		"./internal/standin/onplatform", "TestRequestWhoseTimePassedWhileSuspendedIsNotSentAgain",
+	},
+	{
+		"suspended: leases", "pkg/rollout/lease.go",
+		"now: boottime.LookNow}\n}", "now: func() time.Time { _ = boottime.Now; return time.Now() }}\n}",
+		"./pkg/rollout", "TestLeaseIsOverAfterASuspension",
+	},
 }
