Replicas that leave as planned speak against no request

Found by a new test on the way: a long answer that was cut at the planned end of three replicas in turn, as in a release, was barred; and a request whose time was over counted against its content when the replica then left without a word. Now an answer that is lost at a replica which leaves counts for nothing, and where an entry goes without a word the replica is dialled first: one that serves on has not ended. A restart under the same ID counts unless it was announced. The test failed in both its parts before.

--- a/internal/standin/onplatform/poison_test.go
+++ b/internal/standin/onplatform/poison_test.go
@@ -315,3 +315,44 @@
 		})
 	}
 }
+
+// Replicas that leave as planned may cut what is still in flight there at the end of their
+// time. A long answer may meet several of those, one after the other, in a release.
+func TestPlannedEndsOfReplicasSpeakAgainstNoRequest(t *testing.T) {
+	for name, leave := range map[string]func(s *site, r *onplatform.Replica){
+		"says that it leaves": func(s *site, r *onplatform.Replica) { s.put(r, row(app, r, map[string]any{"state": "draining"})) },
+		"its entry goes":      func(s *site, r *onplatform.Replica) { s.store.Drop(onplatform.TableUpstreams, r.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			n := s.start("n1")
+			for i := range 4 {
+				r := s.newReplica(fmt.Sprint("leaving", i))
+				r.Script(onplatform.Hang)
+				s.put(r, row(app, r, nil))
+				s.until("it is known", n.isReady)
+				c := n.dial()
+				s.until("a request is in flight there", func() bool {
+					c.write(request("POST", "/resume/x", popular))
+					time.Sleep(workTime)
+					if len(r.Seen()) > 0 {
+						return true
+					}
+					got := c.read()
+					assert.Assert(t, got.status != 400, "replica %d: %s", i, got.body)
+					return false
+				})
+				leave(s, r)
+				s.until("the node knows that it leaves", func() bool {
+					return n.once(request("GET", "/safe/x", "", "Deadline-Ms: 300")).status == 503
+				})
+				r.Close()
+				assert.Equal(t, c.read().status, 502)
+				s.store.Drop(onplatform.TableUpstreams, r.ID)
+			}
+			stays := s.newReplica("stays")
+			s.put(stays, row(app, stays, nil))
+			s.until("it is served", func() bool { return n.once(request("POST", "/resume/x", popular)).status == 200 })
+		})
+	}
+}
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -62,6 +62,14 @@
 	return n
 }
 
+// Stays says whether a replica is listed and has not said that it leaves.
+func (p *Pool) Stays(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, ok := p.replicas[id]
+	return ok && !m.Draining
+}
+
 // MemberStatus is what a dump shows of one replica.
 type MemberStatus struct {
 	site.Upstream
--- a/service/gateway/beliefs.go
+++ b/service/gateway/beliefs.go
@@ -27,8 +27,9 @@
 	shares     route.ColdShares
 	// leaveTime is for how long a data hall is left gradually that is evacuated.
 	leaveTime time.Duration
-	// restarted is told of each replica that has started anew under its ID.
-	restarted func(id string, now time.Time)
+	// restarted is told of each replica that has started anew under its ID, and whether it
+	// had said before that it leaves.
+	restarted func(id string, planned bool, now time.Time)
 	// ended is told of each replica whose entry went though it had not said that it leaves.
 	ended func(id string, now time.Time)
 	log   *slog.Logger
@@ -81,7 +82,7 @@
 		upstreams:  map[string]*upstreamEntry{},
 		pools:      map[string]*route.Pool{},
 		evacuated:  map[string]*evacuation{},
-		restarted:  func(string, time.Time) {},
+		restarted:  func(string, bool, time.Time) {},
 		ended:      func(string, time.Time) {},
 	}
 }
@@ -253,9 +254,9 @@
 func (b *Beliefs) ApplyUpstreams(rows []site.Row, whole bool, now time.Time) {
 	// What was held before is forgotten without the lock: look-ups of it ask the beliefs
 	// with a lock of their own.
-	for _, id := range b.applyUpstreams(rows, whole, now) {
+	for id, planned := range b.applyUpstreams(rows, whole, now) {
 		b.kept.Restarted(id)
-		b.restarted(id, now)
+		b.restarted(id, planned, now)
 	}
 	b.tellDropped(now)
 }
@@ -271,15 +272,18 @@
 	}
 }
 
-// applyUpstreams lists the replicas that have started anew under their IDs.
-func (b *Beliefs) applyUpstreams(rows []site.Row, whole bool, now time.Time) (restarted []string) {
+// applyUpstreams lists the replicas that have started anew under their IDs, with whether
+// they had said before that they leave.
+func (b *Beliefs) applyUpstreams(rows []site.Row, whole bool, now time.Time) (restarted map[string]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	restarted = map[string]bool{}
 	seen := map[string]bool{}
 	for _, r := range rows {
 		seen[r.Key] = true
+		planned := b.upstreams[r.Key] != nil && b.upstreams[r.Key].Draining
 		if b.applyUpstream(r, now) {
-			restarted = append(restarted, r.Key)
+			restarted[r.Key] = planned
 		}
 	}
 	if whole {
--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -94,16 +94,21 @@
 // platform's list. One whose connection fell silent is not asked: that could take long.
 func (x *exchange) lostRun(ctx context.Context, a *attempt, err error, now time.Time) {
 	u := &a.choice.Upstream
+	silent := ctx.Err() != nil || lostPeer(err) // Its client left, its time was over, or the path fell silent.
+	if !silent && !x.pool.Stays(u.ID) {
+		return // It left as planned, and cut what it still had: long answers meet that often.
+	}
 	run := suspects.LostRun{
 		Content: x.fingerprint(),
 		Sketch:  x.sketch(),
 		Request: x.terms.ID,
 		Replica: u.ID,
 		Life:    suspects.LifeOf(u.ID, u.Started),
+		Addr:    u.Addr,
 		Begun:   a.begun,
 		At:      now,
 	}
-	if ctx.Err() != nil || lostPeer(err) { // Its client left, or its time was over.
+	if silent {
 		x.g.suspects.Remember(run)
 		return
 	}
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -364,5 +364,6 @@
 	g.platform.Store.Close()
 	g.platform.Engines.Close()
 	g.wg.Wait()
+	g.suspects.Close()
 	g.log.Info("node stopped", "node", g.conf().Node.Name, "after", time.Since(begun), "cut", cut.sum())
 }
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -80,11 +80,13 @@
 			b := NewBeliefs(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), k, log)
 			b.without, b.regions, b.cold, b.shares = s.Without, s.Regions, s.Cold, o
 			b.leaveTime = time.Duration(leaveShare * float64(s.Evacuation.Within))
-			b.restarted = func(id string, now time.Time) {
+			b.restarted = func(id string, planned bool, now time.Time) {
 				u.lost(id)
-				x.Restarted(id, now)
+				if !planned {
+					x.Restarted(id, now)
+				}
 			}
-			b.ended = x.Dropped
+			b.ended = x.Left
 			return b
 		},
 		newColdShares,
--- a/service/suspects/suspects.go
+++ b/service/suspects/suspects.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
 )
@@ -38,6 +40,9 @@
 	log      *slog.Logger
 	notes    Teller
 	metrics  metrics
+	// dial says whether an address can't be reached.
+	dial func(addr netip.AddrPort) error
+	wg   sync.WaitGroup
 
 	mu       sync.Mutex
 	lost     []LostRun
@@ -85,6 +90,7 @@
 	Request string // The caller's name of its attempt.
 	Replica string // The replica's ID.
 	Life    string // Its start.
+	Addr    netip.AddrPort
 	Begun   time.Time
 	At      time.Time // When the answer was lost.
 	// Alive says that the replica took a connection afterwards.
@@ -102,6 +108,9 @@
 	// listedTerm is that before the platform's list drops the replica, which takes up to
 	// three of its heartbeats, or has a new start of it.
 	listedTerm = 10 * time.Second
+	// dialTime bounds a look whether a replica takes connections, which takes some
+	// milliseconds.
+	dialTime = 400 * time.Millisecond
 	// longestRun is over how long any request is held.
 	longestRun = time.Minute
 	// mostLost bounds the answers that are remembered as lost, some 100 bytes each.
@@ -122,9 +131,21 @@
 		log:      log,
 		kept:     map[site.Fingerprint]bool{},
 		gone:     map[string]time.Time{},
+		dial:     dial,
 	}
 }
 
+// Close waits for what is under way.
+func (s *Suspects) Close() { s.wg.Wait() }
+
+func dial(addr netip.AddrPort) error {
+	conn, err := http1.Dial(addr.String(), dialTime, dialTime)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // Attach says by whom other nodes are told.
 func (s *Suspects) Attach(t Teller) { s.notes = t }
 
@@ -146,20 +167,41 @@
 // more. A path that is cut shows nothing of the kind: every replica would seem to end.
 func ShowsEnd(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// Remember notes a request whose replica may have ended, or has while its answer was still
-// waited for.
+// Remember notes a request whose replica may have ended. If the replica's entry has gone
+// while its answer was still waited for, that is found out.
 func (s *Suspects) Remember(run LostRun) {
 	s.mu.Lock()
-	ended := s.gone[run.Replica].After(run.Begun)
-	if !ended {
-		if len(s.lost) >= mostLost {
-			s.lost = s.lost[1:]
-		}
-		s.lost = append(s.lost, run)
+	if len(s.lost) >= mostLost {
+		s.lost = s.lost[1:]
 	}
+	s.lost = append(s.lost, run)
+	left := s.gone[run.Replica].After(run.Begun)
 	s.mu.Unlock()
-	if ended {
-		s.Ended(run, run.At)
+	if left {
+		s.lookAt(run.Replica, run.Addr)
+	}
+}
+
+// lookAt finds out whether a replica whose entry has gone has ended: one that leaves without
+// a word serves on for a while.
+func (s *Suspects) lookAt(id string, addr netip.AddrPort) {
+	s.wg.Go(func() {
+		if s.dial(addr) == nil {
+			s.alive(id)
+			return
+		}
+		s.confirm(boottime.Now(), func(r *LostRun) bool { return r.Replica == id && !r.Alive })
+	})
+}
+
+// alive notes that a replica takes connections.
+func (s *Suspects) alive(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.lost {
+		if s.lost[i].Replica == id {
+			s.lost[i].Alive = true
+		}
 	}
 }
 
@@ -184,16 +226,25 @@
 	})
 }
 
-// Dropped notes that the platform's list has no longer a replica that did not say that it
-// was leaving.
-func (s *Suspects) Dropped(id string, now time.Time) {
+// Left notes that the platform's list has no longer a replica that did not say that it was
+// leaving. If answers were lost there, it is found out whether it has ended.
+func (s *Suspects) Left(id string, now time.Time) {
 	s.went(id, now)
-	s.confirm(now, func(r *LostRun) bool { return r.Replica == id && !r.Alive })
+	s.mu.Lock()
+	i := slices.IndexFunc(s.lost, func(r LostRun) bool { return r.Replica == id && !r.Alive })
+	addr := netip.AddrPort{}
+	if i >= 0 {
+		addr = s.lost[i].Addr
+	}
+	s.mu.Unlock()
+	if i >= 0 {
+		s.lookAt(id, addr)
+	}
 }
 
-// Restarted notes that a replica has started anew under its ID.
+// Restarted notes that a replica that had not said that it was leaving has started anew
+// under its ID.
 func (s *Suspects) Restarted(id string, now time.Time) {
-	s.went(id, now)
 	s.confirm(now, func(r *LostRun) bool { return r.Replica == id })
 }
 
