--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -97,7 +97,9 @@
 		keyRequest, keyContent, keyReplica, {"last_event", "the last event that was passed on"}, keyErr,
 	}},
 	{"machine was suspended", Change, "The node's machine was suspended; what the node knew is asked anew.", []Key{
-		keyNode, {"for", "nanoseconds"}, keyInFlight,
+		keyNode,
+		{"for", "nanoseconds"},
+		keyInFlight,
 		{"resting", "resting connections to replicas that were closed"},
 		{"stores", "stores of kept state of which nothing is known until they are heard"},
 	}},
--- a/pkg/suspect/register_test.go
+++ b/pkg/suspect/register_test.go
@@ -101,7 +101,9 @@
 func TestWatchedRequestRunsOnceAtATime(t *testing.T) {
 	r := suspect.NewRegister()
 	f := content("a")
-	assert.Assert(t, r.Run(f, time.Second, at(0)) && r.Run(f, time.Second, at(0)), "not watched")
+	for range 2 {
+		assert.Assert(t, r.Run(f, time.Second, at(0)), "not watched")
+	}
 	r.Merge(end("a", "r1", 1))
 	r.Merge(end("a", "r2", 2))
 	assert.Assert(t, r.Run(f, time.Second, at(3)))
