--- a/internal/standin/onplatform/suspended_test.go
+++ b/internal/standin/onplatform/suspended_test.go
@@ -92,3 +92,25 @@
 	assert.Equal(t, got.status, 503)
 	assert.Equal(t, len(a.Seen())+len(b.Seen()), 1)
 }
+
+// A data hall was evacuated while the machine was suspended.
+func TestSuspendedNodeSendsNothingToAHallThatWasEvacuated(t *testing.T) {
+	s := newSite(t)
+	s.way = s.proxy(s.store.Addr())
+	a, b := s.newReplica("a"), s.newReplica("b")
+	s.put(a, row(app, a, nil))
+	s.put(b, row(app, b, map[string]any{"zone": "hall-b"}))
+	n := s.node("n1")
+	s.until("its own hall serves", func() bool { return n.reaches(a) })
+	back := s.away()
+	s.store.Put(onplatform.TableOperator, "evacuate/hall-a", map[string]any{})
+	boottime.Skip(8 * time.Second)
+	before := len(a.Seen())
+	for range 10 {
+		n.send(request("GET", "/safe/x", ""))
+	}
+	assert.Equal(t, len(a.Seen()), before)
+	back()
+	s.until("the other hall serves", func() bool { return n.reaches(b) })
+	s.until("and the evacuated one does not", func() bool { return !n.reaches(a) })
+}
--- a/pkg/control/leases_test.go
+++ b/pkg/control/leases_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
@@ -198,3 +199,13 @@
 	_, ok = a.Fence(testLease)
 	assert.Assert(t, !ok)
 }
+
+// A holder's machine is suspended for longer than a term; its steady clock stands still.
+func TestLeasesAreOverAfterASuspension(t *testing.T) {
+	m := NewMembers(Member{Name: "vm-0", Incarnation: 1}, time.Second, nil, rand.New(rand.NewPCG(1, 1)))
+	l := newLeases("vm-0", testTerm, newMemTable(), m, quiet)
+	l.Step(t.Context())
+	assert.Assert(t, l.Held(testLease))
+	boottime.Skip(testTerm)
+	assert.Assert(t, !l.Held(testLease))
+}
--- a/service/gateway/stores_test.go
+++ b/service/gateway/stores_test.go
@@ -158,3 +158,26 @@
 	x.refresh(t.Context())
 	eventually(t, "all stores are told of", func() bool { parts, heard := x.parts(); return parts == 4 && heard == 4 })
 }
+
+// While the machine was suspended stores may have freed parts, and hold others half
+// written under the same names: nothing is known of them until they are heard again.
+func TestStoresAreHeardAnewAfterASuspension(t *testing.T) {
+	const count = 3
+	x := newToldStores(t, count, methodEventsOf)
+	for _, name := range x.names {
+		x.keep(name, 0, 10, part("a", 100))
+	}
+	x.refresh(t.Context())
+	eventually(t, "all stores are heard", func() bool { _, heard := x.parts(); return heard == count })
+	x.keep("s00", 10, 20, part("a", 0)) // Freed meanwhile.
+	x.mu.Lock()
+	x.ask(nil) // Nothing is told any more.
+	x.mu.Unlock()
+	assert.Equal(t, x.restart(), count)
+	parts, heard := x.parts()
+	assert.Assert(t, heard < count || parts == count-1, "%d parts, %d heard", parts, heard)
+	eventually(t, "they are heard anew, as of where they were", func() bool {
+		parts, heard := x.parts()
+		return heard == count && parts == count-1
+	})
+}
