--- a/service/entry/run_suspects.go
+++ b/service/entry/run_suspects.go
@@ -54,6 +54,9 @@
 			Message: fmt.Sprintf("%d engines ended under this prompt; it is not to be sent again", len(c.Ends)),
 		})
 	case suspect.Watched:
+		if r.watched {
+			return nil // It was let run and found its engine gone; asked again it would wait for itself.
+		}
 		if !s.MayRun(r.ctx, c.Content, watchedMost) {
 			return r.failure(refusal(CodeSuspected, suspectedRetry, "engines ended under this prompt, and another one like it is under way"))
 		}
