Known red: a prompt that stays suspected behind the product's own interface

Under the race detector the script of deadly prompts beside dead engines ended once in four runs with 503 suspected, not 400; not traced (only suspected: a leave that its owner gave late is told back to another one).

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -236,7 +236,7 @@
 	{
 		"suspects: engines", "service/entry/run_suspects.go",
 		"	if s.Empty() {", "	if true || s.Empty() {",
-		scenarios, "TestScenarios/deadly_prompt",
+		scenarios, "TestDeadlyPrompts",
 	},
 	{
 		"suspended: nothing is sent on before the node has heard", "service/gateway/suspension.go",
--- a/cmd/drumpath/main_test.go
+++ b/cmd/drumpath/main_test.go
@@ -19,9 +19,14 @@
 	})
 }
 
-func TestScenarios(t *testing.T) {
+func TestScenarios(t *testing.T) { runScripts(t, "testdata") }
+
+// Prompts under which engines end.
+func TestDeadlyPrompts(t *testing.T) { runScripts(t, "testdata/deadly") }
+
+func runScripts(t *testing.T, dir string) {
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata",
+		Dir: dir,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("DRUMPATH_TOKEN", standin.OperatorToken)
 			env.Values[scenarioKey{}] = newScenario()
