RED: a call is sent on a connection that its server closed while it rested

Such a call counts as one that may have run, and the engine's end as one under this prompt. The test shows both cases, connections closed by a server that lives on and a server that ended.

--- /dev/null
+++ b/pkg/httpjson/rest_test.go
@@ -0,0 +1,66 @@
+package httpjson
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A server ended while connections to it rested, and the next calls were sent on those:
+// "write: broken pipe". That was taken for calls that may have run, and for a server that
+// ended under them, although it had ended long before: callers got 502 for prompts that no
+// engine had begun, and the prompts were suspected.
+func TestCallIsNotSentOnAConnectionThatItsServerHasClosed(t *testing.T) {
+	const (
+		resting = 5
+		large   = 1 << 20 // More than goes out in one write.
+		busy    = 5 * time.Second
+	)
+	for name, goes := range map[string]bool{"its connections are closed": false, "the server ends": true} {
+		t.Run(name, func(t *testing.T) {
+			var together sync.WaitGroup
+			together.Add(resting)
+			server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/together" {
+					together.Done()
+					together.Wait() // So that each has a connection of its own.
+				}
+			}))
+			defer server.Close()
+			c := NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()))
+			defer c.Close()
+			call := func(path, body string) error {
+				ctx, cancel := context.WithTimeout(t.Context(), busy)
+				defer cancel()
+				return c.Call(ctx, http.MethodPost, path, body, nil)
+			}
+			var all sync.WaitGroup
+			for range resting {
+				all.Go(func() { assert.Check(t, call("/together", "x")) })
+			}
+			all.Wait()
+			if goes {
+				server.Close()
+			} else {
+				server.CloseClientConnections()
+			}
+			time.Sleep(50 * time.Millisecond) // The close is on its way.
+			for range resting + 1 {
+				err := call("/", strings.Repeat("x", large))
+				if !goes {
+					assert.NilError(t, err)
+					continue
+				}
+				assert.Assert(t, err != nil && NotSent(err), "%v", err)
+				assert.ErrorContains(t, err, "connection refused")
+			}
+		})
+	}
+}
