A call is begun anew on another connection where its own was closed at rest

Cause: fasthttp hands out connections that rest without a look at them; what is sent on one that its server has closed ends with a broken pipe or a reset, which can't be told from a call that was lost underway. Ruled out: fasthttp's own repeats, as they would repeat calls that may have run. Change: before the first byte on a connection that has answered before, the state of its socket is read; if the server has left, all that rest are closed and the call begins anew, three times at most. It is then not sent, not lost: the engine is not taken to have ended under it, nor the prompt to have run. A look is one getsockopt, for calls of the product's own interface, of nodes and of the store.

--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -21,6 +21,9 @@
 	maxConns        = 512
 	idleConn        = 5 * time.Second
 	maxResponseBody = 64 << 20
+	// restingTries is how often a call is begun anew where its connection had been closed at
+	// rest. Each time all that rest are closed; those of calls that end meanwhile come back.
+	restingTries = 3
 	contentType     = "application/json"
 )
 
@@ -115,11 +118,13 @@
 	if err := ctx.Err(); err != nil {
 		return &CallError{Path: path, NotSent: true, Err: err}
 	}
-	var err error
-	if deadline, ok := ctx.Deadline(); ok {
-		err = c.http.DoDeadline(req, resp, deadline)
-	} else {
-		err = c.http.Do(req, resp)
+	err := c.do(ctx, req, resp)
+	for range restingTries {
+		if !errors.Is(err, errClosedAtRest) {
+			break
+		}
+		c.http.CloseIdleConnections() // The others are likely closed as well.
+		err = c.do(ctx, req, resp)
 	}
 	if err != nil {
 		failed := &CallError{Path: path, NotSent: neverSent(err), Err: err}
@@ -136,6 +141,13 @@
 	return nil
 }
 
+func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		return c.http.DoDeadline(req, resp, deadline)
+	}
+	return c.http.Do(req, resp)
+}
+
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -151,5 +163,5 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return true
 	}
-	return errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout)
+	return errors.Is(err, errClosedAtRest) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout)
 }
--- a/pkg/httpjson/patience.go
+++ b/pkg/httpjson/patience.go
@@ -1,10 +1,12 @@
 package httpjson
 
 import (
+	"errors"
 	"net"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/http1"
 )
 
 const (
@@ -29,6 +31,25 @@
 	c   *Client
 	due time.Time // Zero without a limit.
 	got int       // Bytes of this answer.
+	// rested says that it has answered before and nothing has been sent since.
+	rested bool
+}
+
+// errClosedAtRest is a connection that its server had closed before anything of the call
+// was sent on it.
+var errClosedAtRest = errors.New("connection was closed while it rested")
+
+// Write implements net.Conn. Sent on a connection that its server has closed, a call would
+// seem to have been lost underway: prompts were answered 502 that no engine had begun, and
+// engines that had ended before were counted as ended under them.
+func (c *patientConn) Write(b []byte) (int, error) {
+	if c.rested {
+		if left, err := http1.PeerLeft(c.Conn); left || err != nil {
+			return 0, errClosedAtRest
+		}
+	}
+	c.rested = false
+	return c.Conn.Write(b)
 }
 
 // SetReadDeadline implements net.Conn.
@@ -40,6 +61,7 @@
 // Read implements net.Conn.
 func (c *patientConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.rested = true
 	if err != nil || n == 0 || c.due.IsZero() {
 		return n, err
 	}
