--- a/service/suspects/suspects_test.go
+++ b/service/suspects/suspects_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,7 @@
 
 	mu    sync.Mutex
 	cut   map[string]bool // Nodes that nobody hears and that hear nobody.
+	slow  map[string]bool // Nodes that do what they are asked and answer too late.
 	bytes map[string]int  // Received, by node.
 	ended []time.Time
 	sent  []time.Time
@@ -43,6 +45,7 @@
 		late:   late,
 		rnd:    rand.New(rand.NewPCG(uint64(n), 7)),
 		cut:    map[string]bool{},
+		slow:   map[string]bool{},
 		bytes:  map[string]int{},
 	}
 	var list []control.Member
@@ -75,6 +78,12 @@
 	return f.cut[a] != f.cut[b] || f.cut[a] && a != b
 }
 
+func (f *suspectFleet) isSlow(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.slow[name]
+}
+
 func (f *suspectFleet) chance() float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -141,6 +150,10 @@
 		return err
 	}
 	a, err := s.ServeRun(ctx, body)
+	if l.f.isSlow(s.self.Name) {
+		time.Sleep(within)
+		return errors.New("answered too late")
+	}
 	*result.(*runAnswer) = a.(runAnswer)
 	return err
 }
@@ -330,6 +343,60 @@
 	})
 }
 
+// A prompt stayed refused for 10 s while nothing of it was under way: "another one like it is
+// under way", twelve times in a row. The first owner that was asked for leave gave it, but
+// answered later than it is waited for, so the second one was asked as well; told that the
+// run was over was only the first. Who asked and was refused must not end another's run.
+func TestLeaveThatWasAnsweredLateHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSuspectFleet(71, 3, func() time.Duration { return 5 * time.Millisecond })
+		for i := range 2 {
+			now := time.Now()
+			life := fmt.Sprint("replica", i)
+			f.nodes[i].Ended(LostRun{Content: deadlyContent, Sketch: 1, Replica: life, Life: life, Begun: now, At: now}, now)
+			time.Sleep(time.Second)
+		}
+		owners := f.nodes[0].owners(deadlyContent)
+		others := slices.DeleteFunc(slices.Clone(f.nodes), func(s *Suspects) bool {
+			return slices.ContainsFunc(owners, func(o control.Member) bool { return o.Name == s.self.Name })
+		})
+		slow := func(yes bool, list ...control.Member) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, o := range list {
+				f.slow[o.Name] = yes
+			}
+		}
+		mayRun := func(s *Suspects) bool { return s.MayRun(t.Context(), deadlyContent, 4*time.Second) }
+		over := func(s *Suspects) {
+			s.Over(deadlyContent)
+			time.Sleep(50 * time.Millisecond)
+		}
+
+		x, y, z := others[0], others[1], others[2]
+		slow(true, owners[0])
+		assert.Assert(t, mayRun(x))
+		assert.Assert(t, !mayRun(y), "one is under way")
+		time.Sleep(50 * time.Millisecond)
+		slow(false, owners[0])
+		assert.Assert(t, !mayRun(z), "it still is")
+		slow(true, owners[0])
+		over(x)
+		assert.Assert(t, mayRun(z), "it is over")
+		assert.Assert(t, !mayRun(z), "one at a time at each node, too")
+		slow(false, owners[0])
+		assert.Assert(t, !mayRun(y), "one is under way")
+		over(z)
+		slow(true, owners...)
+		assert.Assert(t, mayRun(x), "no owner answers")
+		over(x)
+		slow(false, owners...)
+		slow(true, owners[0])
+		assert.Assert(t, mayRun(y), "it is over")
+		over(y)
+	})
+}
+
 // lostAt is a request whose answer was lost at a replica of the same name.
 func lostAt(name string, begun, at time.Time) LostRun {
 	c := site.NewFingerprint("", "POST", "h", "/x", []byte(name))
