Leave to run a suspected request is asked for by node, and given back to each owner asked

Cause: a leave whose answer came later than 150 ms stayed given for up to 10 s, as the end of a run was told to the first owner only, which need not be the one that gave it; and an end told by anybody ended anybody's run. Ruled out: the end's note being lost (in the test none is lost before the fault shows). Change: a node has one run of a content under way at a time, and says its name when it asks; an owner gives the same node leave again and takes it back from that node only; the end is told to all owners, and to those that were silent when another refuses. Nodes of before say no name and are answered as before. The product's own interface waits for what its suspects still tell when it closes.

--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -24,7 +24,7 @@
 	// restingTries is how often a call is begun anew where its connection had been closed at
 	// rest. Each time all that rest are closed; those of calls that end meanwhile come back.
 	restingTries = 3
-	contentType     = "application/json"
+	contentType  = "application/json"
 )
 
 // Client calls one server; it never repeats a call by itself.
--- a/pkg/suspect/register.go
+++ b/pkg/suspect/register.go
@@ -42,6 +42,8 @@
 	// running is until when a run of a watched request is taken to be under way, unless
 	// something is heard of it.
 	running time.Time
+	// lent names the node that was given leave for it, empty for this one's own run.
+	lent string
 	// told says that other nodes know of the last finish.
 	told bool
 }
@@ -127,27 +129,43 @@
 	return true
 }
 
-// Run asks whether a watched request may be sent now; it counts as under way for at most
-// a time, unless something is heard of it before.
+// Run asks whether a watched request may be sent now by this node; it counts as under way
+// for at most a time, unless something is heard of it before.
 func (r *Register) Run(f site.Fingerprint, most time.Duration, now time.Time) bool {
+	return r.run(f, "", most, now)
+}
+
+// Lend is Run for another node. A node has one run under way at a time, so one that asks
+// again has not heard the answer, or its run is over.
+func (r *Register) Lend(f site.Fingerprint, node string, most time.Duration, now time.Time) bool {
+	return r.run(f, node, most, now)
+}
+
+func (r *Register) run(f site.Fingerprint, node string, most time.Duration, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.known[f]
 	switch {
 	case e == nil || e.Verdict() == Free:
 		return true
-	case e.Verdict() == Barred || now.Before(e.running):
+	case e.Verdict() == Barred:
+		return false
+	case now.Before(e.running) && (node == "" || e.lent != node):
 		return false
 	}
-	e.running = now.Add(most)
+	e.running, e.lent = now.Add(most), node
 	return true
 }
 
-// Over notes that a watched request is no longer under way, with no word of its replica.
-func (r *Register) Over(f site.Fingerprint) {
+// Over notes that this node's run of a watched request is no longer under way, with no word
+// of its replica.
+func (r *Register) Over(f site.Fingerprint) { r.Return(f, "") }
+
+// Return is Over for a run that was lent to another node.
+func (r *Register) Return(f site.Fingerprint, node string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.known[f]; e != nil {
+	if e := r.known[f]; e != nil && e.lent == node {
 		e.running = time.Time{}
 	}
 }
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -196,6 +196,7 @@
 func (n *Node) Close() {
 	n.Entry.Close()
 	n.Timer.Close()
+	n.Suspects.Close()
 	n.Spread.Close()
 	n.Claims.Close()
 	n.Collector.Close()
--- a/service/suspects/news.go
+++ b/service/suspects/news.go
@@ -235,7 +235,7 @@
 		return nil, eris.Wrap(err, "bad parameters")
 	}
 	most := min(time.Duration(q.MostMS)*time.Millisecond, longestRun)
-	return runAnswer{Run: s.register.Run(q.Content, most, boottime.Now())}, nil
+	return runAnswer{Run: s.register.Lend(q.Content, q.Node, most, boottime.Now())}, nil
 }
 
 func (s *Suspects) ServeOver(_ context.Context, params json.RawMessage) (any, error) {
@@ -243,6 +243,6 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, eris.Wrap(err, "bad parameters")
 	}
-	s.register.Over(q.Content)
+	s.register.Return(q.Content, q.Node)
 	return struct{}{}, nil
 }
--- a/service/suspects/suspects.go
+++ b/service/suspects/suspects.go
@@ -331,43 +331,67 @@
 	MethodOver = "suspects.over"
 )
 
-// runRequest are the parameters of methodRun and methodOver.
+// runRequest are the parameters of MethodRun and MethodOver.
 type runRequest struct {
 	Content site.Fingerprint `json:"content"`
 	MostMS  int64            `json:"most_ms,omitempty"`
+	// Node asks; older nodes don't tell.
+	Node string `json:"node,omitempty"`
 }
 
 type runAnswer struct {
 	Run bool `json:"run"`
 }
 
-// MayRun asks whether a watched request may be sent now: the first of its owners that
-// answers lets one at a time, for at most a time. Where none does, this node lets one of
-// its own.
+// MayRun asks whether a watched request may be sent now: this node has one under way at a
+// time, and the first of the request's owners that answers lets one of all nodes, for at
+// most a time. Where none answers, this node lets one of its own.
 func (s *Suspects) MayRun(ctx context.Context, f site.Fingerprint, most time.Duration) bool {
+	if !s.register.Run(f, most, boottime.Now()) {
+		return false
+	}
+	var silent []control.Member // They may have given leave.
 	for _, o := range s.owners(f) {
 		if o.Name == s.self.Name {
 			break
 		}
 		var a runAnswer
-		if err := s.client.CallWithin(ctx, askTerm, o.Peer, MethodRun, runRequest{f, most.Milliseconds()}, &a); err == nil {
-			return a.Run
+		q := runRequest{Content: f, MostMS: most.Milliseconds(), Node: s.self.Name}
+		err := s.client.CallWithin(ctx, askTerm, o.Peer, MethodRun, q, &a)
+		switch {
+		case err != nil:
+			silent = append(silent, o)
+			continue
+		case !a.Run:
+			s.register.Over(f)
+			s.tellOver(f, silent)
 		}
+		return a.Run
 	}
-	return s.register.Run(f, most, boottime.Now())
+	return true
 }
 
-// Over tells that a watched request has ended with no word of its replica.
+// Over tells that a watched request has ended with no word of its replica. Told only to the
+// first owner, one that was asked for leave and answered too late went on refusing the
+// request to all nodes, for up to 10 s.
 func (s *Suspects) Over(f site.Fingerprint) {
 	s.register.Over(f)
-	owners := s.owners(f)
-	if len(owners) == 0 || owners[0].Name == s.self.Name {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), askTerm)
-	defer cancel()
-	if err := s.client.Notify(ctx, owners[0].Peer, MethodOver, runRequest{Content: f}); err != nil {
-		s.log.Debug("end of a watched request not told", "err", err) // It lapses.
+	s.tellOver(f, s.owners(f))
+}
+
+// tellOver gives leave back to those that may have given it, without waiting for them.
+func (s *Suspects) tellOver(f site.Fingerprint, owners []control.Member) {
+	for _, o := range owners {
+		if o.Name == s.self.Name {
+			continue
+		}
+		s.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTerm)
+			defer cancel()
+			if err := s.client.Notify(ctx, o.Peer, MethodOver, runRequest{Content: f, Node: s.self.Name}); err != nil {
+				s.log.Debug("end of a watched request not told", "err", err) // It lapses.
+			}
+		})
 	}
 }
 
