A node that has just started waits until it has heard what is barred

Cause: a node takes requests as soon as it knows configuration and replicas; what is barred comes with the nodes' table, by another call, or with another node's digest up to a second later. What is sent in between may be barred: one more replica ended. Change: the first requests of a node wait until the store, or a node that knows, has told it what is barred, a second at most from the first request on; a node that starts asks another one each 100 ms until then. Ways weighed: not ready until it knows (the same delay, but callers are refused), reading that table first (another call of the store for each node's start in order, and nothing where the store turns a node away).

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -113,6 +113,7 @@
 	{"request no longer suspected", Change, "A replica has finished a content under which replicas had ended.", []Key{keyContent}},
 	{"request barred", Failure, "A request was not sent on, as replicas had ended under its content.", []Key{keyRequest, keyContent, keyEnds, keyEnded, keyAttempts}},
 	{"barred requests not written", Failure, "The row for nodes that start later was not written; it is tried again.", []Key{keyErr}},
+	{"serves without having heard what is barred", Failure, "Neither the store nor another node has told a node that has started; its first requests wait no longer.", []Key{keyNode, {"after", "nanoseconds that they have waited at most"}}},
 	{"row of barred requests can't be read", Failure, "The row for nodes that start later can't be read.", []Key{keyRow, keyErr}},
 	{"stream cut", Failure, "A stream that had begun was broken off towards the client.", []Key{keyRequest, keyRoute, {"reason", "why"}}},
 
--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -61,6 +61,7 @@
 
 // cleared says whether the request may be sent to a replica now.
 func (x *exchange) cleared(ctx context.Context) (f refusal, ok bool) {
+	x.g.suspects.Await(ctx)
 	if f, yes := x.barred(); yes {
 		return f, false
 	}
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -203,6 +203,7 @@
 	g.every(watchEvery, g.shareBudgets)
 	g.every(suspects.Every, g.suspects.Step)
 	g.every(suspects.Every, g.suspects.Keep)
+	g.every(suspects.LearnEvery, g.suspects.Learn)
 	g.wg.Go(func() { g.runQueues(g.ctx) })
 	g.wg.Go(func() { g.nodes.meet(g.ctx) })
 	g.wg.Go(func() { g.nodes.runSpeaker(g.ctx) })
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -161,6 +161,7 @@
 			strangers = append(strangers, row.Peer)
 		}
 	}
+	n.suspects.Learned()
 	n.probes.Send(n.members.Greet(strangers))
 }
 
--- a/service/gateway/nodes_test.go
+++ b/service/gateway/nodes_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/service/peer"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 // A node that the store turns away and that knows others leaves it alone for a
@@ -27,6 +28,7 @@
 	n := &nodes{
 		self: self, members: m, store: store, announced: true, shares: newColdShares(self, m),
 		log: slog.New(slog.NewTextHandler(&logged, nil)), loads: newLoads(),
+		suspects: suspects.New(self, m, nil, nil, slog.New(slog.DiscardHandler)),
 	}
 	for range 5 {
 		n.meet(t.Context())
--- /dev/null
+++ b/service/suspects/learn.go
@@ -0,0 +1,111 @@
+package suspects
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/control"
+)
+
+const (
+	// LearnEvery is how often a node that has just started asks another one what is barred:
+	// an answer takes some milliseconds, and it needs no more than a few.
+	LearnEvery = 100 * time.Millisecond
+	// learnMost bounds for how long the first requests of a node wait until it knows what is
+	// barred. It answers a start of all nodes while the store turns this one away: the others
+	// then know nothing either until they have read the store, which takes them some 0.2 s.
+	learnMost = time.Second
+)
+
+// learning is how far a node has come that has just started.
+type learning struct {
+	// done is closed once requests need not wait any more.
+	done chan struct{}
+	// begun holds once the first request waits.
+	begun bool
+	// knows says that the node has heard what is barred.
+	knows bool
+}
+
+// Learned notes that the node has heard what is barred.
+func (s *Suspects) Learned() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learning.knows = true
+	s.endWait()
+}
+
+// endWait lets waiting requests go on; the caller holds mu.
+func (s *Suspects) endWait() {
+	select {
+	case <-s.learning.done:
+	default:
+		close(s.learning.done)
+	}
+}
+
+// knows says whether the node has heard what is barred.
+func (s *Suspects) knows() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.learning.knows
+}
+
+// Await waits until the node knows what is barred, for learnMost after the first call at
+// most. Without it a node that had just started ended one more replica under a request that
+// all others refused, before it had read the store.
+func (s *Suspects) Await(ctx context.Context) {
+	select {
+	case <-s.learning.done:
+		return
+	default:
+	}
+	s.startWait()
+	select {
+	case <-s.learning.done:
+	case <-ctx.Done():
+	}
+}
+
+// startWait bounds the wait from the first request on.
+func (s *Suspects) startWait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.learning.begun {
+		return
+	}
+	s.learning.begun = true
+	time.AfterFunc(learnMost, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.learning.knows {
+			s.log.Warn("serves without having heard what is barred", "node", s.self.Name, "after", learnMost)
+		}
+		s.endWait()
+	})
+}
+
+// Learn asks another node what is barred, as long as this one does not know; the timer
+// service calls it.
+func (s *Suspects) Learn(context.Context) {
+	if !s.knows() {
+		s.compareWith(s.members.View().Working)
+	}
+}
+
+// compareWith tells one node of a list, drawn at random, what this one holds.
+func (s *Suspects) compareWith(list []control.Member) {
+	var others []netip.AddrPort
+	for _, m := range list {
+		if m.Name != s.self.Name {
+			others = append(others, m.Peer)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	to := []netip.AddrPort{others[rand.IntN(len(others))]}
+	s.notes.Note(to, NoteDigest, digestNote{From: s.self.Peer, Digest: s.register.Digest(), Learning: !s.knows()})
+}
--- a/service/suspects/news.go
+++ b/service/suspects/news.go
@@ -10,7 +10,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
-	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
 )
@@ -84,6 +83,10 @@
 	Digest uint64         `json:"d"`
 	// Answer says that it answers such a note.
 	Answer bool `json:"a,omitempty"`
+	// Learning says that the node has just started, and waits for an answer also where
+	// both hold the same; Knows that the one who answers has heard what is barred.
+	Learning bool `json:"l,omitempty"`
+	Knows    bool `json:"k,omitempty"`
 }
 
 // tell tells other nodes what this one has seen of a request.
@@ -180,17 +183,7 @@
 	now := boottime.Now()
 	s.register.Expire(now)
 	s.forgetGone(now)
-	var others []control.Member
-	for _, m := range s.members.View().All { // The dead too: this node may have been cut off.
-		if m.Name != s.self.Name {
-			others = append(others, m)
-		}
-	}
-	if len(others) == 0 {
-		return
-	}
-	to := others[rand.IntN(len(others))].Peer
-	s.notes.Note([]netip.AddrPort{to}, NoteDigest, digestNote{From: s.self.Peer, Digest: s.register.Digest()})
+	s.compareWith(s.members.View().All) // The dead too: this node may have been cut off.
 }
 
 // Compare answers a node that holds something else than this one.
@@ -201,12 +194,15 @@
 		return
 	}
 	own := s.register.Digest()
-	if own == w.Digest {
-		return
+	if own == w.Digest && w.Knows {
+		s.Learned()
 	}
 	to := []netip.AddrPort{w.From}
-	if !w.Answer {
-		s.notes.Note(to, NoteDigest, digestNote{From: s.self.Peer, Digest: own, Answer: true})
+	if !w.Answer && (own != w.Digest || w.Learning) {
+		s.notes.Note(to, NoteDigest, digestNote{From: s.self.Peer, Digest: own, Answer: true, Knows: s.knows()})
+	}
+	if own == w.Digest {
+		return
 	}
 	held := s.register.Held(mostHeld)
 	rand.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
--- a/service/suspects/suspects.go
+++ b/service/suspects/suspects.go
@@ -45,6 +45,7 @@
 	wg   sync.WaitGroup
 
 	mu       sync.Mutex
+	learning learning
 	lost     []LostRun
 	gone     map[string]time.Time // When replicas that had not said that they leave went, by ID.
 	told     int                  // Ends told since toldFrom.
@@ -128,6 +129,7 @@
 		store:    st,
 		client:   c,
 		register: suspect.NewRegister(),
+		learning: learning{done: make(chan struct{})},
 		log:      log,
 		kept:     map[site.Fingerprint]bool{},
 		gone:     map[string]time.Time{},
--- a/service/suspects/suspects_test.go
+++ b/service/suspects/suspects_test.go
@@ -66,6 +66,7 @@
 func (f *suspectFleet) add(m control.Member, members *control.Members) *Suspects {
 	s := New(m, members, nil, &lateCalls{f: f, from: m.Name}, slog.New(slog.DiscardHandler))
 	s.Attach(&lateNotes{self: m, members: members, f: f})
+	s.Learned()
 	f.nodes = append(f.nodes, s)
 	f.byPeer[m.Peer] = s
 	return s
@@ -78,6 +79,13 @@
 	return f.cut[a] != f.cut[b] || f.cut[a] && a != b
 }
 
+// cutOff cuts a node off from all others, or ends that.
+func (f *suspectFleet) cutOff(yes bool, s *Suspects) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[s.self.Name] = yes
+}
+
 func (f *suspectFleet) isSlow(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -221,6 +229,12 @@
 				time.Sleep(Every)
 			}
 		}()
+		go func() {
+			for ctx.Err() == nil {
+				s.Learn(ctx)
+				time.Sleep(LearnEvery)
+			}
+		}()
 	}
 }
 
@@ -397,6 +411,50 @@
 	})
 }
 
+// A node that starts among others hears from them what is barred, also where the store does
+// not tell it, and from none that has only just started itself.
+func TestNodeThatStartsHearsFromOthersWhatIsBarred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSuspectFleet(71, 3, func() time.Duration { return 5 * time.Millisecond })
+		ctx, cancel := context.WithCancel(t.Context())
+		late := f.nodes[70]
+		f.cutOff(true, late)
+		for i := range 3 {
+			now := time.Now()
+			life := fmt.Sprint("replica", i)
+			f.nodes[i].Ended(LostRun{Content: deadlyContent, Sketch: 1, Replica: life, Life: life, Begun: now, At: now}, now)
+			time.Sleep(time.Second)
+		}
+		f.cutOff(false, late)
+		for _, s := range f.nodes[60:] { // Have started anew, late without what the others still have.
+			s.learning = learning{done: make(chan struct{})}
+		}
+		f.steps(ctx)
+		begun := time.Now()
+		late.Await(ctx)
+		assert.Assert(t, time.Since(begun) < 700*time.Millisecond, "%v", time.Since(begun))
+		c := late.Case(deadlyContent)
+		assert.Equal(t, c.Verdict(), suspect.Barred)
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newSuspectFleet(3, 1, func() time.Duration { return 5 * time.Millisecond })
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, s := range f.nodes {
+			s.learning = learning{done: make(chan struct{})}
+		}
+		f.steps(ctx)
+		begun := time.Now()
+		f.nodes[0].Await(ctx)
+		assert.Equal(t, time.Since(begun), learnMost, "nobody knows")
+		f.nodes[0].Await(ctx)
+		assert.Equal(t, time.Since(begun), learnMost)
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // lostAt is a request whose answer was lost at a replica of the same name.
 func lostAt(name string, begun, at time.Time) LostRun {
 	c := site.NewFingerprint("", "POST", "h", "/x", []byte(name))
