The soak suspends machines; tests for what engines hold and for membership over a suspension

Cause: two rows of the table of what ages had no test, and the soak had no suspension. Change: test.suspended, a setting for tests; a reload with a longer time has the clock that counts everything jump by what it is longer. The soak stops a process by a signal, lets its clock jump by 2, 8 or 30 s and has it go on. Ruled out: holding the steady clock back, which the runtime offers no way to.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,6 +32,7 @@
 var faults = []fault{
 	{"kill", (*soak).killNode},
 	{"pause", (*soak).pauseNode},
+	{"suspend", (*soak).suspendNode},
 	{"stop", (*soak).stopNode},
 	{"reread", (*soak).hupNode},
 	{"store refuses", storeMode(onplatform.ModeRefusing)},
@@ -88,6 +89,25 @@
 	}
 }
 
+// suspensions are how long machines are suspended.
+var suspensions = []time.Duration{2 * time.Second, 8 * time.Second, 30 * time.Second}
+
+// suspendNode stops a process, and has its clock tell afterwards that its machine was
+// suspended for longer than the steady clock counts.
+func (s *soak) suspendNode(rng *rand.Rand, d time.Duration) {
+	if n := s.takeNode(rng); n != nil {
+		defer n.busy.Unlock()
+		n.harm(d)
+		n.signal(syscall.SIGSTOP, false)
+		time.Sleep(d)
+		n.suspended += suspensions[rng.IntN(len(suspensions))]
+		s.note(n.writeSettings())
+		n.signal(syscall.SIGHUP, false)
+		n.signal(syscall.SIGCONT, false)
+		n.harm(0)
+	}
+}
+
 func (s *soak) stopNode(rng *rand.Rand, _ time.Duration) {
 	if n := s.takeNode(rng); n != nil {
 		defer n.busy.Unlock()
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -34,6 +34,8 @@
 	program string
 
 	busy sync.Mutex // Held while a fault of the process itself goes on.
+	// suspended is for how long its machine has been suspended in all; guarded by busy.
+	suspended time.Duration
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -49,6 +51,17 @@
 func newNode(dir, name, ip, program string, store *netproxy.Proxy, broken func(string, ...any)) (n *node, err error) {
 	defer func() { err = eris.Wrapf(err, "node %s", name) }()
 	n = &node{name: name, ip: ip, file: filepath.Join(dir, name+".json"), store: store, program: program, broken: broken}
+	if err := n.writeSettings(); err != nil {
+		return nil, err
+	}
+	if n.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
+		return nil, err
+	}
+	return n, n.start()
+}
+
+// writeSettings writes the settings that the process reads next.
+func (n *node) writeSettings() error {
 	text := fmt.Sprintf(`{
 	"node": {"name": %q, "data_hall": "hall-a"},
 	"entry": {"listen": "%[2]s:8001", "ready": "%[2]s:8002", "directory": "%[2]s:8003", "max_age": "1s"},
@@ -56,15 +69,10 @@
 	"platform": {"store": %[3]q, "hold": "1s"},
 	"retry": {"share": 0.2, "window": "10s", "slack": 50},
 	"stop": {"grace": %[4]q},
-	"orders": {"pause": "1s", "within": "10s"}
-}`, name, ip, store.Addr().String(), grace)
-	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	if n.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
-		return nil, err
-	}
-	return n, n.start()
+	"orders": {"pause": "1s", "within": "10s"},
+	"test": {"suspended": %[5]q}
+}`, n.name, n.ip, n.store.Addr().String(), grace, n.suspended)
+	return os.WriteFile(n.file, []byte(text), 0o600)
 }
 
 // start starts the process and notices if it ends by itself.
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -23,6 +23,14 @@
 	Evacuation EvacuationSettings `json:"evacuation"`
 	Log        LogSettings        `json:"log"`
 	Without    WithoutSettings    `json:"without"`
+	Test       TestSettings       `json:"test"`
+}
+
+// TestSettings are for tests only.
+type TestSettings struct {
+	// Suspended is for how long the machine is to be taken to have been suspended. A reload
+	// with a longer time is a suspension of what it is longer.
+	Suspended Duration `json:"suspended" validate:"gte=0"`
 }
 
 // GatewayEntrySettings is where callers reach the node.
--- a/pkg/control/members_test.go
+++ b/pkg/control/members_test.go
@@ -20,11 +20,13 @@
 	views []*Members
 	byAdr map[netip.AddrPort]int
 	cut   func(from, to int) bool
-	bytes []int // Sent by each view.
+	// suspended is a view whose machine is suspended: it neither sends nor is told the time.
+	suspended int
+	bytes     []int // Sent by each view.
 }
 
 func newTestFleet(n int) *testFleet {
-	f := &testFleet{now: testNow, byAdr: map[netip.AddrPort]int{}, bytes: make([]int, n)}
+	f := &testFleet{now: testNow, byAdr: map[netip.AddrPort]int{}, suspended: -1, bytes: make([]int, n)}
 	f.cut = func(int, int) bool { return false }
 	for i := range n {
 		f.byAdr[testAddr(i)] = i
@@ -62,11 +64,15 @@
 func (f *testFleet) run(periods int) {
 	for range periods {
 		for i, v := range f.views {
-			f.send(i, v.Tick(f.now, 0))
+			if i != f.suspended {
+				f.send(i, v.Tick(f.now, 0))
+			}
 		}
 		f.now = f.now.Add(testPeriod / 2)
 		for i, v := range f.views {
-			f.send(i, v.Late(f.now, 0))
+			if i != f.suspended {
+				f.send(i, v.Late(f.now, 0))
+			}
 		}
 		f.now = f.now.Add(testPeriod / 2)
 	}
@@ -100,6 +106,29 @@
 	assert.Equal(t, f.stateOf(0, 3), MemberAlive)
 }
 
+// A member whose machine was suspended is held for dead meanwhile, and refutes that; it has
+// missed the steady clock's time and holds nobody else for dead.
+func TestSuspendedMemberReturns(t *testing.T) {
+	f := newTestFleet(8)
+	f.run(30)
+	f.suspended = 3
+	f.cut = func(from, to int) bool { return from == 3 || to == 3 }
+	f.run(30)
+	for viewer := range f.views {
+		if viewer != 3 {
+			assert.Equal(t, f.stateOf(viewer, 3), MemberDead)
+		}
+		assert.Equal(t, f.stateOf(3, viewer), MemberAlive)
+	}
+	f.suspended = -1
+	f.cut = func(int, int) bool { return false }
+	f.run(10)
+	for viewer := range f.views {
+		assert.Equal(t, f.stateOf(viewer, 3), MemberAlive)
+		assert.Equal(t, f.stateOf(3, viewer), MemberAlive)
+	}
+}
+
 func TestCutBetweenTwoIsBridgedByOthers(t *testing.T) {
 	f := newTestFleet(8)
 	f.run(30)
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -244,6 +244,7 @@
 	if !reflect.DeepEqual(kept, s) {
 		g.log.Warn("changed addresses hold only after a restart", "node", old.Node.Name)
 	}
+	boottime.Skip(max(0, kept.Test.Suspended.Std()-old.Test.Suspended.Std()))
 	g.settings.Store(&kept)
 	g.budgetMu.Lock()
 	clear(g.budgets)
--- a/service/gateway/holdings_test.go
+++ b/service/gateway/holdings_test.go
@@ -26,6 +26,7 @@
 	events []site.CacheChange
 	from   int64 // Events before it are no longer known.
 	silent bool
+	hang   bool // Calls are taken and not answered.
 	asked  int
 }
 
@@ -46,6 +47,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.asked++
+	if e.hang {
+		e.mu.Unlock()
+		<-ctx.Done()
+		e.mu.Lock()
+		return site.CacheChanges{}, ctx.Err()
+	}
 	if e.silent {
 		return site.CacheChanges{}, errors.New("silent")
 	}
@@ -123,6 +130,29 @@
 	eventually(t, "only what was told since is held", func() bool { return !h.holds("b") && !h.holds("c") && h.holds("d") })
 }
 
+// A call that was under way when the machine was suspended may never be answered: the engine
+// is asked anew on waking, and what it dropped meanwhile is known.
+func TestEngineIsFollowedAnewAfterASuspension(t *testing.T) {
+	e := &tellingEngines{}
+	e.tell(part("a", 100), part("b", 100))
+	h := newTestHoldings(t, "n0", e)
+	h.refresh(t.Context())
+	eventually(t, "both are held", func() bool { return h.holds("a") && h.holds("b") })
+	asked := 0
+	e.set(func() { e.hang, asked = true, e.asked })
+	eventually(t, "a call is under way", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.asked > asked
+	})
+	e.tell(part("a", 0))
+	e.set(func() { e.hang = false })
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(t, h.holds("a"), "the call still hangs")
+	h.restart()
+	eventually(t, "what was dropped is known", func() bool { return !h.holds("a") && h.holds("b") })
+}
+
 // The other nodes of a hall ask its teller, at which the engine's events come once.
 func TestHallIsToldByOneNode(t *testing.T) {
 	e := &tellingEngines{}
