--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -215,9 +215,54 @@
 	},
 	{
 		"suspects: a watched request runs once at a time", "pkg/suspect/register.go",
-		"	case e.Verdict() == Barred || now.Before(e.running):", "	case e.Verdict() == Barred:",
+		"	case now.Before(e.running) && (node == \"\" || e.lent != node):", "	case false:",
 		"./pkg/suspect", "TestWatchedRequestRunsOnceAtATime",
 	},
+	{
+		"suspects: leave is given back to each owner", "service/suspects/suspects.go",
+		"	s.tellOver(f, s.owners(f))", "	s.tellOver(f, s.owners(f)[:1])",
+		"./service/suspects", "TestLeaveThatWasAnsweredLateHoldsNobodyUp",
+	},
+	{
+		"suspects: only who has leave gives it back", "pkg/suspect/register.go",
+		"e != nil && e.lent == node {", "e != nil {",
+		"./service/suspects", "TestLeaveThatWasAnsweredLateHoldsNobodyUp",
+	},
+	{
+		"suspects: a node that starts waits for what is barred", "service/gateway/exchange_suspects.go",
+		"	x.g.suspects.Await(ctx)\n", "",
+		"./internal/standin/onplatform", "TestNodeThatStartsWaitsForWhatIsBarred",
+	},
+	{
+		"suspects: only who knows tells a node that starts", "service/suspects/news.go",
+		"	if own == w.Digest && w.Knows {", "	if own == w.Digest {",
+		"./service/suspects", "TestNodeThatStartsHearsFromOthersWhatIsBarred",
+	},
+	{
+		"a call is not sent on a connection closed at rest", "pkg/httpjson/patience.go",
+		"left || err != nil {", "left && false || err != nil {",
+		"./pkg/httpjson", "TestCallIsNotSentOnAConnectionThatItsServerHasClosed",
+	},
+	{
+		"members: known news are told less often", "pkg/control/members.go",
+		"	knownWeight = 2\n", "	knownWeight = 0\n",
+		"./pkg/control", "TestProbesCostFewBytesBetweenHalls",
+	},
+	{
+		"members: other halls are probed less often", "pkg/control/members.go",
+		"	nearBoost  = 4\n", "	nearBoost  = 1\n",
+		"./pkg/control", "TestProbesCostFewBytesBetweenHalls",
+	},
+	{
+		"members: probes within a hall take more news", "pkg/control/members.go",
+		"	nearUpdates = 30\n", "	nearUpdates = 6\n",
+		"./pkg/control", "TestProbesCostFewBytesBetweenHalls",
+	},
+	{
+		"members: greetings tell of their sender only", "pkg/control/members.go",
+		"Seq: m.nextSeq(), Bare: true}", "Seq: m.nextSeq()}",
+		"./pkg/control", "TestProbesCostFewBytesBetweenHalls",
+	},
 	{
 		"suspects: owners tell all nodes", "service/suspects/news.go",
 		"	case collect && change.New && change.After != suspect.Free:\n		s.spread(c)\n", "",
