--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -21,8 +21,8 @@
 	// spreadFactor times log2 of the fleet is how often an update is sent on.
 	spreadFactor = 3
 	// knownWeight is how much being told what one tells oneself counts against telling it
-	// again: somebody else knew it already. With 1 news were told for half a minute after
-	// all of 71 nodes had started, with it for some ten seconds.
+	// again: somebody else knew it already. Over 40 periods from a start of all of 71 nodes
+	// probes take 317 bytes a node and period to other halls with it, 417 without.
 	knownWeight = 2
 	// nearBoost is how much more seldom than at random members of other halls are probed
 	// where a hall has nearEnough others to be probed often: bytes between halls are paid for.
@@ -40,11 +40,11 @@
 
 // Members is this node's view of the fleet.
 //
-// Each period it probes one member, in a shuffled round; a silent one is probed
-// through others, then suspected, then held for dead unless it refutes with a
-// higher incarnation. News travels on probes, a bounded number on each, so the
-// cost a second is the same at any size. It does no I/O: Tick and Handle return
-// what is to be sent.
+// Each period it probes one member, mostly of its own data hall, in shuffled rounds; a
+// silent one is probed through others, then suspected, then held for dead unless it
+// refutes with a higher incarnation. News travels on probes, a bounded number on each and
+// until most seem to know it, so the cost a second is the same at any size. It does no
+// I/O: Tick and Handle return what is to be sent.
 type Members struct {
 	mu     sync.Mutex
 	self   Member
