--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -219,7 +219,7 @@
 		"./pkg/suspect", "TestWatchedRequestRunsOnceAtATime",
 	},
 	{
-		"suspects: leave is given back to each owner", "service/suspects/suspects.go",
+		"suspects: leave is given back to each owner", "service/suspects/leave.go",
 		"	s.tellOver(f, s.owners(f))", "	s.tellOver(f, s.owners(f)[:1])",
 		"./service/suspects", "TestLeaveThatWasAnsweredLateHoldsNobodyUp",
 	},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -79,11 +79,17 @@
 }
 
 func (s *soak) pauseNode(rng *rand.Rand, d time.Duration) {
+	s.freezeNode(rng, d, func(*node) {})
+}
+
+// freezeNode stops a process for a while; before it goes on something may be done to it.
+func (s *soak) freezeNode(rng *rand.Rand, d time.Duration, last func(n *node)) {
 	if n := s.takeNode(rng); n != nil {
 		defer n.busy.Unlock()
 		n.harm(d)
 		n.signal(syscall.SIGSTOP, false)
 		time.Sleep(d)
+		last(n)
 		n.signal(syscall.SIGCONT, false)
 		n.harm(0)
 	}
@@ -95,17 +101,11 @@
 // suspendNode stops a process, and has its clock tell afterwards that its machine was
 // suspended for longer than the steady clock counts.
 func (s *soak) suspendNode(rng *rand.Rand, d time.Duration) {
-	if n := s.takeNode(rng); n != nil {
-		defer n.busy.Unlock()
-		n.harm(d)
-		n.signal(syscall.SIGSTOP, false)
-		time.Sleep(d)
+	s.freezeNode(rng, d, func(n *node) {
 		n.suspended += suspensions[rng.IntN(len(suspensions))]
 		s.note(n.writeSettings())
 		n.signal(syscall.SIGHUP, false)
-		n.signal(syscall.SIGCONT, false)
-		n.harm(0)
-	}
+	})
 }
 
 func (s *soak) stopNode(rng *rand.Rand, _ time.Duration) {
--- a/pkg/httpjson/rest_test.go
+++ b/pkg/httpjson/rest_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -25,14 +24,7 @@
 	)
 	for name, goes := range map[string]bool{"its connections are closed": false, "the server ends": true} {
 		t.Run(name, func(t *testing.T) {
-			var together sync.WaitGroup
-			together.Add(resting)
-			server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-				if r.URL.Path == "/together" {
-					together.Done()
-					together.Wait() // So that each has a connection of its own.
-				}
-			}))
+			server := newTogetherServer(resting)
 			defer server.Close()
 			c := NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()))
 			defer c.Close()
--- a/pkg/httpjson/silence_test.go
+++ b/pkg/httpjson/silence_test.go
@@ -14,6 +14,19 @@
 	"github.com/drumpath/drumpath/internal/netproxy"
 )
 
+// newTogetherServer answers calls of /together only once there are as many, so that each has
+// a connection of its own.
+func newTogetherServer(calls int) *httptest.Server {
+	var together sync.WaitGroup
+	together.Add(calls)
+	return httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/together" {
+			together.Done()
+			together.Wait()
+		}
+	}))
+}
+
 // The path to a server lost what was on its open connections, without a reset. The
 // call that found out closed its connection, but each other one that rested cost the
 // next call its whole limit again: with five at rest, five writes in a row failed and
@@ -28,14 +41,7 @@
 	for name, way := range map[string][2]bool{"to": {true, false}, "from": {false, true}, "both": {true, true}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var together sync.WaitGroup
-			together.Add(resting)
-			server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-				if r.URL.Path == "/together" {
-					together.Done()
-					together.Wait() // So that each has a connection of its own.
-				}
-			}))
+			server := newTogetherServer(resting)
 			defer server.Close()
 			p, err := netproxy.New(netip.MustParseAddrPort(server.Listener.Addr().String()))
 			assert.NilError(t, err)
--- /dev/null
+++ b/service/suspects/leave.go
@@ -0,0 +1,83 @@
+package suspects
+
+import (
+	"context"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+const (
+	// askTerm bounds a call for leave to run a watched request: its Caller waits.
+	askTerm = 150 * time.Millisecond
+	// MethodRun asks an owner whether a watched request may be sent now, and MethodOver
+	// tells it that nothing came of that.
+	MethodRun  = "suspects.run"
+	MethodOver = "suspects.over"
+)
+
+// runRequest are the parameters of MethodRun and MethodOver.
+type runRequest struct {
+	Content site.Fingerprint `json:"content"`
+	MostMS  int64            `json:"most_ms,omitempty"`
+	// Node asks; older nodes don't tell.
+	Node string `json:"node,omitempty"`
+}
+
+type runAnswer struct {
+	Run bool `json:"run"`
+}
+
+// MayRun asks whether a watched request may be sent now: this node has one under way at a
+// time, and the first of the request's owners that answers lets one of all nodes, for at
+// most a time. Where none answers, this node lets one of its own.
+func (s *Suspects) MayRun(ctx context.Context, f site.Fingerprint, most time.Duration) bool {
+	if !s.register.Run(f, most, boottime.Now()) {
+		return false
+	}
+	var silent []control.Member // They may have given leave.
+	for _, o := range s.owners(f) {
+		if o.Name == s.self.Name {
+			break
+		}
+		var a runAnswer
+		q := runRequest{Content: f, MostMS: most.Milliseconds(), Node: s.self.Name}
+		err := s.client.CallWithin(ctx, askTerm, o.Peer, MethodRun, q, &a)
+		switch {
+		case err != nil:
+			silent = append(silent, o)
+			continue
+		case !a.Run:
+			s.register.Over(f)
+			s.tellOver(f, silent)
+		}
+		return a.Run
+	}
+	return true
+}
+
+// Over tells that a watched request has ended with no word of its replica. Told only to the
+// first owner, one that was asked for leave and answered too late went on refusing the
+// request to all nodes, for up to 10 s.
+func (s *Suspects) Over(f site.Fingerprint) {
+	s.register.Over(f)
+	s.tellOver(f, s.owners(f))
+}
+
+// tellOver gives leave back to those that may have given it, without waiting for them.
+func (s *Suspects) tellOver(f site.Fingerprint, owners []control.Member) {
+	for _, o := range owners {
+		if o.Name == s.self.Name {
+			continue
+		}
+		s.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTerm)
+			defer cancel()
+			if err := s.client.Notify(ctx, o.Peer, MethodOver, runRequest{Content: f, Node: s.self.Name}); err != nil {
+				s.log.Debug("end of a watched request not told", "err", err) // It lapses.
+			}
+		})
+	}
+}
