Lines tell what rate a replica's answer names

Nothing told whether the answers of a replica in need named a rate, so that the record could not tell a node that does not read it from one that keeps it for itself. Nothing is decided by it yet.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -7,6 +7,7 @@
 	keyTeller   = Key{"peer", "the other node's address"}
 	keyRoute    = Key{"route", "the route's name"}
 	keyErr      = Key{"err", "what went wrong"}
+	keyLimit    = Key{"limit", "requests a second that the replica's answer says it takes from all nodes; empty if it says nothing, ? if it can't be read"}
 	keyEnds     = Key{"ends", "how many replicas ended under the content, as far as known"}
 	keyEnded    = Key{"replicas", "the starts of these replicas"}
 	keyVerdict  = Key{"verdict", "free, watched (runs once at a time) or barred (is not sent)"}
@@ -54,6 +55,7 @@
 		{"gap_ms", "the longest pause between bytes of a stream"},
 		{"before_ms", "how long the request was here before it was sent"},
 		{"all_ms", "how long it took in all"},
+		keyLimit,
 		keyAttempts, keyNotRun,
 	}},
 	{"refused", Failure, "A request got an answer of the node's own.", []Key{
@@ -78,6 +80,7 @@
 		{"status", "the replica's status"},
 		{"weights", "the version that it was taken to have"},
 		{"newest", "the newest version that was named"},
+		keyLimit,
 		keyNotRun,
 	}},
 	{"replica failed", Failure, "A replica ran a request and answered with a failure; it is delivered if no other does better.", []Key{
--- a/pkg/site/answer.go
+++ b/pkg/site/answer.go
@@ -8,4 +8,6 @@
 	NotRun bool
 	// Weights is the version that the request runs on, 0 if it does not say.
 	Weights int64
+	// Limit is how many requests the replica takes.
+	Limit RateLimit
 }
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -224,7 +224,7 @@
 	x.refused++
 	x.g.metrics.notRun.Add(1)
 	x.g.log.Info("replica refused", "request", x.terms.ID, "replica", a.choice.ID, "status", a.head.Status,
-		"weights", a.choice.Weights, "newest", x.need.Newest, "not_run", x.refused)
+		"weights", a.choice.Weights, "newest", x.need.Newest, "limit", a.answer.Limit.String(), "not_run", x.refused)
 	if x.refused > mostRefusals || !x.mayRetry(now) {
 		return false, x.noneLeft()
 	}
