--- /dev/null
+++ b/internal/standin/onplatform/limit_test.go
@@ -0,0 +1,241 @@
+package onplatform_test
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
+)
+
+// Two replicas in need named in their answers how many requests a second they take from all
+// nodes together, 1 and 1.1, and got 17 and 19 in 4 s, for 11 and 12 that are allowed. They
+// got 37 and 43 in the eight seconds from the naming on, the sixteen others 24 to 54.
+
+const (
+	limitWindow = 4 * time.Second
+	// toldTime is after how long a node that was told of a limit keeps to it.
+	toldTime = 500 * time.Millisecond
+	// leastUsed is the part of what it names that a replica is to get where there is more.
+	leastUsed = 0.3
+)
+
+// limitedReplica is a replica that names a limit in its answers.
+type limitedReplica struct {
+	*onplatform.Replica
+
+	mu    sync.Mutex
+	named string    // Empty for none.
+	since time.Time // When it first named the limit.
+	came  []time.Time
+}
+
+func (s *site) limited(service, id, named string) *limitedReplica {
+	r := &limitedReplica{Replica: s.newReplica(id)}
+	r.name(named)
+	r.Script(r.answer)
+	s.list(service, r.Replica, "ready", 1)
+	return r
+}
+
+// name has it name a limit from now on.
+func (r *limitedReplica) name(limit string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.named, r.since, r.came = limit, time.Time{}, nil
+}
+
+func (r *limitedReplica) answer(w io.Writer, in *onplatform.Request) bool {
+	r.mu.Lock()
+	now := time.Now()
+	r.came = append(r.came, now)
+	if r.since.IsZero() {
+		r.since = now
+	}
+	field := ""
+	if r.named != "" {
+		field = "Server-Limit: " + r.named + "\r\n"
+	}
+	r.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
+	body := "from " + r.ID
+	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", in.ID(), field, len(body), body)
+	return err == nil
+}
+
+// worst is how many requests came in the worst 4 s, without those of the time in which the
+// nodes had yet to be told, and in all from then on.
+func (r *limitedReplica) worst() (worst, all int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, from := range r.came {
+		if from.Sub(r.since) < toldTime {
+			continue
+		}
+		all++
+		n := 0
+		for _, at := range r.came[i:] {
+			if at.Sub(from) < limitWindow {
+				n++
+			}
+		}
+		worst = max(worst, n)
+	}
+	return worst, all
+}
+
+// assertKept holds what came within a time against a limit.
+func (r *limitedReplica) assertKept(t *testing.T, limit float64, within time.Duration) {
+	t.Helper()
+	worst, all := r.worst()
+	t.Logf("%s: limit %g, %d in the worst 4 s, %d in all", r.ID, limit, worst, all)
+	assert.Check(t, float64(worst) <= 1.5*limit*limitWindow.Seconds()+5, "%s: limit %g, %d in 4 s", r.ID, limit, worst)
+	assert.Check(t, float64(all) >= leastUsed*limit*(within-toldTime).Seconds(), "%s: limit %g, %d in all", r.ID, limit, all)
+}
+
+// load is requests that keep coming at some nodes.
+type load struct {
+	mu       sync.Mutex
+	statuses map[int]int
+	noRetry  int // Refusals that don't say when to come back.
+	stop     chan struct{}
+	wg       sync.WaitGroup
+}
+
+// load sends each node rate requests a second.
+func (s *site) load(nodes []*node, rate float64, text func() string) *load {
+	l := &load{statuses: map[int]int{}, stop: make(chan struct{})}
+	for _, n := range nodes {
+		l.wg.Go(func() {
+			tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
+			defer tick.Stop()
+			for {
+				select {
+				case <-l.stop:
+					return
+				case <-tick.C:
+				}
+				l.wg.Go(func() { l.note(n.once(text())) })
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) note(got reply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.statuses[got.status]++
+	if got.status == 503 && got.header.Get("Retry-After") == "" {
+		l.noRetry++
+	}
+}
+
+// end ends the load and tells how many answers had which status.
+func (l *load) end() map[int]int {
+	close(l.stop)
+	l.wg.Wait()
+	return l.statuses
+}
+
+func TestReplicaGetsNoMoreThanItNamesFromAllNodes(t *testing.T) {
+	t.Parallel()
+	const playTime = 7 * time.Second
+	sharing := func() string { return prompt("b0") }
+	of := func(method, target string) func() string {
+		return func() string { return request(method, target, "") }
+	}
+	for name, c := range map[string]struct {
+		nodes    int
+		replicas int // That name none.
+		service  string
+		limits   []float64
+		rate     float64 // Requests a second at each node.
+		text     func() string
+	}{
+		"idempotent":                  {5, 5, app, []float64{1.7}, 24, of("GET", "/safe/x")},
+		"at most once, two limited":   {5, 4, app, []float64{1, 6.5}, 24, of("POST", "/once/x")},
+		"prompts that share a prefix": {5, 2, llm, []float64{1.7, 1}, 20, sharing},
+		"sixteen nodes":               {16, 3, app, []float64{1}, 8, of("GET", "/safe/x")},
+		"little load":                 {5, 1, app, []float64{0.4}, 1, of("GET", "/safe/x")},
+		"all of them limited":         {5, 0, app, []float64{3, 3, 3}, 23, of("GET", "/safe/x")},
+		"one that takes much":         {5, 1, app, []float64{60}, 20, of("GET", "/safe/x")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			for i := range c.replicas {
+				s.limited(c.service, fmt.Sprintf("free%d", i), "")
+			}
+			var limited []*limitedReplica
+			for i, limit := range c.limits {
+				limited = append(limited, s.limited(c.service, fmt.Sprintf("limited%d", i), fmt.Sprint(limit)))
+			}
+			l := s.load(s.nodes(c.nodes), c.rate, c.text)
+			time.Sleep(playTime)
+			got := l.end()
+			t.Logf("answers %v", got)
+			for i, r := range limited {
+				r.assertKept(t, c.limits[i], playTime)
+			}
+			assert.Equal(t, l.noRetry, 0)
+			if c.replicas > 0 {
+				assert.Equal(t, len(got), 1, "where others are free no request suffers: %v", got)
+			}
+			assert.Assert(t, got[200] > 0)
+		})
+	}
+}
+
+// What a replica names may change, and end; all nodes go by it then, also those that have
+// sent it nothing since.
+func TestLimitHoldsForAsLongAsItIsNamed(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.limited(app, "free", "")
+	r := s.limited(app, "limited", "8")
+	l := s.load(s.nodes(4), 15, func() string { return request("GET", "/safe/x", "") })
+	defer l.end()
+	play := func(named string, limit float64, d time.Duration) {
+		r.name(named)
+		time.Sleep(d)
+		r.assertKept(t, limit, d)
+	}
+	play("8", 8, 5*time.Second)
+	play("0.5", 0.5, 6*time.Second)
+	play("much", 0.5, 5*time.Second) // What can't be read changes nothing.
+	play("8", 8, 6*time.Second)
+	r.name("")
+	time.Sleep(3 * time.Second)
+	r.mu.Lock()
+	begun := len(r.came)
+	r.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	assert.Assert(t, len(r.came)-begun >= 30, "of 120 requests %d came in 2 s", len(r.came)-begun)
+}
+
+// A replica that names nothing at all, or more than there is, is not lost for good.
+func TestLimitThatNobodyCanMeanTakesNoReplicaAway(t *testing.T) {
+	t.Parallel()
+	for _, named := range []string{"0", "1e9", "-3", "inf", "NaN", "", "much"} {
+		t.Run(named, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			r := s.limited(app, "limited", named)
+			l := s.load(s.nodes(2), 10, func() string { return request("GET", "/safe/x", "") })
+			defer l.end()
+			time.Sleep(2 * time.Second)
+			r.name("")
+			time.Sleep(6 * time.Second)
+			before := len(r.Seen())
+			time.Sleep(time.Second)
+			assert.Assert(t, len(r.Seen())-before >= 10, "%d of 20 requests", len(r.Seen())-before)
+		})
+	}
+}
