Behind the product's own interface a try that reaches nobody takes no retry

Callers got 503 no_upstream, "unreachable", while engines served, in the seconds in which some that had ended were still listed. Cause: each try that found a connection refused took one of the node's retries, of which there are 20 and a share of successes, though nothing was sent; each caller's request takes one for each engine that has ended. Ruled out: engines that ended beyond the third (none), ejection (a request is refused with engines left). Change: such tries are free, eight for a request at most, as each may take a connection's time. Before: refused at the first of three; after: the fourth engine gets it, and what has reached an engine still takes a retry.

--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -17,6 +17,9 @@
 const (
 	// noUpstreamRetry is when to come back if no replica may take a request.
 	noUpstreamRetry = time.Second
+	// mostUnreached is how many engines that can't be reached are tried for one request beyond
+	// what retries allow: each may take a connection's time.
+	mostUnreached = 8
 )
 
 // Run is one completion from admission to its last token.
@@ -38,6 +41,8 @@
 	ticket    *route.Ticket
 	stream    *upstream.Stream
 	reached   bool // A byte of it may have reached an upstream.
+	unreached int  // Tries by which no byte did,
+	nobody    bool // and whether the last one was such.
 	first     upstream.Event
 	pending   bool // First has not been returned yet.
 	cached    int
@@ -155,13 +160,23 @@
 			return last
 		}
 		last = f
-		if !again || r.ctx.Err() != nil || !r.parts.Retries.Take() {
+		if !again || r.ctx.Err() != nil || !r.mayRetry() {
 			return f
 		}
 		r.parts.Metrics.Retries.Add(1)
 	}
 }
 
+// mayRetry says whether another replica may be tried after a failure. A try that reached
+// nobody takes no retry: it put load on no engine, and with some engines that have ended and
+// are still listed it would spend the retries of the whole node.
+func (r *Run) mayRetry() bool {
+	if r.nobody && r.unreached <= mostUnreached {
+		return true
+	}
+	return r.parts.Retries.Take()
+}
+
 // attempt places and starts the run once; again says whether another replica
 // may be tried.
 func (r *Run) attempt(resumeAfter int) (f *Failure, again bool) {
@@ -258,11 +273,15 @@
 // sendFailed sorts out why a run did not start.
 func (r *Run) sendFailed(replica string, err error) (f *Failure, again bool) {
 	r.exclude = append(r.exclude, replica)
+	r.nobody = false
 	r.endAttempt(outcomeOf(err, r.ctx.Err() != nil))
 	var notRun *upstream.NotRunError
 	var crossed *upstream.CrossedError
 	switch {
 	case errors.As(err, &notRun):
+		if r.nobody = notRun.Reason == upstream.ReasonUnreachable; r.nobody {
+			r.unreached++
+		}
 		r.log.Info("upstream did not run it", "upstream", replica, "reason", notRun.Reason)
 		return r.failure(refusal(CodeNoUpstream, noUpstreamRetry, "%v", err)), true
 	case errors.As(err, &crossed):
@@ -341,7 +360,7 @@
 	r.resumedAt = had
 	f, again := r.sendFailed(replica, err)
 	f.Code = CodeCutOff
-	if !again || r.ctx.Err() != nil || !r.parts.Retries.Take() {
+	if !again || r.ctx.Err() != nil || !r.mayRetry() {
 		return f
 	}
 	if cut := r.connect(had); cut != nil {
--- a/service/entry/run_test.go
+++ b/service/entry/run_test.go
@@ -73,8 +73,10 @@
 // did not run it", unreachable, as often as there were retries left.
 func TestTriesThatReachNobodyTakeNoRetries(t *testing.T) {
 	var reached atomic.Int64
-	serves := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		reached.Add(1)
+	serves := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == upstream.PathRun {
+			reached.Add(1)
+		}
 		w.WriteHeader(http.StatusInternalServerError)
 	}))
 	defer serves.Close()
