RED: a hall whose tellers are cut off hears of a bar too late

Seen as one red run of TestNodesThatWereCutOffHearOfABar in a whole run, and in 3 of 240 alone: a run sent later than 3 s after the third end.

--- a/service/suspects/suspects_test.go
+++ b/service/suspects/suspects_test.go
@@ -281,6 +281,37 @@
 	}
 }
 
+// The nodes that tell the others of their halls what all are to hear were cut off as a
+// request was barred, and not yet known to be. A node in one of these halls went on sending it
+// later than 3 s after the third end, about once in a hundred plays: it had heard of the bar only
+// if it drew, once a second, a node to compare with that knew, and those were few there.
+//
+// What settled it: in three of 240 plays with 20 of 71 nodes cut off, chosen at random, one run came
+// too late; with just the tellers cut off, the plays below.
+func TestHallWhoseTellersAreCutOffHearsOfABar(t *testing.T) {
+	const plays = 12
+	late := 0
+	for range plays {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			f := newSuspectFleet(71, 3, func() time.Duration { return 5*time.Millisecond + rand.N(200*time.Millisecond) })
+			f.steps(ctx)
+			view := f.nodes[0].members.View()
+			for _, hall := range view.Halls() {
+				for _, m := range control.Owners(view.Hall(hall).Present, "news/"+hall, 3) {
+					f.cut[m.Name] = true
+				}
+			}
+			there := slices.DeleteFunc(slices.Clone(f.nodes), func(s *Suspects) bool { return f.cut[s.self.Name] })
+			f.repeat(40*time.Millisecond, 8*time.Second, there)
+			cancel()
+			time.Sleep(2 * time.Second)
+			late += f.later(contact)
+		})
+	}
+	assert.Equal(t, late, 0, "runs later than %v after the third end, in %d plays", contact, plays)
+}
+
 // Nodes that were cut off from all others while a request was barred have heard of it
 // within the time that operators give them once they are back.
 func TestNodesThatWereCutOffHearOfABar(t *testing.T) {
