A request of which many runs were under way as its first replicas ended is barred by the next end

Callers: a request repeated fast enough for six runs to be under way together went on ending replicas, one each time that it was let run, and with them all that they had in flight and kept. Nothing had shown it but a red run in a hundred of a test in virtual time. Cause: a case keeps six ends. The first six filled it, all of one round (begun before the first of them), and a bar needs two rounds; what came behind was not kept. Ruled out: news that did not come (in all ten red plays of 1,920 each node that was not cut off knew six ends, verdict watched). Change: the first end and those begun last are kept, the same in whatever order they are heard of. The class: a bound on what is kept that drops the newest, where the newest decide.

--- a/pkg/suspect/case.go
+++ b/pkg/suspect/case.go
@@ -44,7 +44,7 @@
 	// barRounds is in how many rounds they must have come: when many replicas end at one
 	// moment for another reason, what is asked most often is in flight at several of them.
 	barRounds = 2
-	// mostEnds bounds what is kept of one case: more change nothing.
+	// mostEnds bounds what is kept of one case.
 	mostEnds = 6
 	// finishTerm is for how long after a finish runs that begin count for nothing: what is
 	// asked so often that it is in flight wherever a replica ends is finished many times
@@ -120,17 +120,37 @@
 	}
 	c.Ends = slices.DeleteFunc(c.Ends, c.outdated)
 	for _, e := range other.Ends {
-		known := slices.ContainsFunc(c.Ends, func(k End) bool { return k.Replica == e.Replica })
-		if known || c.outdated(e) || len(c.Ends) >= mostEnds {
+		if c.has(e.Replica) || c.outdated(e) {
 			continue
 		}
 		c.Ends = append(c.Ends, e)
-		changed = true
+		c.keepSome()
+		changed = changed || c.has(e.Replica)
 	}
-	slices.SortFunc(c.Ends, func(a, b End) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Replica, b.Replica)) })
 	return changed
 }
 
+// has says whether the end of a replica is kept.
+func (c *Case) has(replica string) bool {
+	return slices.ContainsFunc(c.Ends, func(e End) bool { return e.Replica == replica })
+}
+
+// keepSome sorts ends by time and drops those beyond the most that are kept. The first one
+// stays, and those whose runs began last: were it the first six, all of which may be of one
+// round, no later round would ever count, and the request never be barred. Which stay does
+// not depend on the order in which a node hears of them.
+func (c *Case) keepSome() {
+	byTime := func(a, b End) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Replica, b.Replica)) }
+	slices.SortFunc(c.Ends, byTime)
+	if len(c.Ends) <= mostEnds {
+		return
+	}
+	first, rest := c.Ends[0], c.Ends[1:]
+	slices.SortFunc(rest, func(a, b End) int { return cmp.Or(b.Begun.Compare(a.Begun), cmp.Compare(a.Replica, b.Replica)) })
+	c.Ends = append([]End{first}, rest[:mostEnds-1]...)
+	slices.SortFunc(c.Ends, byTime)
+}
+
 // outdated says whether an end does not count, as the request was finished about when that
 // run began, or later.
 func (c *Case) outdated(e End) bool {
