A node that hears of a bar by comparison tells its hall

Callers: where the nodes that tell a hall on are cut off and not yet known to be, a barred request was sent on by nodes of that hall later than 3 s after the third end, as each heard of the bar only when it drew, once a second, another node that knew. Change: who finds by comparing that it has missed a bar of the last 10 s tells its hall, twice, as notes may be lost; bars that are older a node hears of at its start, and tells nobody. It costs bytes within a hall, and only there. Tried and dropped: comparing with three nodes in each second while a bar is new (no fewer too late).

--- a/service/suspects/news.go
+++ b/service/suspects/news.go
@@ -75,6 +75,8 @@
 	Collect bool `json:"o,omitempty"`
 	// Pass says that the hearer tells it on in its hall.
 	Pass bool `json:"p,omitempty"`
+	// Compared says that the hearer held something else: it missed what all were told.
+	Compared bool `json:"m,omitempty"`
 }
 
 // digestNote tells of what a node holds.
@@ -151,18 +153,33 @@
 		s.notes.Note(s.notes.InHall(), NoteCases, casesNote{Cases: w.Cases})
 	}
 	now := boottime.Now()
+	var missed []caseNews
 	for i := range w.Cases {
-		s.take(w.Cases[i].caseAt(now), w.Collect)
+		c := w.Cases[i].caseAt(now)
+		change := s.take(c, w.Collect)
+		barred := change.Before != change.After && change.After == suspect.Barred
+		if w.Compared && barred && now.Sub(c.Last()) < missedTerm {
+			missed = append(missed, w.Cases[i])
+		}
+	}
+	if len(missed) > 0 {
+		// The others of this hall have likely missed it, too, as those that tell the hall may be
+		// cut off: alone, each would hear of it some seconds later.
+		s.twice(func(int) { s.notes.Note(s.notes.InHall(), NoteCases, casesNote{Cases: missed}) })
 	}
 }
 
+// missedTerm is how long ago an end must be at most for a bar to be one that a hall may have
+// missed: a node that has just started hears of all bars so.
+const missedTerm = 10 * time.Second
+
 // finishSpread is over what time nodes that have finished a request which others suspect
 // say so. The first ones save the rest the word.
 const finishSpread = 400 * time.Millisecond
 
 // take takes in what another node tells of a request; its owners tell all nodes if need be.
-func (s *Suspects) take(told suspect.Case, collect bool) {
-	change := s.register.Merge(told)
+func (s *Suspects) take(told suspect.Case, collect bool) (change suspect.Change) {
+	change = s.register.Merge(told)
 	c := s.register.Case(told.Content)
 	s.changed(c, change)
 	switch {
@@ -175,6 +192,7 @@
 			}
 		})
 	}
+	return change
 }
 
 // Step forgets what is old and compares what this node holds with another one's; the timer
@@ -213,7 +231,7 @@
 		if len(part) == 0 {
 			return
 		}
-		note := casesNote{}
+		note := casesNote{Compared: true}
 		for _, c := range part {
 			note.Cases = append(note.Cases, newsOfCase(c, now))
 		}
