Spare retries are divided among all nodes ever heard of

Callers: none seen. Halves of the nodes that are cut apart took twice the retries that all together may make beyond the share of requests (108 of 54 at 7 nodes), and a node that had just started and knew two of 71 took half of them. Cause: the class of the limits that replicas name, a bound on a sum of which each node keeps its part by how many others it believes to work. Change: the dead count, as they do for cold replicas, and until a node has met the others it takes a 64th at most. It costs the dead ones' parts for the ten minutes in which they are remembered. The test now has the nodes meet before they are cut off, as who is first heard of as dead is not counted by any; it fails as before without the change (108).

--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -49,8 +49,8 @@
 	upstreamsRest = 400 * time.Millisecond
 	// longestHold bounds a request that tells no limit.
 	longestHold = 60 * time.Second
-	// unknownNodes is how many nodes are assumed to share a budget while none
-	// is known.
+	// unknownNodes is how many nodes at least are assumed to share a budget while a node has
+	// not met the others.
 	unknownNodes = 64
 )
 
@@ -297,11 +297,13 @@
 	return b
 }
 
-// slackShare is this node's part of the slack.
+// slackShare is this node's part of the slack. All nodes ever heard of count, the dead
+// included: nodes that are cut apart, or that think each other dead, would else each give
+// themselves the whole.
 func (g *Gateway) slackShare() float64 {
-	n := g.nodes.count()
-	if n <= 1 {
-		n = unknownNodes
+	n := len(g.nodes.members.All())
+	if !g.nodes.shares.hasMet() {
+		n = max(n, unknownNodes)
 	}
 	return g.conf().Retry.Slack / float64(n)
 }
--- a/service/gateway/retry_slack_test.go
+++ b/service/gateway/retry_slack_test.go
@@ -14,6 +14,11 @@
 // slackNode is one of some nodes, which takes some of the others for dead.
 func slackNode(all []control.Member, i int, met bool) *Gateway {
 	m := control.NewMembers(all[i], time.Second, nil, newRand())
+	alive := append(append([]control.Member(nil), all[:i]...), all[i+1:]...)
+	for j := range alive {
+		alive[j].State = control.MemberAlive // Before they were cut off.
+	}
+	m.Merge(alive, time.Now())
 	m.Merge(append(append([]control.Member(nil), all[:i]...), all[i+1:]...), time.Now())
 	n := &nodes{self: all[i], members: m, shares: newColdShares(all[i], m)}
 	if met {
