A node that can't know what operators have changed says that it is not ready

Callers went on coming to a node that heard neither the store nor any other node, and that so could not know that a data hall was evacuated or a route moved. Change: where it heard others before, hears none now and has not heard the store for longer than an evacuation may take, its readiness check says no; who comes is still served. A node that hears any other one stays ready: it is told by them, and where the store is away for all, nothing is accepted by it.

--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -260,7 +260,18 @@
 // ready says whether callers are to be sent here.
 func (g *Gateway) ready() bool {
 	g.look()
-	return g.awake() && !g.stopping() && g.beliefs.Snapshot() != nil && g.beliefs.Upstreams() > 0
+	return g.awake() && !g.stopping() && g.beliefs.Snapshot() != nil && g.beliefs.Upstreams() > 0 && !g.apart(boottime.Now())
+}
+
+// apart says whether the node can't know any more what operators have changed: it hears no
+// other node, where there were some, and has not heard the store for longer than an
+// evacuation may take. Where the store is away for all, no change is accepted by it either,
+// and nodes that hear each other know what there is to know.
+func (g *Gateway) apart(now time.Time) bool {
+	if len(g.nodes.members.All()) <= 1 || len(g.nodes.members.Working()) > 1 {
+		return false
+	}
+	return now.Sub(g.suspension.heardOf(site.TableOperator)) > g.conf().Evacuation.Within.Std()
 }
 
 // stopping says whether the node has been told to stop.
--- a/service/gateway/suspension.go
+++ b/service/gateway/suspension.go
@@ -94,6 +94,13 @@
 	return s.heard[site.TableOperator].After(since) && s.heard[site.TableUpstreams].After(since)
 }
 
+// heardOf is when the last call for a table that was answered was begun.
+func (s *suspension) heardOf(t site.Table) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard[t]
+}
+
 // hear notes that a call for a table, which was begun at a time, was answered.
 func (s *suspension) hear(t site.Table, begun time.Time) {
 	s.mu.Lock()
