--- a/service/suspects/suspects_test.go
+++ b/service/suspects/suspects_test.go
@@ -370,7 +370,9 @@
 // not seen it finished suspect it, and the others say so.
 func TestFinishElsewhereClearsARequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
 		f := newSuspectFleet(295, 5, func() time.Duration { return 5 * time.Millisecond })
+		f.steps(ctx) // One note of fifty is lost; who has missed all finds that by comparing.
 		sketch := uint64(99)
 		for _, s := range f.nodes[100:140] {
 			s.register.Finished(sketch, time.Now())
@@ -380,7 +382,9 @@
 			life := fmt.Sprint("replica", i)
 			s.Ended(LostRun{Content: deadlyContent, Sketch: sketch, Replica: life, Life: life, Begun: now, At: now}, now)
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(contact)
+		cancel()
+		defer time.Sleep(2 * Every)
 		for _, s := range f.nodes {
 			c := s.register.Case(deadlyContent)
 			assert.Equal(t, c.Verdict(), suspect.Free, "%s", s.self.Name)
@@ -388,6 +392,45 @@
 	})
 }
 
+// A request was finished by some nodes while another one could not be reached. Back again, that
+// one went on for many seconds to have it run once at a time, and to refuse the rest. It asked
+// another node each second, but only the 40 of 295 that had finished the request themselves
+// said so, though all knew.
+func TestNodeThatWasCutOffHearsThatARequestWasFinished(t *testing.T) {
+	for play := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer time.Sleep(2 * Every)
+			defer cancel()
+			f := newSuspectFleet(295, 5, func() time.Duration { return 5 * time.Millisecond })
+			f.steps(ctx)
+			const sketch = uint64(99)
+			finishers, away := f.nodes[100:140], f.nodes[200+play]
+			for _, s := range finishers {
+				s.register.Finished(sketch, time.Now())
+				f.cutOff(true, s)
+			}
+			now := time.Now()
+			for i, s := range f.nodes[:3] {
+				life := fmt.Sprint("replica", i)
+				s.Ended(LostRun{Content: deadlyContent, Sketch: sketch, Replica: life, Life: life, Begun: now, At: now}, now)
+			}
+			time.Sleep(contact)
+			c := away.register.Case(deadlyContent)
+			assert.Equal(t, c.Verdict(), suspect.Watched)
+			f.cutOff(true, away)
+			for _, s := range finishers {
+				f.cutOff(false, s)
+			}
+			time.Sleep(2 * contact)
+			f.cutOff(false, away)
+			time.Sleep(contact)
+			c = away.register.Case(deadlyContent)
+			assert.Check(t, c.Verdict() == suspect.Free, "%s has not heard within %v", away.self.Name, contact)
+		})
+	}
+}
+
 // A prompt stayed refused for 10 s while nothing of it was under way: "another one like it is
 // under way", twelve times in a row. The first owner that was asked for leave gave it, but
 // answered later than it is waited for, so the second one was asked as well; told that the
