A node whose digest differs is told also of what was finished

Callers: a good request that was in flight where replicas ended stayed refused at times (503 suspected) at a node that had missed that others finished it, for many seconds.

--- a/pkg/suspect/register.go
+++ b/pkg/suspect/register.go
@@ -183,6 +183,19 @@
 	return list[:min(len(list), most)]
 }
 
+// Cleared returns those that are free as they were finished, the newest first.
+func (r *Register) Cleared(most int) (list []Case) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.known {
+		if !e.Finished.IsZero() && e.Verdict() == Free {
+			list = append(list, e.copy())
+		}
+	}
+	slices.SortFunc(list, func(a, b Case) int { return b.Last().Compare(a.Last()) })
+	return list[:min(len(list), most)]
+}
+
 // Count tells how many requests are watched, and how many barred.
 func (r *Register) Count() (watched, barred int) {
 	if r.Empty() {
--- a/service/suspects/news.go
+++ b/service/suspects/news.go
@@ -223,6 +223,9 @@
 		return
 	}
 	held := s.register.Held(mostHeld)
+	// Also what is free again, or the other one would go on holding that up: of all that know,
+	// few have finished it themselves, and so speak of it unasked.
+	held = append(held, s.register.Cleared(casesMost)...)
 	rand.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
 	now := boottime.Now()
 	for range casesNotes {
