--- a/service/ratelimit/leave.go
+++ b/service/ratelimit/leave.go
@@ -116,6 +116,9 @@
 	}
 	l.counts.asked.Add(1)
 	if err := l.client.CallWithin(ctx, askTerm, owner.Peer, MethodTake, newsOf(u, rate, boottime.Now()), &a); err != nil {
+		if ctx.Err() != nil {
+			return takeAnswer{} // Its client has left, which says nothing of the owner.
+		}
 		l.counts.silent.Add(1)
 		l.log.Debug("no leave to send", "replica", u.ID, "owner", owner.Name, "err", err)
 		return takeAnswer{WaitMS: silentWait.Milliseconds()}
--- a/service/ratelimit/ratelimit_test.go
+++ b/service/ratelimit/ratelimit_test.go
@@ -143,6 +143,9 @@
 var errSilent = errors.New("silent")
 
 func (c *lateCalls) CallWithin(ctx context.Context, within time.Duration, addr netip.AddrPort, _ string, params, result any) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	to := c.f.nodeAt(addr)
 	if !c.f.hears(c.from, to.self.Name) {
 		time.Sleep(within)
@@ -409,3 +412,21 @@
 		assert.Assert(t, f.count()-before <= 5, "%d sent beside 8 orders where 8 are named in 4 s", f.count()-before)
 	})
 }
+
+// A request whose client leaves while its node asks for leave says nothing of the owner.
+func TestClientThatLeavesHoldsNoReplicaUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7, newsBy(10))
+		f.name(8)
+		f.play(20, 4*time.Second)
+		l := f.nodes[0]
+		if l.owner(f.replica.StartKey()).Name == l.self.Name {
+			l = f.nodes[1]
+		}
+		left, cancel := context.WithCancel(t.Context())
+		cancel()
+		assert.Assert(t, !l.MaySend(left, f.replica))
+		time.Sleep(leastWait)
+		assert.Assert(t, l.MaySend(t.Context(), f.replica))
+	})
+}
