--- a/service/ratelimit/ratelimit_test.go
+++ b/service/ratelimit/ratelimit_test.go
@@ -427,6 +427,7 @@
 		cancel()
 		assert.Assert(t, !l.MaySend(left, f.replica))
 		time.Sleep(leastWait)
-		assert.Assert(t, l.MaySend(t.Context(), f.replica))
+		s, limited := l.State(f.replica.StartKey(), time.Now())
+		assert.Assert(t, limited && s.Wait == 0, "left alone for %v", s.Wait)
 	})
 }
