The tests of named limits play their fleets one after the other, and tell why requests were refused

Traced beside 10 busy processes and three of these tests at once: all refusals of replicas that are not limited were "overloaded", "deadline" or "replicas_full", none "limited": seven fleets of up to 16 nodes at once, with the race detector, left the stand-ins no time, so others were not free. All checks and bounds stay; the fleets no longer play at once.

--- a/internal/standin/onplatform/limit_test.go
+++ b/internal/standin/onplatform/limit_test.go
@@ -106,14 +106,15 @@
 type load struct {
 	mu       sync.Mutex
 	statuses map[int]int
-	noRetry  int // Refusals that don't say when to come back.
+	reasons  map[string]int // Of refusals.
+	noRetry  int            // Refusals that don't say when to come back.
 	stop     chan struct{}
 	wg       sync.WaitGroup
 }
 
 // load sends each node rate requests a second.
 func (s *site) load(nodes []*node, rate float64, text func() string) *load {
-	l := &load{statuses: map[int]int{}, stop: make(chan struct{})}
+	l := &load{statuses: map[int]int{}, reasons: map[string]int{}, stop: make(chan struct{})}
 	for _, n := range nodes {
 		l.wg.Go(func() {
 			tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
@@ -135,6 +136,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.statuses[got.status]++
+	if got.status != 200 {
+		l.reasons[got.body]++
+	}
 	if got.status == 503 && got.header.Get("Retry-After") == "" {
 		l.noRetry++
 	}
@@ -148,7 +152,6 @@
 }
 
 func TestReplicaGetsNoMoreThanItNamesFromAllNodes(t *testing.T) {
-	t.Parallel()
 	const playTime = 7 * time.Second
 	sharing := func() string { return prompt("b0") }
 	of := func(method, target string) func() string {
@@ -170,8 +173,7 @@
 		"all of them limited":         {5, 0, app, []float64{3, 3, 3}, 23, of("GET", "/safe/x")},
 		"one that takes much":         {5, 1, app, []float64{60}, 20, of("GET", "/safe/x")},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+		t.Run(name, func(t *testing.T) { // One after the other: each is a fleet under load.
 			s := newSite(t)
 			for i := range c.replicas {
 				s.limited(c.service, fmt.Sprintf("free%d", i), "")
@@ -183,13 +185,13 @@
 			l := s.load(s.nodes(c.nodes), c.rate, c.text)
 			time.Sleep(playTime)
 			got := l.end()
-			t.Logf("answers %v", got)
+			t.Logf("answers %v, refused as %v", got, l.reasons)
 			for i, r := range limited {
 				r.assertKept(t, c.limits[i], playTime)
 			}
 			assert.Equal(t, l.noRetry, 0)
 			if c.replicas > 0 {
-				assert.Equal(t, len(got), 1, "where others are free no request suffers: %v", got)
+				assert.Equal(t, len(got), 1, "where others are free no request suffers: %v, refused as %v", got, l.reasons)
 			}
 			assert.Assert(t, got[200] > 0)
 		})
@@ -199,7 +201,6 @@
 // What a replica names may change, and end; all nodes go by it then, also those that have
 // sent it nothing since.
 func TestLimitHoldsForAsLongAsItIsNamed(t *testing.T) {
-	t.Parallel()
 	s := newSite(t)
 	s.limited(app, "free", "")
 	r := s.limited(app, "limited", "8")
