RED: a node that has used up leave for several requests leaves the replica alone for a while

Found by reading: of a rate of 100 a second and more leave is given for several requests at once, and leave that is used up looked like leave that was refused, for the rest of its 0.25 s.

--- a/service/ratelimit/ratelimit_test.go
+++ b/service/ratelimit/ratelimit_test.go
@@ -431,3 +431,19 @@
 		assert.Assert(t, limited && s.Wait == 0, "left alone for %v", s.Wait)
 	})
 }
+
+// Of a large rate an owner gives leave for several requests at once. A node that had used
+// these up left the replica alone until they would have lapsed, though nobody had refused it.
+func TestNodeThatHasUsedUpItsLeaveAsksAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7, newsBy(10))
+		f.name(400)
+		f.play(20, 4*time.Second)
+		l, start := f.nodes[0], f.replica.StartKey()
+		for range 40 {
+			assert.Assert(t, l.MaySend(t.Context(), f.replica))
+			s, _ := l.State(start, time.Now())
+			assert.Equal(t, s.Wait, time.Duration(0))
+		}
+	})
+}
