Read again: what limits and suspects had twice, or did on the path of each request, goes

No behaviour changes; what was found by reading: - What nodes tell of a rate stood twice, in the news and in the calls to an owner, with the same turning of ages and starts: ratelimit.RateNews is both now. - Each request looked a second time whether its client had left, a call of the system, before it was sent; connecting is followed by the same look, which covers the wait for leave. - Each request made its replica's name of a start, also with no limit known anywhere. - A replica's price was added up in two places; idleCost has it whole again, with the cold term. - The check that a rate is known and has not ended stood five times; Held and Cleared differed by one condition; State told twice that nothing is known; Spend took a number that was always 1; the codec kept an embedded one of which nothing was used any more.

--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -161,13 +161,13 @@
 	return max(0, now.Sub(a.given).Seconds()*a.perSecond()-1)
 }
 
-// Spend counts what was sent without leave, as it could not wait.
-func (l *Ledger) Spend(subject string, n int, now time.Time) {
+// Spend counts one that was sent without leave, as it could not wait.
+func (l *Ledger) Spend(subject string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if a, ok := l.subjects[subject]; ok {
 		a.used = now
-		a.tokens -= float64(n)
+		a.tokens--
 	}
 }
 
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -47,7 +47,7 @@
 			if !rate.allows(n) {
 				continue
 			}
-			c := candidate{m: m, idle: p.idleCost(m, n, m == home, now) + p.rateCost(m, &rate, now).Seconds()}
+			c := candidate{m: m, idle: p.idleCost(m, n, m == home, &rate, now)}
 			list, least = append(list, c), min(least, c.idle)
 		}
 		p.candidates = list
--- a/pkg/route/cold.go
+++ b/pkg/route/cold.go
@@ -116,8 +116,13 @@
 	m.sends = append(recent, now)
 }
 
-// warmCost is the price of a replica that takes its whole part of the load from a time on.
-func warmCost(from, now time.Time) time.Duration {
+// warmCost is the price of a replica that takes its whole part of the load again: since it is
+// no longer cold, or names no rate any more, whichever came last.
+func warmCost(cold, limited, now time.Time) time.Duration {
+	from := cold
+	if limited.After(from) {
+		from = limited
+	}
 	past := now.Sub(from)
 	if from.IsZero() || past < 0 || past >= warmTerm {
 		return 0
--- a/pkg/route/limited.go
+++ b/pkg/route/limited.go
@@ -20,9 +20,9 @@
 // RateLimits says which replicas have named how many requests a second they take, and what
 // is known of that.
 type RateLimits interface {
-	// State is of a start of a replica, by the start's name; ok is false if it has named no rate
-	// for long.
-	State(start string, now time.Time) (s RateState, ok bool)
+	// State is of a start of a replica, by the start's name; zero if it has named no rate for
+	// long.
+	State(start string, now time.Time) RateState
 }
 
 // RateState is what a node knows of a replica that names a rate, or did a moment ago.
@@ -45,21 +45,11 @@
 // rateState is what is known of the rate that a replica names.
 func (p *Pool) rateState(m *member, now time.Time) (s RateState) {
 	if p.rates != nil {
-		s, _ = p.rates.State(m.start, now)
+		s = p.rates.State(m.start, now)
 	}
 	return s
 }
 
-// rateCost is what a replica's price changes by the rate that it names, or named a moment ago,
-// and by the cold term that it has behind it.
-func (p *Pool) rateCost(m *member, s *RateState, now time.Time) time.Duration {
-	from := m.cold
-	if s.Ended.After(from) {
-		from = s.Ended
-	}
-	return warmCost(from, now) - s.unusedGain()
-}
-
 // allows says whether a replica may be picked for a request.
 func (s *RateState) allows(n *Need) bool { return s.Wait == 0 && (!s.Limited || !n.Unlimited) }
 
--- a/pkg/route/limited_test.go
+++ b/pkg/route/limited_test.go
@@ -12,10 +12,7 @@
 // fakeRates tells what a test sets, by start of a replica.
 type fakeRates map[string]RateState
 
-func (f fakeRates) State(start string, _ time.Time) (s RateState, ok bool) {
-	s, ok = f[start]
-	return s, ok
-}
+func (f fakeRates) State(start string, _ time.Time) RateState { return f[start] }
 
 // limitedPool is a pool of two replicas, a and b.
 func limitedPool(rates fakeRates) *Pool {
--- a/pkg/route/pool_estimate.go
+++ b/pkg/route/pool_estimate.go
@@ -27,7 +27,7 @@
 }
 
 // idleCost is the price of a replica at which nothing waits, in seconds.
-func (p *Pool) idleCost(m *member, n *Need, home bool, now time.Time) float64 {
+func (p *Pool) idleCost(m *member, n *Need, home bool, rate *RateState, now time.Time) float64 {
 	cost := p.idleTime(m, n, home, p.lateness(m, now))
 	if m.DataHall != p.hall {
 		cost += hallTime.Seconds()
@@ -35,6 +35,7 @@
 	if n.Newest > 0 && m.Weights[n.Model] < n.Newest {
 		cost += oldWeightsTime.Seconds() * n.Urgency
 	}
+	cost += (warmCost(m.cold, rate.Ended, now) - rate.unusedGain()).Seconds()
 	return cost
 }
 
--- a/pkg/suspect/register.go
+++ b/pkg/suspect/register.go
@@ -171,24 +171,20 @@
 }
 
 // Held lists the cases that are watched or barred, the newest first.
-func (r *Register) Held(most int) (list []Case) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, e := range r.known {
-		if e.Verdict() != Free {
-			list = append(list, e.copy())
-		}
-	}
-	slices.SortFunc(list, func(a, b Case) int { return b.Last().Compare(a.Last()) })
-	return list[:min(len(list), most)]
+func (r *Register) Held(most int) []Case {
+	return r.newest(most, func(e *entry) bool { return e.Verdict() != Free })
 }
 
 // Cleared returns those that are free as they were finished, the newest first.
-func (r *Register) Cleared(most int) (list []Case) {
+func (r *Register) Cleared(most int) []Case {
+	return r.newest(most, func(e *entry) bool { return !e.Finished.IsZero() && e.Verdict() == Free })
+}
+
+func (r *Register) newest(most int, which func(e *entry) bool) (list []Case) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.known {
-		if !e.Finished.IsZero() && e.Verdict() == Free {
+		if which(e) {
 			list = append(list, e.copy())
 		}
 	}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -154,10 +154,6 @@
 		x.sent(false)
 		return false, x.noneLeft()
 	}
-	if x.over(ctx) { // Leave to send may have been waited for.
-		x.sent(false)
-		return false, x.outOfTime()
-	}
 	now := boottime.Now()
 	dispatch, plan := x.dispatch(choice, now)
 	a := newAttempt(x, choice, plan, now)
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -7,9 +7,8 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
-	"github.com/drumpath/drumpath/pkg/quota"
 	"github.com/drumpath/drumpath/pkg/route"
-	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/service/ratelimit"
 )
 
 // News of replicas go to every node. In a small fleet each is told at once and to
@@ -41,11 +40,8 @@
 	// Avoid is for how many milliseconds it is to be passed over while it gets the
 	// weights; without it, it has them.
 	Avoid int64 `json:"a,omitempty"`
-	// Rate is how many requests a second it takes from all nodes, of which was heard RateAge
-	// milliseconds ago; RateEnded says that it names none any more.
-	Rate      float64 `json:"r1,omitempty"`
-	RateEnded bool    `json:"re,omitempty"`
-	RateAge   *int64  `json:"ra,omitempty"`
+	// Rate says how many requests a second it takes from all nodes; it names the replica itself.
+	Rate *ratelimit.RateNews `json:"l,omitempty"`
 	// Model and Version are the weights.
 	Model   string `json:"m,omitempty"`
 	Version int64  `json:"v,omitempty"`
@@ -72,18 +68,7 @@
 func (n *nodes) doubt(w route.Whom) { n.spread(newsOf(w, news{Lost: true})) }
 
 // TellRate implements ratelimit.Teller.
-func (n *nodes) TellRate(u *site.Upstream, r quota.Rate) {
-	age := boottime.Since(r.At).Milliseconds()
-	n.spread(newsOf(route.WhomOf(u), news{Rate: r.PerSecond, RateEnded: r.Ended, RateAge: &age}))
-}
-
-// takeRate takes in news of the rate that a replica names.
-func (n *nodes) takeRate(w *news, now time.Time) {
-	who := w.whom()
-	age := time.Duration(max(0, *w.RateAge)) * time.Millisecond
-	rate := quota.Rate{PerSecond: max(0, w.Rate), Ended: w.RateEnded, At: now.Add(-age)}
-	n.rateLimits.Hear(&site.Upstream{ID: who.ID, Started: who.Started}, rate, now)
-}
+func (n *nodes) TellRate(r ratelimit.RateNews) { n.spread(news{Replica: r.Replica, Rate: &r}) }
 
 // newsOf completes news with the replica that they are of.
 func newsOf(w route.Whom, about news) news {
@@ -164,8 +149,8 @@
 
 func (n *nodes) take(w news) {
 	now := boottime.Now()
-	if w.RateAge != nil {
-		n.takeRate(&w, now)
+	if w.Rate != nil {
+		n.rateLimits.Hear(*w.Rate)
 		return
 	}
 	until := now.Add(time.Duration(w.Avoid) * time.Millisecond)
--- a/service/peer/server.go
+++ b/service/peer/server.go
@@ -147,7 +147,6 @@
 
 // limitedCodec is the library's varint framing with a bound on length.
 type limitedCodec struct {
-	jsonrpc2.VarintObjectCodec
 	conn *timedConn
 }
 
--- a/service/ratelimit/leave.go
+++ b/service/ratelimit/leave.go
@@ -18,19 +18,21 @@
 	MethodSpend = "ratelimit.spend"
 )
 
-// rateNews is what one node tells another of a rate. Times are told as ages, as nodes have no
-// clock in common.
-type rateNews struct {
-	Replica string `json:"replica"`
+// RateNews is what one node tells others of the rate that a replica names. Times are told as
+// ages, as nodes have no clock in common. Its JSON names are short, as many go in one note.
+type RateNews struct {
+	Replica string `json:"r"`
 	// Started is the replica's start that is meant, in Unix milliseconds; 0 if it is not known.
-	Started   int64   `json:"started,omitempty"`
-	PerSecond float64 `json:"per_second"`
-	Ended     bool    `json:"ended,omitempty"`
-	AgeMS     int64   `json:"age_ms"`
+	Started   int64   `json:"t,omitempty"`
+	PerSecond float64 `json:"p"`
+	// Ended says that the replica names none any more.
+	Ended bool `json:"e,omitempty"`
+	// AgeMS is how many milliseconds ago that was seen.
+	AgeMS int64 `json:"a"`
 }
 
-func newsOf(u *site.Upstream, r quota.Rate, now time.Time) rateNews {
-	n := rateNews{Replica: u.ID, PerSecond: r.PerSecond, Ended: r.Ended, AgeMS: now.Sub(r.At).Milliseconds()}
+func newsOf(u *site.Upstream, r quota.Rate, now time.Time) RateNews {
+	n := RateNews{Replica: u.ID, PerSecond: r.PerSecond, Ended: r.Ended, AgeMS: now.Sub(r.At).Milliseconds()}
 	if !u.Started.IsZero() {
 		n.Started = u.Started.UnixMilli()
 	}
@@ -38,7 +40,7 @@
 }
 
 // upstream names the replica that news are of.
-func (n *rateNews) upstream() *site.Upstream {
+func (n *RateNews) upstream() *site.Upstream {
 	u := &site.Upstream{ID: n.Replica}
 	if n.Started > 0 {
 		u.Started = time.UnixMilli(n.Started)
@@ -46,7 +48,7 @@
 	return u
 }
 
-func (n *rateNews) rate(now time.Time) quota.Rate {
+func (n *RateNews) rate(now time.Time) quota.Rate {
 	age := time.Duration(max(0, n.AgeMS)) * time.Millisecond
 	return quota.Rate{PerSecond: max(0, n.PerSecond), Ended: n.Ended, At: now.Add(-age)}
 }
@@ -57,21 +59,24 @@
 	Count  int   `json:"count"`
 	WaitMS int64 `json:"wait_ms,omitempty"`
 	// Rate is what the owner knows, if that is something.
-	Rate *rateNews `json:"rate,omitempty"`
+	Rate *RateNews `json:"rate,omitempty"`
 }
 
 // MaySend asks whether a request may be sent to a replica now. Where it names no limit it
 // may; else its owner, or this node itself, gives leave or says when to ask again.
 func (l *Limits) MaySend(ctx context.Context, u *site.Upstream) bool {
+	if l.ledger.Empty() {
+		return true // No start has to be named.
+	}
 	start := u.StartKey()
-	rate, known := l.ledger.Rate(start)
-	if !known || rate.Ended || l.useLeave(start) {
+	rate, limited := l.limited(start)
+	if !limited || l.useLeave(start) {
 		return true
 	}
 	a := l.ask(ctx, u, rate)
 	if a.Rate != nil {
 		l.note(u, a.Rate.rate(boottime.Now()), boottime.Now())
-		if !l.limited(start) {
+		if _, limited := l.limited(start); !limited {
 			return true
 		}
 	}
@@ -148,7 +153,7 @@
 }
 
 // ServeTake answers a node that asks for leave.
-func (l *Limits) ServeTake(_ context.Context, n rateNews) (takeAnswer, error) {
+func (l *Limits) ServeTake(_ context.Context, n RateNews) (takeAnswer, error) {
 	now := boottime.Now()
 	u := n.upstream()
 	l.note(u, n.rate(now), now)
@@ -156,7 +161,7 @@
 }
 
 // ServeRate takes in what a node has seen of a replica that this one owns.
-func (l *Limits) ServeRate(_ context.Context, n rateNews) (struct{}, error) {
+func (l *Limits) ServeRate(_ context.Context, n RateNews) (struct{}, error) {
 	now := boottime.Now()
 	u, r := n.upstream(), n.rate(now)
 	if r.Ended {
@@ -168,20 +173,20 @@
 }
 
 // ServeSpend counts what a node sent without leave.
-func (l *Limits) ServeSpend(_ context.Context, n rateNews) (struct{}, error) {
-	l.ledger.Spend(n.upstream().StartKey(), 1, boottime.Now())
+func (l *Limits) ServeSpend(_ context.Context, n RateNews) (struct{}, error) {
+	l.ledger.Spend(n.upstream().StartKey(), boottime.Now())
 	return struct{}{}, nil
 }
 
 // Spend counts something that is sent to a replica without leave, as it can't wait.
 func (l *Limits) Spend(u *site.Upstream) {
-	rate, known := l.ledger.Rate(u.StartKey())
-	if !known || rate.Ended {
+	rate, limited := l.limited(u.StartKey())
+	if !limited {
 		return
 	}
 	l.counts.enforced.Add(1)
 	if l.owner(u.StartKey()).Name == l.self.Name {
-		l.ledger.Spend(u.StartKey(), 1, boottime.Now())
+		l.ledger.Spend(u.StartKey(), boottime.Now())
 		return
 	}
 	l.notify(u, MethodSpend, rate)
--- a/service/ratelimit/limits.go
+++ b/service/ratelimit/limits.go
@@ -55,7 +55,7 @@
 
 // Teller tells all other nodes what is known of the rate that a start of a replica names.
 type Teller interface {
-	TellRate(u *site.Upstream, r quota.Rate)
+	TellRate(n RateNews)
 }
 
 // leave is what this node was given by an owner, or not.
@@ -132,7 +132,7 @@
 func (l *Limits) named(u *site.Upstream, r quota.Rate, now time.Time) {
 	switch l.note(u, r, now) {
 	case quota.ChangeBegun:
-		l.teller.TellRate(u, r)
+		l.teller.TellRate(newsOf(u, r, now))
 	case quota.ChangeRate:
 		l.tellOwner(u, r)
 	}
@@ -140,8 +140,8 @@
 
 // unnamed notes that an answer names no rate.
 func (l *Limits) unnamed(u *site.Upstream, sent, now time.Time) {
-	r, known := l.ledger.Rate(u.StartKey())
-	if !known || r.Ended || !sent.After(r.At) {
+	r, limited := l.limited(u.StartKey())
+	if !limited || !sent.After(r.At) {
 		return
 	}
 	end := quota.Rate{Ended: true, At: sent}
@@ -155,12 +155,15 @@
 // ended takes an end in, as the replica's owner.
 func (l *Limits) ended(u *site.Upstream, end quota.Rate, now time.Time) {
 	if l.note(u, end, now) == quota.ChangeEnded {
-		l.teller.TellRate(u, end)
+		l.teller.TellRate(newsOf(u, end, now))
 	}
 }
 
 // Hear takes in what another node tells of the rate that a start of a replica names.
-func (l *Limits) Hear(u *site.Upstream, r quota.Rate, now time.Time) { l.note(u, r, now) }
+func (l *Limits) Hear(n RateNews) {
+	now := boottime.Now()
+	l.note(n.upstream(), n.rate(now), now)
+}
 
 // note takes in what was seen of a replica, and logs what that changes.
 func (l *Limits) note(u *site.Upstream, r quota.Rate, now time.Time) quota.Change {
@@ -207,16 +210,13 @@
 }
 
 // State implements route.RateLimits.
-func (l *Limits) State(start string, now time.Time) (s route.RateState, ok bool) {
-	if l.ledger.Empty() {
-		return s, false
-	}
-	r, ok := l.ledger.Rate(start)
+func (l *Limits) State(start string, now time.Time) (s route.RateState) {
+	r, known := l.ledger.Rate(start)
 	switch {
-	case !ok:
-		return s, false
+	case !known:
+		return s
 	case r.Ended:
-		return route.RateState{Ended: r.At}, true
+		return route.RateState{Ended: r.At}
 	}
 	s.Limited = true
 	l.mu.Lock()
@@ -227,13 +227,13 @@
 	if s.Wait == 0 && l.owner(start).Name == l.self.Name {
 		s.Unused = l.ledger.Unused(start, now)
 	}
-	return s, true
+	return s
 }
 
-// limited says whether a start of a replica names a rate.
-func (l *Limits) limited(start string) bool {
+// limited is the rate that a start of a replica names; ok is false if it names none.
+func (l *Limits) limited(start string) (r quota.Rate, ok bool) {
 	r, known := l.ledger.Rate(start)
-	return known && !r.Ended
+	return r, known && !r.Ended
 }
 
 // Forget drops what no longer matters; it is to be called each ForgetEvery.
--- a/service/ratelimit/ratelimit_test.go
+++ b/service/ratelimit/ratelimit_test.go
@@ -15,7 +15,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/pkg/control"
-	"github.com/drumpath/drumpath/pkg/quota"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -115,17 +114,16 @@
 	from *Limits
 }
 
-func (t *lateNews) TellRate(u *site.Upstream, r quota.Rate) {
+func (t *lateNews) TellRate(news RateNews) {
 	t.f.mu.Lock()
 	t.f.told++
 	nodes := append([]*Limits(nil), t.f.nodes...)
 	t.f.mu.Unlock()
-	news := newsOf(u, r, time.Now())
 	for _, l := range nodes {
 		if l == t.from || !t.f.hears(t.from.self.Name, l.self.Name) || t.f.chance() < lostNews {
 			continue
 		}
-		time.AfterFunc(t.f.late(), func() { l.Hear(news.upstream(), news.rate(time.Now()), time.Now()) })
+		time.AfterFunc(t.f.late(), func() { l.Hear(news) })
 	}
 }
 
@@ -152,7 +150,7 @@
 		return errSilent
 	}
 	time.Sleep(callTime)
-	a, err := to.ServeTake(ctx, params.(rateNews))
+	a, err := to.ServeTake(ctx, params.(RateNews))
 	*result.(*takeAnswer) = a
 	c.f.mu.Lock()
 	c.f.asked++
@@ -168,9 +166,9 @@
 	time.Sleep(callTime)
 	switch method {
 	case MethodRate:
-		_, err = to.ServeRate(ctx, params.(rateNews))
+		_, err = to.ServeRate(ctx, params.(RateNews))
 	case MethodSpend:
-		_, err = to.ServeSpend(ctx, params.(rateNews))
+		_, err = to.ServeSpend(ctx, params.(RateNews))
 	}
 	return err
 }
@@ -208,7 +206,7 @@
 
 func (f *fleet) send(l *Limits, u *site.Upstream) {
 	now := time.Now()
-	if s, _ := l.State(u.StartKey(), now); s.Wait > 0 || !l.MaySend(context.Background(), u) {
+	if l.State(u.StartKey(), now).Wait > 0 || !l.MaySend(context.Background(), u) {
 		return // It goes to another replica.
 	}
 	sent := time.Now()
@@ -427,8 +425,8 @@
 		cancel()
 		assert.Assert(t, !l.MaySend(left, f.replica))
 		time.Sleep(leastWait)
-		s, limited := l.State(f.replica.StartKey(), time.Now())
-		assert.Assert(t, limited && s.Wait == 0, "left alone for %v", s.Wait)
+		s := l.State(f.replica.StartKey(), time.Now())
+		assert.Assert(t, s.Limited && s.Wait == 0, "left alone for %v", s.Wait)
 	})
 }
 
@@ -442,7 +440,7 @@
 		l, start := f.nodes[0], f.replica.StartKey()
 		for range 40 {
 			assert.Assert(t, l.MaySend(t.Context(), f.replica))
-			s, _ := l.State(start, time.Now())
+			s := l.State(start, time.Now())
 			assert.Equal(t, s.Wait, time.Duration(0))
 		}
 	})
