Answers that drain or ask for backoff are read and logged

Nobody saw in the logs that a replica had said that it drains, or had asked a node to send it nothing for a while, so the hypotheses of the incident could not be told apart. The lines of answers, refusals and failures have it now; nothing is decided by it yet.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -8,6 +8,8 @@
 	keyRoute    = Key{"route", "the route's name"}
 	keyErr      = Key{"err", "what went wrong"}
 	keyLimit    = Key{"limit", "requests a second that the replica's answer says it takes from all nodes; empty if it says nothing, ? if it can't be read"}
+	keyDraining = Key{"draining", "whether the replica's answer says that it drains"}
+	keyBackoff  = Key{"backoff", "nanoseconds for which the replica's refusal asks this node to send it nothing; 0 if it does not ask"}
 	keyEnds     = Key{"ends", "how many replicas ended under the content, as far as known"}
 	keyEnded    = Key{"replicas", "the starts of these replicas"}
 	keyVerdict  = Key{"verdict", "free, watched (runs once at a time) or barred (is not sent)"}
@@ -55,7 +57,7 @@
 		{"gap_ms", "the longest pause between bytes of a stream"},
 		{"before_ms", "how long the request was here before it was sent"},
 		{"all_ms", "how long it took in all"},
-		keyLimit,
+		keyLimit, keyDraining,
 		keyAttempts, keyNotRun,
 	}},
 	{"refused", Failure, "A request got an answer of the node's own.", []Key{
@@ -80,11 +82,11 @@
 		{"status", "the replica's status"},
 		{"weights", "the version that it was taken to have"},
 		{"newest", "the newest version that was named"},
-		keyLimit,
+		keyLimit, keyDraining, keyBackoff,
 		keyNotRun,
 	}},
 	{"replica failed", Failure, "A replica ran a request and answered with a failure; it is delivered if no other does better.", []Key{
-		keyRequest, keyRoute, keyReplica, {"status", "the replica's status"}, keyAttempts, keyAfter,
+		keyRequest, keyRoute, keyReplica, {"status", "the replica's status"}, keyDraining, keyBackoff, keyAttempts, keyAfter,
 	}},
 	{"replica not reached", Failure, "No connection to a replica could be made; nothing was sent.", []Key{
 		keyRequest, keyReplica, {"addr", "the replica's address"}, keyErr,
--- a/pkg/site/answer.go
+++ b/pkg/site/answer.go
@@ -1,5 +1,7 @@
 package site
 
+import "time"
+
 // Answer is what a replica's head says beside the status.
 type Answer struct {
 	// RequestID names the request that is answered.
@@ -10,4 +12,9 @@
 	Weights int64
 	// Limit is how many requests the replica takes.
 	Limit RateLimit
+	// Draining says that the replica is about to end and is to get no new request.
+	Draining bool
+	// Backoff is for how long the replica, which turned the request away, wants no other
+	// from this node; 0 if it does not say.
+	Backoff time.Duration
 }
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -225,7 +225,8 @@
 	x.refused++
 	x.g.metrics.notRun.Add(1)
 	x.g.log.Info("replica refused", "request", x.terms.ID, "replica", a.choice.ID, "status", a.head.Status,
-		"weights", a.choice.Weights, "newest", x.need.Newest, "limit", a.answer.Limit.String(), "not_run", x.refused)
+		"weights", a.choice.Weights, "newest", x.need.Newest, "limit", a.answer.Limit.String(),
+		"draining", a.answer.Draining, "backoff", a.answer.Backoff, "not_run", x.refused)
 	if x.refused > mostRefusals || !x.mayRetry(now) {
 		return false, x.noneLeft()
 	}
@@ -370,7 +371,7 @@
 	}
 	a.end(route.OutcomeFailed, now)
 	x.g.log.Info("replica failed", "request", x.terms.ID, "route", x.route.Name, "replica", a.choice.ID,
-		"status", a.head.Status, "attempts", x.ran, "after", now.Sub(x.came))
+		"status", a.head.Status, "draining", a.answer.Draining, "backoff", a.answer.Backoff, "attempts", x.ran, "after", now.Sub(x.came))
 	x.held = w
 	return x.repeat(a.choice.ID, now)
 }
--- a/service/gateway/exchange_log.go
+++ b/service/gateway/exchange_log.go
@@ -14,7 +14,7 @@
 		"fetched", a.plan.Fetched, "saved", a.plan.Saved, "sources", a.plan.Sources, "fetch_ms", a.plan.Time.Milliseconds(),
 		"expected_ms", a.choice.Expected.Milliseconds(), "first_ms", a.took.Milliseconds(), "gap_ms", a.longest.Milliseconds(),
 		"before_ms", a.begun.Sub(x.came).Milliseconds(), "all_ms", now.Sub(x.came).Milliseconds(),
-		"limit", a.answer.Limit.String(), "attempts", x.ran, "not_run", x.refused)
+		"limit", a.answer.Limit.String(), "draining", a.answer.Draining, "attempts", x.ran, "not_run", x.refused)
 }
 
 // logRefusal tells why a request got an answer of the node's own, and by what
