A replica that asks a node for backoff is left alone by it until the time is over

What callers saw: one more try, and for some seconds 7 to 12 refusals a second. Replicas that turned requests away with 503 and Retry-After got 13 to 18 requests a second instead of 5 before: one that refuses at once looks idle.

Cause: nobody read the time. A refusal had its replica passed over for 60 ms if others could take over, a preference that the next choice forgets. The reasons for which a replica may not be sent anything were looked at in four places, each with some of them.

Change: pkg/route has one list of exclusions, asked once for each choice, which gives the refusal its reason too; a backoff is one of them, kept by start of the replica, also while its row is gone. A request that was placed asks once more when its connection is there. Nothing is told to other nodes, as the time is of one node. Orders of weights wait for half of the time that there is for them, calls for events to the end. The replica comes back like one that was cold, up to 0.25 s later than it asked, as many nodes may have been told the same time. Where all are left out callers are refused at once with the least time that is left, and up to half a second more.

In virtual time 0 within backoffs at 7, 71, 295 and 900 nodes.

Why it holds: each way to a replica goes through Pick and begin, and both ask the same question of the same time, which only ever moves on for a start of a replica.

--- a/internal/standin/onplatform/drain_backoff_test.go
+++ b/internal/standin/onplatform/drain_backoff_test.go
@@ -19,7 +19,7 @@
 	drainTime = 2 * time.Second
 	// backoffAfter is after how long a replica that asked for backoff gets no more than
 	// allowedInBackoff requests until its end.
-	backoffAfter  = 500 * time.Millisecond
+	backoffAfter     = 500 * time.Millisecond
 	allowedInBackoff = 2
 )
 
@@ -179,6 +179,7 @@
 func TestDrainingReplicaIsSentNothingOnceItsAnswerSaysSo(t *testing.T) {
 	for name, c := range spoken {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t)
 			s.speaking(c.service, "free")
 			r := s.speaking(c.service, "draining")
@@ -201,6 +202,7 @@
 func TestReplicaThatAsksForBackoffGetsNoMoreOfThatNode(t *testing.T) {
 	for name, c := range spoken {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t)
 			s.speaking(c.service, "free")
 			r := s.speaking(c.service, "busy")
@@ -273,3 +275,38 @@
 		})
 	}
 }
+
+// An order of weights and calls for events went to an engine that had asked for backoff.
+func TestOrderOfWeightsWaitsForABackoff(t *testing.T) {
+	s := newSite(t)
+	var mu sync.Mutex
+	var orders []time.Time
+	r := s.speaking(llm, "busy")
+	answer := r.answer
+	r.Script(func(w io.Writer, in *onplatform.Request) bool {
+		switch in.Target {
+		case "/-/report":
+			return onplatform.OK(`{"stage":"both","models":[{"name":"m0","config_version":1}],"busy":false,"call_seq":0}`)(w, in)
+		case "/-/order":
+			mu.Lock()
+			orders = append(orders, time.Now())
+			mu.Unlock()
+			return onplatform.OK(`{}`)(w, in)
+		}
+		return answer(w, in)
+	})
+	n := s.node("n")
+	r.backOff("3", 3*time.Second)
+	n.once(promptBy("n"))
+	r.backOff("", 0)
+	assert.Equal(t, r.arrivals(), 1)
+	s.store.Put(onplatform.TableOperator, "version/"+model, map[string]any{"model": model, "config_version": 2})
+	s.until("the order is given", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(orders) > 0
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	assert.Assert(t, orders[0].After(r.asked[0].until), "%v early", r.asked[0].until.Sub(orders[0]))
+}
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -240,6 +240,8 @@
 	{"limited", "the replicas that may be used have named how many requests a second they take, and that is used up (503)"},
 	{"evacuated", "the replicas that may be used are in data halls that are evacuated (503)"},
 	{"outside_homes", "no replica is in a region in which the request may run (503)"},
+	{"draining", "the replicas of the service are about to end (503)"},
+	{"backoff", "the replicas that may be used have asked this node to send them nothing for a while (503)"},
 	{"replicas_full", "those that were asked refused (503)"},
 	{"overloaded", "the prompt would wait too long (503)"},
 	{"deadline", "the time is over: 503 if nothing was sent, 504 if it may have run"},
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -55,6 +55,12 @@
 	case "limited":
 		why = fmt.Sprintf("the replicas of service %s that may be used take only so many requests a second from all nodes together, as their answers say, and that was used up (%s of %s could be used)",
 			l.Text("service"), l.Text("usable"), l.Text("replicas"))
+	case "backoff":
+		why = fmt.Sprintf("the replicas of service %s that may be used had turned requests of this node away and asked it to send them nothing for a while (%s of %s could be used)",
+			l.Text("service"), l.Text("usable"), l.Text("replicas"))
+	case "draining":
+		why = fmt.Sprintf("the replicas of service %s are about to end, as their rows or their answers say (%s of %s could be used)",
+			l.Text("service"), l.Text("usable"), l.Text("replicas"))
 	case "evacuated":
 		why = fmt.Sprintf("the replicas of service %s that may be used were left out: their data halls are evacuated", l.Text("service"))
 	case "outside_homes":
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -40,11 +40,11 @@
 	for _, passedOver := range []bool{false, true} {
 		list, least := p.candidates[:0], math.Inf(1)
 		for _, m := range p.list {
-			if !m.usable(n) || m.passedOver(now) != passedOver || !p.mayTake(m, now) {
+			if m.passedOver(now) != passedOver {
 				continue
 			}
-			rate := p.rateState(m, now)
-			if !rate.allows(n) {
+			why, rate := p.exclusion(m, n, now)
+			if why != NotExcluded {
 				continue
 			}
 			c := candidate{m: m, idle: p.idleCost(m, n, m == home, &rate, now)}
--- a/pkg/route/cold.go
+++ b/pkg/route/cold.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -36,10 +36,6 @@
 	// replay at 71 nodes, without it 0.56 to 0.59.
 	warmTime = 20 * time.Millisecond
 	warmTerm = 2 * time.Second
-	// leastColdRetry and coldSpread bound when a request that only cold replicas could
-	// take is to come back: when some of their share is free again, each at a time of its own.
-	leastColdRetry = 250 * time.Millisecond
-	coldSpread     = 500 * time.Millisecond
 )
 
 // NewColdLimit is how many requests all nodes together may send a cold replica in any second
@@ -117,12 +113,9 @@
 }
 
 // warmCost is the price of a replica that takes its whole part of the load again: since it is
-// no longer cold, or names no rate any more, whichever came last.
-func warmCost(cold, limited, now time.Time) time.Duration {
-	from := cold
-	if limited.After(from) {
-		from = limited
-	}
+// no longer cold, names no rate any more, or has ceased to back off, whichever came last.
+func warmCost(now time.Time, ends ...time.Time) time.Duration {
+	from := slices.MaxFunc(ends, time.Time.Compare)
 	past := now.Sub(from)
 	if from.IsZero() || past < 0 || past >= warmTerm {
 		return 0
@@ -161,47 +154,6 @@
 	}
 }
 
-// Absence is why no replica may take a request.
-type Absence struct {
-	// Cold, Evacuated and Outside are how many replicas are left out as their share is
-	// used up while they are cold, their data hall is evacuated, or they are outside the
-	// regions in which the request may run.
-	Cold      int
-	Evacuated int
-	Outside   int
-	// Limited is how many have named a rate that is used up.
-	Limited int
-	// Retry is when to come back where some are cold or limited, 0 where none is.
-	Retry time.Duration
-}
-
-// WhyNone finds out why no replica may take a request.
-func (p *Pool) WhyNone(n *Need, now time.Time) (a Absence) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	wait := coldWindow
-	for _, m := range p.list {
-		switch {
-		case !n.mayRunIn(m.Region):
-			a.Outside++
-		case m.Evacuated:
-			a.Evacuated++
-		case m.usable(n) && !p.mayTake(m, now):
-			a.Cold++
-			wait = min(wait, p.coldWait(m, now))
-		case m.usable(n):
-			if s := p.rateState(m, now); !s.allows(n) {
-				a.Limited++
-				wait = min(wait, s.Wait)
-			}
-		}
-	}
-	if a.Cold > 0 || a.Limited > 0 {
-		a.Retry = max(leastColdRetry, wait) + rand.N(coldSpread)
-	}
-	return a
-}
-
 // coldWait is how long it takes until a replica may be used by this node again.
 func (p *Pool) coldWait(m *member, now time.Time) time.Duration {
 	until := m.cold
--- a/pkg/route/cold_test.go
+++ b/pkg/route/cold_test.go
@@ -79,8 +79,8 @@
 			c, ok := p.Pick(&Need{Model: "m", Tokens: 100, Send: true}, now)
 			if !ok {
 				why := p.WhyNone(&Need{Model: "m", Tokens: 100}, now)
-				assert.Equal(t, why.Cold, 1)
-				assert.Assert(t, why.Retry >= leastColdRetry)
+				assert.Equal(t, why.Excluded[ExcludedCold], 1)
+				assert.Assert(t, why.Retry >= leastReturn)
 				continue
 			}
 			sent = append(sent, now)
@@ -175,7 +175,7 @@
 	need := &Need{Model: "m", Tokens: 100, Homed: true}
 	_, ok := p.Pick(need, testNow)
 	assert.Assert(t, !ok, "route and organisation have no region in common")
-	assert.Equal(t, p.WhyNone(need, testNow).Outside, 6)
+	assert.Equal(t, p.WhyNone(need, testNow).Excluded[ExcludedOutside], 6)
 }
 
 // coldReplay is a data hall's outage and return: a third of 60 replicas is down for 1 s while
--- /dev/null
+++ b/pkg/route/exclusion.go
@@ -0,0 +1,165 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// Exclusion is why a replica may not be sent a request, whatever else is free.
+type Exclusion string
+
+// Exclusions, in the order in which they are looked at.
+const (
+	NotExcluded Exclusion = ""
+	// ExcludedOutside: it is outside the regions in which the request may run.
+	ExcludedOutside Exclusion = "outside_homes"
+	// ExcludedEvacuated: its data hall is evacuated.
+	ExcludedEvacuated Exclusion = "evacuated"
+	// ExcludedDraining: it is about to end.
+	ExcludedDraining Exclusion = "draining"
+	// ExcludedBackoff: it has asked this node to send it nothing for a while.
+	ExcludedBackoff Exclusion = "backoff"
+	// ExcludedTried: it has failed the request already.
+	ExcludedTried Exclusion = "tried"
+	// ExcludedWeights: its weights are too old, or it serves another model.
+	ExcludedWeights Exclusion = "weights"
+	// ExcludedCold: it is cold, or taken to be, and this node's share of it is used up.
+	ExcludedCold Exclusion = "cold"
+	// ExcludedLimited: it has named a rate, and that is used up.
+	ExcludedLimited Exclusion = "limited"
+)
+
+// backoffSpread is how much later than it asked a replica is sent requests again at most:
+// many nodes may have been told the same time.
+const backoffSpread = 250 * time.Millisecond
+
+// exclusion says why a replica may not be sent a request, and what is known of the rate that
+// it names if it may be. The caller holds mu.
+func (p *Pool) exclusion(m *member, n *Need, now time.Time) (why Exclusion, rate RateState) {
+	switch {
+	case !n.mayRunIn(m.Region):
+		return ExcludedOutside, rate
+	case m.Evacuated:
+		return ExcludedEvacuated, rate
+	case m.Draining:
+		return ExcludedDraining, rate
+	case now.Before(m.backoff):
+		return ExcludedBackoff, rate
+	case slices.Contains(n.Exclude, m.ID):
+		return ExcludedTried, rate
+	case !m.serves(n):
+		return ExcludedWeights, rate
+	case !p.mayTake(m, now):
+		return ExcludedCold, rate
+	}
+	rate = p.rateState(m, now)
+	if !rate.allows(n) {
+		return ExcludedLimited, rate
+	}
+	return NotExcluded, rate
+}
+
+// excludedForAll says whether a replica takes no request at all; the caller holds mu.
+func (m *member) excludedForAll(now time.Time) bool {
+	return m.Evacuated || m.Draining || now.Before(m.backoff)
+}
+
+// serves says whether a replica has weights that a request may run on, as far as is known.
+func (m *member) serves(n *Need) bool {
+	if n.Model == "" || len(m.Weights) == 0 {
+		return true
+	}
+	version, serves := m.Weights[n.Model]
+	return serves && version >= n.Oldest
+}
+
+// BackOff has nothing sent to a start of a replica for a while, as it asked this node. Of several
+// such times the last end counts, also where requests are served meanwhile.
+func (p *Pool) BackOff(u *site.Upstream, d time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	start, until := u.StartKey(), now.Add(d)
+	for old, end := range p.backoffs {
+		if !now.Before(end) {
+			delete(p.backoffs, old)
+		}
+	}
+	if end, known := p.backoffs[start]; known && !until.After(end) {
+		return
+	}
+	until = until.Add(time.Duration(p.rng.Int64N(int64(backoffSpread))))
+	p.backoffs[start] = until
+	if m, ok := p.replicas[u.ID]; ok && m.start == start {
+		m.backoff = until
+	}
+}
+
+// BacksOff says whether a replica has asked this node to send it nothing now.
+func (p *Pool) BacksOff(id string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, ok := p.replicas[id]
+	return ok && now.Before(m.backoff)
+}
+
+// Accepts says whether a replica that was picked may still be sent its request: while a
+// connection was made it may have been dropped, or have said that it drains.
+func (p *Pool) Accepts(u *site.Upstream, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m, ok := p.replicas[u.ID]
+	return ok && m.start == u.StartKey() && !m.excludedForAll(now)
+}
+
+// Absence is why no replica may take a request.
+type Absence struct {
+	// Excluded is how many replicas are left out, by reason.
+	Excluded map[Exclusion]int
+	// Free is how many may take it.
+	Free int
+	// Retry is when to come back where some will take it after a known time, 0 where none will.
+	Retry time.Duration
+}
+
+// WhyNone finds out why no replica may take a request.
+func (p *Pool) WhyNone(n *Need, now time.Time) (a Absence) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a.Excluded = map[Exclusion]int{}
+	wait, known := time.Duration(0), false
+	sooner := func(d time.Duration) {
+		if !known || d < wait {
+			wait, known = d, true
+		}
+	}
+	for _, m := range p.list {
+		why, rate := p.exclusion(m, n, now)
+		if why == NotExcluded {
+			a.Free++
+			continue
+		}
+		a.Excluded[why]++
+		switch why {
+		case ExcludedBackoff:
+			sooner(m.backoff.Sub(now))
+		case ExcludedCold:
+			sooner(min(coldWindow, p.coldWait(m, now)))
+		case ExcludedLimited:
+			sooner(min(coldWindow, rate.Wait))
+		}
+	}
+	if known {
+		a.Retry = max(leastReturn, wait) + rand.N(returnSpread)
+	}
+	return a
+}
+
+const (
+	// leastReturn and returnSpread bound when a request that no replica takes at the moment is
+	// to come back, each at a time of its own.
+	leastReturn  = 250 * time.Millisecond
+	returnSpread = 500 * time.Millisecond
+)
--- /dev/null
+++ b/pkg/route/exclusion_test.go
@@ -0,0 +1,202 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/drumpath/drumpath/pkg/site"
+)
+
+// startsOf lists replicas a and b, with a as it started at a time.
+func startsOf(started time.Time) []site.Upstream {
+	return []site.Upstream{{ID: "a", DataHall: "h0", Slots: 4, Started: started}, {ID: "b", DataHall: "h0", Slots: 4}}
+}
+
+func TestBackoffOutlastsTheRowOfItsReplica(t *testing.T) {
+	p := newTestPool(0, 1)
+	list := startsOf(time.UnixMilli(5))
+	p.Configure(list, testNow)
+	p.BackOff(&list[0], 3*time.Second, testNow)
+	p.Configure(list[1:], testNow.Add(time.Second))
+	p.Configure(list, testNow.Add(2*time.Second))
+	assert.Assert(t, p.BacksOff("a", testNow.Add(2900*time.Millisecond)))
+	assert.Assert(t, !p.BacksOff("a", testNow.Add(3*time.Second+backoffSpread)))
+	assert.Equal(t, picks(p, &Need{}, "a"), 0)
+
+	// It may ask while it isn't listed.
+	p.Configure(list[1:], testNow)
+	p.BackOff(&list[0], 6*time.Second, testNow)
+	p.Configure(list, testNow)
+	assert.Assert(t, p.BacksOff("a", testNow.Add(5*time.Second)))
+}
+
+func TestBackoffIsOfOneStartOfAReplica(t *testing.T) {
+	p := newTestPool(0, 1)
+	old := startsOf(time.UnixMilli(5))
+	p.Configure(old, testNow)
+	p.BackOff(&old[0], 3*time.Second, testNow)
+	p.Configure(startsOf(time.UnixMilli(6)), testNow)
+	assert.Assert(t, !p.BacksOff("a", testNow))
+	p.BackOff(&old[0], 9*time.Second, testNow) // An answer of the start before comes late.
+	assert.Assert(t, !p.BacksOff("a", testNow))
+}
+
+func TestStartThatIsToldWithItsTimeLaterIsTheSame(t *testing.T) {
+	p := newTestPool(0, 1)
+	p.Configure(startsOf(time.Time{}), testNow)
+	told := startsOf(time.UnixMilli(5))
+	p.Configure(told, testNow)
+	assert.Assert(t, p.Accepts(&told[0], testNow))
+	p.BackOff(&told[0], time.Second, testNow)
+	assert.Assert(t, p.BacksOff("a", testNow))
+}
+
+// Of several backoffs the last end counts, and an answer that is served ends none.
+func TestLastEndOfSeveralBackoffsCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newTestPool(0, 1)
+		list := startsOf(time.Time{})
+		p.Configure(list, testNow)
+		now, end := testNow, testNow
+		for range rapid.IntRange(1, 8).Draw(t, "answers") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "served") {
+				p.Begin(Choice{Upstream: list[0]}, now).End(OutcomeOK, now)
+				continue
+			}
+			d := time.Duration(rapid.IntRange(1, 4000).Draw(t, "backoff ms")) * time.Millisecond
+			p.BackOff(&list[0], d, now)
+			if now.Add(d).After(end) {
+				end = now.Add(d)
+			}
+		}
+		if end.After(now) {
+			assert.Assert(t, p.BacksOff("a", end.Add(-time.Nanosecond)))
+		}
+		assert.Assert(t, !p.BacksOff("a", end.Add(backoffSpread)))
+	})
+}
+
+func TestBackoffsThatAreOverTakeNoMemory(t *testing.T) {
+	p := newTestPool(0, 1)
+	for i := range 10_000 {
+		u := site.Upstream{ID: fmt.Sprint(i)}
+		p.BackOff(&u, time.Second, testNow.Add(time.Duration(i)*time.Second))
+	}
+	assert.Assert(t, len(p.backoffs) <= 2, "%d", len(p.backoffs))
+}
+
+// A request that had been placed was sent on though its replica took none any more.
+func TestReplicaThatWasPickedIsLookedAtOnceMore(t *testing.T) {
+	p := newTestPool(0, 1)
+	list := startsOf(time.UnixMilli(5))
+	a := &list[0]
+	for name, withdraw := range map[string]func(){
+		"dropped":   func() { p.Configure(list[1:], testNow) },
+		"backs off": func() { p.BackOff(a, time.Second, testNow) },
+		"drains": func() {
+			draining := startsOf(time.UnixMilli(5))
+			draining[0].Draining = true
+			p.Configure(draining, testNow)
+		},
+		"evacuated":   func() { away := startsOf(time.UnixMilli(5)); away[0].Evacuated = true; p.Configure(away, testNow) },
+		"new start":   func() { p.Configure(startsOf(time.UnixMilli(6)), testNow) },
+		"not at all ": func() {},
+	} {
+		p = newTestPool(0, 1)
+		p.Configure(list, testNow)
+		assert.Assert(t, p.Accepts(a, testNow))
+		withdraw()
+		assert.Equal(t, p.Accepts(a, testNow), name == "not at all ", name)
+	}
+}
+
+func TestWhyNoReplicaTakesARequest(t *testing.T) {
+	p := newTestPool(0, 1)
+	list := startsOf(time.Time{})
+	list[1].Draining = true
+	p.Configure(list, testNow)
+	p.BackOff(&list[0], 3*time.Second, testNow)
+	_, ok := p.Pick(&Need{}, testNow)
+	assert.Assert(t, !ok)
+	why := p.WhyNone(&Need{Exclude: []string{"a"}}, testNow)
+	assert.DeepEqual(t, why.Excluded, map[Exclusion]int{ExcludedBackoff: 1, ExcludedDraining: 1})
+	assert.Equal(t, why.Free, 0)
+	assert.Assert(t, why.Retry >= 3*time.Second && why.Retry <= 3*time.Second+backoffSpread+returnSpread, "%v", why.Retry)
+	_, usable := p.Count(testNow)
+	assert.Equal(t, usable, 0)
+}
+
+// The load is a usual one, in which a replica that turns everything away looks idle: it got two to
+// three times its part of the requests, and all nodes came back to it in the same moment.
+func TestReplicasThatAskForBackoffAreLeftAloneAndComeBackGradually(t *testing.T) {
+	const (
+		each    = 5.2 // Requests a second for each replica.
+		backoff = 3 * time.Second
+		asks    = 6 * time.Second // For so long a replica turns everything away.
+		whole   = 16 * time.Second
+	)
+	for _, c := range []struct{ nodes, replicas int }{{7, 18}, {71, 60}, {295, 256}, {900, 300}} {
+		t.Run(fmt.Sprint(c.nodes, " nodes"), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, uint64(c.nodes)))
+			list := make([]site.Upstream, c.replicas)
+			for i := range list {
+				list[i] = site.Upstream{ID: fmt.Sprint("r", i), DataHall: fmt.Sprint("h", i%3), Slots: 8}
+			}
+			busy := map[string]bool{}
+			for i := range max(1, c.replicas/10) {
+				busy[fmt.Sprint("r", i)] = true
+			}
+			pools := make([]*Pool, c.nodes)
+			for i := range pools {
+				pools[i] = NewPool(fmt.Sprint("h", i%3), rand.New(rand.NewPCG(2, uint64(i))))
+				pools[i].Configure(list, testNow)
+			}
+			asked := map[[2]string]time.Time{} // By node and replica, until when.
+			inBackoff, back := 0, map[time.Duration]int{}
+			step := time.Duration(float64(time.Second) / (each * float64(c.replicas)))
+			for at := time.Duration(0); at < whole; at += step {
+				now := testNow.Add(at)
+				i := rng.IntN(c.nodes)
+				need := Need{Send: true}
+				for {
+					choice, ok := pools[i].Pick(&need, now)
+					assert.Assert(t, ok)
+					flight := pools[i].Begin(choice, now)
+					key := [2]string{fmt.Sprint(i), choice.ID}
+					if now.Before(asked[key]) {
+						inBackoff++
+					}
+					if !busy[choice.ID] || at >= asks {
+						flight.End(OutcomeOK, now)
+						if busy[choice.ID] {
+							back[at.Truncate(250*time.Millisecond)]++
+						}
+						break
+					}
+					flight.End(OutcomeNeutral, now)
+					pools[i].BackOff(&choice.Upstream, backoff, now)
+					asked[key] = now.Add(backoff)
+					need.Exclude = append(need.Exclude, choice.ID)
+				}
+			}
+			most, last := 0, 0
+			for at, n := range back {
+				most = max(most, n)
+				if at >= whole-2*time.Second {
+					last += n
+				}
+			}
+			usual := each * float64(len(busy)) / 4 // In a quarter of a second.
+			t.Logf("%d within backoffs; %d in the worst 0.25 s of the return, usual %.1f; %d in the last 2 s of %.0f", inBackoff, most, usual, last, usual*8)
+			assert.Equal(t, inBackoff, 0)
+			assert.Assert(t, float64(most) <= 3*usual+5, "%d in 0.25 s of the return", most)
+			assert.Assert(t, float64(last) >= 0.5*usual*8, "%d in the last 2 s", last)
+		})
+	}
+}
--- a/pkg/route/limited_test.go
+++ b/pkg/route/limited_test.go
@@ -54,9 +54,9 @@
 	_, ok := p.Pick(&Need{}, testNow)
 	assert.Assert(t, !ok)
 	why := p.WhyNone(&Need{}, testNow)
-	assert.Equal(t, why.Limited, 2)
-	assert.Assert(t, why.Retry >= 600*time.Millisecond && why.Retry < 600*time.Millisecond+coldSpread)
-	assert.Equal(t, p.WhyNone(&Need{Exclude: []string{"a", "b"}}, testNow).Limited, 0)
+	assert.Equal(t, why.Excluded[ExcludedLimited], 2)
+	assert.Assert(t, why.Retry >= 600*time.Millisecond && why.Retry < 600*time.Millisecond+returnSpread)
+	assert.Equal(t, p.WhyNone(&Need{Exclude: []string{"a", "b"}}, testNow).Excluded[ExcludedLimited], 0)
 }
 
 // The load pattern is a usual one, in which a replica that takes more than it is sent is
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -42,7 +42,10 @@
 	rates       RateLimits // Nil for none.
 	// lostInRow counts replicas that were not reached since one last answered.
 	lostInRow int
-	without   config.WithoutSettings
+	// backoffs are until when starts of replicas are sent nothing, as they asked; also of those
+	// whose rows have gone, and may come again.
+	backoffs map[string]time.Time
+	without  config.WithoutSettings
 	// candidates is kept for choose.
 	candidates []candidate
 }
@@ -64,6 +67,7 @@
 	failing float64 // Mean share of failures.
 	outcome outlier
 	avoid   time.Time // Until when it is passed over if others can take over.
+	backoff time.Time // Until when it is sent nothing, as it asked.
 	steered time.Time // Until when its weights are expected to be being replaced.
 	cold    time.Time // Bears little until.
 	// presumed is until when the replica is taken to be cold though it has not said so:
@@ -127,7 +131,7 @@
 
 // NewPool returns a pool without replicas for a node in the given data hall.
 func NewPool(hall string, rng *rand.Rand) *Pool {
-	return &Pool{hall: hall, rng: rng, replicas: map[string]*member{}, perToken: startPerToken, base: startBase, meanRun: startRun, late: 1}
+	return &Pool{hall: hall, rng: rng, replicas: map[string]*member{}, perToken: startPerToken, base: startBase, meanRun: startRun, late: 1, backoffs: map[string]time.Time{}}
 }
 
 // Without switches mechanisms off; it is to be called before the pool is used.
@@ -147,6 +151,10 @@
 			// What is known of an earlier start goes with it: its weights, its lateness,
 			// its failures and what was in flight there.
 			m = &member{hash: rendezvous.Hash(u.ID), key: KeyOf(u.StartKey()), start: u.StartKey(), flights: map[*Flight]struct{}{}, late: 1}
+			m.backoff = p.backoffs[m.start]
+		}
+		if !m.Started.Equal(u.Started) { // The same start, told with its time or without.
+			m.key, m.start = KeyOf(u.StartKey()), u.StartKey()
 		}
 		weights := m.Weights
 		m.Upstream = u
@@ -217,18 +225,6 @@
 	}, true
 }
 
-// usable says whether a replica may take a request at all.
-func (m *member) usable(n *Need) bool {
-	if m.Draining || m.Evacuated || !n.mayRunIn(m.Region) || slices.Contains(n.Exclude, m.ID) {
-		return false
-	}
-	if n.Model == "" || len(m.Weights) == 0 {
-		return true
-	}
-	version, serves := m.Weights[n.Model]
-	return serves && version >= n.Oldest
-}
-
 // passedOver says whether a replica is left out as long as others are there.
 func (m *member) passedOver(now time.Time) bool {
 	return now.Before(m.avoid) || m.outcome.ejected(now)
--- a/pkg/route/pool_estimate.go
+++ b/pkg/route/pool_estimate.go
@@ -35,7 +35,7 @@
 	if n.Newest > 0 && m.Weights[n.Model] < n.Newest {
 		cost += oldWeightsTime.Seconds() * n.Urgency
 	}
-	cost += (warmCost(m.cold, rate.Ended, now) - rate.unusedGain()).Seconds()
+	cost += (warmCost(now, m.cold, rate.Ended, m.backoff) - rate.unusedGain()).Seconds()
 	return cost
 }
 
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -37,7 +37,7 @@
 	n := &Need{Priority: bands - 1, Memory: p.memory.mean()}
 	var waits []float64
 	for _, m := range p.list {
-		if !m.Draining && !m.Evacuated && !m.passedOver(now) {
+		if !m.excludedForAll(now) && !m.passedOver(now) {
 			waits = append(waits, p.wait(m, n, p.lateness(m, now), now))
 		}
 	}
@@ -48,13 +48,13 @@
 	return seconds(waits[len(waits)/2])
 }
 
-// Count is how many replicas there are, and how many of them neither leave nor
-// are passed over.
+// Count is how many replicas there are, and how many of them are neither left out nor
+// passed over.
 func (p *Pool) Count(now time.Time) (all, usable int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.list {
-		if !m.Draining && !m.Evacuated && !m.passedOver(now) && !p.limited(m, now) {
+		if !m.excludedForAll(now) && !m.passedOver(now) && !p.limited(m, now) {
 			usable++
 		}
 	}
@@ -93,6 +93,7 @@
 	Ejected  bool     `json:"ejected"`
 	Avoided  bool     `json:"avoided"`
 	Cold     bool     `json:"cold"` // Or taken to be.
+	Backoff  bool     `json:"backoff"`
 	Limited  bool     `json:"limited"`
 }
 
@@ -113,6 +114,7 @@
 			Ejected:  m.outcome.ejected(now),
 			Avoided:  now.Before(m.avoid),
 			Cold:     p.limited(m, now),
+			Backoff:  now.Before(m.backoff),
 			Limited:  rate.Limited,
 		})
 	}
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -23,6 +24,8 @@
 	fateUnsent fate = iota
 	// fateOver: no byte has left, as there is nobody to send it for any more.
 	fateOver
+	// fateWithdrawn: no byte has left, as the replica takes no request any more.
+	fateWithdrawn
 	// fateNotRun: the replica says that it did not run.
 	fateNotRun
 	// fateUnknown: it may have run.
@@ -108,6 +111,11 @@
 		a.conn = nil
 		return fateOver, nil
 	}
+	if !x.pool.Accepts(&a.choice.Upstream, boottime.Now()) {
+		a.conns.give(a.choice.ID, a.conn)
+		a.conn = nil
+		return fateWithdrawn, nil
+	}
 	// It ends reads and writes, and what a replica has not yet taken does not reach it
 	// late.
 	a.stop = context.AfterFunc(ctx, func() { http1.Abort(conn) })
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -169,7 +169,7 @@
 	}()
 	now = boottime.Now()
 	if fate == fateAnswered || fate == fateNotRun {
-		x.learnLimit(a, now)
+		x.learn(a, now)
 	}
 	switch fate {
 	case fateAnswered:
@@ -181,10 +181,10 @@
 		return x.notRun(a, now)
 	case fateUnsent:
 		return x.unsent(ctx, a, err, now)
-	case fateOver:
+	case fateOver, fateWithdrawn:
 		a.end(route.OutcomeNeutral, now)
 		a.plan.Cancel()
-		return false, x.outOfTime()
+		return fate == fateWithdrawn, x.outOfTime()
 	default:
 		return x.unknown(ctx, a, err, now)
 	}
@@ -315,31 +315,41 @@
 
 // noneLeft is the answer when no replica takes the request.
 func (x *exchange) noneLeft() refusal {
-	switch {
-	case x.ran > 0:
+	if x.ran > 0 {
 		return refuse(http.StatusBadGateway, reasonLost)
-	case x.refused > 0:
+	}
+	why := x.pool.WhyNone(&x.need, boottime.Now())
+	if x.refused > 0 && why.Free+why.Excluded[route.ExcludedTried] > 0 {
 		return comeBack(reasonReplicasFull, fullRetry)
-	default:
-		return x.absent(boottime.Now())
 	}
+	return absent(why)
+}
+
+// absences are the reasons of which a refusal names the first that holds.
+var absences = []struct {
+	why    route.Exclusion
+	reason string
+}{
+	{route.ExcludedCold, reasonCold},
+	{route.ExcludedLimited, reasonLimited},
+	{route.ExcludedBackoff, reasonBackoff},
+	{route.ExcludedEvacuated, reasonEvacuated},
+	{route.ExcludedOutside, reasonOutsideHomes},
+	{route.ExcludedDraining, reasonDraining},
 }
 
 // absent is the answer when there is no replica that may be asked at all.
-func (x *exchange) absent(now time.Time) refusal {
-	why := x.pool.WhyNone(&x.need, now)
-	switch {
-	case why.Cold > 0:
-		return comeBack(reasonCold, why.Retry)
-	case why.Limited > 0:
-		return comeBack(reasonLimited, why.Retry)
-	case why.Evacuated > 0:
-		return comeBack(reasonEvacuated, noReplicaRetry)
-	case why.Outside > 0:
-		return comeBack(reasonOutsideHomes, noReplicaRetry)
-	default:
-		return comeBack(reasonNoReplica, noReplicaRetry)
+func absent(why route.Absence) refusal {
+	retry := noReplicaRetry
+	if why.Retry > 0 {
+		retry = why.Retry
+	}
+	for _, a := range absences {
+		if why.Excluded[a.why] > 0 {
+			return comeBack(a.reason, retry)
+		}
 	}
+	return comeBack(reasonNoReplica, retry)
 }
 
 // take delivers a replica's answer.
--- a/service/gateway/exchange_limits.go
+++ b/service/gateway/exchange_limits.go
@@ -31,13 +31,17 @@
 	}
 }
 
-// learnLimit takes from an answer how many requests its replica takes from all nodes. One
-// that comes from another replica, at a reused address, tells nothing of this one.
-func (x *exchange) learnLimit(a *attempt, now time.Time) {
+// learn takes from an answer what its replica says of itself. One that comes from another
+// replica, at a reused address, tells nothing of this one.
+func (x *exchange) learn(a *attempt, now time.Time) {
 	if a.head.Status == http.StatusMisdirectedRequest {
 		return
 	}
-	x.g.rateLimits.Learn(&a.choice.Upstream, &a.answer, a.begun, now)
+	u := &a.choice.Upstream
+	x.g.rateLimits.Learn(u, &a.answer, a.begun, now)
+	if a.answer.Backoff > 0 {
+		x.pool.BackOff(u, a.answer.Backoff, now)
+	}
 }
 
 // countedOrders counts orders in what replicas take from all nodes. Orders don't wait for
--- a/service/gateway/holdings.go
+++ b/service/gateway/holdings.go
@@ -265,6 +265,10 @@
 func (h *holdings) follow(ctx context.Context, u site.Upstream) {
 	boot, since, lost := int64(0), int64(0), false
 	for ctx.Err() == nil {
+		if p := h.beliefs.Pool(u.Service); p != nil && p.BacksOff(u.ID, boottime.Now()) {
+			sleep(ctx, heldRetry)
+			continue
+		}
 		c, err := h.engines.Changes(ctx, u.Addr, since, heldWait)
 		if ctx.Err() != nil {
 			return
--- a/service/gateway/refusal.go
+++ b/service/gateway/refusal.go
@@ -33,6 +33,8 @@
 	reasonLimited         = "limited"
 	reasonEvacuated       = "evacuated"
 	reasonOutsideHomes    = "outside_homes"
+	reasonDraining        = "draining"
+	reasonBackoff         = "backoff"
 	reasonReplicasFull    = "replicas_full"
 	reasonOverloaded      = "overloaded"
 	reasonDeadline        = "deadline"
--- a/service/gateway/swaps.go
+++ b/service/gateway/swaps.go
@@ -7,12 +7,14 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/rollout"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
 )
 
 // swaps is the fleet as the roll-out of weights sees it.
 type swaps struct {
 	beliefs *Beliefs
 	nodes   *nodes
+	within  time.Duration // In which all replicas are to have weights that were named.
 }
 
 // Targets implements rollout.Fleet.
@@ -21,10 +23,11 @@
 	if len(newest) == 0 {
 		return nil
 	}
+	now := boottime.Now()
 	for _, p := range s.beliefs.Pools() {
 		for _, u := range p.Upstreams() {
 			for model := range u.Weights {
-				if want, named := newest[model]; named && !u.Draining && !u.Evacuated {
+				if want, named := newest[model]; named && !u.Draining && !u.Evacuated && !s.postponed(p, &u, model, now) {
 					list = append(list, rollout.Target{Upstream: u, Model: model, Version: want})
 				}
 			}
@@ -33,6 +36,16 @@
 	return list
 }
 
+// postponed says whether a replica gets no order yet, as it has asked this node to send it
+// nothing. Half of the time that there is for new weights is left for it.
+func (s *swaps) postponed(p *route.Pool, u *site.Upstream, model string, now time.Time) bool {
+	if !p.BacksOff(u.ID, now) {
+		return false
+	}
+	_, since := s.beliefs.Weights(model)
+	return now.Sub(since) < s.within/2
+}
+
 // Steer implements rollout.Fleet.
 func (s *swaps) Steer(t rollout.Target, d time.Duration) {
 	s.nodes.steer(route.WhomOf(&t.Upstream), t.Model, t.Version, d)
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -100,7 +100,8 @@
 			return ratelimit.New(self, m, c, o.hasMet, log)
 		},
 		func(b *Beliefs, n *nodes, l *ratelimit.Limits) *rollout.Rollout {
-			r := rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, countedOrders{p.Engines, b, l}, &swaps{beliefs: b, nodes: n}, log)
+			f := &swaps{beliefs: b, nodes: n, within: s.Orders.Within.Std()}
+			r := rollout.New(s.Node.Name, s.Orders.Pause.Std(), p.Store, countedOrders{p.Engines, b, l}, f, log)
 			if s.Without.SwapBound {
 				r.Unbounded()
 			}
