A replica whose answer says that it drains gets no new request

What callers saw: nothing yet, as its answers were still good; at its end they would have lost some. A replica that had said in its answers that it drains went on getting 1 to 4 requests a second for 13 s, while the store was away and its row said ready.

Cause: that a replica drains was learnt from the list only. What it says itself is newer, and there also when the store is not, but nobody read it.

Change: the beliefs keep which starts of replicas said so. It holds until the replica ends, whatever its row says, comes and goes: a row may be late, and a replica that drains does not go back on it. A new start under the same ID is another replica. Nodes tell each other, once for each replica, so that not each has to send it one more request.

--- a/internal/standin/onplatform/drain_backoff_test.go
+++ b/internal/standin/onplatform/drain_backoff_test.go
@@ -276,6 +276,28 @@
 	}
 }
 
+// Each node sent a draining replica one more request before its own answer told it.
+func TestNodesTellEachOtherThatAReplicaDrains(t *testing.T) {
+	s := newSite(t)
+	s.speaking(app, "free")
+	r := s.speaking(app, "draining")
+	nodes := s.nodes(3)
+	r.drain()
+	text := sentBy("GET", "/safe/x")
+	s.until("one node is told", func() bool {
+		nodes[0].once(text("0"))
+		return r.arrivals() > 0
+	})
+	time.Sleep(500 * time.Millisecond)
+	before := r.arrivals()
+	for _, n := range nodes {
+		for range 20 {
+			assert.Equal(t, n.once(text("x")).status, 200)
+		}
+	}
+	assert.Equal(t, r.arrivals(), before)
+}
+
 // An order of weights and calls for events went to an engine that had asked for backoff.
 func TestOrderOfWeightsWaitsForABackoff(t *testing.T) {
 	s := newSite(t)
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -114,6 +114,10 @@
 		keyRequest, keyContent, keyReplica, keyEnds, keyVerdict,
 		{"finished_before", "whether a replica is known to have finished the same content; ends near it don't count"},
 	}},
+	{"replica says that it drains", Change, "A replica's answer, at this node or another, says that it is about to end; its row does not say so yet.", []Key{
+		keyUpstream, keyService,
+		{"list_age", "nanoseconds since the list of upstreams was last heard of"},
+	}},
 	{"replica names a limit", Change, "Word that a replica takes only so many requests a second from all nodes together, or another number than before.", []Key{
 		keyReplica,
 		{"per_second", "that number"},
--- a/service/gateway/beliefs.go
+++ b/service/gateway/beliefs.go
@@ -42,6 +42,9 @@
 	upstreams map[string]*upstreamEntry
 	pools     map[string]*route.Pool
 	evacuated map[string]*evacuation // By data hall.
+	// draining has the starts of replicas that say in answers that they drain, also where the
+	// list has none or no longer, and when that was heard.
+	draining map[string]time.Time
 	// unusable counts rows of the list of upstreams that named none.
 	unusable int64
 	// rebuilt counts the changes of the list of upstreams.
@@ -83,6 +86,7 @@
 		upstreams:  map[string]*upstreamEntry{},
 		pools:      map[string]*route.Pool{},
 		evacuated:  map[string]*evacuation{},
+		draining:   map[string]time.Time{},
 		restarted:  func(string, bool, time.Time) {},
 		ended:      func(string, time.Time) {},
 	}
@@ -328,11 +332,15 @@
 func (b *Beliefs) take(u site.Upstream, version int64, now time.Time) (restarted bool) {
 	old, known := b.upstreams[u.ID]
 	restarted = known && old.OlderStart(&u)
+	if known && !restarted && b.saysDraining(old.StartKey()) {
+		b.draining[u.StartKey()] = now // The same start, told with its time or without.
+	}
 	if !known || restarted || old.Draining != u.Draining {
 		b.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "addr", u.Addr, "draining", u.Draining,
 			"started", u.Started, "cold", u.Cold, "restarted", restarted)
 	}
 	u.Region = b.regions[u.DataHall]
+	u.Draining = u.Draining || b.saysDraining(u.StartKey())
 	switch {
 	case known && version > 0 && version == old.version:
 		u.ColdUntil = old.ColdUntil
@@ -343,6 +351,46 @@
 	return restarted
 }
 
+// drainingKept is for how long after it said so a start of a replica is remembered as
+// draining that isn't listed.
+const drainingKept = 10 * time.Minute
+
+// HearDraining takes in that a start of a replica says in answers that it drains, and says
+// whether that is news. It holds until the replica ends, whatever the list says: a row may be
+// late, or not have been written, and a replica that drains does not go back on it.
+func (b *Beliefs) HearDraining(w route.Whom, now time.Time) (first bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	told := site.Upstream{ID: w.ID, Started: w.Started}
+	if b.saysDraining(told.StartKey()) {
+		return false
+	}
+	listed := map[string]bool{}
+	for _, e := range b.upstreams {
+		listed[e.StartKey()] = true
+	}
+	for start, at := range b.draining {
+		if !listed[start] && now.Sub(at) >= drainingKept {
+			delete(b.draining, start)
+		}
+	}
+	b.draining[told.StartKey()] = now
+	e, known := b.upstreams[w.ID]
+	if !known || e.StartKey() != told.StartKey() || e.Draining {
+		return false
+	}
+	e.Draining = true
+	b.log.Info("replica says that it drains", "upstream", e.ID, "service", e.Service, "list_age", now.Sub(b.heard))
+	b.rebuild(now)
+	return true
+}
+
+// saysDraining says whether a start of a replica has said in an answer that it drains.
+func (b *Beliefs) saysDraining(start string) bool {
+	_, says := b.draining[start]
+	return says
+}
+
 // drop takes an upstream out, at once unless the store was away: an entry may
 // then have run out for want of a heartbeat, and is given time to come back.
 func (b *Beliefs) drop(id string, now time.Time) {
--- a/service/gateway/beliefs_test.go
+++ b/service/gateway/beliefs_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -78,3 +79,42 @@
 	b.codec = oneUpstream{u: u}
 	b.ApplyUpstreams([]site.Row{{Key: u.ID, Version: u.Started.UnixMilli()}}, false, now)
 }
+
+// A replica said in its answers that it drains, and its row, which is late or comes again, said that it is ready.
+func TestDrainThatAnAnswerSaysHoldsAgainstTheList(t *testing.T) {
+	b := NewBeliefs(nil, "h", time.Second, route.NewKept(), slog.New(slog.DiscardHandler))
+	now := time.Now()
+	u := site.Upstream{ID: "e", Service: "s", DataHall: "h", Started: time.UnixMilli(5)}
+	b.applyRestart(u, now)
+	p := b.Pool("s")
+	row := func(version int64, gone bool) {
+		b.ApplyUpstreams([]site.Row{{Key: "e", Version: version, Gone: gone}}, false, now)
+	}
+	assert.Assert(t, p.Accepts(&u, now))
+	assert.Assert(t, b.HearDraining(route.WhomOf(&u), now), "it is news, and told at once")
+	assert.Assert(t, !b.HearDraining(route.WhomOf(&u), now))
+	assert.Assert(t, !p.Accepts(&u, now))
+	assert.Assert(t, !p.Stays("e"))
+	row(6, false)
+	assert.Assert(t, !p.Accepts(&u, now), "written once more as ready")
+	row(7, true)
+	row(8, false)
+	assert.Assert(t, !p.Accepts(&u, now), "gone, and written again")
+
+	again := u
+	again.Started = time.UnixMilli(9)
+	b.applyRestart(again, now)
+	assert.Assert(t, p.Accepts(&again, now), "it has started again")
+	assert.Assert(t, !b.HearDraining(route.WhomOf(&u), now), "its former start's answer comes late")
+	assert.Assert(t, p.Accepts(&again, now))
+}
+
+func TestStartsThatDrainedAreForgotten(t *testing.T) {
+	b := NewBeliefs(nil, "h", time.Second, route.NewKept(), slog.New(slog.DiscardHandler))
+	now := time.Now()
+	for i := range 1000 {
+		now = now.Add(drainingKept / 10)
+		b.HearDraining(route.Whom{ID: fmt.Sprint(i)}, now)
+	}
+	assert.Assert(t, len(b.draining) <= 11, "%d", len(b.draining))
+}
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -37,6 +37,8 @@
 	Started int64 `json:"t,omitempty"`
 	// Lost says that it was not reached: it may have started again, and be cold.
 	Lost bool `json:"x,omitempty"`
+	// Draining says that its answers say so.
+	Draining bool `json:"d,omitempty"`
 	// Avoid is for how many milliseconds it is to be passed over while it gets the
 	// weights; without it, it has them.
 	Avoid int64 `json:"a,omitempty"`
@@ -67,6 +69,9 @@
 // doubt tells all nodes that a replica was not reached.
 func (n *nodes) doubt(w route.Whom) { n.spread(newsOf(w, news{Lost: true})) }
 
+// tellDraining tells all nodes that a replica's answer says that it drains.
+func (n *nodes) tellDraining(w route.Whom) { n.spread(newsOf(w, news{Draining: true})) }
+
 // TellRate implements ratelimit.Teller.
 func (n *nodes) TellRate(r ratelimit.RateNews) { n.spread(news{Replica: r.Replica, Rate: &r}) }
 
@@ -153,6 +158,10 @@
 		n.rateLimits.Hear(*w.Rate)
 		return
 	}
+	if w.Draining {
+		n.beliefs.HearDraining(w.whom(), now)
+		return
+	}
 	until := now.Add(time.Duration(w.Avoid) * time.Millisecond)
 	for _, p := range n.beliefs.Pools() {
 		switch {
