A store that has lost its history does not count as away

What callers saw: nothing; a replica whose entry went was sent requests for 2.004 s, where 2 s are allowed. Cause: the follower of a table took the word that its history is gone for an absence of the store, and an entry that goes behind one is given 1.8 s to come back. Whoever says so is there, and its whole list is read at once.

Why it holds: an absence is noted only where a call was not answered.

--- a/service/gateway/follow.go
+++ b/service/gateway/follow.go
@@ -33,7 +33,7 @@
 	rest time.Duration
 	// apply takes in rows; with whole they are the whole table.
 	apply func(rows []site.Row, whole bool, now time.Time)
-	// away is told of each failed call.
+	// away is told of each call that was not answered.
 	away func(now time.Time)
 	// heard is told of each call that succeeded, and when it was begun.
 	heard func(begun, now time.Time)
@@ -71,8 +71,8 @@
 			return
 		case woken: // It is asked anew at once.
 		case errors.Is(err, site.ErrHistoryGone):
+			// Whoever says so is there: no entry has run out for want of the store.
 			f.listed = false
-			f.away(now)
 		default:
 			f.lost(now, err)
 			f.away(now)
