The soak has replicas that say that they drain in answers only, and that ask for backoff

Promises checked: nothing that a client sent a node later than 2 s after it had been told reaches a draining replica, and no more than two requests of a node within a backoff; a node that was started anew or stood still since is excused.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -83,8 +83,8 @@
 	kind := [...]string{kindOnce, kindOnce, kindSafe, kindStream}[c.rng.IntN(4)]
 	o := outcome{kind: kind, id: fmt.Sprintf("%s-%d", kind, c.ids.Add(1)), node: c.node, sent: time.Now()}
 	body := bodyOf(o.id, c.rng.IntN(20_000))
-	text := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		kind, host, o.id, key, patience.Milliseconds(), len(body), body)
+	text := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		kind, host, o.id, key, patience.Milliseconds(), headerNode, o.node.name, headerSent, o.sent.UnixNano(), len(body), body)
 	_ = c.conn.SetDeadline(time.Now().Add(readTime)) // Of an open connection.
 	if _, err := io.WriteString(c.conn, text); err != nil {
 		c.drop() // A node may have closed it before it read the request.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -48,6 +48,8 @@
 	{"replica resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyReplica(rng).proxy.Reset() }},
 	{"replica faulty", (*soak).faultyReplica},
 	{"replica leaves", (*soak).drainReplica},
+	{"replica says that it drains", (*soak).drainQuietly},
+	{"replica asks for backoff", (*soak).busyReplica},
 	{"replica crashes", (*soak).crashReplica},
 	{"deadly request", (*soak).repeatDeadly},
 	{"configuration", func(s *soak, _ *rand.Rand, _ time.Duration) { s.configure() }},
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -43,6 +43,7 @@
 	meant   bool      // Its end is meant.
 	harmed  time.Time // Until when its failures are not its own.
 	stopped time.Time // When it was last told to stop.
+	struck  time.Time // When it was last started, stopped for a while or told to go on.
 	broken  func(format string, args ...any)
 }
 
@@ -86,7 +87,7 @@
 	}
 	ended := make(chan struct{})
 	n.mu.Lock()
-	n.cmd, n.ended, n.meant = cmd, ended, false
+	n.cmd, n.ended, n.meant, n.struck = cmd, ended, false, time.Now()
 	n.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
@@ -105,6 +106,7 @@
 func (n *node) harm(d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.struck = time.Now()
 	if until := time.Now().Add(d + afterTime); until.After(n.harmed) {
 		n.harmed = until
 	}
@@ -117,6 +119,13 @@
 	return at.Before(n.harmed)
 }
 
+// struckSince says whether the process was started or stood still since a time.
+func (n *node) struckSince(at time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.struck.After(at)
+}
+
 // stoppedSince says whether the node was told to stop since a time.
 func (n *node) stoppedSince(at time.Time) bool {
 	n.mu.Lock()
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,12 +34,18 @@
 	// deadly is told of a request under which the replica is to end.
 	deadly func(r *replica, body string)
 	ending bool // It has ended under a request; soak.mu guards it.
+
+	drains  atomic.Bool  // It says so in its answers.
+	backoff atomic.Int64 // That it asks for with refusals, in nanoseconds; 0 for none.
+	nodeOf  func(name string) *node
+	toldMu  sync.Mutex
+	told    map[*node]*told
 }
 
 func (s *soak) newReplica() (*replica, error) {
 	s.made++
 	id := fmt.Sprintf("replica-%d", s.made)
-	r := &replica{ledger: s.ledger, deadly: s.endUnder}
+	r := &replica{ledger: s.ledger, deadly: s.endUnder, nodeOf: s.nodeOf, told: map[*node]*told{}}
 	var err error
 	if r.Replica, err = onplatform.NewReplica(id); err != nil {
 		return nil, err
@@ -56,6 +63,7 @@
 // answer runs a request, or does not, as the replica now is.
 func (r *replica) answer(w io.Writer, q *onplatform.Request) bool {
 	way := r.way.Load()
+	w = fieldWriter{w, r.hear(q, way == replicaRefuses)}
 	if way == replicaRefuses {
 		return onplatform.NotRun(503)(w, q)
 	}
