A replica whose report says that it drains gets no order of weights

Callers saw nothing; a load was spent on a replica about to end where its row was late, and requests went on being sent there. The report that is read before an order tells the state, and nobody read it: the class of the incident, what a replica says of itself being newer than the list. It is told to the beliefs like an answer's word.

TestReplicaThatReportsThatItDrainsGetsNoOrder: without the change it does not compile against Fleet; the order is given there as the report's state was not decoded. Accepts compares starts without making their names, as it is on the path of each request.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -36,6 +36,8 @@
 	Steered() int
 	// Serves notes what a replica has said that it serves.
 	Serves(t Target, version int64)
+	// Drains notes that a replica has said that it drains.
+	Drains(t Target)
 }
 
 // Target is a replica and the weights that it is to serve.
@@ -309,6 +311,9 @@
 		case !report.Started.IsZero() && !t.Started.IsZero() && !report.Started.Equal(t.Started):
 			// It has started anew: what it has and has taken is listed anew, too.
 			return backoffTerm
+		case report.Draining:
+			r.fleet.Drains(t)
+			return backoffTerm
 		case report.Weights[t.Model] >= t.Version:
 			r.fleet.Serves(t, report.Weights[t.Model])
 			if !ordered.IsZero() {
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -85,8 +86,9 @@
 	steered  []string
 	until    map[string]time.Time // Steered away from, by replica.
 	ranks    map[string]int
-	silent   bool // Orders are taken and not answered.
-	late     bool // And carried out seconds later.
+	drained  []string // Heard of as such.
+	silent   bool     // Orders are taken and not answered.
+	late     bool     // And carried out seconds later.
 }
 
 type fakeReplica struct {
@@ -95,6 +97,7 @@
 	version int64
 	orders  int64
 	busy    bool
+	drains  bool // As it reports.
 }
 
 const loadTime = 760 * time.Millisecond
@@ -121,7 +124,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.at(addr)
-	return site.EngineReport{Busy: r.busy, Orders: r.orders, Weights: map[string]int64{"m": r.version}}, nil
+	return site.EngineReport{Draining: r.drains, Busy: r.busy, Orders: r.orders, Weights: map[string]int64{"m": r.version}}, nil
 }
 
 func (f *fakeFleet) Order(_ context.Context, addr netip.AddrPort, o site.Order) (site.OrderOutcome, error) {
@@ -173,6 +176,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, r := range e.replicas {
+		if slices.Contains(e.drained, r.id) {
+			continue
+		}
 		list = append(list, Target{
 			Upstream: site.Upstream{ID: r.id, Addr: r.addr, Weights: map[string]int64{"m": r.version}},
 			Model:    "m",
@@ -210,6 +216,12 @@
 	delete(e.until, t.ID)
 }
 
+func (e eyes) Drains(t Target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.drained = append(e.drained, t.ID)
+}
+
 func (f *fakeFleet) name(version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -284,6 +296,23 @@
 }
 
 // In a small fleet one replica of each group would be more than may be away at once.
+// Weights were loaded into a replica that had said that it is about to end.
+func TestReplicaThatReportsThatItDrainsGetsNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := newMemoryStore(), newFakeFleet(6)
+		f.replicas["r03"].drains = true
+		stop := start(t, s, f, "n1", "n2")
+		f.name(2)
+		time.Sleep(8 * time.Second)
+		stop()
+		assert.Equal(t, f.behind(), 1)
+		for _, g := range f.given {
+			assert.Assert(t, g.replica != "r03")
+		}
+		assert.DeepEqual(t, f.drained, []string{"r03"})
+	})
+}
+
 func TestNoMoreThanAShareIsSwappedAtOnce(t *testing.T) {
 	for _, n := range []int{4, 9, 18, 60} {
 		synctest.Test(t, func(t *testing.T) {
--- a/pkg/route/exclusion.go
+++ b/pkg/route/exclusion.go
@@ -111,7 +111,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m, ok := p.replicas[u.ID]
-	return ok && m.start == u.StartKey() && !m.excludedForAll(now)
+	return ok && m.Started.Equal(u.Started) && !m.excludedForAll(now)
 }
 
 // Absence is why no replica may take a request.
--- a/pkg/site/engine_report.go
+++ b/pkg/site/engine_report.go
@@ -7,6 +7,8 @@
 type EngineReport struct {
 	// Started is as in Upstream.
 	Started time.Time
+	// Draining is as in Upstream.
+	Draining bool
 	// Busy says that an order is being carried out.
 	Busy bool
 	// Orders counts the orders taken since the replica's start.
--- a/service/gateway/exchange_limits.go
+++ b/service/gateway/exchange_limits.go
@@ -39,8 +39,8 @@
 	}
 	u := &a.choice.Upstream
 	x.g.rateLimits.Learn(u, &a.answer, a.begun, now)
-	if a.answer.Draining && x.g.beliefs.HearDraining(route.WhomOf(u), now) {
-		x.g.nodes.tellDraining(route.WhomOf(u))
+	if a.answer.Draining {
+		x.g.nodes.hearDraining(route.WhomOf(u))
 	}
 	if a.answer.Backoff > 0 {
 		x.pool.BackOff(u, a.answer.Backoff, now)
--- a/service/gateway/news.go
+++ b/service/gateway/news.go
@@ -69,8 +69,13 @@
 // doubt tells all nodes that a replica was not reached.
 func (n *nodes) doubt(w route.Whom) { n.spread(newsOf(w, news{Lost: true})) }
 
-// tellDraining tells all nodes that a replica's answer says that it drains.
-func (n *nodes) tellDraining(w route.Whom) { n.spread(newsOf(w, news{Draining: true})) }
+// hearDraining takes in that a replica has told this node that it drains, and tells all nodes
+// the first time.
+func (n *nodes) hearDraining(w route.Whom) {
+	if n.beliefs.HearDraining(w, boottime.Now()) {
+		n.spread(newsOf(w, news{Draining: true}))
+	}
+}
 
 // TellRate implements ratelimit.Teller.
 func (n *nodes) TellRate(r ratelimit.RateNews) { n.spread(news{Replica: r.Replica, Rate: &r}) }
--- a/service/gateway/swaps.go
+++ b/service/gateway/swaps.go
@@ -68,6 +68,9 @@
 	}
 }
 
+// Drains implements rollout.Fleet.
+func (s *swaps) Drains(t rollout.Target) { s.nodes.hearDraining(route.WhomOf(&t.Upstream)) }
+
 // Rank implements rollout.Fleet.
 func (s *swaps) Rank(duty string) int {
 	members := s.nodes.members.Working()
