--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -323,4 +323,44 @@
 		"	a.tokens = min(a.depth(), a.tokens+past", "	a.tokens = max(a.tokens, a.tokens+past",
 		"./pkg/quota", "TestWhatWasLeftUnusedIsNotGivenOutLater",
 	},
+	{
+		"drain: an answer's word is read", "service/gateway/exchange_limits.go",
+		"	if a.answer.Draining {", "	if false && a.answer.Draining {",
+		"./internal/standin/onplatform", "TestDrainingReplicaIsSentNothingOnceItsAnswerSaysSo",
+	},
+	{
+		"drain: the list does not undo it", "service/gateway/beliefs.go",
+		"	u.Draining = u.Draining || b.saysDraining(u.StartKey())\n", "",
+		"./service/gateway", "TestDrainThatAnAnswerSaysHoldsAgainstTheList",
+	},
+	{
+		"drain: nodes tell each other", "service/gateway/news.go",
+		"		n.spread(newsOf(w, news{Draining: true}))\n", "",
+		"./internal/standin/onplatform", "TestNodesTellEachOtherThatAReplicaDrains",
+	},
+	{
+		"backoff: an exclusion, not a preference", "pkg/route/exclusion.go",
+		"	case now.Before(m.backoff):\n		return ExcludedBackoff, rate\n", "",
+		"./pkg/route", "TestReplicasThatAskForBackoffAreLeftAloneAndComeBackGradually",
+	},
+	{
+		"backoff: it is kept", "pkg/route/exclusion.go",
+		"		m.backoff = until\n", "		_ = m\n",
+		"./internal/standin/onplatform", "TestReplicaThatAsksForBackoffGetsNoMoreOfThatNode",
+	},
+	{
+		"backoff: it outlasts its row", "pkg/route/pool.go",
+		"			m.backoff = p.backoffs[m.start]\n", "",
+		"./pkg/route", "TestBackoffOutlastsTheRowOfItsReplica",
+	},
+	{
+		"backoff: callers come back when it ends", "pkg/route/exclusion.go",
+		"			sooner(m.backoff.Sub(now))\n", "",
+		"./internal/standin/onplatform", "TestRequestIsRefusedAtOnceWhereAllReplicasDrainOrAskForBackoff",
+	},
+	{
+		"backoff: orders wait", "service/gateway/swaps.go",
+		"	return now.Sub(since) < s.within/2\n", "	_ = since\n	return false\n",
+		"./internal/standin/onplatform", "TestOrderOfWeightsWaitsForABackoff",
+	},
 }
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -1,11 +1,15 @@
 package soak
 
 import (
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
 )
 
 // Each check must be able to fail.
@@ -48,3 +52,44 @@
 		}
 	}
 }
+
+func TestBrokenPromisesToReplicasAreFound(t *testing.T) {
+	n := &node{name: "n"}
+	ask := func(r *replica, sent time.Time, refused bool) {
+		q := &onplatform.Request{Header: http.Header{}}
+		q.Header.Set(headerNode, n.name)
+		q.Header.Set(headerSent, strconv.FormatInt(sent.UnixNano(), 10))
+		r.hear(q, refused)
+	}
+	play := func(d time.Duration, do func(r *replica, begun time.Time)) string {
+		n.struck = time.Time{}
+		r := &replica{ledger: newLedger(), told: map[*node]*told{}, nodeOf: func(string) *node { return n }, Replica: &onplatform.Replica{ID: "r"}}
+		r.backoff.Store(int64(d))
+		do(r, time.Now())
+		return strings.Join(r.ledger.broken, "; ")
+	}
+	drained := func(after time.Duration) string {
+		return play(0, func(r *replica, begun time.Time) {
+			r.drains.Store(true)
+			ask(r, begun, false)
+			ask(r, begun.Add(after), false)
+		})
+	}
+	assert.Equal(t, drained(drainBound), "")
+	assert.Assert(t, strings.Contains(drained(drainBound+time.Second), "had said that it drains"))
+	backedOff := func(requests int, after time.Duration, restarted bool) string {
+		return play(time.Minute, func(r *replica, begun time.Time) {
+			ask(r, begun, true)
+			if restarted {
+				n.struck = time.Now()
+			}
+			for range requests {
+				ask(r, begun.Add(after), false)
+			}
+		})
+	}
+	assert.Equal(t, backedOff(9, backoffLag/2, false), "")
+	assert.Equal(t, backedOff(backoffMost, time.Second, false), "")
+	assert.Equal(t, backedOff(9, time.Second, true), "")
+	assert.Assert(t, strings.Contains(backedOff(backoffMost+1, time.Second, false), "within a backoff"))
+}
