--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -199,14 +199,14 @@
 		"./pkg/site", "TestFingerprintIsOfContentAndOrganisation",
 	},
 	{
-		"suspects: the third end bars", "pkg/suspect/case.go",
+		"suspects: the third end blocks", "pkg/suspect/case.go",
 		"	barEnds = 3\n", "	barEnds = 30\n",
 		"./internal/standin/onplatform", "TestRequestThatEndsReplicasIsStoppedByAllNodes",
 	},
 	{
 		"suspects: ends of one moment are one round", "pkg/suspect/case.go",
 		"		if n == 0 || e.Begun.After(first) {", "		if n == 0 || true || e.Begun.After(first) {",
-		"./pkg/suspect", "TestEndsOfOneMomentDoNotBar",
+		"./pkg/suspect", "TestEndsOfOneMomentDoNotBlock",
 	},
 	{
 		"suspects: a finish speaks for runs near it", "pkg/suspect/case.go",
@@ -219,24 +219,24 @@
 		"./pkg/suspect", "TestWatchedRequestRunsOnceAtATime",
 	},
 	{
-		"suspects: leave is given back to each owner", "service/suspects/leave.go",
+		"suspects: a grant is given back to each owner", "service/suspects/grants.go",
 		"	s.tellOver(f, s.owners(f))", "	s.tellOver(f, s.owners(f)[:1])",
-		"./service/suspects", "TestLeaveThatWasAnsweredLateHoldsNobodyUp",
+		"./service/suspects", "TestGrantThatWasAnsweredLateHoldsNobodyUp",
 	},
 	{
-		"suspects: only who has leave gives it back", "pkg/suspect/register.go",
+		"suspects: only who has a grant gives it back", "pkg/suspect/register.go",
 		"e != nil && e.lent == node {", "e != nil {",
-		"./service/suspects", "TestLeaveThatWasAnsweredLateHoldsNobodyUp",
+		"./service/suspects", "TestGrantThatWasAnsweredLateHoldsNobodyUp",
 	},
 	{
-		"suspects: a node that starts waits for what is barred", "service/gateway/exchange_suspects.go",
+		"suspects: a node that starts waits for what is blocked", "service/gateway/exchange_suspects.go",
 		"	x.g.suspects.Await(ctx)\n", "",
-		"./internal/standin/onplatform", "TestNodeThatStartsWaitsForWhatIsBarred",
+		"./internal/standin/onplatform", "TestNodeThatStartsWaitsForWhatIsBlocked",
 	},
 	{
 		"suspects: only who knows tells a node that starts", "service/suspects/news.go",
 		"	if own == w.Digest && w.Knows {", "	if own == w.Digest {",
-		"./service/suspects", "TestNodeThatStartsHearsFromOthersWhatIsBarred",
+		"./service/suspects", "TestNodeThatStartsHearsFromOthersWhatIsBlocked",
 	},
 	{
 		"a call is not sent on a connection closed at rest", "pkg/httpjson/patience.go",
@@ -271,10 +271,10 @@
 	{
 		"suspects: nodes compare what they hold", "service/suspects/news.go",
 		"	if own == w.Digest {", "	if true || own == w.Digest {",
-		"./service/suspects", "TestNodesThatWereCutOffHearOfABar",
+		"./service/suspects", "TestNodesThatWereCutOffHearOfABlock",
 	},
 	{
-		"suspects: a bar is kept", "service/suspects/kept.go",
+		"suspects: a block is kept", "service/suspects/kept.go",
 		"	if s.store == nil || s.register.Empty()", "	if true || s.register.Empty()",
 		"./internal/standin/onplatform", "TestNodeThatStartsKnowsWhatReplicasEndedUnder",
 	},
@@ -299,12 +299,12 @@
 		"./pkg/rollout", "TestLeaseIsOverAfterASuspension",
 	},
 	{
-		"limits: leave is needed", "service/gateway/exchange_limits.go",
+		"limits: a grant is needed", "service/gateway/exchange_limits.go",
 		"if !ok || x.g.rateLimits.MaySend(ctx, &c.Upstream) {", "if true || x.g.rateLimits.MaySend(ctx, &c.Upstream) {",
 		"./internal/standin/onplatform", "TestReplicaGetsNoMoreThanItNamesFromAllNodes",
 	},
 	{
-		"limits: one node gives leave for all", "service/ratelimit/leave.go",
+		"limits: one node gives a grant for all", "service/ratelimit/grants.go",
 		"	if owner.Name == l.self.Name {\n		return l.give", "	if true || owner.Name == l.self.Name {\n		return l.give",
 		"./service/ratelimit", "TestLimitHoldsInFleetsOfAnySize",
 	},
--- a/cmd/drumpath/cmds/gateway.go
+++ b/cmd/drumpath/cmds/gateway.go
@@ -63,7 +63,7 @@
 	}
 	g.Start()
 	serveUntilStopped(g, path, log, in)
-	g.Leave()
+	g.Drain()
 	g.Close()
 	return nil
 }
--- a/internal/standin/onplatform/beliefs_test.go
+++ b/internal/standin/onplatform/beliefs_test.go
@@ -164,7 +164,7 @@
 	<-begun
 	left := make(chan struct{})
 	go func() {
-		n2.Leave()
+		n2.Drain()
 		close(left)
 	}()
 	s.until("the node that stops is told of by nobody", func() bool {
@@ -185,7 +185,7 @@
 	c := n.dial()
 	c.write(request("GET", "/safe/x", ""))
 	assert.Equal(t, c.read().status, 200)
-	go n.Leave()
+	go n.Drain()
 	_, err := c.r.ReadByte()
 	assert.Assert(t, err == io.EOF)
 }
@@ -340,7 +340,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		n.Leave()
+		n.Drain()
 	}()
 	s.until("those that wait are refused", func() bool { return len(answers) == sent-len(r.Seen()) })
 	held := len(r.Seen())
--- a/internal/standin/onplatform/poison_test.go
+++ b/internal/standin/onplatform/poison_test.go
@@ -261,11 +261,11 @@
 	assert.Equal(t, after, ended, "replicas that ended under nodes that had started later")
 }
 
-// A node that had just started ended one more replica under a request that was barred: it
-// took it in some milliseconds before it had read what is barred. Beside other work on the
+// A node that had just started ended one more replica under a request that was blocked: it
+// took it in some milliseconds before it had read what is blocked. Beside other work on the
 // machine "4 replicas ended" where 3 had before the start, in each of two runs; here the
 // store tells the nodes' table late. Where nobody tells a node in time it serves without.
-func TestNodeThatStartsWaitsForWhatIsBarred(t *testing.T) {
+func TestNodeThatStartsWaitsForWhatIsBlocked(t *testing.T) {
 	const late = 500 * time.Millisecond
 	s := newSite(t)
 	f := s.fleet(8)
--- a/internal/standin/onplatform/stop_test.go
+++ b/internal/standin/onplatform/stop_test.go
@@ -66,7 +66,7 @@
 			ended := make(chan struct{})
 			go func() {
 				defer close(ended)
-				n.Leave()
+				n.Drain()
 				<-begun
 				n.end()
 			}()
@@ -90,7 +90,7 @@
 	n := s.node("n1")
 	rests := n.dial()
 	begun := time.Now()
-	n.Leave()
+	n.Drain()
 	assert.Assert(t, time.Since(begun) < lookedQuiet)
 	assert.Assert(t, rests.read().cut)
 	_, err := net.Dial("tcp", n.entry)
@@ -107,7 +107,7 @@
 	c := n.dial()
 	c.write("POST /once/x HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: slow\r\nContent-Length: 9\r\n\r\nabc")
 	begun := time.Now()
-	n.Leave()
+	n.Drain()
 	n.end()
 	assert.Assert(t, time.Since(begun) < 5*time.Second, "its grace period")
 	assert.Assert(t, c.read().cut)
@@ -146,7 +146,7 @@
 	time.Sleep(stopApart)
 	for _, n := range nodes {
 		stops.Go(func() {
-			n.Leave()
+			n.Drain()
 			n.end()
 		})
 		time.Sleep(stopApart)
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -12,7 +12,7 @@
 	keyBackoff  = Key{"backoff", "nanoseconds for which the replica's refusal asks this node to send it nothing; 0 if it does not ask"}
 	keyEnds     = Key{"ends", "how many replicas ended under the content, as far as known"}
 	keyEnded    = Key{"replicas", "the starts of these replicas"}
-	keyVerdict  = Key{"verdict", "free, watched (runs once at a time) or barred (is not sent)"}
+	keyVerdict  = Key{"verdict", "free, watched (runs once at a time) or blocked (is not sent)"}
 	keyContent  = Key{"content", "the fingerprint of what the request asks and for whom, alike for each attempt of its caller"}
 	keyAttempts = Key{"attempts", "attempts that may have run"}
 	keyNotRun   = Key{"not_run", "attempts that were refused or could not be sent"}
@@ -71,7 +71,7 @@
 		{"list_age", "nanoseconds since the list of upstreams was last heard of"},
 		{"store_away", "nanoseconds since that list was last not to be had; 0 for never"},
 		{"replicas", "replicas of the service"},
-		{"usable", "of those, the ones that neither leave nor are passed over"},
+		{"usable", "of those, the ones that are neither left out nor passed over"},
 		{"median_wait", "nanoseconds that the median replica is expected to have a prompt wait"},
 		keyInFlight,
 	}},
@@ -122,26 +122,26 @@
 		keyReplica,
 		{"per_second", "that number"},
 		{"age", "nanoseconds since a replica's answer told it"},
-		{"owner", "the node that gives leave to send it something, as this one sees it"},
+		{"owner", "the node that gives a grant to send it something, as this one sees it"},
 	}},
 	{"limit of a replica is over", Change, "Word that a replica's answer named no limit any more.", []Key{
 		keyReplica, {"age", "nanoseconds since the request of that answer was sent"},
 	}},
 	{"request suspected", Failure, "What is known of a content has it run once at a time among all nodes, or no more.", []Key{keyContent, keyVerdict, keyEnds, keyEnded}},
 	{"request no longer suspected", Change, "A replica has finished a content under which replicas had ended.", []Key{keyContent}},
-	{"request barred", Failure, "A request was not sent on, as replicas had ended under its content.", []Key{keyRequest, keyContent, keyEnds, keyEnded, keyAttempts}},
-	{"barred requests not written", Failure, "The row for nodes that start later was not written; it is tried again.", []Key{keyErr}},
-	{"serves without having heard what is barred", Failure, "Neither the store nor another node has told a node that has started; its first requests wait no longer.", []Key{keyNode, {"after", "nanoseconds that they have waited at most"}}},
-	{"row of barred requests can't be read", Failure, "The row for nodes that start later can't be read.", []Key{keyRow, keyErr}},
+	{"request blocked", Failure, "A request was not sent on, as replicas had ended under its content.", []Key{keyRequest, keyContent, keyEnds, keyEnded, keyAttempts}},
+	{"blocked requests not written", Failure, "The row for nodes that start later was not written; it is tried again.", []Key{keyErr}},
+	{"serves without having heard what is blocked", Failure, "Neither the store nor another node has told a node that has started; its first requests wait no longer.", []Key{keyNode, {"after", "nanoseconds that they have waited at most"}}},
+	{"row of blocked requests can't be read", Failure, "The row for nodes that start later can't be read.", []Key{keyRow, keyErr}},
 	{"stream cut", Failure, "A stream that had begun was broken off towards the client.", []Key{keyRequest, keyRoute, {"reason", "why"}}},
 
 	{"configuration in force", Change, "A configuration was put in force.", []Key{keyVersion, {"routes", "how many routes"}}},
 	{"configuration not usable, the last one stays", Failure, "A row of the operator's can't be used.", []Key{keyRow, keyVersion, keyErr}},
 	{"weights named", Change, "New weights of a model were named.", []Key{keyModel, keyVersion}},
-	{"upstream listed", Change, "The list of upstreams has a replica, or says that it leaves.", []Key{
+	{"upstream listed", Change, "The list of upstreams has a replica, or says that it drains.", []Key{
 		keyUpstream, keyService,
 		{"addr", "its address"},
-		{"draining", "whether it leaves"},
+		{"draining", "whether it drains"},
 		{"started", "when it started, by its own clock; the year 1 if it does not say"},
 		{"cold", "nanoseconds for which it said that it is cold"},
 		{"restarted", "whether it has started again under the ID that it had"},
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -158,7 +158,7 @@
 func ended(r *Report) string {
 	for i := len(r.Lines) - 1; i >= 0; i-- {
 		var list []string
-		if l := &r.Lines[i]; l.Msg == "request barred" && json.Unmarshal(l.Values["replicas"], &list) == nil {
+		if l := &r.Lines[i]; l.Msg == "request blocked" && json.Unmarshal(l.Values["replicas"], &list) == nil {
 			return strings.Join(list, ", ")
 		}
 	}
--- a/pkg/explain/report_test.go
+++ b/pkg/explain/report_test.go
@@ -29,7 +29,7 @@
   6.0000 n1 {"time":"2026-01-01T00:00:06Z","level":"WARN","msg":"replica ended under a request","request":"s1","content":"c1","replica":"d","ends":1,"verdict":"free"}
   6.1000 n2 {"time":"2026-01-01T00:00:06.1Z","level":"WARN","msg":"replica ended under a request","request":"s2","content":"c1","replica":"e","ends":2,"verdict":"watched"}
   6.2000 n1 {"time":"2026-01-01T00:00:06.2Z","level":"WARN","msg":"replica ended under a request","request":"s3","content":"c2","replica":"f","ends":1,"verdict":"free"}
-  6.3000 n1 {"time":"2026-01-01T00:00:06.3Z","level":"WARN","msg":"request barred","request":"r11","content":"c1","ends":3,"replicas":["d","e","g"],"attempts":0}
+  6.3000 n1 {"time":"2026-01-01T00:00:06.3Z","level":"WARN","msg":"request blocked","request":"r11","content":"c1","ends":3,"replicas":["d","e","g"],"attempts":0}
   6.3000 n1 {"time":"2026-01-01T00:00:06.3Z","level":"INFO","msg":"refused","request":"r11","status":400,"reason":"ends_replicas","after":100000,"attempts":0}
   6.4000 n1 {"time":"2026-01-01T00:00:06.4Z","level":"INFO","msg":"refused","request":"r12","status":503,"reason":"suspected","after":100000,"attempts":0}
 `
@@ -82,8 +82,8 @@
 	}
 }
 
-// A barred request has an ID of its own; the replicas ended under others of its content.
-func TestBarredRequestLeadsToTheReplicasThatEnded(t *testing.T) {
+// A blocked request has an ID of its own; the replicas ended under others of its content.
+func TestBlockedRequestLeadsToTheReplicasThatEnded(t *testing.T) {
 	r, err := Read("r11", strings.NewReader(log))
 	assert.NilError(t, err)
 	var ended []string
--- a/pkg/quota/doc.go
+++ b/pkg/quota/doc.go
@@ -1,6 +1,6 @@
 // Package quota divides a rate that holds for all nodes together.
 //
-// For each subject one node, its owner, gives leave to send; the others ask it. What an owner
+// For each subject one node, its owner, gives a grant to send; the others ask it. What an owner
 // gives adds up over all nodes whatever they believe of each other, is used by whoever has
 // something to send, and can be as little as one in some seconds, of which no node could have
 // a part of its own.
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -12,7 +12,7 @@
 	leastRate = 0.25
 	// depthTime is for how long what is not used is kept, beside one.
 	depthTime = 250 * time.Millisecond
-	// batchTime is for how long's worth of a rate leave is given at once: an owner is asked
+	// batchTime is for how long's worth of a rate grants are given at once: an owner is asked
 	// some 50 times a second at most, at any rate.
 	batchTime = 20 * time.Millisecond
 	// idleTerm is for how long a rate is remembered that nothing was heard of, and its end: a
@@ -67,7 +67,7 @@
 // account is one subject's.
 type account struct {
 	rate   Rate
-	tokens float64 // What may be given out, below 0 for what was sent without leave.
+	tokens float64 // What may be given out, below 0 for what was sent without a grant.
 	filled time.Time
 	used   time.Time // Last heard of, or asked for.
 	given  time.Time // Last, or since when there is anything to give.
@@ -129,8 +129,8 @@
 	}
 }
 
-// Take gives leave to send, out of a part of the rate: what is given out by owners that are
-// cut off from each other must not be more than the whole. ok is false if no leave is needed.
+// Take gives a grant to send, out of a part of the rate: what is given out by owners that are
+// cut off from each other must not be more than the whole. ok is false if no grant is needed.
 func (l *Ledger) Take(subject string, part float64, now time.Time) (g Grant, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -161,7 +161,7 @@
 	return max(0, now.Sub(a.given).Seconds()*a.perSecond()-1)
 }
 
-// Spend counts one that was sent without leave, as it could not wait.
+// Spend counts one that was sent without a grant, as it could not wait.
 func (l *Ledger) Spend(subject string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/quota/ledger_test.go
+++ b/pkg/quota/ledger_test.go
@@ -69,7 +69,7 @@
 	assert.Equal(t, l.Note("s", named(2, 150), after(200)), ChangeNone, "the same again")
 	assert.Equal(t, l.Note("s", named(3, 160), after(200)), ChangeRate)
 	assert.Equal(t, l.Note("s", ended(170), after(200)), ChangeEnded)
-	assert.Equal(t, given(l, 1, 200, 205), -1, "no leave is needed")
+	assert.Equal(t, given(l, 1, 200, 205), -1, "no grant is needed")
 	assert.Equal(t, l.Note("s", named(3, 165), after(300)), ChangeNone, "late news of before")
 	assert.Equal(t, l.Note("s", named(3, 180), after(300)), ChangeBegun)
 	assert.Equal(t, l.Count(), 1)
--- a/pkg/suspect/case.go
+++ b/pkg/suspect/case.go
@@ -17,15 +17,15 @@
 	Free Verdict = iota
 	// Watched requests run once at a time among all nodes.
 	Watched
-	// Barred requests are not sent.
-	Barred
+	// Blocked requests are not sent.
+	Blocked
 )
 
 // String names the verdict.
 func (v Verdict) String() string {
 	switch v {
-	case Barred:
-		return "barred"
+	case Blocked:
+		return "blocked"
 	case Watched:
 		return "watched"
 	default:
@@ -35,7 +35,7 @@
 
 const (
 	// watchEnds is from how many ends on a request runs once at a time. A good one may be
-	// in flight where a replica ends, and so may its repeat: at two, a bar would hit one
+	// in flight where a replica ends, and so may its repeat: at two, a block would hit one
 	// of those in some hundred where replicas come and go.
 	watchEnds = 2
 	// barEnds is with how many ends a request is sent no more: operators allow three, and
@@ -87,7 +87,7 @@
 func (c *Case) Verdict() Verdict {
 	switch n := len(c.Ends); {
 	case n >= barEnds && c.rounds() >= barRounds:
-		return Barred
+		return Blocked
 	case n >= watchEnds:
 		return Watched
 	default:
@@ -137,7 +137,7 @@
 
 // keepSome sorts ends by time and drops those beyond the most that are kept. The first one
 // stays, and those whose runs began last: were it the first six, all of which may be of one
-// round, no later round would ever count, and the request never be barred. Which stay does
+// round, no later round would ever count, and the request never be blocked. Which stay does
 // not depend on the order in which a node hears of them.
 func (c *Case) keepSome() {
 	byTime := func(a, b End) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Replica, b.Replica)) }
--- a/pkg/suspect/register.go
+++ b/pkg/suspect/register.go
@@ -16,7 +16,7 @@
 	// freeTerm is for how long a case is remembered that changes nothing yet. Callers
 	// repeat within seconds; a minute bears a caller that waits in between.
 	freeTerm = time.Minute
-	// heldTerm is for how long one is that is watched or barred, since the last end: an
+	// heldTerm is for how long one is that is watched or blocked, since the last end: an
 	// hour is far over what callers repeat within, and lets a request be tried again some
 	// time after the engines' software was mended.
 	heldTerm = time.Hour
@@ -42,7 +42,7 @@
 	// running is until when a run of a watched request is taken to be under way, unless
 	// something is heard of it.
 	running time.Time
-	// lent names the node that was given leave for it, empty for this one's own run.
+	// lent names the node that was given a grant for it, empty for this one's own run.
 	lent string
 	// told says that other nodes know of the last finish.
 	told bool
@@ -148,7 +148,7 @@
 	switch {
 	case e == nil || e.Verdict() == Free:
 		return true
-	case e.Verdict() == Barred:
+	case e.Verdict() == Blocked:
 		return false
 	case now.Before(e.running) && (node == "" || e.lent != node):
 		return false
@@ -170,7 +170,7 @@
 	}
 }
 
-// Held lists the cases that are watched or barred, the newest first.
+// Held lists the cases that are watched or blocked, the newest first.
 func (r *Register) Held(most int) []Case {
 	return r.newest(most, func(e *entry) bool { return e.Verdict() != Free })
 }
@@ -192,22 +192,22 @@
 	return list[:min(len(list), most)]
 }
 
-// Count tells how many requests are watched, and how many barred.
-func (r *Register) Count() (watched, barred int) {
+// Count tells how many requests are watched, and how many blocked.
+func (r *Register) Count() (watched, blocked int) {
 	if r.Empty() {
 		return 0, 0
 	}
 	for _, c := range r.Held(mostCases) {
-		if c.Verdict() == Barred {
-			barred++
+		if c.Verdict() == Blocked {
+			blocked++
 		} else {
 			watched++
 		}
 	}
-	return watched, barred
+	return watched, blocked
 }
 
-// Digest is alike at two nodes that hold the same of watched and barred requests, 0 where
+// Digest is alike at two nodes that hold the same of watched and blocked requests, 0 where
 // there are none.
 func (r *Register) Digest() (sum uint64) {
 	if r.Empty() {
@@ -243,7 +243,7 @@
 }
 
 // makeRoom drops the case that matters least if there is no room for another; the caller
-// holds mu. Barred ones go last, so that nobody can have one forgotten by sending many
+// holds mu. Blocked ones go last, so that nobody can have one forgotten by sending many
 // requests that are only in flight where replicas end.
 func (r *Register) makeRoom() {
 	if len(r.known) < mostCases {
--- a/pkg/suspect/register_test.go
+++ b/pkg/suspect/register_test.go
@@ -33,30 +33,30 @@
 	return c.Verdict()
 }
 
-func TestThirdEndBarsARequest(t *testing.T) {
+func TestThirdEndBlocksARequest(t *testing.T) {
 	r := suspect.NewRegister()
 	assert.Assert(t, r.Empty())
-	for i, want := range []suspect.Verdict{suspect.Free, suspect.Watched, suspect.Barred, suspect.Barred} {
+	for i, want := range []suspect.Verdict{suspect.Free, suspect.Watched, suspect.Blocked, suspect.Blocked} {
 		done := r.Merge(end("a", fmt.Sprint("r", i), float64(i)))
 		assert.Assert(t, done.New)
 		assert.Equal(t, done.After, want, "end %d", i)
 		assert.Assert(t, !r.Merge(end("a", fmt.Sprint("r", i), float64(i))).New, "told twice")
 	}
 	assert.Equal(t, verdict(r, "b"), suspect.Free)
-	watched, barred := r.Count()
+	watched, blocked := r.Count()
 	assert.Equal(t, watched, 0)
-	assert.Equal(t, barred, 1)
+	assert.Equal(t, blocked, 1)
 }
 
 // Many replicas end at one moment for another reason: what is in flight at several of them
 // gets one more run.
-func TestEndsOfOneMomentDoNotBar(t *testing.T) {
+func TestEndsOfOneMomentDoNotBlock(t *testing.T) {
 	r := suspect.NewRegister()
 	for i := range 5 {
 		r.Merge(end("a", fmt.Sprint("r", i), 1+float64(i)*0.01))
 	}
 	assert.Equal(t, verdict(r, "a"), suspect.Watched)
-	assert.Equal(t, r.Merge(end("a", "later", 2)).After, suspect.Barred)
+	assert.Equal(t, r.Merge(end("a", "later", 2)).After, suspect.Blocked)
 }
 
 func TestFinishSpeaksForRunsNearIt(t *testing.T) {
@@ -76,7 +76,7 @@
 	for i, s := range []float64{14, 15, 16} {
 		r.Merge(end("a", fmt.Sprint("s", i), s))
 	}
-	assert.Equal(t, verdict(r, "a"), suspect.Barred, "a request may turn bad")
+	assert.Equal(t, verdict(r, "a"), suspect.Blocked, "a request may turn bad")
 	assert.Equal(t, r.Merge(finished(17)).After, suspect.Free)
 }
 
@@ -112,34 +112,34 @@
 	r.Over(f)
 	assert.Assert(t, r.Run(f, time.Second, at(4.2)))
 	r.Merge(end("a", "r3", 4.3))
-	assert.Assert(t, !r.Run(f, time.Second, at(9)), "barred")
+	assert.Assert(t, !r.Run(f, time.Second, at(9)), "blocked")
 }
 
 func TestOldCasesAreForgotten(t *testing.T) {
 	r := suspect.NewRegister()
 	r.Merge(end("once", "r1", 0))
 	for i := range 3 {
-		r.Merge(end("barred", fmt.Sprint("r", i), float64(i)))
+		r.Merge(end("blocked", fmt.Sprint("r", i), float64(i)))
 	}
 	r.Expire(at(59))
 	assert.Equal(t, len(r.Case(content("once")).Ends), 1)
 	r.Expire(at(61))
 	assert.Equal(t, len(r.Case(content("once")).Ends), 0)
-	assert.Equal(t, verdict(r, "barred"), suspect.Barred)
+	assert.Equal(t, verdict(r, "blocked"), suspect.Blocked)
 	r.Expire(at(3602))
 	assert.Assert(t, r.Empty())
 }
 
-// Somebody sends a great many requests: what is barred stays so, and memory is bounded.
-func TestManyCasesDoNotDriveOutABar(t *testing.T) {
+// Somebody sends a great many requests: what is blocked stays so, and memory is bounded.
+func TestManyCasesDoNotDriveOutABlock(t *testing.T) {
 	r := suspect.NewRegister()
 	for i := range 3 {
-		r.Merge(end("barred", fmt.Sprint("r", i), float64(i)))
+		r.Merge(end("blocked", fmt.Sprint("r", i), float64(i)))
 	}
 	for i := range 5000 {
 		r.Merge(end(fmt.Sprint("b", i), "r9", 4+float64(i)/1000))
 	}
-	assert.Equal(t, verdict(r, "barred"), suspect.Barred)
+	assert.Equal(t, verdict(r, "blocked"), suspect.Blocked)
 	assert.Equal(t, len(r.Case(content("b0")).Ends), 0, "the oldest went")
 	assert.Equal(t, len(r.Case(content("b4999")).Ends), 1)
 	assert.Equal(t, len(r.Held(10)), 1)
@@ -169,11 +169,11 @@
 
 // A caller repeated a request under which replicas end many times at once, so that six or more
 // of its runs were under way together. Those ends are of one round; they filled the case, later ones were not
-// kept, and the request was never barred: each node let it run again and again, once at a time.
+// kept, and the request was never blocked: each node let it run again and again, once at a time.
 //
 // What settled it: of 1,920 plays of a fleet, the ten in which a run came later than 3 s after the third
 // end had all nodes know six ends, all begun before the first of them, and 20 to 31 replicas that ended.
-func TestRequestThatEndedManyReplicasAtOnceIsBarredByTheNextEnd(t *testing.T) {
+func TestRequestThatEndedManyReplicasAtOnceIsBlockedByTheNextEnd(t *testing.T) {
 	for n := 2; n <= 40; n++ {
 		r, other := suspect.NewRegister(), suspect.NewRegister()
 		var ends []suspect.Case
@@ -185,7 +185,7 @@
 			other.Merge(ends[len(ends)-1-i])
 		}
 		assert.Equal(t, verdict(r, "a"), suspect.Watched)
-		assert.Equal(t, r.Merge(end("a", "later", 2)).After, suspect.Barred, "behind %d ends", n)
+		assert.Equal(t, r.Merge(end("a", "later", 2)).After, suspect.Blocked, "behind %d ends", n)
 		// In whatever order nodes hear of them.
 		other.Merge(end("a", "later", 2))
 		assert.DeepEqual(t, r.Case(content("a")).Ends, other.Case(content("a")).Ends)
--- a/service/entry/run_suspects.go
+++ b/service/entry/run_suspects.go
@@ -46,8 +46,8 @@
 	}
 	c := s.Case(r.content())
 	switch c.Verdict() {
-	case suspect.Barred:
-		r.log.Warn("prompt barred", "content", c.Content, "ends", len(c.Ends), "engines", c.Replicas())
+	case suspect.Blocked:
+		r.log.Warn("prompt blocked", "content", c.Content, "ends", len(c.Ends), "engines", c.Replicas())
 		return r.failure(&Failure{
 			Status:  statusEnds(r.reached),
 			Code:    CodeEndsEngines,
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -106,7 +106,7 @@
 		return fateUnsent, err
 	}
 	conn := a.conn.conn
-	if x.over(ctx) { // Leave to send, or connecting, may have taken long.
+	if x.over(ctx) { // A grant, or connecting, may have taken long.
 		a.conn.close()
 		a.conn = nil
 		return fateOver, nil
--- a/service/gateway/attempt_test.go
+++ b/service/gateway/attempt_test.go
@@ -28,13 +28,13 @@
 	defer func() { assert.NilError(t, near.Close()) }()
 	defer func() { assert.NilError(t, far.Close()) }()
 	x := &exchange{
-		g:     &Gateway{suspension: newSuspension()},
-		limit: boottime.Now().Add(time.Minute),
-		out:   &clientWriter{conn: near},
-		head:  &http1.Head{Method: "GET", Target: "/x"},
-		terms: site.Terms{ID: "r"},
-		route: &site.Route{},
-		leave: leave,
+		g:      &Gateway{suspension: newSuspension()},
+		limit:  boottime.Now().Add(time.Minute),
+		out:    &clientWriter{conn: near},
+		head:   &http1.Head{Method: "GET", Target: "/x"},
+		terms:  site.Terms{ID: "r"},
+		route:  &site.Route{},
+		cancel: leave,
 	}
 	for range 20 {
 		a := &attempt{
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -223,7 +223,7 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	c.await(ctx, cancel)
-	x := &exchange{g: c.g, out: w, head: head, body: body, terms: terms, came: came, leave: cancel}
+	x := &exchange{g: c.g, out: w, head: head, body: body, terms: terms, came: came, cancel: cancel}
 	if termsErr != nil {
 		x.limit = came
 		x.refuse(refuse(http.StatusBadRequest, reasonBadRequest))
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -21,8 +21,8 @@
 	terms site.Terms
 	came  time.Time
 	limit time.Time // By when the final answer is given.
-	// leave ends the request because its client's connection has ended.
-	leave context.CancelCauseFunc
+	// cancel ends the request because its client's connection has ended.
+	cancel context.CancelCauseFunc
 
 	route        *site.Route
 	organisation *site.Organisation
@@ -83,7 +83,7 @@
 		x.refuse(f)
 		return
 	}
-	if f, yes := x.barred(); yes {
+	if f, yes := x.blocked(); yes {
 		x.refuse(f)
 		return
 	}
@@ -135,7 +135,7 @@
 		return true
 	}
 	if err := clientLeft(x.out.conn); err != nil {
-		x.leave(err)
+		x.cancel(err)
 	}
 	return ctx.Err() != nil
 }
--- a/service/gateway/exchange_limits.go
+++ b/service/gateway/exchange_limits.go
@@ -12,12 +12,12 @@
 	"github.com/drumpath/drumpath/service/ratelimit"
 )
 
-// mostAsks is for how many replicas that name a limit leave is asked for one request. Those
+// mostAsks is for how many replicas that name a limit a grant is asked for one request. Those
 // that name none are used then, or it is refused: asking takes time.
 const mostAsks = 3
 
 // pickToSend picks the replica that the request is sent to now; ok is false if there is
-// none. One that names a limit needs leave: without, each node would send it its usual part of
+// none. One that names a limit needs a grant: without, each node would send it its usual part of
 // the load, and together they would send a replica in need many times what it takes.
 func (x *exchange) pickToSend(ctx context.Context) (c route.Choice, ok bool) {
 	x.need.Send = true
@@ -48,7 +48,7 @@
 }
 
 // countedOrders counts orders in what replicas take from all nodes. Orders don't wait for
-// leave: operators bound the time in which weights are replaced.
+// a grant: operators bound the time in which weights are replaced.
 type countedOrders struct {
 	Engines
 
--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -45,14 +45,14 @@
 	return x.g.suspects.Case(x.fingerprint())
 }
 
-// barred refuses a request under which replicas have ended. Without it each repeat ended
+// blocked refuses a request under which replicas have ended. Without it each repeat ended
 // one more replica, 17 to 21 of 18 in 16 s; now three end.
-func (x *exchange) barred() (f refusal, yes bool) {
+func (x *exchange) blocked() (f refusal, yes bool) {
 	c := x.suspected()
-	if c.Verdict() != suspect.Barred {
+	if c.Verdict() != suspect.Blocked {
 		return f, false
 	}
-	x.g.log.Warn("request barred", "request", x.terms.ID, "content", c.Content, "ends", len(c.Ends), "replicas", c.Replicas(), "attempts", x.ran)
+	x.g.log.Warn("request blocked", "request", x.terms.ID, "content", c.Content, "ends", len(c.Ends), "replicas", c.Replicas(), "attempts", x.ran)
 	if x.ran > 0 {
 		return refuse(http.StatusBadGateway, reasonEndsReplicas), true
 	}
@@ -62,7 +62,7 @@
 // cleared says whether the request may be sent to a replica now.
 func (x *exchange) cleared(ctx context.Context) (f refusal, ok bool) {
 	x.g.suspects.Await(ctx)
-	if f, yes := x.barred(); yes {
+	if f, yes := x.blocked(); yes {
 		return f, false
 	}
 	c := x.suspected()
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -328,10 +328,10 @@
 	}
 }
 
-// Leave serves on for a while those that still come. Then it takes no connection
+// Drain serves on for a while those that still come. Then it takes no connection
 // any more, ends those that rest, and waits until the others have had their
 // answers or the grace period is nearly over.
-func (g *Gateway) Leave() {
+func (g *Gateway) Drain() {
 	begun := time.Now()
 	within := g.conf().Stop.Grace.Std() - lostTime
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(within))
@@ -339,7 +339,7 @@
 	g.log.Info("stopping", "node", g.conf().Node.Name, "in_flight", g.inFlight.Load())
 	g.told.Store(&begun)
 	close(g.stopped)
-	g.nodes.leave()
+	g.nodes.announceStop()
 	g.releaseLeases(ctx)
 	time.Sleep(time.Until(begun.Add(min(steerAwayTime, within))))
 	g.closing.Store(true)
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -156,7 +156,7 @@
 func (n *nodes) greet(rows []site.Row) {
 	var strangers []netip.AddrPort
 	for _, r := range rows {
-		if r.Key == suspects.RowBarred {
+		if r.Key == suspects.RowBlocked {
 			n.suspects.Load(r, boottime.Now())
 			continue
 		}
@@ -191,8 +191,8 @@
 	}
 }
 
-// leave tells the others that this node is stopping.
-func (n *nodes) leave() { n.probes.Send(n.members.Leave(time.Now())) }
+// announceStop tells the others that this node is stopping.
+func (n *nodes) announceStop() { n.probes.Send(n.members.Leave(time.Now())) }
 
 // count is how many nodes there are, as far as is known.
 func (n *nodes) count() int { return max(1, len(n.members.Working())) }
--- a/service/ratelimit/leave.go
+++ b/service/ratelimit/grants.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// MethodTake asks a replica's owner for leave to send it something.
+	// MethodTake asks a replica's owner for a grant to send it something.
 	MethodTake = "ratelimit.take"
 	// MethodRate tells an owner what was seen of its replica, MethodSpend that something was
-	// sent without leave.
+	// sent without a grant.
 	MethodRate  = "ratelimit.rate"
 	MethodSpend = "ratelimit.spend"
 )
@@ -63,14 +63,14 @@
 }
 
 // MaySend asks whether a request may be sent to a replica now. Where it names no limit it
-// may; else its owner, or this node itself, gives leave or says when to ask again.
+// may; else its owner, or this node itself, gives a grant or says when to ask again.
 func (l *Limits) MaySend(ctx context.Context, u *site.Upstream) bool {
 	if l.ledger.Empty() {
 		return true // No start has to be named.
 	}
 	start := u.StartKey()
 	rate, limited := l.limited(start)
-	if !limited || l.useLeave(start) {
+	if !limited || l.useGrant(start) {
 		return true
 	}
 	a := l.ask(ctx, u, rate)
@@ -83,39 +83,39 @@
 	if a.Count == 0 {
 		l.counts.denied.Add(1)
 	}
-	l.putLeave(start, a)
+	l.putGrant(start, a)
 	return a.Count > 0
 }
 
-// useLeave takes one of what was given before.
-func (l *Limits) useLeave(start string) bool {
+// useGrant takes one of what was given before.
+func (l *Limits) useGrant(start string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	v := l.leaves[start]
+	v := l.grants[start]
 	if v == nil || v.count == 0 || !boottime.Now().Before(v.until) {
 		return false
 	}
 	if v.count--; v.count == 0 {
-		delete(l.leaves, start) // Else it would count as a refusal.
+		delete(l.grants, start) // Else it would count as a refusal.
 	}
 	return true
 }
 
-// putLeave notes what was given, but for the one that is used at once.
-func (l *Limits) putLeave(start string, a takeAnswer) {
+// putGrant notes what was given, but for the one that is used at once.
+func (l *Limits) putGrant(start string, a takeAnswer) {
 	now := boottime.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case a.Count > 1:
-		l.leaves[start] = &leave{count: a.Count - 1, until: now.Add(leaveTerm)}
+		l.grants[start] = &grant{count: a.Count - 1, until: now.Add(grantTerm)}
 	case a.Count == 0:
 		wait := max(leastWait, time.Duration(a.WaitMS)*time.Millisecond)
-		l.leaves[start] = &leave{until: now.Add(wait)}
+		l.grants[start] = &grant{until: now.Add(wait)}
 	}
 }
 
-// ask asks a replica's owner for leave.
+// ask asks a replica's owner for a grant.
 func (l *Limits) ask(ctx context.Context, u *site.Upstream, rate quota.Rate) (a takeAnswer) {
 	owner := l.owner(u.StartKey())
 	if owner.Name == l.self.Name {
@@ -127,13 +127,13 @@
 			return takeAnswer{} // Its client has left, which says nothing of the owner.
 		}
 		l.counts.silent.Add(1)
-		l.log.Debug("no leave to send", "replica", u.ID, "owner", owner.Name, "err", err)
+		l.log.Debug("no grant to send", "replica", u.ID, "owner", owner.Name, "err", err)
 		return takeAnswer{WaitMS: silentWait.Milliseconds()}
 	}
 	return a
 }
 
-// give gives leave if this node owns the replica.
+// give gives a grant if this node owns the replica.
 func (l *Limits) give(u *site.Upstream, now time.Time) (a takeAnswer) {
 	start := u.StartKey()
 	if rate, known := l.ledger.Rate(start); known {
@@ -152,7 +152,7 @@
 	return a
 }
 
-// ServeTake answers a node that asks for leave.
+// ServeTake answers a node that asks for a grant.
 func (l *Limits) ServeTake(_ context.Context, n RateNews) (takeAnswer, error) {
 	now := boottime.Now()
 	u := n.upstream()
@@ -172,13 +172,13 @@
 	return struct{}{}, nil
 }
 
-// ServeSpend counts what a node sent without leave.
+// ServeSpend counts what a node sent without a grant.
 func (l *Limits) ServeSpend(_ context.Context, n RateNews) (struct{}, error) {
 	l.ledger.Spend(n.upstream().StartKey(), boottime.Now())
 	return struct{}{}, nil
 }
 
-// Spend counts something that is sent to a replica without leave, as it can't wait.
+// Spend counts something that is sent to a replica without a grant, as it can't wait.
 func (l *Limits) Spend(u *site.Upstream) {
 	rate, limited := l.limited(u.StartKey())
 	if !limited {
--- a/service/ratelimit/limits.go
+++ b/service/ratelimit/limits.go
@@ -22,7 +22,7 @@
 //	an answer that names a rate, the first   all nodes
 //	one that names another rate              the replica's owner
 //	one that names none any more             the owner, which tells all nodes
-//	wanting to send                          the owner, which gives leave
+//	wanting to send                          the owner, which gives a grant
 //
 // The owner is found by hashing among the nodes that are taken to work. One that others take
 // for it though it takes another one for it gives nothing; nor does one that has just started
@@ -42,7 +42,7 @@
 	wg     sync.WaitGroup
 
 	mu     sync.Mutex
-	leaves map[string]*leave // By start of a replica.
+	grants map[string]*grant // By start of a replica.
 	owners map[string]control.Member
 	view   *control.View // Of which owners are.
 }
@@ -58,23 +58,23 @@
 	TellRate(n RateNews)
 }
 
-// leave is what this node was given by an owner, or not.
-type leave struct {
+// grant is what this node was given by an owner, or not.
+type grant struct {
 	count int // Requests that may still be sent.
 	// until is for how long they may, or where there are none, when to ask again.
 	until time.Time
 }
 
 type counts struct {
-	asked    atomic.Int64 // For leave, of other nodes.
+	asked    atomic.Int64 // For grants, of other nodes.
 	denied   atomic.Int64 // Also by this node itself.
 	silent   atomic.Int64 // Calls that were not answered in time.
 	unread   atomic.Int64 // Rates that could not be read.
-	enforced atomic.Int64 // Sent without leave, as it could not wait.
+	enforced atomic.Int64 // Sent without a grant, as it could not wait.
 }
 
 const (
-	// askTerm bounds a call for leave: its request waits, and others may be sent elsewhere.
+	// askTerm bounds a call for a grant: its request waits, and others may be sent elsewhere.
 	askTerm = 100 * time.Millisecond
 	// silentWait is for how long an owner that did not answer in time is not asked again by
 	// this node, and wrongWait one that knows of another owner: news of that are under way.
@@ -82,8 +82,8 @@
 	wrongWait  = 150 * time.Millisecond
 	// leastWait keeps a node from asking many times for what becomes free at once.
 	leastWait = 20 * time.Millisecond
-	// leaveTerm is for how long leave holds: it is meant for what waits now.
-	leaveTerm = 250 * time.Millisecond
+	// grantTerm is for how long a grant holds: it is meant for what waits now.
+	grantTerm = 250 * time.Millisecond
 	// mostNamed is from what rate on a replica names none: it is more than any takes.
 	mostNamed = 1e5
 	// ownerDuty names the duty of dividing what a replica takes.
@@ -102,7 +102,7 @@
 		met:     met,
 		ledger:  quota.NewLedger(),
 		log:     log,
-		leaves:  map[string]*leave{},
+		grants:  map[string]*grant{},
 	}
 }
 
@@ -177,7 +177,7 @@
 	return change
 }
 
-// owner is the node that gives leave to send a start of a replica something.
+// owner is the node that gives a grant to send a start of a replica something.
 func (l *Limits) owner(start string) control.Member {
 	view := l.members.View()
 	l.mu.Lock()
@@ -220,7 +220,7 @@
 	}
 	s.Limited = true
 	l.mu.Lock()
-	if v := l.leaves[start]; v != nil && v.count == 0 {
+	if v := l.grants[start]; v != nil && v.count == 0 {
 		s.Wait = max(0, v.until.Sub(now))
 	}
 	l.mu.Unlock()
@@ -242,9 +242,9 @@
 	l.ledger.Forget(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for start, v := range l.leaves {
+	for start, v := range l.grants {
 		if now.After(v.until) {
-			delete(l.leaves, start)
+			delete(l.grants, start)
 		}
 	}
 }
@@ -256,7 +256,7 @@
 	Denied   int64 `json:"denied"`
 	Silent   int64 `json:"unanswered"`
 	Unread   int64 `json:"unreadable"`
-	Enforced int64 `json:"without_leave"`
+	Enforced int64 `json:"without_grant"`
 }
 
 // Status counts what is known and was done.
--- a/service/ratelimit/ratelimit_test.go
+++ b/service/ratelimit/ratelimit_test.go
@@ -356,7 +356,7 @@
 		assert.Assert(t, f.nodes[0].owner(f.replica.StartKey()).Name != owner.Name)
 		before := f.count()
 		f.play(40, 8*time.Second)
-		assert.Assert(t, f.count()-before >= 8, "another one gives leave, %d sent", f.count()-before)
+		assert.Assert(t, f.count()-before >= 8, "another one gives a grant, %d sent", f.count()-before)
 		f.mu.Lock()
 		delete(f.down, owner.Name)
 		f.stranger[owner.Name] = true
@@ -396,7 +396,7 @@
 	})
 }
 
-// Orders don't wait for leave, but what is sent without it is not given out.
+// Orders don't wait for a grant, but what is sent without it is not given out.
 func TestWhatCannotWaitCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(7, newsBy(10))
@@ -411,7 +411,7 @@
 	})
 }
 
-// A request whose client leaves while its node asks for leave says nothing of the owner.
+// A request whose client leaves while its node asks for a grant says nothing of the owner.
 func TestClientThatLeavesHoldsNoReplicaUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(7, newsBy(10))
@@ -430,9 +430,9 @@
 	})
 }
 
-// Of a large rate an owner gives leave for several requests at once. A node that had used
+// Of a large rate an owner gives a grant for several requests at once. A node that had used
 // these up left the replica alone until they would have lapsed, though nobody had refused it.
-func TestNodeThatHasUsedUpItsLeaveAsksAgainAtOnce(t *testing.T) {
+func TestNodeThatHasUsedUpItsGrantAsksAgainAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(7, newsBy(10))
 		f.name(400)
--- a/service/suspects/leave.go
+++ b/service/suspects/grants.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// askTerm bounds a call for leave to run a watched request: its Caller waits.
+	// askTerm bounds a call for a grant to run a watched request: its Caller waits.
 	askTerm = 150 * time.Millisecond
 	// MethodRun asks an owner whether a watched request may be sent now, and MethodOver
 	// tells it that nothing came of that.
@@ -37,7 +37,7 @@
 	if !s.register.Run(f, most, boottime.Now()) {
 		return false
 	}
-	var silent []control.Member // They may have given leave.
+	var silent []control.Member // They may have given a grant.
 	for _, o := range s.owners(f) {
 		if o.Name == s.self.Name {
 			break
@@ -59,14 +59,14 @@
 }
 
 // Over tells that a watched request has ended with no word of its replica. Told only to the
-// first owner, one that was asked for leave and answered too late went on refusing the
+// first owner, one that was asked for a grant and answered too late went on refusing the
 // request to all nodes, for up to 10 s.
 func (s *Suspects) Over(f site.Fingerprint) {
 	s.register.Over(f)
 	s.tellOver(f, s.owners(f))
 }
 
-// tellOver gives leave back to those that may have given it, without waiting for them.
+// tellOver gives a grant back to those that may have given it, without waiting for them.
 func (s *Suspects) tellOver(f site.Fingerprint, owners []control.Member) {
 	for _, o := range owners {
 		if o.Name == s.self.Name {
--- a/service/suspects/kept.go
+++ b/service/suspects/kept.go
@@ -12,20 +12,20 @@
 	"github.com/drumpath/drumpath/pkg/suspect"
 )
 
-// Barred requests are kept in one row of the platform's store, beside the nodes' addresses
+// Blocked requests are kept in one row of the platform's store, beside the nodes' addresses
 // that a node reads as it starts: it costs no call until there is one, and nodes that have
 // all started anew know of them with their first answer.
 const (
-	// RowBarred is the key of that row in the table of the nodes.
-	RowBarred = "requests/barred"
+	// RowBlocked is the key of that row in the table of the nodes.
+	RowBlocked = "requests/barred"
 	// keepRetry is the pause after a failure: each call is paid for.
 	keepRetry = 5 * time.Second
 	// mostKept is how many are kept, the newest: some 400 bytes each of a row of 64 kB.
 	mostKept = 120
 )
 
-// barredRow is that row.
-type barredRow struct {
+// blockedRow is that row.
+type blockedRow struct {
 	// Written is when the ages were right, in Unix milliseconds of the writer: an error of
 	// some seconds changes nothing.
 	Written int64      `json:"written"`
@@ -34,9 +34,9 @@
 
 // Load takes in the row.
 func (s *Suspects) Load(r site.Row, now time.Time) {
-	var row barredRow
+	var row blockedRow
 	if err := json.Unmarshal(r.Value, &row); err != nil {
-		s.log.Error("row of barred requests can't be read", "row", r.Key, "err", err)
+		s.log.Error("row of blocked requests can't be read", "row", r.Key, "err", err)
 		return
 	}
 	written := now.Add(-max(0, time.Duration(now.UnixMilli()-row.Written)*time.Millisecond))
@@ -49,7 +49,7 @@
 	}
 }
 
-// Keep writes the row if there are barred requests that it lacks and that fall to this
+// Keep writes the row if there are blocked requests that it lacks and that fall to this
 // node; the timer service calls it.
 func (s *Suspects) Keep(ctx context.Context) {
 	now := boottime.Now()
@@ -60,11 +60,11 @@
 		s.mu.Lock()
 		s.keepNext = now.Add(keepRetry)
 		s.mu.Unlock()
-		s.log.Warn("barred requests not written", "err", err)
+		s.log.Warn("blocked requests not written", "err", err)
 	}
 }
 
-// mustKeep says whether this node has a barred request to write.
+// mustKeep says whether this node has a blocked request to write.
 func (s *Suspects) mustKeep(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,7 +72,7 @@
 		return false
 	}
 	for _, c := range s.register.Held(mostKept) {
-		if c.Verdict() != suspect.Barred || s.kept[c.Content] {
+		if c.Verdict() != suspect.Blocked || s.kept[c.Content] {
 			continue
 		}
 		if owners := s.owners(c.Content); len(owners) == 0 || owners[0].Name == s.self.Name {
@@ -90,14 +90,14 @@
 	}
 	version := int64(0)
 	for _, r := range l.Rows {
-		if r.Key == RowBarred {
+		if r.Key == RowBlocked {
 			version = r.Version
 			s.Load(r, now)
 		}
 	}
-	row := barredRow{Written: now.UnixMilli()}
+	row := blockedRow{Written: now.UnixMilli()}
 	for _, c := range s.register.Held(mostHeld) {
-		if c.Verdict() == suspect.Barred && len(row.Cases) < mostKept {
+		if c.Verdict() == suspect.Blocked && len(row.Cases) < mostKept {
 			row.Cases = append(row.Cases, newsOfCase(c, now))
 		}
 	}
@@ -105,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.store.Put(ctx, site.TableNodes, RowBarred, value, version); err != nil {
+	if _, err := s.store.Put(ctx, site.TableNodes, RowBlocked, value, version); err != nil {
 		return eris.Wrap(err, "write the row")
 	}
 	s.mu.Lock()
--- a/service/suspects/learn.go
+++ b/service/suspects/learn.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// LearnEvery is how often a node that has just started asks another one what is barred:
+	// LearnEvery is how often a node that has just started asks another one what is blocked:
 	// an answer takes some milliseconds, and it needs no more than a few.
 	LearnEvery = 100 * time.Millisecond
 	// learnMost bounds for how long the first requests of a node wait until it knows what is
-	// barred. It answers a start of all nodes while the store turns this one away: the others
+	// blocked. It answers a start of all nodes while the store turns this one away: the others
 	// then know nothing either until they have read the store, which takes them some 0.2 s.
 	learnMost = time.Second
 )
@@ -25,11 +25,11 @@
 	done chan struct{}
 	// begun holds once the first request waits.
 	begun bool
-	// knows says that the node has heard what is barred.
+	// knows says that the node has heard what is blocked.
 	knows bool
 }
 
-// Learned notes that the node has heard what is barred.
+// Learned notes that the node has heard what is blocked.
 func (s *Suspects) Learned() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -46,14 +46,14 @@
 	}
 }
 
-// knows says whether the node has heard what is barred.
+// knows says whether the node has heard what is blocked.
 func (s *Suspects) knows() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.learning.knows
 }
 
-// Await waits until the node knows what is barred, for learnMost after the first call at
+// Await waits until the node knows what is blocked, for learnMost after the first call at
 // most. Without it a node that had just started ended one more replica under a request that
 // all others refused, before it had read the store.
 func (s *Suspects) Await(ctx context.Context) {
@@ -81,13 +81,13 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if !s.learning.knows {
-			s.log.Warn("serves without having heard what is barred", "node", s.self.Name, "after", learnMost)
+			s.log.Warn("serves without having heard what is blocked", "node", s.self.Name, "after", learnMost)
 		}
 		s.endWait()
 	})
 }
 
-// Learn asks another node what is barred, as long as this one does not know; the timer
+// Learn asks another node what is blocked, as long as this one does not know; the timer
 // service calls it.
 func (s *Suspects) Learn(context.Context) {
 	if !s.knows() {
--- a/service/suspects/news.go
+++ b/service/suspects/news.go
@@ -20,7 +20,7 @@
 	// NoteDigest tells of what a node holds of them.
 	NoteDigest = "suspects.digest"
 	// Every is how often a node compares what it holds with one other's, which
-	// takes 0.2 kB: one that was cut off has heard of a bar by its third look.
+	// takes 0.2 kB: one that was cut off has heard of a block by its third look.
 	Every = time.Second
 	// casesMost is how many go in one note, some 400 bytes each, and casesNotes how
 	// many notes answer a digest.
@@ -86,7 +86,7 @@
 	// Answer says that it answers such a note.
 	Answer bool `json:"a,omitempty"`
 	// Learning says that the node has just started, and waits for an answer also where
-	// both hold the same; Knows that the one who answers has heard what is barred.
+	// both hold the same; Knows that the one who answers has heard what is blocked.
 	Learning bool `json:"l,omitempty"`
 	Knows    bool `json:"k,omitempty"`
 }
@@ -157,8 +157,8 @@
 	for i := range w.Cases {
 		c := w.Cases[i].caseAt(now)
 		change := s.take(c, w.Collect)
-		barred := change.Before != change.After && change.After == suspect.Barred
-		if w.Compared && barred && now.Sub(c.Last()) < missedTerm {
+		blocked := change.Before != change.After && change.After == suspect.Blocked
+		if w.Compared && blocked && now.Sub(c.Last()) < missedTerm {
 			missed = append(missed, w.Cases[i])
 		}
 	}
@@ -169,8 +169,8 @@
 	}
 }
 
-// missedTerm is how long ago an end must be at most for a bar to be one that a hall may have
-// missed: a node that has just started hears of all bars so.
+// missedTerm is how long ago an end must be at most for a block to be one that a hall may have
+// missed: a node that has just started hears of all blocks so.
 const missedTerm = 10 * time.Second
 
 // finishSpread is over what time nodes that have finished a request which others suspect
--- a/service/suspects/suspects.go
+++ b/service/suspects/suspects.go
@@ -23,14 +23,14 @@
 // Suspects is what this node and the others know of requests under which replicas ended.
 //
 // What a node has seen it tells to a few nodes that hashing gives the request to, and they
-// tell all nodes once it is watched or barred. A replica that ends has up to some dozens
+// tell all nodes once it is watched or blocked. A replica that ends has up to some dozens
 // of requests in flight; told to all, a hall that ends would cost each of 900 nodes 1.6 MB.
 //
 //	learnt by                            told to
 //	a first end, seen here               the request's owners, twice
 //	a further one; a finish              all nodes, twice
 //	a digest that differs, each second   one node at random, both ways
-//	a bar                                the platform's store, for when all start anew
+//	a block                                the platform's store, for when all start anew
 type Suspects struct {
 	self     control.Member
 	members  *control.Members
@@ -54,7 +54,7 @@
 	keepNext time.Time // The store is not written before.
 }
 
-// Store is where barred requests are kept.
+// Store is where blocked requests are kept.
 type Store interface {
 	List(ctx context.Context, t site.Table) (site.Listing, error)
 	// Put writes a row that has the expected version; the error wraps site.ErrConflict
@@ -329,16 +329,16 @@
 	Ends    int64 `json:"ends"`
 	Untold  int64 `json:"ends_untold"`
 	Watched int   `json:"watched"`
-	Barred  int   `json:"barred"`
+	Blocked int   `json:"blocked"`
 }
 
 // Status counts what is known.
 func (s *Suspects) Status() Status {
-	watched, barred := s.register.Count()
+	watched, blocked := s.register.Count()
 	return Status{
 		Ends:    s.metrics.ends.Load(),
 		Untold:  s.metrics.untold.Load(),
 		Watched: watched,
-		Barred:  barred,
+		Blocked: blocked,
 	}
 }
--- a/service/suspects/suspects_test.go
+++ b/service/suspects/suspects_test.go
@@ -185,7 +185,7 @@
 func (f *suspectFleet) run(s *Suspects) {
 	c := s.register.Case(deadlyContent)
 	switch c.Verdict() {
-	case suspect.Barred:
+	case suspect.Blocked:
 		return
 	case suspect.Watched:
 		if !s.MayRun(context.Background(), deadlyContent, 4*time.Second) {
@@ -272,7 +272,7 @@
 					assert.Equal(t, f.later(contact), 0)
 					most := 3
 					if name == "late" {
-						most = 14 // Those sent while two notes in a row, of an end and of the bar, were under way.
+						most = 14 // Those sent while two notes in a row, of an end and of the block, were under way.
 					}
 					assert.Assert(t, len(f.ended) <= most, "%d replicas ended", len(f.ended))
 				})
@@ -282,13 +282,13 @@
 }
 
 // The nodes that tell the others of their halls what all are to hear were cut off as a
-// request was barred, and not yet known to be. A node in one of these halls went on sending it
-// later than 3 s after the third end, about once in a hundred plays: it had heard of the bar only
+// request was blocked, and not yet known to be. A node in one of these halls went on sending it
+// later than 3 s after the third end, about once in a hundred plays: it had heard of the block only
 // if it drew, once a second, a node to compare with that knew, and those were few there.
 //
 // What settled it: in three of 240 plays with 20 of 71 nodes cut off, chosen at random, one run came
 // too late; with just the tellers cut off, the plays below.
-func TestHallWhoseTellersAreCutOffHearsOfABar(t *testing.T) {
+func TestHallWhoseTellersAreCutOffHearsOfABlock(t *testing.T) {
 	const plays = 12
 	late := 0
 	for range plays {
@@ -312,9 +312,9 @@
 	assert.Equal(t, late, 0, "runs later than %v after the third end, in %d plays", contact, plays)
 }
 
-// Nodes that were cut off from all others while a request was barred have heard of it
+// Nodes that were cut off from all others while a request was blocked have heard of it
 // within the time that operators give them once they are back.
-func TestNodesThatWereCutOffHearOfABar(t *testing.T) {
+func TestNodesThatWereCutOffHearOfABlock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		late := func() time.Duration { return 5*time.Millisecond + rand.N(200*time.Millisecond) }
@@ -432,10 +432,10 @@
 }
 
 // A prompt stayed refused for 10 s while nothing of it was under way: "another one like it is
-// under way", twelve times in a row. The first owner that was asked for leave gave it, but
+// under way", twelve times in a row. The first owner that was asked for a grant gave one, but
 // answered later than it is waited for, so the second one was asked as well; told that the
 // run was over was only the first. Who asked and was refused must not end another's run.
-func TestLeaveThatWasAnsweredLateHoldsNobodyUp(t *testing.T) {
+func TestGrantThatWasAnsweredLateHoldsNobodyUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newSuspectFleet(71, 3, func() time.Duration { return 5 * time.Millisecond })
 		for i := range 2 {
@@ -485,9 +485,9 @@
 	})
 }
 
-// A node that starts among others hears from them what is barred, also where the store does
+// A node that starts among others hears from them what is blocked, also where the store does
 // not tell it, and from none that has only just started itself.
-func TestNodeThatStartsHearsFromOthersWhatIsBarred(t *testing.T) {
+func TestNodeThatStartsHearsFromOthersWhatIsBlocked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newSuspectFleet(71, 3, func() time.Duration { return 5 * time.Millisecond })
 		ctx, cancel := context.WithCancel(t.Context())
@@ -508,7 +508,7 @@
 		late.Await(ctx)
 		assert.Assert(t, time.Since(begun) < 700*time.Millisecond, "%v", time.Since(begun))
 		c := late.Case(deadlyContent)
-		assert.Equal(t, c.Verdict(), suspect.Barred)
+		assert.Equal(t, c.Verdict(), suspect.Blocked)
 		cancel()
 		time.Sleep(2 * time.Second)
 	})
@@ -608,8 +608,8 @@
 	}
 }
 
-// Barred requests are in the store for nodes that all start anew.
-func TestBarredRequestsAreKept(t *testing.T) {
+// Blocked requests are in the store for nodes that all start anew.
+func TestBlockedRequestsAreKept(t *testing.T) {
 	f := newSuspectFleet(1, 1, func() time.Duration { return 0 })
 	s := f.nodes[0]
 	store := &keptStore{}
@@ -633,11 +633,11 @@
 	s.Keep(t.Context())
 	assert.Equal(t, store.writes, 1)
 	other := newSuspectFleet(1, 1, func() time.Duration { return 0 }).nodes[0]
-	other.Load(site.Row{Key: RowBarred, Value: []byte("no JSON")}, time.Now())
+	other.Load(site.Row{Key: RowBlocked, Value: []byte("no JSON")}, time.Now())
 	assert.Assert(t, other.register.Empty())
 	other.Load(store.row, time.Now())
 	c := other.register.Case(deadlyContent)
-	assert.Equal(t, c.Verdict(), suspect.Barred)
+	assert.Equal(t, c.Verdict(), suspect.Blocked)
 	other.store = store
 	other.Keep(t.Context())
 	assert.Equal(t, store.writes, 1, "it stands there")
