Metrics tell how many replicas take no request at all, and why

"replicas" had usable and cold ones only: who is called could not tell a drain from a backoff by the figures. One function names the reason, for the choice and the figures.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -340,7 +340,7 @@
 	},
 	{
 		"backoff: an exclusion, not a preference", "pkg/route/exclusion.go",
-		"	case now.Before(m.backoff):\n		return ExcludedBackoff, rate\n", "",
+		"	case now.Before(m.backoff):\n		return ExcludedBackoff\n", "",
 		"./pkg/route", "TestReplicasThatAskForBackoffAreLeftAloneAndComeBackGradually",
 	},
 	{
--- a/pkg/route/exclusion.go
+++ b/pkg/route/exclusion.go
@@ -39,15 +39,13 @@
 // exclusion says why a replica may not be sent a request, and what is known of the rate that
 // it names if it may be. The caller holds mu.
 func (p *Pool) exclusion(m *member, n *Need, now time.Time) (why Exclusion, rate RateState) {
-	switch {
-	case !n.mayRunIn(m.Region):
+	if !n.mayRunIn(m.Region) {
 		return ExcludedOutside, rate
-	case m.Evacuated:
-		return ExcludedEvacuated, rate
-	case m.Draining:
-		return ExcludedDraining, rate
-	case now.Before(m.backoff):
-		return ExcludedBackoff, rate
+	}
+	if why = m.forAll(now); why != NotExcluded {
+		return why, rate
+	}
+	switch {
 	case slices.Contains(n.Exclude, m.ID):
 		return ExcludedTried, rate
 	case !m.serves(n):
@@ -62,9 +60,33 @@
 	return NotExcluded, rate
 }
 
-// excludedForAll says whether a replica takes no request at all; the caller holds mu.
-func (m *member) excludedForAll(now time.Time) bool {
-	return m.Evacuated || m.Draining || now.Before(m.backoff)
+// forAll says why a replica takes no request at all, if so; the caller holds mu.
+func (m *member) forAll(now time.Time) Exclusion {
+	switch {
+	case m.Evacuated:
+		return ExcludedEvacuated
+	case m.Draining:
+		return ExcludedDraining
+	case now.Before(m.backoff):
+		return ExcludedBackoff
+	default:
+		return NotExcluded
+	}
+}
+
+// Excluded counts the replicas that take no request at all, by reason; nil if all do.
+func (p *Pool) Excluded(now time.Time) (list map[Exclusion]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.list {
+		if why := m.forAll(now); why != NotExcluded {
+			if list == nil {
+				list = map[Exclusion]int{}
+			}
+			list[why]++
+		}
+	}
+	return list
 }
 
 // serves says whether a replica has weights that a request may run on, as far as is known.
@@ -111,7 +133,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m, ok := p.replicas[u.ID]
-	return ok && m.Started.Equal(u.Started) && !m.excludedForAll(now)
+	return ok && m.Started.Equal(u.Started) && m.forAll(now) == NotExcluded
 }
 
 // Absence is why no replica may take a request.
--- a/pkg/route/exclusion_test.go
+++ b/pkg/route/exclusion_test.go
@@ -128,6 +128,7 @@
 	assert.DeepEqual(t, why.Excluded, map[Exclusion]int{ExcludedBackoff: 1, ExcludedDraining: 1})
 	assert.Equal(t, why.Free, 0)
 	assert.Assert(t, why.Retry >= 3*time.Second && why.Retry <= 3*time.Second+backoffSpread+returnSpread, "%v", why.Retry)
+	assert.DeepEqual(t, p.Excluded(testNow), why.Excluded)
 	_, usable := p.Count(testNow)
 	assert.Equal(t, usable, 0)
 }
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -37,7 +37,7 @@
 	n := &Need{Priority: bands - 1, Memory: p.memory.mean()}
 	var waits []float64
 	for _, m := range p.list {
-		if !m.excludedForAll(now) && !m.passedOver(now) {
+		if m.forAll(now) == NotExcluded && !m.passedOver(now) {
 			waits = append(waits, p.wait(m, n, p.lateness(m, now), now))
 		}
 	}
@@ -54,7 +54,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.list {
-		if !m.excludedForAll(now) && !m.passedOver(now) && !p.limited(m, now) {
+		if m.forAll(now) == NotExcluded && !m.passedOver(now) && !p.limited(m, now) {
 			usable++
 		}
 	}
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -133,6 +133,8 @@
 	All    int `json:"all"`
 	Usable int `json:"usable"`
 	Cold   int `json:"cold"`
+	// Excluded are those that take no request at all, by reason.
+	Excluded map[route.Exclusion]int `json:"excluded,omitempty"`
 }
 
 // status collects what is served.
@@ -167,7 +169,7 @@
 	s.Config, s.ListAge = config, heard.Seconds()
 	for service, p := range g.beliefs.Pools() {
 		all, usable := p.Count(now)
-		s.Replicas[service] = replicaCount{All: all, Usable: usable, Cold: p.CountCold(now)}
+		s.Replicas[service] = replicaCount{All: all, Usable: usable, Cold: p.CountCold(now), Excluded: p.Excluded(now)}
 	}
 	m.copyCounts(&s)
 	g.queuesMu.Lock()
