A change of one member makes the lists of its data hall anew, not those of the fleet

Members change some times a second while a large fleet comes to be known, and each change had the lists of all members copied and sorted: 6 to 10 % of a node's time at 985 nodes, and their garbage besides.

AddListed takes members that are known from a list only, as alive until a record of their own or of their failure arrives, and tells nobody.

--- a/pkg/control/member.go
+++ b/pkg/control/member.go
@@ -56,14 +56,21 @@
 // are assigned to these: a node with a narrow link would delay every receiver
 // and its own requests.
 func WithWidestLinks(members []Member) []Member {
-	widest := 0.0
-	for _, m := range members {
-		widest = max(widest, m.Link)
+	return withLinks(members, minWidestLinkShare*widestLink(members))
+}
+
+func widestLink(members []Member) (widest float64) {
+	for i := range members {
+		widest = max(widest, members[i].Link)
 	}
-	var list []Member
-	for _, m := range members {
-		if m.Link >= minWidestLinkShare*widest {
-			list = append(list, m)
+	return widest
+}
+
+// withLinks returns the members whose links have at least a bandwidth.
+func withLinks(members []Member, atLeast float64) (list []Member) {
+	for i := range members {
+		if members[i].Link >= atLeast {
+			list = append(list, members[i])
 		}
 	}
 	return list
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -56,8 +56,12 @@
 	self          Member
 	period        time.Duration
 	rng           *rand.Rand
-	seeds         []netip.AddrPort
+	seeds         map[netip.AddrPort]bool // Addresses at which nodes should exist.
 	known         map[string]*memberEntry
+	entries       []*memberEntry // Those of known, in no particular order.
+	halls         map[string]*hallMembers
+	suspects      map[string]*memberEntry
+	dead          map[string]*memberEntry
 	byPeer        map[netip.AddrPort]string
 	localRound    []string // Members of the own hall still to be probed in this round.
 	remoteRound   []string // The same for other halls.
@@ -73,6 +77,7 @@
 
 type memberEntry struct {
 	Member
+	index      int       // Position in Members.entries.
 	stateSince time.Time // When it entered its state.
 }
 
@@ -95,13 +100,19 @@
 		self:          self,
 		period:        period,
 		rng:           rng,
-		seeds:         seeds,
+		seeds:         map[netip.AddrPort]bool{},
 		known:         map[string]*memberEntry{},
+		halls:         map[string]*hallMembers{},
+		suspects:      map[string]*memberEntry{},
+		dead:          map[string]*memberEntry{},
 		byPeer:        map[netip.AddrPort]string{},
 		pendingProbes: map[uint64]*pendingProbe{},
 		updateSends:   map[string]int{},
 	}
-	m.known[self.Name] = &memberEntry{Member: self}
+	for _, addr := range seeds {
+		m.seeds[addr] = true
+	}
+	m.setEntry(&memberEntry{Member: self})
 	m.updateSends[self.Name] = 0
 	return m
 }
@@ -117,8 +128,28 @@
 func (m *Members) AddSeed(addr netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !slices.Contains(m.seeds, addr) {
-		m.seeds = append(slices.Clone(m.seeds), addr)
+	if m.byPeer[addr] == "" {
+		m.seeds[addr] = true
+	}
+}
+
+// AddListed adds nodes that are known only from a list, which may be outdated: each of them
+// counts as alive until a record of the node itself, or of its failure, arrives. Other nodes
+// read the same list, so they are not told.
+func (m *Members) AddListed(list []Member, now time.Time) {
+	m.mu.Lock()
+	changed := false
+	for _, u := range list {
+		if m.known[u.Name] != nil || m.byPeer[u.Peer] != "" {
+			continue
+		}
+		u.Incarnation, u.State = 0, MemberAlive
+		m.storeRecord(u, now)
+		changed = true
+	}
+	m.mu.Unlock()
+	if changed {
+		m.notifyWatchers()
 	}
 }
 
@@ -131,7 +162,7 @@
 
 // All lists every known member, including the dead, by name; the caller must not
 // change the list.
-func (m *Members) All() []Member { return m.View().All }
+func (m *Members) All() []Member { return m.View().All() }
 
 // Generation returns a number that rises whenever the set of working members
 // changes.
@@ -143,7 +174,7 @@
 
 // Working lists the members to which duties may be assigned, by name; the caller
 // must not change the list.
-func (m *Members) Working() []Member { return m.View().Working }
+func (m *Members) Working() []Member { return m.View().Working() }
 
 // Leave marks this node as leaving and returns probes that announce it to up to
 // maxLeavePackets members.
@@ -153,7 +184,7 @@
 	m.self.State = MemberLeaving
 	m.setMember(m.self, now)
 	var out []Packet
-	for _, e := range m.known {
+	for _, e := range m.entries {
 		if e.Name != m.self.Name && e.State != MemberDead {
 			out = append(out, m.packet(e.Peer, Probe{Kind: ProbePing, Seq: m.nextSeq()}))
 		}
--- a/pkg/control/members_halls_test.go
+++ b/pkg/control/members_halls_test.go
@@ -57,7 +57,7 @@
 // alivePairs counts the pairs of nodes of which the first sees the second as alive.
 func (f *hallsFleet) alivePairs() (pairs int) {
 	for _, v := range f.views {
-		pairs += len(v.View().Alive)
+		pairs += len(v.View().Alive())
 	}
 	return pairs
 }
--- a/pkg/control/members_probing.go
+++ b/pkg/control/members_probing.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -30,18 +29,17 @@
 		changed = true
 	}
 	suspectTimeout := time.Duration(suspectPeriods*max(1, math.Log10(float64(len(m.known)+1)))) * m.period
-	for name, e := range m.known {
-		switch {
-		case e.State == MemberSuspect && now.Sub(e.stateSince) >= suspectTimeout:
+	for _, e := range m.suspects {
+		if now.Sub(e.stateSince) >= suspectTimeout {
 			u := e.Member
 			u.State = MemberDead
 			m.setMember(u, now)
 			changed = true
-		case e.State == MemberDead && now.Sub(e.stateSince) >= deadRetention:
-			delete(m.known, name)
-			delete(m.byPeer, e.Peer)
-			delete(m.updateSends, name)
-			m.view = nil
+		}
+	}
+	for _, e := range m.dead {
+		if now.Sub(e.stateSince) >= deadRetention {
+			m.removeEntry(e)
 		}
 	}
 	return changed
@@ -72,15 +70,10 @@
 // other halls. remoteSuspect reports whether one of the latter is suspect, as when
 // a hall is lost; other halls are then probed every period.
 func (m *Members) countOthers() (local, remote int, remoteSuspect bool) {
-	for name, e := range m.known {
-		switch {
-		case name == m.self.Name || e.State == MemberDead:
-		case e.DataHall == m.self.DataHall:
-			local++
-		default:
-			remote++
-			remoteSuspect = remoteSuspect || e.State == MemberSuspect
-		}
+	local = m.halls[m.self.DataHall].notDead - 1 // Without this node.
+	remote = len(m.known) - len(m.dead) - local - 1
+	for _, e := range m.suspects {
+		remoteSuspect = remoteSuspect || e.DataHall != m.self.DataHall
 	}
 	return local, remote, remoteSuspect
 }
@@ -121,9 +114,9 @@
 
 // newRound returns the members of the own hall or of all others in random order.
 func (m *Members) newRound(remote bool) (round []string) {
-	for name, e := range m.known {
-		if name != m.self.Name && e.State != MemberDead && (e.DataHall != m.self.DataHall) == remote {
-			round = append(round, name)
+	for _, e := range m.entries {
+		if e.Name != m.self.Name && e.State != MemberDead && (e.DataHall != m.self.DataHall) == remote {
+			round = append(round, e.Name)
 		}
 	}
 	slices.Sort(round)
@@ -134,20 +127,14 @@
 // pickUnreachable returns a random address among those of dead members and seeds
 // that no other member uses.
 func (m *Members) pickUnreachable() (netip.AddrPort, bool) {
-	var addrs []netip.AddrPort
-	inUse := map[netip.AddrPort]bool{m.self.Peer: true}
-	for _, e := range m.known {
-		if e.State != MemberDead {
-			inUse[e.Peer] = true
-		}
-	}
-	for _, e := range m.known {
-		if !inUse[e.Peer] {
+	addrs := make([]netip.AddrPort, 0, len(m.dead)+len(m.seeds))
+	for _, e := range m.dead {
+		if m.byPeer[e.Peer] == e.Name {
 			addrs = append(addrs, e.Peer)
 		}
 	}
-	for _, seed := range m.seeds {
-		if !inUse[seed] {
+	for seed := range m.seeds {
+		if seed != m.self.Peer {
 			addrs = append(addrs, seed)
 		}
 	}
@@ -157,15 +144,21 @@
 	return addrs[m.rng.IntN(len(addrs))], true
 }
 
+// maxHelperDraws bounds the members that are drawn to find indirectProbes of them.
+const maxHelperDraws = 20 * indirectProbes
+
 // pickHelpers returns random members to ask for an indirect probe of target.
 func (m *Members) pickHelpers(target string) []Member {
 	var list []Member
-	for _, e := range m.known {
-		if e.State == MemberAlive && e.Name != m.self.Name && e.Name != target {
+	for range maxHelperDraws {
+		e := m.entries[m.rng.IntN(len(m.entries))]
+		drawn := slices.ContainsFunc(list, func(h Member) bool { return h.Name == e.Name })
+		if !drawn && e.State == MemberAlive && e.Name != m.self.Name && e.Name != target {
 			list = append(list, e.Member)
 		}
+		if len(list) == indirectProbes {
+			break
+		}
 	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	m.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), indirectProbes)]
+	return list
 }
--- a/pkg/control/members_updates.go
+++ b/pkg/control/members_updates.go
@@ -110,12 +110,15 @@
 
 // setMember stores a member's record and queues it as an update.
 func (m *Members) setMember(u Member, now time.Time) {
+	m.storeRecord(u, now)
+	m.updateSends[u.Name] = 0
+}
+
+// storeRecord stores a member's record.
+func (m *Members) storeRecord(u Member, now time.Time) {
 	u.hash = xxhash.Sum64String(u.Name)
 	if old := m.known[u.Name]; old == nil || old.Working() != u.Working() {
 		m.generation++
 	}
-	m.known[u.Name] = &memberEntry{Member: u, stateSince: now}
-	m.byPeer[u.Peer] = u.Name
-	m.updateSends[u.Name] = 0
-	m.view = nil
+	m.setEntry(&memberEntry{Member: u, stateSince: now})
 }
--- a/pkg/control/rendezvous.go
+++ b/pkg/control/rendezvous.go
@@ -46,6 +46,24 @@
 	return list
 }
 
+// Rank returns how many members precede the named one for a duty, all of them if it is not
+// among them.
+func Rank(members []Member, duty, name string) (rank int) {
+	h := hashDuty(duty)
+	own := rendezvous.Weight(h, rendezvous.Hash(name))
+	found := false
+	for i := range members {
+		found = found || members[i].Name == name
+		if rendezvous.Weight(h, members[i].nameHash()) > own {
+			rank++
+		}
+	}
+	if !found {
+		return len(members)
+	}
+	return rank
+}
+
 // nameHash returns the cached hash of the name, or computes it.
 func (m Member) nameHash() uint64 {
 	if m.hash != 0 {
--- a/service/gateway/cold_shares.go
+++ b/service/gateway/cold_shares.go
@@ -71,7 +71,7 @@
 	key := coldShareKey{replica, hall, limit}
 	share, cached := c.cached[key]
 	if !cached {
-		share = computeShare(view.All, c.self.Name, key)
+		share = computeShare(view.All(), c.self.Name, key)
 		c.cached[key] = share
 	}
 	return share
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -272,7 +272,7 @@
 // an evacuation may take. If the store is down for every node, it accepts no changes
 // either, and nodes that reach each other know all there is.
 func (g *Gateway) isolated(now time.Time) bool {
-	if len(g.nodes.members.All()) <= 1 || len(g.nodes.members.Working()) > 1 {
+	if counts := g.nodes.members.View().Counts(); counts.All <= 1 || counts.Working > 1 {
 		return false
 	}
 	return now.Sub(g.suspension.lastAnswered(site.TableOperator)) > g.conf().Evacuation.MaxTime.Std()
@@ -316,7 +316,7 @@
 // also dead ones: otherwise nodes that are partitioned, or that consider each other dead,
 // would each take the whole slack.
 func (g *Gateway) retrySlack() float64 {
-	n := len(g.nodes.members.All())
+	n := g.nodes.members.View().Counts().All
 	if !g.nodes.coldShares.membersKnown() {
 		n = max(n, assumedNodes)
 	}
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -92,7 +92,7 @@
 // until it has done so and knows other nodes, and then again from time to time.
 func (n *nodes) discover(ctx context.Context) {
 	now := boottime.Now()
-	known := len(n.members.Working())
+	known := n.members.View().Counts().Working
 	n.mu.Lock()
 	interval := rediscoverInterval * time.Duration(max(1, known/rediscoverNodes))
 	due := !n.announced || known <= 1 || now.Sub(n.membersReadAt) >= interval
@@ -201,7 +201,7 @@
 func (n *nodes) announceStop() { n.probes.Send(n.members.Leave(time.Now())) }
 
 // count returns the number of nodes known to work, at least 1.
-func (n *nodes) count() int { return max(1, len(n.members.Working())) }
+func (n *nodes) count() int { return max(1, n.members.View().Counts().Working) }
 
 // entryAddrs lists the nodes that clients in a data hall may use: those of the hall; if
 // fewer than minEntries are alive there, those of its region; then those in the homes, the
@@ -213,13 +213,13 @@
 		region = n.regions[hall]
 	}
 	if len(candidates) < minEntries {
-		candidates = longer(n.inRegions(view.Alive, []string{region}), candidates)
+		candidates = longer(n.inRegions(view.Alive(), []string{region}), candidates)
 	}
 	if len(candidates) < minEntries {
-		candidates = longer(n.inRegions(view.Alive, homes), candidates)
+		candidates = longer(n.inRegions(view.Alive(), homes), candidates)
 	}
 	if len(candidates) == 0 || len(candidates) < minEntries && len(homes) == 0 {
-		candidates = view.Alive
+		candidates = view.Alive()
 	}
 	addrs := make([]netip.AddrPort, len(candidates))
 	for i, m := range candidates {
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -117,7 +117,7 @@
 
 func (r *sharedReader) newPlan(view *control.View) readerPlan {
 	p := readerPlan{view: view, owners: map[site.Table][]control.Member{}}
-	p.shared = !r.direct && len(view.Alive) > maxDirectNodes
+	p.shared = !r.direct && view.Counts().Alive > maxDirectNodes
 	if !p.shared {
 		return p
 	}
@@ -132,7 +132,7 @@
 // like a small hall, reads through nodes of other halls. With a reader for each small hall, or
 // none, calls to the store were most of the cost of 18 nodes in 5 halls.
 func (r *sharedReader) readerCandidates(view *control.View) []control.Member {
-	wide := control.WithWidestLinks(view.Alive)
+	wide := control.WithWidestLinks(view.Alive())
 	if len(view.Hall(r.self.DataHall).Alive) <= maxDirectNodes {
 		return wide
 	}
@@ -174,7 +174,7 @@
 }
 
 // aliveMembers lists the live nodes.
-func aliveMembers(m *control.Members) []control.Member { return m.View().Alive }
+func aliveMembers(m *control.Members) []control.Member { return m.View().Alive() }
 
 // hallMembers lists the live nodes of a hall.
 func hallMembers(m *control.Members, hall string) []control.Member { return m.View().Hall(hall).Alive }
--- a/service/gateway/store_events.go
+++ b/service/gateway/store_events.go
@@ -74,7 +74,7 @@
 // relayFor is the node that follows a store for this hall; ok is false if this node follows it
 // itself.
 func (r *storeEventRelay) relayFor(v *site.Service) (addr netip.AddrPort, ok bool) {
-	if n := len(r.members.Working()); v.Store.MaxWatches <= 0 || n <= v.Store.MaxWatches-spareWatches {
+	if n := r.members.View().Counts().Working; v.Store.MaxWatches <= 0 || n <= v.Store.MaxWatches-spareWatches {
 		return addr, false
 	}
 	owner, found := control.Owner(control.WithWidestLinks(hallMembers(r.members, r.self.DataHall)), storeRelayDuty+v.Name)
--- a/service/ratelimit/limits.go
+++ b/service/ratelimit/limits.go
@@ -191,7 +191,7 @@
 	if known {
 		return owner
 	}
-	owner, ok := control.Owner(view.Working, ownerKeyPrefix+start)
+	owner, ok := control.Owner(view.Working(), ownerKeyPrefix+start)
 	if !ok {
 		owner = l.self
 	}
@@ -202,7 +202,7 @@
 // grantShare returns the share of a rate that this node grants: the share of nodes that it doesn't
 // consider dead.
 func (l *Limits) grantShare() float64 {
-	all, dead := l.members.View().All, 0
+	all, dead := l.members.View().All(), 0
 	for i := range all {
 		if all[i].State == control.MemberDead {
 			dead++
--- a/service/suspects/learn.go
+++ b/service/suspects/learn.go
@@ -92,22 +92,23 @@
 // service calls it.
 func (s *Suspects) Learn(context.Context) {
 	if !s.hasLearned() {
-		s.sendDigest(s.members.View().Working)
+		s.sendDigest(s.members.View().Working())
 	}
 }
 
 // sendDigest sends the digest of this node to a random one of the candidates, which answers
 // if its own differs.
 func (s *Suspects) sendDigest(candidates []control.Member) {
-	var others []netip.AddrPort
-	for _, m := range candidates {
-		if m.Name != s.self.Name {
-			others = append(others, m.Peer)
-		}
-	}
-	if len(others) == 0 {
+	if len(candidates) == 0 {
 		return
 	}
-	to := []netip.AddrPort{others[rand.IntN(len(others))]}
+	i := rand.IntN(len(candidates))
+	if candidates[i].Name == s.self.Name {
+		i = (i + 1) % len(candidates)
+	}
+	if candidates[i].Name == s.self.Name {
+		return // It is the only one.
+	}
+	to := []netip.AddrPort{candidates[i].Peer}
 	s.notifier.SendNote(to, NoteDigest, digestNote{From: s.self.Peer, Digest: s.register.Digest(), Learning: !s.hasLearned()})
 }
--- a/service/suspects/notes.go
+++ b/service/suspects/notes.go
@@ -209,7 +209,7 @@
 	now := boottime.Now()
 	s.register.Expire(now)
 	s.forgetDelisted(now)
-	s.sendDigest(s.members.View().All) // Failed members too, as this node may have been cut off.
+	s.sendDigest(s.members.View().All()) // Failed members too, as this node may have been cut off.
 }
 
 // HandleDigest handles a NoteDigest. If the digests differ, it sends cases that the other
--- a/service/suspects/suspects.go
+++ b/service/suspects/suspects.go
@@ -328,7 +328,7 @@
 
 // owners returns the nodes that collect the evidence about a request and grant its runs.
 func (s *Suspects) owners(f site.Fingerprint) []control.Member {
-	return control.Owners(s.members.View().Working, ownerDutyPrefix+f.String(), ownerCount)
+	return control.Owners(s.members.View().Working(), ownerDutyPrefix+f.String(), ownerCount)
 }
 
 // Status is the part of a node's status that Suspects reports.
