A change of one replica costs what it changes, and a pick compares a bounded number

In front of 9,773 replicas each change of one row had all replicas copied and sorted (Pool.Configure 8.4 ms of a core), the tracked engines chosen anew from all (SelectTracked 21.6 ms), and each pick, three for a prompt, looked at all of them twice (5.4 ms, 28 ms on a node with a fifth of a core). Beside them the loads that nodes tell, lapsed rows, drains, ejections and weights that were named looked at all replicas some times a second.

The pool takes and drops single replicas (Put, Remove); it keeps each hall's replicas in the order of their hashes, from which the tracked engines are the first ones, and lists of those with load. Above 384 replicas a pick compares the hall's subset: the first 64 in that order that can be used, the same at all nodes of the hall, and 16 drawn at random; if none can take the request, other halls and then all. So shared parts of prompts meet among engines whose caches are known.

Up to 384 replicas nothing is chosen otherwise than before.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -146,6 +146,10 @@
 		{"cold", "nanoseconds for which its row says that it is cold"},
 		{"restarted", "whether it has restarted under the same ID"},
 	}},
+	{"upstream list received", Change, "The list of upstreams was read for the first time; its replicas are not logged one by one.", []Key{
+		{"rows", "how many rows it has"},
+		{"upstreams", "how many of them name a replica"},
+	}},
 	{"upstream dropped", Change, "The list no longer has a replica.", []Key{
 		keyUpstream, keyService, {"missing", "nanoseconds for which the node waited for its entry to return after an outage of the store"},
 	}},
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -46,8 +46,8 @@
 	Version int64
 }
 
-// outdated reports whether the replica still needs a swap.
-func (t *Target) outdated() bool { return t.Weights[t.Model] < t.Version }
+// Outdated reports whether the replica still needs a swap.
+func (t *Target) Outdated() bool { return t.Weights[t.Model] < t.Version }
 
 const (
 	// StepInterval is the period of Step.
@@ -164,7 +164,7 @@
 		i := groupOf(t.ID)
 		sizes[i]++
 		total++
-		if t.outdated() {
+		if t.Outdated() {
 			outdated[i] = append(outdated[i], t)
 		}
 	}
--- a/pkg/route/choose.go
+++ b/pkg/route/choose.go
@@ -34,27 +34,40 @@
 }
 
 // choose returns the replica for a request, nil if none is eligible. Replicas of last
-// resort are considered only if there is no other.
+// resort are considered only if there is no other. If none of the replicas drawn from a large
+// pool is eligible, all are looked at.
 func (p *Pool) choose(in *PickInput, affinity *member, now time.Time) *member {
-	for _, lastResort := range []bool{false, true} {
-		candidates, leastIdle := p.candidates[:0], math.Inf(1)
-		for _, m := range p.members {
-			if m.lastResort(now) != lastResort {
-				continue
-			}
-			reason, rate := p.exclusion(m, in, now)
-			if reason != NotExcluded {
-				continue
-			}
-			c := candidate{member: m, idleCost: p.idleCost(m, in, m == affinity, &rate, now)}
-			candidates, leastIdle = append(candidates, c), min(leastIdle, c.idleCost)
+	if len(p.members) > maxCompared {
+		if m := p.chooseAmong(in.candidates, false, in, affinity, now); m != nil {
+			return m
 		}
-		p.candidates = candidates
-		if len(candidates) > 0 {
-			return p.cheapest(p.sample(candidates, leastIdle), in, now)
+	}
+	if m := p.chooseAmong(p.members, false, in, affinity, now); m != nil {
+		return m
+	}
+	return p.chooseAmong(p.members, true, in, affinity, now)
+}
+
+// chooseAmong returns the cheapest of a few of the eligible replicas in a list, either of
+// those of last resort or of the others.
+func (p *Pool) chooseAmong(list []*member, lastResort bool, in *PickInput, affinity *member, now time.Time) *member {
+	candidates, leastIdle := p.candidates[:0], math.Inf(1)
+	for _, m := range list {
+		if m.removed() || m.lastResort(now) != lastResort {
+			continue
+		}
+		reason, rate := p.exclusion(m, in, now)
+		if reason != NotExcluded {
+			continue
 		}
+		c := candidate{member: m, idleCost: p.idleCost(m, in, m == affinity, &rate, now)}
+		candidates, leastIdle = append(candidates, c), min(leastIdle, c.idleCost)
+	}
+	p.candidates = candidates
+	if len(candidates) == 0 {
+		return nil
 	}
-	return nil
+	return p.cheapest(p.sample(candidates, leastIdle), in, now)
 }
 
 // sample moves the candidates to compare to the front of a list, and returns them.
--- a/pkg/route/exclusion.go
+++ b/pkg/route/exclusion.go
@@ -26,6 +26,8 @@
 	ExcludedTried Exclusion = "tried"
 	// ExcludedWeights: its weights are too old, or it serves another model.
 	ExcludedWeights Exclusion = "weights"
+	// ExcludedSoftware: it has another version of its software than the request may run on.
+	ExcludedSoftware Exclusion = "software"
 	// ExcludedCold: it is cold or presumed to be, and this node's share of it is used up.
 	ExcludedCold Exclusion = "cold"
 	// ExcludedLimited: it has set a rate limit, which is used up.
@@ -50,6 +52,8 @@
 		return ExcludedTried, rate
 	case !m.serves(in):
 		return ExcludedWeights, rate
+	case !in.Software.allows(m.Software):
+		return ExcludedSoftware, rate
 	case !p.coldShareAllows(m, now):
 		return ExcludedCold, rate
 	}
@@ -131,6 +135,19 @@
 	return ok && now.Before(m.backoffUntil)
 }
 
+// AnyInBackoff reports whether any replica, listed or not, has asked this node to send it
+// nothing now.
+func (p *Pool) AnyInBackoff(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, end := range p.backoffs {
+		if now.Before(end) {
+			return true
+		}
+	}
+	return false
+}
+
 // Accepts reports whether a picked replica may still be sent its request. It may have been
 // removed or have begun to drain while the connection was made.
 func (p *Pool) Accepts(u *site.Upstream, now time.Time) bool {
--- a/pkg/route/in_flight_request.go
+++ b/pkg/route/in_flight_request.go
@@ -25,7 +25,9 @@
 	m, ok := p.byID[c.ID]
 	if !ok {
 		// It has just been removed; the request is sent there all the same.
-		m = &member{Upstream: c.Upstream, inFlight: map[*InFlightRequest]struct{}{}, latencyRatio: 1}
+		m = &member{Upstream: c.Upstream, index: notListed, latencyRatio: 1}
+	} else {
+		p.busy[m] = struct{}{}
 	}
 	request := &InFlightRequest{
 		pool:                  p,
@@ -39,6 +41,9 @@
 		expected:              c.Expected,
 		expectedAtMeanLatency: c.ExpectedAtMeanLatency,
 	}
+	if m.inFlight == nil {
+		m.inFlight = map[*InFlightRequest]struct{}{}
+	}
 	m.inFlight[request] = struct{}{}
 	m.pendingTokens[request.priorityBand] += c.PrefillTokens
 	m.heldMemory += c.Memory
@@ -98,6 +103,9 @@
 	r.ended = true
 	m := r.member
 	delete(m.inFlight, r)
+	if len(m.inFlight) == 0 {
+		delete(p.busy, m)
+	}
 	m.heldMemory -= r.memory
 	switch {
 	case r.firstByteSeen:
--- a/pkg/route/links.go
+++ b/pkg/route/links.go
@@ -73,6 +73,17 @@
 	}
 }
 
+// NominalRate returns a link's nominal rate in bytes a second, a default if it has not been
+// reported.
+func (l *Links) NominalRate(name string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s, ok := l.links[name]; ok {
+		return s.nominal
+	}
+	return defaultLinkRate
+}
+
 // minBusySample is the least busy time from which a rate is computed.
 const minBusySample = 50 * time.Millisecond
 
--- a/pkg/route/outlier.go
+++ b/pkg/route/outlier.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// outlierConsecutiveFailures is the number of failures in a row after which a replica
@@ -64,6 +67,7 @@
 	m.outlier.consecutiveFailures = 0
 	m.outlier.outcomes = 0
 	m.failureRate = p.meanFailureRate
+	p.ejected = append(p.ejected, m)
 }
 
 // RecordUnreachable records that a replica can't be reached. A single failed attempt is
@@ -86,11 +90,7 @@
 	if p.disabled.Ejection {
 		return false
 	}
-	ejected := 1
-	for _, m := range p.members {
-		if m.outlier.ejected(now) {
-			ejected++
-		}
-	}
+	p.ejected = slices.DeleteFunc(p.ejected, func(m *member) bool { return m.removed() || !m.outlier.ejected(now) })
+	ejected := len(p.ejected) + 1
 	return ejected == 1 || float64(ejected) <= maxEjectedShare*float64(len(p.members))
 }
--- a/pkg/route/pick_input.go
+++ b/pkg/route/pick_input.go
@@ -35,10 +35,31 @@
 	// HomesOnly restricts the request to the regions in Homes.
 	HomesOnly bool
 	Homes     []string
+	// Software restricts the request to replicas of one version of their software, or to
+	// those of all others.
+	Software SoftwareRule
 	// UnlimitedOnly excludes the replicas that have a rate limit.
 	UnlimitedOnly bool
 	// Send is set if the request is about to be sent to the picked replica.
 	Send bool
+
+	// candidates are the replicas that were drawn for the next pick from a large pool. The
+	// first ones are the subset that the nodes of the data hall share.
+	candidates []*member
+	subset     int
+}
+
+// SoftwareRule restricts requests by the version of the replicas' software. The zero rule
+// allows all.
+type SoftwareRule struct {
+	Version string
+	// Excluded means that replicas of the version are not used, instead of them only.
+	Excluded bool
+}
+
+// allows reports whether a replica with a version of its software may be used.
+func (r *SoftwareRule) allows(version string) bool {
+	return r.Version == "" || (r.Version == version) != r.Excluded
 }
 
 // CacheCoverage is what a replica has cached of a prompt's shared tokens, or can fetch.
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -2,12 +2,10 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/config"
-	"github.com/drumpath/drumpath/pkg/rendezvous"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -22,8 +20,22 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	dataHall string // The data hall of this node.
-	byID     map[string]*member
-	members  []*member
+	// subsetSeed selects this node's subset of the replicas for requests without a prompt.
+	subsetSeed uint64
+	byID       map[string]*member
+	byStart    map[NameHash]*member // By the hash of the start key.
+	members    []*member            // In no particular order.
+	// hallOrder has the replicas of each data hall in the order of their hashes.
+	hallOrder map[string][]*member
+	busy      map[*member]struct{} // Replicas with requests of this node in flight.
+	reported  []*member            // Replicas with requests of other nodes.
+	ejected   []*member            // Replicas that were ejected and may still be.
+	// revision counts the changes of the list and of the versions of weights.
+	revision uint64
+	// weightCounts counts the replicas that serve a version of a model's weights.
+	weightCounts map[modelVersion]int
+	// softwareCounts counts the replicas by the version of their software.
+	softwareCounts map[string]int
 	// secondsPerToken and baseSeconds are learnt from answers: the time to prefill one
 	// token, and the time to the first byte of a prompt with few tokens to prefill.
 	secondsPerToken float64
@@ -51,9 +63,16 @@
 	candidates []candidate
 }
 
+// modelVersion is one version of a model's weights.
+type modelVersion struct {
+	model   string
+	version int64
+}
+
 // member is one replica of a pool.
 type member struct {
 	site.Upstream
+	index  int    // Position in Pool.members.
 	idHash uint64 // Hash of the ID.
 	// startHash is the hash of startKey. Reports about an earlier start of the replica
 	// have another hash and are ignored.
@@ -134,52 +153,27 @@
 
 // NewPool returns an empty pool for a node in the given data hall.
 func NewPool(hall string, rng *rand.Rand) *Pool {
-	return &Pool{dataHall: hall, rng: rng, byID: map[string]*member{}, secondsPerToken: initialSecondsPerToken, baseSeconds: initialBaseSeconds, meanRequestTime: initialRequestTime, meanLatencyRatio: 1, backoffs: map[string]time.Time{}}
+	return &Pool{
+		dataHall:         hall,
+		rng:              rng,
+		subsetSeed:       rng.Uint64(),
+		byID:             map[string]*member{},
+		byStart:          map[NameHash]*member{},
+		hallOrder:        map[string][]*member{},
+		busy:             map[*member]struct{}{},
+		weightCounts:     map[modelVersion]int{},
+		softwareCounts:   map[string]int{},
+		secondsPerToken:  initialSecondsPerToken,
+		baseSeconds:      initialBaseSeconds,
+		meanRequestTime:  initialRequestTime,
+		meanLatencyRatio: 1,
+		backoffs:         map[string]time.Time{},
+	}
 }
 
 // Disable switches mechanisms off. It must be called before the pool is used.
 func (p *Pool) Disable(mechanisms config.DisabledMechanisms) { p.disabled = mechanisms }
 
-// Configure sets the list of replicas. State of replicas that stay is kept.
-func (p *Pool) Configure(list []site.Upstream, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	old := p.byID
-	p.byID = make(map[string]*member, len(list))
-	p.members = p.members[:0]
-	for _, u := range list {
-		m, ok := old[u.ID]
-		if !ok || m.StartedBefore(&u) {
-			// State of an earlier start is dropped: its weights, latency, failures and
-			// requests in flight.
-			m = &member{idHash: rendezvous.Hash(u.ID), startHash: HashName(u.StartKey()), startKey: u.StartKey(), inFlight: map[*InFlightRequest]struct{}{}, latencyRatio: 1}
-			m.backoffUntil = p.backoffs[m.startKey]
-		}
-		if !m.Started.Equal(u.Started) { // The same start; one of the lists lacks its time.
-			m.startHash, m.startKey = HashName(u.StartKey()), u.StartKey()
-		}
-		weights := m.Weights
-		m.Upstream = u
-		// Versions seen in answers are newer than the list.
-		for model, v := range weights {
-			if v > u.Weights[model] {
-				m.setWeights(model, v)
-			}
-		}
-		if u.ColdUntil.After(now) {
-			m.coldUntil = u.ColdUntil
-		}
-		p.byID[u.ID] = m
-		p.members = append(p.members, m)
-	}
-	slices.SortFunc(p.members, func(a, b *member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-}
-
 // ReplicaLoad is the load that this node has in flight at one replica.
 type ReplicaLoad struct {
 	Key  NameHash
@@ -190,11 +184,9 @@
 func (p *Pool) AppendLoads(list []ReplicaLoad) []ReplicaLoad {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, m := range p.members {
-		if len(m.inFlight) > 0 {
-			load := PeerLoad{Requests: len(m.inFlight), Tokens: m.pendingTokens, Memory: m.heldMemory}
-			list = append(list, ReplicaLoad{Key: m.startHash, Load: load})
-		}
+	for m := range p.busy {
+		load := PeerLoad{Requests: len(m.inFlight), Tokens: m.pendingTokens, Memory: m.heldMemory}
+		list = append(list, ReplicaLoad{Key: m.startHash, Load: load})
 	}
 	return list
 }
@@ -204,8 +196,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engineMemory = max(p.engineMemory, in.Capacity)
+	if len(in.candidates) == 0 {
+		p.drawCandidates(in, now)
+	}
 	affinity := p.affinityMember(in)
 	chosen := p.choose(in, affinity, now)
+	in.candidates = in.candidates[:0]
 	if chosen == nil {
 		return Choice{}, false
 	}
--- a/pkg/route/pool_estimate.go
+++ b/pkg/route/pool_estimate.go
@@ -9,14 +9,15 @@
 
 // affinityMember returns the replica that a prompt's shared parts are assigned to by
 // rendezvous hashing, nil for none. All nodes compute the same one without communication,
-// so it is the most likely to have the parts cached.
+// so it is the most likely to have the parts cached. In a large pool it is one of the
+// subset that the nodes of a data hall share.
 func (p *Pool) affinityMember(in *PickInput) *member {
 	if in.Affinity == 0 || p.disabled.PrefixAffinity {
 		return nil
 	}
 	var best *member
 	weight := uint64(0)
-	for _, m := range p.members {
+	for _, m := range p.assignable(in) {
 		if m.Draining {
 			continue
 		}
--- a/pkg/route/pool_updates.go
+++ b/pkg/route/pool_updates.go
@@ -20,8 +20,15 @@
 func (p *Pool) SetPeers(loads map[NameHash]PeerLoad) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, m := range p.members {
-		m.peerLoad = loads[m.startHash]
+	for _, m := range p.reported {
+		m.peerLoad = PeerLoad{}
+	}
+	p.reported = p.reported[:0]
+	for start, load := range loads {
+		if m := p.byStart[start]; m != nil {
+			m.peerLoad = load
+			p.reported = append(p.reported, m)
+		}
 	}
 }
 
@@ -92,7 +99,10 @@
 	defer p.mu.Unlock()
 	m, ok := p.find(ref)
 	if ok && version > 0 && m.Weights[model] != version {
+		p.countWeights(m, -1)
 		m.setWeights(model, version)
+		p.countWeights(m, 1)
+		p.revision++
 		m.avoidUntil, m.swapUntil = time.Time{}, time.Time{}
 	}
 }
--- a/pkg/route/pool_views.go
+++ b/pkg/route/pool_views.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -30,13 +31,17 @@
 }
 
 // MedianWait returns the median queueing time of a prompt of the least urgent priority,
-// over the replicas that accept requests.
+// over the replicas that accept requests, in a large pool over some of this node's data hall.
 func (p *Pool) MedianWait(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	in := &PickInput{Priority: bandCount - 1, Memory: p.memory.meanTokens()}
 	var waits []float64
-	for _, m := range p.members {
+	sample := p.members
+	if own := p.hallOrder[p.dataHall]; len(sample) > maxCompared {
+		sample = own[:min(len(own), medianWaitSample)]
+	}
+	for _, m := range sample {
 		if m.generalExclusion(now) == NotExcluded && !m.lastResort(now) {
 			waits = append(waits, p.prefillQueueSeconds(m, in, p.relativeLatency(m, now), now))
 		}
@@ -118,5 +123,6 @@
 			Limited:  rate.Limited,
 		})
 	}
+	slices.SortFunc(list, func(a, b PoolReplicaStatus) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/pkg/route/tracked_test.go
+++ b/pkg/route/tracked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -16,6 +17,12 @@
 	return list
 }
 
+func poolOf(engines []site.Upstream) *Pool {
+	p := NewPool("", rand.New(rand.NewPCG(1, 2)))
+	p.Configure(engines, testNow)
+	return p
+}
+
 func trackedIDs(tracked map[string][]site.Upstream) map[string]bool {
 	ids := map[string]bool{}
 	for _, list := range tracked {
@@ -31,9 +38,11 @@
 func TestGrowingFleetReplacesAtMostOneTrackedEngine(t *testing.T) {
 	const most = 64
 	all := enginesInHalls(5, 120)
-	before := trackedIDs(SelectTracked("h0", all[:1], most))
+	p := poolOf(all[:1])
+	before := trackedIDs(p.Tracked("h0", most))
 	for n := 2; n <= len(all); n++ {
-		now := trackedIDs(SelectTracked("h0", all[:n], most))
+		p.Put(all[n-1], testNow)
+		now := trackedIDs(p.Tracked("h0", most))
 		assert.Equal(t, len(now), min(n, most))
 		lost := 0
 		for id := range before {
@@ -50,14 +59,14 @@
 func TestEnginesTrackedElsewhereAreTrackedInTheirOwnHall(t *testing.T) {
 	const most = 64
 	for _, each := range []int{1, 3, 12, 51, 330} {
-		all := enginesInHalls(5, each)
+		p := poolOf(enginesInHalls(5, each))
 		own := map[string]map[string]bool{}
 		for h := range 5 {
 			hall := fmt.Sprint("h", h)
-			own[hall] = trackedIDs(map[string][]site.Upstream{hall: SelectTracked(hall, all, most)[hall]})
+			own[hall] = trackedIDs(map[string][]site.Upstream{hall: p.Tracked(hall, most)[hall]})
 		}
 		for h := range 5 {
-			for hall, list := range SelectTracked(fmt.Sprint("h", h), all, most) {
+			for hall, list := range p.Tracked(fmt.Sprint("h", h), most) {
 				for _, u := range list {
 					assert.Assert(t, own[hall][u.ID], "%s of %s, %d each", u.ID, hall, each)
 				}
--- a/pkg/site/upstream.go
+++ b/pkg/site/upstream.go
@@ -14,6 +14,7 @@
 	// loses its cache and all other state.
 	Started  time.Time
 	Service  string
+	Software string // Version of its software, "" if unknown.
 	Addr     netip.AddrPort
 	DataHall string
 	Slots    int
--- a/service/gateway/control_bench_test.go
+++ b/service/gateway/control_bench_test.go
@@ -34,7 +34,7 @@
 			ID: id, Service: "llm", DataHall: fmt.Sprint("hall-", i%fleetHalls), Slots: 24, Weights: map[string]int64{"m": 1},
 		}}
 	}
-	siteState.rebuildPools(time.Now())
+	siteState.updateAllPools(time.Now())
 	m := control.NewMembers(self, 300*time.Millisecond, nil, rand.New(rand.NewPCG(1, 2)))
 	var list []control.Member
 	for i := 1; i < nodeCount; i++ {
@@ -112,7 +112,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				peers := n.hallPeers(n.self.DataHall)
+				peers := n.hallPeers()
 				n.sendLoads(n.loadRecipients(peers)[:0])
 				n.refreshPeerLoads(time.Now())
 			}
--- a/service/gateway/engine_caches.go
+++ b/service/gateway/engine_caches.go
@@ -159,7 +159,7 @@
 }
 
 // chooseEngines lists the engines that this node tracks, by hall and in the order of
-// route.SelectTracked.
+// route.Pool.Tracked.
 func (f *engineCacheFollower) chooseEngines(s *site.Snapshot) map[string][]site.Upstream {
 	byHall := map[string][]site.Upstream{}
 	if s == nil || f.siteState.disabled.EngineCacheEvents {
@@ -174,8 +174,7 @@
 	for name, p := range pools {
 		var tracked []site.Upstream
 		// Evacuated engines must not be sent anything, not even these calls.
-		usable := slices.DeleteFunc(p.Upstreams(), func(u site.Upstream) bool { return u.Evacuated })
-		for hall, engines := range route.SelectTracked(f.self.DataHall, usable, maxTrackedEngines/len(pools)) {
+		for hall, engines := range p.Tracked(f.self.DataHall, maxTrackedEngines/len(pools)) {
 			byHall[hall] = append(byHall[hall], engines...)
 			tracked = append(tracked, engines...)
 		}
@@ -222,7 +221,7 @@
 
 // relayFor is the node of a hall that has a relay duty.
 func (f *engineCacheFollower) relayFor(hall, duty string) (control.Member, bool) {
-	return control.Owner(control.WithWidestLinks(hallMembers(f.members, hall)), duty)
+	return control.Owner(f.members.View().Hall(hall).Wide, duty)
 }
 
 // setFollowed starts following the engines that are new in wanted and stops following those
--- a/service/gateway/engine_caches_serve.go
+++ b/service/gateway/engine_caches_serve.go
@@ -17,7 +17,7 @@
 	Epoch uint64   `json:"epoch"`
 	From  uint64   `json:"from"`
 	Halls []string `json:"halls"`
-	// MaxEngines limits the engines by rank in each hall, in the order of route.SelectTracked;
+	// MaxEngines limits the engines by rank in each hall, in the order of route.Pool.Tracked;
 	// nil means all engines of Halls.
 	MaxEngines map[string]int `json:"most,omitempty"`
 	// NeedFull lists engines whose contents the requesting node does not have yet.
--- a/service/gateway/engine_caches_test.go
+++ b/service/gateway/engine_caches_test.go
@@ -72,7 +72,7 @@
 	engine := &site.Engine{PlannedFetch: true, MaxWatches: 4, TokenBytes: 1, LinkRate: 1e9, Capacity: 40_000}
 	siteState.snapshot.Store(site.NewSnapshot(1, nil, map[string]*site.Service{"llm": {Name: "llm", Engine: engine}}, site.Limits{}))
 	siteState.upstreams["e"] = &upstreamEntry{Upstream: site.Upstream{ID: "e", Service: "llm", DataHall: "h", Weights: map[string]int64{"m": 1}}}
-	siteState.rebuildPools(time.Now())
+	siteState.updateAllPools(time.Now())
 	members := control.NewMembers(self, time.Second, nil, newRand())
 	for _, o := range others {
 		members.Merge([]control.Member{o}, time.Now())
--- a/service/gateway/evacuations.go
+++ b/service/gateway/evacuations.go
@@ -45,7 +45,7 @@
 	default:
 		return
 	}
-	st.rebuildPools(now)
+	st.updateAllPools(now)
 }
 
 // endEvacuation returns a data hall to service. Its replicas have probably become cold
@@ -87,7 +87,7 @@
 		}
 	}
 	if changed {
-		st.rebuildPools(now)
+		st.updateAllPools(now)
 	}
 }
 
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -91,7 +91,7 @@
 			CompleteBefore: x.g.siteState.ReplacedAt(x.pickInput.Model, version),
 		}
 	}
-	x.pickInput.Coverage = x.g.cacheIndex.Coverage(x.pool.Upstreams(), x.pickInput.Model, realm, x.info.Shared(), e, x.maxExpectedFetch(), now)
+	x.pickInput.Coverage = x.g.cacheIndex.Coverage(x.pool.Candidates(&x.pickInput, now), x.pickInput.Model, realm, x.info.Shared(), e, x.maxExpectedFetch(), now)
 }
 
 const (
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -96,6 +96,8 @@
 
 	relays     map[string]control.Member
 	relaysView *control.View // The view for which relays was computed.
+	peers      []netip.AddrPort
+	peersView  *control.View // The view for which peers was computed.
 }
 
 func newLoadState() loadState {
@@ -129,7 +131,7 @@
 		case <-t.C:
 		case <-n.loadsDue:
 		}
-		peers := n.hallPeers(n.self.DataHall)
+		peers := n.hallPeers()
 		n.sendLoads(n.loadRecipients(peers))
 		sleep(ctx, min(every, time.Duration(len(peers))*sendIntervalPerPeer))
 	}
@@ -185,9 +187,16 @@
 	return sent
 }
 
-// hallPeers lists the addresses of the other nodes of a hall that may be alive.
-func (n *nodes) hallPeers(hall string) []netip.AddrPort {
-	return n.members.View().Peers(n.self.Name, hall)
+// hallPeers lists the addresses of the other nodes of this node's hall that may be alive; the
+// caller must not change the list. It is recomputed when the membership has changed.
+func (n *nodes) hallPeers() []netip.AddrPort {
+	view := n.members.View()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.loads.peersView != view {
+		n.loads.peers, n.loads.peersView = view.Peers(n.self.Name, n.self.DataHall), view
+	}
+	return n.loads.peers
 }
 
 // loadRelays returns the load relay of each hall. It is recomputed when the membership has
@@ -220,7 +229,7 @@
 			continue
 		}
 		sent := n.sendHallSum()
-		sleep(ctx, max(n.transmitTime(sent), hallSumInterval+time.Duration(len(n.hallPeers(n.self.DataHall)))*hallSumIntervalPerNode))
+		sleep(ctx, max(n.transmitTime(sent), hallSumInterval+time.Duration(len(n.hallPeers()))*hallSumIntervalPerNode))
 	}
 }
 
@@ -242,7 +251,7 @@
 func (n *nodes) sendHallSum() int {
 	relays := n.loadRelays()
 	var others []netip.AddrPort
-	if peers := n.hallPeers(n.self.DataHall); len(peers) >= maxDirectNodes {
+	if peers := n.hallPeers(); len(peers) >= maxDirectNodes {
 		others = peers
 	}
 	for hall, m := range relays {
--- a/service/gateway/loads_received.go
+++ b/service/gateway/loads_received.go
@@ -69,7 +69,7 @@
 	if !due {
 		return
 	}
-	sent := n.sendNote(n.hallPeers(n.self.DataHall), noteHallLoads, note)
+	sent := n.sendNote(n.hallPeers(), noteHallLoads, note)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.loads.nextForward[note.Hall] = now.Add(n.transmitTime(sent))
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -264,4 +264,4 @@
 }
 
 // HallPeers implements suspects.Notifier.
-func (s suspectNotifier) HallPeers() []netip.AddrPort { return s.n.hallPeers(s.n.self.DataHall) }
+func (s suspectNotifier) HallPeers() []netip.AddrPort { return s.n.hallPeers() }
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -159,7 +159,7 @@
 		return
 	}
 	if note.Relay {
-		n.sendNote(n.hallPeers(n.self.DataHall), noteReplicaUpdates, replicaUpdatesNote{Updates: note.Updates})
+		n.sendNote(n.hallPeers(), noteReplicaUpdates, replicaUpdatesNote{Updates: note.Updates})
 	}
 	for _, u := range note.Updates {
 		n.applyUpdate(u)
--- a/service/gateway/rollout_fleet.go
+++ b/service/gateway/rollout_fleet.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
@@ -15,14 +17,61 @@
 	siteState *SiteState
 	nodes     *nodes
 	within    time.Duration // Allowed time from naming new weights until all replicas have them.
+
+	mu sync.Mutex
+	// settled is the state of the replicas and of the named weights at which no replica had
+	// outdated weights.
+	settled weightsState
+}
+
+// weightsState changes with the replicas, their weights and the named weights.
+type weightsState struct {
+	pools uint64 // Sum of the revisions of the pools.
+	named int64  // Sum of the named versions, each of which only rises.
 }
 
-// Targets implements rollout.Fleet.
+// Targets implements rollout.Fleet. It is called several times a second, so while nothing
+// has changed since all replicas had their weights, it lists none.
 func (f *rolloutFleet) Targets() (list []rollout.Target) {
 	newest := f.siteState.NewestWeights()
 	if len(newest) == 0 {
 		return nil
 	}
+	state := f.weightsState(newest)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if state == f.settled {
+		return nil
+	}
+	list = f.listTargets(newest)
+	if !slices.ContainsFunc(list, func(t rollout.Target) bool { return t.Outdated() }) && !f.anyInBackoff() {
+		f.settled = state
+	}
+	return list
+}
+
+func (f *rolloutFleet) weightsState(newest map[string]int64) (s weightsState) {
+	for _, version := range newest {
+		s.named += version
+	}
+	for _, p := range f.siteState.Pools() {
+		s.pools += p.Revision()
+	}
+	return s
+}
+
+// anyInBackoff reports whether a replica is left out of the targets for now.
+func (f *rolloutFleet) anyInBackoff() bool {
+	now := boottime.Now()
+	for _, p := range f.siteState.Pools() {
+		if p.AnyInBackoff(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *rolloutFleet) listTargets(newest map[string]int64) (list []rollout.Target) {
 	now := boottime.Now()
 	for _, p := range f.siteState.Pools() {
 		for _, u := range p.Upstreams() {
@@ -75,11 +124,5 @@
 
 // Rank implements rollout.Fleet.
 func (f *rolloutFleet) Rank(duty string) int {
-	members := f.nodes.members.Working()
-	for i, m := range control.Owners(members, duty, len(members)) {
-		if m.Name == f.nodes.self.Name {
-			return i
-		}
-	}
-	return len(members)
+	return control.Rank(f.nodes.members.Working(), duty, f.nodes.self.Name)
 }
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -41,11 +41,12 @@
 	mu        sync.Mutex
 	weights   map[string]modelWeights
 	upstreams map[string]*upstreamEntry
+	missing   map[string]bool // IDs of upstreams whose rows are gone and may return.
 	pools     map[string]*route.Pool
 	evacuated map[string]*evacuation // By data hall.
-	// draining holds, by replica ID and start, when a replica reported in a response that
-	// it drains. The upstream list may say otherwise, or no longer have the replica.
-	draining map[string]time.Time
+	// draining holds, by start key, the replicas that reported in a response that they
+	// drain. The upstream list may say otherwise, or no longer have the replica.
+	draining map[string]drainReport
 	// unusableRows counts rows of the upstream list that could not be decoded.
 	unusableRows int64
 	// revision counts the changes of the upstream list.
@@ -77,6 +78,12 @@
 	missingSince time.Time
 }
 
+// drainReport is a replica's report that it drains.
+type drainReport struct {
+	replica string // Its ID.
+	at      time.Time
+}
+
 // NewSiteState returns an empty site state.
 func NewSiteState(codec Codec, hall string, returnTime time.Duration, cacheIndex *route.CacheIndex, log *slog.Logger) *SiteState {
 	return &SiteState{
@@ -87,9 +94,10 @@
 		log:        log,
 		weights:    map[string]modelWeights{},
 		upstreams:  map[string]*upstreamEntry{},
+		missing:    map[string]bool{},
 		pools:      map[string]*route.Pool{},
 		evacuated:  map[string]*evacuation{},
-		draining:   map[string]time.Time{},
+		draining:   map[string]drainReport{},
 		onRestart:  func(string, bool, time.Time) {},
 		onDelisted: func(string, time.Time) {},
 	}
@@ -286,13 +294,17 @@
 	defer st.mu.Unlock()
 	restarted = map[string]bool{}
 	seen := map[string]bool{}
+	first := len(st.upstreams) == 0
 	for _, r := range rows {
 		seen[r.Key] = true
 		planned := st.upstreams[r.Key] != nil && st.upstreams[r.Key].Draining
-		if st.applyUpstream(r, now) {
+		if st.applyUpstream(r, first, now) {
 			restarted[r.Key] = planned
 		}
 	}
+	if first && len(rows) > 0 {
+		st.log.Info("upstream list received", "rows", len(rows), "upstreams", len(st.upstreams))
+	}
 	if whole {
 		for id := range st.upstreams {
 			if !seen[id] {
@@ -300,14 +312,14 @@
 			}
 		}
 	}
-	st.rebuildPools(now)
 	return restarted
 }
 
 // applyUpstream applies one row and reports whether the replica has restarted under its
 // ID. Rows older than the known one are ignored; a row that can't be decoded removes the
-// replica it replaces.
-func (st *SiteState) applyUpstream(r site.Row, now time.Time) (restarted bool) {
+// replica it replaces. The rows of the first list are not logged one by one: with 10,000
+// replicas that took a small node most of a second.
+func (st *SiteState) applyUpstream(r site.Row, first bool, now time.Time) (restarted bool) {
 	old, known := st.upstreams[r.Key]
 	if known && r.Version < old.version {
 		return false
@@ -319,14 +331,21 @@
 	u, err := st.codec.Upstream(r)
 	if err != nil {
 		st.unusableRows++
-		delete(st.upstreams, r.Key)
+		if known {
+			st.deleteUpstream(r.Key, old)
+		}
 		st.log.Error("upstream row invalid, ignored", "row", r.Key, "version", r.Version, "err", err)
 		return false
 	}
 	if known && u.StartedBefore(&old.Upstream) {
 		return false
 	}
-	return st.recordUpstream(u, r.Version, now)
+	restarted = st.recordUpstream(u, r.Version, now)
+	if !first && (!known || restarted || old.Draining != u.Draining) {
+		st.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "addr", u.Addr, "draining", u.Draining,
+			"started", u.Started, "cold", u.Cold, "restarted", restarted)
+	}
+	return restarted
 }
 
 // recordUpstream records a decoded row and reports whether it is of a new start. The time
@@ -336,11 +355,8 @@
 	old, known := st.upstreams[u.ID]
 	restarted = known && old.StartedBefore(&u)
 	if known && !restarted && st.reportedDraining(old.StartKey()) {
-		st.draining[u.StartKey()] = now // The same start, with or without its time in the row.
-	}
-	if !known || restarted || old.Draining != u.Draining {
-		st.log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "addr", u.Addr, "draining", u.Draining,
-			"started", u.Started, "cold", u.Cold, "restarted", restarted)
+		// The same start, with or without its time in the row.
+		st.draining[u.StartKey()] = drainReport{replica: u.ID, at: now}
 	}
 	u.Region = st.regions[u.DataHall]
 	u.Draining = u.Draining || st.reportedDraining(u.StartKey())
@@ -350,7 +366,13 @@
 	case u.Cold > 0:
 		u.ColdUntil = now.Add(u.Cold)
 	}
-	st.upstreams[u.ID] = &upstreamEntry{Upstream: u, version: version}
+	if known && old.Service != u.Service {
+		st.deleteUpstream(u.ID, old)
+	}
+	e := &upstreamEntry{Upstream: u, version: version}
+	st.upstreams[u.ID] = e
+	delete(st.missing, u.ID)
+	st.updatePool(e, now)
 	return restarted
 }
 
@@ -369,23 +391,21 @@
 	if st.reportedDraining(reported.StartKey()) {
 		return false
 	}
-	listed := map[string]bool{}
-	for _, e := range st.upstreams {
-		listed[e.StartKey()] = true
-	}
-	for start, at := range st.draining {
-		if !listed[start] && now.Sub(at) >= drainingRetention {
+	for start, report := range st.draining {
+		e, listed := st.upstreams[report.replica]
+		listed = listed && e.StartKey() == start
+		if !listed && now.Sub(report.at) >= drainingRetention {
 			delete(st.draining, start)
 		}
 	}
-	st.draining[reported.StartKey()] = now
+	st.draining[reported.StartKey()] = drainReport{replica: replica.ID, at: now}
 	e, known := st.upstreams[replica.ID]
 	if !known || e.StartKey() != reported.StartKey() || e.Draining {
 		return false
 	}
 	e.Draining = true
 	st.log.Info("replica reports draining", "upstream", e.ID, "service", e.Service, "list_age", now.Sub(st.syncedAt))
-	st.rebuildPools(now)
+	st.updatePool(e, now)
 	return true
 }
 
@@ -406,6 +426,7 @@
 	}
 	if now.Sub(st.unreachableAt) < unreachableGrace && !st.unreachableAt.IsZero() && !e.Draining {
 		e.missingSince = now
+		st.missing[id] = true
 		return
 	}
 	st.removeUpstream(id, e)
@@ -414,7 +435,7 @@
 
 // removeUpstream removes an entry. The caller holds mu.
 func (st *SiteState) removeUpstream(id string, e *upstreamEntry) {
-	delete(st.upstreams, id)
+	st.deleteUpstream(id, e)
 	if !e.Draining {
 		st.droppedIDs = append(st.droppedIDs, id)
 	}
@@ -426,38 +447,48 @@
 	defer st.notifyDropped(now)
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	changed := false
-	for id, e := range st.upstreams {
-		if !e.missingSince.IsZero() && now.Sub(e.missingSince) >= st.returnTime {
+	for id := range st.missing {
+		e := st.upstreams[id]
+		if now.Sub(e.missingSince) >= st.returnTime {
 			st.removeUpstream(id, e)
-			changed = true
 			st.log.Info("upstream dropped", "upstream", id, "service", e.Service, "missing", now.Sub(e.missingSince))
 		}
 	}
-	if changed || st.evacuationRunning(now) {
-		st.rebuildPools(now)
+	if st.evacuationRunning(now) {
+		st.updateAllPools(now)
 	}
 }
 
-// rebuildPools updates the pool of each service from the upstream list. The caller holds
-// mu.
-func (st *SiteState) rebuildPools(now time.Time) {
+// deleteUpstream deletes an entry and its replica. The caller holds mu.
+func (st *SiteState) deleteUpstream(id string, e *upstreamEntry) {
+	delete(st.upstreams, id)
+	delete(st.missing, id)
 	st.revision++
-	lists := map[string][]site.Upstream{}
-	for _, e := range st.upstreams {
-		e.Evacuated = st.isEvacuated(&e.Upstream, now)
-		lists[e.Service] = append(lists[e.Service], e.Upstream)
-	}
-	for service := range lists {
-		if st.pools[service] == nil {
-			st.pools[service] = route.NewPool(st.hall, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-			st.pools[service].SetRateLimits(st.rateLimits)
-			st.pools[service].Disable(st.disabled)
-			st.applyColdLimit(st.snapshot.Load(), service)
-		}
+	if p := st.pools[e.Service]; p != nil {
+		p.Remove(id)
 	}
-	for service, p := range st.pools {
-		p.Configure(lists[service], now)
+}
+
+// updatePool updates one replica in the pool of its service. The caller holds mu.
+func (st *SiteState) updatePool(e *upstreamEntry, now time.Time) {
+	st.revision++
+	e.Evacuated = st.isEvacuated(&e.Upstream, now)
+	p := st.pools[e.Service]
+	if p == nil {
+		p = route.NewPool(st.hall, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		p.SetRateLimits(st.rateLimits)
+		p.Disable(st.disabled)
+		st.pools[e.Service] = p
+		st.applyColdLimit(st.snapshot.Load(), e.Service)
+	}
+	p.Put(e.Upstream, now)
+}
+
+// updateAllPools updates all replicas, as after an operator's change of a data hall. The
+// caller holds mu.
+func (st *SiteState) updateAllPools(now time.Time) {
+	for _, e := range st.upstreams {
+		st.updatePool(e, now)
 	}
 }
 
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -33,6 +33,8 @@
 	eventPollRetry = 400 * time.Millisecond
 	// freeInterval is how often stores are checked for parts that can be freed.
 	freeInterval = 500 * time.Millisecond
+	// storeDuty is the prefix of the duty of freeing a store's parts.
+	storeDuty = "store/"
 	// maxFreedPerCall limits the parts that are freed in one call.
 	maxFreedPerCall = 200
 )
@@ -53,7 +55,10 @@
 	inputs   storeFollowInputs
 	followed map[string]*followedStore
 	relays   map[netip.AddrPort]context.CancelFunc // Relays that this node polls.
-	wg       sync.WaitGroup
+	// owners has the names of the nodes that free the parts of stores, for ownersView.
+	owners     map[string]string
+	ownersView *control.View
+	wg         sync.WaitGroup
 }
 
 // storeFollowInputs determine which KV cache stores a node follows itself and which relays
@@ -276,8 +281,7 @@
 	}
 	now := boottime.Now()
 	for _, v := range snapshot.Stores() {
-		owner, ok := control.Owner(s.members.Working(), "store/"+v.Name)
-		if !ok || owner.Name != s.self || !v.Store.Managed {
+		if !v.Store.Managed || !s.owns(v.Name) {
 			continue
 		}
 		list, boot := s.cacheIndex.UnusedParts(v.Name, maxFreedPerCall, func(realm string) bool { return s.replaced(realm, now) })
@@ -293,6 +297,24 @@
 	}
 }
 
+// owns reports whether this node frees the parts of a store.
+func (s *kvStoreFollower) owns(store string) bool {
+	view := s.members.View()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ownersView != view {
+		s.ownersView, s.owners = view, map[string]string{}
+	}
+	owner, known := s.owners[store]
+	if !known {
+		if m, ok := control.Owner(view.Working(), storeDuty+store); ok {
+			owner = m.Name
+		}
+		s.owners[store] = owner
+	}
+	return owner == s.self
+}
+
 // replaced reports whether KV cache of a realm will not be used again: newer weights were
 // named long enough ago that no replica has the old ones and no fetch for them is in flight.
 func (s *kvStoreFollower) replaced(realm string, now time.Time) bool {
@@ -305,10 +327,8 @@
 		return false
 	}
 	for _, p := range s.siteState.Pools() {
-		for _, u := range p.Upstreams() {
-			if u.Weights[model] == version {
-				return false
-			}
+		if p.ServesWeights(model, version) {
+			return false
 		}
 	}
 	return true
