Nodes that start find their data hall first and read the rest through it

Each node that started read all tables from the store itself, as it knew no other yet, asked 64 engines for their events for the same reason, and greeted every other node.

A node now lists the nodes of its own hall, greets them, waits for their answers for a tenth of a second, and then follows the tables through the hall's reader. The list of all nodes is read in that way too, some times after a start and then each 15 s; above 128 nodes those of other halls count as alive as listed, and are not greeted. Nodes with narrow links wait up to 0.3 s, so that those that the others read through come first. Rows carry the data hall in their keys and values; those of the previous version are read as before.

A reader finds the rows changed since a version by a list in that order in place of a look at all rows for each call of its hall's nodes, and the base of a request among the few large rows. Stores of kept state are followed in four groups a hall in place of one relay each.

TestStartingNodeGreetsOnlyItsHallInALargeFleet, TestListOfNodesIsReadAgainAfterAStart, TestRowsOfThePreviousVersionAreRead, TestNodesWithWideLinksStartFirst, TestChangesSinceAVersionAreThoseOfTheRows.

--- a/internal/standin/onplatform/store.go
+++ b/internal/standin/onplatform/store.go
@@ -220,8 +220,9 @@
 		rows, version = s.staleRows, s.staleVersion
 	}
 	l := listing{Rows: []Row{}, Version: version, Now: time.Since(s.startedAt).Milliseconds()}
+	from, end := r.FormValue("from"), r.FormValue("target_version")
 	for _, row := range rows[r.FormValue("table")] {
-		if !row.Gone {
+		if !row.Gone && row.Key >= from && (end == "" || row.Key < end) {
 			l.Rows = append(l.Rows, row)
 		}
 	}
--- /dev/null
+++ b/service/gateway/discovery_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/service/peer"
+	"github.com/drumpath/drumpath/service/suspects"
+)
+
+// newDiscoveringNode returns a node that knows no other, with the rows of count nodes in halls
+// in the store.
+func newDiscoveringNode(t *testing.T, count, halls int) (*nodes, *fakeTableStore) {
+	self := control.Member{Name: "front-0", DataHall: "hall-0", Link: 20, Incarnation: 1}
+	log := slog.New(slog.DiscardHandler)
+	m := control.NewMembers(self, time.Second, nil, newRand())
+	store := &fakeTableStore{}
+	for i := range count {
+		hall := fmt.Sprint("hall-", i%halls)
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 67, byte(i >> 8), byte(i)}), 9)
+		value, err := json.Marshal(nodeRow{Peer: addr, Entry: addr, DataHall: hall, Link: 20})
+		assert.NilError(t, err)
+		store.version++
+		store.rows = append(store.rows, site.Row{Key: hallKeys(hall) + fmt.Sprint("front-", i), Version: store.version, Value: value})
+	}
+	n := &nodes{
+		self: self, members: m, store: store, coldShares: newColdShares(self, m), log: log, loads: newLoadState(),
+		suspects: suspects.New(self, m, nil, nil, log),
+	}
+	n.nodeTable = &tableFollower{store: store, table: site.TableNodes, apply: n.applyNodeRows, log: log}
+	var err error
+	n.probes, err = peer.NewProbes(netip.MustParseAddrPort("127.0.0.1:0"), "key", nil, log)
+	assert.NilError(t, err)
+	n.probes.Start()
+	t.Cleanup(n.probes.Close)
+	return n, store
+}
+
+// A node that started greeted all others. With 985 nodes that was a million greetings, 0.23 GB
+// between data halls, at each start of all.
+func TestStartingNodeGreetsOnlyItsHallInALargeFleet(t *testing.T) {
+	const nodeCount, halls = 985, 5
+	n, _ := newDiscoveringNode(t, nodeCount, halls)
+	listed, err := n.listHall(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, listed, nodeCount/halls-1)
+	assert.Assert(t, len(n.discovery.unprobed) < nodeCount/halls)
+	n.discover(t.Context())
+	assert.Assert(t, len(n.discovery.unprobed) < nodeCount/halls)
+	assert.Equal(t, n.members.View().Counts().Alive, 1+nodeCount-nodeCount/halls, "the nodes of other halls count as alive")
+	for _, m := range n.members.View().Hall("hall-3").Alive {
+		assert.Assert(t, m.Entry.IsValid() && m.Link == 20)
+	}
+}
+
+// In a small fleet all nodes greet each other, so that a node that is gone is not used before a
+// probe shows it.
+func TestStartingNodeGreetsAllNodesOfASmallFleet(t *testing.T) {
+	n, _ := newDiscoveringNode(t, 9, 3)
+	n.discover(t.Context())
+	assert.Equal(t, n.members.View().Counts().Alive, 1)
+}
+
+// The list of nodes is read again a few times after a start, as nodes that start together write
+// their rows over some seconds, and then seldom.
+func TestListOfNodesIsReadAgainAfterAStart(t *testing.T) {
+	n, store := newDiscoveringNode(t, 9, 3)
+	n.members.Merge([]control.Member{{Name: "front-1", DataHall: "hall-1", Incarnation: 1}}, time.Now())
+	start := time.Now()
+	for step := range 300 {
+		if n.readDue(start.Add(time.Duration(step) * discoverInterval)) {
+			store.calls++
+			n.discovery.readAt = start.Add(time.Duration(step) * discoverInterval)
+			if n.discovery.firstReadAt.IsZero() {
+				n.discovery.firstReadAt = n.discovery.readAt
+			}
+		}
+	}
+	assert.Equal(t, store.calls, 1+len(earlyReads)+1, "in 30 s")
+}
+
+// Rows of the previous version have no data hall; their nodes are greeted.
+func TestRowsOfThePreviousVersionAreRead(t *testing.T) {
+	n, store := newDiscoveringNode(t, 300, 5)
+	store.rows = append(store.rows, site.Row{Key: "front-old", Version: store.version + 1, Value: []byte(`{"peer":"127.0.0.1:1"}`)})
+	store.version++
+	n.discover(t.Context())
+	assert.Assert(t, n.members.View().Counts().Alive > 200)
+	assert.Equal(t, nodeName("front-old"), "front-old")
+	assert.Equal(t, nodeName("hall-1/front-7"), "front-7")
+}
+
+// Nodes with narrow links wait a moment as they start, as they read through those with wide ones.
+func TestNodesWithWideLinksStartFirst(t *testing.T) {
+	wide, narrow := &nodes{self: control.Member{Link: 1000}}, &nodes{self: control.Member{Link: 20}}
+	assert.Assert(t, wide.startDelay() <= 10*time.Millisecond)
+	assert.Equal(t, narrow.startDelay(), 250*time.Millisecond)
+	assert.Equal(t, (&nodes{self: control.Member{Link: 1}}).startDelay(), maxStartDelay)
+	assert.Equal(t, (&nodes{}).startDelay(), time.Duration(0))
+}
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -193,13 +193,11 @@
 			},
 		},
 	}
-	for _, f := range g.tableFollowers {
-		g.wg.Go(func() { f.run(g.ctx) })
-	}
+	g.wg.Go(func() { g.joinAndFollow() })
 	every := g.conf().Peer.ProbeEvery.Std()
 	g.runEvery(every, g.nodes.probe)
 	g.runEvery(every/indirectProbeDivisor, g.nodes.probeIndirectly)
-	g.runEvery(discoverInterval, g.nodes.discover)
+	g.runEvery(discoverInterval, g.nodes.announce)
 	g.runEvery(seedProbeInterval, g.nodes.probeSeeds)
 	g.runEvery(connPruneInterval, func(context.Context) { g.conns.prune(boottime.Now()) })
 	g.runEvery(upstreamExpireInterval, func(context.Context) { g.siteState.Expire(boottime.Now()) })
@@ -213,7 +211,6 @@
 	g.runEvery(suspects.LearnInterval, g.suspects.Learn)
 	g.runEvery(ratelimit.ForgetInterval, g.rateLimits.Forget)
 	g.wg.Go(func() { g.runQueues(g.ctx) })
-	g.wg.Go(func() { g.nodes.discover(g.ctx) })
 	g.wg.Go(func() { g.nodes.runLoadRelay(g.ctx) })
 	g.wg.Go(func() { g.nodes.runLoadSender(g.ctx, g.conf().Peer.LoadEvery.Std()) })
 	g.wg.Go(func() {
@@ -231,6 +228,18 @@
 	}
 }
 
+// joinAndFollow finds other nodes and then follows the tables of the platform's store.
+func (g *Gateway) joinAndFollow() {
+	g.nodes.join(g.ctx)
+	if g.ctx.Err() != nil {
+		return
+	}
+	g.runEvery(discoverInterval, g.nodes.discover)
+	for _, f := range g.tableFollowers {
+		g.wg.Go(func() { f.run(g.ctx) })
+	}
+}
+
 // indirectProbeDivisor is how many times per probe period missing answers are probed
 // indirectly, through other nodes.
 const indirectProbeDivisor = 3
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -2,46 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
-	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
-	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
 	"github.com/drumpath/drumpath/service/suspects"
 )
 
-const (
-	// discoverInterval is how often a node that knows no other node reads the list of
-	// nodes in the platform's store.
-	discoverInterval = time.Second
-	// rediscoverInterval is how often a node that knows others reads that list, per
-	// rediscoverNodes nodes known, so that the load on the store does not grow with the
-	// fleet. In this way two groups that were partitioned when they started find each
-	// other.
-	rediscoverInterval = 15 * time.Second
-	rediscoverNodes    = 10
-	// discoverRetryDelay is the pause after a failed read for a node that knows others:
-	// calls to the store are paid for, and it does not need the list soon.
-	discoverRetryDelay = 5 * time.Second
-	// seedProbeInterval and seedProbeBatches spread the first probes of all nodes in the
-	// store's list: they are sent within memberResponseTime, with time left for the
-	// answers.
-	seedProbeInterval = 50 * time.Millisecond
-	seedProbeBatches  = 10
-)
-
 // nodes exchanges state with the other nodes: membership, requests in flight, replicas to
 // avoid, and the newest weights.
 type nodes struct {
@@ -54,6 +28,7 @@
 	members      *control.Members
 	probes       *peer.Probes
 	store        Store
+	nodeTable    *tableFollower // Of the list of nodes, read through other nodes.
 	siteState    *SiteState
 	cacheIndex   *route.CacheIndex
 	log          *slog.Logger
@@ -62,20 +37,10 @@
 	notesDropped atomic.Int64  // Datagrams that could not be decoded.
 	mergeMu      sync.Mutex    // Serializes updates of the pools; taken before mu.
 
-	mu              sync.Mutex
-	announced       bool
-	membersReadAt   time.Time
-	nextMembersRead time.Time        // The list of nodes is not read before this.
-	unprobed        []netip.AddrPort // Known by address only, probed probeBatch at a time.
-	probeBatch      int
-	readFailedSince time.Time // Since when the list of nodes can't be read, zero if it can.
-	loads           loadState
-	pendingUpdates  []replicaUpdate // Sent together in the next batch.
-}
-
-// nodeRow is the row that a node writes so that nodes that start later find it.
-type nodeRow struct {
-	Peer netip.AddrPort `json:"peer"`
+	mu             sync.Mutex
+	discovery      discovery
+	loads          loadState
+	pendingUpdates []replicaUpdate // Sent together in the next batch.
 }
 
 // probe sends membership probes; the timer service calls it.
@@ -88,115 +53,6 @@
 	n.probes.Send(n.members.IndirectProbes(time.Now(), 0))
 }
 
-// discover writes this node's address to the platform's store and reads those of the others,
-// until it has done so and knows other nodes, and then again from time to time.
-func (n *nodes) discover(ctx context.Context) {
-	now := boottime.Now()
-	known := n.members.View().Counts().Working
-	n.mu.Lock()
-	interval := rediscoverInterval * time.Duration(max(1, known/rediscoverNodes))
-	due := !n.announced || known <= 1 || now.Sub(n.membersReadAt) >= interval
-	due = due && !now.Before(n.nextMembersRead)
-	n.mu.Unlock()
-	if !due {
-		return
-	}
-	rows, err := n.readNodes(ctx)
-	n.mu.Lock()
-	wasReadable := n.readFailedSince.IsZero()
-	failedFor := now.Sub(n.readFailedSince)
-	if err != nil {
-		if wasReadable {
-			n.readFailedSince = now
-		}
-		if known > 1 {
-			n.nextMembersRead = now.Add(discoverRetryDelay)
-		}
-	} else {
-		n.membersReadAt, n.readFailedSince = now, time.Time{}
-	}
-	n.mu.Unlock()
-	switch {
-	case err == nil:
-		if !wasReadable {
-			n.log.Info("nodes read again", "away", failedFor)
-		}
-		n.addSeeds(rows)
-		n.coldShares.markMembersRead(now)
-	case wasReadable:
-		n.log.Warn("nodes not read", "err", err)
-	}
-}
-
-// readNodes writes this node's address and reads the others' rows.
-func (n *nodes) readNodes(ctx context.Context) (rows []site.Row, err error) {
-	if err := n.announce(ctx); err != nil {
-		return nil, eris.Wrap(err, "write this node's address")
-	}
-	l, err := n.store.List(ctx, site.TableNodes)
-	return l.Rows, eris.Wrap(err, "read addresses of nodes")
-}
-
-// announce writes this node's address unless that is done.
-func (n *nodes) announce(ctx context.Context) error {
-	n.mu.Lock()
-	done := n.announced
-	n.mu.Unlock()
-	if done {
-		return nil
-	}
-	body, err := json.Marshal(nodeRow{Peer: n.self.Peer})
-	if err != nil {
-		return err
-	}
-	if err := n.store.PutUnconditionally(ctx, site.TableNodes, n.self.Name, body); err != nil {
-		return err
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.announced = true
-	return nil
-}
-
-// addSeeds loads the rows of the nodes' table and begins to probe the nodes in it.
-func (n *nodes) addSeeds(rows []site.Row) {
-	var unprobed []netip.AddrPort
-	for _, r := range rows {
-		if r.Key == suspects.BlockedRowKey {
-			n.suspects.LoadRow(r, boottime.Now())
-			continue
-		}
-		var row nodeRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			n.log.Error("node row can't be decoded", "row", r.Key, "err", err)
-			continue
-		}
-		if r.Key != n.self.Name && row.Peer.IsValid() {
-			n.members.AddSeed(row.Peer)
-			unprobed = append(unprobed, row.Peer)
-		}
-	}
-	n.suspects.MarkLearned()
-	rand.Shuffle(len(unprobed), func(i, j int) { unprobed[i], unprobed[j] = unprobed[j], unprobed[i] })
-	n.mu.Lock()
-	n.unprobed, n.probeBatch = unprobed, (len(unprobed)+seedProbeBatches-1)/seedProbeBatches
-	n.mu.Unlock()
-	n.probeSeeds(context.Background())
-}
-
-// probeSeeds probes the next batch of nodes of which only the address is known; the timer
-// service calls it. Nodes that have contacted this one meanwhile are left out: if all nodes
-// start together, each pair exchanges one probe instead of two.
-func (n *nodes) probeSeeds(context.Context) {
-	n.mu.Lock()
-	batch := n.unprobed[:min(len(n.unprobed), n.probeBatch)]
-	n.unprobed = n.unprobed[len(batch):]
-	n.mu.Unlock()
-	if len(batch) > 0 {
-		n.probes.Send(n.members.ProbeSeeds(batch))
-	}
-}
-
 // announceStop tells the other nodes that this node is stopping.
 func (n *nodes) announceStop() { n.probes.Send(n.members.Leave(time.Now())) }
 
--- a/service/gateway/nodes_test.go
+++ b/service/gateway/nodes_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/suspects"
 )
@@ -26,21 +27,22 @@
 	store := &fakeTableStore{fail: true}
 	var logged bytes.Buffer
 	n := &nodes{
-		self: self, members: m, store: store, announced: true, coldShares: newColdShares(self, m),
+		self: self, members: m, store: store, coldShares: newColdShares(self, m),
 		log: slog.New(slog.NewTextHandler(&logged, nil)), loads: newLoadState(),
 		suspects: suspects.New(self, m, nil, nil, slog.New(slog.DiscardHandler)),
 	}
+	n.nodeTable = &tableFollower{store: store, table: site.TableNodes, apply: n.applyNodeRows, log: n.log}
 	for range 5 {
 		n.discover(t.Context())
 	}
 	assert.Equal(t, store.count(), 1)
-	n.nextMembersRead = time.Time{} // Later.
+	n.discovery.nextRead = time.Time{} // Later.
 	n.discover(t.Context())
 	assert.Equal(t, store.count(), 2)
 	assert.Equal(t, strings.Count(logged.String(), "nodes not read"), 1)
 	assert.Equal(t, strings.Count(logged.String(), "nodes read again"), 0)
 	store.fail = false
-	n.nextMembersRead = time.Time{}
+	n.discovery.nextRead = time.Time{}
 	var err error
 	n.probes, err = peer.NewProbes(netip.MustParseAddrPort("127.0.0.1:0"), "key", nil, n.log)
 	assert.NilError(t, err)
--- a/service/gateway/platform.go
+++ b/service/gateway/platform.go
@@ -12,6 +12,8 @@
 // Store is the part of the platform's store that a node uses.
 type Store interface {
 	List(ctx context.Context, t site.Table) (site.Listing, error)
+	// ListPrefix lists the rows whose keys begin with a prefix.
+	ListPrefix(ctx context.Context, t site.Table, prefix string) (site.Listing, error)
 	// Changes waits for changes after a version. The error wraps site.ErrHistoryGone if
 	// the store no longer has them.
 	Changes(ctx context.Context, t site.Table, after int64, wait time.Duration) (site.Listing, error)
--- a/service/gateway/reader_serve.go
+++ b/service/gateway/reader_serve.go
@@ -75,7 +75,11 @@
 // because another reader failed or this node has just started. If such requests were refused
 // instead, each node of the hall would call the store itself.
 func (r *sharedReader) refreshFromStore(ctx context.Context, q changesRequest) {
-	end := time.After(refreshTimeout)
+	timeout := refreshTimeout
+	if q.Whole {
+		timeout = wholeRefreshTimeout
+	}
+	end := time.After(timeout)
 	for {
 		r.mu.Lock()
 		x := r.table(q.Table)
@@ -94,7 +98,7 @@
 			return
 		case ownCall != nil:
 			defer close(ownCall)
-			ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			_, err := r.readStore(ctx, changesRequest{Table: q.Table, Whole: whole, After: after}, 0)
 			if errors.Is(err, site.ErrHistoryGone) {
--- a/service/gateway/reader_table.go
+++ b/service/gateway/reader_table.go
@@ -12,6 +12,8 @@
 // cachedTable is a node's copy of a table of the platform's store.
 type cachedTable struct {
 	rows         map[string]site.Row // Includes deleted rows.
+	changes      changeOrder         // Finds the rows changed since a version.
+	large        map[string]bool     // Keys of rows whose values serve as bases.
 	historyStart int64               // The changes since this version are known.
 	version      int64
 	storeReadAt  time.Time // When the store itself last answered.
@@ -42,7 +44,7 @@
 func (r *sharedReader) table(t site.Table) *cachedTable {
 	x := r.tables[t]
 	if x == nil {
-		x = &cachedTable{changed: make(chan struct{}), former: map[string]formerValues{}}
+		x = &cachedTable{changed: make(chan struct{}), former: map[string]formerValues{}, large: map[string]bool{}}
 		r.tables[t] = x
 	}
 	return x
@@ -62,7 +64,9 @@
 		// from nodes that ask for the changes since then.
 		return
 	case q.Whole:
-		x.rows, x.historyStart = map[string]site.Row{}, l.Version
+		x.rows, x.historyStart = make(map[string]site.Row, len(l.Rows)), l.Version
+		x.changes = nil
+		clear(x.large)
 	case q.After > x.version:
 		x.rows = nil // The changes in between are missing.
 	}
@@ -81,7 +85,21 @@
 			x.former[row.Key] = x.former[row.Key].add(former)
 		}
 		x.rows[row.Key] = row
+		if q.Whole {
+			x.changes = append(x.changes, rowChange{row.Version, row.Key}) // Sorted below.
+		} else {
+			x.changes = x.changes.add(row)
+		}
+		if len(row.Value) >= minBaseSize {
+			x.large[row.Key] = true
+		} else {
+			delete(x.large, row.Key)
+		}
+	}
+	if q.Whole {
+		slices.SortFunc(x.changes, compareChanges)
 	}
+	x.changes = x.changes.compact(x.rows)
 	since := x.version
 	x.version = max(x.version, l.Version)
 	if len(l.Rows) > 0 || q.Whole {
@@ -113,15 +131,18 @@
 func (x *cachedTable) packFor(q changesRequest) (p packedRows, err error) {
 	var rows []site.Row
 	key := packedKey{whole: q.Whole}
-	for _, row := range x.rows {
-		if q.Whole && !row.Gone || !q.Whole && row.Version > q.After {
+	after := q.After
+	if q.Whole {
+		after = beforeAllVersions
+	}
+	for _, c := range x.changes.since(after) {
+		if row := x.rows[c.key]; row.Version == c.version && !(q.Whole && row.Gone) {
 			rows = append(rows, row)
 		}
 	}
 	if len(rows) == 0 {
 		return p, nil
 	}
-	slices.SortFunc(rows, func(p, q site.Row) int { return cmp.Compare(p.Version, q.Version) })
 	key.first = rows[0].Version
 	var base []byte
 	if slices.ContainsFunc(rows, func(row site.Row) bool { return row.Key == q.HaveRef.Key }) {
@@ -142,6 +163,50 @@
 	return p, nil
 }
 
+// beforeAllVersions is a version before that of any row.
+const beforeAllVersions = -1
+
+// changeOrder lists rows by the version of their last change, and may contain earlier
+// versions of some. With it, answering for the changes since a version does not take a look
+// at every row: the nodes of a hall ask their reader hundreds of times a second.
+type changeOrder []rowChange
+
+type rowChange struct {
+	version int64
+	key     string
+}
+
+// add adds a change of a row.
+func (o changeOrder) add(row site.Row) changeOrder {
+	c := rowChange{row.Version, row.Key}
+	if len(o) == 0 || o[len(o)-1].version < c.version {
+		return append(o, c)
+	}
+	at, found := slices.BinarySearchFunc(o, c, compareChanges)
+	if found {
+		return o
+	}
+	return slices.Insert(o, at, c)
+}
+
+// since returns the changes after a version.
+func (o changeOrder) since(version int64) []rowChange {
+	at, _ := slices.BinarySearchFunc(o, version+1, func(c rowChange, v int64) int { return cmp.Compare(c.version, v) })
+	return o[at:]
+}
+
+// compact drops the earlier versions of rows once they are as many as the rows.
+func (o changeOrder) compact(rows map[string]site.Row) changeOrder {
+	if len(o) <= 2*len(rows) {
+		return o
+	}
+	return slices.DeleteFunc(o, func(c rowChange) bool { return rows[c.key].Version != c.version })
+}
+
+func compareChanges(a, b rowChange) int {
+	return cmp.Or(cmp.Compare(a.version, b.version), cmp.Compare(a.key, b.key))
+}
+
 // baseValue returns the value that ref names, nil if it is not known here.
 func (x *cachedTable) baseValue(ref rowRef) []byte {
 	if row := x.rows[ref.Key]; row.Version == ref.Version && !row.Gone {
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -51,6 +51,9 @@
 	// secondReaderTimeout limits how long the second reader may take to begin its answer after
 	// the first one failed.
 	secondReaderTimeout = 500 * time.Millisecond
+	// wholeTableTimeout limits how long a reader may take to begin its answer with a whole
+	// table, which it may have to read from the store in many calls.
+	wholeTableTimeout = 1500 * time.Millisecond
 	// maxReceiveTime limits how long peers wait for a reader that is receiving a large
 	// response of the store: 2.5 MB take a link of 10 Mbit/s two seconds, and the remaining
 	// time has to suffice for asking another reader.
@@ -61,6 +64,8 @@
 	// refreshTimeout limits how long a node whose copy is stale may take to read the store
 	// when it is asked.
 	refreshTimeout = time.Second
+	// wholeRefreshTimeout is the same for a whole table.
+	wholeRefreshTimeout = 1300 * time.Millisecond
 	// readerSkipTerm is how long a node stops asking a reader that has failed.
 	readerSkipTerm = 3 * time.Second
 )
@@ -121,7 +126,7 @@
 	if !p.shared {
 		return p
 	}
-	for _, t := range []site.Table{site.TableOperator, site.TableUpstreams} {
+	for _, t := range []site.Table{site.TableOperator, site.TableUpstreams, site.TableNodes} {
 		p.owners[t] = control.Owners(r.readerCandidates(view), readerDuty+tableName(t), readersPerTable)
 	}
 	return p
@@ -132,14 +137,12 @@
 // like a small hall, reads through nodes of other halls. With a reader for each small hall, or
 // none, calls to the store were most of the cost of 18 nodes in 5 halls.
 func (r *sharedReader) readerCandidates(view *control.View) []control.Member {
-	wide := control.WithWidestLinks(view.Alive())
-	if len(view.Hall(r.self.DataHall).Alive) <= maxDirectNodes {
-		return wide
-	}
-	if local := membersInHall(wide, r.self.DataHall); len(local) > 0 {
-		return local
+	if len(view.Hall(r.self.DataHall).Alive) > maxDirectNodes {
+		if local := view.HallWithWideLinks(r.self.DataHall); len(local) > 0 {
+			return local
+		}
 	}
-	return wide
+	return control.WithWidestLinks(view.Alive())
 }
 
 // reader is the node that reads a table for this one; ok is false if this node reads it
@@ -167,10 +170,14 @@
 }
 
 func tableName(t site.Table) string {
-	if t == site.TableUpstreams {
+	switch t {
+	case site.TableUpstreams:
 		return "upstreams"
+	case site.TableNodes:
+		return "nodes"
+	default:
+		return "operator"
 	}
-	return "operator"
 }
 
 // aliveMembers lists the live nodes.
@@ -179,15 +186,6 @@
 // hallMembers lists the live nodes of a hall.
 func hallMembers(m *control.Members, hall string) []control.Member { return m.View().Hall(hall).Alive }
 
-func membersInHall(list []control.Member, hall string) (members []control.Member) {
-	for _, x := range list {
-		if x.DataHall == hall {
-			members = append(members, x)
-		}
-	}
-	return members
-}
-
 // List reads a whole table, through a reader if there is one.
 func (r *sharedReader) List(ctx context.Context, t site.Table) (l site.Listing, err error) {
 	return r.read(ctx, r.addBase(t, changesRequest{Whole: true}), 0)
@@ -216,8 +214,9 @@
 	q.Table = t
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, row := range r.table(t).rows {
-		if len(row.Value) >= max(minBaseSize, len(q.haveValue)) {
+	x := r.table(t)
+	for key := range x.large {
+		if row := x.rows[key]; len(row.Value) >= max(minBaseSize, len(q.haveValue)) {
 			q.HaveRef, q.haveValue = rowRef{Key: row.Key, Version: row.Version}, row.Value
 		}
 	}
@@ -324,7 +323,10 @@
 	startedAt := boottime.Now()
 	var answer changesAnswer
 	timeout := time.Duration(q.WaitMS)*time.Millisecond + answerSlack
-	if q.WaitMS == 0 {
+	switch {
+	case q.Whole:
+		timeout = wholeTableTimeout
+	case q.WaitMS == 0:
 		timeout = secondReaderTimeout // The node may have to read the store first.
 	}
 	if err := r.client.CallWithin(ctx, timeout, addr, methodTableChanges, q, &answer); err != nil {
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/pkg/control"
@@ -51,6 +53,12 @@
 	return site.Listing{Rows: append([]site.Row(nil), s.rows...), Version: s.version}, nil
 }
 
+func (s *fakeTableStore) ListPrefix(ctx context.Context, t site.Table, prefix string) (site.Listing, error) {
+	l, err := s.List(ctx, t)
+	l.Rows = slices.DeleteFunc(l.Rows, func(r site.Row) bool { return !strings.HasPrefix(r.Key, prefix) })
+	return l, err
+}
+
 func (s *fakeTableStore) Changes(_ context.Context, _ site.Table, after int64, _ time.Duration) (site.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -840,3 +848,32 @@
 	t.Logf("ended after %v", time.Since(startedAt))
 	assert.Assert(t, time.Since(startedAt) < limit, "%v", time.Since(startedAt))
 }
+
+// A reader looked at all rows of a table for each of the hundreds of calls a second of its hall.
+func TestChangesSinceAVersionAreThoseOfTheRows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rows := map[string]site.Row{}
+		var order changeOrder
+		version := int64(0)
+		for range rapid.IntRange(1, 100).Draw(t, "changes") {
+			version += rapid.Int64Range(0, 2).Draw(t, "step")
+			row := site.Row{Key: fmt.Sprint("k", rapid.IntRange(0, 9).Draw(t, "key")), Version: version}
+			if rows[row.Key].Version > row.Version {
+				continue
+			}
+			rows[row.Key] = row
+			order = order.add(row).compact(rows)
+		}
+		after := rapid.Int64Range(beforeAllVersions, version).Draw(t, "after")
+		got := map[string]bool{}
+		for _, c := range order.since(after) {
+			if rows[c.key].Version == c.version {
+				got[c.key] = true
+			}
+		}
+		for key, row := range rows {
+			assert.Equal(t, got[key], row.Version > after, "%s", key)
+		}
+		assert.Assert(t, len(order) <= 2*len(rows))
+	})
+}
--- a/service/gateway/store_events.go
+++ b/service/gateway/store_events.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/rendezvous"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
 )
@@ -26,8 +28,11 @@
 	// stores was 18.0 s instead of 22.4 s in one simulated day, and 22.0 s instead of 24.1 s
 	// in another, one run each.
 	methodEventsOfStores = "gateway.events_of"
-	// storeRelayDuty is the prefix of the duty of following a store for a hall.
+	// storeRelayDuty is the prefix of the duty of following a group of stores for a hall.
 	storeRelayDuty = "watch/"
+	// storeRelayGroups is the number of groups. It bounds the relays that a node polls: with one
+	// relay for each store, a node polled up to as many as its hall has wide links.
+	storeRelayGroups = 4
 	// spareWatches are the concurrent calls of a store that are left for nodes that start or
 	// take over. Relayed events arrive later, so each node follows the stores itself as long
 	// as that fits.
@@ -77,10 +82,15 @@
 	if n := r.members.View().Counts().Working; v.Store.MaxWatches <= 0 || n <= v.Store.MaxWatches-spareWatches {
 		return addr, false
 	}
-	owner, found := control.Owner(control.WithWidestLinks(hallMembers(r.members, r.self.DataHall)), storeRelayDuty+v.Name)
+	owner, found := control.Owner(r.members.View().Hall(r.self.DataHall).Wide, storeRelayDuty+relayGroup(v.Name))
 	return owner.Peer, found && owner.Name != r.self.Name
 }
 
+// relayGroup names the group of a store, whose stores have the same relay.
+func relayGroup(store string) string {
+	return strconv.FormatUint(rendezvous.Hash(store)%storeRelayGroups, 10)
+}
+
 // changes waits for a store's events after position since; boot identifies the store's start
 // that the position belongs to.
 func (r *storeEventRelay) changes(ctx context.Context, v *site.Service, boot, since int64, wait time.Duration) (c site.CacheChanges, err error) {
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -14,6 +14,7 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/rollout"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
@@ -142,7 +143,7 @@
 
 // newNodes creates the part of this node that exchanges state with the others, and
 // registers the handlers of its datagrams.
-func newNodes(s config.GatewaySettings, self control.Member, members *control.Members, shares *coldShares, sus *suspects.Suspects, limits *ratelimit.Limits, store Store, siteState *SiteState, cacheIndex *route.CacheIndex, log *slog.Logger) (*nodes, error) {
+func newNodes(s config.GatewaySettings, self control.Member, members *control.Members, shares *coldShares, sus *suspects.Suspects, limits *ratelimit.Limits, store Store, siteState *SiteState, cacheIndex *route.CacheIndex, tableReader *sharedReader, log *slog.Logger) (*nodes, error) {
 	n := &nodes{
 		self:        self,
 		regions:     s.Regions,
@@ -158,6 +159,7 @@
 		loadsDue:    make(chan struct{}, 1),
 		incarnation: members.Self().Incarnation,
 	}
+	n.nodeTable = &tableFollower{store: tableReader, table: site.TableNodes, name: "nodes", apply: n.applyNodeRows, log: log}
 	handle := func(from netip.AddrPort, p control.Probe) []control.Packet {
 		return members.Handle(from, p, time.Now(), 0)
 	}
