Roll-outs of a service's software: shares by hash, a sequential test, one agreed end

Nothing read an operator's order to roll out a version: the new replicas got their usual part of the load at once, a bad version as well as a good one, and no state was written.

A node of each service, by hashing, collects what all nodes count and leads; its answers to their reports say what holds now; a halt and the end are told to all at once. The state is written only if no other node has written one, and a final one is never taken back. A node that has not heard the leading one for 3 s sends the new version nothing.

--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -20,6 +20,7 @@
 	Orders     OrderSettings           `json:"orders"`
 	Cold       ColdSettings            `json:"cold"`
 	Evacuation EvacuationSettings      `json:"evacuation"`
+	Canary     CanarySettings          `json:"canary"`
 	Log        LogSettings             `json:"log"`
 	Disabled   DisabledMechanisms      `json:"without"`
 	Test       TestSettings            `json:"test"`
@@ -108,8 +109,18 @@
 	MaxTime Duration `json:"within" validate:"gt=0"`
 }
 
+// CanarySettings bounds the requests that a new version of a service's software gets before
+// it is known to be good.
+type CanarySettings struct {
+	// Share is the most that it may get of all requests during its roll-out.
+	Share float64 `json:"share" validate:"gt=0,lte=1"`
+}
+
 // Defaults of a gateway.
 const (
+	// defaultCanaryShare is the share that the users' sites set.
+	defaultCanaryShare = 0.1
+
 	// defaultGatewayProbeEvery detects a lost node in about a second among ten nodes.
 	defaultGatewayProbeEvery = 300 * time.Millisecond
 	// defaultLoadEvery is about the time that the prefill of a prompt takes.
@@ -144,6 +155,7 @@
 		Cold:   ColdSettings{Overage: 1},
 
 		Evacuation: EvacuationSettings{MaxTime: Duration(defaultMaxEvacuationTime)},
+		Canary:     CanarySettings{Share: defaultCanaryShare},
 
 		Log: LogSettings{Level: "info", Format: "json", RoutinePerSecond: defaultRoutinePerSecond},
 	}
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -27,6 +27,7 @@
 	keyRow           = Key{"row", "the row's key"}
 	keyUpstream      = Key{"upstream", "the replica's ID"}
 	keyService       = Key{"service", "the service"}
+	keySoftware      = Key{"software", "the version that is to take over"}
 	keyFile          = Key{"file", "the settings file"}
 	keyBoot          = Key{"boot", "ID of the start of the store or engine; another after each restart"}
 	keyLease         = Key{"lease", "the lease's name"}
@@ -41,6 +42,7 @@
 	{"answered", Routine, "A request got a replica's answer.", []Key{
 		keyRequest, keyRoute, keyReplica,
 		{"hall", "the replica's data hall"},
+		{"software", "the version of the replica's software"},
 		{"weights", "the version of the weights that the replica has, as far as known; 0 for a service without weights"},
 		{"newest", "the newest version of the weights that was named"},
 		{"tokens", "tokens of the prompt"},
@@ -150,6 +152,20 @@
 		{"rows", "how many rows it has"},
 		{"upstreams", "how many of them name a replica"},
 	}},
+	{"roll-out ordered", Change, "Operators have ordered a version of a service's software to be rolled out.", []Key{
+		keyService, keySoftware, {"duration", "nanoseconds in which it is to be completed"}, {"revision", "the version of the order's row"},
+	}},
+	{"roll-out advanced", Change, "Another share of the requests goes to the new version, or the roll-out has ended.", []Key{
+		keyService, keySoftware, {"stage", "the stage, -1 if the new version gets no requests"}, {"share", "the share of the requests that it gets"},
+		{"state", "running, completed or rolled back"}, {"why", "what decided that"},
+	}},
+	{"roll-out halted", Failure, "The new version is bad and gets no more requests; the roll-back is to be agreed.", []Key{
+		keyService, keySoftware, {"why", "what was seen of both versions"},
+	}},
+	{"state of roll-out not read", Failure, "The state of a roll-out could not be read from the platform's store; it is tried again.", []Key{keyService, keyErr}},
+	{"state of roll-out not written", Failure, "The state of a roll-out could not be written to the platform's store; it is tried again.", []Key{
+		keyService, {"state", "running, completed or rolled back"}, keyErr,
+	}},
 	{"upstream dropped", Change, "The list no longer has a replica.", []Key{
 		keyUpstream, keyService, {"missing", "nanoseconds for which the node waited for its entry to return after an outage of the store"},
 	}},
--- a/pkg/site/row.go
+++ b/pkg/site/row.go
@@ -18,6 +18,8 @@
 	TableNodes
 	// TableLeases has the leases.
 	TableLeases
+	// TableStatus has what nodes tell operators.
+	TableStatus
 )
 
 // Row is one row of a table.
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -55,6 +55,7 @@
 	mismatched bool          // Answers to other requests arrived before this one's.
 	// answered is set once the replica's whole answer has been read.
 	answered bool
+	canary   canaryAttempt
 
 	head *http1.Head
 	body *http1.Body
--- /dev/null
+++ b/service/gateway/canaries.go
@@ -0,0 +1,503 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/canary"
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/service/peer"
+)
+
+// While a version of a service's software is rolled out, one node, the owner, collects what all
+// nodes have seen of both versions and decides the share of the new one and the verdict. Each
+// node reports to the owner, whose answer is what holds now. The final state is agreed through
+// the platform's store: it is written only if no other node has written one. A node that has
+// not heard the owner lately sends nothing to the new version, so nodes that are cut off or have
+// just started stay within its share.
+const (
+	// methodCanaryReport reports a node's counts to the owner of a roll-out.
+	methodCanaryReport = "gateway.canary_report"
+	// noteCanary tells all nodes a decision that can't wait for their next reports.
+	noteCanary = "gateway.canary"
+	// canaryDuty is the prefix of the duty of leading a service's roll-out.
+	canaryDuty = "canary/"
+	// canaryInterval is the period of Step, and the least pause between two reports of a node;
+	// decideInterval is the pause between two looks of the owner at all reports.
+	canaryInterval = 250 * time.Millisecond
+	decideInterval = 500 * time.Millisecond
+	// reportIntervalPerNode and maxReportInterval set the pause between two reports: a node of a
+	// large fleet reports less often, so that the owner's load is bounded.
+	reportIntervalPerNode = 1500 * time.Microsecond
+	maxReportInterval     = 1500 * time.Millisecond
+	// canaryCallTimeout limits a report.
+	canaryCallTimeout = 500 * time.Millisecond
+	// decisionMaxAge is the age from which a decision is no longer followed: two reports may
+	// have got lost.
+	decisionMaxAge = 2 * maxReportInterval
+	// completedTerm is how long only the new version is used after a roll-out was completed.
+	// The replicas of the old one stop at once; their rows go some seconds later.
+	completedTerm = 10 * time.Second
+	// statusRetryDelay is the pause after a failed read or write of a roll-out's state.
+	statusRetryDelay = 500 * time.Millisecond
+)
+
+// canaries takes part in the roll-outs of versions of services' software.
+type canaries struct {
+	self    control.Member
+	members *control.Members
+	store   Store
+	codec   Codec
+	client  *peer.Client
+	notify  func(d canaryDecision) // Sends a decision to all nodes.
+	limits  canary.Limits
+	log     *slog.Logger
+
+	mu       sync.Mutex
+	rollouts map[string]*canaryRollout // By service.
+}
+
+// canaryRollout is a roll-out as this node knows it.
+type canaryRollout struct {
+	order     site.RolloutOrder
+	since     time.Time // When the order was given, as far as known.
+	decision  canaryDecision
+	decidedAt time.Time // When the decision was last heard.
+	stats     canary.Stats
+	inFlight  [2]int // Requests in flight by canary.Arm.
+	reportAt  time.Time
+	owner     *canaryOwner // Nil on other nodes.
+}
+
+// canaryOwner is the state of the node that leads a roll-out.
+type canaryOwner struct {
+	controller *canary.Controller
+	reports    map[string]canaryReport // By node and start of the node.
+	// written is the state in the platform's store as far as known, and revision that of its
+	// row.
+	read     bool
+	written  site.RolloutState
+	hasRow   bool
+	revision int64
+	retryAt  time.Time
+	decideAt time.Time // When to look at the reports again.
+}
+
+// canaryReport is a node's report to the owner.
+type canaryReport struct {
+	Service     string       `json:"service"`
+	Revision    int64        `json:"revision"` // Of the order.
+	From        string       `json:"from"`
+	Incarnation uint64       `json:"incarnation"`
+	ElapsedMS   int64        `json:"elapsed_ms"`
+	Stats       canary.Stats `json:"stats"`
+	OldInFlight int          `json:"old_in_flight"`
+
+	receivedAt time.Time
+}
+
+// canaryDecision is what holds for a roll-out.
+type canaryDecision struct {
+	Service   string            `json:"service"`
+	Revision  int64             `json:"revision"`
+	Stage     int               `json:"stage"`
+	State     site.RolloutState `json:"state"`
+	ElapsedMS int64             `json:"elapsed_ms"`
+	Why       string            `json:"why,omitempty"`
+	// Relay asks the receiver to forward the decision in its hall.
+	Relay bool `json:"relay,omitempty"`
+}
+
+// errNotOwner is the answer of a node that does not lead a roll-out.
+var errNotOwner = errors.New("this node does not lead the roll-out")
+
+func newCanaries(self control.Member, members *control.Members, store Store, codec Codec, client *peer.Client, share float64, log *slog.Logger) *canaries {
+	return &canaries{
+		self:     self,
+		members:  members,
+		store:    store,
+		codec:    codec,
+		client:   client,
+		notify:   func(canaryDecision) {},
+		limits:   canary.Limits{Share: share},
+		log:      log,
+		rollouts: map[string]*canaryRollout{},
+	}
+}
+
+// applyOrder takes in an operator's order, or its removal.
+func (c *canaries) applyOrder(o site.RolloutOrder, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.rollouts[o.Service]
+	switch {
+	case old != nil && old.order.Revision >= o.Revision:
+		return
+	case o.Version == "":
+		delete(c.rollouts, o.Service)
+		return
+	}
+	c.rollouts[o.Service] = &canaryRollout{
+		order:    o,
+		since:    now,
+		decision: canaryDecision{Service: o.Service, Revision: o.Revision, Stage: canary.StageHalted},
+		stats:    canary.Stats{},
+	}
+	c.log.Info("roll-out ordered", "service", o.Service, "software", o.Version, "duration", o.Duration, "revision", o.Revision)
+}
+
+// rule returns which replicas a request may run on; ok is false if no roll-out concerns its
+// service.
+func (c *canaries) rule(service, requestID string, p *route.Pool, now time.Time) (rule route.SoftwareRule, ok bool) {
+	c.mu.Lock()
+	r := c.rollouts[service]
+	if r == nil {
+		c.mu.Unlock()
+		return rule, false
+	}
+	rule = route.SoftwareRule{Version: r.order.Version, Excluded: !r.usesNew(requestID, c.limits, now)}
+	over := r.decision.State == site.RolloutCompleted && now.Sub(r.decidedAt) >= completedTerm
+	c.mu.Unlock()
+	if over {
+		return route.SoftwareRule{}, false
+	}
+	if rule.Excluded && !p.HasOtherSoftware(rule.Version) {
+		return route.SoftwareRule{}, false // There is nothing else to run on.
+	}
+	return rule, true
+}
+
+// usesNew reports whether a request goes to the new version.
+func (r *canaryRollout) usesNew(requestID string, limits canary.Limits, now time.Time) bool {
+	switch r.decision.State {
+	case site.RolloutCompleted:
+		return true
+	case site.RolloutRolledBack:
+		return false
+	default:
+		fresh := !r.decidedAt.IsZero() && now.Sub(r.decidedAt) < decisionMaxAge
+		return fresh && canary.UsesNewVersion(requestID, canary.ShareOf(r.decision.Stage, limits))
+	}
+}
+
+// begin counts a request as in flight; the returned function ends that.
+func (c *canaries) begin(service string, arm canary.Arm) (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.rollouts[service]
+	if r == nil {
+		return func() {}
+	}
+	r.inFlight[arm]++
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		r.inFlight[arm]--
+	}
+}
+
+// record counts the outcome of a request.
+func (c *canaries) record(service string, o *canary.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.rollouts[service]; r != nil && !r.decision.State.Final() {
+		r.stats.Add(o)
+	}
+}
+
+// arm returns the arm of a replica; ok is false if no roll-out of its service is running.
+func (c *canaries) arm(u *site.Upstream) (a canary.Arm, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.rollouts[u.Service]
+	if r == nil || r.decision.State.Final() {
+		return a, false
+	}
+	if u.Software == r.order.Version {
+		return canary.ArmNew, true
+	}
+	return canary.ArmOld, true
+}
+
+// step leads the roll-outs that this node owns and reports to the owners of the others; the
+// timer service calls it.
+func (c *canaries) step(ctx context.Context) {
+	for _, service := range c.running() {
+		owner, ok := c.owner(service)
+		if ok && owner.Name != c.self.Name {
+			c.reportTo(ctx, owner.Peer, service)
+			continue
+		}
+		c.lead(ctx, service)
+	}
+}
+
+// running lists the services with a roll-out whose final state this node does not know.
+func (c *canaries) running() (services []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, r := range c.rollouts {
+		if !r.decision.State.Final() {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// owner returns the node that leads a service's roll-out.
+func (c *canaries) owner(service string) (control.Member, bool) {
+	return control.Owner(control.WithWidestLinks(c.members.View().Alive()), canaryDuty+service)
+}
+
+// reportInterval is the pause between two reports of a node.
+func (c *canaries) reportInterval() time.Duration {
+	return min(maxReportInterval, time.Duration(c.members.View().Counts().Alive)*reportIntervalPerNode)
+}
+
+// reportTo reports this node's counts to the owner of a roll-out and follows its answer.
+func (c *canaries) reportTo(ctx context.Context, owner netip.AddrPort, service string) {
+	now := boottime.Now()
+	c.mu.Lock()
+	r := c.rollouts[service]
+	due := r != nil && !now.Before(r.reportAt)
+	var body []byte
+	var err error
+	if due {
+		r.reportAt = now.Add(c.reportInterval())
+		r.owner = nil
+		body, err = json.Marshal(c.ownReport(r, now))
+	}
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	var d canaryDecision
+	if err == nil {
+		err = c.client.CallWithin(ctx, canaryCallTimeout, owner, methodCanaryReport, json.RawMessage(body), &d)
+	}
+	if err != nil {
+		c.log.Debug("roll-out report not answered", "service", service, "peer", owner, "err", err)
+		return
+	}
+	c.follow(d, boottime.Now())
+}
+
+// ownReport returns this node's report; the caller holds mu.
+func (c *canaries) ownReport(r *canaryRollout, now time.Time) canaryReport {
+	return canaryReport{
+		Service:     r.order.Service,
+		Revision:    r.order.Revision,
+		From:        c.self.Name,
+		Incarnation: c.members.Self().Incarnation,
+		ElapsedMS:   now.Sub(r.since).Milliseconds(),
+		Stats:       r.stats,
+		OldInFlight: r.inFlight[canary.ArmOld],
+	}
+}
+
+// follow takes in a decision of the owner.
+func (c *canaries) follow(d canaryDecision, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.rollouts[d.Service]
+	if r == nil || r.order.Revision != d.Revision || r.decision.State.Final() {
+		return
+	}
+	if since := now.Add(-time.Duration(d.ElapsedMS) * time.Millisecond); since.Before(r.since) {
+		r.since = since
+	}
+	if d.Stage != r.decision.Stage || d.State != r.decision.State {
+		c.log.Info("roll-out advanced", "service", d.Service, "software", r.order.Version, "stage", d.Stage,
+			"share", canary.ShareOf(d.Stage, c.limits), "state", d.State.String(), "why", d.Why)
+	}
+	r.decision, r.decidedAt = d, now
+}
+
+// serveReport handles methodCanaryReport.
+func (c *canaries) serveReport(_ context.Context, params json.RawMessage) (any, error) {
+	var report canaryReport
+	if err := json.Unmarshal(params, &report); err != nil {
+		return nil, eris.Wrap(err, "bad parameters")
+	}
+	now := boottime.Now()
+	report.receivedAt = now
+	owner, ok := c.owner(report.Service)
+	if !ok || owner.Name != c.self.Name {
+		return nil, errNotOwner
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.rollouts[report.Service]
+	if r == nil || r.order.Revision != report.Revision {
+		return nil, errNotOwner
+	}
+	o := c.ownerOf(r)
+	o.reports[report.key()] = report
+	if since := now.Add(-time.Duration(report.ElapsedMS) * time.Millisecond); since.Before(r.since) {
+		r.since = since
+	}
+	if !r.decision.State.Final() && (r.decidedAt.IsZero() || now.Sub(r.decidedAt) >= decisionMaxAge) {
+		return nil, errNotOwner // Nothing is decided yet.
+	}
+	d := r.decision
+	d.ElapsedMS = now.Sub(r.since).Milliseconds()
+	return d, nil
+}
+
+// key identifies the start of the node that reports: its counts begin anew with each.
+func (r *canaryReport) key() string {
+	return r.From + "@" + time.UnixMilli(int64(r.Incarnation)).UTC().Format(time.RFC3339Nano)
+}
+
+// ownerOf returns the state of a roll-out's owner; the caller holds mu.
+func (c *canaries) ownerOf(r *canaryRollout) *canaryOwner {
+	if r.owner == nil {
+		r.owner = &canaryOwner{controller: canary.NewController(r.order), reports: map[string]canaryReport{}}
+	}
+	return r.owner
+}
+
+// lead leads a roll-out that this node owns.
+func (c *canaries) lead(ctx context.Context, service string) {
+	now := boottime.Now()
+	c.mu.Lock()
+	r := c.rollouts[service]
+	if r == nil || r.decision.State.Final() {
+		c.mu.Unlock()
+		return
+	}
+	o := c.ownerOf(r)
+	order, readRow, early := r.order, !o.read && !now.Before(o.retryAt), now.Sub(r.since) < canaryInterval || now.Before(o.decideAt)
+	c.mu.Unlock()
+	if readRow {
+		c.readStatus(ctx, order, o)
+	}
+	if early {
+		return // The reports of the others tell how old the order is.
+	}
+	c.mu.Lock()
+	if o.written.Final() { // A former owner has ended the roll-out.
+		d := canaryDecision{Service: service, Revision: order.Revision, State: o.written, Why: "agreed before"}
+		c.mu.Unlock()
+		c.conclude(d, now)
+		return
+	}
+	o.decideAt = now.Add(decideInterval)
+	d := c.decide(r, o, now)
+	c.mu.Unlock()
+	if !o.hasRow || d.State.Final() {
+		c.agree(ctx, order, o, d)
+	}
+}
+
+// decide has the controller decide on the current reports; the caller holds mu. A final state is
+// not followed before it is agreed.
+func (c *canaries) decide(r *canaryRollout, o *canaryOwner, now time.Time) canaryDecision {
+	own := c.ownReport(r, now)
+	own.receivedAt = now
+	o.reports[own.key()] = own
+	report := canary.Report{Elapsed: now.Sub(r.since), Total: canary.Stats{}}
+	for _, x := range o.reports {
+		report.Total.Plus(x.Stats)
+		if now.Sub(x.receivedAt) < decisionMaxAge {
+			report.OldInFlight += x.OldInFlight
+		}
+	}
+	next := o.controller.Step(&report)
+	d := canaryDecision{Service: r.order.Service, Revision: r.order.Revision, Stage: next.Stage, State: next.State, Why: next.Why,
+		ElapsedMS: report.Elapsed.Milliseconds()}
+	halted := d.Stage != r.decision.Stage && d.Stage == canary.StageHalted
+	r.decision = d
+	r.decision.State = site.RolloutRunning
+	r.decidedAt = now
+	if halted {
+		c.log.Warn("roll-out halted", "service", d.Service, "software", r.order.Version, "why", d.Why)
+		go c.notify(r.decision)
+	}
+	return d
+}
+
+// readStatus reads the state of a roll-out that is already agreed.
+func (c *canaries) readStatus(ctx context.Context, order site.RolloutOrder, o *canaryOwner) {
+	key := c.codec.RolloutStatusKey(order.Service)
+	l, err := c.store.ListPrefix(ctx, site.TableStatus, key)
+	var s site.RolloutStatus
+	found := false
+	for _, row := range l.Rows {
+		if row.Key == key && !row.Gone {
+			s, err = c.codec.RolloutStatus(row)
+			s.Revision, found = row.Version, true
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil && !found {
+		o.retryAt = boottime.Now().Add(statusRetryDelay)
+		c.log.Warn("state of roll-out not read", "service", order.Service, "err", err)
+		return
+	}
+	o.read, o.revision = true, s.Revision
+	// A row from before the order is that of an earlier roll-out.
+	if err == nil && s.Version == order.Version && s.Revision > order.Revision {
+		o.written, o.hasRow = s.State, true
+	}
+}
+
+// agree writes the state of a roll-out to the platform's store, unless another node has written
+// one since this one read it.
+func (c *canaries) agree(ctx context.Context, order site.RolloutOrder, o *canaryOwner, d canaryDecision) {
+	now := boottime.Now()
+	c.mu.Lock()
+	ready := o.read && !now.Before(o.retryAt)
+	expected := o.revision
+	c.mu.Unlock()
+	if !ready {
+		return
+	}
+	s := site.RolloutStatus{Service: order.Service, Version: order.Version, State: d.State}
+	value, err := c.codec.EncodeRolloutStatus(&s)
+	var l site.Listing
+	if err == nil {
+		l, err = c.store.Put(ctx, site.TableStatus, c.codec.RolloutStatusKey(order.Service), value, expected)
+	}
+	c.mu.Lock()
+	if err != nil {
+		o.read = false // Another node may have written, or this write may yet be done.
+		o.retryAt = now.Add(statusRetryDelay)
+		c.mu.Unlock()
+		c.log.Warn("state of roll-out not written", "service", order.Service, "state", d.State.String(), "err", err)
+		return
+	}
+	o.hasRow, o.revision, o.written = true, l.Version, d.State
+	c.mu.Unlock()
+	if d.State.Final() {
+		c.conclude(d, boottime.Now())
+	}
+}
+
+// conclude follows a final state and tells it to all nodes.
+func (c *canaries) conclude(d canaryDecision, now time.Time) {
+	c.follow(d, now)
+	c.notify(d)
+	time.AfterFunc(updateResendDelay, func() { c.notify(d) })
+}
+
+// handleNote handles noteCanary.
+func (c *canaries) handleNote(params json.RawMessage) (d canaryDecision, ok bool) {
+	if err := json.Unmarshal(params, &d); err != nil {
+		c.log.Debug("roll-out notification can't be decoded", "err", err)
+		return d, false
+	}
+	c.follow(d, boottime.Now())
+	return d, true
+}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -158,6 +158,7 @@
 	dispatch, plan := x.dispatch(choice, now)
 	a := newAttempt(x, choice, plan, now)
 	a.realm = dispatch.Realm
+	x.beginCanary(a)
 	x.leaveQueue(now)
 	if x.pickInput.Tokens > 0 {
 		x.g.nodes.sendLoadsSoon()
@@ -166,6 +167,7 @@
 	defer func() {
 		x.endSuspectRun(a.answered)
 		a.releaseConn()
+		a.canary.end()
 	}()
 	now = boottime.Now()
 	if result == resultAnswered || result == resultNotRun {
@@ -271,6 +273,7 @@
 func (x *exchange) handleUnknown(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
 	x.mayHaveRun++
 	x.recordLostRun(ctx, a, err, now)
+	x.recordCanary(ctx, a, true)
 	if ctx.Err() != nil {
 		a.end(route.OutcomeNeutral, now)
 		x.closeIdleAfterSilence(a, now)
@@ -368,6 +371,7 @@
 	if err != nil {
 		a.end(x.outcomeOfFailure(ctx), now)
 		x.recordLostRun(ctx, a, err, now)
+		x.recordCanary(ctx, a, true)
 		if ctx.Err() != nil {
 			return false, x.deadlineRefusal()
 		}
@@ -377,6 +381,7 @@
 	a.answered = true
 	x.recordFinish(now)
 	w := &wholeAnswer{head: a.head, body: body}
+	x.recordCanary(ctx, a, isServerError(a.head.Status))
 	if !isServerError(a.head.Status) {
 		a.end(route.OutcomeOK, now)
 		x.writeWhole(w)
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -40,6 +40,7 @@
 	}
 	x.pickInput = x.newPickInput()
 	x.pickInput.Homes, x.pickInput.HomesOnly = x.allowedHomes()
+	x.pickInput.Software, _ = x.g.canaries.rule(x.service.Name, x.info.ID, x.pool, x.receivedAt)
 	return refusal{}, true
 }
 
@@ -126,5 +127,10 @@
 	x.refreshWeights(now)
 	x.lookUpCoverage(now)
 	x.g.nodes.refreshPeerLoads(now)
-	return x.pool.Pick(&x.pickInput, now)
+	c, ok := x.pool.Pick(&x.pickInput, now)
+	if s := &x.pickInput.Software; !ok && s.Version != "" && !s.Excluded && x.pool.HasOtherSoftware(s.Version) {
+		s.Excluded = true // No replica of the new version can take it.
+		c, ok = x.pool.Pick(&x.pickInput, now)
+	}
+	return c, ok
 }
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -75,6 +75,7 @@
 	suspects     *suspects.Suspects
 	rateLimits   *ratelimit.Limits
 	rollout      *rollout.Rollout
+	canaries     *canaries
 	conns        *upstreamConns
 	clients      *clientConns
 	metrics      *metrics
@@ -131,6 +132,7 @@
 		suspects:     built.Suspects,
 		rateLimits:   built.RateLimits,
 		rollout:      built.Rollout,
+		canaries:     built.Canaries,
 		conns:        built.Conns,
 		clients:      built.Clients,
 		metrics:      built.Metrics,
@@ -205,6 +207,7 @@
 	g.runEvery(refreshInterval, g.engineCaches.refresh)
 	g.runEvery(freeInterval, g.kvStores.freeUnused)
 	g.runEvery(rollout.StepInterval, g.rollout.Step)
+	g.runEvery(canaryInterval, g.canaries.step)
 	g.runEvery(refreshInterval, g.updateRetrySlack)
 	g.runEvery(suspects.StepInterval, g.suspects.Step)
 	g.runEvery(suspects.StepInterval, g.suspects.SaveRow)
--- a/service/gateway/platform.go
+++ b/service/gateway/platform.go
@@ -48,6 +48,14 @@
 	// Evacuation decodes the row that takes a data hall out of service; on is false if the
 	// row ends the evacuation, ok is false for other rows.
 	Evacuation(r site.Row) (hall string, on, ok bool)
+	// RolloutOrder decodes an order to roll out a version of a service's software; ok is false
+	// for other rows. The order of a deleted row names only the service.
+	RolloutOrder(r site.Row) (o site.RolloutOrder, ok bool, err error)
+	// RolloutStatusKey returns the key of the row with the state of a service's roll-out, in
+	// site.TableStatus. RolloutStatus decodes the row, EncodeRolloutStatus encodes it.
+	RolloutStatusKey(service string) string
+	RolloutStatus(r site.Row) (site.RolloutStatus, error)
+	EncodeRolloutStatus(s *site.RolloutStatus) ([]byte, error)
 	Upstream(r site.Row) (site.Upstream, error)
 	// RequestInfo reads a request's header.
 	RequestInfo(h *http1.Head) (site.RequestInfo, error)
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -49,6 +49,7 @@
 	if err == nil {
 		a.end(route.OutcomeOK, now)
 		a.answered = true
+		x.recordCanary(ctx, a, false)
 		x.recordFinish(now)
 		r.finish()
 		x.logAnswer(a, now)
@@ -56,6 +57,7 @@
 	}
 	a.end(x.outcomeOfFailure(ctx), now)
 	x.recordLostRun(ctx, a, err, now)
+	x.recordCanary(ctx, a, true)
 	if ctx.Err() != nil {
 		x.closeIdleAfterSilence(a, now)
 		return false, x.deadlineRefusal()
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -34,7 +34,9 @@
 	// onDelisted is called for each replica whose row was removed though it had not
 	// announced that it was leaving.
 	onDelisted func(id string, now time.Time)
-	log        *slog.Logger
+	// onRolloutOrder is called for each order to roll out a version, or its removal.
+	onRolloutOrder func(o site.RolloutOrder, now time.Time)
+	log            *slog.Logger
 
 	snapshot atomic.Pointer[site.Snapshot]
 
@@ -100,6 +102,8 @@
 		draining:   map[string]drainReport{},
 		onRestart:  func(string, bool, time.Time) {},
 		onDelisted: func(string, time.Time) {},
+
+		onRolloutOrder: func(site.RolloutOrder, time.Time) {},
 	}
 }
 
@@ -124,6 +128,12 @@
 		st.setEvacuation(hall, on, r.Version, now)
 		return nil
 	}
+	if o, ok, err := st.codec.RolloutOrder(r); ok || err != nil {
+		if ok {
+			st.onRolloutOrder(o, now)
+		}
+		return err
+	}
 	s, err := st.codec.Configuration(r)
 	if err != nil {
 		return err
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -38,6 +39,7 @@
 	Suspects     *suspects.Suspects
 	RateLimits   *ratelimit.Limits
 	Rollout      *rollout.Rollout
+	Canaries     *canaries
 	Conns        *upstreamConns
 	Clients      *clientConns
 	Metrics      *metrics
@@ -79,7 +81,10 @@
 		func() *control.Members {
 			return control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, newRand())
 		},
-		func(cacheIndex *route.CacheIndex, shares *coldShares, conns *upstreamConns, sus *suspects.Suspects, limits *ratelimit.Limits) *SiteState {
+		func(m *control.Members, c *peer.Client) *canaries {
+			return newCanaries(self, m, p.Store, p.Codec, c, s.Canary.Share, log)
+		},
+		func(cacheIndex *route.CacheIndex, shares *coldShares, conns *upstreamConns, sus *suspects.Suspects, limits *ratelimit.Limits, c *canaries) *SiteState {
 			st := NewSiteState(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), cacheIndex, log)
 			st.disabled, st.regions, st.cold, st.coldShares = s.Disabled, s.Regions, s.Cold, shares
 			st.rateLimits = limits
@@ -91,6 +96,7 @@
 				}
 			}
 			st.onDelisted = sus.RecordDelisted
+			st.onRolloutOrder = c.applyOrder
 			return st
 		},
 		newColdShares,
@@ -143,7 +149,7 @@
 
 // newNodes creates the part of this node that exchanges state with the others, and
 // registers the handlers of its datagrams.
-func newNodes(s config.GatewaySettings, self control.Member, members *control.Members, shares *coldShares, sus *suspects.Suspects, limits *ratelimit.Limits, store Store, siteState *SiteState, cacheIndex *route.CacheIndex, tableReader *sharedReader, log *slog.Logger) (*nodes, error) {
+func newNodes(s config.GatewaySettings, self control.Member, members *control.Members, shares *coldShares, sus *suspects.Suspects, limits *ratelimit.Limits, store Store, siteState *SiteState, cacheIndex *route.CacheIndex, tableReader *sharedReader, c *canaries, log *slog.Logger) (*nodes, error) {
 	n := &nodes{
 		self:        self,
 		regions:     s.Regions,
@@ -172,13 +178,25 @@
 	n.probes.OnNote(noteReplicaUpdates, n.handleReplicaUpdates)
 	n.probes.OnNote(suspects.NoteCases, sus.HandleCases)
 	n.probes.OnNote(suspects.NoteDigest, sus.HandleDigest)
+	n.probes.OnNote(noteCanary, func(params json.RawMessage) {
+		if d, ok := c.handleNote(params); ok && d.Relay {
+			d.Relay = false
+			n.sendNote(n.hallPeers(), noteCanary, d)
+		}
+	})
+	c.notify = func(d canaryDecision) {
+		direct, relays := n.updateRecipients(0)
+		n.sendNote(direct, noteCanary, d)
+		d.Relay = true
+		n.sendNote(relays, noteCanary, d)
+	}
 	sus.SetNotifier(suspectNotifier{n})
 	limits.SetAnnouncer(n)
 	return n, nil
 }
 
 // newPeerServer creates the server for calls from other nodes.
-func newPeerServer(s config.GatewaySettings, tableReader *sharedReader, storeEvents *storeEventRelay, engineCaches *engineCacheFollower, sus *suspects.Suspects, limits *ratelimit.Limits, log *slog.Logger) (*peer.Server, error) {
+func newPeerServer(s config.GatewaySettings, tableReader *sharedReader, storeEvents *storeEventRelay, engineCaches *engineCacheFollower, sus *suspects.Suspects, limits *ratelimit.Limits, c *canaries, log *slog.Logger) (*peer.Server, error) {
 	server, err := peer.NewServer(s.Peer.Listen, map[peer.Role]string{peer.RolePeer: s.Peer.Key}, log)
 	if err != nil {
 		return nil, err
@@ -187,6 +205,7 @@
 	server.Handle(peer.RolePeer, methodStoreEvents, storeEvents.serve)
 	server.Handle(peer.RolePeer, methodEventsOfStores, storeEvents.serveSeveral)
 	server.Handle(peer.RolePeer, methodCacheUpdates, engineCaches.serve)
+	server.Handle(peer.RolePeer, methodCanaryReport, c.serveReport)
 	server.Handle(peer.RolePeer, suspects.MethodRun, sus.ServeRun)
 	server.Handle(peer.RolePeer, suspects.MethodRunEnded, sus.ServeRunEnded)
 	server.Handle(peer.RolePeer, ratelimit.MethodTake, peer.Handle(limits.ServeTake))
