The memory for bodies is bounded, and reserved before a body is read

A node allocated the whole length that a body names as soon as it had read the head. 200 clients that send 4 MB slowly took 800 MB, where a small node has 184 and the process is ended.

Answers that are not streams are not counted yet.

--- a/pkg/http1/body.go
+++ b/pkg/http1/body.go
@@ -234,6 +234,9 @@
 	return err
 }
 
+// Remaining returns how many bytes of a body with a length have not been read yet.
+func (b *Body) Remaining() int64 { return b.remaining }
+
 // ReadAll reads a body of at most limit bytes.
 func ReadAll(b *Body, limit int) ([]byte, error) {
 	if b.framing == FramingLength && b.remaining > int64(limit) {
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -207,7 +208,8 @@
 	c.g.checkSuspension()
 	receivedAt := boottime.Now()
 	info, infoErr := c.g.codec.RequestInfo(head)
-	body, err := c.readBody(head, &info, limits, receivedAt)
+	body, release, err := c.readBody(head, &info, limits, receivedAt)
+	defer release()
 	if err != nil {
 		c.refuseRead(err)
 		return false
@@ -238,15 +240,30 @@
 	return w.ended && !w.closesConn()
 }
 
-// readBody reads a request's body within the client's timeout, or defaultBodyTimeout.
-func (c *clientConn) readBody(h *http1.Head, info *site.RequestInfo, limits site.Limits, receivedAt time.Time) ([]byte, error) {
+// readBody reads a request's body within the client's timeout, or defaultBodyTimeout. release
+// gives its memory back.
+func (c *clientConn) readBody(h *http1.Head, info *site.RequestInfo, limits site.Limits, receivedAt time.Time) (body []byte, release func(), err error) {
+	release = func() {}
 	b, err := http1.RequestBody(h, c.r)
 	if err != nil || b.Done() {
-		return nil, err
+		return nil, release, err
+	}
+	if b.Framing() == http1.FramingLength && b.Remaining() > int64(limits.BodyBytes) {
+		return nil, release, http1.ErrBodyTooLarge
+	}
+	size := int64(unknownBodySize)
+	if b.Framing() == http1.FramingLength {
+		size = b.Remaining()
+	}
+	organisation := c.g.organisationOf(info.Key)
+	ctx, cancel := context.WithTimeout(context.Background(), maxBodyWait)
+	defer cancel()
+	if release, err = c.g.bodies.reserve(ctx, organisation, size); err != nil {
+		return nil, func() {}, err
 	}
 	if strings.EqualFold(h.Get("Expect"), "100-continue") {
 		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return nil, err
+			return nil, release, err
 		}
 	}
 	timeout := defaultBodyTimeout
@@ -254,7 +271,21 @@
 		timeout = info.ClientTimeout
 	}
 	_ = c.conn.SetReadDeadline(boottime.Monotonic(receivedAt.Add(timeout))) // If it fails, so does the next read.
-	return http1.ReadAll(b, limits.BodyBytes)
+	if b.Framing() == http1.FramingLength {
+		body, err = http1.ReadAll(b, limits.BodyBytes)
+		return body, release, err
+	}
+	first, err := io.ReadAll(io.LimitReader(b, unknownBodySize))
+	if err != nil || b.Done() {
+		return first, release, err
+	}
+	releaseFirst := release
+	releaseRest, err := c.g.bodies.reserve(ctx, organisation, int64(limits.BodyBytes))
+	if err != nil {
+		return nil, release, err
+	}
+	rest, err := http1.ReadAll(b, max(0, limits.BodyBytes-len(first)))
+	return append(first, rest...), func() { releaseRest(); releaseFirst() }, err
 }
 
 // refuseRead answers a request that could not be read; a broken connection is only
@@ -269,6 +300,8 @@
 		f = refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeadTooLarge)
 	case errors.Is(err, http1.ErrBodyTooLarge):
 		f = refuse(http.StatusRequestEntityTooLarge, reasonTooLarge)
+	case errors.Is(err, errNoBodyMemory):
+		f = retryLater(reasonOverloaded, minQueueRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		f = refuse(http.StatusRequestTimeout, reasonTooSlow)
 	default:
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -80,6 +80,7 @@
 	clients      *clientConns
 	metrics      *metrics
 	clock        *replicaClock
+	bodies       *bodyBudget
 
 	entry           net.Listener
 	readyServer     *auxServer
@@ -137,6 +138,7 @@
 		clients:      built.Clients,
 		metrics:      built.Metrics,
 		clock:        built.Clock,
+		bodies:       newBodyBudget(int64(s.Limits.MemoryMB * bytesPerMB)),
 
 		retryBudgets: map[string]*route.RetryShare{},
 		queues:       map[string]*route.PromptQueue{},
@@ -303,6 +305,18 @@
 	return site.DefaultLimits()
 }
 
+// organisationOf returns the name of the organisation that holds a key, "" for none.
+func (g *Gateway) organisationOf(key string) string {
+	s := g.siteState.Snapshot()
+	if s == nil {
+		return ""
+	}
+	if o := s.Organisation(key); o != nil {
+		return o.Name
+	}
+	return ""
+}
+
 // maxRequestTime returns how long a request may take in all.
 func (g *Gateway) maxRequestTime(info *site.RequestInfo) time.Duration {
 	if info.ClientTimeout > 0 {
