An answer that can't be encoded is not kept for a repeat, and exports know the link's rate

recordStreamAnswered stored an empty answer under the claim of a request that runs once, when it could not encode the text.

--- a/service/entry/answer.go
+++ b/service/entry/answer.go
@@ -188,7 +188,10 @@
 	}
 	body, err := json.Marshal(r.response(text, false, true))
 	if err != nil {
+		// The claim stays as it is: an empty answer must not be given to a repeat.
 		s.deps.Log.Error("answer not encoded", "request", r.call.RequestID, "err", err)
+		s.deps.Metrics.Answered.Add(1)
+		return
 	}
 	s.recordAnswered(r, body)
 }
--- a/service/entry/export.go
+++ b/service/entry/export.go
@@ -14,10 +14,8 @@
 	exportWorkers = 8
 	exportQueue   = 256
 	exportTimeout = 30 * time.Second
-	// assumedTokenBytes is used until the engine has reported a load,
-	// assumedLinkRate always.
+	// assumedTokenBytes is used until the engine has reported a load.
 	assumedTokenBytes = 1000
-	assumedLinkRate   = 100e6
 )
 
 // exporter copies KV caches from engines to stores in the background.
@@ -71,7 +69,7 @@
 		Match:        r.match,
 		PrefillRate:  report.PrefillRate,
 		TokenBytes:   tokenBytes,
-		LinkRate:     assumedLinkRate,
+		LinkRate:     e.deps.Links.NominalRate(r.decision.Replica),
 	})
 	if !ok {
 		return
