Two tests test what they name

TestEarlyAnswerToALongBody had a replica that read the whole body before it answered; now one answers behind the head and reads on, and no byte but the body's may come there. A case of TestUnusableRateLimitDoesNotDisableReplicaForGood named no limit at all; now one without a value.

--- a/internal/standin/onplatform/forward_test.go
+++ b/internal/standin/onplatform/forward_test.go
@@ -1,11 +1,15 @@
 package onplatform_test
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -281,17 +285,66 @@
 	}
 }
 
+// A replica that answers before it has read a long body and reads on later got the bytes of
+// another request where the rest of the body was due.
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	s := newSite(t)
-	r := s.startReplica(appService, "a")
+	body := strings.Repeat("x", 4<<20)
+	s.limits["max_body_bytes"] = 2 * len(body)
+	s.configure()
+	r := startEarlyReplica(t, len(body))
+	s.store.Put(onplatform.TableUpstreams, "early", onplatform.UpstreamRow(appService, r.ln.Addr().(*net.TCPAddr).AddrPort(), 8, "ready"))
 	n := s.startReadyNode("n1")
-	body := strings.Repeat("x", 1<<20)
-	r.Script(onplatform.OK("early"))
 	for range 3 {
 		assert.Equal(t, n.send(request("POST", "/once/x", body)).body, "early")
 	}
-	for _, in := range r.Received() {
-		assert.Equal(t, len(in.Body), len(body))
+	s.waitUntil("the replica has read the bodies, or their connections have closed", func() bool { return r.ended.Load() == 3 })
+	assert.Equal(t, r.otherBytes.Load(), int64(0), "bytes of another request in place of the body")
+}
+
+// earlyReplica answers as soon as it has read a head, and reads the body afterwards.
+type earlyReplica struct {
+	ln         net.Listener
+	bodySize   int
+	ended      atomic.Int64 // Requests whose body was read or whose connection has closed.
+	otherBytes atomic.Int64 // Bytes other than the body's where that was due.
+}
+
+func startEarlyReplica(t *testing.T, bodySize int) *earlyReplica {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &earlyReplica{ln: ln, bodySize: bodySize}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(conn)
+		}
+	}()
+	return r
+}
+
+func (r *earlyReplica) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	b := bufio.NewReader(conn)
+	for {
+		in, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		head := &onplatform.Request{Header: in.Header}
+		_, _ = io.WriteString(conn, onplatform.Head(head, 200, 5)+"early") // The node may have disconnected.
+		time.Sleep(50 * time.Millisecond)
+		rest := make([]byte, r.bodySize)
+		size, err := io.ReadFull(b, rest)
+		r.otherBytes.Add(int64(size - bytes.Count(rest[:size], []byte("x"))))
+		r.ended.Add(1)
+		if err != nil {
+			return
+		}
 	}
 }
 
--- a/internal/standin/onplatform/limit_test.go
+++ b/internal/standin/onplatform/limit_test.go
@@ -16,6 +16,8 @@
 	limitWindow = 4 * time.Second
 	// limitDelay is how long after an answer named a limit all nodes must keep to it.
 	limitDelay = 500 * time.Millisecond
+	// emptyLimit is a limit that is named without a value.
+	emptyLimit = " "
 	// minUsedShare is the share of its limit that a replica must get at least when there is enough load.
 	minUsedShare = 0.3
 )
@@ -224,7 +226,7 @@
 // A replica that names a limit of 0 or an unusable one must get requests again once it names none.
 func TestUnusableRateLimitDoesNotDisableReplicaForGood(t *testing.T) {
 	t.Parallel()
-	for _, named := range []string{"0", "1e9", "-3", "inf", "NaN", "", "much"} {
+	for _, named := range []string{"0", "1e9", "-3", "inf", "NaN", emptyLimit, "much"} {
 		t.Run(named, func(t *testing.T) {
 			t.Parallel()
 			s := newSite(t)
