--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -76,7 +76,7 @@
 	},
 	{
 		"a request on a dropped connection may have run", "pkg/httpjson/client.go",
-		"	return errors.Is(err, fasthttp.ErrNoFreeConns)", "	return true || errors.Is(err, fasthttp.ErrNoFreeConns)",
+		"	return errors.Is(err, errClosedWhileIdle) ||", "	return true || errors.Is(err, errClosedWhileIdle) ||",
 		"./pkg/upstream", "TestDroppedConnectionIsNotReportedAsNotRun",
 	},
 	{
@@ -86,7 +86,7 @@
 	},
 	{
 		"a claim is granted once", "pkg/control/claims.go",
-		"platform.Condition{Key: w.claim.row, Version: w.claim.version})", "platform.Condition{Key: w.claim.row + \"x\", Version: 0})",
+		"tablestore.Condition{Key: w.claim.row, Version: w.claim.version})", "tablestore.Condition{Key: w.claim.row + \"x\", Version: 0})",
 		"./pkg/control", "TestClaimIsGrantedOnce",
 	},
 	{
@@ -101,7 +101,7 @@
 	},
 	{
 		"only one of two changes for the same version is committed", "pkg/control/log.go",
-		"		Conditions: []platform.Condition{{Key: headRowKey, Version: e.Version - 1}},\n", "",
+		"		Conditions: []tablestore.Condition{{Key: headRowKey, Version: e.Version - 1}},\n", "",
 		"./pkg/control", "TestLogHistoryIsLinearizableUnderFaults|TestProposeReturnsConflictError",
 	},
 	{
@@ -350,8 +350,8 @@
 		"./internal/standin/onplatform", "TestNodeStopsSendingToReplicaThatAsksForBackoff",
 	},
 	{
-		"backoff: it survives relisting of the replica", "pkg/route/pool.go",
-		"			m.backoffUntil = p.backoffs[m.startKey]\n", "",
+		"backoff: it survives relisting of the replica", "pkg/route/pool_members.go",
+		"	m.backoffUntil = p.backoffs[m.startKey]\n", "",
 		"./pkg/route", "TestBackoffSurvivesRelisting",
 	},
 	{
