Which node frees a store's parts is only asked once weights have been replaced

Twice a second each node looked for the owner of each of 88 stores among all nodes, anew after each change of the members: 6 % of what the nodes of the whole fleet took at a start (perf, 4 s). Nothing is freed while each model has its first weights.

--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -230,6 +230,22 @@
 	return replaced
 }
 
+// AnyWeightsReplaced reports whether a later version than the first of any model's weights is
+// named.
+func (st *SiteState) AnyWeightsReplaced() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, w := range st.weights {
+		if w.version > firstWeights {
+			return true
+		}
+	}
+	return false
+}
+
+// firstWeights is the version with which each model begins.
+const firstWeights = 1
+
 // NewestWeights returns the newest version of the weights of each model.
 func (st *SiteState) NewestWeights() map[string]int64 {
 	st.mu.Lock()
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -276,7 +276,7 @@
 // responsible for; the timer service calls it.
 func (s *kvStoreFollower) freeUnused(ctx context.Context) {
 	snapshot := s.siteState.Snapshot()
-	if snapshot == nil {
+	if snapshot == nil || !s.siteState.AnyWeightsReplaced() {
 		return
 	}
 	now := boottime.Now()
