--- a/pkg/canary/simulation_test.go
+++ b/pkg/canary/simulation_test.go
@@ -45,23 +45,21 @@
 )
 
 type simResult struct {
-	state      site.RolloutState
-	at         time.Duration // Of the verdict.
-	exposed    int           // Requests to the new version before the deadline.
-	allowed    float64
-	tooLate    int // Requests later than rollback after the last of badAnswers.
-	allNodesAt time.Duration
+	state   site.RolloutState
+	at      time.Duration // Of the verdict.
+	exposed int           // Requests to the new version before the deadline.
+	allowed float64
+	tooLate int // Requests later than rollback after the last of badAnswers.
 }
 
 // simNode is a node as the simulation has it: what it counted, what it last reported, and what it
 // was told.
 type simNode struct {
-	stats     Stats
-	reported  Stats
-	reportAt  time.Duration
-	stage     int
-	told      []toldStage
-	oldFlight int
+	stats    Stats
+	reported Stats
+	reportAt time.Duration
+	stage    int
+	told     []toldStage
 }
 
 type toldStage struct {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -156,8 +156,11 @@
 		keyService, keySoftware, {"duration", "nanoseconds in which it is to be completed"}, {"revision", "the version of the order's row"},
 	}},
 	{"roll-out advanced", Change, "Another share of the requests goes to the new version, or the roll-out has ended.", []Key{
-		keyService, keySoftware, {"stage", "the stage, -1 if the new version gets no requests"}, {"share", "the share of the requests that it gets"},
-		{"state", "running, completed or rolled back"}, {"why", "what decided that"},
+		keyService, keySoftware,
+		{"stage", "the stage, -1 if the new version gets no requests"},
+		{"share", "the share of the requests that it gets"},
+		{"state", "running, completed or rolled back"},
+		{"why", "what decided that"},
 	}},
 	{"roll-out halted", Failure, "The new version is bad and gets no more requests; the roll-back is to be agreed.", []Key{
 		keyService, keySoftware, {"why", "what was seen of both versions"},
--- a/pkg/route/large_pool_test.go
+++ b/pkg/route/large_pool_test.go
@@ -105,7 +105,7 @@
 					Started: time.UnixMilli(rapid.Int64Range(1, 3).Draw(t, "start")), Weights: map[string]int64{"m": rapid.Int64Range(1, 3).Draw(t, "weights")},
 				}
 				old, known := listed[id]
-				if known && (u.StartedBefore(&old)) {
+				if known && u.StartedBefore(&old) {
 					continue // SiteState drops rows of earlier starts.
 				}
 				if known && !old.StartedBefore(&u) && old.DataHall == u.DataHall && old.Weights["m"] > u.Weights["m"] {
--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -414,8 +414,10 @@
 		}
 	}
 	next := o.controller.Step(&report)
-	d := canaryDecision{Service: r.order.Service, Revision: r.order.Revision, Stage: next.Stage, State: next.State, Why: next.Why,
-		ElapsedMS: report.Elapsed.Milliseconds()}
+	d := canaryDecision{
+		Service: r.order.Service, Revision: r.order.Revision, Stage: next.Stage, State: next.State, Why: next.Why,
+		ElapsedMS: report.Elapsed.Milliseconds(),
+	}
 	halted := d.Stage != r.decision.Stage && d.Stage == canary.StageHalted
 	r.decision = d
 	r.decision.State = site.RolloutRunning
