--- a/pkg/route/candidates.go
+++ b/pkg/route/candidates.go
@@ -8,10 +8,9 @@
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
-// In a large fleet a pick can't compare all replicas: with 10,000 a look at each of them
-// took a node with a fifth of a core 28 ms for every request. So the nodes of a data hall
-// share a subset of its replicas, the first ones in the order of their hashes that can be
-// used. All of them find the same ones without communication, also the engines whose cache
+// A look at each of 10,000 replicas takes several milliseconds of a core, for every request. So
+// in a large pool the nodes of a data hall compare only a subset of its replicas, the first ones
+// in the order of their hashes that can be used. All of them find the same ones without communication, also the engines whose cache
 // contents they track, so prompts that share parts meet at the same engines. A subset that
 // is overloaded is left through the few replicas that are drawn at random.
 const (
--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -32,7 +32,7 @@
 	noteCanary = "gateway.canary"
 	// canaryDuty is the prefix of the duty of leading a service's roll-out.
 	canaryDuty = "canary/"
-	// canaryInterval is the period of Step, and the least pause between two reports of a node;
+	// canaryInterval is the period of step, and the least pause between two reports of a node;
 	// decideInterval is the pause between two looks of the owner at all reports.
 	canaryInterval = 250 * time.Millisecond
 	decideInterval = 500 * time.Millisecond
--- a/service/gateway/discovery.go
+++ b/service/gateway/discovery.go
@@ -19,8 +19,8 @@
 
 // Nodes find each other by rows in the platform's store. A node that starts lists those of its
 // own data hall, greets them, and reads everything else through them: the list of all nodes and
-// the other tables. If each node read the tables before it knew the others, a start of 985
-// nodes would read 10,000 rows 985 times. In a large fleet only nodes of the same hall greet
+// the other tables. A node that knew no other would have to read them from the store itself, which
+// at a start of a whole fleet multiplies them by the number of nodes. In a large fleet only nodes of the same hall greet
 // each other, as greetings of all by all grow with the square of the fleet; nodes of other
 // halls count as alive as listed, until probes show otherwise.
 const (
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -343,8 +343,8 @@
 
 // applyUpstream applies one row and reports whether the replica has restarted under its
 // ID. Rows older than the known one are ignored; a row that can't be decoded removes the
-// replica it replaces. The rows of the first list are not logged one by one: with 10,000
-// replicas that took a small node most of a second.
+// replica it replaces. The rows of the first list are not logged one by one, as there may be
+// thousands.
 func (st *SiteState) applyUpstream(r site.Row, first bool, now time.Time) (restarted bool) {
 	old, known := st.upstreams[r.Key]
 	if known && r.Version < old.version {
