The node that takes over a roll-out waits for reports before it decides

A roll-out that was halted and not yet written, as the store was away, went on by the time alone when another node took over the lead, until the others had reported; and the counts of a node that refuted a suspicion were added twice, as its member record then has another incarnation. Found by reading. TestNewOwnerOfARolloutDecidesNothingBeforeReports, TestCountsOfANodeThatWasSuspectedAreCountedOnce.

--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 	// large fleet reports less often, so that the owner's load is bounded.
 	reportIntervalPerNode = 1500 * time.Microsecond
 	maxReportInterval     = 1500 * time.Millisecond
+	// takeoverDelay is how long a node that takes over collects reports before it decides.
+	takeoverDelay = maxReportInterval + canaryInterval
 	// canaryCallTimeout limits a report.
 	canaryCallTimeout = 500 * time.Millisecond
 	// decisionMaxAge is the age from which a decision is no longer followed: two reports may
@@ -62,6 +65,9 @@
 	notify  func(d canaryDecision) // Sends a decision to all nodes.
 	limits  canary.Limits
 	log     *slog.Logger
+	// incarnation distinguishes this run of the node from earlier ones. Unlike that of its
+	// member record it never changes.
+	incarnation uint64
 
 	mu       sync.Mutex
 	rollouts map[string]*canaryRollout // By service.
@@ -123,14 +129,17 @@
 
 func newCanaries(self control.Member, members *control.Members, store Store, codec Codec, client *peer.Client, share float64, log *slog.Logger) *canaries {
 	return &canaries{
-		self:     self,
-		members:  members,
-		store:    store,
-		codec:    codec,
-		client:   client,
-		notify:   func(canaryDecision) {},
-		limits:   canary.Limits{Share: share},
-		log:      log,
+		self:    self,
+		members: members,
+		store:   store,
+		codec:   codec,
+		client:  client,
+		notify:  func(canaryDecision) {},
+		limits:  canary.Limits{Share: share},
+		log:     log,
+
+		incarnation: members.Self().Incarnation,
+
 		rollouts: map[string]*canaryRollout{},
 	}
 }
@@ -298,7 +307,7 @@
 		Service:     r.order.Service,
 		Revision:    r.order.Revision,
 		From:        c.self.Name,
-		Incarnation: c.members.Self().Incarnation,
+		Incarnation: c.incarnation,
 		ElapsedMS:   now.Sub(r.since).Milliseconds(),
 		Stats:       r.stats,
 		OldInFlight: r.inFlight[canary.ArmOld],
@@ -341,7 +350,7 @@
 	if r == nil || r.order.Revision != report.Revision {
 		return nil, errNotOwner
 	}
-	o := c.ownerOf(r)
+	o := c.ownerOf(r, now)
 	o.reports[report.key()] = report
 	if since := now.Add(-time.Duration(report.ElapsedMS) * time.Millisecond); since.Before(r.since) {
 		r.since = since
@@ -356,13 +365,18 @@
 
 // key identifies the start of the node that reports: its counts begin anew with each.
 func (r *canaryReport) key() string {
-	return r.From + "@" + time.UnixMilli(int64(r.Incarnation)).UTC().Format(time.RFC3339Nano)
+	return r.From + "@" + strconv.FormatUint(r.Incarnation, 10)
 }
 
-// ownerOf returns the state of a roll-out's owner; the caller holds mu.
-func (c *canaries) ownerOf(r *canaryRollout) *canaryOwner {
+// ownerOf returns the state of a roll-out's owner; the caller holds mu. A node that takes over
+// decides nothing before the others have reported: what they have seen of the new version may be
+// a reason to stop.
+func (c *canaries) ownerOf(r *canaryRollout, now time.Time) *canaryOwner {
 	if r.owner == nil {
 		r.owner = &canaryOwner{controller: canary.NewController(r.order), reports: map[string]canaryReport{}}
+		if now.Sub(r.since) >= decideInterval {
+			r.owner.decideAt = now.Add(takeoverDelay)
+		}
 	}
 	return r.owner
 }
@@ -376,7 +390,7 @@
 		c.mu.Unlock()
 		return
 	}
-	o := c.ownerOf(r)
+	o := c.ownerOf(r, now)
 	order, readRow, early := r.order, !o.read && !now.Before(o.retryAt), now.Sub(r.since) < canaryInterval || now.Before(o.decideAt)
 	c.mu.Unlock()
 	if readRow {
--- /dev/null
+++ b/service/gateway/canaries_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/canary"
+	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/platform"
+)
+
+func newTestCanaries(t *testing.T) (*canaries, *control.Members) {
+	self := control.Member{Name: "n0", DataHall: "h", Incarnation: 5}
+	m := control.NewMembers(self, time.Second, nil, newRand())
+	c := newCanaries(self, m, &fakeTableStore{}, platform.Codec{}, nil, 0.1, slog.New(slog.DiscardHandler))
+	c.applyOrder(site.RolloutOrder{Service: "s", Version: "v2", Duration: 10 * time.Second, Revision: 1}, boottime.Now())
+	return c, m
+}
+
+// The node that led a roll-out had halted it and was lost. The one that took over went by the time
+// alone until the others had reported, and sent all requests to the bad version.
+func TestNewOwnerOfARolloutDecidesNothingBeforeReports(t *testing.T) {
+	c, _ := newTestCanaries(t)
+	r := c.rollouts["s"]
+	r.since = boottime.Now().Add(-8 * time.Second)
+	c.step(t.Context())
+	assert.Assert(t, r.decidedAt.IsZero())
+	assert.Equal(t, r.decision.Stage, canary.StageHalted)
+	for range 300 { // The counts of another node arrive.
+		r.stats.Add(&canary.Outcome{Route: "r", Arm: canary.ArmOld, FirstByte: time.Millisecond})
+		r.stats.Add(&canary.Outcome{Route: "r", Arm: canary.ArmNew, Failed: true})
+	}
+	r.owner.decideAt = boottime.Now()
+	c.step(t.Context())
+	assert.Equal(t, r.decision.Stage, canary.StageHalted)
+	assert.Equal(t, r.decision.State, site.RolloutRolledBack)
+}
+
+// A node's member record gets a higher incarnation when it refutes a suspicion. Its counts were then
+// taken for those of another start, and counted twice.
+func TestCountsOfANodeThatWasSuspectedAreCountedOnce(t *testing.T) {
+	c, m := newTestCanaries(t)
+	r := c.rollouts["s"]
+	first := c.ownReport(r, boottime.Now())
+	m.Merge([]control.Member{{Name: "n0", DataHall: "h", Incarnation: 9, State: control.MemberSuspect}}, time.Now())
+	assert.Assert(t, m.Self().Incarnation > 9)
+	second := c.ownReport(r, boottime.Now())
+	assert.Equal(t, first.key(), second.key())
+}
