A node that is alone in its data hall does not wait for others when it starts again

Its own row shows that the fleet has run before, so it reads the list of all nodes at once; it waited 0.4 to 0.7 s for others of its hall, which small sites may not have. TestRestartedNodeOfASmallHallDoesNotWait.

--- a/service/gateway/discovery.go
+++ b/service/gateway/discovery.go
@@ -97,7 +97,7 @@
 	listing, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	for ctx.Err() == nil {
-		listed, err := n.listHall(listing)
+		listed, restarted, err := n.listHall(listing)
 		if err != nil {
 			n.log.Warn("nodes of the data hall not listed", "hall", n.self.DataHall, "err", err)
 		}
@@ -105,7 +105,7 @@
 			n.awaitAnswers(ctx, listed, boottime.Now().Add(joinAnswerTime))
 			return
 		}
-		if !boottime.Now().Add(joinRetryDelay).Before(end) {
+		if restarted || !boottime.Now().Add(joinRetryDelay).Before(end) {
 			return
 		}
 		n.awaitAnswers(ctx, 1, boottime.Now().Add(joinRetryDelay))
@@ -127,21 +127,23 @@
 	}
 }
 
-// listHall lists the nodes of this data hall in the platform's store and greets them.
-func (n *nodes) listHall(ctx context.Context) (others int, err error) {
+// listHall lists the nodes of this data hall in the platform's store and greets them. restarted
+// is set if this node is listed too: it has run before, and so have the others.
+func (n *nodes) listHall(ctx context.Context) (others int, restarted bool, err error) {
 	l, err := n.store.ListPrefix(ctx, site.TableNodes, hallKeys(n.self.DataHall))
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	var unprobed []netip.AddrPort
 	for _, r := range l.Rows {
+		restarted = restarted || nodeName(r.Key) == n.self.Name
 		if m, ok := n.decodeNodeRow(r); ok {
 			n.members.AddSeed(m.Peer)
 			unprobed = append(unprobed, m.Peer)
 		}
 	}
 	n.greet(unprobed)
-	return len(unprobed), nil
+	return len(unprobed), restarted, nil
 }
 
 // announce writes this node's row to the platform's store; the timer service calls it. Nodes
--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -49,8 +49,8 @@
 func TestStartingNodeGreetsOnlyItsHallInALargeFleet(t *testing.T) {
 	const nodeCount, halls = 985, 5
 	n, _ := newDiscoveringNode(t, nodeCount, halls)
-	listed, err := n.listHall(t.Context())
-	assert.NilError(t, err)
+	listed, restarted, err := n.listHall(t.Context())
+	assert.Assert(t, err == nil && restarted)
 	assert.Equal(t, listed, nodeCount/halls-1)
 	assert.Assert(t, len(n.discovery.unprobed) < nodeCount/halls)
 	n.discover(t.Context())
@@ -61,6 +61,14 @@
 	}
 }
 
+// The only node of its hall does not wait for others of it when it starts again.
+func TestRestartedNodeOfASmallHallDoesNotWait(t *testing.T) {
+	n, _ := newDiscoveringNode(t, 3, 3)
+	start := time.Now()
+	n.join(t.Context())
+	assert.Assert(t, time.Since(start) < n.startDelay()+joinRetryDelay/2)
+}
+
 // In a small fleet all nodes greet each other, so that a node that is gone is not used before a
 // probe shows it.
 func TestStartingNodeGreetsAllNodesOfASmallFleet(t *testing.T) {
