--- a/pkg/config/gateway_test.go
+++ b/pkg/config/gateway_test.go
@@ -27,6 +27,9 @@
 	"#bounds.evacuation_ms":          "",
 	"/bounds.evacuation_ms":          "",
 	"bounds.evacuation_ms":           "5000",
+	"#bounds.exposure_share":         "",
+	"/bounds.exposure_share":         "",
+	"bounds.exposure_share|json":     "0.2",
 	"internal_port_range.0":          "7580",
 	"platform.addr":                  "10.200.1.7:8744",
 	"platform.addr|json":             `"10.200.1.7:8744"`,
@@ -68,6 +71,7 @@
 	assert.DeepEqual(t, s.Regions, map[string]string{"hall-a": "region-1", "hall-b": "region-2"})
 	assert.Equal(t, s.Cold, ColdSettings{Overage: 1.5, Slack: 5})
 	assert.Equal(t, s.Evacuation.MaxTime.Std(), 5*time.Second)
+	assert.Equal(t, s.Canary.Share, 0.2)
 }
 
 // An operator must be able to correct all errors of a file after one run.
