Chunked bodies are read where there is memory, and refused above a small limit

Three faults of the memory for bodies, found by reading the change again. A chunked body of more than 64 kB got 503 if its first part took over a second, as the wait for memory was counted from its start; it got 503 always where the limit on bodies and that part exceed what one organisation may hold, as it waited for what it held itself; and one of up to 64 kB was accepted above a smaller limit. The wait counts from the reservation, the first part is given back before the whole is reserved, and the limit is checked on the first part.

TestLongChunkedBodyIsReadWhereThereIsMemory, TestChunkedBodyAboveASmallLimitIsRefused, red before.

--- a/service/gateway/body_budget.go
+++ b/service/gateway/body_budget.go
@@ -60,22 +60,24 @@
 	}
 }
 
-// reserve waits until n bytes of an organisation fit, at most until ctx ends. A larger body than
-// the whole budget takes all of it.
-func (b *bodyBudget) reserve(ctx context.Context, organisation string, n int64) (release func(), err error) {
+// reserve waits until n bytes of an organisation fit, at most for maxBodyWait. A larger body
+// than the whole budget takes all of it. release gives the bytes back; it is never nil.
+func (b *bodyBudget) reserve(organisation string, n int64) (release func(), err error) {
 	if b == nil || n <= uncountedBody {
 		return func() {}, nil
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), maxBodyWait)
+	defer cancel()
 	own := b.join(organisation)
 	ownBytes, allBytes := min(n, b.organisation), min(n, b.size)
 	if own.Acquire(ctx, ownBytes) != nil {
 		b.leave(organisation, own)
-		return nil, errNoBodyMemory
+		return func() {}, errNoBodyMemory
 	}
 	if b.all.Acquire(ctx, allBytes) != nil {
 		own.Release(ownBytes)
 		b.leave(organisation, own)
-		return nil, errNoBodyMemory
+		return func() {}, errNoBodyMemory
 	}
 	return func() {
 		b.all.Release(allBytes)
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -256,10 +256,8 @@
 		size = b.Remaining()
 	}
 	organisation := c.g.organisationOf(info.Key)
-	ctx, cancel := context.WithTimeout(context.Background(), maxBodyWait)
-	defer cancel()
-	if release, err = c.g.bodies.reserve(ctx, organisation, size); err != nil {
-		return nil, func() {}, err
+	if release, err = c.g.bodies.reserve(organisation, size); err != nil {
+		return nil, release, err
 	}
 	if strings.EqualFold(h.Get("Expect"), "100-continue") {
 		if _, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
@@ -276,16 +274,20 @@
 		return body, release, err
 	}
 	first, err := io.ReadAll(io.LimitReader(b, unknownBodySize))
+	if err == nil && len(first) > limits.BodyBytes {
+		err = http1.ErrBodyTooLarge
+	}
 	if err != nil || b.Done() {
 		return first, release, err
 	}
-	releaseFirst := release
-	releaseRest, err := c.g.bodies.reserve(ctx, organisation, int64(limits.BodyBytes))
-	if err != nil {
+	// A body that is waiting for memory must not hold any of it, or several could wait for each
+	// other.
+	release()
+	if release, err = c.g.bodies.reserve(organisation, int64(limits.BodyBytes)); err != nil {
 		return nil, release, err
 	}
-	rest, err := http1.ReadAll(b, max(0, limits.BodyBytes-len(first)))
-	return append(first, rest...), func() { releaseRest(); releaseFirst() }, err
+	rest, err := http1.ReadAll(b, limits.BodyBytes-len(first))
+	return append(first, rest...), release, err
 }
 
 // refuseRead answers a request that could not be read; a broken connection is only
