--- a/pkg/route/pool_members.go
+++ b/pkg/route/pool_members.go
@@ -9,22 +9,6 @@
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
-// Configure sets the list of replicas. State of replicas that stay is kept.
-func (p *Pool) Configure(list []site.Upstream, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	listed := make(map[string]bool, len(list))
-	for i := range list {
-		listed[list[i].ID] = true
-		p.put(&list[i], now)
-	}
-	for id := range p.byID {
-		if !listed[id] {
-			p.remove(id)
-		}
-	}
-}
-
 // Put adds a replica, or updates it. Its state is kept unless it has restarted. The cost
 // does not depend on the number of replicas, except for moving pointers in one slice.
 func (p *Pool) Put(u site.Upstream, now time.Time) {
--- a/pkg/route/pool_test.go
+++ b/pkg/route/pool_test.go
@@ -19,6 +19,22 @@
 	return p
 }
 
+// Configure sets the list of replicas. State of replicas that stay is kept.
+func (p *Pool) Configure(list []site.Upstream, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for i := range list {
+		listed[list[i].ID] = true
+		p.put(&list[i], now)
+	}
+	for id := range p.byID {
+		if !listed[id] {
+			p.remove(id)
+		}
+	}
+}
+
 func testReplicas(n int, weights int64) []site.Upstream {
 	var list []site.Upstream
 	for i := range n {
