--- a/pkg/canary/plan.go
+++ b/pkg/canary/plan.go
@@ -37,8 +37,8 @@
 	StageHalted = -1
 	// maxPartialShare bounds the share of the stages before the last one.
 	maxPartialShare = 0.5
-	// A version with signs of being bad is in heldStage, which soon gives certainty. If they are left at holdUntil, as a
-	// share of the roll-out's duration, it is rolled back.
+	// A version with signs of being bad is in heldStage, which soon gives certainty. If they are
+	// left at holdUntil, as a share of the roll-out's duration, it is rolled back.
 	heldStage = 1
 	holdUntil = 0.92
 	// latestCompletion is when a roll-out is completed although requests are still in flight
--- a/pkg/canary/simulation_test.go
+++ b/pkg/canary/simulation_test.go
@@ -72,6 +72,7 @@
 
 func (s *simulated) run(seed uint64) (result simResult) {
 	rng := rand.New(rand.NewPCG(seed, 7))
+	result.allowed = s.limits.Share*s.perS*s.duration.Seconds() + simSlack
 	order := site.RolloutOrder{Service: "s", Version: "v2", Duration: s.duration}
 	c := NewController(order)
 	interval := min(1500*time.Millisecond, max(250*time.Millisecond, time.Duration(s.nodes)*1500*time.Microsecond))
@@ -86,7 +87,6 @@
 			for len(n.told) > 0 && n.told[0].at <= now {
 				n.stage, n.told = n.told[0].stage, n.told[1:]
 			}
-			result.allowed++
 			share := ShareOf(n.stage, s.limits)
 			arm := ArmOld
 			if UsesNewVersion(fmt.Sprint(seed, rng.Uint64()), share) {
@@ -130,7 +130,6 @@
 			break
 		}
 	}
-	result.allowed = s.limits.Share*s.perS*s.duration.Seconds() + simSlack
 	return result
 }
 
--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/canary"
 	"github.com/drumpath/drumpath/pkg/control"
@@ -80,9 +78,10 @@
 	decision  canaryDecision
 	decidedAt time.Time // When the decision was last heard.
 	stats     canary.Stats
-	inFlight  [2]int // Requests in flight by canary.Arm.
-	reportAt  time.Time
-	owner     *canaryOwner // Nil on other nodes.
+	// oldInFlight is the number of this node's requests in flight at replicas of other versions.
+	oldInFlight int
+	reportAt    time.Time
+	owner       *canaryOwner // Nil on other nodes.
 }
 
 // canaryOwner is the state of the node that leads a roll-out.
@@ -165,25 +164,21 @@
 	c.log.Info("roll-out ordered", "service", o.Service, "software", o.Version, "duration", o.Duration, "revision", o.Revision)
 }
 
-// rule returns which replicas a request may run on; ok is false if no roll-out concerns its
+// rule returns which replicas a request may run on; it allows all if no roll-out concerns its
 // service.
-func (c *canaries) rule(service, requestID string, p *route.Pool, now time.Time) (rule route.SoftwareRule, ok bool) {
+func (c *canaries) rule(service, requestID string, p *route.Pool, now time.Time) route.SoftwareRule {
 	c.mu.Lock()
 	r := c.rollouts[service]
-	if r == nil {
+	if r == nil || r.decision.State == site.RolloutCompleted && now.Sub(r.decidedAt) >= completedTerm {
 		c.mu.Unlock()
-		return rule, false
+		return route.SoftwareRule{}
 	}
-	rule = route.SoftwareRule{Version: r.order.Version, Excluded: !r.usesNew(requestID, c.limits, now)}
-	over := r.decision.State == site.RolloutCompleted && now.Sub(r.decidedAt) >= completedTerm
+	rule := route.SoftwareRule{Version: r.order.Version, Excluded: !r.usesNew(requestID, c.limits, now)}
 	c.mu.Unlock()
-	if over {
-		return route.SoftwareRule{}, false
-	}
 	if rule.Excluded && !p.HasOtherSoftware(rule.Version) {
-		return route.SoftwareRule{}, false // There is nothing else to run on.
+		return route.SoftwareRule{} // There is nothing else to run on.
 	}
-	return rule, true
+	return rule
 }
 
 // usesNew reports whether a request goes to the new version.
@@ -199,22 +194,6 @@
 	}
 }
 
-// begin counts a request as in flight; the returned function ends that.
-func (c *canaries) begin(service string, arm canary.Arm) (end func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := c.rollouts[service]
-	if r == nil {
-		return func() {}
-	}
-	r.inFlight[arm]++
-	return func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		r.inFlight[arm]--
-	}
-}
-
 // record counts the outcome of a request.
 func (c *canaries) record(service string, o *canary.Outcome) {
 	c.mu.Lock()
@@ -224,8 +203,9 @@
 	}
 }
 
-// arm returns the arm of a replica; ok is false if no roll-out of its service is running.
-func (c *canaries) arm(u *site.Upstream) (a canary.Arm, ok bool) {
+// begin counts an attempt at a replica as in flight; ok is false if no roll-out of its service is
+// running.
+func (c *canaries) begin(u *site.Upstream) (a canaryAttempt, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.rollouts[u.Service]
@@ -233,9 +213,14 @@
 		return a, false
 	}
 	if u.Software == r.order.Version {
-		return canary.ArmNew, true
+		return canaryAttempt{arm: canary.ArmNew, end: func() {}}, true
 	}
-	return canary.ArmOld, true
+	r.oldInFlight++
+	return canaryAttempt{arm: canary.ArmOld, end: func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		r.oldInFlight--
+	}}, true
 }
 
 // step leads the roll-outs that this node owns and reports to the owners of the others; the
@@ -310,7 +295,7 @@
 		Incarnation: c.incarnation,
 		ElapsedMS:   now.Sub(r.since).Milliseconds(),
 		Stats:       r.stats,
-		OldInFlight: r.inFlight[canary.ArmOld],
+		OldInFlight: r.oldInFlight,
 	}
 }
 
@@ -333,22 +318,18 @@
 }
 
 // serveReport handles methodCanaryReport.
-func (c *canaries) serveReport(_ context.Context, params json.RawMessage) (any, error) {
-	var report canaryReport
-	if err := json.Unmarshal(params, &report); err != nil {
-		return nil, eris.Wrap(err, "bad parameters")
-	}
+func (c *canaries) serveReport(_ context.Context, report canaryReport) (d canaryDecision, err error) {
 	now := boottime.Now()
 	report.receivedAt = now
 	owner, ok := c.owner(report.Service)
 	if !ok || owner.Name != c.self.Name {
-		return nil, errNotOwner
+		return d, errNotOwner
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.rollouts[report.Service]
 	if r == nil || r.order.Revision != report.Revision {
-		return nil, errNotOwner
+		return d, errNotOwner
 	}
 	o := c.ownerOf(r, now)
 	o.reports[report.key()] = report
@@ -356,9 +337,9 @@
 		r.since = since
 	}
 	if !r.decision.State.Final() && (r.decidedAt.IsZero() || now.Sub(r.decidedAt) >= decisionMaxAge) {
-		return nil, errNotOwner // Nothing is decided yet.
+		return d, errNotOwner // Nothing is decided yet.
 	}
-	d := r.decision
+	d = r.decision
 	d.ElapsedMS = now.Sub(r.since).Milliseconds()
 	return d, nil
 }
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -167,7 +167,7 @@
 	defer func() {
 		x.endSuspectRun(a.answered)
 		a.releaseConn()
-		a.canary.end()
+		a.endCanary()
 	}()
 	now = boottime.Now()
 	if result == resultAnswered || result == resultNotRun {
--- a/service/gateway/exchange_canary.go
+++ b/service/gateway/exchange_canary.go
@@ -7,11 +7,11 @@
 	"github.com/drumpath/drumpath/pkg/canary"
 )
 
-// canaryAttempt is an attempt's part in the roll-out of a version of its service's software.
+// canaryAttempt is an attempt's part in the roll-out of a version of its service's software. It is
+// zero if none is running.
 type canaryAttempt struct {
-	arm     canary.Arm
-	counted bool   // A roll-out is running.
-	end     func() // Ends the count as in flight.
+	arm canary.Arm
+	end func() // Ends the count as in flight.
 }
 
 // usualFirstByte is what the expected time to the first byte of a prompt is scaled to: prompts
@@ -21,20 +21,23 @@
 // beginCanary counts an attempt as in flight on one side of a roll-out. A request that has been
 // sent to the new version is not sent there again.
 func (x *exchange) beginCanary(a *attempt) {
-	a.canary.end = func() {}
-	if a.canary.arm, a.canary.counted = x.g.canaries.arm(&a.choice.Upstream); !a.canary.counted {
-		return
-	}
-	a.canary.end = x.g.canaries.begin(a.choice.Service, a.canary.arm)
-	if x.pickInput.Software.Version != "" {
+	var ok bool
+	if a.canary, ok = x.g.canaries.begin(&a.choice.Upstream); ok && x.pickInput.Software.Version != "" {
 		x.pickInput.Software.Excluded = true
 	}
 }
 
+// endCanary ends that.
+func (a *attempt) endCanary() {
+	if a.canary.end != nil {
+		a.canary.end()
+	}
+}
+
 // recordCanary counts the outcome of an attempt, unless its client has left.
 func (x *exchange) recordCanary(ctx context.Context, a *attempt, failed bool) {
 	cause := context.Cause(ctx)
-	if !a.canary.counted || cause == errClientLeft || cause == errNodeStopped || x.out.failed {
+	if a.canary.end == nil || cause == errClientLeft || cause == errNodeStopped || x.out.failed {
 		return
 	}
 	firstByte := a.firstByteAfter
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -40,7 +40,7 @@
 	}
 	x.pickInput = x.newPickInput()
 	x.pickInput.Homes, x.pickInput.HomesOnly = x.allowedHomes()
-	x.pickInput.Software, _ = x.g.canaries.rule(x.service.Name, x.info.ID, x.pool, x.receivedAt)
+	x.pickInput.Software = x.g.canaries.rule(x.service.Name, x.info.ID, x.pool, x.receivedAt)
 	return refusal{}, true
 }
 
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -139,9 +139,15 @@
 }
 
 func (n *nodes) sendUpdates(list []replicaUpdate, try int) {
+	n.sendToAll(try, noteReplicaUpdates, func(relay bool) any { return replicaUpdatesNote{Updates: list, Relay: relay} })
+}
+
+// sendToAll sends a note to all other nodes: to the relay of each large hall one that asks for being
+// forwarded there, to the others one that doesn't.
+func (n *nodes) sendToAll(try int, method string, note func(relay bool) any) {
 	direct, relays := n.updateRecipients(try)
-	n.sendNote(direct, noteReplicaUpdates, replicaUpdatesNote{Updates: list})
-	n.sendNote(relays, noteReplicaUpdates, replicaUpdatesNote{Updates: list, Relay: true})
+	n.sendNote(direct, method, note(false))
+	n.sendNote(relays, method, note(true))
 }
 
 // updateRecipients returns the nodes that this one sends updates to: all nodes of small
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -185,10 +185,10 @@
 		}
 	})
 	c.notify = func(d canaryDecision) {
-		direct, relays := n.updateRecipients(0)
-		n.sendNote(direct, noteCanary, d)
-		d.Relay = true
-		n.sendNote(relays, noteCanary, d)
+		n.sendToAll(0, noteCanary, func(relay bool) any {
+			d.Relay = relay
+			return d
+		})
 	}
 	sus.SetNotifier(suspectNotifier{n})
 	limits.SetAnnouncer(n)
@@ -205,7 +205,7 @@
 	server.Handle(peer.RolePeer, methodStoreEvents, storeEvents.serve)
 	server.Handle(peer.RolePeer, methodEventsOfStores, storeEvents.serveSeveral)
 	server.Handle(peer.RolePeer, methodCacheUpdates, engineCaches.serve)
-	server.Handle(peer.RolePeer, methodCanaryReport, c.serveReport)
+	server.Handle(peer.RolePeer, methodCanaryReport, peer.Handle(c.serveReport))
 	server.Handle(peer.RolePeer, suspects.MethodRun, sus.ServeRun)
 	server.Handle(peer.RolePeer, suspects.MethodRunEnded, sus.ServeRunEnded)
 	server.Handle(peer.RolePeer, ratelimit.MethodTake, peer.Handle(limits.ServeTake))
