Metrics and a log line for the retry budget

Neither logs nor metrics told what a node's part of the retry budget allowed and what it had used, so that an excess could not be traced to a process. The metrics now have requests, retries, allowance, granted and denied retries by service, and a node logs at most every 2 s that a retry was denied. No decision changes; the code moves to a file of its own.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -102,6 +102,14 @@
 		keyLimit, keyDraining, keyBackoff,
 		keyNotRun,
 	}},
+	{"retry budget used up", Failure, "A request was not sent again, as the retry budget of its service allows no more; further ones within 2 s are not logged.", []Key{
+		keyService,
+		{"requests", "requests for the service within the window of the budget"},
+		{"retries", "retries within the window"},
+		{"allowed", "retries that the window may contain now"},
+		{"granted", "retries since the node started"},
+		{"denied", "retries that were denied since the node started"},
+	}},
 	{"replica failed", Failure, "A replica ran a request and answered with an error; that answer is delivered if no other attempt does better.", []Key{
 		keyRequest, keyRoute, keyReplica, {"status", "the replica's status"}, keyDraining, keyBackoff, keyAttempts, keyAfter,
 	}},
--- a/pkg/route/retry_share.go
+++ b/pkg/route/retry_share.go
@@ -15,6 +15,17 @@
 	window time.Duration
 	epoch  time.Time // Start of the numbering of time slots, on the monotonic clock.
 	slots  [retrySlots]retrySlot
+
+	granted, denied int64
+}
+
+// RetryStatus is the state of a RetryShare.
+type RetryStatus struct {
+	Requests int     `json:"requests"` // In the window.
+	Retries  int     `json:"retries"`  // In the window.
+	Allowed  float64 `json:"allowed"`  // Retries that the window may contain now.
+	Granted  int64   `json:"granted"`  // Since the node started.
+	Denied   int64   `json:"denied"`   // Since the node started.
 }
 
 type retrySlot struct {
@@ -56,18 +67,38 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.slot(now)
-	requests, retries := 0, 0
+	requests, retries := b.countLocked(s.index)
+	if float64(retries+1) > b.allowedLocked(requests) {
+		b.denied++
+		return false
+	}
+	s.retries++
+	b.granted++
+	return true
+}
+
+// Status returns the state for metrics and logs.
+func (b *RetryShare) Status(now time.Time) RetryStatus {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	requests, retries := b.countLocked(b.slot(now).index)
+	return RetryStatus{Requests: requests, Retries: retries, Allowed: b.allowedLocked(requests), Granted: b.granted, Denied: b.denied}
+}
+
+// countLocked counts the requests and retries of the window that ends with a time slot.
+func (b *RetryShare) countLocked(last int64) (requests, retries int) {
 	for i := range b.slots {
-		if b.slots[i].index > s.index-retrySlots {
+		if b.slots[i].index > last-retrySlots {
 			requests += b.slots[i].requests
 			retries += b.slots[i].retries
 		}
 	}
-	if float64(retries+1) > retrySafetyFactor*(b.ratio*float64(requests)+b.slack) {
-		return false
-	}
-	s.retries++
-	return true
+	return requests, retries
+}
+
+// allowedLocked returns how many retries a window with these requests may contain.
+func (b *RetryShare) allowedLocked(requests int) float64 {
+	return retrySafetyFactor * (b.ratio*float64(requests) + b.slack)
 }
 
 func (b *RetryShare) slot(now time.Time) *retrySlot {
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -94,7 +94,7 @@
 	promptQueued chan struct{} // Signals a newly queued prompt; capacity 1.
 
 	retryBudgetsMu sync.Mutex
-	retryBudgets   map[string]*route.RetryShare
+	retryBudgets   map[string]*retryBudget // By service.
 
 	tableFollowers []*tableFollower // One per table of the platform's store.
 	suspension     *suspension
@@ -143,7 +143,7 @@
 		bodies:       newBodyBudget(int64(s.Limits.MemoryMB * bytesPerMB)),
 		responses:    newResponseBudget(int64(s.Limits.MemoryMB * bytesPerMB)),
 
-		retryBudgets: map[string]*route.RetryShare{},
+		retryBudgets: map[string]*retryBudget{},
 		queues:       map[string]*route.PromptQueue{},
 		promptQueued: make(chan struct{}, 1),
 
@@ -333,35 +333,6 @@
 	return defaultRequestTime
 }
 
-// retryBudget returns the retry budget of a service.
-func (g *Gateway) retryBudget(service string) *route.RetryShare {
-	g.retryBudgetsMu.Lock()
-	defer g.retryBudgetsMu.Unlock()
-	b, ok := g.retryBudgets[service]
-	if !ok {
-		b = route.NewRetryShare(g.conf().Retry.Share, g.conf().Retry.Window.Std())
-		b.SetSlack(g.retrySlack())
-		g.retryBudgets[service] = b
-	}
-	return b
-}
-
-// retrySlack returns this node's part of the retry slack. All members ever known count,
-// also dead ones: otherwise nodes that are partitioned, or that consider each other dead,
-// would each take the whole slack.
-func (g *Gateway) retrySlack() float64 {
-	return g.conf().Retry.Slack / float64(g.nodes.coldShares.nodeCount())
-}
-
-func (g *Gateway) updateRetrySlack(context.Context) {
-	share := g.retrySlack()
-	g.retryBudgetsMu.Lock()
-	defer g.retryBudgetsMu.Unlock()
-	for _, b := range g.retryBudgets {
-		b.SetSlack(share)
-	}
-}
-
 // Drain stops the node gracefully. It still accepts connections for acceptAfterStop, then
 // closes the listener and idle connections, and waits until the remaining requests are
 // answered or the grace period is nearly over.
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -155,6 +155,7 @@
 	Stores            []route.StoreStatus          `json:"stores"`
 	Suspects          suspects.Status              `json:"suspects"`
 	Limits            ratelimit.Status             `json:"limits"`
+	Retries           map[string]route.RetryStatus `json:"retries"`
 	Suspensions       int64                        `json:"suspensions"`
 	ResponseMemory    responseMemoryStatus         `json:"response_memory"`
 	RequestBytes      int64                        `json:"request_bytes"`
@@ -218,6 +219,7 @@
 		Stores:         g.cacheIndex.Status(),
 		Suspects:       g.suspects.Status(),
 		Limits:         g.rateLimits.Status(),
+		Retries:        g.retryStatus(now),
 		Suspensions:    g.suspension.count.Load(),
 		ResponseMemory: g.responses.status(),
 		CallerImpact:   m.impact.status(),
