Restarted nodes keep to what their earlier processes left of the retry budget

Replicas got up to 334 repeats in 10 s where 296 are allowed, while nodes were killed again and again and replicas refused most requests.

Cause: a process that starts again counted neither the requests nor the retries of the one before, and had its whole share of the budget at once, or all of the slack a second after it knew the other nodes. Repeats that take nothing from the budget, or that arrive late, were ruled out: all 250 in the logs followed a refusal, and reached the next replica within 8.4 ms.

In the first window after a restart, a node now uses 0.25 of its share, and the slack accrues over the window. A process uses 0.7 of its share at most, so any number of processes of a node stay below the whole: what accrues adds up over short lives. A node whose row is not in the list of nodes starts for the first time and is not limited.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -354,6 +354,16 @@
 		"	m.backoffUntil = p.backoffs[m.startKey]\n", "",
 		"./pkg/route", "TestBackoffSurvivesRelisting",
 	},
+	{
+		"retries: a restarted node uses only a part of its share", "pkg/route/retry_share.go",
+		"	if b.restartedAt.IsZero() || age >= b.window {\n", "	if true || age >= b.window {\n",
+		"./pkg/route", "TestKilledNodesDoNotExceedRetryBudget",
+	},
+	{
+		"retries: a node that has run before counts as restarted", "service/gateway/discovery.go",
+		"		} else if !restarted {\n", "		} else {\n",
+		"./service/gateway", "TestRetryBudgetIsLimitedUnlessNodeStartsForTheFirstTime",
+	},
 	{
 		"backoff: refused clients are told to retry when it ends", "pkg/route/exclusion.go",
 		"			recordWait(m.backoffUntil.Sub(now))\n", "",
--- a/pkg/route/retry_share.go
+++ b/pkg/route/retry_share.go
@@ -8,13 +8,18 @@
 // RetryShare is this node's part of a retry budget that all nodes share without
 // communicating: each node makes retries only for a share of its own requests plus
 // its part of the slack, so the total stays within the budget.
+//
+// A restarted node does not know what its earlier process has used. In its first window it
+// uses a part of its share that the earlier process left in any case, and the slack accrues
+// over the window. Its processes thus stay within the share together, however many there are.
 type RetryShare struct {
-	mu     sync.Mutex
-	ratio  float64
-	slack  float64
-	window time.Duration
-	epoch  time.Time // Start of the numbering of time slots, on the monotonic clock.
-	slots  [retrySlots]retrySlot
+	mu          sync.Mutex
+	ratio       float64
+	slack       float64
+	window      time.Duration
+	epoch       time.Time // Start of the numbering of time slots, on the monotonic clock.
+	restartedAt time.Time // Zero if there was no earlier process.
+	slots       [retrySlots]retrySlot
 
 	granted, denied int64
 }
@@ -40,6 +45,9 @@
 	// retrySafetyFactor is the part of its share that a node uses: a check of the
 	// budget may use windows with other boundaries, and count some requests later.
 	retrySafetyFactor = 0.7
+	// retryRestartFactor is the part that a node uses in the first window after a restart. With
+	// retrySafetyFactor it is below 1, as the time slots cover a little more than the window.
+	retryRestartFactor = 0.25
 )
 
 // NewRetryShare returns a budget of ratio retries for each request within any
@@ -48,6 +56,13 @@
 	return &RetryShare{ratio: ratio, window: window, epoch: time.Now().Add(-window)}
 }
 
+// SetRestarted records that the node has had an earlier process, which ended before at.
+func (b *RetryShare) SetRestarted(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.restartedAt = at
+}
+
 // SetSlack sets this node's part of the slack, in retries per window.
 func (b *RetryShare) SetSlack(n float64) {
 	b.mu.Lock()
@@ -68,7 +83,7 @@
 	defer b.mu.Unlock()
 	s := b.slot(now)
 	requests, retries := b.countLocked(s.index)
-	if float64(retries+1) > b.allowedLocked(requests) {
+	if float64(retries+1) > b.allowedLocked(requests, now) {
 		b.denied++
 		return false
 	}
@@ -82,7 +97,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	requests, retries := b.countLocked(b.slot(now).index)
-	return RetryStatus{Requests: requests, Retries: retries, Allowed: b.allowedLocked(requests), Granted: b.granted, Denied: b.denied}
+	return RetryStatus{Requests: requests, Retries: retries, Allowed: b.allowedLocked(requests, now), Granted: b.granted, Denied: b.denied}
 }
 
 // countLocked counts the requests and retries of the window that ends with a time slot.
@@ -96,9 +111,14 @@
 	return requests, retries
 }
 
-// allowedLocked returns how many retries a window with these requests may contain.
-func (b *RetryShare) allowedLocked(requests int) float64 {
-	return retrySafetyFactor * (b.ratio*float64(requests) + b.slack)
+// allowedLocked returns how many retries the window that ends now may contain.
+func (b *RetryShare) allowedLocked(requests int, now time.Time) float64 {
+	earned := b.ratio * float64(requests)
+	age := now.Sub(b.restartedAt)
+	if b.restartedAt.IsZero() || age >= b.window {
+		return retrySafetyFactor * (earned + b.slack)
+	}
+	return retryRestartFactor * (earned + b.slack*age.Seconds()/b.window.Seconds())
 }
 
 func (b *RetryShare) slot(now time.Time) *retrySlot {
--- a/pkg/route/retry_share_test.go
+++ b/pkg/route/retry_share_test.go
@@ -39,6 +39,9 @@
 func (f *retryFleet) start(i int, now time.Time) {
 	f.shares[i] = NewRetryShare(testRetryRatio, testRetryWindow)
 	f.shares[i].SetSlack(testRetrySlack / float64(len(f.shares)))
+	if !f.upAt[i].IsZero() {
+		f.shares[i].SetRestarted(now)
+	}
 }
 
 // kill ends a share of the nodes; each starts again after a while.
--- a/service/gateway/discovery.go
+++ b/service/gateway/discovery.go
@@ -100,6 +100,8 @@
 		listed, restarted, err := n.listHall(listing)
 		if err != nil {
 			n.log.Warn("nodes of the data hall not listed", "hall", n.self.DataHall, "err", err)
+		} else if !restarted {
+			n.firstStart.Store(true)
 		}
 		if listed > 0 {
 			n.awaitAnswers(ctx, listed, boottime.Now().Add(joinAnswerTime))
--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
@@ -114,3 +116,33 @@
 	assert.Equal(t, (&nodes{self: control.Member{Link: 1}}).startDelay(), maxStartDelay)
 	assert.Equal(t, (&nodes{}).startDelay(), time.Duration(0))
 }
+
+// A node must not have its whole part of the retry budget at once if an earlier process of it may
+// have used that: its row exists, or could not be looked for.
+func TestRetryBudgetIsLimitedUnlessNodeStartsForTheFirstTime(t *testing.T) {
+	for _, tt := range []struct {
+		name                   string
+		listed, storeReachable bool
+		granted                int
+	}{
+		{"first start", false, true, 70},
+		{"row of an earlier process", true, true, 0},
+		{"row not read", false, false, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			n, store := newDiscoveringNode(t, 3, 1)
+			if !tt.listed {
+				n.self.Name = "front-new"
+			}
+			store.fail = !tt.storeReachable
+			n.join(t.Context())
+			g := &Gateway{nodes: n, log: n.log, startedAt: boottime.Now(), retryBudgets: map[string]*retryBudget{}}
+			g.settings.Store(&config.GatewaySettings{Retry: config.RetrySettings{Slack: 100 * assumedNodes, Window: config.Duration(time.Hour)}})
+			granted := 0
+			for b := g.retryBudget("app"); b.take(boottime.Now()); {
+				granted++
+			}
+			assert.Equal(t, granted, tt.granted)
+		})
+	}
+}
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -93,6 +93,7 @@
 	queues       map[string]*route.PromptQueue
 	promptQueued chan struct{} // Signals a newly queued prompt; capacity 1.
 
+	startedAt      time.Time
 	retryBudgetsMu sync.Mutex
 	retryBudgets   map[string]*retryBudget // By service.
 
@@ -143,6 +144,7 @@
 		bodies:       newBodyBudget(int64(s.Limits.MemoryMB * bytesPerMB)),
 		responses:    newResponseBudget(int64(s.Limits.MemoryMB * bytesPerMB)),
 
+		startedAt:    boottime.Now(),
 		retryBudgets: map[string]*retryBudget{},
 		queues:       map[string]*route.PromptQueue{},
 		promptQueued: make(chan struct{}, 1),
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -24,18 +24,21 @@
 	regions    map[string]string // By data hall.
 	coldShares *coldShares
 	// suspects loads the blocked requests that the nodes' table also lists.
-	suspects     *suspects.Suspects
-	rateLimits   *ratelimit.Limits
-	members      *control.Members
-	probes       *peer.Probes
-	store        Store
-	nodeTable    *tableFollower // Of the list of nodes, read through other nodes.
-	siteState    *SiteState
-	cacheIndex   *route.CacheIndex
-	log          *slog.Logger
-	loadsDue     chan struct{} // Signals that the loads must be sent soon; capacity 1.
-	incarnation  uint64        // Distinguishes this run of the node from earlier ones.
-	notesDropped atomic.Int64  // Datagrams that could not be decoded.
+	suspects    *suspects.Suspects
+	rateLimits  *ratelimit.Limits
+	members     *control.Members
+	probes      *peer.Probes
+	store       Store
+	nodeTable   *tableFollower // Of the list of nodes, read through other nodes.
+	siteState   *SiteState
+	cacheIndex  *route.CacheIndex
+	log         *slog.Logger
+	loadsDue    chan struct{} // Signals that the loads must be sent soon; capacity 1.
+	incarnation uint64        // Distinguishes this run of the node from earlier ones.
+	// firstStart is set if the node's row did not exist when it started: it had no earlier
+	// process.
+	firstStart   atomic.Bool
+	notesDropped atomic.Int64 // Datagrams that could not be decoded.
 	// onUnreachable is called when a node reports that it can't reach a replica. It may be
 	// nil.
 	onUnreachable func(*route.Pool, *site.Upstream)
--- a/service/gateway/retry_budgets.go
+++ b/service/gateway/retry_budgets.go
@@ -50,6 +50,9 @@
 			log:        g.log,
 		}
 		b.SetSlack(g.retrySlack())
+		if !g.nodes.firstStart.Load() {
+			b.SetRestarted(g.startedAt)
+		}
 		g.retryBudgets[service] = b
 	}
 	return b
