A reload of the settings no longer renews the retry budget

A node that put changed settings in force dropped its retry budgets, with the requests and retries counted: after any change, of the grace for a stop for instance, it could make the retries of the window once more.

A reload now changes ratio and slack in place. A change of the window, which the count can't be kept for, is treated like a restart.

TestReloadDoesNotRenewRetryBudget failed before: 70 more retries after a change of another setting.

--- a/pkg/route/retry_share.go
+++ b/pkg/route/retry_share.go
@@ -63,6 +63,13 @@
 	b.restartedAt = at
 }
 
+// SetRatio sets how many retries are allowed for each request.
+func (b *RetryShare) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratio
+}
+
 // SetSlack sets this node's part of the slack, in retries per window.
 func (b *RetryShare) SetSlack(n float64) {
 	b.mu.Lock()
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -96,6 +96,8 @@
 	startedAt      time.Time
 	retryBudgetsMu sync.Mutex
 	retryBudgets   map[string]*retryBudget // By service.
+	// retryWindowSince is when a reload changed the window of the retry budgets, zero before.
+	retryWindowSince time.Time
 
 	tableFollowers []*tableFollower // One per table of the platform's store.
 	suspension     *suspension
@@ -284,9 +286,7 @@
 	}
 	boottime.SimulateSuspend(max(0, kept.Test.SuspendedTime.Std()-old.Test.SuspendedTime.Std()))
 	g.settings.Store(&kept)
-	g.retryBudgetsMu.Lock()
-	clear(g.retryBudgets)
-	g.retryBudgetsMu.Unlock()
+	g.reloadRetryBudgets(old.Retry, kept.Retry)
 	g.log.Info("settings in force", "node", old.Node.Name, "retry_share", s.Retry.Share, "grace", s.Stop.Grace.Std())
 }
 
--- a/service/gateway/retry_budgets.go
+++ b/service/gateway/retry_budgets.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
@@ -50,7 +52,10 @@
 			log:        g.log,
 		}
 		b.SetSlack(g.retrySlack())
-		if !g.nodes.firstStart.Load() {
+		switch {
+		case !g.retryWindowSince.IsZero():
+			b.SetRestarted(g.retryWindowSince)
+		case !g.nodes.firstStart.Load():
 			b.SetRestarted(g.startedAt)
 		}
 		g.retryBudgets[service] = b
@@ -58,6 +63,23 @@
 	return b
 }
 
+// reloadRetryBudgets puts changed settings in force. What was counted stays; it can't be kept
+// when the window changes, so that is like a restart.
+func (g *Gateway) reloadRetryBudgets(old, s config.RetrySettings) {
+	slack := g.retrySlack()
+	g.retryBudgetsMu.Lock()
+	defer g.retryBudgetsMu.Unlock()
+	if s.Window != old.Window {
+		g.retryWindowSince = boottime.Now()
+		clear(g.retryBudgets)
+		return
+	}
+	for _, b := range g.retryBudgets {
+		b.SetRatio(s.Share)
+		b.SetSlack(slack)
+	}
+}
+
 // retrySlack returns this node's part of the retry slack. All members ever known count,
 // also dead ones: otherwise nodes that are partitioned, or that consider each other dead,
 // would each take the whole slack.
