Slow uploads no longer erase retries from the count of the retry budget

The budget counts requests by the time of their receipt, in a ring of time slots. A request whose body took longer to arrive than the window replaced a newer slot and all that was counted there, and a node could make those retries once more.

A request that is older than the window is now left out, and a retry is counted in the newest slot. TestSlowUploadDoesNotEraseCountedRetries failed before: 7 more retries where 7 are allowed.

--- a/pkg/route/retry_share.go
+++ b/pkg/route/retry_share.go
@@ -20,6 +20,7 @@
 	epoch       time.Time // Start of the numbering of time slots, on the monotonic clock.
 	restartedAt time.Time // Zero if there was no earlier process.
 	slots       [retrySlots]retrySlot
+	latest      int64 // Number of the newest time slot.
 
 	granted, denied int64
 }
@@ -77,24 +78,29 @@
 	b.slack = n
 }
 
-// AddRequest counts a request.
-func (b *RetryShare) AddRequest(now time.Time) {
+// AddRequest counts a request by the time of its receipt, which may be long ago if its body took
+// long to arrive.
+func (b *RetryShare) AddRequest(receivedAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.slot(now).requests++
+	index := b.advanceLocked(receivedAt)
+	if index <= b.latest-retrySlots {
+		return // It is not in the window.
+	}
+	b.slotLocked(index).requests++
 }
 
 // Take reports whether a retry may be made, and counts it if so.
 func (b *RetryShare) Take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.slot(now)
-	requests, retries := b.countLocked(s.index)
+	b.advanceLocked(now)
+	requests, retries := b.countLocked()
 	if float64(retries+1) > b.allowedLocked(requests, now) {
 		b.denied++
 		return false
 	}
-	s.retries++
+	b.slotLocked(b.latest).retries++
 	b.granted++
 	return true
 }
@@ -103,14 +109,15 @@
 func (b *RetryShare) Status(now time.Time) RetryStatus {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	requests, retries := b.countLocked(b.slot(now).index)
+	b.advanceLocked(now)
+	requests, retries := b.countLocked()
 	return RetryStatus{Requests: requests, Retries: retries, Allowed: b.allowedLocked(requests, now), Granted: b.granted, Denied: b.denied}
 }
 
-// countLocked counts the requests and retries of the window that ends with a time slot.
-func (b *RetryShare) countLocked(last int64) (requests, retries int) {
+// countLocked counts the requests and retries of the window that ends with the newest slot.
+func (b *RetryShare) countLocked() (requests, retries int) {
 	for i := range b.slots {
-		if b.slots[i].index > last-retrySlots {
+		if b.slots[i].index > b.latest-retrySlots {
 			requests += b.slots[i].requests
 			retries += b.slots[i].retries
 		}
@@ -128,8 +135,16 @@
 	return retryRestartFactor * (earned + b.slack*age.Seconds()/b.window.Seconds())
 }
 
-func (b *RetryShare) slot(now time.Time) *retrySlot {
-	index := int64(max(0, now.Sub(b.epoch)))/max(1, int64(b.window)/(retrySlots-1)) + retrySlots
+// advanceLocked returns the number of the time slot of t, which becomes the newest unless there
+// is a newer one.
+func (b *RetryShare) advanceLocked(t time.Time) int64 {
+	index := int64(max(0, t.Sub(b.epoch)))/max(1, int64(b.window)/(retrySlots-1)) + retrySlots
+	b.latest = max(b.latest, index)
+	return index
+}
+
+// slotLocked returns a time slot of the window by its number.
+func (b *RetryShare) slotLocked(index int64) *retrySlot {
 	s := &b.slots[index%retrySlots]
 	if s.index != index {
 		*s = retrySlot{index: index}
--- a/pkg/route/retry_share_test.go
+++ b/pkg/route/retry_share_test.go
@@ -152,3 +152,22 @@
 		})
 	})
 }
+
+// A request that is older than the window, as its body took long to arrive, must not replace a
+// time slot and the retries counted there.
+func TestSlowUploadDoesNotEraseCountedRetries(t *testing.T) {
+	now := time.Now().Add(time.Minute)
+	b := NewRetryShare(testRetryRatio, testRetryWindow)
+	b.SetSlack(10)
+	take := func() (n int) {
+		for b.Take(now) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, take(), 7)
+	for age := testRetryWindow; age < 3*testRetryWindow; age += testRetryWindow / retrySlots {
+		b.AddRequest(now.Add(-age))
+	}
+	assert.Equal(t, take(), 0)
+}
