Prompts that wait at engines are withdrawn before their weights are too old

Callers had a prompt begun on weights that had been replaced 12.077 s before, where 12 s are allowed: it was sent 1.5 s before that, and waited 1.55 s in its engine's queue.

Cause: whether a prompt begins in time was only decided when its engine was chosen, with 1.2 s kept for any wait. Nothing looked at it again while it waited.

The node now looks every 0.1 s at prompts of which nothing has come. 0.3 s before their engine's weights are too old it ends the attempt, which the engine notices as a disconnect, unless the engine has got newer weights. A prompt that may be repeated goes to another engine, any other is answered 502, as it may have begun. So the bound no longer depends on what the engine's queue was expected to take. New: the log line "prompt withdrawn", the metric prompts_withdrawn, the reason weights_replaced.

TestPromptDoesNotBeginOnReplacedWeightsAfterItsQueue failed before (4.25 s, 3 s allowed). It now also checks that the engine has begun none of the prompts, in place of counting all connections to the engine, some of which stay open for other calls.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -364,6 +364,11 @@
 		"		} else if !restarted {\n", "		} else {\n",
 		"./service/gateway", "TestRetryBudgetIsLimitedUnlessNodeStartsForTheFirstTime",
 	},
+	{
+		"weights: what waits at an engine with replaced weights is withdrawn", "service/gateway/replaced_weights.go",
+		"		c.conn.abortCause.Store(&errWeightsReplaced)\n		http1.Abort(c.conn.conn)\n", "		_ = http1.Abort\n",
+		"./internal/standin/onplatform", "TestPromptDoesNotBeginOnReplacedWeightsAfterItsQueue",
+	},
 	{
 		"backoff: refused clients are told to retry when it ends", "pkg/route/exclusion.go",
 		"			recordWait(m.backoffUntil.Sub(now))\n", "",
--- a/internal/standin/onplatform/replaced_weights_test.go
+++ b/internal/standin/onplatform/replaced_weights_test.go
@@ -19,6 +19,7 @@
 	*onplatform.Replica
 	queueTime time.Duration
 	prompts   atomic.Int64
+	begun     atomic.Int64
 }
 
 func (s *site) startQueueingEngine(id string, queueTime time.Duration) *queueingEngine {
@@ -28,7 +29,12 @@
 			return onplatform.NotExecuted(503)(w, r)
 		}
 		e.prompts.Add(1)
-		time.Sleep(e.queueTime)
+		select {
+		case <-time.After(e.queueTime):
+		case <-r.Disconnected:
+			return false
+		}
+		e.begun.Add(1)
 		return onplatform.Events(1, 2, time.Millisecond, true)(w, r)
 	})
 	return e
@@ -66,6 +72,6 @@
 	assert.Equal(t, got.status, 502, "it may have begun")
 	assert.Equal(t, again.read().body, events(1, 2), "a prompt that may be repeated is repeated")
 	assert.Assert(t, time.Since(named) < within+loadAllowance)
-	s.waitUntil("the engine's connections are closed", func() bool { return old.OpenConnections() == 0 })
-	assert.Equal(t, old.prompts.Load(), int64(2))
+	time.Sleep(time.Until(named.Add(within/4 + queueTime + time.Second)))
+	assert.Equal(t, old.begun.Load(), int64(0))
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -116,6 +116,14 @@
 	{"replica not reached", Failure, "No connection to a replica could be made; nothing was sent.", []Key{
 		keyRequest, keyReplica, {"addr", "the replica's address"}, keyErr,
 	}},
+	{"prompt withdrawn", Failure, "A prompt still waited at an engine when the engine's weights were about to be too old to begin it; the node ended the attempt, and sends the prompt to another engine if it may be repeated.", []Key{
+		keyRequest, keyRoute, keyReplica,
+		{"weights", "the version of the weights that the engine was assumed to have"},
+		{"newest", "the newest version of the weights that was named"},
+		{"expected", "nanoseconds after which the first event was expected when the engine was chosen"},
+		{"waited", "nanoseconds since the prompt was sent"},
+		keyAttempts,
+	}},
 	{"idle connections closed", Failure, "An attempt ended after its replica had been silent; the idle connections to that replica were closed, as they may be dead too.", []Key{
 		keyRequest, keyReplica,
 		{"quiet", "nanoseconds for which nothing was received"},
@@ -346,6 +354,7 @@
 	{"service_overloaded", "by the loads of all nodes, prompts of its priority would wait longer than the client does (503)"},
 	{"deadline", "the deadline has passed: 503 if nothing was sent, 504 if the request may have run"},
 	{"answer_lost", "the answer was lost and the request may have run (502)"},
+	{"weights_replaced", "the engine did not begin the prompt before its weights were too old, and it may have begun meanwhile (502)"},
 	{"request_bytes", "this node's share of the bytes of requests that the replicas may hold is used up (503)"},
 	{"response_memory", "the response waited at its replica for memory of the node until the connection ended; the request has run (502)"},
 	{"ends_replicas", "replicas have ended under the request's content; it was not sent (400), or not again (502)"},
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -83,6 +83,8 @@
 		why = "its deadline had passed" + deadlineContext(r)
 	case "answer_lost":
 		why = "the answer was lost: " + lostAnswer(r)
+	case "weights_replaced":
+		why = "the engine did not begin the prompt before its weights were too old"
 	case "request_bytes":
 		why = fmt.Sprintf("what the replicas of service %s may hold of this node's requests, in bytes, was used up", l.Text("service"))
 	case "response_memory":
--- a/service/gateway/contacts.go
+++ b/service/gateway/contacts.go
@@ -35,7 +35,11 @@
 	startedAt    time.Time
 	expected     time.Duration // Time to the first event.
 	allowedPause time.Duration
-	bodyAt       atomic.Int64 // When bytes of the body last came, 0 before; see sinceStart.
+	// model and weights are those of the prompt's engine; weights is 0 if they are unknown.
+	model   string
+	weights int64
+	resumed bool         // It goes on with a run of another attempt.
+	bodyAt  atomic.Int64 // When bytes of the body last came, 0 before; see sinceStart.
 }
 
 func newFlight(x *exchange, a *attempt) *flight {
@@ -45,9 +49,17 @@
 		startedAt:    a.startedAt,
 		expected:     a.choice.Expected,
 		allowedPause: x.route.GapTarget,
+		model:        x.pickInput.Model,
+		weights:      a.choice.Weights,
+		resumed:      a.origin != nil,
 	}
 }
 
+// waiting reports whether the flight is a prompt whose engine may not have begun it yet.
+func (f *flight) waiting() bool {
+	return f.streaming && f.weights > 0 && !f.resumed && f.bodyAt.Load() == 0
+}
+
 // overdue reports whether the flight is a stream that pauses too long.
 func (f *flight) overdue(now time.Time) bool {
 	if !f.streaming {
@@ -268,7 +280,7 @@
 	}
 	u.mu.Unlock()
 	for _, conn := range conns {
-		conn.lost.Store(true)
+		conn.abortCause.Store(&errReplicaGone)
 		http1.AbortUnreachable(conn.conn)
 	}
 	return len(conns)
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -286,6 +286,9 @@
 // have run. Only a repeatable request may be sent again.
 func (x *exchange) handleUnknown(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
 	x.mayHaveRun++
+	if errors.Is(err, errWeightsReplaced) {
+		return x.handleWithdrawn(a, now)
+	}
 	x.recordLostRun(ctx, a, err, now)
 	x.recordCanary(ctx, a, true)
 	if ctx.Err() != nil {
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -217,6 +217,7 @@
 	g.runEvery(seedProbeInterval, g.nodes.probeSeeds)
 	g.runEvery(connPruneInterval, func(context.Context) { g.conns.prune(boottime.Now()) })
 	g.runEvery(streamScanInterval, func(context.Context) { g.reach.scan() })
+	g.runEvery(withdrawInterval, func(context.Context) { g.withdrawWaitingPrompts(boottime.Now()) })
 	g.runEvery(upstreamExpireInterval, func(context.Context) { g.siteState.Expire(boottime.Now()) })
 	g.runEvery(refreshInterval, g.kvStores.refresh)
 	g.runEvery(refreshInterval, g.engineCaches.refresh)
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -71,6 +71,7 @@
 	resumptionsFailed atomic.Int64 // Attempts to have a run go on from a copy.
 	backups           atomic.Int64 // Runs that were sent with a backup.
 	copiesDropped     atomic.Int64 // Copies that were not used.
+	promptsWithdrawn  atomic.Int64 // Prompts that waited at an engine until its weights were too old.
 	idleConnsClosed   atomic.Int64 // Idle connections to a replica that had stopped answering.
 	firstByte         *latency     // From sending the request to the first byte of the response.
 	total             *latency     // From receiving the request to the end of the response.
@@ -136,6 +137,7 @@
 	CutByStop         int64                        `json:"cut_by_stop"`
 	RefusedByReplicas int64                        `json:"refused_by_replicas"`
 	IdleConnsClosed   int64                        `json:"resting_connections_closed"`
+	PromptsWithdrawn  int64                        `json:"prompts_withdrawn"`
 	Runs              runStatus                    `json:"runs"`
 	Refused           map[string]int64             `json:"refused"`
 	InFlight          int64                        `json:"in_flight"`
@@ -195,6 +197,7 @@
 		CutByStop:         m.cutByStop.Load(),
 		RefusedByReplicas: m.refusedByReplicas.Load(),
 		IdleConnsClosed:   m.idleConnsClosed.Load(),
+		PromptsWithdrawn:  m.promptsWithdrawn.Load(),
 		Runs: runStatus{
 			Moves:         m.handoffsStarted.Load(),
 			Resumed:       m.runsResumed.Load(),
--- a/service/gateway/refusal.go
+++ b/service/gateway/refusal.go
@@ -41,6 +41,7 @@
 	reasonServiceOverloaded = "service_overloaded"
 	reasonDeadline          = "deadline"
 	reasonAnswerLost        = "answer_lost"
+	reasonWeightsReplaced   = "weights_replaced"
 	reasonEndsReplicas      = "ends_replicas"
 	reasonSuspected         = "suspected"
 	reasonSuspended         = "suspended"
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"strconv"
 
@@ -58,6 +59,9 @@
 		x.logAnswer(a, now)
 		return false, refusal{}
 	}
+	if errors.Is(err, errWeightsReplaced) {
+		return x.handleWithdrawn(a, now)
+	}
 	if x.takeHandoff(ctx, a) {
 		a.closeConn()
 		x.recordCanary(ctx, a, false)
--- a/service/gateway/upstream_conn.go
+++ b/service/gateway/upstream_conn.go
@@ -47,7 +47,8 @@
 	// contact is that of the replica, which all connections to it share; nil in tests.
 	contact *contact
 	heardAt atomic.Int64 // When a byte last came, or the connection was made; see sinceStart.
-	lost    atomic.Bool  // Set before the connection is closed because its replica is gone.
+	// abortCause is why the connection was aborted while it carried a request, nil unless it was.
+	abortCause atomic.Pointer[error]
 	// flight is the request that it carries; upstreamConns.begin and end set it.
 	flight    *flight
 	r         *bufio.Reader
@@ -74,8 +75,8 @@
 	if n > 0 {
 		c.recordHeard()
 	}
-	if err != nil && c.lost.Load() {
-		err = errReplicaGone
+	if cause := c.abortCause.Load(); err != nil && cause != nil {
+		err = *cause
 	}
 	return n, err
 }
