Prompts are not sent to engines that would begin them after their weights' time

With the withdrawal of prompts that wait too long, a caller whose prompt had been sent to a long queue got 502 after up to 2.6 s.

The reserve of 1.2 s before the end of the time of older weights now begins at the expected start of the prompt, not at the moment of the choice: a replica whose queue takes longer is left out, and the prompt goes to another one, or is refused at once as not run.

TestReplicaThatBeginsAfterItsWeightsEndIsExcluded failed before.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -364,6 +364,11 @@
 		"		} else if !restarted {\n", "		} else {\n",
 		"./service/gateway", "TestRetryBudgetIsLimitedUnlessNodeStartsForTheFirstTime",
 	},
+	{
+		"weights: replicas that begin after their weights end are excluded", "pkg/route/exclusion.go",
+		"	case !m.serves(in), !p.beginsOnUsableWeights(m, in, now):\n", "	case !m.serves(in):\n",
+		"./pkg/route", "TestReplicaThatBeginsAfterItsWeightsEndIsExcluded",
+	},
 	{
 		"weights: what waits at an engine with replaced weights is withdrawn", "service/gateway/replaced_weights.go",
 		"		c.conn.abortCause.Store(&errWeightsReplaced)\n		http1.Abort(c.conn.conn)\n", "		_ = http1.Abort\n",
--- a/pkg/route/exclusion.go
+++ b/pkg/route/exclusion.go
@@ -24,7 +24,8 @@
 	ExcludedBackoff Exclusion = "backoff"
 	// ExcludedTried: the request has already failed there.
 	ExcludedTried Exclusion = "tried"
-	// ExcludedWeights: its weights are too old, or it serves another model.
+	// ExcludedWeights: its weights are too old, or will be when it begins the prompt, or it
+	// serves another model.
 	ExcludedWeights Exclusion = "weights"
 	// ExcludedSoftware: it has another version of its software than the request may run on.
 	ExcludedSoftware Exclusion = "software"
@@ -52,7 +53,7 @@
 	switch {
 	case slices.Contains(in.Exclude, m.ID):
 		return ExcludedTried, rate
-	case !m.serves(in):
+	case !m.serves(in), !p.beginsOnUsableWeights(m, in, now):
 		return ExcludedWeights, rate
 	case !in.Software.allows(m.Software):
 		return ExcludedSoftware, rate
@@ -109,6 +110,17 @@
 	return serves && version >= in.MinVersion
 }
 
+// beginsOnUsableWeights reports whether a replica with older weights is expected to begin a prompt
+// while these may be used. The caller holds mu.
+func (p *Pool) beginsOnUsableWeights(m *member, in *PickInput, now time.Time) bool {
+	version := m.Weights[in.Model]
+	if in.BeginBy == nil || version == 0 || version >= in.NewestVersion {
+		return true
+	}
+	by := in.BeginBy(version)
+	return by.IsZero() || p.promptQueueSeconds(m, in, now) <= by.Sub(now).Seconds()
+}
+
 // BackOff stops this node's requests to one start of a replica for a while, at its request.
 // If it asks several times the latest end applies, even if it has served requests in
 // between.
--- a/pkg/route/pick_input.go
+++ b/pkg/route/pick_input.go
@@ -32,6 +32,9 @@
 	StalenessWeight float64
 	// MinVersion is the oldest version that may be used, 0 for any.
 	MinVersion int64
+	// BeginBy returns by when a replica with an older version than the newest must be expected
+	// to begin the prompt, zero for any time; nil if any older version may be used at any time.
+	BeginBy func(version int64) time.Time
 	// Exclude lists the replicas at which the request has already failed.
 	Exclude []string
 	// HomesOnly restricts the request to the regions in Homes.
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -102,7 +102,8 @@
 	newWeightsPeriod    = time.Second
 	newWeightsStaleness = 0.3
 	// orderWindowMargin is taken off the time that replicas have to load new weights:
-	// this long before its end, requests stop going to replicas with older ones.
+	// this long before its end, replicas with older ones must be expected to have begun a
+	// prompt, and requests stop going to them.
 	orderWindowMargin = 1200 * time.Millisecond
 )
 
@@ -121,6 +122,13 @@
 	}
 	orderWindow := x.g.conf().Orders.MaxRolloutTime.Std() - orderWindowMargin
 	in.MinVersion = x.g.siteState.WeightsBefore(in.Model, now.Add(-orderWindow))
+	in.BeginBy = func(version int64) time.Time {
+		replacedAt := x.g.siteState.ReplacedAt(in.Model, version)
+		if replacedAt.IsZero() {
+			return replacedAt
+		}
+		return replacedAt.Add(orderWindow)
+	}
 }
 
 // currentInput returns the request's input with the weights that may be used now. The request's
