--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -371,7 +371,7 @@
 	},
 	{
 		"weights: what waits at an engine with replaced weights is withdrawn", "service/gateway/replaced_weights.go",
-		"		c.conn.abortCause.Store(&errWeightsReplaced)\n		http1.Abort(c.conn.conn)\n", "		_ = http1.Abort\n",
+		"			g.conns.withdraw(p)\n", "",
 		"./internal/standin/onplatform", "TestPromptDoesNotBeginOnReplacedWeightsAfterItsQueue",
 	},
 	{
--- a/pkg/route/retry_share_test.go
+++ b/pkg/route/retry_share_test.go
@@ -17,8 +17,8 @@
 	testRetryWindow = 10 * time.Second
 )
 
-// retryFleet is a fleet of nodes in virtual time whose requests are all refused by their first
-// replicas from failAt on.
+// retryFleet is a fleet of nodes in virtual time. While replicas fail, each request is sent again
+// as often as its node's budget allows.
 type retryFleet struct {
 	rng      *rand.Rand
 	shares   []*RetryShare // Nil while the node is down.
--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -138,11 +138,7 @@
 			n.join(t.Context())
 			g := &Gateway{nodes: n, log: n.log, startedAt: boottime.Now(), retryBudgets: map[string]*retryBudget{}}
 			g.settings.Store(&config.GatewaySettings{Retry: config.RetrySettings{Slack: 100 * assumedNodes, Window: config.Duration(time.Hour)}})
-			granted := 0
-			for b := g.retryBudget("app"); b.take(boottime.Now()); {
-				granted++
-			}
-			assert.Equal(t, granted, tt.granted)
+			assert.Equal(t, takeRetries(g, "app"), tt.granted)
 		})
 	}
 }
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -326,7 +326,7 @@
 	if x.deadline.Sub(now) < minTimeLeft {
 		return false
 	}
-	return x.g.retryBudget(x.service.Name).take(now)
+	return x.g.retryBudget(x.service.Name).takeLogged(now)
 }
 
 // deadlineRefusal is the answer at the deadline. It says whether the request may have
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -93,7 +93,7 @@
 	queues       map[string]*route.PromptQueue
 	promptQueued chan struct{} // Signals a newly queued prompt; capacity 1.
 
-	startedAt      time.Time
+	startedAt      time.Time // By the clock of boottime.Now.
 	retryBudgetsMu sync.Mutex
 	retryBudgets   map[string]*retryBudget // By service.
 	// retryWindowSince is when a reload changed the window of the retry budgets, zero before.
--- a/service/gateway/replaced_weights.go
+++ b/service/gateway/replaced_weights.go
@@ -28,13 +28,11 @@
 // not mean that it does.
 func (g *Gateway) withdrawWaitingPrompts(now time.Time) {
 	usableSince := now.Add(withdrawReserve - g.conf().Orders.MaxRolloutTime.Std())
-	for _, c := range g.conns.waitingPrompts() {
-		oldest := g.siteState.WeightsBefore(c.flight.model, usableSince)
-		if c.flight.weights >= oldest || g.hasWeights(c.replica, c.flight.model, oldest) {
-			continue
+	for _, p := range g.conns.waitingPrompts() {
+		oldest := g.siteState.WeightsBefore(p.flight.model, usableSince)
+		if p.flight.weights < oldest && !g.hasWeights(p.replica, p.flight.model, oldest) {
+			g.conns.withdraw(p)
 		}
-		c.conn.abortCause.Store(&errWeightsReplaced)
-		http1.Abort(c.conn.conn)
 	}
 }
 
@@ -70,6 +68,16 @@
 	return list
 }
 
+// withdraw ends the attempt of a prompt that still waits.
+func (u *upstreamConns) withdraw(p waitingPrompt) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p.conn.flight == p.flight && p.flight.waiting() { // It does not carry another request yet.
+		p.conn.abortCause.Store(&errWeightsReplaced)
+		http1.Abort(p.conn.conn)
+	}
+}
+
 // handleWithdrawn decides how to go on when a prompt was withdrawn from its engine, which may
 // have begun it meanwhile.
 func (x *exchange) handleWithdrawn(a *attempt, now time.Time) (bool, refusal) {
--- a/service/gateway/retry_budgets.go
+++ b/service/gateway/retry_budgets.go
@@ -24,8 +24,8 @@
 // retryDenialLogInterval is how often a denied retry is logged for each service.
 const retryDenialLogInterval = 2 * time.Second
 
-// take reports whether a retry may be made, and counts it if so.
-func (b *retryBudget) take(now time.Time) bool {
+// takeLogged calls Take and logs a denied retry.
+func (b *retryBudget) takeLogged(now time.Time) bool {
 	if b.Take(now) {
 		return true
 	}
--- a/service/gateway/retry_budgets_test.go
+++ b/service/gateway/retry_budgets_test.go
@@ -14,7 +14,7 @@
 
 // takeRetries takes retries until one is denied and returns how many were granted.
 func takeRetries(g *Gateway, service string) (n int) {
-	for b := g.retryBudget(service); b.take(boottime.Now()); {
+	for b := g.retryBudget(service); b.takeLogged(boottime.Now()); {
 		n++
 	}
 	return n
