Logs and metrics tell unreachable replicas from full ones

A refusal after connections that were not made had the reason of one after refusals by replicas, replicas_full. So a node without paths, a node that learns late and a node with full replicas can be told apart.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -74,6 +74,8 @@
 		keyRoute, keyService,
 		{"retry_after", "nanoseconds after which the client may retry; only where the request did not run"},
 		keyAfter, keyAttempts, keyNotRun,
+		{"unreached", "of the attempts in not_run, those for which no connection to the replica could be made"},
+		{"connecting", "nanoseconds that the request spent on connections that could not be made"},
 		{"config", "the version of the configuration in force"},
 		{"list_age", "nanoseconds since the list of upstreams was last confirmed"},
 		{"store_away", "nanoseconds since the list was last unavailable; 0 for never"},
@@ -114,7 +116,8 @@
 		keyRequest, keyRoute, keyReplica, {"status", "the replica's status"}, keyDraining, keyBackoff, keyAttempts, keyAfter,
 	}},
 	{"replica not reached", Failure, "No connection to a replica could be made; nothing was sent.", []Key{
-		keyRequest, keyReplica, {"addr", "the replica's address"}, keyErr,
+		keyRequest, keyReplica, {"addr", "the replica's address"},
+		{"after", "nanoseconds until the connection was given up"}, keyErr,
 	}},
 	{"prompt withdrawn", Failure, "A prompt still waited at an engine when the engine's weights were about to be too old to begin it; the node ended the attempt, and sends the prompt to another engine if it may be repeated.", []Key{
 		keyRequest, keyRoute, keyReplica,
@@ -350,6 +353,7 @@
 	{"draining", "the replicas of the service are about to end (503)"},
 	{"backoff", "the replicas that may be used have asked this node to send them nothing for a while (503)"},
 	{"replicas_full", "the replicas that were tried refused (503)"},
+	{"unreachable", "no connection could be made to any of the replicas that were tried (503)"},
 	{"overloaded", "the prompt would wait too long in this node's queue (503)"},
 	{"service_overloaded", "by the loads of all nodes, prompts of its priority would wait longer than the client does (503)"},
 	{"deadline", "the deadline has passed: 503 if nothing was sent, 504 if the request may have run"},
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -60,6 +60,9 @@
 			formatDuration(l.Duration("expected_wait")), l.Text("usable"), l.Text("replicas"))
 	case "replicas_full":
 		why = fmt.Sprintf("all %s replicas that were tried refused or could not be reached (%s)", l.Text("not_run"), listRefusals(r))
+	case "unreachable":
+		why = fmt.Sprintf("no connection could be made to any of the %s replicas that were tried, for which it waited %s (%s)",
+			l.Text("unreached"), formatDuration(l.Duration("connecting")), listRefusals(r))
 	case "no_replica":
 		why = fmt.Sprintf("%s of %s replicas of service %s could be used; the list of upstreams was %s old%s",
 			l.Text("usable"), l.Text("replicas"), l.Text("service"), formatDuration(l.Duration("list_age")), storeOutage(l))
--- a/pkg/explain/report_test.go
+++ b/pkg/explain/report_test.go
@@ -18,6 +18,7 @@
   5.0000 n1 {"time":"2026-01-01T00:00:05Z","level":"INFO","msg":"replica refused","request":"r1","replica":"a","status":503,"not_run":1}
   5.1000 n1 {"time":"2026-01-01T00:00:05.1Z","level":"WARN","msg":"replica not reached","request":"r1","replica":"b","addr":"1.2.3.4:5","err":"refused"}
   5.2000 n1 {"time":"2026-01-01T00:00:05.2Z","level":"INFO","msg":"refused","request":"r1","status":503,"reason":"replicas_full","after":120000000,"attempts":0,"not_run":2}
+  5.2500 n1 {"time":"2026-01-01T00:00:05.25Z","level":"INFO","msg":"refused","request":"r16","status":503,"reason":"unreachable","after":900000000,"attempts":0,"not_run":2,"unreached":2,"connecting":800000000}
   5.3000 n2 {"time":"2026-01-01T00:00:05.3Z","level":"INFO","msg":"refused","request":"r2","status":503,"reason":"overloaded","after":1000000,"median_wait":300000000,"usable":3,"replicas":18,"in_flight":40}
   5.3500 n2 {"time":"2026-01-01T00:00:05.35Z","level":"INFO","msg":"refused","request":"r8","status":503,"reason":"service_overloaded","after":1000000,"expected_wait":7200000000,"usable":3,"replicas":18,"in_flight":40}
   5.4000 n2 {"time":"2026-01-01T00:00:05.4Z","level":"WARN","msg":"stream broke off","request":"r3","replica":"a","last_event":"4","err":"HTTP body cut short"}
@@ -58,6 +59,7 @@
 		"r13": {false, []string{"Answered by a", "went on at b"}},
 		"r14": {true, []string{"client closed", "90ms", "a did not move the run to b"}},
 		"r15": {true, []string{"client was aborted", "b did not go on with the run"}},
+		"r16": {true, []string{"503", "any of the 2 replicas", "waited 800ms", "did not run"}},
 		"r12": {true, []string{"503", "another such request was under way", "did not run"}},
 	} {
 		r, err := Read(id, strings.NewReader(log))
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -36,6 +36,9 @@
 	expectedWait time.Duration
 	mayHaveRun   int // Number of attempts that may have run.
 	notRunCount  int // Number of attempts that were refused or could not be sent.
+	unreached    int // Of those, the attempts for which no connection could be made.
+	// connecting is the time spent on connections that could not be made.
+	connecting time.Duration
 	// failedAnswer is a replica's error answer, kept while another replica is tried.
 	failedAnswer *wholeAnswer
 	// retried is set if the client has probably sent the request before.
@@ -210,9 +213,12 @@
 	a.end(route.OutcomeFailed, now)
 	a.plan.Cancel()
 	x.recordNotReached(&a.choice.Upstream, err, now)
-	x.g.log.Warn("replica not reached", "request", x.info.ID, "replica", a.choice.ID, "addr", a.choice.Addr, "err", err)
+	x.g.log.Warn("replica not reached", "request", x.info.ID, "replica", a.choice.ID, "addr", a.choice.Addr, "after", now.Sub(a.startedAt), "err", err)
 	x.pickInput.Exclude = append(x.pickInput.Exclude, a.choice.ID)
 	x.notRunCount++
+	x.unreached++
+	x.connecting += now.Sub(a.startedAt)
+	x.g.metrics.notConnected.record(now.Sub(a.startedAt))
 	if x.notRunCount > maxRefusals || ctx.Err() != nil {
 		return false, x.noReplicaRefusal()
 	}
@@ -348,6 +354,9 @@
 	}
 	availability := x.pool.Availability(&x.pickInput, boottime.Now())
 	if x.notRunCount > 0 && availability.Eligible+availability.Excluded[route.ExcludedTried] > 0 {
+		if x.unreached == x.notRunCount {
+			return retryLater(reasonUnreachable, fullRetryAfter)
+		}
 		return retryLater(reasonReplicasFull, fullRetryAfter)
 	}
 	return unavailableRefusal(availability)
--- a/service/gateway/exchange_log.go
+++ b/service/gateway/exchange_log.go
@@ -40,6 +40,6 @@
 	configVersion, listAge, storeAway := x.g.siteState.Ages(now)
 	x.g.log.Info("refused", "request", x.info.ID, "status", f.status, "reason", f.reason, "route", route, "service", service,
 		"retry_after", f.retryAfter, "after", now.Sub(x.receivedAt), "attempts", x.mayHaveRun, "not_run", x.notRunCount,
-		"config", configVersion, "list_age", listAge, "store_away", storeAway, "replicas", replicas, "usable", usable,
+		"unreached", x.unreached, "connecting", x.connecting, "config", configVersion, "list_age", listAge, "store_away", storeAway, "replicas", replicas, "usable", usable,
 		"median_wait", medianWait, "expected_wait", x.expectedWait, "free_slots", impact.freeSlots, "slots", impact.slots, "retried", impact.retried, "in_flight", x.g.inFlight.Load())
 }
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -76,6 +76,7 @@
 	firstByte         *latency     // From sending the request to the first byte of the response.
 	total             *latency     // From receiving the request to the end of the response.
 	beforeSending     *latency     // From receiving the request to sending it.
+	notConnected      *latency     // Until a connection to a replica was given up.
 	impact            *callerImpact
 
 	mu             sync.Mutex
@@ -90,6 +91,7 @@
 		firstByte:      newLatency(),
 		total:          newLatency(),
 		beforeSending:  newLatency(),
+		notConnected:   newLatency(),
 		impact:         newCallerImpact(),
 		refused:        map[string]int64{},
 		answeredByKind: map[string]int64{},
@@ -144,6 +146,7 @@
 	FirstByte         latencyStatus                `json:"first_byte"`
 	Total             latencyStatus                `json:"whole"`
 	BeforeSending     latencyStatus                `json:"before_sending"`
+	NotConnected      latencyStatus                `json:"not_connected"`
 	Queues            map[string]route.QueueStatus `json:"queues"`
 	ServiceWaits      map[string][]float64         `json:"service_wait_s"`
 	ConfigVersion     int64                        `json:"configuration"`
@@ -163,6 +166,7 @@
 	RequestBytes      int64                        `json:"request_bytes"`
 	CallerImpact      callerImpactStatus           `json:"caller_impact"`
 	ReplicaChecks     replicaChecksStatus          `json:"replica_checks"`
+	ReplicaPaths      replicaPathsStatus           `json:"replica_paths"`
 }
 
 // runStatus counts what became of copies of runs.
@@ -209,6 +213,7 @@
 		FirstByte:      m.firstByte.status(),
 		Total:          m.total.status(),
 		BeforeSending:  m.beforeSending.status(),
+		NotConnected:   m.notConnected.status(),
 		AnsweredByKind: map[string]int64{},
 		Refused:        map[string]int64{},
 		Queues:         map[string]route.QueueStatus{},
@@ -227,6 +232,7 @@
 		ResponseMemory: g.responses.status(),
 		CallerImpact:   m.impact.status(),
 		ReplicaChecks:  g.reach.counts.status(),
+		ReplicaPaths:   g.reach.paths(now),
 	}
 	if r := g.siteState.requestBytes; r != nil {
 		s.RequestBytes = r.Least()
--- a/service/gateway/reachability.go
+++ b/service/gateway/reachability.go
@@ -213,6 +213,21 @@
 	}
 }
 
+// replicaPathsStatus is what the node knows of its own paths to replicas.
+type replicaPathsStatus struct {
+	Heard       int `json:"heard"`
+	Unreachable int `json:"unreachable"`
+}
+
+// paths counts the replicas from which something came within route.GoneTerm, and those that this
+// node could not connect to within it.
+func (r *reachability) paths(now time.Time) replicaPathsStatus {
+	return replicaPathsStatus{
+		Heard:       len(r.g.conns.heardSince(sinceStart() - int64(route.GoneTerm))),
+		Unreachable: len(r.state.Unreachable(route.GoneTerm, now)),
+	}
+}
+
 // run waits until the replica has been silent for long enough and connects to it.
 func (r *reachability) run(c *contact, start int64) (result route.CheckResult, connected bool) {
 	for c.silence() < route.CheckSilence {
--- a/service/gateway/refusal.go
+++ b/service/gateway/refusal.go
@@ -36,6 +36,7 @@
 	reasonDraining        = "draining"
 	reasonBackoff         = "backoff"
 	reasonReplicasFull    = "replicas_full"
+	reasonUnreachable     = "unreachable"
 	reasonOverloaded      = "overloaded"
 	// reasonServiceOverloaded: the loads of all nodes show that it would wait too long.
 	reasonServiceOverloaded = "service_overloaded"
