--- a/internal/standin/onplatform/silent_replicas_test.go
+++ b/internal/standin/onplatform/silent_replicas_test.go
@@ -86,15 +86,27 @@
 
 // replicaCount returns how many replicas of a service the node knows.
 func replicaCount(n *node, service string) int {
-	text, err := json.Marshal(n.MetricsVar()())
-	assert.NilError(n.site.t, err)
 	var status struct {
 		Replicas map[string]struct{ All int } `json:"replicas"`
 	}
-	assert.NilError(n.site.t, json.Unmarshal(text, &status))
+	n.readMetrics(&status)
 	return status.Replicas[service].All
 }
 
+// nodeCount returns how many nodes, itself included, the node knows to work.
+func nodeCount(n *node) int {
+	var status struct{ Nodes int }
+	n.readMetrics(&status)
+	return status.Nodes
+}
+
+// readMetrics decodes the node's metrics into a struct with some of their fields.
+func (n *node) readMetrics(status any) {
+	text, err := json.Marshal(n.MetricsVar()())
+	assert.NilError(n.site.t, err)
+	assert.NilError(n.site.t, json.Unmarshal(text, status))
+}
+
 // silentLimit is the time within which requests at a silent replica end: 1.5 s of pause, 0.1 s
 // until it is noticed, 0.3 s for the connection.
 const silentLimit = 2 * time.Second
--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -161,12 +161,17 @@
 // startNode starts a node without waiting for it to be ready.
 func (s *site) startNode(name string) *node { return s.startNodeWith(s.settings(name)) }
 
-func (s *site) startNodeWith(settings config.GatewaySettings) *node {
+func (s *site) startNodeWith(settings config.GatewaySettings) *node { return s.startNodeDialing(settings, nil) }
+
+// startNodeDialing starts a node that connects to replicas by dial, nil for ordinary connections.
+func (s *site) startNodeDialing(settings config.GatewaySettings, dial gateway.DialFunc) *node {
 	g, err := gateway.New(settings, gateway.Platform{
 		Store:   platform.NewStore(settings.Platform.Store),
 		Engines: platform.NewEngines(),
 		Codec:   platform.Codec{},
 		Paths:   platform.Paths(),
+
+		DialReplica: dial,
 	}, s.log)
 	assert.NilError(s.t, err)
 	n := &node{
--- a/service/gateway/contacts.go
+++ b/service/gateway/contacts.go
@@ -106,10 +106,11 @@
 
 // dial makes a connection to a replica.
 func (u *upstreamConns) dial(id string, addr netip.AddrPort, timeout time.Duration) (*upstreamConn, error) {
-	c, err := dialUpstream(addr.String(), timeout)
+	conn, err := u.dialTCP(addr, timeout)
 	if err != nil {
 		return nil, err
 	}
+	c := newUpstreamConn(conn)
 	u.mu.Lock()
 	c.contact = u.contactLocked(contactKey{id, addr})
 	u.mu.Unlock()
--- a/service/gateway/platform.go
+++ b/service/gateway/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -82,4 +83,10 @@
 	Engines Engines
 	Codec   Codec
 	Paths   site.Paths
+	// DialReplica connects to replicas for requests; nil makes TCP connections that fail if a
+	// replica stops acknowledging data.
+	DialReplica DialFunc
 }
+
+// DialFunc connects to an address within a time.
+type DialFunc func(addr netip.AddrPort, timeout time.Duration) (net.Conn, error)
--- a/service/gateway/upstream_conn.go
+++ b/service/gateway/upstream_conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -56,17 +57,18 @@
 	idleSince time.Time
 }
 
-func dialUpstream(addr string, timeout time.Duration) (*upstreamConn, error) {
-	conn, err := http1.Dial(addr, timeout, upstreamAckTimeout)
-	if err != nil {
-		return nil, err
-	}
+func newUpstreamConn(conn net.Conn) *upstreamConn {
 	c := &upstreamConn{
 		conn:    conn,
 		maxIdle: time.Duration(idleTimeoutShare * float64(defaultIdleTimeout)),
 	}
 	c.r = bufio.NewReaderSize(c, upstreamBufferSize)
-	return c, nil
+	return c
+}
+
+// dialTCP makes a TCP connection to a replica.
+func dialTCP(addr netip.AddrPort, timeout time.Duration) (net.Conn, error) {
+	return http1.Dial(addr.String(), timeout, upstreamAckTimeout)
 }
 
 // Read reads from the connection and records that the replica was heard.
--- a/service/gateway/upstream_conns.go
+++ b/service/gateway/upstream_conns.go
@@ -10,6 +10,8 @@
 
 // upstreamConns pools idle connections to replicas, by ID of the replica.
 type upstreamConns struct {
+	dialTCP DialFunc
+
 	mu     sync.Mutex
 	idle   map[string][]*upstreamConn
 	closed bool // Connections are not pooled any more.
@@ -21,6 +23,7 @@
 
 func newUpstreamConns() *upstreamConns {
 	return &upstreamConns{
+		dialTCP:  dialTCP,
 		idle:     map[string][]*upstreamConn{},
 		contacts: map[contactKey]*contact{},
 		busy:     map[*contact]struct{}{},
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -129,6 +129,9 @@
 		func() *upstreamConns {
 			u := newUpstreamConns()
 			u.closed = s.Disabled.ConnectionReuse
+			if p.DialReplica != nil {
+				u.dialTCP = p.DialReplica
+			}
 			return u
 		},
 		func(m *control.Members, c *peer.Client) *sharedReader {
