--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -161,7 +161,9 @@
 // startNode starts a node without waiting for it to be ready.
 func (s *site) startNode(name string) *node { return s.startNodeWith(s.settings(name)) }
 
-func (s *site) startNodeWith(settings config.GatewaySettings) *node { return s.startNodeDialing(settings, nil) }
+func (s *site) startNodeWith(settings config.GatewaySettings) *node {
+	return s.startNodeDialing(settings, nil)
+}
 
 // startNodeDialing starts a node that connects to replicas by dial, nil for ordinary connections.
 func (s *site) startNodeDialing(settings config.GatewaySettings, dial gateway.DialFunc) *node {
