Nodes without a path to replicas send requests through other nodes

Cause: a node reached replicas by its own connections only. When none could be made it tried four in turn, 0.4 s each, and refused, although it reached nodes that reached every replica. The class: a node takes its own view of the network for that of all. The same cause elsewhere: connections that it could not make counted as evidence against replicas for all nodes.

Change: a connection that is not made makes the path count as lost, and other nodes are asked whether they reach the replica before it is ejected, reported or counted as ended. If no node can forward, requests are refused at once. explain names both nodes.

Why it holds: the choice of the replica and what follows from an answer do not depend on whose connection was used, and a request on its way to a forwarding node is as good as at the replica: if that is lost it may have run.

--- a/pkg/config/disabled.go
+++ b/pkg/config/disabled.go
@@ -58,6 +58,8 @@
 	ConnectionReuse bool `json:"resting"`
 	// ResponseMemoryBound bounds the memory for responses that are not streamed.
 	ResponseMemoryBound bool `json:"response_memory"`
+	// Forwarding sends requests through other nodes while there is no path to their replicas.
+	Forwarding bool `json:"forwarding"`
 	// RunHandoff hands runs over to engines that prefill little.
 	RunHandoff bool `json:"handoff"`
 	// RunBackups keeps copies of runs at other engines while replicas are being lost.
--- a/pkg/config/gateway.go
+++ b/pkg/config/gateway.go
@@ -23,6 +23,7 @@
 	Canary     CanarySettings          `json:"canary"`
 	Runs       RunSettings             `json:"runs"`
 	Placement  PlacementSettings       `json:"placement"`
+	Forwarding ForwardingSettings      `json:"forwarding"`
 	Log        LogSettings             `json:"log"`
 	Disabled   DisabledMechanisms      `json:"without"`
 	Test       TestSettings            `json:"test"`
@@ -131,6 +132,13 @@
 	Backups bool `json:"backups"`
 }
 
+// ForwardingSettings bounds what a node does for others that have no path to their replicas.
+type ForwardingSettings struct {
+	// MaxRequests is how many requests of other nodes may be in flight at this one; 0 means a
+	// quarter of the connections that clients may make.
+	MaxRequests int `json:"max_requests" validate:"gte=0"`
+}
+
 // PlacementSettings choose between costs of placement.
 type PlacementSettings struct {
 	// OwnHall keeps requests in their data hall while it has room. It saves most of the
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -45,6 +45,7 @@
 		{"left_hall", "why the replica is not in the node's data hall: no_replica, busy, better or unrestricted; empty if it is"},
 		{"follows", "whether the replica was prefilling the shared tokens for another prompt of this node"},
 		{"software", "the version of the replica's software"},
+		{"via", "the node that forwarded the request, as this one had no path to the replica; empty if it was sent directly"},
 		{"weights", "the version of the weights that the replica has, as far as known; 0 for a service without weights"},
 		{"newest", "the newest version of the weights that was named"},
 		{"body_bytes", "size of the request's body"},
@@ -119,6 +120,23 @@
 		keyRequest, keyReplica, {"addr", "the replica's address"},
 		{"after", "nanoseconds until the connection was given up"}, keyErr,
 	}},
+	{"path to replica lost", Failure, "The node could not connect to a replica and has asked other nodes whether they reach it. While the path is lost, requests for the replica that need a new connection go through other nodes.", []Key{
+		keyReplica, {"addr", "the replica's address"},
+		{"fault", "path (another node reaches the replica), replica (those that reach others do not reach it) or unknown (no node could tell)"},
+		keyErr,
+	}},
+	{"path to replica back", Failure, "The node has connected to a replica whose path was lost.", []Key{
+		keyReplica, {"addr", "the replica's address"}, {"after", "nanoseconds for which it was lost"},
+	}},
+	{"request forwarded", Routine, "The node sent a request of another node to a replica that the other one could not connect to.", []Key{
+		keyRequest, {"node", "the node that received the request and decides about it"}, keyReplica,
+		{"status", "the replica's status; 0 if its answer was lost"},
+		{"after", "nanoseconds since the request came from the other node"}, keyErr,
+	}},
+	{"request not forwarded", Failure, "Another node did not send on a request whose replica this node has no path to; nothing was sent.", []Key{
+		keyRequest, {"node", "the other node"}, keyReplica,
+		{"reason", "unreachable (the other node reaches other replicas only), cut_off (its own paths are lost), busy, stopping, or excluded (the replica is unknown to it or accepts no requests)"},
+	}},
 	{"prompt withdrawn", Failure, "A prompt still waited at an engine when the engine's weights were about to be too old to begin it; the node ended the attempt, and sends the prompt to another engine if it may be repeated.", []Key{
 		keyRequest, keyRoute, keyReplica,
 		{"weights", "the version of the weights that the engine was assumed to have"},
@@ -150,7 +168,9 @@
 		{"sample_reached", "how many of those that the node connected to for this decision it reached"},
 		{"sample_failed", "how many of them it did not reach"},
 	}},
-	{"answer lost", Failure, "A connection broke before the head of the answer was received; the request may have run.", []Key{keyRequest, keyContent, keyReplica, keyAttempts, keyErr}},
+	{"answer lost", Failure, "A connection broke before the head of the answer was received; the request may have run. If the request was forwarded, both nodes log it.", []Key{
+		keyRequest, keyContent, keyReplica, {"via", "the node that forwarded the request, empty if this one sent it itself"}, keyAttempts, keyErr,
+	}},
 	{"answer cut short", Failure, "A connection broke within the answer's body; the request has run.", []Key{keyRequest, keyContent, keyReplica, keyErr}},
 	{"response cut off unread", Failure, "The connection ended after the node had left the response unread for want of memory; the request has run. It does not count as a failure of the replica.", []Key{
 		keyRequest, keyRoute, keyReplica,
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -34,10 +34,12 @@
 }
 
 // lastLine returns the line that ends the request. A move of its run that was under way may end
-// later.
+// later, and so may the line of a node that forwarded it.
 func lastLine(r *Report) *Line {
 	for i := len(r.Lines) - 1; i > 0; i-- {
-		if l := &r.Lines[i]; l.Msg != "run not moved" && l.Msg != "copy not dropped" {
+		switch l := &r.Lines[i]; l.Msg {
+		case "run not moved", "copy not dropped", "request forwarded":
+		default:
 			return l
 		}
 	}
@@ -115,6 +117,9 @@
 	s := fmt.Sprintf("Answered by %s after %d ms, the first byte after %d ms (expected %d ms)",
 		l.Text("replica"), l.Int("all_ms"), l.Int("first_ms"), l.Int("expected_ms"))
 	var why []string
+	if via := l.Text("via"); via != "" {
+		why = append(why, fmt.Sprintf("node %s had no path to the replica, and node %s forwarded the request%s", l.Node, via, forwardNote(r)))
+	}
 	if before := l.Int("before_ms"); before > 0 {
 		why = append(why, fmt.Sprintf("it waited %d ms at the node before it was sent", before))
 	}
@@ -133,6 +138,16 @@
 	return s + ".", false
 }
 
+// forwardNote tells how long the node that forwarded the request took, if it logged that.
+func forwardNote(r *Report) string {
+	for i := range r.Lines {
+		if l := &r.Lines[i]; l.Msg == "request forwarded" {
+			return fmt.Sprintf(" (%s there)", formatDuration(l.Duration("after")))
+		}
+	}
+	return ""
+}
+
 func slowReasons(l *Line) []string {
 	var why []string
 	if l.Int("weights") < l.Int("newest") {
@@ -160,6 +175,8 @@
 			list = append(list, l.Text("replica")+" answered "+l.Text("status")+" after running it")
 		case "replica not reached":
 			list = append(list, l.Text("replica")+" was not reached")
+		case "request not forwarded":
+			list = append(list, fmt.Sprintf("node %s did not forward it to %s (%s)", l.Text("node"), l.Text("replica"), l.Text("reason")))
 		case "response cut off unread":
 			list = append(list, l.Text("replica")+" answered, and the node had no memory for the response")
 		case "run not moved":
--- a/pkg/explain/report.go
+++ b/pkg/explain/report.go
@@ -110,6 +110,12 @@
 	"replica not reached":        "replica",
 }
 
+// pathMessages are messages of a node about its path to a replica, which the value names.
+var pathMessages = map[string]string{
+	"path to replica lost": "replica",
+	"path to replica back": "replica",
+}
+
 // contentMessages are messages of any node about requests with the same content as the
 // reported one. The value is the attribute that distinguishes such lines.
 var contentMessages = map[string]string{
@@ -123,12 +129,17 @@
 	"store back":               "store lost",
 	"store reached again":      "store not reached, other nodes are asked",
 	"store of kept state back": "store of kept state lost",
+	"path to replica back":     "path to replica lost",
 }
 
 func stateBefore(all []Line, nodes, replicas, contents map[string]bool) []Line {
 	latest := map[string]Line{}
 	for _, l := range all {
-		if key, ok := nodeMessages[l.Msg]; ok && nodes[l.Node] {
+		key, ok := nodeMessages[l.Msg]
+		if pathKey, path := pathMessages[l.Msg]; path {
+			key, ok = pathKey, replicas[l.Text(pathKey)]
+		}
+		if ok && nodes[l.Node] {
 			kind := l.Msg
 			if opposite, paired := supersedes[kind]; paired {
 				kind = opposite
--- a/pkg/explain/report_test.go
+++ b/pkg/explain/report_test.go
@@ -38,6 +38,10 @@
   6.6000 n1 {"time":"2026-01-01T00:00:06.6Z","level":"INFO","msg":"answered","request":"r13","replica":"a","resumed_at":"b","first_ms":100,"all_ms":300,"attempts":1}
   6.7000 n1 {"time":"2026-01-01T00:00:06.7Z","level":"INFO","msg":"client left","request":"r14","after":90000000}
   6.8000 n1 {"time":"2026-01-01T00:00:06.8Z","level":"INFO","msg":"run not moved","request":"r14","replica":"a","target":"b","stopped":false,"after":1000000,"err":"status 404"}
+  6.8500 n1 {"time":"2026-01-01T00:00:06.85Z","level":"WARN","msg":"path to replica lost","replica":"a","addr":"1.2.3.4:5","fault":"path","err":"timeout"}
+  6.8600 n1 {"time":"2026-01-01T00:00:06.86Z","level":"WARN","msg":"request not forwarded","request":"r17","node":"n3","replica":"a","reason":"cut_off"}
+  6.8700 n1 {"time":"2026-01-01T00:00:06.87Z","level":"INFO","msg":"answered","request":"r17","replica":"a","via":"n2","first_ms":100,"all_ms":130,"attempts":1,"not_run":1}
+  6.8800 n2 {"time":"2026-01-01T00:00:06.88Z","level":"INFO","msg":"request forwarded","request":"r17","node":"n1","replica":"a","status":200,"after":120000000,"err":""}
   6.9000 n1 {"time":"2026-01-01T00:00:06.9Z","level":"INFO","msg":"run not resumed","request":"r15","replica":"b","status":503,"left":0}
   7.0000 n1 {"time":"2026-01-01T00:00:07Z","level":"WARN","msg":"stream cut","request":"r15","route":"x","reason":"answer_lost"}
 `
@@ -59,6 +63,7 @@
 		"r13": {false, []string{"Answered by a", "went on at b"}},
 		"r14": {true, []string{"client closed", "90ms", "a did not move the run to b"}},
 		"r15": {true, []string{"client was aborted", "b did not go on with the run"}},
+		"r17": {false, []string{"node n1 had no path to the replica, and node n2 forwarded the request (120ms there)", "node n3 did not forward it to a (cut_off)"}},
 		"r16": {true, []string{"503", "any of the 2 replicas", "waited 800ms", "did not run"}},
 		"r12": {true, []string{"503", "another such request was under way", "did not run"}},
 	} {
@@ -82,13 +87,26 @@
 	assert.DeepEqual(t, kinds, []string{"n1 configuration in force", "n1 store back", "n1 replica not reached"})
 }
 
+// Which of its paths a node had lost is part of why another one forwarded a request.
+func TestStateBeforeHasLostPathsToTheRequestsReplicas(t *testing.T) {
+	r, err := Read("r17", strings.NewReader(log))
+	assert.NilError(t, err)
+	var lost []string
+	for _, l := range r.Before {
+		if l.Msg == "path to replica lost" {
+			lost = append(lost, l.Node+" "+l.Text("replica"))
+		}
+	}
+	assert.DeepEqual(t, lost, []string{"n1 a"})
+}
+
 // A message missing from the catalogue would silently never match a line.
 func TestStateMessagesAreInTheCatalogue(t *testing.T) {
 	logged := map[string]bool{}
 	for _, e := range events.Catalogue {
 		logged[e.Name] = true
 	}
-	for _, kinds := range []map[string]string{nodeMessages, replicaMessages, supersedes} {
+	for _, kinds := range []map[string]string{nodeMessages, replicaMessages, pathMessages, supersedes} {
 		for kind := range kinds {
 			assert.Assert(t, logged[kind], kind)
 		}
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -49,7 +49,10 @@
 	longestPause   time.Duration // Longest time between two reads of the body.
 	unread         time.Duration // For which the answer was left unread for want of memory.
 	conn           *upstreamConn
-	cancelAbort    func() bool // Keeps the end of the context from aborting conn.
+	// connKey is the key of conn in conns: the replica's ID, or the name of the node that forwards.
+	connKey     string
+	via         *via        // The node that forwards the attempt, nil if it is sent directly.
+	cancelAbort func() bool // Keeps the end of the context from aborting conn.
 	// written is set once the whole request has been written to the connection.
 	written    atomic.Bool
 	writeDone  chan struct{} // Closed when write returns.
@@ -72,6 +75,7 @@
 	return &attempt{
 		conns:     x.g.conns,
 		codec:     x.g.codec,
+		connKey:   c.ID,
 		choice:    c,
 		inFlight:  x.pool.Begin(c, now),
 		plan:      p,
@@ -110,21 +114,16 @@
 	if !x.route.Repeatable() {
 		maxIdle = maxIdleOnce
 	}
-	if a.choice.NewConnection {
-		maxIdle = 0
-	}
-	if a.conn, err = a.conns.get(a.choice.ID, a.choice.Addr, maxIdle); err != nil {
+	if err = a.connect(ctx, x, maxIdle); err != nil {
 		return resultUnsent, err
 	}
 	conn := a.conn.conn
 	if x.abandoned(ctx) { // Getting a grant or connecting may have taken long.
-		a.conn.close()
-		a.conn = nil
+		a.closeUnsent()
 		return resultAbandoned, nil
 	}
 	if a.inFlight.ExceedsBytes() || !x.pool.Accepts(&a.choice.Upstream, boottime.Now()) || a.conn.silent() {
-		a.conns.put(a.choice.ID, a.conn)
-		a.conn = nil
+		a.putConn()
 		return resultReplicaWithdrawn, nil
 	}
 	// Aborting ends reads and writes, and drops bytes that the replica has not received
@@ -134,9 +133,17 @@
 	if len(x.body) > 0 || x.head.Has("Content-Length") || x.head.Has("Transfer-Encoding") {
 		length = len(x.body)
 	}
-	message := http1.AppendRequest(nil, x.head.Method, x.head.Target, a.codec.UpstreamHeaders(x.head, d), length)
+	message, err := a.forwardLine(x)
+	if err != nil {
+		a.closeUnsent()
+		return resultUnsent, err
+	}
+	message = http1.AppendRequest(message, x.head.Method, x.head.Target, a.codec.UpstreamHeaders(x.head, d), length)
 	a.conns.begin(a.conn, newFlight(x, a))
 	go a.write(message, x.body)
+	if err = a.readForwardReply(x); err != nil {
+		return a.notForwarded(err)
+	}
 	a.head, a.body, a.mismatched, err = a.conn.readAnswer(x.head.Method, x.info.ID, a.codec)
 	if err != nil {
 		a.closeConn()
@@ -186,8 +193,14 @@
 		return
 	}
 	a.conn.readKeepAlive(a.head)
-	a.conns.put(a.choice.ID, a.conn)
+	a.putConn()
+}
+
+// putConn returns the connection to the pool.
+func (a *attempt) putConn() {
+	a.conns.put(a.connKey, a.conn)
 	a.conn = nil
+	a.endVia()
 }
 
 // closeConn closes the connection, which also makes the replica stop working on the
@@ -201,6 +214,7 @@
 	a.conn.close()
 	<-a.writeDone
 	a.conn = nil
+	a.endVia()
 }
 
 // isUnreachable reports whether an error means that the replica can't be reached, rather
@@ -223,11 +237,13 @@
 		lastHeard = a.lastBytesAt
 	}
 	silence := now.Sub(lastHeard)
-	x.g.reach.unanswered(x.pool, a, silence)
+	if a.via == nil {
+		x.g.reach.unanswered(x.pool, a, silence)
+	}
 	if silence < minSilence {
 		return
 	}
-	if n := x.g.conns.closeIdle(a.choice.ID); n > 0 {
+	if n := a.conns.closeIdle(a.connKey); n > 0 {
 		x.g.metrics.idleConnsClosed.Add(int64(n))
 		x.g.log.Warn("idle connections closed", "request", x.info.ID, "replica", a.choice.ID, "quiet", silence, "closed", n)
 	}
--- a/service/gateway/contacts.go
+++ b/service/gateway/contacts.go
@@ -31,6 +31,8 @@
 // flight is a request in flight on a connection.
 type flight struct {
 	request      string
+	replica      string // Its ID.
+	repeatable   bool
 	streaming    bool
 	startedAt    time.Time
 	expected     time.Duration // Time to the first event.
@@ -45,6 +47,8 @@
 func newFlight(x *exchange, a *attempt) *flight {
 	return &flight{
 		request:      x.info.ID,
+		replica:      a.choice.ID,
+		repeatable:   x.route.Repeatable(),
 		streaming:    x.route.Streaming,
 		startedAt:    a.startedAt,
 		expected:     a.choice.Expected,
@@ -271,17 +275,19 @@
 	return u.closeIdle(replica.ID)
 }
 
-// abortFlights ends all requests in flight at a replica; reading their answers fails with
-// errReplicaGone. It returns how many there were.
-func (u *upstreamConns) abortFlights(c *contact) (ended int) {
+// abortFlights ends the requests in flight at a replica for which ends returns true; reading their
+// answers fails with cause. It returns how many there were.
+func (u *upstreamConns) abortFlights(c *contact, cause error, ends func(*flight) bool) (ended int) {
 	u.mu.Lock()
 	conns := make([]*upstreamConn, 0, len(c.flights))
 	for conn := range c.flights {
-		conns = append(conns, conn)
+		if ends(conn.flight) {
+			conns = append(conns, conn)
+		}
 	}
 	u.mu.Unlock()
 	for _, conn := range conns {
-		conn.abortCause.Store(&errReplicaGone)
+		conn.abortCause.Store(&cause)
 		http1.AbortUnreachable(conn.conn)
 	}
 	return len(conns)
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -39,6 +39,11 @@
 	unreached    int // Of those, the attempts for which no connection could be made.
 	// connecting is the time spent on connections that could not be made.
 	connecting time.Duration
+	// slowConnects counts those that timed out. After one, the request goes through another node
+	// if it can't use a connection on which the replica was just heard.
+	slowConnects int
+	// forwardersTried are the nodes that did not forward the request.
+	forwardersTried []string
 	// failedAnswer is a replica's error answer, kept while another replica is tried.
 	failedAnswer *wholeAnswer
 	// retried is set if the client has probably sent the request before.
@@ -187,7 +192,7 @@
 	}()
 	now = boottime.Now()
 	if result == resultAnswered || result == resultNotRun {
-		x.recordResponseInfo(a, now)
+		x.g.recordResponseInfo(x.pool, &a.choice.Upstream, a.head.Status, &a.info, a.startedAt, now)
 	}
 	switch result {
 	case resultAnswered:
@@ -210,9 +215,15 @@
 
 // handleUnsent decides how to go on when no connection to the replica could be made.
 func (x *exchange) handleUnsent(ctx context.Context, a *attempt, err error, now time.Time) (bool, refusal) {
-	a.end(route.OutcomeFailed, now)
+	if isNotForwarded(err) {
+		return x.handleNotForwarded(ctx, a, err, now)
+	}
+	a.end(x.g.forwarding.outcomeOfFailure(), now)
 	a.plan.Cancel()
-	x.recordNotReached(&a.choice.Upstream, err, now)
+	x.g.forwarding.reportFailure(x.pool, &a.choice.Upstream, err)
+	if timedOut(err) {
+		x.slowConnects++
+	}
 	x.g.log.Warn("replica not reached", "request", x.info.ID, "replica", a.choice.ID, "addr", a.choice.Addr, "after", now.Sub(a.startedAt), "err", err)
 	x.pickInput.Exclude = append(x.pickInput.Exclude, a.choice.ID)
 	x.notRunCount++
@@ -230,13 +241,13 @@
 const unreachableFetchPause = 2 * time.Second
 
 // recordUnreachable records that a replica can't be reached.
-func (x *exchange) recordUnreachable(u *site.Upstream, now time.Time) {
-	if x.pool.RecordUnreachable(u.ID, now) {
-		x.g.nodes.announceUnreachable(route.RefOf(u))
+func (g *Gateway) recordUnreachable(p *route.Pool, u *site.Upstream, now time.Time) {
+	if p.RecordUnreachable(u.ID, now) {
+		g.nodes.announceUnreachable(route.RefOf(u))
 	}
-	x.g.conns.distrust(u)
-	x.g.cacheIndex.AvoidEngine(u.ID, now.Add(unreachableFetchPause))
-	x.g.reach.suspect(u, route.CheckAfterError)
+	g.conns.distrust(u)
+	g.cacheIndex.AvoidEngine(u.ID, now.Add(unreachableFetchPause))
+	g.reach.suspect(u, route.CheckAfterError)
 }
 
 // handleNotRun decides how to go on when the replica refused the request.
@@ -295,22 +306,30 @@
 	if errors.Is(err, errWeightsReplaced) {
 		return x.handleWithdrawn(a, now)
 	}
-	x.recordLostRun(ctx, a, err, now)
+	x.recordLostRun(ctx, a, err)
 	x.recordCanary(ctx, a, true)
 	if ctx.Err() != nil {
 		a.end(route.OutcomeNeutral, now)
 		x.closeIdleAfterSilence(a, now)
 		return false, x.deadlineRefusal()
 	}
-	a.end(route.OutcomeFailed, now)
 	switch {
+	case a.via != nil: // The other node knows whether the replica is at fault.
+		a.end(route.OutcomeNeutral, now)
+		x.g.forwarding.paths.PauseForwarder(a.via.name, now)
+		x.forwardersTried = append(x.forwardersTried, a.via.name)
 	case errors.Is(err, errReplicaGone): // The check has recorded it.
+		a.end(route.OutcomeFailed, now)
+	case errors.Is(err, errPathLost):
+		a.end(route.OutcomeNeutral, now)
 	case isUnreachable(err):
-		x.recordUnreachable(&a.choice.Upstream, now)
+		a.end(x.g.forwarding.outcomeOfFailure(), now)
+		x.g.forwarding.reportFailure(x.pool, &a.choice.Upstream, err)
 	default:
+		a.end(route.OutcomeFailed, now)
 		x.pool.RecordDisconnect(a.choice.ID, now)
 	}
-	x.g.log.Warn("answer lost", "request", x.info.ID, "content", x.fingerprint(), "replica", a.choice.ID, "attempts", x.mayHaveRun, "err", err)
+	x.g.log.Warn("answer lost", "request", x.info.ID, "content", x.fingerprint(), "replica", a.choice.ID, "via", a.viaName(), "attempts", x.mayHaveRun, "err", err)
 	if x.takeBackup(ctx, a) {
 		return true, refusal{}
 	}
@@ -404,8 +423,8 @@
 		return x.handleCutOffUnread(a, w, err, now)
 	}
 	if err != nil {
-		a.end(x.outcomeOfFailure(ctx), now)
-		x.recordLostRun(ctx, a, err, now)
+		a.end(x.outcomeOfFailure(ctx, a), now)
+		x.recordLostRun(ctx, a, err)
 		x.recordCanary(ctx, a, true)
 		if ctx.Err() != nil {
 			return false, x.deadlineRefusal()
@@ -438,9 +457,10 @@
 	x.leaveQueue(now)
 }
 
-// outcomeOfFailure counts a failure against the replica unless the request had ended.
-func (x *exchange) outcomeOfFailure(ctx context.Context) route.Outcome {
-	if ctx.Err() != nil {
+// outcomeOfFailure counts a failure against the replica unless the request had ended, or the node
+// that forwarded it may be at fault.
+func (x *exchange) outcomeOfFailure(ctx context.Context, a *attempt) route.Outcome {
+	if ctx.Err() != nil || a.via != nil {
 		return route.OutcomeNeutral
 	}
 	return route.OutcomeFailed
--- a/service/gateway/exchange_limits.go
+++ b/service/gateway/exchange_limits.go
@@ -35,17 +35,16 @@
 
 // recordResponseInfo records what a replica's answer says about it. An answer from another
 // replica at a reused address says nothing about this one.
-func (x *exchange) recordResponseInfo(a *attempt, now time.Time) {
-	if a.head.Status == http.StatusMisdirectedRequest {
+func (g *Gateway) recordResponseInfo(p *route.Pool, u *site.Upstream, status int, info *site.ResponseInfo, sentAt, now time.Time) {
+	if status == http.StatusMisdirectedRequest {
 		return
 	}
-	u := &a.choice.Upstream
-	x.g.rateLimits.ObserveResponse(u, &a.info, a.startedAt, now)
-	if a.info.Draining {
-		x.g.nodes.recordDraining(route.RefOf(u))
+	g.rateLimits.ObserveResponse(u, info, sentAt, now)
+	if info.Draining {
+		g.nodes.recordDraining(route.RefOf(u))
 	}
-	if a.info.Backoff > 0 {
-		x.pool.BackOff(u, a.info.Backoff, now)
+	if info.Backoff > 0 {
+		p.BackOff(u, info.Backoff, now)
 	}
 }
 
--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
 	"github.com/drumpath/drumpath/service/suspects"
@@ -95,52 +96,54 @@
 	x.g.suspects.RecordFinish(x.quickHash(), x.fingerprint, now)
 }
 
-// recordLostRun records that the answer to an attempt was lost while the request may
-// have run. To find out whether the replica has ended, it dials a new connection. If
-// that is inconclusive, other attempts and the platform's list decide. If the connection
-// fell silent, it does not dial, as that could take long.
-func (x *exchange) recordLostRun(ctx context.Context, a *attempt, err error, now time.Time) {
-	u := &a.choice.Upstream
+// newLostRun describes a run whose answer was lost now.
+func newLostRun(u *site.Upstream, request string, content site.Fingerprint, quickHash uint64, startedAt time.Time) suspects.LostRun {
+	return suspects.LostRun{
+		Content:   content,
+		QuickHash: quickHash,
+		RequestID: request,
+		Replica:   u.ID,
+		StartKey:  suspects.StartKeyOf(u.ID, u.Started),
+		Addr:      u.Addr,
+		StartedAt: startedAt,
+		LostAt:    boottime.Now(),
+	}
+}
+
+// recordLostRun records that the answer to an attempt was lost while the request may have run. A
+// node that has forwarded it does that itself.
+func (x *exchange) recordLostRun(ctx context.Context, a *attempt, err error) {
+	if a.via != nil {
+		return
+	}
+	run := newLostRun(&a.choice.Upstream, x.info.ID, x.fingerprint(), x.quickHash(), a.startedAt)
 	// The client left, the deadline passed, or the network path fell silent.
-	silent := ctx.Err() != nil || isUnreachable(err)
-	if !silent && !x.pool.IsActive(u.ID) {
+	x.g.recordLostRun(x.pool, &a.choice.Upstream, run, ctx.Err() != nil || isUnreachable(err))
+}
+
+// recordLostRun finds out whether the replica of a lost run has ended, by a new connection. If
+// that is inconclusive, other attempts and the platform's list decide. If the connection fell
+// silent, it makes none, as that could take long.
+func (g *Gateway) recordLostRun(p *route.Pool, u *site.Upstream, run suspects.LostRun, silent bool) {
+	if !silent && !p.IsActive(u.ID) {
 		// It shut down as planned and cut its remaining answers, which is common for
 		// long ones.
 		return
 	}
-	run := suspects.LostRun{
-		Content:   x.fingerprint(),
-		QuickHash: x.quickHash(),
-		RequestID: x.info.ID,
-		Replica:   u.ID,
-		StartKey:  suspects.StartKeyOf(u.ID, u.Started),
-		Addr:      u.Addr,
-		StartedAt: a.startedAt,
-		LostAt:    now,
-	}
 	if silent {
-		x.g.suspects.RecordLostRun(run)
+		g.suspects.RecordLostRun(run)
 		return
 	}
-	conn, err := x.g.conns.dial(u.ID, u.Addr, upstreamDialTimeout)
+	conn, err := g.conns.dial(u.ID, u.Addr, upstreamDialTimeout)
 	switch {
 	case err == nil:
-		x.g.conns.put(u.ID, conn)
+		g.conns.put(u.ID, conn)
 		run.Reachable = true
-		x.g.suspects.RecordLostRun(run)
-	case suspects.NotListening(err):
-		x.recordUnreachable(u, boottime.Now())
-		x.g.suspects.RecordEnd(run, boottime.Now())
+		g.suspects.RecordLostRun(run)
+	case suspects.NotListening(err) && g.forwarding.faultOf(p, u, err) != route.FaultOfPath:
+		g.recordUnreachable(p, u, boottime.Now())
+		g.suspects.RecordEnd(run, boottime.Now())
 	default:
-		x.g.suspects.RecordLostRun(run)
-	}
-}
-
-// recordNotReached records that a replica accepted no connection.
-func (x *exchange) recordNotReached(u *site.Upstream, err error, now time.Time) {
-	x.recordUnreachable(u, now)
-	x.g.reach.notConnected(u, err)
-	if suspects.NotListening(err) {
-		x.g.suspects.RecordNotListening(suspects.StartKeyOf(u.ID, u.Started), now)
+		g.suspects.RecordLostRun(run)
 	}
 }
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -83,6 +83,7 @@
 	bodies       *bodyBudget
 	responses    *responseBudget
 	reach        *reachability
+	forwarding   *forwarding
 
 	entry           net.Listener
 	readyServer     *auxServer
@@ -161,6 +162,9 @@
 	g.settings.Store(&s)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.reach = newReachability(g)
+	g.forwarding = newForwarding(g)
+	g.peers.HandleStreams(g.forwarding.serveStream)
+	g.peers.Handle(peer.RolePeer, methodOpinion, peer.Handle(g.forwarding.serveOpinion))
 	g.nodes.onUnreachable = g.reach.report
 	return g, g.listen()
 }
@@ -217,6 +221,7 @@
 	g.runEvery(seedProbeInterval, g.nodes.probeSeeds)
 	g.runEvery(connPruneInterval, func(context.Context) { g.conns.prune(boottime.Now()) })
 	g.runEvery(streamScanInterval, func(context.Context) { g.reach.scan() })
+	g.runEvery(pathRetryInterval, g.forwarding.retryPaths)
 	g.runEvery(withdrawInterval, func(context.Context) { g.withdrawWaitingPrompts(boottime.Now()) })
 	g.runEvery(upstreamExpireInterval, func(context.Context) { g.siteState.Expire(boottime.Now()) })
 	g.runEvery(refreshInterval, g.kvStores.refresh)
@@ -353,6 +358,7 @@
 	g.closing.Store(true)
 	_ = g.entry.Close() // Clients whose connection was not accepted try another node.
 	g.clients.drain(ctx)
+	g.forwarding.drain(ctx)
 }
 
 func (g *Gateway) releaseLeases(ctx context.Context) {
@@ -389,6 +395,7 @@
 	g.peers.Close()
 	g.client.Close()
 	g.conns.close()
+	g.forwarding.conns.close()
 	g.platform.Store.Close()
 	g.platform.Engines.Close()
 	g.wg.Wait()
--- a/service/gateway/handoff.go
+++ b/service/gateway/handoff.go
@@ -55,7 +55,7 @@
 // called after events have been passed on.
 func (x *exchange) considerHandoff(r *streamRelay, a *attempt, now time.Time) {
 	e := x.service.Engine
-	if e == nil || !e.Moves || r.lastID == "" || x.out.failed || x.pickInput.Tokens == 0 {
+	if e == nil || !e.Moves || a.via != nil || r.lastID == "" || x.out.failed || x.pickInput.Tokens == 0 {
 		return
 	}
 	if x.handedOver || x.handoffs >= maxHandoffs || a.handoff != nil && !a.handoff.foundNoRoom() {
@@ -291,7 +291,7 @@
 	result, err := a.sendRequest(ctx, x, x.resumedDispatch(&holder.choice, s.copy, now))
 	now = boottime.Now()
 	if result == resultAnswered || result == resultNotRun {
-		x.recordResponseInfo(a, now)
+		x.g.recordResponseInfo(x.pool, &a.choice.Upstream, a.head.Status, &a.info, a.startedAt, now)
 	}
 	if result == resultAnswered && a.head.Status == http.StatusOK {
 		x.resumption = nil
@@ -335,11 +335,13 @@
 	case resultAnswered:
 		status = a.head.Status
 	case resultUnsent:
-		outcome = route.OutcomeFailed
-		x.recordNotReached(&a.choice.Upstream, err, now)
+		if !isNotForwarded(err) {
+			outcome = x.g.forwarding.outcomeOfFailure()
+			x.g.forwarding.reportFailure(x.pool, &a.choice.Upstream, err)
+		}
 	case resultUnknown:
-		outcome = x.outcomeOfFailure(ctx)
-		x.recordLostRun(ctx, a, err, now)
+		outcome = x.outcomeOfFailure(ctx, a)
+		x.recordLostRun(ctx, a, err)
 	}
 	a.end(outcome, now)
 	x.g.metrics.resumptionsFailed.Add(1)
@@ -351,6 +353,7 @@
 func newResumedAttempt(x *exchange, origin *attempt, h copyHolder, now time.Time) *attempt {
 	return &attempt{
 		conns:        x.g.conns,
+		connKey:      h.choice.ID,
 		codec:        x.g.codec,
 		choice:       h.choice,
 		inFlight:     h.inFlight,
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -167,6 +167,7 @@
 	CallerImpact      callerImpactStatus           `json:"caller_impact"`
 	ReplicaChecks     replicaChecksStatus          `json:"replica_checks"`
 	ReplicaPaths      replicaPathsStatus           `json:"replica_paths"`
+	Forwarding        forwardingStatus             `json:"forwarding"`
 }
 
 // runStatus counts what became of copies of runs.
@@ -233,6 +234,7 @@
 		CallerImpact:   m.impact.status(),
 		ReplicaChecks:  g.reach.counts.status(),
 		ReplicaPaths:   g.reach.paths(now),
+		Forwarding:     g.forwarding.status(now),
 	}
 	if r := g.siteState.requestBytes; r != nil {
 		s.RequestBytes = r.Least()
--- a/service/gateway/reachability.go
+++ b/service/gateway/reachability.go
@@ -63,15 +63,19 @@
 	sampleTerm = time.Second
 )
 
-// errReplicaGone ends requests whose replica has failed a check. Like other errors of
-// connections to replicas that can't be reached, it is a timeout.
-var errReplicaGone error = replicaGoneError{}
+// errReplicaGone ends requests whose replica has failed a check, errPathLost those whose replica is
+// reached by other nodes only. Like other errors of connections to replicas that can't be reached,
+// they are timeouts.
+var (
+	errReplicaGone error = unreachableError("the replica can't be reached any more")
+	errPathLost    error = unreachableError("this node's path to the replica is lost")
+)
 
-type replicaGoneError struct{}
+type unreachableError string
 
-func (replicaGoneError) Error() string   { return "the replica can't be reached any more" }
-func (replicaGoneError) Timeout() bool   { return true }
-func (replicaGoneError) Temporary() bool { return false }
+func (e unreachableError) Error() string { return string(e) }
+func (unreachableError) Timeout() bool   { return true }
+func (unreachableError) Temporary() bool { return false }
 
 func newReachability(g *Gateway) *reachability {
 	return &reachability{g: g, state: route.NewReachability(), disabled: g.conf().Disabled.ReachabilityCheck}
@@ -134,13 +138,22 @@
 	}
 	now := boottime.Now()
 	for c, overdue := range r.g.conns.silentContacts(now) {
-		if overdue || r.state.Unresolved(c.id) {
+		if overdue || r.state.Unresolved(c.id) || r.pathLost(c) {
 			r.start(c, route.CheckAfterPause)
 		}
 	}
 	r.state.Forget(now)
 }
 
+// pathLost reports whether the node's path to a replica counts as lost.
+func (r *reachability) pathLost(c *contact) bool {
+	if !r.g.forwarding.paths.AnyLost() {
+		return false
+	}
+	_, u := r.g.replicaAt(c)
+	return u != nil && r.g.forwarding.lost(u)
+}
+
 func (r *reachability) start(c *contact, cause route.CheckCause) {
 	if r.g.ctx.Err() != nil || !r.state.Begin(c.id, cause, r.g.conns.inFlight(c), boottime.Now()) {
 		return
@@ -158,14 +171,21 @@
 // finish carries out, records and logs the result of a check.
 func (r *reachability) finish(c *contact, cause route.CheckCause, result route.CheckResult, connected bool, startedAt time.Time, silence time.Duration) {
 	ended := 0
-	if result == route.CheckGone {
+	switch result {
+	case route.CheckGone:
 		ended = r.lose(c)
+	case route.CheckPartitioned:
+		ended = r.endRepeatable(c)
+	default:
 	}
 	now := boottime.Now()
 	if result == route.CheckAlive {
 		for _, p := range r.g.siteState.Pools() {
 			p.RecordContact(c.id, now)
 		}
+		if _, u := r.g.replicaAt(c); connected && u != nil {
+			r.g.forwarding.recordConnected(u)
+		}
 	}
 	r.state.Finish(c.id, result, connected, now)
 	r.counts.count(result)
@@ -258,16 +278,24 @@
 		return route.CheckInconclusive, false
 	case c.heardAt.Load() > start, r.g.conns.hasUnread(c):
 		return route.CheckAlive, false
-	case refused: // The network works.
-		return route.CheckGone, false
 	}
-	return r.judge(c, start), false
+	return r.judge(c, start, err), false
 }
 
 // judge returns the result for a replica that can't be reached, from which nothing had come
-// since start.
-func (r *reachability) judge(c *contact, start int64) route.CheckResult {
-	if r.networkAtFault(c, start) {
+// since start. Other nodes tell whether it is at fault. If none does, a refused connection shows
+// that the network works, and otherwise what is known of the other replicas decides.
+func (r *reachability) judge(c *contact, start int64, err error) route.CheckResult {
+	fault := route.FaultUnknown
+	if p, u := r.g.replicaAt(c); p != nil {
+		fault = r.g.forwarding.faultOf(p, u, err)
+	}
+	switch {
+	case fault == route.FaultOfPath:
+		return route.CheckPartitioned
+	case fault == route.FaultOfReplica, suspects.NotListening(err):
+		return route.CheckGone
+	case r.networkAtFault(c, start):
 		return route.CheckPartitioned
 	}
 	if c.heardAt.Load() > start { // While the network was judged.
@@ -374,11 +402,32 @@
 	}
 	r.g.conns.distrust(&site.Upstream{ID: c.id, Addr: c.addr})
 	r.g.cacheIndex.AvoidEngine(c.id, now.Add(unreachableFetchPause))
-	ended = r.g.conns.abortFlights(c)
+	ended = r.g.conns.abortFlights(c, errReplicaGone, func(*flight) bool { return true })
 	r.counts.ended.Add(int64(ended))
 	return ended
 }
 
+// endRepeatable ends those of the requests in flight at a replica that may be sent again, if other
+// nodes reach it and can forward them, and returns how many there were.
+func (r *reachability) endRepeatable(c *contact) (ended int) {
+	if _, u := r.g.replicaAt(c); u == nil || !r.g.forwarding.lost(u) || !r.g.forwarding.paths.AtFault(u) {
+		return 0
+	}
+	ended = r.g.conns.abortFlights(c, errPathLost, func(f *flight) bool { return f.repeatable })
+	r.counts.ended.Add(int64(ended))
+	return ended
+}
+
+// replicaAt returns the replica of a contact and its pool, nil if it is not listed any more.
+func (g *Gateway) replicaAt(c *contact) (*route.Pool, *site.Upstream) {
+	for _, p := range g.siteState.Pools() {
+		if u, ok := p.Upstream(c.id); ok && u.Addr == c.addr {
+			return p, &u
+		}
+	}
+	return nil, nil
+}
+
 // notConnected judges a replica to which a request could not connect in time. If requests
 // are in flight there it is checked, as they must not end for the loss of one packet;
 // otherwise the failure itself is the check.
@@ -399,7 +448,7 @@
 	r.g.wg.Go(func() {
 		result := route.CheckInconclusive
 		if r.g.synced() {
-			result = r.judge(c, start)
+			result = r.judge(c, start, err)
 		}
 		r.finish(c, route.CheckAfterError, result, false, startedAt, c.silence())
 	})
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -67,8 +67,8 @@
 		x.recordCanary(ctx, a, false)
 		return true, refusal{}
 	}
-	a.end(x.outcomeOfFailure(ctx), now)
-	x.recordLostRun(ctx, a, err, now)
+	a.end(x.outcomeOfFailure(ctx, a), now)
+	x.recordLostRun(ctx, a, err)
 	x.recordCanary(ctx, a, true)
 	if ctx.Err() != nil {
 		x.closeIdleAfterSilence(a, now)
--- a/service/gateway/replaced_weights.go
+++ b/service/gateway/replaced_weights.go
@@ -28,10 +28,12 @@
 // not mean that it does.
 func (g *Gateway) withdrawWaitingPrompts(now time.Time) {
 	usableSince := now.Add(withdrawReserve - g.conf().Orders.MaxRolloutTime.Std())
-	for _, p := range g.conns.waitingPrompts() {
-		oldest := g.siteState.WeightsBefore(p.flight.model, usableSince)
-		if p.flight.weights < oldest && !g.hasWeights(p.replica, p.flight.model, oldest) {
-			g.conns.withdraw(p)
+	for _, conns := range []*upstreamConns{g.conns, g.forwarding.conns} {
+		for _, p := range conns.waitingPrompts() {
+			oldest := g.siteState.WeightsBefore(p.flight.model, usableSince)
+			if p.flight.weights < oldest && !g.hasWeights(p.replica, p.flight.model, oldest) {
+				conns.withdraw(p)
+			}
 		}
 	}
 }
@@ -61,7 +63,7 @@
 	for c := range u.busy {
 		for conn := range c.flights {
 			if conn.flight.waiting() {
-				list = append(list, waitingPrompt{replica: c.id, conn: conn, flight: conn.flight})
+				list = append(list, waitingPrompt{replica: conn.flight.replica, conn: conn, flight: conn.flight})
 			}
 		}
 	}
--- a/service/gateway/upstream_conns.go
+++ b/service/gateway/upstream_conns.go
@@ -33,14 +33,20 @@
 // get returns the most recently used connection that has been idle for less than
 // maxIdle, or dials one. An error means that no byte was sent.
 func (u *upstreamConns) get(id string, addr netip.AddrPort, maxIdle time.Duration) (*upstreamConn, error) {
+	if c := u.getIdle(id, maxIdle); c != nil {
+		return c, nil
+	}
+	return u.dial(id, addr, upstreamDialTimeout)
+}
+
+// getIdle returns the most recently used connection that has been idle for less than maxIdle, nil
+// if there is none.
+func (u *upstreamConns) getIdle(id string, maxIdle time.Duration) *upstreamConn {
 	now := boottime.Now()
 	for {
 		c := u.popIdle(id)
-		if c == nil {
-			return u.dial(id, addr, upstreamDialTimeout)
-		}
-		if c.usable(now, maxIdle) {
-			return c, nil
+		if c == nil || c.usable(now, maxIdle) {
+			return c
 		}
 		c.close()
 	}
--- a/service/peer/server.go
+++ b/service/peer/server.go
@@ -47,8 +47,10 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
+	streams StreamFunc // Nil if streams are not served.
+
 	mu     sync.Mutex
-	conns  map[*jsonrpc2.Conn]struct{}
+	conns  map[net.Conn]struct{}
 	closed bool
 }
 
@@ -64,7 +66,7 @@
 		log:      log,
 		secrets:  secrets,
 		handlers: map[Role]map[string]HandlerFunc{RolePeer: {}, RoleOperator: {}},
-		conns:    map[*jsonrpc2.Conn]struct{}{},
+		conns:    map[net.Conn]struct{}{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
@@ -112,20 +114,37 @@
 
 const acceptRetryDelay = 10 * time.Millisecond
 
+// serve serves a connection until it ends.
 func (s *Server) serve(conn net.Conn) {
-	h := &connHandler{server: s, slots: make(chan struct{}, maxConcurrent)}
-	c := jsonrpc2.NewConn(s.ctx, newStream(newTimedConn(conn)), h, jsonrpc2.SetLogger(rpcLog{s.log}))
 	s.mu.Lock()
 	if s.closed {
-		_ = c.Close() // The connection is dropped in any case.
+		_ = conn.Close() // Reading fails.
 	}
-	s.conns[c] = struct{}{}
+	s.conns[conn] = struct{}{}
 	s.mu.Unlock()
+	defer func() {
+		_ = conn.Close() // Nothing more is sent or read.
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, conn)
+	}()
+	var first [1]byte
+	if _, err := io.ReadFull(conn, first[:]); err != nil {
+		return
+	}
+	if first[0] == streamMarker {
+		s.serveStream(conn)
+		return
+	}
+	s.serveCalls(&unreadConn{conn, bytes.NewReader(first[:])})
+}
+
+// serveCalls serves the JSON-RPC calls of a connection.
+func (s *Server) serveCalls(conn net.Conn) {
+	h := &connHandler{server: s, slots: make(chan struct{}, maxConcurrent)}
+	c := jsonrpc2.NewConn(s.ctx, newStream(newTimedConn(conn)), h, jsonrpc2.SetLogger(rpcLog{s.log}))
 	<-c.DisconnectNotify()
 	h.stop()
-	s.mu.Lock()
-	delete(s.conns, c)
-	s.mu.Unlock()
 }
 
 // rpcLog writes the log messages of the JSON-RPC library at debug level: they are about
