--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -117,11 +117,14 @@
 		keyRequest, keyRoute, keyReplica, {"status", "the replica's status"}, keyDraining, keyBackoff, keyAttempts, keyAfter,
 	}},
 	{"replica not reached", Failure, "No connection to a replica could be made; nothing was sent.", []Key{
-		keyRequest, keyReplica, {"addr", "the replica's address"},
-		{"after", "nanoseconds until the connection was given up"}, keyErr,
+		keyRequest, keyReplica,
+		{"addr", "the replica's address"},
+		{"after", "nanoseconds until the connection was given up"},
+		keyErr,
 	}},
 	{"path to replica lost", Failure, "The node could not connect to a replica and has asked other nodes whether they reach it. While the path is lost, requests for the replica that need a new connection go through other nodes.", []Key{
-		keyReplica, {"addr", "the replica's address"},
+		keyReplica,
+		{"addr", "the replica's address"},
 		{"fault", "path (another node reaches the replica), replica (those that reach others do not reach it) or unknown (no node could tell)"},
 		keyErr,
 	}},
@@ -129,12 +132,17 @@
 		keyReplica, {"addr", "the replica's address"}, {"after", "nanoseconds for which it was lost"},
 	}},
 	{"request forwarded", Routine, "The node sent a request of another node to a replica that the other one could not connect to.", []Key{
-		keyRequest, {"node", "the node that received the request and decides about it"}, keyReplica,
+		keyRequest,
+		{"node", "the node that received the request and decides about it"},
+		keyReplica,
 		{"status", "the replica's status; 0 if its answer was lost"},
-		{"after", "nanoseconds since the request came from the other node"}, keyErr,
+		{"after", "nanoseconds since the request came from the other node"},
+		keyErr,
 	}},
 	{"request not forwarded", Failure, "Another node did not send on a request whose replica this node has no path to; nothing was sent.", []Key{
-		keyRequest, {"node", "the other node"}, keyReplica,
+		keyRequest,
+		{"node", "the other node"},
+		keyReplica,
 		{"reason", "unreachable (the other node reaches other replicas only), cut_off (its own paths are lost), busy, stopping, or excluded (the replica is unknown to it or accepts no requests)"},
 	}},
 	{"prompt withdrawn", Failure, "A prompt still waited at an engine when the engine's weights were about to be too old to begin it; the node ended the attempt, and sends the prompt to another engine if it may be repeated.", []Key{
--- a/service/gateway/forwarding.go
+++ b/service/gateway/forwarding.go
@@ -54,8 +54,6 @@
 const (
 	// maxForwardTries is how many nodes may fail to forward a request before it is given up.
 	maxForwardTries = 3
-	// forwardDialTimeout bounds connecting to another node, which takes some milliseconds.
-	forwardDialTimeout = 300 * time.Millisecond
 	// opinionTimeout bounds a call to another node, which may connect to the replica for it.
 	opinionTimeout = route.CheckTimeout + 50*time.Millisecond
 	// surveyTerm is how long the result of a survey is valid.
