Nodes keep to fixed shares of the slots of brittle replicas

What callers saw: replicas that say Server-Brittle fell over again and again, 12 falls of three replicas in 4 s, and 168 requests were served.

Cause: the header was not read. Each node learnt by being turned away how much a replica lets in, and what is turned away is a sum over all nodes: six nodes with one try each exceed three at once.

Change: from the first answer with the header, which a node tells to all others, each node has in flight at a replica at most its share of the replica's slots, by the hashing that shares cold replicas. The shares of all nodes together are at most the slots, so nothing is turned away, whatever the number in the header, also one that can't be read or 0. It ends with an answer without the header to a request sent after the last one with it, or 10 s after that one. What does not fit is refused at once, brittle.

Why it holds: no message and no timing is part of it, and a node that others hold for dead keeps its share. Open: a service with fewer slots than nodes leaves some nodes without a share.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -122,6 +122,8 @@
 		{"after", "nanoseconds until the connection was given up"},
 		keyErr,
 	}},
+	{"replicas are brittle", Failure, "An answer says that the replicas of a service fall over if they turn many requests away. The node keeps to its share of their slots from now on.", []Key{keyService, keyReplica}},
+	{"replicas are no longer brittle", Failure, "An answer no longer says so.", []Key{keyService, keyReplica}},
 	{"path to replica lost", Failure, "The node could not connect to a replica and has asked other nodes whether they reach it. While the path is lost, requests for the replica that need a new connection go through other nodes.", []Key{
 		keyReplica,
 		{"addr", "the replica's address"},
@@ -375,6 +377,7 @@
 	{"too_slow", "the head or body was not received in time (408)"},
 	{"no_replica", "no replica of the service may be used (503)"},
 	{"cold", "the replicas that may be used are cold, or assumed to be, and this node's share of them is used up (503)"},
+	{"brittle", "the replicas that may be used are brittle, and this node's share of their slots is used up (503)"},
 	{"limited", "the replicas that may be used have named a limit of requests per second, and it is used up (503)"},
 	{"evacuated", "the replicas that may be used are in evacuated data halls (503)"},
 	{"outside_homes", "no replica is in a region in which the request may run (503)"},
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -71,6 +71,8 @@
 	case "cold":
 		why = fmt.Sprintf("the replicas of service %s that may be used were cold, or assumed to be as they had not been reached, and this node's share of requests to cold replicas was used up (%s of %s could be used)",
 			l.Text("service"), l.Text("usable"), l.Text("replicas"))
+	case "brittle":
+		why = fmt.Sprintf("the replicas of service %s are brittle, according to their answers, and this node's share of their slots was used up", l.Text("service"))
 	case "limited":
 		why = fmt.Sprintf("the replicas of service %s that may be used have named in their answers a limit of requests per second from all nodes together, and it was used up (%s of %s could be used)",
 			l.Text("service"), l.Text("usable"), l.Text("replicas"))
--- a/pkg/route/exclusion.go
+++ b/pkg/route/exclusion.go
@@ -31,6 +31,8 @@
 	ExcludedSoftware Exclusion = "software"
 	// ExcludedBytes: this node's share of the bytes of requests that it may hold is used up.
 	ExcludedBytes Exclusion = "request_bytes"
+	// ExcludedBrittle: it is brittle, and this node's share of its slots is used up.
+	ExcludedBrittle Exclusion = "brittle"
 	// ExcludedCold: it is cold or presumed to be, and this node's share of it is used up.
 	ExcludedCold Exclusion = "cold"
 	// ExcludedLimited: it has set a rate limit, which is used up.
@@ -59,6 +61,8 @@
 		return ExcludedSoftware, rate
 	case !p.hasRoomForBytes(m, m.sentBytes, in.Bytes):
 		return ExcludedBytes, rate
+	case !p.hasSlotShare(m, len(m.inFlight), now):
+		return ExcludedBrittle, rate
 	case !p.coldShareAllows(m, now):
 		return ExcludedCold, rate
 	}
@@ -204,7 +208,7 @@
 		}
 		a.Excluded[reason]++
 		switch reason {
-		case ExcludedBytes:
+		case ExcludedBytes, ExcludedBrittle:
 			recordWait(0) // Unknown: until another request has ended.
 		case ExcludedBackoff:
 			recordWait(m.backoffUntil.Sub(now))
--- a/pkg/route/in_flight_request.go
+++ b/pkg/route/in_flight_request.go
@@ -11,6 +11,7 @@
 	memory                int     // Engine memory that it holds, in tokens.
 	bytes                 int64   // Of its body.
 	exceedsBytes          bool    // See ExceedsBytes.
+	exceedsSlots          bool    // See ExceedsSlots.
 	tokensWithAhead       int     // Tokens to prefill, its own and those queued before it.
 	fetchSeconds          float64 // Expected time of its KV cache fetch.
 	startedAt             time.Time
@@ -40,6 +41,7 @@
 		memory:                c.Memory,
 		bytes:                 c.Bytes,
 		exceedsBytes:          !p.hasRoomForBytes(m, m.sentBytes, c.Bytes),
+		exceedsSlots:          !p.hasSlotShare(m, len(m.inFlight), now),
 		priorityBand:          c.Band,
 		tokensWithAhead:       c.PrefillTokens + c.TokensAhead,
 		fetchSeconds:          c.Fetch.Seconds(),
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -68,6 +68,9 @@
 	coldShares   ColdShares
 	rateLimits   RateLimits   // May be nil.
 	requestBytes RequestBytes // May be nil.
+	slotShares   SlotShares   // May be nil.
+	// brittleSeenAt is when an answer last said that the replicas are brittle, zero if they aren't.
+	brittleSeenAt time.Time
 	// consecutiveUnreachable counts the connection failures since a replica last answered.
 	consecutiveUnreachable int
 	// backoffs maps the start key of a replica to the end of the backoff it asked for. It
--- a/pkg/site/response_info.go
+++ b/pkg/site/response_info.go
@@ -14,6 +14,9 @@
 	Limit RateLimit
 	// Draining means that the replica is about to stop and must get no new requests.
 	Draining bool
+	// Brittle means that the replicas of the service fall over if they have to turn away more than a
+	// few requests in a second. Without it they don't, or the response is not the replica's.
+	Brittle bool
 	// Backoff is how long a replica that refused the request asks this node to send no
 	// others; 0 if it does not ask.
 	Backoff time.Duration
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -122,7 +122,7 @@
 		a.closeUnsent()
 		return resultAbandoned, nil
 	}
-	if a.inFlight.ExceedsBytes() || !x.pool.Accepts(&a.choice.Upstream, boottime.Now()) || a.conn.silent() {
+	if a.inFlight.ExceedsBytes() || a.inFlight.ExceedsSlots() || !x.pool.Accepts(&a.choice.Upstream, boottime.Now()) || a.conn.silent() {
 		a.putConn()
 		return resultReplicaWithdrawn, nil
 	}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -388,6 +388,7 @@
 	reason    string
 }{
 	{route.ExcludedBytes, reasonRequestBytes},
+	{route.ExcludedBrittle, reasonBrittle},
 	{route.ExcludedCold, reasonCold},
 	{route.ExcludedLimited, reasonLimited},
 	{route.ExcludedBackoff, reasonBackoff},
--- a/service/gateway/exchange_limits.go
+++ b/service/gateway/exchange_limits.go
@@ -40,6 +40,7 @@
 		return
 	}
 	g.rateLimits.ObserveResponse(u, info, sentAt, now)
+	g.recordBrittle(p, u, info, sentAt, now)
 	if info.Draining {
 		g.nodes.recordDraining(route.RefOf(u))
 	}
@@ -48,6 +49,18 @@
 	}
 }
 
+// recordBrittle records whether an answer says that the replicas of its service are brittle, and
+// tells the other nodes of the beginning: some of them may not have had an answer since.
+func (g *Gateway) recordBrittle(p *route.Pool, u *site.Upstream, info *site.ResponseInfo, sentAt, now time.Time) {
+	switch {
+	case info.Brittle && p.RecordBrittle(now):
+		g.log.Warn("replicas are brittle", "service", u.Service, "replica", u.ID)
+		g.nodes.broadcast(updateFor(route.RefOf(u), replicaUpdate{Brittle: true}))
+	case !info.Brittle && p.RecordNotBrittle(sentAt, now):
+		g.log.Warn("replicas are no longer brittle", "service", u.Service, "replica", u.ID)
+	}
+}
+
 // orderCountingEngines counts orders against the rate limits of replicas. Orders don't
 // wait for a grant, because operators bound the time in which weights are replaced.
 type orderCountingEngines struct {
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -186,6 +186,8 @@
 	Cold   int `json:"cold"`
 	// Losing means that so many were lost lately that runs have backups.
 	Losing bool `json:"losing,omitempty"`
+	// Brittle means that its replicas say that they are brittle.
+	Brittle bool `json:"brittle,omitempty"`
 	// Excluded counts the replicas that take no requests, by reason.
 	Excluded map[route.Exclusion]int `json:"excluded,omitempty"`
 }
@@ -244,7 +246,7 @@
 	for service, p := range g.siteState.Pools() {
 		all, usable := p.Count(now)
 		s.ServiceWaits[service] = p.ServiceWaits(now)
-		s.Replicas[service] = replicaCount{All: all, Usable: usable, Cold: p.CountCold(now), Losing: p.LosingReplicas(now), Excluded: p.Excluded(now)}
+		s.Replicas[service] = replicaCount{All: all, Usable: usable, Cold: p.CountCold(now), Losing: p.LosingReplicas(now), Brittle: p.Brittle(now), Excluded: p.Excluded(now)}
 	}
 	m.copyCounts(&s)
 	g.queuesMu.Lock()
--- a/service/gateway/refusal.go
+++ b/service/gateway/refusal.go
@@ -30,6 +30,7 @@
 	reasonTooSlow         = "too_slow"
 	reasonNoReplica       = "no_replica"
 	reasonCold            = "cold"
+	reasonBrittle         = "brittle"
 	reasonLimited         = "limited"
 	reasonEvacuated       = "evacuated"
 	reasonOutsideHomes    = "outside_homes"
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -30,7 +30,7 @@
 	updateRelayDuty = "news/"
 )
 
-// replicaUpdate is a change of one replica. Without Unreachable, Draining, AvoidMs and
+// replicaUpdate is a change of one replica. Without Unreachable, Draining, Brittle, AvoidMs and
 // Rate it means that the replica has new weights.
 type replicaUpdate struct {
 	Replica string `json:"r"`
@@ -41,6 +41,8 @@
 	Unreachable bool `json:"x,omitempty"`
 	// Draining means that the replica reports in its responses that it drains.
 	Draining bool `json:"d,omitempty"`
+	// Brittle means that the replicas of its service are brittle.
+	Brittle bool `json:"b,omitempty"`
 	// AvoidMs is for how many milliseconds to avoid the replica while it loads the
 	// weights.
 	AvoidMs int64 `json:"a,omitempty"`
@@ -186,6 +188,10 @@
 	until := now.Add(time.Duration(u.AvoidMs) * time.Millisecond)
 	for _, p := range n.siteState.Pools() {
 		switch {
+		case u.Brittle:
+			if _, ok := p.Find(u.replicaRef()); ok {
+				p.RecordBrittle(now)
+			}
 		case u.Unreachable:
 			p.PresumeCold(u.replicaRef(), now)
 			n.reportUnreachable(p, u.replicaRef())
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -517,6 +517,9 @@
 	if p == nil {
 		p = route.NewPool(st.hall, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		p.SetRateLimits(st.rateLimits)
+		if st.coldShares != nil {
+			p.SetSlotShares(st.coldShares)
+		}
 		if st.requestBytes != nil {
 			p.SetRequestBytes(st.requestBytes)
 		}
