Runs outlast a silence of their replica of a second

Cause: one check decided on the replica and on its requests. Sending again what may be repeated and choosing other replicas is cheap to take back, ending a run is not.

Change: after a failed check the replica is ejected and what may be repeated goes elsewhere, as before. Other requests end if the replica is still silent after 1.5 s and accepts no connection then. If it goes on, it is used again at once.

--- a/pkg/route/reachability.go
+++ b/pkg/route/reachability.go
@@ -26,6 +26,9 @@
 	// CheckSilence is how long nothing may have come from a replica for a check to make a
 	// connection.
 	CheckSilence = 400 * time.Millisecond
+	// EndSilence is how long nothing may have come from a replica for the requests there that can't
+	// be sent again to end: a replica may fall silent for a second and go on.
+	EndSilence = 1500 * time.Millisecond
 	// CheckTimeout is the time for establishing it; it takes a few milliseconds.
 	CheckTimeout = 300 * time.Millisecond
 	// CheckRepeat is the time between two checks of a replica after pauses or reports, unless
--- a/service/gateway/cold_shares_test.go
+++ b/service/gateway/cold_shares_test.go
@@ -88,3 +88,25 @@
 	assert.Equal(t, len(n.entryAddrs("d", "three", []string{"nowhere"})), 1, "its own region")
 	assert.Equal(t, len(n.entryAddrs("elsewhere", "four", []string{"nowhere"})), 6, "some node has to refuse the request")
 }
+
+// Where a service has fewer slots than there are nodes, or its hash leaves a node out, the node
+// refused all requests while the replicas were brittle.
+func TestEveryNodeHasShareOfBrittleReplicas(t *testing.T) {
+	const halls, slots = 3, 6
+	for _, c := range []struct{ nodes, replicas int }{{7, 3}, {71, 20}, {295, 70}} {
+		t.Run(fmt.Sprint(c.nodes), func(t *testing.T) {
+			all := newMembers(c.nodes, halls, 0)
+			without := 0
+			for i := range all {
+				sum := 0
+				for r := 0; r < c.replicas && sum == 0; r++ {
+					sum += computeShare(all, all[i].Name, coldShareKey{replica: rendezvous.Hash(fmt.Sprint("r", r)), hall: fmt.Sprintf("h%d", r%halls), limit: slots})
+				}
+				if sum == 0 {
+					without++
+				}
+			}
+			assert.Equal(t, without, 0, "%d of %d nodes have no share", without, c.nodes)
+		})
+	}
+}
--- a/service/gateway/reachability.go
+++ b/service/gateway/reachability.go
@@ -165,17 +165,37 @@
 func (r *reachability) check(c *contact, cause route.CheckCause) {
 	startedAt, start := boottime.Now(), sinceStart()
 	result, connected := r.run(c, start)
-	r.finish(c, cause, result, connected, startedAt, c.silence())
+	ended := 0
+	if result == route.CheckGone && c.silence() < route.EndSilence {
+		ended = r.lose(c, func(f *flight) bool { return f.repeatable })
+		result, connected = r.checkAgain(c)
+	}
+	r.finish(c, cause, result, connected, startedAt, c.silence(), ended)
+}
+
+// checkAgain checks a replica that is taken for gone once more before the requests there that can't
+// be sent again end.
+func (r *reachability) checkAgain(c *contact) (result route.CheckResult, connected bool) {
+	start := sinceStart()
+	for c.silence() < route.EndSilence {
+		sleep(r.g.ctx, route.EndSilence-c.silence())
+		switch {
+		case c.heardAt.Load() > start:
+			return route.CheckAlive, false
+		case r.g.conns.inFlight(c) == 0, r.g.ctx.Err() != nil:
+			return route.CheckGone, false
+		}
+	}
+	return r.connect(c)
 }
 
 // finish carries out, records and logs the result of a check.
-func (r *reachability) finish(c *contact, cause route.CheckCause, result route.CheckResult, connected bool, startedAt time.Time, silence time.Duration) {
-	ended := 0
+func (r *reachability) finish(c *contact, cause route.CheckCause, result route.CheckResult, connected bool, startedAt time.Time, silence time.Duration, ended int) {
 	switch result {
 	case route.CheckGone:
-		ended = r.lose(c)
+		ended += r.lose(c, func(*flight) bool { return true })
 	case route.CheckPartitioned:
-		ended = r.endRepeatable(c)
+		ended += r.endRepeatable(c)
 	default:
 	}
 	now := boottime.Now()
@@ -390,9 +410,9 @@
 	return r.sample
 }
 
-// lose ejects a replica that can't be reached, ends the requests in flight there, and
-// returns how many there were.
-func (r *reachability) lose(c *contact) (ended int) {
+// lose ejects a replica that can't be reached, ends the requests in flight there for which ends
+// returns true, and returns how many there were.
+func (r *reachability) lose(c *contact, ends func(*flight) bool) (ended int) {
 	now := boottime.Now()
 	for _, p := range r.g.siteState.Pools() {
 		u, ok := p.Upstream(c.id)
@@ -402,7 +422,7 @@
 	}
 	r.g.conns.distrust(&site.Upstream{ID: c.id, Addr: c.addr})
 	r.g.cacheIndex.AvoidEngine(c.id, now.Add(unreachableFetchPause))
-	ended = r.g.conns.abortFlights(c, errReplicaGone, func(*flight) bool { return true })
+	ended = r.g.conns.abortFlights(c, errReplicaGone, ends)
 	r.counts.ended.Add(int64(ended))
 	return ended
 }
@@ -450,7 +470,7 @@
 		if r.g.synced() {
 			result = r.judge(c, start, err)
 		}
-		r.finish(c, route.CheckAfterError, result, false, startedAt, c.silence())
+		r.finish(c, route.CheckAfterError, result, false, startedAt, c.silence(), 0)
 	})
 }
 
@@ -479,7 +499,7 @@
 	if result == route.CheckPartitioned {
 		p.TrustAgain(c.id)
 	}
-	r.finish(c, route.CheckAfterEjection, result, connected, startedAt, silence)
+	r.finish(c, route.CheckAfterEjection, result, connected, startedAt, silence, 0)
 }
 
 // reportUnreachable starts a check of a replica that another node can't reach.
