--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -326,7 +326,7 @@
 	},
 	{
 		"drain: a drain header in an answer is honoured", "service/gateway/exchange_limits.go",
-		"	if a.info.Draining {", "	if false && a.info.Draining {",
+		"	if info.Draining {", "	if false && a.info.Draining {",
 		"./internal/standin/onplatform", "TestDrainingReplicaIsSentNothingOnceItsAnswerSaysSo",
 	},
 	{
