--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -371,7 +371,7 @@
 	},
 	{
 		"weights: what waits at an engine with replaced weights is withdrawn", "service/gateway/replaced_weights.go",
-		"			g.conns.withdraw(p)\n", "",
+		"				conns.withdraw(p)\n", "",
 		"./internal/standin/onplatform", "TestPromptDoesNotBeginOnReplacedWeightsAfterItsQueue",
 	},
 	{
