--- a/service/gateway/contacts.go
+++ b/service/gateway/contacts.go
@@ -286,6 +286,7 @@
 		}
 	}
 	u.mu.Unlock()
+	u.aborted.Add(int64(len(conns))) // Before the first client can have its answer.
 	for _, conn := range conns {
 		conn.abortCause.Store(&cause)
 		http1.AbortUnreachable(conn.conn)
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -234,7 +234,7 @@
 		Suspensions:    g.suspension.count.Load(),
 		ResponseMemory: g.responses.status(),
 		CallerImpact:   m.impact.status(),
-		ReplicaChecks:  g.reach.counts.status(),
+		ReplicaChecks:  g.reach.counts.status(g.conns.aborted.Load()),
 		ReplicaPaths:   g.reach.paths(now),
 		Forwarding:     g.forwarding.status(now),
 	}
--- a/service/gateway/reachability.go
+++ b/service/gateway/reachability.go
@@ -43,7 +43,6 @@
 	partitioned  atomic.Int64
 	inconclusive atomic.Int64
 	unneeded     atomic.Int64
-	ended        atomic.Int64 // Requests in flight.
 	contacts     atomic.Int64 // Connections to replicas after a silence.
 	samples      atomic.Int64 // Connections made to learn about the node's own network.
 }
@@ -240,14 +239,14 @@
 	Samples      int64 `json:"samples"`
 }
 
-func (n *checkCounts) status() replicaChecksStatus {
+func (n *checkCounts) status(ended int64) replicaChecksStatus {
 	return replicaChecksStatus{
 		Alive:        n.alive.Load(),
 		Gone:         n.gone.Load(),
 		Partitioned:  n.partitioned.Load(),
 		Inconclusive: n.inconclusive.Load(),
 		Unneeded:     n.unneeded.Load(),
-		Ended:        n.ended.Load(),
+		Ended:        ended,
 		Returns:      n.contacts.Load(),
 		Samples:      n.samples.Load(),
 	}
@@ -422,9 +421,7 @@
 	}
 	r.g.conns.distrust(&site.Upstream{ID: c.id, Addr: c.addr})
 	r.g.cacheIndex.AvoidEngine(c.id, now.Add(unreachableFetchPause))
-	ended = r.g.conns.abortFlights(c, errReplicaGone, ends)
-	r.counts.ended.Add(int64(ended))
-	return ended
+	return r.g.conns.abortFlights(c, errReplicaGone, ends)
 }
 
 // endRepeatable ends those of the requests in flight at a replica that may be sent again, if other
@@ -433,9 +430,7 @@
 	if _, u := r.g.replicaAt(c); u == nil || !r.g.forwarding.lost(u) || !r.g.forwarding.paths.AtFault(u) {
 		return 0
 	}
-	ended = r.g.conns.abortFlights(c, errPathLost, func(f *flight) bool { return f.repeatable })
-	r.counts.ended.Add(int64(ended))
-	return ended
+	return r.g.conns.abortFlights(c, errPathLost, func(f *flight) bool { return f.repeatable })
 }
 
 // replicaAt returns the replica of a contact and its pool, nil if it is not listed any more.
--- a/service/gateway/upstream_conns.go
+++ b/service/gateway/upstream_conns.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
@@ -11,6 +12,7 @@
 // upstreamConns pools idle connections to replicas, by ID of the replica.
 type upstreamConns struct {
 	dialTCP DialFunc
+	aborted atomic.Int64 // Requests that abortFlights has ended.
 
 	mu     sync.Mutex
 	idle   map[string][]*upstreamConn
