Logs and metrics tell where streams began and go on

"stream broke off" did not name the version of the software, and streams that clients take up again left no line: what callers saw could not be laid to repeats within one answer or to clients that return. Three lines and a metric tell these apart. What a client names in Resumes is decoded for them; nothing is decided by it yet.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -28,6 +28,7 @@
 	keyUpstream      = Key{"upstream", "the replica's ID"}
 	keyService       = Key{"service", "the service"}
 	keySoftware      = Key{"software", "the version that is to take over"}
+	keyWriter        = Key{"software", "the version of the software of the replica that writes the events"}
 	keyFile          = Key{"file", "the settings file"}
 	keyBoot          = Key{"boot", "ID of the start of the store or engine; another after each restart"}
 	keyLease         = Key{"lease", "the lease's name"}
@@ -188,7 +189,16 @@
 		keyAttempts, keyErr,
 	}},
 	{"stream broke off", Failure, "A replica's stream of events ended early.", []Key{
-		keyRequest, keyContent, keyReplica, {"last_event", "the last event that was passed on"}, keyErr,
+		keyRequest, keyContent, keyReplica, keyWriter, {"last_event", "the last event that was passed on"}, keyErr,
+	}},
+	{"stream begun", Routine, "The first event of a stream that clients may take up again is passed on. Logged only while the replicas of the service have several versions of their software.", []Key{
+		keyRequest, keyRoute, keyReplica, keyService, keyWriter,
+	}},
+	{"stream goes on", Routine, "A stream goes on at another replica after some of its events were passed on.", []Key{
+		keyRequest, keyRoute, keyReplica, keyService, keyWriter,
+		{"begun_by", "the attempt that brought the stream's first event, as the client names it; empty if it does not, or if the stream goes on within one answer"},
+		{"begun_at", "the version of the software that began the stream, empty if it is not known"},
+		{"last_event", "the last event before"},
 	}},
 	{"run not moved", Failure, "An engine did not copy a run's memory to another engine.", []Key{
 		keyRequest, keyReplica,
--- a/pkg/site/request_info.go
+++ b/pkg/site/request_info.go
@@ -18,6 +18,12 @@
 	MaxTokens int
 	// LengthHint is the client's estimate of the number of tokens, 0 if it gives none.
 	LengthHint int
+	// LastEvent is the last event that the client has of a stream that it takes up again, ""
+	// for a new request.
+	LastEvent string
+	// BegunBy is the ID of the attempt that brought the stream's first event, "" if the client
+	// does not name it.
+	BegunBy string
 }
 
 // PromptTokens returns the length of the prompt in tokens.
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -71,6 +71,7 @@
 	resumptionsFailed atomic.Int64 // Attempts to have a run go on from a copy.
 	backups           atomic.Int64 // Runs that were sent with a backup.
 	copiesDropped     atomic.Int64 // Copies that were not used.
+	streams           streamCounts
 	promptsWithdrawn  atomic.Int64 // Prompts that waited at an engine until its weights were too old.
 	idleConnsClosed   atomic.Int64 // Idle connections to a replica that had stopped answering.
 	firstByte         *latency     // From sending the request to the first byte of the response.
@@ -141,6 +142,7 @@
 	IdleConnsClosed   int64                        `json:"resting_connections_closed"`
 	PromptsWithdrawn  int64                        `json:"prompts_withdrawn"`
 	Runs              runStatus                    `json:"runs"`
+	Streams           streamStatus                 `json:"streams"`
 	Refused           map[string]int64             `json:"refused"`
 	InFlight          int64                        `json:"in_flight"`
 	FirstByte         latencyStatus                `json:"first_byte"`
@@ -212,6 +214,7 @@
 			Backups:       m.backups.Load(),
 			CopiesDropped: m.copiesDropped.Load(),
 		},
+		Streams:        m.streams.status(),
 		InFlight:       g.inFlight.Load(),
 		FirstByte:      m.firstByte.status(),
 		Total:          m.total.status(),
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -23,8 +23,12 @@
 	lastID string      // ID of the last event that was passed on.
 	// passedOn is the number of events with an ID that were passed on.
 	passedOn int
+	// software is the version of the replicas that write the events, valid once some were passed on.
+	software string
 	// partial is the beginning of an event that is not complete yet.
 	partial []byte
+	// onFirst is called before the first events of an attempt are passed on.
+	onFirst func()
 }
 
 // Sizes in bytes.
@@ -44,6 +48,7 @@
 		r = &streamRelay{out: x.out, head: a.head}
 	}
 	r.partial = nil
+	r.onFirst = func() { x.recordEventsOf(a, r) }
 	err := x.copyEvents(r, a)
 	now := boottime.Now()
 	if x.out.started {
@@ -77,7 +82,7 @@
 	if x.out.failed {
 		return false, refusal{}
 	}
-	x.g.log.Warn("stream broke off", "request", x.info.ID, "content", x.fingerprint(), "replica", a.choice.ID, "last_event", r.lastID, "err", err)
+	x.g.log.Warn("stream broke off", "request", x.info.ID, "content", x.fingerprint(), "replica", a.choice.ID, "software", a.choice.Software, "last_event", r.lastID, "err", err)
 	if x.takeBackup(ctx, a) {
 		return true, refusal{}
 	}
@@ -148,6 +153,10 @@
 }
 
 func (r *streamRelay) send(events []byte) {
+	if r.onFirst != nil {
+		r.onFirst()
+		r.onFirst = nil
+	}
 	if id, count := lastEventID(events); id != "" {
 		r.lastID = id
 		r.passedOn += count
