--- a/internal/standin/onplatform/site_test.go
+++ b/internal/standin/onplatform/site_test.go
@@ -129,6 +129,7 @@
 type node struct {
 	*gateway.Gateway
 	site      *site
+	settings  config.GatewaySettings
 	entry     string
 	ready     string
 	directory string
@@ -179,6 +180,7 @@
 	n := &node{
 		Gateway:   g,
 		site:      s,
+		settings:  settings,
 		entry:     settings.Entry.Listen.String(),
 		ready:     settings.Entry.Ready.String(),
 		directory: settings.Entry.Directory.String(),
