A stream that breaks off is repeated only at the version that wrote its events

What callers saw: streams with events of two versions of the software in one answer.

Cause: which versions a repeat may use was the rule of the roll-out, computed anew for each attempt; without a roll-out that is all of them. Under a roll-out the request was even steered away from the version that had begun it.

Change: once events are passed on, the request is pinned to the version of the replica that wrote them, which goes before the rule of a roll-out. If no replica of the version takes the repeat, the stream is cut and its client can take it up.

--- a/pkg/route/pick_input.go
+++ b/pkg/route/pick_input.go
@@ -80,10 +80,16 @@
 	Version string
 	// Excluded means that replicas of the version are not used, instead of them only.
 	Excluded bool
+	// Pinned means that the request is of a stream that the version has begun, so that no other
+	// may be used, also if the version is "".
+	Pinned bool
 }
 
 // allows reports whether a replica with a version of its software may be used.
 func (r *SoftwareRule) allows(version string) bool {
+	if r.Pinned {
+		return r.Version == version
+	}
 	return r.Version == "" || (r.Version == version) != r.Excluded
 }
 
--- a/service/gateway/exchange_canary.go
+++ b/service/gateway/exchange_canary.go
@@ -22,7 +22,7 @@
 // sent to the new version is not sent there again.
 func (x *exchange) beginCanary(a *attempt) {
 	var ok bool
-	if a.canary, ok = x.g.canaries.begin(&a.choice.Upstream); ok && x.pickInput.Software.Version != "" {
+	if a.canary, ok = x.g.canaries.begin(&a.choice.Upstream); ok && x.pickInput.Software.Version != "" && !x.pickInput.Software.Pinned {
 		x.pickInput.Software.Excluded = true
 	}
 }
--- a/service/gateway/exchange_limits.go
+++ b/service/gateway/exchange_limits.go
@@ -22,7 +22,7 @@
 func (x *exchange) pickToSend(ctx context.Context) (c route.Choice, ok bool) {
 	x.pickInput.Send = true
 	// A roll-out may have completed while the request waited: the old replicas stop then.
-	x.pickInput.Software = x.g.canaries.rule(x.service.Name, x.info.ID, x.pool, boottime.Now())
+	x.pickInput.Software = x.softwareRule(boottime.Now())
 	defer func() { x.pickInput.Send, x.pickInput.UnlimitedOnly = false, false }()
 	for grantRequests := 0; ; grantRequests++ {
 		x.pickInput.UnlimitedOnly = grantRequests >= maxGrantRequests
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -41,7 +41,7 @@
 	}
 	x.pickInput = x.newPickInput()
 	x.pickInput.Homes, x.pickInput.HomesOnly = x.allowedHomes()
-	x.pickInput.Software = x.g.canaries.rule(x.service.Name, x.info.ID, x.pool, x.receivedAt)
+	x.pickInput.Software = x.softwareRule(x.receivedAt)
 	return refusal{}, true
 }
 
@@ -145,7 +145,7 @@
 	x.lookUpCoverage(now)
 	x.g.nodes.refreshPeerLoads(now)
 	c, ok := x.pool.Pick(&x.pickInput, now)
-	if s := &x.pickInput.Software; !ok && s.Version != "" && !s.Excluded && x.pool.HasOtherSoftware(s.Version) {
+	if s := &x.pickInput.Software; !ok && s.Version != "" && !s.Excluded && !s.Pinned && x.pool.HasOtherSoftware(s.Version) {
 		s.Excluded = true // No replica of the new version can take it.
 		c, ok = x.pool.Pick(&x.pickInput, now)
 	}
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -23,8 +23,6 @@
 	lastID string      // ID of the last event that was passed on.
 	// passedOn is the number of events with an ID that were passed on.
 	passedOn int
-	// software is the version of the replicas that write the events, valid once some were passed on.
-	software string
 	// partial is the beginning of an event that is not complete yet.
 	partial []byte
 	// onFirst is called before the first events of an attempt are passed on.
@@ -48,7 +46,7 @@
 		r = &streamRelay{out: x.out, head: a.head}
 	}
 	r.partial = nil
-	r.onFirst = func() { x.recordEventsOf(a, r) }
+	r.onFirst = func() { x.recordEventsOf(a) }
 	err := x.copyEvents(r, a)
 	now := boottime.Now()
 	if x.out.started {
--- a/service/gateway/stream_origin.go
+++ b/service/gateway/stream_origin.go
@@ -2,6 +2,9 @@
 
 import (
 	"sync/atomic"
+	"time"
+
+	"github.com/drumpath/drumpath/pkg/route"
 )
 
 // streamCounts counts streams that go on after some of their events were passed on, for metrics.
@@ -29,11 +32,20 @@
 	}
 }
 
+// softwareRule returns on which versions of the software the request may run: once events were
+// passed on, only on the one that wrote them.
+func (x *exchange) softwareRule(now time.Time) route.SoftwareRule {
+	if x.pickInput.Software.Pinned {
+		return x.pickInput.Software
+	}
+	return x.g.canaries.rule(x.service.Name, x.info.ID, x.pool, now)
+}
+
 // recordEventsOf records that the first events of an attempt are about to be passed on.
-func (x *exchange) recordEventsOf(a *attempt, r *streamRelay) {
-	begins := x.stream == nil && x.info.LastEvent == ""
-	if begins {
-		r.software = a.choice.Software
+func (x *exchange) recordEventsOf(a *attempt) {
+	begunAt := x.pickInput.Software
+	x.pickInput.Software = route.SoftwareRule{Version: a.choice.Software, Pinned: true}
+	if x.info.LastEvent == "" && x.stream == nil {
 		if x.route.Resumable && x.pool.HasOtherSoftware(a.choice.Software) {
 			x.g.log.Info("stream begun", "request", x.info.ID, "route", x.route.Name, "replica", a.choice.ID,
 				"service", x.service.Name, "software", a.choice.Software)
@@ -41,21 +53,20 @@
 		return
 	}
 	counts := &x.g.metrics.streams
-	lastEvent, begunBy, begunAt := x.info.LastEvent, x.info.BegunBy, ""
+	lastEvent, begunBy := x.info.LastEvent, x.info.BegunBy
 	if x.stream != nil {
-		lastEvent, begunBy, begunAt = r.lastID, "", r.software
+		lastEvent, begunBy = x.stream.lastID, ""
 		counts.wentOn.Add(1)
 	} else {
-		r.software = a.choice.Software
 		counts.takenUp.Add(1)
 	}
-	switch begunAt {
-	case a.choice.Software:
-	case "":
+	switch {
+	case !begunAt.Pinned:
 		counts.unknownSoftware.Add(1)
-	default:
+		begunAt.Version = ""
+	case begunAt.Version != a.choice.Software:
 		counts.otherSoftware.Add(1)
 	}
 	x.g.log.Info("stream goes on", "request", x.info.ID, "route", x.route.Name, "replica", a.choice.ID, "service", x.service.Name,
-		"software", a.choice.Software, "begun_by", begunBy, "begun_at", begunAt, "last_event", lastEvent)
+		"software", a.choice.Software, "begun_by", begunBy, "begun_at", begunAt.Version, "last_event", lastEvent)
 }
