Streams that clients take up again go on only at the version that began them

What callers saw: a client's stream began at one version of the software and went on at another, where the client had taken it up at another node.

Cause: a node knew nothing of streams that had begun elsewhere. Last-Event-Id passed through to any replica, Resumes was not read, and the service of a split route followed from the new attempt's ID.

Change, in packages of its own (pkg/origin decides, service/origins talks to nodes and the store): - A node records where a stream began when it passes on the first event, under a hash of organisation, host, target and attempt. It tells two nodes in other halls, in batches, while the service has several versions or the store is silent, and all of it when it stops. - The store lists the versions of each service. No stream begins at a version before the node knows that it is listed, so if a read that begins after the client's request shows one version, no record is needed: nothing is told and nothing is on a request's path but a map lookup while there is one version. - A node that a client returns to uses its own record, that read, or asks all nodes. The stream goes on at the origin's service and version, without waiting in the queue for new prompts. If the origin isn't certain, or no replica of the version is left, it is refused at once with 412, after which the client begins anew; with 503 only where this node reaches no other that may know. - Logs, metrics and explain tell from the second attempt's ID where the stream began and who knew it.

Why it holds: a record never changes, so an old one is as good as a new one, and a version is listed before it is used, so a later read can't miss it.

--- a/internal/standin/onplatform/stream_versions_test.go
+++ b/internal/standin/onplatform/stream_versions_test.go
@@ -259,7 +259,7 @@
 	}
 	f.waitUntil("the nodes know each other", func() bool {
 		for _, n := range f.nodes {
-			if !n.isReady() || nodeCount(n) < nodes {
+			if !n.isReady() || nodeCount(n) < nodes || n.send(request("POST", "/resume/x", "")).status != http.StatusOK {
 				return false
 			}
 		}
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -92,6 +92,14 @@
 		why = "the answer was lost: " + lostAnswer(r)
 	case "weights_replaced":
 		why = "the engine did not begin the prompt before its weights were too old"
+	case "stream_unknown":
+		why = "it is not known where the stream began that the client takes up" + originNote(r)
+	case "stream_gone":
+		why = "no replica that may be used has the version that began the stream that the client takes up" + originNote(r)
+	case "stream_unreachable":
+		why = "the node did not reach the others, which may know where the stream began that the client takes up" + originNote(r)
+	case "software_unlisted":
+		why = fmt.Sprintf("the versions of the software of service %s are not listed in the platform's store yet, so no stream may begin there%s", l.Text("service"), storeOutage(l))
 	case "request_bytes":
 		why = fmt.Sprintf("what the replicas of service %s may hold of this node's requests, in bytes, was used up", l.Text("service"))
 	case "response_memory":
@@ -128,6 +136,9 @@
 	if time.Duration(l.Int("first_ms"))*time.Millisecond >= slowFirstByte {
 		why = append(why, slowReasons(l)...)
 	}
+	if note := originNote(r); note != "" {
+		why = append(why, "it takes up a stream"+note)
+	}
 	if at := l.Text("resumed_at"); at != "" {
 		why = append(why, "its run went on at "+at)
 	}
@@ -140,6 +151,33 @@
 	return s + ".", false
 }
 
+// originNote tells what was known of the beginning of the stream that the client takes up, "" if it takes up
+// none.
+func originNote(r *Report) string {
+	for i := range r.Lines {
+		l := &r.Lines[i]
+		if l.Msg != "stream taken up" {
+			continue
+		}
+		note := " after event " + l.Text("last_event")
+		if begunBy := l.Text("begun_by"); begunBy != "" {
+			note += " of attempt " + begunBy
+		}
+		if l.Text("verdict") != verdictGoesOn {
+			return note + " (" + l.Text("verdict") + ")"
+		}
+		note += fmt.Sprintf(", which began at version %s of service %s", l.Text("begun_at"), l.Text("service"))
+		if age := l.Int("age_ms"); age > 0 {
+			note += fmt.Sprintf(" %d ms before", age)
+		}
+		return note + " (known by: " + l.Text("known_by") + ")"
+	}
+	return ""
+}
+
+// verdictGoesOn is the verdict on a stream whose origin is certain.
+const verdictGoesOn = "goes_on"
+
 // forwardNote tells how long the node that forwarded the request took, if it logged that.
 func forwardNote(r *Report) string {
 	for i := range r.Lines {
--- a/pkg/explain/report.go
+++ b/pkg/explain/report.go
@@ -15,7 +15,8 @@
 	Lines []Line
 	// Before are the lines that show the state of the request's nodes and replicas
 	// before it: the last one of each kind about the configuration, the weights, the
-	// stores, the replicas and the request's content.
+	// stores, the replicas and the request's content. For a client that takes up a stream they
+	// include the lines of the attempt that began it.
 	Before []Line
 	// Cause is a short text that says why the request ended as it did.
 	Cause string
@@ -58,6 +59,7 @@
 func report(request string, all []Line) (Report, error) {
 	r := Report{Request: request}
 	nodes, replicas, contents := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	begunBy := ""
 	last := -1
 	for i := range all {
 		if all[i].Text("request") != request {
@@ -71,12 +73,15 @@
 		if content := all[i].Text("content"); content != "" {
 			contents[content] = true
 		}
+		if all[i].Msg == "stream taken up" {
+			begunBy = all[i].Text("begun_by")
+		}
 		last = i
 	}
 	if last < 0 {
 		return r, ErrRequestNotFound
 	}
-	r.Before = stateBefore(all[:last], nodes, replicas, contents)
+	r.Before = stateBefore(all[:last], nodes, replicas, contents, begunBy)
 	r.Cause, r.Failed = cause(&r)
 	return r, nil
 }
@@ -124,6 +129,17 @@
 	"request no longer suspected":   "content",
 }
 
+// streamMessages are messages about a stream that the client takes up, under the attempt that began it.
+var streamMessages = map[string]bool{
+	"stream begun":     true,
+	"stream taken up":  true,
+	"stream goes on":   true,
+	"stream broke off": true,
+	"stream cut":       true,
+	"cut by a stop":    true,
+	"client left":      true,
+}
+
 // supersedes maps messages to the opposite message; only the later line of the two is kept.
 var supersedes = map[string]string{
 	"store back":               "store lost",
@@ -132,9 +148,12 @@
 	"path to replica back":     "path to replica lost",
 }
 
-func stateBefore(all []Line, nodes, replicas, contents map[string]bool) []Line {
+func stateBefore(all []Line, nodes, replicas, contents map[string]bool, begunBy string) []Line {
 	latest := map[string]Line{}
 	for _, l := range all {
+		if begunBy != "" && l.Text("request") == begunBy && streamMessages[l.Msg] {
+			latest[l.Msg] = l
+		}
 		key, ok := nodeMessages[l.Msg]
 		if pathKey, path := pathMessages[l.Msg]; path {
 			key, ok = pathKey, replicas[l.Text(pathKey)]
--- a/pkg/explain/report_test.go
+++ b/pkg/explain/report_test.go
@@ -44,6 +44,12 @@
   6.8800 n2 {"time":"2026-01-01T00:00:06.88Z","level":"INFO","msg":"request forwarded","request":"r17","node":"n1","replica":"a","status":200,"after":120000000,"err":""}
   6.9000 n1 {"time":"2026-01-01T00:00:06.9Z","level":"INFO","msg":"run not resumed","request":"r15","replica":"b","status":503,"left":0}
   7.0000 n1 {"time":"2026-01-01T00:00:07Z","level":"WARN","msg":"stream cut","request":"r15","route":"x","reason":"answer_lost"}
+  7.1000 n3 {"time":"2026-01-01T00:00:07.1Z","level":"INFO","msg":"stream begun","request":"b1","route":"x","replica":"a","service":"s","software":"v2"}
+  7.2000 n1 {"time":"2026-01-01T00:00:07.2Z","level":"INFO","msg":"stream taken up","request":"r18","begun_by":"b1","last_event":"3","verdict":"goes_on","service":"s","begun_at":"v2","known_by":"n2","age_ms":110}
+  7.3000 n1 {"time":"2026-01-01T00:00:07.3Z","level":"INFO","msg":"stream goes on","request":"r18","replica":"b","service":"s","software":"v2","begun_by":"b1","begun_at":"v2","last_event":"3"}
+  7.4000 n1 {"time":"2026-01-01T00:00:07.4Z","level":"INFO","msg":"answered","request":"r18","replica":"b","software":"v2","first_ms":20,"all_ms":100,"attempts":1}
+  7.5000 n1 {"time":"2026-01-01T00:00:07.5Z","level":"INFO","msg":"stream taken up","request":"r19","begun_by":"b2","last_event":"4","verdict":"unknown"}
+  7.6000 n1 {"time":"2026-01-01T00:00:07.6Z","level":"INFO","msg":"refused","request":"r19","status":412,"reason":"stream_unknown","after":200000000,"attempts":0}
 `
 
 func TestCauseNamesEachKindOfFailure(t *testing.T) {
@@ -65,6 +71,8 @@
 		"r15": {true, []string{"client was aborted", "b did not go on with the run"}},
 		"r17": {false, []string{"node n1 had no path to the replica, and node n2 forwarded the request (120ms there)", "node n3 did not forward it to a (cut_off)"}},
 		"r16": {true, []string{"503", "any of the 2 replicas", "waited 800ms", "did not run"}},
+		"r18": {false, []string{"takes up a stream after event 3 of attempt b1", "began at version v2 of service s 110 ms before", "known by: n2"}},
+		"r19": {true, []string{"412", "not known where the stream began", "after event 4 of attempt b2 (unknown)", "did not run"}},
 		"r12": {true, []string{"503", "another such request was under way", "did not run"}},
 	} {
 		r, err := Read(id, strings.NewReader(log))
@@ -100,12 +108,28 @@
 	assert.DeepEqual(t, lost, []string{"n1 a"})
 }
 
+// Where a stream began is in the logs of another node, under the ID of another attempt.
+func TestStateBeforeHasTheBeginningOfAStreamThatIsTakenUp(t *testing.T) {
+	r, err := Read("r18", strings.NewReader(log))
+	assert.NilError(t, err)
+	var begun []string
+	for _, l := range r.Before {
+		if l.Msg == "stream begun" {
+			begun = append(begun, l.Node+" "+l.Text("replica")+" "+l.Text("software"))
+		}
+	}
+	assert.DeepEqual(t, begun, []string{"n3 a v2"})
+}
+
 // A message missing from the catalogue would silently never match a line.
 func TestStateMessagesAreInTheCatalogue(t *testing.T) {
 	logged := map[string]bool{}
 	for _, e := range events.Catalogue {
 		logged[e.Name] = true
 	}
+	for kind := range streamMessages {
+		assert.Assert(t, logged[kind], kind)
+	}
 	for _, kinds := range []map[string]string{nodeMessages, replicaMessages, pathMessages, supersedes} {
 		for kind := range kinds {
 			assert.Assert(t, logged[kind], kind)
--- /dev/null
+++ b/pkg/origin/records.go
@@ -0,0 +1,162 @@
+package origin
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+	"time"
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	Service  string
+	Software string // The version of the replica's software.
+}
+
+// keySize is the size of a Key in bytes.
+const keySize = 12
+
+// Key identifies a client's attempt. It is a hash, so that a client can't name the attempts of others.
+type Key [keySize]byte
+
+// KeyOf returns the key of an attempt by its organisation, the host and the target of its request, and
+// the ID that the client gave it.
+func KeyOf(organisation, host, target, attempt string) (k Key) {
+	h := sha256.New()
+	for _, text := range []string{organisation, host, target, attempt} {
+		// The length keeps two texts from being taken for one; a hash can't fail.
+		_ = binary.Write(h, binary.BigEndian, uint32(len(text)))
+		_, _ = h.Write([]byte(text))
+	}
+	copy(k[:], h.Sum(nil))
+	return k
+}
+
+// Record is the origin of the stream that an attempt brought the first event of.
+type Record struct {
+	Origin
+	BegunAt time.Time // When that event was passed on.
+	Until   time.Time // When the record is forgotten.
+	// From is the node that told the record, "" if it is this node's own.
+	From string
+}
+
+// Told is a record in a message to another node.
+type Told struct {
+	Key
+	Record
+}
+
+const (
+	// maxRecords bounds the records that a node keeps, some 150 bytes each.
+	maxRecords = 1 << 16
+	// MaxLifetime bounds how long a record is kept.
+	MaxLifetime = 5 * time.Minute
+)
+
+// Records holds the origins of streams that clients may take up again.
+type Records struct {
+	mu      sync.Mutex
+	byKey   map[Key]*record
+	evicted int64
+}
+
+type record struct {
+	Record
+	// toldTo is the generation of the peers that were told, 0 for none.
+	toldTo uint64
+}
+
+// NewRecords returns an empty Records.
+func NewRecords() *Records { return &Records{byKey: map[Key]*record{}} }
+
+// Add adds a record, unless its attempt has one.
+func (r *Records) Add(k Key, rec Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.byKey[k]; known || !rec.Until.After(rec.BegunAt) {
+		return
+	}
+	if latest := rec.BegunAt.Add(MaxLifetime); rec.Until.After(latest) {
+		rec.Until = latest
+	}
+	if len(r.byKey) >= maxRecords {
+		r.evictAny()
+	}
+	r.byKey[k] = &record{Record: rec}
+}
+
+// evictAny removes some record; the caller holds mu.
+func (r *Records) evictAny() {
+	for k := range r.byKey {
+		delete(r.byKey, k)
+		r.evicted++
+		return
+	}
+}
+
+// Find returns the record of an attempt; ok is false if there is none.
+func (r *Records) Find(k Key, now time.Time) (rec Record, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found, ok := r.byKey[k]
+	if !ok || !now.Before(found.Until) {
+		return rec, false
+	}
+	return found.Record, true
+}
+
+// TakeUntold returns up to limit of this node's own records that the given generation of peers was not
+// told, of the services that wanted reports, and counts them as told.
+func (r *Records) TakeUntold(generation uint64, limit int, wanted func(service string) bool, now time.Time) (list []Told) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, rec := range r.byKey {
+		if rec.From != "" || rec.toldTo == generation || !now.Before(rec.Until) || !wanted(rec.Service) {
+			continue
+		}
+		rec.toldTo = generation
+		if list = append(list, Told{Key: k, Record: rec.Record}); len(list) == limit {
+			break
+		}
+	}
+	return list
+}
+
+// All returns all records.
+func (r *Records) All(now time.Time) (list []Told) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, rec := range r.byKey {
+		if now.Before(rec.Until) {
+			list = append(list, Told{Key: k, Record: rec.Record})
+		}
+	}
+	return list
+}
+
+// Forget removes the records whose time is over.
+func (r *Records) Forget(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, rec := range r.byKey {
+		if !now.Before(rec.Until) {
+			delete(r.byKey, k)
+		}
+	}
+}
+
+// Count returns the numbers of this node's own records and of those that others told it, and how many
+// were removed for want of room.
+func (r *Records) Count() (own, told int, evicted int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range r.byKey {
+		if rec.From == "" {
+			own++
+		} else {
+			told++
+		}
+	}
+	return own, told, r.evicted
+}
--- a/pkg/route/candidates.go
+++ b/pkg/route/candidates.go
@@ -116,5 +116,5 @@
 // the limits that nodes share.
 func (p *Pool) mayCompare(m *member, in *PickInput, now time.Time) bool {
 	return m.generalExclusion(now) == NotExcluded && !m.passedOver(now) && in.mayRunIn(m.Region) && m.serves(in) &&
-		in.Software.allows(m.Software)
+		in.allowsSoftware(m.Software)
 }
--- a/pkg/route/exclusion.go
+++ b/pkg/route/exclusion.go
@@ -57,7 +57,7 @@
 		return ExcludedTried, rate
 	case !m.serves(in), !p.beginsOnUsableWeights(m, in, now):
 		return ExcludedWeights, rate
-	case !in.Software.allows(m.Software):
+	case !in.allowsSoftware(m.Software):
 		return ExcludedSoftware, rate
 	case !p.hasRoomForBytes(m, m.sentBytes, in.Bytes):
 		return ExcludedBytes, rate
--- a/pkg/route/pick_input.go
+++ b/pkg/route/pick_input.go
@@ -43,6 +43,8 @@
 	// Software restricts the request to replicas of one version of their software, or to
 	// those of all others.
 	Software SoftwareRule
+	// UnlistedSoftware are versions at which the request must not begin yet.
+	UnlistedSoftware []string
 	// UnlimitedOnly excludes the replicas that have a rate limit.
 	UnlimitedOnly bool
 	// BeginWithin is the time within which a replica of the own data hall must be expected
@@ -74,6 +76,11 @@
 	meeting bool
 }
 
+// allowsSoftware reports whether the request may run on a version of the software.
+func (in *PickInput) allowsSoftware(version string) bool {
+	return in.Software.allows(version) && (len(in.UnlistedSoftware) == 0 || !slices.Contains(in.UnlistedSoftware, version))
+}
+
 // SoftwareRule restricts requests by the version of the replicas' software. The zero rule
 // allows all.
 type SoftwareRule struct {
--- a/pkg/route/pool_members.go
+++ b/pkg/route/pool_members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -151,6 +152,22 @@
 	return len(p.members) > p.softwareCounts[version]
 }
 
+// Software lists the versions of the software that the replicas have.
+func (p *Pool) Software() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.softwareCounts))
+}
+
+// RunsSoftware reports whether any replica of a version of the software may get requests.
+func (p *Pool) RunsSoftware(version string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.softwareCounts[version] > 0 && slices.ContainsFunc(p.members, func(m *member) bool {
+		return m.Software == version && !m.Draining && !m.Evacuated
+	})
+}
+
 // count adds n to the counts that include a replica; the caller holds mu.
 func (p *Pool) count(m *member, n int) {
 	p.softwareCounts[m.Software] += n
--- a/pkg/site/route.go
+++ b/pkg/site/route.go
@@ -1,6 +1,9 @@
 package site
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Route determines how requests to a host and path prefix are handled.
 type Route struct {
@@ -41,6 +44,25 @@
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool { return r.Idempotent || r.Resumable }
 
+// SendsTo reports whether the route sends requests to a service.
+func (r *Route) SendsTo(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// OnlyService returns the service that all requests are sent to, "" if there are several or none.
+func (r *Route) OnlyService() (name string) {
+	for _, s := range r.Split {
+		switch {
+		case s.Weight <= 0 || s.Service == name:
+		case name != "":
+			return ""
+		default:
+			name = s.Service
+		}
+	}
+	return name
+}
+
 // Kind names the route's kind in metrics.
 func (r *Route) Kind() string {
 	switch {
--- a/pkg/site/row.go
+++ b/pkg/site/row.go
@@ -20,6 +20,8 @@
 	TableLeases
 	// TableStatus has what nodes tell operators.
 	TableStatus
+	// TableSoftware has the versions of each service's software at which streams may have begun.
+	TableSoftware
 )
 
 // Row is one row of a table.
--- a/pkg/site/snapshot.go
+++ b/pkg/site/snapshot.go
@@ -18,6 +18,8 @@
 	byKey  map[string]*Organisation
 	routes []*Route
 	homes  map[string][]string // By host, if all its routes have homes.
+	// resumable are the services that get requests of resumable streams.
+	resumable []string
 }
 
 // NewSnapshot returns a configuration with its lookup tables.
@@ -33,6 +35,11 @@
 	}
 	unrestricted := map[string]bool{}
 	for _, r := range routes {
+		for _, share := range r.Split {
+			if r.Resumable && !slices.Contains(s.resumable, share.Service) {
+				s.resumable = append(s.resumable, share.Service)
+			}
+		}
 		s.byHost[r.Host] = s.byHost[r.Host].add(r)
 		if unrestricted[r.Host] = unrestricted[r.Host] || len(r.Homes) == 0; unrestricted[r.Host] {
 			delete(s.homes, r.Host)
@@ -47,6 +54,10 @@
 	return s
 }
 
+// ResumableServices lists the services that get requests of resumable streams; the caller must not change
+// the list.
+func (s *Snapshot) ResumableServices() []string { return s.resumable }
+
 // hostRoutes are the routes of one host. Those whose prefix ends with a slash, as
 // all should, are found by looking up each prefix of the path: with 20,000 routes of two
 // hosts a lookup takes 0.09 us, and took 42 us when the path was compared with each route.
--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -181,6 +181,22 @@
 	return rule
 }
 
+// mayGoOn reports whether streams that a version has begun may go on at it. Once a roll-out has ended, the
+// replicas of the other version stop, or get nothing more as they are bad.
+func (c *canaries) mayGoOn(service, software string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.rollouts[service]
+	switch {
+	case r == nil:
+		return true
+	case r.decision.State == site.RolloutCompleted:
+		return software == r.order.Version || now.Sub(r.decidedAt) >= completedTerm
+	default:
+		return r.decision.State != site.RolloutRolledBack || software != r.order.Version
+	}
+}
+
 // usesNew reports whether a request goes to the new version.
 func (r *canaryRollout) usesNew(requestID string, limits canary.Limits, now time.Time) bool {
 	switch r.decision.State {
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/service/origins"
 )
 
 // exchange is one client request, from its arrival until it is answered.
@@ -55,6 +56,8 @@
 	handoffs   int        // Move calls.
 	handedOver bool       // Another engine went on with the run.
 	backup     *runBackup // Nil if the run has none.
+	// begun is where the stream began that the client takes up, nil if it takes up none.
+	begun *origins.Answer
 
 	fingerprinted bool
 	content       site.Fingerprint // Valid if fingerprinted is set.
@@ -86,7 +89,7 @@
 		x.refuse(retryLater(reasonSuspended, startRetryAfter))
 		return
 	}
-	if f, ok := x.admit(); !ok {
+	if f, ok := x.admit(ctx); !ok {
 		x.refuse(f)
 		return
 	}
@@ -371,6 +374,9 @@
 	if x.mayHaveRun > 0 {
 		return refuse(http.StatusBadGateway, reasonAnswerLost)
 	}
+	if len(x.pickInput.UnlistedSoftware) > 0 {
+		return retryLater(reasonSoftwareUnlisted, startRetryAfter)
+	}
 	availability := x.pool.Availability(&x.pickInput, boottime.Now())
 	if x.notRunCount > 0 && availability.Eligible+availability.Excluded[route.ExcludedTried] > 0 {
 		if x.unreached == x.notRunCount {
--- a/service/gateway/exchange_limits.go
+++ b/service/gateway/exchange_limits.go
@@ -26,7 +26,7 @@
 	defer func() { x.pickInput.Send, x.pickInput.UnlimitedOnly = false, false }()
 	for grantRequests := 0; ; grantRequests++ {
 		x.pickInput.UnlimitedOnly = grantRequests >= maxGrantRequests
-		c, ok = x.pick(boottime.Now())
+		c, ok = x.pickListed(ctx)
 		if !ok || x.g.rateLimits.MaySend(ctx, &c.Upstream) {
 			return c, ok
 		}
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -12,7 +13,7 @@
 
 // admit finds the route, organisation, service and pool of the request; ok is false if
 // it is refused.
-func (x *exchange) admit() (f refusal, ok bool) {
+func (x *exchange) admit(ctx context.Context) (f refusal, ok bool) {
 	snapshot := x.g.siteState.Snapshot()
 	if snapshot == nil {
 		return retryLater(reasonNoConfiguration, startRetryAfter), false
@@ -32,7 +33,10 @@
 		timeout = t
 	}
 	x.deadline = x.receivedAt.Add(timeout)
-	x.service = snapshot.Services[x.route.ServiceByHash(xxhash.Sum64String(x.info.ID))]
+	if f, ok := x.findOrigin(ctx); !ok {
+		return f, false
+	}
+	x.service = snapshot.Services[x.serviceName()]
 	if x.service == nil {
 		return retryLater(reasonNoReplica, noReplicaRetryAfter), false
 	}
@@ -41,6 +45,9 @@
 	}
 	x.pickInput = x.newPickInput()
 	x.pickInput.Homes, x.pickInput.HomesOnly = x.allowedHomes()
+	if x.begun != nil {
+		return x.pinToOrigin()
+	}
 	x.pickInput.Software = x.softwareRule(x.receivedAt)
 	return refusal{}, true
 }
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
+	"github.com/drumpath/drumpath/service/origins"
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
 	"github.com/drumpath/drumpath/service/suspects"
@@ -74,6 +75,7 @@
 	engineCaches *engineCacheFollower
 	suspects     *suspects.Suspects
 	rateLimits   *ratelimit.Limits
+	origins      *origins.Origins
 	rollout      *rollout.Rollout
 	canaries     *canaries
 	conns        *upstreamConns
@@ -138,6 +140,7 @@
 		engineCaches: built.EngineCaches,
 		suspects:     built.Suspects,
 		rateLimits:   built.RateLimits,
+		origins:      built.Origins,
 		rollout:      built.Rollout,
 		canaries:     built.Canaries,
 		conns:        built.Conns,
@@ -237,6 +240,7 @@
 	g.runEvery(suspects.StepInterval, g.suspects.SaveRow)
 	g.runEvery(suspects.LearnInterval, g.suspects.Learn)
 	g.runEvery(ratelimit.ForgetInterval, g.rateLimits.Forget)
+	g.runEvery(origins.StepInterval, g.origins.Step)
 	g.wg.Go(func() { g.runQueues(g.ctx) })
 	g.wg.Go(func() { g.nodes.runLoadRelay(g.ctx) })
 	g.wg.Go(func() { g.nodes.runLoadSender(g.ctx, g.conf().Peer.LoadEvery.Std()) })
@@ -265,6 +269,7 @@
 	for _, f := range g.tableFollowers {
 		g.wg.Go(func() { f.run(g.ctx) })
 	}
+	g.origins.Step(g.ctx) // Streams can't begin before the versions are known.
 }
 
 // indirectProbeDivisor is how many times per probe period missing answers are probed
@@ -357,8 +362,10 @@
 	time.Sleep(time.Until(start.Add(min(acceptAfterStop, grace))))
 	g.closing.Store(true)
 	_ = g.entry.Close() // Clients whose connection was not accepted try another node.
+	g.origins.HandOver()
 	g.clients.drain(ctx)
 	g.forwarding.drain(ctx)
+	g.origins.HandOver() // With the streams that began meanwhile.
 }
 
 func (g *Gateway) releaseLeases(ctx context.Context) {
@@ -400,6 +407,7 @@
 	g.platform.Engines.Close()
 	g.wg.Wait()
 	g.suspects.Close()
+	g.origins.Close()
 	g.rateLimits.Close()
 	g.log.Info("node stopped", "node", g.conf().Node.Name, "after", time.Since(start), "cut", cut.sum())
 }
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/service/origins"
 	"github.com/drumpath/drumpath/service/ratelimit"
 	"github.com/drumpath/drumpath/service/suspects"
 )
@@ -162,6 +163,7 @@
 	Stores            []route.StoreStatus          `json:"stores"`
 	Suspects          suspects.Status              `json:"suspects"`
 	Limits            ratelimit.Status             `json:"limits"`
+	Origins           origins.Status               `json:"origins"`
 	Retries           map[string]route.RetryStatus `json:"retries"`
 	Suspensions       int64                        `json:"suspensions"`
 	ResponseMemory    responseMemoryStatus         `json:"response_memory"`
@@ -233,6 +235,7 @@
 		Stores:         g.cacheIndex.Status(),
 		Suspects:       g.suspects.Status(),
 		Limits:         g.rateLimits.Status(),
+		Origins:        g.origins.Status(),
 		Retries:        g.retryStatus(now),
 		Suspensions:    g.suspension.count.Load(),
 		ResponseMemory: g.responses.status(),
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -113,18 +113,28 @@
 // alternative when that node fails.
 const minEntries = 2
 
-// suspectNotifier sends the notes about suspected requests to other nodes.
-type suspectNotifier struct{ n *nodes }
+// maxDirectLookups is the number of other nodes of a hall up to which all are asked directly for the origin
+// of a stream: a relay costs the client time, and may have failed together with the stream's node.
+const maxDirectLookups = 32
+
+// noteSender sends notes to other nodes. Broadcasts go directly to halls with up to maxDirect others.
+type noteSender struct {
+	n         *nodes
+	maxDirect int
+}
 
-// SendNote implements suspects.Notifier.
-func (s suspectNotifier) SendNote(to []netip.AddrPort, method string, params any) int {
+// SendNote sends a note to some nodes and returns the bytes sent.
+func (s noteSender) SendNote(to []netip.AddrPort, method string, params any) int {
+	if len(to) == 0 {
+		return 0
+	}
 	return s.n.sendNote(to, method, params)
 }
 
-// Recipients implements suspects.Notifier.
-func (s suspectNotifier) Recipients(try int) (direct, relays []netip.AddrPort) {
-	return s.n.updateRecipients(try)
+// Recipients returns the nodes to send a broadcast to, and those that forward it.
+func (s noteSender) Recipients(try int) (direct, relays []netip.AddrPort) {
+	return s.n.members.View().Recipients(s.n.self.Name, s.maxDirect, updateRelayDuty, try)
 }
 
-// HallPeers implements suspects.Notifier.
-func (s suspectNotifier) HallPeers() []netip.AddrPort { return s.n.hallPeers() }
+// HallPeers returns the other nodes of this node's hall.
+func (s noteSender) HallPeers() []netip.AddrPort { return s.n.hallPeers() }
--- a/service/gateway/queue.go
+++ b/service/gateway/queue.go
@@ -68,6 +68,11 @@
 
 // enqueue waits until the prompt is admitted; ok is false if it is refused.
 func (x *exchange) enqueue(ctx context.Context) (f refusal, ok bool) {
+	if x.begun != nil {
+		// What the client has of its stream is lost if it waits or is refused by the load of replicas
+		// that it can't go on at.
+		return refusal{}, true
+	}
 	if x.service.Engine == nil {
 		return x.enqueueForSlot(ctx)
 	}
--- a/service/gateway/refusal.go
+++ b/service/gateway/refusal.go
@@ -44,11 +44,18 @@
 	reasonDeadline          = "deadline"
 	reasonAnswerLost        = "answer_lost"
 	reasonWeightsReplaced   = "weights_replaced"
-	reasonEndsReplicas      = "ends_replicas"
-	reasonSuspected         = "suspected"
-	reasonSuspended         = "suspended"
-	reasonResponseMemory    = "response_memory"
-	reasonRequestBytes      = "request_bytes"
+	// reasonStreamUnknown: it is not known where the stream began that the client takes up, and
+	// reasonStreamUnreachable: other nodes may know. reasonStreamGone: no replica of that version is left.
+	reasonStreamUnknown     = "stream_unknown"
+	reasonStreamUnreachable = "stream_unreachable"
+	reasonStreamGone        = "stream_gone"
+	// reasonSoftwareUnlisted: the version of the replicas' software is too new for streams to begin.
+	reasonSoftwareUnlisted = "software_unlisted"
+	reasonEndsReplicas     = "ends_replicas"
+	reasonSuspected        = "suspected"
+	reasonSuspended        = "suspended"
+	reasonResponseMemory   = "response_memory"
+	reasonRequestBytes     = "request_bytes"
 )
 
 func refuse(status int, reason string) refusal { return refusal{status: status, reason: reason} }
--- a/service/gateway/stream_origin.go
+++ b/service/gateway/stream_origin.go
@@ -1,10 +1,18 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/origin"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/service/origins"
 )
 
 // streamCounts counts streams that go on after some of their events were passed on, for metrics.
@@ -32,8 +40,99 @@
 	}
 }
 
-// softwareRule returns on which versions of the software the request may run: once events were
-// passed on, only on the one that wrote them.
+// originFleet tells origins of the replicas.
+type originFleet struct{ siteState *SiteState }
+
+// Services lists the services that get requests of resumable streams.
+func (f originFleet) Services() (list []string) {
+	snapshot := f.siteState.Snapshot()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.ResumableServices()
+}
+
+// Software lists the versions that the replicas of a service have.
+func (f originFleet) Software(service string) []string {
+	p := f.siteState.Pool(service)
+	if p == nil {
+		return nil
+	}
+	return p.Software()
+}
+
+// StoreSilent reports whether the store was not reached lately.
+func (f originFleet) StoreSilent(now time.Time) bool {
+	_, sinceSync, sinceUnreachable := f.siteState.Ages(now)
+	return sinceSync > maxListAge || sinceUnreachable > 0 && sinceUnreachable < unreachableGrace
+}
+
+// maxListAge is the age of the upstream list from which on the store counts as silent.
+const maxListAge = 3 * time.Second
+
+// findOrigin finds out where the stream began that the client takes up; ok is false if the request is
+// refused.
+func (x *exchange) findOrigin(ctx context.Context) (f refusal, ok bool) {
+	if x.info.LastEvent == "" || !x.route.Resumable {
+		return refusal{}, true
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	query := origins.Query{}
+	if x.info.BegunBy != "" {
+		named := x.attemptKey(x.info.BegunBy)
+		query.Named = &named
+	}
+	query.Service = x.route.OnlyService()
+	began := boottime.Now()
+	answer := x.g.origins.Resolve(ctx, query)
+	x.g.log.Info("stream taken up", "request", x.info.ID, "route", x.route.Name, "begun_by", x.info.BegunBy, "last_event", x.info.LastEvent,
+		"verdict", string(answer.Verdict), "service", answer.Service, "begun_at", answer.Software, "known_by", answer.KnownBy,
+		"age_ms", answer.Age.Milliseconds(), "found_after", boottime.Since(began))
+	switch {
+	case ctx.Err() != nil:
+		return x.deadlineRefusal(), false
+	case answer.Verdict == origin.Unreachable:
+		return retryLater(reasonStreamUnreachable, startRetryAfter), false
+	case answer.Verdict != origin.GoesOn:
+		return refuse(http.StatusPreconditionFailed, reasonStreamUnknown), false
+	case !x.route.SendsTo(answer.Service):
+		return refuse(http.StatusPreconditionFailed, reasonStreamGone), false
+	}
+	x.begun = &answer
+	return refusal{}, true
+}
+
+// attemptKey returns the key of an attempt of the same client for the same request.
+func (x *exchange) attemptKey(attempt string) origin.Key {
+	organisation := ""
+	if x.organisation != nil {
+		organisation = x.organisation.Name
+	}
+	return origin.KeyOf(organisation, x.head.Get("Host"), x.head.Target, attempt)
+}
+
+// serviceName returns the service that the request is sent to.
+func (x *exchange) serviceName() string {
+	if x.begun != nil {
+		return x.begun.Service
+	}
+	return x.route.ServiceByHash(xxhash.Sum64String(x.info.ID))
+}
+
+// pinToOrigin restricts the request to the version that began its stream; ok is false if no replica of it is
+// left, or a roll-out has ended its use.
+func (x *exchange) pinToOrigin() (f refusal, ok bool) {
+	software := x.begun.Software
+	if !x.pool.RunsSoftware(software) || !x.g.canaries.mayGoOn(x.service.Name, software, boottime.Now()) {
+		return refuse(http.StatusPreconditionFailed, reasonStreamGone), false
+	}
+	x.pickInput.Software = route.SoftwareRule{Version: software, Pinned: true}
+	return refusal{}, true
+}
+
+// softwareRule returns on which versions of the software the request may run: once its stream has begun,
+// only on the one that wrote the events.
 func (x *exchange) softwareRule(now time.Time) route.SoftwareRule {
 	if x.pickInput.Software.Pinned {
 		return x.pickInput.Software
@@ -41,9 +140,33 @@
 	return x.g.canaries.rule(x.service.Name, x.info.ID, x.pool, now)
 }
 
+// pickListed picks a replica. A stream that clients may take up again begins only at a version that is
+// listed in the store, so that all nodes can know of it.
+func (x *exchange) pickListed(ctx context.Context) (c route.Choice, ok bool) {
+	unlisted := &x.pickInput.UnlistedSoftware
+	*unlisted = nil
+	for {
+		c, ok = x.pick(boottime.Now())
+		if !ok || !x.route.Resumable || x.pickInput.Software.Pinned || x.g.origins.MayBegin(x.service.Name, c.Software) {
+			break
+		}
+		*unlisted = append(*unlisted, c.Software)
+	}
+	if ok || len(*unlisted) == 0 || !x.g.origins.AwaitVersion(ctx, x.service.Name, *unlisted) {
+		return c, ok
+	}
+	*unlisted = slices.DeleteFunc(*unlisted, func(software string) bool {
+		return x.g.origins.MayBegin(x.service.Name, software)
+	})
+	return x.pick(boottime.Now())
+}
+
 // recordEventsOf records that the first events of an attempt are about to be passed on.
 func (x *exchange) recordEventsOf(a *attempt) {
 	begunAt := x.pickInput.Software
+	if x.route.Resumable {
+		x.recordOrigin(a)
+	}
 	x.pickInput.Software = route.SoftwareRule{Version: a.choice.Software, Pinned: true}
 	if x.info.LastEvent == "" && x.stream == nil {
 		if x.route.Resumable && x.pool.HasOtherSoftware(a.choice.Software) {
@@ -70,3 +193,19 @@
 	x.g.log.Info("stream goes on", "request", x.info.ID, "route", x.route.Name, "replica", a.choice.ID, "service", x.service.Name,
 		"software", a.choice.Software, "begun_by", begunBy, "begun_at", begunAt.Version, "last_event", lastEvent)
 }
+
+// recordOrigin records where the stream began that an attempt of the client brings events of.
+func (x *exchange) recordOrigin(a *attempt) {
+	if x.stream != nil {
+		return // It goes on within one answer.
+	}
+	until := x.receivedAt.Add(x.info.ClientTimeout)
+	if x.info.ClientTimeout == 0 {
+		until = x.receivedAt.Add(origin.MaxLifetime)
+	}
+	begun := origin.Origin{Service: x.service.Name, Software: a.choice.Software}
+	x.g.origins.Begin(x.attemptKey(x.info.ID), begun, until)
+	if x.info.LastEvent != "" && x.info.BegunBy != "" {
+		x.g.origins.Begin(x.attemptKey(x.info.BegunBy), begun, until)
+	}
+}
--- a/service/gateway/suspension.go
+++ b/service/gateway/suspension.go
@@ -64,6 +64,7 @@
 // State that is kept with its age, such as leases, loads, clocks and budgets, ages by
 // boottime.Now, which includes the suspension.
 func (g *Gateway) resetAfterSuspension(suspended time.Duration) {
+	g.origins.HandleSuspension(suspended)
 	closed := g.conns.closeAllIdle()
 	for _, f := range g.tableFollowers {
 		f.pollNow()
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -17,6 +17,7 @@
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
+	"github.com/drumpath/drumpath/service/origins"
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
 	"github.com/drumpath/drumpath/service/suspects"
@@ -38,6 +39,7 @@
 	EngineCaches *engineCacheFollower
 	Suspects     *suspects.Suspects
 	RateLimits   *ratelimit.Limits
+	Origins      *origins.Origins
 	Rollout      *rollout.Rollout
 	Canaries     *canaries
 	Conns        *upstreamConns
@@ -113,6 +115,9 @@
 		func(m *control.Members, c *peer.Client, shares *coldShares) *ratelimit.Limits {
 			return ratelimit.New(self, m, c, shares.membersKnown, log)
 		},
+		func(m *control.Members, c *peer.Client) *origins.Origins {
+			return origins.New(self, m, p.Store, c, log)
+		},
 		func(st *SiteState, n *nodes, limits *ratelimit.Limits) *rollout.Rollout {
 			f := &rolloutFleet{siteState: st, nodes: n, within: s.Orders.MaxRolloutTime.Std()}
 			r := rollout.New(s.Node.Name, s.Orders.MinInterval.Std(), p.Store, orderCountingEngines{p.Engines, st, limits}, f, log)
@@ -159,7 +164,7 @@
 
 // newNodes creates the part of this node that exchanges state with the others, and
 // registers the handlers of its datagrams.
-func newNodes(s config.GatewaySettings, self control.Member, members *control.Members, shares *coldShares, sus *suspects.Suspects, limits *ratelimit.Limits, store Store, siteState *SiteState, cacheIndex *route.CacheIndex, tableReader *sharedReader, c *canaries, log *slog.Logger) (*nodes, error) {
+func newNodes(s config.GatewaySettings, self control.Member, members *control.Members, shares *coldShares, sus *suspects.Suspects, limits *ratelimit.Limits, store Store, siteState *SiteState, cacheIndex *route.CacheIndex, tableReader *sharedReader, c *canaries, o *origins.Origins, log *slog.Logger) (*nodes, error) {
 	n := &nodes{
 		self:        self,
 		regions:     s.Regions,
@@ -200,13 +205,18 @@
 			return d
 		})
 	}
-	sus.SetNotifier(suspectNotifier{n})
+	n.probes.OnNote(origins.NoteVersions, decodeNote(n, o.HandleVersions))
+	n.probes.OnNote(origins.NoteRecords, decodeNote(n, o.HandleRecords))
+	n.probes.OnNote(origins.NoteLookup, decodeNote(n, o.HandleLookup))
+	o.SetNotifier(noteSender{n: n, maxDirect: maxDirectLookups})
+	o.SetFleet(originFleet{siteState})
+	sus.SetNotifier(noteSender{n: n, maxDirect: maxDirectNodes})
 	limits.SetAnnouncer(n)
 	return n, nil
 }
 
 // newPeerServer creates the server for calls from other nodes.
-func newPeerServer(s config.GatewaySettings, tableReader *sharedReader, storeEvents *storeEventRelay, engineCaches *engineCacheFollower, sus *suspects.Suspects, limits *ratelimit.Limits, c *canaries, log *slog.Logger) (*peer.Server, error) {
+func newPeerServer(s config.GatewaySettings, tableReader *sharedReader, storeEvents *storeEventRelay, engineCaches *engineCacheFollower, sus *suspects.Suspects, limits *ratelimit.Limits, c *canaries, o *origins.Origins, log *slog.Logger) (*peer.Server, error) {
 	server, err := peer.NewServer(s.Peer.Listen, map[peer.Role]string{peer.RolePeer: s.Peer.Key}, log)
 	if err != nil {
 		return nil, err
@@ -221,9 +231,23 @@
 	server.Handle(peer.RolePeer, ratelimit.MethodTake, peer.Handle(limits.ServeTake))
 	server.Handle(peer.RolePeer, ratelimit.MethodRate, peer.Handle(limits.ServeRate))
 	server.Handle(peer.RolePeer, ratelimit.MethodSpend, peer.Handle(limits.ServeSpend))
+	server.Handle(peer.RolePeer, origins.MethodVersions, peer.Handle(o.ServeVersions))
 	return server, nil
 }
 
+// decodeNote returns a handler of notes that decodes them.
+func decodeNote[T any](n *nodes, handle func(T)) peer.NoteHandler {
+	return func(params json.RawMessage) {
+		var note T
+		if err := json.Unmarshal(params, &note); err != nil {
+			n.notesDropped.Add(1)
+			n.log.Debug("note can't be decoded", "err", err)
+			return
+		}
+		handle(note)
+	}
+}
+
 func newKVStoreFollower(
 	self control.Member,
 	e Engines,
