--- a/pkg/origin/records.go
+++ b/pkg/origin/records.go
@@ -13,8 +13,8 @@
 	Software string // The version of the replica's software.
 }
 
-// keySize is the size of a Key in bytes.
-const keySize = 12
+// keySize is the size of a Key in bytes. Telling keys is most of what a record costs.
+const keySize = 10
 
 // Key identifies a client's attempt. It is a hash, so that a client can't name the attempts of others.
 type Key [keySize]byte
--- a/service/origins/tell.go
+++ b/service/origins/tell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -23,8 +24,12 @@
 	// buddyCount is how many nodes a record is told to.
 	buddyCount = 2
 	buddyDuty  = "origins/"
-	// tellDelay is how long records are collected before they are told.
-	tellDelay = 50 * time.Millisecond
+	// tellDelay is how long records are collected before they are told, maxTellDelay the same while more
+	// would be sent than tellRate allows, in bytes a second; tellBurst may be sent at once.
+	tellDelay    = 50 * time.Millisecond
+	maxTellDelay = 500 * time.Millisecond
+	tellRate     = 2500
+	tellBurst    = time.Second // At tellRate.
 	// maxRecordsPerNote and maxKeysPerNote keep a note within one packet of 1,500 bytes.
 	maxRecordsPerNote = 48
 	maxKeysPerNote    = 64
@@ -45,6 +50,8 @@
 	buddies    []control.Member
 	generation uint64 // Raised with each change of the buddies.
 	view       *control.View
+	// paidUntil is when what was sent so far is within tellRate.
+	paidUntil time.Time
 }
 
 // recordsNote is the content of NoteRecords.
@@ -53,31 +60,37 @@
 	Sets []encodedTells `json:"sets"`
 }
 
-// encodedTells are records of one origin: for each its key, and its age and remaining time in units of
-// timeUnit.
+// encodedTells are records of one origin and age, in units of ageUnit: for each its key, and its remaining
+// time in units of timeUnit.
 type encodedTells struct {
 	Service  string `json:"s"`
 	Software string `json:"v"`
+	Age      uint16 `json:"a,omitempty"`
 	Packed   []byte `json:"p"`
 }
 
+func (s *encodedTells) sameSet(o *encodedTells) bool {
+	return s.Service == o.Service && s.Software == o.Software && s.Age == o.Age
+}
+
 const (
-	timeUnit    = 100 * time.Millisecond
-	packedSize  = len(origin.Key{}) + 4
-	maxTimeUnit = 1<<16 - 1
+	timeUnit   = 100 * time.Millisecond
+	ageUnit    = time.Second // So that the records of a note differ little in it.
+	packedSize = len(origin.Key{}) + 2
 )
 
-func timeUnits(d time.Duration) uint16 { return uint16(min(maxTimeUnit, max(0, d/timeUnit))) }
+// inUnits returns a time in units of a duration.
+func inUnits(d, unit time.Duration) uint16 { return uint16(min(math.MaxUint16, max(0, d/unit))) }
 
 func encodeTells(list []origin.Told, now time.Time) (sets []encodedTells) {
 	for _, t := range list {
-		i := slices.IndexFunc(sets, func(s encodedTells) bool { return s.Service == t.Service && s.Software == t.Software })
+		set := encodedTells{Service: t.Service, Software: t.Software, Age: inUnits(now.Sub(t.BegunAt), ageUnit)}
+		i := slices.IndexFunc(sets, func(s encodedTells) bool { return s.sameSet(&set) })
 		if i < 0 {
-			sets, i = append(sets, encodedTells{Service: t.Service, Software: t.Software}), len(sets)
+			sets, i = append(sets, set), len(sets)
 		}
 		b := append(sets[i].Packed, t.Key[:]...)
-		b = binary.BigEndian.AppendUint16(b, timeUnits(now.Sub(t.BegunAt)))
-		sets[i].Packed = binary.BigEndian.AppendUint16(b, timeUnits(t.Until.Sub(now)))
+		sets[i].Packed = binary.BigEndian.AppendUint16(b, inUnits(t.Until.Sub(now), timeUnit))
 	}
 	return sets
 }
@@ -87,10 +100,10 @@
 	for b := s.Packed; len(b) >= packedSize; b = b[packedSize:] {
 		var k origin.Key
 		n := copy(k[:], b)
-		age, left := binary.BigEndian.Uint16(b[n:]), binary.BigEndian.Uint16(b[n+2:])
+		left := binary.BigEndian.Uint16(b[n:])
 		fn(k, origin.Record{
 			Origin:  origin.Origin{Service: s.Service, Software: s.Software},
-			BegunAt: now.Add(-time.Duration(age) * timeUnit),
+			BegunAt: now.Add(-time.Duration(s.Age) * ageUnit),
 			Until:   now.Add(time.Duration(left) * timeUnit),
 			From:    from,
 		})
@@ -107,7 +120,7 @@
 	return slices.ContainsFunc(o.fleet.Services(), o.tells)
 }
 
-// tellSoon has records told after tellDelay.
+// tellSoon has records told after tellDelay, or later if too much was sent lately.
 func (o *Origins) tellSoon() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -115,7 +128,8 @@
 		return
 	}
 	o.telling.scheduled = true
-	time.AfterFunc(tellDelay, func() {
+	delay := min(maxTellDelay, max(tellDelay, boottime.Until(o.telling.paidUntil)))
+	time.AfterFunc(delay, func() {
 		o.mu.Lock()
 		o.telling.scheduled = false
 		o.mu.Unlock()
@@ -145,6 +159,13 @@
 	sent := o.notifier.SendNote(to, NoteRecords, recordsNote{From: o.self.Name, Sets: encodeTells(list, now)})
 	o.counts.toldRecords.Add(int64(len(list)))
 	o.counts.toldBytes.Add(int64(sent))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	paid := o.telling.paidUntil
+	if earliest := now.Add(-tellBurst); paid.Before(earliest) {
+		paid = earliest
+	}
+	o.telling.paidUntil = paid.Add(time.Duration(sent) * time.Second / tellRate)
 }
 
 // buddies returns the nodes that are told this node's records, in other halls if there are any, and the
