The soak has replicas of three versions and clients that take streams up again

Replicas write their version into the events of resumable streams, clients lose connections and take the streams up at any node, naming the attempt that began them. More than two streams with events of several versions break a run, and so does a 4xx other than 412 for a stream that is taken up.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,6 +17,7 @@
 	endedAt  time.Time
 	status   int    // 0 without an answer.
 	complete bool   // The answer has status 200 and was read to its end.
+	takesUp  bool   // It takes up a stream.
 	mismatch string // How the answer differs from the replica's, "" if it does not.
 }
 
@@ -24,6 +27,10 @@
 	runs       map[string]int // How often replicas ran a request, by its ID.
 	outcomes   []outcome
 	violations []string
+	// begun, takenUp and wentOn count resumable streams: those that brought an event, how often one was
+	// taken up, and how often it went on.
+	begun, takenUp, wentOn int
+	mixed                  []string // Streams with events of several versions.
 }
 
 // maxViolations bounds the violations that are kept of one soak.
@@ -40,6 +47,32 @@
 	}
 }
 
+// maxMixedStreams is how many streams of a run may hold events of several versions.
+const maxMixedStreams = 2
+
+// recordStream records what a client has of a stream after an attempt: takesUp is set if it had begun before,
+// wentOn if the attempt brought events.
+func (c *checker) recordStream(takesUp, wentOn bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !takesUp && wentOn:
+		c.begun++
+	case takesUp && wentOn:
+		c.takenUp++
+		c.wentOn++
+	case takesUp:
+		c.takenUp++
+	}
+}
+
+// recordMixed records a stream with events of several versions.
+func (c *checker) recordMixed(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mixed = append(c.mixed, fmt.Sprintf(format, args...))
+}
+
 // recordRun records that a replica has begun a request.
 func (c *checker) recordRun(id string) {
 	c.mu.Lock()
@@ -57,6 +90,7 @@
 func (c *checker) summary() (r Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.Begun, r.TakenUp, r.WentOn = c.begun, c.takenUp, c.wentOn
 	for _, o := range c.outcomes {
 		r.Sent++
 		switch {
@@ -79,8 +113,11 @@
 // checkAll checks all outcomes; it is called after all requests have ended.
 func (c *checker) checkAll() {
 	c.mu.Lock()
-	outcomes := c.outcomes
+	outcomes, mixed := c.outcomes, c.mixed
 	c.mu.Unlock()
+	if len(mixed) > maxMixedStreams {
+		c.addViolation("%d streams have events of several versions: %s", len(mixed), strings.Join(mixed, "; "))
+	}
 	for _, o := range outcomes {
 		c.checkOutcome(o)
 	}
@@ -99,6 +136,7 @@
 		c.addViolation("%s %s at %s ran %d times", o.kind, o.id, o.node.name, runs)
 	case o.kind != kindSafe && saysNotRun(o.status) && runs > 0:
 		c.addViolation("%s %s at %s was answered %d, but ran", o.kind, o.id, o.node.name, o.status)
+	case o.status == http.StatusPreconditionFailed && o.takesUp:
 	case o.status >= 400 && o.status < 500 && !saysNotRun(o.status):
 		c.addViolation("%s %s at %s was denied: %d", o.kind, o.id, o.node.name, o.status)
 	case o.status == 0 && runs > 0 && undisturbed && took < clientTimeout:
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -18,6 +18,7 @@
 	kindOnce   = "once"
 	kindSafe   = "safe"
 	kindStream = "stream"
+	kindResume = "resume" // Streams that clients take up again.
 )
 
 const (
@@ -81,7 +82,11 @@
 	if !c.connect() {
 		return
 	}
-	kind := [...]string{kindOnce, kindOnce, kindSafe, kindStream}[c.rng.IntN(4)]
+	kind := [...]string{kindOnce, kindOnce, kindSafe, kindStream, kindResume}[c.rng.IntN(5)]
+	if kind == kindResume {
+		c.readStream()
+		return
+	}
 	o := outcome{kind: kind, id: fmt.Sprintf("%s-%d", kind, c.lastID.Add(1)), node: c.node, sentAt: time.Now()}
 	body := reqBody(o.id, c.rng.IntN(20_000))
 	text := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -29,6 +29,7 @@
 type replica struct {
 	*onplatform.Replica
 	proxy     *netproxy.Proxy
+	version   string // Of its software.
 	checker   *checker
 	behaviour atomic.Int32
 	// onCrashRequest is called for a request that crashes the replica.
@@ -45,7 +46,7 @@
 func (s *soak) newReplica() (*replica, error) {
 	s.replicasMade++
 	id := fmt.Sprintf("replica-%d", s.replicasMade)
-	r := &replica{checker: s.checker, onCrashRequest: s.crashOnRequest, nodeByName: s.nodeByName, advice: map[*node]*advice{}}
+	r := &replica{checker: s.checker, version: fmt.Sprintf("v%d", s.replicasMade%softwareVersions), onCrashRequest: s.crashOnRequest, nodeByName: s.nodeByName, advice: map[*node]*advice{}}
 	var err error
 	if r.Replica, err = onplatform.NewReplica(id); err != nil {
 		return nil, err
@@ -87,9 +88,15 @@
 	case behaviourHang:
 		return onplatform.Hang(w, q)
 	case behaviourCut:
+		if strings.HasPrefix(q.Target, "/"+kindResume+"/") {
+			break
+		}
 		_, _ = io.WriteString(w, onplatform.Head(q, 200, 5000)+"cut") // The reader notices the missing rest.
 		return false
 	}
+	if strings.HasPrefix(q.Target, "/"+kindResume+"/") {
+		return r.resume(w, q)
+	}
 	if strings.HasPrefix(q.Target, "/"+kindStream+"/") {
 		return onplatform.Stream(expectedEvents(id), workTime, true)(w, q)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,9 @@
 	Served  int            `json:"served"`
 	Refused int            `json:"refused"` // Answered with a status that says the request did not run.
 	Failed  int            `json:"failed"`
+	Begun   int            `json:"streams_begun"` // Of the kind that clients take up again.
+	TakenUp int            `json:"streams_taken_up"`
+	WentOn  int            `json:"streams_went_on"` // Of those taken up.
 	Faults  map[string]int `json:"faults"`
 	Broken  []string       `json:"broken"`
 }
@@ -168,7 +171,9 @@
 
 // writeReplicaRow lists a replica in the store with the given state.
 func (s *soak) writeReplicaRow(r *replica, state string) {
-	s.store.Put(onplatform.TableUpstreams, r.ID, onplatform.UpstreamRow(service, r.proxy.Addr(), 32, state))
+	row := onplatform.UpstreamRow(service, r.proxy.Addr(), 32, state)
+	row["config_version"] = r.version
+	s.store.Put(onplatform.TableUpstreams, r.ID, row)
 }
 
 // writeConfiguration writes a new configuration version. One of its routes is named
@@ -187,6 +192,7 @@
 		"config_version": s.version,
 		"routes": []map[string]any{
 			route(kindOnce, "non_idempotent", 1), route(kindSafe, "idempotent", 2), route(kindStream, "streaming", 1),
+			resumable(route(kindResume, "streaming", 2)),
 			route(versionRoute(s.version), "idempotent", 2),
 		},
 		"services": []map[string]any{{"name": service, "health_path": "/healthz", "max_conns": 500}},
@@ -195,6 +201,11 @@
 	})
 }
 
+func resumable(route map[string]any) map[string]any {
+	route["resumable"] = true
+	return route
+}
+
 func versionRoute(version int) string { return fmt.Sprintf("version-%d", version) }
 
 // waitUntilServing waits until every node serves the route of the newest configuration;
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,6 +24,7 @@
 	})
 	assert.NilError(t, err)
 	t.Logf("%d sent, %d served, %d refused, %d failed, faults %v", r.Sent, r.Served, r.Refused, r.Failed, r.Faults)
+	t.Logf("%d resumable streams begun, %d taken up, %d went on", r.Begun, r.TakenUp, r.WentOn)
 	for _, b := range r.Broken {
 		t.Error(b)
 	}
