Records of replicas that restart under their ID with another version are void

A replica that is started again under its ID may have another version of its software some seconds before its row shows that. Streams that it began meanwhile were recorded at the old version, and one that went on there was joined with the new one. When the row shows another version, this node's records of the last ten seconds are voided, here and at the nodes that were told, and an attempt whose replica is listed with another version than when it was picked ends before its first event.

Streams that are taken up have the most urgent priority: fewer replicas can take them than new ones.

--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -49,6 +49,7 @@
 	lastEvent int
 	version   string
 	complete  bool
+	mixed     bool // It has events of several versions.
 }
 
 // readStream reads a stream, taking it up at other nodes when it breaks off. A new client connection is used
@@ -124,7 +125,8 @@
 		if h.version == "" {
 			h.begunBy, h.version = o.id, version
 		}
-		if version != h.version {
+		if version != h.version && !h.mixed {
+			h.mixed = true
 			c.soak.checker.recordMixed("%s at %s: event %d of %s, begun by %s at %s", o.id, o.node.name, number, version, h.begunBy, h.version)
 		}
 		h.lastEvent = number
--- a/internal/standin/onplatform/stream_versions_test.go
+++ b/internal/standin/onplatform/stream_versions_test.go
@@ -366,6 +366,51 @@
 	assert.Check(t, float64(f.tally.complete) >= minResumedShare*float64(f.tally.begun), "%d of %d are complete", f.tally.complete, f.tally.begun)
 }
 
+// A replica was started again under its ID with another version while a stream waited there: its events were
+// joined with those of the version that had begun the stream.
+func TestReplicaWithOtherSoftwareDoesNotGoOnWithStream(t *testing.T) {
+	s := newSite(t)
+	begins := s.startEventWriter("begins", "v1")
+	begins.Script(onplatform.Events(1, 3, eventPause, false))
+	n := s.startReadyNode("n1")
+	s.waitUntil("the version is listed", func() bool { return n.send(request("POST", "/resume/x", "")).status == http.StatusOK })
+	waits := s.startEventWriter("waits", "v1")
+	arrived := make(chan struct{}, 10)
+	upgraded := make(chan struct{})
+	waits.Script(func(w io.Writer, in *onplatform.Request) bool {
+		arrived <- struct{}{}
+		<-upgraded
+		return waits.write(w, in)
+	})
+	var h heldStream
+	c := &resumingClient{node: func() string { return n.entry }, tally: &streamTally{answers: map[int]int{}}, name: "c"}
+	s.waitUntil("a stream waits at the other replica", func() bool {
+		go c.attempt(&heldStream{}, time.Now().Add(clientDeadline))
+		select {
+		case <-arrived:
+			return true
+		case <-time.After(200 * time.Millisecond):
+			return false
+		}
+	})
+	for h.lastEvent == "" {
+		c.attempt(&h, time.Now().Add(300*time.Millisecond))
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.attempt(&h, time.Now().Add(clientDeadline))
+	}()
+	row := onplatform.UpstreamRow(appService, waits.Addr(), 1000, "ready")
+	row["config_version"] = "v2"
+	waits.version = "v2"
+	s.store.Put(onplatform.TableUpstreams, waits.ID, row)
+	time.Sleep(500 * time.Millisecond) // Until the node has read it.
+	close(upgraded)
+	<-done
+	assert.Assert(t, !h.mixed(), "%v", h.versions)
+}
+
 // The node that a client returned to knew nothing of where its stream had begun, and sent it to
 // replicas of any version.
 func TestStreamsThatClientsTakeUpGoOnAtTheirVersion(t *testing.T) {
--- a/pkg/origin/records.go
+++ b/pkg/origin/records.go
@@ -39,6 +39,8 @@
 	Until   time.Time // When the record is forgotten.
 	// From is the node that told the record, "" if it is this node's own.
 	From string
+	// Replica is the ID of the replica that wrote the event, "" in records that others told.
+	Replica string
 }
 
 // Told is a record in a message to another node.
@@ -123,6 +125,26 @@
 	return list
 }
 
+// Void removes the records of what a replica wrote since a time, and returns their keys.
+func (r *Records) Void(replica string, since time.Time) (list []Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, rec := range r.byKey {
+		if rec.Replica == replica && rec.BegunAt.After(since) {
+			delete(r.byKey, k)
+			list = append(list, k)
+		}
+	}
+	return list
+}
+
+// Remove removes a record.
+func (r *Records) Remove(k Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.byKey, k)
+}
+
 // All returns all records.
 func (r *Records) All(now time.Time) (list []Told) {
 	r.mu.Lock()
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -85,8 +85,12 @@
 const fetchTargetShare = 0.5
 
 // priority ranks the request, 0 for the most urgent: first by its organisation's
-// priority, if it has one, and then by its route's.
+// priority, if it has one, and then by its route's. A stream that is taken up does not wait behind new
+// ones: fewer replicas can take it, and its beginning is lost if they don't.
 func (x *exchange) priority() int {
+	if x.begun != nil {
+		return 0
+	}
 	p := x.route.Priority
 	if x.organisation != nil && x.organisation.HasPriority {
 		p = min(p, routePriorityLevels-1) + routePriorityLevels*x.organisation.Priority
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -93,6 +93,9 @@
 	for {
 		n, err := a.body.Read(buf)
 		if n > 0 {
+			if a.firstByteAfter == 0 && x.softwareChanged(a) {
+				return errSoftwareChanged
+			}
 			now := boottime.Now()
 			x.recordFirstByte(a, now)
 			a.recordBodyBytes(now)
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -33,6 +33,9 @@
 	// onRestart is called for each replica that has restarted under its ID; planned means
 	// that it had announced that it was leaving.
 	onRestart func(id string, planned bool, now time.Time)
+	// onOtherSoftware is called for each replica that is listed with another version of its software than
+	// before.
+	onOtherSoftware func(id string)
 	// onDelisted is called for each replica whose row was removed though it had not
 	// announced that it was leaving.
 	onDelisted func(id string, now time.Time)
@@ -55,8 +58,10 @@
 	unusableRows int64
 	// revision counts the changes of the upstream list.
 	revision int
-	// droppedIDs are the replicas for which onDelisted has yet to be called.
-	droppedIDs []string
+	// droppedIDs are the replicas for which onDelisted has yet to be called, upgradedIDs those for which
+	// onOtherSoftware has.
+	droppedIDs  []string
+	upgradedIDs []string
 	// unreachableAt is when the platform's upstream list last could not be read, syncedAt
 	// when it was last read.
 	unreachableAt time.Time
@@ -105,6 +110,8 @@
 		onRestart:  func(string, bool, time.Time) {},
 		onDelisted: func(string, time.Time) {},
 
+		onOtherSoftware: func(string) {},
+
 		onRolloutOrder: func(site.RolloutOrder, time.Time) {},
 	}
 }
@@ -309,15 +316,18 @@
 		st.cacheIndex.ResetEngine(id)
 		st.onRestart(id, planned, now)
 	}
-	st.notifyDropped(now)
+	st.notifyListed(now)
 }
 
-// notifyDropped calls onDelisted for the replicas dropped, without holding mu.
-func (st *SiteState) notifyDropped(now time.Time) {
+// notifyListed calls onDelisted and onOtherSoftware for the replicas concerned, without holding mu.
+func (st *SiteState) notifyListed(now time.Time) {
 	st.mu.Lock()
-	list := st.droppedIDs
-	st.droppedIDs = nil
+	list, upgraded := st.droppedIDs, st.upgradedIDs
+	st.droppedIDs, st.upgradedIDs = nil, nil
 	st.mu.Unlock()
+	for _, id := range upgraded {
+		st.onOtherSoftware(id)
+	}
 	for _, id := range list {
 		st.onDelisted(id, now)
 	}
@@ -402,6 +412,9 @@
 	case u.Cold > 0:
 		u.ColdUntil = now.Add(u.Cold)
 	}
+	if known && old.Software != u.Software {
+		st.upgradedIDs = append(st.upgradedIDs, u.ID)
+	}
 	if known && old.Service != u.Service {
 		st.deleteUpstream(u.ID, old)
 	}
@@ -484,7 +497,7 @@
 // Expire removes upstreams whose rows have not returned in time; the timer service calls
 // it.
 func (st *SiteState) Expire(now time.Time) {
-	defer st.notifyDropped(now)
+	defer st.notifyListed(now)
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	for id := range st.missing {
--- a/service/gateway/stream_origin.go
+++ b/service/gateway/stream_origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -194,6 +195,15 @@
 		"software", a.choice.Software, "begun_by", begunBy, "begun_at", begunAt.Version, "last_event", lastEvent)
 }
 
+// errSoftwareChanged ends attempts at a replica that was started again under its ID with another version.
+var errSoftwareChanged = errors.New("the replica has another version of its software by now")
+
+// softwareChanged reports whether a replica is listed with another version of its software than when it was picked.
+func (x *exchange) softwareChanged(a *attempt) bool {
+	u, listed := x.pool.Upstream(a.choice.ID)
+	return listed && u.Software != a.choice.Software
+}
+
 // recordOrigin records where the stream began that an attempt of the client brings events of.
 func (x *exchange) recordOrigin(a *attempt) {
 	if x.stream != nil {
@@ -204,8 +214,8 @@
 		until = x.receivedAt.Add(origin.MaxLifetime)
 	}
 	begun := origin.Origin{Service: x.service.Name, Software: a.choice.Software}
-	x.g.origins.Begin(x.attemptKey(x.info.ID), begun, until)
+	x.g.origins.Begin(x.attemptKey(x.info.ID), begun, a.choice.ID, until)
 	if x.info.LastEvent != "" && x.info.BegunBy != "" {
-		x.g.origins.Begin(x.attemptKey(x.info.BegunBy), begun, until)
+		x.g.origins.Begin(x.attemptKey(x.info.BegunBy), begun, a.choice.ID, until)
 	}
 }
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -86,7 +86,7 @@
 		func(m *control.Members, c *peer.Client) *canaries {
 			return newCanaries(self, m, p.Store, p.Codec, c, s.Canary.Share, log)
 		},
-		func(cacheIndex *route.CacheIndex, shares *coldShares, conns *upstreamConns, sus *suspects.Suspects, limits *ratelimit.Limits, c *canaries) *SiteState {
+		func(cacheIndex *route.CacheIndex, shares *coldShares, conns *upstreamConns, sus *suspects.Suspects, limits *ratelimit.Limits, c *canaries, o *origins.Origins) *SiteState {
 			st := NewSiteState(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), cacheIndex, log)
 			st.disabled = s.Disabled
 			st.disabled.RunHandoff = st.disabled.RunHandoff || !s.Runs.Handoff
@@ -105,6 +105,7 @@
 				}
 			}
 			st.onDelisted = sus.RecordDelisted
+			st.onOtherSoftware = o.HandleOtherSoftware
 			st.onRolloutOrder = c.applyOrder
 			return st
 		},
--- a/service/origins/origins.go
+++ b/service/origins/origins.go
@@ -122,15 +122,30 @@
 	o.wg.Wait()
 }
 
-// Begin records that the first event of a stream is about to be passed on for an attempt. The client may
-// take the stream up until the given time.
-func (o *Origins) Begin(k origin.Key, begun origin.Origin, until time.Time) {
-	o.records.Add(k, origin.Record{Origin: begun, BegunAt: boottime.Now(), Until: until.Add(returnSlack)})
+// Begin records that the first event of a stream is about to be passed on for an attempt, as a replica wrote it.
+// The client may take the stream up until the given time.
+func (o *Origins) Begin(k origin.Key, begun origin.Origin, replica string, until time.Time) {
+	o.records.Add(k, origin.Record{Origin: begun, BegunAt: boottime.Now(), Until: until.Add(returnSlack), Replica: replica})
 	if o.tells(begun.Service) {
 		o.tellSoon()
 	}
 }
 
+// HandleOtherSoftware voids what was recorded of a replica lately, as it was started again under its ID with
+// another version of its software, and its row showed that late.
+func (o *Origins) HandleOtherSoftware(replica string) {
+	now := boottime.Now()
+	keys := o.records.Void(replica, now.Add(-listDelay))
+	buddies, _ := o.buddies()
+	for part := range slices.Chunk(keys, maxKeysPerNote) {
+		o.notifier.SendNote(buddies, NoteRecords, recordsNote{From: o.self.Name, Voided: packKeys(part)})
+	}
+}
+
+// listDelay is how long a replica may have run before nodes see its row: up to three of its heartbeats, and the
+// time until the list is read.
+const listDelay = 10 * time.Second
+
 // returnSlack is added to the time until which a client may take up a stream, as its deadline does not
 // include the time that its request takes to arrive.
 const returnSlack = 2 * time.Second
--- a/service/origins/tell.go
+++ b/service/origins/tell.go
@@ -57,7 +57,23 @@
 // recordsNote is the content of NoteRecords.
 type recordsNote struct {
 	From string         `json:"from"`
-	Sets []encodedTells `json:"sets"`
+	Sets []encodedTells `json:"sets,omitempty"`
+	// Voided are the keys of records that do not hold.
+	Voided []byte `json:"voided,omitempty"`
+}
+
+// packKeys writes keys one after the other, unpackKeys calls fn for each.
+func packKeys(keys []origin.Key) (packed []byte) {
+	for _, k := range keys {
+		packed = append(packed, k[:]...)
+	}
+	return packed
+}
+
+func unpackKeys(packed []byte, fn func(k origin.Key)) {
+	for b := packed; len(b) >= len(origin.Key{}); b = b[len(origin.Key{}):] {
+		fn(origin.Key(b[:len(origin.Key{})]))
+	}
 }
 
 // encodedTells are records of one origin and age, in units of ageUnit: for each its key, and its remaining
@@ -233,6 +249,7 @@
 // HandleRecords handles NoteRecords: records that a buddy or an answer to a lookup tells.
 func (o *Origins) HandleRecords(note recordsNote) {
 	now := boottime.Now()
+	unpackKeys(note.Voided, o.records.Remove)
 	for i := range note.Sets {
 		note.Sets[i].decode(note.From, now, func(k origin.Key, rec origin.Record) {
 			o.records.Add(k, rec)
@@ -257,7 +274,7 @@
 // lookupNote is the content of NoteLookup. Relay asks the receiver to forward it in its hall.
 type lookupNote struct {
 	Asker netip.AddrPort `json:"asker"`
-	Keys  []byte         `json:"keys"` // One after the other.
+	Keys  []byte         `json:"keys"` // From packKeys.
 	Relay bool           `json:"relay,omitempty"`
 }
 
@@ -322,10 +339,10 @@
 	if try == 0 {
 		s.scheduled, s.sentAt = false, boottime.Now()
 	}
-	var keys []byte
+	var keys []origin.Key
 	for k, l := range s.pending {
 		if l.sent == try {
-			keys = append(keys, k[:]...)
+			keys = append(keys, k)
 			l.sent++
 		}
 	}
@@ -333,9 +350,9 @@
 	if len(keys) == 0 || o.ctx.Err() != nil {
 		return
 	}
-	for packed := range slices.Chunk(keys, maxKeysPerNote*len(origin.Key{})) {
+	for part := range slices.Chunk(keys, maxKeysPerNote) {
 		o.broadcast(try, NoteLookup, func(relay bool) any {
-			return lookupNote{Asker: o.self.Peer, Keys: packed, Relay: relay}
+			return lookupNote{Asker: o.self.Peer, Keys: packKeys(part), Relay: relay}
 		})
 	}
 	if try == 0 {
@@ -350,13 +367,11 @@
 	}
 	now := boottime.Now()
 	var list []origin.Told
-	for b := note.Keys; len(b) >= len(origin.Key{}) && len(list) < maxRecordsPerNote; b = b[len(origin.Key{}):] {
-		var k origin.Key
-		copy(k[:], b)
-		if rec, ok := o.records.Find(k, now); ok {
+	unpackKeys(note.Keys, func(k origin.Key) {
+		if rec, ok := o.records.Find(k, now); ok && len(list) < maxRecordsPerNote {
 			list = append(list, origin.Told{Key: k, Record: rec})
 		}
-	}
+	})
 	if len(list) > 0 {
 		o.notifier.SendNote([]netip.AddrPort{note.Asker}, NoteRecords, recordsNote{From: o.self.Name, Sets: encodeTells(list, now)})
 	}
