Design, operations and capacity of streams that clients take up; mutations

Seven mutations of the mechanism, each red by its test. Two more tests: no stream begins at a version that is not listed, and a stopping node hands over what it knows while there is only one version. Streams that could begin at an unlisted version only are refused at once while this node's writes of the list fail.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -39,6 +39,41 @@
 		"	if !o.sealed || o.freed {", "	if o.freed {",
 		"./internal/standin", "TestHalfWrittenObjectCannotBePinned",
 	},
+	{
+		"origins: a repeat is pinned to the version that wrote the events", "service/gateway/stream_origin.go",
+		"	x.pickInput.Software = route.SoftwareRule{Version: a.choice.Software, Pinned: true}\n	if x.info", "	if x.info",
+		"./internal/standin/onplatform", "TestBrokenStreamIsRepeatedAtItsOwnVersionOnly",
+	},
+	{
+		"origins: a stream that is taken up is pinned to its origin", "service/gateway/stream_origin.go",
+		"	x.pickInput.Software = route.SoftwareRule{Version: software, Pinned: true}\n", "",
+		"./internal/standin/onplatform", "TestStreamsThatClientsTakeUpGoOnAtTheirVersion/connections_are_reset",
+	},
+	{
+		"origins: the list of versions is read after the client has returned", "service/origins/register.go",
+		"	if err := o.readBatched(ctx); err != nil {\n		if peerErr", "	if err := error(nil); err != nil {\n		if peerErr",
+		"./service/origins", "TestStreamOfNewVersionIsNotJoinedWithTheOldOne",
+	},
+	{
+		"origins: streams begin at listed versions only", "service/gateway/stream_origin.go",
+		"x.pickInput.Software.Pinned || x.g.origins.MayBegin(x.service.Name, c.Software)", "true",
+		"./internal/standin/onplatform", "TestNoStreamBeginsAtVersionThatIsNotListed",
+	},
+	{
+		"origins: other nodes are told where streams began", "service/origins/tell.go",
+		"		o.sendRecords(buddies, list, now)\n	}\n}", "	}\n}",
+		"./service/origins", "TestStreamsOfKilledNodesGoOn",
+	},
+	{
+		"origins: a retired version takes no new streams", "pkg/origin/versions.go",
+		"return i >= 0 && v[i].RetiredMS == 0", "return i >= 0",
+		"./pkg/origin", "TestRetiredVersionsAreKeptForReturningClients",
+	},
+	{
+		"origins: a stop hands records over", "service/origins/tell.go",
+		"slices.Chunk(all, maxRecordsPerNote)", "slices.Chunk(all[:0], maxRecordsPerNote)",
+		"./internal/standin/onplatform", "TestStoppingNodeHandsOverWhereItsStreamsBegan",
+	},
 	{
 		"a gap in cache events is detected", "service/node/engine_watch.go",
 		"!w.contiguous(answer.Events)", "!w.contiguous(answer.Events) && false",
--- a/internal/standin/onplatform/store.go
+++ b/internal/standin/onplatform/store.go
@@ -63,6 +63,7 @@
 	mode         Mode
 	calls        int
 	readDelays   map[string]time.Duration
+	failWrites   bool
 	startedAt    time.Time
 }
 
@@ -192,6 +193,13 @@
 	Now     int64
 }
 
+// FailWrites has all writes by nodes refused, or ends that.
+func (s *Store) FailWrites(fail bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failWrites = fail
+}
+
 // DelayRead delays answers to reads of a whole table.
 func (s *Store) DelayRead(table string, delay time.Duration) {
 	s.mu.Lock()
@@ -294,6 +302,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.failWrites {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	for _, e := range tx.Expected {
 		if s.rows[e.Table][e.Key].Version != e.Version {
 			w.WriteHeader(http.StatusPreconditionFailed)
--- a/internal/standin/onplatform/stream_versions_test.go
+++ b/internal/standin/onplatform/stream_versions_test.go
@@ -366,6 +366,65 @@
 	assert.Check(t, float64(f.tally.complete) >= minResumedShare*float64(f.tally.begun), "%d of %d are complete", f.tally.complete, f.tally.begun)
 }
 
+// A stream that began at a version that is not listed could be joined with another one by a node that has
+// not heard of the version.
+func TestNoStreamBeginsAtVersionThatIsNotListed(t *testing.T) {
+	s := newSite(t)
+	old := s.startEventWriter("old", "v1")
+	n := s.startReadyNode("n1")
+	s.waitUntil("the version is listed", func() bool { return n.send(request("POST", "/resume/x", "")).status == http.StatusOK })
+	s.store.FailWrites(true)
+	unlisted := s.startEventWriter("new", "v2")
+	s.store.Put(onplatform.TableUpstreams, old.ID, onplatform.UpstreamRow(appService, old.Addr(), 1000, "draining"))
+	s.waitUntil("the node knows both", func() bool { return n.send(request("POST", "/resume/x", "")).status == http.StatusServiceUnavailable })
+	assert.Equal(t, n.send(request("GET", "/safe/x", "")).status, http.StatusOK, "what is not a stream needs no list")
+	received := len(unlisted.Received())
+	for range 5 {
+		assert.Equal(t, n.send(request("POST", "/resume/x", "")).status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, len(unlisted.Received()), received)
+	s.store.FailWrites(false)
+	s.waitUntil("streams begin at the new version", func() bool {
+		return strings.Contains(n.send(request("POST", "/resume/x", "")).body, "v2")
+	})
+}
+
+// While a service has one version nothing is told, so a node that stops has to hand over what it knows before
+// another version appears.
+func TestStoppingNodeHandsOverWhereItsStreamsBegan(t *testing.T) {
+	f := newVersionFleet(t, 4, "v1")
+	stopped := f.nodes[0]
+	c := &resumingClient{node: func() string { return stopped.entry }, tally: &f.tally, name: "c", habits: clientHabits{dropShare: 1}}
+	var held []*heldStream
+	for range 20 {
+		var h heldStream
+		c.attempt(&h, time.Now().Add(clientDeadline))
+		assert.Assert(t, h.lastEvent != "" && !h.complete)
+		held = append(held, &h)
+	}
+	stopped.Drain()
+	stopped.close()
+	f.startVersionPair("v2")
+	c = &resumingClient{node: func() string { return f.nodes[1].entry }, tally: &f.tally, name: "d", habits: clientHabits{names: true}}
+	f.waitUntil("the other version is listed", func() bool { return f.nodes[1].listedVersions(appService) == 2 })
+	for _, h := range held {
+		status, _ := c.attempt(h, time.Now().Add(clientDeadline))
+		assert.Equal(t, status, http.StatusOK)
+		assert.Assert(t, !h.mixed(), "%v", h.versions)
+	}
+}
+
+// listedVersions is how many versions of a service the node knows to be listed.
+func (n *node) listedVersions(service string) int {
+	var status struct {
+		Origins struct {
+			Versions map[string]int `json:"versions"`
+		} `json:"origins"`
+	}
+	n.readMetrics(&status)
+	return status.Origins.Versions[service]
+}
+
 // A replica was started again under its ID with another version while a stream waited there: its events were
 // joined with those of the version that had begun the stream.
 func TestReplicaWithOtherSoftwareDoesNotGoOnWithStream(t *testing.T) {
--- a/service/origins/register.go
+++ b/service/origins/register.go
@@ -54,6 +54,8 @@
 	// lastUsed is when a version last had a replica, dueAt when to correct a list.
 	lastUsed map[serviceVersion]time.Time
 	dueAt    map[string]time.Time
+	// failing is set while the last write of this node has failed.
+	failing bool
 }
 
 type serviceVersion struct{ service, software string }
@@ -90,18 +92,18 @@
 }
 
 // AwaitVersion waits until streams of a service may begin at one of some versions, and reports whether they
-// may. It does not wait while the store, which has to list the version, is silent.
+// may. It does not wait while the store, which has to list the version, is silent or takes no writes.
 func (o *Origins) AwaitVersion(ctx context.Context, service string, software []string) bool {
 	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
 	defer cancel()
 	for {
 		o.mu.Lock()
-		versions, changed := o.register.rows[service].Versions, o.register.changed
+		versions, changed, failing := o.register.rows[service].Versions, o.register.changed, o.register.failing
 		o.mu.Unlock()
 		if slices.ContainsFunc(software, versions.Admits) {
 			return true
 		}
-		if o.fleet.StoreSilent(boottime.Now()) {
+		if failing || o.fleet.StoreSilent(boottime.Now()) {
 			return false
 		}
 		select {
@@ -215,7 +217,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.register.dueAt, service)
-	if err != nil {
+	if o.register.failing = err != nil; err != nil {
 		o.register.dueAt[service] = boottime.Now().Add(registerRetryDelay)
 		o.log.Warn("versions of service not written", "service", service, "err", err)
 	}
