Streams of split routes go on at their service; postmortem

A stream of a route that divides requests between services went on at any of them, as the service followed from the ID of the client's new attempt. It goes on at the service that began it now, and records are told also while each of these services has one version, since that alone does not tell which of them it was. TestStreamsOfSplitRouteGoOnAtTheirService, TestStreamsOfSplitRoutesGoOnAtTheirService.

A client that leaves while the origin is looked for is logged as such. Old records are removed once a second.

--- a/internal/standin/onplatform/stream_versions_test.go
+++ b/internal/standin/onplatform/stream_versions_test.go
@@ -425,6 +425,32 @@
 	return status.Origins.Versions[service]
 }
 
+// The service of a split route followed from the ID of the client's attempt, which is new when it returns, so a
+// stream went on at another service.
+func TestStreamsOfSplitRouteGoOnAtTheirService(t *testing.T) {
+	const otherService = "other-app"
+	s := newSite(t)
+	s.extraServices = append(s.extraServices, map[string]any{"name": otherService, "health_path": "/healthz", "max_conns": 100})
+	delete(s.routes[2], "service")
+	s.routes[2]["traffic_split"] = []map[string]any{{"service": appService, "weight": 1}, {"service": otherService, "weight": 1}}
+	s.configure()
+	for _, service := range []string{appService, otherService} {
+		r := &eventWriter{Replica: s.newReplica("of-" + service), version: service}
+		r.Script(r.write)
+		s.store.Put(onplatform.TableUpstreams, r.ID, onplatform.UpstreamRow(service, r.Addr(), 1000, "ready"))
+	}
+	f := &versionFleet{site: s, nodes: []*node{s.startReadyNode("n1"), s.startReadyNode("n2"), s.startReadyNode("n3")}}
+	f.tally.answers = map[int]int{}
+	s.waitUntil("the nodes know each other and the versions", func() bool {
+		return nodeCount(f.nodes[0]) == 3 && f.nodes[0].listedVersions(appService) == 1 && f.nodes[0].listedVersions(otherService) == 1
+	})
+	finish := f.read(20, clientHabits{returns: true, names: true, dropShare: 0.3})
+	time.Sleep(2 * time.Second)
+	finish()
+	f.assertStreamsKeepTheirVersion(true)
+	assert.Assert(t, f.tally.takenUp >= fewestTakenUp)
+}
+
 // A replica was started again under its ID with another version while a stream waited there: its events were
 // joined with those of the version that had begun the stream.
 func TestReplicaWithOtherSoftwareDoesNotGoOnWithStream(t *testing.T) {
--- a/pkg/site/snapshot.go
+++ b/pkg/site/snapshot.go
@@ -18,8 +18,10 @@
 	byKey  map[string]*Organisation
 	routes []*Route
 	homes  map[string][]string // By host, if all its routes have homes.
-	// resumable are the services that get requests of resumable streams.
+	// resumable are the services that get requests of resumable streams, split those of them that share
+	// them with others.
 	resumable []string
+	split     []string
 }
 
 // NewSnapshot returns a configuration with its lookup tables.
@@ -39,6 +41,9 @@
 			if r.Resumable && !slices.Contains(s.resumable, share.Service) {
 				s.resumable = append(s.resumable, share.Service)
 			}
+			if r.Resumable && r.OnlyService() == "" {
+				s.split = append(s.split, share.Service)
+			}
 		}
 		s.byHost[r.Host] = s.byHost[r.Host].add(r)
 		if unrestricted[r.Host] = unrestricted[r.Host] || len(r.Homes) == 0; unrestricted[r.Host] {
@@ -58,6 +63,10 @@
 // the list.
 func (s *Snapshot) ResumableServices() []string { return s.resumable }
 
+// SplitServices lists those of them whose routes divide the requests between several services; the caller must
+// not change the list.
+func (s *Snapshot) SplitServices() []string { return s.split }
+
 // hostRoutes are the routes of one host. Those whose prefix ends with a slash, as
 // all should, are found by looking up each prefix of the path: with 20,000 routes of two
 // hosts a lookup takes 0.09 us, and took 42 us when the path was compared with each route.
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -25,6 +25,7 @@
 	// cancel ends the request when its client's connection has closed.
 	cancel context.CancelCauseFunc
 
+	snapshot     *site.Snapshot // The configuration by which it is served.
 	route        *site.Route
 	organisation *site.Organisation
 	service      *site.Service
@@ -89,7 +90,17 @@
 		x.refuse(retryLater(reasonSuspended, startRetryAfter))
 		return
 	}
-	if f, ok := x.admit(ctx); !ok {
+	if f, ok := x.admit(); !ok {
+		x.refuse(f)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, boottime.Until(x.deadline))
+	defer cancel()
+	if f, ok := x.findOrigin(ctx); !ok {
+		x.endRequest(ctx, f)
+		return
+	}
+	if f, ok := x.findPool(); !ok {
 		x.refuse(f)
 		return
 	}
@@ -98,8 +109,6 @@
 		return
 	}
 	x.g.retryBudget(x.service.Name).AddRequest(x.receivedAt)
-	ctx, cancel := context.WithTimeout(ctx, boottime.Until(x.deadline))
-	defer cancel()
 	defer func() { x.leaveQueue(boottime.Now()) }()
 	defer x.dropFailedAnswer()
 	defer func() {
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"slices"
 	"time"
@@ -11,13 +10,14 @@
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
-// admit finds the route, organisation, service and pool of the request; ok is false if
-// it is refused.
-func (x *exchange) admit(ctx context.Context) (f refusal, ok bool) {
+// admit finds the route, organisation and deadline of the request; ok is false if it is
+// refused.
+func (x *exchange) admit() (f refusal, ok bool) {
 	snapshot := x.g.siteState.Snapshot()
 	if snapshot == nil {
 		return retryLater(reasonNoConfiguration, startRetryAfter), false
 	}
+	x.snapshot = snapshot
 	if x.route = snapshot.Route(x.head.Get("Host"), x.head.Path()); x.route == nil {
 		return refuse(http.StatusNotFound, reasonNoRoute), false
 	}
@@ -33,10 +33,12 @@
 		timeout = t
 	}
 	x.deadline = x.receivedAt.Add(timeout)
-	if f, ok := x.findOrigin(ctx); !ok {
-		return f, false
-	}
-	x.service = snapshot.Services[x.serviceName()]
+	return refusal{}, true
+}
+
+// findPool finds the service and pool of the request; ok is false if it is refused.
+func (x *exchange) findPool() (f refusal, ok bool) {
+	x.service = x.snapshot.Services[x.serviceName()]
 	if x.service == nil {
 		return retryLater(reasonNoReplica, noReplicaRetryAfter), false
 	}
--- a/service/gateway/stream_origin.go
+++ b/service/gateway/stream_origin.go
@@ -53,6 +53,12 @@
 	return snapshot.ResumableServices()
 }
 
+// SharesRoutes reports whether some of the routes to a service send streams to others as well.
+func (f originFleet) SharesRoutes(service string) bool {
+	snapshot := f.siteState.Snapshot()
+	return snapshot != nil && slices.Contains(snapshot.SplitServices(), service)
+}
+
 // Software lists the versions that the replicas of a service have.
 func (f originFleet) Software(service string) []string {
 	p := f.siteState.Pool(service)
@@ -77,14 +83,11 @@
 	if x.info.LastEvent == "" || !x.route.Resumable {
 		return refusal{}, true
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
-	defer cancel()
-	query := origins.Query{}
+	query := origins.Query{Service: x.route.OnlyService()}
 	if x.info.BegunBy != "" {
 		named := x.attemptKey(x.info.BegunBy)
 		query.Named = &named
 	}
-	query.Service = x.route.OnlyService()
 	began := boottime.Now()
 	answer := x.g.origins.Resolve(ctx, query)
 	x.g.log.Info("stream taken up", "request", x.info.ID, "route", x.route.Name, "begun_by", x.info.BegunBy, "last_event", x.info.LastEvent,
--- a/service/origins/origins.go
+++ b/service/origins/origins.go
@@ -44,6 +44,8 @@
 type Fleet interface {
 	// Services lists the services whose streams may go on at another replica.
 	Services() []string
+	// SharesRoutes reports whether some route sends streams to a service and to others.
+	SharesRoutes(service string) bool
 	// Software lists the versions of the software that the replicas of a service have.
 	Software(service string) []string
 	// StoreSilent reports whether the platform's store was not reached lately.
@@ -75,6 +77,7 @@
 	breaker  *tablestore.Breaker
 	telling  telling
 	lookups  lookups
+	forgotAt time.Time
 }
 
 // counts are for metrics.
@@ -253,12 +256,27 @@
 func (o *Origins) Step(ctx context.Context) {
 	now := boottime.Now()
 	o.stepRegister(ctx, now)
-	o.records.Forget(now)
+	o.forgetRecords(now)
 	if o.tellsAny() {
 		o.tellSoon()
 	}
 }
 
+// forgetRecords removes old records from time to time.
+func (o *Origins) forgetRecords(now time.Time) {
+	o.mu.Lock()
+	due := now.Sub(o.forgotAt) >= forgetInterval
+	if due {
+		o.forgotAt = now
+	}
+	o.mu.Unlock()
+	if due {
+		o.records.Forget(now)
+	}
+}
+
+const forgetInterval = time.Second
+
 // Status is the exported state.
 type Status struct {
 	Own         int              `json:"own"`
--- a/service/origins/origins_test.go
+++ b/service/origins/origins_test.go
@@ -36,6 +36,7 @@
 	storeRows    map[string]site.Row
 	storeVersion int64
 	storeSilent  map[string]bool // Nodes that the store does not answer; "" for all.
+	splitRoutes  bool
 	dead         map[string]bool
 	loss         float64 // Share of notes that are lost.
 	rng          *rand.Rand
@@ -258,6 +259,12 @@
 
 func (l *testLink) Services() []string { return []string{service} }
 
+func (l *testLink) SharesRoutes(string) bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return l.fleet.splitRoutes
+}
+
 func (l *testLink) Software(string) []string {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
@@ -474,6 +481,24 @@
 	})
 }
 
+// Routes divide streams between services that have one version each: only a record tells at which of them a
+// stream began.
+func TestStreamsOfSplitRoutesGoOnAtTheirService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 7, 3, "v2")
+		f.splitRoutes = true
+		f.begin(0, 0, 10, v2)
+		time.Sleep(2 * tellDelay)
+		f.kill(0)
+		for i := range 10 {
+			k := key(i)
+			a := f.node(1+i%6).Resolve(context.Background(), Query{Named: &k})
+			assert.Equal(t, a.Origin, v2)
+		}
+		assert.Equal(t, f.node(1).Resolve(context.Background(), Query{}).Verdict, origin.Unknown)
+	})
+}
+
 // A node that reaches no other one sends the client to those that may know.
 func TestIsolatedNodeSendsClientsElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/service/origins/register.go
+++ b/service/origins/register.go
@@ -159,7 +159,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	wait := reloadInterval
+	wait := reloadInterval + rand.N(reloadInterval)
 	if err != nil {
 		wait = registerRetryDelay
 	}
--- a/service/origins/tell.go
+++ b/service/origins/tell.go
@@ -126,10 +126,10 @@
 	}
 }
 
-// tells reports whether other nodes need records of a service: not while it has one version, and it can
-// be read that it has.
+// tells reports whether other nodes need records of a service: not while its streams can only have begun at
+// one version of it, and that can be read from the store.
 func (o *Origins) tells(service string) bool {
-	return o.severalVersions(service) || o.fleet.StoreSilent(boottime.Now())
+	return o.severalVersions(service) || o.fleet.SharesRoutes(service) || o.fleet.StoreSilent(boottime.Now())
 }
 
 func (o *Origins) tellsAny() bool {
