--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -60,8 +60,8 @@
 		"./internal/standin/onplatform", "TestNoStreamBeginsAtVersionThatIsNotListed",
 	},
 	{
-		"origins: other nodes are told where streams began", "service/origins/tell.go",
-		"		o.sendRecords(buddies, list, now)\n	}\n}", "	}\n}",
+		"origins: records are replicated", "service/origins/replication.go",
+		"		o.sendRecords(holders, list, now)\n	}\n}", "	}\n}",
 		"./service/origins", "TestStreamsOfKilledNodesGoOn",
 	},
 	{
@@ -70,7 +70,7 @@
 		"./pkg/origin", "TestRetiredVersionsAreKeptForReturningClients",
 	},
 	{
-		"origins: a stop hands records over", "service/origins/tell.go",
+		"origins: a stop hands records over", "service/origins/replication.go",
 		"slices.Chunk(all, maxRecordsPerNote)", "slices.Chunk(all[:0], maxRecordsPerNote)",
 		"./internal/standin/onplatform", "TestStoppingNodeHandsOverWhereItsStreamsBegan",
 	},
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -4,9 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -31,16 +29,11 @@
 // resume writes the rest of a stream, each event with the version of the replica. A replica that cuts
 // answers breaks it off.
 func (r *replica) resume(w io.Writer, q *onplatform.Request) bool {
-	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // 0 without one.
-	last := streamLength
-	if r.behaviour.Load() == behaviourCut && first < streamLength {
-		last = first + rand.IntN(streamLength-first)
+	breakShare := 0.0
+	if r.behaviour.Load() == behaviourCut {
+		breakShare = 1
 	}
-	var events []string
-	for i := first + 1; i <= last; i++ {
-		events = append(events, fmt.Sprintf("id: %d\ndata: %s\n\n", i, r.version))
-	}
-	return onplatform.Stream(events, workTime, last == streamLength)(w, q)
+	return onplatform.RestOfStream(r.version, streamLength, workTime, breakShare)(w, q)
 }
 
 // heldStream is what a client has of a stream.
--- a/internal/standin/onplatform/replica.go
+++ b/internal/standin/onplatform/replica.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -225,6 +227,23 @@
 	}
 }
 
+// RestOfStream streams the events that follow the one that the request names in Last-Event-Id, up to the last of
+// the stream, each with the same text. With the given probability it breaks off before.
+func RestOfStream(text string, last int, pause time.Duration, breakShare float64) Script {
+	return func(w io.Writer, r *Request) bool {
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without one.
+		end := last
+		if first < last && rand.Float64() < breakShare {
+			end = first + rand.IntN(last-first)
+		}
+		var list []string
+		for i := first + 1; i <= end; i++ {
+			list = append(list, fmt.Sprintf("id: %d\ndata: %s\n\n", i, text))
+		}
+		return Stream(list, pause, end == last)(w, r)
+	}
+}
+
 // Head returns the response head of an answer that the replica itself produced, which is marked
 // by the Server-Stamp header.
 func Head(r *Request, status, length int) string {
--- a/internal/standin/onplatform/stream_versions_test.go
+++ b/internal/standin/onplatform/stream_versions_test.go
@@ -50,16 +50,7 @@
 }
 
 func (r *eventWriter) write(w io.Writer, in *onplatform.Request) bool {
-	first, _ := strconv.Atoi(in.Header.Get("Last-Event-Id")) // 0 without one.
-	last := eventsPerStream
-	if first < eventsPerStream && rand.Int32N(100) < r.breakShare.Load() {
-		last = first + rand.IntN(eventsPerStream-first)
-	}
-	var list []string
-	for i := first + 1; i <= last; i++ {
-		list = append(list, fmt.Sprintf("id: %d\ndata: %s\n\n", i, r.version))
-	}
-	return onplatform.Stream(list, eventPause, last == eventsPerStream)(w, in)
+	return onplatform.RestOfStream(r.version, eventsPerStream, eventPause, float64(r.breakShare.Load())/100)(w, in)
 }
 
 // streamTally counts streams as clients hold them.
@@ -116,7 +107,7 @@
 func (c *resumingClient) readStream() {
 	var h heldStream
 	end := time.Now().Add(clientDeadline)
-	begun, goesOn := c.tryUntilEvents(&h, end)
+	begun, _ := c.tryUntilEvents(&h, end)
 	c.tally.Lock()
 	c.tally.tried++
 	if begun {
@@ -124,7 +115,7 @@
 	}
 	c.tally.Unlock()
 	for begun && c.habits.returns && !h.complete && time.Now().Before(end) {
-		goesOn, _ = c.tryUntilEvents(&h, end)
+		goesOn, _ := c.tryUntilEvents(&h, end)
 		c.tally.Lock()
 		c.tally.takenUp++
 		if goesOn {
--- a/pkg/origin/doc.go
+++ b/pkg/origin/doc.go
@@ -4,7 +4,7 @@
 // and only if that is certain. There are two ways to know it:
 //
 //   - A node that passes on the first event of a stream records its origin under the client's attempt,
-//     and tells it to other nodes. Records never change, so an old one is as good as a new one.
+//     and replicates it to other nodes. Records never change, so an old one is as good as a new one.
 //   - The platform's store lists the versions of each service, and no node begins a stream at a version
 //     before it knows that it is listed there. So if the list has one version when a client takes a
 //     stream up, the stream began at that one, and no record is needed.
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -117,11 +117,11 @@
 			"wait": func(t *rapid.T) {
 				m.wait(rapid.SampledFrom([]time.Duration{10 * time.Millisecond, time.Second, time.Minute, Retention}).Draw(t, "time"))
 			},
-			"tell": func(t *rapid.T) {
+			"replicate": func(t *rapid.T) {
 				from, to := node(t), node(t)
-				for _, told := range from.records.TakeUntold(1, 10, func(string) bool { return true }, m.now) {
-					told.From = "other"
-					to.records.Add(told.Key, told.Record)
+				for _, e := range from.records.TakeUnsent(1, 10, func(string) bool { return true }, m.now) {
+					e.From = "other"
+					to.records.Add(e.Key, e.Record)
 				}
 			},
 			"kill": func(t *rapid.T) {
@@ -210,23 +210,23 @@
 	for i := range maxRecords + 10 {
 		r.Add(KeyOf("", "", "", fmt.Sprint(i)), Record{Origin: Origin{Service: service}, BegunAt: now, Until: now.Add(24 * time.Hour)})
 	}
-	own, told, evicted := r.Count()
+	own, held, evicted := r.Count()
 	assert.Equal(t, own, maxRecords)
-	assert.Equal(t, told, 0)
+	assert.Equal(t, held, 0)
 	assert.Equal(t, evicted, int64(10))
 	r.Forget(now.Add(MaxLifetime))
 	own, _, _ = r.Count()
 	assert.Equal(t, own, 0)
 }
 
-// A peer that is new has none of the records that others were told.
-func TestNewPeersAreToldAllRecords(t *testing.T) {
+// A holder that is new has none of the records that were sent to others.
+func TestNewHoldersAreSentAllRecords(t *testing.T) {
 	r, now := NewRecords(), time.Unix(1000, 0)
 	r.Add(KeyOf("", "", "", "1"), Record{Origin: Origin{Service: service}, BegunAt: now, Until: now.Add(time.Minute)})
 	all := func(string) bool { return true }
-	assert.Equal(t, len(r.TakeUntold(1, 10, func(string) bool { return false }, now)), 0)
-	assert.Equal(t, len(r.TakeUntold(1, 10, all, now)), 1)
-	assert.Equal(t, len(r.TakeUntold(1, 10, all, now)), 0)
-	assert.Equal(t, len(r.TakeUntold(2, 10, all, now)), 1)
-	assert.Equal(t, len(r.TakeUntold(3, 10, all, now.Add(time.Minute))), 0)
+	assert.Equal(t, len(r.TakeUnsent(1, 10, func(string) bool { return false }, now)), 0)
+	assert.Equal(t, len(r.TakeUnsent(1, 10, all, now)), 1)
+	assert.Equal(t, len(r.TakeUnsent(1, 10, all, now)), 0)
+	assert.Equal(t, len(r.TakeUnsent(2, 10, all, now)), 1)
+	assert.Equal(t, len(r.TakeUnsent(3, 10, all, now.Add(time.Minute))), 0)
 }
--- a/pkg/origin/records.go
+++ b/pkg/origin/records.go
@@ -37,14 +37,14 @@
 	Origin
 	BegunAt time.Time // When that event was passed on.
 	Until   time.Time // When the record is forgotten.
-	// From is the node that told the record, "" if it is this node's own.
+	// From is the node that sent the record, "" if it is this node's own.
 	From string
-	// Replica is the ID of the replica that wrote the event, "" in records that others told.
+	// Replica is the ID of the replica that wrote the event, "" in records of other nodes.
 	Replica string
 }
 
-// Told is a record in a message to another node.
-type Told struct {
+// Entry is a record with the attempt that it is of.
+type Entry struct {
 	Key
 	Record
 }
@@ -65,8 +65,8 @@
 
 type record struct {
 	Record
-	// toldTo is the generation of the peers that were told, 0 for none.
-	toldTo uint64
+	// sentTo is the generation of the holders that it was sent to, 0 for none.
+	sentTo uint64
 }
 
 // NewRecords returns an empty Records.
@@ -108,17 +108,17 @@
 	return found.Record, true
 }
 
-// TakeUntold returns up to limit of this node's own records that the given generation of peers was not
-// told, of the services that wanted reports, and counts them as told.
-func (r *Records) TakeUntold(generation uint64, limit int, wanted func(service string) bool, now time.Time) (list []Told) {
+// TakeUnsent returns up to limit of this node's own records that were not sent to the given generation of
+// holders, of the services that wanted reports, and counts them as sent.
+func (r *Records) TakeUnsent(generation uint64, limit int, wanted func(service string) bool, now time.Time) (list []Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for k, rec := range r.byKey {
-		if rec.From != "" || rec.toldTo == generation || !now.Before(rec.Until) || !wanted(rec.Service) {
+		if rec.From != "" || rec.sentTo == generation || !now.Before(rec.Until) || !wanted(rec.Service) {
 			continue
 		}
-		rec.toldTo = generation
-		if list = append(list, Told{Key: k, Record: rec.Record}); len(list) == limit {
+		rec.sentTo = generation
+		if list = append(list, Entry{Key: k, Record: rec.Record}); len(list) == limit {
 			break
 		}
 	}
@@ -146,12 +146,12 @@
 }
 
 // All returns all records.
-func (r *Records) All(now time.Time) (list []Told) {
+func (r *Records) All(now time.Time) (list []Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for k, rec := range r.byKey {
 		if now.Before(rec.Until) {
-			list = append(list, Told{Key: k, Record: rec.Record})
+			list = append(list, Entry{Key: k, Record: rec.Record})
 		}
 	}
 	return list
@@ -168,17 +168,17 @@
 	}
 }
 
-// Count returns the numbers of this node's own records and of those that others told it, and how many
-// were removed for want of room.
-func (r *Records) Count() (own, told int, evicted int64) {
+// Count returns the numbers of this node's own records and of those of others that it holds, and how
+// many were removed for want of room.
+func (r *Records) Count() (own, held int, evicted int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, rec := range r.byKey {
 		if rec.From == "" {
 			own++
 		} else {
-			told++
+			held++
 		}
 	}
-	return own, told, r.evicted
+	return own, held, r.evicted
 }
--- a/service/origins/origins.go
+++ b/service/origins/origins.go
@@ -71,19 +71,19 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu       sync.Mutex
-	register register
-	reads    readBatch
-	breaker  *tablestore.Breaker
-	telling  telling
-	lookups  lookups
-	forgotAt time.Time
+	mu          sync.Mutex
+	register    register
+	reads       readBatch
+	breaker     *tablestore.Breaker
+	replication replication
+	lookups     lookups
+	forgotAt    time.Time
 }
 
 // counts are for metrics.
 type counts struct {
-	toldRecords atomic.Int64 // Records sent to other nodes.
-	toldBytes   atomic.Int64
+	sentRecords atomic.Int64 // Records sent to other nodes.
+	sentBytes   atomic.Int64
 	asked       atomic.Int64 // Attempts that other nodes were asked for.
 	found       atomic.Int64 // Of those, the ones that one of them had a record of.
 	storeReads  atomic.Int64
@@ -129,8 +129,8 @@
 // The client may take the stream up until the given time.
 func (o *Origins) Begin(k origin.Key, begun origin.Origin, replica string, until time.Time) {
 	o.records.Add(k, origin.Record{Origin: begun, BegunAt: boottime.Now(), Until: until.Add(returnSlack), Replica: replica})
-	if o.tells(begun.Service) {
-		o.tellSoon()
+	if o.replicates(begun.Service) {
+		o.replicateSoon()
 	}
 }
 
@@ -139,9 +139,9 @@
 func (o *Origins) HandleOtherSoftware(replica string) {
 	now := boottime.Now()
 	keys := o.records.Void(replica, now.Add(-listDelay))
-	buddies, _ := o.buddies()
+	holders, _ := o.holders()
 	for part := range slices.Chunk(keys, maxKeysPerNote) {
-		o.notifier.SendNote(buddies, NoteRecords, recordsNote{From: o.self.Name, Voided: packKeys(part)})
+		o.notifier.SendNote(holders, NoteRecords, recordsNote{From: o.self.Name, Voided: packKeys(part)})
 	}
 }
 
@@ -165,8 +165,7 @@
 type Answer struct {
 	origin.Origin
 	Verdict origin.Verdict
-	// KnownBy tells how the origin is known: by the record of a node, which it names, or by versions of
-	// the service.
+	// KnownBy is the node whose record it is, or knownByVersions.
 	KnownBy string
 	// Age is the time since the stream began, 0 if it is not known.
 	Age time.Duration
@@ -252,13 +251,13 @@
 	}
 }
 
-// Step keeps the lists of versions and tells records that other nodes lack; the timer service calls it.
+// Step keeps the lists of versions and sends records that their holders lack; the timer service calls it.
 func (o *Origins) Step(ctx context.Context) {
 	now := boottime.Now()
 	o.stepRegister(ctx, now)
 	o.forgetRecords(now)
-	if o.tellsAny() {
-		o.tellSoon()
+	if o.replicatesAny() {
+		o.replicateSoon()
 	}
 }
 
@@ -280,10 +279,10 @@
 // Status is the exported state.
 type Status struct {
 	Own         int              `json:"own"`
-	Told        int              `json:"told"`
+	Held        int              `json:"held"`
 	Evicted     int64            `json:"evicted"`
-	ToldRecords int64            `json:"records_told"`
-	ToldBytes   int64            `json:"bytes_told"`
+	SentRecords int64            `json:"records_sent"`
+	SentBytes   int64            `json:"bytes_sent"`
 	Asked       int64            `json:"asked"`
 	Found       int64            `json:"found"`
 	StoreReads  int64            `json:"store_reads"`
@@ -294,8 +293,8 @@
 
 // Status returns the state for metrics.
 func (o *Origins) Status() (s Status) {
-	s.Own, s.Told, s.Evicted = o.records.Count()
-	s.ToldRecords, s.ToldBytes = o.counts.toldRecords.Load(), o.counts.toldBytes.Load()
+	s.Own, s.Held, s.Evicted = o.records.Count()
+	s.SentRecords, s.SentBytes = o.counts.sentRecords.Load(), o.counts.sentBytes.Load()
 	s.Asked, s.Found = o.counts.asked.Load(), o.counts.found.Load()
 	s.StoreReads, s.StoreWrites = o.counts.storeReads.Load(), o.counts.storeWrites.Load()
 	s.Verdicts = map[string]int64{
--- a/service/origins/origins_test.go
+++ b/service/origins/origins_test.go
@@ -301,7 +301,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newTestFleet(t, n, 5, "v1", "v2")
 				f.begin(0, 0, 100, v2)
-				time.Sleep(2 * tellDelay)
+				time.Sleep(2 * sendDelay)
 				f.kill(0)
 				for i := range 100 {
 					a := f.resolve(1+i%(n-1), i)
@@ -324,7 +324,7 @@
 		const streams = 200
 		for i := range streams { // One by one: each record is in datagrams of its own.
 			f.begin(i%10, i, 1, v2)
-			time.Sleep(tellDelay)
+			time.Sleep(sendDelay)
 		}
 		for i := range 10 {
 			f.kill(i)
@@ -340,12 +340,12 @@
 	})
 }
 
-// A buddy that has restarted has no records; those of live nodes must be told again.
-func TestRestartedBuddiesAreToldAgain(t *testing.T) {
+// A holder that has restarted has no records; those of live nodes must be sent again.
+func TestRestartedHoldersAreSentRecordsAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 7, 3, "v1", "v2")
 		f.begin(0, 0, 10, v2)
-		time.Sleep(2 * tellDelay)
+		time.Sleep(2 * sendDelay)
 		for i := 1; i < 7; i++ {
 			f.kill(i)
 			f.list[i].Incarnation++
@@ -368,7 +368,7 @@
 		f := newTestFleet(t, 7, 3, "v2")
 		f.begin(0, 0, 100, v2)
 		time.Sleep(time.Second)
-		assert.Equal(t, f.toldBytes(), int64(0))
+		assert.Equal(t, f.replicatedBytes(), int64(0))
 		f.node(0).HandOver()
 		time.Sleep(linkTime)
 		f.kill(0)
@@ -380,15 +380,15 @@
 	})
 }
 
-// toldBytes is the bytes of records that all nodes have told.
-func (f *testFleet) toldBytes() (sum int64) {
+// replicatedBytes is the bytes of records that all nodes have sent.
+func (f *testFleet) replicatedBytes() (sum int64) {
 	for _, o := range f.nodes {
-		sum += o.Status().ToldBytes
+		sum += o.Status().SentBytes
 	}
 	return sum
 }
 
-// While a service has one version nothing is told, and clients that return at the same time share reads.
+// While a service has one version nothing is sent, and clients that return at the same time share reads.
 func TestOneVersionCostsOnlySharedReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 7, 3, "v1")
@@ -405,7 +405,7 @@
 		wg.Wait()
 		reads, writes := f.counts()
 		assert.Assert(t, reads <= 2 && writes == 0, "%d reads, %d writes", reads, writes)
-		assert.Equal(t, f.toldBytes(), int64(0))
+		assert.Equal(t, f.replicatedBytes(), int64(0))
 	})
 }
 
@@ -442,7 +442,7 @@
 	})
 }
 
-// The store is silent for all: what began since is told, and known from the records.
+// The store is silent for all: what began since is replicated, and known from the records.
 func TestStreamsGoOnWhileTheStoreIsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 7, 3, "v2")
@@ -450,7 +450,7 @@
 		f.silenceStore("", true)
 		f.step(2)
 		f.begin(0, 10, 10, v2)
-		time.Sleep(2 * tellDelay)
+		time.Sleep(2 * sendDelay)
 		f.kill(0)
 		for i := range 20 {
 			assert.Equal(t, f.resolve(1+i%6, i).Verdict, origin.GoesOn)
@@ -469,7 +469,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 7, 3, "v1", "v2")
 		f.begin(0, 0, 10, v2)
-		time.Sleep(2 * tellDelay)
+		time.Sleep(2 * sendDelay)
 		f.node(0).HandleOtherSoftware("another")
 		time.Sleep(linkTime)
 		assert.Equal(t, f.resolve(1, 0).Verdict, origin.GoesOn)
@@ -488,7 +488,7 @@
 		f := newTestFleet(t, 7, 3, "v2")
 		f.splitRoutes = true
 		f.begin(0, 0, 10, v2)
-		time.Sleep(2 * tellDelay)
+		time.Sleep(2 * sendDelay)
 		f.kill(0)
 		for i := range 10 {
 			k := key(i)
@@ -560,7 +560,7 @@
 const maxControlBytes = 3000
 
 // Bytes and memory that streams cost while their service has several versions.
-func TestCostOfToldRecords(t *testing.T) {
+func TestCostOfReplicatedRecords(t *testing.T) {
 	for _, c := range []struct {
 		nodes   int
 		perNode float64 // Streams that begin at each node in a second.
@@ -575,14 +575,14 @@
 					f.begin(0, i, 1, v2)
 					time.Sleep(time.Second / time.Duration(perNode))
 					if i == perNode*seconds/2 { // The burst at the beginning is over.
-						before = f.node(0).Status().ToldBytes
+						before = f.node(0).Status().SentBytes
 					}
 				}
-				bytes := float64(f.node(0).Status().ToldBytes-before) / (seconds / 2)
-				time.Sleep(maxTellDelay)
+				bytes := float64(f.node(0).Status().SentBytes-before) / (seconds / 2)
+				time.Sleep(maxSendDelay)
 				s := f.node(0).Status()
-				t.Logf("%.0f streams a second: %.0f bytes a second told, %d records held", c.perNode, bytes, s.Own)
-				assert.Equal(t, s.ToldRecords, int64(perNode*seconds))
+				t.Logf("%.0f streams a second: %.0f bytes a second sent, %d records held", c.perNode, bytes, s.Own)
+				assert.Equal(t, s.SentRecords, int64(perNode*seconds))
 				assert.Assert(t, bytes <= maxControlBytes)
 			})
 		})
