A node that another was ahead of in listing a version does not refuse its clients' streams

Each of them wrote the list of versions, as they did not know of each other yet; those that came second counted the conflict as a store that takes no writes, and refused streams at once until their next try, 0.5 s later. They read what the other has written now.

--- a/service/origins/origins_test.go
+++ b/service/origins/origins_test.go
@@ -533,6 +533,26 @@
 	}
 }
 
+// Nodes that start together don't know of each other yet, and all write the list. One that another was ahead of
+// refused the streams of its clients until its next try.
+func TestNodesThatListVersionsAtTheSameTimeAllUseThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 5, 3, "v1")
+		f.loss = 1
+		f.setSoftware("v1", "v2")
+		var wg sync.WaitGroup
+		for i := range 5 {
+			wg.Go(func() {
+				f.node(i).correct(context.Background(), service)
+				assert.Check(t, f.node(i).MayBegin(service, "v2"))
+			})
+		}
+		wg.Wait()
+		_, writes := f.counts()
+		assert.Assert(t, writes > 1, "they wrote at the same time")
+	})
+}
+
 // Clients name attempts that don't exist: what that sends to other nodes is bounded.
 func TestUnknownAttemptsDoNotFloodOtherNodes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/service/origins/register.go
+++ b/service/origins/register.go
@@ -214,6 +214,9 @@
 	if err == nil {
 		err = o.writeRow(ctx, service, l)
 	}
+	if errors.Is(err, site.ErrConflict) {
+		err = o.readStore(ctx)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.register.dueAt, service)
