--- a/service/gateway/canaries_test.go
+++ b/service/gateway/canaries_test.go
@@ -57,6 +57,42 @@
 	assert.Equal(t, first.key(), second.key())
 }
 
+// A roll-out steered the repeat of a broken stream to the other version than the one that had begun it.
+func TestStreamStaysAtItsVersionDuringRollout(t *testing.T) {
+	c, m := newTestCanaries(t)
+	now := boottime.Now()
+	p := route.NewPool("h", rand.New(rand.NewPCG(1, 2)))
+	for _, software := range []string{"v1", "v2"} {
+		p.Put(site.Upstream{ID: software, DataHall: "h", Slots: 1, Software: software}, now)
+	}
+	n := newTestNodes(1)
+	g := &Gateway{canaries: c, nodes: n, siteState: n.siteState, rateLimits: ratelimit.New(m.Self(), m, nil, nil, n.log)}
+	g.settings.Store(&config.GatewaySettings{})
+	g.log, g.conns = n.log, newUpstreamConns()
+	g.reach = newReachability(g)
+	for _, software := range []string{"v1", "v2"} {
+		x := &exchange{g: g, route: &site.Route{Resumable: true}, service: &site.Service{Name: "s"}, pool: p, info: site.RequestInfo{ID: "r"}}
+		x.pickInput.Software = route.SoftwareRule{Version: software, Pinned: true}
+		choice, ok := x.pickToSend(t.Context())
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Software, software)
+		x.pickInput.Exclude = []string{software}
+		_, ok = x.pickToSend(t.Context())
+		assert.Assert(t, !ok, "the other version must not go on with it")
+	}
+	r := c.rollouts["s"]
+	goOn := func(state site.RolloutState) (old, next bool) {
+		r.decision.State, r.decidedAt = state, now
+		return c.mayGoOn("s", "v1", now), c.mayGoOn("s", "v2", now)
+	}
+	old, next := goOn(site.RolloutRunning)
+	assert.Assert(t, old && next)
+	old, next = goOn(site.RolloutCompleted)
+	assert.Assert(t, !old && next, "the replicas of the old version stop at once")
+	old, next = goOn(site.RolloutRolledBack)
+	assert.Assert(t, old && !next, "a bad version gets no more requests")
+}
+
 // A request that had waited for a free slot while a roll-out completed was sent to a replica of
 // the old version, which stops at once.
 func TestRequestThatWaitedFollowsTheCompletedRollout(t *testing.T) {
