One slow call to the store does not refuse streams at a version that is being listed

A correction of the list that failed once, for example as the store took longer than 0.4 s on a busy machine, had streams that only unlisted versions could take refused at once until the next try. Two in a row are needed now; before that, they wait up to 0.8 s as for any listing.

--- a/service/origins/register.go
+++ b/service/origins/register.go
@@ -38,8 +38,10 @@
 	reloadInterval = origin.Retention / 4
 	// versionsTimeout bounds a read for a client that takes a stream up.
 	versionsTimeout = 700 * time.Millisecond
-	// awaitTimeout is how long a request waits for a version to be listed.
+	// awaitTimeout is how long a request waits for a version to be listed. After maxFailures in a row to
+	// list one it does not wait: a single call may have been slow.
 	awaitTimeout = 800 * time.Millisecond
+	maxFailures  = 2
 )
 
 // register is this node's copy of the lists of versions.
@@ -54,8 +56,8 @@
 	// lastUsed is when a version last had a replica, dueAt when to correct a list.
 	lastUsed map[serviceVersion]time.Time
 	dueAt    map[string]time.Time
-	// failing is set while the last write of this node has failed.
-	failing bool
+	// failures counts the corrections of this node that have failed since the last one that did not.
+	failures int
 }
 
 type serviceVersion struct{ service, software string }
@@ -98,12 +100,12 @@
 	defer cancel()
 	for {
 		o.mu.Lock()
-		versions, changed, failing := o.register.rows[service].Versions, o.register.changed, o.register.failing
+		versions, changed, failures := o.register.rows[service].Versions, o.register.changed, o.register.failures
 		o.mu.Unlock()
 		if slices.ContainsFunc(software, versions.Admits) {
 			return true
 		}
-		if failing || o.fleet.StoreSilent(boottime.Now()) {
+		if failures >= maxFailures || o.fleet.StoreSilent(boottime.Now()) {
 			return false
 		}
 		select {
@@ -220,7 +222,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.register.dueAt, service)
-	if o.register.failing = err != nil; err != nil {
+	if err == nil {
+		o.register.failures = 0
+	} else {
+		o.register.failures++
 		o.register.dueAt[service] = boottime.Now().Add(registerRetryDelay)
 		o.log.Warn("versions of service not written", "service", service, "err", err)
 	}
