One set-up for the two tests of pins under a roll-out; a parameter that had one value is gone

Found on reading the whole change once more: the gateway in front of two versions was built twice, line for line, and replicate was only ever called with one function. No change of behaviour; the tests keep their assertions.

--- a/service/gateway/canaries_test.go
+++ b/service/gateway/canaries_test.go
@@ -57,10 +57,8 @@
 	assert.Equal(t, first.key(), second.key())
 }
 
-// A roll-out steered the repeat of a broken stream to the other version than the one that had begun it.
-func TestStreamStaysAtItsVersionDuringRollout(t *testing.T) {
-	c, m := newTestCanaries(t)
-	now := boottime.Now()
+// newRolloutGateway returns a gateway in front of a replica of each version.
+func newRolloutGateway(c *canaries, m *control.Members, now time.Time) (*Gateway, *route.Pool) {
 	p := route.NewPool("h", rand.New(rand.NewPCG(1, 2)))
 	for _, software := range []string{"v1", "v2"} {
 		p.Put(site.Upstream{ID: software, DataHall: "h", Slots: 1, Software: software}, now)
@@ -70,6 +68,14 @@
 	g.settings.Store(&config.GatewaySettings{})
 	g.log, g.conns = n.log, newUpstreamConns()
 	g.reach = newReachability(g)
+	return g, p
+}
+
+// A roll-out steered the repeat of a broken stream to the other version than the one that had begun it.
+func TestStreamStaysAtItsVersionDuringRollout(t *testing.T) {
+	c, m := newTestCanaries(t)
+	now := boottime.Now()
+	g, p := newRolloutGateway(c, m, now)
 	for _, software := range []string{"v1", "v2"} {
 		x := &exchange{g: g, route: &site.Route{Resumable: true}, service: &site.Service{Name: "s"}, pool: p, info: site.RequestInfo{ID: "r"}}
 		x.pickInput.Software = route.SoftwareRule{Version: software, Pinned: true}
@@ -98,15 +104,7 @@
 func TestRequestThatWaitedFollowsTheCompletedRollout(t *testing.T) {
 	c, m := newTestCanaries(t)
 	now := boottime.Now()
-	p := route.NewPool("h", rand.New(rand.NewPCG(1, 2)))
-	for _, software := range []string{"v1", "v2"} {
-		p.Put(site.Upstream{ID: software, DataHall: "h", Slots: 1, Software: software}, now)
-	}
-	n := newTestNodes(1)
-	g := &Gateway{canaries: c, nodes: n, siteState: n.siteState, rateLimits: ratelimit.New(m.Self(), m, nil, nil, n.log)}
-	g.settings.Store(&config.GatewaySettings{})
-	g.log, g.conns = n.log, newUpstreamConns()
-	g.reach = newReachability(g)
+	g, p := newRolloutGateway(c, m, now)
 	x := &exchange{g: g, route: &site.Route{}, service: &site.Service{Name: "s"}, pool: p, info: site.RequestInfo{ID: "r"}}
 	x.pickInput.Software = c.rule("s", "r", p, now)
 	assert.Equal(t, x.pickInput.Software, route.SoftwareRule{Version: "v2", Excluded: true})
--- a/service/origins/replication.go
+++ b/service/origins/replication.go
@@ -140,20 +140,20 @@
 		o.replication.scheduled = false
 		o.mu.Unlock()
 		if o.ctx.Err() == nil {
-			o.replicate(o.replicates)
+			o.replicate()
 		}
 	})
 }
 
 // replicate sends this node's records that the holders lack.
-func (o *Origins) replicate(wanted func(service string) bool) {
+func (o *Origins) replicate() {
 	holders, generation := o.holders()
 	if len(holders) == 0 {
 		return
 	}
 	for {
 		now := boottime.Now()
-		list := o.records.TakeUnsent(generation, maxRecordsPerNote, wanted, now)
+		list := o.records.TakeUnsent(generation, maxRecordsPerNote, o.replicates, now)
 		if len(list) == 0 {
 			return
 		}
