Logs, metrics and explain tell the era of the platform's store

The records' logs show the versions that nodes received, but not that the store's history is another one: versions that go back are seen only where a listing is rejected, and a feed that goes on from a version that was given out twice leaves no line. The adapter now reads Store-Era from every answer, also 410, 412, 429 and 503; a line is written when an era begins, operator rows are logged with their era, and store_era is served as a metric. No decision uses it yet.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -319,7 +319,15 @@
 	{"store back", Change, "Calls to the platform's store succeed again.", []Key{keyTable, keyVersion, keyAway}},
 	{"store not reached, other nodes are asked", Failure, "This node's own calls to the platform's store fail; it gets changes from other nodes.", []Key{keyTable, keyErr}},
 	{"store reached again", Change, "This node's own calls to the platform's store succeed again.", []Key{keyTable, keyAway, {"asked", "how often other nodes were asked meanwhile"}}},
+	{"era of store began", Change, "The platform's store has come back from an earlier copy of itself, or this node hears of it for the first time.", []Key{
+		{"from", "the era before"},
+		{"to", "the era that began"},
+		{"first", "whether this node knew no era before"},
+		{"config", "the version of the configuration in force"},
+		{"list_age", "nanoseconds since the list of replicas was last read"},
+	}},
 	{"operator rows received", Change, "Rows of the operator's table were received.", []Key{
+		{"era", "the era of the platform's store"},
 		keyVersion,
 		{"rows", "how many"},
 		{"bytes", "size of their values"},
--- a/pkg/explain/report.go
+++ b/pkg/explain/report.go
@@ -91,6 +91,7 @@
 // is reported.
 var nodeMessages = map[string]string{
 	"configuration in force": "",
+	"era of store began":     "",
 	"weights named":          "model",
 	"store lost":             "table",
 	"store back":             "table",
--- /dev/null
+++ b/pkg/history/eras.go
@@ -0,0 +1,56 @@
+package history
+
+import (
+	"sync"
+	"time"
+)
+
+// Eras tracks the newest era that a node has heard of, from the store or from another node.
+type Eras struct {
+	mu          sync.Mutex
+	current     Era
+	since       time.Time // When current was first heard of.
+	first       bool      // No other era was known before.
+	subscribers []func(Change)
+}
+
+// Change is the beginning of an era, as a node hears of it.
+type Change struct {
+	From, To Era
+	// First is set if no era was known before.
+	First bool
+}
+
+// Observe takes in an era that the store or another node has named, and reports whether it is the
+// newest one: what comes from an earlier era is outdated.
+func (e *Eras) Observe(era Era, now time.Time) (current bool) {
+	e.mu.Lock()
+	known := !e.since.IsZero()
+	if known && era <= e.current {
+		defer e.mu.Unlock()
+		return era == e.current
+	}
+	change := Change{From: e.current, To: era, First: !known}
+	e.current, e.since, e.first = era, now, !known
+	subscribers := e.subscribers
+	e.mu.Unlock()
+	for _, fn := range subscribers {
+		fn(change)
+	}
+	return true
+}
+
+// Subscribe has fn called at the beginning of each era, by the goroutine that hears of it. It must be
+// called before the first Observe.
+func (e *Eras) Subscribe(fn func(Change)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.subscribers = append(e.subscribers, fn)
+}
+
+// Current returns the newest era and since when it is known; ok is false before the first one.
+func (e *Eras) Current() (era Era, since time.Time, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current, e.since, !e.since.IsZero()
+}
--- /dev/null
+++ b/pkg/history/eras_test.go
@@ -0,0 +1,26 @@
+package history_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/history"
+)
+
+func TestErasOnlyRise(t *testing.T) {
+	var e history.Eras
+	var changes []history.Change
+	e.Subscribe(func(c history.Change) { changes = append(changes, c) })
+	start := time.Now()
+	for i, step := range []struct {
+		era     history.Era
+		current bool
+	}{{3, true}, {3, true}, {2, false}, {5, true}, {3, false}, {5, true}} {
+		assert.Equal(t, e.Observe(step.era, start.Add(time.Duration(i)*time.Second)), step.current, "step %d", i)
+	}
+	assert.DeepEqual(t, changes, []history.Change{{From: 0, To: 3, First: true}, {From: 3, To: 5}})
+	era, since, ok := e.Current()
+	assert.Assert(t, ok && era == 5 && since.Equal(start.Add(3*time.Second)))
+}
--- /dev/null
+++ b/pkg/history/position.go
@@ -0,0 +1,43 @@
+package history
+
+import (
+	"cmp"
+	"log/slog"
+	"strconv"
+)
+
+// Era numbers the store's histories. It rises each time the store comes back from an earlier copy,
+// by one or more. A store that does not name its era has era 0 for good.
+type Era int64
+
+// Position is a point in the store's histories: a version within an era. It identifies the state
+// of a row or of a whole table.
+type Position struct {
+	Era     Era   `json:"era,omitempty"`
+	Version int64 `json:"version,omitempty"`
+}
+
+// Compare orders positions, like cmp.Compare. Any position of a later era is after all those of earlier
+// ones.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Version, q.Version))
+}
+
+// Before reports whether p is before q.
+func (p Position) Before(q Position) bool { return p.Compare(q) < 0 }
+
+// Later returns the later one of two positions.
+func Later(p, q Position) Position {
+	if p.Before(q) {
+		return q
+	}
+	return p
+}
+
+// String returns the position as "era/version".
+func (p Position) String() string {
+	return strconv.FormatInt(int64(p.Era), 10) + "/" + strconv.FormatInt(p.Version, 10)
+}
+
+// LogValue implements slog.LogValuer.
+func (p Position) LogValue() slog.Value { return slog.StringValue(p.String()) }
--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -77,6 +77,15 @@
 
 // CallWith is Call with additional headers.
 func (c *Client) CallWith(ctx context.Context, method, path string, header map[string]string, in, out any) error {
+	return c.call(ctx, method, path, header, in, out, func(*fasthttp.ResponseHeader) {})
+}
+
+// CallInspect is Call, and passes the header of the answer to inspect, also for a status other than 2xx.
+func (c *Client) CallInspect(ctx context.Context, method, path string, in, out any, inspect func(*fasthttp.ResponseHeader)) error {
+	return c.call(ctx, method, path, nil, in, out, inspect)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, header map[string]string, in, out any, inspect func(*fasthttp.ResponseHeader)) error {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -87,7 +96,12 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	if err := c.Do(ctx, req, resp); err != nil {
+	err := c.Do(ctx, req, resp)
+	var status *StatusError
+	if err == nil || errors.As(err, &status) {
+		inspect(&resp.Header)
+	}
+	if err != nil {
 		return err
 	}
 	if out == nil {
--- a/pkg/site/row.go
+++ b/pkg/site/row.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/history"
 )
 
 // Table is a table of the platform's store that nodes read or write.
@@ -36,7 +38,9 @@
 
 // Listing is the rows or the changes of a table at one version of the store.
 type Listing struct {
-	Rows    []Row
+	Rows []Row
+	// Era is the store's era, 0 if it does not name one.
+	Era     history.Era
 	Version int64
 	// Now is the store's monotonic clock.
 	Now time.Duration
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/rollout"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -169,6 +170,7 @@
 	g.peers.HandleStreams(g.forwarding.serveStream)
 	g.peers.Handle(peer.RolePeer, methodOpinion, peer.Handle(g.forwarding.serveOpinion))
 	g.nodes.onUnreachable = g.reach.report
+	p.Store.Eras().Subscribe(g.logEra)
 	return g, g.listen()
 }
 
@@ -276,6 +278,12 @@
 // indirectly, through other nodes.
 const indirectProbeDivisor = 3
 
+// logEra logs the beginning of an era of the platform's store.
+func (g *Gateway) logEra(c history.Change) {
+	config, listAge, _ := g.siteState.Ages(boottime.Now())
+	g.log.Info("era of store began", "from", c.From, "to", c.To, "first", c.First, "config", config, "list_age", listAge)
+}
+
 // conf returns the settings in force.
 func (g *Gateway) conf() *config.GatewaySettings { return g.settings.Load() }
 
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/service/origins"
 	"github.com/drumpath/drumpath/service/ratelimit"
@@ -153,6 +154,7 @@
 	Queues            map[string]route.QueueStatus `json:"queues"`
 	ServiceWaits      map[string][]float64         `json:"service_wait_s"`
 	ConfigVersion     int64                        `json:"configuration"`
+	StoreEra          history.Era                  `json:"store_era"`
 	UpstreamListAge   float64                      `json:"upstreams_age_s"`
 	Nodes             int                          `json:"nodes"`
 	NotesDropped      int64                        `json:"notes_dropped"`
@@ -247,6 +249,7 @@
 	if r := g.siteState.requestBytes; r != nil {
 		s.RequestBytes = r.Least()
 	}
+	s.StoreEra, _, _ = g.platform.Store.Eras().Current()
 	config, listAge, _ := g.siteState.Ages(now)
 	s.ConfigVersion, s.UpstreamListAge = config, listAge.Seconds()
 	for service, p := range g.siteState.Pools() {
--- a/service/gateway/platform.go
+++ b/service/gateway/platform.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/site"
 )
@@ -26,6 +27,8 @@
 	// LastLargeResponse returns when a large response last began to arrive, zero if none
 	// has.
 	LastLargeResponse() time.Time
+	// Eras returns the eras that the store's answers have named.
+	Eras() *history.Eras
 	Close()
 }
 
--- a/service/gateway/reader_serve.go
+++ b/service/gateway/reader_serve.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -36,9 +37,10 @@
 }
 
 type changesAnswer struct {
-	Rows    packedRows `json:"rows,omitzero"`
-	Version int64      `json:"version"`
-	AgeMS   int64      `json:"age_ms"`
+	Rows    packedRows  `json:"rows,omitzero"`
+	Era     history.Era `json:"era,omitempty"`
+	Version int64       `json:"version"`
+	AgeMS   int64       `json:"age_ms"`
 	// HistoryGone means that this node does not have the changes since the requested version.
 	HistoryGone bool `json:"gone"`
 }
@@ -131,7 +133,7 @@
 	// Rounded up: rounded down, an age just over the limit would pass, and a cut off reader
 	// would be asked for another second.
 	ageMS := (age + time.Millisecond - 1).Milliseconds()
-	answer = changesAnswer{Version: x.version, AgeMS: ageMS, HistoryGone: !q.Whole && q.After < x.historyStart}
+	answer = changesAnswer{Era: x.era, Version: x.version, AgeMS: ageMS, HistoryGone: !q.Whole && q.After < x.historyStart}
 	if answer.HistoryGone {
 		return answer, x.changed, trustedUntil, nil
 	}
--- a/service/gateway/reader_table.go
+++ b/service/gateway/reader_table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -15,6 +16,7 @@
 	changes      changeOrder         // Finds the rows changed since a version.
 	large        map[string]bool     // Keys of rows whose values serve as bases.
 	historyStart int64               // The changes since this version are known.
+	era          history.Era         // Of the last answer.
 	version      int64
 	storeReadAt  time.Time // When the store itself last answered.
 	changed      chan struct{}
@@ -101,7 +103,7 @@
 	}
 	x.changes = x.changes.compact(x.rows)
 	since := x.version
-	x.version = max(x.version, l.Version)
+	x.era, x.version = l.Era, max(x.version, l.Version)
 	if len(l.Rows) > 0 || q.Whole {
 		x.packed = nil
 		if fromStore && !q.Whole {
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -311,7 +311,7 @@
 	for _, row := range l.Rows {
 		size += len(row.Value)
 	}
-	r.log.Info("operator rows received", "version", l.Version, "rows", len(l.Rows),
+	r.log.Info("operator rows received", "era", l.Era, "version", l.Version, "rows", len(l.Rows),
 		"bytes", size, "by", source, "after", boottime.Since(startedAt))
 }
 
@@ -351,7 +351,7 @@
 	if err != nil {
 		return l, err
 	}
-	l = site.Listing{Rows: rows, Version: answer.Version}
+	l = site.Listing{Rows: rows, Era: answer.Era, Version: answer.Version}
 	r.apply(q, l, false)
 	r.logRows(q, l, addr.String(), startedAt)
 	return l, nil
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/platform"
 	"github.com/drumpath/drumpath/service/peer"
@@ -34,6 +35,7 @@
 	historyStart int64 // Changes up to this version are no longer available.
 	calls        int
 	fail         bool
+	eras         history.Eras
 }
 
 func (s *fakeTableStore) add(key string) {
@@ -86,6 +88,7 @@
 	return nil
 }
 func (s *fakeTableStore) LastLargeResponse() time.Time { return time.Time{} }
+func (s *fakeTableStore) Eras() *history.Eras          { return &s.eras }
 func (s *fakeTableStore) Close()                       {}
 
 func (s *fakeTableStore) count() int {
