Tests with a store that comes back from a copy; three fail

The stand-in store keeps a copy of its rows, goes on, goes silent, comes back with the copy in the next era, gives versions out again and answers 410 to a feed after a version that it does not have. With six nodes, after the return a revoked key is served by all of them for longer than 2 s, in each of five cases and where the store has passed the known versions before the nodes ask; rows of two nodes that started after the copy was taken are not there after 5 s. The tests of a replica that leaves, of an evacuated hall and of a node that starts on the copy pass, as all nodes reject the copy: they guard against the opposite fault.

--- a/internal/standin/onplatform/store.go
+++ b/internal/standin/onplatform/store.go
@@ -1,11 +1,13 @@
 package onplatform
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -17,6 +19,7 @@
 	TableUpstreams = "servers"
 	TableLeases    = "drumpath-leases"
 	TableNodes     = "drumpath-nodes"
+	TableSoftware  = "drumpath-software"
 )
 
 // Row is one row of a table.
@@ -59,6 +62,7 @@
 	staleVersion int64
 	version      int64
 	historyStart int64 // The feed no longer has the changes up to this version.
+	era          int64
 	changed      chan struct{}
 	mode         Mode
 	calls        int
@@ -73,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{ln: ln, rows: map[string]map[string]Row{}, changed: make(chan struct{}), version: 1, startedAt: time.Now()}
+	s := &Store{ln: ln, rows: map[string]map[string]Row{}, changed: make(chan struct{}), version: 1, era: 1, startedAt: time.Now()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/rows-get", s.read)
 	mux.HandleFunc("GET /-/rows-feed", s.feed)
@@ -100,6 +104,70 @@
 	s.notifyWatchers()
 }
 
+// headerEra names the store's era in all its answers.
+const headerEra = "Store-Era"
+
+// Copy is the state of a store at one moment.
+type Copy struct {
+	rows    map[string]map[string]Row
+	version int64
+}
+
+// Copy returns the store's state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: clone(s.rows), version: s.version}
+}
+
+// ReturnFrom has the store come back from an earlier copy, in a new era, and returns the rows of the operator and
+// of the replicas that are lost with it, in the order in which they were written. Feeds under way are not
+// answered any more.
+func (s *Store) ReturnFrom(c Copy) (lost []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, table := range []string{TableOperator, TableUpstreams} {
+		for _, r := range s.rows[table] {
+			if r.Version > c.version {
+				lost = append(lost, r)
+			}
+		}
+	}
+	slices.SortFunc(lost, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	s.rows, s.version = clone(c.rows), c.version
+	s.era++
+	s.notifyWatchers()
+	return lost
+}
+
+// WriteAgain writes rows that were lost.
+func (s *Store) WriteAgain(rows ...Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rows {
+		s.put(r)
+	}
+}
+
+// Era returns the store's era.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// Rows returns the rows of a table that are not deleted.
+func (s *Store) Rows(table string) (list []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.rows[table] {
+		if !r.Gone {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // TruncateHistory drops the history of changes up to now: feeds from before are answered 410.
 func (s *Store) TruncateHistory() {
 	s.mu.Lock()
@@ -175,6 +243,7 @@
 		s.mu.Lock()
 		s.calls++
 		mode := s.mode
+		w.Header().Set(headerEra, strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
 		switch mode {
 		case ModeRefusing:
@@ -246,6 +315,7 @@
 		return
 	}
 	end := time.After(time.Duration(wait) * time.Millisecond)
+	era := s.Era()
 	for {
 		l, changed, truncated := s.changesSince(r.FormValue("table"), after)
 		if truncated {
@@ -258,7 +328,7 @@
 		}
 		select {
 		case <-changed:
-			if s.isSilent() {
+			if s.isSilent() || s.Era() != era {
 				<-r.Context().Done()
 				return
 			}
@@ -286,7 +356,7 @@
 			l.Rows = append(l.Rows, row)
 		}
 	}
-	return l, s.changed, after < s.historyStart
+	return l, s.changed, after < s.historyStart || after > s.version
 }
 
 type transaction struct {
--- /dev/null
+++ b/internal/standin/onplatform/store_return_test.go
@@ -0,0 +1,261 @@
+package onplatform_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/internal/netproxy"
+	"github.com/drumpath/drumpath/internal/standin/onplatform"
+)
+
+const (
+	// returnFleetSize is more nodes than read the store each for itself.
+	returnFleetSize = 6
+	// inForceWithin is how long after its acknowledgement a change has to be in force at all nodes.
+	inForceWithin = 2 * time.Second
+	// rowsBackWithin is how long after the store's return the rows of nodes have to be there again.
+	rowsBackWithin = 5 * time.Second
+	noiseTable     = "other"
+)
+
+// returnFleet is a fleet of nodes in front of a store that comes back from a copy. Each node has a proxy to the
+// store.
+type returnFleet struct {
+	*site
+	nodes   []*node
+	proxies []*netproxy.Proxy
+	copy    onplatform.Copy
+	lost    []onplatform.Row
+}
+
+func newReturnFleet(t *testing.T) *returnFleet {
+	f := &returnFleet{site: newSite(t)}
+	f.startReplica(appService, "r1")
+	f.startReplica(appService, "r2")
+	for i := range returnFleetSize {
+		f.startNext(fmt.Sprintf("n%d", i))
+	}
+	f.waitUntil("the nodes know each other", func() bool {
+		for _, n := range f.nodes {
+			if nodeCount(n) < returnFleetSize || !n.isReady() || n.send(request("GET", "/safe/x", "")).status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// startNext starts a further node.
+func (f *returnFleet) startNext(name string) *node {
+	proxy := f.newProxy(f.store.Addr())
+	settings := f.settings(name)
+	settings.Platform.Store = proxy.Addr()
+	n := f.startNodeWith(settings)
+	f.nodes, f.proxies = append(f.nodes, n), append(f.proxies, proxy)
+	return n
+}
+
+// takeCopy takes the copy that the store will come back from.
+func (f *returnFleet) takeCopy() { f.copy = f.store.Copy() }
+
+// writeNoise raises the store's version by writes that concern no node.
+func (f *returnFleet) writeNoise(writes int) {
+	for i := range writes {
+		f.store.Put(noiseTable, fmt.Sprintf("k%d", i), "")
+	}
+}
+
+// returnStore has the store go silent for a while and come back from the copy.
+func (f *returnFleet) returnStore(away time.Duration) {
+	if away > 0 {
+		f.store.SetMode(onplatform.ModeSilent)
+		time.Sleep(away)
+	}
+	f.lost = f.store.ReturnFrom(f.copy)
+	f.store.SetMode(onplatform.ModeUp)
+}
+
+// revokeKey writes a configuration without the key that requests have.
+func (f *returnFleet) revokeKey() {
+	f.tenants = []map[string]any{{"name": "org-two", "api_keys": []string{"key-two"}}}
+	f.configure()
+}
+
+// assertKeyRevoked checks that each node rejects the key in time.
+func (f *returnFleet) assertKeyRevoked(acked time.Time) {
+	f.t.Helper()
+	waiting := f.nodes
+	for len(waiting) > 0 && time.Since(acked) < inForceWithin {
+		var left []*node
+		for _, n := range waiting {
+			if n.send(request("GET", "/safe/x", "")).status != http.StatusUnauthorized {
+				left = append(left, n)
+			}
+		}
+		waiting = left
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(f.t, len(waiting), 0, "nodes that still serve a key %s after its revocation", time.Since(acked))
+	f.t.Logf("in force after %s", time.Since(acked))
+}
+
+// The nodes took the lower versions of the copy for stale answers, or never saw rows under versions that were
+// given out twice.
+func TestRevokedKeyIsServedAfterStoreReturnsFromCopy(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		lostWrites int
+		away       time.Duration
+		// cut is how many nodes don't reach the store from its return on, for cutFor.
+		cut    int
+		cutFor time.Duration
+	}{
+		{"sixty_writes_lost", 60, 500 * time.Millisecond, 0, 0},
+		{"not_away", 60, 0, 0, 0},
+		{"long_away", 200, 3 * time.Second, 0, 0},
+		{"two_nodes_cut_off_longer", 60, 500 * time.Millisecond, 2, 3 * time.Second},
+		{"few_writes_lost", 3, 500 * time.Millisecond, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newReturnFleet(t)
+			f.takeCopy()
+			f.configure()
+			f.writeNoise(c.lostWrites)
+			time.Sleep(300 * time.Millisecond)
+			for _, p := range f.proxies[:c.cut] {
+				assert.NilError(t, p.MakeUnreachable())
+			}
+			f.returnStore(c.away)
+			f.store.WriteAgain(f.lost...)
+			time.AfterFunc(c.cutFor, func() {
+				for _, p := range f.proxies[:c.cut] {
+					_ = p.MakeReachable() // The test fails by its own check.
+				}
+			})
+			time.Sleep(200 * time.Millisecond)
+			f.revokeKey()
+			f.assertKeyRevoked(time.Now())
+		})
+	}
+}
+
+// The feed went on from a version that the store had given out again, so rows written before were never seen.
+func TestChangeBeforeKnownVersionIsPassedAgainIsNeverSeen(t *testing.T) {
+	f := newReturnFleet(t)
+	f.takeCopy()
+	f.writeNoise(20)
+	time.Sleep(1200 * time.Millisecond) // The nodes' feeds have reached the version.
+	for _, p := range f.proxies {
+		assert.NilError(t, p.MakeUnreachable())
+	}
+	f.returnStore(0)
+	f.store.WriteAgain(f.lost...)
+	f.revokeKey()
+	f.writeNoise(60)
+	for _, p := range f.proxies {
+		assert.NilError(t, p.MakeReachable())
+	}
+	f.assertKeyRevoked(time.Now())
+}
+
+// A node that starts after the store's return has nothing but the copy, which has the key.
+func TestNodeThatStartsOnCopyServesRevokedKey(t *testing.T) {
+	f := newReturnFleet(t)
+	f.takeCopy()
+	f.revokeKey()
+	f.assertKeyRevoked(time.Now())
+	f.returnStore(500 * time.Millisecond)
+	n := f.startNext("late")
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		status := n.send(request("GET", "/safe/x", "")).status
+		assert.Assert(t, status != http.StatusOK, "the node that started serves the key")
+	}
+	f.store.WriteAgain(f.lost...)
+	f.waitUntil("the node serves other keys", func() bool {
+		return n.send(strings.Replace(request("GET", "/safe/x", ""), key, "key-two", 1)).status == http.StatusOK
+	})
+}
+
+// The copy lists replicas as ready that have said since that they leave.
+func TestReplicaThatLeavesIsSentRequestsAfterStoreReturnsFromCopy(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		rowGone     bool // The replica's row was removed before the return.
+		nodesRolled bool
+	}{{"row_there", false, false}, {"row_gone", true, false}, {"node_starts", false, true}, {"row_gone_node_starts", true, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newReturnFleet(t)
+			leaving := f.startReplica(appService, "leaving")
+			time.Sleep(300 * time.Millisecond)
+			f.takeCopy()
+			f.listReplica(appService, leaving, "draining", 1)
+			time.Sleep(500 * time.Millisecond)
+			if c.rowGone {
+				f.store.Delete(onplatform.TableUpstreams, leaving.ID)
+				time.Sleep(500 * time.Millisecond)
+			}
+			f.returnStore(300 * time.Millisecond)
+			if c.nodesRolled {
+				f.startNext("late")
+			}
+			before := len(leaving.Received())
+			// The rows are written again only after 1.5 s.
+			for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				for _, n := range f.nodes {
+					n.send(request("GET", "/safe/x", ""))
+				}
+			}
+			assert.Equal(t, len(leaving.Received())-before, 0, "requests sent to a replica that has said that it leaves")
+		})
+	}
+}
+
+// Rows that nodes had written after the copy was taken were never written again.
+func TestNodesAreMissingFromTheListAfterStoreReturnsFromCopy(t *testing.T) {
+	f := newReturnFleet(t)
+	f.waitUntil("the nodes have written their rows", func() bool { return len(f.store.Rows(onplatform.TableNodes)) == returnFleetSize })
+	f.takeCopy()
+	f.startNext("late-a")
+	f.startNext("late-b")
+	f.waitUntil("the late nodes have written their rows", func() bool { return len(f.store.Rows(onplatform.TableNodes)) == returnFleetSize+2 })
+	f.returnStore(300 * time.Millisecond)
+	returned := time.Now()
+	for len(f.store.Rows(onplatform.TableNodes)) < returnFleetSize+2 && time.Since(returned) < rowsBackWithin {
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, len(f.store.Rows(onplatform.TableNodes)), returnFleetSize+2)
+}
+
+// The copy lacks the row of an evacuation, and the nodes took its absence for the end.
+func TestEvacuatedHallIsUsedAfterStoreReturnsFromCopy(t *testing.T) {
+	f := newReturnFleet(t)
+	f.takeCopy()
+	f.store.Put(onplatform.TableOperator, "evacuate/hall-a", map[string]any{})
+	serves := func(n *node) bool { return n.send(request("GET", "/safe/x", "")).status == http.StatusOK }
+	f.waitUntil("the hall is evacuated", func() bool {
+		for _, n := range f.nodes {
+			if serves(n) {
+				return false
+			}
+		}
+		return true
+	})
+	f.returnStore(300 * time.Millisecond)
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, n := range f.nodes {
+			assert.Assert(t, !serves(n), "a replica of the evacuated hall serves")
+		}
+	}
+	f.store.WriteAgain(f.lost...)
+	time.Sleep(300 * time.Millisecond)
+	f.store.Delete(onplatform.TableOperator, "evacuate/hall-a")
+	f.waitUntil("the evacuation is over", func() bool { return serves(f.nodes[0]) })
+}
