A replica that has said that it leaves stays leaving, whatever a later row says

A store that comes back from a copy may list the replica as ready again, as it was when the copy was taken. Nodes kept only what replicas said in responses; what their rows said went back with the row. Now both are kept for the start of the replica.

--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -51,8 +51,8 @@
 	missing   map[string]bool // IDs of upstreams whose rows are gone and may return.
 	pools     map[string]*route.Pool
 	evacuated map[string]*evacuation // By data hall.
-	// draining holds, by start key, the replicas that reported in a response that they
-	// drain. The upstream list may say otherwise, or no longer have the replica.
+	// draining holds, by start key, the replicas that have said in their rows or in a response
+	// that they drain. The upstream list may say otherwise, or no longer have the replica.
 	draining map[string]drainReport
 	// unusableRows counts rows of the upstream list that could not be decoded.
 	unusableRows int64
@@ -87,7 +87,7 @@
 	missingSince time.Time
 }
 
-// drainReport is a replica's report that it drains.
+// drainReport is a replica's statement that it drains.
 type drainReport struct {
 	replica string // Its ID.
 	at      time.Time
@@ -402,7 +402,10 @@
 	restarted = known && old.StartedBefore(&u)
 	if known && !restarted && st.reportedDraining(old.StartKey()) {
 		// The same start, with or without its time in the row.
-		st.draining[u.StartKey()] = drainReport{replica: u.ID, at: now}
+		st.recordDrain(&u, now)
+	}
+	if u.Draining {
+		st.recordDrain(&u, now)
 	}
 	u.Region = st.regions[u.DataHall]
 	u.Draining = u.Draining || st.reportedDraining(u.StartKey())
@@ -440,14 +443,7 @@
 	if st.reportedDraining(reported.StartKey()) {
 		return false
 	}
-	for start, report := range st.draining {
-		e, listed := st.upstreams[report.replica]
-		listed = listed && e.StartKey() == start
-		if !listed && now.Sub(report.at) >= drainingRetention {
-			delete(st.draining, start)
-		}
-	}
-	st.draining[reported.StartKey()] = drainReport{replica: replica.ID, at: now}
+	st.recordDrain(&reported, now)
 	e, known := st.upstreams[replica.ID]
 	if !known || e.StartKey() != reported.StartKey() || e.Draining {
 		return false
@@ -458,8 +454,20 @@
 	return true
 }
 
-// reportedDraining reports whether this start of a replica has reported in a response that
-// it drains.
+// recordDrain records that this start of a replica drains, and forgets the starts that have not been
+// listed for long. The caller holds mu.
+func (st *SiteState) recordDrain(u *site.Upstream, now time.Time) {
+	for start, report := range st.draining {
+		e, listed := st.upstreams[report.replica]
+		listed = listed && e.StartKey() == start
+		if !listed && now.Sub(report.at) >= drainingRetention {
+			delete(st.draining, start)
+		}
+	}
+	st.draining[u.StartKey()] = drainReport{replica: u.ID, at: now}
+}
+
+// reportedDraining reports whether this start of a replica has said that it drains.
 func (st *SiteState) reportedDraining(start string) bool {
 	_, reported := st.draining[start]
 	return reported
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -106,6 +106,26 @@
 	assert.Assert(t, p.Accepts(&restarted, now))
 }
 
+// A store that has come back from a copy lists a replica as ready that has said since that it leaves.
+func TestReplicaThatLeavesIsListedAsReadyAgain(t *testing.T) {
+	st := NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
+	now := time.Now()
+	u := site.Upstream{ID: "e", Service: "s", DataHall: "h", Started: time.UnixMilli(5)}
+	leaving := u
+	leaving.Draining = true
+	st.applyRow(u, now)
+	st.applyRow(leaving, now)
+	st.applyRow(u, now)
+	assert.Assert(t, !st.Pool("s").Accepts(&u, now), "listed as ready again")
+	st.ApplyUpstreams([]site.Row{{Key: "e", Version: 7, Gone: true}}, false, now)
+	st.applyRow(u, now)
+	assert.Assert(t, !st.Pool("s").Accepts(&u, now), "its row was gone, and is there again")
+	restarted := u
+	restarted.Started = time.UnixMilli(9)
+	st.applyRow(restarted, now)
+	assert.Assert(t, st.Pool("s").Accepts(&restarted, now), "it has started again")
+}
+
 func TestDrainingStartsAreForgotten(t *testing.T) {
 	st := NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
 	now := time.Now()
