A node that starts learns from others which replicas have said that they leave

After the store has come back from a copy it may list as ready a replica that has said since that it leaves, until the replica has written its row again. Running nodes remember; a node that starts in between has only the copy. It now asks two others before it follows the list.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -319,6 +319,7 @@
 	{"store back", Change, "Calls to the platform's store succeed again.", []Key{keyTable, keyVersion, keyAway}},
 	{"store not reached, other nodes are asked", Failure, "This node's own calls to the platform's store fail; it gets changes from other nodes.", []Key{keyTable, keyErr}},
 	{"store reached again", Change, "This node's own calls to the platform's store succeed again.", []Key{keyTable, keyAway, {"asked", "how often other nodes were asked meanwhile"}}},
+	{"draining replicas not learned", Failure, "A node that starts could not ask another one which replicas have said that they drain.", []Key{keyPeer, keyErr}},
 	{"era of store began", Change, "The platform's store has come back from an earlier copy of itself, or this node hears of it for the first time.", []Key{
 		{"from", "the era before"},
 		{"to", "the era that began"},
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -169,6 +169,7 @@
 	g.forwarding = newForwarding(g)
 	g.peers.HandleStreams(g.forwarding.serveStream)
 	g.peers.Handle(peer.RolePeer, methodOpinion, peer.Handle(g.forwarding.serveOpinion))
+	g.peers.Handle(peer.RolePeer, methodDraining, peer.Handle(g.nodes.serveDraining))
 	g.nodes.onUnreachable = g.reach.report
 	p.Store.Eras().Subscribe(g.logEra)
 	return g, g.listen()
@@ -264,6 +265,7 @@
 // joinAndFollow finds other nodes and then follows the tables of the platform's store.
 func (g *Gateway) joinAndFollow() {
 	g.nodes.join(g.ctx)
+	g.nodes.learnDraining(g.ctx, g.client)
 	if g.ctx.Err() != nil {
 		return
 	}
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
 )
 
@@ -19,6 +23,11 @@
 const (
 	// noteReplicaUpdates carries changes of replicas, such as weights being replaced.
 	noteReplicaUpdates = "gateway.news"
+	// methodDraining asks a node which replicas have said that they drain.
+	methodDraining = "gateway.draining_replicas"
+	// learnTimeout and maxNodesAsked bound how long a node that starts asks others.
+	learnTimeout  = 300 * time.Millisecond
+	maxNodesAsked = 2
 	// updateResendDelay is after how long updates are sent a second time.
 	updateResendDelay = 120 * time.Millisecond
 	// updateBatchDelay is how long updates are collected in a large fleet: a small part of
@@ -85,6 +94,33 @@
 	}
 }
 
+// serveDraining handles methodDraining.
+func (n *nodes) serveDraining(context.Context, struct{}) (replicaUpdatesNote, error) {
+	var note replicaUpdatesNote
+	for _, replica := range n.siteState.DrainingReplicas() {
+		note.Updates = append(note.Updates, updateFor(replica, replicaUpdate{Draining: true}))
+	}
+	return note, nil
+}
+
+// learnDraining has this node, which starts, learn from others which replicas have said that they drain. If
+// the store has come back from a copy, it may list them as ready.
+func (n *nodes) learnDraining(ctx context.Context, client *peer.Client) {
+	others := n.members.View().Alive()
+	others = slices.DeleteFunc(slices.Clone(others), func(m control.Member) bool { return m.Name == n.self.Name })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, m := range others[:min(maxNodesAsked, len(others))] {
+		var note replicaUpdatesNote
+		if err := client.CallWithin(ctx, learnTimeout, m.Peer, methodDraining, struct{}{}, &note); err != nil {
+			n.log.Warn("draining replicas not learned", "peer", m.Peer, "err", err)
+			continue
+		}
+		for _, u := range note.Updates {
+			n.applyUpdate(u)
+		}
+	}
+}
+
 // AnnounceRate implements ratelimit.Announcer.
 func (n *nodes) AnnounceRate(r ratelimit.RateUpdate) {
 	n.broadcast(replicaUpdate{Replica: r.Replica, Rate: &r})
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -94,7 +94,7 @@
 
 // drainReport is a replica's statement that it drains.
 type drainReport struct {
-	replica string // Its ID.
+	replica route.ReplicaRef
 	at      time.Time
 }
 
@@ -464,13 +464,24 @@
 // listed for long. The caller holds mu.
 func (st *SiteState) recordDrain(u *site.Upstream, now time.Time) {
 	for start, report := range st.draining {
-		e, listed := st.upstreams[report.replica]
+		e, listed := st.upstreams[report.replica.ID]
 		listed = listed && e.StartKey() == start
 		if !listed && now.Sub(report.at) >= drainingRetention {
 			delete(st.draining, start)
 		}
 	}
-	st.draining[u.StartKey()] = drainReport{replica: u.ID, at: now}
+	st.draining[u.StartKey()] = drainReport{replica: route.RefOf(u), at: now}
+}
+
+// DrainingReplicas lists the starts of replicas that have said that they drain, also those that are not
+// listed any more.
+func (st *SiteState) DrainingReplicas() (list []route.ReplicaRef) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, report := range st.draining {
+		list = append(list, report.replica)
+	}
+	return list
 }
 
 // reportedDraining reports whether this start of a replica has said that it drains.
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -161,3 +161,24 @@
 	}
 	assert.Assert(t, len(st.draining) <= 11, "%d", len(st.draining))
 }
+
+// A node that starts learns from others which replicas have said that they leave: the store's list may be that
+// of a copy.
+func TestStartingNodeKnowsWhichReplicasLeave(t *testing.T) {
+	newState := func() *SiteState {
+		return NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
+	}
+	now := time.Now()
+	known, starting := newState(), newState()
+	u := site.Upstream{ID: "e", Service: "s", DataHall: "h", Started: time.UnixMilli(5)}
+	leaving := u
+	leaving.Draining = true
+	known.applyRow(leaving, now)
+	note, err := (&nodes{siteState: known}).serveDraining(t.Context(), struct{}{})
+	assert.NilError(t, err)
+	for _, update := range note.Updates {
+		(&nodes{siteState: starting}).applyUpdate(update)
+	}
+	starting.applyRow(u, now)
+	assert.Assert(t, !starting.Pool("s").Accepts(&u, now))
+}
