Bases of packed rows are named by their content

Readers send a changed configuration as a delta on a value that the other node names. The name was the row's key and position, but two nodes may have different values under one position: after the store's return from a copy, or where one of them carries a newer content than the copy's. In the record three nodes could not decode such deltas ("match offset bigger than current history"), gave the reader up for three seconds and read from a node that was behind. Now the name is the key and a digest of the value.

--- a/service/gateway/packed_rows.go
+++ b/service/gateway/packed_rows.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/gob"
+	"encoding/hex"
 	"errors"
 	"math/bits"
 	"slices"
@@ -42,10 +44,22 @@
 	baseDictID = 1
 )
 
-// rowRef names one value of a row; the zero rowRef names none.
+// rowRef names one value of a row by its content; the zero rowRef names none.
 type rowRef struct {
-	Key      string           `json:"key,omitempty"`
-	Position history.Position `json:"position,omitzero"`
+	Key    string      `json:"key,omitempty"`
+	Digest valueDigest `json:"digest,omitempty"`
+}
+
+// valueDigest identifies a value: two nodes may have different values of a row at the same position.
+type valueDigest string
+
+// digestBytes is the length of digests before they are encoded.
+const digestBytes = 16
+
+// digestOf returns the digest of a value, in hexadecimal.
+func digestOf(value []byte) valueDigest {
+	sum := sha256.Sum256(value)
+	return valueDigest(hex.EncodeToString(sum[:digestBytes]))
 }
 
 // packedRows is the wire form of table rows between nodes.
@@ -133,14 +147,19 @@
 var errNoBase = errors.New("rows are packed against a base value that this node does not have")
 
 // formerValues are earlier values of a row, the newest first.
-type formerValues []site.Row
+type formerValues []formerValue
+
+type formerValue struct {
+	value  []byte
+	digest valueDigest
+}
 
 // add adds a value, and drops the oldest ones beyond the limits.
-func (f formerValues) add(r site.Row) formerValues {
-	f = slices.Insert(f, 0, r)
+func (f formerValues) add(v formerValue) formerValues {
+	f = slices.Insert(f, 0, v)
 	size, keep := 0, 0
 	for _, x := range f[:min(len(f), maxFormerValues)] {
-		if size += len(x.Value); size > maxFormerBytes {
+		if size += len(x.value); size > maxFormerBytes {
 			break
 		}
 		keep++
@@ -149,11 +168,11 @@
 	return f[:keep]
 }
 
-// find returns the value at a position, nil if it is not kept.
-func (f formerValues) find(p history.Position) []byte {
+// find returns the value with a digest, nil if it is not kept.
+func (f formerValues) find(d valueDigest) []byte {
 	for _, x := range f {
-		if x.Position == p {
-			return x.Value
+		if x.digest == d {
+			return x.value
 		}
 	}
 	return nil
--- a/service/gateway/packed_rows_test.go
+++ b/service/gateway/packed_rows_test.go
@@ -64,7 +64,7 @@
 		{"larger than the window", rows(large), append([]byte("x"), large...)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			packed, err := packRows(c.rows, rowRef{Key: "k0", Position: at(1)}, c.base)
+			packed, err := packRows(c.rows, rowRef{Key: "k0", Digest: "1"}, c.base)
 			assert.NilError(t, err)
 			got, err := packed.unpack(c.base)
 			assert.NilError(t, err)
@@ -82,7 +82,7 @@
 // The packed size grows with the change and not with the whole configuration.
 func TestPackedSizeGrowsWithTheChange(t *testing.T) {
 	size := func(n, more int) int {
-		packed, err := packRows([]site.Row{{Key: "c", Position: at(2), Value: routesText(2, n+more)}}, rowRef{Key: "c", Position: at(1)}, routesText(1, n))
+		packed, err := packRows([]site.Row{{Key: "c", Position: at(2), Value: routesText(2, n+more)}}, rowRef{Key: "c", Digest: "1"}, routesText(1, n))
 		assert.NilError(t, err)
 		return len(packed.Data)
 	}
@@ -99,7 +99,7 @@
 // Rows that were packed against a base that this node lacks, or has with another value, give
 // an error and not wrong rows.
 func TestUnpackWithWrongBaseFails(t *testing.T) {
-	packed, err := packRows([]site.Row{{Key: "c", Position: at(2), Value: routesText(2, 500)}}, rowRef{Key: "c", Position: at(1)}, routesText(1, 400))
+	packed, err := packRows([]site.Row{{Key: "c", Position: at(2), Value: routesText(2, 500)}}, rowRef{Key: "c", Digest: "1"}, routesText(1, 400))
 	assert.NilError(t, err)
 	_, err = packed.unpack(nil)
 	assert.ErrorIs(t, err, errNoBase)
@@ -114,15 +114,16 @@
 
 func TestFormerValuesAreBounded(t *testing.T) {
 	var f formerValues
-	for v := range int64(maxFormerValues + 3) {
-		f = f.add(site.Row{Position: at(v), Value: make([]byte, minBaseSize)})
+	digest := func(n int) valueDigest { return valueDigest(fmt.Sprint(n)) }
+	for v := range maxFormerValues + 3 {
+		f = f.add(formerValue{make([]byte, minBaseSize), digest(v)})
 	}
 	assert.Equal(t, len(f), maxFormerValues)
-	assert.Assert(t, f.find(at(maxFormerValues+2)) != nil)
-	assert.Assert(t, f.find(at(0)) == nil)
-	f = f.add(site.Row{Position: at(100), Value: make([]byte, maxFormerBytes-minBaseSize)})
+	assert.Assert(t, f.find(digest(maxFormerValues+2)) != nil)
+	assert.Assert(t, f.find(digest(0)) == nil)
+	f = f.add(formerValue{make([]byte, maxFormerBytes-minBaseSize), digest(100)})
 	assert.Equal(t, len(f), 2)
-	f = f.add(site.Row{Position: at(101), Value: make([]byte, maxFormerBytes+1)})
+	f = f.add(formerValue{make([]byte, maxFormerBytes+1), digest(101)})
 	assert.Equal(t, len(f), 0)
 }
 
@@ -140,11 +141,11 @@
 			{"whole", 0, nil},
 		} {
 			rows := []site.Row{{Key: "c", Position: at(2), Value: routesText(2, n+c.more)}}
-			packed, err := packRows(rows, rowRef{Key: "c", Position: at(1)}, c.base)
+			packed, err := packRows(rows, rowRef{Key: "c", Digest: "1"}, c.base)
 			assert.NilError(b, err)
 			b.Run(fmt.Sprintf("pack/%s/%d", c.name, n), func(b *testing.B) {
 				for b.Loop() {
-					_, err := packRows(rows, rowRef{Key: "c", Position: at(1)}, c.base)
+					_, err := packRows(rows, rowRef{Key: "c", Digest: "1"}, c.base)
 					assert.NilError(b, err)
 				}
 				b.ReportMetric(float64(len(packed.Data)), "told")
@@ -169,7 +170,7 @@
 	)
 	base := routesText(1, 400)
 	rows := []site.Row{{Key: "c", Position: at(2), Value: routesText(2, 500)}, {Key: "d", Position: at(3), Gone: true}}
-	withBase, err := packRows(rows, rowRef{Key: "c", Position: at(1)}, base)
+	withBase, err := packRows(rows, rowRef{Key: "c", Digest: "1"}, base)
 	assert.NilError(f, err)
 	packed, err := packRows(rows, rowRef{}, nil)
 	assert.NilError(f, err)
@@ -190,7 +191,7 @@
 	f.Fuzz(func(t *testing.T, data []byte, packed, hasBase bool) {
 		input, baseValue := packedRows{Data: data, Packed: packed}, []byte(nil)
 		if hasBase {
-			input.Base, baseValue = rowRef{Key: "c", Position: at(1)}, base
+			input.Base, baseValue = rowRef{Key: "c", Digest: "1"}, base
 		}
 		rows, err := input.unpack(baseValue)
 		if err != nil {
--- a/service/gateway/reader_table.go
+++ b/service/gateway/reader_table.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sort"
@@ -13,11 +14,11 @@
 
 // cachedTable is a node's copy of a table of the platform's store.
 type cachedTable struct {
-	rows         map[string]site.Row // Includes deleted rows.
-	changes      changeOrder         // Finds the rows changed since a position.
-	carried      map[string]bool     // Keys of rows with newer contents than the store's.
-	large        map[string]bool     // Keys of rows whose values serve as bases.
-	historyStart history.Position    // The changes since this position are known.
+	rows         map[string]site.Row    // Includes deleted rows.
+	changes      changeOrder            // Finds the rows changed since a position.
+	carried      map[string]bool        // Keys of rows with newer contents than the store's.
+	large        map[string]valueDigest // Digests of the rows whose values serve as bases.
+	historyStart history.Position       // The changes since this position are known.
 	position     history.Position
 	storeReadAt  time.Time // When the store itself last answered.
 	changed      chan struct{}
@@ -47,7 +48,7 @@
 func (r *sharedReader) table(t site.Table) *cachedTable {
 	x := r.tables[t]
 	if x == nil {
-		x = &cachedTable{changed: make(chan struct{}), former: map[string]formerValues{}, large: map[string]bool{}, carried: map[string]bool{}}
+		x = &cachedTable{changed: make(chan struct{}), former: map[string]formerValues{}, large: map[string]valueDigest{}, carried: map[string]bool{}}
 		r.tables[t] = x
 	}
 	return x
@@ -60,7 +61,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.table(q.Table)
-	old, newEra := x.rows, x.position.Era < l.Position.Era
+	old, oldLarge, newEra := x.rows, x.large, x.position.Era < l.Position.Era
 	switch {
 	case l.Position.Era < x.position.Era, q.Whole && l.Position.Before(x.position):
 		// The store returned an older table than before. Applying it would hide newer rows
@@ -69,7 +70,7 @@
 	case q.Whole:
 		x.rows, x.historyStart = make(map[string]site.Row, len(l.Rows)), l.Position
 		x.changes = nil
-		clear(x.large)
+		x.large = map[string]valueDigest{}
 	case x.position.Before(q.After):
 		x.rows = nil // The changes in between are missing.
 	}
@@ -87,20 +88,19 @@
 		case former.Key != "" && (newEra || x.carried[row.Key]):
 			row = r.newerContent(x, former, row)
 		}
-		if len(former.Value) >= minBaseSize && former.Position.Before(row.Position) {
-			x.former[row.Key] = x.former[row.Key].add(former)
+		digest := oldLarge[row.Key]
+		if !bytes.Equal(former.Value, row.Value) {
+			if digest != "" {
+				x.former[row.Key] = x.former[row.Key].add(formerValue{former.Value, digest})
+			}
+			digest = ""
 		}
-		x.rows[row.Key] = row
+		x.setRow(row, digest)
 		if q.Whole {
 			x.changes = append(x.changes, rowChange{row.Position, row.Key}) // Sorted below.
 		} else {
 			x.changes = x.changes.add(row)
 		}
-		if len(row.Value) >= minBaseSize {
-			x.large[row.Key] = true
-		} else {
-			delete(x.large, row.Key)
-		}
 	}
 	if q.Whole {
 		r.carryMissing(x, old, newEra)
@@ -147,22 +147,32 @@
 
 // carry adds a row with a newer content than the store's.
 func (x *cachedTable) carry(row site.Row) {
-	x.rows[row.Key] = row
+	x.setRow(row, "")
 	x.carried[row.Key] = true
 	x.changes = x.changes.add(row)
-	if len(row.Value) >= minBaseSize {
-		x.large[row.Key] = true
-	}
 	x.packed = nil
 }
 
+// setRow sets a row; digest is that of its value, "" if it is not known.
+func (x *cachedTable) setRow(row site.Row, digest valueDigest) {
+	x.rows[row.Key] = row
+	if len(row.Value) < minBaseSize {
+		delete(x.large, row.Key)
+		return
+	}
+	if digest == "" {
+		digest = digestOf(row.Value)
+	}
+	x.large[row.Key] = digest
+}
+
 // packForPeers packs the changes for peers that are up to date before they ask. Packing takes
 // some 13 ms for 5,600 routes; done on request, it could end after the peers' long polls have
 // timed out.
 func (r *sharedReader) packForPeers(x *cachedTable, since history.Position, rows []site.Row) {
 	for _, row := range rows {
 		if former := x.former[row.Key]; len(former) > 0 && len(row.Value) >= minBaseSize {
-			q := changesRequest{After: since, HaveRef: rowRef{Key: row.Key, Position: former[0].Position}}
+			q := changesRequest{After: since, HaveRef: rowRef{Key: row.Key, Digest: former[0].digest}}
 			if _, err := x.packFor(q); err != nil {
 				r.log.Error("row not encoded for peers", "row", row.Key, "position", row.Position, "err", err)
 			}
@@ -253,8 +263,8 @@
 
 // baseValue returns the value that ref names, nil if it is not known here.
 func (x *cachedTable) baseValue(ref rowRef) []byte {
-	if row := x.rows[ref.Key]; row.Position == ref.Position && !row.Gone {
-		return row.Value
+	if ref.Digest != "" && x.large[ref.Key] == ref.Digest {
+		return x.rows[ref.Key].Value
 	}
-	return x.former[ref.Key].find(ref.Position)
+	return x.former[ref.Key].find(ref.Digest)
 }
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -275,9 +275,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.table(t)
-	for key := range x.large {
-		if row := x.rows[key]; len(row.Value) >= max(minBaseSize, len(q.haveValue)) {
-			q.HaveRef, q.haveValue = rowRef{Key: row.Key, Position: row.Position}, row.Value
+	for key, digest := range x.large {
+		if row := x.rows[key]; len(row.Value) >= len(q.haveValue) {
+			q.HaveRef, q.haveValue = rowRef{Key: key, Digest: digest}, row.Value
 		}
 	}
 	return q
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -835,13 +835,15 @@
 	row := func(version int64, routes int) site.Listing {
 		return site.Listing{Position: at(version), Rows: []site.Row{{Key: operatorKey, Position: at(version), Value: routesText(int(version), routes)}}}
 	}
-	h.reader.apply(changesRequest{Table: site.TableOperator, Whole: true}, row(1, 100), true)
+	first := row(1, 100)
+	base := rowRef{Key: operatorKey, Digest: digestOf(first.Rows[0].Value)}
+	h.reader.apply(changesRequest{Table: site.TableOperator, Whole: true}, first, true)
 	h.reader.apply(changesRequest{Table: site.TableOperator, After: at(1)}, row(2, 110), true)
 	x := h.reader.tables[site.TableOperator]
 	assert.Equal(t, len(x.packed), 1)
-	a, _, _, err := h.reader.answer(changesRequest{Table: site.TableOperator, After: at(1), HaveRef: rowRef{Key: operatorKey, Position: at(1)}})
+	a, _, _, err := h.reader.answer(changesRequest{Table: site.TableOperator, After: at(1), HaveRef: base})
 	assert.NilError(t, err)
-	assert.Equal(t, a.Rows.Base, rowRef{Key: operatorKey, Position: at(1)})
+	assert.Equal(t, a.Rows.Base, base)
 	assert.Equal(t, len(x.packed), 1, "the answer was packed before")
 }
 
@@ -979,3 +981,34 @@
 	_, _, _, err = h.reader.answer(changesRequest{Table: site.TableOperator, Whole: true, Era: 3})
 	assert.ErrorIs(t, err, errReaderBehind, "the other node knows a later era")
 }
+
+// Two nodes had different configurations at the same position, and a delta on the one could not be decoded on the
+// other.
+func TestDeltaOnAnotherValueOfTheSamePositionCantBeDecoded(t *testing.T) {
+	h := newTestHall(t)
+	listing := func(value []byte) site.Listing {
+		return site.Listing{Rows: []site.Row{{Key: operatorKey, Position: at(155), Value: value}}, Position: at(155)}
+	}
+	whole := changesRequest{Table: site.TableOperator, Whole: true}
+	h.requester.apply(whole, listing(routesText(81, 100)), true)
+	h.reader.apply(whole, listing(routesText(90, 100)), true)
+	l, err := h.requester.fetchFromNode(t.Context(), h.server.Addr(), h.requester.addBase(site.TableOperator, whole), time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(l.Rows[0].Value), string(routesText(90, 100)))
+}
+
+// All nodes were sent their large configuration again after the store's return, though it had not changed.
+func TestUnchangedConfigurationIsSentAgainInANewEra(t *testing.T) {
+	h := newTestHall(t)
+	value := routesText(1, 5600)
+	listing := func(era history.Era) site.Listing {
+		return site.Listing{Rows: []site.Row{{Key: operatorKey, Position: inEra(era, 9), Value: value}}, Position: inEra(era, 9)}
+	}
+	whole := changesRequest{Table: site.TableOperator, Whole: true}
+	h.requester.apply(whole, listing(1), true)
+	h.reader.apply(whole, listing(2), true)
+	a, _, _, err := h.reader.answer(h.requester.addBase(site.TableOperator, whole))
+	assert.NilError(t, err)
+	t.Logf("%d of %d bytes", len(a.Rows.Data), len(value))
+	assert.Assert(t, len(a.Rows.Data) < minBaseSize, "%d of %d bytes", len(a.Rows.Data), len(value))
+}
