A lease's row of an earlier era does not tell who holds the lease

A copy of the store may have an earlier holder, an earlier end, an earlier fence or no row at all. The earlier holder took the lease back at once, another node when the end on the store's clock had passed, which is another clock after the return; and fences that were given out in between were given out again, for which engines refuse orders. So two nodes could order the same replica. Now the row names the era in which it was written. A row of an earlier era, or none, is waited for by the node's own clock: the last renewal was before the era began, so a term and the pause after the node first heard of the era nobody else holds the lease. A holder goes on within its term and writes itself into the new era. Fences of an era are above all those of earlier ones. A write that was done in the next era by accident is not believed.

--- a/pkg/history/eras.go
+++ b/pkg/history/eras.go
@@ -22,7 +22,7 @@
 }
 
 // Observe takes in an era that the store or another node has named, and reports whether it is the
-// newest one: what comes from an earlier era is outdated.
+// newest one: what comes from an earlier era is outdated. now must include all suspensions of the machine.
 func (e *Eras) Observe(era Era, now time.Time) (current bool) {
 	e.mu.Lock()
 	known := !e.since.IsZero()
--- a/pkg/rollout/lease.go
+++ b/pkg/rollout/lease.go
@@ -17,6 +17,8 @@
 type Store interface {
 	List(ctx context.Context, t site.Table) (site.Listing, error)
 	Put(ctx context.Context, t site.Table, key string, value []byte, expected history.Position) (site.Listing, error)
+	// Eras returns the eras that the store's answers have named.
+	Eras() *history.Eras
 }
 
 const (
@@ -28,6 +30,8 @@
 	// takeoverMargin is added to the pause between two holders for the time an order is on
 	// its way.
 	takeoverMargin = 300 * time.Millisecond
+	// fencesPerEra is how many fences each era of the store has.
+	fencesPerEra = 1 << 20
 )
 
 // Lease is a node's right to send the orders of one group of replicas.
@@ -37,6 +41,12 @@
 // boot-time clock, which also counts time in suspension, from before the write was sent; so
 // it stops before the written end. Another node takes the lease only once the store's clock
 // has passed the written end and the takeover pause.
+//
+// A row that was written in an earlier era of the store says nothing about the current holder: the
+// store may have come back from a copy, and its clock may be another one. But the last renewal
+// was before the era began. So a node that does not hold the lease waits for a term and the pause since
+// it first heard of the era, by its own clock. Fences begin anew above those of all
+// earlier eras, as some of these may be lost.
 type Lease struct {
 	key           string
 	node          string
@@ -47,6 +57,7 @@
 
 	mu               sync.Mutex
 	row              leaseRow
+	lastFence        int64            // The highest one that this node has had.
 	position         history.Position // Of the row.
 	validUntil       time.Time        // End of this node's validity, on its own clock.
 	renewalSentAt    time.Time        // When the last successful write was sent.
@@ -60,6 +71,8 @@
 	Holder string        `json:"holder"`
 	Fence  int64         `json:"fence"`
 	Until  time.Duration `json:"until_ns"` // On the store's clock.
+	// Era is that in which the holder wrote the row, by what it knew.
+	Era history.Era `json:"era,omitempty"`
 }
 
 // NewLease returns a lease that is not held. pause is the minimum time between the orders of
@@ -97,11 +110,32 @@
 		return true
 	}
 	if held {
-		return l.write(ctx, leaseTerm) || l.Held()
+		return l.renew(ctx) || l.Held()
 	}
 	return l.tryAcquire(ctx)
 }
 
+// renew extends the lease while it is held. In a new era of the store it first reads the row: no other node
+// takes the lease before this node's term has ended.
+func (l *Lease) renew(ctx context.Context) bool {
+	l.mu.Lock()
+	known := l.position.Era
+	l.mu.Unlock()
+	if era, _, _ := l.store.Eras().Current(); era != known {
+		if !l.read(ctx) || !l.mayReclaim() {
+			return false
+		}
+	}
+	return l.write(ctx, leaseTerm)
+}
+
+// mayReclaim reports whether no other node has taken the lease in the current era.
+func (l *Lease) mayReclaim() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.row.Era != l.position.Era || l.row.Holder == l.node
+}
+
 // acquireRetryPause is the minimum pause between two attempts to acquire the lease when
 // another node holds it or the store fails.
 const acquireRetryPause = 400 * time.Millisecond
@@ -115,9 +149,11 @@
 	if tooEarly {
 		return false
 	}
-	free, freeIn := l.read(ctx)
-	if free && l.write(ctx, leaseTerm) {
-		return true
+	var freeIn time.Duration
+	if l.read(ctx) {
+		if freeIn = l.freeIn(); freeIn <= 0 && l.write(ctx, leaseTerm) {
+			return true
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -144,13 +180,13 @@
 	l.Release(ctx)
 }
 
-// read loads the row and reports whether the lease is free, or in how long it could be.
-func (l *Lease) read(ctx context.Context) (free bool, freeIn time.Duration) {
+// read loads the row, and reports whether it could.
+func (l *Lease) read(ctx context.Context) bool {
 	askedAt := l.now()
 	listing, err := l.store.List(ctx, site.TableLeases)
 	if err != nil {
 		l.log.Warn("lease not read", "err", err)
-		return false, 0
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -159,15 +195,32 @@
 	if found {
 		if err := json.Unmarshal(r.Value, &l.row); err != nil {
 			l.log.Error("lease row can't be decoded", "err", err)
-			return false, 0
+			return false
 		}
 	}
 	l.storeClock, l.storeClockReadAt = listing.Now, askedAt
-	if l.row.Holder == "" || l.row.Holder == l.node {
-		return true, 0
+	return true
+}
+
+// freeIn returns in how long the lease could be free, by the row that was read last.
+func (l *Lease) freeIn() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.row.Era != l.position.Era:
+		_, since, _ := l.store.Eras().Current()
+		return leaseTerm + l.takeoverPause + takeoverMargin - l.now().Sub(since)
+	case l.row.Holder == "" || l.row.Holder == l.node:
+		return 0
+	default:
+		return l.row.Until + l.takeoverPause + takeoverMargin - l.storeClock
 	}
-	freeIn = l.row.Until + l.takeoverPause + takeoverMargin - listing.Now
-	return freeIn <= 0, freeIn
+}
+
+// nextFence returns the fence of a new holder. It is above all that were given out in this era and in earlier
+// ones.
+func (l *Lease) nextFence() int64 {
+	return max(l.row.Fence, l.lastFence, int64(l.position.Era)*fencesPerEra) + 1
 }
 
 // write extends the lease by a term from now. A term of 0 ends it.
@@ -179,9 +232,9 @@
 	}
 	sentAt := l.now()
 	next := l.row
-	if next.Holder != l.node {
-		next.Holder = l.node
-		next.Fence++
+	if next.Holder != l.node || next.Era != l.position.Era {
+		next.Holder, next.Era = l.node, l.position.Era
+		next.Fence = l.nextFence()
 	}
 	next.Until = l.storeClock + sentAt.Sub(l.storeClockReadAt) + term
 	expected := l.position
@@ -192,7 +245,7 @@
 	}
 	listing, err := l.store.Put(ctx, site.TableLeases, l.key, body, expected)
 	if err != nil {
-		if !errors.Is(err, site.ErrConflict) {
+		if !errors.Is(err, site.ErrConflict) && !errors.Is(err, site.ErrEraEnded) {
 			l.log.Warn("lease not written", "err", err)
 		}
 		return false
@@ -202,7 +255,7 @@
 	if next.Fence != l.row.Fence {
 		l.log.Info("lease acquired", "lease", l.key, "fence", next.Fence, "position", listing.Position)
 	}
-	l.row, l.position = next, listing.Position
+	l.row, l.position, l.lastFence = next, listing.Position, next.Fence
 	l.renewalSentAt = sentAt
 	if term > 0 && !l.closed {
 		l.validUntil = sentAt.Add(term)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -26,26 +28,55 @@
 	version     int64
 	createdAt   time.Time
 	unreachable map[string]bool // By calling node.
+	era         history.Era
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{rows: map[string]site.Row{}, version: 1, createdAt: time.Now(), unreachable: map[string]bool{}}
 }
 
+// position is that of the store's last write; the caller holds mu.
+func (s *memoryStore) position() history.Position {
+	return history.Position{Era: s.era, Version: s.version}
+}
+
+// copyRows returns a copy of the rows, with the version.
+func (s *memoryStore) copyRows() (map[string]site.Row, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.rows), s.version
+}
+
+// returnFrom has the store come back from a copy, with another clock.
+func (s *memoryStore) returnFrom(rows map[string]site.Row, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = maps.Clone(rows), version
+	s.era++
+	s.createdAt = time.Now()
+}
+
 // nodeStore is the store as seen by one node, which may be unable to reach it.
 type nodeStore struct {
 	*memoryStore
 	node string
+	eras *history.Eras
 }
 
+func newNodeStore(s *memoryStore, node string) nodeStore { return nodeStore{s, node, &history.Eras{}} }
+
+func (v nodeStore) Eras() *history.Eras { return v.eras }
+
 func (v nodeStore) List(context.Context, site.Table) (site.Listing, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.unreachable[v.node] {
 		return site.Listing{}, fmt.Errorf("cut off")
 	}
-	l := site.Listing{Position: history.Position{Version: v.version}, Now: time.Since(v.createdAt)}
+	v.eras.Observe(v.era, boottime.RefreshNow())
+	l := site.Listing{Position: v.position(), Now: time.Since(v.createdAt)}
 	for _, r := range v.rows {
+		r.Position.Era = v.era
 		l.Rows = append(l.Rows, r)
 	}
 	return l, nil
@@ -57,12 +88,16 @@
 	if v.unreachable[v.node] {
 		return site.Listing{}, fmt.Errorf("cut off")
 	}
-	if v.rows[key].Position != expected {
+	v.eras.Observe(v.era, boottime.RefreshNow())
+	if v.rows[key].Position.Version != expected.Version {
 		return site.Listing{}, site.ErrConflict
 	}
 	v.version++
-	v.rows[key] = site.Row{Key: key, Value: value, Position: history.Position{Version: v.version}}
-	return site.Listing{Position: history.Position{Version: v.version}, Now: time.Since(v.createdAt)}, nil
+	v.rows[key] = site.Row{Key: key, Value: value, Position: v.position()}
+	if v.era != expected.Era {
+		return site.Listing{}, site.ErrEraEnded
+	}
+	return site.Listing{Position: v.position(), Now: time.Since(v.createdAt)}, nil
 }
 
 func (s *memoryStore) setUnreachable(node string, unreachable bool) {
@@ -252,7 +287,7 @@
 	var wg sync.WaitGroup
 	for i, node := range nodes {
 		f.ranks[node] = i
-		r := New(node, testPause, nodeStore{s, node}, f, fleetView{f, node}, slog.New(slog.DiscardHandler))
+		r := New(node, testPause, newNodeStore(s, node), f, fleetView{f, node}, slog.New(slog.DiscardHandler))
 		wg.Go(func() {
 			defer r.Close()
 			for ctx.Err() == nil {
@@ -399,7 +434,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, f := newMemoryStore(), newFakeFleet(18)
 		f.setVersion(2)
-		r := New("n1", testPause, nodeStore{s, "n1"}, f, fleetView{f, "n1"}, slog.New(slog.DiscardHandler))
+		r := New("n1", testPause, newNodeStore(s, "n1"), f, fleetView{f, "n1"}, slog.New(slog.DiscardHandler))
 		defer r.Close()
 		r.Step(t.Context())
 		assert.Assert(t, len(s.rows) > 0)
@@ -434,7 +469,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const listDelay = 20 * time.Millisecond
 		s := newMemoryStore()
-		l := NewLease("l", "n1", testPause, slowStore{nodeStore{s, "n1"}, listDelay}, slog.New(slog.DiscardHandler))
+		l := NewLease("l", "n1", testPause, slowStore{newNodeStore(s, "n1"), listDelay}, slog.New(slog.DiscardHandler))
 		held := make(chan bool, 1)
 		go func() { held <- l.AcquireOrRenew(t.Context()) }()
 		time.Sleep(listDelay / 2)
@@ -453,8 +488,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newMemoryStore()
 		log := slog.New(slog.DiscardHandler)
-		a := NewLease("l", "a", testPause, nodeStore{s, "a"}, log)
-		b := NewLease("l", "b", testPause, nodeStore{s, "b"}, log)
+		a := NewLease("l", "a", testPause, newNodeStore(s, "a"), log)
+		b := NewLease("l", "b", testPause, newNodeStore(s, "b"), log)
 		assert.Assert(t, a.AcquireOrRenew(t.Context()))
 		fence := a.Fence()
 		s.setUnreachable("a", true)
@@ -481,9 +516,78 @@
 // monotonic clock of the first does not advance during the suspension.
 func TestLeaseExpiresDuringASuspension(t *testing.T) {
 	s := newMemoryStore()
-	l := NewLease("l", "a", testPause, nodeStore{s, "a"}, slog.New(slog.DiscardHandler))
+	l := NewLease("l", "a", testPause, newNodeStore(s, "a"), slog.New(slog.DiscardHandler))
 	assert.Assert(t, l.AcquireOrRenew(t.Context()))
 	assert.Assert(t, l.Held())
 	boottime.SimulateSuspend(leaseTerm)
 	assert.Assert(t, !l.Held())
 }
+
+// The store came back from copies that had an earlier holder, an earlier end or no row at all: two nodes held the
+// lease, and fences were given out twice.
+func TestLeaseHasOneHolderWhenTheStoreReturnsFromCopies(t *testing.T) {
+	const seeds = 50
+	holders := 0
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { holders += playReturns(t, rand.New(rand.NewPCG(seed, 1))) })
+		})
+	}
+	assert.Assert(t, holders > 2*seeds, "%d holders", holders)
+}
+
+// playReturns has nodes hold a lease in turn while the store comes back from copies, and nodes are paused or cut
+// off from it.
+func playReturns(t *testing.T, rng *rand.Rand) (holders int) {
+	s := newMemoryStore()
+	s.era = 1
+	names := []string{"a", "b", "c", "d"}
+	leases := map[string]*Lease{}
+	for _, name := range names {
+		leases[name] = NewLease("l", name, testPause, newNodeStore(s, name), slog.New(slog.DiscardHandler))
+	}
+	copied, version := s.copyRows()
+	fences := map[int64]string{}
+	var last string
+	var lastHeld time.Time
+	lastFence := int64(0)
+	paused := map[string]bool{}
+	for range 2400 {
+		switch rng.IntN(150) {
+		case 0, 1:
+			copied, version = s.copyRows()
+		case 2:
+			s.returnFrom(copied, version)
+		case 3, 4, 5:
+			s.setUnreachable(names[rng.IntN(len(names))], rng.IntN(3) == 0)
+		case 6:
+			paused[names[rng.IntN(len(names))]] = rng.IntN(2) == 0
+		case 7:
+			leases[names[rng.IntN(len(names))]].Release(t.Context())
+		}
+		held := ""
+		for _, i := range rng.Perm(len(names)) {
+			if !paused[names[i]] {
+				leases[names[i]].AcquireOrRenew(t.Context())
+			}
+		}
+		for name, l := range leases {
+			if !l.Held() {
+				continue
+			}
+			assert.Equal(t, held, "", "%s holds the lease besides", name)
+			held = name
+			owner, used := fences[l.Fence()]
+			assert.Assert(t, !used || owner == name, "fence %d of %s and %s", l.Fence(), owner, name)
+			assert.Assert(t, l.Fence() >= lastFence, "fence %d after %d", l.Fence(), lastFence)
+			fences[l.Fence()], lastFence = name, l.Fence()
+			if last != name {
+				holders++
+				assert.Assert(t, last == "" || time.Since(lastHeld) >= testPause, "%s after %s within %s", name, last, time.Since(lastHeld))
+			}
+			last, lastHeld = name, time.Now()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return holders
+}
--- a/service/gateway/reader_serve.go
+++ b/service/gateway/reader_serve.go
@@ -54,7 +54,7 @@
 		return nil, eris.Wrap(err, "bad parameters")
 	}
 	if q.Era > 0 {
-		r.store.Eras().Observe(q.Era, boottime.Now())
+		r.store.Eras().Observe(q.Era, boottime.RefreshNow())
 	}
 	end := time.After(min(readerPollWait, time.Duration(q.WaitMS)*time.Millisecond))
 	r.refreshFromStore(ctx, q)
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -408,7 +408,7 @@
 	if err := r.client.CallWithin(ctx, timeout, addr, methodTableChanges, q, &answer); err != nil {
 		return l, err
 	}
-	current := r.store.Eras().Observe(answer.Position.Era, boottime.Now())
+	current := r.store.Eras().Observe(answer.Position.Era, boottime.RefreshNow())
 	switch {
 	case !current, time.Duration(answer.AgeMS)*time.Millisecond > q.maxAge():
 		return l, errReaderBehind
