Nodes write their rows again that a copy of the store lacks

A node that had started after the copy was taken was missing from the list of nodes for good: it had written its row once and did not look again. Nodes that start and know nobody, or only their hall, don't find it. Now the list is read again in each era, and a node whose row the whole list lacks, or has from an earlier start, writes it, each after a random delay that grows with the fleet: with all rows lost, 50 writes a second at any size.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -392,6 +392,8 @@
 	{"nodes not read", Failure, "This node could not read the list of nodes; it retries.", []Key{keyErr}},
 	{"nodes read again", Change, "This node has read the list of nodes again.", []Key{keyAway}},
 	{"nodes of the data hall not listed", Failure, "A node that starts could not list the nodes of its data hall.", []Key{keyHall, keyErr}},
+	{"node row is missing, to be written again", Change, "The list of nodes lacks this node's row, or has an earlier one.", []Key{keyNode}},
+	{"node row not encoded", Failure, "This node's row could not be encoded.", []Key{keyNode, keyErr}},
 	{"node row not written", Failure, "This node could not write its address to the store; it retries.", []Key{
 		keyNode, {"retry_after", "nanoseconds until it retries"}, keyErr,
 	}},
--- a/service/gateway/discovery.go
+++ b/service/gateway/discovery.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -34,6 +35,10 @@
 	discoverRetryDelay = 5 * time.Second
 	// loneRetryDelay is the pause between reads of a node that knows no other.
 	loneRetryDelay = time.Second
+	// rewriteSpread times the number of nodes is the time over which they read the list of nodes again,
+	// and then write the rows that it lacks, after the store has come back from a copy. All nodes
+	// together then make 50 calls a second.
+	rewriteSpread = 20 * time.Millisecond
 	// maxAnnounceBackoff bounds the pause between attempts to write this node's row.
 	maxAnnounceBackoff = 8 * time.Second
 	// maxGreeted is the number of nodes up to which all greet each other.
@@ -177,14 +182,59 @@
 
 func (n *nodes) writeRow(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrap(err, "write this node's row") }()
-	body, err := json.Marshal(nodeRow{Peer: n.self.Peer, Entry: n.self.Entry, DataHall: n.self.DataHall, Link: n.self.Link})
+	body, err := n.encodeRow()
 	if err != nil {
 		return err
 	}
-	_, err = n.store.PutUnconditionally(ctx, site.TableNodes, hallKeys(n.self.DataHall)+n.self.Name, body)
+	_, err = n.store.PutUnconditionally(ctx, site.TableNodes, n.rowKey(), body)
 	return err
 }
 
+// rowKey is the key of this node's row.
+func (n *nodes) rowKey() string { return hallKeys(n.self.DataHall) + n.self.Name }
+
+// encodeRow encodes this node's row.
+func (n *nodes) encodeRow() ([]byte, error) {
+	return json.Marshal(nodeRow{Peer: n.self.Peer, Entry: n.self.Entry, DataHall: n.self.DataHall, Link: n.self.Link})
+}
+
+// rewriteLimit is the longest that rewriteDelay returns.
+func (n *nodes) rewriteLimit() time.Duration {
+	return time.Duration(n.members.View().Counts().All+1) * rewriteSpread
+}
+
+// rewriteDelay returns a random delay that spreads the calls of all nodes.
+func (n *nodes) rewriteDelay() time.Duration { return rand.N(n.rewriteLimit()) }
+
+// handleEra has the list of nodes read again: the store has come back from a copy, which may lack this node's
+// row or have an earlier one.
+func (n *nodes) handleEra() {
+	nextRead := boottime.Now().Add(n.rewriteDelay())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.discovery.readAt, n.discovery.nextRead = time.Time{}, nextRead
+}
+
+// checkOwnRow has this node's row written again if the whole list of nodes lacks it.
+func (n *nodes) checkOwnRow(rows []site.Row) {
+	body, err := n.encodeRow()
+	if err != nil {
+		n.log.Error("node row not encoded", "node", n.self.Name, "err", err)
+		return
+	}
+	listing := site.Listing{Rows: rows}
+	if own, found := listing.Find(n.rowKey()); found && bytes.Equal(own.Value, body) {
+		return
+	}
+	nextAnnounce := boottime.Now().Add(n.rewriteDelay())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.discovery.announced {
+		n.discovery.announced, n.discovery.announceBackoff, n.discovery.nextAnnounce = false, 0, nextAnnounce
+		n.log.Info("node row is missing, to be written again", "node", n.self.Name)
+	}
+}
+
 // discover reads the list of nodes if that is due; the timer service calls it.
 func (n *nodes) discover(ctx context.Context) {
 	now := boottime.Now()
@@ -250,7 +300,10 @@
 
 // applyNodeRows takes in rows of the list of nodes: it greets the nodes that this one should
 // know itself, and adds the others as listed.
-func (n *nodes) applyNodeRows(rows []site.Row, _ bool, now time.Time) {
+func (n *nodes) applyNodeRows(rows []site.Row, whole bool, now time.Time) {
+	if whole {
+		n.checkOwnRow(rows)
+	}
 	greetAll := max(len(rows), n.members.View().Counts().All) <= maxGreeted
 	var unprobed []netip.AddrPort
 	var listed []control.Member
--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -142,3 +142,21 @@
 		})
 	}
 }
+
+// After the store had come back from a copy without a node's row, the row was never written again.
+func TestMissingNodeRowIsWrittenAgain(t *testing.T) {
+	n, _ := newDiscoveringNode(t, 9, 3)
+	n.discover(t.Context())
+	n.discovery.announced = true
+	own, err := n.encodeRow()
+	assert.NilError(t, err)
+	n.applyNodeRows([]site.Row{{Key: n.rowKey(), Value: own}}, true, time.Now())
+	assert.Assert(t, n.discovery.announced)
+	n.applyNodeRows(nil, false, time.Now())
+	assert.Assert(t, n.discovery.announced, "changes of other rows")
+	n.handleEra()
+	assert.Assert(t, n.readDue(boottime.Now().Add(n.rewriteLimit())))
+	n.applyNodeRows([]site.Row{{Key: n.rowKey(), Value: []byte(`{"peer":"127.0.0.1:1"}`)}}, true, time.Now())
+	assert.Assert(t, !n.discovery.announced, "the row of an earlier start")
+	assert.Assert(t, !n.discovery.nextAnnounce.After(boottime.Now().Add(n.rewriteLimit())))
+}
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -290,6 +290,7 @@
 	for _, f := range g.tableFollowers {
 		f.pollNow()
 	}
+	g.nodes.handleEra()
 }
 
 // conf returns the settings in force.
