Blocked requests are stored again in a new era of the store

The row of blocked requests was written once for each request. A copy of the store may lack it or have an earlier one, and after a restart of all nodes the requests that it lacks would end replicas again. At the beginning of an era each request counts as not stored until the row has been read; the owners of what it lacks write it. The test's store has one of two requests after its return; before, it stays so (the owners' marks are never cleared).

--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -291,6 +291,7 @@
 		f.pollNow()
 	}
 	g.nodes.handleEra()
+	g.suspects.HandleEra()
 }
 
 // conf returns the settings in force.
--- a/service/suspects/blocked_row.go
+++ b/service/suspects/blocked_row.go
@@ -20,6 +20,9 @@
 	BlockedRowKey = "requests/barred"
 	// saveRetryPause is the pause after a failed write: each call is paid for.
 	saveRetryPause = 5 * time.Second
+	// rewriteDelay is how long after the store has come back from a copy the row is not written: which
+	// cases the copy has is not known before the list of nodes is read again.
+	rewriteDelay = 2 * time.Second
 	// maxStoredCases is how many of the newest cases are stored, some 400 bytes each, in a
 	// row of 64 kB.
 	maxStoredCases = 120
@@ -50,6 +53,15 @@
 	}
 }
 
+// HandleEra has the blocked requests stored again that the row lacks once the store has come back from a
+// copy. What the copy has is learned with the list of nodes.
+func (s *Suspects) HandleEra() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.stored)
+	s.nextSave = boottime.Now().Add(rewriteDelay)
+}
+
 // SaveRow writes the row if a blocked request is missing from it and this node is the one
 // to write it. The timer service calls it.
 func (s *Suspects) SaveRow(ctx context.Context) {
@@ -93,6 +105,9 @@
 	stored, found := l.Find(BlockedRowKey)
 	if found {
 		s.LoadRow(stored, now)
+		if !s.mustSave(now) {
+			return nil
+		}
 	}
 	row := blockedRow{Written: now.UnixMilli()}
 	for _, c := range s.register.Flagged(unlimited) {
--- a/service/suspects/suspects_test.go
+++ b/service/suspects/suspects_test.go
@@ -650,6 +650,47 @@
 	assert.Assert(t, other.register.Empty(), "a loaded case keeps its age")
 }
 
+// The row was written once, and not again after the store had come back from a copy without it: after a restart of
+// all nodes the requests ended replicas again.
+func TestBlockedRequestsAreStoredAgainInANewEra(t *testing.T) {
+	s := newTestCluster(1, 1, func() time.Duration { return 0 }).nodes[0]
+	store := &oneRowStore{}
+	s.store = store
+	block := func(content site.Fingerprint) {
+		for i := range 3 {
+			end := time.Now().Add(time.Duration(i-60) * time.Second)
+			s.register.Merge(suspect.Case{Content: content, QuickHash: 1, Ends: []suspect.ReplicaEnd{
+				{Replica: fmt.Sprint("replica", i), StartedAt: end.Add(-time.Second), EndedAt: end},
+			}})
+		}
+	}
+	save := func() {
+		s.nextSave = time.Time{}
+		s.SaveRow(t.Context())
+	}
+	block(crashContent)
+	save()
+	copied := store.row
+	block(site.Fingerprint{9})
+	save()
+	assert.Equal(t, store.writes, 2)
+
+	s.HandleEra()
+	s.SaveRow(t.Context())
+	assert.Equal(t, store.lists, 2, "the list of nodes is awaited")
+	save()
+	assert.Equal(t, store.writes, 2, "nothing was lost")
+
+	store.row = copied
+	s.HandleEra()
+	s.LoadRow(copied, time.Now())
+	save()
+	assert.Equal(t, store.writes, 3)
+	other := newTestCluster(1, 1, func() time.Duration { return 0 }).nodes[0]
+	other.LoadRow(store.row, time.Now())
+	assert.Equal(t, len(other.register.Flagged(unlimited)), 2)
+}
+
 // oneRowStore is a store that holds one row.
 type oneRowStore struct {
 	Store
