A node whose row is lost with an era does not take itself for new

A node that starts has its part of the retry budget at once if the store has no row of an earlier process of it. After the store's return from a copy that proves nothing. The node now asks others whether an era has begun within the window of the budget, with the call that tells it which replicas leave, and then waits as any node that starts again. Before, the node in the test counts as new in both cases.

--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -13,6 +13,8 @@
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/suspects"
@@ -160,3 +162,32 @@
 	assert.Assert(t, !n.discovery.announced, "the row of an earlier start")
 	assert.Assert(t, !n.discovery.nextAnnounce.After(boottime.Now().Add(n.rewriteLimit())))
 }
+
+// A node whose row was lost with an era of the store took itself for new, and had its part of the retry budget once
+// more.
+func TestRetryBudgetIsLimitedIfTheNodesRowMayBeLost(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		eras      []history.Era
+		firstTime bool
+	}{{"the store has not come back", []history.Era{3}, true}, {"the store has come back", []history.Era{3, 4}, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &fakeTableStore{}
+			for _, era := range tt.eras {
+				store.eras.Observe(era, boottime.Now())
+			}
+			log := slog.New(slog.DiscardHandler)
+			asked := &nodes{store: store, siteState: NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), log)}
+			server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, log)
+			assert.NilError(t, err)
+			server.Handle(peer.RolePeer, methodStartState, peer.Handle(asked.serveStartState))
+			server.Start()
+			t.Cleanup(server.Close)
+			n, _ := newDiscoveringNode(t, 0, 1)
+			n.members.Merge([]control.Member{{Name: "n1", DataHall: "hall-0", Peer: server.Addr(), Incarnation: 1}}, time.Now())
+			n.firstStart.Store(true)
+			n.learnStartState(t.Context(), peer.NewClient("key"), time.Minute)
+			assert.Equal(t, n.firstStart.Load(), tt.firstTime)
+		})
+	}
+}
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -169,7 +169,7 @@
 	g.forwarding = newForwarding(g)
 	g.peers.HandleStreams(g.forwarding.serveStream)
 	g.peers.Handle(peer.RolePeer, methodOpinion, peer.Handle(g.forwarding.serveOpinion))
-	g.peers.Handle(peer.RolePeer, methodDraining, peer.Handle(g.nodes.serveDraining))
+	g.peers.Handle(peer.RolePeer, methodStartState, peer.Handle(g.nodes.serveStartState))
 	g.nodes.onUnreachable = g.reach.report
 	p.Store.Eras().Subscribe(g.handleEra)
 	return g, g.listen()
@@ -265,7 +265,7 @@
 // joinAndFollow finds other nodes and then follows the tables of the platform's store.
 func (g *Gateway) joinAndFollow() {
 	g.nodes.join(g.ctx)
-	g.nodes.learnDraining(g.ctx, g.client)
+	g.nodes.learnStartState(g.ctx, g.client, g.conf().Retry.Window.Std())
 	if g.ctx.Err() != nil {
 		return
 	}
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -35,8 +35,8 @@
 	log         *slog.Logger
 	loadsDue    chan struct{} // Signals that the loads must be sent soon; capacity 1.
 	incarnation uint64        // Distinguishes this run of the node from earlier ones.
-	// firstStart is set if the node's row did not exist when it started: it had no earlier
-	// process.
+	// firstStart is set if the node's row did not exist when it started, and was not lost with an era
+	// of the store: it had no earlier process.
 	firstStart   atomic.Bool
 	notesDropped atomic.Int64 // Datagrams that could not be decoded.
 	// onUnreachable is called when a node reports that it can't reach a replica. It may be
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -23,8 +23,8 @@
 const (
 	// noteReplicaUpdates carries changes of replicas, such as weights being replaced.
 	noteReplicaUpdates = "gateway.news"
-	// methodDraining asks a node which replicas have said that they drain.
-	methodDraining = "gateway.draining_replicas"
+	// methodStartState asks a node for what another one has to know as it starts.
+	methodStartState = "gateway.start_state"
 	// learnTimeout and maxNodesAsked bound how long a node that starts asks others.
 	learnTimeout  = 300 * time.Millisecond
 	maxNodesAsked = 2
@@ -94,28 +94,48 @@
 	}
 }
 
-// serveDraining handles methodDraining.
-func (n *nodes) serveDraining(context.Context, struct{}) (replicaUpdatesNote, error) {
-	var note replicaUpdatesNote
+// startStateRequest holds the parameters of methodStartState.
+type startStateRequest struct {
+	// RecentMS is how long ago, in milliseconds, an era of the store must have begun to count as old.
+	RecentMS int64 `json:"recent_ms"`
+}
+
+// startState is what a node that starts can't learn from a store that has come back from a copy.
+type startState struct {
+	// Draining are the replicas that have said that they drain. The store may list them as ready.
+	Draining []replicaUpdate `json:"draining,omitempty"`
+	// RecentEra means that an era has begun recently: the row of an earlier process of the starting
+	// node may be lost.
+	RecentEra bool `json:"recent_era,omitempty"`
+}
+
+// serveStartState handles methodStartState.
+func (n *nodes) serveStartState(_ context.Context, q startStateRequest) (out startState, err error) {
+	recent := time.Duration(q.RecentMS) * time.Millisecond
+	out.RecentEra = !n.store.Eras().IsSettled(boottime.Now(), recent)
 	for _, replica := range n.siteState.DrainingReplicas() {
-		note.Updates = append(note.Updates, updateFor(replica, replicaUpdate{Draining: true}))
+		out.Draining = append(out.Draining, updateFor(replica, replicaUpdate{Draining: true}))
 	}
-	return note, nil
+	return out, nil
 }
 
-// learnDraining has this node, which starts, learn from others which replicas have said that they drain. If
-// the store has come back from a copy, it may list them as ready.
-func (n *nodes) learnDraining(ctx context.Context, client *peer.Client) {
+// learnStartState has this node, which starts, ask others for their startState. retryWindow is that of the retry
+// budget.
+func (n *nodes) learnStartState(ctx context.Context, client *peer.Client, retryWindow time.Duration) {
 	others := n.members.View().Alive()
 	others = slices.DeleteFunc(slices.Clone(others), func(m control.Member) bool { return m.Name == n.self.Name })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, m := range others[:min(maxNodesAsked, len(others))] {
-		var note replicaUpdatesNote
-		if err := client.CallWithin(ctx, learnTimeout, m.Peer, methodDraining, struct{}{}, &note); err != nil {
-			n.log.Warn("draining replicas not learned", "peer", m.Peer, "err", err)
+		var s startState
+		q := startStateRequest{RecentMS: retryWindow.Milliseconds()}
+		if err := client.CallWithin(ctx, learnTimeout, m.Peer, methodStartState, q, &s); err != nil {
+			n.log.Warn("state for the start not learned", "peer", m.Peer, "err", err)
 			continue
 		}
-		for _, u := range note.Updates {
+		if s.RecentEra {
+			n.firstStart.Store(false)
+		}
+		for _, u := range s.Draining {
 			n.applyUpdate(u)
 		}
 	}
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -192,9 +192,9 @@
 	leaving := u
 	leaving.Draining = true
 	known.applyRow(leaving, now)
-	note, err := (&nodes{siteState: known}).serveDraining(t.Context(), struct{}{})
+	learned, err := (&nodes{siteState: known, store: &fakeTableStore{}}).serveStartState(t.Context(), startStateRequest{})
 	assert.NilError(t, err)
-	for _, update := range note.Updates {
+	for _, update := range learned.Draining {
 		(&nodes{siteState: starting}).applyUpdate(update)
 	}
 	starting.applyRow(u, now)
