A list of versions that a copy of the store has is not complete

A version that was listed after the copy was taken is missing from the list, and a stream that a client took up went on at the only version that was left. Each list now names the era in which it was confirmed. Nodes that knew the lists before confirm them in the new era, with what the copy lacks; until six seconds after that the only version proves nothing, and streams go on by records, which are sent meanwhile. Nodes that started anew only add versions. If no node knew the lists, they count as complete when no stream from before can be taken up any more, or at once where a node has had no earlier process and the store one era. Retired versions are retired anew by the clock of the era. A node in an earlier era learns of the later one from notes and answers of others.

Rows of nodes of earlier releases count as not confirmed.

--- a/pkg/history/eras.go
+++ b/pkg/history/eras.go
@@ -56,6 +56,13 @@
 	return e.first || e.since.IsZero() || now.Sub(e.since) >= term
 }
 
+// KnowsOne reports whether no more than one era is known, so that nothing known can have been lost.
+func (e *Eras) KnowsOne() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.first || e.since.IsZero()
+}
+
 // Current returns the newest era and since when it is known; ok is false before the first one.
 func (e *Eras) Current() (era Era, since time.Time, ok bool) {
 	e.mu.Lock()
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -147,14 +147,17 @@
 
 // While a service has one version, its streams go on without any record.
 func TestStreamsOfTheOnlyVersionGoOnWithoutRecords(t *testing.T) {
-	e := Evidence{Service: service, Versions: Versions{{Software: "v1"}}, ReadVersions: true}
+	e := Evidence{Service: service, Versions: Versions{{Software: "v1"}}, ReadVersions: true, Complete: true}
 	o, v := e.Decide()
 	assert.Equal(t, v, GoesOn)
 	assert.Equal(t, o, Origin{Service: service, Software: "v1"})
 	e.ReadVersions = false
 	_, v = e.Decide()
 	assert.Equal(t, v, Unknown, "what was read before the client returned may be too old")
-	e = Evidence{Versions: Versions{{Software: "v1"}}, ReadVersions: true}
+	e = Evidence{Service: service, Versions: Versions{{Software: "v1"}}, ReadVersions: true}
+	_, v = e.Decide()
+	assert.Equal(t, v, Unknown, "the store may have lost a version")
+	e = Evidence{Versions: Versions{{Software: "v1"}}, ReadVersions: true, Complete: true}
 	_, v = e.Decide()
 	assert.Equal(t, v, Unknown, "the stream may have begun at another service of the route")
 }
@@ -187,11 +190,40 @@
 	assert.Assert(t, changed)
 	software, sole := v.Sole()
 	assert.Assert(t, sole && software == "v2")
-	value, err := v.Encode()
+	list := List{Versions: v, Era: 3, ConfirmedMS: 7}
+	value, err := list.Encode()
 	assert.NilError(t, err)
-	decoded, err := DecodeVersions(value)
+	decoded, err := DecodeList(value)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, decoded, v)
+	assert.DeepEqual(t, decoded, list)
+}
+
+// A list that the store had in an earlier era lacks versions, and was taken for complete.
+func TestListOfAnEarlierEraIsNotComplete(t *testing.T) {
+	none := func(string) bool { return false }
+	list := List{Versions: Versions{{Software: "v1"}}, Era: 1}
+	assert.Assert(t, list.IsComplete(1, time.Hour) && !list.IsComplete(2, time.Hour))
+	assert.Assert(t, list.IsComplete(0, 0), "a store without eras loses nothing")
+
+	stranger := Knowledge{Era: 2, InUse: []string{"v3"}, Unused: none, StoreNow: time.Minute}
+	next, changed := list.Next(&stranger)
+	assert.Assert(t, changed && next.Versions.Admits("v3") && !next.IsConfirmed(2), "it only adds versions")
+	_, changed = next.Next(&stranger)
+	assert.Assert(t, !changed)
+
+	retired := Versions{{Software: "v1"}, {Software: "v2", RetiredMS: 1}}
+	witness := Knowledge{Era: 2, Before: retired, MayConfirm: true, InUse: []string{"v1"}, Unused: none, StoreNow: time.Minute}
+	next, changed = list.Next(&witness)
+	assert.Assert(t, changed && next.IsConfirmed(2) && next.Versions.Includes(retired))
+	assert.Assert(t, !next.IsComplete(2, time.Minute), "another node may know more")
+	assert.Assert(t, next.IsComplete(2, time.Minute+settleTime))
+	assert.Equal(t, next.Versions[1].RetiredMS, time.Minute.Milliseconds(), "retired by the clock of this era")
+	_, changed = next.Next(&witness)
+	assert.Assert(t, !changed)
+
+	late := Knowledge{Era: 2, Before: Versions{{Software: "v4"}}, MayConfirm: true, InUse: []string{"v1"}, Unused: none, StoreNow: time.Minute}
+	next, changed = next.Next(&late)
+	assert.Assert(t, changed && next.Versions.Admits("v4"), "known to another node only")
 }
 
 // A client must not learn or use the streams of others by naming their attempts.
--- a/pkg/origin/verdict.go
+++ b/pkg/origin/verdict.go
@@ -21,9 +21,11 @@
 	// Service is the only service that the route sends requests to, "" if there are several.
 	Service string
 	// Versions are those of that service, by a read of the store that began after the client's request
-	// was received. ReadVersions is false if it failed or was not made.
+	// was received. ReadVersions is false if it failed or was not made. Complete is false if the store
+	// may have come back from a copy that lacks some.
 	Versions     Versions
 	ReadVersions bool
+	Complete     bool
 	// Unasked is set if other nodes may know more, but could not be asked.
 	Unasked bool
 }
@@ -34,7 +36,7 @@
 	switch {
 	case e.Record != nil:
 		return e.Record.Origin, GoesOn
-	case sole && e.ReadVersions && e.Service != "":
+	case sole && e.Complete && e.ReadVersions && e.Service != "":
 		return Origin{Service: e.Service, Software: software}, GoesOn
 	case e.Unasked:
 		return o, Unreachable
--- a/service/gateway/stream_origin.go
+++ b/service/gateway/stream_origin.go
@@ -42,7 +42,10 @@
 }
 
 // originFleet tells origins of the replicas.
-type originFleet struct{ siteState *SiteState }
+type originFleet struct {
+	siteState *SiteState
+	nodes     *nodes
+}
 
 // Services lists the services that get requests of resumable streams.
 func (f originFleet) Services() (list []string) {
@@ -68,6 +71,9 @@
 	return p.Software()
 }
 
+// FirstStart reports whether this node had no earlier process.
+func (f originFleet) FirstStart() bool { return f.nodes.firstStart.Load() }
+
 // StoreSilent reports whether the store was not reached lately.
 func (f originFleet) StoreSilent(now time.Time) bool {
 	_, sinceSync, sinceUnreachable := f.siteState.Ages(now)
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -212,7 +212,7 @@
 	n.probes.OnNote(origins.NoteRecords, decodeNote(n, o.HandleRecords))
 	n.probes.OnNote(origins.NoteLookup, decodeNote(n, o.HandleLookup))
 	o.SetNotifier(noteSender{n: n, maxDirect: maxDirectLookups})
-	o.SetFleet(originFleet{siteState})
+	o.SetFleet(originFleet{siteState, n})
 	sus.SetNotifier(noteSender{n: n, maxDirect: maxDirectNodes})
 	limits.SetAnnouncer(n)
 	return n, nil
--- a/service/origins/origins.go
+++ b/service/origins/origins.go
@@ -23,6 +23,8 @@
 	// Put writes a row that has the expected position. If the row has another one, the
 	// error wraps site.ErrConflict or site.ErrEraEnded.
 	Put(ctx context.Context, t site.Table, key string, value []byte, expected history.Position) (site.Listing, error)
+	// Eras returns the eras that the store's answers have named.
+	Eras() *history.Eras
 }
 
 // Notifier sends notes to other nodes. Notes may be lost.
@@ -51,6 +53,8 @@
 	Software(service string) []string
 	// StoreSilent reports whether the platform's store was not reached lately.
 	StoreSilent(now time.Time) bool
+	// FirstStart reports whether this node had no earlier process.
+	FirstStart() bool
 }
 
 // StepInterval is the period of Step.
@@ -106,11 +110,13 @@
 		breaker: tablestore.NewBreaker(),
 	}
 	o.register.rows = map[string]versionRow{}
+	o.register.before = map[string]origin.Versions{}
 	o.register.changed = make(chan struct{})
 	o.register.lastUsed = map[serviceVersion]time.Time{}
 	o.register.dueAt = map[string]time.Time{}
 	o.lookups.pending = map[origin.Key]*lookup{}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
+	store.Eras().Subscribe(o.handleEra)
 	return o
 }
 
@@ -204,7 +210,7 @@
 	if q.Service == "" || o.severalVersions(q.Service) {
 		return
 	}
-	e.Versions, e.ReadVersions = o.versionsNow(ctx, q.Service)
+	e.Versions, e.Complete, e.ReadVersions = o.versionsNow(ctx, q.Service)
 	e.Unasked = e.Unasked || !e.ReadVersions && o.alone()
 }
 
@@ -290,6 +296,8 @@
 	StoreWrites int64            `json:"store_writes"`
 	Verdicts    map[string]int64 `json:"taken_up"`
 	Versions    map[string]int   `json:"versions"`
+	// Unconfirmed lists the services whose lists of versions may lack some.
+	Unconfirmed []string `json:"unconfirmed,omitempty"`
 }
 
 // Status returns the state for metrics.
@@ -308,6 +316,9 @@
 	defer o.mu.Unlock()
 	for service, row := range o.register.rows {
 		s.Versions[service] = len(row.Versions)
+		if !o.register.confirmed(service) {
+			s.Unconfirmed = append(s.Unconfirmed, service)
+		}
 	}
 	return s
 }
--- a/service/origins/origins_test.go
+++ b/service/origins/origins_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -36,6 +37,8 @@
 	software     []string
 	storeRows    map[string]site.Row
 	storeVersion int64
+	storeEra     history.Era
+	restarted    map[string]bool // Nodes that have had an earlier process.
 	storeSilent  map[string]bool // Nodes that the store does not answer; "" for all.
 	splitRoutes  bool
 	dead         map[string]bool
@@ -145,6 +148,15 @@
 	fleet   *testFleet
 	self    control.Member
 	members *control.Members
+	eras    history.Eras
+}
+
+func (l *testLink) Eras() *history.Eras { return &l.eras }
+
+func (l *testLink) FirstStart() bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return !l.fleet.restarted[l.self.Name]
 }
 
 func (l *testLink) Recipients(try int) (direct, relays []netip.AddrPort) {
@@ -214,7 +226,7 @@
 	return err
 }
 
-// reach waits for the answer of the store; it fails while the store is silent.
+// reach waits for the answer of the store, which names its era; it fails while the store is silent.
 func (l *testLink) reach(ctx context.Context) error {
 	l.fleet.mu.Lock()
 	silent := l.fleet.storeSilent[""] || l.fleet.storeSilent[l.self.Name]
@@ -224,6 +236,10 @@
 		return ctx.Err()
 	}
 	time.Sleep(linkTime)
+	l.fleet.mu.Lock()
+	era := l.fleet.storeEra
+	l.fleet.mu.Unlock()
+	l.eras.Observe(era, time.Now())
 	return nil
 }
 
@@ -236,9 +252,10 @@
 	defer f.mu.Unlock()
 	f.reads++
 	for _, r := range f.storeRows {
+		r.Position.Era = f.storeEra
 		out.Rows = append(out.Rows, r)
 	}
-	out.Position, out.Now = history.Position{Version: f.storeVersion}, time.Duration(time.Now().UnixNano())
+	out.Position, out.Now = history.Position{Era: f.storeEra, Version: f.storeVersion}, time.Duration(time.Now().UnixNano())
 	return out, nil
 }
 
@@ -250,11 +267,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.writes++
-	if f.storeRows[key].Position != expected {
+	if f.storeRows[key].Position.Version != expected.Version {
 		return out, site.ErrConflict
 	}
 	f.storeVersion++
-	f.storeRows[key] = site.Row{Key: key, Value: value, Position: history.Position{Version: f.storeVersion}}
+	f.storeRows[key] = site.Row{Key: key, Value: value, Position: history.Position{Era: f.storeEra, Version: f.storeVersion}}
+	if expected.Era != f.storeEra {
+		return out, site.ErrEraEnded
+	}
 	return site.Listing{Position: f.storeRows[key].Position}, nil
 }
 
@@ -609,3 +629,130 @@
 		})
 	}
 }
+
+// storeCopy is a copy of the store's rows.
+type storeCopy struct {
+	rows    map[string]site.Row
+	version int64
+}
+
+func (f *testFleet) copyStore() storeCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return storeCopy{maps.Clone(f.storeRows), f.storeVersion}
+}
+
+// returnStore has the store come back from a copy.
+func (f *testFleet) returnStore(c storeCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeRows, f.storeVersion = maps.Clone(c.rows), c.version
+	f.storeEra++
+}
+
+// hearOfEra has all nodes hear of the store's era, as by their other calls.
+func (f *testFleet) hearOfEra() {
+	for _, o := range f.nodes {
+		o.store.Eras().Observe(f.storeEra, time.Now())
+	}
+}
+
+// restart ends nodes with all that they know and starts them again.
+func (f *testFleet) restart(nodes ...int) {
+	for _, i := range nodes {
+		f.kill(i)
+	}
+	for _, i := range nodes {
+		f.mu.Lock()
+		if f.restarted == nil {
+			f.restarted = map[string]bool{}
+		}
+		f.restarted[f.list[i].Name] = true
+		f.mu.Unlock()
+		f.start(i)
+	}
+}
+
+// newEraFleet is a fleet whose store has eras and whose service has one version, for long enough that its list is
+// complete.
+func newEraFleet(t *testing.T, nodes int) *testFleet {
+	f := newTestFleet(t, nodes, 3, "v1")
+	f.returnStore(f.copyStore())
+	f.step(100)
+	return f
+}
+
+// A version that was listed after the copy was taken was missing from the list, and its streams went on at the only
+// version left.
+func TestStreamOfALostVersionIsNotJoinedWithTheOnlyOne(t *testing.T) {
+	for _, n := range []int{7, 71} {
+		for _, restarted := range []int{0, 1, 3, n} {
+			t.Run(fmt.Sprintf("%d of %d nodes started anew", restarted, n), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newEraFleet(t, n)
+					copied := f.copyStore()
+					f.setSoftware("v1", "v2")
+					f.step(30)
+					assert.Assert(t, f.node(n-1).MayBegin(service, "v2"))
+					f.begin(n-1, 0, 40, v2)
+					f.step(3)
+					f.setSoftware("v1")
+					f.returnStore(copied)
+					nodes := make([]int, restarted)
+					for i := range nodes {
+						nodes[i] = n - 1 - i
+					}
+					f.restart(nodes...)
+					for step := range 120 {
+						a := f.resolve(step%n, step%40)
+						assert.Assert(t, a.Verdict != origin.GoesOn || a.Software == "v2", "after %d steps at %s", step, a.Software)
+						f.step(1)
+					}
+				})
+			})
+		}
+	}
+}
+
+// While a service has one version, its streams go on without a record again soon after the store's return.
+func TestStreamsOfTheOnlyVersionGoOnAfterAnEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEraFleet(t, 7)
+		f.returnStore(f.copyStore())
+		f.hearOfEra()
+		f.step(100)
+		assert.Equal(t, f.resolve(2, 1).Verdict, origin.GoesOn)
+		f.restart(0, 1, 2, 3, 4, 5, 6)
+		f.step(10)
+		assert.Equal(t, f.resolve(2, 1).Verdict, origin.GoesOn, "the list was confirmed before all nodes started anew")
+		f.returnStore(f.copyStore())
+		f.restart(0, 1, 2, 3, 4, 5, 6)
+		f.step(10)
+		assert.Equal(t, f.resolve(2, 1).Verdict, origin.Unknown, "no node knows what the list lacks")
+		time.Sleep(origin.MaxLifetime)
+		f.step(100)
+		assert.Equal(t, f.resolve(2, 1).Verdict, origin.GoesOn, "no stream from before can be taken up")
+	})
+}
+
+// All nodes read the lists and few write them when an era begins.
+func TestCostOfAnEra(t *testing.T) {
+	for _, n := range []int{7, 71, 295, 900} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newEraFleet(t, n)
+				f.counts()
+				f.returnStore(f.copyStore())
+				f.hearOfEra()
+				f.step(100)
+				reads, writes := f.counts()
+				t.Logf("%d nodes: %d reads, %d writes in 10 s", n, reads, writes)
+				assert.Assert(t, writes <= 3, "%d writes", writes)
+				assert.Assert(t, reads <= 2*n+20, "%d reads", reads)
+				for i := range f.list {
+					assert.Equal(t, f.resolve(i, 1).Verdict, origin.GoesOn)
+				}
+			})
+		})
+	}
+}
--- a/service/origins/register.go
+++ b/service/origins/register.go
@@ -47,9 +47,14 @@
 
 // register is this node's copy of the lists of versions.
 type register struct {
-	rows   map[string]versionRow // By service.
-	loaded bool
-	loadAt time.Time // When to load them again.
+	rows map[string]versionRow // By service; those of the current era of the store.
+	era  history.Era
+	// before has, by service, the versions known in earlier eras that the lists of this one may lack.
+	before map[string]origin.Versions
+	// complete is set if this node knew complete lists in an earlier era.
+	complete bool
+	loaded   bool
+	loadAt   time.Time // When to load them again.
 	// readAt is when they were last read from the store, whose clock then showed storeNow.
 	readAt   time.Time
 	storeNow time.Duration
@@ -65,7 +70,7 @@
 
 // versionRow is the list of a service's versions.
 type versionRow struct {
-	Versions origin.Versions `json:"versions"`
+	origin.List
 	// Position is that of the row, with version 0 if there is none.
 	Position history.Position `json:"position"`
 }
@@ -83,7 +88,10 @@
 }
 
 type versionsAnswer struct {
+	Era  history.Era           `json:"era"` // Of the rows.
 	Rows map[string]versionRow `json:"rows"`
+	// StoreNowMS is the store's clock, as far as the node knows it.
+	StoreNowMS int64 `json:"store_now_ms"`
 }
 
 var errNotLoaded = errors.New("the lists of versions are not known")
@@ -92,7 +100,7 @@
 func (o *Origins) MayBegin(service, software string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.register.rows[service].Versions.Admits(software)
+	return o.register.versions(service).Admits(software)
 }
 
 // AwaitVersion waits until streams of a service may begin at one of some versions, and reports whether they
@@ -102,7 +110,7 @@
 	defer cancel()
 	for {
 		o.mu.Lock()
-		versions, changed, failures := o.register.rows[service].Versions, o.register.changed, o.register.failures
+		versions, changed, failures := o.register.versions(service), o.register.changed, o.register.failures
 		o.mu.Unlock()
 		if slices.ContainsFunc(software, versions.Admits) {
 			return true
@@ -127,6 +135,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.register.rows, o.register.loaded = map[string]versionRow{}, false
+	o.register.before, o.register.complete = map[string]origin.Versions{}, false
 	o.register.loadAt = time.Time{}
 }
 
@@ -134,7 +143,91 @@
 func (o *Origins) severalVersions(service string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.register.rows[service].Versions) > 1
+	return len(o.register.versions(service)) > 1
+}
+
+// versionsConfirmed reports whether a service's list is known to be complete.
+func (o *Origins) versionsConfirmed(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.register.confirmed(service)
+}
+
+// versions returns the versions of a service, with those that the store may have lost. The caller holds mu of
+// Origins, as for the other methods of register.
+func (r *register) versions(service string) origin.Versions {
+	if before := r.before[service]; len(before) > 0 {
+		return r.rows[service].Versions.Union(before, r.storeNow)
+	}
+	return r.rows[service].Versions
+}
+
+// confirmed reports whether a service's list is complete in this era.
+func (r *register) confirmed(service string) bool {
+	row := r.rows[service]
+	return row.IsConfirmed(r.era) && row.Versions.Includes(r.before[service])
+}
+
+// isComplete reports whether a service's list has all versions at which streams may have begun.
+func (r *register) isComplete(service string, now time.Time) bool {
+	row := r.rows[service]
+	return r.confirmed(service) && row.IsComplete(r.era, r.storeTime(now))
+}
+
+// storeTime is the store's clock, 0 if it is not known in this era.
+func (r *register) storeTime(now time.Time) time.Duration {
+	if r.readAt.IsZero() {
+		return 0
+	}
+	return r.storeNow + now.Sub(r.readAt)
+}
+
+// beginEra keeps what is known of the lists for a new era of the store.
+func (r *register) beginEra(era history.Era) {
+	if era <= r.era {
+		return
+	}
+	complete := r.loaded
+	for service := range r.rows {
+		complete = complete && r.confirmed(service)
+		r.before[service] = r.versions(service)
+	}
+	r.complete = r.complete || complete
+	r.rows, r.era, r.loaded = map[string]versionRow{}, era, false
+	r.storeNow, r.readAt = 0, time.Time{}
+}
+
+// handleEra has the lists read again in a new era of the store.
+func (o *Origins) handleEra(c history.Change) {
+	spread := time.Duration(o.members.View().Counts().Alive) * rankSpreadPerNode
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.register.beginEra(c.To)
+	if !c.First {
+		o.register.loadAt = boottime.Now().Add(rand.N(max(1, spread)))
+	}
+}
+
+// mayConfirm reports whether this node knows a service's list to be complete with the versions that it knew
+// before. If no node does, the list is complete once no stream from before the era can be taken up. The
+// caller holds mu.
+func (o *Origins) mayConfirm(service string, now time.Time) bool {
+	eras, row := o.store.Eras(), o.register.rows[service]
+	_, since, _ := eras.Current()
+	switch {
+	case o.register.complete, now.Sub(since) >= origin.MaxLifetime:
+		return true
+	default:
+		return eras.KnowsOne() && (row.NamesNoEra() || o.fleet.FirstStart())
+	}
+}
+
+// knowledge returns what a service's list is corrected by; the caller holds mu.
+func (o *Origins) knowledge(service string, inUse []string, now time.Time, storeNow time.Duration) *origin.Knowledge {
+	return &origin.Knowledge{
+		Era: o.register.era, Before: o.register.before[service], MayConfirm: o.mayConfirm(service, now),
+		InUse: inUse, Unused: o.unused(service, now), StoreNow: storeNow,
+	}
 }
 
 // stepRegister loads the lists, and corrects those that are not right.
@@ -183,7 +276,8 @@
 	if len(inUse) == 0 {
 		return false // Nothing is known of the replicas.
 	}
-	if _, changed := r.rows[service].Versions.Update(inUse, o.unused(service, now), r.storeNow+now.Sub(r.readAt)); !changed {
+	row := r.rows[service]
+	if _, changed := row.Next(o.knowledge(service, inUse, now, r.storeTime(now))); !changed {
 		delete(r.dueAt, service)
 		return false
 	}
@@ -239,7 +333,7 @@
 	now, inUse := boottime.Now(), o.fleet.Software(service)
 	o.mu.Lock()
 	row := o.register.rows[service]
-	next, changed := row.Versions.Update(inUse, o.unused(service, now), l.Now)
+	next, changed := row.Next(o.knowledge(service, inUse, now, l.Now))
 	o.mu.Unlock()
 	if !changed {
 		return nil
@@ -254,9 +348,9 @@
 	if err != nil {
 		return err
 	}
-	o.log.Info("versions of service listed", "service", service, "versions", next, "position", written.Position)
-	rows := map[string]versionRow{service: {Versions: next, Position: written.Position}}
-	o.apply(rows, false)
+	o.log.Info("versions of service listed", "service", service, "versions", next.Versions, "position", written.Position)
+	rows := map[string]versionRow{service: {List: next, Position: written.Position}}
+	o.apply(written.Position.Era, rows, false)
 	o.broadcast(0, NoteVersions, func(relay bool) any { return versionsNote{Rows: rows, Relay: relay} })
 	time.AfterFunc(noteResendDelay, func() {
 		o.broadcast(1, NoteVersions, func(relay bool) any { return versionsNote{Rows: rows, Relay: relay} })
@@ -264,15 +358,25 @@
 	return nil
 }
 
-// apply takes in rows; whole means that they are all. Older rows than the known ones are ignored.
-func (o *Origins) apply(rows map[string]versionRow, whole bool) {
+// apply takes in rows of an era; whole means that they are all. Older rows than the known ones are ignored.
+func (o *Origins) apply(era history.Era, rows map[string]versionRow, whole bool) {
+	if era > 0 {
+		o.store.Eras().Observe(era, boottime.RefreshNow())
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r := &o.register
+	r.beginEra(era)
+	if era < r.era {
+		return
+	}
 	for service, row := range rows {
 		if !row.Position.Before(r.rows[service].Position) {
 			r.rows[service] = row
 		}
+		if r.confirmed(service) {
+			delete(r.before, service)
+		}
 	}
 	r.loaded = r.loaded || whole
 	close(r.changed)
@@ -284,7 +388,9 @@
 	if note.Relay {
 		o.notifier.SendNote(o.notifier.HallPeers(), NoteVersions, versionsNote{Rows: note.Rows})
 	}
-	o.apply(note.Rows, false)
+	for service, row := range note.Rows {
+		o.apply(row.Position.Era, map[string]versionRow{service: row}, false)
+	}
 }
 
 // ServeVersions handles MethodVersions.
@@ -299,27 +405,28 @@
 	if !o.register.loaded {
 		return out, errNotLoaded
 	}
-	out.Rows = map[string]versionRow{}
+	out.Era, out.Rows = o.register.era, map[string]versionRow{}
+	out.StoreNowMS = o.register.storeTime(boottime.Now()).Milliseconds()
 	for service, row := range o.register.rows {
 		out.Rows[service] = row
 	}
 	return out, nil
 }
 
-// versionsNow returns a service's versions as the store has them after the call began; ok is false if they
-// can't be read.
-func (o *Origins) versionsNow(ctx context.Context, service string) (v origin.Versions, ok bool) {
+// versionsNow returns a service's versions as the store has them after the call began, and whether they are known to
+// be all; ok is false if they can't be read.
+func (o *Origins) versionsNow(ctx context.Context, service string) (v origin.Versions, complete, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, versionsTimeout)
 	defer cancel()
 	if err := o.readBatched(ctx); err != nil {
 		if peerErr := o.readPeer(ctx, true); peerErr != nil {
 			o.log.Warn("versions of service not read", "service", service, "err", err, "peer_err", peerErr)
-			return nil, false
+			return nil, false, false
 		}
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.register.rows[service].Versions, true
+	return o.register.versions(service), o.register.isComplete(service, boottime.Now()), true
 }
 
 // readPeer reads the lists through another node.
@@ -337,7 +444,8 @@
 		}
 		var out versionsAnswer
 		if err = o.client.CallWithin(ctx, peerReadTimeout, m.Peer, MethodVersions, versionsRequest{Fresh: fresh}, &out); err == nil {
-			o.apply(out.Rows, true)
+			o.apply(out.Era, out.Rows, true)
+			o.recordStoreTime(out.Era, time.Duration(out.StoreNowMS)*time.Millisecond)
 			return nil
 		}
 	}
@@ -414,15 +522,22 @@
 	}
 	rows := map[string]versionRow{}
 	for _, r := range l.Rows {
-		v, err := origin.DecodeVersions(r.Value)
+		list, err := origin.DecodeList(r.Value)
 		if err != nil {
 			return l, err
 		}
-		rows[r.Key] = versionRow{Versions: v, Position: r.Position}
+		rows[r.Key] = versionRow{List: list, Position: r.Position}
 	}
-	o.apply(rows, true)
+	o.apply(l.Position.Era, rows, true)
+	o.recordStoreTime(l.Position.Era, l.Now)
+	return l, nil
+}
+
+// recordStoreTime records the store's clock.
+func (o *Origins) recordStoreTime(era history.Era, storeNow time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.register.readAt, o.register.storeNow = boottime.Now(), l.Now
-	return l, nil
+	if era == o.register.era {
+		o.register.readAt, o.register.storeNow = boottime.Now(), storeNow
+	}
 }
--- a/service/origins/replication.go
+++ b/service/origins/replication.go
@@ -119,7 +119,7 @@
 // replicates reports whether other nodes need records of a service: not while its streams can only have begun at
 // one version of it, and that can be read from the store.
 func (o *Origins) replicates(service string) bool {
-	return o.severalVersions(service) || o.fleet.SharesRoutes(service) || o.fleet.StoreSilent(boottime.Now())
+	return o.severalVersions(service) || !o.versionsConfirmed(service) || o.fleet.SharesRoutes(service) || o.fleet.StoreSilent(boottime.Now())
 }
 
 func (o *Origins) replicatesAny() bool {
