An order that the store has again in a new era is not a new roll-out

A roll-out was known by the position of its order's row. After the store's return from a copy the row has another one, or is written again, so the roll-out began anew: a version that had been rolled back got requests again, and a completed one its small share. An order with the same content at a position of another era, or written again while rows still have to be, now goes on as it was; an older order of the copy, and one that had been removed, waits until it could have been written again. The final state, which the copy may lack, is checked and written again by a few nodes, by rank.

--- a/internal/standin/onplatform/store_return_test.go
+++ b/internal/standin/onplatform/store_return_test.go
@@ -259,3 +259,38 @@
 	f.store.Delete(onplatform.TableOperator, "evacuate/hall-a")
 	f.waitUntil("the evacuation is over", func() bool { return serves(f.nodes[0]) })
 }
+
+// Once the store had come back from a copy, the order of a roll-out counted as a new one: a version that had been
+// rolled back got requests again.
+func TestVersionThatWasRolledBackIsTriedAgainAfterStoreReturnsFromCopy(t *testing.T) {
+	for _, orderLost := range []bool{false, true} {
+		t.Run(fmt.Sprintf("order_lost_%t", orderLost), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.startVersion("old-1", "v1", usualAnswer)
+			bad := s.startVersion("new-1", "v2", func(*onplatform.Request, int) (int, time.Duration) { return 500, 0 })
+			nodes := s.startNodes(3)
+			copied := s.store.Copy()
+			s.order("v2", 20*time.Second)
+			if !orderLost {
+				copied = s.store.Copy()
+			}
+			end := s.startLoadPerNode(nodes, 60, stampedRequest("GET", "/safe/x"))
+			defer end()
+			rolledBack := func() bool { state, _ := s.rolloutState(); return state == "rolled_back" }
+			s.waitUntil("the version is rolled back", rolledBack)
+			time.Sleep(300 * time.Millisecond)
+			before := bad.count()
+			lost := s.store.ReturnFrom(copied)
+			assert.Assert(t, !rolledBack())
+			time.Sleep(300 * time.Millisecond)
+			s.store.WriteAgain(lost...)
+			returned := time.Now()
+			s.waitUntil("the state is written again", rolledBack)
+			assert.Assert(t, time.Since(returned) < rowsBackWithin, "%s", time.Since(returned))
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, bad.count(), before)
+			assert.Assert(t, rolledBack())
+		})
+	}
+}
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -307,6 +307,10 @@
 	{"state of roll-out not written", Failure, "The state of a roll-out could not be written to the platform's store; it is tried again.", []Key{
 		keyService, {"state", "running, completed or rolled back"}, keyErr,
 	}},
+	{"state of roll-out written again", Change, "The store had lost the final state of a roll-out with an era.", []Key{
+		keyService, keySoftware, {"state", "completed or rolled back"}, keyErr,
+	}},
+	{"state of roll-out can't be decoded", Failure, "The row with the state of a roll-out is invalid; it is written anew.", []Key{keyService, keyErr}},
 	{"upstream dropped", Change, "The list no longer has a replica.", []Key{
 		keyUpstream, keyService, {"missing", "nanoseconds for which the node waited for its entry to return after an outage of the store"},
 	}},
--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -52,6 +54,10 @@
 	completedTerm = 10 * time.Second
 	// statusRetryDelay is the pause after a failed read or write of a roll-out's state.
 	statusRetryDelay = 500 * time.Millisecond
+	// restateDelay times its rank is how long a node waits until it checks that a final state is written
+	// once the store has come back from a copy. Nodes above maxRestateRank leave it to the others.
+	restateDelay   = 300 * time.Millisecond
+	maxRestateRank = 4
 )
 
 // canaries takes part in the roll-outs of versions of services' software.
@@ -68,8 +74,16 @@
 	// member record it never changes.
 	incarnation uint64
 
+	// rewriteTime is how long after the store has come back from a copy operators may have to write
+	// orders again.
+	rewriteTime time.Duration
+
 	mu       sync.Mutex
 	rollouts map[string]*canaryRollout // By service.
+	// removed are the orders that were removed, without their versions, and unclear those that may be
+	// older ones of a copy of the store; both by service.
+	removed map[string]site.RolloutOrder
+	unclear map[string]site.RolloutOrder
 }
 
 // canaryRollout is a roll-out as this node knows it.
@@ -83,6 +97,10 @@
 	oldInFlight int
 	reportAt    time.Time
 	owner       *canaryOwner // Nil on other nodes.
+	// statedFor is the position of the order when its final state was last known to be written, and
+	// restateAt when this node checks that, zero if it does not.
+	statedFor history.Position
+	restateAt time.Time
 }
 
 // canaryOwner is the state of the node that leads a roll-out.
@@ -141,6 +159,8 @@
 		incarnation: members.Self().Incarnation,
 
 		rollouts: map[string]*canaryRollout{},
+		removed:  map[string]site.RolloutOrder{},
+		unclear:  map[string]site.RolloutOrder{},
 	}
 }
 
@@ -148,12 +168,25 @@
 func (c *canaries) applyOrder(o site.RolloutOrder, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := c.rollouts[o.Service]
-	switch {
-	case old != nil && !old.order.Position.Before(o.Position):
+	delete(c.unclear, o.Service)
+	known, old := c.removed[o.Service], c.rollouts[o.Service]
+	if old != nil {
+		known = old.order
+	}
+	switch canary.CompareOrder(&known, &o, c.store.Eras().IsSettled(now, c.rewriteTime)) {
+	case canary.OrderUnchanged:
+		return
+	case canary.OrderRewritten:
+		c.rebase(old, o)
 		return
-	case o.Version == "":
+	case canary.OrderUnclear:
+		c.unclear[o.Service] = o
+		return
+	}
+	delete(c.removed, o.Service)
+	if o.Version == "" {
 		delete(c.rollouts, o.Service)
+		c.removed[o.Service] = o
 		return
 	}
 	c.rollouts[o.Service] = &canaryRollout{
@@ -165,6 +198,73 @@
 	c.log.Info("roll-out ordered", "service", o.Service, "software", o.Version, "duration", o.Duration, "position", o.Position)
 }
 
+// rebase goes on with an order that the store has at another position; old is nil for a removed one. The caller
+// holds mu.
+func (c *canaries) rebase(old *canaryRollout, o site.RolloutOrder) {
+	if old == nil {
+		c.removed[o.Service] = o
+		return
+	}
+	old.order.Position, old.decision.Order = o.Position, o.Position
+	if old.owner != nil {
+		old.owner.read = false
+	}
+	if !old.decision.State.Final() {
+		return
+	}
+	rank := control.Rank(c.members.View().Alive(), canaryDuty+o.Service, c.self.Name)
+	if rank > maxRestateRank {
+		old.statedFor = o.Position
+		return
+	}
+	old.restateAt = boottime.Now().Add(time.Duration(rank+1) * restateDelay)
+}
+
+// applyUnclear applies the orders that were not written again in time.
+func (c *canaries) applyUnclear(now time.Time) {
+	if !c.store.Eras().IsSettled(now, c.rewriteTime) {
+		return
+	}
+	c.mu.Lock()
+	orders := slices.Collect(maps.Values(c.unclear))
+	c.mu.Unlock()
+	for _, o := range orders {
+		c.applyOrder(o, now)
+	}
+}
+
+// restate writes the final states of roll-outs again that the store has lost.
+func (c *canaries) restate(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	var due []*canaryRollout
+	for _, r := range c.rollouts {
+		if r.decision.State.Final() && r.statedFor != r.order.Position && !r.restateAt.IsZero() && !now.Before(r.restateAt) {
+			due = append(due, r)
+			r.restateAt = now.Add(statusRetryDelay)
+		}
+	}
+	c.mu.Unlock()
+	for _, r := range due {
+		c.restateOne(ctx, r)
+	}
+}
+
+func (c *canaries) restateOne(ctx context.Context, r *canaryRollout) {
+	c.mu.Lock()
+	order, state := r.order, r.decision.State
+	c.mu.Unlock()
+	s, row, err := c.loadStatus(ctx, order.Service)
+	if err == nil && (s.Version != order.Version || s.State != state || row.Position.Before(order.Position)) {
+		_, err = c.writeStatus(ctx, &order, state, row.Position)
+		c.log.Info("state of roll-out written again", "service", order.Service, "software", order.Version, "state", state.String(), "err", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		r.statedFor = order.Position
+	}
+}
+
 // rule returns which replicas a request may run on; it allows all if no roll-out concerns its
 // service.
 func (c *canaries) rule(service, requestID string, p *route.Pool, now time.Time) route.SoftwareRule {
@@ -243,6 +343,9 @@
 // step leads the roll-outs that this node owns and reports to the owners of the others; the
 // timer service calls it.
 func (c *canaries) step(ctx context.Context) {
+	now := boottime.Now()
+	c.applyUnclear(now)
+	c.restate(ctx, now)
 	for _, service := range c.running() {
 		owner, ok := c.owner(service)
 		if ok && owner.Name != c.self.Name {
@@ -332,6 +435,9 @@
 			"share", canary.ShareOf(d.Stage, c.limits), "state", d.State.String(), "why", d.Why)
 	}
 	r.decision, r.decidedAt = d, now
+	if d.State.Final() {
+		r.statedFor = d.Order
+	}
 }
 
 // serveReport handles methodCanaryReport.
@@ -443,27 +549,49 @@
 
 // readStatus reads the state of a roll-out that is already agreed.
 func (c *canaries) readStatus(ctx context.Context, order site.RolloutOrder, o *canaryOwner) {
-	key := c.codec.RolloutStatusKey(order.Service)
-	l, err := c.store.ListPrefix(ctx, site.TableStatus, key)
-	var s site.RolloutStatus
-	row, found := l.Find(key)
-	if found {
-		s, err = c.codec.RolloutStatus(row)
-	}
+	s, row, err := c.loadStatus(ctx, order.Service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil && !found {
+	if err != nil {
 		o.retryAt = boottime.Now().Add(statusRetryDelay)
 		c.log.Warn("state of roll-out not read", "service", order.Service, "err", err)
 		return
 	}
 	o.read, o.position = true, row.Position
 	// A row from before the order is that of an earlier roll-out.
-	if err == nil && found && s.Version == order.Version && order.Position.Before(row.Position) {
+	if s.Version == order.Version && order.Position.Before(row.Position) {
 		o.written, o.hasRow = s.State, true
 	}
 }
 
+// loadStatus reads the state of a service's roll-out. Without a row, and with one that can't be decoded, it is
+// empty but for the row's position.
+func (c *canaries) loadStatus(ctx context.Context, service string) (s site.RolloutStatus, row site.Row, err error) {
+	key := c.codec.RolloutStatusKey(service)
+	l, err := c.store.ListPrefix(ctx, site.TableStatus, key)
+	if err != nil {
+		return s, row, err
+	}
+	row, found := l.Find(key)
+	if !found {
+		return s, row, nil
+	}
+	s, err = c.codec.RolloutStatus(row)
+	if err != nil {
+		c.log.Error("state of roll-out can't be decoded", "service", service, "err", err)
+	}
+	return s, row, nil
+}
+
+// writeStatus writes the state of a roll-out if its row has the expected position.
+func (c *canaries) writeStatus(ctx context.Context, order *site.RolloutOrder, state site.RolloutState, expected history.Position) (site.Listing, error) {
+	value, err := c.codec.EncodeRolloutStatus(&site.RolloutStatus{Service: order.Service, Version: order.Version, State: state})
+	if err != nil {
+		return site.Listing{}, err
+	}
+	return c.store.Put(ctx, site.TableStatus, c.codec.RolloutStatusKey(order.Service), value, expected)
+}
+
 // agree writes the state of a roll-out to the platform's store, unless another node has written
 // one since this one read it.
 func (c *canaries) agree(ctx context.Context, order site.RolloutOrder, o *canaryOwner, d canaryDecision) {
@@ -475,12 +603,7 @@
 	if !ready {
 		return
 	}
-	s := site.RolloutStatus{Service: order.Service, Version: order.Version, State: d.State}
-	value, err := c.codec.EncodeRolloutStatus(&s)
-	var l site.Listing
-	if err == nil {
-		l, err = c.store.Put(ctx, site.TableStatus, c.codec.RolloutStatusKey(order.Service), value, expected)
-	}
+	l, err := c.writeStatus(ctx, &order, d.State, expected)
 	c.mu.Lock()
 	if err != nil {
 		o.read = false // Another node may have written, or this write may yet be done.
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -84,7 +84,9 @@
 			return control.NewMembers(self, s.Peer.ProbeEvery.Std(), nil, newRand())
 		},
 		func(m *control.Members, c *peer.Client) *canaries {
-			return newCanaries(self, m, p.Store, p.Codec, c, s.Canary.Share, log)
+			canaries := newCanaries(self, m, p.Store, p.Codec, c, s.Canary.Share, log)
+			canaries.rewriteTime = s.Platform.RewriteTime.Std()
+			return canaries
 		},
 		func(cacheIndex *route.CacheIndex, shares *coldShares, conns *upstreamConns, sus *suspects.Suspects, limits *ratelimit.Limits, c *canaries, o *origins.Origins) *SiteState {
 			st := NewSiteState(p.Codec, s.Node.DataHall, s.Platform.ReturnTime.Std(), cacheIndex, log)
