Test: streams of two versions after the store's return from a copy

Six nodes, a second version listed after the copy was taken, clients that take streams up; none, three or all nodes start anew at the return, and the lost rows are written again 2 s later.

--- a/internal/standin/onplatform/store_return_test.go
+++ b/internal/standin/onplatform/store_return_test.go
@@ -294,3 +294,31 @@
 		})
 	}
 }
+
+// Nodes that started after the store's return found one version in the list, where the copy lacked the other, and
+// joined its streams with events of the one.
+func TestStreamsAreJoinedAfterStoreReturnsWithoutAVersion(t *testing.T) {
+	for _, startedAnew := range []int{0, 3, 6} {
+		t.Run(fmt.Sprintf("%d_of_6_start_anew", startedAnew), func(t *testing.T) {
+			f := newVersionFleet(t, 6, "v1")
+			copied := f.store.Copy()
+			f.startVersionPair("v2")
+			f.waitUntil("all nodes know both versions", func() bool {
+				for _, n := range f.nodes {
+					if n.listedVersions(appService) != 2 {
+						return false
+					}
+				}
+				return true
+			})
+			finish := f.read(30, clientHabits{returns: true, names: true, dropShare: 0.3})
+			time.Sleep(1500 * time.Millisecond)
+			lost := f.store.ReturnFrom(copied)
+			time.AfterFunc(2*time.Second, func() { f.store.WriteAgain(lost...) })
+			f.kill(false, f.drawNodes(startedAnew)...)
+			time.Sleep(4 * time.Second)
+			finish()
+			f.assertStreamsKeepTheirVersion(startedAnew == 0)
+		})
+	}
+}
