--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -25,6 +25,8 @@
 	maxRestartPause = time.Second
 	// drainTime is how long a replica still serves after it was listed as draining.
 	drainTime = 1500 * time.Millisecond
+	// maxRewriteTime bounds how long after the store's return the lost rows are written again.
+	maxRewriteTime = 2 * time.Second
 	// maxProxyDelay bounds the delay that a replica's proxy adds.
 	maxProxyDelay = 80 * time.Millisecond
 )
@@ -39,6 +41,7 @@
 	{"store silent", storeMode(onplatform.ModeSilent)},
 	{"store behind", storeMode(onplatform.ModeStale)},
 	{"store forgets", func(s *soak, _ *rand.Rand, _ time.Duration) { s.store.TruncateHistory() }},
+	{"store returns from a copy", (*soak).returnStore},
 	{"store cut", (*soak).cutStore},
 	{"store resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyNode(rng).storeProxy.Reset() }},
 	{"store connections silent", func(s *soak, rng *rand.Rand, _ time.Duration) { silenceConnections(rng, s.anyNode(rng).storeProxy) }},
@@ -132,6 +135,26 @@
 	}
 }
 
+// returnStore has the store come back from a copy as old as d. The lost rows are written again one by one, in any
+// order.
+func (s *soak) returnStore(rng *rand.Rand, d time.Duration) {
+	if !s.returnMu.TryLock() {
+		return
+	}
+	defer s.returnMu.Unlock()
+	copied := s.store.Copy()
+	time.Sleep(d)
+	away := time.Duration(rng.Int64N(int64(maxRestartPause)))
+	storeMode(onplatform.ModeSilent)(s, rng, away)
+	lost := s.store.ReturnFrom(copied)
+	rng.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+	pause := time.Duration(rng.Int64N(int64(maxRewriteTime))) / time.Duration(len(lost)+1)
+	for _, r := range lost {
+		time.Sleep(pause)
+		s.store.WriteAgain(r)
+	}
+}
+
 func (s *soak) cutStore(rng *rand.Rand, d time.Duration) { s.anyNode(rng).storeProxy.CutOneWay(rng, d) }
 
 // silenceConnections drops the traffic of some of the open connections, in one or both
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -62,6 +62,8 @@
 	checker *checker
 	nodes   []*node
 
+	returnMu sync.Mutex // Held while the store comes back from a copy.
+
 	mu           sync.Mutex
 	replicas     []*replica
 	retired      []*replica
--- a/internal/standin/onplatform/store.go
+++ b/internal/standin/onplatform/store.go
@@ -63,6 +63,7 @@
 	version      int64
 	historyStart int64 // The feed no longer has the changes up to this version.
 	era          int64
+	returnedAt   int64 // The version with which the store last came back from a copy.
 	changed      chan struct{}
 	mode         Mode
 	calls        int
@@ -134,18 +135,20 @@
 		}
 	}
 	slices.SortFunc(lost, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
-	s.rows, s.version = clone(c.rows), c.version
+	s.rows, s.version, s.returnedAt = clone(c.rows), c.version, c.version
 	s.era++
 	s.notifyWatchers()
 	return lost
 }
 
-// WriteAgain writes rows that were lost.
+// WriteAgain writes rows that were lost, unless they have been written since the store came back.
 func (s *Store) WriteAgain(rows ...Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range rows {
-		s.put(r)
+		if s.rows[r.Table][r.Key].Version <= s.returnedAt {
+			s.put(r)
+		}
 	}
 }
 
