A node that starts after the store's return knows of evacuations that the copy lacks

Running nodes keep an evacuation whose row is missing until it could have been written again; a node that started then had only the copy, and sent requests to the evacuated hall. It now learns of it with what else it asks other nodes for as it starts, takes the hall out of use at once, and puts it back if the row is not written again. The test's late node serves from the hall without this; an evacuation that is not written again ends at all nodes.

--- a/internal/standin/onplatform/store_return_test.go
+++ b/internal/standin/onplatform/store_return_test.go
@@ -249,6 +249,8 @@
 		return true
 	})
 	f.returnStore(300 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	f.startNext("late")
 	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for _, n := range f.nodes {
 			assert.Assert(t, !serves(n), "a replica of the evacuated hall serves")
@@ -257,7 +259,24 @@
 	f.store.WriteAgain(f.lost...)
 	time.Sleep(300 * time.Millisecond)
 	f.store.Delete(onplatform.TableOperator, "evacuate/hall-a")
-	f.waitUntil("the evacuation is over", func() bool { return serves(f.nodes[0]) })
+	for _, n := range f.nodes {
+		f.waitUntil("the evacuation is over", func() bool { return serves(n) })
+	}
+}
+
+// An evacuation that had ended before the return, and is not written again, must not stay for ever.
+func TestEvacuationThatIsNotWrittenAgainEnds(t *testing.T) {
+	f := newReturnFleet(t)
+	f.takeCopy()
+	f.store.Put(onplatform.TableOperator, "evacuate/hall-a", map[string]any{})
+	serves := func(n *node) bool { return n.send(request("GET", "/safe/x", "")).status == http.StatusOK }
+	f.waitUntil("the hall is evacuated", func() bool { return !serves(f.nodes[0]) })
+	f.returnStore(0)
+	time.Sleep(300 * time.Millisecond)
+	f.startNext("late")
+	for _, n := range f.nodes {
+		f.waitUntil("the evacuation is over", func() bool { return serves(n) })
+	}
 }
 
 // Once the store had come back from a copy, the order of a roll-out counted as a new one: a version that had been
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -316,6 +316,7 @@
 	}},
 	{"upstream row invalid, ignored", Failure, "An entry of the list is invalid; the replica is not used, whatever its earlier entries said.", []Key{keyRow, keyPosition, keyErr}},
 	{"data hall evacuated", Change, "Operators have evacuated a data hall: it gets no more requests.", []Key{keyHall, keyPosition}},
+	{"data hall evacuated, says another node", Change, "The store has come back from a copy that may lack the evacuation; it ends if the operators don't write it again.", []Key{keyHall}},
 	{"data hall evacuation ended", Change, "The data hall may get requests again.", []Key{
 		keyHall, keyPosition, {"after", "nanoseconds since this node learned of the evacuation"},
 	}},
--- a/service/gateway/evacuations.go
+++ b/service/gateway/evacuations.go
@@ -16,8 +16,9 @@
 	// ended is when the node learned that the evacuation is over, zero before.
 	ended time.Time
 	// unconfirmed is set if the store has come back from a copy without the row, which may have
-	// to be written again.
+	// to be written again, by confirmBy at the latest.
 	unconfirmed bool
+	confirmBy   time.Time
 }
 
 // evacuationTimeShare is the share of the time allowed for an evacuation in which a node
@@ -96,6 +97,31 @@
 	}
 }
 
+// UnconfirmedEvacuations lists the data halls whose evacuation the store may have lost.
+func (st *SiteState) UnconfirmedEvacuations() (halls []string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for hall, e := range st.evacuated {
+		if e.unconfirmed && e.ended.IsZero() {
+			halls = append(halls, hall)
+		}
+	}
+	return halls
+}
+
+// AssumeEvacuated takes a data hall out of use at once that another node knows to be evacuated, and of which the
+// store may have lost the row.
+func (st *SiteState) AssumeEvacuated(hall string, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if _, known := st.evacuated[hall]; known {
+		return
+	}
+	st.evacuated[hall] = &evacuation{since: now.Add(-st.evacuationTime), unconfirmed: true, confirmBy: now.Add(st.rewriteTime)}
+	st.log.Info("data hall evacuated, says another node", "hall", hall)
+	st.updateAllPools(now)
+}
+
 // endUnconfirmedEvacuations ends the evacuations whose rows have not been written again in time, and reports
 // whether there were any. The caller holds mu.
 func (st *SiteState) endUnconfirmedEvacuations(now time.Time) (ended bool) {
@@ -103,7 +129,7 @@
 		return false
 	}
 	for hall, e := range st.evacuated {
-		if e.unconfirmed && e.ended.IsZero() {
+		if e.unconfirmed && e.ended.IsZero() && !now.Before(e.confirmBy) {
 			st.endEvacuation(hall, e, e.position, now)
 			ended = true
 		}
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -104,6 +104,8 @@
 type startState struct {
 	// Draining are the replicas that have said that they drain. The store may list them as ready.
 	Draining []replicaUpdate `json:"draining,omitempty"`
+	// Evacuated are the data halls whose evacuation the store may have lost.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// RecentEra means that an era has begun recently: the row of an earlier process of the starting
 	// node may be lost.
 	RecentEra bool `json:"recent_era,omitempty"`
@@ -113,6 +115,7 @@
 func (n *nodes) serveStartState(_ context.Context, q startStateRequest) (out startState, err error) {
 	recent := time.Duration(q.RecentMS) * time.Millisecond
 	out.RecentEra = !n.store.Eras().IsSettled(boottime.Now(), recent)
+	out.Evacuated = n.siteState.UnconfirmedEvacuations()
 	for _, replica := range n.siteState.DrainingReplicas() {
 		out.Draining = append(out.Draining, updateFor(replica, replicaUpdate{Draining: true}))
 	}
@@ -138,6 +141,9 @@
 		for _, u := range s.Draining {
 			n.applyUpdate(u)
 		}
+		for _, hall := range s.Evacuated {
+			n.siteState.AssumeEvacuated(hall, boottime.Now())
+		}
 	}
 }
 
