A node that starts names the era to those that it asks, and learns of all evacuations

Now it answers with all evacuated halls, and hears of the era by the call, which also tells whether the starting node's own row may be lost.

--- a/service/gateway/evacuations.go
+++ b/service/gateway/evacuations.go
@@ -97,18 +97,6 @@
 	}
 }
 
-// UnconfirmedEvacuations lists the data halls whose evacuation the store may have lost.
-func (st *SiteState) UnconfirmedEvacuations() (halls []string) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	for hall, e := range st.evacuated {
-		if e.unconfirmed && e.ended.IsZero() {
-			halls = append(halls, hall)
-		}
-	}
-	return halls
-}
-
 // AssumeEvacuated takes a data hall out of use at once that another node knows to be evacuated, and of which the
 // store may have lost the row.
 func (st *SiteState) AssumeEvacuated(hall string, now time.Time) {
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -10,6 +10,7 @@
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
@@ -96,6 +97,8 @@
 
 // startStateRequest holds the parameters of methodStartState.
 type startStateRequest struct {
+	// Era is the newest one that the starting node knows.
+	Era history.Era `json:"era,omitempty"`
 	// RecentMS is how long ago, in milliseconds, an era of the store must have begun to count as old.
 	RecentMS int64 `json:"recent_ms"`
 }
@@ -104,7 +107,7 @@
 type startState struct {
 	// Draining are the replicas that have said that they drain. The store may list them as ready.
 	Draining []replicaUpdate `json:"draining,omitempty"`
-	// Evacuated are the data halls whose evacuation the store may have lost.
+	// Evacuated are the data halls that are evacuated. The store may have lost their rows.
 	Evacuated []string `json:"evacuated,omitempty"`
 	// RecentEra means that an era has begun recently: the row of an earlier process of the starting
 	// node may be lost.
@@ -113,9 +116,12 @@
 
 // serveStartState handles methodStartState.
 func (n *nodes) serveStartState(_ context.Context, q startStateRequest) (out startState, err error) {
+	if q.Era > 0 {
+		n.store.Eras().Observe(q.Era, boottime.RefreshNow())
+	}
 	recent := time.Duration(q.RecentMS) * time.Millisecond
 	out.RecentEra = !n.store.Eras().IsSettled(boottime.Now(), recent)
-	out.Evacuated = n.siteState.UnconfirmedEvacuations()
+	out.Evacuated = n.siteState.EvacuatedHalls()
 	for _, replica := range n.siteState.DrainingReplicas() {
 		out.Draining = append(out.Draining, updateFor(replica, replicaUpdate{Draining: true}))
 	}
@@ -131,6 +137,7 @@
 	for _, m := range others[:min(maxNodesAsked, len(others))] {
 		var s startState
 		q := startStateRequest{RecentMS: retryWindow.Milliseconds()}
+		q.Era, _, _ = n.store.Eras().Current()
 		if err := client.CallWithin(ctx, learnTimeout, m.Peer, methodStartState, q, &s); err != nil {
 			n.log.Warn("state for the start not learned", "peer", m.Peer, "err", err)
 			continue
