--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -39,6 +39,56 @@
 		"	if !o.sealed || o.freed {", "	if o.freed {",
 		"./internal/standin", "TestHalfWrittenObjectCannotBePinned",
 	},
+	{
+		"eras: positions are compared as pairs", "pkg/history/position.go",
+		"cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Version, q.Version))", "cmp.Compare(p.Version, q.Version)",
+		"./internal/standin/onplatform", "TestRevokedKeyIsServedAfterStoreReturnsFromCopy/sixty_writes_lost",
+	},
+	{
+		"eras: changes of another era are gone", "platform/store.go",
+		"	if page.era != after.Era || !s.isCurrent(page.era) {\n		return l, site.ErrHistoryGone", "	if false {\n		return l, site.ErrHistoryGone",
+		"./platform", "TestChangesAfterAPositionOfAnotherEraAreGone",
+	},
+	{
+		"eras: a write that was done in another era is not believed", "platform/store.go",
+		"if err == nil && l.Position.Era != expected.Era {", "if false {",
+		"./platform", "TestWriteThatWasDoneInAnotherEraIsNotBelieved",
+	},
+	{
+		"eras: contents don't go back by their own numbers", "pkg/history/state.go",
+		"s.Number > 0 && next.Number > 0 && s.Number != next.Number", "false",
+		"./service/gateway", "TestReadersServeTheOlderConfigurationOfACopy",
+	},
+	{
+		"eras: missing rows are not gone at once", "pkg/history/eras.go",
+		"e.first || e.since.IsZero() || now.Sub(e.since) >= term", "true",
+		"./service/gateway", "TestRowsNotYetWrittenAgainCountAsGone",
+	},
+	{
+		"eras: a row of an earlier era does not tell who holds a lease", "pkg/rollout/lease.go",
+		"	case l.row.Era != l.position.Era:\n", "	case false:\n",
+		"./pkg/rollout", "TestLeaseHasOneHolderWhenTheStoreReturnsFromCopies",
+	},
+	{
+		"eras: fences of an era are above earlier ones", "pkg/rollout/lease.go",
+		"int64(l.position.Era)*fencesPerEra", "0",
+		"./pkg/rollout", "TestLeaseHasOneHolderWhenTheStoreReturnsFromCopies",
+	},
+	{
+		"eras: bases are named by their content", "service/gateway/reader_table.go",
+		"ref.Digest != \"\" && x.large[ref.Key] == ref.Digest", "ref.Digest != \"\"",
+		"./service/gateway", "TestDeltaOnAnotherValueOfTheSamePositionCantBeDecoded",
+	},
+	{
+		"eras: a list of an earlier era is not complete", "pkg/origin/versions.go",
+		"era == 0 || l.IsConfirmed(era) && storeNow", "true || storeNow",
+		"./service/origins", "TestStreamOfALostVersionIsNotJoinedWithTheOnlyOne",
+	},
+	{
+		"eras: the same order in another era is no new roll-out", "pkg/canary/order.go",
+		"same && (known.Position.Era != read.Position.Era || !settled)", "false",
+		"./pkg/canary", "TestOrderOfAnotherEra",
+	},
 	{
 		"origins: a repeat is pinned to the version that wrote the events", "service/gateway/stream_origin.go",
 		"	x.pickInput.Software = route.SoftwareRule{Version: a.choice.Software, Pinned: true}\n	if x.info", "	if x.info",
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -270,6 +270,7 @@
 	{"request suspected", Failure, "Replicas ended under requests with the same content: from now on such requests run one at a time among all nodes, or not at all.", []Key{keyContent, keyVerdict, keyEnds, keyEndedReplicas}},
 	{"request no longer suspected", Change, "A replica has finished a request with a content under which replicas had ended.", []Key{keyContent}},
 	{"request blocked", Failure, "A request was not sent on because replicas had ended under its content.", []Key{keyRequest, keyContent, keyEnds, keyEndedReplicas, keyAttempts}},
+	{"blocked requests stored", Change, "This node has written the row of blocked requests.", []Key{{"cases", "how many"}, keyPosition}},
 	{"list of blocked requests not written", Failure, "The row from which nodes that start later learn what is blocked was not written; the write is retried.", []Key{keyErr}},
 	{"serving without the list of blocked requests", Failure, "A node that has started got the list neither from the store nor from another node in time; its first requests wait no longer.", []Key{keyNode, {"after", "nanoseconds that they have waited at most"}}},
 	{"row of blocked requests can't be decoded", Failure, "The row from which a starting node learns what is blocked is invalid.", []Key{keyRow, keyErr}},
@@ -337,6 +338,13 @@
 		{"config", "the version of the configuration in force"},
 		{"list_age", "nanoseconds since the list of replicas was last read"},
 	}},
+	{"table listed in a new era", Change, "The first listing of a table since the platform's store came back from a copy.", []Key{
+		keyTable, {"before", "the position of the copy that this node had"}, keyPosition,
+		{"rows", "how many rows it has now"},
+		{"differ", "how many of them have another value than before, or were not there"},
+		{"missing", "how many rows of before are not there"},
+		{"carried", "how many rows are kept with newer contents than the store's"},
+	}},
 	{"operator rows received", Change, "Rows of the operator's table were received.", []Key{
 		keyPosition,
 		{"rows", "how many"},
--- a/service/gateway/reader_table.go
+++ b/service/gateway/reader_table.go
@@ -108,6 +108,9 @@
 	}
 	x.changes = x.changes.compact(x.rows)
 	since := x.position
+	if newEra && q.Whole && old != nil {
+		r.logNewEra(q.Table, since, l.Position, old, x)
+	}
 	x.position = history.Later(x.position, l.Position)
 	if len(l.Rows) > 0 || q.Whole {
 		x.packed = nil
@@ -119,6 +122,23 @@
 	}
 }
 
+// logNewEra logs how the first listing of an era differs from the copy of the era before.
+func (r *sharedReader) logNewEra(t site.Table, before, after history.Position, old map[string]site.Row, x *cachedTable) {
+	differ, missing := 0, 0
+	for key, row := range x.rows {
+		if former, known := old[key]; !known || former.Gone || !bytes.Equal(former.Value, row.Value) {
+			differ++
+		}
+	}
+	for key, row := range old {
+		if _, there := x.rows[key]; !there && !row.Gone {
+			missing++
+		}
+	}
+	r.log.Info("table listed in a new era", "table", tableName(t), "before", before, "position", after,
+		"rows", len(x.rows), "differ", differ, "missing", missing, "carried", len(x.carried))
+}
+
 // newerContent returns a row as it is to be kept once the store has come back from a copy: its content may be
 // older than that of the known row.
 func (r *sharedReader) newerContent(x *cachedTable, known, read site.Row) site.Row {
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -1012,3 +1012,25 @@
 	t.Logf("%d of %d bytes", len(a.Rows.Data), len(value))
 	assert.Assert(t, len(a.Rows.Data) < minBaseSize, "%d of %d bytes", len(a.Rows.Data), len(value))
 }
+
+// In a new era each node reads the whole list of replicas again through its reader.
+func TestSizeOfTheListOfReplicasInANewEra(t *testing.T) {
+	const bytesPerRow = 60 // Compressed; the address and the ID alone are some 20 bytes of random text.
+	for _, c := range []struct{ nodes, replicas int }{{7, 23}, {71, 560}, {295, 2300}, {900, 6900}} {
+		h := newTestHall(t)
+		l := site.Listing{Position: inEra(2, 9)}
+		for i := range c.replicas {
+			value := fmt.Sprintf(`{"service":"huvo11a","addr":"10.%d.%d.%d:%d","zone":"leinster-a","config_version":"v1","slots":64,"state":"ready","cold_left_ms":0,"stage":"both","models":[{"name":"daka510000","config_version":1,"adapters":[]}],"call_seq":%d}`,
+				rand.IntN(256), rand.IntN(256), rand.IntN(256), 1024+rand.IntN(60000), rand.IntN(40))
+			l.Rows = append(l.Rows, site.Row{Key: fmt.Sprintf("i-%010x", rand.Uint64()>>24), Position: inEra(2, int64(i+1)), Value: []byte(value)})
+		}
+		q := changesRequest{Table: site.TableUpstreams, Whole: true}
+		startedAt := time.Now()
+		h.reader.apply(q, l, true)
+		applied := time.Since(startedAt)
+		a, _, _, err := h.reader.answer(q)
+		assert.NilError(t, err)
+		t.Logf("%d nodes, %d replicas: %d bytes, applied in %s, packed in %s", c.nodes, c.replicas, len(a.Rows.Data), applied, time.Since(startedAt)-applied)
+		assert.Assert(t, len(a.Rows.Data) < 2000+bytesPerRow*c.replicas)
+	}
+}
--- a/service/suspects/blocked_row.go
+++ b/service/suspects/blocked_row.go
@@ -119,9 +119,11 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.store.Put(ctx, site.TableNodes, BlockedRowKey, value, stored.Position); err != nil {
+	written, err := s.store.Put(ctx, site.TableNodes, BlockedRowKey, value, stored.Position)
+	if err != nil {
 		return eris.Wrap(err, "write list of blocked requests")
 	}
+	s.log.Info("blocked requests stored", "cases", len(row.Cases), "position", written.Position)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.stored)
