A reader that starts takes newer rows from others before it serves its listing

A node that starts asked others for newer configurations only after it had taken its own listing into the copy that it serves. In between, and where another node's request made it read the store first, other nodes that were starting got the copy's older configuration from it, at a position after which the newer one was never sent. Now the newer rows are part of the same read, for which those that ask wait. A node that has itself just started answers such a request at once, so that nodes that start together do not wait for each other. Without it the test's reader serves 79 and not 81.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -327,9 +327,9 @@
 	{"store not reached, other nodes are asked", Failure, "This node's own calls to the platform's store fail; it gets changes from other nodes.", []Key{keyTable, keyErr}},
 	{"store reached again", Change, "This node's own calls to the platform's store succeed again.", []Key{keyTable, keyAway, {"asked", "how often other nodes were asked meanwhile"}}},
 	{"state for the start not learned", Failure, "A node that starts could not ask another one which replicas have said that they drain, and whether an era of the store has begun recently.", []Key{keyPeer, keyErr}},
-	{"newer rows not asked for", Failure, "A node that starts could not ask another one for newer rows than the store's.", []Key{keyTable, keyPeer, keyErr}},
+	{"newer rows not asked for", Change, "A node that starts could not ask another one for newer rows than the store's, as when all nodes start.", []Key{keyTable, keyPeer, keyErr}},
 	{"newer row taken from peer", Change, "The store has come back from a copy with an older content of a row than another node has.", []Key{
-		keyTable, keyRow, {"number", "the version that the content itself names"},
+		keyTable, keyRow, keyPeer,
 	}},
 	{"era of store began", Change, "The platform's store has come back from an earlier copy of itself, or this node hears of it for the first time.", []Key{
 		{"from", "the era before"},
--- a/service/gateway/reader_serve.go
+++ b/service/gateway/reader_serve.go
@@ -25,6 +25,9 @@
 	// StoreUnreachable means that the requesting node can't reach the store, so that an older copy
 	// is acceptable.
 	StoreUnreachable bool `json:"detour"`
+	// Starting means that the requesting node has just started and looks for newer contents than the
+	// store's.
+	Starting bool `json:"starting,omitempty"`
 	// HaveRef names a large value that the requesting node already has.
 	HaveRef rowRef `json:"have,omitzero"`
 
@@ -56,6 +59,9 @@
 	if q.Era > 0 {
 		r.store.Eras().Observe(q.Era, boottime.RefreshNow())
 	}
+	if q.Starting && r.isFirst(q.Table) {
+		return nil, errReaderBehind // This node has just started as well.
+	}
 	end := time.After(min(readerPollWait, time.Duration(q.WaitMS)*time.Millisecond))
 	r.refreshFromStore(ctx, q)
 	for {
--- a/service/gateway/reader_table.go
+++ b/service/gateway/reader_table.go
@@ -165,6 +165,15 @@
 	}
 }
 
+// markCarried records rows whose contents are newer than the store's.
+func (r *sharedReader) markCarried(t site.Table, keys []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range keys {
+		r.table(t).carried[key] = true
+	}
+}
+
 // carry adds a row with a newer content than the store's.
 func (x *cachedTable) carry(row site.Row) {
 	x.setRow(row, "")
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -194,60 +194,55 @@
 
 // List reads a whole table, through a reader if there is one.
 func (r *sharedReader) List(ctx context.Context, t site.Table) (l site.Listing, err error) {
-	first := !r.hasCopy(t)
-	l, err = r.read(ctx, r.addBase(t, changesRequest{Whole: true}), 0)
-	if err == nil && first && t == site.TableOperator && l.Position.Era > 0 {
-		l = r.adoptNewer(ctx, t, l)
-	}
-	return l, err
+	return r.read(ctx, r.addBase(t, changesRequest{Whole: true}), 0)
 }
 
-// hasCopy reports whether this node has read a table before.
-func (r *sharedReader) hasCopy(t site.Table) bool {
+// isFirst reports whether this node has no copy of a table yet, nor ever had one.
+func (r *sharedReader) isFirst(t site.Table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table(t).rows != nil
+	return r.table(t).position == history.Position{}
 }
 
-// adoptNewer replaces the rows of a first listing of which other nodes have newer contents: the store may
-// have come back from a copy. If the listing is that of a reader, it has them.
-func (r *sharedReader) adoptNewer(ctx context.Context, t site.Table, l site.Listing) site.Listing {
-	r.mu.Lock()
-	ownRead := !r.table(t).storeReadAt.IsZero()
-	r.mu.Unlock()
-	for asked := 0; ownRead && asked < maxNodesAsked; asked++ {
+// adoptNewer replaces the rows of a listing of which other nodes have newer contents, and returns their keys: the
+// store may have come back from a copy, and this node has just started.
+func (r *sharedReader) adoptNewer(ctx context.Context, t site.Table, l *site.Listing) (adopted []string) {
+	for asked := range maxNodesAsked {
 		addr, ok := r.pickPeer(asked%2 == 0)
 		if !ok {
 			break
 		}
-		q := r.addBase(t, changesRequest{Whole: true, StoreUnreachable: true})
+		q := changesRequest{Table: t, Era: l.Position.Era, Whole: true, StoreUnreachable: true, Starting: true}
+		for _, row := range l.Rows {
+			if len(row.Value) >= max(minBaseSize, len(q.haveValue)) {
+				q.HaveRef, q.haveValue = rowRef{Key: row.Key, Digest: digestOf(row.Value)}, row.Value
+			}
+		}
 		other, err := r.fetchFromNode(ctx, addr, q, secondReaderTimeout)
 		if err != nil {
-			r.log.Warn("newer rows not asked for", "table", tableName(t), "peer", addr, "err", err)
+			r.log.Info("newer rows not asked for", "table", tableName(t), "peer", addr, "err", err)
 			continue
 		}
-		l.Rows = r.adopt(t, l, other.Rows)
+		for _, row := range other.Rows {
+			if r.adopt(l, row) {
+				adopted = append(adopted, row.Key)
+				r.log.Info("newer row taken from peer", "table", tableName(t), "row", row.Key, "peer", addr)
+			}
+		}
 	}
-	return l
+	return adopted
 }
 
-// adopt takes in the rows of another node's copy that have higher numbers than those of a listing, and returns
-// the rows of the listing with them.
-func (r *sharedReader) adopt(t site.Table, l site.Listing, others []site.Row) []site.Row {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, row := range others {
-		own, found := l.Find(row.Key)
-		number := r.rowNumber(row)
-		if number == 0 || found && r.rowNumber(own) >= number {
-			continue
-		}
-		row.Position = l.Position
-		r.table(t).carry(row)
-		l.Rows = append(slices.DeleteFunc(l.Rows, func(x site.Row) bool { return x.Key == row.Key }), row)
-		r.log.Info("newer row taken from peer", "table", tableName(t), "row", row.Key, "number", number)
+// adopt takes a row of another node's copy into a listing if its number is higher.
+func (r *sharedReader) adopt(l *site.Listing, row site.Row) bool {
+	own, found := l.Find(row.Key)
+	number := r.rowNumber(row)
+	if number == 0 || found && r.rowNumber(own) >= number {
+		return false
 	}
-	return l.Rows
+	row.Position = l.Position
+	l.Rows = append(slices.DeleteFunc(l.Rows, func(x site.Row) bool { return x.Key == row.Key }), row)
+	return true
 }
 
 // Changes waits for changes of a table, as Store.Changes does.
@@ -329,8 +324,13 @@
 		}
 		return l, err
 	}
+	var adopted []string
+	if q.Whole && q.Table == site.TableOperator && l.Position.Era > 0 && r.isFirst(q.Table) {
+		adopted = r.adoptNewer(ctx, q.Table, &l)
+	}
 	// The response may have arrived before the machine was suspended; then it is not recent.
 	r.apply(q, l, boottime.Refresh()-before < minSuspension)
+	r.markCarried(q.Table, adopted)
 	r.logRows(q, l, sourceStore, startedAt)
 	return l, nil
 }
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -36,6 +36,7 @@
 	historyStart int64 // Changes up to this version are no longer available.
 	calls        int
 	fail         bool
+	era          history.Era
 	eras         history.Eras
 }
 
@@ -53,7 +54,7 @@
 	if s.fail {
 		return site.Listing{}, fmt.Errorf("down")
 	}
-	return site.Listing{Rows: append([]site.Row(nil), s.rows...), Position: at(s.version)}, nil
+	return site.Listing{Rows: append([]site.Row(nil), s.rows...), Position: inEra(s.era, s.version)}, nil
 }
 
 func (s *fakeTableStore) ListPrefix(ctx context.Context, t site.Table, prefix string) (site.Listing, error) {
@@ -1034,3 +1035,26 @@
 		assert.Assert(t, len(a.Rows.Data) < 2000+bytesPerRow*c.replicas)
 	}
 }
+
+// A reader that had just started served the copy's configuration to other nodes before it knew the newer one.
+func TestStartingReaderServesTheOlderConfigurationOfACopy(t *testing.T) {
+	h := numberedHall(t)
+	h.applyConfiguration(true, history.Position{}, inEra(1, 155), 81)
+	h.applyConfiguration(true, history.Position{}, inEra(2, 151), 79)
+	h.store.rows = []site.Row{{Key: operatorKey, Position: inEra(2, 151), Value: []byte("79")}}
+	h.store.era, h.store.version = 2, 151
+	starting := h.requester
+	starting.rowNumber = h.reader.rowNumber
+	starting.members = control.NewMembers(starting.self, time.Second, nil, newRand())
+	starting.members.Merge([]control.Member{{Name: "other", DataHall: "h", Peer: h.server.Addr(), Incarnation: 1}}, time.Now())
+	q := changesRequest{Table: site.TableOperator, Whole: true}
+	starting.refreshFromStore(t.Context(), q)
+	a, _, _, err := starting.answer(q)
+	assert.NilError(t, err)
+	rows, err := a.Rows.unpack(nil)
+	assert.NilError(t, err)
+	assert.Equal(t, string(rows[0].Value), "81")
+	starting.apply(changesRequest{Table: site.TableOperator, After: inEra(2, 151)},
+		site.Listing{Rows: []site.Row{{Key: operatorKey, Position: inEra(2, 152), Value: []byte("80")}}, Position: inEra(2, 152)}, true)
+	assert.Equal(t, string(starting.tables[site.TableOperator].rows[operatorKey].Value), "81", "an older one is written again")
+}
