--- a/service/gateway/discovery.go
+++ b/service/gateway/discovery.go
@@ -186,8 +186,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = n.store.PutUnconditionally(ctx, site.TableNodes, n.rowKey(), body)
-	return err
+	return n.store.PutUnconditionally(ctx, site.TableNodes, n.rowKey(), body)
 }
 
 // rowKey is the key of this node's row.
--- a/service/gateway/platform.go
+++ b/service/gateway/platform.go
@@ -22,8 +22,8 @@
 	// Put writes a row if it has the expected position; otherwise the error wraps
 	// site.ErrConflict or site.ErrEraEnded.
 	Put(ctx context.Context, t site.Table, key string, value []byte, expected history.Position) (site.Listing, error)
-	// PutUnconditionally writes a row whatever its version, and returns the position of the write.
-	PutUnconditionally(ctx context.Context, t site.Table, key string, value []byte) (history.Position, error)
+	// PutUnconditionally writes a row whatever its version.
+	PutUnconditionally(ctx context.Context, t site.Table, key string, value []byte) error
 	// LastLargeResponse returns when a large response last began to arrive, zero if none
 	// has.
 	LastLargeResponse() time.Time
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -86,8 +86,8 @@
 	return site.Listing{}, nil
 }
 
-func (s *fakeTableStore) PutUnconditionally(context.Context, site.Table, string, []byte) (history.Position, error) {
-	return history.Position{}, nil
+func (s *fakeTableStore) PutUnconditionally(context.Context, site.Table, string, []byte) error {
+	return nil
 }
 func (s *fakeTableStore) LastLargeResponse() time.Time { return time.Time{} }
 func (s *fakeTableStore) Eras() *history.Eras          { return &s.eras }
