A lease of a node of an earlier release is not taken while it is renewed

Rows of earlier releases name no era, so they counted as those of an earlier era of the store, and while a fleet is updated a node of this release would have taken the lease from a holder that renewed it: two holders. Such a row now has to be unchanged for a term and the pause. Before, the test's lease is taken after the first renewal.

--- a/pkg/rollout/lease.go
+++ b/pkg/rollout/lease.go
@@ -58,6 +58,7 @@
 	mu               sync.Mutex
 	row              leaseRow
 	lastFence        int64            // The highest one that this node has had.
+	unchangedSince   time.Time        // When the row was first read as it is.
 	position         history.Position // Of the row.
 	validUntil       time.Time        // End of this node's validity, on its own clock.
 	renewalSentAt    time.Time        // When the last successful write was sent.
@@ -191,6 +192,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, found := listing.Find(l.key)
+	if l.unchangedSince.IsZero() || r.Position != l.position {
+		l.unchangedSince = askedAt
+	}
 	l.row, l.position = leaseRow{}, r.Position
 	if found {
 		if err := json.Unmarshal(r.Value, &l.row); err != nil {
@@ -209,6 +213,10 @@
 	switch {
 	case l.row.Era != l.position.Era:
 		_, since, _ := l.store.Eras().Current()
+		if l.row.Holder != "" && l.row.Era == 0 {
+			// A node of an earlier release may be renewing it in this era.
+			since = l.unchangedSince
+		}
 		return leaseTerm + l.takeoverPause + takeoverMargin - l.now().Sub(since)
 	case l.row.Holder == "" || l.row.Holder == l.node:
 		return 0
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -591,3 +591,35 @@
 	}
 	return holders
 }
+
+// A node of an earlier release, whose rows name no era, lost its lease while it renewed it.
+func TestLeaseOfNodeOfAnEarlierReleaseIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newMemoryStore()
+		s.era = 3
+		log := slog.New(slog.DiscardHandler)
+		b := NewLease("l", "b", testPause, newNodeStore(s, "b"), log)
+		older := newNodeStore(s, "a")
+		renew := func() {
+			l, err := older.List(t.Context(), site.TableLeases)
+			assert.NilError(t, err)
+			row, _ := l.Find("l")
+			body := fmt.Appendf(nil, `{"holder":"a","fence":7,"until_ns":%d}`, l.Now+leaseTerm)
+			_, err = older.Put(t.Context(), site.TableLeases, "l", body, row.Position)
+			assert.NilError(t, err)
+		}
+		var last time.Time
+		for range 20 {
+			renew()
+			last = time.Now()
+			time.Sleep(renewAfter)
+			assert.Assert(t, !b.AcquireOrRenew(t.Context()), "it is renewed each second")
+		}
+		for !b.AcquireOrRenew(t.Context()) {
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(last) >= leaseTerm+testPause, "%s", time.Since(last))
+		assert.Assert(t, time.Since(last) < 3*(leaseTerm+testPause), "%s", time.Since(last))
+		assert.Assert(t, b.Fence() > 7)
+	})
+}
