The age of a copy that the store never gave this node does not overflow

A node tells with each answer how old its copy of a table is. For a copy that it had only ever got from others the age was the difference to the zero time, and overflowed when it was rounded to milliseconds: it was negative, and counted as fresh. Found while a case of a revoked key was traced that came close to its bound. Before, the test gets an answer instead of the error.

--- a/service/gateway/reader_table.go
+++ b/service/gateway/reader_table.go
@@ -41,9 +41,13 @@
 			return age, end
 		}
 	}
-	return now.Sub(x.storeReadAt), x.storeReadAt.Add(maxAge)
+	return min(maxAgeTold, now.Sub(x.storeReadAt)), x.storeReadAt.Add(maxAge)
 }
 
+// maxAgeTold is the age of a copy for which the store itself has never answered this node. A difference to the
+// zero time does not bear the rounding to milliseconds.
+const maxAgeTold = 24 * time.Hour
+
 // table returns the copy of a table, and creates it if needed; the caller holds mu.
 func (r *sharedReader) table(t site.Table) *cachedTable {
 	x := r.tables[t]
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -1058,3 +1058,14 @@
 		site.Listing{Rows: []site.Row{{Key: operatorKey, Position: inEra(2, 152), Value: []byte("80")}}, Position: inEra(2, 152)}, true)
 	assert.Equal(t, string(starting.tables[site.TableOperator].rows[operatorKey].Value), "81", "an older one is written again")
 }
+
+// The age of a copy that a node had only ever got from others overflowed, so that it counted as fresh for ever, and
+// nodes without the store asked for it thousands of times a second.
+func TestCopyNeverReadFromTheStoreIsNotFresh(t *testing.T) {
+	h := newTestHall(t)
+	q := changesRequest{Table: site.TableUpstreams, Whole: true}
+	h.reader.apply(q, site.Listing{Rows: []site.Row{{Key: "a", Position: at(1)}}, Position: at(1)}, false)
+	h.store.fail = true
+	_, err := h.requester.askNode(t.Context(), h.server.Addr(), changesRequest{Table: site.TableUpstreams, After: at(1), StoreUnreachable: true})
+	assert.ErrorIs(t, err, errReaderBehind)
+}
