Nodes that don't reach the store hear of its era at once, and don't wait for a connection to it

After five seconds without the store, two of six nodes cut off for longer, a key revoked at the moment of the return was out of force after 1.7 to 2.0 s, and once of three runs too late (2 s are allowed). Traced: the cut off nodes heard of the era only when they next asked another node; the pause after a failed call went on; the call under way was connecting, for 1 s, which neither its deadline nor the interruption ended; and the end of the history, which needs no call, counted as reaching the store, so the next call went there first, without the short timeout.

Now notes of loads, each 150 ms, tell the era; hearing of an era ends the pause and the call; connecting ends with the deadline of the request; and the end of the history is told without a call.

--- a/internal/standin/onplatform/store_return_test.go
+++ b/internal/standin/onplatform/store_return_test.go
@@ -115,12 +115,17 @@
 		// cut is how many nodes don't reach the store from its return on, for cutFor.
 		cut    int
 		cutFor time.Duration
+		// after is when the key is revoked, counted from the return.
+		after time.Duration
 	}{
-		{"sixty_writes_lost", 60, 500 * time.Millisecond, 0, 0},
-		{"not_away", 60, 0, 0, 0},
-		{"long_away", 200, 3 * time.Second, 0, 0},
-		{"two_nodes_cut_off_longer", 60, 500 * time.Millisecond, 2, 3 * time.Second},
-		{"few_writes_lost", 3, 500 * time.Millisecond, 0, 0},
+		{"sixty_writes_lost", 60, 500 * time.Millisecond, 0, 0, 200 * time.Millisecond},
+		{"not_away", 60, 0, 0, 0, 200 * time.Millisecond},
+		{"long_away", 200, 3 * time.Second, 0, 0, 200 * time.Millisecond},
+		{"two_nodes_cut_off_longer", 60, 500 * time.Millisecond, 2, 3 * time.Second, 200 * time.Millisecond},
+		{"few_writes_lost", 3, 500 * time.Millisecond, 0, 0, 200 * time.Millisecond},
+		{"revoked_at_once", 60, 500 * time.Millisecond, 0, 0, 0},
+		{"long_away_revoked_at_once", 60, 5 * time.Second, 0, 0, 0},
+		{"long_away_two_nodes_cut_off", 60, 5 * time.Second, 2, 3 * time.Second, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -139,7 +144,7 @@
 					_ = p.MakeReachable() // The test fails by its own check.
 				}
 			})
-			time.Sleep(200 * time.Millisecond)
+			time.Sleep(c.after)
 			f.revokeKey()
 			f.assertKeyRevoked(time.Now())
 		})
--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -45,8 +45,11 @@
 		MaxIdleConnDuration:    idleConnTimeout,
 		MaxResponseBodySize:    maxResponseBody,
 		DisablePathNormalizing: true,
-		Dial: func(addr string) (net.Conn, error) {
-			conn, err := http1.Dial(addr, dialTimeout, ackTimeout)
+		DialTimeout: func(addr string, left time.Duration) (net.Conn, error) {
+			if left <= 0 || left > dialTimeout {
+				left = dialTimeout
+			}
+			conn, err := http1.Dial(addr, left, ackTimeout)
 			if err != nil {
 				return nil, err
 			}
--- a/service/gateway/control_bench_test.go
+++ b/service/gateway/control_bench_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
@@ -50,7 +51,7 @@
 	}
 	b.Cleanup(probes.Close)
 	probes.Start()
-	n := &nodes{self: self, members: m, siteState: siteState, cacheIndex: cacheIndex, log: log, loads: newLoadState(), loadsDue: make(chan struct{}, 1), probes: probes}
+	n := &nodes{self: self, eras: &history.Eras{}, members: m, siteState: siteState, cacheIndex: cacheIndex, log: log, loads: newLoadState(), loadsDue: make(chan struct{}, 1), probes: probes}
 	client := peer.NewClient("key")
 	b.Cleanup(client.Close)
 	return n, newEngineCacheFollower(nil, siteState, cacheIndex, m, client, self, new(replicaClock), log)
--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -36,7 +36,7 @@
 		store.rows = append(store.rows, site.Row{Key: hallKeys(hall) + fmt.Sprint("front-", i), Position: at(store.version), Value: value})
 	}
 	n := &nodes{
-		self: self, members: m, store: store, coldShares: newColdShares(self, m), log: log, loads: newLoadState(),
+		self: self, members: m, store: store, eras: store.Eras(), coldShares: newColdShares(self, m), log: log, loads: newLoadState(),
 		suspects: suspects.New(self, m, nil, nil, log),
 	}
 	n.nodeTable = &tableFollower{store: store, table: site.TableNodes, apply: n.applyNodeRows, log: log}
@@ -177,7 +177,7 @@
 				store.eras.Observe(era, boottime.Now())
 			}
 			log := slog.New(slog.DiscardHandler)
-			asked := &nodes{store: store, siteState: NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), log)}
+			asked := &nodes{store: store, eras: &store.eras, siteState: NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), log)}
 			server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, log)
 			assert.NilError(t, err)
 			server.Handle(peer.RolePeer, methodStartState, peer.Handle(asked.serveStartState))
--- a/service/gateway/follow.go
+++ b/service/gateway/follow.go
@@ -46,6 +46,7 @@
 	mu         sync.Mutex
 	cancel     context.CancelFunc // Cancels the call under way.
 	pollAtOnce bool               // The next call is not a long poll.
+	wake       context.CancelFunc // Ends the pause after a failed call.
 
 	position     history.Position // That the copy has reached.
 	listed       bool
@@ -97,7 +98,7 @@
 	return call, longPoll, f.cancel
 }
 
-// pollNow interrupts the call under way and asks the store again at once. It is called
+// pollNow interrupts the call under way, or the pause after a failed one, and asks the store again at once. It is called
 // after the machine was suspended, and if the store has come back from a copy.
 func (f *tableFollower) pollNow() {
 	f.mu.Lock()
@@ -106,6 +107,9 @@
 	if f.cancel != nil {
 		f.cancel()
 	}
+	if f.wake != nil {
+		f.wake()
+	}
 }
 
 func (f *tableFollower) poll(ctx context.Context, longPoll time.Duration) error {
@@ -163,7 +167,13 @@
 	f.retryDelay = 0
 }
 
+// backOff pauses after a failed call, unless pollNow is called.
 func (f *tableFollower) backOff(ctx context.Context) {
+	ctx, wake := context.WithCancel(ctx)
+	defer wake()
+	f.mu.Lock()
+	f.wake = wake
+	f.mu.Unlock()
 	f.retryDelay = min(maxFollowRetry, max(minFollowRetry, 2*f.retryDelay))
 	sleep(ctx, f.retryDelay/2+time.Duration(rand.Int64N(int64(f.retryDelay))))
 }
--- a/service/gateway/follow_test.go
+++ b/service/gateway/follow_test.go
@@ -53,3 +53,13 @@
 	assert.Equal(t, listings.Load(), int64(1))
 	assert.Equal(t, failures.Load(), int64(0))
 }
+
+// The pause after failed calls, up to 1.2 s, went on though the node had heard that the store was back.
+func TestNewEraEndsThePauseAfterAFailedCall(t *testing.T) {
+	f := &tableFollower{retryDelay: maxFollowRetry}
+	time.AfterFunc(20*time.Millisecond, f.pollNow)
+	startedAt := time.Now()
+	f.backOff(t.Context())
+	assert.Assert(t, time.Since(startedAt) < maxFollowRetry/2, "%s", time.Since(startedAt))
+	assert.Assert(t, f.pollAtOnce)
+}
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -424,6 +424,7 @@
 	g.platform.Store.Close()
 	g.platform.Engines.Close()
 	g.wg.Wait()
+	g.tableReader.Close()
 	g.suspects.Close()
 	g.origins.Close()
 	g.rateLimits.Close()
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
@@ -54,6 +55,9 @@
 	Hall        string `json:"h"`
 	Incarnation uint64 `json:"b"`
 	Seq         uint64 `json:"q"`
+	// Era is the newest era of the store that the node knows. A node that does not reach the store
+	// hears of it in this way.
+	Era history.Era `json:"e,omitempty"`
 	// Loads are the requests in flight at replicas, Links the running totals of each
 	// store's link; both are packed.
 	Loads []byte `json:"l,omitempty"`
@@ -170,7 +174,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.loads.seq++
-	return loadNote{From: n.self.Name, Hall: n.self.DataHall, Incarnation: n.incarnation, Seq: n.loads.seq}
+	era, _, _ := n.eras.Current()
+	return loadNote{From: n.self.Name, Hall: n.self.DataHall, Incarnation: n.incarnation, Seq: n.loads.seq, Era: era}
 }
 
 // ownLoads returns what this node itself has in flight.
--- a/service/gateway/loads_received.go
+++ b/service/gateway/loads_received.go
@@ -105,6 +105,9 @@
 	if note.From == n.self.Name {
 		return note, r, old, false
 	}
+	if note.Era > 0 {
+		n.eras.Observe(note.Era, boottime.RefreshNow())
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	old = received[key(&note)]
--- a/service/gateway/loads_test.go
+++ b/service/gateway/loads_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"slices"
 	"testing"
 	"time"
@@ -12,12 +13,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
 // A hall's sum lists only the busiest replicas: all of them would not fit a datagram.
 func TestSumOfALargeHallFitsADatagram(t *testing.T) {
-	n := &nodes{self: control.Member{Name: "n0", DataHall: "h"}, cacheIndex: route.NewCacheIndex(), loads: newLoadState()}
+	n := &nodes{eras: &history.Eras{}, self: control.Member{Name: "n0", DataHall: "h"}, cacheIndex: route.NewCacheIndex(), loads: newLoadState()}
 	const replicas = 3000
 	for node := range 20 {
 		s := receivedLoads{from: fmt.Sprint("n", node), receivedAt: time.Now()}
@@ -182,3 +184,17 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, list[0], queue)
 }
+
+// A node that did not reach the store heard of its new era only when it next asked another node.
+func TestLoadsTellTheEra(t *testing.T) {
+	n := &nodes{eras: &history.Eras{}, self: control.Member{Name: "n0", DataHall: "h"}, cacheIndex: route.NewCacheIndex(), loads: newLoadState(), log: slog.New(slog.DiscardHandler)}
+	for _, era := range []history.Era{2, 1} {
+		note := loadNote{From: "n1", Hall: "h", Incarnation: 1, Seq: uint64(era), Loads: packLoads(nil), Era: era}
+		text, err := json.Marshal(note)
+		assert.NilError(t, err)
+		n.handleLoads(text)
+		known, _, ok := n.eras.Current()
+		assert.Assert(t, ok && known == 2)
+	}
+	assert.Equal(t, n.newLoadNote().Era, history.Era(2))
+}
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
@@ -29,6 +30,7 @@
 	members     *control.Members
 	probes      *peer.Probes
 	store       Store
+	eras        *history.Eras  // Of the store.
 	nodeTable   *tableFollower // Of the list of nodes, read through other nodes.
 	siteState   *SiteState
 	cacheIndex  *route.CacheIndex
--- a/service/gateway/nodes_test.go
+++ b/service/gateway/nodes_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/suspects"
@@ -27,6 +28,7 @@
 	store := &fakeTableStore{fail: true}
 	var logged bytes.Buffer
 	n := &nodes{
+		eras: &history.Eras{},
 		self: self, members: m, store: store, coldShares: newColdShares(self, m),
 		log: slog.New(slog.NewTextHandler(&logged, nil)), loads: newLoadState(),
 		suspects: suspects.New(self, m, nil, nil, slog.New(slog.DiscardHandler)),
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -87,6 +87,7 @@
 	direct  bool // Each node reads the store itself.
 	// rowNumber returns the number that a row's content has of its own, 0 if it has none.
 	rowNumber func(site.Row) int64
+	calls     sync.WaitGroup // Calls to the store under way.
 
 	mu           sync.Mutex
 	tables       map[site.Table]*cachedTable
@@ -247,6 +248,9 @@
 
 // Changes waits for changes of a table, as Store.Changes does.
 func (r *sharedReader) Changes(ctx context.Context, t site.Table, after history.Position, wait time.Duration) (l site.Listing, err error) {
+	if era, _, _ := r.store.Eras().Current(); after.Era < era {
+		return l, site.ErrHistoryGone // Without a call, so it does not tell that the store is reached.
+	}
 	q := changesRequest{After: after, WaitMS: min(wait, readerPollWait).Milliseconds()}
 	return r.read(ctx, r.addBase(t, q), r.storeWait(t, wait))
 }
--- a/service/gateway/readers_test.go
+++ b/service/gateway/readers_test.go
@@ -520,7 +520,7 @@
 		assert.Assert(t, ok)
 		assert.Equal(t, reader, wide.Peer)
 	}
-	n := &nodes{self: self, members: m, loads: newLoadState()}
+	n := &nodes{eras: &history.Eras{}, self: self, members: m, loads: newLoadState()}
 	assert.Equal(t, n.loadRelays()["h"].Name, wide.Name)
 	for i := range 8 {
 		store := &site.Service{Name: fmt.Sprint("s", i), Store: &site.Store{MaxWatches: 4}}
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -117,10 +117,10 @@
 // serveStartState handles methodStartState.
 func (n *nodes) serveStartState(_ context.Context, q startStateRequest) (out startState, err error) {
 	if q.Era > 0 {
-		n.store.Eras().Observe(q.Era, boottime.RefreshNow())
+		n.eras.Observe(q.Era, boottime.RefreshNow())
 	}
 	recent := time.Duration(q.RecentMS) * time.Millisecond
-	out.RecentEra = !n.store.Eras().IsSettled(boottime.Now(), recent)
+	out.RecentEra = !n.eras.IsSettled(boottime.Now(), recent)
 	out.Evacuated = n.siteState.EvacuatedHalls()
 	for _, replica := range n.siteState.DrainingReplicas() {
 		out.Draining = append(out.Draining, updateFor(replica, replicaUpdate{Draining: true}))
@@ -137,7 +137,7 @@
 	for _, m := range others[:min(maxNodesAsked, len(others))] {
 		var s startState
 		q := startStateRequest{RecentMS: retryWindow.Milliseconds()}
-		q.Era, _, _ = n.store.Eras().Current()
+		q.Era, _, _ = n.eras.Current()
 		if err := client.CallWithin(ctx, learnTimeout, m.Peer, methodStartState, q, &s); err != nil {
 			n.log.Warn("state for the start not learned", "peer", m.Peer, "err", err)
 			continue
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -192,7 +192,7 @@
 	leaving := u
 	leaving.Draining = true
 	known.applyRow(leaving, now)
-	learned, err := (&nodes{siteState: known, store: &fakeTableStore{}}).serveStartState(t.Context(), startStateRequest{})
+	learned, err := (&nodes{siteState: known, eras: &history.Eras{}}).serveStartState(t.Context(), startStateRequest{})
 	assert.NilError(t, err)
 	for _, update := range learned.Draining {
 		(&nodes{siteState: starting}).applyUpdate(update)
--- a/service/gateway/store_outage.go
+++ b/service/gateway/store_outage.go
@@ -123,16 +123,34 @@
 	return fromPeer, peerErr
 }
 
-// callStore calls the store once, with a short timeout if the last call failed.
+// callStore calls the store once, with a short timeout if the last call failed. It returns early if ctx is cancelled:
+// the call itself, which may be connecting, goes on until its deadline.
 func (r *sharedReader) callStore(ctx context.Context, t site.Table, read func(context.Context) (site.Listing, error)) (site.Listing, error) {
+	callCtx, cancel := ctx, context.CancelFunc(func() {})
 	if r.storeUnreachable(t) {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, storeRetryTimeout)
+		callCtx, cancel = context.WithTimeout(ctx, storeRetryTimeout)
+	}
+	type answer struct {
+		listing site.Listing
+		err     error
+	}
+	done := make(chan answer, 1)
+	r.calls.Go(func() {
 		defer cancel()
+		l, err := read(callCtx)
+		done <- answer{l, err}
+	})
+	select {
+	case a := <-done:
+		return a.listing, a.err
+	case <-ctx.Done():
+		return site.Listing{}, ctx.Err()
 	}
-	return read(ctx)
 }
 
+// Close waits for the calls to the store.
+func (r *sharedReader) Close() { r.calls.Wait() }
+
 // errNoPeer is returned if no other node is known.
 var errNoPeer = errors.New("no other node is known")
 
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -178,6 +178,7 @@
 		rateLimits:  limits,
 		members:     members,
 		store:       store,
+		eras:        store.Eras(),
 		siteState:   siteState,
 		cacheIndex:  cacheIndex,
 		log:         log,
