--- a/pkg/history/position.go
+++ b/pkg/history/position.go
@@ -13,8 +13,8 @@
 // Position is a point in the store's histories: a version within an era. It identifies the state
 // of a row or of a whole table.
 type Position struct {
-	Era     Era   `json:"era,omitempty"`
-	Version int64 `json:"version,omitempty"`
+	Era     Era   `json:"e,omitempty"`
+	Version int64 `json:"v,omitempty"`
 }
 
 // Compare orders positions, like cmp.Compare. Any position of a later era is after all those of earlier
--- a/service/gateway/packed_rows.go
+++ b/service/gateway/packed_rows.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/gob"
-	"encoding/hex"
 	"errors"
 	"math/bits"
 	"slices"
@@ -53,13 +53,14 @@
 // valueDigest identifies a value: two nodes may have different values of a row at the same position.
 type valueDigest string
 
-// digestBytes is the length of digests before they are encoded.
-const digestBytes = 16
+// digestBytes is the length of digests before they are encoded. Nodes name one in each request; packed data have a
+// checksum besides.
+const digestBytes = 8
 
-// digestOf returns the digest of a value, in hexadecimal.
+// digestOf returns the digest of a value, in base64.
 func digestOf(value []byte) valueDigest {
 	sum := sha256.Sum256(value)
-	return valueDigest(hex.EncodeToString(sum[:digestBytes]))
+	return valueDigest(base64.RawURLEncoding.EncodeToString(sum[:digestBytes]))
 }
 
 // packedRows is the wire form of table rows between nodes.
--- a/service/gateway/reader_serve.go
+++ b/service/gateway/reader_serve.go
@@ -21,10 +21,10 @@
 	Era    history.Era      `json:"era,omitempty"`
 	After  history.Position `json:"after"`
 	WaitMS int64            `json:"wait_ms"`
-	Whole  bool             `json:"whole"`
+	Whole  bool             `json:"whole,omitempty"`
 	// StoreUnreachable means that the requesting node can't reach the store, so that an older copy
 	// is acceptable.
-	StoreUnreachable bool `json:"detour"`
+	StoreUnreachable bool `json:"detour,omitempty"`
 	// Starting means that the requesting node has just started and looks for newer contents than the
 	// store's.
 	Starting bool `json:"starting,omitempty"`
@@ -47,7 +47,7 @@
 	Position history.Position `json:"position"`
 	AgeMS    int64            `json:"age_ms"`
 	// HistoryGone means that this node does not have the changes since the requested position.
-	HistoryGone bool `json:"gone"`
+	HistoryGone bool `json:"gone,omitempty"`
 }
 
 // serve handles methodTableChanges; like the store, it waits for changes.
