Tests: replicas that leave without a word around the store's return, and ended roll-outs; three fail

The tests have a replica leave as some do, by its row's removal alone:

- 3.3 s after the store's return, from a copy or from a mere outage: 2 requests came later than 2 s in each case.
- Before the return, from a copy that still has the row: 837 and 1,377 requests came, where nodes had gone by the removal before.

The third: a node that starts on the copy and becomes the owner of a roll-out led one again that had been rolled back (10 requests of 1.5 s went to the bad version), or that had been removed.

--- a/internal/standin/onplatform/store_return_test.go
+++ b/internal/standin/onplatform/store_return_test.go
@@ -1,6 +1,7 @@
 package onplatform_test
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -11,6 +12,8 @@
 
 	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
+	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/control"
 )
 
 const (
@@ -21,6 +24,10 @@
 	// rowsBackWithin is how long after the store's return the rows of nodes have to be there again.
 	rowsBackWithin = 5 * time.Second
 	noiseTable     = "other"
+	// drainWithin is how long after a replica has left the list it may still be sent requests.
+	drainWithin = 2 * time.Second
+	// storeSettles is how long after its return the store counts as undisturbed.
+	storeSettles = 3300 * time.Millisecond
 )
 
 // returnFleet is a fleet of nodes in front of a store that comes back from a copy. Each node has a proxy to the
@@ -31,10 +38,14 @@
 	proxies []*netproxy.Proxy
 	copy    onplatform.Copy
 	lost    []onplatform.Row
+	// returnTime is the nodes' setting, 0 for the one of the other tests.
+	returnTime config.Duration
 }
 
-func newReturnFleet(t *testing.T) *returnFleet {
-	f := &returnFleet{site: newSite(t)}
+func newReturnFleet(t *testing.T) *returnFleet { return newReturnFleetWith(t, 0) }
+
+func newReturnFleetWith(t *testing.T, returnTime config.Duration) *returnFleet {
+	f := &returnFleet{site: newSite(t), returnTime: returnTime}
 	f.startReplica(appService, "r1")
 	f.startReplica(appService, "r2")
 	for i := range returnFleetSize {
@@ -56,6 +67,7 @@
 	proxy := f.newProxy(f.store.Addr())
 	settings := f.settings(name)
 	settings.Platform.Store = proxy.Addr()
+	settings.Platform.ReturnTime = cmp.Or(f.returnTime, settings.Platform.ReturnTime)
 	n := f.startNodeWith(settings)
 	f.nodes, f.proxies = append(f.nodes, n), append(f.proxies, proxy)
 	return n
@@ -223,6 +235,74 @@
 	}
 }
 
+// lateRequests sends requests through all nodes for a while and counts those that reach a replica later than
+// drainWithin after since.
+func (f *returnFleet) lateRequests(r *onplatform.Replica, since time.Time, d time.Duration) (late int) {
+	for end := since.Add(d); time.Now().Before(end); {
+		for _, n := range f.nodes {
+			before := len(r.Received())
+			n.send(request("GET", "/safe/x", ""))
+			if time.Since(since) > drainWithin {
+				late += len(r.Received()) - before
+			}
+		}
+	}
+	return late
+}
+
+// A replica that leaves without saying so was used for as long as one whose row may come back, though the store had
+// been back for seconds.
+func TestReplicaThatLeavesTheListIsSentRequestsSecondsAfterTheStoreIsBack(t *testing.T) {
+	for _, fromCopy := range []bool{true, false} {
+		t.Run(fmt.Sprintf("from_a_copy_%t", fromCopy), func(t *testing.T) { // Not in parallel: each has a load.
+			f := newReturnFleetWith(t, config.GatewayDefaults().Platform.ReturnTime)
+			leaving := f.startReplica(appService, "leaving")
+			time.Sleep(300 * time.Millisecond)
+			f.takeCopy()
+			f.writeNoise(60)
+			time.Sleep(300 * time.Millisecond)
+			if fromCopy {
+				f.returnStore(2500 * time.Millisecond)
+				f.store.WriteAgain(f.lost...)
+			} else {
+				f.store.SetMode(onplatform.ModeSilent)
+				time.Sleep(2500 * time.Millisecond)
+				f.store.SetMode(onplatform.ModeUp)
+			}
+			time.Sleep(storeSettles)
+			f.store.Delete(onplatform.TableUpstreams, leaving.ID)
+			late := f.lateRequests(leaving, time.Now(), drainWithin+time.Second)
+			assert.Equal(t, late, 0, "requests sent to a replica %s after its row was removed", drainWithin)
+		})
+	}
+}
+
+// The copy lists a replica again that had left the list without saying so.
+func TestReplicaThatLeftTheListIsSentRequestsAfterStoreReturnsFromCopy(t *testing.T) {
+	for _, startedAnew := range []bool{false, true} {
+		t.Run(fmt.Sprintf("node_starts_%t", startedAnew), func(t *testing.T) {
+			t.Parallel()
+			f := newReturnFleet(t)
+			leaving := f.startReplica(appService, "leaving")
+			time.Sleep(300 * time.Millisecond)
+			f.takeCopy()
+			f.store.Delete(onplatform.TableUpstreams, leaving.ID)
+			time.Sleep(drainWithin)
+			f.returnStore(0)
+			if startedAnew {
+				f.startNext("late")
+			}
+			late := f.lateRequests(leaving, time.Now().Add(-drainWithin), drainWithin+1500*time.Millisecond)
+			assert.Equal(t, late, 0, "requests sent to a replica that had left the list")
+			// Its row had only expired, and it writes it again.
+			f.listReplica(appService, leaving, "ready", 1)
+			for _, n := range f.nodes {
+				f.waitUntil("the replica is used again", func() bool { return n.reaches(leaving) })
+			}
+		})
+	}
+}
+
 // Rows that nodes had written after the copy was taken were never written again.
 func TestNodesAreMissingFromTheListAfterStoreReturnsFromCopy(t *testing.T) {
 	f := newReturnFleet(t)
@@ -319,6 +399,59 @@
 	}
 }
 
+// ownerName returns the name of a node that would lead a roll-out among the nodes of a fleet.
+func (f *returnFleet) ownerName() string {
+	members := make([]control.Member, 0, len(f.nodes)+1)
+	for _, n := range f.nodes {
+		members = append(members, control.Member{Name: n.settings.Node.Name})
+	}
+	for i := 0; ; i++ {
+		name := fmt.Sprintf("late%d", i)
+		if owner, _ := control.Owner(append(members, control.Member{Name: name}), "canary/"+appService); owner.Name == name {
+			return name
+		}
+	}
+}
+
+// A node that started on the copy led a roll-out again that had been rolled back, or that had been removed.
+func TestNodeThatStartsOnCopyLeadsAnEndedRolloutAgain(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("order_removed_%t", removed), func(t *testing.T) { // Not in parallel: each has a load.
+			f := &returnFleet{site: newSite(t)}
+			f.startVersion("old-1", "v1", usualAnswer)
+			bad := f.startVersion("new-1", "v2", func(*onplatform.Request, int) (int, time.Duration) { return 500, 0 })
+			for i := range 3 {
+				f.startNext(fmt.Sprintf("n%d", i))
+			}
+			f.order("v2", 20*time.Second)
+			f.takeCopy()
+			end := f.startLoadPerNode(f.nodes, 60, stampedRequest("GET", "/safe/x"))
+			f.waitUntil("the version is rolled back", func() bool { state, _ := f.rolloutState(); return state == "rolled_back" })
+			end()
+			if removed {
+				f.store.Delete(onplatform.TableOperator, "rollout/"+appService)
+			}
+			time.Sleep(500 * time.Millisecond)
+			before := bad.count()
+			for _, p := range f.proxies { // They can't write the state again.
+				assert.NilError(t, p.MakeUnreachable())
+			}
+			f.returnStore(0)
+			late := f.startNext(f.ownerName())
+			f.waitUntil("ready", late.isReady)
+			end = f.startLoadPerNode([]*node{late}, 150, stampedRequest("GET", "/safe/x"))
+			time.Sleep(1500 * time.Millisecond)
+			end()
+			if removed { // Replicas of any version are used without an order.
+				state, _ := f.rolloutState()
+				assert.Equal(t, state, "")
+				return
+			}
+			assert.Equal(t, bad.count(), before)
+		})
+	}
+}
+
 // Nodes that started after the store's return found one version in the list, where the copy lacked the other, and
 // joined its streams with events of the one.
 func TestStreamsAreJoinedAfterStoreReturnsWithoutAVersion(t *testing.T) {
