A node that starts on a copy of the store knows which roll-outs have ended

An order that had been removed began again. Cause: the node took the first era that it heard of for the only one, so the copy's order, and the absence of a state, counted as settled.

Nodes that start now learn from those they ask since when the era is known, as any node that has seen it begin does, and the roll-outs with their states, removed ones included. Nothing of a row's absence or an older order counts until it is settled. The test waits until the nodes' rows are in the copy: without them the node finds nobody to ask, which stays as it was.

--- a/internal/standin/onplatform/store_return_test.go
+++ b/internal/standin/onplatform/store_return_test.go
@@ -442,6 +442,7 @@
 			for i := range 3 {
 				f.startNext(fmt.Sprintf("n%d", i))
 			}
+			f.waitUntil("the nodes have written their rows", func() bool { return len(f.store.Rows(onplatform.TableNodes)) == len(f.nodes) })
 			f.order("v2", 20*time.Second)
 			f.takeCopy()
 			end := f.startLoadPerNode(f.nodes, 60, stampedRequest("GET", "/safe/x"))
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -326,7 +326,7 @@
 	{"store back", Change, "Calls to the platform's store succeed again.", []Key{keyTable, keyPosition, keyAway}},
 	{"store not reached, other nodes are asked", Failure, "This node's own calls to the platform's store fail; it gets changes from other nodes.", []Key{keyTable, keyErr}},
 	{"store reached again", Change, "This node's own calls to the platform's store succeed again.", []Key{keyTable, keyAway, {"asked", "how often other nodes were asked meanwhile"}}},
-	{"state for the start not learned", Failure, "A node that starts could not ask another one which replicas have said that they drain, and whether an era of the store has begun recently.", []Key{keyPeer, keyErr}},
+	{"state for the start not learned", Failure, "A node that starts could not ask another one what it can't learn from a store that has come back from a copy: leaving replicas, evacuations, roll-outs.", []Key{keyPeer, keyErr}},
 	{"newer rows not asked for", Change, "A node that starts could not ask another one for newer rows than the store's, as when all nodes start.", []Key{keyTable, keyPeer, keyErr}},
 	{"newer row taken from peer", Change, "The store has come back from a copy with an older content of a row than another node has.", []Key{
 		keyTable, keyRow, keyPeer,
@@ -338,6 +338,10 @@
 		{"config", "the version of the configuration in force"},
 		{"list_age", "nanoseconds since the list of replicas was last read"},
 	}},
+	{"era of store learned", Change, "A node that starts has learned from another one that the platform's store has come back from an earlier copy, and when.", []Key{
+		{"era", "the current era"},
+		{"age", "nanoseconds since the other node heard of it"},
+	}},
 	{"table listed in a new era", Change, "The first listing of a table since the platform's store came back from a copy.", []Key{
 		keyTable,
 		{"before", "the position of the copy that this node had"},
--- a/pkg/explain/report.go
+++ b/pkg/explain/report.go
@@ -92,6 +92,7 @@
 var nodeMessages = map[string]string{
 	"configuration in force": "",
 	"era of store began":     "",
+	"era of store learned":   "",
 	"weights named":          "model",
 	"store lost":             "table",
 	"store back":             "table",
--- a/pkg/history/eras.go
+++ b/pkg/history/eras.go
@@ -40,6 +40,19 @@
 	return true
 }
 
+// ObserveBegun takes in that another node knows an era to have followed an earlier one, and since when. This node may
+// have started later, with the era as the first one that it heard of.
+func (e *Eras) ObserveBegun(era Era, since, now time.Time) {
+	if !e.Observe(era, now) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if era == e.current && e.first {
+		e.first, e.since = false, since
+	}
+}
+
 // Subscribe has fn called at the beginning of each era, by the goroutine that hears of it. It must be
 // called before the first Observe.
 func (e *Eras) Subscribe(fn func(Change)) {
@@ -63,6 +76,13 @@
 	return e.first || e.since.IsZero()
 }
 
+// Begun returns for how long the newest era is known; ok is false if none was known before it.
+func (e *Eras) Begun(now time.Time) (era Era, age time.Duration, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current, now.Sub(e.since), !e.first && !e.since.IsZero()
+}
+
 // Current returns the newest era and since when it is known; ok is false before the first one.
 func (e *Eras) Current() (era Era, since time.Time, ok bool) {
 	e.mu.Lock()
--- a/pkg/history/eras_test.go
+++ b/pkg/history/eras_test.go
@@ -36,3 +36,23 @@
 	assert.Assert(t, !e.IsSettled(start.Add(time.Minute), term))
 	assert.Assert(t, e.IsSettled(start.Add(time.Minute+term), term))
 }
+
+// A node that starts in an era hears from others that it is not the first one.
+func TestStartingNodeLearnsWhenTheEraBegan(t *testing.T) {
+	const term = 5 * time.Second
+	start := time.Now()
+	var e history.Eras
+	e.Observe(2, start)
+	e.ObserveBegun(1, start.Add(-time.Hour), start)
+	assert.Assert(t, e.IsSettled(start, term), "an earlier era")
+	e.ObserveBegun(2, start.Add(-2*time.Second), start)
+	assert.Assert(t, !e.IsSettled(start.Add(2*time.Second), term))
+	assert.Assert(t, !e.KnowsOne())
+	assert.Assert(t, e.IsSettled(start.Add(3*time.Second), term), "counted from when the other node heard of it")
+	_, age, ok := e.Begun(start)
+	assert.Assert(t, ok && age == 2*time.Second)
+	e.ObserveBegun(2, start.Add(-time.Hour), start)
+	assert.Assert(t, !e.IsSettled(start, term), "what this node knows itself holds")
+	e.ObserveBegun(4, start.Add(-time.Minute), start)
+	assert.Assert(t, !e.IsSettled(start.Add(term-1), term), "it is new to this node")
+}
--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -183,9 +183,60 @@
 		c.unclear[o.Service] = o
 		return
 	}
+	c.setOrder(o, now)
+}
+
+// knownRollout is what a node knows of a roll-out.
+type knownRollout struct {
+	Service    string            `json:"service"`
+	Version    string            `json:"version,omitempty"` // "" if the order was removed.
+	DurationMS int64             `json:"duration_ms,omitempty"`
+	Order      history.Position  `json:"order"` // Of the order's row.
+	State      site.RolloutState `json:"state,omitempty"`
+}
+
+func (k *knownRollout) order() site.RolloutOrder {
+	return site.RolloutOrder{Service: k.Service, Version: k.Version, Duration: time.Duration(k.DurationMS) * time.Millisecond, Position: k.Order}
+}
+
+// known lists the roll-outs that this node knows, and the orders that were removed.
+func (c *canaries) known() (list []knownRollout) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	add := func(o *site.RolloutOrder, state site.RolloutState) {
+		list = append(list, knownRollout{Service: o.Service, Version: o.Version, DurationMS: o.Duration.Milliseconds(), Order: o.Position, State: state})
+	}
+	for _, r := range c.rollouts {
+		add(&r.order, r.decision.State)
+	}
+	for _, o := range c.removed {
+		add(&o, 0)
+	}
+	return list
+}
+
+// learn takes in what another node knows of a roll-out, unless this node knows its newest order.
+func (c *canaries) learn(k knownRollout, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	position := c.removed[k.Service].Position
+	if r := c.rollouts[k.Service]; r != nil {
+		position = r.order.Position
+	}
+	if position.Before(k.Order) {
+		position = k.Order
+		c.setOrder(k.order(), now)
+	}
+	if r := c.rollouts[k.Service]; r != nil && position == k.Order && k.State.Final() {
+		r.decision.State = k.State
+	}
+}
+
+// setOrder replaces a service's order; the caller holds mu.
+func (c *canaries) setOrder(o site.RolloutOrder, now time.Time) {
 	delete(c.removed, o.Service)
+	delete(c.rollouts, o.Service)
 	if o.Version == "" {
-		delete(c.rollouts, o.Service)
 		c.removed[o.Service] = o
 		return
 	}
--- a/service/gateway/canaries_test.go
+++ b/service/gateway/canaries_test.go
@@ -58,6 +58,30 @@
 	assert.Equal(t, first.key(), second.key())
 }
 
+// A node that starts goes on with what others know of a roll-out, whatever the store's copy has.
+func TestStartingNodeKnowsHowRolloutsEnded(t *testing.T) {
+	known, _ := newTestCanaries(t)
+	known.rollouts["s"].decision.State = site.RolloutRolledBack
+	known.applyOrder(site.RolloutOrder{Service: "removed", Version: "v3", Position: history.Position{Era: 1, Version: 5}}, boottime.Now())
+	known.applyOrder(site.RolloutOrder{Service: "removed", Position: history.Position{Era: 1, Version: 6}}, boottime.Now())
+
+	m := control.NewMembers(control.Member{Name: "n1"}, time.Second, nil, newRand())
+	store := &fakeTableStore{}
+	store.eras.ObserveBegun(2, boottime.Now(), boottime.Now())
+	starting := newCanaries(m.Self(), m, store, platform.Codec{}, nil, 0.1, slog.New(slog.DiscardHandler))
+	starting.rewriteTime = time.Second
+	for _, k := range known.known() {
+		starting.learn(k, boottime.Now())
+	}
+	copied := history.Position{Era: 2, Version: 1}
+	starting.applyOrder(site.RolloutOrder{Service: "s", Version: "v2", Duration: 10 * time.Second, Position: copied}, boottime.Now())
+	starting.applyOrder(site.RolloutOrder{Service: "removed", Version: "v3", Position: copied}, boottime.Now())
+	assert.Equal(t, starting.rollouts["s"].decision.State, site.RolloutRolledBack)
+	assert.Equal(t, len(starting.running()), 0)
+	starting.applyUnclear(boottime.Now().Add(starting.rewriteTime))
+	assert.DeepEqual(t, starting.running(), []string{"removed"}) // Its removal was not written again.
+}
+
 // newRolloutGateway returns a gateway in front of a replica of each version.
 func newRolloutGateway(c *canaries, m *control.Members, now time.Time) (*Gateway, *route.Pool) {
 	p := route.NewPool("h", rand.New(rand.NewPCG(1, 2)))
--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -163,6 +163,23 @@
 	assert.Assert(t, !n.discovery.nextAnnounce.After(boottime.Now().Add(n.rewriteLimit())))
 }
 
+// newAskedNode starts a node that answers others that start, and returns its address.
+func newAskedNode(t *testing.T, eras ...history.Era) (*nodes, netip.AddrPort) {
+	store := &fakeTableStore{}
+	for _, era := range eras {
+		store.eras.Observe(era, boottime.Now())
+	}
+	log := slog.New(slog.DiscardHandler)
+	asked := &nodes{store: store, eras: &store.eras, siteState: NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), log)}
+	asked.canaries = newCanaries(control.Member{}, control.NewMembers(control.Member{}, time.Second, nil, newRand()), store, nil, nil, 0, log)
+	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, log)
+	assert.NilError(t, err)
+	server.Handle(peer.RolePeer, methodStartState, peer.Handle(asked.serveStartState))
+	server.Start()
+	t.Cleanup(server.Close)
+	return asked, server.Addr()
+}
+
 // A node whose row was lost with an era of the store took itself for new, and had its part of the retry budget once
 // more.
 func TestRetryBudgetIsLimitedIfTheNodesRowMayBeLost(t *testing.T) {
@@ -172,19 +189,9 @@
 		firstTime bool
 	}{{"the store has not come back", []history.Era{3}, true}, {"the store has come back", []history.Era{3, 4}, false}} {
 		t.Run(tt.name, func(t *testing.T) {
-			store := &fakeTableStore{}
-			for _, era := range tt.eras {
-				store.eras.Observe(era, boottime.Now())
-			}
-			log := slog.New(slog.DiscardHandler)
-			asked := &nodes{store: store, eras: &store.eras, siteState: NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), log)}
-			server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, log)
-			assert.NilError(t, err)
-			server.Handle(peer.RolePeer, methodStartState, peer.Handle(asked.serveStartState))
-			server.Start()
-			t.Cleanup(server.Close)
+			_, addr := newAskedNode(t, tt.eras...)
 			n, _ := newDiscoveringNode(t, 0, 1)
-			n.members.Merge([]control.Member{{Name: "n1", DataHall: "hall-0", Peer: server.Addr(), Incarnation: 1}}, time.Now())
+			n.members.Merge([]control.Member{{Name: "n1", DataHall: "hall-0", Peer: addr, Incarnation: 1}}, time.Now())
 			n.firstStart.Store(true)
 			n.learnStartState(t.Context(), peer.NewClient("key"), time.Minute)
 			assert.Equal(t, n.firstStart.Load(), tt.firstTime)
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
@@ -33,6 +35,7 @@
 	eras        *history.Eras  // Of the store.
 	nodeTable   *tableFollower // Of the list of nodes, read through other nodes.
 	siteState   *SiteState
+	canaries    *canaries
 	cacheIndex  *route.CacheIndex
 	log         *slog.Logger
 	loadsDue    chan struct{} // Signals that the loads must be sent soon; capacity 1.
@@ -140,3 +143,91 @@
 
 // HallPeers returns the other nodes of this node's hall.
 func (s noteSender) HallPeers() []netip.AddrPort { return s.n.hallPeers() }
+
+const (
+	// methodStartState asks a node for what another one has to know as it starts.
+	methodStartState = "gateway.start_state"
+	// startStateTimeout limits a call, and startStateTime all of them: a node that starts serves nobody meanwhile.
+	startStateTimeout = 300 * time.Millisecond
+	startStateTime    = 600 * time.Millisecond
+	// startStatesAsked is how many nodes it asks.
+	startStatesAsked = 2
+)
+
+// startStateRequest holds the parameters of methodStartState.
+type startStateRequest struct {
+	// Era is the newest one that the starting node knows.
+	Era history.Era `json:"era,omitempty"`
+}
+
+// startState is what a node that starts can't learn from a store that has come back from a copy.
+type startState struct {
+	// Era is the current one, and EraAgeMS for how many milliseconds it is known, 0 if it is the only one that
+	// the node knows.
+	Era      history.Era `json:"era,omitempty"`
+	EraAgeMS int64       `json:"era_age_ms,omitempty"`
+	// Draining are the replicas that have said that they drain. The store may list them as ready.
+	Draining []replicaUpdate `json:"draining,omitempty"`
+	// Evacuated are the data halls that are evacuated. The store may have lost their rows.
+	Evacuated []string `json:"evacuated,omitempty"`
+	// Rollouts are the orders of roll-outs, removed ones included. The store may have older ones, and
+	// may have lost the states of those that have ended.
+	Rollouts []knownRollout `json:"rollouts,omitempty"`
+}
+
+// serveStartState handles methodStartState.
+func (n *nodes) serveStartState(_ context.Context, q startStateRequest) (out startState, err error) {
+	if q.Era > 0 {
+		n.eras.Observe(q.Era, boottime.RefreshNow())
+	}
+	if era, age, ok := n.eras.Begun(boottime.Now()); ok {
+		out.Era, out.EraAgeMS = era, max(1, age.Milliseconds())
+	}
+	out.Evacuated = n.siteState.EvacuatedHalls()
+	for _, replica := range n.siteState.DrainingReplicas() {
+		out.Draining = append(out.Draining, updateFor(replica, replicaUpdate{Draining: true}))
+	}
+	out.Rollouts = n.canaries.known()
+	return out, nil
+}
+
+// learnStartState has this node, which starts, ask others for their startState. retryWindow is that of the retry
+// budget.
+func (n *nodes) learnStartState(ctx context.Context, client *peer.Client, retryWindow time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, startStateTime)
+	defer cancel()
+	others := slices.DeleteFunc(slices.Clone(n.members.View().Alive()), func(m control.Member) bool { return m.Name == n.self.Name })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, m := range others[:min(startStatesAsked, len(others))] {
+		var s startState
+		var q startStateRequest
+		q.Era, _, _ = n.eras.Current()
+		if err := client.CallWithin(ctx, startStateTimeout, m.Peer, methodStartState, q, &s); err != nil {
+			n.log.Warn("state for the start not learned", "peer", m.Peer, "err", err)
+			continue
+		}
+		n.applyStartState(&s)
+	}
+	if !n.eras.IsSettled(boottime.Now(), retryWindow) {
+		n.firstStart.Store(false) // The row of an earlier process may be lost.
+	}
+}
+
+// applyStartState takes in what another node knows.
+func (n *nodes) applyStartState(s *startState) {
+	now := boottime.RefreshNow()
+	if s.EraAgeMS > 0 {
+		age := time.Duration(s.EraAgeMS) * time.Millisecond
+		n.eras.ObserveBegun(s.Era, now.Add(-age), now)
+		n.log.Info("era of store learned", "era", s.Era, "age", age)
+	}
+	for _, u := range s.Draining {
+		n.applyUpdate(u)
+	}
+	for _, hall := range s.Evacuated {
+		n.siteState.AssumeEvacuated(hall, now)
+	}
+	for _, r := range s.Rollouts {
+		n.canaries.learn(r, now)
+	}
+}
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -69,6 +69,8 @@
 	refreshTimeout = time.Second
 	// wholeRefreshTimeout is the same for a whole table.
 	wholeRefreshTimeout = 1300 * time.Millisecond
+	// newerRowsFrom is how many nodes one that starts asks for newer rows.
+	newerRowsFrom = 2
 	// readerSkipTerm is how long a node stops asking a reader that has failed.
 	readerSkipTerm = 3 * time.Second
 )
@@ -208,7 +210,7 @@
 // adoptNewer replaces the rows of a listing of which other nodes have newer contents, and returns their keys: the
 // store may have come back from a copy, and this node has just started.
 func (r *sharedReader) adoptNewer(ctx context.Context, t site.Table, l *site.Listing) (adopted []string) {
-	for asked := range maxNodesAsked {
+	for asked := range newerRowsFrom {
 		addr, ok := r.pickPeer(asked%2 == 0)
 		if !ok {
 			break
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -1,18 +1,13 @@
 package gateway
 
 import (
-	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
-	"github.com/drumpath/drumpath/pkg/control"
-	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
-	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
 )
 
@@ -24,11 +19,6 @@
 const (
 	// noteReplicaUpdates carries changes of replicas, such as weights being replaced.
 	noteReplicaUpdates = "gateway.news"
-	// methodStartState asks a node for what another one has to know as it starts.
-	methodStartState = "gateway.start_state"
-	// learnTimeout and maxNodesAsked bound how long a node that starts asks others.
-	learnTimeout  = 300 * time.Millisecond
-	maxNodesAsked = 2
 	// updateResendDelay is after how long updates are sent a second time.
 	updateResendDelay = 120 * time.Millisecond
 	// updateBatchDelay is how long updates are collected in a large fleet: a small part of
@@ -95,65 +85,6 @@
 	}
 }
 
-// startStateRequest holds the parameters of methodStartState.
-type startStateRequest struct {
-	// Era is the newest one that the starting node knows.
-	Era history.Era `json:"era,omitempty"`
-	// RecentMS is how long ago, in milliseconds, an era of the store must have begun to count as old.
-	RecentMS int64 `json:"recent_ms"`
-}
-
-// startState is what a node that starts can't learn from a store that has come back from a copy.
-type startState struct {
-	// Draining are the replicas that have said that they drain. The store may list them as ready.
-	Draining []replicaUpdate `json:"draining,omitempty"`
-	// Evacuated are the data halls that are evacuated. The store may have lost their rows.
-	Evacuated []string `json:"evacuated,omitempty"`
-	// RecentEra means that an era has begun recently: the row of an earlier process of the starting
-	// node may be lost.
-	RecentEra bool `json:"recent_era,omitempty"`
-}
-
-// serveStartState handles methodStartState.
-func (n *nodes) serveStartState(_ context.Context, q startStateRequest) (out startState, err error) {
-	if q.Era > 0 {
-		n.eras.Observe(q.Era, boottime.RefreshNow())
-	}
-	recent := time.Duration(q.RecentMS) * time.Millisecond
-	out.RecentEra = !n.eras.IsSettled(boottime.Now(), recent)
-	out.Evacuated = n.siteState.EvacuatedHalls()
-	for _, replica := range n.siteState.DrainingReplicas() {
-		out.Draining = append(out.Draining, updateFor(replica, replicaUpdate{Draining: true}))
-	}
-	return out, nil
-}
-
-// learnStartState has this node, which starts, ask others for their startState. retryWindow is that of the retry
-// budget.
-func (n *nodes) learnStartState(ctx context.Context, client *peer.Client, retryWindow time.Duration) {
-	others := n.members.View().Alive()
-	others = slices.DeleteFunc(slices.Clone(others), func(m control.Member) bool { return m.Name == n.self.Name })
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, m := range others[:min(maxNodesAsked, len(others))] {
-		var s startState
-		q := startStateRequest{RecentMS: retryWindow.Milliseconds()}
-		q.Era, _, _ = n.eras.Current()
-		if err := client.CallWithin(ctx, learnTimeout, m.Peer, methodStartState, q, &s); err != nil {
-			n.log.Warn("state for the start not learned", "peer", m.Peer, "err", err)
-			continue
-		}
-		if s.RecentEra {
-			n.firstStart.Store(false)
-		}
-		for _, u := range s.Draining {
-			n.applyUpdate(u)
-		}
-		for _, hall := range s.Evacuated {
-			n.siteState.AssumeEvacuated(hall, boottime.Now())
-		}
-	}
-}
-
 // AnnounceRate implements ratelimit.Announcer.
 func (n *nodes) AnnounceRate(r ratelimit.RateUpdate) {
 	n.broadcast(replicaUpdate{Replica: r.Replica, Rate: &r})
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -225,7 +225,9 @@
 	leaving := u
 	leaving.Draining = true
 	known.applyRow(leaving, now)
-	learned, err := (&nodes{siteState: known, eras: &history.Eras{}}).serveStartState(t.Context(), startStateRequest{})
+	canaries, _ := newTestCanaries(t)
+	asked := &nodes{siteState: known, canaries: canaries, eras: &history.Eras{}}
+	learned, err := asked.serveStartState(t.Context(), startStateRequest{})
 	assert.NilError(t, err)
 	for _, update := range learned.Draining {
 		(&nodes{siteState: starting}).applyUpdate(update)
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -180,6 +180,7 @@
 		store:       store,
 		eras:        store.Eras(),
 		siteState:   siteState,
+		canaries:    c,
 		cacheIndex:  cacheIndex,
 		log:         log,
 		loads:       newLoadState(),
