A node that starts asks on until it finds one that has run before

It asked two others at random for what the store's copy may lack. Where several nodes start together, as when half of a fleet is restarted, both may have just started too: they answered with nothing, and the node went by the copy. Those that have just started now say so at once, and up to eight are asked within 0.6 s; newer rows are taken in the same way.

--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -189,7 +189,8 @@
 		firstTime bool
 	}{{"the store has not come back", []history.Era{3}, true}, {"the store has come back", []history.Era{3, 4}, false}} {
 		t.Run(tt.name, func(t *testing.T) {
-			_, addr := newAskedNode(t, tt.eras...)
+			asked, addr := newAskedNode(t, tt.eras...)
+			asked.started.Store(true)
 			n, _ := newDiscoveringNode(t, 0, 1)
 			n.members.Merge([]control.Member{{Name: "n1", DataHall: "hall-0", Peer: addr, Incarnation: 1}}, time.Now())
 			n.firstStart.Store(true)
@@ -198,3 +199,20 @@
 		})
 	}
 }
+
+// A node that started asked two others, and learned nothing if these had just started as well.
+func TestStartingNodeAsksOnUntilOneKnows(t *testing.T) {
+	n, _ := newDiscoveringNode(t, 0, 1)
+	for i := range startStatesAsked {
+		eras := []history.Era{4}
+		if i == 4 {
+			eras = []history.Era{3, 4}
+		}
+		asked, addr := newAskedNode(t, eras...)
+		asked.started.Store(i == 4)
+		n.members.Merge([]control.Member{{Name: fmt.Sprint("m", i), DataHall: "hall-0", Peer: addr, Incarnation: 1}}, time.Now())
+	}
+	n.learnStartState(t.Context(), peer.NewClient("key"), time.Minute)
+	_, _, ok := n.eras.Begun(boottime.Now())
+	assert.Assert(t, ok)
+}
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -42,7 +43,9 @@
 	incarnation uint64        // Distinguishes this run of the node from earlier ones.
 	// firstStart is set if the node's row did not exist when it started, and was not lost with an era
 	// of the store: it had no earlier process.
-	firstStart   atomic.Bool
+	firstStart atomic.Bool
+	// started is set once this node has asked the others for their startState.
+	started      atomic.Bool
 	notesDropped atomic.Int64 // Datagrams that could not be decoded.
 	// onUnreachable is called when a node reports that it can't reach a replica. It may be
 	// nil.
@@ -150,8 +153,10 @@
 	// startStateTimeout limits a call, and startStateTime all of them: a node that starts serves nobody meanwhile.
 	startStateTimeout = 300 * time.Millisecond
 	startStateTime    = 600 * time.Millisecond
-	// startStatesAsked is how many nodes it asks.
-	startStatesAsked = 2
+	// startStatesLearned is from how many nodes it learns, and startStatesAsked how many it asks: others may have
+	// just started as well.
+	startStatesLearned = 2
+	startStatesAsked   = 8
 )
 
 // startStateRequest holds the parameters of methodStartState.
@@ -175,11 +180,17 @@
 	Rollouts []knownRollout `json:"rollouts,omitempty"`
 }
 
+// errStarting means that the node that is asked has only just started itself.
+var errStarting = errors.New("this node has just started")
+
 // serveStartState handles methodStartState.
 func (n *nodes) serveStartState(_ context.Context, q startStateRequest) (out startState, err error) {
 	if q.Era > 0 {
 		n.eras.Observe(q.Era, boottime.RefreshNow())
 	}
+	if !n.started.Load() {
+		return out, errStarting
+	}
 	if era, age, ok := n.eras.Begun(boottime.Now()); ok {
 		out.Era, out.EraAgeMS = era, max(1, age.Milliseconds())
 	}
@@ -194,11 +205,16 @@
 // learnStartState has this node, which starts, ask others for their startState. retryWindow is that of the retry
 // budget.
 func (n *nodes) learnStartState(ctx context.Context, client *peer.Client, retryWindow time.Duration) {
+	defer n.started.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, startStateTime)
 	defer cancel()
 	others := slices.DeleteFunc(slices.Clone(n.members.View().Alive()), func(m control.Member) bool { return m.Name == n.self.Name })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	learned := 0
 	for _, m := range others[:min(startStatesAsked, len(others))] {
+		if learned == startStatesLearned || ctx.Err() != nil {
+			break
+		}
 		var s startState
 		var q startStateRequest
 		q.Era, _, _ = n.eras.Current()
@@ -206,6 +222,7 @@
 			n.log.Warn("state for the start not learned", "peer", m.Peer, "err", err)
 			continue
 		}
+		learned++
 		n.applyStartState(&s)
 	}
 	if !n.eras.IsSettled(boottime.Now(), retryWindow) {
--- a/service/gateway/readers.go
+++ b/service/gateway/readers.go
@@ -69,8 +69,11 @@
 	refreshTimeout = time.Second
 	// wholeRefreshTimeout is the same for a whole table.
 	wholeRefreshTimeout = 1300 * time.Millisecond
-	// newerRowsFrom is how many nodes one that starts asks for newer rows.
-	newerRowsFrom = 2
+	// newerRowsFrom is from how many nodes one that starts takes newer rows, newerRowsTries how many it
+	// asks, as others may have just started as well, and newerRowsTimeout how long that may take.
+	newerRowsFrom    = 2
+	newerRowsTries   = 8
+	newerRowsTimeout = time.Second
 	// readerSkipTerm is how long a node stops asking a reader that has failed.
 	readerSkipTerm = 3 * time.Second
 )
@@ -210,7 +213,10 @@
 // adoptNewer replaces the rows of a listing of which other nodes have newer contents, and returns their keys: the
 // store may have come back from a copy, and this node has just started.
 func (r *sharedReader) adoptNewer(ctx context.Context, t site.Table, l *site.Listing) (adopted []string) {
-	for asked := range newerRowsFrom {
+	ctx, cancel := context.WithTimeout(ctx, newerRowsTimeout)
+	defer cancel()
+	answers := 0
+	for asked := 0; answers < newerRowsFrom && asked < newerRowsTries && ctx.Err() == nil; asked++ {
 		addr, ok := r.pickPeer(asked%2 == 0)
 		if !ok {
 			break
@@ -226,6 +232,7 @@
 			r.log.Info("newer rows not asked for", "table", tableName(t), "peer", addr, "err", err)
 			continue
 		}
+		answers++
 		for _, row := range other.Rows {
 			if r.adopt(l, row) {
 				adopted = append(adopted, row.Key)
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -227,6 +227,7 @@
 	known.applyRow(leaving, now)
 	canaries, _ := newTestCanaries(t)
 	asked := &nodes{siteState: known, canaries: canaries, eras: &history.Eras{}}
+	asked.started.Store(true)
 	learned, err := asked.serveStartState(t.Context(), startStateRequest{})
 	assert.NilError(t, err)
 	for _, update := range learned.Draining {
