A replica that has left the list is not used again because a copy of the store has its row

Some replicas leave by their row's removal alone and serve on for a while. If the store then came back from a copy that was taken before, all nodes took the row for a new replica: 837 and 1,377 requests in 1.5 s went to one that had left 2 s earlier, which is what DRAIN forbids; crashed replicas came back likewise until their rows expired once more.

A node keeps the last position of a row that has gone, for a minute. If a listing of a later era has the row at a version that may be from before, the row is held back until its replica writes it again, which a living one does, or until the era is settled with the row still there. Nodes that start learn of such replicas from those they ask. Now no request comes, and after the row is written again the replica is used by all nodes. Draining replicas that are no longer listed are passed on to starting nodes for a minute only, too: for ten minutes, that list could hold all replicas of a large release.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -287,6 +287,11 @@
 		{"cold", "nanoseconds for which its row says that it is cold"},
 		{"restarted", "whether it has restarted under the same ID"},
 	}},
+	{"upstream listed again, not used yet", Change, "The platform's store has come back from a copy that lists a replica whose row had gone. The replica is used once it has written its row again, or if the row stays.", []Key{
+		keyUpstream, keyService,
+		{"position", "that of the row"},
+		{"left", "nanoseconds since its row had gone"},
+	}},
 	{"upstream list received", Change, "The list of upstreams was read for the first time; its replicas are not logged one by one.", []Key{
 		{"rows", "how many rows it has"},
 		{"upstreams", "how many of them name a replica"},
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -173,6 +173,8 @@
 	EraAgeMS int64       `json:"era_age_ms,omitempty"`
 	// Draining are the replicas that have said that they drain. The store may list them as ready.
 	Draining []replicaUpdate `json:"draining,omitempty"`
+	// Left are the replicas whose rows are gone. The store may list them again.
+	Left []leftNote `json:"left,omitempty"`
 	// Evacuated are the data halls that are evacuated. The store may have lost their rows.
 	Evacuated []string `json:"evacuated,omitempty"`
 	// Rollouts are the orders of roll-outs, removed ones included. The store may have older ones, and
@@ -180,6 +182,13 @@
 	Rollouts []knownRollout `json:"rollouts,omitempty"`
 }
 
+// leftNote names a replica whose row is gone.
+type leftNote struct {
+	Replica  string           `json:"r"`
+	Started  int64            `json:"t,omitempty"` // In Unix milliseconds, 0 if it is not known.
+	Position history.Position `json:"position"`    // Of its last row.
+}
+
 // errStarting means that the node that is asked has only just started itself.
 var errStarting = errors.New("this node has just started")
 
@@ -191,13 +200,18 @@
 	if !n.started.Load() {
 		return out, errStarting
 	}
-	if era, age, ok := n.eras.Begun(boottime.Now()); ok {
+	now := boottime.Now()
+	if era, age, ok := n.eras.Begun(now); ok {
 		out.Era, out.EraAgeMS = era, max(1, age.Milliseconds())
 	}
 	out.Evacuated = n.siteState.EvacuatedHalls()
-	for _, replica := range n.siteState.DrainingReplicas() {
+	for _, replica := range n.siteState.DrainingReplicas(now) {
 		out.Draining = append(out.Draining, updateFor(replica, replicaUpdate{Draining: true}))
 	}
+	for _, l := range n.siteState.LeftReplicas(now) {
+		u := updateFor(l.replica, replicaUpdate{})
+		out.Left = append(out.Left, leftNote{Replica: u.Replica, Started: u.Started, Position: l.position})
+	}
 	out.Rollouts = n.canaries.known()
 	return out, nil
 }
@@ -241,6 +255,10 @@
 	for _, u := range s.Draining {
 		n.applyUpdate(u)
 	}
+	for _, l := range s.Left {
+		u := replicaUpdate{Replica: l.Replica, Started: l.Started}
+		n.siteState.AssumeLeft(u.replicaRef(), l.Position, now)
+	}
 	for _, hall := range s.Evacuated {
 		n.siteState.AssumeEvacuated(hall, now)
 	}
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -59,6 +59,10 @@
 	// draining holds, by start key, the replicas that have said in their rows or in a response
 	// that they drain. The upstream list may say otherwise, or no longer have the replica.
 	draining map[string]drainReport
+	// left holds, by start key, the replicas whose rows are gone, and unconfirmed the rows of such replicas
+	// that a copy of the store lists again.
+	left        map[string]leftReplica
+	unconfirmed map[string]site.Row
 	// unusableRows counts rows of the upstream list that could not be decoded.
 	unusableRows int64
 	// revision counts the changes of the upstream list.
@@ -114,8 +118,11 @@
 		pools:      map[string]*route.Pool{},
 		evacuated:  map[string]*evacuation{},
 		draining:   map[string]drainReport{},
-		onRestart:  func(string, bool, time.Time) {},
-		onDelisted: func(string, time.Time) {},
+		left:       map[string]leftReplica{},
+
+		unconfirmed: map[string]site.Row{},
+		onRestart:   func(string, bool, time.Time) {},
+		onDelisted:  func(string, time.Time) {},
 
 		onOtherSoftware: func(string) {},
 
@@ -358,9 +365,16 @@
 	restarted = map[string]bool{}
 	seen := map[string]bool{}
 	first := len(st.upstreams) == 0
+	if whole {
+		clear(st.unconfirmed)
+	}
 	for _, r := range rows {
 		seen[r.Key] = true
 		planned := st.upstreams[r.Key] != nil && st.upstreams[r.Key].Draining
+		if whole && st.holdBack(r, now) {
+			continue
+		}
+		delete(st.unconfirmed, r.Key)
 		if st.applyUpstream(r, first, now) {
 			restarted[r.Key] = planned
 		}
@@ -443,6 +457,7 @@
 	e := &upstreamEntry{Upstream: u, position: at}
 	st.upstreams[u.ID] = e
 	delete(st.missing, u.ID)
+	delete(st.left, u.StartKey())
 	st.updatePool(e, now)
 	return restarted
 }
@@ -486,13 +501,28 @@
 	st.draining[u.StartKey()] = drainReport{replica: route.RefOf(u), at: now}
 }
 
-// DrainingReplicas lists the starts of replicas that have said that they drain, also those that are not
-// listed any more.
-func (st *SiteState) DrainingReplicas() (list []route.ReplicaRef) {
+// DrainingReplicas lists the starts of replicas that have said that they drain, also those that were listed until
+// lately.
+func (st *SiteState) DrainingReplicas(now time.Time) (list []route.ReplicaRef) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	for _, report := range st.draining {
-		list = append(list, report.replica)
+	for start, report := range st.draining {
+		e, listed := st.upstreams[report.replica.ID]
+		if listed && e.StartKey() == start || now.Sub(report.at) < leftRetention {
+			list = append(list, report.replica)
+		}
+	}
+	return list
+}
+
+// LeftReplicas lists the replicas whose rows have gone lately.
+func (st *SiteState) LeftReplicas(now time.Time) (list []leftReplica) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, l := range st.left {
+		if now.Sub(l.at) < leftRetention {
+			list = append(list, l)
+		}
 	}
 	return list
 }
@@ -524,18 +554,80 @@
 	if e.Draining {
 		return
 	}
+	st.recordLeft(&e.Upstream, e.position, now)
 	st.droppedIDs = append(st.droppedIDs, id)
 	if p := st.pools[e.Service]; p != nil {
 		p.RecordLoss(id, now)
 	}
 }
 
+// leftReplica is a replica whose row is gone.
+type leftReplica struct {
+	replica  route.ReplicaRef
+	position history.Position // Of its last row.
+	at       time.Time
+}
+
+// leftRetention is how long it is known that a replica's row is gone: longer than a copy of the store is old.
+const leftRetention = time.Minute
+
+// recordLeft records that a replica's row is gone. The caller holds mu.
+func (st *SiteState) recordLeft(u *site.Upstream, last history.Position, now time.Time) {
+	for start, l := range st.left {
+		if now.Sub(l.at) >= leftRetention {
+			delete(st.left, start)
+		}
+	}
+	st.left[u.StartKey()] = leftReplica{replica: route.RefOf(u), position: last, at: now}
+}
+
+// AssumeLeft records that another node knows a replica's row to be gone. The store's copy may list it.
+func (st *SiteState) AssumeLeft(replica route.ReplicaRef, last history.Position, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if _, listed := st.upstreams[replica.ID]; !listed {
+		st.recordLeft(&site.Upstream{ID: replica.ID, Started: replica.Started}, last, now)
+	}
+}
+
+// holdBack reports whether a row of a listing is not used yet: its replica had left the list, and the store may only
+// have come back from a copy that still has it. A replica that lives writes the row again, or it stays until
+// the era is settled. The caller holds mu.
+func (st *SiteState) holdBack(r site.Row, now time.Time) bool {
+	if _, known := st.upstreams[r.Key]; known || len(st.left) == 0 || st.eras.IsSettled(now, st.rewriteTime) {
+		return false
+	}
+	u, err := st.codec.Upstream(r)
+	if err != nil {
+		return false
+	}
+	l, left := st.left[u.StartKey()]
+	if !left || !r.Position.MayPrecede(l.position) {
+		return false
+	}
+	st.unconfirmed[r.Key] = r
+	st.log.Info("upstream listed again, not used yet", "upstream", u.ID, "service", u.Service, "position", r.Position, "left", now.Sub(l.at))
+	return true
+}
+
+// applyUnconfirmed uses the rows that were held back and are still there. The caller holds mu.
+func (st *SiteState) applyUnconfirmed(now time.Time) {
+	if len(st.unconfirmed) == 0 || !st.eras.IsSettled(now, st.rewriteTime) {
+		return
+	}
+	for _, r := range st.unconfirmed {
+		st.applyUpstream(r, false, now)
+	}
+	clear(st.unconfirmed)
+}
+
 // Expire removes upstreams whose rows have not returned in time; the timer service calls
 // it.
 func (st *SiteState) Expire(now time.Time) {
 	defer st.notifyListed(now)
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.applyUnconfirmed(now)
 	if len(st.missing) > 0 && !st.mayReturn(now) {
 		for id := range st.missing {
 			e := st.upstreams[id]
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -186,6 +186,54 @@
 	}
 }
 
+// The copy lists a replica again that has left. It lives if it writes its row again.
+func TestReplicaThatLeftIsListedAgainByACopy(t *testing.T) {
+	now := time.Now()
+	u := site.Upstream{ID: "e", Service: "s", DataHall: "h"}
+	row := func(era history.Era, version int64) site.Row {
+		return site.Row{Key: "e", Position: history.Position{Era: era, Version: version}}
+	}
+	newState := func() *SiteState {
+		st := NewSiteState(fixedUpstreamCodec{u: u}, "h", time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
+		st.rewriteTime = 5 * time.Second
+		st.eras.Observe(1, now)
+		return st
+	}
+	left := newState()
+	left.ApplyUpstreams([]site.Row{row(1, 7)}, true, now)
+	left.ApplyUpstreams(nil, true, now)
+	left.ApplyUpstreams([]site.Row{row(1, 9)}, true, now)
+	assert.Equal(t, left.UpstreamCount(), 1, "its row had expired")
+	left.ApplyUpstreams(nil, true, now)
+	left.eras.Observe(2, now)
+
+	starting := newState()
+	starting.eras.ObserveBegun(2, now, now)
+	for _, l := range left.LeftReplicas(now) {
+		starting.AssumeLeft(l.replica, l.position, now)
+	}
+	for name, st := range map[string]*SiteState{"it saw the row go": left, "it has started": starting} {
+		t.Run(name, func(t *testing.T) {
+			st.ApplyUpstreams([]site.Row{row(2, 7)}, true, now)
+			assert.Equal(t, st.UpstreamCount(), 0, "the copy's row")
+			st.ApplyUpstreams(nil, true, now)
+			st.Expire(now.Add(st.rewriteTime))
+			assert.Equal(t, st.UpstreamCount(), 0, "removed meanwhile")
+
+			st.ApplyUpstreams([]site.Row{row(2, 7)}, true, now)
+			st.Expire(now.Add(st.rewriteTime))
+			assert.Equal(t, st.UpstreamCount(), 1, "the row has stayed")
+		})
+	}
+	again := newState()
+	again.eras.ObserveBegun(2, now, now)
+	again.AssumeLeft(route.RefOf(&u), history.Position{Era: 1, Version: 9}, now)
+	again.ApplyUpstreams([]site.Row{row(2, 7)}, true, now)
+	again.ApplyUpstreams([]site.Row{row(2, 8)}, false, now)
+	assert.Equal(t, again.UpstreamCount(), 1, "written again")
+	assert.Equal(t, len(again.LeftReplicas(now)), 0)
+}
+
 func TestDrainingStartsAreForgotten(t *testing.T) {
 	st := NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
 	now := time.Now()
