--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -89,6 +89,36 @@
 		"same && (known.Position.Era", "same && false && (known.Position.Era",
 		"./pkg/canary", "TestOrderOfAnotherEra",
 	},
+	{
+		"eras: the time to return runs from the store's return", "service/gateway/site_state.go",
+		"now.Sub(st.reachableAt) < st.returnTime", "now.Sub(st.reachableAt) < 2*st.returnTime",
+		"./service/gateway", "TestTimeToReturnRunsFromTheStoresReturn",
+	},
+	{
+		"eras: a row of a replica that has left is held back", "service/gateway/site_state.go",
+		"if !left || !r.Position.MayPrecede(l.position) {", "if left || !left {",
+		"./service/gateway", "TestReplicaThatLeftIsListedAgainByACopy",
+	},
+	{
+		"eras: nodes that start learn that an era is not the first", "pkg/history/eras.go",
+		"if era == e.current && e.first {", "if false {",
+		"./service/gateway", "TestStartingNodeKnowsHowRolloutsEnded",
+	},
+	{
+		"eras: nodes that start learn how roll-outs ended", "service/gateway/canaries.go",
+		"position == k.Order && k.State.Final()", "false",
+		"./service/gateway", "TestStartingNodeKnowsHowRolloutsEnded",
+	},
+	{
+		"eras: a node that has just started tells others nothing", "service/gateway/nodes.go",
+		"	if !n.started.Load() {", "	if false {",
+		"./service/gateway", "TestStartingNodeAsksOnUntilOneKnows",
+	},
+	{
+		"eras: changes are no rows of a copy", "pkg/canary/order.go",
+		"case !settled && listed &&", "case !settled &&",
+		"./pkg/canary", "TestOrderOfAnotherEra",
+	},
 	{
 		"origins: a repeat is pinned to the version that wrote the events", "service/gateway/stream_origin.go",
 		"	x.pickInput.Software = route.SoftwareRule{Version: a.choice.Software, Pinned: true}\n	if x.info", "	if x.info",
