Nodes that start together don't log each other's refusals as failures

A node that had just started answered another one that asked for its state with an error, and each start of a fleet logged up to eight warnings a node. It says so in its answer now.

--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -167,6 +166,8 @@
 
 // startState is what a node that starts can't learn from a store that has come back from a copy.
 type startState struct {
+	// Starting is set if the node has only just started itself, and knows no more.
+	Starting bool `json:"starting,omitempty"`
 	// Era is the current one, and EraAgeMS for how many milliseconds it is known, 0 if it is the only one that
 	// the node knows.
 	Era      history.Era `json:"era,omitempty"`
@@ -189,16 +190,13 @@
 	Position history.Position `json:"position"`    // Of its last row.
 }
 
-// errStarting means that the node that is asked has only just started itself.
-var errStarting = errors.New("this node has just started")
-
 // serveStartState handles methodStartState.
 func (n *nodes) serveStartState(_ context.Context, q startStateRequest) (out startState, err error) {
 	if q.Era > 0 {
 		n.eras.Observe(q.Era, boottime.RefreshNow())
 	}
 	if !n.started.Load() {
-		return out, errStarting
+		return startState{Starting: true}, nil
 	}
 	now := boottime.Now()
 	if era, age, ok := n.eras.Begun(now); ok {
@@ -236,6 +234,9 @@
 			n.log.Warn("state for the start not learned", "peer", m.Peer, "err", err)
 			continue
 		}
+		if s.Starting {
+			continue
+		}
 		learned++
 		n.applyStartState(&s)
 	}
