--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -216,3 +216,31 @@
 	_, _, ok := n.eras.Begun(boottime.Now())
 	assert.Assert(t, ok)
 }
+
+// What a node learns as it starts grows with the replicas that leave, not with all of them.
+func TestAnswerToAStartingNodeIsSmall(t *testing.T) {
+	for _, size := range []struct{ nodes, replicas int }{{7, 23}, {71, 560}, {295, 2300}, {900, 6900}} {
+		asked, _ := newAskedNode(t, 3, 4)
+		asked.started.Store(true)
+		now := boottime.Now()
+		for i := range size.replicas {
+			ref := route.ReplicaRef{ID: fmt.Sprintf("i-%010x", i), Started: time.UnixMilli(1796000000000 + int64(i))}
+			switch i % 10 { // A tenth leave, half of them without saying so, within the last minute.
+			case 0:
+				if i%20 == 0 {
+					asked.siteState.AssumeLeft(ref, history.Position{Era: 3, Version: int64(100000 + i)}, now)
+				} else {
+					asked.siteState.ApplyDraining(ref, now)
+				}
+			case 1: // Others have left before.
+				asked.siteState.ApplyDraining(ref, now.Add(-2*leftRetention))
+			}
+		}
+		state, err := asked.serveStartState(t.Context(), startStateRequest{})
+		assert.NilError(t, err)
+		body, err := json.Marshal(state)
+		assert.NilError(t, err)
+		t.Logf("%d nodes, %d replicas: %d bytes", size.nodes, size.replicas, len(body))
+		assert.Assert(t, len(body) <= 100+10*size.replicas, "%d bytes", len(body))
+	}
+}
