Test: random histories of replicas and of returns of the store, without network

Replicas start, drain and leave with and without saying so, the store is away, loses expired rows and comes back from copies, and rows are written again within 1.8 s.

--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
@@ -284,3 +287,205 @@
 	starting.applyRow(u, now)
 	assert.Assert(t, !starting.Pool("s").Accepts(&u, now))
 }
+
+// rowCodec decodes rows whose values are "ready" or "draining".
+type rowCodec struct{ Codec }
+
+func (rowCodec) Upstream(r site.Row) (site.Upstream, error) {
+	return site.Upstream{ID: r.Key, Service: "s", DataHall: "h", Slots: 1, Draining: string(r.Value) == "draining"}, nil
+}
+
+const (
+	listStep = 50 * time.Millisecond
+	// listRewriteTime is how long after the store's return replicas take to write their rows again.
+	listRewriteTime = 1800 * time.Millisecond
+	// listStableAfter is how long after its return the store counts as undisturbed.
+	listStableAfter = 3 * time.Second
+	// listLeaveTime is how long after a replica has left it may be used.
+	listLeaveTime = time.Second
+)
+
+// listedReplica is a replica as it is, whatever the store has.
+type listedReplica struct {
+	value     string    // Of its row, "" once it is gone.
+	changedAt time.Time // When value was last written by the replica.
+	stable    bool      // The store was undisturbed then.
+	rewriteAt time.Time // When the row is written again after the store's return, zero if it is right.
+	known     bool      // The node has used it.
+	unused    bool      // The node has stopped using it as it has left.
+}
+
+// listHistory is a store with the list of replicas, and a node that follows it.
+type listHistory struct {
+	now        time.Time
+	at         history.Position
+	rows, copy map[string]site.Row
+	copyAt     history.Position
+	changes    []site.Row // Of this era.
+	awayUntil  time.Time
+	fromCopy   bool
+	lapse      bool
+	returnedAt time.Time
+
+	replicas map[string]*listedReplica
+	st       *SiteState
+	known    history.Position
+}
+
+func newListHistory() *listHistory {
+	h := &listHistory{now: time.Unix(1e9, 0), at: history.Position{Era: 1, Version: 1}, rows: map[string]site.Row{}, replicas: map[string]*listedReplica{}}
+	h.st = NewSiteState(rowCodec{}, "h", 2*time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
+	h.st.rewriteTime = 5 * time.Second
+	h.takeCopy()
+	return h
+}
+
+func (h *listHistory) away() bool { return h.now.Before(h.awayUntil) }
+
+func (h *listHistory) takeCopy() {
+	if h.awayUntil.IsZero() || !h.away() {
+		h.copy, h.copyAt = maps.Clone(h.rows), h.at
+	}
+}
+
+// put writes a row, or removes it if value is "".
+func (h *listHistory) put(id, value string) {
+	h.at.Version++
+	r := site.Row{Key: id, Value: []byte(value), Position: h.at, Gone: value == ""}
+	h.rows[id] = r
+	if r.Gone {
+		delete(h.rows, id)
+	}
+	h.changes = append(h.changes, r)
+}
+
+// change has a replica write its row.
+func (h *listHistory) change(id, value string) {
+	r := h.replicas[id]
+	if r == nil {
+		r = &listedReplica{}
+		h.replicas[id] = r
+	}
+	r.value, r.changedAt, r.stable = value, h.now, h.now.Sub(h.returnedAt) >= listStableAfter
+	h.put(id, value)
+}
+
+// goAway has the store be away for d. It then comes back, from the copy or with expired rows.
+func (h *listHistory) goAway(d time.Duration, fromCopy, lapse bool) {
+	h.awayUntil, h.fromCopy, h.lapse = h.now.Add(d), fromCopy, lapse
+}
+
+func (h *listHistory) comeBack(draw func(limit time.Duration) time.Duration) {
+	h.awayUntil, h.returnedAt = time.Time{}, h.now
+	if h.fromCopy {
+		h.rows, h.changes = maps.Clone(h.copy), nil
+		h.at = history.Position{Era: h.at.Era + 1, Version: h.copyAt.Version}
+		for id, r := range h.rows {
+			r.Position.Era = h.at.Era
+			h.rows[id] = r
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.replicas)) {
+		r := h.replicas[id]
+		if h.lapse && r.value == "ready" && len(h.rows[id].Value) > 0 && draw(2) == 0 {
+			h.put(id, "")
+		}
+		r.rewriteAt = time.Time{}
+		if string(h.rows[id].Value) != r.value {
+			r.rewriteAt = h.now.Add(draw(listRewriteTime))
+		}
+	}
+}
+
+// step passes a moment in which the node follows the list.
+func (h *listHistory) step(draw func(limit time.Duration) time.Duration) {
+	h.now = h.now.Add(listStep)
+	if h.away() {
+		h.st.MarkStoreUnreachable(h.now)
+		h.st.Expire(h.now)
+		return
+	}
+	if !h.awayUntil.IsZero() {
+		h.comeBack(draw)
+	}
+	for id, r := range h.replicas {
+		if !r.rewriteAt.IsZero() && !h.now.Before(r.rewriteAt) {
+			r.rewriteAt = time.Time{}
+			h.put(id, r.value)
+		}
+	}
+	h.st.eras.Observe(h.at.Era, h.now)
+	if h.known.Era != h.at.Era {
+		h.st.ApplyUpstreams(slices.Collect(maps.Values(h.rows)), true, h.now)
+	} else {
+		var rows []site.Row
+		for _, r := range h.changes {
+			if h.known.Before(r.Position) {
+				rows = append(rows, r)
+			}
+		}
+		h.st.ApplyUpstreams(rows, false, h.now)
+	}
+	h.known = h.at
+	h.st.MarkStoreSynced(h.now)
+	h.st.Expire(h.now)
+}
+
+func (h *listHistory) uses(id string) bool {
+	p := h.st.Pool("s")
+	return p != nil && p.Accepts(&site.Upstream{ID: id, Service: "s"}, h.now)
+}
+
+func (h *listHistory) check(t *rapid.T) {
+	for id, r := range h.replicas {
+		since := h.now.Sub(r.changedAt)
+		r.known = r.known || h.uses(id)
+		if r.value == "ready" && (r.known || !h.away() && r.rewriteAt.IsZero()) {
+			assert.Assert(t, h.uses(id), "%s lives since %s and is not used, %s after the return", id, since, h.now.Sub(h.returnedAt))
+		}
+		if r.value == "ready" {
+			continue
+		}
+		due := r.stable && since >= listLeaveTime && !h.away() && h.now.Sub(h.returnedAt) >= listStableAfter
+		assert.Assert(t, !h.uses(id) || !due && !r.unused, "%s %q is used %s after it, %s after the return", id, r.value, since, h.now.Sub(h.returnedAt))
+		r.unused = r.unused || r.known && !h.uses(id)
+	}
+}
+
+// Replicas come and go, and the store is away and comes back from copies: a replica that has left while the store was
+// undisturbed is never used again, and one that lives always is.
+func TestListOfReplicasIsFollowedThroughReturnsOfTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newListHistory()
+		draw := func(limit time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(limit)-1).Draw(t, "duration"))
+		}
+		for i := range rapid.IntRange(5, 40).Draw(t, "events") {
+			ids := slices.Sorted(maps.Keys(h.replicas))
+			kind := rapid.IntRange(0, 9).Draw(t, "kind")
+			switch {
+			case h.away():
+			case kind < 3 || len(ids) == 0:
+				h.change(fmt.Sprintf("r%d", i), "ready")
+			case kind < 6:
+				id := rapid.SampledFrom(ids).Draw(t, "replica")
+				switch r := h.replicas[id]; r.value {
+				case "ready":
+					h.change(id, rapid.SampledFrom([]string{"draining", ""}).Draw(t, "leaves"))
+				case "draining":
+					stable := r.stable
+					h.change(id, "")
+					r.stable = r.stable || stable
+				}
+			case kind < 7:
+				h.takeCopy()
+			default:
+				h.goAway(2*listStep+draw(3*time.Second), rapid.Bool().Draw(t, "from copy"), rapid.Bool().Draw(t, "rows expire"))
+			}
+			for range rapid.IntRange(0, 80).Draw(t, "steps") {
+				h.step(draw)
+				h.check(t)
+			}
+		}
+	})
+}
