--- a/pkg/explain/report.go
+++ b/pkg/explain/report.go
@@ -92,12 +92,12 @@
 var nodeMessages = map[string]string{
 	"configuration in force": "",
 	"era of store began":     "",
-	"era of store learned":   "",
 	"weights named":          "model",
 	"store lost":             "table",
 	"store back":             "table",
 	"store not reached, other nodes are asked":     "table",
 	"store reached again":                          "table",
+	"era of store learned":                         "",
 	"store of kept state lost":                     "store",
 	"store of kept state back":                     "store",
 	"stopping":                                     "",
