A slow replica's idle connections are closed after a silence too

Cause: an abandoned call counts as unanswered only after twice the time in which the replica was expected to answer, and idle connections are closed only after a silence of 1 s. On the slow run the five calls that open the connections took more than 0.4 s, so that a call with a deadline of 0.8 s met neither condition, and each idle connection cost another call.

Change: idle connections are closed after 0.4 s if nothing came from the replica on any connection meanwhile. The factor for the check and for the contact stays: a replica that is merely slow keeps the prompts whose kept state it has. A call that its client abandons so early costs a connection for each idle one.

--- a/internal/standin/onplatform/silent_connections_test.go
+++ b/internal/standin/onplatform/silent_connections_test.go
@@ -49,6 +49,12 @@
 
 // openIdleConns leaves the node with idle connections to a replica.
 func (n *node) openIdleConns(a *onplatform.Replica, conns int) {
+	n.site.t.Helper()
+	n.openIdleConnsSlowly(a, conns, 0)
+}
+
+// openIdleConnsSlowly is like openIdleConns but has the requests wait for latency, once all are at the replica.
+func (n *node) openIdleConnsSlowly(a *onplatform.Replica, conns int, latency time.Duration) {
 	n.site.t.Helper()
 	answerNow := make(chan struct{})
 	a.Script(onplatform.After(answerNow, onplatform.OK("from "+a.ID)))
@@ -59,6 +65,7 @@
 		})
 	}
 	n.site.waitUntil("each request has a connection of its own", func() bool { return a.OpenConnections() >= conns })
+	time.Sleep(latency)
 	close(answerNow)
 	done.Wait()
 	a.Script(onplatform.OK("from " + a.ID))
--- a/internal/standin/onplatform/silent_replicas_test.go
+++ b/internal/standin/onplatform/silent_replicas_test.go
@@ -323,3 +323,16 @@
 		assert.Equal(t, n.send(request("POST", "/once/x", "", "Deadline-Ms: 800")).status, 200)
 	}
 }
+
+// A replica that was expected to answer late was taken for slow, not for silent, and each idle
+// connection from before cost a call. Calls after the first lost one must use new connections.
+func TestSlowReplicaIsCalledOnNewConnectionsAfterASilence(t *testing.T) {
+	s := newSilentSite(t)
+	n := s.startReadyNode("n1")
+	n.openIdleConnsSlowly(s.silent, 5, 600*time.Millisecond)
+	s.proxy.Silence(true, true, everyConn)
+	assert.Equal(t, n.send(request("POST", "/once/x", "", "Deadline-Ms: 800")).status, 504)
+	for range 5 {
+		assert.Equal(t, n.send(request("POST", "/once/x", "", "Deadline-Ms: 800")).status, 200)
+	}
+}
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -225,7 +225,7 @@
 
 // minSilence is how long a replica must have sent nothing on an abandoned connection for
 // its idle connections to be closed too. Most answers begin sooner, so slow ones cost
-// few new connections.
+// few new connections. route.CheckSilence is enough if nothing came on any connection.
 const minSilence = time.Second
 
 // closeIdleAfterSilence closes the idle connections to a replica that had sent nothing
@@ -236,11 +236,14 @@
 	if a.lastBytesAt.After(lastHeard) {
 		lastHeard = a.lastBytesAt
 	}
-	silence := now.Sub(lastHeard)
+	silence, limit := now.Sub(lastHeard), minSilence
 	if a.via == nil {
 		x.g.reach.unanswered(x.pool, a, silence)
+		if x.g.conns.contact(a.choice.ID, a.choice.Addr).silence() >= route.CheckSilence {
+			limit = route.CheckSilence
+		}
 	}
-	if silence < minSilence {
+	if silence < limit {
 		return
 	}
 	if n := a.conns.closeIdle(a.connKey); n > 0 {
