One lookup each for the known order of a service and for a listed start

applyOrder and learn each looked up a service's last known order among the roll-outs and the removed orders, and recordDrain and DrainingReplicas each compared a start with the list. No change of behaviour; the tests of roll-outs, drains and returns are green.

--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -169,10 +169,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.unclear, o.Service)
-	known, old := c.removed[o.Service], c.rollouts[o.Service]
-	if old != nil {
-		known = old.order
-	}
+	known, old := c.knownOrder(o.Service)
 	switch canary.CompareOrder(&known, &o, c.store.Eras().IsSettled(now, c.rewriteTime), listed) {
 	case canary.OrderUnchanged:
 		return
@@ -219,19 +216,23 @@
 func (c *canaries) learn(k knownRollout, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	position := c.removed[k.Service].Position
-	if r := c.rollouts[k.Service]; r != nil {
-		position = r.order.Position
-	}
-	if position.Before(k.Order) {
-		position = k.Order
+	if known, _ := c.knownOrder(k.Service); known.Position.Before(k.Order) {
 		c.setOrder(k.order(), now)
 	}
-	if r := c.rollouts[k.Service]; r != nil && position == k.Order && k.State.Final() {
+	if r := c.rollouts[k.Service]; r != nil && r.order.Position == k.Order && k.State.Final() {
 		r.decision.State = k.State
 	}
 }
 
+// knownOrder returns the last known order of a service and its roll-out, nil if the order was removed; the
+// caller holds mu.
+func (c *canaries) knownOrder(service string) (o site.RolloutOrder, r *canaryRollout) {
+	if r = c.rollouts[service]; r != nil {
+		return r.order, r
+	}
+	return c.removed[service], nil
+}
+
 // setOrder replaces a service's order; the caller holds mu.
 func (c *canaries) setOrder(o site.RolloutOrder, now time.Time) {
 	delete(c.removed, o.Service)
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -493,9 +493,7 @@
 // listed for long. The caller holds mu.
 func (st *SiteState) recordDrain(u *site.Upstream, now time.Time) {
 	for start, report := range st.draining {
-		e, listed := st.upstreams[report.replica.ID]
-		listed = listed && e.StartKey() == start
-		if !listed && now.Sub(report.at) >= drainingRetention {
+		if !st.lists(report.replica.ID, start) && now.Sub(report.at) >= drainingRetention {
 			delete(st.draining, start)
 		}
 	}
@@ -508,14 +506,19 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	for start, report := range st.draining {
-		e, listed := st.upstreams[report.replica.ID]
-		if listed && e.StartKey() == start || now.Sub(report.at) < leftRetention {
+		if st.lists(report.replica.ID, start) || now.Sub(report.at) < leftRetention {
 			list = append(list, report.replica)
 		}
 	}
 	return list
 }
 
+// lists reports whether a start of a replica is listed. The caller holds mu.
+func (st *SiteState) lists(id, start string) bool {
+	e, ok := st.upstreams[id]
+	return ok && e.StartKey() == start
+}
+
 // LeftReplicas lists the replicas whose rows have gone lately.
 func (st *SiteState) LeftReplicas(now time.Time) (list []leftReplica) {
 	st.mu.Lock()
