--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -57,7 +57,7 @@
 	{
 		"eras: contents don't go back by their own numbers", "pkg/history/state.go",
 		"s.Number > 0 && next.Number > 0 && s.Number != next.Number", "false",
-		"./service/gateway", "TestReadersServeTheOlderConfigurationOfACopy",
+		"./service/tables", "TestReadersServeTheOlderConfigurationOfACopy",
 	},
 	{
 		"eras: missing rows are not gone at once", "pkg/history/eras.go",
@@ -75,9 +75,9 @@
 		"./pkg/rollout", "TestLeaseHasOneHolderWhenTheStoreReturnsFromCopies",
 	},
 	{
-		"eras: bases are named by their content", "service/gateway/reader_table.go",
+		"eras: bases are named by their content", "service/tables/reader_table.go",
 		"ref.Digest != \"\" && x.large[ref.Key] == ref.Digest", "ref.Digest != \"\"",
-		"./service/gateway", "TestDeltaOnAnotherValueOfTheSamePositionCantBeDecoded",
+		"./service/tables", "TestDeltaOnAnotherValueOfTheSamePositionCantBeDecoded",
 	},
 	{
 		"eras: a list of an earlier era is not complete", "pkg/origin/versions.go",
@@ -106,7 +106,7 @@
 	},
 	{
 		"eras: nodes that start learn how roll-outs ended", "service/gateway/canaries.go",
-		"position == k.Order && k.State.Final()", "false",
+		"r.order.Position == k.Order && k.State.Final()", "false",
 		"./service/gateway", "TestStartingNodeKnowsHowRolloutsEnded",
 	},
 	{
--- a/pkg/boottime/clock.go
+++ b/pkg/boottime/clock.go
@@ -7,6 +7,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// MinSuspension is the shortest suspension of the machine after which a node syncs
+// again: shorter ones age its state by less than updates are delayed anyway.
+const MinSuspension = 100 * time.Millisecond
+
 var (
 	// suspended is the measured duration of suspensions since the program started, in
 	// nanoseconds. It never decreases.
--- a/pkg/control/view.go
+++ b/pkg/control/view.go
@@ -8,6 +8,11 @@
 	"sync"
 )
 
+// MaxDirectNodes is the number of nodes up to which none works on behalf of the others:
+// so few calls are saved that the additional ways to fail are not worth it. For reading
+// tables all nodes count, otherwise those of a hall.
+const MaxDirectNodes = 4
+
 // View is a snapshot of the known members. Its lists are sorted by name and shared
 // by all callers, who must not change them.
 //
--- a/service/gateway/canaries_test.go
+++ b/service/gateway/canaries_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/drumpath/drumpath/internal/standin/memtable"
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/canary"
 	"github.com/drumpath/drumpath/pkg/config"
@@ -22,7 +23,7 @@
 func newTestCanaries(t *testing.T) (*canaries, *control.Members) {
 	self := control.Member{Name: "n0", DataHall: "h", Incarnation: 5}
 	m := control.NewMembers(self, time.Second, nil, newRand())
-	c := newCanaries(self, m, &fakeTableStore{}, platform.Codec{}, nil, 0.1, slog.New(slog.DiscardHandler))
+	c := newCanaries(self, m, &memtable.Store{}, platform.Codec{}, nil, 0.1, slog.New(slog.DiscardHandler))
 	c.applyOrder(site.RolloutOrder{Service: "s", Version: "v2", Duration: 10 * time.Second, Position: history.Position{Version: 1}}, true, boottime.Now())
 	return c, m
 }
@@ -66,8 +67,8 @@
 	known.applyOrder(site.RolloutOrder{Service: "removed", Position: history.Position{Era: 1, Version: 6}}, true, boottime.Now())
 
 	m := control.NewMembers(control.Member{Name: "n1"}, time.Second, nil, newRand())
-	store := &fakeTableStore{}
-	store.eras.ObserveBegun(2, boottime.Now(), boottime.Now())
+	store := &memtable.Store{}
+	store.KnownEras.ObserveBegun(2, boottime.Now(), boottime.Now())
 	starting := newCanaries(m.Self(), m, store, platform.Codec{}, nil, 0.1, slog.New(slog.DiscardHandler))
 	starting.rewriteTime = time.Second
 	for _, k := range known.known() {
--- a/service/gateway/control_bench_test.go
+++ b/service/gateway/control_bench_test.go
@@ -172,19 +172,3 @@
 		})
 	}
 }
-
-// BenchmarkChooseReader measures choosing the node that reads the store, done twice a
-// second and more.
-func BenchmarkChooseReader(b *testing.B) {
-	for _, size := range fleetSizes {
-		b.Run(fmt.Sprintf("%dnodes", size.nodes), func(b *testing.B) {
-			n, _ := newFleetNode(b, size.nodes, size.engines)
-			r := newSharedReader(nil, n.self, n.members, nil, n.log)
-			b.ReportAllocs()
-			for b.Loop() {
-				r.reader(site.TableUpstreams)
-				r.servesPeers()
-			}
-		})
-	}
-}
--- a/service/gateway/discovery.go
+++ b/service/gateway/discovery.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/suspects"
 )
 
@@ -97,7 +97,7 @@
 
 // join finds other nodes, so that the tables can be read through them.
 func (n *nodes) join(ctx context.Context) {
-	sleep(ctx, n.startDelay())
+	timer.Sleep(ctx, n.startDelay())
 	end := boottime.Now().Add(joinTimeout)
 	listing, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
@@ -130,7 +130,7 @@
 // awaitAnswers waits until count other nodes are known to be alive, or until end.
 func (n *nodes) awaitAnswers(ctx context.Context, count int, end time.Time) {
 	for ctx.Err() == nil && n.members.View().Counts().Alive <= count && boottime.Now().Before(end) {
-		sleep(ctx, joinAnswerCheck)
+		timer.Sleep(ctx, joinAnswerCheck)
 	}
 }
 
@@ -241,11 +241,7 @@
 		return
 	}
 	known := n.members.View().Counts().Working
-	err := n.nodeTable.poll(ctx, 0)
-	if errors.Is(err, site.ErrHistoryGone) {
-		n.nodeTable.listed = false
-		err = n.nodeTable.poll(ctx, 0)
-	}
+	err := n.nodeTable.Poll(ctx)
 	n.mu.Lock()
 	d := &n.discovery
 	wasReadable := d.failedSince.IsZero()
--- a/service/gateway/discovery_test.go
+++ b/service/gateway/discovery_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/drumpath/drumpath/internal/standin/memtable"
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
@@ -18,28 +19,32 @@
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/suspects"
+	"github.com/drumpath/drumpath/service/tables"
 )
 
+// at returns a position in the first era.
+func at(version int64) history.Position { return history.Position{Version: version} }
+
 // newDiscoveringNode returns a node that knows no other, with the rows of count nodes in halls
 // in the store.
-func newDiscoveringNode(t *testing.T, count, halls int) (*nodes, *fakeTableStore) {
+func newDiscoveringNode(t *testing.T, count, halls int) (*nodes, *memtable.Store) {
 	self := control.Member{Name: "front-0", DataHall: "hall-0", Link: 20, Incarnation: 1}
 	log := slog.New(slog.DiscardHandler)
 	m := control.NewMembers(self, time.Second, nil, newRand())
-	store := &fakeTableStore{}
+	store := &memtable.Store{}
 	for i := range count {
 		hall := fmt.Sprint("hall-", i%halls)
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 67, byte(i >> 8), byte(i)}), 9)
 		value, err := json.Marshal(nodeRow{Peer: addr, Entry: addr, DataHall: hall, Link: 20})
 		assert.NilError(t, err)
-		store.version++
-		store.rows = append(store.rows, site.Row{Key: hallKeys(hall) + fmt.Sprint("front-", i), Position: at(store.version), Value: value})
+		store.Version++
+		store.Rows = append(store.Rows, site.Row{Key: hallKeys(hall) + fmt.Sprint("front-", i), Position: at(store.Version), Value: value})
 	}
 	n := &nodes{
 		self: self, members: m, store: store, eras: store.Eras(), coldShares: newColdShares(self, m), log: log, loads: newLoadState(),
 		suspects: suspects.New(self, m, nil, nil, log),
 	}
-	n.nodeTable = &tableFollower{store: store, table: site.TableNodes, apply: n.applyNodeRows, log: log}
+	n.nodeTable = &tables.Follower{Store: store, Table: site.TableNodes, Apply: n.applyNodeRows, Log: log}
 	var err error
 	n.probes, err = peer.NewProbes(netip.MustParseAddrPort("127.0.0.1:0"), "key", nil, log)
 	assert.NilError(t, err)
@@ -89,21 +94,21 @@
 	start := time.Now()
 	for step := range 300 {
 		if n.readDue(start.Add(time.Duration(step) * discoverInterval)) {
-			store.calls++
+			store.Calls++
 			n.discovery.readAt = start.Add(time.Duration(step) * discoverInterval)
 			if n.discovery.firstReadAt.IsZero() {
 				n.discovery.firstReadAt = n.discovery.readAt
 			}
 		}
 	}
-	assert.Equal(t, store.calls, 1+len(earlyReads)+1, "in 30 s")
+	assert.Equal(t, store.Calls, 1+len(earlyReads)+1, "in 30 s")
 }
 
 // Rows of the previous version have no data hall; their nodes are greeted.
 func TestRowsOfThePreviousVersionAreRead(t *testing.T) {
 	n, store := newDiscoveringNode(t, 300, 5)
-	store.rows = append(store.rows, site.Row{Key: "front-old", Position: at(store.version + 1), Value: []byte(`{"peer":"127.0.0.1:1"}`)})
-	store.version++
+	store.Rows = append(store.Rows, site.Row{Key: "front-old", Position: at(store.Version + 1), Value: []byte(`{"peer":"127.0.0.1:1"}`)})
+	store.Version++
 	n.discover(t.Context())
 	assert.Assert(t, n.members.View().Counts().Alive > 200)
 	assert.Equal(t, nodeName("front-old"), "front-old")
@@ -136,7 +141,7 @@
 			if !tt.listed {
 				n.self.Name = "front-new"
 			}
-			store.fail = !tt.storeReachable
+			store.Fail = !tt.storeReachable
 			n.join(t.Context())
 			g := &Gateway{nodes: n, log: n.log, startedAt: boottime.Now(), retryBudgets: map[string]*retryBudget{}}
 			g.settings.Store(&config.GatewaySettings{Retry: config.RetrySettings{Slack: 100 * assumedNodes, Window: config.Duration(time.Hour)}})
@@ -165,12 +170,12 @@
 
 // newAskedNode starts a node that answers others that start, and returns its address.
 func newAskedNode(t *testing.T, eras ...history.Era) (*nodes, netip.AddrPort) {
-	store := &fakeTableStore{}
+	store := &memtable.Store{}
 	for _, era := range eras {
-		store.eras.Observe(era, boottime.Now())
+		store.KnownEras.Observe(era, boottime.Now())
 	}
 	log := slog.New(slog.DiscardHandler)
-	asked := &nodes{store: store, eras: &store.eras, siteState: NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), log)}
+	asked := &nodes{store: store, eras: &store.KnownEras, siteState: NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), log)}
 	asked.canaries = newCanaries(control.Member{}, control.NewMembers(control.Member{}, time.Second, nil, newRand()), store, nil, nil, 0, log)
 	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, log)
 	assert.NilError(t, err)
--- a/service/gateway/engine_caches.go
+++ b/service/gateway/engine_caches.go
@@ -12,6 +12,7 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/peer"
 )
 
@@ -267,7 +268,7 @@
 	boot, since, lost := int64(0), int64(0), false
 	for ctx.Err() == nil {
 		if p := f.siteState.Pool(u.Service); p != nil && p.InBackoff(u.ID, boottime.Now()) {
-			sleep(ctx, cachePollRetry)
+			timer.Sleep(ctx, cachePollRetry)
 			continue
 		}
 		c, err := f.engines.Changes(ctx, u.Addr, since, cachePollWait)
@@ -280,7 +281,7 @@
 				f.apply(route.EngineCacheUpdate{Engine: u.ID, Stale: true})
 			}
 			lost = true
-			sleep(ctx, cachePollRetry)
+			timer.Sleep(ctx, cachePollRetry)
 			continue
 		}
 		if lost {
@@ -292,7 +293,7 @@
 			f.apply(newCacheUpdate(u.ID, full, c))
 		}
 		boot, since, lost = c.Boot, c.Next, false
-		sleep(ctx, cachePollPause)
+		timer.Sleep(ctx, cachePollPause)
 	}
 }
 
@@ -359,7 +360,7 @@
 				f.markSourceStale(src)
 			}
 			lost, epoch = true, 0
-			sleep(ctx, cachePollRetry)
+			timer.Sleep(ctx, cachePollRetry)
 			continue
 		case lost:
 			f.log.Info("engine cache updates from peer restored", "peer", addr)
@@ -367,18 +368,18 @@
 		}
 		epoch, from = answer.Epoch, answer.Next
 		f.applyPacked(answer.Updates)
-		sleep(ctx, pause)
+		timer.Sleep(ctx, pause)
 	}
 }
 
 func (f *engineCacheFollower) call(ctx context.Context, addr netip.AddrPort, req cacheUpdatesRequest) (answer cacheUpdatesAnswer, err error) {
-	err = f.client.CallWithin(ctx, cachePollWait+answerSlack, addr, methodCacheUpdates, req, &answer)
+	err = f.client.CallWithin(ctx, cachePollWait+peer.AnswerSlack, addr, methodCacheUpdates, req, &answer)
 	return answer, err
 }
 
 // hallAddrs lists the addresses of this hall's live nodes.
 func (f *engineCacheFollower) hallAddrs() (list []netip.AddrPort) {
-	for _, m := range hallMembers(f.members, f.self.DataHall) {
+	for _, m := range f.members.View().Hall(f.self.DataHall).Alive {
 		list = append(list, m.Peer)
 	}
 	return list
--- a/service/gateway/engine_caches_test.go
+++ b/service/gateway/engine_caches_test.go
@@ -16,6 +16,7 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/peer"
 )
 
@@ -43,7 +44,7 @@
 }
 
 func (e *fakeEngine) Changes(ctx context.Context, _ netip.AddrPort, since int64, _ time.Duration) (site.CacheChanges, error) {
-	sleep(ctx, 5*time.Millisecond)
+	timer.Sleep(ctx, 5*time.Millisecond)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.calls++
--- a/service/gateway/forwarding.go
+++ b/service/gateway/forwarding.go
@@ -14,6 +14,7 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/suspects"
 )
 
@@ -422,7 +423,7 @@
 // drain waits until the requests of other nodes have ended, or ctx has.
 func (f *forwarding) drain(ctx context.Context) {
 	for f.counts.serving.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPollInterval)
+		timer.Sleep(ctx, drainPollInterval)
 	}
 }
 
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
 	"github.com/drumpath/drumpath/service/suspects"
+	"github.com/drumpath/drumpath/service/tables"
 )
 
 const (
@@ -70,7 +71,7 @@
 	nodes        *nodes
 	peers        *peer.Server
 	client       *peer.Client
-	tableReader  *sharedReader
+	tableReader  *tables.Reader
 	storeEvents  *storeEventRelay
 	kvStores     *kvStoreFollower
 	engineCaches *engineCacheFollower
@@ -103,7 +104,7 @@
 	// retryWindowSince is when a reload changed the window of the retry budgets, zero before.
 	retryWindowSince time.Time
 
-	tableFollowers []*tableFollower // One per table of the platform's store.
+	tableFollowers []*tables.Follower // One per table of the platform's store.
 	suspension     *suspension
 
 	inFlight        atomic.Int64
@@ -202,18 +203,18 @@
 		g.metricsServer.start(g)
 	}
 	longPoll := g.conf().Platform.LongPollTimeout.Std()
-	g.tableFollowers = []*tableFollower{
+	g.tableFollowers = []*tables.Follower{
 		{
-			store: g.tableReader, table: site.TableOperator, name: "operator", longPoll: longPoll, log: g.log,
-			apply:     g.siteState.ApplyOperator,
-			onFailure: func(time.Time) {},
-			onAnswer:  func(startedAt, _ time.Time) { g.suspension.recordAnswer(site.TableOperator, startedAt) },
+			Store: g.tableReader, Table: site.TableOperator, Name: "operator", LongPoll: longPoll, Log: g.log,
+			Apply:     g.siteState.ApplyOperator,
+			OnFailure: func(time.Time) {},
+			OnAnswer:  func(startedAt, _ time.Time) { g.suspension.recordAnswer(site.TableOperator, startedAt) },
 		},
 		{
-			store: g.tableReader, table: site.TableUpstreams, name: "upstreams", longPoll: longPoll, log: g.log,
-			apply: g.siteState.ApplyUpstreams, batchDelay: upstreamsBatchDelay,
-			onFailure: g.siteState.MarkStoreUnreachable,
-			onAnswer: func(startedAt, now time.Time) {
+			Store: g.tableReader, Table: site.TableUpstreams, Name: "upstreams", LongPoll: longPoll, Log: g.log,
+			Apply: g.siteState.ApplyUpstreams, BatchDelay: upstreamsBatchDelay,
+			OnFailure: g.siteState.MarkStoreUnreachable,
+			OnAnswer: func(startedAt, now time.Time) {
 				g.siteState.MarkStoreSynced(now)
 				g.suspension.recordAnswer(site.TableUpstreams, startedAt)
 			},
@@ -271,7 +272,7 @@
 	}
 	g.runEvery(discoverInterval, g.nodes.discover)
 	for _, f := range g.tableFollowers {
-		g.wg.Go(func() { f.run(g.ctx) })
+		g.wg.Go(func() { f.Run(g.ctx) })
 	}
 	g.origins.Step(g.ctx) // Streams can't begin before the versions are known.
 }
@@ -288,7 +289,7 @@
 		return
 	}
 	for _, f := range g.tableFollowers {
-		f.pollNow()
+		f.PollNow()
 	}
 	g.nodes.handleEra()
 	g.suspects.HandleEra()
--- a/service/gateway/large_configuration_test.go
+++ b/service/gateway/large_configuration_test.go
@@ -13,12 +13,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/platform"
 	"github.com/drumpath/drumpath/service/peer"
+	"github.com/drumpath/drumpath/service/tables"
 )
 
 const (
@@ -27,11 +29,13 @@
 	// reader, so that the links are measured and not the processor that the nodes of a
 	// test share.
 	largeHallNodes = 20
-	smallHallNodes = maxDirectNodes + 2
+	smallHallNodes = control.MaxDirectNodes + 2
 	// narrowMbit and wideMbit are link rates in Mbit/s: the store's answer with 5,640
 	// routes takes 1.9 s on a narrow link and 0.1 s on a wide one.
 	narrowMbit = 10.0 / raceScale
 	wideMbit   = 200.0 / raceScale
+	// preloadMbit is the rate at which nodes read the initial configuration.
+	preloadMbit = 10_000
 	// routesPerChange is how many routes each change adds, hostCount the number of hosts
 	// that all routes are spread over.
 	routesPerChange = 1400 / raceScale
@@ -115,7 +119,7 @@
 	t     *testing.T
 	c     growthCase
 	store *onplatform.Store
-	links *links
+	links *netproxy.Network
 	nodes []*simulatedNode
 	codec *cachingCodec
 }
@@ -123,12 +127,12 @@
 // simulatedNode is the part of a node that keeps its configuration up to date.
 type simulatedNode struct {
 	member      control.Member
-	link        *link
+	link        *netproxy.SharedLink
 	server      *peer.Server
 	client      *peer.Client
 	store       Store
 	members     *control.Members
-	tableReader *sharedReader
+	tableReader *tables.Reader
 	siteState   *SiteState
 
 	mu      sync.Mutex
@@ -138,14 +142,10 @@
 func newSimulatedHall(t *testing.T, c growthCase) *simulatedHall {
 	store, err := onplatform.NewStore()
 	assert.NilError(t, err)
-	h := &simulatedHall{t: t, c: c, store: store, links: newLinks(), codec: &cachingCodec{decoded: map[string]*site.Snapshot{}}}
+	h := &simulatedHall{t: t, c: c, store: store, links: netproxy.NewNetwork(), codec: &cachingCodec{decoded: map[string]*site.Snapshot{}}}
 	for i := range c.nodes {
 		h.nodes = append(h.nodes, h.newNode(i))
 	}
-	for _, n := range h.nodes {
-		h.addMembers(n)
-		n.server.Start()
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	t.Cleanup(func() {
@@ -160,13 +160,19 @@
 		store.Close()
 	})
 	h.writeConfig(c.initialChanges)
-	l := h.readConfig()
+	followers := map[*simulatedNode]*tables.Follower{}
 	for _, n := range h.nodes {
-		f := n.follower()
+		followers[n] = n.follower()
 		if n != h.lateNode() {
-			n.preload(f, l)
+			h.preload(n, followers[n])
 		}
-		wg.Go(func() { f.run(ctx) })
+	}
+	for _, n := range h.nodes {
+		h.addMembers(n)
+		n.server.Start()
+	}
+	for _, f := range followers {
+		wg.Go(func() { f.Run(ctx) })
 	}
 	return h
 }
@@ -181,19 +187,26 @@
 	assert.NilError(h.t, err)
 	n := &simulatedNode{
 		member:    control.Member{Name: fmt.Sprintf("n%02d", i), Peer: server.Addr(), DataHall: "h", Incarnation: 1, Link: mbit},
-		link:      newLink(mbit),
+		link:      netproxy.NewSharedLink(mbit),
 		server:    server,
 		client:    peer.NewClient("key"),
 		siteState: NewSiteState(h.codec, "h", time.Second, route.NewCacheIndex(), log),
 		inForce:   map[int64]time.Time{},
 	}
-	n.store = platform.NewStore(h.links.connect(h.t, n.link, nil, h.store.Addr()))
+	n.store = platform.NewStore(h.connect(n.link, nil, h.store.Addr()))
 	n.members = control.NewMembers(n.member, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
-	n.tableReader = newSharedReader(n.store, n.member, n.members, n.client, log)
-	server.Handle(peer.RolePeer, methodTableChanges, n.tableReader.serve)
+	n.tableReader = tables.NewReader(n.store, n.member, n.members, n.client, log)
+	server.Handle(peer.RolePeer, tables.MethodChanges, n.tableReader.Serve)
 	return n
 }
 
+// connect returns an address at which the node at the near link reaches a target behind the far one.
+func (h *simulatedHall) connect(near, far *netproxy.SharedLink, target netip.AddrPort) netip.AddrPort {
+	addr, err := h.links.Connect(near, far, target)
+	assert.NilError(h.t, err)
+	return addr
+}
+
 // addMembers adds the other nodes to a node's members, each at an address behind both
 // links.
 func (h *simulatedHall) addMembers(n *simulatedNode) {
@@ -201,7 +214,7 @@
 	for _, x := range h.nodes {
 		if x != n {
 			m := x.member
-			m.Peer = h.links.connect(h.t, n.link, x.link, x.server.Addr())
+			m.Peer = h.connect(n.link, x.link, x.server.Addr())
 			list = append(list, m)
 		}
 	}
@@ -214,7 +227,7 @@
 	for _, n := range h.nodes {
 		list = append(list, n.member)
 	}
-	owner, ok := control.Owner(control.WithWidestLinks(list), readerDuty+tableName(site.TableOperator))
+	owner, ok := control.Owner(control.WithWidestLinks(list), tables.ReaderDuty(site.TableOperator))
 	assert.Assert(h.t, ok)
 	for _, n := range h.nodes {
 		if n.member.Name == owner.Name {
@@ -243,15 +256,6 @@
 	return version, time.Now()
 }
 
-// readConfig reads the operator's table from the store directly, without the links.
-func (h *simulatedHall) readConfig() site.Listing {
-	direct := platform.NewStore(h.store.Addr())
-	defer direct.Close()
-	l, err := direct.List(h.t.Context(), site.TableOperator)
-	assert.NilError(h.t, err)
-	return l
-}
-
 // run makes the changes and checks each.
 func (h *simulatedHall) run() {
 	if h.c.lateNode {
@@ -272,7 +276,7 @@
 // freeze stops the reader and returns the other nodes.
 func (h *simulatedHall) freeze() (nodes []*simulatedNode) {
 	reader := h.reader()
-	reader.link.frozen.Store(true)
+	reader.link.Freeze()
 	time.Sleep(freezeBefore)
 	for _, n := range h.nodes {
 		if n != reader {
@@ -296,7 +300,7 @@
 		if !since.IsZero() {
 			slowest = max(slowest, since.Sub(at))
 		}
-		receivedBytes := n.link.received.Load() - receivedBefore[i]
+		receivedBytes := n.link.Received() - receivedBefore[i]
 		if n == reader {
 			assert.Check(h.t, receivedBytes <= maxFullReadBytes, "the reader received %d bytes for version %d", receivedBytes, version)
 			continue
@@ -313,30 +317,30 @@
 func received(nodes []*simulatedNode) []int64 {
 	list := make([]int64, len(nodes))
 	for i, n := range nodes {
-		list[i] = n.link.received.Load()
+		list[i] = n.link.Received()
 	}
 	return list
 }
 
 // follower returns a follower of the operator's table.
-func (n *simulatedNode) follower() *tableFollower {
-	return &tableFollower{
-		store: n.tableReader, table: site.TableOperator, name: "operator", longPoll: longPollTimeout,
-		apply: func(rows []site.Row, _ bool, now time.Time) {
+func (n *simulatedNode) follower() *tables.Follower {
+	return &tables.Follower{
+		Store: n.tableReader, Table: site.TableOperator, Name: "operator", LongPoll: longPollTimeout,
+		Apply: func(rows []site.Row, _ bool, now time.Time) {
 			n.siteState.ApplyOperator(rows, false, now)
 			n.recordInForce()
 		},
-		onFailure: func(time.Time) {},
-		onAnswer:  func(_, _ time.Time) {},
-		log:       slog.New(slog.DiscardHandler),
+		OnFailure: func(time.Time) {},
+		OnAnswer:  func(_, _ time.Time) {},
+		Log:       slog.New(slog.DiscardHandler),
 	}
 }
 
-// preload gives the node a configuration as if it had read it.
-func (n *simulatedNode) preload(f *tableFollower, l site.Listing) {
-	n.tableReader.apply(changesRequest{Table: site.TableOperator, Whole: true}, l, true)
-	f.apply(l.Rows, true, time.Now())
-	f.position, f.listed = l.Position, true
+// preload has the node read the configuration from the store, as it knows no other node yet, while its link is wide.
+func (h *simulatedHall) preload(n *simulatedNode, f *tables.Follower) {
+	n.link.SetRate(preloadMbit)
+	assert.NilError(h.t, f.Poll(h.t.Context()))
+	n.link.SetRate(n.member.Link)
 }
 
 // recordInForce records since when the current version is in force.
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -11,6 +11,7 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/timer"
 )
 
 // Nodes send each other the loads that they have in flight, in datagrams called notes, so
@@ -140,14 +141,14 @@
 		}
 		peers := n.hallPeers()
 		n.sendLoads(n.loadRecipients(peers))
-		sleep(ctx, min(every, time.Duration(len(peers))*sendIntervalPerPeer))
+		timer.Sleep(ctx, min(every, time.Duration(len(peers))*sendIntervalPerPeer))
 	}
 }
 
 // loadRecipients returns the nodes that this one sends its loads to: all others of a small
 // hall, or the load relay of a large one.
 func (n *nodes) loadRecipients(peers []netip.AddrPort) []netip.AddrPort {
-	if len(peers) < maxDirectNodes {
+	if len(peers) < control.MaxDirectNodes {
 		return peers
 	}
 	relay, ok := n.loadRelays()[n.self.DataHall]
@@ -233,11 +234,11 @@
 func (n *nodes) runLoadRelay(ctx context.Context) {
 	for ctx.Err() == nil {
 		if n.loadRelays()[n.self.DataHall].Name != n.self.Name {
-			sleep(ctx, loadRelayCheckInterval)
+			timer.Sleep(ctx, loadRelayCheckInterval)
 			continue
 		}
 		sent := n.sendHallSum()
-		sleep(ctx, max(n.transmitTime(sent), hallSumInterval+time.Duration(len(n.hallPeers()))*hallSumIntervalPerNode))
+		timer.Sleep(ctx, max(n.transmitTime(sent), hallSumInterval+time.Duration(len(n.hallPeers()))*hallSumIntervalPerNode))
 	}
 }
 
@@ -259,7 +260,7 @@
 func (n *nodes) sendHallSum() int {
 	relays := n.loadRelays()
 	var others []netip.AddrPort
-	if peers := n.hallPeers(); len(peers) >= maxDirectNodes {
+	if peers := n.hallPeers(); len(peers) >= control.MaxDirectNodes {
 		others = peers
 	}
 	for hall, m := range relays {
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -18,6 +18,7 @@
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
 	"github.com/drumpath/drumpath/service/suspects"
+	"github.com/drumpath/drumpath/service/tables"
 )
 
 // nodes exchanges state with the other nodes: membership, requests in flight, replicas to
@@ -32,8 +33,8 @@
 	members     *control.Members
 	probes      *peer.Probes
 	store       Store
-	eras        *history.Eras  // Of the store.
-	nodeTable   *tableFollower // Of the list of nodes, read through other nodes.
+	eras        *history.Eras    // Of the store.
+	nodeTable   *tables.Follower // Of the list of nodes, read through other nodes.
 	siteState   *SiteState
 	canaries    *canaries
 	cacheIndex  *route.CacheIndex
--- a/service/gateway/platform.go
+++ b/service/gateway/platform.go
@@ -9,26 +9,19 @@
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/service/tables"
 )
 
 // Store is the part of the platform's store that a node uses.
 type Store interface {
-	List(ctx context.Context, t site.Table) (site.Listing, error)
+	tables.Store
 	// ListPrefix lists the rows whose keys begin with a prefix.
 	ListPrefix(ctx context.Context, t site.Table, prefix string) (site.Listing, error)
-	// Changes waits for changes after a position. The error wraps site.ErrHistoryGone if
-	// the store does not have them.
-	Changes(ctx context.Context, t site.Table, after history.Position, wait time.Duration) (site.Listing, error)
 	// Put writes a row if it has the expected position; otherwise the error wraps
 	// site.ErrConflict or site.ErrEraEnded.
 	Put(ctx context.Context, t site.Table, key string, value []byte, expected history.Position) (site.Listing, error)
 	// PutUnconditionally writes a row whatever its version.
 	PutUnconditionally(ctx context.Context, t site.Table, key string, value []byte) error
-	// LastLargeResponse returns when a large response last began to arrive, zero if none
-	// has.
-	LastLargeResponse() time.Time
-	// Eras returns the eras that the store's answers have named.
-	Eras() *history.Eras
 	Close()
 }
 
--- a/service/gateway/queue.go
+++ b/service/gateway/queue.go
@@ -8,6 +8,7 @@
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/timer"
 )
 
 const (
@@ -45,7 +46,7 @@
 		case <-g.promptQueued:
 		}
 		for ctx.Err() == nil && g.stepQueues() {
-			sleep(ctx, queuePollInterval)
+			timer.Sleep(ctx, queuePollInterval)
 		}
 	}
 }
--- a/service/gateway/reachability.go
+++ b/service/gateway/reachability.go
@@ -12,6 +12,7 @@
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/suspects"
 )
 
@@ -177,7 +178,7 @@
 func (r *reachability) checkAgain(c *contact) (result route.CheckResult, connected bool) {
 	start := sinceStart()
 	for c.silence() < route.EndSilence {
-		sleep(r.g.ctx, route.EndSilence-c.silence())
+		timer.Sleep(r.g.ctx, route.EndSilence-c.silence())
 		switch {
 		case c.heardAt.Load() > start:
 			return route.CheckAlive, false
@@ -270,7 +271,7 @@
 // run waits until the replica has been silent for long enough and connects to it.
 func (r *reachability) run(c *contact, start int64) (result route.CheckResult, connected bool) {
 	for c.silence() < route.CheckSilence {
-		sleep(r.g.ctx, route.CheckSilence-c.silence())
+		timer.Sleep(r.g.ctx, route.CheckSilence-c.silence())
 		switch {
 		case c.heardAt.Load() > start:
 			return route.CheckAlive, false
--- a/service/gateway/replica_updates.go
+++ b/service/gateway/replica_updates.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/service/ratelimit"
 )
@@ -155,7 +156,7 @@
 // updateRecipients returns the nodes that this one sends updates to: all nodes of small
 // halls, and one relay for each large hall, a different one at each try.
 func (n *nodes) updateRecipients(try int) (direct, relays []netip.AddrPort) {
-	return n.members.View().Recipients(n.self.Name, maxDirectNodes, updateRelayDuty, try)
+	return n.members.View().Recipients(n.self.Name, control.MaxDirectNodes, updateRelayDuty, try)
 }
 
 // handleReplicaUpdates applies another node's updates and relays them if asked to.
--- a/service/gateway/silence_test.go
+++ b/service/gateway/silence_test.go
@@ -45,7 +45,7 @@
 
 // maxCallTime is enough for a held call to time out on a silent connection and be
 // answered on a new one, plus 3 s for a busy machine.
-const maxCallTime = cachePollWait + answerSlack + cachePollRetry + 3*time.Second
+const maxCallTime = cachePollWait + peer.AnswerSlack + cachePollRetry + 3*time.Second
 
 // Engine cache updates are sent over one connection between two nodes. After it had gone
 // silent, the receiving node never learned the contents of the data hall's engines again.
@@ -81,35 +81,6 @@
 	return nil
 }
 
-// After a reader's connection goes silent the store is asked instead, and then the
-// reader again once it is trusted again.
-func TestReaderIsUsedAgainAfterConnectionGoesSilent(t *testing.T) {
-	forEachSilentDirection(t, func(t *testing.T, silence func(*netproxy.Proxy)) {
-		h := newTestHall(t)
-		h.store.add("a")
-		h.readStore(t)
-		h.store.add("b")
-		_, err := h.reader.Changes(t.Context(), site.TableUpstreams, at(1), 0)
-		assert.NilError(t, err)
-		changes := func() {
-			t.Helper()
-			started := time.Now()
-			l, err := h.requester.Changes(t.Context(), site.TableUpstreams, at(1), storePollWait)
-			assert.NilError(t, err)
-			assert.Equal(t, len(l.Rows), 1)
-			assert.Assert(t, time.Since(started) < maxCallTime)
-		}
-		changes()
-		silence(h.proxy)
-		before := h.store.count()
-		changes()
-		assert.Equal(t, h.store.count(), before+1)
-		h.clearSkipped()
-		changes()
-		assert.Equal(t, h.store.count(), before+1, "the reader is asked again")
-	})
-}
-
 // Another node that follows a store passes its events on. After the connection to it
 // goes silent, the next call must succeed.
 func TestStoreEventsResumeAfterConnectionGoesSilent(t *testing.T) {
--- a/service/gateway/store_events.go
+++ b/service/gateway/store_events.go
@@ -37,6 +37,8 @@
 	// take over. Relayed events arrive later, so each node follows the stores itself as long
 	// as that fits.
 	spareWatches = 2
+	// relayTimeout limits how long a relay may take to answer a call that isn't held.
+	relayTimeout = time.Second
 	// maxKeptBatches is how many event batches of a store a relay keeps for other nodes.
 	maxKeptBatches = 512
 )
@@ -96,7 +98,7 @@
 func (r *storeEventRelay) changes(ctx context.Context, v *site.Service, boot, since int64, wait time.Duration) (c site.CacheChanges, err error) {
 	if addr, ok := r.relayFor(v); ok {
 		q := eventsRequest{Store: v.Name, Boot: boot, Since: since, WaitMS: wait.Milliseconds()}
-		err = r.client.CallWithin(ctx, wait+answerSlack, addr, methodStoreEvents, q, &c)
+		err = r.client.CallWithin(ctx, wait+peer.AnswerSlack, addr, methodStoreEvents, q, &c)
 		return c, eris.Wrap(err, "ask store event relay")
 	}
 	c, err = r.engines.Changes(ctx, v.Store.Addr, since, wait)
@@ -180,7 +182,7 @@
 // order. A relay of the previous version only knows the call for one store.
 func (r *storeEventRelay) pollSeveral(ctx context.Context, addr netip.AddrPort, requests []eventsRequest) (results []storeEventsResult, err error) {
 	defer func() { err = eris.Wrap(err, "ask store event relay") }()
-	err = r.client.CallWithin(ctx, refreshTimeout, addr, methodEventsOfStores, requests, &results)
+	err = r.client.CallWithin(ctx, relayTimeout, addr, methodEventsOfStores, requests, &results)
 	if peer.UnknownMethod(err) {
 		return r.pollOneByOne(ctx, addr, requests)
 	}
@@ -194,7 +196,7 @@
 	results := make([]storeEventsResult, len(requests))
 	for i, q := range requests {
 		q.WaitMS = 0
-		if err := r.client.CallWithin(ctx, refreshTimeout, addr, methodStoreEvents, q, &results[i].Changes); err != nil {
+		if err := r.client.CallWithin(ctx, relayTimeout, addr, methodStoreEvents, q, &results[i].Changes); err != nil {
 			results[i].Err = err.Error()
 		}
 	}
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -15,6 +15,7 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/timer"
 )
 
 const (
@@ -188,7 +189,7 @@
 		if !s.applyEvents(f, changes, err) {
 			pause = eventPollRetry
 		}
-		sleep(ctx, pause)
+		timer.Sleep(ctx, pause)
 	}
 }
 
@@ -219,10 +220,10 @@
 		}
 		if complete {
 			retry = relayPollRetry
-			sleep(ctx, relayPollPause)
+			timer.Sleep(ctx, relayPollPause)
 			continue
 		}
-		sleep(ctx, retry)
+		timer.Sleep(ctx, retry)
 		retry = min(relayPollPause, 2*retry)
 	}
 }
--- a/service/gateway/stores_test.go
+++ b/service/gateway/stores_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
@@ -179,3 +181,65 @@
 		return connected == count && parts == count-1
 	})
 }
+
+// Relaying to a whole hall takes more than a narrow link carries: a configuration of some 60
+// kB for 20 nodes occupies a link of 10 Mbit/s for a second.
+func TestRelayDutiesGoToWidestLinks(t *testing.T) {
+	wide := control.Member{Name: "wide", DataHall: "h", Incarnation: 1, Link: 200, Peer: netip.MustParseAddrPort("127.0.0.1:1")}
+	self := control.Member{Name: "n0", DataHall: "h", Incarnation: 1, Link: 10}
+	m := control.NewMembers(self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
+	list := []control.Member{wide}
+	for i := range 20 {
+		list = append(list, control.Member{Name: fmt.Sprintf("n%d", i), DataHall: "h", Incarnation: 1, Link: 10})
+	}
+	m.Merge(list, time.Now())
+	n := &nodes{eras: &history.Eras{}, self: self, members: m, loads: newLoadState()}
+	assert.Equal(t, n.loadRelays()["h"].Name, wide.Name)
+	for i := range 8 {
+		store := &site.Service{Name: fmt.Sprint("s", i), Store: &site.Store{MaxWatches: 4}}
+		relay, ok := newStoreEventRelay(nil, self, m, nil).relayFor(store)
+		assert.Assert(t, ok)
+		assert.Equal(t, relay, wide.Peer)
+	}
+	wide.State = control.MemberDead
+	m.Merge([]control.Member{wide}, time.Now())
+	assert.Assert(t, n.loadRelays()["h"].Name != wide.Name, "the others take over")
+}
+
+func TestRelayServesRecordedEvents(t *testing.T) {
+	r := newStoreEventRelay(nil, control.Member{}, nil, nil)
+	ask := func(boot, since int64) (site.CacheChanges, error) {
+		params, err := json.Marshal(eventsRequest{Store: "s", Boot: boot, Since: since, WaitMS: 1})
+		assert.NilError(t, err)
+		a, err := r.serve(t.Context(), params)
+		if err != nil {
+			return site.CacheChanges{}, err
+		}
+		return a.(site.CacheChanges), nil
+	}
+	_, err := ask(0, 0)
+	assert.ErrorIs(t, err, errNotFollowed)
+	batch := func(boot, next int64, part string) site.CacheChanges {
+		return site.CacheChanges{Boot: boot, Next: next, Changes: []site.CacheChange{{Realm: "r", Part: part, Tokens: 1}}}
+	}
+	r.record("s", 0, batch(1, 10, "a"))
+	r.record("s", 10, batch(1, 20, "b"))
+	c, err := ask(0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.Changes), 2)
+	assert.Equal(t, c.Next, int64(20))
+	c, err = ask(1, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.Changes), 1)
+	assert.Equal(t, c.Changes[0].Part, "b")
+	r.record("s", 20, batch(2, 5, "c")) // The store has restarted.
+	c, err = ask(1, 20)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Boot, int64(2))
+	assert.Equal(t, len(c.Changes), 1)
+	r.mu.Lock()
+	r.markLost("s")
+	r.mu.Unlock()
+	_, err = ask(2, 5)
+	assert.ErrorIs(t, err, errNotFollowed, "the events of a lost store are not served")
+}
--- a/service/gateway/suspension.go
+++ b/service/gateway/suspension.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// minSuspension is the shortest suspension of the machine after which the node syncs
-	// again: shorter ones age its state by less than updates are delayed anyway.
-	minSuspension = 100 * time.Millisecond
 	// maxResyncWait bounds how long a node waits to be synced again. If nothing answers,
 	// its state is as good as while the platform's store is unreachable.
 	maxResyncWait = 2 * time.Second
@@ -44,13 +41,13 @@
 func (g *Gateway) checkSuspension() {
 	total := boottime.Refresh()
 	s := g.suspension
-	if total-time.Duration(s.handled.Load()) < minSuspension {
+	if total-time.Duration(s.handled.Load()) < boottime.MinSuspension {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	suspended := total - time.Duration(s.handled.Load())
-	if suspended < minSuspension {
+	if suspended < boottime.MinSuspension {
 		return // Another goroutine has handled it.
 	}
 	now := boottime.Now()
@@ -67,7 +64,7 @@
 	g.origins.HandleSuspension(suspended)
 	closed := g.conns.closeAllIdle()
 	for _, f := range g.tableFollowers {
-		f.pollNow()
+		f.PollNow()
 	}
 	stores := g.kvStores.restart()
 	g.engineCaches.restart()
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -21,6 +21,7 @@
 	"github.com/drumpath/drumpath/service/peer"
 	"github.com/drumpath/drumpath/service/ratelimit"
 	"github.com/drumpath/drumpath/service/suspects"
+	"github.com/drumpath/drumpath/service/tables"
 )
 
 // components are the parts of a node that the dependency container builds.
@@ -33,7 +34,7 @@
 	Nodes        *nodes
 	Peers        *peer.Server
 	Client       *peer.Client
-	TableReader  *sharedReader
+	TableReader  *tables.Reader
 	StoreEvents  *storeEventRelay
 	KVStores     *kvStoreFollower
 	EngineCaches *engineCacheFollower
@@ -143,10 +144,10 @@
 			}
 			return u
 		},
-		func(m *control.Members, c *peer.Client) *sharedReader {
-			r := newSharedReader(p.Store, self, m, c, log)
-			r.direct = s.Disabled.SharedStoreReads
-			r.rowNumber = p.Codec.RowNumber
+		func(m *control.Members, c *peer.Client) *tables.Reader {
+			r := tables.NewReader(p.Store, self, m, c, log)
+			r.Direct = s.Disabled.SharedStoreReads
+			r.RowNumber = p.Codec.RowNumber
 			return r
 		},
 		newMetrics,
@@ -169,7 +170,7 @@
 
 // newNodes creates the part of this node that exchanges state with the others, and
 // registers the handlers of its datagrams.
-func newNodes(s config.GatewaySettings, self control.Member, members *control.Members, shares *coldShares, sus *suspects.Suspects, limits *ratelimit.Limits, store Store, siteState *SiteState, cacheIndex *route.CacheIndex, tableReader *sharedReader, c *canaries, o *origins.Origins, log *slog.Logger) (*nodes, error) {
+func newNodes(s config.GatewaySettings, self control.Member, members *control.Members, shares *coldShares, sus *suspects.Suspects, limits *ratelimit.Limits, store Store, siteState *SiteState, cacheIndex *route.CacheIndex, tableReader *tables.Reader, c *canaries, o *origins.Origins, log *slog.Logger) (*nodes, error) {
 	n := &nodes{
 		self:        self,
 		regions:     s.Regions,
@@ -187,7 +188,7 @@
 		loadsDue:    make(chan struct{}, 1),
 		incarnation: members.Self().Incarnation,
 	}
-	n.nodeTable = &tableFollower{store: tableReader, table: site.TableNodes, name: "nodes", apply: n.applyNodeRows, log: log}
+	n.nodeTable = &tables.Follower{Store: tableReader, Table: site.TableNodes, Name: "nodes", Apply: n.applyNodeRows, Log: log}
 	handle := func(from netip.AddrPort, p control.Probe) []control.Packet {
 		return members.Handle(from, p, time.Now(), 0)
 	}
@@ -217,18 +218,18 @@
 	n.probes.OnNote(origins.NoteLookup, decodeNote(n, o.HandleLookup))
 	o.SetNotifier(noteSender{n: n, maxDirect: maxDirectLookups})
 	o.SetFleet(originFleet{siteState, n})
-	sus.SetNotifier(noteSender{n: n, maxDirect: maxDirectNodes})
+	sus.SetNotifier(noteSender{n: n, maxDirect: control.MaxDirectNodes})
 	limits.SetAnnouncer(n)
 	return n, nil
 }
 
 // newPeerServer creates the server for calls from other nodes.
-func newPeerServer(s config.GatewaySettings, tableReader *sharedReader, storeEvents *storeEventRelay, engineCaches *engineCacheFollower, sus *suspects.Suspects, limits *ratelimit.Limits, c *canaries, o *origins.Origins, log *slog.Logger) (*peer.Server, error) {
+func newPeerServer(s config.GatewaySettings, tableReader *tables.Reader, storeEvents *storeEventRelay, engineCaches *engineCacheFollower, sus *suspects.Suspects, limits *ratelimit.Limits, c *canaries, o *origins.Origins, log *slog.Logger) (*peer.Server, error) {
 	server, err := peer.NewServer(s.Peer.Listen, map[peer.Role]string{peer.RolePeer: s.Peer.Key}, log)
 	if err != nil {
 		return nil, err
 	}
-	server.Handle(peer.RolePeer, methodTableChanges, tableReader.serve)
+	server.Handle(peer.RolePeer, tables.MethodChanges, tableReader.Serve)
 	server.Handle(peer.RolePeer, methodStoreEvents, storeEvents.serve)
 	server.Handle(peer.RolePeer, methodEventsOfStores, storeEvents.serveSeveral)
 	server.Handle(peer.RolePeer, methodCacheUpdates, engineCaches.serve)
--- a/service/peer/client.go
+++ b/service/peer/client.go
@@ -20,6 +20,8 @@
 	dialTimeout = time.Second
 	// unackedTimeout closes a connection on which sent data stays unacknowledged.
 	unackedTimeout = 1500 * time.Millisecond
+	// AnswerSlack is added to a call's hold time for the answer to begin.
+	AnswerSlack = 300 * time.Millisecond
 )
 
 // Dial connects to a node and authenticates with a hello call.
--- a/service/gateway/packed_rows_test.go
+++ b/service/tables/packed_rows_test.go
@@ -1,4 +1,4 @@
-package gateway
+package tables
 
 import (
 	"bytes"
--- a/service/gateway/readers.go
+++ b/service/tables/reader.go
@@ -1,4 +1,4 @@
-package gateway
+package tables
 
 import (
 	"context"
@@ -24,15 +24,9 @@
 // the store, asks another node and then the store itself; this needs no agreement between
 // nodes.
 const (
-	// methodTableChanges asks a reader for changes of a table. Nodes of releases before positions
+	// MethodChanges asks a reader for changes of a table. Nodes of releases before positions
 	// have "gateway.table_changes", and read from each other.
-	methodTableChanges = "gateway.table_changes_at"
-	// maxDirectNodes is the number of nodes up to which none works on behalf of the others:
-	// so few calls are saved that the additional ways to fail are not worth it. For reading
-	// tables all nodes count, otherwise those of a hall.
-	maxDirectNodes = 4
-	// readerDuty is the prefix of the duty of reading a table.
-	readerDuty = "read/"
+	MethodChanges = "gateway.table_changes_at"
 	// readersPerTable is how many readers are tried in turn. With only one, its loss sent each
 	// node of its hall to the store, where a configuration of 2.5 MB takes a link of 10 Mbit/s
 	// two seconds.
@@ -46,8 +40,6 @@
 	// minStorePollWait keeps a reader that has paused between polls from polling in a tight
 	// loop.
 	minStorePollWait = 300 * time.Millisecond
-	// answerSlack is added to a call's hold time for the answer to begin.
-	answerSlack = 300 * time.Millisecond
 	// maxReaderAge is the age of a reader's copy from which it is not trusted, unless the
 	// reader is receiving a response: its call to the store should have ended long before.
 	maxReaderAge = storePollWait + 500*time.Millisecond
@@ -81,17 +73,30 @@
 // errReaderBehind means that a reader's copy of a table is missing or too old.
 var errReaderBehind = errors.New("the reader has not heard from the store lately")
 
-// sharedReader reads the store's tables through other nodes where possible; its List and
+// Store is the part of the platform's store that a reader calls.
+type Store interface {
+	List(ctx context.Context, t site.Table) (site.Listing, error)
+	// Changes waits for changes after a position. The error wraps site.ErrHistoryGone if
+	// the store does not have them.
+	Changes(ctx context.Context, t site.Table, after history.Position, wait time.Duration) (site.Listing, error)
+	// LastLargeResponse returns when a large response last began to arrive, zero if none
+	// has.
+	LastLargeResponse() time.Time
+	// Eras returns the eras that the store's answers have named.
+	Eras() *history.Eras
+}
+
+// Reader reads the store's tables through other nodes where possible; its List and
 // Changes have the store's semantics.
-type sharedReader struct {
+type Reader struct {
 	store   Store
 	self    control.Member
 	members *control.Members
 	client  *peer.Client
 	log     *slog.Logger
-	direct  bool // Each node reads the store itself.
-	// rowNumber returns the number that a row's content has of its own, 0 if it has none.
-	rowNumber func(site.Row) int64
+	Direct  bool // Each node reads the store itself.
+	// RowNumber returns the number that a row's content has of its own, 0 if it has none.
+	RowNumber func(site.Row) int64
 	calls     sync.WaitGroup // Calls to the store under way.
 
 	mu           sync.Mutex
@@ -101,8 +106,9 @@
 	outages      map[site.Table]storeOutage
 }
 
-func newSharedReader(store Store, self control.Member, members *control.Members, client *peer.Client, log *slog.Logger) *sharedReader {
-	return &sharedReader{
+// NewReader returns the reader of a node. It calls the store, and other nodes through client.
+func NewReader(store Store, self control.Member, members *control.Members, client *peer.Client, log *slog.Logger) *Reader {
+	return &Reader{
 		store:        store,
 		self:         self,
 		members:      members,
@@ -111,7 +117,7 @@
 		tables:       map[site.Table]*cachedTable{},
 		skippedUntil: map[netip.AddrPort]time.Time{},
 		outages:      map[site.Table]storeOutage{},
-		rowNumber:    func(site.Row) int64 { return 0 },
+		RowNumber:    func(site.Row) int64 { return 0 },
 	}
 }
 
@@ -124,7 +130,7 @@
 }
 
 // currentPlan returns the plan for the current members; the caller holds mu.
-func (r *sharedReader) currentPlan() *readerPlan {
+func (r *Reader) currentPlan() *readerPlan {
 	view := r.members.View()
 	if r.plan.view != view {
 		r.plan = r.newPlan(view)
@@ -132,14 +138,14 @@
 	return &r.plan
 }
 
-func (r *sharedReader) newPlan(view *control.View) readerPlan {
+func (r *Reader) newPlan(view *control.View) readerPlan {
 	p := readerPlan{view: view, owners: map[site.Table][]control.Member{}}
-	p.shared = !r.direct && view.Counts().Alive > maxDirectNodes
+	p.shared = !r.Direct && view.Counts().Alive > control.MaxDirectNodes
 	if !p.shared {
 		return p
 	}
 	for _, t := range []site.Table{site.TableOperator, site.TableUpstreams, site.TableNodes} {
-		p.owners[t] = control.Owners(r.readerCandidates(view), readerDuty+tableName(t), readersPerTable)
+		p.owners[t] = control.Owners(r.readerCandidates(view), ReaderDuty(t), readersPerTable)
 	}
 	return p
 }
@@ -148,8 +154,8 @@
 // relaying to a whole hall takes more than a narrow link carries. A hall without a wide link,
 // like a small hall, reads through nodes of other halls. With a reader for each small hall, or
 // none, calls to the store were most of the cost of 18 nodes in 5 halls.
-func (r *sharedReader) readerCandidates(view *control.View) []control.Member {
-	if len(view.Hall(r.self.DataHall).Alive) > maxDirectNodes {
+func (r *Reader) readerCandidates(view *control.View) []control.Member {
+	if len(view.Hall(r.self.DataHall).Alive) > control.MaxDirectNodes {
 		if local := view.HallWithWideLinks(r.self.DataHall); len(local) > 0 {
 			return local
 		}
@@ -159,7 +165,7 @@
 
 // reader is the node that reads a table for this one; ok is false if this node reads it
 // itself.
-func (r *sharedReader) reader(t site.Table) (addr netip.AddrPort, ok bool) {
+func (r *Reader) reader(t site.Table) (addr netip.AddrPort, ok bool) {
 	now := boottime.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -175,12 +181,15 @@
 }
 
 // servesPeers reports whether peers may ask this node, and so depend on its copy being recent.
-func (r *sharedReader) servesPeers() bool {
+func (r *Reader) servesPeers() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.currentPlan().shared
 }
 
+// ReaderDuty names the duty of reading a table for others.
+func ReaderDuty(t site.Table) string { return "read/" + tableName(t) }
+
 func tableName(t site.Table) string {
 	switch t {
 	case site.TableUpstreams:
@@ -192,19 +201,13 @@
 	}
 }
 
-// aliveMembers lists the live nodes.
-func aliveMembers(m *control.Members) []control.Member { return m.View().Alive() }
-
-// hallMembers lists the live nodes of a hall.
-func hallMembers(m *control.Members, hall string) []control.Member { return m.View().Hall(hall).Alive }
-
 // List reads a whole table, through a reader if there is one.
-func (r *sharedReader) List(ctx context.Context, t site.Table) (l site.Listing, err error) {
+func (r *Reader) List(ctx context.Context, t site.Table) (l site.Listing, err error) {
 	return r.read(ctx, r.addBase(t, changesRequest{Whole: true}), 0)
 }
 
 // isFirst reports whether this node has no copy of a table yet, nor ever had one.
-func (r *sharedReader) isFirst(t site.Table) bool {
+func (r *Reader) isFirst(t site.Table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.table(t).position == history.Position{}
@@ -212,7 +215,7 @@
 
 // adoptNewer replaces the rows of a listing of which other nodes have newer contents, and returns their keys: the
 // store may have come back from a copy, and this node has just started.
-func (r *sharedReader) adoptNewer(ctx context.Context, t site.Table, l *site.Listing) (adopted []string) {
+func (r *Reader) adoptNewer(ctx context.Context, t site.Table, l *site.Listing) (adopted []string) {
 	ctx, cancel := context.WithTimeout(ctx, newerRowsTimeout)
 	defer cancel()
 	answers := 0
@@ -244,10 +247,10 @@
 }
 
 // adopt takes a row of another node's copy into a listing if its number is higher.
-func (r *sharedReader) adopt(l *site.Listing, row site.Row) bool {
+func (r *Reader) adopt(l *site.Listing, row site.Row) bool {
 	own, found := l.Find(row.Key)
-	number := r.rowNumber(row)
-	if number == 0 || found && r.rowNumber(own) >= number {
+	number := r.RowNumber(row)
+	if number == 0 || found && r.RowNumber(own) >= number {
 		return false
 	}
 	row.Position = l.Position
@@ -256,7 +259,7 @@
 }
 
 // Changes waits for changes of a table, as Store.Changes does.
-func (r *sharedReader) Changes(ctx context.Context, t site.Table, after history.Position, wait time.Duration) (l site.Listing, err error) {
+func (r *Reader) Changes(ctx context.Context, t site.Table, after history.Position, wait time.Duration) (l site.Listing, err error) {
 	if era, _, _ := r.store.Eras().Current(); after.Era < era {
 		return l, site.ErrHistoryGone // Without a call, so it does not tell that the store is reached.
 	}
@@ -266,7 +269,7 @@
 
 // storeWait is how long this node's own call for changes is held: its copy must not grow older
 // than peers trust, though it may have paused since the last call.
-func (r *sharedReader) storeWait(t site.Table, wait time.Duration) time.Duration {
+func (r *Reader) storeWait(t site.Table, wait time.Duration) time.Duration {
 	if !r.servesPeers() {
 		return wait
 	}
@@ -277,7 +280,7 @@
 
 // addBase adds the largest value that this node has to a request, for the answer to be packed
 // against.
-func (r *sharedReader) addBase(t site.Table, q changesRequest) changesRequest {
+func (r *Reader) addBase(t site.Table, q changesRequest) changesRequest {
 	q.Table = t
 	q.Era, _, _ = r.store.Eras().Current()
 	r.mu.Lock()
@@ -293,7 +296,7 @@
 
 // read asks the readers in turn, and then the store. Only the first call is a long poll: after
 // a failure the next answer must come at once.
-func (r *sharedReader) read(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
+func (r *Reader) read(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
 	for range readersPerTable {
 		addr, ok := r.reader(q.Table)
 		if !ok {
@@ -311,7 +314,7 @@
 }
 
 // readStore reads the store itself.
-func (r *sharedReader) readStore(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
+func (r *Reader) readStore(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
 	r.mu.Lock()
 	done := r.beginStoreCall(q.Table)
 	r.mu.Unlock()
@@ -320,7 +323,7 @@
 }
 
 // fetchFromStore is readStore within a call that beginStoreCall has recorded.
-func (r *sharedReader) fetchFromStore(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
+func (r *Reader) fetchFromStore(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
 	before := boottime.Refresh()
 	startedAt := boottime.Now()
 	if r.storeUnreachable(q.Table) {
@@ -342,7 +345,7 @@
 		adopted = r.adoptNewer(ctx, q.Table, &l)
 	}
 	// The response may have arrived before the machine was suspended; then it is not recent.
-	r.apply(q, l, boottime.Refresh()-before < minSuspension)
+	r.apply(q, l, boottime.Refresh()-before < boottime.MinSuspension)
 	r.markCarried(q.Table, adopted)
 	r.logRows(q, l, sourceStore, startedAt)
 	return l, nil
@@ -350,7 +353,7 @@
 
 // recordStoreCallFailed records that this node's own call failed, before the requests that wait
 // for it continue.
-func (r *sharedReader) recordStoreCallFailed(t site.Table) {
+func (r *Reader) recordStoreCallFailed(t site.Table) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table(t).storeFailedAt = boottime.Now()
@@ -358,7 +361,7 @@
 
 // beginStoreCall records that this node's own call to the store is in flight; the returned
 // function ends that. The caller of beginStoreCall holds mu, that of the function does not.
-func (r *sharedReader) beginStoreCall(t site.Table) func() {
+func (r *Reader) beginStoreCall(t site.Table) func() {
 	call := make(chan struct{})
 	x := r.table(t)
 	x.storeCall, x.storeCallAt = call, boottime.Now()
@@ -376,7 +379,7 @@
 const sourceStore = "store"
 
 // logRows logs received rows of the operator's table, which changes seldom and may be large.
-func (r *sharedReader) logRows(q changesRequest, l site.Listing, source string, startedAt time.Time) {
+func (r *Reader) logRows(q changesRequest, l site.Listing, source string, startedAt time.Time) {
 	if q.Table != site.TableOperator || len(l.Rows) == 0 {
 		return
 	}
@@ -389,7 +392,7 @@
 }
 
 // skipReader stops asking a reader that failed with err, for readerSkipTerm.
-func (r *sharedReader) skipReader(t site.Table, addr netip.AddrPort, startedAt time.Time, err error) {
+func (r *Reader) skipReader(t site.Table, addr netip.AddrPort, startedAt time.Time, err error) {
 	r.log.Warn("table read through peer failed", "table", tableName(t), "peer", addr, "after", boottime.Since(startedAt), "err", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -397,9 +400,9 @@
 }
 
 // askNode reads through another node.
-func (r *sharedReader) askNode(ctx context.Context, addr netip.AddrPort, q changesRequest) (l site.Listing, err error) {
+func (r *Reader) askNode(ctx context.Context, addr netip.AddrPort, q changesRequest) (l site.Listing, err error) {
 	startedAt := boottime.Now()
-	timeout := time.Duration(q.WaitMS)*time.Millisecond + answerSlack
+	timeout := time.Duration(q.WaitMS)*time.Millisecond + peer.AnswerSlack
 	switch {
 	case q.Whole:
 		timeout = wholeTableTimeout
@@ -415,10 +418,10 @@
 }
 
 // fetchFromNode asks another node for rows.
-func (r *sharedReader) fetchFromNode(ctx context.Context, addr netip.AddrPort, q changesRequest, timeout time.Duration) (l site.Listing, err error) {
+func (r *Reader) fetchFromNode(ctx context.Context, addr netip.AddrPort, q changesRequest, timeout time.Duration) (l site.Listing, err error) {
 	defer func() { err = eris.Wrap(err, "ask reader") }()
 	var answer changesAnswer
-	if err := r.client.CallWithin(ctx, timeout, addr, methodTableChanges, q, &answer); err != nil {
+	if err := r.client.CallWithin(ctx, timeout, addr, MethodChanges, q, &answer); err != nil {
 		return l, err
 	}
 	current := r.store.Eras().Observe(answer.Position.Era, boottime.RefreshNow())
--- a/service/gateway/readers_bench_test.go
+++ b/service/tables/reader_bench_test.go
@@ -1,4 +1,4 @@
-package gateway
+package tables
 
 import (
 	"encoding/json"
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -28,7 +29,7 @@
 }
 
 func newConfigurationValue(b *testing.B, routes int) []byte {
-	value, err := json.Marshal(onplatform.NewConfiguration(1, routes, hostCount))
+	value, err := json.Marshal(onplatform.NewConfiguration(1, routes, 200))
 	assert.NilError(b, err)
 	return value
 }
@@ -45,16 +46,16 @@
 	defer server.Close()
 	client := peer.NewClient("key")
 	defer client.Close()
-	links := newLinks()
+	links := netproxy.NewNetwork()
 	defer links.Close()
 	self := control.Member{Name: "n", DataHall: "h", Incarnation: 1}
 	members := control.NewMembers(self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
-	reader := newSharedReader(nil, self, members, client, log)
-	requester := newSharedReader(nil, self, members, client, log)
-	server.Handle(peer.RolePeer, methodTableChanges, reader.serve)
+	reader := NewReader(nil, self, members, client, log)
+	requester := NewReader(nil, self, members, client, log)
+	server.Handle(peer.RolePeer, MethodChanges, reader.Serve)
 	server.Start()
-	link := newLink(unlimitedMbit)
-	addr := links.connect(b, link, nil, server.Addr())
+	link := netproxy.NewSharedLink(unlimitedMbit)
+	addr := connect(b, links, link, nil, server.Addr())
 
 	table := site.TableOperator
 	reader.apply(changesRequest{Table: table, Whole: true}, site.Listing{Rows: []site.Row{{Key: operatorKey, Value: values[0], Position: at(1)}}, Position: at(1)}, true)
@@ -75,5 +76,24 @@
 		assert.Equal(b, len(got.Rows[0].Value), len(value))
 		version = row.Position.Version
 	}
-	b.ReportMetric(float64(link.received.Load())/float64(b.N), "link-B/op")
+	b.ReportMetric(float64(link.Received())/float64(b.N), "link-B/op")
+}
+
+// BenchmarkChooseReader measures choosing the node that reads the store, done twice a
+// second and more.
+func BenchmarkChooseReader(b *testing.B) {
+	const halls = 5
+	for _, nodes := range []int{18, 91, 295, 900} {
+		b.Run(fmt.Sprintf("%dnodes", nodes), func(b *testing.B) {
+			list := fleetMembers(nodes, halls)
+			m := control.NewMembers(list[0], time.Second, nil, rand.New(rand.NewPCG(1, 2)))
+			m.Merge(list, time.Now())
+			r := NewReader(nil, list[0], m, nil, slog.New(slog.DiscardHandler))
+			b.ReportAllocs()
+			for b.Loop() {
+				r.reader(site.TableUpstreams)
+				r.servesPeers()
+			}
+		})
+	}
 }
--- a/service/gateway/reader_serve.go
+++ b/service/tables/reader_serve.go
@@ -1,4 +1,4 @@
-package gateway
+package tables
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
-// changesRequest holds the parameters of methodTableChanges; Whole asks for the whole table.
+// changesRequest holds the parameters of MethodChanges; Whole asks for the whole table.
 type changesRequest struct {
 	Table site.Table `json:"table"`
 	// Era is the newest era that the requesting node knows. An answer of an earlier one is of no
@@ -50,8 +50,8 @@
 	HistoryGone bool `json:"gone,omitempty"`
 }
 
-// serve handles methodTableChanges; like the store, it waits for changes.
-func (r *sharedReader) serve(ctx context.Context, params json.RawMessage) (any, error) {
+// Serve handles MethodChanges; like the store, it waits for changes.
+func (r *Reader) Serve(ctx context.Context, params json.RawMessage) (any, error) {
 	var q changesRequest
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, eris.Wrap(err, "bad parameters")
@@ -87,7 +87,7 @@
 // refreshFromStore reads the store if this node is asked for a table whose copy is stale,
 // because another reader failed or this node has just started. If such requests were refused
 // instead, each node of the hall would call the store itself.
-func (r *sharedReader) refreshFromStore(ctx context.Context, q changesRequest) {
+func (r *Reader) refreshFromStore(ctx context.Context, q changesRequest) {
 	timeout := refreshTimeout
 	if q.Whole {
 		timeout = wholeRefreshTimeout
@@ -133,7 +133,7 @@
 
 // answer builds the answer from the cached table, and returns until when that copy is trusted;
 // the error is errReaderBehind if there is no copy.
-func (r *sharedReader) answer(q changesRequest) (answer changesAnswer, changed chan struct{}, trustedUntil time.Time, err error) {
+func (r *Reader) answer(q changesRequest) (answer changesAnswer, changed chan struct{}, trustedUntil time.Time, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.tables[q.Table]
--- a/service/gateway/reader_table.go
+++ b/service/tables/reader_table.go
@@ -1,4 +1,4 @@
-package gateway
+package tables
 
 import (
 	"bytes"
@@ -49,7 +49,7 @@
 const maxAgeTold = 24 * time.Hour
 
 // table returns the copy of a table, and creates it if needed; the caller holds mu.
-func (r *sharedReader) table(t site.Table) *cachedTable {
+func (r *Reader) table(t site.Table) *cachedTable {
 	x := r.tables[t]
 	if x == nil {
 		x = &cachedTable{changed: make(chan struct{}), former: map[string]formerValues{}, large: map[string]valueDigest{}, carried: map[string]bool{}}
@@ -61,7 +61,7 @@
 // apply merges an answer into the copy that is served to peers, whether the store or a peer
 // gave it: without the answers of peers, the history served here would have gaps. fromStore is
 // set if the store itself answered.
-func (r *sharedReader) apply(q changesRequest, l site.Listing, fromStore bool) {
+func (r *Reader) apply(q changesRequest, l site.Listing, fromStore bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.table(q.Table)
@@ -127,7 +127,7 @@
 }
 
 // logNewEra logs how the first listing of an era differs from the copy of the era before.
-func (r *sharedReader) logNewEra(t site.Table, before, after history.Position, old map[string]site.Row, x *cachedTable) {
+func (r *Reader) logNewEra(t site.Table, before, after history.Position, old map[string]site.Row, x *cachedTable) {
 	differ, missing := 0, 0
 	for key, row := range x.rows {
 		if former, known := old[key]; !known || former.Gone || !bytes.Equal(former.Value, row.Value) {
@@ -145,9 +145,9 @@
 
 // newerContent returns a row as it is to be kept once the store has come back from a copy: its content may be
 // older than that of the known row.
-func (r *sharedReader) newerContent(x *cachedTable, known, read site.Row) site.Row {
-	state := history.State{Position: known.Position, Number: r.rowNumber(known)}
-	if state.IsReplacedBy(history.State{Position: read.Position, Number: r.rowNumber(read)}) {
+func (r *Reader) newerContent(x *cachedTable, known, read site.Row) site.Row {
+	state := history.State{Position: known.Position, Number: r.RowNumber(known)}
+	if state.IsReplacedBy(history.State{Position: read.Position, Number: r.RowNumber(read)}) {
 		delete(x.carried, read.Key)
 		return read
 	}
@@ -158,10 +158,10 @@
 
 // carryMissing keeps the rows that the store's copy lacks and whose contents have numbers of their own. newEra is
 // set for the first listing of an era.
-func (r *sharedReader) carryMissing(x *cachedTable, old map[string]site.Row, newEra bool) {
+func (r *Reader) carryMissing(x *cachedTable, old map[string]site.Row, newEra bool) {
 	for key, row := range old {
 		_, there := x.rows[key]
-		if there || !newEra && !x.carried[key] || r.rowNumber(row) == 0 {
+		if there || !newEra && !x.carried[key] || r.RowNumber(row) == 0 {
 			continue
 		}
 		row.Position = x.historyStart
@@ -170,7 +170,7 @@
 }
 
 // markCarried records rows whose contents are newer than the store's.
-func (r *sharedReader) markCarried(t site.Table, keys []string) {
+func (r *Reader) markCarried(t site.Table, keys []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, key := range keys {
@@ -202,7 +202,7 @@
 // packForPeers packs the changes for peers that are up to date before they ask. Packing takes
 // some 13 ms for 5,600 routes; done on request, it could end after the peers' long polls have
 // timed out.
-func (r *sharedReader) packForPeers(x *cachedTable, since history.Position, rows []site.Row) {
+func (r *Reader) packForPeers(x *cachedTable, since history.Position, rows []site.Row) {
 	for _, row := range rows {
 		if former := x.former[row.Key]; len(former) > 0 && len(row.Value) >= minBaseSize {
 			q := changesRequest{After: since, HaveRef: rowRef{Key: row.Key, Digest: former[0].digest}}
--- a/service/gateway/readers_test.go
+++ b/service/tables/reader_test.go
@@ -1,16 +1,14 @@
-package gateway
+package tables
 
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,91 +19,22 @@
 	"pgregory.net/rapid"
 
 	"github.com/drumpath/drumpath/internal/netproxy"
+	"github.com/drumpath/drumpath/internal/standin/memtable"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/platform"
 	"github.com/drumpath/drumpath/service/peer"
 )
 
-// fakeTableStore is the platform's store with one table.
-type fakeTableStore struct {
-	mu           sync.Mutex
-	rows         []site.Row
-	version      int64
-	historyStart int64 // Changes up to this version are no longer available.
-	calls        int
-	fail         bool
-	era          history.Era
-	eras         history.Eras
-}
-
-func (s *fakeTableStore) add(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.rows = append(s.rows, site.Row{Key: key, Position: at(s.version), Value: []byte(key)})
-}
-
-func (s *fakeTableStore) List(context.Context, site.Table) (site.Listing, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if s.fail {
-		return site.Listing{}, fmt.Errorf("down")
-	}
-	return site.Listing{Rows: append([]site.Row(nil), s.rows...), Position: inEra(s.era, s.version)}, nil
-}
-
-func (s *fakeTableStore) ListPrefix(ctx context.Context, t site.Table, prefix string) (site.Listing, error) {
-	l, err := s.List(ctx, t)
-	l.Rows = slices.DeleteFunc(l.Rows, func(r site.Row) bool { return !strings.HasPrefix(r.Key, prefix) })
-	return l, err
-}
-
-func (s *fakeTableStore) Changes(_ context.Context, _ site.Table, after history.Position, _ time.Duration) (site.Listing, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if s.fail {
-		return site.Listing{}, fmt.Errorf("down")
-	}
-	if after.Before(at(s.historyStart)) {
-		return site.Listing{}, site.ErrHistoryGone
-	}
-	l := site.Listing{Position: at(s.version)}
-	for _, r := range s.rows {
-		if after.Before(r.Position) {
-			l.Rows = append(l.Rows, r)
-		}
-	}
-	return l, nil
-}
-
-func (s *fakeTableStore) Put(context.Context, site.Table, string, []byte, history.Position) (site.Listing, error) {
-	return site.Listing{}, nil
-}
-
-func (s *fakeTableStore) PutUnconditionally(context.Context, site.Table, string, []byte) error {
-	return nil
-}
-func (s *fakeTableStore) LastLargeResponse() time.Time { return time.Time{} }
-func (s *fakeTableStore) Eras() *history.Eras          { return &s.eras }
-func (s *fakeTableStore) Close()                       {}
-
-func (s *fakeTableStore) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
 // at returns a position in the first era.
 func at(version int64) history.Position { return history.Position{Version: version} }
 
 // testHall has two real nodes of one hall: reader, and requester, which asks it.
 type testHall struct {
-	store             *fakeTableStore
-	reader, requester *sharedReader
+	store             *memtable.Store
+	reader, requester *Reader
 	server            *peer.Server
 	proxy             *netproxy.Proxy // In front of the reader.
 }
@@ -118,10 +47,10 @@
 	assert.NilError(t, err)
 	client := peer.NewClient("key")
 	var list []control.Member
-	for i := range maxDirectNodes + 2 {
+	for i := range control.MaxDirectNodes + 2 {
 		list = append(list, control.Member{Name: fmt.Sprintf("n%d", i), DataHall: "h", Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i)), Incarnation: 1})
 	}
-	owner, ok := control.Owner(list, readerDuty+tableName(site.TableUpstreams))
+	owner, ok := control.Owner(list, ReaderDuty(site.TableUpstreams))
 	assert.Assert(t, ok)
 	requester := control.Member{}
 	for i := range list {
@@ -137,15 +66,15 @@
 		m.Merge(list, time.Now())
 		return m
 	}
-	store := &fakeTableStore{}
+	store := &memtable.Store{}
 	h := &testHall{
 		store:     store,
-		reader:    newSharedReader(store, owner, members(owner), client, log),
-		requester: newSharedReader(store, requester, members(requester), client, log),
+		reader:    NewReader(store, owner, members(owner), client, log),
+		requester: NewReader(store, requester, members(requester), client, log),
 		server:    server,
 		proxy:     proxy,
 	}
-	server.Handle(peer.RolePeer, methodTableChanges, h.reader.serve)
+	server.Handle(peer.RolePeer, MethodChanges, h.reader.Serve)
 	server.Start()
 	t.Cleanup(func() {
 		client.Close()
@@ -183,20 +112,20 @@
 
 func TestHallNodesAskTheReader(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
-	before := h.store.count()
+	before := h.store.CallCount()
 	l, err := h.requester.List(t.Context(), site.TableUpstreams)
 	assert.NilError(t, err)
 	assert.Equal(t, len(l.Rows), 1)
-	assert.Equal(t, h.store.count(), before, "the store was not asked")
+	assert.Equal(t, h.store.CallCount(), before, "the store was not asked")
 	done := make(chan site.Listing, 1)
 	go func() {
 		l, err := h.requester.Changes(context.Background(), site.TableUpstreams, l.Position, time.Second)
 		assert.Check(t, err == nil)
 		done <- l
 	}()
-	h.store.add("b")
+	h.store.Add("b")
 	_, err = h.reader.Changes(t.Context(), site.TableUpstreams, l.Position, time.Second)
 	assert.NilError(t, err)
 	got := <-done
@@ -206,34 +135,34 @@
 // A reader that can't reach the store itself is not trusted.
 func TestStaleReaderIsSkipped(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
-	h.reader.store = &fakeTableStore{fail: true}
+	h.reader.store = &memtable.Store{Fail: true}
 	h.makeReaderStale()
-	h.store.add("b")
+	h.store.Add("b")
 	l, err := h.requester.List(t.Context(), site.TableUpstreams)
 	assert.NilError(t, err)
 	assert.Equal(t, len(l.Rows), 2, "the store itself was asked")
-	before := h.store.count()
+	before := h.store.CallCount()
 	_, err = h.requester.List(t.Context(), site.TableUpstreams)
 	assert.NilError(t, err)
-	assert.Equal(t, h.store.count(), before+1, "and for a while after that")
+	assert.Equal(t, h.store.CallCount(), before+1, "and for a while after that")
 }
 
 // A node that becomes the reader has a stale copy when it is first asked. It reads the store
 // once for all requesters.
 func TestStaleReaderReadsStoreOnceForAllRequesters(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
 	h.makeReaderStale()
-	h.store.add("b")
+	h.store.Add("b")
 	h.checkReadOnceForAll(t, 1)
 	h.makeReaderStale()
-	h.store.add("c")
-	h.store.mu.Lock()
-	h.store.historyStart = h.store.version
-	h.store.mu.Unlock()
+	h.store.Add("c")
+	h.store.Mu.Lock()
+	h.store.HistoryStart = h.store.Version
+	h.store.Mu.Unlock()
 	h.checkReadOnceForAll(t, 2) // A call for the changes, and one for the whole table.
 }
 
@@ -241,21 +170,21 @@
 // the store.
 func (h *testHall) checkReadOnceForAll(t *testing.T, calls int) {
 	t.Helper()
-	before := h.store.count()
+	before := h.store.CallCount()
 	var wg sync.WaitGroup
 	for range 8 {
 		wg.Go(func() {
 			l, err := h.requester.List(t.Context(), site.TableUpstreams)
-			assert.Check(t, err == nil && len(l.Rows) == len(h.store.rows), "%v", err)
+			assert.Check(t, err == nil && len(l.Rows) == len(h.store.Rows), "%v", err)
 		})
 	}
 	wg.Wait()
-	assert.Equal(t, h.store.count(), before+calls)
+	assert.Equal(t, h.store.CallCount(), before+calls)
 }
 
 func TestClosedReaderIsSkipped(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
 	h.server.Close()
 	l, err := h.requester.List(t.Context(), site.TableUpstreams)
@@ -265,7 +194,7 @@
 
 func TestReaderWithoutTableIsSkipped(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	l, err := h.requester.List(t.Context(), site.TableUpstreams)
 	assert.NilError(t, err)
 	assert.Equal(t, len(l.Rows), 1)
@@ -273,33 +202,37 @@
 
 func TestReaderReportsMissingHistory(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
-	h.store.add("b")
+	h.store.Add("a")
+	h.store.Add("b")
 	h.readStore(t)
 	_, err := h.requester.Changes(t.Context(), site.TableUpstreams, at(1), 10*time.Millisecond)
 	assert.ErrorIs(t, err, site.ErrHistoryGone)
 }
 
-// fleetReaders returns the sharedReader of each node of a fleet, by node name.
-func fleetReaders(count, halls int) map[string]*sharedReader {
-	var list []control.Member
+// fleetMembers returns the nodes of a fleet.
+func fleetMembers(count, halls int) (list []control.Member) {
 	for i := range count {
 		list = append(list, control.Member{
 			Name: fmt.Sprint("n", i), DataHall: fmt.Sprint("h", i%halls), Incarnation: 1,
 			Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i)),
 		})
 	}
-	fleet := map[string]*sharedReader{}
+	return list
+}
+
+// fleetReaders returns the reader of each node of a fleet, by node name.
+func fleetReaders(count, halls int) map[string]*Reader {
+	fleet, list := map[string]*Reader{}, fleetMembers(count, halls)
 	for _, self := range list {
 		m := control.NewMembers(self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
 		m.Merge(list, time.Now())
-		fleet[self.Name] = newSharedReader(&fakeTableStore{}, self, m, nil, slog.New(slog.DiscardHandler))
+		fleet[self.Name] = NewReader(&memtable.Store{}, self, m, nil, slog.New(slog.DiscardHandler))
 	}
 	return fleet
 }
 
 func TestFewNodesReadStoreDirectly(t *testing.T) {
-	for count := 1; count <= maxDirectNodes; count++ {
+	for count := 1; count <= control.MaxDirectNodes; count++ {
 		for _, r := range fleetReaders(count, 2) {
 			_, ok := r.reader(site.TableUpstreams)
 			assert.Assert(t, !ok)
@@ -333,20 +266,20 @@
 // ask the reader must not miss changes it had already received. Found by the soak, seed 129.
 func TestReaderIgnoresOlderWholeTable(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
-	h.store.add("a") // Again.
+	h.store.Add("a") // Again.
 	_, err := h.reader.Changes(t.Context(), site.TableUpstreams, at(1), 0)
 	assert.NilError(t, err)
-	h.store.mu.Lock()
-	rows, version := h.store.rows, h.store.version
-	h.store.rows, h.store.version = rows[:1], 1
-	h.store.mu.Unlock()
+	h.store.Mu.Lock()
+	rows, version := h.store.Rows, h.store.Version
+	h.store.Rows, h.store.Version = rows[:1], 1
+	h.store.Mu.Unlock()
 	_, err = h.reader.List(t.Context(), site.TableUpstreams)
 	assert.NilError(t, err)
-	h.store.mu.Lock()
-	h.store.rows, h.store.version = rows, version
-	h.store.mu.Unlock()
+	h.store.Mu.Lock()
+	h.store.Rows, h.store.Version = rows, version
+	h.store.Mu.Unlock()
 	l, err := h.requester.Changes(t.Context(), site.TableUpstreams, at(1), 10*time.Millisecond)
 	assert.NilError(t, err)
 	assert.Equal(t, len(l.Rows), 1, "position %s without its row", l.Position)
@@ -357,21 +290,21 @@
 // store, which does not report it again. Found by the soak, seed 129.
 func TestChangesReceivedFromPeersArePassedOn(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
-	h.store.add("b")
+	h.store.Add("b")
 	_, err := h.reader.Changes(t.Context(), site.TableUpstreams, at(1), 0)
 	assert.NilError(t, err)
 	_, err = h.requester.List(t.Context(), site.TableUpstreams)
 	assert.NilError(t, err)
-	h.store.add("c")
+	h.store.Add("c")
 	_, err = h.reader.Changes(t.Context(), site.TableUpstreams, at(2), 0)
 	assert.NilError(t, err)
 	l, err := h.requester.Changes(t.Context(), site.TableUpstreams, at(2), 0)
 	assert.NilError(t, err)
 	assert.Equal(t, l.Rows[0].Key, "c")
 	h.skipReader() // The requester reads the store itself from now on.
-	h.store.add("d")
+	h.store.Add("d")
 	_, err = h.requester.Changes(t.Context(), site.TableUpstreams, l.Position, 0)
 	assert.NilError(t, err)
 	a, _, _, err := h.requester.answer(changesRequest{Table: site.TableUpstreams, After: at(2)})
@@ -385,7 +318,7 @@
 // An answer that arrives after a newer one does not revert rows.
 func TestLateAnswerDoesNotRevertRow(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
 	q := changesRequest{Table: site.TableUpstreams, After: at(1)}
 	row := func(version int64) site.Listing {
@@ -403,7 +336,7 @@
 // After missed changes a node serves nothing until it has read the whole table.
 func TestReaderWithMissedChangesDoesNotAnswer(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
 	h.reader.apply(changesRequest{Table: site.TableUpstreams, After: at(5)}, site.Listing{Position: at(6)}, true)
 	_, _, _, err := h.reader.answer(changesRequest{Table: site.TableUpstreams, After: at(1)})
@@ -414,9 +347,9 @@
 // A node that the store refuses reads from its peers.
 func TestNodeWithoutStoreReadsFromPeers(t *testing.T) {
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
-	failing := &fakeTableStore{fail: true}
+	failing := &memtable.Store{Fail: true}
 	h.requester.store = failing
 	var logged bytes.Buffer
 	h.requester.log = slog.New(slog.NewTextHandler(&logged, nil))
@@ -436,25 +369,25 @@
 	l, err := h.requester.List(t.Context(), site.TableUpstreams)
 	assert.NilError(t, err)
 	assert.Equal(t, len(l.Rows), 1)
-	h.store.add("b")
+	h.store.Add("b")
 	_, err = h.reader.Changes(t.Context(), site.TableUpstreams, l.Position, 0)
 	assert.NilError(t, err)
-	calls := failing.count()
+	calls := failing.CallCount()
 	l, err = h.requester.Changes(t.Context(), site.TableUpstreams, l.Position, time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, l.Rows[0].Key, "b")
-	assert.Equal(t, failing.count(), calls, "the store is not called for a while")
+	assert.Equal(t, failing.CallCount(), calls, "the store is not called for a while")
 	h.requester.mu.Lock()
 	outage := h.requester.outages[site.TableUpstreams]
 	outage.retryAt = time.Time{}
 	h.requester.outages[site.TableUpstreams] = outage
 	h.requester.mu.Unlock()
-	failing.mu.Lock()
-	failing.fail, failing.version, failing.rows = false, l.Position.Version, nil
-	failing.mu.Unlock()
+	failing.Mu.Lock()
+	failing.Fail, failing.Version, failing.Rows = false, l.Position.Version, nil
+	failing.Mu.Unlock()
 	_, err = h.requester.Changes(t.Context(), site.TableUpstreams, l.Position, 0)
 	assert.NilError(t, err)
-	assert.Assert(t, failing.count() > calls, "then it is tried again")
+	assert.Assert(t, failing.CallCount() > calls, "then it is tried again")
 	assert.Assert(t, !h.requester.storeUnreachable(site.TableUpstreams))
 	assert.Equal(t, strings.Count(logged.String(), "store not reached"), 1, "one line when it is lost")
 	assert.Equal(t, strings.Count(logged.String(), "store reached again"), 1, "and one when it is back")
@@ -467,7 +400,7 @@
 	h.reader.mu.Lock()
 	h.reader.tables[site.TableUpstreams].storeReadAt = time.Now().Add(-outageMaxAge - time.Second)
 	h.reader.mu.Unlock()
-	h.requester.store = &fakeTableStore{fail: true}
+	h.requester.store = &memtable.Store{Fail: true}
 	h.reader.store = h.requester.store
 	h.skipReader()
 	_, err := h.requester.List(t.Context(), site.TableUpstreams)
@@ -483,8 +416,8 @@
 	h.reader.mu.Lock()
 	h.reader.tables[site.TableUpstreams].storeReadAt = time.Now().Add(-outageMaxAge - time.Second)
 	h.reader.mu.Unlock()
-	failing := &fakeTableStore{fail: true}
-	h.reader.store = &fakeTableStore{fail: true}
+	failing := &memtable.Store{Fail: true}
+	h.reader.store = &memtable.Store{Fail: true}
 	h.requester.store = failing
 	var list []control.Member
 	for _, m := range h.requester.members.All() {
@@ -499,14 +432,14 @@
 		_, err := h.requester.Changes(t.Context(), site.TableUpstreams, at(1), time.Second)
 		assert.Assert(t, err != nil, "no node has a recent copy")
 	}
-	assert.Assert(t, failing.count() <= 1+int(time.Since(startedAt)/storeRetryInterval), "%d calls in %v", failing.count(), time.Since(startedAt))
+	assert.Assert(t, failing.CallCount() <= 1+int(time.Since(startedAt)/storeRetryInterval), "%d calls in %v", failing.CallCount(), time.Since(startedAt))
 	assert.Assert(t, !h.requester.isReader(site.TableUpstreams))
 	assert.Assert(t, h.reader.isReader(site.TableUpstreams))
 }
 
 // Relaying to a whole hall takes more than a narrow link carries: a configuration of some 60
 // kB for 20 nodes occupies a link of 10 Mbit/s for a second.
-func TestRelayDutiesGoToWidestLinks(t *testing.T) {
+func TestNodesWithWidestLinksRead(t *testing.T) {
 	wide := control.Member{Name: "wide", DataHall: "h", Incarnation: 1, Link: 200, Peer: netip.MustParseAddrPort("127.0.0.1:1")}
 	self := control.Member{Name: "n0", DataHall: "h", Incarnation: 1, Link: 10}
 	m := control.NewMembers(self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
@@ -516,59 +449,10 @@
 	}
 	m.Merge(list, time.Now())
 	for _, table := range []site.Table{site.TableOperator, site.TableUpstreams} {
-		reader, ok := newSharedReader(nil, self, m, nil, nil).reader(table)
+		reader, ok := NewReader(nil, self, m, nil, nil).reader(table)
 		assert.Assert(t, ok)
 		assert.Equal(t, reader, wide.Peer)
 	}
-	n := &nodes{eras: &history.Eras{}, self: self, members: m, loads: newLoadState()}
-	assert.Equal(t, n.loadRelays()["h"].Name, wide.Name)
-	for i := range 8 {
-		store := &site.Service{Name: fmt.Sprint("s", i), Store: &site.Store{MaxWatches: 4}}
-		relay, ok := newStoreEventRelay(nil, self, m, nil).relayFor(store)
-		assert.Assert(t, ok)
-		assert.Equal(t, relay, wide.Peer)
-	}
-	wide.State = control.MemberDead
-	m.Merge([]control.Member{wide}, time.Now())
-	assert.Assert(t, n.loadRelays()["h"].Name != wide.Name, "the others take over")
-}
-
-func TestRelayServesRecordedEvents(t *testing.T) {
-	r := newStoreEventRelay(nil, control.Member{}, nil, nil)
-	ask := func(boot, since int64) (site.CacheChanges, error) {
-		params, err := json.Marshal(eventsRequest{Store: "s", Boot: boot, Since: since, WaitMS: 1})
-		assert.NilError(t, err)
-		a, err := r.serve(t.Context(), params)
-		if err != nil {
-			return site.CacheChanges{}, err
-		}
-		return a.(site.CacheChanges), nil
-	}
-	_, err := ask(0, 0)
-	assert.ErrorIs(t, err, errNotFollowed)
-	batch := func(boot, next int64, part string) site.CacheChanges {
-		return site.CacheChanges{Boot: boot, Next: next, Changes: []site.CacheChange{{Realm: "r", Part: part, Tokens: 1}}}
-	}
-	r.record("s", 0, batch(1, 10, "a"))
-	r.record("s", 10, batch(1, 20, "b"))
-	c, err := ask(0, 0)
-	assert.NilError(t, err)
-	assert.Equal(t, len(c.Changes), 2)
-	assert.Equal(t, c.Next, int64(20))
-	c, err = ask(1, 10)
-	assert.NilError(t, err)
-	assert.Equal(t, len(c.Changes), 1)
-	assert.Equal(t, c.Changes[0].Part, "b")
-	r.record("s", 20, batch(2, 5, "c")) // The store has restarted.
-	c, err = ask(1, 20)
-	assert.NilError(t, err)
-	assert.Equal(t, c.Boot, int64(2))
-	assert.Equal(t, len(c.Changes), 1)
-	r.mu.Lock()
-	r.markLost("s")
-	r.mu.Unlock()
-	_, err = ask(2, 5)
-	assert.ErrorIs(t, err, errNotFollowed, "the events of a lost store are not served")
 }
 
 // cutOffLimit is the time within which a node must receive a change though its reader is cut
@@ -579,6 +463,7 @@
 const (
 	cutOffLimit      = 1900 * time.Millisecond
 	slowReceiveLimit = 2600 * time.Millisecond
+	inForceWithin    = 3 * time.Second
 )
 
 // timeToReceive returns how long the requester takes to receive a change that the store
@@ -598,7 +483,7 @@
 // itself and just now.
 func (h *testHall) fillBoth(t *testing.T) {
 	t.Helper()
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
 	_, err := h.requester.List(t.Context(), site.TableUpstreams)
 	assert.NilError(t, err)
@@ -606,13 +491,13 @@
 }
 
 // blackholeStore is the store behind a cut link: calls end at their timeout.
-type blackholeStore struct{ *fakeTableStore }
+type blackholeStore struct{ *memtable.Store }
 
 // callTimeout is by how much a call's timeout exceeds its hold time.
 const callTimeout = 700 * time.Millisecond
 
 func (s blackholeStore) Changes(ctx context.Context, _ site.Table, _ history.Position, wait time.Duration) (site.Listing, error) {
-	sleep(ctx, wait+callTimeout)
+	timer.Sleep(ctx, wait+callTimeout)
 	return site.Listing{}, fmt.Errorf("timeout")
 }
 
@@ -632,7 +517,7 @@
 		}
 	}()
 	time.Sleep(20 * time.Millisecond) // The first call is in flight.
-	h.store.add("b")
+	h.store.Add("b")
 	took := h.timeToReceive(t, at(1))
 	t.Logf("received after %v", took)
 	assert.Assert(t, took < cutOffLimit, "%v", took)
@@ -640,7 +525,7 @@
 
 // slowStore is the store behind a slow link: a large response has begun and keeps arriving.
 type slowStore struct {
-	*fakeTableStore
+	*memtable.Store
 	largeAt time.Time
 }
 
@@ -663,7 +548,7 @@
 		_, _ = h.reader.readStore(t.Context(), changesRequest{Table: site.TableUpstreams, After: at(1)}, storePollWait) // It never ends.
 	}()
 	time.Sleep(50 * time.Millisecond) // The call is in flight.
-	h.store.add("b")
+	h.store.Add("b")
 	took := h.timeToReceive(t, at(1))
 	t.Logf("received after %v", took)
 	assert.Assert(t, took < slowReceiveLimit, "%v", took)
@@ -680,20 +565,20 @@
 		mbit = 4
 	)
 	h := newTestHall(t)
-	links := newLinks()
+	links := netproxy.NewNetwork()
 	defer links.Close()
-	link := newLink(mbit)
-	h.setReaderAddr(links.connect(t, link, nil, h.server.Addr()))
+	link := netproxy.NewSharedLink(mbit)
+	h.setReaderAddr(connect(t, links, link, nil, h.server.Addr()))
 	noise := make([]byte, size)
 	for i := range noise {
 		noise[i] = "abcdefghijklmnopqrstuvwxyz0123456789"[rand.IntN(36)]
 	}
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
-	h.store.mu.Lock()
-	h.store.version = 2
-	h.store.rows = append(h.store.rows, site.Row{Key: "b", Position: at(2), Value: noise})
-	h.store.mu.Unlock()
+	h.store.Mu.Lock()
+	h.store.Version = 2
+	h.store.Rows = append(h.store.Rows, site.Row{Key: "b", Position: at(2), Value: noise})
+	h.store.Mu.Unlock()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	read := func(after history.Position) {
@@ -704,10 +589,10 @@
 	_, _, _, err := h.reader.answer(changesRequest{Table: site.TableUpstreams, After: at(1)}) // Packs the answer.
 	assert.NilError(t, err)
 	got := make(chan int, 1)
-	f := &tableFollower{
-		store: h.requester, table: site.TableUpstreams, name: "upstreams", longPoll: storePollWait,
-		apply:     func(rows []site.Row, _ bool, _ time.Time) { got <- len(rows[0].Value) },
-		onFailure: func(time.Time) {}, onAnswer: func(_, _ time.Time) {}, log: slog.New(slog.DiscardHandler),
+	f := &Follower{
+		Store: h.requester, Table: site.TableUpstreams, Name: "upstreams", LongPoll: storePollWait,
+		Apply:     func(rows []site.Row, _ bool, _ time.Time) { got <- len(rows[0].Value) },
+		OnFailure: func(time.Time) {}, OnAnswer: func(_, _ time.Time) {}, Log: slog.New(slog.DiscardHandler),
 		position: at(1), listed: true, failingSince: time.Now(), retryDelay: minFollowRetry,
 	}
 	var wg sync.WaitGroup
@@ -715,25 +600,42 @@
 	defer cancel()
 	wg.Go(func() {
 		for ctx.Err() == nil { // The reader keeps reading the store.
-			sleep(ctx, storePollWait/4)
+			timer.Sleep(ctx, storePollWait/4)
 			read(at(2))
 		}
 	})
 	startedAt := time.Now()
-	wg.Go(func() { f.run(ctx) })
+	wg.Go(func() { f.Run(ctx) })
 	select {
 	case n := <-got:
 		took := time.Since(startedAt)
-		t.Logf("came after %v, %d bytes over the link", took, link.received.Load())
+		t.Logf("came after %v, %d bytes over the link", took, link.Received())
 		assert.Equal(t, n, size)
 		assert.Assert(t, took < inForceWithin, "%v", took)
-		assert.Assert(t, link.received.Load() > size, "the answer came from the reader")
-		assert.Assert(t, link.received.Load() < 2*size, "it was sent once: %d bytes", link.received.Load())
+		assert.Assert(t, link.Received() > size, "the answer came from the reader")
+		assert.Assert(t, link.Received() < 2*size, "it was sent once: %d bytes", link.Received())
 	case <-time.After(2 * inForceWithin):
-		t.Fatalf("not within %v: %d bytes over the link", time.Since(startedAt), link.received.Load())
+		t.Fatalf("not within %v: %d bytes over the link", time.Since(startedAt), link.Received())
 	}
 }
 
+// operatorKey is the key of the configuration's row.
+const operatorKey = "config"
+
+// wideMbit is the rate of a wide link.
+const wideMbit = 200
+
+// longPollTimeout is how long a call waits for changes, the product's default.
+const longPollTimeout = 2500 * time.Millisecond
+
+// connect returns an address at which the node at the near link reaches a target behind the far one.
+func connect(t testing.TB, n *netproxy.Network, near, far *netproxy.SharedLink, target netip.AddrPort) netip.AddrPort {
+	t.Helper()
+	addr, err := n.Connect(near, far, target)
+	assert.NilError(t, err)
+	return addr
+}
+
 // setReaderAddr gives the reader another address at the requester.
 func (h *testHall) setReaderAddr(addr netip.AddrPort) {
 	var list []control.Member
@@ -752,18 +654,18 @@
 func TestTwoFrozenReadersAreSkippedInTime(t *testing.T) {
 	t.Parallel()
 	h := newTestHall(t)
-	links := newLinks()
+	links := netproxy.NewNetwork()
 	defer links.Close()
-	link := newLink(wideMbit)
+	link := netproxy.NewSharedLink(wideMbit)
 	var list []control.Member
 	for _, m := range h.requester.members.All() {
 		if m.Name != h.requester.self.Name {
-			m.Peer, m.Incarnation = links.connect(t, nil, link, h.server.Addr()), m.Incarnation+1
+			m.Peer, m.Incarnation = connect(t, links, nil, link, h.server.Addr()), m.Incarnation+1
 			list = append(list, m)
 		}
 	}
 	h.requester.members.Merge(list, time.Now())
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
 	_, err := h.requester.List(t.Context(), site.TableUpstreams)
 	assert.NilError(t, err)
@@ -771,8 +673,8 @@
 		_, err := h.requester.askNode(t.Context(), m.Peer, changesRequest{Table: site.TableUpstreams, Whole: true})
 		assert.NilError(t, err)
 	}
-	link.frozen.Store(true)
-	h.store.add("b")
+	link.Freeze()
+	h.store.Add("b")
 	took := h.timeToReceive(t, at(1))
 	t.Logf("received after %v", took)
 	assert.Assert(t, took < cutOffLimit, "%v", took)
@@ -785,10 +687,10 @@
 	t.Parallel()
 	const nodes = 20
 	h := newTestHall(t)
-	h.store.add("a")
+	h.store.Add("a")
 	h.readStore(t)
 	h.makeReaderStale()
-	failing := &fakeTableStore{fail: true}
+	failing := &memtable.Store{Fail: true}
 	h.reader.store = failing
 	askAll := func() {
 		var wg sync.WaitGroup
@@ -804,12 +706,12 @@
 	// On a busy machine the nodes may take longer than the pause to ask.
 	maxCalls := func() int { return 1 + int(time.Since(startedAt)/refreshPause) }
 	askAll()
-	assert.Assert(t, failing.count() <= maxCalls(), "%d calls in %v", failing.count(), time.Since(startedAt))
+	assert.Assert(t, failing.CallCount() <= maxCalls(), "%d calls in %v", failing.CallCount(), time.Since(startedAt))
 	time.Sleep(refreshPause)
-	before := failing.count()
+	before := failing.CallCount()
 	askAll()
-	assert.Assert(t, failing.count() > before, "it is tried again")
-	assert.Assert(t, failing.count() <= maxCalls(), "%d calls in %v", failing.count(), time.Since(startedAt))
+	assert.Assert(t, failing.CallCount() > before, "it is tried again")
+	assert.Assert(t, failing.CallCount() <= maxCalls(), "%d calls in %v", failing.CallCount(), time.Since(startedAt))
 }
 
 // A row was missing from the whole table that a node served, until it changed again. The node
@@ -862,7 +764,7 @@
 		w.(http.Flusher).Flush()
 		close(started)
 		for r.Context().Err() == nil {
-			sleep(r.Context(), interval)
+			timer.Sleep(r.Context(), interval)
 			_, _ = w.Write([]byte(" ")) // As above.
 			w.(http.Flusher).Flush()
 		}
@@ -871,15 +773,15 @@
 	s := platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()))
 	defer s.Close()
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &tableFollower{
-		store: s, table: site.TableOperator, name: "operator", longPoll: 100 * time.Millisecond,
-		apply: func([]site.Row, bool, time.Time) {}, onFailure: func(time.Time) {}, onAnswer: func(_, _ time.Time) {},
-		log: slog.New(slog.DiscardHandler), position: at(1), listed: true,
+	f := &Follower{
+		Store: s, Table: site.TableOperator, Name: "operator", LongPoll: 100 * time.Millisecond,
+		Apply: func([]site.Row, bool, time.Time) {}, OnFailure: func(time.Time) {}, OnAnswer: func(_, _ time.Time) {},
+		Log: slog.New(slog.DiscardHandler), position: at(1), listed: true,
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		f.run(ctx)
+		f.Run(ctx)
 	}()
 	<-started
 	cancel()
@@ -926,7 +828,7 @@
 // numberedHall is a hall whose reader has configurations with numbers of their own.
 func numberedHall(t *testing.T) *testHall {
 	h := newTestHall(t)
-	h.reader.rowNumber = func(r site.Row) int64 {
+	h.reader.RowNumber = func(r site.Row) int64 {
 		n, _ := strconv.ParseInt(string(r.Value), 10, 64) // 0 if it has none.
 		return n
 	}
@@ -1041,11 +943,11 @@
 	h := numberedHall(t)
 	h.applyConfiguration(true, history.Position{}, inEra(1, 155), 81)
 	h.applyConfiguration(true, history.Position{}, inEra(2, 151), 79)
-	h.store.rows = []site.Row{{Key: operatorKey, Position: inEra(2, 151), Value: []byte("79")}}
-	h.store.era, h.store.version = 2, 151
+	h.store.Rows = []site.Row{{Key: operatorKey, Position: inEra(2, 151), Value: []byte("79")}}
+	h.store.Era, h.store.Version = 2, 151
 	starting := h.requester
-	starting.rowNumber = h.reader.rowNumber
-	starting.members = control.NewMembers(starting.self, time.Second, nil, newRand())
+	starting.RowNumber = h.reader.RowNumber
+	starting.members = control.NewMembers(starting.self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
 	starting.members.Merge([]control.Member{{Name: "other", DataHall: "h", Peer: h.server.Addr(), Incarnation: 1}}, time.Now())
 	q := changesRequest{Table: site.TableOperator, Whole: true}
 	starting.refreshFromStore(t.Context(), q)
@@ -1065,7 +967,53 @@
 	h := newTestHall(t)
 	q := changesRequest{Table: site.TableUpstreams, Whole: true}
 	h.reader.apply(q, site.Listing{Rows: []site.Row{{Key: "a", Position: at(1)}}, Position: at(1)}, false)
-	h.store.fail = true
+	h.store.Fail = true
 	_, err := h.requester.askNode(t.Context(), h.server.Addr(), changesRequest{Table: site.TableUpstreams, After: at(1), StoreUnreachable: true})
 	assert.ErrorIs(t, err, errReaderBehind)
 }
+
+// readerAnswerLimit is enough for a held call to time out on a silent connection and be
+// answered by the store, plus 3 s for a busy machine.
+const readerAnswerLimit = storePollWait + peer.AnswerSlack + 3*time.Second
+
+// forEachSilentDirection runs a test for each direction in which a network path may
+// silently drop packets, and for both.
+func forEachSilentDirection(t *testing.T, test func(t *testing.T, silence func(*netproxy.Proxy))) {
+	for name, direction := range map[string][2]bool{"to": {true, false}, "from": {false, true}, "both": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(t, func(p *netproxy.Proxy) {
+				assert.Equal(t, p.Silence(direction[0], direction[1], func() bool { return true }), 1)
+			})
+		})
+	}
+}
+
+// After a reader's connection goes silent the store is asked instead, and then the
+// reader again once it is trusted again.
+func TestReaderIsUsedAgainAfterConnectionGoesSilent(t *testing.T) {
+	forEachSilentDirection(t, func(t *testing.T, silence func(*netproxy.Proxy)) {
+		h := newTestHall(t)
+		h.store.Add("a")
+		h.readStore(t)
+		h.store.Add("b")
+		_, err := h.reader.Changes(t.Context(), site.TableUpstreams, at(1), 0)
+		assert.NilError(t, err)
+		changes := func() {
+			t.Helper()
+			started := time.Now()
+			l, err := h.requester.Changes(t.Context(), site.TableUpstreams, at(1), storePollWait)
+			assert.NilError(t, err)
+			assert.Equal(t, len(l.Rows), 1)
+			assert.Assert(t, time.Since(started) < readerAnswerLimit)
+		}
+		changes()
+		silence(h.proxy)
+		before := h.store.CallCount()
+		changes()
+		assert.Equal(t, h.store.CallCount(), before+1)
+		h.clearSkipped()
+		changes()
+		assert.Equal(t, h.store.CallCount(), before+1, "the reader is asked again")
+	})
+}
--- a/service/gateway/store_outage.go
+++ b/service/tables/store_outage.go
@@ -1,4 +1,4 @@
-package gateway
+package tables
 
 import (
 	"context"
@@ -36,21 +36,21 @@
 }
 
 // readsFromPeers reports whether peers are asked for a table before the store.
-func (r *sharedReader) readsFromPeers(t site.Table) bool {
+func (r *Reader) readsFromPeers(t site.Table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return boottime.Now().Before(r.outages[t].retryAt)
 }
 
 // storeUnreachable reports whether the last call to the store for a table failed.
-func (r *sharedReader) storeUnreachable(t site.Table) bool {
+func (r *Reader) storeUnreachable(t site.Table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.outages[t].since.IsZero()
 }
 
 // isReader reports whether this node reads a table for others, or nodes don't read through others.
-func (r *sharedReader) isReader(t site.Table) bool {
+func (r *Reader) isReader(t site.Table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	plan := r.currentPlan()
@@ -58,7 +58,7 @@
 }
 
 // recordStoreUnreachable records that a call to the store failed.
-func (r *sharedReader) recordStoreUnreachable(t site.Table) {
+func (r *Reader) recordStoreUnreachable(t site.Table) {
 	now := boottime.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -72,7 +72,7 @@
 
 // logServedByPeer logs, once per outage, that a peer answered in place of the store, which
 // failed with err. If no peer answers either, the caller logs the failure.
-func (r *sharedReader) logServedByPeer(t site.Table, err error) {
+func (r *Reader) logServedByPeer(t site.Table, err error) {
 	r.mu.Lock()
 	o := r.outages[t]
 	firstTime := !o.logged
@@ -85,7 +85,7 @@
 }
 
 // recordStoreReached ends the outage of a table.
-func (r *sharedReader) recordStoreReached(t site.Table) {
+func (r *Reader) recordStoreReached(t site.Table) {
 	r.mu.Lock()
 	o := r.outages[t]
 	delete(r.outages, t)
@@ -96,7 +96,7 @@
 }
 
 // readStoreOrPeer reads a table from the store, or from a peer while the store is unreachable.
-func (r *sharedReader) readStoreOrPeer(ctx context.Context, q changesRequest, read func(context.Context) (site.Listing, error)) (l site.Listing, err error) {
+func (r *Reader) readStoreOrPeer(ctx context.Context, q changesRequest, read func(context.Context) (site.Listing, error)) (l site.Listing, err error) {
 	if r.readsFromPeers(q.Table) {
 		if l, err = r.askPeer(ctx, q); err == nil || errors.Is(err, site.ErrHistoryGone) {
 			return l, err
@@ -125,7 +125,7 @@
 
 // callStore calls the store once, with a short timeout if the last call failed. It returns early if ctx is cancelled:
 // the call itself, which may be connecting, goes on until its deadline.
-func (r *sharedReader) callStore(ctx context.Context, t site.Table, read func(context.Context) (site.Listing, error)) (site.Listing, error) {
+func (r *Reader) callStore(ctx context.Context, t site.Table, read func(context.Context) (site.Listing, error)) (site.Listing, error) {
 	callCtx, cancel := ctx, context.CancelFunc(func() {})
 	if r.storeUnreachable(t) {
 		callCtx, cancel = context.WithTimeout(ctx, storeRetryTimeout)
@@ -149,13 +149,13 @@
 }
 
 // Close waits for the calls to the store.
-func (r *sharedReader) Close() { r.calls.Wait() }
+func (r *Reader) Close() { r.calls.Wait() }
 
 // errNoPeer is returned if no other node is known.
 var errNoPeer = errors.New("no other node is known")
 
 // askPeer asks one other node, alternating between this data hall and all halls.
-func (r *sharedReader) askPeer(ctx context.Context, q changesRequest) (l site.Listing, err error) {
+func (r *Reader) askPeer(ctx context.Context, q changesRequest) (l site.Listing, err error) {
 	r.mu.Lock()
 	o := r.outages[q.Table]
 	o.peersAsked++
@@ -170,7 +170,7 @@
 }
 
 // pickPeer picks a random live node, of this data hall if sameHall is set and it has one.
-func (r *sharedReader) pickPeer(sameHall bool) (addr netip.AddrPort, ok bool) {
+func (r *Reader) pickPeer(sameHall bool) (addr netip.AddrPort, ok bool) {
 	var peers, hallPeers []control.Member
 	for _, m := range r.members.All() {
 		if m.State != control.MemberAlive || m.Name == r.self.Name {
