A copy that was read through another node is as old as it was there

Callers saw a key work for more than 2 s after its revocation, at a node that did not reach the store after it had come back from a copy.

Cause: such a node asks other nodes, one at random in each attempt. Those that read through a reader told the age of their own last call to the store, 24 hours after an outage, and so were refused, though the reader had answered them 0.3 s before. With two of six nodes cut off, two of the other five could not help: three attempts in a row failed, each followed by a growing pause.

Evidence: the log lines of a failed run: the node asked n0, n5, n5 and n0 within 1.8 s; n5 had the new configuration from its reader 0.04 s after the return.

Change: a node keeps when the store answered the one that it read through, counted from when it asked, and serves nodes that can't reach the store by that. For the others a reader's copy has to come from the store itself, as before. Freshness only ever decreases on the way, so nodes can't keep each other's copies alive.

The new test told 86,400,000 ms before and the reader's 1,000 ms now.

--- a/service/tables/reader.go
+++ b/service/tables/reader.go
@@ -230,7 +230,7 @@
 				q.HaveRef, q.haveValue = rowRef{Key: row.Key, Digest: digestOf(row.Value)}, row.Value
 			}
 		}
-		other, err := r.fetchFromNode(ctx, addr, q, secondReaderTimeout)
+		other, _, err := r.fetchFromNode(ctx, addr, q, secondReaderTimeout)
 		if err != nil {
 			r.log.Info("newer rows not asked for", "table", tableName(t), "peer", addr, "err", err)
 			continue
@@ -409,27 +409,39 @@
 	case q.WaitMS == 0:
 		timeout = secondReaderTimeout // The node may have to read the store first.
 	}
-	if l, err = r.fetchFromNode(ctx, addr, q, timeout); err != nil {
+	l, age, err := r.fetchFromNode(ctx, addr, q, timeout)
+	if err != nil {
 		return l, err
 	}
 	r.apply(q, l, false)
+	r.recordHeard(q.Table, l.Position.Era, startedAt.Add(-age))
 	r.logRows(q, l, addr.String(), startedAt)
 	return l, nil
 }
 
-// fetchFromNode asks another node for rows.
-func (r *Reader) fetchFromNode(ctx context.Context, addr netip.AddrPort, q changesRequest, timeout time.Duration) (l site.Listing, err error) {
+// recordHeard records when the store answered the node that a copy was read through.
+func (r *Reader) recordHeard(t site.Table, era history.Era, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x := r.table(t); x.position.Era == era && at.After(x.heardAt) {
+		x.heardAt = at
+	}
+}
+
+// fetchFromNode asks another node for rows; age is for how long the store had not answered that node.
+func (r *Reader) fetchFromNode(ctx context.Context, addr netip.AddrPort, q changesRequest, timeout time.Duration) (l site.Listing, age time.Duration, err error) {
 	defer func() { err = eris.Wrap(err, "ask reader") }()
 	var answer changesAnswer
 	if err := r.client.CallWithin(ctx, timeout, addr, MethodChanges, q, &answer); err != nil {
-		return l, err
+		return l, 0, err
 	}
 	current := r.store.Eras().Observe(answer.Position.Era, boottime.RefreshNow())
+	age = time.Duration(answer.AgeMS) * time.Millisecond
 	switch {
-	case !current, time.Duration(answer.AgeMS)*time.Millisecond > q.maxAge():
-		return l, errReaderBehind
+	case !current, age > q.maxAge():
+		return l, age, errReaderBehind
 	case answer.HistoryGone:
-		return l, site.ErrHistoryGone
+		return l, age, site.ErrHistoryGone
 	}
 	var base []byte
 	if answer.Rows.Base == q.HaveRef {
@@ -437,7 +449,7 @@
 	}
 	rows, err := answer.Rows.unpack(base)
 	if err != nil {
-		return l, err
+		return l, age, err
 	}
-	return site.Listing{Rows: rows, Position: answer.Position}, nil
+	return site.Listing{Rows: rows, Position: answer.Position}, age, nil
 }
--- a/service/tables/reader_serve.go
+++ b/service/tables/reader_serve.go
@@ -97,7 +97,7 @@
 		r.mu.Lock()
 		x := r.table(q.Table)
 		whole, after, inFlight := x.rows == nil || x.position.Era < q.Era, x.position, x.storeCall
-		age, _ := x.age(boottime.Now(), r.store.LastLargeResponse(), q.maxAge())
+		age, _ := x.age(boottime.Now(), r.store.LastLargeResponse(), q)
 		fresh := !whole && age <= q.maxAge()
 		skip := !r.outages[q.Table].since.IsZero() || boottime.Since(x.storeFailedAt) < refreshPause
 		var done func()
@@ -140,7 +140,7 @@
 	if x == nil || x.rows == nil || x.position.Era < q.Era {
 		return answer, nil, trustedUntil, errReaderBehind
 	}
-	age, trustedUntil := x.age(boottime.Now(), r.store.LastLargeResponse(), q.maxAge())
+	age, trustedUntil := x.age(boottime.Now(), r.store.LastLargeResponse(), q)
 	// Rounded up: rounded down, an age just over the limit would pass, and a cut off reader
 	// would be asked for another second.
 	ageMS := (age + time.Millisecond - 1).Milliseconds()
--- a/service/tables/reader_table.go
+++ b/service/tables/reader_table.go
@@ -21,6 +21,7 @@
 	historyStart history.Position       // The changes since this position are known.
 	position     history.Position
 	storeReadAt  time.Time // When the store itself last answered.
+	heardAt      time.Time // When it last answered the node that the copy was last read through.
 	changed      chan struct{}
 	former       map[string]formerValues  // Earlier large values, by row key.
 	packed       map[packedKey]packedRows // Packed answers for the current rows.
@@ -31,20 +32,25 @@
 	storeFailedAt time.Time // When this node's own call to the store last failed.
 }
 
-// age returns the age of the copy, and until when it is trusted given a maximum age. While a
+// age returns the age of the copy for a request, and until when it is trusted. A copy that was read through another
+// node is as old as it was there, for nodes that can't reach the store; readers have to read it themselves. While a
 // large response to this node's own call is arriving, the copy counts as old as when the call
 // began: peers wait for that response, so that the hall doesn't read the store a second time
 // over links that are just as narrow.
-func (x *cachedTable) age(now, lastLarge time.Time, maxAge time.Duration) (age time.Duration, trustedUntil time.Time) {
+func (x *cachedTable) age(now, lastLarge time.Time, q changesRequest) (age time.Duration, trustedUntil time.Time) {
+	readAt, maxAge := x.storeReadAt, q.maxAge()
+	if q.StoreUnreachable && x.heardAt.After(readAt) {
+		readAt = x.heardAt
+	}
 	if end := lastLarge.Add(maxReceiveTime); x.storeCall != nil && lastLarge.After(x.storeCallAt) && now.Before(end) {
-		if age = x.storeCallAt.Sub(x.storeReadAt); age <= maxAge {
+		if age = x.storeCallAt.Sub(readAt); age <= maxAge {
 			return age, end
 		}
 	}
-	return min(maxAgeTold, now.Sub(x.storeReadAt)), x.storeReadAt.Add(maxAge)
+	return min(maxAgeTold, now.Sub(readAt)), readAt.Add(maxAge)
 }
 
-// maxAgeTold is the age of a copy for which the store itself has never answered this node. A difference to the
+// maxAgeTold is the age of a copy for which the store has never answered. A difference to the
 // zero time does not bear the rounding to milliseconds.
 const maxAgeTold = 24 * time.Hour
 
--- a/service/tables/reader_test.go
+++ b/service/tables/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -20,6 +21,7 @@
 
 	"github.com/drumpath/drumpath/internal/netproxy"
 	"github.com/drumpath/drumpath/internal/standin/memtable"
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -895,7 +897,7 @@
 	whole := changesRequest{Table: site.TableOperator, Whole: true}
 	h.requester.apply(whole, listing(routesText(81, 100)), true)
 	h.reader.apply(whole, listing(routesText(90, 100)), true)
-	l, err := h.requester.fetchFromNode(t.Context(), h.server.Addr(), h.requester.addBase(site.TableOperator, whole), time.Second)
+	l, _, err := h.requester.fetchFromNode(t.Context(), h.server.Addr(), h.requester.addBase(site.TableOperator, whole), time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, string(l.Rows[0].Value), string(routesText(90, 100)))
 }
@@ -972,6 +974,28 @@
 	assert.ErrorIs(t, err, errReaderBehind)
 }
 
+// A node that read through another one refused nodes that can't reach the store, as it had not read the store itself.
+func TestCopyReadThroughAnotherNodeIsAsOldAsThere(t *testing.T) {
+	h := newTestHall(t)
+	h.store.Add("a")
+	h.readStore(t)
+	h.reader.mu.Lock()
+	h.reader.tables[site.TableUpstreams].storeReadAt = boottime.Now().Add(-time.Second)
+	h.reader.mu.Unlock()
+	_, err := h.requester.List(t.Context(), site.TableUpstreams)
+	assert.NilError(t, err)
+	h.requester.recordStoreUnreachable(site.TableUpstreams) // Before it asked the reader.
+	params, err := json.Marshal(changesRequest{Table: site.TableUpstreams, After: at(1), StoreUnreachable: true})
+	assert.NilError(t, err)
+	served, err := h.requester.Serve(t.Context(), params)
+	assert.NilError(t, err)
+	answer := served.(changesAnswer)
+	assert.Assert(t, answer.AgeMS >= 1000 && answer.AgeMS < outageMaxAge.Milliseconds(), "%d ms", answer.AgeMS)
+	answer, _, _, err = h.requester.answer(changesRequest{Table: site.TableUpstreams, After: at(1)})
+	assert.NilError(t, err)
+	assert.Equal(t, answer.AgeMS, maxAgeTold.Milliseconds(), "as a reader it has to read the store itself")
+}
+
 // readerAnswerLimit is enough for a held call to time out on a silent connection and be
 // answered by the store, plus 3 s for a busy machine.
 const readerAnswerLimit = storePollWait + peer.AnswerSlack + 3*time.Second
