A node that starts asks different nodes for newer rows

A node that starts on a store's copy takes newer contents from two other nodes. It drew them one by one from all, so that it could ask the same one twice and count two answers; if that one had started on the copy as well, a revoked key worked until the operator had written again.

The new test, two nodes of which one has the newer configuration, failed in its first 20 draws before.

--- a/service/tables/reader.go
+++ b/service/tables/reader.go
@@ -219,11 +219,12 @@
 	ctx, cancel := context.WithTimeout(ctx, newerRowsTimeout)
 	defer cancel()
 	answers := 0
-	for asked := 0; answers < newerRowsFrom && asked < newerRowsTries && ctx.Err() == nil; asked++ {
-		addr, ok := r.pickPeer(asked%2 == 0, nil)
+	for asked := map[netip.AddrPort]bool{}; answers < newerRowsFrom && len(asked) < newerRowsTries && ctx.Err() == nil; {
+		addr, ok := r.pickPeer(len(asked)%2 == 0, asked)
 		if !ok {
 			break
 		}
+		asked[addr] = true
 		q := changesRequest{Table: t, Era: l.Position.Era, Whole: true, StoreUnreachable: true, Starting: true}
 		for _, row := range l.Rows {
 			if len(row.Value) >= max(minBaseSize, len(q.haveValue)) {
--- a/service/tables/reader_test.go
+++ b/service/tables/reader_test.go
@@ -994,6 +994,34 @@
 	assert.Equal(t, string(starting.tables[site.TableOperator].rows[operatorKey].Value), "81", "an older one is written again")
 }
 
+// A node that started could ask the same node twice, and count two answers.
+func TestStartingReaderAsksDifferentNodes(t *testing.T) {
+	h := numberedHall(t)
+	h.applyConfiguration(true, history.Position{}, inEra(1, 155), 81)
+	h.applyConfiguration(true, history.Position{}, inEra(2, 151), 79)
+	copied := []site.Row{{Key: operatorKey, Position: inEra(2, 151), Value: []byte("79")}}
+	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), map[peer.Role]string{peer.RolePeer: "key"}, h.reader.log)
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	late := NewReader(&memtable.Store{Era: 2, Version: 151, Rows: copied}, control.Member{Name: "late"}, h.requester.members, nil, h.reader.log)
+	late.apply(changesRequest{Table: site.TableOperator, Whole: true}, site.Listing{Rows: copied, Position: inEra(2, 151)}, true)
+	server.Handle(peer.RolePeer, MethodChanges, late.Serve)
+	server.Start()
+	self := h.requester.self
+	members := control.NewMembers(self, time.Second, nil, rand.New(rand.NewPCG(1, 2)))
+	members.Merge([]control.Member{
+		{Name: "late", DataHall: self.DataHall, Peer: server.Addr(), Incarnation: 1},
+		{Name: "other", DataHall: self.DataHall, Peer: h.server.Addr(), Incarnation: 1},
+	}, time.Now())
+	for range 20 {
+		starting := NewReader(&memtable.Store{Era: 2, Version: 151, Rows: copied}, self, members, h.requester.client, h.reader.log)
+		starting.RowNumber = h.reader.RowNumber
+		l, err := starting.List(t.Context(), site.TableOperator)
+		assert.NilError(t, err)
+		assert.Equal(t, string(l.Rows[0].Value), "81")
+	}
+}
+
 // The age of a copy that a node had only ever got from others overflowed, so that it counted as fresh for ever, and
 // nodes without the store asked for it thousands of times a second.
 func TestCopyNeverReadFromTheStoreIsNotFresh(t *testing.T) {
