--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -79,6 +79,21 @@
 		"ref.Digest != \"\" && x.large[ref.Key] == ref.Digest", "ref.Digest != \"\"",
 		"./service/tables", "TestDeltaOnAnotherValueOfTheSamePositionCantBeDecoded",
 	},
+	{
+		"tables: a copy read through another node is as old as it was there", "service/tables/reader_table.go",
+		"if q.StoreUnreachable && x.heardAt.After(readAt) {", "if false {",
+		"./service/tables", "TestCopyReadThroughAnotherNodeIsAsOldAsThere",
+	},
+	{
+		"tables: a node without the store asks another peer if one is behind", "service/tables/store_outage.go",
+		"peersPerCall = 3", "peersPerCall = 1",
+		"./service/tables", "TestNodeWithoutStoreAsksAnotherPeerIfOneIsBehind",
+	},
+	{
+		"tables: a node that starts asks different nodes for newer rows", "service/tables/reader.go",
+		"asked[addr] = true", "_ = addr",
+		"./service/tables", "TestStartingReaderAsksDifferentNodes",
+	},
 	{
 		"eras: a list of an earlier era is not complete", "pkg/origin/versions.go",
 		"return era == 0 || l.Era == era", "return true",
