A node that takes over as the reader reads a change once

Cause: a node that is asked reads the store for all that ask it, and waits for its own call if there is one. Its own follower did not wait in turn, so the node that took over read a changed configuration twice at once, over one link. 2.4 MB take a link of 10 Mbit/s two seconds, so both would have been late there.

Change: the follower waits for the call on behalf of others as long as its response begins soon, or is a large one under way, and takes the changes from the copy if the store has answered since. An answer from before a suspension does not count, as it does not make the copy fresh.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -94,6 +94,11 @@
 		"asked[addr] = true", "_ = addr",
 		"./service/tables", "TestStartingReaderAsksDifferentNodes",
 	},
+	{
+		"tables: a node that takes over reads a change once", "service/tables/reader.go",
+		"if r.awaitRefresh(ctx, q.Table) && !q.Whole {", "if false {",
+		"./service/tables", "TestNodeThatTakesOverReadsAChangeOnce",
+	},
 	{
 		"eras: a list of an earlier era is not complete", "pkg/origin/versions.go",
 		"return era == 0 || l.Era == era", "return true",
--- a/service/gateway/large_configuration_test.go
+++ b/service/gateway/large_configuration_test.go
@@ -80,6 +80,8 @@
 	initialChanges, finalChanges int
 	// freezeReader stops the reader before the last change.
 	freezeReader bool
+	// throughReader has the nodes read what they know at the start through the reader, not from the store.
+	throughReader bool
 	// lateNode has one node start without a configuration after the last change.
 	lateNode bool
 	// maxBytes bounds the bytes that a node receives for a change; the reader receives the
@@ -108,6 +110,7 @@
 		// 5,640 would leave too little time for nodes that share a processor.
 		{name: "all links narrow", nodes: smallHallNodes, initialChanges: 1, finalChanges: 3, maxBytes: maxFullReadBytes},
 		{name: "reader stops answering", nodes: largeHallNodes, wideLinks: 2, initialChanges: 3, finalChanges: 4, freezeReader: true, maxBytes: maxFullReadBytes},
+		{name: "reader of all others stops answering", nodes: largeHallNodes, wideLinks: 2, initialChanges: 3, finalChanges: 4, throughReader: true, freezeReader: true, maxBytes: maxFullReadBytes},
 		{name: "node starts with nothing", nodes: largeHallNodes, wideLinks: 2, initialChanges: 4, finalChanges: 4, lateNode: true, maxBytes: maxFullReadBytes},
 	} {
 		t.Run(c.name, func(t *testing.T) { newSimulatedHall(t, c).run() })
@@ -161,15 +164,23 @@
 	})
 	h.writeConfig(c.initialChanges)
 	followers := map[*simulatedNode]*tables.Follower{}
+	join := func() {
+		for _, n := range h.nodes {
+			h.addMembers(n)
+			n.server.Start()
+		}
+	}
+	if c.throughReader {
+		join()
+	}
 	for _, n := range h.nodes {
 		followers[n] = n.follower()
 		if n != h.lateNode() {
 			h.preload(n, followers[n])
 		}
 	}
-	for _, n := range h.nodes {
-		h.addMembers(n)
-		n.server.Start()
+	if !c.throughReader {
+		join()
 	}
 	for _, f := range followers {
 		wg.Go(func() { f.Run(ctx) })
@@ -336,7 +347,7 @@
 	}
 }
 
-// preload has the node read the configuration from the store, as it knows no other node yet, while its link is wide.
+// preload has the node read the configuration while its link is wide.
 func (h *simulatedHall) preload(n *simulatedNode, f *tables.Follower) {
 	n.link.SetRate(preloadMbit)
 	assert.NilError(h.t, f.Poll(h.t.Context()))
--- a/service/tables/reader.go
+++ b/service/tables/reader.go
@@ -314,8 +314,15 @@
 	return r.readStoreOrPeer(ctx, q, func(ctx context.Context) (site.Listing, error) { return r.readStore(ctx, q, wait) })
 }
 
-// readStore reads the store itself.
+// readStore reads the store itself. Changes that it is being asked for on behalf of peers are not asked for again: large
+// ones would share the link.
 func (r *Reader) readStore(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
+	startedAt := boottime.Now()
+	if r.awaitRefresh(ctx, q.Table) && !q.Whole {
+		if l, ok := r.changesAfter(q, startedAt); ok {
+			return l, nil
+		}
+	}
 	r.mu.Lock()
 	done := r.beginStoreCall(q.Table)
 	r.mu.Unlock()
@@ -323,6 +330,44 @@
 	return r.fetchFromStore(ctx, q, wait)
 }
 
+// awaitRefresh waits for a call on behalf of peers, and reports whether there was one that has ended. A call whose
+// response does not begin soon, as on a silent connection, or takes too long, is not waited for.
+func (r *Reader) awaitRefresh(ctx context.Context, t site.Table) (ended bool) {
+	r.mu.Lock()
+	x := r.table(t)
+	call, startedAt := x.refresh, x.storeCallAt
+	r.mu.Unlock()
+	if call == nil {
+		return false
+	}
+	for _, limit := range []time.Duration{peer.AnswerSlack, maxReceiveTime} {
+		select {
+		case <-call:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-time.After(limit):
+		}
+		if !r.store.LastLargeResponse().After(startedAt) {
+			return false
+		}
+	}
+	return false
+}
+
+// changesAfter lists the rows of the copy that have changed since a position; ok is false if none has, or if the store
+// has not answered since startedAt.
+func (r *Reader) changesAfter(q changesRequest, startedAt time.Time) (l site.Listing, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.table(q.Table)
+	if x.rows == nil || !x.storeReadAt.After(startedAt) || q.After.Era != x.position.Era || q.After.Before(x.historyStart) {
+		return l, false
+	}
+	l.Rows, l.Position = x.changedRows(q.After, true), x.position
+	return l, len(l.Rows) > 0
+}
+
 // fetchFromStore is readStore within a call that beginStoreCall has recorded.
 func (r *Reader) fetchFromStore(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
 	before := boottime.Refresh()
@@ -372,6 +417,9 @@
 		if x.storeCall == call {
 			x.storeCall = nil
 		}
+		if x.refresh == call {
+			x.refresh = nil
+		}
 		close(call)
 	}
 }
--- a/service/tables/reader_serve.go
+++ b/service/tables/reader_serve.go
@@ -103,6 +103,7 @@
 		var done func()
 		if !fresh && !skip && inFlight == nil {
 			done = r.beginStoreCall(q.Table)
+			x.refresh = x.storeCall
 		}
 		r.mu.Unlock()
 		switch {
--- a/service/tables/reader_table.go
+++ b/service/tables/reader_table.go
@@ -29,7 +29,8 @@
 	// storeCallAt is when it began.
 	storeCall     chan struct{}
 	storeCallAt   time.Time
-	storeFailedAt time.Time // When this node's own call to the store last failed.
+	refresh       chan struct{} // storeCall if that is a call on behalf of peers.
+	storeFailedAt time.Time     // When this node's own call to the store last failed.
 }
 
 // age returns the age of the copy for a request, and until when it is trusted. A copy that was read through another
@@ -219,20 +220,25 @@
 	}
 }
 
+// changedRows lists the rows whose last change is after a position, with the deleted ones if gone is set.
+func (x *cachedTable) changedRows(after history.Position, gone bool) (rows []site.Row) {
+	for _, c := range x.changes.since(after) {
+		if row := x.rows[c.key]; row.Position == c.position && (gone || !row.Gone) {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // packFor packs the rows that a request asks for. Equal requests get the same bytes, packed
 // once, so that answering 20 nodes takes the time of one.
 func (x *cachedTable) packFor(q changesRequest) (p packedRows, err error) {
-	var rows []site.Row
 	key := packedKey{whole: q.Whole}
 	after := q.After
 	if q.Whole {
 		after = beforeAll
 	}
-	for _, c := range x.changes.since(after) {
-		if row := x.rows[c.key]; row.Position == c.position && !(q.Whole && row.Gone) {
-			rows = append(rows, row)
-		}
-	}
+	rows := x.changedRows(after, !q.Whole)
 	if len(rows) == 0 {
 		return p, nil
 	}
--- a/service/tables/reader_test.go
+++ b/service/tables/reader_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -426,6 +427,47 @@
 	}
 }
 
+// countingStore counts the rows that it sends, each of which takes a while.
+type countingStore struct {
+	*memtable.Store
+	sent atomic.Int64
+}
+
+func (s *countingStore) Changes(ctx context.Context, t site.Table, after history.Position, wait time.Duration) (site.Listing, error) {
+	l, err := s.Store.Changes(ctx, t, after, wait)
+	if s.sent.Add(int64(len(l.Rows))); len(l.Rows) > 0 {
+		timer.Sleep(ctx, 100*time.Millisecond)
+	}
+	return l, err
+}
+
+// A node that takes over as the reader read a change twice at once, for itself and for those that ask it. A
+// configuration of 2.5 MB then takes a link of 10 Mbit/s four seconds.
+func TestNodeThatTakesOverReadsAChangeOnce(t *testing.T) {
+	h := newTestHall(t)
+	h.store.Add("a")
+	h.readStore(t)
+	h.reader.mu.Lock()
+	h.reader.tables[site.TableUpstreams].storeReadAt = time.Time{} // It has read through another node.
+	h.reader.mu.Unlock()
+	store := &countingStore{Store: h.store}
+	h.reader.store = store
+	h.store.Add("b")
+	q := changesRequest{Table: site.TableUpstreams, After: at(1)}
+	params, err := json.Marshal(q)
+	assert.NilError(t, err)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		_, err := h.reader.Serve(t.Context(), params)
+		assert.Check(t, err)
+	})
+	time.Sleep(20 * time.Millisecond)
+	_, err = h.reader.readStore(t.Context(), q, 0)
+	assert.NilError(t, err)
+	wg.Wait()
+	assert.Equal(t, store.sent.Load(), int64(1))
+}
+
 // While no node reaches the store, none serves an old copy.
 func TestStaleTableIsNotServedDuringOutage(t *testing.T) {
 	h := newTestHall(t)
