A listing does not wait for a call on behalf of peers

Found on reading the change once more: readStore waited for such a call, 0.3 s or longer, also where it then read the whole table in any case, as at the beginning of an era. It waits only for changes now, which it can take from the copy.

The follower's source was written out as an interface of the two methods that Store has too; both are Source now.

Run: formatters, vet, staticcheck and errcheck, service/tables under -race, the configuration, node, start and suspension tests of service/gateway under -race, those of a revoked key after a return under -race, and the mutation (red).

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -96,7 +96,7 @@
 	},
 	{
 		"tables: a node that takes over reads a change once", "service/tables/reader.go",
-		"if r.awaitRefresh(ctx, q.Table) && !q.Whole {", "if false {",
+		"if !q.Whole && r.awaitRefresh(ctx, q.Table) {", "if false {",
 		"./service/tables", "TestNodeThatTakesOverReadsAChangeOnce",
 	},
 	{
--- a/service/tables/follow.go
+++ b/service/tables/follow.go
@@ -23,10 +23,7 @@
 
 // Follower keeps a local copy of one table of the platform's store up to date.
 type Follower struct {
-	Store interface {
-		List(ctx context.Context, t site.Table) (site.Listing, error)
-		Changes(ctx context.Context, t site.Table, after history.Position, wait time.Duration) (site.Listing, error)
-	}
+	Store Source
 	Table site.Table
 	Name  string // For logs.
 	// LongPoll is how long the store may hold a call for changes.
--- a/service/tables/reader.go
+++ b/service/tables/reader.go
@@ -73,12 +73,17 @@
 // errReaderBehind means that a reader's copy of a table is missing or too old.
 var errReaderBehind = errors.New("the reader has not heard from the store lately")
 
-// Store is the part of the platform's store that a reader calls.
-type Store interface {
+// Source is what tables are read from: the store itself, or a Reader.
+type Source interface {
 	List(ctx context.Context, t site.Table) (site.Listing, error)
 	// Changes waits for changes after a position. The error wraps site.ErrHistoryGone if
 	// the store does not have them.
 	Changes(ctx context.Context, t site.Table, after history.Position, wait time.Duration) (site.Listing, error)
+}
+
+// Store is the part of the platform's store that a reader calls.
+type Store interface {
+	Source
 	// LastLargeResponse returns when a large response last began to arrive, zero if none
 	// has.
 	LastLargeResponse() time.Time
@@ -318,7 +323,7 @@
 // ones would share the link.
 func (r *Reader) readStore(ctx context.Context, q changesRequest, wait time.Duration) (l site.Listing, err error) {
 	startedAt := boottime.Now()
-	if r.awaitRefresh(ctx, q.Table) && !q.Whole {
+	if !q.Whole && r.awaitRefresh(ctx, q.Table) {
 		if l, ok := r.changesAfter(q, startedAt); ok {
 			return l, nil
 		}
