Logs tell the shared parts of lost prompts and the framing of answers

What callers saw: prompts of which no two are alike ended one replica after the other. The lines of replicas that ended told the fingerprint of the whole request, another one each time, so the logs could not tell prompts with a common part from replicas that end by themselves, nor whether an answer that counted as whole had only ended with its connection.

Change: "replica ended under a request" has the service and the IDs of the shared parts (twelve at most), also for requests that another node forwards; "answered" has the framing, and ended_by_close counts answers that ended with their connection. No decision changes.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -49,6 +49,7 @@
 		{"software", "the version of the replica's software"},
 		{"via", "the node that forwarded the request, as this one had no path to the replica; empty if it was sent directly"},
 		{"weights", "the version of the weights that the replica has, as far as known; 0 for a service without weights"},
+		{"framing", "what ended the answer's body: none, length, chunked, or close if it had neither a length nor chunks and ended with its connection"},
 		{"newest", "the newest version of the weights that was named"},
 		{"body_bytes", "size of the request's body"},
 		{"tokens", "tokens of the prompt"},
@@ -251,7 +252,9 @@
 	{"serving resumed after suspension", Change, "The node has refreshed its state, or has waited for that as long as it may.", []Key{keyNode, {"after", "nanoseconds since the suspension was detected"}}},
 	{"machine suspension can't be detected", Failure, "The operating system has no clock that counts suspended time.", []Key{keyNode, keyErr}},
 	{"replica ended under a request", Failure, "A replica stopped accepting connections or restarted after the answer to a request in flight there was lost.", []Key{
-		keyRequest, keyContent, keyReplica, keyEnds, keyVerdict,
+		keyRequest, keyContent, keyService,
+		{"parts", "IDs of the parts of its prompt that other requests may share, the first twelve"},
+		keyReplica, keyEnds, keyVerdict,
 		{"finished_before", "whether a replica is known to have finished a request with the same content; ends close to that time don't count"},
 	}},
 	{"replica reports draining", Change, "A replica's answer, at this node or another, says that it is about to end; its row does not say so yet.", []Key{
--- a/pkg/http1/body.go
+++ b/pkg/http1/body.go
@@ -21,6 +21,20 @@
 	FramingClose
 )
 
+// String names the framing.
+func (f Framing) String() string {
+	switch f {
+	case FramingLength:
+		return "length"
+	case FramingChunked:
+		return "chunked"
+	case FramingClose:
+		return "close"
+	default:
+		return "none"
+	}
+}
+
 // Body is the body of one message. It never reads past its end.
 type Body struct {
 	r           *bufio.Reader
--- a/service/gateway/exchange_forward.go
+++ b/service/gateway/exchange_forward.go
@@ -73,6 +73,7 @@
 		Request:    x.info.ID,
 		Content:    x.fingerprint(),
 		QuickHash:  x.quickHash(),
+		Parts:      x.sharedParts(),
 		Repeatable: x.route.Repeatable(),
 		Streaming:  x.route.Streaming,
 		ExpectedMS: a.choice.Expected.Milliseconds(),
--- a/service/gateway/exchange_log.go
+++ b/service/gateway/exchange_log.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/http1"
 )
 
 // logAnswer logs which replica served the request and how long each stage took.
@@ -10,11 +12,14 @@
 	if a = a.firstAttempt(); a != finished {
 		resumedAt = finished.choice.ID
 	}
+	if finished.body.Framing() == http1.FramingClose {
+		x.g.metrics.endedByClose.Add(1)
+	}
 	coverage := x.pickInput.Coverage[a.choice.ID]
 	x.g.metrics.countAnswer(x.route.Kind(), a.startedAt.Sub(x.receivedAt), a.firstByteAfter, now.Sub(x.receivedAt))
 	x.g.log.Info("answered", "request", x.info.ID, "route", x.route.Name, "replica", a.choice.ID,
 		"body_bytes", len(x.body), "tokens", x.pickInput.Tokens, "shared", x.pickInput.Shared, "kept", coverage.Cached+coverage.Fetched, "held", coverage.Cached, "read", a.choice.PrefillTokens,
-		"hall", a.choice.DataHall, "left_hall", string(a.choice.HallExit), "follows", a.choice.Follows, "software", a.choice.Software, "via", a.viaName(), "weights", a.choice.Weights, "newest", x.pickInput.NewestVersion,
+		"hall", a.choice.DataHall, "left_hall", string(a.choice.HallExit), "follows", a.choice.Follows, "software", a.choice.Software, "via", a.viaName(), "weights", a.choice.Weights, "newest", x.pickInput.NewestVersion, "framing", finished.body.Framing().String(),
 		"fetched", a.plan.Fetched, "saved", a.plan.Saved, "sources", a.plan.Sources, "fetch_ms", a.plan.FetchTime.Milliseconds(),
 		"expected_ms", a.choice.Expected.Milliseconds(), "first_ms", a.firstByteAfter.Milliseconds(), "gap_ms", finished.longestPause.Milliseconds(),
 		"before_ms", a.startedAt.Sub(x.receivedAt).Milliseconds(), "all_ms", now.Sub(x.receivedAt).Milliseconds(),
--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -32,6 +32,16 @@
 	return suspect.QuickHash(x.organisationName(), x.head.Method, x.head.Get("Host"), x.head.Target, x.body)
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests may share.
+func (x *exchange) sharedParts() []string {
+	shared := x.info.Shared()
+	ids := make([]string, len(shared))
+	for i, p := range shared {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // organisationName returns "" for a request without an organisation.
 func (x *exchange) organisationName() string {
 	if x.organisation == nil {
@@ -97,11 +107,13 @@
 }
 
 // newLostRun describes a run whose answer was lost now.
-func newLostRun(u *site.Upstream, request string, content site.Fingerprint, quickHash uint64, startedAt time.Time) suspects.LostRun {
+func newLostRun(u *site.Upstream, request string, content site.Fingerprint, quickHash uint64, parts []string, startedAt time.Time) suspects.LostRun {
 	return suspects.LostRun{
 		Content:   content,
 		QuickHash: quickHash,
 		RequestID: request,
+		Service:   u.Service,
+		Parts:     parts,
 		Replica:   u.ID,
 		StartKey:  suspects.StartKeyOf(u.ID, u.Started),
 		Addr:      u.Addr,
@@ -116,7 +128,7 @@
 	if a.via != nil {
 		return
 	}
-	run := newLostRun(&a.choice.Upstream, x.info.ID, x.fingerprint(), x.quickHash(), a.startedAt)
+	run := newLostRun(&a.choice.Upstream, x.info.ID, x.fingerprint(), x.quickHash(), x.sharedParts(), a.startedAt)
 	// The client left, the deadline passed, or the network path fell silent.
 	x.g.recordLostRun(x.pool, &a.choice.Upstream, run, ctx.Err() != nil || isUnreachable(err))
 }
--- a/service/gateway/forward_messages.go
+++ b/service/gateway/forward_messages.go
@@ -53,6 +53,8 @@
 	Request   string           `json:"request"`
 	Content   site.Fingerprint `json:"content"`
 	QuickHash uint64           `json:"quick"`
+	// Parts are the IDs of the parts of its prompt that other requests may share.
+	Parts []string `json:"parts,omitempty"`
 	// Repeatable means that an idle connection may be used which the replica may be closing.
 	Repeatable bool `json:"repeatable,omitempty"`
 	Streaming  bool `json:"streaming,omitempty"`
--- a/service/gateway/forward_serve.go
+++ b/service/gateway/forward_serve.go
@@ -331,7 +331,7 @@
 // recordLostRun records that the answer of the replica was lost.
 func (s *forwardedRequest) recordLostRun(ctx context.Context, sentAt time.Time, err error) {
 	s.f.g.log.Warn("answer lost", "request", s.Request, "content", s.Content, "replica", s.Replica.ID, "via", "", "attempts", 1, "err", err)
-	run := newLostRun(s.replica, s.Request, s.Content, s.QuickHash, sentAt)
+	run := newLostRun(s.replica, s.Request, s.Content, s.QuickHash, s.Parts, sentAt)
 	silent := ctx.Err() != nil || errors.Is(err, errForwardingNodeLeft) || isUnreachable(err)
 	s.f.g.recordLostRun(s.pool, s.replica, run, silent)
 	if ctx.Err() == nil && isUnreachable(err) && !errors.Is(err, errReplicaGone) {
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -65,6 +65,7 @@
 type metrics struct {
 	sent              atomic.Int64 // Attempts at replicas.
 	answered          atomic.Int64
+	endedByClose      atomic.Int64 // Answers without length or chunks that ended with their connection.
 	clientsLeft       atomic.Int64
 	cutByStop         atomic.Int64
 	refusedByReplicas atomic.Int64
@@ -135,6 +136,7 @@
 // meaning.
 type metricsStatus struct {
 	Answered          int64                        `json:"answered"`
+	EndedByClose      int64                        `json:"ended_by_close"`
 	AnsweredByKind    map[string]int64             `json:"answered_by_kind"`
 	Sent              int64                        `json:"sent"`
 	HallExits         map[route.HallExit]int64     `json:"left_hall"`
@@ -204,6 +206,7 @@
 	m := g.metrics
 	s := metricsStatus{
 		Answered:          m.answered.Load(),
+		EndedByClose:      m.endedByClose.Load(),
 		Sent:              m.sent.Load(),
 		HallExits:         map[route.HallExit]int64{},
 		ClientsLeft:       m.clientsLeft.Load(),
--- a/service/suspects/suspects.go
+++ b/service/suspects/suspects.go
@@ -92,6 +92,9 @@
 	Content   site.Fingerprint
 	QuickHash uint64
 	RequestID string // The client's request ID.
+	Service   string
+	// Parts are the IDs of the parts of its prompt that other requests may share.
+	Parts     []string
 	Replica   string // The replica's ID.
 	StartKey  string // From StartKeyOf.
 	Addr      netip.AddrPort
@@ -289,7 +292,7 @@
 	})
 	c := s.register.Case(r.Content)
 	s.metrics.ends.Add(1)
-	s.log.Warn("replica ended under a request", "request", r.RequestID, "content", r.Content, "replica", r.Replica,
+	s.log.Warn("replica ended under a request", "request", r.RequestID, "content", r.Content, "service", r.Service, "parts", r.loggedParts(), "replica", r.Replica,
 		"ends", len(c.Ends), "verdict", change.After.String(), "finished_before", !c.Finished.IsZero())
 	s.logChange(c, change)
 	if change.New && len(c.Ends) > 0 {
@@ -297,6 +300,12 @@
 	}
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 12
+
+// loggedParts returns the parts of the prompt that are logged.
+func (r *LostRun) loggedParts() []string { return r.Parts[:min(len(r.Parts), maxLoggedParts)] }
+
 // RecordFinish records that a replica finished a request.
 func (s *Suspects) RecordFinish(quickHash uint64, content func() site.Fingerprint, now time.Time) {
 	s.register.RecordFinish(quickHash, now)
