--- a/internal/standin/onplatform/replica.go
+++ b/internal/standin/onplatform/replica.go
@@ -57,14 +57,20 @@
 
 // Close stops the replica.
 func (r *Replica) Close() {
+	r.Kill()
+	r.wg.Wait()
+}
+
+// Kill stops the replica as the end of its process would: nothing listens any more, and then its connections are
+// closed. It doesn't wait, so that a script may call it.
+func (r *Replica) Kill() {
 	_ = r.ln.Close() // The replica ends in any case.
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.closed = true
 	for conn := range r.conns {
 		_ = conn.Close()
 	}
-	r.mu.Unlock()
-	r.wg.Wait()
 }
 
 // Addr returns the address on which the replica listens.
@@ -227,6 +233,18 @@
 	}
 }
 
+// UnframedStream streams events like Stream, with neither a length nor chunks: the stream ends with its connection.
+func UnframedStream(events []string, pause time.Duration) Script {
+	return func(w io.Writer, r *Request) bool {
+		writeText(w, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nServer-Stamp: s\r\nRequest-Id: "+r.ID()+"\r\nConnection: close\r\n\r\n")
+		for _, event := range events {
+			writeText(w, event)
+			time.Sleep(pause)
+		}
+		return false
+	}
+}
+
 // RestOfStream streams the events that follow the one that the request names in Last-Event-Id, up to the last of
 // the stream, each with the same text. With the given probability it breaks off before.
 func RestOfStream(text string, last int, pause time.Duration, breakShare float64) Script {
