Opinions given before a replica ended do not speak for it

Cause: a node that finds a connection refused asks others whether the fault is its own path's. The answer is shared for 0.5 s, and was also taken from a survey that had begun before the replica ended, in which what others had heard up to 0.4 s earlier counts. The end was then neither a truncated answer nor evidence.

Change: a question about a replica that may have ended names the time, and a survey that admits what was heard before it is made anew.

--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -152,7 +152,7 @@
 		g.conns.put(u.ID, conn)
 		run.Reachable = true
 		g.suspects.RecordLostRun(run)
-	case suspects.NotListening(err) && g.forwarding.faultOf(p, u, err) != route.FaultOfPath:
+	case suspects.NotListening(err) && g.forwarding.faultOf(p, u, err, run.LostAt) != route.FaultOfPath:
 		g.recordUnreachable(p, u, boottime.Now())
 		g.suspects.RecordEnd(run, boottime.Now())
 	default:
--- a/service/gateway/forwarding.go
+++ b/service/gateway/forwarding.go
@@ -127,7 +127,7 @@
 			if f.paths.NoForwarder(boottime.Now()) {
 				break
 			}
-			f.survey(ctx, u, upstreamDialTimeout)
+			f.survey(ctx, u, upstreamDialTimeout, anyTime)
 			if peer, ok = f.paths.ChooseForwarder(peers, f.g.nodes.self.DataHall, *tried, boottime.Now()); !ok {
 				break
 			}
@@ -157,7 +157,7 @@
 		return
 	}
 	f.g.wg.Go(func() {
-		fault, first := f.survey(f.g.ctx, u, connectTime(err))
+		fault, first := f.survey(f.g.ctx, u, connectTime(err), anyTime)
 		if fault != route.FaultOfPath {
 			f.g.recordNotReached(p, u, err, boottime.Now())
 		}
@@ -172,6 +172,8 @@
 	done    chan struct{}
 	fault   route.Fault
 	endedAt time.Time // Zero while it is under way.
+	// heardFrom is the earliest time at which bytes of the replica count for it.
+	heardFrom time.Time
 }
 
 // connectTime is for how long a connection that was not made had been tried.
@@ -183,12 +185,13 @@
 }
 
 // survey asks other nodes whether they reach a replica, to which this one has tried to connect for
-// a time. Several callers share one survey; first is true for the one that made it.
-func (f *forwarding) survey(ctx context.Context, u *site.Upstream, connecting time.Duration) (fault route.Fault, first bool) {
+// a time. Several callers share one survey; first is true for the one that made it. What other nodes heard before
+// since does not count.
+func (f *forwarding) survey(ctx context.Context, u *site.Upstream, connecting time.Duration, since time.Time) (fault route.Fault, first bool) {
 	f.surveysMu.Lock()
 	s := f.surveys[u.ID]
-	if s == nil || !s.endedAt.IsZero() && boottime.Since(s.endedAt) > surveyTerm {
-		s, first = &survey{done: make(chan struct{}), fault: route.FaultUnknown}, true
+	if s == nil || s.heardFrom.Before(since) || !s.endedAt.IsZero() && boottime.Since(s.endedAt) > surveyTerm {
+		s, first = &survey{done: make(chan struct{}), fault: route.FaultUnknown, heardFrom: boottime.Now().Add(-connecting)}, true
 		f.surveys[u.ID] = s
 	}
 	f.surveysMu.Unlock()
@@ -396,12 +399,15 @@
 	return route.OutcomeFailed
 }
 
-// faultOf asks other nodes about a replica to which this node could not connect.
-func (f *forwarding) faultOf(p *route.Pool, u *site.Upstream, err error) route.Fault {
+// anyTime admits all that other nodes have heard.
+var anyTime time.Time
+
+// faultOf asks other nodes about a replica to which this node could not connect, and which may have ended at since.
+func (f *forwarding) faultOf(p *route.Pool, u *site.Upstream, err error, since time.Time) route.Fault {
 	if !f.enabled() {
 		return route.FaultUnknown
 	}
-	fault, _ := f.survey(f.g.ctx, u, connectTime(err))
+	fault, _ := f.survey(f.g.ctx, u, connectTime(err), since)
 	if fault == route.FaultOfPath {
 		f.reportFailure(p, u, err)
 	}
@@ -414,7 +420,7 @@
 		return
 	}
 	f.g.wg.Go(func() {
-		if fault, _ := f.survey(f.g.ctx, u, 0); fault == route.FaultOfReplica {
+		if fault, _ := f.survey(f.g.ctx, u, 0, anyTime); fault == route.FaultOfReplica {
 			f.g.recordUnreachable(p, u, boottime.Now())
 		}
 	})
--- a/service/gateway/reachability.go
+++ b/service/gateway/reachability.go
@@ -308,7 +308,7 @@
 func (r *reachability) judge(c *contact, start int64, err error) route.CheckResult {
 	fault := route.FaultUnknown
 	if p, u := r.g.replicaAt(c); p != nil {
-		fault = r.g.forwarding.faultOf(p, u, err)
+		fault = r.g.forwarding.faultOf(p, u, err, anyTime)
 	}
 	switch {
 	case fault == route.FaultOfPath:
