An answer that ends with its connection is whole only if its replica lives on

Cause: a killed process closes its connections in good order. The stream counted as complete unless it ended inside an event; its run was recorded as finished, which speaks for the request, and was not taken up again.

Change: one place decides. Unless the replica has announced that it leaves, the node makes a connection to it, which is kept for the next request, and looks at it again after 3 ms. If nothing listens there, and the node's own path is not at fault, the answer was cut short; a node that forwards does the same. If it stays unclear, the answer is passed on as whole, but the run is no evidence for its request.

--- a/internal/standin/onplatform/replica.go
+++ b/internal/standin/onplatform/replica.go
@@ -42,6 +42,7 @@
 	conns    map[net.Conn]struct{}
 	closed   bool
 	wg       sync.WaitGroup
+	unbound  chan struct{} // Closed when nothing listens any more.
 }
 
 // NewReplica starts a replica that answers 200 to everything.
@@ -50,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{ID: id, ln: ln, script: OK("from " + id), conns: map[net.Conn]struct{}{}}
+	r := &Replica{ID: id, ln: ln, script: OK("from " + id), conns: map[net.Conn]struct{}{}, unbound: make(chan struct{})}
 	r.wg.Go(r.accept)
 	return r, nil
 }
@@ -65,6 +66,7 @@
 // closed. It doesn't wait, so that a script may call it.
 func (r *Replica) Kill() {
 	_ = r.ln.Close() // The replica ends in any case.
+	<-r.unbound
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
@@ -98,6 +100,7 @@
 }
 
 func (r *Replica) accept() {
+	defer close(r.unbound)
 	for {
 		conn, err := r.ln.Accept()
 		if err != nil {
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -57,10 +57,12 @@
 	written    atomic.Bool
 	writeDone  chan struct{} // Closed when write returns.
 	mismatched bool          // Answers to other requests arrived before this one's.
-	// answered is set once the replica's whole answer has been read.
-	answered bool
-	canary   canaryAttempt
-	handoff  *handoff // Nil unless the run is being handed over.
+	// answered is set once the replica's whole answer has been read. endUnconfirmed means that the answer ended with
+	// its connection and that the replica is not known to be alive.
+	answered       bool
+	endUnconfirmed bool
+	canary         canaryAttempt
+	handoff        *handoff // Nil unless the run is being handed over.
 	// origin is the attempt whose run this one goes on with, nil for none.
 	origin *attempt
 
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -449,7 +449,7 @@
 		return x.mayRepeat(a.choice.ID, now)
 	}
 	a.answered = true
-	x.recordFinish(now)
+	x.recordFinish(a, now)
 	x.recordCanary(ctx, a, isServerError(a.head.Status))
 	if !isServerError(a.head.Status) {
 		a.end(route.OutcomeOK, now)
--- a/service/gateway/exchange_suspects.go
+++ b/service/gateway/exchange_suspects.go
@@ -101,8 +101,11 @@
 	x.suspectRun = false
 }
 
-// recordFinish records that a replica finished the request.
-func (x *exchange) recordFinish(now time.Time) {
+// recordFinish records that a replica finished the request and is still alive.
+func (x *exchange) recordFinish(a *attempt, now time.Time) {
+	if a.endUnconfirmed {
+		return
+	}
 	x.g.suspects.RecordFinish(x.quickHash(), x.fingerprint, now)
 }
 
--- a/service/gateway/forward_serve.go
+++ b/service/gateway/forward_serve.go
@@ -235,7 +235,7 @@
 		s.status = answer.Status
 		err = s.passOn(answer, answerBody, sentAt)
 	}
-	if err != nil && !answered(answerBody) {
+	if err != nil && (!answered(answerBody) || errors.Is(err, http1.ErrBodyTruncated)) {
 		s.recordLostRun(ctx, sentAt, err)
 	}
 	usable := err == nil && !answer.Close() && !mismatched && answerBody.Framing() != http1.FramingClose && s.written.Load()
@@ -306,8 +306,7 @@
 		}
 		switch {
 		case err == io.EOF && chunked:
-			_, err = s.conn.Write(append(out, http1.LastChunk...))
-			return err
+			return s.endChunks(body, out)
 		case err == io.EOF, err == nil && body.Done() && !chunked:
 			_, err = s.conn.Write(out)
 			return err
@@ -317,6 +316,19 @@
 	}
 }
 
+// endChunks ends the answer to the other node after the last pieces, unless it ended with its connection because the
+// replica has ended.
+func (s *forwardedRequest) endChunks(body *http1.Body, pieces []byte) error {
+	if body.Framing() == http1.FramingClose {
+		if _, err := s.f.g.checkEndOfConnection(s.pool, s.replica); err != nil {
+			_, _ = s.conn.Write(pieces) // The answer is cut short in any case.
+			return err
+		}
+	}
+	_, err := s.conn.Write(append(pieces, http1.LastChunk...))
+	return err
+}
+
 // appendPiece appends a piece of a body, as a chunk if the body is chunked.
 func appendPiece(b, piece []byte, chunked bool) []byte {
 	if chunked {
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -57,7 +57,7 @@
 		a.answered = true
 		a.endHandoff()
 		x.recordCanary(ctx, a, false)
-		x.recordFinish(now)
+		x.recordFinish(a, now)
 		r.finish()
 		x.logAnswer(a, now)
 		return false, refusal{}
@@ -109,7 +109,7 @@
 			// The stream ended inside an event, so the connection was lost.
 			return http1.ErrBodyTruncated
 		case err == io.EOF:
-			return nil
+			return x.confirmEnd(a)
 		case err != nil:
 			return err
 		}
--- a/service/gateway/whole_answer.go
+++ b/service/gateway/whole_answer.go
@@ -5,8 +5,11 @@
 	"errors"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 // wholeAnswer is a replica's answer that has been read completely.
@@ -35,6 +38,9 @@
 	}
 	w = &wholeAnswer{head: a.head, hold: x.g.responses.hold(x.organisationName())}
 	w.body, err = http1.ReadPieces(a.body, maxAnswerBytes, func(n int) error { return w.hold.grow(ctx, int64(n)) })
+	if err == nil {
+		err = x.confirmEnd(a)
+	}
 	a.unread = w.hold.waited
 	if err != nil {
 		w.hold.release()
@@ -42,6 +48,45 @@
 	return w, err
 }
 
+// endSettleTime is how long after it was made a connection must be open for its replica to be alive: the kernel
+// closes the sockets of a process that ends one after the other.
+const endSettleTime = 3 * time.Millisecond
+
+// confirmEnd returns an error if the answer ended with its connection because its replica has ended. Without it a
+// replica that was killed between two events had its streams passed on as whole ones.
+func (x *exchange) confirmEnd(a *attempt) error {
+	if a.body.Framing() != http1.FramingClose {
+		return nil
+	}
+	alive, err := x.g.checkEndOfConnection(x.pool, &a.choice.Upstream)
+	a.endUnconfirmed = !alive
+	return err
+}
+
+// checkEndOfConnection finds out whether a replica has ended that has just closed the connection of an answer with
+// neither a length nor chunks. The error is http1.ErrBodyTruncated if it has, without having announced it; alive means
+// that it has not.
+func (g *Gateway) checkEndOfConnection(p *route.Pool, u *site.Upstream) (alive bool, err error) {
+	if !p.IsActive(u.ID) {
+		return false, nil // A replica that is shutting down completes its answers.
+	}
+	endedAt := boottime.Now()
+	conn, err := g.conns.dial(u.ID, u.Addr, upstreamDialTimeout)
+	switch {
+	case suspects.NotListening(err) && g.forwarding.faultOf(p, u, err, endedAt) != route.FaultOfPath:
+		return false, http1.ErrBodyTruncated
+	case err != nil:
+		return false, nil
+	}
+	time.Sleep(endSettleTime)
+	if !http1.Idle(conn.conn) {
+		conn.close()
+		return false, http1.ErrBodyTruncated
+	}
+	g.conns.put(u.ID, conn)
+	return true, nil
+}
+
 // handleCutOffUnread decides how to go on when a replica did not wait for the node to read its
 // answer. The replica is not at fault.
 func (x *exchange) handleCutOffUnread(a *attempt, w *wholeAnswer, err error, now time.Time) (bool, refusal) {
