Prefixes of prompts are causes under which engines end, on the own interface

What callers saw: prompts of which no two are alike, with one prefix under which each engine ends, ended all of eight engines sent to three nodes in turn; sound ones got 503 no_upstream.

Cause: as on the platform, blame rested on the whole prompt.

Change: the keys of a prompt's prefixes, but for the last one, take the place of parts; the same package decides. The scenario failed before (503 where 400 is due) and passes after.

--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -11,6 +11,7 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/prompt"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/upstream"
 )
 
@@ -50,9 +51,9 @@
 	completionTokens int
 	tokensAtBreak    int // Tokens received when the stream last broke off.
 	done             bool
-	sentAt           time.Time // Start of the current attempt.
-	engineStarted    time.Time // As reported with the answer; zero if unknown.
-	mayRun           bool      // Suspects.StartRun has permitted this run of a watched prompt.
+	sentAt           time.Time         // Start of the current attempt.
+	engineStarted    time.Time         // As reported with the answer; zero if unknown.
+	grant            *site.Fingerprint // The cause for which Suspects.StartRun has permitted this run, nil for none.
 }
 
 // Sources of a prompt's reused KV cache, as reported in the usage. SourceHot means that the
--- a/service/entry/run_suspects.go
+++ b/service/entry/run_suspects.go
@@ -45,27 +45,44 @@
 	if suspects.Empty() {
 		return nil // Saves hashing the prompt.
 	}
-	c := suspects.Case(r.fingerprint())
-	switch c.Verdict() {
+	c, verdict := suspects.Judge(suspect.Cause{Fingerprint: r.fingerprint()}, r.call.Model, r.prefixes())
+	switch verdict {
 	case suspect.Blocked:
-		r.log.Warn("prompt blocked", "content", c.Fingerprint, "ends", len(c.Ends), "engines", c.Replicas())
+		r.log.Warn("prompt blocked", "content", r.fingerprint(), "cause", c.Kind.String(), "part", c.Part, "ends", len(c.Ends), "engines", c.Replicas())
 		return r.setRan(&Failure{
 			Status:  blockedStatus(r.reached),
 			Code:    CodeEndsEngines,
-			Message: fmt.Sprintf("%d engines ended under this prompt; it is not to be sent again", len(c.Ends)),
+			Message: blockedMessage(&c),
 		})
 	case suspect.Watched:
-		if r.mayRun {
+		if r.grant != nil {
 			return nil // Asking again on a retry would wait for this very run.
 		}
 		if !suspects.StartRun(r.ctx, c.Fingerprint, maxPermittedRun) {
 			return r.setRan(refusal(CodeSuspected, suspectedRetryAfter, "engines ended under this prompt, and another one like it is under way"))
 		}
-		r.mayRun = true
+		r.grant = &c.Fingerprint
 	}
 	return nil
 }
 
+func blockedMessage(c *suspect.Case) string {
+	if c.Kind == suspect.KindPart {
+		return fmt.Sprintf("%d engines ended under prompts with a prefix of this one; it is not to be sent again", len(c.Ends))
+	}
+	return fmt.Sprintf("%d engines ended under this prompt; it is not to be sent again", len(c.Ends))
+}
+
+// prefixes returns the keys of the prefixes that other prompts may share: all marks but the last one.
+func (r *Run) prefixes() []string {
+	marks := r.chain.Marks[:max(0, len(r.chain.Marks)-1)]
+	keys := make([]string, len(marks))
+	for i, m := range marks {
+		keys[i] = m.Key.String()
+	}
+	return keys
+}
+
 func blockedStatus(reached bool) int {
 	if reached {
 		return http.StatusBadGateway
@@ -90,6 +107,8 @@
 		Content:   r.fingerprint(),
 		QuickHash: r.quickHash(),
 		RequestID: r.call.RequestID,
+		Service:   r.call.Model,
+		Parts:     r.prefixes(),
 		Replica:   replica,
 		StartKey:  suspects.StartKeyOf(replica, started),
 		StartedAt: r.sentAt,
@@ -103,16 +122,18 @@
 	defer cancel()
 	if _, err := engine.Load(ctx); suspects.NotListening(err) {
 		r.deps.Suspects.RecordEnd(lost, lost.LostAt)
-		r.mayRun = false // The node that permitted it learns of the end.
+		r.grant = nil // The node that permitted it learns of the end.
 	}
 }
 
 // reportFinished reports a finished run, or ends a permitted one that failed.
 func (r *Run) reportFinished() {
 	if r.done {
-		r.deps.Suspects.RecordFinish(r.quickHash(), r.fingerprint, boottime.Now())
-	} else if r.mayRun {
-		r.deps.Suspects.EndRun(r.fingerprint())
+		now := boottime.Now()
+		r.deps.Suspects.RecordFinish(r.quickHash(), r.fingerprint, now)
+		r.deps.Suspects.RecordPartFinishes(r.call.Model, r.prefixes(), now)
+	} else if r.grant != nil {
+		r.deps.Suspects.EndRun(*r.grant)
 	}
-	r.mayRun = false
+	r.grant = nil
 }
