--- a/pkg/suspect/attribution.go
+++ b/pkg/suspect/attribution.go
@@ -1,7 +1,6 @@
 package suspect
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -17,15 +16,6 @@
 // scoreTolerance is the difference up to which scores count as equal.
 const scoreTolerance = 0.01
 
-const (
-	// AnswerTime is how long the answers of nodes take that were asked for finishes of a part.
-	AnswerTime = 100 * time.Millisecond
-	// answerTerm is how long their answers are valid.
-	answerTerm = 2 * time.Second
-	// askShare is the share of the score from which a part is blocked at which nodes are asked.
-	askShare = 0.7
-)
-
 // Decide blocks the parts of a service that are to be blocked on the evidence, and releases those whose ends others
 // explain. It returns the cases that have changed. It needs the evidence about all causes that were in flight where
 // replicas of the service ended. Nodes must have been asked for finishes before; unasked means that there are parts for
@@ -69,59 +59,11 @@
 	return slices.DeleteFunc(slices.Clone(c.Ends), func(e ReplicaEnd) bool { return excluded(e.Replica) })
 }
 
-// answered reports whether nodes have been asked for the finishes of a part and have had time to answer.
-func (e *entry) answered(now time.Time) bool {
-	asked := now.Sub(e.askedAt)
-	return asked >= AnswerTime && asked < answerTerm
-}
-
-// unasked returns the parts of a service that may soon be blocked and whose finishes nodes have not been asked for.
-func (r *Register) unasked(service string, now time.Time) (list []*entry) {
-	for _, e := range r.entries {
-		if !e.isOpenPart(service) || !e.mayReach(askShare*blockScore) || now.Sub(e.askedAt) < answerTerm/2 {
-			continue
-		}
-		if s := r.openScore(e); s >= askShare*blockScore && s >= askShare*r.threshold(e) {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
-// TakeUnasked returns the parts of a service for which nodes have to be asked, and marks them as asked.
-func (r *Register) TakeUnasked(service string, limit int, now time.Time) (parts []string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := r.unasked(service, now)
-	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(r.openScore(b), r.openScore(a)) })
-	for _, e := range list[:min(len(list), limit)] {
-		e.askedAt = now
-		parts = append(parts, e.Part)
-	}
-	return parts
-}
-
-// MarkAsked records that nodes are asked for the finishes of a part, and returns those that this node remembers.
-func (r *Register) MarkAsked(part Cause, now time.Time) []Finish {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if e := r.entries[part.Fingerprint]; e != nil {
-		e.askedAt = now
-	}
-	return slices.Clone(r.finishes.of(part.QuickHash))
-}
-
 // isOpenPart reports whether the cause is a part of a service that is not blocked.
 func (e *entry) isOpenPart(service string) bool {
 	return e.Kind == KindPart && e.Service == service && e.Verdict() != Blocked
 }
 
-// threshold is the score from which a part is blocked. Each end of a replica of the service that the part does not
-// explain is one more at which a sound part may have been in flight by chance (Bonferroni correction).
-func (r *Register) threshold(part *entry) float64 {
-	return blockScore + math.Log(float64(1+r.unexplainedEnds(part)))
-}
-
 // strongest returns the part to block next, with those that the evidence does not tell from it.
 func (r *Register) strongest(service string) (group []*entry) {
 	best := math.Inf(-1)
@@ -145,38 +87,6 @@
 	return slices.DeleteFunc(group, func(e *entry) bool { return !first.sameReplicas(&e.Case) })
 }
 
-// unexplainedEnds counts the replicas of the service that have ended since the first end under a part, and neither under
-// it nor under a blocked one.
-func (r *Register) unexplainedEnds(part *entry) (n int) {
-	if len(part.Ends) == 0 {
-		return 0
-	}
-	first := part.Ends[0].EndedAt
-	for replica, endedAt := range r.serviceEnds[part.Service] {
-		if _, explained := r.explained[replica]; !explained && !endedAt.Before(first) && !part.hasEnd(replica) {
-			n++
-		}
-	}
-	return n
-}
-
-// recordServiceEnds remembers when replicas of a service ended.
-func (r *Register) recordServiceEnds(c *Case) {
-	if c.Kind != KindPart {
-		return
-	}
-	ends := r.serviceEnds[c.Service]
-	if ends == nil {
-		ends = map[string]time.Time{}
-		r.serviceEnds[c.Service] = ends
-	}
-	for _, e := range c.Ends {
-		if known, ok := ends[e.Replica]; len(ends) < maxServiceEnds && (!ok || e.EndedAt.Before(known)) {
-			ends[e.Replica] = e.EndedAt
-		}
-	}
-}
-
 // explainedByRequest reports whether a blocked request was in flight at all replicas that ended under a part.
 func (r *Register) explainedByRequest(part *entry) bool {
 	for _, e := range r.entries {
--- a/service/suspects/notes.go
+++ b/service/suspects/notes.go
@@ -159,13 +159,7 @@
 		return
 	}
 	s.sendTwice(func(int) {
-		var to []netip.AddrPort
-		for _, o := range s.collectors(c.Cause) {
-			if o.Name != s.self.Name {
-				to = append(to, o.Peer)
-			}
-		}
-		s.notifier.SendNote(to, NoteCases, casesNote{Cases: []caseMessage{newCaseMessage(c, boottime.Now())}, Collect: true})
+		s.notifier.SendNote(s.otherAddrs(s.collectors(c.Cause)), NoteCases, casesNote{Cases: []caseMessage{newCaseMessage(c, boottime.Now())}, Collect: true})
 	})
 }
 
--- a/service/suspects/parts.go
+++ b/service/suspects/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -62,22 +61,19 @@
 		return
 	}
 	s.sendTwice(func(int) {
-		var to []netip.AddrPort
-		for _, o := range s.collectors(suspect.Cause{Kind: suspect.KindPart, Service: note.Service}) {
-			if o.Name != s.self.Name {
-				to = append(to, o.Peer)
-			}
-		}
 		note.End = newEndMessage(end, boottime.Now())
-		s.notifier.SendNote(to, NoteLostRun, note)
+		s.notifier.SendNote(s.otherAddrs(s.partCollectors(note.Service)), NoteLostRun, note)
 	})
 }
 
+// collectorRank returns the rank of this node among those that collect the evidence, -1 if it is none of them.
+func (s *Suspects) collectorRank(service string) int {
+	return slices.IndexFunc(s.partCollectors(service), func(m control.Member) bool { return m.Name == s.self.Name })
+}
+
 // collects reports whether this node collects the evidence about the parts of a service.
 func (s *Suspects) collects(service string) bool {
-	return slices.ContainsFunc(s.collectors(suspect.Cause{Kind: suspect.KindPart, Service: service}), func(m control.Member) bool {
-		return m.Name == s.self.Name
-	})
+	return s.collectorRank(service) >= 0
 }
 
 // HandleLostRun handles a NoteLostRun of another node.
@@ -115,7 +111,7 @@
 		return
 	}
 	// The first collector asks. The others do in its place if it has ended or is cut off.
-	rank := slices.IndexFunc(s.collectors(suspect.Cause{Kind: suspect.KindPart, Service: service}), func(m control.Member) bool { return m.Name == s.self.Name })
+	rank := s.collectorRank(service)
 	if rank <= 0 {
 		s.askForFinishes(service)
 		return
@@ -201,13 +197,7 @@
 		return
 	}
 	reply.Collect = true
-	var to []netip.AddrPort
-	for _, o := range s.collectors(suspect.Cause{Kind: suspect.KindPart, Service: note.Service}) {
-		if o.Name != s.self.Name {
-			to = append(to, o.Peer)
-		}
-	}
-	s.notifier.SendNote(to, NoteCases, reply)
+	s.notifier.SendNote(s.otherAddrs(s.partCollectors(note.Service)), NoteCases, reply)
 }
 
 // RecordPartFinishes records that a replica finished a prompt, as evidence about its parts.
--- a/service/suspects/suspects.go
+++ b/service/suspects/suspects.go
@@ -359,11 +359,26 @@
 // by the same nodes, as it takes all of it to find out which part explains the ends.
 func (s *Suspects) collectors(c suspect.Cause) []control.Member {
 	if c.Kind == suspect.KindPart {
-		return control.Owners(s.members.View().Working(), partDutyPrefix+c.Service, ownerCount)
+		return s.partCollectors(c.Service)
 	}
 	return s.owners(c.Fingerprint)
 }
 
+// partCollectors returns the nodes that collect the evidence about the parts of a service.
+func (s *Suspects) partCollectors(service string) []control.Member {
+	return control.Owners(s.members.View().Working(), partDutyPrefix+service, ownerCount)
+}
+
+// otherAddrs returns the addresses of some nodes but for this one.
+func (s *Suspects) otherAddrs(list []control.Member) (addrs []netip.AddrPort) {
+	for _, m := range list {
+		if m.Name != s.self.Name {
+			addrs = append(addrs, m.Peer)
+		}
+	}
+	return addrs
+}
+
 // Status is the part of a node's status that Suspects reports.
 type Status struct {
 	Ends        int64 `json:"ends"`
