--- a/pkg/suspect/case.go
+++ b/pkg/suspect/case.go
@@ -118,8 +118,8 @@
 
 // merge adds the evidence of another case and reports whether any of it was new.
 func (c *Case) merge(other Case) (changed bool) {
-	if c.QuickHash == 0 {
-		c.QuickHash = other.QuickHash
+	if c.QuickHash == 0 || other.Kind == KindPart {
+		c.Cause = other.Cause // Nodes of older versions pass on the case of a part as that of a request.
 	}
 	if other.Decisions > c.Decisions {
 		c.Decisions = other.Decisions
--- a/pkg/suspect/part_test.go
+++ b/pkg/suspect/part_test.go
@@ -232,6 +232,18 @@
 	assert.Equal(t, r.Digest(), uint64(0))
 }
 
+// A node of an older version had passed on the case of a part as that of a request, and the part was not blocked.
+func TestCaseOfAPartTakesThePlaceOfARequests(t *testing.T) {
+	r, other := suspect.NewRegister(), suspect.NewRegister()
+	for i := range 4 {
+		lostRun(r, fmt.Sprint("r", i), uint32(i), float64(i), "bad")
+	}
+	blocked := decide(r, service)[0]
+	other.Merge(suspect.Case{Cause: suspect.RequestCause(blocked.Fingerprint, blocked.QuickHash), Ends: blocked.Ends[:2]})
+	other.Merge(blocked)
+	assert.Equal(t, judge(other, "bad"), suspect.Blocked)
+}
+
 func TestBlockedPartIsForgottenAfterAnHour(t *testing.T) {
 	r := suspect.NewRegister()
 	for i := range 4 {
--- a/service/suspects/parts_test.go
+++ b/service/suspects/parts_test.go
@@ -354,3 +354,38 @@
 		})
 	}
 }
+
+// All replicas of a hall end at one moment, with 1,200 prompts of ten parts in flight.
+func TestLostHallCostsFewBytesForItsParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(900, 7, soonNotes)
+		now := time.Now()
+		const replicas, each, shared = 100, 12, 10
+		for replica := range replicas {
+			for i := range each {
+				var parts []string
+				for p := range shared {
+					parts = append(parts, fmt.Sprintf("%08x", p*1000+rand.IntN(1+40*p)))
+				}
+				key := fmt.Sprintf("i-%010x", replica)
+				run := LostRun{Content: site.NewFingerprint("", "POST", "h", "/x", fmt.Appendf(nil, "%d %d", replica, i)), QuickHash: 1, Service: "llm", Parts: parts, Replica: key, StartKey: key, StartedAt: now, LostAt: now}
+				cluster.nodes[rand.IntN(len(cluster.nodes))].RecordEnd(run, now)
+			}
+		}
+		time.Sleep(time.Second)
+		cluster.mu.Lock()
+		defer cluster.mu.Unlock()
+		sum, most := 0, 0
+		for _, n := range cluster.bytesReceived {
+			sum += n
+			most = max(most, n)
+		}
+		blocked := 0
+		for _, s := range cluster.nodes {
+			blocked += s.Status().BlockedParts
+		}
+		t.Logf("%d bytes a node, %d at most, %d blocks", sum/len(cluster.nodes), most, blocked)
+		assert.Assert(t, sum/len(cluster.nodes) < 3<<10, "%d bytes a node", sum/len(cluster.nodes))
+		assert.Equal(t, blocked, 0)
+	})
+}
