Prompts leave the queue at once when their part is blocked

What callers saw: prompts that waited in a node's queue when a part of them was blocked waited on until their turn or their time came: 503 overloaded after 0.84 s where 400 is due at once.

Cause: the block was looked at on arrival and before each attempt only.

Change: a node that learns of a block wakes what waits in its queues, and each looks again. The test failed before on all queued prompts and passes after.

--- a/internal/standin/onplatform/prompt_parts_ending_replicas_test.go
+++ b/internal/standin/onplatform/prompt_parts_ending_replicas_test.go
@@ -14,6 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
+	"github.com/drumpath/drumpath/pkg/suspect"
+	"github.com/drumpath/drumpath/service/suspects"
 )
 
 const (
@@ -398,3 +400,44 @@
 		})
 	}
 }
+
+// Prompts that waited in the queue when their part was blocked were refused when their turn came, or their time was over.
+func TestQueuedPromptsAreRefusedOnceTheirPartIsBlocked(t *testing.T) {
+	s := newSite(t)
+	r := s.startReplica(llmService, "e")
+	release := make(chan struct{})
+	defer close(release) // Close of the engine waits for its requests.
+	r.Script(onplatform.After(release, onplatform.Events(1, 1, 0, true)))
+	n := s.startReadyNode("n1")
+	const sent = 12
+	clients := map[string]*client{}
+	for range sent {
+		text := strings.Replace(partsPrompt("aa:500,"+crashPart+":300"), "/prompt/", "/patient/", 1)
+		c := n.dial()
+		c.write(text)
+		clients[idField.FindStringSubmatch(text)[1]] = c
+	}
+	s.waitUntil("the engine has some", func() bool { return len(r.Received()) >= 2 })
+	time.Sleep(workTime) // The node has sent the engine all that it takes at a time.
+	for _, in := range r.Received() {
+		delete(clients, in.ID())
+	}
+	assert.Assert(t, len(clients) > 0, "no request is queued")
+	now := time.Now()
+	blocked := suspect.PartCause(llmService, crashPart)
+	s.store.Put(onplatform.TableNodes, suspects.BlockedRowKey, map[string]any{
+		"written": now.UnixMilli(),
+		"cases": []map[string]any{{
+			"c": blocked.Fingerprint, "s": blocked.QuickHash, "v": llmService, "p": crashPart, "d": 1,
+			"e": []map[string]any{{"r": "r1", "b": 900, "a": 800}, {"r": "r2", "b": 700, "a": 600}, {"r": "r3", "b": 500, "a": 400}, {"r": "r4", "b": 300, "a": 200}},
+		}},
+	})
+	s.startReadyNode("n2") // It reads the row, and n1 hears of the block by digest.
+	s.waitUntil("n1 knows the block", func() bool { return n.sendAndClose(partsPrompt("bb:500,"+crashPart+":300")).status == 400 })
+	known := time.Now()
+	for _, c := range clients {
+		got := c.read()
+		assert.Check(t, got.status == 400, "%d %s", got.status, got.body)
+	}
+	assert.Check(t, time.Since(known) < 300*time.Millisecond, "refused after %v", time.Since(known))
+}
--- a/service/gateway/queue.go
+++ b/service/gateway/queue.go
@@ -116,7 +116,7 @@
 }
 
 // waitInQueue waits for admission. Once the prompt can no longer meet its target it
-// yields to those that can; when it can't be answered at all any more it is refused.
+// yields to those that can; when it can't be answered at all any more, or is blocked, it is refused.
 func (x *exchange) waitInQueue(ctx context.Context, w *route.WaitingPrompt, now time.Time) (f refusal, ok bool) {
 	select {
 	case x.g.promptQueued <- struct{}{}:
@@ -127,7 +127,14 @@
 	defer limitTimer.Stop()
 	stopped := x.g.stopRequested
 	for {
+		nextBlock := x.g.suspects.NextBlock()
+		if f, blocked := x.refusalIfBlocked(); blocked {
+			w.Done(boottime.Now())
+			return f, false
+		}
 		select {
+		case <-nextBlock:
+			continue
 		case <-w.Ready():
 			return x.queueResult(w)
 		case <-stopped:
--- a/service/suspects/suspects.go
+++ b/service/suspects/suspects.go
@@ -60,6 +60,8 @@
 	askedAt        time.Time            // When this node last asked for finishes.
 	stored         map[site.Fingerprint]bool
 	nextSave       time.Time // Earliest time of the next write to the platform's store.
+	// nextBlock is closed when a cause is blocked.
+	nextBlock chan struct{}
 }
 
 // Store is the platform's store, which holds the row of blocked requests.
@@ -147,6 +149,7 @@
 		log:        log,
 		stored:     map[site.Fingerprint]bool{},
 		delistedAt: map[string]time.Time{},
+		nextBlock:  make(chan struct{}),
 		dial:       dial,
 	}
 }
@@ -338,6 +341,9 @@
 	if change.Before == change.After {
 		return
 	}
+	if change.After == suspect.Blocked {
+		s.announceBlock()
+	}
 	switch {
 	case c.Kind == suspect.KindPart && change.After == suspect.Allowed:
 		s.log.Warn("prompt part released", "service", c.Service, "part", c.Part, "content", c.Fingerprint, "ends", len(c.Ends), "finishes", len(c.Finishes))
@@ -350,6 +356,20 @@
 	}
 }
 
+// NextBlock returns a channel that is closed when this node learns that a cause is blocked.
+func (s *Suspects) NextBlock() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nextBlock
+}
+
+func (s *Suspects) announceBlock() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.nextBlock)
+	s.nextBlock = make(chan struct{})
+}
+
 // owners returns the nodes that grant the runs of a watched cause; they also collect the evidence about a request.
 func (s *Suspects) owners(f site.Fingerprint) []control.Member {
 	return control.Owners(s.members.View().Working(), ownerDutyPrefix+f.String(), ownerCount)
