--- a/internal/standin/onplatform/prompt_parts_ending_replicas_test.go
+++ b/internal/standin/onplatform/prompt_parts_ending_replicas_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -441,3 +442,72 @@
 	}
 	assert.Check(t, time.Since(known) < 300*time.Millisecond, "refused after %v", time.Since(known))
 }
+
+// While such prompts come, nodes stop and others start, the store is silent or refuses writes, or it comes back from a
+// copy that lacks the block and all nodes are started anew.
+func TestPromptPartIsStoppedWhileNodesAndStoreComeAndGo(t *testing.T) {
+	const d = 7 * time.Second
+	for name, disturb := range map[string]func(s *site, replaceNode func(), replaceAll func()){
+		"nodes": func(_ *site, replaceNode, _ func()) {
+			for range 4 {
+				time.Sleep(d / 8)
+				replaceNode()
+			}
+		},
+		"silent store": func(s *site, _, replaceAll func()) {
+			s.store.SetMode(onplatform.ModeSilent)
+			time.Sleep(3 * time.Second)
+			s.store.SetMode(onplatform.ModeUp)
+			time.Sleep(2 * time.Second) // The row is written.
+			replaceAll()
+		},
+		"store from a copy": func(s *site, replaceNode, replaceAll func()) {
+			saved := s.store.Copy()
+			time.Sleep(2 * time.Second)
+			lost := s.store.ReturnFrom(saved)
+			s.store.WriteAgain(lost...)
+			s.store.Delete(onplatform.TableNodes, suspects.BlockedRowKey)
+			replaceNode()
+			time.Sleep(3 * time.Second)
+			replaceAll()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			f := s.newEngineFleet(crashKind{parts: "aa:500," + crashPart + ":300", events: 3})
+			var mu sync.Mutex
+			list := s.startNodes(4)
+			nodes := func() []*node {
+				mu.Lock()
+				defer mu.Unlock()
+				return slices.Clone(list)
+			}
+			started := len(list)
+			replace := func(n int) {
+				for range n {
+					started++
+					fresh := s.startReadyNode(fmt.Sprintf("n%d", started))
+					mu.Lock()
+					old := list[0]
+					list = append(list[1:], fresh)
+					mu.Unlock()
+					time.Sleep(100 * time.Millisecond) // Requests that are being sent to it arrive.
+					old.close()
+				}
+			}
+			sound := startSoundLoad(nodes)
+			var wg sync.WaitGroup
+			wg.Go(func() { disturb(s, func() { replace(1) }, func() { replace(4) }) })
+			time.AfterFunc(d-2*time.Second, sound.reset)
+			answers, truncated := f.sendCrashParts(nodes, d)
+			wg.Wait()
+			sound.close()
+			crashes, later := f.counts()
+			t.Logf("%d engines ended, %d arrivals later, answers %v; sound: %d of %d served at the end, %d blocked", crashes, later, answers, sound.served.Load(), sound.sent.Load(), sound.blocked.Load())
+			assert.Check(t, later <= maxArrivals, "%d prompts reached engines later than %v after the fifth end", later, crashPartDelay)
+			assert.Check(t, sound.share() >= minServedShare, "%.2f of the sound prompts were served", sound.share())
+			assert.Check(t, sound.blocked.Load() == 0, "%d sound prompts were blocked", sound.blocked.Load())
+			assert.Check(t, truncated == 0, "%d answers lack events and looked whole", truncated)
+		})
+	}
+}
