Suspects: IDs of parts are bounded, and a released part is forgotten a minute after its last end

Callers choose the IDs, which go into notes of 16 kB at most. The case of a released part was kept as long as prompts with it were finished, and with it the hashing of each finished request.

--- a/pkg/suspect/register.go
+++ b/pkg/suspect/register.go
@@ -299,7 +299,7 @@
 			ttl = allowedTTL
 		}
 		since := e.LastEnd()
-		if since.IsZero() || e.Decisions > 0 {
+		if since.IsZero() {
 			since = e.LastEvent()
 		}
 		if now.Sub(since) >= ttl {
--- a/service/suspects/parts.go
+++ b/service/suspects/parts.go
@@ -10,8 +10,15 @@
 	"github.com/drumpath/drumpath/pkg/suspect"
 )
 
-// maxParts bounds the parts of one prompt that are evidence; prompts have some ten.
-const maxParts = 32
+// maxParts bounds the parts of one prompt that are evidence, and maxPartBytes their IDs, which callers choose. Prompts
+// have some ten.
+const (
+	maxParts     = 32
+	maxPartBytes = 64
+)
+
+// isValidPart reports whether a part is evidence.
+func isValidPart(id string) bool { return id != "" && len(id) <= maxPartBytes }
 
 // lostRunNote holds the parameters of NoteLostRun. The end is common to all parts.
 type lostRunNote struct {
@@ -29,7 +36,7 @@
 // partCauses returns the distinct parts of a prompt as causes.
 func partCauses(service string, parts []string) (list []suspect.Cause) {
 	for i, p := range parts[:min(len(parts), maxParts)] {
-		if p != "" && !slices.Contains(parts[:i], p) {
+		if isValidPart(p) && !slices.Contains(parts[:i], p) {
 			list = append(list, suspect.PartCause(service, p))
 		}
 	}
@@ -86,7 +93,7 @@
 	now := boottime.Now()
 	end := note.End.decode(now)
 	for _, p := range note.Parts[:min(len(note.Parts), maxParts)] {
-		if p.Part == "" {
+		if !isValidPart(p.Part) {
 			continue
 		}
 		c := suspect.Case{Cause: suspect.PartCause(note.Service, p.Part), Ends: []suspect.ReplicaEnd{end}, Finishes: decodeFinishes(p.Finishes, now)}
