An answer that ends with its connection is whole if its replica only resets new connections

What callers saw: a replica that has too many connections resets new ones; its whole answers with neither a length nor chunks were cut short (the test failed before).

Cause: a connection that was reset within 3 ms counted as the replica's end. Now a second one decides, which a replica that ends refuses; if that is reset too, the answer is passed on and is no evidence.

--- a/internal/standin/onplatform/prompt_parts_ending_replicas_test.go
+++ b/internal/standin/onplatform/prompt_parts_ending_replicas_test.go
@@ -402,6 +402,19 @@
 	}
 }
 
+// A replica that has too many connections resets new ones. Its answers that ended with their connection were cut short.
+func TestUnframedAnswerIsWholeWhileItsReplicaResetsNewConnections(t *testing.T) {
+	s := newSite(t)
+	r := s.startReplica(appService, "a")
+	r.Script(func(w io.Writer, in *onplatform.Request) bool {
+		r.ResetNewConnections()
+		return onplatform.UnframedStream([]string{"id: 1\ndata: piece\n\n"}, promptPause)(w, in)
+	})
+	n := s.startReadyNode("n1")
+	got := n.send(request("POST", "/stream/x", "text"))
+	assert.Assert(t, got.status == 200 && !got.incomplete, "%d %s, incomplete %v", got.status, got.body, got.incomplete)
+}
+
 // Prompts that waited in the queue when their part was blocked were refused when their turn came, or their time was over.
 func TestQueuedPromptsAreRefusedOnceTheirPartIsBlocked(t *testing.T) {
 	s := newSite(t)
--- a/internal/standin/onplatform/replica.go
+++ b/internal/standin/onplatform/replica.go
@@ -41,6 +41,7 @@
 	received []*Request
 	conns    map[net.Conn]struct{}
 	closed   bool
+	resets   bool // New connections are reset.
 	wg       sync.WaitGroup
 	unbound  chan struct{} // Closed when nothing listens any more.
 }
@@ -75,6 +76,13 @@
 	}
 }
 
+// ResetNewConnections makes the replica reset the connections that are made from now on, as one with too many does.
+func (r *Replica) ResetNewConnections() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resets = true
+}
+
 // Addr returns the address on which the replica listens.
 func (r *Replica) Addr() netip.AddrPort { return r.ln.Addr().(*net.TCPAddr).AddrPort() }
 
@@ -107,6 +115,12 @@
 			return
 		}
 		r.mu.Lock()
+		if tcp, ok := conn.(*net.TCPConn); ok && r.resets {
+			_ = tcp.SetLinger(0) // Closing it then sends a reset.
+			_ = conn.Close()
+			r.mu.Unlock()
+			continue
+		}
 		if r.closed { // Close ran after Accept returned and did not see the connection.
 			_ = conn.Close()
 		}
--- a/service/gateway/whole_answer.go
+++ b/service/gateway/whole_answer.go
@@ -48,9 +48,14 @@
 	return w, err
 }
 
-// endSettleTime is how long after it was made a connection must be open for its replica to be alive: the kernel
-// closes the sockets of a process that ends one after the other.
-const endSettleTime = 3 * time.Millisecond
+const (
+	// endSettleTime is how long after it was made a connection must be open for its replica to be alive: the kernel
+	// closes the sockets of a process that ends one after the other.
+	endSettleTime = 3 * time.Millisecond
+	// endChecks is how many connections are made if they are reset. A replica that is ending refuses the second one;
+	// one that has too many resets both.
+	endChecks = 2
+)
 
 // confirmEnd returns an error if the answer ended with its connection because its replica has ended. Without it a
 // replica that was killed between two events had its streams passed on as whole ones.
@@ -71,20 +76,22 @@
 		return false, nil // A replica that is shutting down completes its answers.
 	}
 	endedAt := boottime.Now()
-	conn, err := g.conns.dial(u.ID, u.Addr, upstreamDialTimeout)
-	switch {
-	case suspects.NotListening(err) && g.forwarding.faultOf(p, u, err, endedAt) != route.FaultOfPath:
-		return false, http1.ErrBodyTruncated
-	case err != nil:
-		return false, nil
-	}
-	time.Sleep(endSettleTime)
-	if !http1.Idle(conn.conn) {
+	for range endChecks {
+		conn, err := g.conns.dial(u.ID, u.Addr, upstreamDialTimeout)
+		switch {
+		case suspects.NotListening(err) && g.forwarding.faultOf(p, u, err, endedAt) != route.FaultOfPath:
+			return false, http1.ErrBodyTruncated
+		case err != nil:
+			return false, nil
+		}
+		time.Sleep(endSettleTime)
+		if http1.Idle(conn.conn) {
+			g.conns.put(u.ID, conn)
+			return true, nil
+		}
 		conn.close()
-		return false, http1.ErrBodyTruncated
 	}
-	g.conns.put(u.ID, conn)
-	return true, nil
+	return false, nil
 }
 
 // handleCutOffUnread decides how to go on when a replica did not wait for the node to read its
