--- a/pkg/suspect/attribution.go
+++ b/pkg/suspect/attribution.go
@@ -83,6 +83,7 @@
 	if len(group) == 0 {
 		return nil
 	}
+	// Parts with equal scores and different ends are blocked one after the other.
 	first := slices.MinFunc(group, func(a, b *entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	return slices.DeleteFunc(group, func(e *entry) bool { return !first.sameReplicas(&e.Case) })
 }
@@ -102,6 +103,7 @@
 	return !slices.ContainsFunc(other.Ends, func(e ReplicaEnd) bool { return !c.hasEnd(e.Replica) })
 }
 
+// sameReplicas reports whether the same replicas ended under two causes.
 func (c *Case) sameReplicas(other *Case) bool { return c.covers(other) && other.covers(c) }
 
 // explain remembers the ends that a blocked part explains, and removes them from the evidence about requests.
--- a/pkg/suspect/cause.go
+++ b/pkg/suspect/cause.go
@@ -1,10 +1,6 @@
 package suspect
 
-import (
-	"fmt"
-
-	"github.com/drumpath/drumpath/pkg/site"
-)
+import "github.com/drumpath/drumpath/pkg/site"
 
 // Kind is what replicas may end under.
 type Kind uint8
@@ -57,11 +53,3 @@
 
 // PartHash is the QuickHash of a part.
 func PartHash(service, part string) uint64 { return QuickHash(service, methodPart, "", part, nil) }
-
-// String describes the cause for logs.
-func (c Cause) String() string {
-	if c.Kind == KindPart {
-		return fmt.Sprintf("part %s of service %s", c.Part, c.Service)
-	}
-	return "request " + c.Fingerprint.String()
-}
--- a/pkg/suspect/score.go
+++ b/pkg/suspect/score.go
@@ -15,9 +15,11 @@
 //	a whole request            3.0    the floor  3 ends, in two rounds or more
 //	a part of prompts          1.6     -0.6      4 ends
 //	after many finishes                          2 ends more
+
+// weights are what an end and a finish add to the sum.
 type weights struct{ end, finish float64 }
 
-// weightsOf are those of each kind. A whole request is one run among many, and one that is finished has been
+// weightsOf are the weights of each kind. A whole request is one run among many, and one that is finished has been
 // shown to be harmless. A part is in flight more often, and may end only some of its replicas.
 var weightsOf = map[Kind]weights{
 	KindRequest: newWeights(1, 0.05),
