--- a/service/suspects/parts_test.go
+++ b/service/suspects/parts_test.go
@@ -373,19 +373,13 @@
 			}
 		}
 		time.Sleep(time.Second)
-		cluster.mu.Lock()
-		defer cluster.mu.Unlock()
-		sum, most := 0, 0
-		for _, n := range cluster.bytesReceived {
-			sum += n
-			most = max(most, n)
-		}
+		mean, most := cluster.receivedBytes()
 		blocked := 0
 		for _, s := range cluster.nodes {
 			blocked += s.Status().BlockedParts
 		}
-		t.Logf("%d bytes a node, %d at most, %d blocks", sum/len(cluster.nodes), most, blocked)
-		assert.Assert(t, sum/len(cluster.nodes) < 3<<10, "%d bytes a node", sum/len(cluster.nodes))
+		t.Logf("%d bytes a node, %d at most, %d blocks", mean, most, blocked)
+		assert.Assert(t, mean < 3<<10, "%d bytes a node", mean)
 		assert.Equal(t, blocked, 0)
 	})
 }
--- a/service/suspects/suspects_test.go
+++ b/service/suspects/suspects_test.go
@@ -99,6 +99,17 @@
 	return cluster.rnd.Float64()
 }
 
+// receivedBytes returns what nodes have received on average, and the most that one has.
+func (cluster *testCluster) receivedBytes() (mean, most int) {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	for _, n := range cluster.bytesReceived {
+		mean += n
+		most = max(most, n)
+	}
+	return mean / len(cluster.nodes), most
+}
+
 // delayedNotifier delivers notes after noteDelay, and loses some.
 type delayedNotifier struct {
 	self    control.Member
@@ -361,15 +372,9 @@
 			}
 		}
 		time.Sleep(time.Second)
-		cluster.mu.Lock()
-		defer cluster.mu.Unlock()
-		sum, most := 0, 0
-		for _, n := range cluster.bytesReceived {
-			sum += n
-			most = max(most, n)
-		}
-		t.Logf("%d bytes a node, %d at most", sum/len(cluster.nodes), most)
-		assert.Assert(t, sum/len(cluster.nodes) < 2000)
+		mean, most := cluster.receivedBytes()
+		t.Logf("%d bytes a node, %d at most", mean, most)
+		assert.Assert(t, mean < 2000)
 	})
 }
 
