Review, case 3: a second answer is written into a stream that has begun

Cause: deliver passes an answer with a status below 500 that is not a 200 on as a whole one, with status line and headers, also if it is the answer of another replica that was to go on with a stream of which the client has a part.

The case has 4 of 18 engines crash twice under resumable streams while 2 others fail 0.4 of their requests with 404, and counts the streams that clients can't parse (rule MIXED, bytes that are not an answer).

--- a/review/bed/client.go
+++ b/review/bed/client.go
@@ -43,9 +43,10 @@
 	answered time.Duration
 	status   int
 	whole    bool
-	closed   bool // The connection ended without a whole answer.
-	left     bool // The client left.
-	lastID   int  // Of the last event of a stream.
+	closed   bool   // The connection ended without a whole answer.
+	left     bool   // The client left.
+	lastID   int    // Of the last event of a stream.
+	failure  string // What reading the answer ended with.
 }
 
 // clients sends requests as the clients of a site do, each on connections of its own.
@@ -252,6 +253,7 @@
 	defer c.all.mu.Unlock()
 	t.answered = time.Since(t.sentAt)
 	if err != nil {
+		t.failure = err.Error()
 		netErr, ok := err.(net.Error)
 		t.left = ok && netErr.Timeout()
 		t.closed = !t.left
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -16,6 +16,7 @@
 var scenarios = map[string]scenario{
 	"weights": playWeights,
 	"drain":   playDrain,
+	"grey":    playGrey,
 }
 
 func main() {
--- a/review/bed/replica.go
+++ b/review/bed/replica.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -37,6 +38,9 @@
 	open     map[net.Conn]struct{}
 	// eventPause is the time between two events, the usual one if it is 0.
 	eventPause time.Duration
+	// failShare is the share of its requests that the replica fails, with failStatus.
+	failShare  float64
+	failStatus int
 }
 
 // part is a part of a prompt that an engine keeps.
@@ -54,6 +58,7 @@
 	tokenTime       = 6 * time.Millisecond
 	tokensPerEvent  = 6
 	weightsLoadTime = 760 * time.Millisecond
+	heartbeat       = 1200 * time.Millisecond
 	appSlots        = 6
 	appWorkTime     = 30 * time.Millisecond
 )
@@ -310,6 +315,12 @@
 		r.active--
 		r.mu.Unlock()
 	}()
+	if rand.Float64() < r.failShare {
+		w.Header().Set("Request-Id", q.Header.Get("Request-Id"))
+		w.Header().Set("Server-Stamp", r.id)
+		w.WriteHeader(r.failStatus)
+		return
+	}
 	_, out, _ := strings.Cut(q.Header.Get("Token-Usage"), ",")
 	tokens, _ := strconv.Atoi(out)
 	w.Header().Set("Request-Id", q.Header.Get("Request-Id"))
@@ -374,6 +385,13 @@
 	}
 }
 
+// crash has the replica end without a word; its row goes after three heartbeats.
+func (r *replica) crash() {
+	_ = r.http.Close() // The replica has ended in any case.
+	time.Sleep(3 * heartbeat)
+	r.bed.store.remove("servers", r.id)
+}
+
 // drain has the replica leave as planned: it says that it drains, serves on for a time, and ends.
 func (r *replica) drain(servesOn time.Duration) {
 	r.mu.Lock()
