--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -24,9 +24,11 @@
 
 	store *store
 	nodes []*node
+	ports ports
 
 	mu     sync.Mutex
 	record *os.File
+	runs   map[string][]string // The replicas that ran a request, by its ID.
 }
 
 func newBed(program, record string, trouble bool) (*bed, error) {
@@ -38,15 +40,63 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &bed{program: program, trouble: trouble, dir: dir, record: f, start: time.Now()}
+	b := &bed{program: program, trouble: trouble, dir: dir, record: f, start: time.Now(), runs: map[string][]string{}}
 	b.subnet = fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 1+(os.Getpid()/200)%200)
 	if b.store, err = newStore(b.ip(250)); err != nil {
 		return nil, err
 	}
+	if err := b.choosePorts(); err != nil {
+		return nil, err
+	}
 	b.note("trouble: %v", trouble)
 	return b, nil
 }
 
+// ports are those of the nodes, which are the same on all of them; each node has an address of its own.
+type ports struct{ entry, ready, directory, metrics, peer int }
+
+// choosePorts chooses ports that are free at the addresses of all nodes.
+func (b *bed) choosePorts() error {
+	for _, port := range []*int{&b.ports.entry, &b.ports.ready, &b.ports.directory, &b.ports.metrics, &b.ports.peer} {
+		for *port == 0 {
+			ln, err := listen(b.ip(1))
+			if err != nil {
+				return err
+			}
+			defer func() { _ = ln.Close() }() // Held until all ports are chosen.
+			n := ln.Addr().(*net.TCPAddr).Port
+			free := true
+			for i := 2; i <= nodeCount && free; i++ {
+				other, err := net.Listen("tcp", fmt.Sprintf("%s:%d", b.ip(i), n))
+				if free = err == nil; free {
+					_ = other.Close() // The node listens there.
+				}
+			}
+			if free {
+				*port = n
+			}
+		}
+	}
+	return nil
+}
+
+// ran records that a replica ran a request.
+func (b *bed) ran(id, replica string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[id] = append(b.runs[id], replica)
+}
+
+// noteTries writes what was sent, answered and run to the record, a line each.
+func (b *bed) noteTries(tries []*try) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range tries {
+		_, _ = fmt.Fprintf(b.record, "%8.3f  %s %s to %s: %s after %d ms, last event %d, run by %v\n", // As in note.
+			t.sentAt.Sub(b.start).Seconds(), t.id, t.kind.name, t.node, t.result(), t.answered.Milliseconds(), t.lastID, b.runs[t.id])
+	}
+}
+
 // ip returns an address of the site.
 func (b *bed) ip(n int) string { return fmt.Sprintf("%s.%d", b.subnet, n) }
 
@@ -84,21 +134,12 @@
 	done      chan struct{}
 }
 
-// Ports of the nodes; each has an address of its own.
-const (
-	portEntry     = 8749
-	portReady     = 8741
-	portDirectory = 8747
-	portMetrics   = 9464
-	portPeer      = 7580
-)
-
 // newNode prepares a node with the settings that deploy/node.json gives for a site of the size of corrib-boards.
 func (b *bed) newNode(name, zone string, n int) (*node, error) {
 	x := &node{bed: b, name: name, zone: zone, ip: b.ip(n), storeAddr: b.store.addr}
-	x.entry = fmt.Sprintf("%s:%d", x.ip, portEntry)
-	x.ready = fmt.Sprintf("%s:%d", x.ip, portReady)
-	x.directory = fmt.Sprintf("%s:%d", x.ip, portDirectory)
+	x.entry = fmt.Sprintf("%s:%d", x.ip, b.ports.entry)
+	x.ready = fmt.Sprintf("%s:%d", x.ip, b.ports.ready)
+	x.directory = fmt.Sprintf("%s:%d", x.ip, b.ports.directory)
 	b.nodes = append(b.nodes, x)
 	return x, x.writeSettings()
 }
@@ -108,9 +149,9 @@
 		"node":    map[string]any{"name": x.name, "data_hall": x.zone},
 		"regions": map[string]any{"hall-a": "r", "hall-b": "r", "hall-c": "r"},
 		"entry": map[string]any{
-			"listen": x.entry, "ready": x.ready, "directory": x.directory, "metrics": fmt.Sprintf("%s:%d", x.ip, portMetrics), "max_age": "2s",
+			"listen": x.entry, "ready": x.ready, "directory": x.directory, "metrics": fmt.Sprintf("%s:%d", x.ip, x.bed.ports.metrics), "max_age": "2s",
 		},
-		"peer":       map[string]any{"listen": fmt.Sprintf("%s:%d", x.ip, portPeer), "key": "site " + x.bed.store.addr},
+		"peer":       map[string]any{"listen": fmt.Sprintf("%s:%d", x.ip, x.bed.ports.peer), "key": "site " + x.bed.store.addr},
 		"platform":   map[string]any{"store": x.storeAddr},
 		"limits":     map[string]any{"memory_mb": 284, "descriptors": 4100, "link_mbps": 1000.0},
 		"retry":      map[string]any{"share": 0.2, "window": "10s", "slack": 54},
--- a/review/bed/client.go
+++ b/review/bed/client.go
@@ -49,6 +49,18 @@
 	failure  string // What reading the answer ended with.
 }
 
+// result tells how the try ended.
+func (t *try) result() string {
+	switch {
+	case t.left:
+		return fmt.Sprintf("%d, client left", t.status)
+	case t.closed:
+		return fmt.Sprintf("%d, connection ended (%s)", t.status, t.failure)
+	default:
+		return fmt.Sprint(t.status)
+	}
+}
+
 // clients sends requests as the clients of a site do, each on connections of its own.
 type clients struct {
 	bed   *bed
--- a/review/bed/drain.go
+++ b/review/bed/drain.go
@@ -56,5 +56,6 @@
 		}
 	}
 	b.note("RULE: %d streams complete, %d ended as complete ahead of their last event, %d cut, %d others", whole, short, cut, other)
+	b.noteTries(c.all())
 	return short > 0, nil
 }
--- a/review/bed/grey.go
+++ b/review/bed/grey.go
@@ -55,5 +55,6 @@
 	}
 	b.note("results %v", results)
 	b.note("RULE: %d streams with bytes that are not an answer", bad)
+	b.noteTries(c.all())
 	return bad > 0, nil
 }
--- a/review/bed/replica.go
+++ b/review/bed/replica.go
@@ -139,6 +139,7 @@
 		notRun(w, q, http.StatusServiceUnavailable)
 		return
 	}
+	r.bed.ran(q.Header.Get("Request-Id"), r.id)
 	time.Sleep(appWorkTime)
 	r.mu.Lock()
 	r.active--
@@ -315,6 +316,7 @@
 		r.active--
 		r.mu.Unlock()
 	}()
+	r.bed.ran(q.Header.Get("Request-Id"), r.id)
 	if rand.Float64() < r.failShare {
 		w.Header().Set("Request-Id", q.Header.Get("Request-Id"))
 		w.Header().Set("Server-Stamp", r.id)
--- a/review/bed/weights.go
+++ b/review/bed/weights.go
@@ -158,6 +158,7 @@
 	for _, n := range notReady {
 		b.noteStacks(n)
 	}
+	b.noteTries(c.all())
 	return broken, nil
 }
 
