Stalls of locks and timer steps are logged once with stacks, and counted in the metrics

A node whose locks were taken in both orders answered no request, no readiness check and no request for metrics, and its log had no line about it. Operators could only see that it was gone.

A monitor takes five locks that requests and timers share, each second and in goroutines of their own, and asks the timer service how long its callbacks run. A lock that was not taken for three checks in a row, or a step of 30 s, is logged once as "stalled", with all stacks (equal ones once, so that the two that hold the locks are seen among hundreds that wait), and counted. Checks are counted rather than time, so a process that was stopped by a signal reports nothing. The metrics address answers with what needs no lock if the rest can't be collected within a second.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -245,6 +245,12 @@
 		keyErr,
 	}},
 	{"copy not dropped", Failure, "An unused copy of a run's memory was not freed; the engine frees it when its time is over.", []Key{keyRequest, keyReplica, keyErr}},
+	{"stalled", Failure, "A lock can't be taken, or a step of the timers does not end. Requests may hang; the node goes on trying.", []Key{
+		{"at", "which lock, or \"timer step\""},
+		{"waited", "nanoseconds"},
+		{"stacks", "what the goroutines do, equal stacks once with their number"},
+	}},
+	{"stall ended", Change, "A lock could be taken again, or the step has ended.", []Key{{"at", "which lock, or \"timer step\""}}},
 	{"machine was suspended", Change, "The node's machine was suspended; the node refreshes its state from the store and from other nodes.", []Key{
 		keyNode,
 		{"for", "nanoseconds"},
--- a/pkg/events/catalogue_test.go
+++ b/pkg/events/catalogue_test.go
@@ -15,7 +15,7 @@
 )
 
 // loggingFiles are the files whose log lines the catalogue declares.
-var loggingFiles = []string{"../../service/gateway/*.go", "../../service/tables/*.go", "../../service/suspects/*.go", "../../service/origins/*.go", "../../service/ratelimit/*.go", "../../pkg/rollout/*.go", "../../cmd/drumpath/cmds/gateway.go"}
+var loggingFiles = []string{"../../service/gateway/*.go", "../../service/tables/*.go", "../../service/suspects/*.go", "../../service/origins/*.go", "../../service/ratelimit/*.go", "../../pkg/rollout/*.go", "../../pkg/stall/*.go", "../../cmd/drumpath/cmds/gateway.go"}
 
 // logCall is a call of a logger in the source.
 type logCall struct {
--- a/pkg/timer/service.go
+++ b/pkg/timer/service.go
@@ -22,18 +22,22 @@
 // callback never runs concurrently with itself and its runs never queue up.
 // Service.mu is the only lock, and it is not held while callbacks run.
 type Service struct {
-	mu     sync.Mutex
-	due    queue.Heap[*Subscription]
-	closed bool
-	wake   chan struct{}
-	ready  chan *Subscription
-	done   chan struct{}
-	wg     sync.WaitGroup
+	mu  sync.Mutex
+	due queue.Heap[*Subscription]
+	// startedAt has when each running callback was called.
+	startedAt map[*Subscription]time.Time
+	closed    bool
+	wake      chan struct{}
+	ready     chan *Subscription
+	done      chan struct{}
+	wg        sync.WaitGroup
 }
 
 // NewService starts a timer service with the given number of workers.
 func NewService(workers int) *Service {
 	s := &Service{
+		startedAt: map[*Subscription]time.Time{},
+
 		wake:  make(chan struct{}, 1),
 		ready: make(chan *Subscription),
 		done:  make(chan struct{}),
@@ -127,6 +131,17 @@
 	return sub, 0
 }
 
+// LongestRun returns for how long the callback that was called first of those that run has been
+// running, 0 if none is.
+func (s *Service) LongestRun(now time.Time) (d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, startedAt := range s.startedAt {
+		d = max(d, now.Sub(startedAt))
+	}
+	return d
+}
+
 func (s *Service) worker() {
 	defer s.wg.Done()
 	for {
@@ -141,11 +156,15 @@
 
 func (s *Service) run(sub *Subscription) {
 	defer sub.running.Done()
+	s.mu.Lock()
+	s.startedAt[sub] = time.Now()
+	s.mu.Unlock()
 	if sub.ctx.Err() == nil {
 		sub.fn(sub.ctx)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.startedAt, sub)
 	s.schedule(sub, time.Now().Add(jitter(sub.period)))
 }
 
--- a/service/gateway/directory.go
+++ b/service/gateway/directory.go
@@ -90,7 +90,7 @@
 // metricsRoutes serves the node's metrics and a dump of the state of each replica.
 func (g *Gateway) metricsRoutes() *router.Router {
 	r := router.New()
-	r.GET("/metrics", func(c *fasthttp.RequestCtx) { writeJSON(c, g.status()) })
+	r.GET("/metrics", func(c *fasthttp.RequestCtx) { writeJSON(c, g.statusInTime()) })
 	r.GET("/state", func(c *fasthttp.RequestCtx) {
 		state := map[string][]route.PoolReplicaStatus{}
 		g.nodes.refreshPeerLoads(boottime.Now())
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/drumpath/drumpath/pkg/rollout"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
+	"github.com/drumpath/drumpath/pkg/stall"
 	"github.com/drumpath/drumpath/pkg/timer"
 	"github.com/drumpath/drumpath/service/origins"
 	"github.com/drumpath/drumpath/service/peer"
@@ -83,6 +84,8 @@
 	conns        *upstreamConns
 	clients      *clientConns
 	metrics      *metrics
+	stalls       *stall.Monitor
+	collecting   atomic.Bool // The metrics are being collected for the metrics address.
 	clock        *replicaClock
 	bodies       *bodyBudget
 	responses    *responseBudget
@@ -168,6 +171,7 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.reach = newReachability(g)
 	g.forwarding = newForwarding(g)
+	g.stalls = newStallMonitor(g)
 	g.peers.HandleStreams(g.forwarding.serveStream)
 	g.peers.Handle(peer.RolePeer, methodOpinion, peer.Handle(g.forwarding.serveOpinion))
 	g.peers.Handle(peer.RolePeer, methodStartState, peer.Handle(g.nodes.serveStartState))
@@ -245,6 +249,7 @@
 	g.runEvery(suspects.LearnInterval, g.suspects.Learn)
 	g.runEvery(ratelimit.ForgetInterval, g.rateLimits.Forget)
 	g.runEvery(origins.StepInterval, g.origins.Step)
+	g.wg.Go(func() { g.stalls.Run(g.ctx) })
 	g.wg.Go(func() { g.runQueues(g.ctx) })
 	g.wg.Go(func() { g.nodes.runLoadRelay(g.ctx) })
 	g.wg.Go(func() { g.nodes.runLoadSender(g.ctx, g.conf().Peer.LoadEvery.Std()) })
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
+	"github.com/drumpath/drumpath/pkg/stall"
 	"github.com/drumpath/drumpath/service/origins"
 	"github.com/drumpath/drumpath/service/ratelimit"
 	"github.com/drumpath/drumpath/service/suspects"
@@ -176,6 +177,7 @@
 	ReplicaChecks     replicaChecksStatus          `json:"replica_checks"`
 	ReplicaPaths      replicaPathsStatus           `json:"replica_paths"`
 	Forwarding        forwardingStatus             `json:"forwarding"`
+	Stalls            stall.Status                 `json:"stalls"`
 }
 
 // runStatus counts what became of copies of runs.
@@ -248,6 +250,7 @@
 		ReplicaChecks:  g.reach.counts.status(g.conns.aborted.Load()),
 		ReplicaPaths:   g.reach.paths(now),
 		Forwarding:     g.forwarding.status(now),
+		Stalls:         g.stalls.Status(),
 	}
 	if r := g.siteState.requestBytes; r != nil {
 		s.RequestBytes = r.Least()
--- a/service/gateway/queue.go
+++ b/service/gateway/queue.go
@@ -36,6 +36,17 @@
 	return q
 }
 
+// promptQueues lists the queues of all services.
+func (g *Gateway) promptQueues() []*route.PromptQueue {
+	g.queuesMu.Lock()
+	defer g.queuesMu.Unlock()
+	queues := make([]*route.PromptQueue, 0, len(g.queues))
+	for _, q := range g.queues {
+		queues = append(queues, q)
+	}
+	return queues
+}
+
 // runQueues steps the queues periodically while prompts wait in them. On most nodes none
 // wait most of the time, and the node need not wake up 50 times a second.
 func (g *Gateway) runQueues(ctx context.Context) {
@@ -53,14 +64,8 @@
 
 // stepQueues admits prompts for which there is room and reports whether any still wait.
 func (g *Gateway) stepQueues() (waiting bool) {
-	g.queuesMu.Lock()
-	queues := make([]*route.PromptQueue, 0, len(g.queues))
-	for _, q := range g.queues {
-		queues = append(queues, q)
-	}
-	g.queuesMu.Unlock()
 	now := boottime.Now()
-	for _, q := range queues {
+	for _, q := range g.promptQueues() {
 		q.Step(now)
 		waiting = waiting || q.Len() > 0
 	}
