Picks get the versions of the weights as data, and no lock is taken in both orders

Callers saw: some seconds after new weights were named, a node answered nothing any more, neither requests that it had read nor new ones, nor its readiness check, until it was killed.

Cause: a pick of a replica with older weights called PickInput.BeginBy with the pool's lock held, which asked SiteState.ReplacedAt, which took SiteState's lock. A change of the upstream list holds that lock and takes the pool's (updatePool, Pool.Put). When both met, both waited for ever, and with them all that needs either lock. Evidence: "stalled" (upstream list, pools), 3 s after the nodes had stopped, names both goroutines: SiteState.applyUpstreams in Pool.Put, and refreshWeights.func1 in SiteState.ReplacedAt below Pool.Pick, with 42 goroutines waiting for SiteState's lock.

The versions of a model's weights are now an immutable WeightHistory, replaced whole and read without a lock. A request gets it before the pick, and the pool decides from that. A pick may use a history that is one version older than the rows: a replica that was newest then counts as newest for that pick, as before with a pick a moment earlier. Nothing is called back, so the pool's lock is the last one there, and SiteState's may be held while it is taken.

--- a/pkg/route/exclusion.go
+++ b/pkg/route/exclusion.go
@@ -118,10 +118,10 @@
 // while these may be used. The caller holds mu.
 func (p *Pool) beginsOnUsableWeights(m *member, in *PickInput, now time.Time) bool {
 	version := m.Weights[in.Model]
-	if in.BeginBy == nil || version == 0 || version >= in.NewestVersion {
+	if version == 0 || version >= in.NewestVersion {
 		return true
 	}
-	by := in.BeginBy(version)
+	by := in.beginBy(version)
 	return by.IsZero() || p.promptQueueSeconds(m, in, now) <= by.Sub(now).Seconds()
 }
 
--- a/pkg/route/pick_input.go
+++ b/pkg/route/pick_input.go
@@ -32,9 +32,12 @@
 	StalenessWeight float64
 	// MinVersion is the oldest version that may be used, 0 for any.
 	MinVersion int64
-	// BeginBy returns by when a replica with an older version than the newest must be expected
-	// to begin the prompt, zero for any time; nil if any older version may be used at any time.
-	BeginBy func(version int64) time.Time
+	// Weights has the versions of the model's weights, and WeightsTerm the time for which a version
+	// may be used after it was replaced: a replica with an older one than the newest must be
+	// expected to begin the prompt within that. Without Weights, any version may be used at any
+	// time. The pool may have learned of a replica's newer version since: it counts as in use then.
+	Weights     WeightHistory
+	WeightsTerm time.Duration
 	// Exclude lists the replicas at which the request has already failed.
 	Exclude []string
 	// HomesOnly restricts the request to the regions in Homes.
@@ -76,6 +79,16 @@
 	meeting bool
 }
 
+// beginBy returns by when a replica with a version of the weights must be expected to begin the
+// prompt, zero for any time.
+func (in *PickInput) beginBy(version int64) time.Time {
+	replacedAt := in.Weights.ReplacedAt(version)
+	if replacedAt.IsZero() {
+		return replacedAt
+	}
+	return replacedAt.Add(in.WeightsTerm)
+}
+
 // allowsSoftware reports whether the request may run on a version of the software.
 func (in *PickInput) allowsSoftware(version string) bool {
 	return in.Software.allows(version) && (len(in.UnlistedSoftware) == 0 || !slices.Contains(in.UnlistedSoftware, version))
--- a/pkg/route/replaced_weights_test.go
+++ b/pkg/route/replaced_weights_test.go
@@ -30,10 +30,8 @@
 	assert.Assert(t, wait > 0.1, "%g s", wait)
 
 	end := testNow.Add(time.Duration(wait * float64(time.Second)))
-	input.BeginBy = func(version int64) time.Time {
-		assert.Equal(t, version, int64(1))
-		return end
-	}
+	input.WeightsTerm = time.Minute
+	input.Weights = WeightHistory{{Version: 1, Since: end.Add(-time.Hour)}, {Version: newest, Since: end.Add(-input.WeightsTerm)}}
 	c, ok = p.Pick(input, testNow.Add(-50*time.Millisecond))
 	assert.Assert(t, ok && c.ID == "r00", "it begins in time")
 	c, ok = p.Pick(input, testNow.Add(50*time.Millisecond))
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -99,7 +99,7 @@
 	realm := func(version int64) route.Realm {
 		return route.Realm{
 			Name:           x.realm(version),
-			CompleteBefore: x.g.siteState.ReplacedAt(x.pickInput.Model, version),
+			CompleteBefore: x.pickInput.Weights.ReplacedAt(version),
 		}
 	}
 	x.pickInput.Coverage = x.g.cacheIndex.Coverage(x.pool.Candidates(&x.pickInput, now), x.pickInput.Model, realm, x.info.Shared(), e, x.maxExpectedFetch(), now)
@@ -122,22 +122,15 @@
 	if in.Model == "" {
 		return
 	}
-	version, since := x.g.siteState.Weights(in.Model)
-	in.NewestVersion = version
-	age := now.Sub(since)
+	in.Weights = x.g.siteState.WeightHistory(in.Model)
+	newest := in.Weights.Newest()
+	in.NewestVersion = newest.Version
 	in.StalenessWeight = newWeightsStaleness
-	if age > newWeightsPeriod {
+	if now.Sub(newest.Since) > newWeightsPeriod {
 		in.StalenessWeight = 1
 	}
-	orderWindow := x.g.conf().Orders.MaxRolloutTime.Std() - orderWindowMargin
-	in.MinVersion = x.g.siteState.WeightsBefore(in.Model, now.Add(-orderWindow))
-	in.BeginBy = func(version int64) time.Time {
-		replacedAt := x.g.siteState.ReplacedAt(in.Model, version)
-		if replacedAt.IsZero() {
-			return replacedAt
-		}
-		return replacedAt.Add(orderWindow)
-	}
+	in.WeightsTerm = x.g.conf().Orders.MaxRolloutTime.Std() - orderWindowMargin
+	in.MinVersion = in.Weights.Before(now.Add(-in.WeightsTerm))
 }
 
 // currentInput returns the request's input with the weights that may be used now. The request's
--- a/service/gateway/replaced_weights.go
+++ b/service/gateway/replaced_weights.go
@@ -30,7 +30,7 @@
 	usableSince := now.Add(withdrawReserve - g.conf().Orders.MaxRolloutTime.Std())
 	for _, conns := range []*upstreamConns{g.conns, g.forwarding.conns} {
 		for _, p := range conns.waitingPrompts() {
-			oldest := g.siteState.WeightsBefore(p.flight.model, usableSince)
+			oldest := g.siteState.WeightHistory(p.flight.model).Before(usableSince)
 			if p.flight.weights < oldest && !g.hasWeights(p.replica, p.flight.model, oldest) {
 				conns.withdraw(p)
 			}
--- a/service/gateway/rollout_fleet.go
+++ b/service/gateway/rollout_fleet.go
@@ -91,7 +91,7 @@
 	if !p.InBackoff(u.ID, now) {
 		return false
 	}
-	_, since := f.siteState.Weights(model)
+	since := f.siteState.WeightHistory(model).Newest().Since
 	return now.Sub(since) < f.within/2
 }
 
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -2,8 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,9 +50,11 @@
 	log            *slog.Logger
 
 	snapshot atomic.Pointer[site.Snapshot]
+	// weights has the versions of the weights by model. It is replaced with mu held, and read
+	// without: picks need it.
+	weights atomic.Pointer[map[string]route.WeightHistory]
 
 	mu        sync.Mutex
-	weights   map[string]modelWeights
 	upstreams map[string]*upstreamEntry
 	missing   map[string]bool // IDs of upstreams whose rows are gone and may return.
 	pools     map[string]*route.Pool
@@ -79,17 +81,6 @@
 	reachableAt   time.Time
 }
 
-// modelWeights is the newest version of a model's weights.
-type modelWeights struct {
-	version int64
-	since   time.Time // When this node learned of it.
-	// older holds the versions before it, oldest first.
-	older []modelWeights
-}
-
-// maxOlderVersions is how many older versions are kept.
-const maxOlderVersions = 8
-
 // upstreamEntry is an upstream and the state of its row.
 type upstreamEntry struct {
 	site.Upstream
@@ -113,7 +104,6 @@
 		eras:       &history.Eras{},
 		cacheIndex: cacheIndex,
 		log:        log,
-		weights:    map[string]modelWeights{},
 		upstreams:  map[string]*upstreamEntry{},
 		missing:    map[string]bool{},
 		pools:      map[string]*route.Pool{},
@@ -205,70 +195,35 @@
 func (st *SiteState) ApplyWeights(model string, version int64, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	old := st.weights[model]
-	if version <= old.version {
+	h, newer := st.WeightHistory(model).With(route.WeightVersion{Version: version, Since: now})
+	if !newer {
 		return
 	}
-	w := modelWeights{version: version, since: now}
-	if old.version > 0 {
-		w.older = append(slices.Clone(old.older), modelWeights{version: old.version, since: old.since})
-		w.older = w.older[max(0, len(w.older)-maxOlderVersions):]
+	next := maps.Clone(st.allWeights())
+	if next == nil {
+		next = map[string]route.WeightHistory{}
 	}
-	st.weights[model] = w
+	next[model] = h
+	st.weights.Store(&next)
 	st.log.Info("weights named", "model", model, "version", version)
 }
 
-// Weights returns the newest version of a model's weights and since when it is known.
-func (st *SiteState) Weights(model string) (version int64, since time.Time) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	w := st.weights[model]
-	return w.version, w.since
-}
-
-// WeightsBefore returns the newest version of a model's weights known at a time, 0 for
-// none.
-func (st *SiteState) WeightsBefore(model string, at time.Time) int64 {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	w := st.weights[model]
-	if w.version > 0 && !w.since.After(at) {
-		return w.version
+// allWeights returns the versions of the weights by model, which the caller must not change.
+func (st *SiteState) allWeights() map[string]route.WeightHistory {
+	if all := st.weights.Load(); all != nil {
+		return *all
 	}
-	for _, o := range slices.Backward(w.older) {
-		if !o.since.After(at) {
-			return o.version
-		}
-	}
-	return 0
+	return nil
 }
 
-// ReplacedAt returns when the first version after the given one became known, zero if
-// there is none.
-func (st *SiteState) ReplacedAt(model string, version int64) time.Time {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	w := st.weights[model]
-	if w.version <= version {
-		return time.Time{}
-	}
-	replaced := w.since
-	for _, o := range slices.Backward(w.older) {
-		if o.version <= version {
-			break
-		}
-		replaced = o.since
-	}
-	return replaced
-}
+// WeightHistory returns the versions of a model's weights.
+func (st *SiteState) WeightHistory(model string) route.WeightHistory { return st.allWeights()[model] }
 
 // AnyWeightsReplaced reports whether a later version than the first of any model's weights is
 // named.
 func (st *SiteState) AnyWeightsReplaced() bool {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	for _, w := range st.weights {
-		if w.version > firstWeights {
+	for _, h := range st.allWeights() {
+		if h.Newest().Version > firstWeights {
 			return true
 		}
 	}
@@ -280,11 +235,10 @@
 
 // NewestWeights returns the newest version of the weights of each model.
 func (st *SiteState) NewestWeights() map[string]int64 {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	list := make(map[string]int64, len(st.weights))
-	for model, w := range st.weights {
-		list[model] = w.version
+	all := st.allWeights()
+	list := make(map[string]int64, len(all))
+	for model, h := range all {
+		list[model] = h.Newest().Version
 	}
 	return list
 }
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -21,20 +21,19 @@
 	st := NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
 	t0 := time.Now()
 	at := func(s int) time.Time { return t0.Add(time.Duration(s) * time.Second) }
-	assert.Assert(t, st.ReplacedAt("m", 1).IsZero())
+	assert.Assert(t, st.WeightHistory("m").ReplacedAt(1).IsZero())
 	st.ApplyWeights("m", 1, at(0))
 	st.ApplyWeights("m", 2, at(10))
 	st.ApplyWeights("m", 4, at(14))
 	st.ApplyWeights("m", 3, at(15)) // Arrives late from another node.
-	assert.Equal(t, st.ReplacedAt("m", 1), at(10))
-	assert.Equal(t, st.ReplacedAt("m", 2), at(14))
-	assert.Equal(t, st.ReplacedAt("m", 3), at(14))
-	assert.Assert(t, st.ReplacedAt("m", 4).IsZero())
-	assert.Equal(t, st.WeightsBefore("m", at(9)), int64(1))
-	assert.Equal(t, st.WeightsBefore("m", at(12)), int64(2))
-	assert.Equal(t, st.WeightsBefore("m", at(20)), int64(4))
-	version, since := st.Weights("m")
-	assert.Assert(t, version == 4 && since.Equal(at(14)))
+	assert.Equal(t, st.WeightHistory("m").ReplacedAt(1), at(10))
+	assert.Equal(t, st.WeightHistory("m").ReplacedAt(2), at(14))
+	assert.Equal(t, st.WeightHistory("m").ReplacedAt(3), at(14))
+	assert.Assert(t, st.WeightHistory("m").ReplacedAt(4).IsZero())
+	assert.Equal(t, st.WeightHistory("m").Before(at(9)), int64(1))
+	assert.Equal(t, st.WeightHistory("m").Before(at(12)), int64(2))
+	assert.Equal(t, st.WeightHistory("m").Before(at(20)), int64(4))
+	assert.Equal(t, st.WeightHistory("m").Newest(), route.WeightVersion{Version: 4, Since: at(14)})
 }
 
 // A cache look-up holds the index's lock and calls ReplacedAt. A restarted replica in the
@@ -51,7 +50,7 @@
 		realm := func(version int64) route.Realm {
 			close(inside)
 			time.Sleep(100 * time.Millisecond) // The upstream list is applied meanwhile.
-			return route.Realm{Name: "r", CompleteBefore: st.ReplacedAt("m", version)}
+			return route.Realm{Name: "r", CompleteBefore: st.WeightHistory("m").ReplacedAt(version)}
 		}
 		cacheIndex.Coverage([]site.Upstream{u}, "m", realm, []site.Part{{ID: "p", Tokens: 10}}, &site.Engine{}, time.Second, time.Now())
 	}()
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -323,8 +323,8 @@
 	if !ok {
 		return false
 	}
-	newest, since := s.siteState.Weights(model)
-	if version >= newest || now.Sub(since) < replacedTerm {
+	newest := s.siteState.WeightHistory(model).Newest()
+	if version >= newest.Version || now.Sub(newest.Since) < replacedTerm {
 		return false
 	}
 	for _, p := range s.siteState.Pools() {
