Look-ups and clean-ups of the cache index get realms as data

The same cause on a related path, found by reading all function values that are called with a mutex held: Coverage called back for the realm of a version, and UnusedParts for whether a realm is still used, both with the index's lock held. The first asked SiteState, the second SiteState and each pool. No caller took the index's lock with one of those held, so nothing could deadlock yet; the first had done so once, and a comment in ApplyUpstreams was all that kept the order.

Realms are now computed before the call, from the same history of weights as the pick. UnusedParts is split into StoreRealms and PartsOf; what is no longer used is decided between them, without the lock.

TestReplicaRestartDoesNotDeadlockCacheLookup blocked inside the callback, which is gone. It now runs 2,000 restarts beside look-ups that go through the exchange, within a bound, and guards against the same deadlock whichever of the two locks would be held.

--- a/pkg/route/cache_index.go
+++ b/pkg/route/cache_index.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -234,9 +235,9 @@
 
 // Coverage returns for each engine how many of a prompt's shared tokens, from the start
 // on, it holds, how many it can fetch within maxFetchTime, and how long the fetch should
-// take. Engines with unknown weights are left out. realm returns the realm of a version of
-// the weights.
-func (x *CacheIndex) Coverage(engines []site.Upstream, model string, realm func(version int64) Realm, shared []site.Part, profile *site.Engine, maxFetchTime time.Duration, now time.Time) map[string]CacheCoverage {
+// take. Engines with unknown weights are left out; realms has the realm of each version of the
+// weights that the others have.
+func (x *CacheIndex) Coverage(engines []site.Upstream, model string, realms map[int64]Realm, shared []site.Part, profile *site.Engine, maxFetchTime time.Duration, now time.Time) map[string]CacheCoverage {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	lookups := map[int64]*partLookup{}
@@ -248,7 +249,7 @@
 		}
 		lookup, ok := lookups[v]
 		if !ok {
-			lookup = newPartLookup(realm(v), shared, maxFetchTime)
+			lookup = newPartLookup(realms[v], shared, maxFetchTime)
 			lookups[v] = lookup
 		}
 		coverage[u.ID] = x.engineCoverage(lookup, u, shared, profile, now)
@@ -357,23 +358,35 @@
 // replica's own data hall may be than others and still be preferred for a save.
 const sameHallBonus = 0.3
 
-// UnusedParts lists up to limit parts of a store whose realm unused reports as not
-// needed again, with the boot of the store to which they belong.
-func (x *CacheIndex) UnusedParts(name string, limit int, unused func(realm string) bool) (list []site.PartRef, boot int64) {
+// StoreRealms lists the realms of which a store has parts.
+func (x *CacheIndex) StoreRealms(name string) (realms []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	s, ok := x.stores[name]
+	if !ok {
+		return nil
+	}
+	listed := map[string]bool{}
+	for key := range s.parts {
+		if !listed[key.realm] {
+			listed[key.realm] = true
+			realms = append(realms, key.realm)
+		}
+	}
+	return realms
+}
+
+// PartsOf lists up to limit parts that a store has of some realms, with the boot of the store to
+// which they belong.
+func (x *CacheIndex) PartsOf(name string, realms []string, limit int) (list []site.PartRef, boot int64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	s, ok := x.stores[name]
 	if !ok || !s.fresh {
 		return nil, 0
 	}
-	checked := map[string]bool{}
 	for key := range s.parts {
-		drop, known := checked[key.realm]
-		if !known {
-			drop = unused(key.realm)
-			checked[key.realm] = drop
-		}
-		if drop {
+		if slices.Contains(realms, key.realm) {
 			list = append(list, site.PartRef{Realm: key.realm, Part: key.part})
 		}
 		if len(list) == limit {
--- a/pkg/route/cache_index_test.go
+++ b/pkg/route/cache_index_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,8 +43,8 @@
 // testCoverage returns the coverage of testPrompt in the realm "r" at three engines, one
 // in each hall.
 func testCoverage(index *CacheIndex, completeBefore, now time.Time) map[string]CacheCoverage {
-	realm := func(int64) Realm { return Realm{Name: "r", CompleteBefore: completeBefore} }
-	return index.Coverage(testReplicas(3, 1), "m", realm, testPrompt, testEngine, time.Second, now)
+	realms := map[int64]Realm{1: {Name: "r", CompleteBefore: completeBefore}}
+	return index.Coverage(testReplicas(3, 1), "m", realms, testPrompt, testEngine, time.Second, now)
 }
 
 // A part that is still being written, or whose save was interrupted, is never fetched.
@@ -169,16 +170,18 @@
 	assert.Assert(t, o["r01"].Wait > o["r00"].Wait, "transfers between data halls take longer")
 }
 
-func TestUnusedPartsListsOnlyUnusedRealms(t *testing.T) {
+func TestPartsOfListsOnlyPartsOfTheRealms(t *testing.T) {
 	index := newTestIndex(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	index.ApplyStoreChanges("s", site.CacheChanges{Boot: 7, Changes: append(storeChanges("m@1", testPrompt...), storeChanges("m@2", testPrompt[0])...)}, testNow)
-	list, boot := index.UnusedParts("s", 10, func(realm string) bool { return realm == "m@1" })
+	realms := slices.Sorted(slices.Values(index.StoreRealms("s")))
+	assert.DeepEqual(t, realms, []string{"m@1", "m@2"})
+	list, boot := index.PartsOf("s", []string{"m@1"}, 10)
 	assert.Equal(t, len(list), 2)
 	assert.Equal(t, boot, int64(7))
-	list, _ = index.UnusedParts("s", 1, func(string) bool { return true })
+	list, _ = index.PartsOf("s", realms, 1)
 	assert.Equal(t, len(list), 1)
 	index.MarkStoreStale("s")
-	list, _ = index.UnusedParts("s", 10, func(string) bool { return true })
+	list, _ = index.PartsOf("s", realms, 10)
 	assert.Equal(t, len(list), 0, "nothing is freed at a stale store")
 }
 
@@ -200,13 +203,13 @@
 func TestFreedPartsAreNotFreedAgain(t *testing.T) {
 	index := newTestIndex(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	index.ApplyStoreChanges("s", site.CacheChanges{Boot: 7, Changes: storeChanges("m@1", testPrompt...)}, testNow)
-	all := func(string) bool { return true }
-	list, boot := index.UnusedParts("s", 10, all)
+	all := index.StoreRealms("s")
+	list, boot := index.PartsOf("s", all, 10)
 	index.RemoveFreed("s", boot+1, list) // The store has restarted.
-	again, _ := index.UnusedParts("s", 10, all)
+	again, _ := index.PartsOf("s", all, 10)
 	assert.Equal(t, len(again), 2)
 	index.RemoveFreed("s", boot, list)
-	again, _ = index.UnusedParts("s", 10, all)
+	again, _ = index.PartsOf("s", all, 10)
 	assert.Equal(t, len(again), 0)
 	assert.Equal(t, index.Status()[0].Used, 0)
 }
--- a/pkg/route/pool_bench_test.go
+++ b/pkg/route/pool_bench_test.go
@@ -67,11 +67,11 @@
 				}
 				index.ApplyEngineUpdate(EngineCacheUpdate{Engine: u.ID, Full: true, Changes: engineChanges("r", parts...)})
 			}
-			realm := func(int64) Realm { return Realm{Name: "r"} }
+			realms := map[int64]Realm{1: {Name: "r"}}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				parts := []site.Part{{ID: "common", Tokens: 2500}, {ID: fmt.Sprint(i % (7 * n)), Tokens: 5000}}
-				index.Coverage(engines, "m", realm, parts, testEngine, time.Second, testNow)
+				index.Coverage(engines, "m", realms, parts, testEngine, time.Second, testNow)
 			}
 		})
 	}
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -96,13 +96,15 @@
 	if e == nil || !e.PlannedFetch || x.pickInput.Model == "" {
 		return
 	}
-	realm := func(version int64) route.Realm {
-		return route.Realm{
-			Name:           x.realm(version),
-			CompleteBefore: x.pickInput.Weights.ReplacedAt(version),
+	candidates := x.pool.Candidates(&x.pickInput, now)
+	realms := map[int64]route.Realm{}
+	for i := range candidates {
+		version := candidates[i].Weights[x.pickInput.Model]
+		if _, known := realms[version]; !known {
+			realms[version] = route.Realm{Name: x.realm(version), CompleteBefore: x.pickInput.Weights.ReplacedAt(version)}
 		}
 	}
-	x.pickInput.Coverage = x.g.cacheIndex.Coverage(x.pool.Candidates(&x.pickInput, now), x.pickInput.Model, realm, x.info.Shared(), e, x.maxExpectedFetch(), now)
+	x.pickInput.Coverage = x.g.cacheIndex.Coverage(candidates, x.pickInput.Model, realms, x.info.Shared(), e, x.maxExpectedFetch(), now)
 }
 
 const (
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -289,8 +289,7 @@
 // ApplyUpstreams applies rows of the upstream list; whole means that rows is the complete
 // list.
 func (st *SiteState) ApplyUpstreams(rows []site.Row, whole bool, now time.Time) {
-	// The cache index is reset without holding mu: its look-ups call SiteState while
-	// they hold the index's lock.
+	// Without mu: of this lock and the index's, neither is taken with the other held.
 	for id, planned := range st.applyUpstreams(rows, whole, now) {
 		st.cacheIndex.ResetEngine(id)
 		st.onRestart(id, planned, now)
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -36,32 +36,38 @@
 	assert.Equal(t, st.WeightHistory("m").Newest(), route.WeightVersion{Version: 4, Since: at(14)})
 }
 
-// A cache look-up holds the index's lock and calls ReplacedAt. A restarted replica in the
-// upstream list resets its part of the index; doing so with SiteState's lock held
-// deadlocked the node.
+// A restarted replica in the upstream list resets its part of the index. Doing so with SiteState's
+// lock held, or a look-up that asks SiteState with the index's lock held, deadlocked the node.
 func TestReplicaRestartDoesNotDeadlockCacheLookup(t *testing.T) {
-	cacheIndex := route.NewCacheIndex()
-	st := NewSiteState(nil, "h", time.Second, cacheIndex, slog.New(slog.DiscardHandler))
-	u := site.Upstream{ID: "e", Service: "s", DataHall: "h", Started: time.UnixMilli(1), Weights: map[string]int64{"m": 1}}
-	st.applyRow(u, time.Now())
-	inside, done := make(chan struct{}), make(chan struct{})
+	const restarts = 2000
+	n := newContendedNode(2)
+	u := n.codec.byID["i-0"]
+	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		realm := func(version int64) route.Realm {
-			close(inside)
-			time.Sleep(100 * time.Millisecond) // The upstream list is applied meanwhile.
-			return route.Realm{Name: "r", CompleteBefore: st.WeightHistory("m").ReplacedAt(version)}
+		for i := range restarts {
+			u.Started = time.UnixMilli(int64(i + 2))
+			n.change(u)
+		}
+	}()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				x := n.newExchange()
+				x.refreshWeights(&x.pickInput, time.Now())
+				x.lookUpCoverage(time.Now())
+			}
 		}
-		cacheIndex.Coverage([]site.Upstream{u}, "m", realm, []site.Part{{ID: "p", Tokens: 10}}, &site.Engine{}, time.Second, time.Now())
 	}()
-	<-inside
-	restarted := u
-	restarted.Started = time.UnixMilli(2)
-	go st.applyRow(restarted, time.Now())
 	select {
-	case <-done:
-	case <-time.After(10 * time.Second):
-		t.Fatal("the look-up does not end")
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the look-ups do not end")
 	}
 }
 
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -285,7 +285,8 @@
 		if !v.Store.Managed || !s.owns(v.Name) {
 			continue
 		}
-		list, boot := s.cacheIndex.UnusedParts(v.Name, maxFreedPerCall, func(realm string) bool { return s.replaced(realm, now) })
+		unused := slices.DeleteFunc(s.cacheIndex.StoreRealms(v.Name), func(realm string) bool { return !s.replaced(realm, now) })
+		list, boot := s.cacheIndex.PartsOf(v.Name, unused, maxFreedPerCall)
 		if len(list) == 0 {
 			continue
 		}
