The order of locks is written down, and tests fail when two are taken in both orders

All mutexes of pkg, service and platform are those of pkg/locks now: aliases of those of sync, or with the build tag lockorder those of go-deadlock, which compares each pair of locks that a goroutine holds with the pairs before.

Five exceptions call out of a decision with a lock held; each says so where it is declared.

--- a/pkg/control/claims.go
+++ b/pkg/control/claims.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
@@ -43,7 +44,7 @@
 	table Table
 	log   *slog.Logger
 
-	mu      sync.Mutex
+	mu      locks.Mutex
 	pending []*claimWrite
 	writing int // Rows in the current transaction.
 	wake    chan struct{}
--- a/pkg/control/collector.go
+++ b/pkg/control/collector.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
@@ -31,7 +32,7 @@
 type Collector struct {
 	table Table
 
-	mu       sync.Mutex
+	mu       locks.Mutex
 	pending  []*pendingTxn
 	draining bool
 	closed   bool
--- a/pkg/control/leases.go
+++ b/pkg/control/leases.go
@@ -6,12 +6,12 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
@@ -43,7 +43,7 @@
 	log     *slog.Logger
 	now     func() time.Time
 
-	mu     sync.Mutex
+	mu     locks.Mutex
 	leases map[string]*Lease
 }
 
--- a/pkg/control/log.go
+++ b/pkg/control/log.go
@@ -6,12 +6,12 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/tablestore"
 )
 
@@ -38,9 +38,9 @@
 	objects objectStore
 	log     *slog.Logger
 
-	proposeMu sync.Mutex // Serialises this node's proposals; locked before mu.
+	proposeMu locks.Mutex // Serialises this node's proposals; locked before mu.
 
-	mu       sync.Mutex
+	mu       locks.Mutex
 	state    *config.State
 	entries  []Entry // The newest entries, oldest first.
 	watchers []func(*config.State)
@@ -71,7 +71,7 @@
 }
 
 // Watch calls fn with the current configuration and then with each new one, in
-// order. fn must not call the log.
+// order. fn is called with the log's lock held and must not call the log.
 func (l *Log) Watch(fn func(*config.State)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -4,8 +4,9 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 const (
@@ -52,7 +53,7 @@
 // to know it, so the cost per second does not depend on the fleet's size. Members
 // does no I/O: its methods return the packets to send.
 type Members struct {
-	mu            sync.Mutex
+	mu            locks.Mutex
 	self          Member
 	period        time.Duration
 	rng           *rand.Rand
--- a/pkg/history/eras.go
+++ b/pkg/history/eras.go
@@ -1,13 +1,14 @@
 package history
 
 import (
-	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // Eras tracks the newest era that a node has heard of, from the store or from another node.
 type Eras struct {
-	mu          sync.Mutex
+	mu          locks.Mutex
 	current     Era
 	since       time.Time // When current was first heard of.
 	first       bool      // No other era was known before.
--- a/pkg/load/entries.go
+++ b/pkg/load/entries.go
@@ -5,10 +5,11 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // entryCache asks the system which entry addresses to use, and caches the answer
@@ -17,7 +18,7 @@
 	client *http.Client
 	seeds  []netip.AddrPort
 
-	mu          sync.Mutex
+	mu          locks.Mutex
 	byKey       map[string]*entryList
 	failedUntil map[netip.AddrPort]time.Time // When failed addresses may be used again.
 }
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -2,10 +2,11 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // Report is the result of a load as clients see it.
@@ -50,7 +51,7 @@
 
 // tally collects the results of requests.
 type tally struct {
-	mu               sync.Mutex
+	mu               locks.Mutex
 	report           Report
 	firstToken       *hdrhistogram.Histogram // Microseconds.
 	betweenTokens    *hdrhistogram.Histogram
--- a/pkg/origin/records.go
+++ b/pkg/origin/records.go
@@ -3,8 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // Origin is where a stream began.
@@ -58,7 +59,7 @@
 
 // Records holds the origins of streams that clients may take up again.
 type Records struct {
-	mu      sync.Mutex
+	mu      locks.Mutex
 	byKey   map[Key]*record
 	evicted int64
 }
@@ -109,7 +110,7 @@
 }
 
 // TakeUnsent returns up to limit of this node's own records that were not sent to the given generation of
-// holders, of the services that wanted reports, and counts them as sent.
+// holders, of the services that wanted reports, and counts them as sent. wanted is called with mu held.
 func (r *Records) TakeUnsent(generation uint64, limit int, wanted func(service string) bool, now time.Time) (list []Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/prompt/directory.go
+++ b/pkg/prompt/directory.go
@@ -2,8 +2,9 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 const (
@@ -49,7 +50,7 @@
 // their references to it when they are next used. So dropping an engine takes
 // the same time however much it held.
 type Directory struct {
-	mu        sync.Mutex
+	mu        locks.Mutex
 	start     time.Time
 	capacity  int
 	entries   map[Key]entry
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -1,9 +1,10 @@
 package quota
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 const (
@@ -60,7 +61,7 @@
 type Ledger struct {
 	subjectCount atomic.Int64 // len(subjects), readable without mu.
 
-	mu       sync.Mutex
+	mu       locks.Mutex
 	subjects map[string]*bucket
 }
 
--- a/pkg/rollout/lease.go
+++ b/pkg/rollout/lease.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -55,7 +55,7 @@
 	log           *slog.Logger
 	now           func() time.Time
 
-	mu               sync.Mutex
+	mu               locks.Mutex
 	row              leaseRow
 	lastFence        int64            // The highest one that this node has had.
 	unchangedSince   time.Time        // When the row was first read as it is.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -89,7 +90,7 @@
 	unbounded bool
 	groups    [groupCount]*group
 	// reserveMu guards reserveSwap. It is locked after a group's mu.
-	reserveMu sync.Mutex
+	reserveMu locks.Mutex
 
 	wg sync.WaitGroup
 }
@@ -99,7 +100,7 @@
 	name  string
 	lease *Lease
 
-	mu        sync.Mutex
+	mu        locks.Mutex
 	swaps     map[string]*swap
 	workSince time.Time // When the group last got work; zero while idle.
 	// meanLoadTime is a moving mean of the time from an order until the swap is seen done.
--- a/pkg/route/admission.go
+++ b/pkg/route/admission.go
@@ -2,11 +2,11 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/queue"
 )
 
@@ -36,7 +36,7 @@
 // organisation delays only that organisation. A request that is expected to wait
 // past its deadline is refused at once.
 type Admission struct {
-	mu               sync.Mutex
+	mu               locks.Mutex
 	capacity         int
 	admitted         int
 	virtualTime      float64
--- a/pkg/route/cache_index.go
+++ b/pkg/route/cache_index.go
@@ -3,10 +3,10 @@
 import (
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/rendezvous"
 	"github.com/drumpath/drumpath/pkg/site"
 )
@@ -20,7 +20,7 @@
 // lost; a part that is missing from the index is prefilled and saved again, which only
 // costs time.
 type CacheIndex struct {
-	mu     sync.Mutex
+	mu     locks.Mutex
 	stores map[string]*indexedStore
 	byKey  map[NameHash]*indexedStore
 	names  []string
--- a/pkg/route/cold.go
+++ b/pkg/route/cold.go
@@ -59,7 +59,7 @@
 // maxColdLimit is the largest limit, in requests a second; it is as good as none.
 const maxColdLimit = 1e6
 
-// ColdShares divides a cold replica's limit among the nodes.
+// ColdShares divides a cold replica's limit among the nodes. It is called with the pool's lock held.
 type ColdShares interface {
 	// Share returns how many requests a second this node may send a replica of a data hall
 	// that may get limit from all nodes, 0 for none. A node that can't determine its share
--- a/pkg/route/export_policy.go
+++ b/pkg/route/export_policy.go
@@ -1,9 +1,9 @@
 package route
 
 import (
-	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/prompt"
 )
 
@@ -30,7 +30,7 @@
 // specification, exporting them would fill links and stores with KV cache that is
 // never read.
 type ExportPolicy struct {
-	mu          sync.Mutex
+	mu          locks.Mutex
 	weights     CostWeights
 	returnRates map[string]float64
 }
--- a/pkg/route/fleet.go
+++ b/pkg/route/fleet.go
@@ -3,13 +3,14 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // Fleet is this node's view of the model engines.
 type Fleet struct {
-	mu             sync.Mutex
+	mu             locks.Mutex
 	rng            *rand.Rand
 	replicas       map[string]*replicaState
 	byModel        map[string][]*replicaState
--- a/pkg/route/limited.go
+++ b/pkg/route/limited.go
@@ -19,7 +19,8 @@
 	maxUnusedRequests = 2.5
 )
 
-// RateLimits returns what is known of the rate limits that replicas have set.
+// RateLimits returns what is known of the rate limits that replicas have set. It is called with the
+// pool's lock held.
 type RateLimits interface {
 	// State returns the state for a start key; it is the zero value if that start has had
 	// no limit for a long time.
--- a/pkg/route/links.go
+++ b/pkg/route/links.go
@@ -2,8 +2,9 @@
 
 import (
 	"math"
-	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 const (
@@ -20,7 +21,7 @@
 
 // Links tracks the rates and bookings of the links of engines and stores.
 type Links struct {
-	mu    sync.Mutex
+	mu    locks.Mutex
 	links map[string]*linkState
 }
 
--- a/pkg/route/paths.go
+++ b/pkg/route/paths.go
@@ -2,10 +2,10 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -21,7 +21,7 @@
 type Paths struct {
 	lostCount atomic.Int64
 
-	mu        sync.Mutex
+	mu        locks.Mutex
 	rng       *rand.Rand
 	lost      map[string]*lostPath // By the replica's ID.
 	groups    map[pathGroup]map[string]struct{}
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -2,10 +2,10 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -17,7 +17,7 @@
 // replica would have to prefill, from its recent latency, and from the distance to its
 // data hall. All of these are times, so they are added up without weights.
 type Pool struct {
-	mu       sync.Mutex
+	mu       locks.Mutex
 	rng      *rand.Rand
 	dataHall string // The data hall of this node.
 	// subsetSeed selects this node's subset of the replicas for requests without a prompt.
--- a/pkg/route/prompt_queue.go
+++ b/pkg/route/prompt_queue.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/queue"
 )
 
@@ -25,7 +25,7 @@
 //
 // Lock order: the queue's lock before that of a Pool, which QueueRequest.Fits takes.
 type PromptQueue struct {
-	mu      sync.Mutex
+	mu      locks.Mutex
 	waiting queue.Heap[*WaitingPrompt]
 	// virtualTime is the start tag of the last admitted prompt, virtualFinish the
 	// virtual time at which each organisation's queued prompts end.
--- a/pkg/route/reachability.go
+++ b/pkg/route/reachability.go
@@ -1,8 +1,9 @@
 package route
 
 import (
-	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // Reachability decides when this node checks whether a replica can still be reached, and
@@ -14,7 +15,7 @@
 // only if something points to a fault: an error of this node, a report of another node, or
 // a stream that pauses too long. Healthy replicas are not polled.
 type Reachability struct {
-	mu       sync.Mutex
+	mu       locks.Mutex
 	replicas map[string]*checkState // By the replica's ID.
 	// aliveCredit is the number of checks after pauses and reports that may still find their
 	// replica alive, as of creditAt.
--- a/pkg/route/request_bytes.go
+++ b/pkg/route/request_bytes.go
@@ -4,7 +4,8 @@
 // flight at one replica is bounded in bytes. Each node has a fixed share of that, as it doesn't
 // see fast enough what the others send.
 
-// RequestBytes divides the bytes of requests that a replica may hold among the nodes.
+// RequestBytes divides the bytes of requests that a replica may hold among the nodes. It is called
+// with the pool's lock held.
 type RequestBytes interface {
 	// Least returns how many bytes this node may have in flight at any replica.
 	Least() int64
--- a/pkg/route/retry.go
+++ b/pkg/route/retry.go
@@ -1,6 +1,6 @@
 package route
 
-import "sync"
+import "github.com/drumpath/drumpath/pkg/locks"
 
 // maxRetryCredit bounds how many unused retries may accumulate.
 const maxRetryCredit = 20
@@ -8,7 +8,7 @@
 // RetryBudget limits retries to a share of the successes, so that failures can't
 // multiply the load.
 type RetryBudget struct {
-	mu     sync.Mutex
+	mu     locks.Mutex
 	share  float64
 	credit float64
 }
--- a/pkg/route/retry_share.go
+++ b/pkg/route/retry_share.go
@@ -1,8 +1,9 @@
 package route
 
 import (
-	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // RetryShare is this node's part of a retry budget that all nodes share without
@@ -13,7 +14,7 @@
 // uses a part of its share that the earlier process left in any case, and the slack accrues
 // over the window. Its processes thus stay within the share together, however many there are.
 type RetryShare struct {
-	mu          sync.Mutex
+	mu          locks.Mutex
 	ratio       float64
 	slack       float64
 	window      time.Duration
--- a/pkg/suspect/register.go
+++ b/pkg/suspect/register.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"maps"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -39,7 +39,7 @@
 	// blockedPartCount is the number of blocked parts; while it is 0, parts of prompts need not be looked up.
 	blockedPartCount atomic.Int64
 
-	mu           sync.Mutex
+	mu           locks.Mutex
 	entries      map[site.Fingerprint]*entry
 	blockedParts map[site.Fingerprint]*entry
 	finishes     recentFinishes
--- a/pkg/tablestore/breaker.go
+++ b/pkg/tablestore/breaker.go
@@ -2,12 +2,12 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/drumpath/drumpath/pkg/httpjson"
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 const (
@@ -19,7 +19,7 @@
 // Breaker is a circuit breaker: it stops calls to a service that does not answer, and
 // allows single calls after increasing, jittered waits.
 type Breaker struct {
-	mu       sync.Mutex
+	mu       locks.Mutex
 	failures int
 	retryAt  time.Time
 	waits    *backoff.ExponentialBackOff
--- a/pkg/timer/service.go
+++ b/pkg/timer/service.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/queue"
 )
 
@@ -22,7 +23,7 @@
 // callback never runs concurrently with itself and its runs never queue up.
 // Service.mu is the only lock, and it is not held while callbacks run.
 type Service struct {
-	mu  sync.Mutex
+	mu  locks.Mutex
 	due queue.Heap[*Subscription]
 	// startedAt has when each running callback was called.
 	startedAt map[*Subscription]time.Time
--- a/service/entry/disconnect.go
+++ b/service/entry/disconnect.go
@@ -3,17 +3,18 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // disconnectWatcher cancels runs whose clients have disconnected. The HTTP server does
 // not read a connection while its request is served, so the watcher peeks at the
 // connection, which consumes no data.
 type disconnectWatcher struct {
-	mu    sync.Mutex
+	mu    locks.Mutex
 	conns map[*watchedConn]struct{}
 }
 
--- a/service/entry/export.go
+++ b/service/entry/export.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/prompt"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/upstream"
@@ -24,7 +25,7 @@
 	jobs chan exportJob
 	wg   sync.WaitGroup
 
-	mu         sync.Mutex
+	mu         locks.Mutex
 	inProgress map[prompt.Key]bool
 	closed     bool
 }
--- a/service/entry/imports.go
+++ b/service/entry/imports.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/prompt"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/upstream"
@@ -20,7 +20,7 @@
 // importGroup lets requests for the same object on the same replica share one
 // import.
 type importGroup struct {
-	mu         sync.Mutex
+	mu         locks.Mutex
 	inProgress map[importKey]*sharedImport
 }
 
--- a/service/gateway/body_budget.go
+++ b/service/gateway/body_budget.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // A body is held in memory from when it is read until its request is answered, and its client
@@ -36,7 +37,7 @@
 	all          *semaphore.Weighted
 	organisation int64 // Bytes of one organisation.
 
-	mu            sync.Mutex
+	mu            locks.Mutex
 	organisations map[string]*organisationBudget
 }
 
--- a/service/gateway/cache_update_log.go
+++ b/service/gateway/cache_update_log.go
@@ -4,10 +4,10 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"slices"
-	"sync"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
@@ -57,7 +57,7 @@
 type cacheUpdateLog struct {
 	epoch uint64 // A random number that differs after each start.
 
-	mu      sync.Mutex
+	mu      locks.Mutex
 	entries []cacheUpdateEntry
 	next    uint64 // Sequence number of the next entry.
 	changed chan struct{}
--- a/service/gateway/caller_impact.go
+++ b/service/gateway/caller_impact.go
@@ -4,15 +4,16 @@
 	"maps"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // callerImpact counts what callers lose.
 type callerImpact struct {
-	mu             sync.Mutex
+	mu             locks.Mutex
 	streamsAborted map[string]int64 // By reason.
 	// refusedAgain counts refusals of requests that had come before, by reason.
 	refusedAgain map[string]int64
--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -9,13 +9,13 @@
 	"net/netip"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/canary"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
@@ -78,7 +78,7 @@
 	// orders again.
 	rewriteTime time.Duration
 
-	mu       sync.Mutex
+	mu       locks.Mutex
 	rollouts map[string]*canaryRollout // By service.
 	// removed are the orders that were removed, without their versions, and unclear those that may be
 	// older ones of a copy of the store; both by service.
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/http1"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
@@ -34,7 +34,7 @@
 	r    *bufio.Reader
 	// mu orders the end of the idle state and endIdle: a read deadline that is set once
 	// a request is served would look as if its client had left.
-	mu         sync.Mutex
+	mu         locks.Mutex
 	state      connState
 	stateSince time.Time
 	endingIdle bool // Set by endIdle.
--- a/service/gateway/client_conns.go
+++ b/service/gateway/client_conns.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // clientConns is the set of open client connections.
@@ -14,7 +16,7 @@
 	limit int
 	wg    sync.WaitGroup
 
-	mu       sync.Mutex
+	mu       locks.Mutex
 	open     map[*clientConn]struct{}
 	draining bool          // No more connections are added.
 	drained  chan struct{} // Closed when draining and none is left.
--- a/service/gateway/cold_shares.go
+++ b/service/gateway/cold_shares.go
@@ -2,11 +2,11 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/rendezvous"
 )
 
@@ -19,7 +19,7 @@
 	self    control.Member
 	members *control.Members
 
-	mu            sync.Mutex
+	mu            locks.Mutex
 	membersReadAt time.Time // When this node first read the list of nodes, zero before.
 	view          *control.View
 	cached        map[coldShareKey]int // Valid for view.
--- a/service/gateway/engine_caches.go
+++ b/service/gateway/engine_caches.go
@@ -10,6 +10,7 @@
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
@@ -58,7 +59,7 @@
 	updates    *cacheUpdateLog
 	log        *slog.Logger
 
-	mu           sync.Mutex
+	mu           locks.Mutex
 	inputs       engineFollowInputs
 	ranked       map[string]rankedEngine       // Tracked engines, by ID.
 	awaitingFull map[string]bool               // Tracked engines without a full update so far.
--- a/service/gateway/forwarding.go
+++ b/service/gateway/forwarding.go
@@ -6,12 +6,12 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
@@ -31,12 +31,12 @@
 	conns    *upstreamConns // Streams to other nodes, by their names.
 	counts   forwardCounts
 
-	peersMu sync.Mutex
+	peersMu locks.Mutex
 	view    *control.View // The view for which peers and addrs were computed.
 	peers   []route.Peer
 	addrs   map[string]netip.AddrPort
 
-	surveysMu sync.Mutex
+	surveysMu locks.Mutex
 	surveys   map[string]*survey // By the replica's ID.
 	drawnAt   time.Time          // When replicas were last drawn by retryPaths.
 }
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/rollout"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -97,12 +98,12 @@
 	directoryServer *auxServer
 	metricsServer   *auxServer // Nil if no metrics address is configured.
 
-	queuesMu     sync.Mutex
+	queuesMu     locks.Mutex
 	queues       map[string]*route.PromptQueue
 	promptQueued chan struct{} // Signals a newly queued prompt; capacity 1.
 
 	startedAt      time.Time // By the clock of boottime.Now.
-	retryBudgetsMu sync.Mutex
+	retryBudgetsMu locks.Mutex
 	retryBudgets   map[string]*retryBudget // By service.
 	// retryWindowSince is when a reload changed the window of the retry budgets, zero before.
 	retryWindowSince time.Time
--- a/service/gateway/handoff.go
+++ b/service/gateway/handoff.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/http1"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 )
@@ -38,7 +38,7 @@
 	startedAt time.Time
 	done      chan struct{} // Closed once the result is known.
 
-	mu        sync.Mutex
+	mu        locks.Mutex
 	result    site.MoveResult
 	finished  bool
 	discarded bool // The copy will not be used.
--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/stall"
 	"github.com/drumpath/drumpath/service/origins"
@@ -26,7 +26,7 @@
 
 // latency is a histogram of durations.
 type latency struct {
-	mu sync.Mutex
+	mu locks.Mutex
 	h  *hdrhistogram.Histogram
 }
 
@@ -84,7 +84,7 @@
 	notConnected      *latency     // Until a connection to a replica was given up.
 	impact            *callerImpact
 
-	mu             sync.Mutex
+	mu             locks.Mutex
 	refused        map[string]int64
 	answeredByKind map[string]int64 // Responses by kind of route.
 	// hallExits counts the attempts at replicas of other data halls, by reason.
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -6,13 +6,13 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
@@ -50,9 +50,9 @@
 	// onUnreachable is called when a node reports that it can't reach a replica. It may be
 	// nil.
 	onUnreachable func(*route.Pool, *site.Upstream)
-	mergeMu       sync.Mutex // Serializes updates of the pools; taken before mu.
+	mergeMu       locks.Mutex // Serializes updates of the pools; taken before mu.
 
-	mu             sync.Mutex
+	mu             locks.Mutex
 	discovery      discovery
 	loads          loadState
 	pendingUpdates []replicaUpdate // Sent together in the next batch.
--- a/service/gateway/reachability.go
+++ b/service/gateway/reachability.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
@@ -26,7 +27,7 @@
 
 	counts checkCounts
 
-	sampleMu sync.Mutex
+	sampleMu locks.Mutex
 	sample   networkSample // The last one.
 }
 
--- a/service/gateway/replica_clock.go
+++ b/service/gateway/replica_clock.go
@@ -1,14 +1,15 @@
 package gateway
 
 import (
-	"sync"
 	"time"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // replicaClock estimates the clock that the replicas share, from readings in their
 // reports.
 type replicaClock struct {
-	mu      sync.Mutex
+	mu      locks.Mutex
 	reading time.Duration
 	readAt  time.Time
 }
--- a/service/gateway/retry_budgets.go
+++ b/service/gateway/retry_budgets.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 )
 
@@ -17,7 +17,7 @@
 	service string
 	log     *slog.Logger
 
-	mu       sync.Mutex
+	mu       locks.Mutex
 	loggedAt time.Time // When a denied retry was last logged.
 }
 
--- a/service/gateway/rollout_fleet.go
+++ b/service/gateway/rollout_fleet.go
@@ -2,11 +2,11 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/rollout"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -18,7 +18,7 @@
 	nodes     *nodes
 	within    time.Duration // Allowed time from naming new weights until all replicas have them.
 
-	mu sync.Mutex
+	mu locks.Mutex
 	// settled is the state of the replicas and of the named weights at which no replica had
 	// outdated weights.
 	settled weightsState
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -4,12 +4,12 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 )
@@ -54,7 +54,7 @@
 	// without: picks need it.
 	weights atomic.Pointer[map[string]route.WeightHistory]
 
-	mu        sync.Mutex
+	mu        locks.Mutex
 	upstreams map[string]*upstreamEntry
 	missing   map[string]bool // IDs of upstreams whose rows are gone and may return.
 	pools     map[string]*route.Pool
--- a/service/gateway/store_events.go
+++ b/service/gateway/store_events.go
@@ -6,12 +6,12 @@
 	"errors"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/rendezvous"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
@@ -70,7 +70,7 @@
 	members *control.Members
 	client  *peer.Client
 
-	mu     sync.Mutex
+	mu     locks.Mutex
 	stores map[string]*relayedStore
 }
 
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -13,6 +13,7 @@
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
@@ -52,7 +53,7 @@
 	clock       *replicaClock
 	log         *slog.Logger
 
-	mu       sync.Mutex
+	mu       locks.Mutex
 	inputs   storeFollowInputs
 	followed map[string]*followedStore
 	relays   map[netip.AddrPort]context.CancelFunc // Relays that this node polls.
--- a/service/gateway/suspension.go
+++ b/service/gateway/suspension.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
 )
@@ -21,7 +21,7 @@
 type suspension struct {
 	count atomic.Int64 // For metrics.
 
-	mu      sync.Mutex
+	mu      locks.Mutex
 	handled atomic.Int64 // Total of boottime.Refresh that has been handled, in nanoseconds.
 	// since is when a suspension was detected. synced resets it to nil once the node has
 	// read the tables again, from the store or from other nodes, or has waited long enough.
--- a/service/gateway/upstream_conns.go
+++ b/service/gateway/upstream_conns.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // upstreamConns pools idle connections to replicas, by ID of the replica.
@@ -14,7 +14,7 @@
 	dialTCP DialFunc
 	aborted atomic.Int64 // Requests that abortFlights has ended.
 
-	mu     sync.Mutex
+	mu     locks.Mutex
 	idle   map[string][]*upstreamConn
 	closed bool // Connections are not pooled any more.
 	// contacts has the replicas to which connections were made, and busy those that have
--- a/service/node/claim_table.go
+++ b/service/node/claim_table.go
@@ -6,10 +6,10 @@
 	"hash/fnv"
 	"log/slog"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/tablestore"
 	"github.com/drumpath/drumpath/service/peer"
 )
@@ -42,7 +42,7 @@
 	table   *tablestore.Table
 	log     *slog.Logger
 
-	mu         sync.Mutex
+	mu         locks.Mutex
 	avoidUntil map[string]time.Time
 }
 
--- a/service/node/config_sync.go
+++ b/service/node/config_sync.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/service/peer"
 )
 
@@ -28,7 +29,7 @@
 
 	ctx     context.Context
 	cancel  context.CancelFunc
-	mu      sync.Mutex
+	mu      locks.Mutex
 	pulling bool
 	closed  bool
 	wg      sync.WaitGroup
--- a/service/node/directory.go
+++ b/service/node/directory.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/prompt"
 	"github.com/drumpath/drumpath/service/peer"
 )
@@ -34,7 +35,7 @@
 	client  *peer.Client
 	log     *slog.Logger
 
-	mu             sync.Mutex
+	mu             locks.Mutex
 	avoidUntil     map[netip.AddrPort]time.Time
 	updates        chan directoryUpdate
 	wg             sync.WaitGroup
--- a/service/node/duties.go
+++ b/service/node/duties.go
@@ -1,9 +1,8 @@
 package node
 
 import (
-	"sync"
-
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // dutyInputs detects changes of the members and the upstreams, from which a node's
@@ -13,7 +12,7 @@
 	members   *control.Members
 	upstreams *Upstreams
 
-	mu         sync.Mutex
+	mu         locks.Mutex
 	generation uint64
 	version    uint64
 	known      bool
--- a/service/node/loads.go
+++ b/service/node/loads.go
@@ -5,12 +5,12 @@
 	"context"
 	"log/slog"
 	"slices"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/upstream"
 )
@@ -47,7 +47,7 @@
 	log        *slog.Logger
 	dutyInputs dutyInputs
 
-	mu         sync.Mutex
+	mu         locks.Mutex
 	polled     []engineClient
 	lastRefill time.Time
 	credit     float64 // Bytes.
--- a/service/node/platform_list.go
+++ b/service/node/platform_list.go
@@ -6,13 +6,13 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/tablestore"
 	"github.com/drumpath/drumpath/service/peer"
@@ -43,7 +43,7 @@
 	peers   *peer.Client
 	log     *slog.Logger
 
-	mu          sync.Mutex
+	mu          locks.Mutex
 	leaving     map[netip.AddrPort]bool // By address of the VM, and by peer address if it runs a node.
 	announcedAt time.Time
 }
--- a/service/node/reconcile.go
+++ b/service/node/reconcile.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/drumpath/drumpath/pkg/config"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/upstream"
 )
@@ -32,13 +32,13 @@
 	upstreams *Upstreams
 	fleet     *route.Fleet
 
-	mu         sync.Mutex // Held during a round.
-	version    uint64     // UpstreamsVersion that engines was built from.
+	mu         locks.Mutex // Held during a round.
+	version    uint64      // UpstreamsVersion that engines was built from.
 	engines    []leasedEngine
 	groupSizes map[swapGroup]int
 	rotation   int // Counts rounds, to pick one held engine after another.
 
-	readWeightsMu sync.Mutex
+	readWeightsMu locks.Mutex
 	readWeights   map[string]string // By engine: the weights last read from it.
 }
 
--- a/service/node/upstreams.go
+++ b/service/node/upstreams.go
@@ -3,10 +3,10 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/config"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/upstream"
 )
@@ -15,7 +15,7 @@
 type Upstreams struct {
 	links *route.Links
 
-	mu       sync.RWMutex
+	mu       locks.RWMutex
 	version  uint64 // UpstreamsVersion of the configuration in use.
 	engines  map[string]engineClient
 	stores   map[string]storeClient
--- a/service/node/watches.go
+++ b/service/node/watches.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/prompt"
 )
 
@@ -39,11 +39,11 @@
 	log        *slog.Logger
 	dutyInputs dutyInputs
 
-	mu      sync.Mutex // Held during a round of polls.
+	mu      locks.Mutex // Held during a round of polls.
 	engines map[string]*engineWatch
 	stores  map[string]*storeWatch
 
-	shardsMovedMu sync.Mutex
+	shardsMovedMu locks.Mutex
 	shardsMoved   bool
 }
 
--- a/service/origins/origins.go
+++ b/service/origins/origins.go
@@ -12,6 +12,7 @@
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/origin"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/tablestore"
@@ -76,7 +77,7 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu          sync.Mutex
+	mu          locks.Mutex
 	register    register
 	reads       readBatch
 	breaker     *tablestore.Breaker
--- a/service/peer/client.go
+++ b/service/peer/client.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/drumpath/drumpath/pkg/http1"
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 const (
@@ -59,7 +59,7 @@
 type Client struct {
 	key string
 
-	mu     sync.Mutex
+	mu     locks.Mutex
 	conns  map[netip.AddrPort]*lazyConn
 	closed bool
 }
--- a/service/peer/server.go
+++ b/service/peer/server.go
@@ -18,6 +18,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/drumpath/drumpath/pkg/locks"
 )
 
 // maxConcurrent is how many calls are served at once on one connection.
@@ -49,7 +51,7 @@
 
 	streams StreamFunc // Nil if streams are not served.
 
-	mu     sync.Mutex
+	mu     locks.Mutex
 	conns  map[net.Conn]struct{}
 	closed bool
 }
@@ -233,7 +235,7 @@
 	slots  chan struct{}
 	role   Role // Only touched by the reading goroutine.
 
-	mu      sync.Mutex
+	mu      locks.Mutex
 	stopped bool
 	wg      sync.WaitGroup
 }
--- a/service/ratelimit/limits.go
+++ b/service/ratelimit/limits.go
@@ -10,6 +10,7 @@
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/quota"
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
@@ -41,7 +42,7 @@
 	counts    counts
 	wg        sync.WaitGroup
 
-	mu     sync.Mutex
+	mu     locks.Mutex
 	grants map[string]*grant // By Upstream.StartKey.
 	owners map[string]control.Member
 	view   *control.View // The view for which owners was computed.
--- a/service/suspects/suspects.go
+++ b/service/suspects/suspects.go
@@ -18,6 +18,7 @@
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/http1"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/suspect"
 )
@@ -51,7 +52,7 @@
 	dial func(addr netip.AddrPort) error
 	wg   sync.WaitGroup
 
-	mu             sync.Mutex
+	mu             locks.Mutex
 	learning       learning
 	lostRuns       []LostRun
 	delistedAt     map[string]time.Time // By replica ID, for replicas that had not reported to be draining.
--- a/service/tables/follow.go
+++ b/service/tables/follow.go
@@ -5,11 +5,11 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/pkg/timer"
 )
@@ -41,7 +41,7 @@
 	OnAnswer func(startedAt, now time.Time)
 	Log      *slog.Logger
 
-	mu         sync.Mutex
+	mu         locks.Mutex
 	cancel     context.CancelFunc // Cancels the call under way.
 	pollAtOnce bool               // The next call is not a long poll.
 	wake       context.CancelFunc // Ends the pause after a failed call.
--- a/service/tables/reader.go
+++ b/service/tables/reader.go
@@ -14,6 +14,7 @@
 	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
+	"github.com/drumpath/drumpath/pkg/locks"
 	"github.com/drumpath/drumpath/pkg/site"
 	"github.com/drumpath/drumpath/service/peer"
 )
@@ -104,7 +105,7 @@
 	RowNumber func(site.Row) int64
 	calls     sync.WaitGroup // Calls to the store under way.
 
-	mu           sync.Mutex
+	mu           locks.Mutex
 	tables       map[site.Table]*cachedTable
 	skippedUntil map[netip.AddrPort]time.Time // Readers that have failed, and until when they are not asked.
 	plan         readerPlan
