An answer that is not the rest of a stream is not written into it

Callers saw: a client that had read the head of a stream and some of its events got, in the place of the next chunk, a whole second answer ("HTTP/1.1 404 ..." with its headers).

Cause: deliver looked at the route and the status of each answer, not at whether the client had a head already. Only a 200 was taken for the rest of the stream, whatever its body, and only statuses from 500 on ended in endRequest, which knows that a stream has begun. All others went to writeWhole.

The writer to the client refuses a second head whoever wants to write it, cuts the answer and has that logged (TestSecondHeadIsNotWritten). New: log line "stream not resumed" with the verdict, metric streams.not_rest.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -245,6 +245,16 @@
 		keyErr,
 	}},
 	{"copy not dropped", Failure, "An unused copy of a run's memory was not freed; the engine frees it when its time is over.", []Key{keyRequest, keyReplica, keyErr}},
+	{"stream not resumed", Failure, "A replica answered the resumption of a stream with something else than its rest. Another one is tried, or the stream is cut.", []Key{
+		keyRequest, keyRoute, keyReplica,
+		{"via", "the node that forwarded the request, empty if it was sent directly"},
+		{"status", "the status"},
+		{"content_type", "the Content-Type"},
+		{"verdict", "declined: the replica can't take up this stream, which does not count against it; failed: it counts as a failure of the replica"},
+		{"last_event", "ID of the last event that was passed on"},
+		keyAttempts,
+	}},
+	{"second answer not written", Failure, "The client had the head of an answer already; its connection was closed instead. This is a fault of the node.", []Key{keyRequest}},
 	{"stalled", Failure, "A lock can't be taken, or a step of the timers does not end. Requests may hang; the node goes on trying.", []Key{
 		{"at", "which lock, or \"timer step\""},
 		{"waited", "nanoseconds"},
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -237,6 +237,9 @@
 	} else {
 		x.serve(ctx)
 	}
+	if w.secondHead {
+		c.g.log.Error("second answer not written", "request", info.ID)
+	}
 	return w.ended && !w.closesConn()
 }
 
--- a/service/gateway/client_writer.go
+++ b/service/gateway/client_writer.go
@@ -19,6 +19,8 @@
 	started     bool
 	failed      bool
 	ended       bool
+	// secondHead is set if a second head was to be written. The answer was cut instead.
+	secondHead bool
 }
 
 // closesConn reports whether the connection closes after this answer.
@@ -32,6 +34,17 @@
 	return closes
 }
 
+// mayBegin reports whether a head may be written. After the first one there is none: the client
+// would read it as part of the body.
+func (w *clientWriter) mayBegin() bool {
+	if w.started {
+		w.secondHead = true
+		w.abort()
+		return false
+	}
+	return true
+}
+
 // write sends bytes; after an error nothing more is sent.
 func (w *clientWriter) write(b []byte) {
 	if w.failed {
@@ -43,8 +56,11 @@
 	}
 }
 
-// writeMessage sends a complete, encoded message.
+// writeMessage sends a complete, encoded answer.
 func (w *clientWriter) writeMessage(b []byte) {
+	if !w.mayBegin() {
+		return
+	}
 	w.write(b)
 	w.ended = true
 }
@@ -52,6 +68,9 @@
 // writeAnswer sends an answer whose whole body is known, in pieces. It does not copy them: large
 // ones would take up twice their memory while the client is slow.
 func (w *clientWriter) writeAnswer(status int, fields []http1.Field, body ...[]byte) {
+	if !w.mayBegin() {
+		return
+	}
 	closes, size := w.fixClose(), 0
 	for _, piece := range body {
 		size += len(piece)
@@ -75,6 +94,9 @@
 // startStream sends the head of an answer whose length is not known, with its first
 // bytes.
 func (w *clientWriter) startStream(status int, fields []http1.Field, first []byte) {
+	if !w.mayBegin() {
+		return
+	}
 	if w.http10 {
 		w.shouldClose = func() bool { return true } // The body ends when the connection closes.
 	}
--- a/service/gateway/client_writer_test.go
+++ b/service/gateway/client_writer_test.go
@@ -34,3 +34,28 @@
 		})
 	}
 }
+
+// A client that has the head of an answer reads a second one as a part of the body.
+func TestSecondHeadIsNotWritten(t *testing.T) {
+	for name, second := range map[string]func(w *clientWriter){
+		"whole":   func(w *clientWriter) { w.writeAnswer(404, nil, []byte("second")) },
+		"message": func(w *clientWriter) { w.writeMessage([]byte("HTTP/1.1 503 second\r\n\r\n")) },
+		"stream":  func(w *clientWriter) { w.startStream(200, nil, []byte("second")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			got := make(chan string, 1)
+			go func() {
+				b, _ := io.ReadAll(far) // It ends with the pipe.
+				got <- string(b)
+			}()
+			w := &clientWriter{conn: near, shouldClose: func() bool { return false }}
+			w.startStream(200, nil, []byte("first"))
+			second(w)
+			w.endStream()
+			assert.Assert(t, w.closesConn(), "the answer is cut")
+			assert.NilError(t, near.Close())
+			assert.Equal(t, <-got, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+		})
+	}
+}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -430,7 +430,10 @@
 // deliver passes a replica's answer on to the client.
 func (x *exchange) deliver(ctx context.Context, a *attempt) (bool, refusal) {
 	x.mayHaveRun++
-	if x.route.Streaming && a.head.Status == http.StatusOK {
+	switch {
+	case x.stream != nil && !x.isRest(a):
+		return x.handleNoRest(ctx, a)
+	case x.route.Streaming && a.head.Status == http.StatusOK:
 		return x.relayStream(ctx, a)
 	}
 	x.recordFirstByte(a, boottime.Now())
--- a/service/gateway/handoff.go
+++ b/service/gateway/handoff.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
@@ -293,7 +292,7 @@
 	if result == resultAnswered || result == resultNotRun {
 		x.g.recordResponseInfo(x.pool, &a.choice.Upstream, a.head.Status, &a.info, a.startedAt, now)
 	}
-	if result == resultAnswered && a.head.Status == http.StatusOK {
+	if result == resultAnswered && x.isRest(a) {
 		x.resumption = nil
 		if a.inFlight != s.origin.inFlight {
 			s.origin.end(route.OutcomeOK, now)
--- a/service/gateway/stream_origin.go
+++ b/service/gateway/stream_origin.go
@@ -19,6 +19,7 @@
 // streamCounts counts streams that go on after some of their events were passed on, for metrics.
 type streamCounts struct {
 	wentOn          atomic.Int64 // At another replica, within one answer.
+	notRest         atomic.Int64 // Answers to a resumption that were not the rest.
 	takenUp         atomic.Int64 // By another attempt of the client.
 	otherSoftware   atomic.Int64 // Of both, those known to have begun at another version of the software.
 	unknownSoftware atomic.Int64 // Of both, those whose version is not known.
@@ -27,6 +28,7 @@
 // streamStatus is the exported form.
 type streamStatus struct {
 	WentOn          int64 `json:"went_on"`
+	NotRest         int64 `json:"not_rest"`
 	TakenUp         int64 `json:"taken_up"`
 	OtherSoftware   int64 `json:"other_software"`
 	UnknownSoftware int64 `json:"unknown_software"`
@@ -35,6 +37,7 @@
 func (c *streamCounts) status() streamStatus {
 	return streamStatus{
 		WentOn:          c.wentOn.Load(),
+		NotRest:         c.notRest.Load(),
 		TakenUp:         c.takenUp.Load(),
 		OtherSoftware:   c.otherSoftware.Load(),
 		UnknownSoftware: c.unknownSoftware.Load(),
