A stream whose body ends inside an event is cut, not ended

Callers saw: a stream that lacked the rest of an event, and all after it, ended as a whole one, with the bytes of the unfinished event passed on. Only bodies that end with their connection were checked; one whose length or chunks were complete counted as whole wherever it ended. The same held for a 200 whose body had no event at all.

An answer of the type text/event-stream now counts as broken off if its body ends inside an event, whatever its framing, and goes on at another replica or is cut. Answers of other types on routes of streams are passed on as they are (TestAnswerWithoutEventsOnStreamingRouteIsPassedOn). Blank lines of carriage returns, or of both kinds, end events too, so that such streams are not cut.

--- a/internal/standin/onplatform/resumption_answers_test.go
+++ b/internal/standin/onplatform/resumption_answers_test.go
@@ -174,3 +174,40 @@
 		})
 	}
 }
+
+// A stream whose body ended, by its length or its chunks, inside an event looked whole.
+func TestStreamThatEndsInsideAnEventIsCut(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n"
+	part := events(3, 3) + "id: 4\ndata: pi"
+	ends := map[string]string{
+		"length":   fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(part), part),
+		"chunks":   fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(part), part),
+		"no event": head + "Content-Length: 9\r\n\r\nnot found",
+	}
+	for name, text := range ends {
+		for via, cutOff := range map[string]bool{"direct": false, "through another node": true} {
+			t.Run(name+"/"+via, func(t *testing.T) {
+				t.Parallel()
+				n := startResumptionSite(t, cutOff, onplatform.Raw(text, true))
+				c := n.dial()
+				c.write(request("POST", "/resume/x", "body"))
+				assert.Equal(t, checkStream(t, c, 4), endCut)
+			})
+		}
+		t.Run(name+"/first answer", func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.startReplica(appService, "a").Script(onplatform.Raw(strings.ReplaceAll(text, events(3, 3), events(1, 1)), true))
+			got := s.startReadyNode("n1").send(request("POST", "/stream/x", "body"))
+			assert.Assert(t, got.incomplete || got.status == http.StatusBadGateway, "%d %q", got.status, got.body)
+		})
+	}
+}
+
+// An answer of another type than events on a route of streams is passed on as it is.
+func TestAnswerWithoutEventsOnStreamingRouteIsPassedOn(t *testing.T) {
+	s := newSite(t)
+	s.startReplica(appService, "a").Script(onplatform.Raw("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: s\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}", true))
+	got := s.startReadyNode("n1").send(request("POST", "/stream/x", "body"))
+	assert.Assert(t, !got.incomplete && got.body == "{}", "%d %q", got.status, got.body)
+}
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -105,8 +105,7 @@
 		switch {
 		case x.out.failed:
 			return errClientLeft
-		case err == io.EOF && a.body.Framing() == http1.FramingClose && len(r.partial) > 0:
-			// The stream ended inside an event, so the connection was lost.
+		case err == io.EOF && r.endedInside(a.body.Framing()):
 			return http1.ErrBodyTruncated
 		case err == io.EOF:
 			return x.confirmEnd(a)
@@ -116,6 +115,15 @@
 	}
 }
 
+// endedInside reports whether a body that has ended lacks the end of an event. An answer of another
+// media type has none, and is passed on as it is if its framing shows that it is whole.
+func (r *streamRelay) endedInside(framing http1.Framing) bool {
+	return len(r.partial) > 0 && (framing == http1.FramingClose || mediaType(r.head) == eventStreamType)
+}
+
+// eventStreamType is the media type of a stream of server-sent events.
+const eventStreamType = "text/event-stream"
+
 // write passes on the events that are complete with these bytes.
 func (r *streamRelay) write(b []byte) {
 	r.partial = append(r.partial, b...)
@@ -182,7 +190,7 @@
 }
 
 // eventSeparators are the blank lines that end an event.
-var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
 // lastEventEnd returns where the last complete event ends, 0 if there is none.
 func lastEventEnd(b []byte) int {
