A cut stream is reset for clients of HTTP/1.0

Such a client takes the close of its connection for the end of the body, so each stream that was cut, by its replica, a stop or the end of the process, looked whole. While such a stream is under way its connection is now set to be reset when it is closed, and set back before its end.

TestCutStreamIsResetForClientWithoutChunks: the cut case was red before.

--- a/internal/standin/onplatform/resumption_answers_test.go
+++ b/internal/standin/onplatform/resumption_answers_test.go
@@ -211,3 +211,22 @@
 	got := s.startReadyNode("n1").send(request("POST", "/stream/x", "body"))
 	assert.Assert(t, !got.incomplete && got.body == "{}", "%d %q", got.status, got.body)
 }
+
+// A client of HTTP/1.0 takes the close of its connection for the end of the body, so a cut must reset it.
+func TestCutStreamIsResetForClientWithoutChunks(t *testing.T) {
+	for complete, name := range map[bool]string{true: "whole", false: "cut"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.startReplica(appService, "a").Script(onplatform.Events(1, 2, 20*time.Millisecond, complete))
+			c := s.startReadyNode("n1").dial()
+			c.write(strings.Replace(request("POST", "/stream/x", "body"), "HTTP/1.1", "HTTP/1.0", 1))
+			raw, err := io.ReadAll(c.conn)
+			if complete {
+				assert.NilError(t, err)
+				assert.Assert(t, strings.HasSuffix(string(raw), events(1, 2)), "%q", raw)
+				return
+			}
+			assert.ErrorContains(t, err, "reset")
+		})
+	}
+}
--- a/service/gateway/client_writer.go
+++ b/service/gateway/client_writer.go
@@ -99,6 +99,7 @@
 	}
 	if w.http10 {
 		w.shouldClose = func() bool { return true } // The body ends when the connection closes.
+		w.resetOnClose(true)
 	}
 	closes := w.fixClose()
 	var b []byte
@@ -126,12 +127,27 @@
 
 // endStream ends a body whose length was not known.
 func (w *clientWriter) endStream() {
-	if !w.http10 {
+	switch {
+	case w.http10:
+		w.resetOnClose(false)
+	default:
 		w.write([]byte(http1.LastChunk))
 	}
 	w.ended = true
 }
 
+// resetOnClose sets whether closing the connection resets it. Without chunks, a client takes a body that
+// is cut by an orderly close for a whole one.
+func (w *clientWriter) resetOnClose(reset bool) {
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	if tcp, ok := w.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(linger) // It fails only if the connection is closed already.
+	}
+}
+
 // abort has the connection closed, so that the client can't take the answer for
 // complete.
 func (w *clientWriter) abort() { w.failed = true }
