The answer to HEAD on a route of streams has no last chunk

After the head of an answer to HEAD the end of the stream was written as "0 CRLF CRLF", five bytes that the client reads as the beginning of the next answer on a kept connection. The writer now writes no part of a body there. TestAnswerToHeadOnStreamingRouteHasNoBody was red before.

--- a/internal/standin/onplatform/resumption_answers_test.go
+++ b/internal/standin/onplatform/resumption_answers_test.go
@@ -230,3 +230,15 @@
 		})
 	}
 }
+
+// The end of a stream was written as a chunk after the answer to HEAD, which has no body.
+func TestAnswerToHeadOnStreamingRouteHasNoBody(t *testing.T) {
+	s := newSite(t)
+	s.startReplica(appService, "a").Script(onplatform.Raw("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n", true))
+	c := s.startReadyNode("n1").dial()
+	c.write(request("HEAD", "/stream/x", "", "Connection: close"))
+	raw, err := io.ReadAll(c.conn)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(raw), "HTTP/1.1 200 OK\r\n") && strings.HasSuffix(string(raw), "\r\n\r\n"), "%q", raw)
+	assert.Equal(t, strings.Count(string(raw), "\r\n\r\n"), 1, "%q", raw)
+}
--- a/service/gateway/client_writer.go
+++ b/service/gateway/client_writer.go
@@ -113,7 +113,7 @@
 
 func (w *clientWriter) appendChunk(b, data []byte) []byte {
 	switch {
-	case len(data) == 0:
+	case len(data) == 0, w.noBody:
 		return b
 	case w.http10:
 		return append(b, data...)
@@ -130,7 +130,7 @@
 	switch {
 	case w.http10:
 		w.resetOnClose(false)
-	default:
+	case !w.noBody:
 		w.write([]byte(http1.LastChunk))
 	}
 	w.ended = true
