Bytes from a replica that are no answer are read only up to a bound

Callers saw: requests at a replica that sends without end lasted until their route's timeout and were not tried elsewhere, while the node read hundreds of MB, up to 4.3 GB for one request.

Cause: several reads had no bound of their own. Answers to other requests were skipped whole, trailers were dropped without a count, chunk lines with extensions did not count beside one byte of body each, and in a stream an event larger than the buffer, comments and blocks without fields were passed on for ever. The first byte of any of these made the replica look quick to the picks.

Bounds: an answer to another request 1 MiB and 2.5 s; a head 2.5 s from its first byte on (its 64 KiB were bounded); trailers 16 KiB; lines around chunks 64 KiB and 8 bytes for each byte of the body; 256 KiB without an event in a stream, whose events are no longer passed on in pieces: after such a piece a resumption would have joined parts of two events. Over a bound the connection is closed, the attempt has failed, and another replica is tried within the route's time. The first byte counts with the first event, or once an answer that is not a stream has been read. Answers of other types than events on routes of streams are read whole, within the memory for responses.

TestAnswerWithoutEndIsCutOff: 19 forms in every part of an answer, at once and with pauses, on five routes. TestIdleConnectionWithUnreadBytesIsClosed.

--- a/pkg/http1/body.go
+++ b/pkg/http1/body.go
@@ -43,6 +43,8 @@
 	done        bool
 	err         error
 	pendingCRLF bool // The CR LF after the last chunk has not been read yet.
+	// chunkBytes are the bytes of the chunks begun so far, lineBytes those of the lines around them.
+	chunkBytes, lineBytes int64
 }
 
 // RequestBody returns the body of a request whose head was read from r.
@@ -188,9 +190,19 @@
 	return b.readRemaining(p, false)
 }
 
-// maxChunkLine limits the length of chunk size lines, including extensions, and of
-// trailer lines.
-const maxChunkLine = 1024
+const (
+	// maxChunkLine limits the length of chunk size lines, including extensions, and of
+	// trailer lines.
+	maxChunkLine = 1024
+	// maxTrailerBytes limits all trailer lines together.
+	maxTrailerBytes = 16 << 10
+	// The lines around chunks may take up lineBytesSlack, plus lineBytesPerByte for each byte of the
+	// body: a chunk of one byte without extensions has six.
+	lineBytesSlack   = 64 << 10
+	lineBytesPerByte = 8
+	// lineEnd is the length of the end of a line.
+	lineEnd = 2
+)
 
 func (b *Body) nextChunk() error {
 	if b.pendingCRLF {
@@ -209,17 +221,25 @@
 		return ErrMalformed
 	}
 	b.remaining = int64(n)
+	b.lineBytes += int64(len(line)) + 2*lineEnd
+	if b.lineBytes > lineBytesSlack+lineBytesPerByte*b.chunkBytes {
+		return ErrMalformed
+	}
+	b.chunkBytes += min(b.remaining, maxCountedChunk)
 	if n == 0 {
 		return b.skipTrailers()
 	}
 	return nil
 }
 
+// maxCountedChunk keeps the sum of announced sizes within an int64.
+const maxCountedChunk = 1 << 30
+
 func isHex(s string) bool { return strings.Contains("0123456789abcdefABCDEF", s) }
 
 // skipTrailers reads and drops the trailers after the last chunk.
 func (b *Body) skipTrailers() error {
-	for {
+	for total := 0; total <= maxTrailerBytes; {
 		line, err := readLine(b.r, maxChunkLine)
 		if err != nil {
 			return chunkLineError(err)
@@ -228,7 +248,9 @@
 			b.done = true
 			return nil
 		}
+		total += len(line) + lineEnd
 	}
+	return ErrMalformed
 }
 
 func chunkLineError(err error) error {
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -433,10 +433,10 @@
 	switch {
 	case x.stream != nil && !x.isRest(a):
 		return x.handleNoRest(ctx, a)
-	case x.route.Streaming && a.head.Status == http.StatusOK:
+	case x.route.Streaming && a.mayHoldEvents():
 		return x.relayStream(ctx, a)
 	}
-	x.recordFirstByte(a, boottime.Now())
+	headAt := boottime.Now()
 	w, err := x.readWhole(ctx, a)
 	now := boottime.Now()
 	if err != nil && ctx.Err() == nil && w.cutOffUnread(err) {
@@ -453,6 +453,7 @@
 		return x.mayRepeat(a.choice.ID, now)
 	}
 	a.answered = true
+	x.recordFirstByte(a, headAt)
 	x.recordFinish(a, now)
 	x.recordCanary(ctx, a, isServerError(a.head.Status))
 	if !isServerError(a.head.Status) {
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -25,6 +25,8 @@
 	passedOn int
 	// partial is the beginning of an event that is not complete yet.
 	partial []byte
+	// eventless is the number of bytes passed on since the last event.
+	eventless int
 	// onFirst is called before the first events of an attempt are passed on.
 	onFirst func()
 }
@@ -32,11 +34,13 @@
 // Sizes in bytes.
 const (
 	relayBufferSize = 8 << 10
-	// maxEventBytes is the largest event that is buffered; a larger one is passed on in
-	// pieces.
+	// maxEventBytes bounds an event, and the bytes between two events that belong to none.
 	maxEventBytes = 256 << 10
 )
 
+// errNoEvent ends an attempt whose stream has no event in maxEventBytes.
+var errNoEvent = errors.New("too many bytes without an event")
+
 // relayStream passes a replica's stream on. If it breaks off and may be repeated,
 // another replica resumes it.
 func (x *exchange) relayStream(ctx context.Context, a *attempt) (bool, refusal) {
@@ -45,8 +49,11 @@
 	if first {
 		r = &streamRelay{out: x.out, head: a.head}
 	}
-	r.partial = nil
-	r.onFirst = func() { x.recordEventsOf(a) }
+	r.partial, r.eventless = nil, 0
+	r.onFirst = func() {
+		x.recordEventsOf(a)
+		x.recordFirstByte(a, boottime.Now())
+	}
 	err := x.copyEvents(r, a)
 	now := boottime.Now()
 	if x.out.started {
@@ -97,9 +104,10 @@
 				return errSoftwareChanged
 			}
 			now := boottime.Now()
-			x.recordFirstByte(a, now)
 			a.recordBodyBytes(now)
-			r.write(buf[:n])
+			if err := r.write(buf[:n]); err != nil {
+				return err
+			}
 			x.considerHandoff(r, a, now)
 		}
 		switch {
@@ -125,20 +133,41 @@
 const eventStreamType = "text/event-stream"
 
 // write passes on the events that are complete with these bytes.
-func (r *streamRelay) write(b []byte) {
+// Until the first event of an attempt it holds blocks without an event back: these are not the beginning
+// of an answer.
+func (r *streamRelay) write(b []byte) error {
+	searched := max(0, len(r.partial)-maxSeparator)
 	r.partial = append(r.partial, b...)
-	end := lastEventEnd(r.partial)
-	if end == 0 && len(r.partial) > maxEventBytes {
-		end = len(r.partial)
+	end := lastEventEnd(r.partial[searched:])
+	if end > 0 {
+		end += searched
 	}
-	if end == 0 {
-		return
+	event := holdsEvent(r.partial[:end])
+	if end > 0 && (event || r.onFirst == nil) {
+		r.eventless += end
+		if event {
+			r.eventless = 0
+		}
+		if events := r.skipRepeated(r.partial[:end]); len(events) > 0 {
+			r.send(events)
+		}
+		r.partial = append([]byte(nil), r.partial[end:]...)
 	}
-	events := r.skipRepeated(r.partial[:end])
-	if len(events) > 0 {
-		r.send(events)
+	if r.eventless+len(r.partial) > maxEventBytes {
+		return errNoEvent
 	}
-	r.partial = append([]byte(nil), r.partial[end:]...)
+	return nil
+}
+
+// holdsEvent reports whether blocks hold an event: a line with data or an ID, not only comments and
+// what is no field.
+func holdsEvent(blocks []byte) bool {
+	for line := range bytes.FieldsFuncSeq(blocks, func(r rune) bool { return r == '\n' || r == '\r' }) {
+		if bytes.HasPrefix(line, []byte("data")) || bytes.HasPrefix(line, []byte("id:")) {
+			return true
+		}
+	}
+	return false
 }
 
 // skipRepeated drops events at the front that were passed on before: a replica that
@@ -192,6 +221,9 @@
 // eventSeparators are the blank lines that end an event.
 var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
+// maxSeparator is the longest of eventSeparators.
+const maxSeparator = 3
+
 // lastEventEnd returns where the last complete event ends, 0 if there is none.
 func lastEventEnd(b []byte) int {
 	end := 0
--- a/service/gateway/resumed_answer.go
+++ b/service/gateway/resumed_answer.go
@@ -41,6 +41,13 @@
 	return strings.ToLower(strings.TrimSpace(name))
 }
 
+// mayHoldEvents reports whether the answer is one whose events are passed on as they arrive. Any other is
+// read whole first.
+func (a *attempt) mayHoldEvents() bool {
+	t := mediaType(a.head)
+	return a.head.Status == http.StatusOK && (t == eventStreamType || t == "")
+}
+
 // isRest reports whether the answer of an attempt is what its client is to get next.
 func (x *exchange) isRest(a *attempt) bool {
 	if x.stream == nil {
--- a/service/gateway/upstream_conn.go
+++ b/service/gateway/upstream_conn.go
@@ -30,6 +30,11 @@
 	idleTimeoutShare = 0.6
 	// defaultIdleTimeout is assumed if the replica sends no Keep-Alive header.
 	defaultIdleTimeout = 4 * time.Second
+	// maxHeadTime is how long a replica may take for the head of an answer from its first byte on, or
+	// for an answer to another request that is skipped.
+	maxHeadTime = 2500 * time.Millisecond
+	// maxSkippedBytes bounds the body of an answer to another request.
+	maxSkippedBytes = 1 << 20
 )
 
 // upstreamConn is one connection to a replica. It carries one request at a time.
@@ -114,7 +119,13 @@
 // readAnswer reads the head of the answer to a request, skipping answers to other
 // requests; mismatched is set if there were any.
 func (c *upstreamConn) readAnswer(method, id string, codec Codec) (h *http1.Head, b *http1.Body, mismatched bool, err error) {
+	defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }() // If it fails, so does the next read.
 	for range maxMismatched + 1 {
+		_ = c.conn.SetReadDeadline(time.Time{}) // If it fails, so does the next read.
+		if _, err = c.r.Peek(1); err != nil {
+			return nil, nil, mismatched, unexpectedEOF(err)
+		}
+		_ = c.conn.SetReadDeadline(time.Now().Add(maxHeadTime)) // As above.
 		h, err = http1.ReadResponse(c.r, maxUpstreamHeadBytes)
 		if err != nil {
 			return nil, nil, mismatched, unexpectedEOF(err)
@@ -134,9 +145,13 @@
 		if b.Framing() == http1.FramingClose {
 			break
 		}
-		if _, err := io.Copy(io.Discard, b); err != nil {
+		skipped, err := io.CopyN(io.Discard, b, maxSkippedBytes+1)
+		if err != nil && err != io.EOF {
 			return nil, nil, mismatched, err
 		}
+		if skipped > maxSkippedBytes {
+			break
+		}
 	}
 	return nil, nil, mismatched, errMismatched
 }
--- a/service/gateway/upstream_conns.go
+++ b/service/gateway/upstream_conns.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
+	"github.com/drumpath/drumpath/pkg/http1"
 	"github.com/drumpath/drumpath/pkg/locks"
 )
 
@@ -79,7 +80,8 @@
 	u.idle[id] = append(u.idle[id], c)
 }
 
-// prune closes connections that have been idle too long; the timer service calls it.
+// prune closes connections that have been idle too long, or on which bytes came that belong to no
+// request; the timer service calls it.
 func (u *upstreamConns) prune(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -87,7 +89,7 @@
 	for id, list := range u.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) < c.maxIdle {
+			if now.Sub(c.idleSince) < c.maxIdle && c.r.Buffered() == 0 && !http1.HasUnread(c.conn) {
 				kept = append(kept, c)
 			} else {
 				c.close()
