An engine's answer without end does not keep its run from ending

Lines that are no event were skipped without a count.

The rest is read for at most 64 KiB and 0.5 s, else the connection is closed; 256 KiB without an event end the attempt, so that another engine is tried. The body is interrupted by one function, once, as the end of the context and the bound may come at the same time.

TestAnswerWithoutEndEndsTheRun: two of four cases were red before (10 s where 3 s are allowed).

--- a/pkg/upstream/stream.go
+++ b/pkg/upstream/stream.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -18,6 +20,14 @@
 	initialReadBuffer = 4 << 10
 	reasonEOF         = "connection ended"
 	reasonOutOfOrder  = "token out of order"
+	reasonNoEvent     = "too many bytes without an event"
+
+	// maxSkipped bounds the bytes between two events that belong to none.
+	maxSkipped = 256 << 10
+	// maxDrained and maxDrainTime bound what is read of an answer after its last event so that its
+	// connection can be used again.
+	maxDrained   = 64 << 10
+	maxDrainTime = 500 * time.Millisecond
 )
 
 // Stream reads one streamed answer of an engine.
@@ -35,6 +45,7 @@
 	body          io.Reader
 	scanner       *bufio.Scanner
 	detachContext func() bool
+	interruptOnce sync.Once
 	load          LoadReport
 	hasLoad       bool
 }
@@ -46,7 +57,7 @@
 	hasLoad := len(header) > 0 && json.Unmarshal(header, &load) == nil
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, initialReadBuffer), maxSSELine)
-	return &Stream{
+	s := &Stream{
 		upstream:  name,
 		id:        r.RequestID,
 		nextIndex: r.ResumeAfter,
@@ -55,9 +66,14 @@
 		load:      load,
 		hasLoad:   hasLoad,
 		scanner:   scanner,
-		// The end of the context interrupts a read that waits for the engine.
-		detachContext: context.AfterFunc(ctx, func() { _ = resp.CloseBodyStream() }), // The reader gets the error.
 	}
+	s.detachContext = context.AfterFunc(ctx, s.interrupt)
+	return s
+}
+
+// interrupt ends a read that waits for the engine.
+func (s *Stream) interrupt() {
+	s.interruptOnce.Do(func() { _ = s.resp.CloseBodyStream() }) // The reader gets the error.
 }
 
 // Next returns the next event, and io.EOF after the last one. Any other error is
@@ -66,9 +82,12 @@
 	if s.complete {
 		return Event{}, io.EOF
 	}
-	for s.scanner.Scan() {
+	for skipped := 0; s.scanner.Scan(); {
 		data, ok := bytes.CutPrefix(s.scanner.Bytes(), []byte(sseData))
 		if !ok || string(data) == sseEnd {
+			if skipped += len(s.scanner.Bytes()) + 1; skipped > maxSkipped {
+				return Event{}, s.truncated(reasonNoEvent)
+			}
 			continue
 		}
 		ev = Event{}
@@ -119,7 +138,12 @@
 	if s.complete {
 		// The end of the body follows the last event; the connection can only be
 		// reused after that has been read.
-		_, _ = io.Copy(io.Discard, s.body) // On an error only the connection is lost.
+		timer := time.AfterFunc(maxDrainTime, s.interrupt)
+		_, _ = io.CopyN(io.Discard, s.body, maxDrained) // On an error only the connection is lost.
+		if !timer.Stop() {
+			s.detachContext()
+			return // The timer may still use the response, so it is not released.
+		}
 	}
 	if s.detachContext() {
 		releaseResponse(s.resp)
--- a/pkg/upstream/stream_test.go
+++ b/pkg/upstream/stream_test.go
@@ -204,3 +204,37 @@
 	var notRun *NotRunError
 	assert.Assert(t, err != nil && !errors.As(err, &notRun), "%v", err)
 }
+
+// An engine that goes on sending after the last event, or falls silent there, kept the run and its place from
+// ending; one that sends no event at all was read for as long as it sent.
+func TestAnswerWithoutEndEndsTheRun(t *testing.T) {
+	send := func(write func(string), text string, pause time.Duration) bool {
+		for range 100_000 {
+			write(text)
+			time.Sleep(pause)
+		}
+		return false
+	}
+	for name, answer := range map[string]func(id string, write func(string)) bool{
+		"no event":      func(_ string, write func(string)) bool { return send(write, "[DONE]", 0) },
+		"after the end": func(id string, write func(string)) bool { write(done(id, 0)); return send(write, "x", 0) },
+		"pauses after the end": func(id string, write func(string)) bool {
+			write(done(id, 0))
+			return send(write, "x", 100*time.Millisecond)
+		},
+		"silence after the end": func(id string, write func(string)) bool {
+			write(done(id, 0))
+			time.Sleep(20 * time.Second)
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, e := newFakeEngine(t, answer)
+			startedAt := time.Now()
+			_, err := run(t, e, "r")
+			assert.Equal(t, err != nil, name == "no event", "%v", err)
+			assert.Assert(t, time.Since(startedAt) < 3*time.Second, "%v", time.Since(startedAt))
+		})
+	}
+}
