--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -579,4 +579,34 @@
 		"	if x.mayHaveRun == 0 || !guaranteesNotRun(f.status) {\n", "	if x.mayHaveRun >= 0 {\n",
 		"./service/gateway", "TestRequestThatMayHaveRunIsNeverRefusedAsNotRun",
 	},
+	{
+		"streams: an answer that is not the rest is not passed on", "service/gateway/resumed_answer.go",
+		"	return classifyResumed(x.stream.head, a.head) == resumedRest\n", "	return true\n",
+		"./internal/standin/onplatform", "TestAnswerThatIsNotTheRestOfAStreamCutsIt/direct",
+	},
+	{
+		"streams: no second head is written", "service/gateway/client_writer.go",
+		"	if w.started {\n		w.secondHead", "	if false {\n		w.secondHead",
+		"./service/gateway", "TestSecondHeadIsNotWritten",
+	},
+	{
+		"streams: a body that ends inside an event is broken off", "service/gateway/relay.go",
+		"	return len(r.partial) > 0 && (", "	return false && (",
+		"./internal/standin/onplatform", "TestStreamThatEndsInsideAnEventIsCut",
+	},
+	{
+		"endless: skipped answers are bounded", "service/gateway/upstream_conn.go",
+		"io.CopyN(io.Discard, b, maxSkippedBytes+1)", "io.Copy(io.Discard, b)",
+		"./internal/standin/onplatform", "TestAnswerWithoutEndIsCutOff/answer_to_another_request",
+	},
+	{
+		"endless: trailers are bounded", "pkg/http1/body.go",
+		"	for total := 0; total <= maxTrailerBytes; {", "	for total := 0; total >= 0; {",
+		"./internal/standin/onplatform", "TestAnswerWithoutEndIsCutOff/trailers",
+	},
+	{
+		"endless: a stream has events", "service/gateway/relay.go",
+		"	if r.eventless+len(r.partial) > maxEventBytes {", "	if false {",
+		"./internal/standin/onplatform", "TestAnswerWithoutEndIsCutOff/comments",
+	},
 }
