Realms of a store's parts are a set, and names in the monitor of stalls

PartsOf searched a list of realms for each part of a store with the index's lock held; a store has some realms for each isolated organisation and version. The mutation of answers that are not the rest was still green with the test that it named, as the writer refuses the second head in any case; it names the test that wants another replica to be tried.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -582,7 +582,7 @@
 	{
 		"streams: an answer that is not the rest is not passed on", "service/gateway/resumed_answer.go",
 		"	return classifyResumed(x.stream.head, a.head) == resumedRest\n", "	return true\n",
-		"./internal/standin/onplatform", "TestAnswerThatIsNotTheRestOfAStreamCutsIt/direct",
+		"./internal/standin/onplatform", "TestStreamGoesOnAtReplicaThatTakesItUp",
 	},
 	{
 		"streams: no second head is written", "service/gateway/client_writer.go",
--- a/pkg/route/cache_index.go
+++ b/pkg/route/cache_index.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/config"
@@ -358,19 +357,14 @@
 // replica's own data hall may be than others and still be preferred for a save.
 const sameHallBonus = 0.3
 
-// StoreRealms lists the realms of which a store has parts.
-func (x *CacheIndex) StoreRealms(name string) (realms []string) {
+// StoreRealms returns the realms of which a store has parts.
+func (x *CacheIndex) StoreRealms(name string) map[string]bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	s, ok := x.stores[name]
-	if !ok {
-		return nil
-	}
-	listed := map[string]bool{}
-	for key := range s.parts {
-		if !listed[key.realm] {
-			listed[key.realm] = true
-			realms = append(realms, key.realm)
+	realms := map[string]bool{}
+	if s, ok := x.stores[name]; ok {
+		for key := range s.parts {
+			realms[key.realm] = true
 		}
 	}
 	return realms
@@ -378,7 +372,7 @@
 
 // PartsOf lists up to limit parts that a store has of some realms, with the boot of the store to
 // which they belong.
-func (x *CacheIndex) PartsOf(name string, realms []string, limit int) (list []site.PartRef, boot int64) {
+func (x *CacheIndex) PartsOf(name string, realms map[string]bool, limit int) (list []site.PartRef, boot int64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	s, ok := x.stores[name]
@@ -386,7 +380,7 @@
 		return nil, 0
 	}
 	for key := range s.parts {
-		if slices.Contains(realms, key.realm) {
+		if realms[key.realm] {
 			list = append(list, site.PartRef{Realm: key.realm, Part: key.part})
 		}
 		if len(list) == limit {
--- a/pkg/route/cache_index_test.go
+++ b/pkg/route/cache_index_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -173,9 +172,9 @@
 func TestPartsOfListsOnlyPartsOfTheRealms(t *testing.T) {
 	index := newTestIndex(testStore("s", "h0", "10.0.0.1:1", 100_000, 10e9))
 	index.ApplyStoreChanges("s", site.CacheChanges{Boot: 7, Changes: append(storeChanges("m@1", testPrompt...), storeChanges("m@2", testPrompt[0])...)}, testNow)
-	realms := slices.Sorted(slices.Values(index.StoreRealms("s")))
-	assert.DeepEqual(t, realms, []string{"m@1", "m@2"})
-	list, boot := index.PartsOf("s", []string{"m@1"}, 10)
+	realms := index.StoreRealms("s")
+	assert.DeepEqual(t, realms, map[string]bool{"m@1": true, "m@2": true})
+	list, boot := index.PartsOf("s", map[string]bool{"m@1": true}, 10)
 	assert.Equal(t, len(list), 2)
 	assert.Equal(t, boot, int64(7))
 	list, _ = index.PartsOf("s", realms, 1)
--- a/pkg/stall/monitor.go
+++ b/pkg/stall/monitor.go
@@ -23,11 +23,11 @@
 
 // Monitor checks locks and periodic steps.
 type Monitor struct {
-	log     *slog.Logger
-	locks   []*lockCheck
-	steps   func(now time.Time) time.Duration
-	current atomic.Int64
-	total   atomic.Int64
+	log         *slog.Logger
+	locks       []*lockCheck
+	longestStep func(now time.Time) time.Duration
+	current     atomic.Int64
+	total       atomic.Int64
 
 	stepReported bool
 }
@@ -44,7 +44,7 @@
 // New returns a monitor of no locks. longestStep returns for how long the longest of the steps that
 // are running has been.
 func New(longestStep func(now time.Time) time.Duration, log *slog.Logger) *Monitor {
-	return &Monitor{log: log, steps: longestStep}
+	return &Monitor{log: log, longestStep: longestStep}
 }
 
 // AddLock adds a lock; take must take it for a short time. It must be called before Run.
@@ -92,7 +92,7 @@
 		l.waited++
 		m.record(&l.reported, l.waited >= lockChecks, l.name, time.Duration(l.waited)*CheckInterval)
 	}
-	step := m.steps(now)
+	step := m.longestStep(now)
 	m.record(&m.stepReported, step >= MaxStep, "timer step", step)
 }
 
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -286,7 +286,8 @@
 		if !v.Store.Managed || !s.owns(v.Name) {
 			continue
 		}
-		unused := slices.DeleteFunc(s.cacheIndex.StoreRealms(v.Name), func(realm string) bool { return !s.replaced(realm, now) })
+		unused := s.cacheIndex.StoreRealms(v.Name)
+		maps.DeleteFunc(unused, func(realm string, _ bool) bool { return !s.replaced(realm, now) })
 		list, boot := s.cacheIndex.PartsOf(v.Name, unused, maxFreedPerCall)
 		if len(list) == 0 {
 			continue
