--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -596,7 +596,7 @@
 	},
 	{
 		"endless: skipped answers are bounded", "service/gateway/upstream_conn.go",
-		"io.CopyN(io.Discard, b, maxSkippedBytes+1)", "io.Copy(io.Discard, b)",
+		"io.CopyN(io.Discard, b, maxSkippedBytes+1)", "io.CopyN(io.Discard, b, 1<<62)",
 		"./internal/standin/onplatform", "TestAnswerWithoutEndIsCutOff/answer_to_another_request",
 	},
 	{
--- a/service/gateway/upstream_conn.go
+++ b/service/gateway/upstream_conn.go
@@ -119,16 +119,10 @@
 // readAnswer reads the head of the answer to a request, skipping answers to other
 // requests; mismatched is set if there were any.
 func (c *upstreamConn) readAnswer(method, id string, codec Codec) (h *http1.Head, b *http1.Body, mismatched bool, err error) {
-	defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }() // If it fails, so does the next read.
+	defer c.setReadDeadline(time.Time{})
 	for range maxMismatched + 1 {
-		_ = c.conn.SetReadDeadline(time.Time{}) // If it fails, so does the next read.
-		if _, err = c.r.Peek(1); err != nil {
-			return nil, nil, mismatched, unexpectedEOF(err)
-		}
-		_ = c.conn.SetReadDeadline(time.Now().Add(maxHeadTime)) // As above.
-		h, err = http1.ReadResponse(c.r, maxUpstreamHeadBytes)
-		if err != nil {
-			return nil, nil, mismatched, unexpectedEOF(err)
+		if h, err = c.readHead(); err != nil {
+			return nil, nil, mismatched, err
 		}
 		if h.Status < 200 {
 			// Interim responses don't mean that the request runs.
@@ -142,20 +136,45 @@
 			return h, b, mismatched, nil
 		}
 		mismatched = true
-		if b.Framing() == http1.FramingClose {
-			break
-		}
-		skipped, err := io.CopyN(io.Discard, b, maxSkippedBytes+1)
-		if err != nil && err != io.EOF {
+		if err = skipBody(b); err != nil {
 			return nil, nil, mismatched, err
 		}
-		if skipped > maxSkippedBytes {
-			break
-		}
 	}
 	return nil, nil, mismatched, errMismatched
 }
 
+func (c *upstreamConn) setReadDeadline(t time.Time) {
+	_ = c.conn.SetReadDeadline(t) // If it fails, so does the next read.
+}
+
+// readHead waits for an answer and reads its head within maxHeadTime, which holds for what is read after it as well
+// until the read deadline is set again.
+func (c *upstreamConn) readHead() (*http1.Head, error) {
+	c.setReadDeadline(time.Time{})
+	if _, err := c.r.Peek(1); err != nil {
+		return nil, unexpectedEOF(err)
+	}
+	c.setReadDeadline(time.Now().Add(maxHeadTime))
+	h, err := http1.ReadResponse(c.r, maxUpstreamHeadBytes)
+	return h, unexpectedEOF(err)
+}
+
+// skipBody reads the body of an answer to another request; after an error the connection can't be used.
+func skipBody(b *http1.Body) error {
+	if b.Framing() == http1.FramingClose {
+		return errMismatched
+	}
+	n, err := io.CopyN(io.Discard, b, maxSkippedBytes+1)
+	switch {
+	case err == io.EOF:
+		return nil
+	case err == nil && n > maxSkippedBytes:
+		return errMismatched
+	default:
+		return err
+	}
+}
+
 // unexpectedEOF turns the end of the connection in place of an answer into an error.
 func unexpectedEOF(err error) error {
 	if err == io.EOF {
