--- a/internal/standin/onplatform/resumption_answers_test.go
+++ b/internal/standin/onplatform/resumption_answers_test.go
@@ -109,23 +109,27 @@
 	}
 }
 
-// startResumptionSite starts a node with two replicas, which break off each new stream after two of its four
-// events and answer a resumption as given. If the node is cut off from them, another one forwards its requests.
-func startResumptionSite(t *testing.T, cutOff bool, answer onplatform.Script) *node {
-	s := newSite(t)
-	script := func(w io.Writer, r *onplatform.Request) bool {
+// breakAfterTwoEvents breaks off each new stream after two of its four events, and answers a resumption as given.
+func breakAfterTwoEvents(resumption onplatform.Script) onplatform.Script {
+	return func(w io.Writer, r *onplatform.Request) bool {
 		switch {
 		case !strings.HasPrefix(r.Target, "/resume/"):
 			return onplatform.OK("ok")(w, r)
 		case r.Header.Get("Last-Event-Id") == "":
 			return onplatform.Events(1, 2, time.Millisecond, false)(w, r)
 		default:
-			return answer(w, r)
+			return resumption(w, r)
 		}
 	}
+}
+
+// startResumptionSite starts a node with two replicas, which break off each new stream after two of its four
+// events and answer a resumption as given. If the node is cut off from them, another one forwards its requests.
+func startResumptionSite(t *testing.T, cutOff bool, answer onplatform.Script) *node {
+	s := newSite(t)
 	replicas := []*onplatform.Replica{s.startReplica(appService, "a"), s.startReplica(appService, "b")}
 	for _, r := range replicas {
-		r.Script(script)
+		r.Script(breakAfterTwoEvents(answer))
 	}
 	if !cutOff {
 		return s.startReadyNode("n1")
@@ -170,20 +174,14 @@
 			s.routes[2]["max_attempts"] = 8
 			s.configure()
 			tried := make(chan struct{}, 1)
-			script := func(w io.Writer, r *onplatform.Request) bool {
-				switch {
-				case !strings.HasPrefix(r.Target, "/resume/"):
-					return onplatform.OK("ok")(w, r)
-				case r.Header.Get("Last-Event-Id") == "":
-					return onplatform.Events(1, 2, time.Millisecond, false)(w, r)
-				}
+			script := breakAfterTwoEvents(func(w io.Writer, r *onplatform.Request) bool {
 				select {
 				case tried <- struct{}{}:
 					return answer(w, r)
 				default:
 					return onplatform.Events(3, 4, time.Millisecond, true)(w, r)
 				}
-			}
+			})
 			for _, id := range []string{"a", "b", "c"} {
 				s.startReplica(appService, id).Script(script)
 			}
