Log how a node learned of new weights, and how long ago it believed they were replaced

On-call could not tell from a log why a prompt began on old weights: "weights named" says neither whether the node saw the change or only a listing of the table, nor for how long it had not read the table, and "answered" does not tell how long the weights of its replica had been replaced by what the node knew.

"weights named" has `learned` and `unheard`, "answered" has `replaced_ms`.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -54,6 +54,7 @@
 		{"weights", "the version of the weights that the replica has, as far as known; 0 for a service without weights"},
 		{"framing", "what ended the answer's body: none, length, chunked, or close if it had neither a length nor chunks and ended with its connection"},
 		{"newest", "the newest version of the weights that was named"},
+		{"replaced_ms", "for how long a newer version than that of the replica had been named when the request was sent, as far as the node knew; 0 for the newest"},
 		{"body_bytes", "size of the request's body"},
 		{"tokens", "tokens of the prompt"},
 		{"shared", "of those, the tokens that other requests may share"},
@@ -311,7 +312,11 @@
 
 	{"configuration in force", Change, "A configuration was put in force.", []Key{keyVersion, {"routes", "how many routes"}}},
 	{"configuration not usable, the last one stays", Failure, "A row of the operator's table is invalid; the previous configuration stays in force.", []Key{keyRow, keyPosition, keyErr}},
-	{"weights named", Change, "New weights of a model were named.", []Key{keyModel, keyVersion}},
+	{"weights named", Change, "New weights of a model were named.", []Key{
+		keyModel, keyVersion,
+		{"learned", "how the node learned of it: change (of the operator's table) or listing (of the whole table, which does not tell when it was named)"},
+		{"unheard", "nanoseconds since the operator's table had last been read before; 0 if it never had"},
+	}},
 	{"upstream listed", Change, "The list of upstreams has a new replica or a new start of one, or whether the replica drains has changed.", []Key{
 		keyUpstream, keyService,
 		{"addr", "its address"},
--- a/service/gateway/exchange_log.go
+++ b/service/gateway/exchange_log.go
@@ -19,7 +19,7 @@
 	x.g.metrics.countAnswer(x.route.Kind(), a.startedAt.Sub(x.receivedAt), a.firstByteAfter, now.Sub(x.receivedAt))
 	x.g.log.Info("answered", "request", x.info.ID, "route", x.route.Name, "replica", a.choice.ID,
 		"body_bytes", len(x.body), "tokens", x.pickInput.Tokens, "shared", x.pickInput.Shared, "kept", coverage.Cached+coverage.Fetched, "held", coverage.Cached, "read", a.choice.PrefillTokens,
-		"hall", a.choice.DataHall, "left_hall", string(a.choice.HallExit), "follows", a.choice.Follows, "software", a.choice.Software, "via", a.viaName(), "weights", a.choice.Weights, "newest", x.pickInput.NewestVersion, "framing", finished.body.Framing().String(),
+		"hall", a.choice.DataHall, "left_hall", string(a.choice.HallExit), "follows", a.choice.Follows, "software", a.choice.Software, "via", a.viaName(), "weights", a.choice.Weights, "newest", x.pickInput.NewestVersion, "replaced_ms", a.weightsReplacedFor(x.pickInput.Weights).Milliseconds(), "framing", finished.body.Framing().String(),
 		"fetched", a.plan.Fetched, "saved", a.plan.Saved, "sources", a.plan.Sources, "fetch_ms", a.plan.FetchTime.Milliseconds(),
 		"expected_ms", a.choice.Expected.Milliseconds(), "first_ms", a.firstByteAfter.Milliseconds(), "gap_ms", finished.longestPause.Milliseconds(),
 		"before_ms", a.startedAt.Sub(x.receivedAt).Milliseconds(), "all_ms", now.Sub(x.receivedAt).Milliseconds(),
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -213,7 +213,10 @@
 			Store: g.tableReader, Table: site.TableOperator, Name: "operator", LongPoll: longPoll, Log: g.log,
 			Apply:     g.siteState.ApplyOperator,
 			OnFailure: func(time.Time) {},
-			OnAnswer:  func(startedAt, _ time.Time) { g.suspension.recordAnswer(site.TableOperator, startedAt) },
+			OnAnswer: func(startedAt, _ time.Time) {
+				g.siteState.MarkOperatorRead(startedAt)
+				g.suspension.recordAnswer(site.TableOperator, startedAt)
+			},
 		},
 		{
 			Store: g.tableReader, Table: site.TableUpstreams, Name: "upstreams", LongPoll: longPoll, Log: g.log,
--- a/service/gateway/pick_contention_test.go
+++ b/service/gateway/pick_contention_test.go
@@ -77,7 +77,7 @@
 
 // nameWeights names the next version of the weights.
 func (n *contendedNode) nameWeights() {
-	n.g.siteState.ApplyWeights(contentionModel, n.version.Add(1), time.Now())
+	n.g.siteState.applyWeights(contentionModel, n.version.Add(1), weightsChanged, time.Now())
 }
 
 // change has the node receive a replica's row.
--- a/service/gateway/replaced_weights.go
+++ b/service/gateway/replaced_weights.go
@@ -49,6 +49,16 @@
 	return false
 }
 
+// weightsReplacedFor returns for how long the weights of the attempt's replica had been replaced when the request was
+// sent, 0 if they were the newest.
+func (a *attempt) weightsReplacedFor(h route.WeightHistory) time.Duration {
+	replaced := h.ReplacedAt(a.choice.Weights)
+	if replaced.IsZero() {
+		return 0
+	}
+	return max(0, a.startedAt.Sub(replaced))
+}
+
 // waitingPrompt is a prompt that its engine may not have begun yet.
 type waitingPrompt struct {
 	replica string
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -79,6 +79,8 @@
 	unreachableAt time.Time
 	syncedAt      time.Time
 	reachableAt   time.Time
+	// operatorReadAt is when the last answered call for the operator's table was started.
+	operatorReadAt time.Time
 }
 
 // upstreamEntry is an upstream and the state of its row.
@@ -171,7 +173,7 @@
 	if err != nil || !ok {
 		return err
 	}
-	st.ApplyWeights(model, version, now)
+	st.applyWeights(model, version, learnedFrom(listed), now)
 	return nil
 }
 
@@ -191,8 +193,23 @@
 	st.log.Info("configuration in force", "version", next.Version, "routes", len(next.Routes()))
 }
 
-// ApplyWeights records a version of a model's weights if it is newer than the known one.
-func (st *SiteState) ApplyWeights(model string, version int64, now time.Time) {
+// weightSource is how a node learned of a version of a model's weights.
+type weightSource string
+
+const (
+	weightsChanged weightSource = "change"  // A change of the operator's table.
+	weightsListed  weightSource = "listing" // The whole table, which does not tell when it changed.
+)
+
+func learnedFrom(listed bool) weightSource {
+	if listed {
+		return weightsListed
+	}
+	return weightsChanged
+}
+
+// applyWeights records a version of a model's weights if it is newer than the known one.
+func (st *SiteState) applyWeights(model string, version int64, learned weightSource, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	h, newer := st.WeightHistory(model).With(route.WeightVersion{Version: version, Since: now})
@@ -205,7 +222,23 @@
 	}
 	next[model] = h
 	st.weights.Store(&next)
-	st.log.Info("weights named", "model", model, "version", version)
+	st.log.Info("weights named", "model", model, "version", version, "learned", string(learned), "unheard", st.operatorUnheard(now))
+}
+
+// operatorUnheard returns how much time has passed since the operator's table was last read, 0 if it never was. The
+// caller holds mu.
+func (st *SiteState) operatorUnheard(now time.Time) time.Duration {
+	if st.operatorReadAt.IsZero() {
+		return 0
+	}
+	return now.Sub(st.operatorReadAt)
+}
+
+// MarkOperatorRead records that the operator's table is known as of a time.
+func (st *SiteState) MarkOperatorRead(at time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.operatorReadAt = at
 }
 
 // allWeights returns the versions of the weights by model, which the caller must not change.
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -22,10 +22,10 @@
 	t0 := time.Now()
 	at := func(s int) time.Time { return t0.Add(time.Duration(s) * time.Second) }
 	assert.Assert(t, st.WeightHistory("m").ReplacedAt(1).IsZero())
-	st.ApplyWeights("m", 1, at(0))
-	st.ApplyWeights("m", 2, at(10))
-	st.ApplyWeights("m", 4, at(14))
-	st.ApplyWeights("m", 3, at(15)) // Arrives late from another node.
+	st.applyWeights("m", 1, weightsChanged, at(0))
+	st.applyWeights("m", 2, weightsChanged, at(10))
+	st.applyWeights("m", 4, weightsChanged, at(14))
+	st.applyWeights("m", 3, weightsChanged, at(15)) // Arrives late from another node.
 	assert.Equal(t, st.WeightHistory("m").ReplacedAt(1), at(10))
 	assert.Equal(t, st.WeightHistory("m").ReplacedAt(2), at(14))
 	assert.Equal(t, st.WeightHistory("m").ReplacedAt(3), at(14))
