The age of new weights is told between nodes, not counted from when each heard of them

A node counted the term of old weights from when it heard of the new ones, and a node that started knew no version but the newest.

Now a version has the time at which it was named, and of two nodes that disagree the earlier one holds. Notes of loads carry ages of weights for two terms after the naming, and a node that starts is told the whole history with what else it asks others for. A node that can't tell from the row when a version was named estimates it: for one that stood still, since it last knew the table; for one that starts, a quarter of the term is left, so that old weights go out of use soon but replicas have time to load the new ones. An estimate gives way to what anybody knows.

KV cache in stores is freed by when the node heard of the weights, as others may use the old ones that long.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -24,6 +24,9 @@
 	keyModel         = Key{"model", "the model"}
 	keyVersion       = Key{"version", "the version of the weights, of the configuration, or of the store's row"}
 	keyPosition      = Key{"position", "position in the platform's store, as era/version"}
+	keyLearned       = Key{"learned", "how the node learned of it: change (of the operator's table), listing (of the whole table) or node (another node told it)"}
+	keyWeightsAge    = Key{"age", "nanoseconds since the version was named, as far as the node knows"}
+	keyEstimated     = Key{"estimated", "whether the age is an estimate, as nobody who knows it could be asked"}
 	keyNode          = Key{"node", "the node's name"}
 	keyInFlight      = Key{"in_flight", "requests being served"}
 	keyStore         = Key{"store", "the KV cache store; in \"node started\" the platform's store"}
@@ -313,9 +316,12 @@
 	{"configuration in force", Change, "A configuration was put in force.", []Key{keyVersion, {"routes", "how many routes"}}},
 	{"configuration not usable, the last one stays", Failure, "A row of the operator's table is invalid; the previous configuration stays in force.", []Key{keyRow, keyPosition, keyErr}},
 	{"weights named", Change, "New weights of a model were named.", []Key{
-		keyModel, keyVersion,
-		{"learned", "how the node learned of it: change (of the operator's table) or listing (of the whole table, which does not tell when it was named)"},
-		{"unheard", "nanoseconds since the operator's table had last been read before; 0 if it never had"},
+		keyModel, keyVersion, keyLearned, keyWeightsAge, keyEstimated,
+		{"unheard", "nanoseconds since the operator's table had last been known before; 0 if it never had"},
+	}},
+	{"age of weights learned", Change, "The node has learned that weights were named earlier than it had assumed, or what it had estimated. The time for which older weights may be used counts from then.", []Key{
+		keyModel, keyVersion, keyLearned, keyWeightsAge, keyEstimated,
+		{"assumed", "the age that was assumed, in nanoseconds"},
 	}},
 	{"upstream listed", Change, "The list of upstreams has a new replica or a new start of one, or whether the replica drains has changed.", []Key{
 		keyUpstream, keyService,
--- a/pkg/explain/report.go
+++ b/pkg/explain/report.go
@@ -98,6 +98,7 @@
 	"configuration in force": "",
 	"era of store began":     "",
 	"weights named":          "model",
+	"age of weights learned": "model",
 	"store lost":             "table",
 	"store back":             "table",
 	"store not reached, other nodes are asked":     "table",
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -211,17 +211,25 @@
 	g.tableFollowers = []*tables.Follower{
 		{
 			Store: g.tableReader, Table: site.TableOperator, Name: "operator", LongPoll: longPoll, Log: g.log,
-			Apply:     g.siteState.ApplyOperator,
-			OnFailure: func(time.Time) {},
-			OnAnswer: func(startedAt, _ time.Time) {
-				g.siteState.MarkOperatorRead(startedAt)
+			Apply: g.siteState.ApplyOperator,
+			OnFailure: func(startedAt, now time.Time) {
+				if now.Sub(startedAt) <= longPoll+maxAnswerDelay {
+					g.siteState.MarkOperatorUnreachable(now)
+				}
+			},
+			OnAnswer: func(startedAt, now time.Time) {
+				knownAt := g.tableReader.KnownAt(site.TableOperator)
+				if now.Sub(startedAt) > longPoll+maxAnswerDelay {
+					knownAt = startedAt // The process may have been stopped after the answer had come.
+				}
+				g.siteState.MarkOperatorRead(knownAt)
 				g.suspension.recordAnswer(site.TableOperator, startedAt)
 			},
 		},
 		{
 			Store: g.tableReader, Table: site.TableUpstreams, Name: "upstreams", LongPoll: longPoll, Log: g.log,
 			Apply: g.siteState.ApplyUpstreams, BatchDelay: upstreamsBatchDelay,
-			OnFailure: g.siteState.MarkStoreUnreachable,
+			OnFailure: func(_, now time.Time) { g.siteState.MarkStoreUnreachable(now) },
 			OnAnswer: func(startedAt, now time.Time) {
 				g.siteState.MarkStoreSynced(now)
 				g.suspension.recordAnswer(site.TableUpstreams, startedAt)
@@ -272,6 +280,10 @@
 	}
 }
 
+// maxAnswerDelay is how much longer than it may be held a long poll takes at most, its time-out included. One that takes
+// longer tells that the process was stopped meanwhile.
+const maxAnswerDelay = time.Second
+
 // joinAndFollow finds other nodes and then follows the tables of the platform's store.
 func (g *Gateway) joinAndFollow() {
 	g.nodes.join(g.ctx)
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/drumpath/drumpath/pkg/boottime"
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
@@ -63,6 +64,9 @@
 	// store's link; both are packed.
 	Loads []byte `json:"l,omitempty"`
 	Links []byte `json:"m,omitempty"`
+	// Weights are the ages of weights that were named lately. A node that heard of them late learns
+	// in this way when they were named.
+	Weights []weightAge `json:"w,omitempty"`
 }
 
 // linkTallies holds the running totals of stores' links.
@@ -176,7 +180,10 @@
 	defer n.mu.Unlock()
 	n.loads.seq++
 	era, _, _ := n.eras.Current()
-	return loadNote{From: n.self.Name, Hall: n.self.DataHall, Incarnation: n.incarnation, Seq: n.loads.seq, Era: era}
+	return loadNote{
+		From: n.self.Name, Hall: n.self.DataHall, Incarnation: n.incarnation, Seq: n.loads.seq, Era: era,
+		Weights: n.siteState.recentWeightAges(boottime.Now()),
+	}
 }
 
 // ownLoads returns what this node itself has in flight.
--- a/service/gateway/loads_received.go
+++ b/service/gateway/loads_received.go
@@ -108,6 +108,7 @@
 	if note.Era > 0 {
 		n.eras.Observe(note.Era, boottime.RefreshNow())
 	}
+	n.siteState.learnWeightAges(note.Weights, now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	old = received[key(&note)]
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -165,7 +165,7 @@
 	Era history.Era `json:"era,omitempty"`
 }
 
-// startState is what a node that starts can't learn from a store that has come back from a copy.
+// startState is what a node that starts can't learn from the store, or not from one that has come back from a copy.
 type startState struct {
 	// Starting is set if the node has only just started itself, and knows no more.
 	Starting bool `json:"starting,omitempty"`
@@ -182,6 +182,8 @@
 	// Rollouts are the orders of roll-outs, removed ones included. The store may have older ones, and
 	// may have lost the states of those that have ended.
 	Rollouts []knownRollout `json:"rollouts,omitempty"`
+	// Weights are the versions of models' weights and their ages, which the operator's table does not have.
+	Weights []weightAge `json:"weights,omitempty"`
 }
 
 // leftNote names a replica whose row is gone.
@@ -212,6 +214,7 @@
 		out.Left = append(out.Left, leftNote{Replica: u.Replica, Started: u.Started, Position: l.position})
 	}
 	out.Rollouts = n.canaries.known()
+	out.Weights = n.siteState.allWeightAges(now)
 	return out, nil
 }
 
@@ -267,4 +270,5 @@
 	for _, r := range s.Rollouts {
 		n.canaries.learn(r, now)
 	}
+	n.siteState.learnWeightAges(s.Weights, now)
 }
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -35,6 +34,8 @@
 	// evacuationTime is the time over which the replicas of an evacuated data hall are
 	// taken out of use.
 	evacuationTime time.Duration
+	// weightsTerm is the time for which weights may be used after newer ones were named.
+	weightsTerm time.Duration
 	// onRestart is called for each replica that has restarted under its ID; planned means
 	// that it had announced that it was leaving.
 	onRestart func(id string, planned bool, now time.Time)
@@ -79,8 +80,10 @@
 	unreachableAt time.Time
 	syncedAt      time.Time
 	reachableAt   time.Time
-	// operatorReadAt is when the last answered call for the operator's table was started.
+	// operatorReadAt is as of when the operator's table was last known, zero before it was.
 	operatorReadAt time.Time
+	// operatorUnreachableAt is when it last could not be read though this process was running.
+	operatorUnreachableAt time.Time
 }
 
 // upstreamEntry is an upstream and the state of its row.
@@ -173,7 +176,7 @@
 	if err != nil || !ok {
 		return err
 	}
-	st.applyWeights(model, version, learnedFrom(listed), now)
+	st.hearWeights(model, version, listed, now)
 	return nil
 }
 
@@ -193,89 +196,6 @@
 	st.log.Info("configuration in force", "version", next.Version, "routes", len(next.Routes()))
 }
 
-// weightSource is how a node learned of a version of a model's weights.
-type weightSource string
-
-const (
-	weightsChanged weightSource = "change"  // A change of the operator's table.
-	weightsListed  weightSource = "listing" // The whole table, which does not tell when it changed.
-)
-
-func learnedFrom(listed bool) weightSource {
-	if listed {
-		return weightsListed
-	}
-	return weightsChanged
-}
-
-// applyWeights records a version of a model's weights if it is newer than the known one.
-func (st *SiteState) applyWeights(model string, version int64, learned weightSource, now time.Time) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	h, newer := st.WeightHistory(model).With(route.WeightVersion{Version: version, Since: now})
-	if !newer {
-		return
-	}
-	next := maps.Clone(st.allWeights())
-	if next == nil {
-		next = map[string]route.WeightHistory{}
-	}
-	next[model] = h
-	st.weights.Store(&next)
-	st.log.Info("weights named", "model", model, "version", version, "learned", string(learned), "unheard", st.operatorUnheard(now))
-}
-
-// operatorUnheard returns how much time has passed since the operator's table was last read, 0 if it never was. The
-// caller holds mu.
-func (st *SiteState) operatorUnheard(now time.Time) time.Duration {
-	if st.operatorReadAt.IsZero() {
-		return 0
-	}
-	return now.Sub(st.operatorReadAt)
-}
-
-// MarkOperatorRead records that the operator's table is known as of a time.
-func (st *SiteState) MarkOperatorRead(at time.Time) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.operatorReadAt = at
-}
-
-// allWeights returns the versions of the weights by model, which the caller must not change.
-func (st *SiteState) allWeights() map[string]route.WeightHistory {
-	if all := st.weights.Load(); all != nil {
-		return *all
-	}
-	return nil
-}
-
-// WeightHistory returns the versions of a model's weights.
-func (st *SiteState) WeightHistory(model string) route.WeightHistory { return st.allWeights()[model] }
-
-// AnyWeightsReplaced reports whether a later version than the first of any model's weights is
-// named.
-func (st *SiteState) AnyWeightsReplaced() bool {
-	for _, h := range st.allWeights() {
-		if h.Newest().Version > firstWeights {
-			return true
-		}
-	}
-	return false
-}
-
-// firstWeights is the version with which each model begins.
-const firstWeights = 1
-
-// NewestWeights returns the newest version of the weights of each model.
-func (st *SiteState) NewestWeights() map[string]int64 {
-	all := st.allWeights()
-	list := make(map[string]int64, len(all))
-	for model, h := range all {
-		list[model] = h.Newest().Version
-	}
-	return list
-}
-
 // MarkStoreUnreachable records that the upstream list can't be read.
 func (st *SiteState) MarkStoreUnreachable(now time.Time) {
 	st.mu.Lock()
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -327,7 +327,7 @@
 		return false
 	}
 	newest := s.siteState.WeightHistory(model).Newest()
-	if version >= newest.Version || now.Sub(newest.Since) < replacedTerm {
+	if version >= newest.Version || now.Sub(newest.Heard) < replacedTerm {
 		return false
 	}
 	for _, p := range s.siteState.Pools() {
--- /dev/null
+++ b/service/gateway/weights_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/drumpath/drumpath/pkg/route"
+)
+
+const testWeightsTerm = 10 * time.Second
+
+func newWeightsState() *SiteState {
+	st := NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
+	st.weightsTerm = testWeightsTerm
+	return st
+}
+
+// A node that has not read the operator's table for a while took weights for new when it read them at last.
+func TestWeightsHeardLateAreNotTakenForNew(t *testing.T) {
+	now := time.Now()
+	before := func(d time.Duration) time.Time { return now.Add(-d) }
+	for _, tc := range []struct {
+		name              string
+		read, unreachable time.Time
+		want              route.WeightVersion
+	}{
+		{name: "in_time", read: before(time.Second), want: route.WeightVersion{Version: 2, Since: now, Heard: now}},
+		{name: "stood_still", read: before(5 * time.Second), want: route.WeightVersion{Version: 2, Since: before(5 * time.Second), Heard: now, Estimated: true}},
+		{name: "stood_still_for_long", read: before(time.Minute), want: route.WeightVersion{Version: 2, Since: before(testWeightsTerm * 3 / 4), Heard: now, Estimated: true}},
+		{name: "started", want: route.WeightVersion{Version: 2, Since: before(testWeightsTerm * 3 / 4), Heard: now, Estimated: true}},
+		{name: "started_unreachable", unreachable: before(time.Second), want: route.WeightVersion{Version: 2, Since: before(testWeightsTerm * 3 / 4), Heard: now, Estimated: true}},
+		{name: "unreachable", read: before(6 * time.Second), unreachable: before(time.Second), want: route.WeightVersion{Version: 2, Since: before(time.Second), Heard: now, Estimated: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			st := newWeightsState()
+			if !tc.read.IsZero() {
+				st.MarkOperatorRead(tc.read)
+			}
+			if !tc.unreachable.IsZero() {
+				st.MarkOperatorUnreachable(tc.unreachable)
+			}
+			st.hearWeights("m", 2, false, now)
+			assert.DeepEqual(t, st.WeightHistory("m"), route.WeightHistory{tc.want})
+		})
+	}
+}
+
+// Nodes that had heard of weights at different times used the old ones until different times.
+func TestNodesAgreeOnTheOldestAgeOfWeights(t *testing.T) {
+	early, late, started := newWeightsState(), newWeightsState(), newWeightsState()
+	named := time.Now()
+	early.MarkOperatorRead(named)
+	early.hearWeights("m", 2, false, named)
+	early.hearWeights("m", 3, false, named.Add(time.Second))
+	heard := named.Add(4 * time.Second)
+	late.MarkOperatorRead(heard)
+	late.hearWeights("m", 3, false, heard)
+	started.hearWeights("m", 3, true, heard)
+	for _, st := range []*SiteState{late, started} {
+		early.learnWeightAges(st.recentWeightAges(heard), heard)
+		st.learnWeightAges(early.recentWeightAges(heard), heard)
+		h := st.WeightHistory("m")
+		assert.Equal(t, len(h), 2, "the version between is known")
+		assert.Assert(t, h[0].Since.Sub(named).Abs() < time.Millisecond)
+		assert.Assert(t, h[1].Since.Sub(named.Add(time.Second)).Abs() < time.Millisecond)
+		assert.Assert(t, !h[1].Estimated)
+	}
+	assert.Equal(t, early.WeightHistory("m").Newest().Since, named.Add(time.Second), "an estimate and a later time change nothing")
+	assert.Equal(t, len(early.recentWeightAges(named.Add(weightAgeTerms*testWeightsTerm+2*time.Second))), 0, "notes don't grow for good")
+	assert.Equal(t, len(early.allWeightAges(named.Add(time.Hour))), 2, "a node that starts is told all")
+}
+
+// Ages that other nodes tell may be invalid.
+func TestInvalidAgesOfWeightsAreIgnored(t *testing.T) {
+	st, now := newWeightsState(), time.Now()
+	st.learnWeightAges([]weightAge{{}, {Model: "m", Version: 1, AgeMS: 5}, {Model: "m", Version: 2, AgeMS: -1}, {Version: 2}}, now)
+	assert.Equal(t, len(st.allWeights()), 0)
+	st.learnWeightAges([]weightAge{{Model: "m", Version: 2, AgeMS: 1 << 62}}, now)
+	assert.Equal(t, st.WeightHistory("m").Newest().Since, now.Add(-maxWeightAge))
+}
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -102,6 +102,7 @@
 				st.requestBytes = newRequestShares(int64(s.Limits.ReplicaRequests), shares, func() int64 { return int64(st.limits().BodyBytes) })
 			}
 			st.evacuationTime = time.Duration(evacuationTimeShare * float64(s.Evacuation.MaxTime))
+			st.weightsTerm = s.Orders.MaxRolloutTime.Std()
 			st.onRestart = func(id string, planned bool, now time.Time) {
 				conns.closeIdle(id)
 				if !planned {
--- a/service/tables/follow.go
+++ b/service/tables/follow.go
@@ -33,9 +33,9 @@
 	BatchDelay time.Duration
 	// Apply applies rows; if whole is set, they are the whole table.
 	Apply func(rows []site.Row, whole bool, now time.Time)
-	// OnFailure is called after each failed call. site.ErrHistoryGone does not count as a
-	// failure.
-	OnFailure func(now time.Time)
+	// OnFailure is called after each failed call, with the time when it was started. site.ErrHistoryGone
+	// does not count as a failure.
+	OnFailure func(startedAt, now time.Time)
 	// OnAnswer is called after each call that succeeded, with the time when it was
 	// started, unless the machine was suspended meanwhile.
 	OnAnswer func(startedAt, now time.Time)
@@ -77,7 +77,7 @@
 			f.listed = false
 		default:
 			f.recordFailure(now, err)
-			f.OnFailure(now)
+			f.OnFailure(startedAt, now)
 			f.backOff(ctx)
 		}
 	}
--- a/service/tables/reader.go
+++ b/service/tables/reader.go
@@ -483,6 +483,18 @@
 	}
 }
 
+// KnownAt returns as of when this node's copy of a table is known, by the store's last answer to this node or to the one
+// that it reads through; zero before the first.
+func (r *Reader) KnownAt(t site.Table) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.table(t)
+	if x.heardAt.After(x.storeReadAt) {
+		return x.heardAt
+	}
+	return x.storeReadAt
+}
+
 // fetchFromNode asks another node for rows; age is for how long the store had not answered that node.
 func (r *Reader) fetchFromNode(ctx context.Context, addr netip.AddrPort, q changesRequest, timeout time.Duration) (l site.Listing, age time.Duration, err error) {
 	defer func() { err = eris.Wrap(err, "ask reader") }()
