--- a/service/gateway/metrics.go
+++ b/service/gateway/metrics.go
@@ -163,6 +163,7 @@
 	NotesDropped      int64                        `json:"notes_dropped"`
 	Replicas          map[string]replicaCount      `json:"replicas"`
 	NamedWeights      map[string]int64             `json:"weights_named"`
+	WeightsAge        map[string]float64           `json:"weights_age_s"`
 	UnusableRows      int64                        `json:"upstream_rows_unusable"`
 	EvacuatedHalls    []string                     `json:"evacuated"`
 	Stores            []route.StoreStatus          `json:"stores"`
@@ -237,6 +238,7 @@
 		Nodes:          g.nodes.count(),
 		NotesDropped:   g.nodes.notesDropped.Load(),
 		NamedWeights:   g.siteState.NewestWeights(),
+		WeightsAge:     g.siteState.newestWeightsAge(now),
 		UnusableRows:   g.siteState.UnusableRows(),
 		EvacuatedHalls: g.siteState.EvacuatedHalls(),
 		Stores:         g.cacheIndex.Status(),
--- a/service/gateway/weights.go
+++ b/service/gateway/weights.go
@@ -140,3 +140,13 @@
 	}
 	return list
 }
+
+// newestWeightsAge returns for how many seconds the newest version of each model's weights is named.
+func (st *SiteState) newestWeightsAge(now time.Time) map[string]float64 {
+	all := st.allWeights()
+	list := make(map[string]float64, len(all))
+	for model, h := range all {
+		list[model] = now.Sub(h.Newest().Since).Seconds()
+	}
+	return list
+}
