--- a/service/gateway/weight_register.go
+++ b/service/gateway/weight_register.go
@@ -45,6 +45,8 @@
 	store     Store
 	siteState *SiteState
 	log       *slog.Logger
+	// now returns the time including all suspensions of the machine.
+	now func() time.Time
 
 	mu locks.Mutex
 	// settled are the versions for which there is nothing left to do in an era of the store.
@@ -58,12 +60,15 @@
 }
 
 func newWeightRegister(self control.Member, members *control.Members, store Store, st *SiteState, log *slog.Logger) *weightRegister {
-	return &weightRegister{self: self, members: members, store: store, siteState: st, log: log, settled: map[string]route.WeightHistory{}, readFor: map[string]int64{}}
+	return &weightRegister{
+		self: self, members: members, store: store, siteState: st, log: log, now: boottime.RefreshNow,
+		settled: map[string]route.WeightHistory{}, readFor: map[string]int64{},
+	}
 }
 
 // step reads or writes the record if that is due. The timer service calls it.
 func (r *weightRegister) step(ctx context.Context) {
-	now := boottime.Now()
+	now := r.now()
 	read, write := r.due(now)
 	if !read && !write {
 		return
@@ -78,7 +83,7 @@
 		return
 	}
 	r.retryPause = min(maxWeightRecordRetry, max(minWeightRecordRetry, 2*r.retryPause))
-	r.nextTry = boottime.Now().Add(r.retryPause/2 + rand.N(r.retryPause))
+	r.nextTry = r.now().Add(r.retryPause/2 + rand.N(r.retryPause))
 	if !errors.Is(err, site.ErrConflict) && !errors.Is(err, site.ErrEraEnded) {
 		r.log.Warn("record of weights not synced", "write", write, "err", err)
 	}
@@ -124,12 +129,12 @@
 // sync reads the record, takes in what it tells, and writes what it lacks if write is set.
 func (r *weightRegister) sync(ctx context.Context, write bool) (err error) {
 	defer func() { err = eris.Wrap(err, "record of weights") }()
-	askedAt := boottime.RefreshNow()
+	askedAt := r.now()
 	l, err := r.store.List(ctx, site.TableWeights)
 	if err != nil {
 		return err
 	}
-	at := route.StoreTime{Era: l.Position.Era, Reading: l.Now, Before: askedAt, After: boottime.RefreshNow()}
+	at := route.StoreTime{Era: l.Position.Era, Reading: l.Now, Before: askedAt, After: r.now()}
 	row, found := l.Find(weightRecordKey)
 	var record route.WeightRecord
 	if found {
