Nodes do not forget the ages of weights when the store begins a new era

Prompts began on old weights for another whole term after the store had come back from a copy, at nodes that had recorded the naming: the register cleared the map of settled versions, which was the very map that the site state had published. All weights were forgotten, without the lock and under readers that take none, and the next listing named them as new.

TestRecordIsWrittenAgainInNewEra made no write. Maps that SiteState publishes are changed nowhere else.

--- a/service/gateway/weight_register.go
+++ b/service/gateway/weight_register.go
@@ -96,7 +96,7 @@
 	defer r.mu.Unlock()
 	if era, _, _ := r.store.Eras().Current(); era != r.era {
 		r.era = era
-		clear(r.settled)
+		r.settled = nil // Not cleared: the map is the one that SiteState has published.
 	}
 	if now.Before(r.nextTry) {
 		return false, false
--- a/service/gateway/weight_register_test.go
+++ b/service/gateway/weight_register_test.go
@@ -397,3 +397,25 @@
 	replaced := f.registers[0].siteState.WeightHistory("m").ReplacedAt(1)
 	assert.Assert(t, replaced.Sub(first).Abs() <= minAge, "%v", replaced.Sub(first))
 }
+
+// Times on the clock of a store that is gone would be taken for times on the clock of the one that came back.
+func TestRecordIsWrittenAgainInNewEra(t *testing.T) {
+	f := newRecordFleet(7)
+	named := f.clock
+	f.name("m", 2, f.registers...)
+	f.run(4*time.Second, f.gossip)
+	f.lists, f.puts = 0, 0
+	f.zero = f.clock.Add(-time.Minute)
+	f.eras.Observe(2, f.clock)
+	started := f.restart(6)
+	started.siteState.hearWeights("m", 2, true, f.clock)
+	estimate := started.siteState.WeightHistory("m").Newest().Since
+	started.step(context.Background())
+	assert.Equal(t, started.siteState.WeightHistory("m").Newest().Since, estimate, "a time of another era is used")
+	f.run(4*time.Second, nil)
+	assert.Equal(t, f.puts, 1)
+	assert.Assert(t, f.lists <= weightRecorders+1, "%d reads", f.lists)
+	assert.Equal(t, f.record(t).Era, history.Era(2))
+	since, _ := f.recorded(t, "m", 2)
+	assert.Assert(t, since.Sub(named).Abs() <= minAge, "%v", since.Sub(named))
+}
