Nodes that do not know the age of weights read the record of each era of the store

A node that had started alone when the store was in an era in which nobody had recorded the naming kept its estimate in all later eras, as it had read the record for that version once. It reads it once for each version and era now. No user is known to have met it: it needs a node that other nodes do not tell the age. TestStartedNodeReadsRecordOfNewEra failed and passes.

--- a/service/gateway/weight_register.go
+++ b/service/gateway/weight_register.go
@@ -97,6 +97,7 @@
 	if era, _, _ := r.store.Eras().Current(); era != r.era {
 		r.era = era
 		r.settled = nil // Not cleared: the map is the one that SiteState has published.
+		clear(r.readFor)
 	}
 	if now.Before(r.nextTry) {
 		return false, false
--- a/service/gateway/weight_register_test.go
+++ b/service/gateway/weight_register_test.go
@@ -419,3 +419,21 @@
 	since, _ := f.recorded(t, "m", 2)
 	assert.Assert(t, since.Sub(named).Abs() <= minAge, "%v", since.Sub(named))
 }
+
+// A node that had started alone read the record of an era that was over, and never that of the new era.
+func TestStartedNodeReadsRecordOfNewEra(t *testing.T) {
+	f := newRecordFleet(7)
+	named := f.clock
+	f.name("m", 2, f.registers...)
+	f.run(4*time.Second, nil)
+	f.zero = f.clock.Add(-time.Minute)
+	f.eras.Observe(2, f.clock)
+	started := f.restart(6)
+	started.siteState.hearWeights("m", 2, true, f.clock)
+	started.step(context.Background())
+	assert.Assert(t, started.siteState.WeightHistory("m").Newest().Estimated)
+	f.eras.Observe(3, f.clock)
+	f.run(4*time.Second, nil)
+	v := started.siteState.WeightHistory("m").Newest()
+	assert.Assert(t, !v.Estimated && v.Since.Sub(named).Abs() <= minAge, "%v", v)
+}
