Weights do not grow older by each slow reading of the record

While the store was slow, old weights went out of use before their time: a time in the record is uncertain by the calls in which its writer and its reader read the store's clock, and each took the earliest one. A node that had seen the naming itself believed the older time, told it to the others, and all three that record read and wrote on.

Now the record has how uncertain its times are, and a node that has a time takes one from the record only if it is earlier in any case; a node that has none still takes the earliest. TestSlowStoreDoesNotAgeWeights failed at all three sizes and passes.

--- a/pkg/route/weight_record.go
+++ b/pkg/route/weight_record.go
@@ -20,10 +20,19 @@
 type RecordedNaming struct {
 	Version int64 `json:"version"`
 	// NamedMS is in milliseconds of the store's clock. It may be negative.
-	NamedMS   int64 `json:"named_ms"`
+	NamedMS int64 `json:"named_ms"`
+	// ErrorMS is by how much later it may have been named, as the writer's call to read the clock took that long.
+	ErrorMS   int64 `json:"error_ms,omitempty"`
 	Estimated bool  `json:"estimated,omitempty"`
 }
 
+// bounds returns the earliest and the latest time at which the version was named.
+func (n *RecordedNaming) bounds(at StoreTime) (earliest, latest time.Time) {
+	age := at.Reading - time.Duration(n.NamedMS)*time.Millisecond
+	youngest := age - time.Duration(n.ErrorMS)*time.Millisecond
+	return at.Before.Add(-max(0, age)), at.After.Add(-max(0, youngest))
+}
+
 // StoreTime is a reading of the store's clock, which was made between two times on this node's clock.
 type StoreTime struct {
 	Era           history.Era
@@ -40,14 +49,35 @@
 	for model, namings := range r.Models {
 		var h WeightHistory
 		for _, n := range namings {
-			age := at.Reading - time.Duration(n.NamedMS)*time.Millisecond
-			h, _ = h.With(WeightVersion{Version: n.Version, Since: at.Before.Add(-max(0, age)), Estimated: n.Estimated, Heard: at.After})
+			earliest, _ := n.bounds(at)
+			h, _ = h.With(WeightVersion{Version: n.Version, Since: earliest, Estimated: n.Estimated, Heard: at.After})
 		}
 		list[model] = h
 	}
 	return list
 }
 
+// News returns what the record tells that a node does not know, by model. The times of the record are as uncertain as the
+// calls were long in which the clock was read: a node that has a time of its own takes one only if it is earlier in
+// any case, and its latest bound, or else each reading would make the weights older.
+func (r *WeightRecord) News(known map[string]WeightHistory, at StoreTime) map[string][]WeightVersion {
+	if r.Era != at.Era {
+		return nil
+	}
+	list := map[string][]WeightVersion{}
+	for model, namings := range r.Models {
+		for _, n := range namings {
+			earliest, latest := n.bounds(at)
+			v := WeightVersion{Version: n.Version, Since: earliest, Estimated: n.Estimated, Heard: at.After}
+			if k, ok := known[model].Find(n.Version); ok && k.Estimated == n.Estimated {
+				v.Since = latest
+			}
+			list[model] = append(list[model], v)
+		}
+	}
+	return list
+}
+
 // Next returns the record with what this node knows; changed is false if the record has that already. Models that
 // the node does not know are left out, so that the record does not grow for good.
 func (r *WeightRecord) Next(known map[string]WeightHistory, at StoreTime) (next WeightRecord, changed bool) {
@@ -66,7 +96,9 @@
 				continue
 			}
 			named := at.Reading - at.After.Sub(v.Since)
-			next.Models[model] = append(next.Models[model], RecordedNaming{Version: v.Version, NamedMS: named.Milliseconds(), Estimated: v.Estimated})
+			next.Models[model] = append(next.Models[model], RecordedNaming{
+				Version: v.Version, NamedMS: named.Milliseconds(), ErrorMS: at.After.Sub(at.Before).Milliseconds(), Estimated: v.Estimated,
+			})
 		}
 	}
 	return next, changed
--- a/service/gateway/weight_register.go
+++ b/service/gateway/weight_register.go
@@ -144,8 +144,8 @@
 			record = route.WeightRecord{}
 		}
 	}
-	for model, h := range record.Histories(at) {
-		for _, v := range h {
+	for model, list := range record.News(r.siteState.allWeights(), at) {
+		for _, v := range list {
 			r.siteState.LearnWeights(model, v, weightsStored)
 		}
 	}
--- a/service/gateway/weight_register_test.go
+++ b/service/gateway/weight_register_test.go
@@ -437,3 +437,30 @@
 	v := started.siteState.WeightHistory("m").Newest()
 	assert.Assert(t, !v.Estimated && v.Since.Sub(named).Abs() <= minAge, "%v", v)
 }
+
+// Each call to a slow store made weights a little older, and nodes that told each other of it read and wrote on, so
+// that weights that were still to be used were believed too old.
+func TestSlowStoreDoesNotAgeWeights(t *testing.T) {
+	for _, nodes := range []int{7, 71, 295} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			f := newRecordFleet(nodes)
+			const longest = 1400 * time.Millisecond // Of a call.
+			f.latency = func() (before, after time.Duration) { return rand.N(longest / 2), rand.N(longest / 2) }
+			named := f.clock
+			f.name("m", 2, f.registers...)
+			f.run(testWeightsTerm, f.gossip)
+			assert.Assert(t, named.Sub(f.oldest("m")) <= minAge, "believed older by %v", named.Sub(f.oldest("m")))
+			assert.Assert(t, f.calls() <= 1+weightRecorders, "%d calls", f.calls())
+		})
+	}
+}
+
+// oldest returns the earliest time at which a node believes the newest version of a model to have been named.
+func (f *recordFleet) oldest(model string) (at time.Time) {
+	for i, r := range f.registers {
+		if v := r.siteState.WeightHistory(model).Newest(); i == 0 || v.Since.Before(at) {
+			at = v.Since
+		}
+	}
+	return at
+}
