--- a/internal/standin/onplatform/weight_ages_store_test.go
+++ b/internal/standin/onplatform/weight_ages_store_test.go
@@ -1,6 +1,9 @@
 package onplatform_test
 
 import (
+	"encoding/json"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +67,139 @@
 
 // tableWeights has the record of when weights were named.
 const tableWeights = "drumpath-weights"
+
+// restartAll closes all nodes at once, changes the store, and starts them again.
+func (s *site) restartAll(nodes []*node, change func()) (list []*node) {
+	for _, n := range nodes {
+		n.close()
+	}
+	change()
+	return s.restart(nodes...)
+}
+
+// Nodes that all restarted while the store misbehaved counted the time of old weights anew, or
+// refused all prompts until its end.
+func TestOldWeightsAreNotUsedForAnotherTermWhenTheStoreMisbehaves(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// disturb changes the store some time after the naming, and restarts the nodes.
+		disturb func(s *site, nodes []*node) []*node
+	}{
+		{name: "history_truncated", disturb: func(s *site, nodes []*node) []*node {
+			s.store.TruncateHistory()
+			return nodes
+		}},
+		{name: "refuses_while_nodes_start", disturb: func(s *site, nodes []*node) []*node {
+			return s.restartAll(nodes, func() {
+				s.store.SetMode(onplatform.ModeRefusing)
+				time.AfterFunc(weightsTerm/8, func() { s.store.SetMode(onplatform.ModeUp) })
+			})
+		}},
+		{name: "silent_while_nodes_start", disturb: func(s *site, nodes []*node) []*node {
+			return s.restartAll(nodes, func() {
+				s.store.SetMode(onplatform.ModeSilent)
+				time.AfterFunc(weightsTerm/8, func() { s.store.SetMode(onplatform.ModeUp) })
+			})
+		}},
+		{name: "writes_refused", disturb: func(s *site, nodes []*node) []*node {
+			return s.restartAll(nodes, func() { s.store.FailWrites(true) })
+		}},
+		{name: "record_read_late", disturb: func(s *site, nodes []*node) []*node {
+			return s.restartAll(nodes, func() { s.store.DelayRead(tableWeights, weightsTerm/16) })
+		}},
+		{name: "only_node_replaced_while_store_is_unreachable", disturb: func(s *site, nodes []*node) []*node {
+			for _, n := range nodes {
+				n.close()
+			}
+			s.store.SetMode(onplatform.ModeRefusing)
+			time.AfterFunc(weightsTerm/8, func() { s.store.SetMode(onplatform.ModeUp) })
+			return []*node{s.startNodeWith(s.weightsSettings("n9"))}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			old := s.startSwaplessEngine("old", 1)
+			nodes := s.startWeightsNodes("n1", "n2")
+			named := s.nameWeights(2)
+			s.waitUntil("the naming is recorded", func() bool { return len(s.store.Rows(tableWeights)) > 0 })
+			nodes = tc.disturb(s, nodes)
+			s.waitUntilJoined(nodes...)
+			serving := time.Now()
+			s.sendPrompts(named.Add(weightsTerm+weightsTerm/2), nodes...)
+			assert.Equal(t, old.begunBetween(named.Add(weightsTerm), time.Now()), 0, "prompts began on old weights after their time")
+			assert.Assert(t, serving.Before(named.Add(weightsTerm/2)), "too late to see the old weights in use: %v", serving.Sub(named))
+			assert.Assert(t, old.begunBetween(named.Add(weightsTerm*5/8), named.Add(weightsTerm)) > 0, "the old weights were not used while their time lasted")
+		})
+	}
+}
+
+// A record that no node could read made nodes that had started count the time of old weights anew, or refuse all prompts.
+func TestUnreadableRecordNeitherRenewsNorEndsTheUseOfOldWeights(t *testing.T) {
+	for name, text := range map[string]string{"no_json": "{", "other_form": `{"era":"x","models":[1]}`, "empty": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			lines := &logLines{}
+			s.log = slog.New(slog.NewTextHandler(lines, nil))
+			old := s.startSwaplessEngine("old", 1)
+			nodes := s.startWeightsNodes("n1", "n2")
+			named := s.nameWeights(2)
+			s.waitUntil("the naming is recorded", func() bool { return len(s.store.Rows(tableWeights)) > 0 })
+			nodes = s.restartAll(nodes, func() { s.store.Put(tableWeights, "named", text) })
+			s.waitUntilJoined(nodes...)
+			started := time.Now()
+			s.sendPrompts(started.Add(weightsTerm/8), nodes...)
+			assert.Assert(t, old.begunBetween(started, time.Now()) > 0, "prompts are refused at once after the start")
+			s.sendPrompts(named.Add(weightsTerm+weightsTerm/2), nodes...)
+			assert.Equal(t, old.begunBetween(named.Add(weightsTerm), time.Now()), 0, "prompts began on old weights after their time")
+			assert.Assert(t, lines.count("record of weights can't be decoded") > 0)
+			assert.Assert(t, json.Valid(s.store.Get(tableWeights, "named").Value), "the record is replaced")
+		})
+	}
+}
+
+// A node that starts when weights were named long ago, with nobody to ask and no record, used the old ones for a whole term.
+func TestUnknownAgeIsNeitherNewNorOver(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	old := s.startSwaplessEngine("old", 1)
+	s.nameWeights(2)
+	n := s.startWeightsNodes("n1")[0]
+	started := time.Now()
+	s.sendPrompts(started.Add(weightsTerm), n)
+	assert.Assert(t, old.begunBetween(started, started.Add(weightsTerm/8)) > 0, "all prompts are refused after a start")
+	assert.Equal(t, old.begunBetween(started.Add(weightsTerm/2), time.Now()), 0, "old weights are used for much more than a quarter of their term")
+}
+
+// refusedWithin is the time in which a prompt that can't be served must be refused on a busy machine; prompts may last 4 s.
+const refusedWithin = time.Second
+
+// Prompts that no replica may begin waited for one until their deadline.
+func TestPromptIsRefusedAtOnceIfAllWeightsAreTooOld(t *testing.T) {
+	for _, path := range []string{"/prompt/x", "/patient/x"} {
+		t.Run(strings.Trim(path, "/x"), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			old := s.startSwaplessEngine("old", 1)
+			nodes := s.startWeightsNodes("n1", "n2")
+			named := s.nameWeights(2)
+			s.sendPrompts(named.Add(weightsTerm+weightsTerm/8), nodes...)
+			before := len(old.Received())
+			for _, n := range nodes {
+				for range 5 {
+					sent := time.Now()
+					got := n.send(strings.Replace(prompt("b0"), "/prompt/x", path, 1))
+					took := time.Since(sent)
+					t.Logf("%d %s after %v, Retry-After %q", got.status, got.body, took, got.header.Get("Retry-After"))
+					assert.Equal(t, got.status, 503)
+					assert.Assert(t, took < refusedWithin, "refused after %v", took)
+					assert.Assert(t, got.header.Get("Retry-After") != "", "no Retry-After")
+				}
+			}
+			for _, r := range old.Received()[before:] {
+				assert.Assert(t, strings.HasPrefix(r.Target, "/-/"), "sent to a replica with old weights")
+			}
+		})
+	}
+}
