TestLoadsTellTheEra has the site state that notes of loads read

It panicked since notes carry ages of weights, and ended the tests of the package: its node has no site state, which every running node has. What it checks is unchanged.

--- a/service/gateway/loads_test.go
+++ b/service/gateway/loads_test.go
@@ -187,7 +187,7 @@
 
 // A node that did not reach the store heard of its new era only when it next asked another node.
 func TestLoadsTellTheEra(t *testing.T) {
-	n := &nodes{eras: &history.Eras{}, self: control.Member{Name: "n0", DataHall: "h"}, cacheIndex: route.NewCacheIndex(), loads: newLoadState(), log: slog.New(slog.DiscardHandler)}
+	n := &nodes{eras: &history.Eras{}, self: control.Member{Name: "n0", DataHall: "h"}, cacheIndex: route.NewCacheIndex(), loads: newLoadState(), siteState: newWeightsState(), log: slog.New(slog.DiscardHandler)}
 	for _, era := range []history.Era{2, 1} {
 		note := loadNote{From: "n1", Hall: "h", Incarnation: 1, Seq: uint64(era), Loads: packLoads(nil), Era: era}
 		text, err := json.Marshal(note)
