Rows that arrive after a suspension are not dated before it

A node that woke up and read that new weights had been named took them for named when it fell asleep, as a fact and not as an estimate, and told all other nodes, which believed the older time: old weights would go out of use too early by as long as the machine slept. The time that a follower gives with rows did not include a suspension that nothing had measured yet. TestRowsThatArriveAfterSuspensionAreNotDatedBefore failed, 2 us and 18 us after it fell asleep instead of 8 s, and passes. Not seen by users; a suspension of some seconds and a naming meanwhile are needed.

--- a/service/tables/follow.go
+++ b/service/tables/follow.go
@@ -136,7 +136,7 @@
 	}
 	f.position = history.Later(f.position, l.Position)
 	if len(l.Rows) > 0 {
-		f.Apply(l.Rows, false, boottime.Now())
+		f.Apply(l.Rows, false, boottime.RefreshNow())
 		timer.Sleep(ctx, f.BatchDelay)
 	}
 	return nil
@@ -153,7 +153,7 @@
 	if l.Position.Before(f.position) {
 		return errStoreBehind
 	}
-	f.Apply(l.Rows, true, boottime.Now())
+	f.Apply(l.Rows, true, boottime.RefreshNow())
 	f.position, f.listed = l.Position, true
 	return nil
 }
--- a/service/tables/follow_test.go
+++ b/service/tables/follow_test.go
@@ -140,3 +140,29 @@
 		return l, nil
 	}
 }
+
+// changedStore has rows that change while the machine is suspended.
+type changedStore struct{ Store }
+
+func (changedStore) List(context.Context, site.Table) (site.Listing, error) {
+	boottime.SimulateSuspend(8 * time.Second)
+	return site.Listing{Position: at(1), Rows: []site.Row{{Key: "a"}}}, nil
+}
+
+func (s changedStore) Changes(ctx context.Context, t site.Table, _ history.Position, _ time.Duration) (site.Listing, error) {
+	return s.List(ctx, t)
+}
+
+// Rows that arrived when the machine woke up were taken to have come before it slept.
+func TestRowsThatArriveAfterSuspensionAreNotDatedBefore(t *testing.T) {
+	asleepAt := boottime.RefreshNow()
+	f := &Follower{
+		Store: changedStore{}, Table: site.TableOperator, Log: slog.New(slog.DiscardHandler),
+		Apply: func(_ []site.Row, whole bool, now time.Time) {
+			assert.Check(t, now.Sub(asleepAt) >= 8*time.Second-time.Millisecond, "whole %v: %v", whole, now.Sub(asleepAt))
+			asleepAt = boottime.RefreshNow()
+		},
+	}
+	assert.NilError(t, f.Poll(t.Context()))
+	assert.NilError(t, f.Poll(t.Context()))
+}
