Ages of weights that are told after a suspension are not counted from before it

A node that woke up and read a note before anything else had measured the suspension took the age in it as of the time when it fell asleep. Once the suspension was measured, it believed the weights older by that long, and told all others, with which the older age holds. TestAgeToldAfterSuspensionIsNotCountedFromBefore: 10.0 s instead of 2 s after a simulated suspension of 8 s. The time at which a note arrives now includes it, as it did already for start states. Not seen by users.

--- a/service/gateway/loads_received.go
+++ b/service/gateway/loads_received.go
@@ -92,7 +92,7 @@
 // receiveLoads stores a note by its key and reports whether it is newer than the last one.
 // A note that can't be decoded is counted and dropped, and the last one stays.
 func (n *nodes) receiveLoads(params json.RawMessage, received map[string]receivedLoads, key func(*loadNote) string) (note loadNote, r, old receivedLoads, ok bool) {
-	now := boottime.Now()
+	now := boottime.RefreshNow() // Notes may be the first thing that a node reads after a suspension.
 	err := json.Unmarshal(params, &note)
 	if err == nil {
 		r, err = decodeLoads(&note, now)
@@ -106,7 +106,7 @@
 		return note, r, old, false
 	}
 	if note.Era > 0 {
-		n.eras.Observe(note.Era, boottime.RefreshNow())
+		n.eras.Observe(note.Era, now)
 	}
 	n.siteState.learnWeightAges(note.Weights, now)
 	n.mu.Lock()
