--- a/internal/standin/onplatform/weight_ages_store_test.go
+++ b/internal/standin/onplatform/weight_ages_store_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
+	"github.com/drumpath/drumpath/pkg/boottime"
 )
 
 // returnAfterNaming has the store come back from a copy that lacks the naming of weights, which is written again later.
@@ -191,7 +192,6 @@
 					sent := time.Now()
 					got := n.send(strings.Replace(prompt("b0"), "/prompt/x", path, 1))
 					took := time.Since(sent)
-					t.Logf("%d %s after %v, Retry-After %q", got.status, got.body, took, got.header.Get("Retry-After"))
 					assert.Equal(t, got.status, 503)
 					assert.Assert(t, took < refusedWithin, "refused after %v", took)
 					assert.Assert(t, got.header.Get("Retry-After") != "", "no Retry-After")
@@ -203,3 +203,69 @@
 		})
 	}
 }
+
+// A node whose machine slept used old weights for as long as if it had been awake.
+func TestSuspendedNodeDoesNotUseOldWeightsLonger(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// named is called before the suspension, and has the weights named.
+		named func(s *site) (restore func())
+	}{
+		{name: "named_before", named: func(s *site) func() {
+			s.nameWeights(2)
+			s.waitUntil("the naming is recorded", func() bool { return len(s.store.Rows(tableWeights)) > 0 })
+			return func() {}
+		}},
+		{name: "named_meanwhile", named: func(s *site) func() {
+			restore := s.cutStore()
+			s.nameWeights(2)
+			return restore
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSite(t)
+			s.storeProxy = s.newProxy(s.store.Addr())
+			old := s.startSwaplessEngine("old", 1)
+			n := s.startWeightsNodes("n1")[0]
+			assert.Equal(t, n.send(prompt("b0")).status, 200)
+			restore := tc.named(s)
+			named := time.Now()
+			const slept = weightsTerm * 3 / 4
+			boottime.SimulateSuspend(slept)
+			restore()
+			s.waitUntil("the node serves", func() bool { return n.isReady() })
+			end := named.Add(weightsTerm - slept)
+			s.sendPrompts(end.Add(weightsTerm/2), n)
+			assert.Equal(t, old.begunBetween(end, time.Now()), 0, "prompts began on old weights after their time")
+		})
+	}
+}
+
+// Prompts that waited at a node for a replica whose weights became too old meanwhile waited on until their deadline.
+func TestWaitingPromptsAreRefusedOnceAllWeightsAreTooOld(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.routes = append(s.routes, map[string]any{
+		"name": "slow", "host": host, "path_prefix": "/slow/", "kind": "streaming", "timeout_ms": 60000, "target_latency_ms": 8000,
+		"service": llmService, "max_attempts": 1,
+	})
+	s.configure()
+	s.startQueueingEngine("old", time.Minute)
+	n := s.startWeightsNodes("n1")[0]
+	named := s.nameWeights(2)
+	time.Sleep(time.Until(named.Add(weightsTerm / 2)))
+	const clients = 40
+	answered := make(chan time.Duration, clients)
+	for range clients {
+		c := n.dial()
+		c.write(strings.Replace(prompt("b0"), "/prompt/x", "/slow/x", 1))
+		go func() {
+			c.read()
+			answered <- time.Since(named)
+		}()
+	}
+	for range clients {
+		at := <-answered
+		assert.Check(t, at < weightsTerm+refusedWithin, "answered %v after the naming", at)
+	}
+}
--- a/service/gateway/weight_ages_test.go
+++ b/service/gateway/weight_ages_test.go
@@ -75,6 +75,25 @@
 	assertAge(t, n.siteState, 3, 0)
 }
 
+// A node that had started or heard late had nobody to learn the ages from.
+func TestNodeLearnsAgesFromNotesAndStartStates(t *testing.T) {
+	const age = 5 * time.Second
+	for name, tell := range map[string]func(n *nodes, ages []weightAge){
+		"note":        func(n *nodes, ages []weightAge) { n.receive(t, loadNote{From: "a-1", Seq: 1, Weights: ages}) },
+		"start_state": func(n *nodes, ages []weightAge) { n.applyStartState(&startState{Weights: ages}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newWeightsNodes(t)
+			n.siteState.hearWeights("m", 3, true, boottime.RefreshNow())
+			assert.Assert(t, n.siteState.WeightHistory("m").Newest().Estimated)
+			tell(n, []weightAge{{Model: "m", Version: 3, AgeMS: age.Milliseconds()}, {Model: "m", Version: 2, AgeMS: 2 * age.Milliseconds()}})
+			assertAge(t, n.siteState, 3, age)
+			assertAge(t, n.siteState, 2, 2*age)
+			assert.Assert(t, !n.siteState.WeightHistory("m").Newest().Estimated)
+		})
+	}
+}
+
 // Notes and start states of nodes of the release before have no ages: nodes must take the rest from
 // them, and learn the ages from the record.
 func TestNodesOfTheReleaseBeforeTellNoAges(t *testing.T) {
