--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -609,4 +609,74 @@
 		"	if r.eventless+len(r.partial) > maxEventBytes {", "	if false {",
 		"./internal/standin/onplatform", "TestAnswerWithoutEndIsCutOff/comments",
 	},
+	{
+		"ages: notes tell the ages of weights", "service/gateway/loads_received.go",
+		"	n.siteState.learnWeightAges(note.Weights, now)\n", "",
+		"./service/gateway", "TestNodeLearnsAgesFromNotesAndStartStates/note",
+	},
+	{
+		"ages: start states tell the ages of weights", "service/gateway/nodes.go",
+		"	n.siteState.learnWeightAges(s.Weights, now)\n", "",
+		"./service/gateway", "TestNodeLearnsAgesFromNotesAndStartStates/start_state",
+	},
+	{
+		"ages: namings are recorded", "service/gateway/weight_register.go",
+		"	if !write || !changed {", "	if !write || !changed || len(known) > 0 {",
+		"./internal/standin/onplatform", "TestOldWeightsAreNotUsedForAnotherTerm$/only_node_is_replaced",
+	},
+	{
+		"ages: the record is read", "service/gateway/weight_register.go",
+		"		read = read || newest.Estimated && r.readFor[model] < newest.Version", "		read = false",
+		"./service/gateway", "TestStartedNodeReadsRecordOfNewEra",
+	},
+	{
+		"ages: what is recorded is not written again", "service/gateway/weight_register.go",
+		"		r.settled = known\n", "		r.settled = nil\n",
+		"./service/gateway", "TestFleetRecordsNamingOnce",
+	},
+	{
+		"ages: calls that fail are not repeated at once", "service/gateway/weight_register.go",
+		"	if now.Before(r.nextTry) {", "	if false {",
+		"./service/gateway", "TestFailingStoreIsCalledWithPauses",
+	},
+	{
+		"ages: a new era does not clear what is known", "service/gateway/weight_register.go",
+		"		r.settled = nil // ", "		clear(r.settled) // ",
+		"./internal/standin/onplatform", "TestOldWeightsAreNotUsedForAnotherTermWhenTheStoreReturns",
+	},
+	{
+		"ages: times of another era are not used", "pkg/route/weight_record.go",
+		"map[string][]WeightVersion {\n	if r.Era != at.Era {", "map[string][]WeightVersion {\n	if false {",
+		"./service/gateway", "TestRecordIsWrittenAgainInNewEra",
+	},
+	{
+		"ages: a slow reading does not replace a time that is known", "pkg/route/weight_record.go",
+		"				v.Since = latest\n", "				v.Since = latest.Add(earliest.Sub(latest))\n",
+		"./service/gateway", "TestSlowStoreDoesNotAgeWeights",
+	},
+	{
+		"ages: an age that can't be known is estimated", "service/gateway/weights.go",
+		"	if st.operatorReadAt.IsZero() || unheard > maxChangeDelay {", "	if unheard < 0 {",
+		"./internal/standin/onplatform", "TestUnknownAgeIsNeitherNewNorOver",
+	},
+	{
+		"ages: an estimate gives way", "pkg/route/weight_history.go",
+		"		return v.Estimated\n", "		return false\n",
+		"./pkg/route", "TestKnownAgeReplacesEstimate",
+	},
+	{
+		"ages: the older age holds", "pkg/route/weight_history.go",
+		"	return other.Since.Before(v.Since.Add(-minAgeDifference))", "	return other.Since.After(v.Since.Add(minAgeDifference))",
+		"./pkg/route", "TestKnownAgeReplacesEstimate",
+	},
+	{
+		"ages: notes after a suspension are dated after it", "service/gateway/loads_received.go",
+		"	now := boottime.RefreshNow() // ", "	now := boottime.Now() // ",
+		"./service/gateway", "TestAgeToldAfterSuspensionIsNotCountedFromBefore",
+	},
+	{
+		"ages: rows after a suspension are dated after it", "service/tables/follow.go",
+		"f.Apply(l.Rows, false, boottime.RefreshNow())", "f.Apply(l.Rows, false, boottime.Now())",
+		"./service/tables", "TestRowsThatArriveAfterSuspensionAreNotDatedBefore",
+	},
 }
