Soak: weights are named while nodes are killed, paused and stopped

The soak had no engines and named no weights, so it could not see prompts that begin on replaced weights after their term.

It now has engines that carry orders out in time, 2 to 12 s late, or never, and rounds after the other faults: one to three versions are named within 8 s while two to six faults hit one node, a third, most or all of them at once. Engines count prompts that begin on an older version more than 10 s (orders.within, no slack) after a newer one was acknowledged. A prompt is excused if its sender was started, paused, killed or told to stop within 3 s before, and time counts only since the store and all links have been undisturbed for 3 s. Weights are named among the other faults as well. Two runs whose process IDs are equal modulo 32 no longer share addresses: seed 1 run twice at once failed on addresses in use.

--- a/internal/measure/platform_soak.go
+++ b/internal/measure/platform_soak.go
@@ -18,6 +18,8 @@
 	Nodes    int           `long:"nodes" default:"5"`
 	Replicas int           `long:"replicas" default:"6"`
 	Clients  int           `long:"clients" default:"24"`
+	Engines  int           `long:"engines" default:"4"`
+	Rounds   int           `long:"rounds" default:"2" description:"in which weights are named while processes are disturbed, after the faults"`
 	Duration time.Duration `long:"duration" default:"20s" description:"of the faults, for each seed"`
 	Seed     uint64        `long:"seed" default:"1" description:"the first seed"`
 	Seeds    int           `long:"seeds" default:"1"`
@@ -52,7 +54,7 @@
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
 	r, err := platformsoak.Run(context.Background(), platformsoak.Config{
-		Program: c.Drumpath, Seed: seed, Nodes: c.Nodes, Replicas: c.Replicas, Clients: c.Clients, Duration: c.Duration, Dir: dir,
+		Program: c.Drumpath, Seed: seed, Nodes: c.Nodes, Replicas: c.Replicas, Clients: c.Clients, Engines: c.Engines, Rounds: c.Rounds, Duration: c.Duration, Dir: dir,
 	})
 	if err != nil {
 		return false, err
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"strings"
@@ -95,3 +96,57 @@
 	assert.Equal(t, backedOff(9, time.Second, true), "")
 	assert.Assert(t, strings.Contains(backedOff(maxBackoffRequests+1, time.Second, false), "within a backoff"))
 }
+
+// Prompts that begin too late must be reported, and those that the rules excuse must not. Each version is judged from
+// its own naming.
+func TestPromptsOnReplacedWeightsAreReported(t *testing.T) {
+	start := time.Now().Add(-time.Hour)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	const beyond = weightsTerm + time.Millisecond
+	for name, tc := range map[string]struct {
+		n         *node
+		weights   int64
+		begun     time.Duration
+		disrupted time.Duration // When a disruption of the store or a link ended, 0 for none.
+		late      int
+		excused   int
+	}{
+		"newest":                            {weights: 3, begun: time.Minute},
+		"within the term":                   {weights: 1, begun: weightsTerm},
+		"after the term":                    {weights: 1, begun: beyond, late: 1},
+		"second version within its term":    {weights: 2, begun: beyond},
+		"second version after its term":     {weights: 2, begun: 5*time.Second + beyond, late: 1},
+		"sender had started":                {n: &node{disruptedAt: at(beyond - contactTime + time.Second)}, weights: 1, begun: beyond, excused: 1},
+		"sender had started before that":    {n: &node{disruptedAt: at(beyond - contactTime - time.Second)}, weights: 1, begun: beyond, late: 1},
+		"sender was told to stop":           {n: &node{stopSignalAt: at(beyond - time.Second)}, weights: 1, begun: beyond, excused: 1},
+		"sender stood still":                {n: &node{faultUntil: at(beyond + time.Second)}, weights: 1, begun: beyond, excused: 1},
+		"not calm for a term":               {weights: 1, begun: beyond, disrupted: time.Second},
+		"calm for a term after disruptions": {weights: 1, begun: time.Second + contactTime + beyond, disrupted: time.Second, late: 1},
+	} {
+		c := &weightsCheck{}
+		c.recordNaming(2, at(0))
+		c.recordNaming(3, at(5*time.Second))
+		if tc.disrupted > 0 {
+			c.calmSince = at(tc.disrupted + contactTime)
+		}
+		c.recordPrompt("e", cmp.Or(tc.n, &node{}), tc.weights, at(tc.begun), at(tc.begun))
+		assert.Equal(t, c.late, tc.late, name)
+		assert.Equal(t, c.excused, tc.excused, name)
+		assert.Equal(t, c.violation() != "", tc.late > 0, name)
+	}
+}
+
+// While a disruption lasts nothing is judged, and when it ends the time in touch begins.
+func TestTermOfWeightsCountsFromTheEndOfDisruptions(t *testing.T) {
+	c := &weightsCheck{}
+	c.recordNaming(2, time.Now().Add(-time.Minute))
+	endFirst, endSecond := c.startDisruption(), c.startDisruption()
+	endFirst()
+	c.calmSince = time.Time{}
+	c.recordPrompt("e", &node{}, 1, time.Now(), time.Now())
+	assert.Equal(t, c.late, 0, "the second disruption goes on")
+	endSecond()
+	assert.Assert(t, time.Until(c.calmSince) > contactTime-time.Second)
+	c.recordPrompt("e", &node{}, 1, time.Now(), c.calmSince.Add(weightsTerm+time.Second))
+	assert.Equal(t, c.late, 1)
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -19,6 +19,7 @@
 	kindSafe   = "safe"
 	kindStream = "stream"
 	kindResume = "resume" // Streams that clients take up again.
+	kindPrompt = "prompt"
 )
 
 const (
@@ -82,15 +83,15 @@
 	if !c.connect() {
 		return
 	}
-	kind := [...]string{kindOnce, kindOnce, kindSafe, kindStream, kindResume}[c.rng.IntN(5)]
+	kind := [...]string{kindOnce, kindOnce, kindSafe, kindStream, kindResume, kindPrompt, kindPrompt}[c.rng.IntN(7)]
 	if kind == kindResume {
 		c.readStream()
 		return
 	}
 	o := outcome{kind: kind, id: fmt.Sprintf("%s-%d", kind, c.lastID.Add(1)), node: c.node, sentAt: time.Now()}
 	body := reqBody(o.id, c.rng.IntN(20_000))
-	text := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		kind, host, o.id, key, clientTimeout.Milliseconds(), headerNode, o.node.name, headerSent, o.sentAt.UnixNano(), len(body), body)
+	text := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\n%s: %s\r\n%s: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		kind, host, o.id, key, clientTimeout.Milliseconds(), headerNode, o.node.name, headerSent, o.sentAt.UnixNano(), c.promptFields(kind), len(body), body)
 	_ = c.conn.SetDeadline(time.Now().Add(readTimeout)) // Cannot fail on an open connection.
 	if _, err := io.WriteString(c.conn, text); err != nil {
 		c.closeConn() // A node may have closed it before it read the request.
@@ -101,6 +102,14 @@
 	c.soak.checker.recordOutcome(o)
 }
 
+// promptFields returns the header lines of a prompt with a part that others share, "" for other requests.
+func (c *client) promptFields(kind string) string {
+	if kind != kindPrompt {
+		return ""
+	}
+	return fmt.Sprintf("Model: %s\r\nToken-Usage: 600,10\r\nPrefix-Hash: aa:500,%x:100\r\n", model, c.rng.Uint32())
+}
+
 func (c *client) readAnswer(o *outcome) {
 	resp, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
@@ -128,7 +137,7 @@
 
 // expectedAnswer returns the body of the answer that any replica gives.
 func expectedAnswer(kind, id string) string {
-	if kind != kindStream {
+	if kind != kindStream && kind != kindPrompt {
 		return "answer to " + id + strings.Repeat(".", 500)
 	}
 	return strings.Join(expectedEvents(id), "")
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -13,6 +13,8 @@
 type fault struct {
 	name   string
 	inject func(s *soak, rng *rand.Rand, d time.Duration)
+	// disrupts is set if it disturbs the store or links.
+	disrupts bool
 }
 
 const (
@@ -32,31 +34,32 @@
 )
 
 var faults = []fault{
-	{"kill", (*soak).killNode},
-	{"pause", (*soak).pauseNode},
-	{"suspend", (*soak).suspendNode},
-	{"stop", (*soak).stopNode},
-	{"reread", (*soak).reloadNode},
-	{"store refuses", storeMode(onplatform.ModeRefusing)},
-	{"store silent", storeMode(onplatform.ModeSilent)},
-	{"store behind", storeMode(onplatform.ModeStale)},
-	{"store forgets", func(s *soak, _ *rand.Rand, _ time.Duration) { s.store.TruncateHistory() }},
-	{"store returns from a copy", (*soak).returnStore},
-	{"store cut", (*soak).cutStore},
-	{"store resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyNode(rng).storeProxy.Reset() }},
-	{"store connections silent", func(s *soak, rng *rand.Rand, _ time.Duration) { silenceConnections(rng, s.anyNode(rng).storeProxy) }},
-	{"replica connections silent", func(s *soak, rng *rand.Rand, _ time.Duration) { silenceConnections(rng, s.anyReplica(rng).proxy) }},
-	{"replica slow", (*soak).slowReplica},
-	{"replica cut one way", (*soak).cutReplica},
-	{"replica resets", func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyReplica(rng).proxy.Reset() }},
-	{"replica faulty", (*soak).faultyReplica},
-	{"replica leaves", (*soak).drainReplica},
-	{"replica says that it drains", (*soak).drainUnlisted},
-	{"replica asks for backoff", (*soak).backoffReplica},
-	{"replica crashes", (*soak).crashReplica},
-	{"deadly request", (*soak).repeatCrashRequest},
-	{"deadly part", (*soak).sendCrashParts},
-	{"configuration", func(s *soak, _ *rand.Rand, _ time.Duration) { s.writeConfiguration() }},
+	{name: "kill", inject: (*soak).killNode},
+	{name: "pause", inject: (*soak).pauseNode},
+	{name: "suspend", inject: (*soak).suspendNode},
+	{name: "stop", inject: (*soak).stopNode},
+	{name: "reread", inject: (*soak).reloadNode},
+	{name: "store refuses", inject: storeMode(onplatform.ModeRefusing), disrupts: true},
+	{name: "store silent", inject: storeMode(onplatform.ModeSilent), disrupts: true},
+	{name: "store behind", inject: storeMode(onplatform.ModeStale), disrupts: true},
+	{name: "store forgets", inject: func(s *soak, _ *rand.Rand, _ time.Duration) { s.store.TruncateHistory() }},
+	{name: "store returns from a copy", inject: (*soak).returnStore, disrupts: true},
+	{name: "store cut", inject: (*soak).cutStore, disrupts: true},
+	{name: "store resets", inject: func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyNode(rng).storeProxy.Reset() }, disrupts: true},
+	{name: "store connections silent", inject: func(s *soak, rng *rand.Rand, _ time.Duration) { silenceConnections(rng, s.anyNode(rng).storeProxy) }, disrupts: true},
+	{name: "replica connections silent", inject: func(s *soak, rng *rand.Rand, _ time.Duration) { silenceConnections(rng, s.anyReplica(rng).proxy) }, disrupts: true},
+	{name: "replica slow", inject: (*soak).slowReplica, disrupts: true},
+	{name: "replica cut one way", inject: (*soak).cutReplica, disrupts: true},
+	{name: "replica resets", inject: func(s *soak, rng *rand.Rand, _ time.Duration) { s.anyReplica(rng).proxy.Reset() }, disrupts: true},
+	{name: "replica faulty", inject: (*soak).faultyReplica},
+	{name: "replica leaves", inject: (*soak).drainReplica},
+	{name: "replica says that it drains", inject: (*soak).drainUnlisted},
+	{name: "replica asks for backoff", inject: (*soak).backoffReplica},
+	{name: "replica crashes", inject: (*soak).crashReplica},
+	{name: "deadly request", inject: (*soak).repeatCrashRequest},
+	{name: "deadly part", inject: (*soak).sendCrashParts},
+	{name: "configuration", inject: func(s *soak, _ *rand.Rand, _ time.Duration) { s.writeConfiguration() }},
+	{name: "weights", inject: func(s *soak, _ *rand.Rand, _ time.Duration) { s.nameWeights() }},
 }
 
 func (s *soak) anyNode(rng *rand.Rand) *node { return s.nodes[rng.IntN(len(s.nodes))] }
@@ -85,19 +88,14 @@
 }
 
 func (s *soak) pauseNode(rng *rand.Rand, d time.Duration) {
-	s.pauseProcess(rng, d, func(*node) {})
+	s.pauseProcess(rng, d, func(*node) error { return nil })
 }
 
 // pauseProcess stops a process for d and calls beforeResume before it resumes it.
-func (s *soak) pauseProcess(rng *rand.Rand, d time.Duration, beforeResume func(n *node)) {
+func (s *soak) pauseProcess(rng *rand.Rand, d time.Duration, beforeResume func(n *node) error) {
 	if n := s.lockNode(rng); n != nil {
 		defer n.processMu.Unlock()
-		n.recordFault(d)
-		n.signal(syscall.SIGSTOP, false)
-		time.Sleep(d)
-		beforeResume(n)
-		n.signal(syscall.SIGCONT, false)
-		n.recordFault(0)
+		s.recordStartError(n.pause(d, func() error { return beforeResume(n) }))
 	}
 }
 
@@ -107,10 +105,11 @@
 // suspendNode pauses a process. Its settings then make its clock report that the machine
 // was suspended for longer, which the monotonic clock does not count.
 func (s *soak) suspendNode(rng *rand.Rand, d time.Duration) {
-	s.pauseProcess(rng, d, func(n *node) {
+	s.pauseProcess(rng, d, func(n *node) error {
 		n.suspended += suspensions[rng.IntN(len(suspensions))]
-		s.recordStartError(n.writeSettings())
+		err := n.writeSettings()
 		n.signal(syscall.SIGHUP, false)
+		return err
 	})
 }
 
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -69,9 +69,9 @@
 	"platform": {"store": %[3]q, "hold": "1s"},
 	"retry": {"share": 0.2, "window": "10s", "slack": 50},
 	"stop": {"grace": %[4]q},
-	"orders": {"pause": "1s", "within": "10s"},
+	"orders": {"pause": "1s", "within": %[6]q},
 	"test": {"suspended": %[5]q}
-}`, n.name, n.ip, n.storeProxy.Addr().String(), grace, n.suspended)
+}`, n.name, n.ip, n.storeProxy.Addr().String(), grace, n.suspended, weightsTerm)
 	return os.WriteFile(n.settingsFile, []byte(text), 0o600)
 }
 
@@ -132,6 +132,11 @@
 	return n.stopSignalAt.After(at)
 }
 
+// inTouch reports whether the process ran undisturbed at a time and for contactTime before it.
+func (n *node) inTouch(at time.Time) bool {
+	return !n.affectedAt(at) && !n.disruptedSince(at.Add(-contactTime)) && !n.stoppedSince(at.Add(-contactTime))
+}
+
 // signal sends the process a signal; expectExit is set if the process should exit on it.
 func (n *node) signal(sig syscall.Signal, expectExit bool) {
 	n.mu.Lock()
@@ -155,6 +160,17 @@
 	return n.start()
 }
 
+// pause stops the process for d without ending it, and calls beforeResume before it resumes it.
+func (n *node) pause(d time.Duration, beforeResume func() error) error {
+	n.recordFault(d)
+	n.signal(syscall.SIGSTOP, false)
+	time.Sleep(d)
+	err := beforeResume()
+	n.signal(syscall.SIGCONT, false)
+	n.recordFault(0)
+	return err
+}
+
 // stop stops the process with SIGTERM, which lets it drain, and restarts it.
 func (n *node) stop() error {
 	n.signal(syscall.SIGTERM, true)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,22 +24,31 @@
 	Nodes    int
 	Replicas int
 	Clients  int
+	Engines  int
 	Duration time.Duration // How long faults are injected.
+	Rounds   int           // Of naming weights after that, while only processes are disturbed.
 	Dir      string        // Receives the settings and logs of the nodes.
 }
 
 // Report is the result of a soak; Broken lists the violated guarantees.
 type Report struct {
-	Seed    uint64         `json:"seed"`
-	Sent    int            `json:"sent"`
-	Served  int            `json:"served"`
-	Refused int            `json:"refused"` // Answered with a status that says the request did not run.
-	Failed  int            `json:"failed"`
-	Begun   int            `json:"streams_begun"` // Of the kind that clients take up again.
-	TakenUp int            `json:"streams_taken_up"`
-	WentOn  int            `json:"streams_went_on"` // Of those taken up.
-	Faults  map[string]int `json:"faults"`
-	Broken  []string       `json:"broken"`
+	Seed    uint64 `json:"seed"`
+	Sent    int    `json:"sent"`
+	Served  int    `json:"served"`
+	Refused int    `json:"refused"` // Answered with a status that says the request did not run.
+	Failed  int    `json:"failed"`
+	Begun   int    `json:"streams_begun"` // Of the kind that clients take up again.
+	TakenUp int    `json:"streams_taken_up"`
+	WentOn  int    `json:"streams_went_on"` // Of those taken up.
+	// Prompts that began, those that began on weights that had been replaced, and those that began too late, sent by
+	// nodes that had been disturbed and by others.
+	Prompts         int            `json:"prompts"`
+	PromptsReplaced int            `json:"prompts_on_replaced_weights"`
+	PromptsExcused  int            `json:"prompts_too_late_excused"`
+	PromptsLate     int            `json:"prompts_too_late"`
+	Namings         int            `json:"weights_named"`
+	Faults          map[string]int `json:"faults"`
+	Broken          []string       `json:"broken"`
 }
 
 const (
@@ -61,6 +70,11 @@
 	store   *onplatform.Store
 	checker *checker
 	nodes   []*node
+	engines []*engine
+	weights weightsCheck
+
+	namingMu     sync.Mutex
+	weightsNamed int64 // The newest version.
 
 	returnMu sync.Mutex // Held while the store comes back from a copy.
 
@@ -76,32 +90,61 @@
 // Run runs one soak and reports what it found.
 func Run(ctx context.Context, cfg Config) (rep Report, err error) {
 	defer func() { err = eris.Wrapf(err, "soak with seed %d", cfg.Seed) }()
-	s := &soak{cfg: cfg, checker: newChecker(), faultCounts: map[string]int{}, crashes: map[string]int{}}
+	s, err := start(cfg)
+	if err != nil {
+		return rep, err
+	}
 	defer s.stopAll()
+	stopClients := s.startClients(ctx)
+	s.injectFaults(ctx)
+	s.runRounds()
+	if !s.waitUntilServing() {
+		s.checker.addViolation("not all nodes serve by the newest configuration %s after the faults", recoveryTimeout)
+	}
+	stopClients()
+	return s.report(), nil
+}
+
+// start starts the stand-ins and the nodes, and waits until these serve.
+func start(cfg Config) (s *soak, err error) {
+	s = &soak{cfg: cfg, checker: newChecker(), faultCounts: map[string]int{}, crashes: map[string]int{}, weightsNamed: firstWeights}
 	if err := s.startAll(); err != nil {
-		return rep, err
+		s.stopAll()
+		return nil, err
 	}
 	if !s.waitUntilServing() {
-		return rep, eris.New("not all nodes served requests in time")
+		s.stopAll()
+		return nil, eris.New("not all nodes served requests in time")
 	}
+	return s, nil
+}
+
+// startClients starts the clients; stop waits until they have ended.
+func (s *soak) startClients(ctx context.Context) (stop func()) {
 	clientCtx, stopClients := context.WithCancel(ctx)
 	var clients sync.WaitGroup
 	lastID := &atomic.Int64{}
-	for i := range cfg.Clients {
-		c := &client{soak: s, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(i))), lastID: lastID}
+	for i := range s.cfg.Clients {
+		c := &client{soak: s, rng: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i))), lastID: lastID}
 		clients.Go(func() { c.run(clientCtx, clientPause) })
 	}
-	s.injectFaults(ctx)
-	if !s.waitUntilServing() {
-		s.checker.addViolation("not all nodes serve by the newest configuration %s after the faults", recoveryTimeout)
+	return func() {
+		stopClients()
+		clients.Wait()
 	}
-	stopClients()
-	clients.Wait()
+}
+
+// report checks all that was observed, after the clients have ended.
+func (s *soak) report() (rep Report) {
 	time.Sleep(settleTime)
 	s.checker.checkAll()
+	if v := s.weights.violation(); v != "" {
+		s.checker.addViolation("%s", v)
+	}
 	rep = s.checker.summary()
-	rep.Seed, rep.Faults, rep.Broken = cfg.Seed, s.faultCounts, s.checker.violations
-	return rep, nil
+	rep.Seed, rep.Faults, rep.Broken = s.cfg.Seed, s.faultCounts, s.checker.violations
+	s.weights.summarize(&rep)
+	return rep
 }
 
 // startAll starts the stand-ins and then the nodes.
@@ -118,12 +161,19 @@
 		s.replicas = append(s.replicas, r)
 		s.writeReplicaRow(r, "ready")
 	}
+	for i := range s.cfg.Engines {
+		e, err := s.newEngine(fmt.Sprintf("engine-%d", i))
+		if err != nil {
+			return err
+		}
+		s.engines = append(s.engines, e)
+	}
 	for i := range s.cfg.Nodes {
 		p, err := netproxy.New(s.store.Addr())
 		if err != nil {
 			return err
 		}
-		ip := fmt.Sprintf("127.%d.%d.%d", 32+os.Getpid()%32, s.cfg.Seed%250+1, i+1)
+		ip := fmt.Sprintf("127.%d.%d.%d", 32+os.Getpid()%32, (s.cfg.Seed+uint64(os.Getpid()/32))%250+1, i+1)
 		n, err := newNode(s.cfg.Dir, fmt.Sprintf("node-%d", i), ip, s.cfg.Program, p, s.checker.addViolation)
 		if err != nil {
 			return err
@@ -141,6 +191,9 @@
 	for _, r := range append(s.replicas, s.retired...) {
 		r.close()
 	}
+	for _, e := range s.engines {
+		e.close()
+	}
 	if s.store != nil {
 		s.store.Close()
 	}
@@ -165,12 +218,19 @@
 		d := minFaultTime + time.Duration(rng.Int64N(int64(maxFaultTime-minFaultTime)))
 		faultRNG := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 		s.faultCounts[next.name]++
-		wg.Go(func() { next.inject(s, faultRNG, d) })
+		wg.Go(func() { s.inject(next, faultRNG, d) })
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanFaultPause)))
 	}
 	wg.Wait()
 }
 
+func (s *soak) inject(f fault, rng *rand.Rand, d time.Duration) {
+	if f.disrupts {
+		defer s.weights.startDisruption()()
+	}
+	f.inject(s, rng, d)
+}
+
 // writeReplicaRow lists a replica in the store with the given state.
 func (s *soak) writeReplicaRow(r *replica, state string) {
 	row := onplatform.UpstreamRow(service, r.proxy.Addr(), 32, state)
@@ -184,6 +244,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	engine := map[string]any{
+		"slots": engineSlots, "kv_capacity_tokens": 400_000, "kv_token_bytes": 1000, "link_mbps": 10_000,
+		"models": []map[string]any{{"name": model}},
+	}
 	route := func(name, kind string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000,
@@ -196,10 +260,14 @@
 			route(kindOnce, "non_idempotent", 1), route(kindSafe, "idempotent", 2), route(kindStream, "streaming", 1),
 			resumable(route(kindResume, "streaming", 2)),
 			route(versionRoute(s.version), "idempotent", 2),
+			promptRoute(route(kindPrompt, "streaming", 1)),
 		},
-		"services": []map[string]any{{"name": service, "health_path": "/healthz", "max_conns": 500}},
-		"limits":   map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": tenant, "api_keys": []string{key}}},
+		"services": []map[string]any{
+			{"name": service, "health_path": "/healthz", "max_conns": 500},
+			{"name": engineService, "health_path": "/healthz", "max_conns": 500, "engine": engine},
+		},
+		"limits":  map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": tenant, "api_keys": []string{key}}},
 	})
 }
 
@@ -208,6 +276,11 @@
 	return route
 }
 
+func promptRoute(route map[string]any) map[string]any {
+	route["service"], route["sticky"] = engineService, true
+	return route
+}
+
 func versionRoute(version int) string { return fmt.Sprintf("version-%d", version) }
 
 // waitUntilServing waits until every node serves the route of the newest configuration;
