Soak: later faults of a node no longer excuse requests that had ended before

checkAll asked whether a fault affected the node at the end of a request only after the last fault, when the answer was yes for every request that had ended before it. So the checks of requests that were cut without an answer or held beyond their deadline covered only the time after each node's last fault. The answer is now taken when the request ends.

TestLaterFaultDoesNotExcuseARequest fails without the change.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -19,6 +19,7 @@
 	complete bool   // The answer has status 200 and was read to its end.
 	takesUp  bool   // It takes up a stream.
 	mismatch string // How the answer differs from the replica's, "" if it does not.
+	affected bool   // A fault affected the node when the request ended.
 }
 
 // checker records what clients and replicas observed and checks it against the guarantees.
@@ -80,7 +81,9 @@
 	c.runs[id]++
 }
 
+// recordOutcome records a request that has just ended. Later faults of its node do not excuse it.
 func (c *checker) recordOutcome(o outcome) {
+	o.affected = o.node.affectedAt(o.endedAt)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes = append(c.outcomes, o)
@@ -128,7 +131,7 @@
 	runs := c.runs[o.id]
 	c.mu.Unlock()
 	took := o.endedAt.Sub(o.sentAt)
-	undisturbed := !o.node.affectedAt(o.endedAt)
+	undisturbed := !o.affected
 	switch {
 	case o.mismatch != "":
 		c.addViolation("%s %s at %s: %s", o.kind, o.id, o.node.name, o.mismatch)
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -150,3 +150,15 @@
 	c.recordPrompt("e", &node{}, 1, time.Now(), c.calmSince.Add(weightsTerm+time.Second))
 	assert.Equal(t, c.late, 1)
 }
+
+// Any fault of a node excused all requests that had ended before it, so few were checked.
+func TestLaterFaultDoesNotExcuseARequest(t *testing.T) {
+	n := &node{name: "n"}
+	c := newChecker()
+	c.recordRun("cut")
+	now := time.Now()
+	c.recordOutcome(outcome{kind: kindOnce, id: "cut", node: n, sentAt: now, endedAt: now.Add(time.Millisecond)})
+	n.recordFault(time.Second)
+	c.checkAll()
+	assert.Equal(t, len(c.violations), 1)
+}
