A node that hears of an evacuation late leaves the data hall at once

Callers could be served by an evacuated data hall after the time allowed for it. A node leaves the hall's replicas one after the other in a fifth of that time, and counted the fifth from when it heard of the evacuation. A node that started, stood still or could not read the operator's table near the end of the time took the evacuation for new and began its fifth then. Only a node that is told of the evacuation by another one as it starts left at once.

Now a node that reads the table for the first time, or for the first time in longer than a change takes to arrive, leaves all of the hall's replicas at once. The load has moved by then, and others do not wait for it. The log line tells which.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -368,10 +368,13 @@
 		keyUpstream, keyService, {"missing", "nanoseconds for which the node waited for its entry to return after an outage of the store"},
 	}},
 	{"upstream row invalid, ignored", Failure, "An entry of the list is invalid; the replica is not used, whatever its earlier entries said.", []Key{keyRow, keyPosition, keyErr}},
-	{"data hall evacuated", Change, "Operators have evacuated a data hall: it gets no more requests.", []Key{keyHall, keyPosition}},
+	{"data hall evacuated", Change, "Operators have evacuated a data hall: it gets no more requests.", []Key{
+		keyHall, keyPosition,
+		{"at_once", "true if this node may have heard of it late and leaves all replicas at once, false if it leaves them one after the other"},
+	}},
 	{"data hall evacuated, says another node", Change, "The store has come back from a copy that may lack the evacuation; it ends if the operators don't write it again.", []Key{keyHall}},
 	{"data hall evacuation ended", Change, "The data hall may get requests again.", []Key{
-		keyHall, keyPosition, {"after", "nanoseconds since this node learned of the evacuation"},
+		keyHall, keyPosition, {"after", "nanoseconds since the evacuation is taken to have begun"},
 	}},
 	{"evacuation of unknown data hall ignored", Failure, "A row evacuates a data hall that is not configured.", []Key{keyHall, keyPosition}},
 	{"store lost", Failure, "Calls to the platform's store fail.", []Key{keyTable, keyPosition, keyErr}},
--- a/service/gateway/evacuations.go
+++ b/service/gateway/evacuations.go
@@ -12,7 +12,8 @@
 // evacuation records that operators have taken a data hall out of service.
 type evacuation struct {
 	position history.Position // Of the row.
-	since    time.Time        // When this node learned of it.
+	// since is from when on its replicas are left one after the other.
+	since time.Time
 	// ended is when the node learned that the evacuation is over, zero before.
 	ended time.Time
 	// unconfirmed is set if the store has come back from a copy without the row, which may have
@@ -43,8 +44,13 @@
 	}
 	switch {
 	case on && (!known || !old.ended.IsZero()):
-		st.evacuated[hall] = &evacuation{position: at, since: now}
-		st.log.Info("data hall evacuated", "hall", hall, "position", at)
+		e := &evacuation{position: at, since: now}
+		if st.mayHaveMissedOperator(now) {
+			// The time allowed may be nearly over, or other nodes have left the hall already.
+			e.since = now.Add(-st.evacuationTime)
+		}
+		st.evacuated[hall] = e
+		st.log.Info("data hall evacuated", "hall", hall, "position", at, "at_once", e.since.Before(now))
 	case !on && known && old.ended.IsZero():
 		st.endEvacuation(hall, old, at, now)
 	case known:
@@ -56,6 +62,12 @@
 	st.updateAllPools(now)
 }
 
+// mayHaveMissedOperator reports whether a change of the operator's table that is heard of now may have been made long ago.
+// The caller holds mu.
+func (st *SiteState) mayHaveMissedOperator(now time.Time) bool {
+	return st.operatorReadAt.IsZero() || st.operatorUnheard(now) > maxChangeDelay
+}
+
 // endEvacuation returns a data hall to service. Its replicas have probably become cold
 // but report it only a moment later, so they count as cold from now on.
 func (st *SiteState) endEvacuation(hall string, e *evacuation, at history.Position, now time.Time) {
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -246,6 +246,45 @@
 	assert.Equal(t, len(again.LeftReplicas(now)), 0)
 }
 
+// A node that started, or had not read the operator's table for a while, left an evacuated data hall in steps from then on, as
+// if the evacuation had only begun.
+func TestEvacuationHeardLateIsNotTakenForNew(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		unread time.Duration // Since the operator's table was last read, 0 if it never was.
+		listed bool
+		atOnce bool
+	}{
+		{name: "in_time", unread: time.Second},
+		{name: "listed_in_time", unread: time.Second, listed: true},
+		{name: "stood_still", unread: maxChangeDelay + time.Second, atOnce: true},
+		{name: "started", listed: true, atOnce: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			st := NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
+			st.evacuationTime = 10 * time.Second
+			now := time.Now()
+			if tc.unread > 0 {
+				st.MarkOperatorRead(now.Add(-tc.unread))
+			}
+			const replicas = 4 * evacuationSteps
+			for i := range replicas {
+				st.applyRow(site.Upstream{ID: fmt.Sprint(i), Service: "s", DataHall: "far"}, now)
+			}
+			st.codec = evacuationCodec{}
+			st.ApplyOperator([]site.Row{{Key: "far", Position: at(7)}}, tc.listed, now)
+			left := st.Pool("s").Excluded(now.Add(st.evacuationTime / evacuationSteps))[route.ExcludedEvacuated]
+			assert.Equal(t, left == replicas, tc.atOnce, "%d of %d replicas are left", left, replicas)
+			assert.Assert(t, left > 0)
+		})
+	}
+}
+
+// evacuationCodec decodes each row of the operator's table as the evacuation of the data hall that is its key.
+type evacuationCodec struct{ Codec }
+
+func (evacuationCodec) Evacuation(r site.Row) (hall string, on, ok bool) { return r.Key, !r.Gone, true }
+
 func TestDrainingStartsAreForgotten(t *testing.T) {
 	st := NewSiteState(nil, "h", time.Second, route.NewCacheIndex(), slog.New(slog.DiscardHandler))
 	now := time.Now()
