Parts for replaced weights are freed only once no fetch of them can be under way

A prompt could continue from memory that was freed while it was being read. The owner of a store of kept KV cache frees parts of replaced weights from 4.8 s after it heard of the new ones on, as soon as it knows no replica with the old ones. The 4.8 s cover the prompts that nodes sent before they heard. But the old weights stay in use for longer, and the last replica with them may leave the list, or load others, just after a prompt was sent there: nodes free parts every 0.5 s, and a fetch may take 1.9 s.

Now the time for fetches under way also runs from when no replica is known to have the weights. Until it is over the parts take up room for 2.9 s more. A node that takes a store over begins to count then, as it has not looked before.

TestPartsAreNotFreedWhileThePromptsOfTheLastReplicaFetchThem failed before (freed 0.5 s after the replica had left) and passes.

--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -61,6 +61,10 @@
 	owners     map[string]string
 	ownersView *control.View
 	wg         sync.WaitGroup
+
+	// unservedSince has the realms of replaced weights in the stores that this node is responsible for, and since when no
+	// replica is known to have those weights. Only freeUnusedAt uses it.
+	unservedSince map[string]time.Time
 }
 
 // storeFollowInputs determine which KV cache stores a node follows itself and which relays
@@ -276,18 +280,31 @@
 
 // freeUnused frees parts made under replaced weights in the stores that this node is
 // responsible for; the timer service calls it.
-func (s *kvStoreFollower) freeUnused(ctx context.Context) {
+func (s *kvStoreFollower) freeUnused(ctx context.Context) { s.freeUnusedAt(ctx, boottime.Now()) }
+
+func (s *kvStoreFollower) freeUnusedAt(ctx context.Context, now time.Time) {
 	snapshot := s.siteState.Snapshot()
 	if snapshot == nil || !s.siteState.AnyWeightsReplaced() {
 		return
 	}
-	now := boottime.Now()
+	unserved := map[string]time.Time{}
+	defer func() { s.unservedSince = unserved }()
 	for _, v := range snapshot.Stores() {
 		if !v.Store.Managed || !s.owns(v.Name) {
 			continue
 		}
 		unused := s.cacheIndex.StoreRealms(v.Name)
-		maps.DeleteFunc(unused, func(realm string, _ bool) bool { return !s.replaced(realm, now) })
+		maps.DeleteFunc(unused, func(realm string, _ bool) bool {
+			if !s.replaced(realm, now) {
+				return true
+			}
+			since, known := s.unservedSince[realm]
+			if !known {
+				since = now
+			}
+			unserved[realm] = since
+			return now.Sub(since) < unservedTerm
+		})
 		list, boot := s.cacheIndex.PartsOf(v.Name, unused, maxFreedPerCall)
 		if len(list) == 0 {
 			continue
@@ -319,8 +336,8 @@
 	return owner == s.self
 }
 
-// replaced reports whether KV cache of a realm will not be used again: newer weights were
-// named long enough ago that no replica has the old ones and no fetch for them is in flight.
+// replaced reports whether no prompt will use KV cache of a realm again that is not sent yet: newer weights were named long
+// enough ago that nodes know them, and no replica has the old ones.
 func (s *kvStoreFollower) replaced(realm string, now time.Time) bool {
 	model, version, ok := parseRealm(realm)
 	if !ok {
@@ -341,3 +358,7 @@
 // replacedTerm is twice the longest fetch, plus a margin for nodes that learn of new
 // weights late.
 const replacedTerm = 2*maxFetchTimeout + time.Second
+
+// unservedTerm is how long after no replica is known to have weights any more their parts may still be fetched: for the
+// longest fetch, by a prompt that a node sent which learned that a little later.
+const unservedTerm = maxFetchTimeout + time.Second
--- a/service/gateway/stores_test.go
+++ b/service/gateway/stores_test.go
@@ -243,3 +243,45 @@
 	_, err = ask(2, 5)
 	assert.ErrorIs(t, err, errNotFollowed, "the events of a lost store are not served")
 }
+
+// freeingEngines records what stores are told to free.
+type freeingEngines struct {
+	Engines
+
+	freed []site.PartRef
+}
+
+func (e *freeingEngines) Free(_ context.Context, _ netip.AddrPort, parts []site.PartRef, _ int64) error {
+	e.freed = append(e.freed, parts...)
+	return nil
+}
+
+// Parts for replaced weights were freed as soon as the last replica with these had left or loaded others, while prompts that had
+// just been sent there still fetched them.
+func TestPartsAreNotFreedWhileThePromptsOfTheLastReplicaFetchThem(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	self := control.Member{Name: "n0", DataHall: "h", Incarnation: 1}
+	m := control.NewMembers(self, time.Second, nil, newRand())
+	v := &site.Service{Name: "kv", Store: &site.Store{Managed: true, Capacity: 1000, LinkRate: 1e9}}
+	cacheIndex := route.NewCacheIndex()
+	cacheIndex.Configure([]*site.Service{v})
+	now := time.Now()
+	cacheIndex.ApplyStoreChanges("kv", site.CacheChanges{Boot: 1, Next: 1, Changes: []site.CacheChange{part("a", 100)}}, now)
+	st := NewSiteState(nil, "h", time.Second, cacheIndex, log)
+	st.snapshot.Store(site.NewSnapshot(1, nil, map[string]*site.Service{"kv": v}, site.Limits{}))
+	st.LearnWeights("m", route.WeightVersion{Version: 2, Since: now, Heard: now}, weightsTold)
+	u := site.Upstream{ID: "e", Service: "s", DataHall: "h", Weights: map[string]int64{"m": 1}}
+	st.applyRow(u, now)
+	engines := &freeingEngines{}
+	s := newKVStoreFollower(self, engines, nil, st, cacheIndex, m, new(replicaClock), log)
+	freedAt := func(at time.Time) int {
+		s.freeUnusedAt(t.Context(), at)
+		return len(engines.freed)
+	}
+	gone := now.Add(replacedTerm + time.Second)
+	assert.Equal(t, freedAt(gone), 0, "a replica has the weights")
+	st.ApplyUpstreams([]site.Row{{Key: "e", Position: at(9), Gone: true}}, false, gone)
+	assert.Equal(t, freedAt(gone.Add(freeInterval)), 0)
+	assert.Equal(t, freedAt(gone.Add(maxFetchTimeout)), 0, "prompts that were sent there may still fetch it")
+	assert.Equal(t, freedAt(gone.Add(freeInterval+unservedTerm)), 1)
+}
