A node that starts knows how long ago a roll-out of software ended

Callers' requests failed, or went to replicas that were stopping, through nodes that had just started: once a roll-out is completed its replicas of the old version stop at once but stay listed for some seconds, so nodes use only the new version for 10 s. A node that starts was told by others that the roll-out had ended but not when, took the 10 s for over, and used the old replicas again. Streams of the old version could go on there as well.

Now it is told how long ago the end was. Where that is not known, as from a node of the release before, the end counts as new: for 10 s the replicas of the new version are preferred, and others used where none of these takes a request.

TestNodeThatStartsAfterARolloutUsesTheNewVersion failed before (no rule for the service) and passes.

--- a/service/gateway/canaries.go
+++ b/service/gateway/canaries.go
@@ -190,6 +190,8 @@
 	DurationMS int64             `json:"duration_ms,omitempty"`
 	Order      history.Position  `json:"order"` // Of the order's row.
 	State      site.RolloutState `json:"state,omitempty"`
+	// EndedMS is for how many milliseconds it is known to have ended, 0 if that is not known.
+	EndedMS int64 `json:"ended_ms,omitempty"`
 }
 
 func (k *knownRollout) order() site.RolloutOrder {
@@ -197,17 +199,21 @@
 }
 
 // known lists the roll-outs that this node knows, and the orders that were removed.
-func (c *canaries) known() (list []knownRollout) {
+func (c *canaries) known(now time.Time) (list []knownRollout) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	add := func(o *site.RolloutOrder, state site.RolloutState) {
-		list = append(list, knownRollout{Service: o.Service, Version: o.Version, DurationMS: o.Duration.Milliseconds(), Order: o.Position, State: state})
+	add := func(o *site.RolloutOrder, state site.RolloutState, endedMS int64) {
+		list = append(list, knownRollout{Service: o.Service, Version: o.Version, DurationMS: o.Duration.Milliseconds(), Order: o.Position, State: state, EndedMS: endedMS})
 	}
 	for _, r := range c.rollouts {
-		add(&r.order, r.decision.State)
+		var endedMS int64
+		if r.decision.State.Final() && !r.decidedAt.IsZero() {
+			endedMS = now.Sub(r.decidedAt).Milliseconds()
+		}
+		add(&r.order, r.decision.State, endedMS)
 	}
 	for _, o := range c.removed {
-		add(&o, 0)
+		add(&o, 0, 0)
 	}
 	return list
 }
@@ -220,7 +226,7 @@
 		c.setOrder(k.order(), now)
 	}
 	if r := c.rollouts[k.Service]; r != nil && r.order.Position == k.Order && k.State.Final() {
-		r.decision.State = k.State
+		r.decision.State, r.decidedAt = k.State, now.Add(-time.Duration(max(0, k.EndedMS))*time.Millisecond)
 	}
 }
 
--- a/service/gateway/canaries_test.go
+++ b/service/gateway/canaries_test.go
@@ -71,7 +71,7 @@
 	store.KnownEras.ObserveBegun(2, boottime.Now(), boottime.Now())
 	starting := newCanaries(m.Self(), m, store, platform.Codec{}, nil, 0.1, slog.New(slog.DiscardHandler))
 	starting.rewriteTime = time.Second
-	for _, k := range known.known() {
+	for _, k := range known.known(boottime.Now()) {
 		starting.learn(k, boottime.Now())
 	}
 	copied := history.Position{Era: 2, Version: 1}
@@ -125,6 +125,24 @@
 	assert.Assert(t, old && !next, "a bad version gets no more requests")
 }
 
+// A node that started just after a roll-out had completed sent requests to the replicas of the old version, which stop at once
+// but stay listed for some seconds.
+func TestNodeThatStartsAfterARolloutUsesTheNewVersion(t *testing.T) {
+	known, _ := newTestCanaries(t)
+	known.rollouts["s"].decision.State, known.rollouts["s"].decidedAt = site.RolloutCompleted, boottime.Now()
+	m := control.NewMembers(control.Member{Name: "n1"}, time.Second, nil, newRand())
+	starting := newCanaries(m.Self(), m, &memtable.Store{}, platform.Codec{}, nil, 0.1, slog.New(slog.DiscardHandler))
+	now := known.rollouts["s"].decidedAt.Add(completedTerm / 2)
+	for _, k := range known.known(now) {
+		starting.learn(k, now)
+	}
+	_, p := newRolloutGateway(starting, m, now)
+	assert.Equal(t, starting.rule("s", "r", p, now), route.SoftwareRule{Version: "v2"})
+	assert.Assert(t, !starting.mayGoOn("s", "v1", now), "streams of the old version end")
+	now = now.Add(completedTerm / 2)
+	assert.Equal(t, starting.rule("s", "r", p, now), route.SoftwareRule{}, "the old replicas are gone for good")
+}
+
 // A request that had waited for a free slot while a roll-out completed was sent to a replica of
 // the old version, which stops at once.
 func TestRequestThatWaitedFollowsTheCompletedRollout(t *testing.T) {
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -213,7 +213,7 @@
 		u := updateFor(l.replica, replicaUpdate{})
 		out.Left = append(out.Left, leftNote{Replica: u.Replica, Started: u.Started, Position: l.position})
 	}
-	out.Rollouts = n.canaries.known()
+	out.Rollouts = n.canaries.known(now)
 	out.Weights = n.siteState.allWeightAges(now)
 	return out, nil
 }
