A node that was cut off alone does not wait for replicas that have left

Callers' requests went to replicas that had left the list seconds before. After an outage of the store, rows that are missing may have expired and are waited for, for 2 s from the store's return. A node counted these from when it could read the list again. One that had been cut off on its own, while the store and all others went on, may notice the end of the cut only after its time-outs and pauses, and then used replicas for 2 s more whose rows had gone during the cut.

Now such a node asks two others for how long they have read the list without an interruption, and of all nodes' times of the return the earliest holds. After an outage for all nodes that changes nothing but the difference between them. A node that stood still, or started, tells only the time since, and nodes of the release before do not know the call. The answers of two nodes are the only cost, after each return.

TestNodeCutOffAloneDoesNotWaitForReplicasThatHaveLeft, with real calls between nodes, fails in the case only_this_node if the answer is not taken in, as the code before had none, and passes.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -379,6 +379,9 @@
 	{"evacuation of unknown data hall ignored", Failure, "A row evacuates a data hall that is not configured.", []Key{keyHall, keyPosition}},
 	{"store lost", Failure, "Calls to the platform's store fail.", []Key{keyTable, keyPosition, keyErr}},
 	{"store back", Change, "Calls to the platform's store succeed again.", []Key{keyTable, keyPosition, keyAway}},
+	{"store was reached by other nodes", Change, "This node reads the list of replicas again, and others did so all the time or earlier: entries that are missing are not waited for as long.", []Key{
+		{"earlier", "nanoseconds"}, {"missing", "how many replicas were waited for"},
+	}},
 	{"store not reached, other nodes are asked", Failure, "This node's own calls to the platform's store fail; it gets changes from other nodes.", []Key{keyTable, keyErr}},
 	{"store reached again", Change, "This node's own calls to the platform's store succeed again.", []Key{keyTable, keyAway, {"asked", "how often other nodes were asked meanwhile"}}},
 	{"state for the start not learned", Failure, "A node that starts could not ask another one what it can't learn from a store that has come back from a copy: leaving replicas, evacuations, roll-outs.", []Key{keyPeer, keyErr}},
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -178,6 +178,7 @@
 	g.peers.HandleStreams(g.forwarding.serveStream)
 	g.peers.Handle(peer.RolePeer, methodOpinion, peer.Handle(g.forwarding.serveOpinion))
 	g.peers.Handle(peer.RolePeer, methodStartState, peer.Handle(g.nodes.serveStartState))
+	g.peers.Handle(peer.RolePeer, methodListContact, peer.Handle(g.nodes.serveListContact))
 	g.nodes.onUnreachable = g.reach.report
 	p.Store.Eras().Subscribe(g.handleEra)
 	return g, g.listen()
@@ -233,7 +234,9 @@
 			Apply: g.siteState.ApplyUpstreams, BatchDelay: upstreamsBatchDelay,
 			OnFailure: func(_, now time.Time) { g.siteState.MarkStoreUnreachable(now) },
 			OnAnswer: func(startedAt, now time.Time) {
-				g.siteState.MarkStoreSynced(now)
+				if g.siteState.MarkStoreSynced(now) {
+					g.wg.Go(func() { g.nodes.learnListContact(g.ctx, g.client) })
+				}
 				g.suspension.recordAnswer(site.TableUpstreams, startedAt)
 			},
 		},
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -76,10 +76,12 @@
 	droppedIDs  []string
 	upgradedIDs []string
 	// unreachableAt is when the platform's upstream list last could not be read, syncedAt
-	// when it was last read, and reachableAt when it was first read again after a failure.
+	// when it was last read, reachableAt when it was first read again after a failure, and contactSince since when it has
+	// been read without an interruption.
 	unreachableAt time.Time
 	syncedAt      time.Time
 	reachableAt   time.Time
+	contactSince  time.Time
 	// operatorReadAt is as of when the operator's table was last known, zero before it was.
 	operatorReadAt time.Time
 	// operatorUnreachableAt is when it last could not be read though this process was running.
@@ -203,14 +205,20 @@
 	st.unreachableAt = now
 }
 
-// MarkStoreSynced records that the upstream list is as the platform's store has it.
-func (st *SiteState) MarkStoreSynced(now time.Time) {
+// MarkStoreSynced records that the upstream list is as the platform's store has it, and reports whether it could not be read
+// before.
+func (st *SiteState) MarkStoreSynced(now time.Time) (returned bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if st.unreachable() {
+	returned = st.unreachable()
+	if returned {
 		st.reachableAt = now
 	}
+	if returned || st.contactSince.IsZero() || now.Sub(st.syncedAt) > maxListGap {
+		st.contactSince = now
+	}
 	st.syncedAt = now
+	return returned
 }
 
 // unreachable reports whether the upstream list could not be read when it was last tried. The caller holds mu.
