A node that starts does not save at once at a store that may have just restarted

A prompt could continue from memory that was still being written. After a restart of a store of kept KV cache nodes save nothing there for 3 s, as nodes that have not noticed it take their former list of complete parts for what is there. The 3 s run from when a node notices; one that started after the restart, which had never heard of the store, saved at once.

Now a store that is empty when a node first hears of it counts as restarted just then. One that has parts does not, so a restarted node saves on, and where all is new nothing is saved for the first 3 s. RestartSavePause is exported for that.

TestNodeThatStartsDoesNotSaveAtAStoreThatMayHaveJustRestarted failed before in the case empty and passes.

--- a/pkg/route/cache_index.go
+++ b/pkg/route/cache_index.go
@@ -59,9 +59,9 @@
 const (
 	// pendingSaveTimeout is the time after which an unconfirmed save counts as lost.
 	pendingSaveTimeout = 4 * time.Second
-	// restartSavePause is how long nothing is saved at a restarted store:
+	// RestartSavePause is how long nothing is saved at a restarted store:
 	// longer than any node takes to notice the restart.
-	restartSavePause = 3 * time.Second
+	RestartSavePause = 3 * time.Second
 	// maxFillShare is the share of a store's capacity that is filled; the rest is
 	// left for saves of other nodes that are not known yet.
 	maxFillShare = 0.97
@@ -111,7 +111,7 @@
 	}
 	if s.boot != c.Boot {
 		if s.boot != 0 {
-			s.savesAllowedFrom = now.Add(restartSavePause)
+			s.savesAllowedFrom = now.Add(RestartSavePause)
 		}
 		s.boot = c.Boot
 		s.reset()
@@ -129,6 +129,15 @@
 	}
 }
 
+// PauseSaves has nothing saved at a store until a time.
+func (x *CacheIndex) PauseSaves(name string, until time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if s, ok := x.stores[name]; ok && until.After(s.savesAllowedFrom) {
+		s.savesAllowedFrom = until
+	}
+}
+
 // StoreTally counts the transfers over one store's link.
 type StoreTally struct {
 	Key   NameHash
--- a/pkg/route/cache_index_test.go
+++ b/pkg/route/cache_index_test.go
@@ -97,7 +97,7 @@
 	p := index.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{MaxFetchTime: time.Second, Save: true}, testNow.Add(time.Second))
 	assert.Equal(t, p.Fetched, 0)
 	assert.Equal(t, p.Saved, 0)
-	p = index.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{MaxFetchTime: time.Second, Save: true}, testNow.Add(restartSavePause+time.Second))
+	p = index.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{MaxFetchTime: time.Second, Save: true}, testNow.Add(RestartSavePause+time.Second))
 	assert.Equal(t, p.Saved, 7000)
 }
 
--- a/pkg/route/store_by_hash_test.go
+++ b/pkg/route/store_by_hash_test.go
@@ -228,7 +228,7 @@
 			},
 			func(x *CacheIndex) time.Time {
 				x.ApplyStoreChanges(first, site.CacheChanges{Boot: 2}, testNow)
-				return testNow.Add(restartSavePause + time.Second)
+				return testNow.Add(RestartSavePause + time.Second)
 			},
 		},
 		"busy link": {
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -257,7 +257,7 @@
 func (s *kvStoreFollower) applyEvents(f *followedStore, c site.CacheChanges, err error) bool {
 	now, name := boottime.Now(), f.service.Name
 	s.mu.Lock()
-	lost := f.lost
+	lost, first := f.lost, f.boot == 0
 	f.lost = err != nil
 	if err == nil {
 		f.boot, f.since = c.Boot, c.Next
@@ -274,6 +274,10 @@
 		s.log.Info("store of kept state back", "store", name, "boot", c.Boot)
 	}
 	s.clock.update(c.Clock, now)
+	if first && len(c.Changes) == 0 {
+		// It may have just restarted, which other nodes have not noticed yet.
+		s.cacheIndex.PauseSaves(name, now.Add(route.RestartSavePause))
+	}
 	s.cacheIndex.ApplyStoreChanges(name, c, now)
 	return true
 }
--- a/service/gateway/stores_test.go
+++ b/service/gateway/stores_test.go
@@ -285,3 +285,32 @@
 	assert.Equal(t, freedAt(gone.Add(maxFetchTimeout)), 0, "prompts that were sent there may still fetch it")
 	assert.Equal(t, freedAt(gone.Add(freeInterval+unservedTerm)), 1)
 }
+
+// A node that had started just after a store's restart saved parts there at once. Nodes that had not noticed the restart yet took
+// these for complete while they were written.
+func TestNodeThatStartsDoesNotSaveAtAStoreThatMayHaveJustRestarted(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		parts []site.CacheChange
+		saves bool
+	}{
+		{name: "empty"},
+		{name: "has_parts", parts: []site.CacheChange{part("b", 100)}, saves: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			x := newRelayedNode(t, 1)
+			f := &followedStore{service: &site.Service{Name: x.names[0]}}
+			saved := func(after time.Duration) bool {
+				limits := route.PlanLimits{MaxFetchTime: time.Second, Save: true}
+				engine := &site.Engine{Slots: 8, Capacity: 40_000, TokenBytes: 1000, LinkRate: 1e9}
+				p := x.cacheIndex.Plan("m@1", site.Upstream{DataHall: "h"}, []site.Part{{ID: "a", Tokens: 100}}, engine, limits, time.Now().Add(after))
+				p.Cancel()
+				return p.Saved > 0
+			}
+			x.applyEvents(f, site.CacheChanges{Boot: 7, Next: 1, Changes: tc.parts}, nil)
+			assert.Equal(t, saved(0), tc.saves)
+			x.applyEvents(f, site.CacheChanges{Boot: 7, Next: 2}, nil)
+			assert.Assert(t, saved(route.RestartSavePause+time.Second), "an answer without changes is no restart")
+		})
+	}
+}
