--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -368,14 +368,20 @@
 		keyUpstream, keyService, {"missing", "nanoseconds for which the node waited for its entry to return after an outage of the store"},
 	}},
 	{"upstream row invalid, ignored", Failure, "An entry of the list is invalid; the replica is not used, whatever its earlier entries said.", []Key{keyRow, keyPosition, keyErr}},
-	{"data hall evacuated", Change, "Operators have evacuated a data hall: it gets no more requests.", []Key{keyHall, keyPosition}},
+	{"data hall evacuated", Change, "Operators have evacuated a data hall: it gets no more requests.", []Key{
+		keyHall, keyPosition,
+		{"at_once", "true if this node may have heard of it late and leaves all replicas at once, false if it leaves them one after the other"},
+	}},
 	{"data hall evacuated, says another node", Change, "The store has come back from a copy that may lack the evacuation; it ends if the operators don't write it again.", []Key{keyHall}},
 	{"data hall evacuation ended", Change, "The data hall may get requests again.", []Key{
-		keyHall, keyPosition, {"after", "nanoseconds since this node learned of the evacuation"},
+		keyHall, keyPosition, {"after", "nanoseconds since the evacuation is taken to have begun"},
 	}},
 	{"evacuation of unknown data hall ignored", Failure, "A row evacuates a data hall that is not configured.", []Key{keyHall, keyPosition}},
 	{"store lost", Failure, "Calls to the platform's store fail.", []Key{keyTable, keyPosition, keyErr}},
 	{"store back", Change, "Calls to the platform's store succeed again.", []Key{keyTable, keyPosition, keyAway}},
+	{"store was reached by other nodes", Change, "This node reads the list of replicas again, and others did so all the time or earlier: entries that are missing are not waited for as long.", []Key{
+		{"earlier", "nanoseconds"}, {"missing", "how many replicas were waited for"},
+	}},
 	{"store not reached, other nodes are asked", Failure, "This node's own calls to the platform's store fail; it gets changes from other nodes.", []Key{keyTable, keyErr}},
 	{"store reached again", Change, "This node's own calls to the platform's store succeed again.", []Key{keyTable, keyAway, {"asked", "how often other nodes were asked meanwhile"}}},
 	{"state for the start not learned", Failure, "A node that starts could not ask another one what it can't learn from a store that has come back from a copy: leaving replicas, evacuations, roll-outs.", []Key{keyPeer, keyErr}},
