Estimates of newer weights do not move the naming of older ones that is known

A node that knew when version 2 was named, and estimated two newer versions, took version 2 for older than it knew, by up to three quarters of the term, and told others so: old weights would go out of use too early. An estimate was only compared with the version just before it, which may be an estimate as well. Found by a review; TestEstimatesDoNotMoveKnownNaming failed and passes.

--- a/pkg/route/weight_history.go
+++ b/pkg/route/weight_history.go
@@ -83,9 +83,13 @@
 // orderTimes corrects times that contradict the order of the versions: an estimate is not before the time of an older
 // version, and no version was named after a newer one.
 func (h WeightHistory) orderTimes() {
-	for i := 1; i < len(h); i++ {
-		if h[i].Estimated && !h[i-1].Estimated && h[i].Since.Before(h[i-1].Since) {
-			h[i].Since = h[i-1].Since
+	var known time.Time // The latest naming that is known of the versions so far.
+	for i := range h {
+		switch {
+		case !h[i].Estimated && h[i].Since.After(known):
+			known = h[i].Since
+		case h[i].Estimated && h[i].Since.Before(known):
+			h[i].Since = known
 		}
 	}
 	for i := len(h) - 2; i >= 0; i-- {
--- a/pkg/route/weight_history_test.go
+++ b/pkg/route/weight_history_test.go
@@ -80,3 +80,13 @@
 	_, changed := h.With(WeightVersion{Version: 1, Since: now, Heard: now})
 	assert.Assert(t, !changed)
 }
+
+// Estimates for two newer versions moved the naming of an older one that was known.
+func TestEstimatesDoNotMoveKnownNaming(t *testing.T) {
+	now := time.Now()
+	before := func(d time.Duration) time.Time { return now.Add(-d) }
+	h, _ := WeightHistory{}.With(WeightVersion{Version: 2, Since: before(2500 * time.Millisecond), Heard: now})
+	h, _ = h.With(WeightVersion{Version: 3, Since: before(8 * time.Second), Heard: now, Estimated: true})
+	h, _ = h.With(WeightVersion{Version: 4, Since: before(7500 * time.Millisecond), Heard: now, Estimated: true})
+	assert.Equal(t, h.ReplacedAt(1), before(2500*time.Millisecond))
+}
