A version named long ago is told together with a newer one

A node that had heard of neither of two versions, as it stood still for over two terms or could not ask others as it started, was told by notes only the newer one, and could use the weights before the older one for the newer one's whole term. Notes now go back to the first version that is older than what they tell, which ends the term of all before it. Found by a review; TestVersionNamedLongAgoIsToldWithANewOne failed (0 instead of 2 as the oldest usable version) and passes.

--- a/service/gateway/weight_ages.go
+++ b/service/gateway/weight_ages.go
@@ -38,16 +38,23 @@
 	return st.weightAges(now, math.MaxInt64)
 }
 
-// weightAges returns the ages of weights up to a maximum, the newest version of a model first. The first version has
+// weightAges returns the ages of the weights of models whose newest version is not older than a maximum, that version
+// first. The last one of a model is the first that is older: it has ended the term of all before it. The first version has
 // replaced nothing, so its age does not matter.
 func (st *SiteState) weightAges(now time.Time, maxAge time.Duration) (list []weightAge) {
 	for model, h := range st.allWeights() {
+		if now.Sub(h.Newest().Since) > maxAge {
+			continue
+		}
 		for _, v := range slices.Backward(h) {
-			age := now.Sub(v.Since)
-			if v.Version <= firstWeights || age > maxAge {
+			if v.Version <= firstWeights {
 				break
 			}
+			age := now.Sub(v.Since)
 			list = append(list, weightAge{Model: model, Version: v.Version, AgeMS: min(age, maxWeightAge).Milliseconds(), Estimated: v.Estimated})
+			if age > maxAge {
+				break
+			}
 		}
 	}
 	return list
--- a/service/gateway/weights_test.go
+++ b/service/gateway/weights_test.go
@@ -81,3 +81,16 @@
 	st.learnWeightAges([]weightAge{{Model: "m", Version: 2, AgeMS: 1 << 62}}, now)
 	assert.Equal(t, st.WeightHistory("m").Newest().Since, now.Add(-maxWeightAge))
 }
+
+// A node that had heard neither of two versions was told only the one that was named lately, and used the weights before
+// the other for its whole term.
+func TestVersionNamedLongAgoIsToldWithANewOne(t *testing.T) {
+	knows, late := newWeightsState(), newWeightsState()
+	now := time.Now()
+	for version, age := range map[int64]time.Duration{2: (weightAgeTerms + 1) * testWeightsTerm, 3: time.Second} {
+		knows.MarkOperatorRead(now.Add(-age))
+		knows.hearWeights("m", version, false, now.Add(-age))
+	}
+	late.learnWeightAges(knows.recentWeightAges(now), now)
+	assert.Equal(t, late.WeightHistory("m").Before(now.Add(-testWeightsTerm)), int64(2))
+}
