Weights heard over a second late do not count as new

The term of old weights was still counted from when a node heard if it had not known the operator's table for up to 3 s. That is harmless where another node heard in time, but not at a node that is alone, where all stand still for 2 or 3 s, or where both nodes that read the table for others do. A node now takes a change for new only if it knew the table within the last 1.2 s, a poll and some time. What it knows by a call that took longer than it was held counts from the start of the call; before, a process could be stopped for 3.5 s unnoticed. And one call that fails, such as on a connection that ended meanwhile, no longer tells that the store could not be reached.

A node that sees a change itself replaces an estimate that it was told moments before; it had kept that, so that old weights would go out of use three quarters of their term too early everywhere.

Cases and tests that failed before: stood_still_briefly of TestWeightsHeardLateAreNotTakenForNew, TestOneFailedCallDoesNotTellThatTheStoreWasUnreachable, TestChangeThatIsSeenReplacesToldEstimate.

--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -215,17 +215,9 @@
 		{
 			Store: g.tableReader, Table: site.TableOperator, Name: "operator", LongPoll: longPoll, Log: g.log,
 			Apply: g.siteState.ApplyOperator,
-			OnFailure: func(startedAt, now time.Time) {
-				if now.Sub(startedAt) <= longPoll+maxAnswerDelay {
-					g.siteState.MarkOperatorUnreachable(now)
-				}
-			},
-			OnAnswer: func(startedAt, now time.Time) {
-				knownAt := g.tableReader.KnownAt(site.TableOperator)
-				if now.Sub(startedAt) > longPoll+maxAnswerDelay {
-					knownAt = startedAt // The process may have been stopped after the answer had come.
-				}
-				g.siteState.MarkOperatorRead(knownAt)
+			OnFailure: func(startedAt, now time.Time) { g.siteState.MarkOperatorUnreachable(startedAt, now) },
+			OnAnswer: func(startedAt, _ time.Time) {
+				g.siteState.MarkOperatorRead(g.tableReader.KnownAt(site.TableOperator))
 				g.suspension.recordAnswer(site.TableOperator, startedAt)
 			},
 		},
@@ -286,10 +278,6 @@
 	}
 }
 
-// maxAnswerDelay is how much longer than it may be held a long poll takes at most, its time-out included. One that takes
-// longer tells that the process was stopped meanwhile.
-const maxAnswerDelay = time.Second
-
 // joinAndFollow finds other nodes and then follows the tables of the platform's store.
 func (g *Gateway) joinAndFollow() {
 	g.nodes.join(g.ctx)
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -84,7 +84,10 @@
 	contactSince  time.Time
 	// operatorReadAt is as of when the operator's table was last known, zero before it was.
 	operatorReadAt time.Time
-	// operatorUnreachableAt is when it last could not be read though this process was running.
+	// operatorFailedAt is when it last could not be read, zero if the last call was answered. operatorUnreachableAt
+	// is the same while no call was answered in between: one failure may only be of a connection that had ended while the
+	// process was stopped.
+	operatorFailedAt      time.Time
 	operatorUnreachableAt time.Time
 }
 
--- a/service/gateway/weights.go
+++ b/service/gateway/weights.go
@@ -17,9 +17,14 @@
 	weightsStored  weightSource = "record"  // The record in the platform's store.
 )
 
-// maxChangeDelay is how much later than it was made a node may hear of a change of the operator's table without
-// noticing: its long poll is answered at once, but the node may read through others.
-const maxChangeDelay = 3 * time.Second
+const (
+	// maxChangeDelay is for how long a node must not have known the operator's table for a change to count as new. While all
+	// goes well the table was known a poll ago, by nodes that read the store themselves.
+	maxChangeDelay = 1200 * time.Millisecond
+	// maxFailureTime is how long a call that fails takes at most, so that one that takes longer tells that the process was
+	// stopped meanwhile.
+	maxFailureTime = 3500 * time.Millisecond
+)
 
 // hearWeights records that a row of the operator's table names a version of a model's weights. A node that starts, or
 // has not read the table for a while, can't tell from the row when the version was named. The time in which a node
@@ -27,15 +32,16 @@
 func (st *SiteState) hearWeights(model string, version int64, listed bool, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if _, known := st.WeightHistory(model).Find(version); known {
-		return
-	}
 	v := route.WeightVersion{Version: version, Since: now, Heard: now}
 	unheard, source := st.operatorUnheard(now), weightsChanged
 	if listed {
 		source = weightsListed
 	}
-	if st.operatorReadAt.IsZero() || unheard > maxChangeDelay {
+	late := st.operatorReadAt.IsZero() || unheard > maxChangeDelay
+	if known, ok := st.WeightHistory(model).Find(version); ok && (late || listed || now.Sub(known.Heard) > maxChangeDelay) {
+		return // Told by others before, or written again.
+	}
+	if late {
 		v.Since, v.Estimated = route.EstimateNaming(now, st.operatorMissingSince(), st.weightsTerm), true
 	}
 	st.includeWeights(model, v, source, unheard)
@@ -92,18 +98,22 @@
 	return st.operatorUnreachableAt
 }
 
-// MarkOperatorUnreachable records that neither the store nor another node could be asked for the operator's table.
-func (st *SiteState) MarkOperatorUnreachable(now time.Time) {
+// MarkOperatorUnreachable records that neither the store nor another node could be asked for the operator's table, with the
+// time when the call was started.
+func (st *SiteState) MarkOperatorUnreachable(startedAt, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.operatorUnreachableAt = now
+	if again := !st.operatorFailedAt.IsZero(); again && now.Sub(startedAt) <= maxFailureTime {
+		st.operatorUnreachableAt = now
+	}
+	st.operatorFailedAt = now
 }
 
 // MarkOperatorRead records that the operator's table is known as of a time.
 func (st *SiteState) MarkOperatorRead(at time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.operatorReadAt = at
+	st.operatorReadAt, st.operatorFailedAt = at, time.Time{}
 }
 
 // allWeights returns the versions of the weights by model, which the caller must not change.
--- a/service/gateway/weights_test.go
+++ b/service/gateway/weights_test.go
@@ -28,6 +28,7 @@
 		want              route.WeightVersion
 	}{
 		{name: "in_time", read: before(time.Second), want: route.WeightVersion{Version: 2, Since: now, Heard: now}},
+		{name: "stood_still_briefly", read: before(2 * time.Second), want: route.WeightVersion{Version: 2, Since: before(2 * time.Second), Heard: now, Estimated: true}},
 		{name: "stood_still", read: before(5 * time.Second), want: route.WeightVersion{Version: 2, Since: before(5 * time.Second), Heard: now, Estimated: true}},
 		{name: "stood_still_for_long", read: before(time.Minute), want: route.WeightVersion{Version: 2, Since: before(testWeightsTerm * 3 / 4), Heard: now, Estimated: true}},
 		{name: "started", want: route.WeightVersion{Version: 2, Since: before(testWeightsTerm * 3 / 4), Heard: now, Estimated: true}},
@@ -40,7 +41,8 @@
 				st.MarkOperatorRead(tc.read)
 			}
 			if !tc.unreachable.IsZero() {
-				st.MarkOperatorUnreachable(tc.unreachable)
+				st.MarkOperatorUnreachable(tc.unreachable.Add(-time.Second), tc.unreachable.Add(-time.Second))
+				st.MarkOperatorUnreachable(tc.unreachable, tc.unreachable)
 			}
 			st.hearWeights("m", 2, false, now)
 			assert.DeepEqual(t, st.WeightHistory("m"), route.WeightHistory{tc.want})
@@ -94,3 +96,34 @@
 	late.learnWeightAges(knows.recentWeightAges(now), now)
 	assert.Equal(t, late.WeightHistory("m").Before(now.Add(-testWeightsTerm)), int64(2))
 }
+
+// A call may fail only because its connection had ended while the process was stopped.
+func TestOneFailedCallDoesNotTellThatTheStoreWasUnreachable(t *testing.T) {
+	st, now := newWeightsState(), time.Now()
+	st.MarkOperatorRead(now.Add(-5 * time.Second))
+	st.MarkOperatorUnreachable(now.Add(-10*time.Millisecond), now.Add(-time.Millisecond))
+	st.hearWeights("m", 2, false, now)
+	assert.Equal(t, st.WeightHistory("m").Newest().Since, now.Add(-5*time.Second))
+}
+
+// A node that sees the change itself knows better than one that had started and told an estimate just before.
+func TestChangeThatIsSeenReplacesToldEstimate(t *testing.T) {
+	st, now := newWeightsState(), time.Now()
+	st.MarkOperatorRead(now.Add(-time.Second))
+	st.learnWeightAges([]weightAge{{Model: "m", Version: 2, AgeMS: 7500, Estimated: true}}, now.Add(-time.Millisecond))
+	st.hearWeights("m", 2, true, now)
+	assert.Assert(t, st.WeightHistory("m").Newest().Estimated, "a listing does not tell")
+	st.hearWeights("m", 2, false, now)
+	assert.Equal(t, st.WeightHistory("m").Newest().Since, now)
+	assert.Assert(t, !st.WeightHistory("m").Newest().Estimated)
+}
+
+// Weights that the operator's table names again are not new.
+func TestRowWrittenAgainDoesNotRenewTheTerm(t *testing.T) {
+	st, now := newWeightsState(), time.Now()
+	st.hearWeights("m", 2, true, now)
+	later := now.Add(5 * time.Second)
+	st.MarkOperatorRead(later)
+	st.hearWeights("m", 2, false, later)
+	assert.Equal(t, st.WeightHistory("m").Newest().Since, now.Add(-testWeightsTerm*3/4))
+}
--- a/service/tables/reader.go
+++ b/service/tables/reader.go
@@ -397,7 +397,11 @@
 		adopted = r.adoptNewer(ctx, q.Table, &l)
 	}
 	// The response may have arrived before the machine was suspended; then it is not recent.
-	r.apply(q, l, boottime.Refresh()-before < boottime.MinSuspension)
+	recent := boottime.Refresh()-before < boottime.MinSuspension
+	r.apply(q, l, recent)
+	if recent {
+		r.recordKnown(q.Table, startedAt, wait)
+	}
 	r.markCarried(q.Table, adopted)
 	r.logRows(q, l, sourceStore, startedAt)
 	return l, nil
@@ -483,16 +487,31 @@
 	}
 }
 
+// recordKnown records as of when this node knows a table by the store's answer to a call. If the answer took longer than
+// the store held the call, the process may have been stopped after the answer had come.
+func (r *Reader) recordKnown(t site.Table, startedAt time.Time, wait time.Duration) {
+	now := boottime.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.table(t)
+	if x.knownAt = now; now.Sub(startedAt) > wait+maxAnswerDelay {
+		x.knownAt = startedAt
+	}
+}
+
+// maxAnswerDelay is how much later than it is sent an answer of the store is expected at most.
+const maxAnswerDelay = 300 * time.Millisecond
+
 // KnownAt returns as of when this node's copy of a table is known, by the store's last answer to this node or to the one
 // that it reads through; zero before the first.
 func (r *Reader) KnownAt(t site.Table) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.table(t)
-	if x.heardAt.After(x.storeReadAt) {
+	if x.heardAt.After(x.knownAt) {
 		return x.heardAt
 	}
-	return x.storeReadAt
+	return x.knownAt
 }
 
 // fetchFromNode asks another node for rows; age is for how long the store had not answered that node.
--- a/service/tables/reader_table.go
+++ b/service/tables/reader_table.go
@@ -21,6 +21,7 @@
 	historyStart history.Position       // The changes since this position are known.
 	position     history.Position
 	storeReadAt  time.Time // When the store itself last answered.
+	knownAt      time.Time // As of when its last answer is known to be.
 	heardAt      time.Time // When it last answered the node that the copy was last read through.
 	changed      chan struct{}
 	former       map[string]formerValues  // Earlier large values, by row key.
