A record of weights from the future tells nothing

If the store's clock has gone back within an era, recorded versions counted as named just now, as a fact, which any estimate gives way to: old weights could be used for another term. Such times are ignored, and written anew by nodes that know better. Found by a review; TestRecordFromTheFutureTellsNothing failed and passes.

--- a/pkg/route/weight_record.go
+++ b/pkg/route/weight_record.go
@@ -26,11 +26,12 @@
 	Estimated bool  `json:"estimated,omitempty"`
 }
 
-// bounds returns the earliest and the latest time at which the version was named.
-func (n *RecordedNaming) bounds(at StoreTime) (earliest, latest time.Time) {
+// bounds returns the earliest and the latest time at which the version was named; ok is false if that is in the future, as
+// after the store's clock has gone back.
+func (n *RecordedNaming) bounds(at StoreTime) (earliest, latest time.Time, ok bool) {
 	age := at.Reading - time.Duration(n.NamedMS)*time.Millisecond
 	youngest := age - time.Duration(n.ErrorMS)*time.Millisecond
-	return at.Before.Add(-max(0, age)), at.After.Add(-max(0, youngest))
+	return at.Before.Add(-age), at.After.Add(-max(0, youngest)), age >= 0
 }
 
 // StoreTime is a reading of the store's clock, which was made between two times on this node's clock.
@@ -49,8 +50,9 @@
 	for model, namings := range r.Models {
 		var h WeightHistory
 		for _, n := range namings {
-			earliest, _ := n.bounds(at)
-			h, _ = h.With(WeightVersion{Version: n.Version, Since: earliest, Estimated: n.Estimated, Heard: at.After})
+			if earliest, _, ok := n.bounds(at); ok {
+				h, _ = h.With(WeightVersion{Version: n.Version, Since: earliest, Estimated: n.Estimated, Heard: at.After})
+			}
 		}
 		list[model] = h
 	}
@@ -67,7 +69,10 @@
 	list := map[string][]WeightVersion{}
 	for model, namings := range r.Models {
 		for _, n := range namings {
-			earliest, latest := n.bounds(at)
+			earliest, latest, ok := n.bounds(at)
+			if !ok {
+				continue
+			}
 			v := WeightVersion{Version: n.Version, Since: earliest, Estimated: n.Estimated, Heard: at.After}
 			if k, ok := known[model].Find(n.Version); ok && k.Estimated == n.Estimated {
 				v.Since = latest
--- a/pkg/route/weight_record_test.go
+++ b/pkg/route/weight_record_test.go
@@ -55,3 +55,14 @@
 	assert.Assert(t, changed)
 	assert.Equal(t, len(next.Models), 1, "models that are no longer known are left out")
 }
+
+// A store clock that had gone back made recorded weights new again.
+func TestRecordFromTheFutureTellsNothing(t *testing.T) {
+	now := time.Now()
+	record, _ := (&WeightRecord{}).Next(recordedHistory(now), StoreTime{Era: 1, Reading: time.Hour, Before: now, After: now})
+	at := StoreTime{Era: 1, Reading: time.Minute, Before: now, After: now}
+	assert.Equal(t, len(record.News(nil, at)["m"]), 0)
+	next, changed := record.Next(recordedHistory(now), at)
+	assert.Assert(t, changed)
+	assert.Equal(t, len(next.News(nil, at)["m"]), 2)
+}
