Fewer nodes read the record of weights when all start at once

Now the first three by rank read it at once, and the others half a second later if nobody has told them the age. And a node does not go on reading once the estimated term is over, as while the store refuses: nothing is left to be learned that matters. The ages in notes and start states and in the log are as of the time at which they are told or learned.

--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -182,7 +182,7 @@
 	era, _, _ := n.eras.Current()
 	return loadNote{
 		From: n.self.Name, Hall: n.self.DataHall, Incarnation: n.incarnation, Seq: n.loads.seq, Era: era,
-		Weights: n.siteState.recentWeightAges(boottime.Now()),
+		Weights: n.siteState.recentWeightAges(boottime.RefreshNow()),
 	}
 }
 
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -201,7 +201,7 @@
 	if !n.started.Load() {
 		return startState{Starting: true}, nil
 	}
-	now := boottime.Now()
+	now := boottime.RefreshNow()
 	if era, age, ok := n.eras.Begun(now); ok {
 		out.Era, out.EraAgeMS = era, max(1, age.Milliseconds())
 	}
--- a/service/gateway/weight_register.go
+++ b/service/gateway/weight_register.go
@@ -28,6 +28,8 @@
 	// weightRecorderDelay later.
 	weightRecorders     = 3
 	weightRecorderDelay = time.Second
+	// weightReadDelay is how much later than these the other nodes read the record, if they have not been told.
+	weightReadDelay = 500 * time.Millisecond
 	// weightRecordTimeout limits a call, and minWeightRecordRetry and maxWeightRecordRetry bound the pause after one
 	// that failed.
 	weightRecordTimeout  = 2 * time.Second
@@ -108,17 +110,26 @@
 		if newest.Version <= firstWeights || slices.Equal(r.settled[model], h) {
 			continue
 		}
-		read = read || newest.Estimated && r.readFor[model] < newest.Version
 		if rank < 0 {
 			rank = control.Rank(r.members.Working(), weightRecordDuty, r.self.Name)
 		}
+		read = read || newest.Estimated && r.readFor[model] < newest.Version && r.mayHelp(newest, rank, now)
 		write = write || rank < weightRecorders && now.Sub(newest.Heard) >= recordDelay(newest, rank)
 	}
 	return read, write
 }
 
+// mayHelp reports whether a node of a rank reads the record now for a version of which it has an estimate. The first by rank
+// read it at once and tell the others. Once the estimated term is over, old weights are not used any more.
+func (r *weightRegister) mayHelp(v route.WeightVersion, rank int, now time.Time) bool {
+	if rank >= weightRecorders && now.Sub(v.Heard) < weightReadDelay {
+		return false
+	}
+	return now.Sub(v.Since) < r.siteState.weightsTerm
+}
+
 // recordDelay returns how long after it has heard of a version the node of a rank sees to it that it is recorded. A node
-// that heard late may have just started and know few others yet, and so overrate its rank.
+// that heard late may have just started, and know too few others to rank itself.
 func recordDelay(v route.WeightVersion, rank int) time.Duration {
 	delay := time.Duration(rank) * weightRecorderDelay
 	if v.Estimated || v.Heard.Sub(v.Since) > maxChangeDelay {
--- a/service/gateway/weights.go
+++ b/service/gateway/weights.go
@@ -70,14 +70,15 @@
 	}
 	next[model] = h
 	st.weights.Store(&next)
+	now := v.Heard
 	v, _ = h.Find(v.Version)
 	if before, known := old.Find(v.Version); known {
 		st.log.Info("age of weights learned", "model", model, "version", v.Version, "learned", string(source),
-			"age", v.Heard.Sub(v.Since), "estimated", v.Estimated, "assumed", before.Heard.Sub(before.Since))
+			"age", now.Sub(v.Since), "estimated", v.Estimated, "assumed", now.Sub(before.Since))
 		return
 	}
 	st.log.Info("weights named", "model", model, "version", v.Version, "learned", string(source),
-		"age", v.Heard.Sub(v.Since), "estimated", v.Estimated, "unheard", unheard)
+		"age", now.Sub(v.Since), "estimated", v.Estimated, "unheard", unheard)
 }
 
 // operatorUnheard returns how much time has passed since the operator's table was last known, 0 if it never was. The
