Parts completed while new weights may have been named are not used as older ones

A node that could not read the operator's table estimates that weights were named when it last failed to read it, which is right for the term, but took parts of the KV cache that were completed between its last reading and that failure for parts of the weights before. A prompt could run on memory made under other weights until others told the age. Versions now also have the earliest time at which they may have been named, and parts have to be complete before that. Found by going through the terms; TestPartsCompletedWhileWeightsMayHaveBeenNamedAreNotUsed failed without the earliest time and passes.

--- a/pkg/route/weight_history.go
+++ b/pkg/route/weight_history.go
@@ -14,6 +14,8 @@
 	Since time.Time
 	// Estimated means that nobody who could be asked knows that, and that Since is an estimate.
 	Estimated bool
+	// Earliest is when it may have been named at the earliest, if that is before an estimate; zero otherwise.
+	Earliest time.Time
 	// Heard is when this node heard of it.
 	Heard time.Time
 }
@@ -72,7 +74,7 @@
 	}
 	next = slices.Clone(h)
 	if known {
-		next[i].Since, next[i].Estimated = v.Since, v.Estimated
+		next[i].Since, next[i].Earliest, next[i].Estimated = v.Since, v.Earliest, v.Estimated
 	} else {
 		next = slices.Insert(next, i, v)
 	}
@@ -127,3 +129,20 @@
 	}
 	return replaced
 }
+
+// MayBeReplacedAt returns when the first version after the given one may have been named at the earliest, zero if there is
+// none. What was made before that was made with the given version.
+func (h WeightHistory) MayBeReplacedAt(version int64) (replaced time.Time) {
+	for _, v := range h {
+		if v.Version <= version {
+			continue
+		}
+		if replaced.IsZero() || v.Since.Before(replaced) {
+			replaced = v.Since
+		}
+		if !v.Earliest.IsZero() && v.Earliest.Before(replaced) {
+			replaced = v.Earliest
+		}
+	}
+	return replaced
+}
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -51,7 +51,7 @@
 	if !x.service.Engine.PlannedFetch || len(shared) == 0 {
 		return d, &route.Plan{}
 	}
-	replaced := x.g.siteState.WeightHistory(x.pickInput.Model).ReplacedAt(c.Weights)
+	replaced := x.g.siteState.WeightHistory(x.pickInput.Model).MayBeReplacedAt(c.Weights)
 	plan := x.g.cacheIndex.Plan(d.Realm, c.Upstream, shared, x.service.Engine, route.PlanLimits{
 		MaxFetchTime: x.maxExpectedFetch(),
 		// While weights are being replaced, the cache a replica computes may be of either version.
--- a/service/gateway/weights.go
+++ b/service/gateway/weights.go
@@ -43,6 +43,7 @@
 	}
 	if late {
 		v.Since, v.Estimated = route.EstimateNaming(now, st.operatorMissingSince(), st.weightsTerm), true
+		v.Earliest = st.operatorReadAt
 	}
 	st.includeWeights(model, v, source, unheard)
 }
--- a/service/gateway/weights_test.go
+++ b/service/gateway/weights_test.go
@@ -45,6 +45,9 @@
 				st.MarkOperatorUnreachable(tc.unreachable, tc.unreachable)
 			}
 			st.hearWeights("m", 2, false, now)
+			if tc.want.Estimated {
+				tc.want.Earliest = tc.read
+			}
 			assert.DeepEqual(t, st.WeightHistory("m"), route.WeightHistory{tc.want})
 		})
 	}
@@ -127,3 +130,19 @@
 	st.hearWeights("m", 2, false, later)
 	assert.Equal(t, st.WeightHistory("m").Newest().Since, now.Add(-testWeightsTerm*3/4))
 }
+
+// A node that could not read the operator's table took parts that were completed since weights may have been named for
+// parts of the weights before.
+func TestPartsCompletedWhileWeightsMayHaveBeenNamedAreNotUsed(t *testing.T) {
+	now := time.Now()
+	st := newWeightsState()
+	lastRead, completed, lastFailure := now.Add(-6*time.Second), now.Add(-3*time.Second), now.Add(-time.Second)
+	st.MarkOperatorRead(lastRead)
+	st.MarkOperatorUnreachable(completed, completed)
+	st.MarkOperatorUnreachable(lastFailure, lastFailure)
+	st.hearWeights("m", 2, false, now)
+	assert.Equal(t, st.WeightHistory("m").ReplacedAt(1), lastFailure)
+	assert.Assert(t, completed.After(st.WeightHistory("m").MayBeReplacedAt(1)))
+	st.learnWeightAges([]weightAge{{Model: "m", Version: 2, AgeMS: 2000}}, now)
+	assert.Equal(t, st.WeightHistory("m").MayBeReplacedAt(1), now.Add(-2*time.Second), "another node knows")
+}
