--- a/pkg/explain/report.go
+++ b/pkg/explain/report.go
@@ -95,17 +95,17 @@
 // The value is the attribute that distinguishes such lines; the last line of each value
 // is reported.
 var nodeMessages = map[string]string{
-	"configuration in force":                       "",
-	"era of store began":                           "",
-	"weights named":                                "model",
-	"age of weights learned":                       "model",
-	"store lost":                                   "table",
-	"store back":                                   "table",
+	"configuration in force": "",
+	"era of store began":     "",
+	"weights named":          "model",
+	"store lost":             "table",
+	"store back":             "table",
 	"store not reached, other nodes are asked":     "table",
 	"store reached again":                          "table",
 	"era of store learned":                         "",
 	"store of kept state lost":                     "store",
 	"store of kept state back":                     "store",
+	"age of weights learned":                       "model",
 	"stopping":                                     "",
 	"node started":                                 "",
 	"changed addresses hold only after a restart":  "",
