--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -626,7 +626,7 @@
 	},
 	{
 		"ages: the record is read", "service/gateway/weight_register.go",
-		"		read = read || newest.Estimated && r.readFor[model] < newest.Version", "		read = false",
+		"		read = read || r.readFor[model] < newest.Version && r.readDue(newest, rank, now)", "		read = false",
 		"./service/gateway", "TestStartedNodeReadsRecordOfNewEra",
 	},
 	{
--- a/pkg/route/weight_record.go
+++ b/pkg/route/weight_record.go
@@ -59,9 +59,9 @@
 	return list
 }
 
-// News returns what the record tells that a node does not know, by model. The times of the record are as uncertain as the
-// calls were long in which the clock was read: a node that has a time of its own takes one only if it is earlier in
-// any case, and its latest bound, or else each reading would make the weights older.
+// News returns the versions of the record for a node that knows some, by model. The times are as uncertain as the calls were long
+// in which the clock was read. For a version of which the node has a time the result has the latest one that the record
+// allows, or else each reading would make the weights older.
 func (r *WeightRecord) News(known map[string]WeightHistory, at StoreTime) map[string][]WeightVersion {
 	if r.Era != at.Era {
 		return nil
--- a/service/gateway/weight_ages.go
+++ b/service/gateway/weight_ages.go
@@ -23,7 +23,7 @@
 	weightAgeTerms = 2
 	// maxWeightAges bounds the ages in a note, which must fit a datagram with the loads.
 	maxWeightAges = 12
-	// maxWeightAge is the greatest age that is told apart.
+	// maxWeightAge is the greatest age that is told; older ones count as this one.
 	maxWeightAge = 30 * 24 * time.Hour
 )
 
--- a/service/gateway/weight_register.go
+++ b/service/gateway/weight_register.go
@@ -40,7 +40,7 @@
 )
 
 // weightRegister keeps a record in the platform's store of when versions of models' weights were named. One node writes
-// it, and nodes read it that have learned of a version from no one who knows how old it is.
+// it, and nodes read it that could learn from no other node how old a version is.
 type weightRegister struct {
 	self      control.Member
 	members   *control.Members
@@ -51,7 +51,7 @@
 	now func() time.Time
 
 	mu locks.Mutex
-	// settled are the versions for which there is nothing left to do in an era of the store.
+	// settled are the versions that the record has in the current era of the store, as this node knows them.
 	settled map[string]route.WeightHistory
 	era     history.Era
 	// readFor has the newest version of each model for which the record was read, as its age was not known.
@@ -113,16 +113,16 @@
 		if rank < 0 {
 			rank = control.Rank(r.members.Working(), weightRecordDuty, r.self.Name)
 		}
-		read = read || newest.Estimated && r.readFor[model] < newest.Version && r.mayHelp(newest, rank, now)
+		read = read || r.readFor[model] < newest.Version && r.readDue(newest, rank, now)
 		write = write || rank < weightRecorders && now.Sub(newest.Heard) >= recordDelay(newest, rank)
 	}
 	return read, write
 }
 
-// mayHelp reports whether a node of a rank reads the record now for a version of which it has an estimate. The first by rank
-// read it at once and tell the others. Once the estimated term is over, old weights are not used any more.
-func (r *weightRegister) mayHelp(v route.WeightVersion, rank int, now time.Time) bool {
-	if rank >= weightRecorders && now.Sub(v.Heard) < weightReadDelay {
+// readDue reports whether a node of a rank reads the record now, as it only has an estimate for a version. The first by rank read
+// it at once and tell the others. Once the estimated term is over, old weights are not used any more.
+func (r *weightRegister) readDue(v route.WeightVersion, rank int, now time.Time) bool {
+	if !v.Estimated || rank >= weightRecorders && now.Sub(v.Heard) < weightReadDelay {
 		return false
 	}
 	return now.Sub(v.Since) < r.siteState.weightsTerm
--- a/service/gateway/weights.go
+++ b/service/gateway/weights.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// maxChangeDelay is for how long a node must not have known the operator's table for a change to count as new. While all
-	// goes well the table was known a poll ago, by nodes that read the store themselves.
+	// maxChangeDelay is how long ago a node may last have known the operator's table for a change to count as made just now.
+	// Nodes that read the store themselves usually knew it one poll ago.
 	maxChangeDelay = 1200 * time.Millisecond
 	// maxFailureTime is how long a call that fails takes at most, so that one that takes longer tells that the process was
 	// stopped meanwhile.
@@ -39,7 +39,7 @@
 	}
 	late := st.operatorReadAt.IsZero() || unheard > maxChangeDelay
 	if known, ok := st.WeightHistory(model).Find(version); ok && (late || listed || now.Sub(known.Heard) > maxChangeDelay) {
-		return // Told by others before, or written again.
+		return // Another node told it before, or the row was written again.
 	}
 	if late {
 		v.Since, v.Estimated = route.EstimateNaming(now, st.operatorMissingSince(), st.weightsTerm), true
