--- a/pkg/route/weight_history.go
+++ b/pkg/route/weight_history.go
@@ -36,15 +36,11 @@
 // EstimateNaming returns the time from which a version counts as named if nobody knows it: the last quarter of the time
 // for which older versions may be used is left from when a node heard of the version. So old weights go out of use
 // soon, but replicas have time to load the new ones before all prompts are refused. The version was not there when
-// the node last looked, at notBefore, which is zero for a node that has not looked before. The estimate is later than the
-// naming by no more than a tolerance then.
-func EstimateNaming(heard, notBefore time.Time, tolerance, term time.Duration) time.Time {
+// the node last looked, at notBefore, which is zero for a node that has not looked before.
+func EstimateNaming(heard, notBefore time.Time, term time.Duration) time.Time {
 	estimate := heard.Add(-term * 3 / 4)
-	if bound := notBefore.Add(tolerance); !notBefore.IsZero() && estimate.Before(bound) {
-		estimate = bound
-	}
-	if estimate.After(heard) {
-		return heard
+	if estimate.Before(notBefore) {
+		return notBefore
 	}
 	return estimate
 }
--- a/service/gateway/weights.go
+++ b/service/gateway/weights.go
@@ -42,7 +42,7 @@
 		return // Another node told it before, or the row was written again.
 	}
 	if late {
-		v.Since, v.Estimated = route.EstimateNaming(now, st.operatorMissingSince(), maxChangeDelay, st.weightsTerm), true
+		v.Since, v.Estimated = route.EstimateNaming(now, st.operatorMissingSince(), st.weightsTerm), true
 		v.Earliest = st.operatorReadAt
 	}
 	st.includeWeights(model, v, source, unheard)
--- a/service/gateway/weights_test.go
+++ b/service/gateway/weights_test.go
@@ -28,12 +28,12 @@
 		want              route.WeightVersion
 	}{
 		{name: "in_time", read: before(time.Second), want: route.WeightVersion{Version: 2, Since: now, Heard: now}},
-		{name: "stood_still_briefly", read: before(2 * time.Second), want: route.WeightVersion{Version: 2, Since: before(2*time.Second - maxChangeDelay), Heard: now, Estimated: true}},
-		{name: "stood_still", read: before(5 * time.Second), want: route.WeightVersion{Version: 2, Since: before(5*time.Second - maxChangeDelay), Heard: now, Estimated: true}},
+		{name: "stood_still_briefly", read: before(2 * time.Second), want: route.WeightVersion{Version: 2, Since: before(2 * time.Second), Heard: now, Estimated: true}},
+		{name: "stood_still", read: before(5 * time.Second), want: route.WeightVersion{Version: 2, Since: before(5 * time.Second), Heard: now, Estimated: true}},
 		{name: "stood_still_for_long", read: before(time.Minute), want: route.WeightVersion{Version: 2, Since: before(testWeightsTerm * 3 / 4), Heard: now, Estimated: true}},
 		{name: "started", want: route.WeightVersion{Version: 2, Since: before(testWeightsTerm * 3 / 4), Heard: now, Estimated: true}},
 		{name: "started_unreachable", unreachable: before(time.Second), want: route.WeightVersion{Version: 2, Since: before(testWeightsTerm * 3 / 4), Heard: now, Estimated: true}},
-		{name: "unreachable", read: before(6 * time.Second), unreachable: before(time.Second), want: route.WeightVersion{Version: 2, Since: now, Heard: now, Estimated: true}},
+		{name: "unreachable", read: before(6 * time.Second), unreachable: before(time.Second), want: route.WeightVersion{Version: 2, Since: before(time.Second), Heard: now, Estimated: true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			st := newWeightsState()
@@ -106,7 +106,7 @@
 	st.MarkOperatorRead(now.Add(-5 * time.Second))
 	st.MarkOperatorUnreachable(now.Add(-10*time.Millisecond), now.Add(-time.Millisecond))
 	st.hearWeights("m", 2, false, now)
-	assert.Equal(t, st.WeightHistory("m").Newest().Since, now.Add(-5*time.Second+maxChangeDelay))
+	assert.Equal(t, st.WeightHistory("m").Newest().Since, now.Add(-5*time.Second))
 }
 
 // A node that sees the change itself knows better than one that had started and told an estimate just before.
@@ -141,7 +141,7 @@
 	st.MarkOperatorUnreachable(completed, completed)
 	st.MarkOperatorUnreachable(lastFailure, lastFailure)
 	st.hearWeights("m", 2, false, now)
-	assert.Equal(t, st.WeightHistory("m").ReplacedAt(1), now)
+	assert.Equal(t, st.WeightHistory("m").ReplacedAt(1), lastFailure)
 	assert.Assert(t, completed.After(st.WeightHistory("m").MayBeReplacedAt(1)))
 	st.learnWeightAges([]weightAge{{Model: "m", Version: 2, AgeMS: 2000}}, now)
 	assert.Equal(t, st.WeightHistory("m").MayBeReplacedAt(1), now.Add(-2*time.Second), "another node knows")
