An evacuation read through another node is still left in steps

Nodes leave an evacuated data hall one replica after the other unless they may have heard late. That bound was shared with the weights, and when it fell from 3 s to 1.2 s there, nodes that read the operator's table through others, which knew it up to two seconds ago while all goes well, would leave the whole hall at once, and its load would move in one step. Evacuations have their own bound of 3 s again, and both use one check, which stood twice.

TestEvacuationHeardLateIsNotTakenForNew, new case read_through_another_node: 32 of 32 replicas left at once before, in steps now. Its case stood_still again has the 4 s that it had when it was written; it followed the constant down to 2.2 s.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -656,7 +656,7 @@
 	},
 	{
 		"ages: an age that can't be known is estimated", "service/gateway/weights.go",
-		"	late := st.operatorReadAt.IsZero() || unheard > maxChangeDelay\n", "	late := unheard < 0\n",
+		"	late := st.mayHaveMissedOperator(maxChangeDelay, now)\n", "	late := unheard < 0\n",
 		"./internal/standin/onplatform", "TestUnknownAgeIsNeitherNewNorOver",
 	},
 	{
--- a/service/gateway/evacuations.go
+++ b/service/gateway/evacuations.go
@@ -27,6 +27,10 @@
 // steps, and most of the time is left for the change to reach the node.
 const evacuationTimeShare = 0.2
 
+// maxEvacuationDelay is how long ago a node may last have known the operator's table to leave the hall's replicas one after the
+// other. Nodes that read the table through others knew it up to two seconds ago while all goes well.
+const maxEvacuationDelay = 3 * time.Second
+
 // setEvacuation starts or ends the evacuation of a data hall.
 func (st *SiteState) setEvacuation(hall string, on bool, at history.Position, now time.Time) {
 	st.mu.Lock()
@@ -45,7 +49,7 @@
 	switch {
 	case on && (!known || !old.ended.IsZero()):
 		e := &evacuation{position: at, since: now}
-		if st.mayHaveMissedOperator(now) {
+		if st.mayHaveMissedOperator(maxEvacuationDelay, now) {
 			// The time allowed may be nearly over, or other nodes have left the hall already.
 			e.since = now.Add(-st.evacuationTime)
 		}
@@ -62,12 +66,6 @@
 	st.updateAllPools(now)
 }
 
-// mayHaveMissedOperator reports whether a change of the operator's table that is heard of now may have been made long ago.
-// The caller holds mu.
-func (st *SiteState) mayHaveMissedOperator(now time.Time) bool {
-	return st.operatorReadAt.IsZero() || st.operatorUnheard(now) > maxChangeDelay
-}
-
 // endEvacuation returns a data hall to service. Its replicas have probably become cold
 // but report it only a moment later, so they count as cold from now on.
 func (st *SiteState) endEvacuation(hall string, e *evacuation, at history.Position, now time.Time) {
--- a/service/gateway/site_state_test.go
+++ b/service/gateway/site_state_test.go
@@ -257,7 +257,8 @@
 	}{
 		{name: "in_time", unread: time.Second},
 		{name: "listed_in_time", unread: time.Second, listed: true},
-		{name: "stood_still", unread: maxChangeDelay + time.Second, atOnce: true},
+		{name: "read_through_another_node", unread: 2 * time.Second},
+		{name: "stood_still", unread: 4 * time.Second, atOnce: true},
 		{name: "started", listed: true, atOnce: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/service/gateway/weights.go
+++ b/service/gateway/weights.go
@@ -37,7 +37,7 @@
 	if listed {
 		source = weightsListed
 	}
-	late := st.operatorReadAt.IsZero() || unheard > maxChangeDelay
+	late := st.mayHaveMissedOperator(maxChangeDelay, now)
 	if known, ok := st.WeightHistory(model).Find(version); ok && (late || listed || now.Sub(known.Heard) > maxChangeDelay) {
 		return // Another node told it before, or the row was written again.
 	}
@@ -91,6 +91,12 @@
 	return now.Sub(st.operatorReadAt)
 }
 
+// mayHaveMissedOperator reports whether a change of the operator's table that is heard of now may have been made longer ago
+// than a time. The caller holds mu.
+func (st *SiteState) mayHaveMissedOperator(within time.Duration, now time.Time) bool {
+	return st.operatorReadAt.IsZero() || st.operatorUnheard(now) > within
+}
+
 // operatorMissingSince returns since when this node may have missed changes of the operator's table, zero if it never read
 // it. The caller holds mu.
 func (st *SiteState) operatorMissingSince() time.Time {
