--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -77,9 +77,6 @@
 	settings string
 	cmd      *exec.Cmd
 	done     chan struct{}
-
-	mu      sync.Mutex
-	begunAt time.Time // When the process was last started or killed.
 }
 
 // startNodes starts nodes with the settings that deploy/node.json gives for corrib-boards, and waits until all of them
@@ -175,7 +172,6 @@
 		return err
 	}
 	_ = log.Close() // The process has its own descriptor.
-	n.touched()
 	n.done = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) {
 		_ = cmd.Wait() // It is killed.
@@ -190,20 +186,6 @@
 	}
 	_ = n.cmd.Process.Kill() // It may have ended.
 	<-n.done
-	n.touched()
-}
-
-func (n *node) touched() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.begunAt = time.Now()
-}
-
-// inTouch reports whether the process has run undisturbed for contact_ms.
-func (n *node) inTouch() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return time.Since(n.begunAt) > contactTime
 }
 
 // isReady asks the node as the platform does.
@@ -219,9 +201,7 @@
 
 // Bounds of corrib-boards.
 const (
-	contactTime     = 3 * time.Second
 	configApplyTime = 2 * time.Second
-	drainTime       = 2 * time.Second
 	heartbeat       = 1200 * time.Millisecond
 )
 
--- a/review/bed2/client.go
+++ b/review/bed2/client.go
@@ -18,11 +18,9 @@
 	node   *node
 	status int // 0 if there was no answer.
 	stamp  string
-	lastID int  // Of the last whole event.
+	events int  // Whole ones.
 	whole  bool // The answer ended as a complete one.
-	// inTouch is set if the node was in touch when it answered.
-	inTouch bool
-	err     error
+	err    error
 }
 
 // prompt is what a client asks for.
@@ -38,9 +36,9 @@
 	return hex.EncodeToString(b[:])
 }
 
-// send makes one attempt at a node, on a connection of its own; after is the ID of the last event that the client has.
-func (n *node) send(p *prompt, left time.Duration, after int) *try {
-	t := &try{id: newID(), node: n, lastID: after}
+// send makes one attempt at a node, on a connection of its own.
+func (n *node) send(p *prompt) *try {
+	t := &try{id: newID(), node: n}
 	q, err := http.NewRequest(http.MethodPost, "http://"+n.entry+p.path, strings.NewReader("a prompt"))
 	if err != nil {
 		t.err = err
@@ -49,18 +47,14 @@
 	q.Host = hostName
 	q.Header.Set("Request-Id", t.id)
 	q.Header.Set("Authorization", "Bearer "+p.key)
-	q.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	q.Header.Set("Deadline-Ms", strconv.FormatInt(p.deadline.Milliseconds(), 10))
 	q.Header.Set("Model", modelName)
 	q.Header.Set("Token-Usage", strconv.Itoa(p.tokensIn)+","+strconv.Itoa(p.out))
 	q.Header.Set("Prefix-Hash", p.parts)
-	if after > 0 {
-		q.Header.Set("Last-Event-Id", strconv.Itoa(after))
-	}
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
-	c := http.Client{Timeout: left, Transport: transport}
+	c := http.Client{Timeout: p.deadline, Transport: transport}
 	resp, err := c.Do(q)
-	t.inTouch = n.inTouch()
 	if err != nil {
 		t.err = err
 		return t
@@ -68,16 +62,16 @@
 	defer func() { _ = resp.Body.Close() }()
 	t.status, t.stamp = resp.StatusCode, resp.Header.Get("Server-Stamp")
 	r := bufio.NewReader(resp.Body)
-	pending := 0
+	begun := false // An event has begun.
 	for {
 		line, err := r.ReadString('\n')
 		switch {
 		case err == nil && strings.HasPrefix(line, "id: "):
-			pending, _ = strconv.Atoi(strings.TrimSpace(line[len("id: "):]))
-		case err == nil && line == "\n" && pending > 0:
-			t.lastID, pending = pending, 0
+			begun = true
+		case err == nil && line == "\n" && begun:
+			t.events, begun = t.events+1, false
 		case errors.Is(err, io.EOF):
-			t.whole = pending == 0
+			t.whole = !begun
 			return t
 		case err != nil:
 			t.err = err
--- a/review/bed2/engine.go
+++ b/review/bed2/engine.go
@@ -28,11 +28,8 @@
 	zone     string
 	software string
 	addr     string
-	http     *http.Server
-	ended    chan struct{}
 
 	mu     sync.Mutex
-	state  string
 	active int
 	kept   map[partKey]string // The tenant whose request made each part that is kept.
 	used   int                // Tokens of the parts that are kept.
@@ -58,37 +55,28 @@
 	}
 	e := &engine{
 		bed: b, id: fmt.Sprintf("i-%s-%d", software, number), zone: zones[number%len(zones)], software: software, addr: ln.Addr().String(),
-		state: "ready", kept: map[partKey]string{}, ended: make(chan struct{}),
+		kept: map[partKey]string{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", e.id) })
 	mux.HandleFunc("GET /-/report", e.report)
 	mux.HandleFunc("/", e.serve)
-	e.http = &http.Server{Handler: mux}
-	go func() { _ = e.http.Serve(ln) }() // It returns when the server is closed.
+	go func() { _ = http.Serve(ln, mux) }() // It serves until the process ends.
 	e.list()
 	go e.beat()
 	return e, nil
 }
 
 func (e *engine) beat() {
-	for {
-		select {
-		case <-e.ended:
-			return
-		case <-time.After(heartbeat):
-			e.list()
-		}
+	for range time.Tick(heartbeat) {
+		e.list()
 	}
 }
 
 // list writes the engine's row.
 func (e *engine) list() {
-	e.mu.Lock()
-	state := e.state
-	e.mu.Unlock()
 	e.bed.store.put("servers", e.id, map[string]any{
-		"service": serviceName, "addr": e.addr, "zone": e.zone, "config_version": e.software, "slots": engineSlots, "state": state,
+		"service": serviceName, "addr": e.addr, "zone": e.zone, "config_version": e.software, "slots": engineSlots, "state": "ready",
 		"cold_left_ms": 0, "stage": "both", "models": models(), "call_seq": 0,
 	})
 }
@@ -97,22 +85,6 @@
 	return []any{map[string]any{"name": modelName, "config_version": 1, "adapters": []string{}}}
 }
 
-// drain has the engine leave as planned: it says that it drains, serves on, and ends.
-func (e *engine) drain() {
-	e.mu.Lock()
-	e.state = "draining"
-	e.mu.Unlock()
-	e.list()
-	time.Sleep(drainTime + time.Second)
-	for e.running() > 0 {
-		time.Sleep(20 * time.Millisecond)
-	}
-	close(e.ended)
-	_ = e.http.Close() // It has ended in any case.
-	time.Sleep(100 * time.Millisecond)
-	e.bed.store.remove("servers", e.id)
-}
-
 func (e *engine) running() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/review/bed2/store.go
+++ b/review/bed2/store.go
@@ -67,14 +67,6 @@
 	s.set(row{Table: table, Key: key, Value: text})
 }
 
-// remove drops a row.
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.set(row{Table: table, Key: key, Gone: true})
-}
-
 // set sets a row at the current version; the caller holds mu.
 func (s *store) set(r row) {
 	r.Version = s.version
--- a/review/bed2/wall.go
+++ b/review/bed2/wall.go
@@ -24,8 +24,8 @@
 	}
 	ask := func(t tenant, number int) *try {
 		p := &prompt{path: "/draft/", key: t.Keys[0], parts: fmt.Sprintf("d0c5a1b2:4000,%s:170", newID()), tokensIn: 4170, out: 30, deadline: 4 * time.Second}
-		x := b.nodes[number%len(b.nodes)].send(p, p.deadline, 0)
-		b.note("%s of %s to %s: status %d, whole %v, by %s, %v", x.id, t.Name, x.node.name, x.status, x.whole, x.stamp, x.err)
+		x := b.nodes[number%len(b.nodes)].send(p)
+		b.note("%s of %s to %s: status %d, %d events, whole %v, by %s, %v", x.id, t.Name, x.node.name, x.status, x.events, x.whole, x.stamp, x.err)
 		return x
 	}
 	for i := range 12 { // Alpha's requests read the document at the engines.
