--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -77,6 +77,9 @@
 	settings string
 	cmd      *exec.Cmd
 	done     chan struct{}
+
+	mu        sync.Mutex
+	touchedAt time.Time // When the process was last started or killed.
 }
 
 // startNodes starts nodes with the settings that deploy/node.json gives for corrib-boards, and waits until all of them
@@ -172,6 +175,7 @@
 		return err
 	}
 	_ = log.Close() // The process has its own descriptor.
+	n.touch()
 	n.done = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) {
 		_ = cmd.Wait() // It is killed.
@@ -186,6 +190,21 @@
 	}
 	_ = n.cmd.Process.Kill() // It may have ended.
 	<-n.done
+	n.touch()
+}
+
+// touch records that the process was started or killed.
+func (n *node) touch() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.touchedAt = time.Now()
+}
+
+// inTouch reports whether the process has run undisturbed for contact_ms.
+func (n *node) inTouch() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.touchedAt) > contactTime
 }
 
 // isReady asks the node as the platform does.
@@ -201,12 +220,14 @@
 
 // Bounds of corrib-boards.
 const (
+	contactTime     = 3 * time.Second
 	configApplyTime = 2 * time.Second
 	heartbeat       = 1200 * time.Millisecond
 )
 
 const (
 	serviceName = "screen-llm"
+	otherName   = "cover-llm" // A second service of the same model.
 	modelName   = "m0"
 	hostName    = "boards.example"
 )
@@ -218,21 +239,36 @@
 	Isolated bool     `json:"isolated,omitempty"`
 }
 
+// share is a service's share of a route.
+type share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
 // configure has the operator name a version of the configuration. The store's answer is the acknowledgement.
-func (b *bed) configure(version int, tenants ...tenant) {
+// split divides the route between services; nil leaves it with serviceName.
+func (b *bed) configure(version int, split []share, tenants ...tenant) {
 	engine := map[string]any{
 		"slots": engineSlots, "kv_capacity_tokens": engineMemory, "kv_token_bytes": 18432, "link_mbps": 130000.0,
 		"models": []any{map[string]any{"name": modelName}},
 	}
+	route := map[string]any{
+		"name": "cover-draft", "host": hostName, "path_prefix": "/draft/", "kind": "streaming", "timeout_ms": 12000,
+		"target_latency_ms": 300, "gap_aim_ms": 300, "priority": 0, "max_attempts": 2, "sticky": true, "resumable": true,
+	}
+	if split == nil {
+		route["service"] = serviceName
+	} else {
+		route["traffic_split"] = split
+	}
+	var services []any
+	for _, name := range []string{serviceName, otherName} {
+		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_conns": 360, "engine": engine})
+	}
 	b.store.put("op", "config", map[string]any{
-		"config_version": version,
-		"routes": []any{map[string]any{
-			"name": "cover-draft", "host": hostName, "path_prefix": "/draft/", "kind": "streaming", "timeout_ms": 12000,
-			"target_latency_ms": 300, "gap_aim_ms": 300, "priority": 0, "service": serviceName, "max_attempts": 2, "sticky": true, "resumable": true,
-		}},
-		"services": []any{map[string]any{"name": serviceName, "health_path": "/healthz", "max_conns": 360, "engine": engine}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  tenants,
+		"config_version": version, "routes": []any{route}, "services": services,
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": tenants,
 	})
-	b.note("configuration %d acknowledged: %+v", version, tenants)
+	b.note("configuration %d acknowledged: split %+v, tenants %+v", version, split, tenants)
 }
--- a/review/bed2/client.go
+++ b/review/bed2/client.go
@@ -18,9 +18,11 @@
 	node   *node
 	status int // 0 if there was no answer.
 	stamp  string
-	events int  // Whole ones.
+	lastID int  // Of the last whole event that the client has.
 	whole  bool // The answer ended as a complete one.
-	err    error
+	// inTouch is set if the node was in touch when it answered.
+	inTouch bool
+	err     error
 }
 
 // prompt is what a client asks for.
@@ -36,9 +38,10 @@
 	return hex.EncodeToString(b[:])
 }
 
-// send makes one attempt at a node, on a connection of its own.
-func (n *node) send(p *prompt) *try {
-	t := &try{id: newID(), node: n}
+// send makes one attempt at a node, on a connection of its own, in the time that is left; after is the ID of the last event that
+// the client has.
+func (n *node) send(p *prompt, left time.Duration, after int) *try {
+	t := &try{id: newID(), node: n, lastID: after}
 	q, err := http.NewRequest(http.MethodPost, "http://"+n.entry+p.path, strings.NewReader("a prompt"))
 	if err != nil {
 		t.err = err
@@ -47,14 +50,18 @@
 	q.Host = hostName
 	q.Header.Set("Request-Id", t.id)
 	q.Header.Set("Authorization", "Bearer "+p.key)
-	q.Header.Set("Deadline-Ms", strconv.FormatInt(p.deadline.Milliseconds(), 10))
+	q.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
 	q.Header.Set("Model", modelName)
 	q.Header.Set("Token-Usage", strconv.Itoa(p.tokensIn)+","+strconv.Itoa(p.out))
 	q.Header.Set("Prefix-Hash", p.parts)
+	if after > 0 {
+		q.Header.Set("Last-Event-Id", strconv.Itoa(after))
+	}
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
-	c := http.Client{Timeout: p.deadline, Transport: transport}
+	c := http.Client{Timeout: left, Transport: transport}
 	resp, err := c.Do(q)
+	t.inTouch = n.inTouch()
 	if err != nil {
 		t.err = err
 		return t
@@ -62,16 +69,16 @@
 	defer func() { _ = resp.Body.Close() }()
 	t.status, t.stamp = resp.StatusCode, resp.Header.Get("Server-Stamp")
 	r := bufio.NewReader(resp.Body)
-	begun := false // An event has begun.
+	begun := 0 // The ID of an event that has begun, 0 for none.
 	for {
 		line, err := r.ReadString('\n')
 		switch {
 		case err == nil && strings.HasPrefix(line, "id: "):
-			begun = true
-		case err == nil && line == "\n" && begun:
-			t.events, begun = t.events+1, false
+			begun, _ = strconv.Atoi(strings.TrimSpace(line[len("id: "):]))
+		case err == nil && line == "\n" && begun > 0:
+			t.lastID, begun = begun, 0
 		case errors.Is(err, io.EOF):
-			t.whole = !begun
+			t.whole = begun == 0
 			return t
 		case err != nil:
 			t.err = err
--- a/review/bed2/engine.go
+++ b/review/bed2/engine.go
@@ -23,11 +23,11 @@
 
 // engine is a stand-in of a model replica.
 type engine struct {
-	bed      *bed
-	id       string
-	zone     string
-	software string
-	addr     string
+	bed     *bed
+	id      string
+	zone    string
+	service string
+	addr    string
 
 	mu     sync.Mutex
 	active int
@@ -48,13 +48,13 @@
 }
 
 // startEngine starts an engine and has it write its row about every heartbeat.
-func (b *bed) startEngine(number int, software string) (*engine, error) {
+func (b *bed) startEngine(number int, service string) (*engine, error) {
 	ln, err := net.Listen("tcp", b.ip(100+number)+":0")
 	if err != nil {
 		return nil, err
 	}
 	e := &engine{
-		bed: b, id: fmt.Sprintf("i-%s-%d", software, number), zone: zones[number%len(zones)], software: software, addr: ln.Addr().String(),
+		bed: b, id: fmt.Sprintf("i-%d", number), zone: zones[number%len(zones)], service: service, addr: ln.Addr().String(),
 		kept: map[partKey]string{},
 	}
 	mux := http.NewServeMux()
@@ -76,7 +76,7 @@
 // list writes the engine's row.
 func (e *engine) list() {
 	e.bed.store.put("servers", e.id, map[string]any{
-		"service": serviceName, "addr": e.addr, "zone": e.zone, "config_version": e.software, "slots": engineSlots, "state": "ready",
+		"service": e.service, "addr": e.addr, "zone": e.zone, "config_version": "v1", "slots": engineSlots, "state": "ready",
 		"cold_left_ms": 0, "stage": "both", "models": models(), "call_seq": 0,
 	})
 }
--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -13,7 +13,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-bed-2 CASE PROGRAM RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(*bed) (bool, error){"wall": runWall}
+	cases := map[string]func(*bed) (bool, error){"split": runSplit, "wall": runWall}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
--- a/review/bed2/wall.go
+++ b/review/bed2/wall.go
@@ -10,10 +10,10 @@
 // document after that.
 func runWall(b *bed) (broken bool, err error) {
 	alpha, beta := tenant{Name: "alpha", Keys: []string{"key-alpha"}}, tenant{Name: "beta", Keys: []string{"key-beta"}}
-	b.configure(1, alpha, beta)
+	b.configure(1, nil, alpha, beta)
 	var engines []*engine
 	for i := range 3 {
-		e, err := b.startEngine(i, "v1")
+		e, err := b.startEngine(i, serviceName)
 		if err != nil {
 			return false, err
 		}
@@ -24,8 +24,8 @@
 	}
 	ask := func(t tenant, number int) *try {
 		p := &prompt{path: "/draft/", key: t.Keys[0], parts: fmt.Sprintf("d0c5a1b2:4000,%s:170", newID()), tokensIn: 4170, out: 30, deadline: 4 * time.Second}
-		x := b.nodes[number%len(b.nodes)].send(p)
-		b.note("%s of %s to %s: status %d, %d events, whole %v, by %s, %v", x.id, t.Name, x.node.name, x.status, x.events, x.whole, x.stamp, x.err)
+		x := b.nodes[number%len(b.nodes)].send(p, p.deadline, 0)
+		b.note("%s of %s to %s: status %d, last event %d, whole %v, by %s, %v", x.id, t.Name, x.node.name, x.status, x.lastID, x.whole, x.stamp, x.err)
 		return x
 	}
 	for i := range 12 { // Alpha's requests read the document at the engines.
@@ -33,7 +33,7 @@
 	}
 	if b.trouble {
 		alpha.Isolated = true
-		b.configure(2, alpha, beta)
+		b.configure(2, nil, alpha, beta)
 	}
 	time.Sleep(configApplyTime + time.Second)
 	since, served := time.Now(), 0
