What organisations made while they shared is not used after one of them is isolated

Cause: the name of a cache namespace had the isolation of the request's own organisation as it is now. The namespace of all others kept its name as one of them became isolated, and what that one had made stayed in it. The class: a property of an organisation changes while what was made under the old one lives on.

Change: the shared namespace is named after a period in which no organisation that shares is isolated at any time. One row of the platform's store has the newest configuration, its period and who has shared or was isolated in it; the first node by rank writes it for each configuration, on the condition that nobody else has, and tells the others. An organisation shares only once that is recorded. A node that does not know the period of its configuration keeps apart what it makes. Requests that waited follow the configuration in force when they are sent. Names of organisations and models are escaped: one named "in:x" had the namespace of requests with the home x.

Evidence: TestIsolatedOrganisationsMemoryOfEarlierIsNotUsed failed before (beta and gamma used memory of alpha, at an engine and a store).

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -26,6 +26,7 @@
 	keyPosition      = Key{"position", "position in the platform's store, as era/version"}
 	keyLearned       = Key{"learned", "how the node learned of it: change (of the operator's table), listing (of the whole table), node (another node told it) or record (in the platform's store)"}
 	keyWeightsAge    = Key{"age", "nanoseconds since the version was named, as far as the node knows"}
+	keyPeriod        = Key{"period", "the period, as the store's era and the configuration with which it began"}
 	keyEstimated     = Key{"estimated", "whether the age is an estimate, as nobody who knows it could be asked"}
 	keyNode          = Key{"node", "the node's name"}
 	keyInFlight      = Key{"in_flight", "requests being served"}
@@ -326,6 +327,12 @@
 	{"weights recorded", Change, "This node has written to the platform's store when weights were named, for nodes that start later.", []Key{{"models", "how many models"}, keyPosition}},
 	{"record of weights not synced", Failure, "The record of when weights were named was not read or not written; it is tried again.", []Key{{"write", "whether this node was to write it"}, keyErr}},
 	{"record of weights can't be decoded, replaced by the next one", Failure, "The row with the record of when weights were named is invalid. It tells nothing, and is written anew by the node that writes it next.", []Key{keyPosition, keyErr}},
+	{"period of shared cache known", Change, "The node knows in which period the organisations share KV cache that are not isolated in a configuration; it is another one than before.", []Key{keyVersion, keyPeriod, keyLearned}},
+	{"shared cache recorded", Change, "This node has written to the platform's store in which period organisations share KV cache under a new configuration. A period other than before means that what they kept is not used any more, as an organisation has become isolated or no longer is, or the store came back from a copy.", []Key{
+		keyVersion, keyPeriod, {"before", "the period that was recorded before, 0.0 for none"}, keyPosition,
+	}},
+	{"record of shared cache not synced", Failure, "The record of the period in which organisations share KV cache was not read or not written; it is tried again. Until the period is known, a new configuration begins with nothing kept.", []Key{{"write", "whether this node was to write it"}, keyErr}},
+	{"record of shared cache can't be decoded, replaced by the next one", Failure, "The row with the record of the period in which organisations share KV cache is invalid; a new period begins.", []Key{keyPosition, keyErr}},
 	{"upstream listed", Change, "The list of upstreams has a new replica or a new start of one, or whether the replica drains has changed.", []Key{
 		keyUpstream, keyService,
 		{"addr", "its address"},
--- a/pkg/route/cache_index.go
+++ b/pkg/route/cache_index.go
@@ -198,7 +198,7 @@
 	for i, part := range shared {
 		key := partKey{realm, part.ID}
 		bytes := int64(part.Tokens) * int64(profile.TokenBytes)
-		source := x.bestSource(key, engine, part.Tokens, bytes, limits.CompleteBefore, now)
+		source := x.bestSource(key, engine, part.Tokens, bytes, limits.SourceRules, now)
 		missing := x.missProbability(engine.ID, key, part.Tokens, profile, now)
 		wait := time.Duration(missing * float64(source.wait))
 		x.usage.record(key, part.Tokens, now)
@@ -237,7 +237,13 @@
 // Realm is the namespace of the parts that a prompt may use on a version of the weights.
 type Realm struct {
 	Name string
-	// CompleteBefore is as in PlanLimits.
+	SourceRules
+}
+
+// SourceRules limit where parts may be fetched from.
+type SourceRules struct {
+	// CompleteBefore, if set, is by when a part must have been complete. While weights are replaced, later
+	// parts may have been computed with either version.
 	CompleteBefore time.Time
 }
 
@@ -288,7 +294,7 @@
 		sources = make([]partSource, len(shared))
 		for i, part := range shared {
 			bytes := int64(part.Tokens) * int64(profile.TokenBytes)
-			sources[i] = x.bestSource(partKey{lookup.Name, part.ID}, site.Upstream{DataHall: engine.DataHall}, part.Tokens, bytes, lookup.CompleteBefore, now)
+			sources[i] = x.bestSource(partKey{lookup.Name, part.ID}, site.Upstream{DataHall: engine.DataHall}, part.Tokens, bytes, lookup.SourceRules, now)
 		}
 		lookup.sources[engine.DataHall] = sources
 	}
@@ -331,7 +337,7 @@
 // stores treated alike, shared tokens prefilled again rose by a quarter under load.
 // Engines are not used at all once newer weights have been announced: a run begun on
 // the older weights may have computed the rest of a part on the newer ones.
-func (x *CacheIndex) bestSource(key partKey, engine site.Upstream, tokens int, bytes int64, completeBefore, now time.Time) (best partSource) {
+func (x *CacheIndex) bestSource(key partKey, engine site.Upstream, tokens int, bytes int64, rules SourceRules, now time.Time) (best partSource) {
 	if tokens == 0 {
 		return best
 	}
@@ -343,14 +349,15 @@
 	for _, name := range x.names {
 		s := x.stores[name]
 		stored := s.parts[key]
-		if x.disabled.StoreFetches || !s.fresh || stored.tokens < tokens || !completeBefore.IsZero() && stored.completeSince.After(completeBefore) {
+		if x.disabled.StoreFetches || !s.fresh || stored.tokens < tokens ||
+			!rules.CompleteBefore.IsZero() && stored.completeSince.After(rules.CompleteBefore) {
 			continue
 		}
 		if consider(&s.fetchLink, s.Addr); best.addr == s.Addr {
 			best.store = s
 		}
 	}
-	if !completeBefore.IsZero() || best.store != nil || x.disabled.EngineFetches {
+	if !rules.CompleteBefore.IsZero() || best.store != nil || x.disabled.EngineFetches {
 		return best
 	}
 	hash := HashPart(key.realm, key.part)
--- a/pkg/route/cache_index_saves.go
+++ b/pkg/route/cache_index_saves.go
@@ -22,10 +22,7 @@
 	// HomesOnly is set if nothing may be saved outside the regions in Homes.
 	HomesOnly bool
 	Homes     []string
-	// CompleteBefore, if set, is by when a part must have been complete to be
-	// fetched. While weights are replaced, later parts may have been computed with
-	// either version.
-	CompleteBefore time.Time
+	SourceRules
 }
 
 // mayStoreIn reports whether parts may be saved in a region.
--- a/pkg/route/cache_index_test.go
+++ b/pkg/route/cache_index_test.go
@@ -42,7 +42,7 @@
 // testCoverage returns the coverage of testPrompt in the realm "r" at three engines, one
 // in each hall.
 func testCoverage(index *CacheIndex, completeBefore, now time.Time) map[string]CacheCoverage {
-	realms := map[int64]Realm{1: {Name: "r", CompleteBefore: completeBefore}}
+	realms := map[int64]Realm{1: {Name: "r", SourceRules: SourceRules{CompleteBefore: completeBefore}}}
 	return index.Coverage(testReplicas(3, 1), "m", realms, testPrompt, testEngine, time.Second, now)
 }
 
@@ -220,7 +220,7 @@
 	announced := testNow.Add(time.Second)
 	index.ApplyStoreChanges("s", site.CacheChanges{Boot: 1, Changes: storeChanges("r", testPrompt[0])}, testNow)
 	index.ApplyStoreChanges("s", site.CacheChanges{Boot: 1, Changes: storeChanges("r", testPrompt[1])}, announced.Add(time.Millisecond))
-	p := index.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{MaxFetchTime: time.Second, CompleteBefore: announced}, announced.Add(time.Second))
+	p := index.Plan("r", site.Upstream{DataHall: "h0"}, testPrompt, testEngine, PlanLimits{MaxFetchTime: time.Second, SourceRules: SourceRules{CompleteBefore: announced}}, announced.Add(time.Second))
 	assert.Assert(t, p.Sources[0].IsValid())
 	assert.Assert(t, !p.Sources[1].IsValid())
 	o := testCoverage(index, announced, announced.Add(time.Second))
--- a/pkg/route/engine_cache_test.go
+++ b/pkg/route/engine_cache_test.go
@@ -53,7 +53,7 @@
 	o := testCoverage(index, testNow.Add(time.Hour), testNow)
 	assert.Equal(t, o["r00"].Fetched, 0)
 	assert.Equal(t, o["r01"].Cached, 7000, "its own parts may be used: an engine drops them with its weights")
-	p := index.Plan("r", testReplicas(3, 1)[0], testPrompt, testEngine, PlanLimits{MaxFetchTime: time.Second, CompleteBefore: testNow.Add(time.Hour)}, testNow)
+	p := index.Plan("r", testReplicas(3, 1)[0], testPrompt, testEngine, PlanLimits{MaxFetchTime: time.Second, SourceRules: SourceRules{CompleteBefore: testNow.Add(time.Hour)}}, testNow)
 	assert.Equal(t, p.Fetched, 0)
 }
 
--- a/pkg/site/row.go
+++ b/pkg/site/row.go
@@ -26,6 +26,8 @@
 	TableSoftware
 	// TableWeights has when versions of models' weights were named.
 	TableWeights
+	// TableSharing has the period in which organisations share KV cache.
+	TableSharing
 )
 
 // Row is one row of a table.
--- a/pkg/site/snapshot.go
+++ b/pkg/site/snapshot.go
@@ -16,8 +16,10 @@
 
 	byHost map[string]hostRoutes
 	byKey  map[string]*Organisation
-	routes []*Route
-	homes  map[string][]string // By host, if all its routes have homes.
+	// isolated tells of each organisation, with or without keys, whether it is isolated.
+	isolated map[string]bool
+	routes   []*Route
+	homes    map[string][]string // By host, if all its routes have homes.
 	// resumable are the services that get requests of resumable streams, split those of them that share
 	// them with others.
 	resumable []string
@@ -32,6 +34,7 @@
 		Limits:   limits,
 		byHost:   map[string]hostRoutes{},
 		byKey:    map[string]*Organisation{},
+		isolated: map[string]bool{},
 		routes:   routes,
 		homes:    map[string][]string{},
 	}
@@ -111,9 +114,35 @@
 	return found
 }
 
-// AddKey adds an API key of an organisation. It must not be called once the snapshot is in
-// use.
-func (s *Snapshot) AddKey(key string, o *Organisation) { s.byKey[key] = o }
+// AddOrganisation adds an organisation and its API keys. It must not be called once the snapshot
+// is in use.
+func (s *Snapshot) AddOrganisation(o *Organisation, keys ...string) {
+	s.isolated[o.Name] = s.isolated[o.Name] || o.Isolated
+	for _, key := range keys {
+		s.byKey[key] = o
+	}
+}
+
+// Isolation returns for each organisation, by name, whether it is isolated. The caller must not
+// change the map.
+func (s *Snapshot) Isolation() map[string]bool { return s.isolated }
+
+// SharesCache reports whether requests of an organisation share KV cache with those of others. One that the
+// configuration lacks, as it was removed while a request waited, does not.
+func (s *Snapshot) SharesCache(organisation string) bool {
+	isolated, ok := s.isolated[organisation]
+	return ok && !isolated
+}
+
+// HasEngines reports whether any service has model engines.
+func (s *Snapshot) HasEngines() bool {
+	for _, v := range s.Services {
+		if v.Engine != nil {
+			return true
+		}
+	}
+	return false
+}
 
 // Route finds the route of a request, nil if there is none. The host may have a port, and
 // is compared without regard to case.
--- a/service/gateway/attempt.go
+++ b/service/gateway/attempt.go
@@ -42,7 +42,7 @@
 	choice         route.Choice
 	inFlight       *route.InFlightRequest
 	plan           *route.Plan
-	realm          string // Namespace of the prompt's KV cache, see realmName.
+	realm          string // Namespace of the prompt's KV cache, see the type realm.
 	startedAt      time.Time
 	firstByteAfter time.Duration // From startedAt to the first byte of the answer's body.
 	lastBytesAt    time.Time     // When bytes of the body last arrived.
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"slices"
-	"strconv"
-	"strings"
+	"net/url"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/route"
@@ -42,23 +40,24 @@
 	d.Backup = x.backupFor(&c, now)
 	if c.Weights == 0 {
 		// The replica's cache is of unknown weights and must not be used.
-		d.Realm = unsharedRealmPrefix + x.info.ID
+		d.Realm = unsharedRealmPrefix + x.info.ID + "/" + url.QueryEscape(d.Organisation)
 		return d, &route.Plan{}
 	}
 	d.Weights = c.Weights
-	d.Realm = x.realm(c.Weights)
+	r := x.realm(c.Weights, now)
+	d.Realm = r.String()
 	shared := x.info.Shared()
 	if !x.service.Engine.PlannedFetch || len(shared) == 0 {
 		return d, &route.Plan{}
 	}
-	replaced := x.g.siteState.WeightHistory(x.pickInput.Model).MayBeReplacedAt(c.Weights)
+	rules := x.g.siteState.sourceRules(r)
 	plan := x.g.cacheIndex.Plan(d.Realm, c.Upstream, shared, x.service.Engine, route.PlanLimits{
 		MaxFetchTime: x.maxExpectedFetch(),
 		// While weights are being replaced, the cache a replica computes may be of either version.
-		Save:           replaced.IsZero(),
-		CompleteBefore: replaced,
-		HomesOnly:      x.pickInput.HomesOnly,
-		Homes:          x.pickInput.Homes,
+		Save:        rules.CompleteBefore.IsZero(),
+		SourceRules: rules,
+		HomesOnly:   x.pickInput.HomesOnly,
+		Homes:       x.pickInput.Homes,
 	}, now)
 	d.Sources, d.Saves = plan.Sources, plan.Saves
 	if clock, ok := x.g.clock.read(now); ok && plan.Fetched > 0 {
@@ -101,36 +100,3 @@
 // routePriorityLevels is how many route priorities are distinguished within one
 // organisation priority.
 const routePriorityLevels = 3
-
-// unsharedRealmPrefix begins the realms of single requests, which share no cache.
-const unsharedRealmPrefix = "?"
-
-// realm names the cache namespace that the request shares for a version of the model's
-// weights.
-func (x *exchange) realm(version int64) string {
-	return realmName(x.pickInput.Model, version, x.organisation, x.pickInput.Homes)
-}
-
-// realmName names the cache namespace that requests share: that of one model and one
-// version of its weights, of one organisation if it is isolated, and of the same homes
-// if requests have some. As the name is part of the cache key, no check can be
-// forgotten.
-func realmName(model string, version int64, o *site.Organisation, homes []string) string {
-	r := model + "@" + strconv.FormatInt(version, 10)
-	if o != nil && o.Isolated {
-		r += "/" + o.Name
-	}
-	if len(homes) > 0 {
-		r += "/in:" + strings.Join(slices.Sorted(slices.Values(homes)), "+")
-	}
-	return r
-}
-
-// parseRealm returns a realm's model and version; ok is false if realmName did not make
-// it.
-func parseRealm(realm string) (model string, version int64, ok bool) {
-	model, rest, found := strings.Cut(realm, "@")
-	text, _, _ := strings.Cut(rest, "/")
-	version, err := strconv.ParseInt(text, 10, 64)
-	return model, version, found && err == nil
-}
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -101,7 +101,8 @@
 	for i := range candidates {
 		version := candidates[i].Weights[x.pickInput.Model]
 		if _, known := realms[version]; !known {
-			realms[version] = route.Realm{Name: x.realm(version), CompleteBefore: x.pickInput.Weights.MayBeReplacedAt(version)}
+			r := x.realm(version, now)
+			realms[version] = route.Realm{Name: r.String(), SourceRules: x.g.siteState.sourceRules(r)}
 		}
 	}
 	x.pickInput.Coverage = x.g.cacheIndex.Coverage(candidates, x.pickInput.Model, realms, x.info.Shared(), e, x.maxExpectedFetch(), now)
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -82,6 +82,7 @@
 	origins      *origins.Origins
 	rollout      *rollout.Rollout
 	weights      *weightRegister
+	sharing      *sharingRegister
 	canaries     *canaries
 	conns        *upstreamConns
 	clients      *clientConns
@@ -150,6 +151,7 @@
 		origins:      built.Origins,
 		rollout:      built.Rollout,
 		weights:      built.Weights,
+		sharing:      built.Sharing,
 		canaries:     built.Canaries,
 		conns:        built.Conns,
 		clients:      built.Clients,
@@ -249,6 +251,7 @@
 	g.runEvery(freeInterval, g.kvStores.freeUnused)
 	g.runEvery(rollout.StepInterval, g.rollout.Step)
 	g.runEvery(weightRegisterInterval, g.weights.step)
+	g.runEvery(sharingRegisterInterval, g.sharing.step)
 	g.runEvery(canaryInterval, g.canaries.step)
 	g.runEvery(refreshInterval, g.updateRetrySlack)
 	if r := g.siteState.requestBytes; r != nil {
--- a/service/gateway/loads.go
+++ b/service/gateway/loads.go
@@ -67,6 +67,8 @@
 	// Weights are the ages of weights that were named lately. A node that heard of them late learns
 	// in this way when they were named.
 	Weights []weightAge `json:"w,omitempty"`
+	// Sharing is what the node knows of the newest configuration.
+	Sharing route.Sharing `json:"s,omitzero"`
 }
 
 // linkTallies holds the running totals of stores' links.
@@ -183,6 +185,7 @@
 	return loadNote{
 		From: n.self.Name, Hall: n.self.DataHall, Incarnation: n.incarnation, Seq: n.loads.seq, Era: era,
 		Weights: n.siteState.recentWeightAges(boottime.RefreshNow()),
+		Sharing: n.siteState.sharingHistory().Newest(),
 	}
 }
 
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -184,6 +184,8 @@
 	Rollouts []knownRollout `json:"rollouts,omitempty"`
 	// Weights are the versions of models' weights and their ages, which the operator's table does not have.
 	Weights []weightAge `json:"weights,omitempty"`
+	// Sharing is in which periods organisations share KV cache.
+	Sharing []route.Sharing `json:"sharing,omitempty"`
 }
 
 // leftNote names a replica whose row is gone.
@@ -215,6 +217,7 @@
 	}
 	out.Rollouts = n.canaries.known(now)
 	out.Weights = n.siteState.allWeightAges(now)
+	out.Sharing = n.siteState.sharingHistory()
 	return out, nil
 }
 
@@ -271,4 +274,7 @@
 		n.canaries.learn(r, now)
 	}
 	n.siteState.learnWeightAges(s.Weights, now)
+	for _, known := range s.Sharing {
+		n.siteState.LearnSharing(known, sharingTold)
+	}
 }
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -54,6 +54,10 @@
 	// weights has the versions of the weights by model. It is replaced with mu held, and read
 	// without: picks need it.
 	weights atomic.Pointer[map[string]route.WeightHistory]
+	// sharing has in which periods organisations share KV cache. It is replaced with mu held, and read without.
+	sharing atomic.Pointer[route.SharingHistory]
+	// replacedConfig is the configuration that the one in force has replaced, nil if that is the first.
+	replacedConfig atomic.Pointer[replacedConfig]
 
 	mu        locks.Mutex
 	upstreams map[string]*upstreamEntry
@@ -174,7 +178,7 @@
 		for _, v := range s.Stores() {
 			v.Store.Region = st.regions[v.Store.DataHall]
 		}
-		st.configure(s)
+		st.configure(s, now)
 		return nil
 	}
 	model, version, ok, err := st.codec.Weights(r)
@@ -186,12 +190,15 @@
 }
 
 // configure puts a configuration in force unless that one or a newer one already is.
-func (st *SiteState) configure(next *site.Snapshot) {
+func (st *SiteState) configure(next *site.Snapshot, now time.Time) {
 	for {
 		old := st.snapshot.Load()
 		if old != nil && old.Version >= next.Version {
 			return
 		}
+		if old != nil {
+			st.replacedConfig.Store(st.newReplacedConfig(old, next, now))
+		}
 		if st.snapshot.CompareAndSwap(old, next) {
 			break
 		}
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -342,17 +342,17 @@
 
 // replaced reports whether no prompt will use KV cache of a realm again that is not sent yet: newer weights were named long
 // enough ago that nodes know them, and no replica has the old ones.
-func (s *kvStoreFollower) replaced(realm string, now time.Time) bool {
-	model, version, ok := parseRealm(realm)
+func (s *kvStoreFollower) replaced(name string, now time.Time) bool {
+	r, ok := parseRealm(name)
 	if !ok {
 		return false
 	}
-	newest := s.siteState.WeightHistory(model).Newest()
-	if version >= newest.Version || now.Sub(newest.Heard) < replacedTerm {
+	newest := s.siteState.WeightHistory(r.model).Newest()
+	if r.weights >= newest.Version || now.Sub(newest.Heard) < replacedTerm {
 		return false
 	}
 	for _, p := range s.siteState.Pools() {
-		if p.ServesWeights(model, version) {
+		if p.ServesWeights(r.model, r.weights) {
 			return false
 		}
 	}
--- a/service/gateway/weight_register_test.go
+++ b/service/gateway/weight_register_test.go
@@ -22,10 +22,11 @@
 
 var errStoreRefuses = errors.New("the store refuses")
 
-// recordStore is a store with a table for the record of weights. Its calls take virtual time.
+// recordStore is a store with one table, for a record in one row. Its calls take virtual time.
 type recordStore struct {
 	Store
 
+	table     site.Table
 	clock     time.Time // Virtual; the nodes' clocks go with it.
 	zero      time.Time // Of the store's clock.
 	latency   func() (before, after time.Duration)
@@ -38,9 +39,9 @@
 	beforePut func() // Called once before the next write.
 }
 
-func newRecordStore() *recordStore {
+func newRecordStore(table site.Table) *recordStore {
 	now := time.Now()
-	s := &recordStore{clock: now, zero: now.Add(-time.Hour), latency: func() (_, _ time.Duration) { return time.Millisecond, time.Millisecond }}
+	s := &recordStore{table: table, clock: now, zero: now.Add(-time.Hour), latency: func() (_, _ time.Duration) { return time.Millisecond, time.Millisecond }}
 	s.eras.Observe(1, now)
 	return s
 }
@@ -74,7 +75,7 @@
 func (s *recordStore) List(ctx context.Context, t site.Table) (l site.Listing, err error) {
 	s.lists++
 	err = s.call(ctx, func() error {
-		if t != site.TableWeights {
+		if t != s.table {
 			return fmt.Errorf("table %d", t)
 		}
 		l = s.listing()
@@ -140,7 +141,7 @@
 }
 
 func newRecordFleet(n int) *recordFleet {
-	f := &recordFleet{recordStore: newRecordStore(), log: &strings.Builder{}}
+	f := &recordFleet{recordStore: newRecordStore(site.TableWeights), log: &strings.Builder{}}
 	list := make([]control.Member, n)
 	for i := range list {
 		list[i] = control.Member{Name: fmt.Sprintf("n%d", i), Incarnation: 1}
--- a/service/gateway/wiring.go
+++ b/service/gateway/wiring.go
@@ -43,6 +43,7 @@
 	Origins      *origins.Origins
 	Rollout      *rollout.Rollout
 	Weights      *weightRegister
+	Sharing      *sharingRegister
 	Canaries     *canaries
 	Conns        *upstreamConns
 	Clients      *clientConns
@@ -157,6 +158,7 @@
 		newKVStoreFollower,
 		newEngineCacheFollower,
 		newWeightRegister,
+		newSharingRegister,
 		newNodes,
 		newPeerServer,
 	}
