The last period of shared cache goes on until the next one is known

A node that had a new configuration and not yet its period went on in the last period for half a second, unless an organisation became isolated that it knew to share. It could have missed a version in between in which another one shared, so the namespace was right only within a bound of time.

Now the last period goes on, for any time, if the new configuration isolates nobody whom the last one did not. By the record none of these has shared in it. Otherwise what is made is kept apart until the period is known. TestOthersKeepTheirMemoryWhenAnIsolatedOrganisationJoins waits for that; a name that follows from the configuration alone still fails it. The drawn test has no exception for time any more, and fails without each of the two conditions.

--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -44,7 +44,7 @@
 		return d, &route.Plan{}
 	}
 	d.Weights = c.Weights
-	r := x.realm(c.Weights, now)
+	r := x.realm(c.Weights)
 	d.Realm = r.String()
 	shared := x.info.Shared()
 	if !x.service.Engine.PlannedFetch || len(shared) == 0 {
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -101,7 +101,7 @@
 	for i := range candidates {
 		version := candidates[i].Weights[x.pickInput.Model]
 		if _, known := realms[version]; !known {
-			r := x.realm(version, now)
+			r := x.realm(version)
 			realms[version] = route.Realm{Name: r.String(), SourceRules: x.g.siteState.sourceRules(r)}
 		}
 	}
--- a/service/gateway/handoff.go
+++ b/service/gateway/handoff.go
@@ -381,7 +381,7 @@
 		d.Organisation = x.organisation.Name
 	}
 	if c.Weights > 0 {
-		d.Realm = x.realm(c.Weights, now).String()
+		d.Realm = x.realm(c.Weights).String()
 	}
 	return d
 }
--- a/service/gateway/realm.go
+++ b/service/gateway/realm.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/drumpath/drumpath/pkg/history"
 	"github.com/drumpath/drumpath/pkg/route"
@@ -29,6 +28,9 @@
 	organisation string
 	period       route.SharingPeriod
 	config       int64
+	// provisional means that this node does not know the period of the configuration in force. It is no part of the
+	// name.
+	provisional bool
 }
 
 type groupKind int
@@ -123,12 +125,12 @@
 
 // realm returns the namespace that the request shares for a version of the model's weights. It follows the configuration
 // in force now: the request may have waited since an earlier one.
-func (x *exchange) realm(weights int64, now time.Time) realm {
+func (x *exchange) realm(weights int64) realm {
 	organisation := ""
 	if x.organisation != nil {
 		organisation = x.organisation.Name
 	}
-	return realm{model: x.pickInput.Model, weights: weights, group: x.g.siteState.cacheGroup(organisation, now), homes: x.pickInput.Homes}
+	return realm{model: x.pickInput.Model, weights: weights, group: x.g.siteState.cacheGroup(organisation), homes: x.pickInput.Homes}
 }
 
 // sourceRules returns the rules for fetches of a realm's parts.
--- a/service/gateway/sharing.go
+++ b/service/gateway/sharing.go
@@ -1,16 +1,10 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 )
 
-// sharingDelay is how long after a configuration came in force the organisations that shared under the one before go on
-// in its period, as it is not known yet whether a new one begins.
-const sharingDelay = 500 * time.Millisecond
-
 // sharingSource is how a node learned in which period organisations share KV cache.
 type sharingSource string
 
@@ -19,14 +13,22 @@
 	sharingStored sharingSource = "record" // The record in the platform's store.
 )
 
-// replacedConfig is a configuration that a newer one has replaced.
-type replacedConfig struct {
+// sharedConfig is an earlier configuration with the period in which organisations shared under it.
+type sharedConfig struct {
 	*site.Snapshot
-	replacedBy int64
-	at         time.Time
-	// endsPeriod means that the next one isolates an organisation that shares in this one, or that there may have been others
-	// between the two.
-	endsPeriod bool
+	period route.SharingPeriod
+}
+
+// goesOnUnder reports whether what was kept of the period may be used under a newer configuration. That must isolate nobody
+// whom this one does not: none of these has shared in the period, but another one may have, even one of which this node has not
+// heard.
+func (c *sharedConfig) goesOnUnder(next *site.Snapshot) bool {
+	for name, isolated := range next.Isolation() {
+		if isolated && !c.Isolation()[name] {
+			return false
+		}
+	}
+	return true
 }
 
 // LearnSharing takes in in which period organisations share under a configuration.
@@ -55,21 +57,16 @@
 	return nil
 }
 
-// newReplacedConfig returns what is to be known of a configuration that the next one replaces.
-func (st *SiteState) newReplacedConfig(old, next *site.Snapshot, now time.Time) *replacedConfig {
-	c := &replacedConfig{Snapshot: old, replacedBy: next.Version, at: now}
-	st.mu.Lock()
-	c.endsPeriod = st.mayHaveMissedOperator(maxChangeDelay, now)
-	st.mu.Unlock()
-	for name, isolated := range next.Isolation() {
-		c.endsPeriod = c.endsPeriod || isolated && old.SharesCache(name)
+// keepPeriod remembers the period of a configuration that is being replaced, if it is known.
+func (st *SiteState) keepPeriod(old *site.Snapshot) {
+	if p, ok := st.sharingHistory().Find(old.Version); ok {
+		st.lastShared.Store(&sharedConfig{Snapshot: old, period: p})
 	}
-	return c
 }
 
 // cacheGroup returns the group of requests with which an organisation's share KV cache, for requests without an organisation if
 // the name is empty.
-func (st *SiteState) cacheGroup(organisation string, now time.Time) cacheGroup {
+func (st *SiteState) cacheGroup(organisation string) cacheGroup {
 	s := st.Snapshot()
 	if s == nil || !s.RequireKey {
 		return cacheGroup{kind: groupAll}
@@ -78,14 +75,11 @@
 	if !shares(s) {
 		return cacheGroup{kind: groupOrganisation, organisation: organisation}
 	}
-	h := st.sharingHistory()
-	if p, ok := h.Find(s.Version); ok {
+	if p, ok := st.sharingHistory().Find(s.Version); ok {
 		return cacheGroup{kind: groupPeriod, period: p}
 	}
-	if old := st.replacedConfig.Load(); old != nil && old.replacedBy == s.Version && !old.endsPeriod && now.Sub(old.at) < sharingDelay {
-		if p, ok := h.Find(old.Version); ok && shares(old.Snapshot) {
-			return cacheGroup{kind: groupPeriod, period: p}
-		}
+	if last := st.lastShared.Load(); last != nil && shares(last.Snapshot) && last.goesOnUnder(s) {
+		return cacheGroup{kind: groupPeriod, period: last.period, provisional: true}
 	}
-	return cacheGroup{kind: groupConfig, config: s.Version}
+	return cacheGroup{kind: groupConfig, config: s.Version, provisional: true}
 }
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -56,8 +56,8 @@
 	weights atomic.Pointer[map[string]route.WeightHistory]
 	// sharing has in which periods organisations share KV cache. It is replaced with mu held, and read without.
 	sharing atomic.Pointer[route.SharingHistory]
-	// replacedConfig is the configuration that the one in force has replaced, nil if that is the first.
-	replacedConfig atomic.Pointer[replacedConfig]
+	// lastShared is the last configuration before the one in force whose period this node knew, nil for none.
+	lastShared atomic.Pointer[sharedConfig]
 
 	mu        locks.Mutex
 	upstreams map[string]*upstreamEntry
@@ -178,7 +178,7 @@
 		for _, v := range s.Stores() {
 			v.Store.Region = st.regions[v.Store.DataHall]
 		}
-		st.configure(s, now)
+		st.configure(s)
 		return nil
 	}
 	model, version, ok, err := st.codec.Weights(r)
@@ -190,14 +190,14 @@
 }
 
 // configure puts a configuration in force unless that one or a newer one already is.
-func (st *SiteState) configure(next *site.Snapshot, now time.Time) {
+func (st *SiteState) configure(next *site.Snapshot) {
 	for {
 		old := st.snapshot.Load()
 		if old != nil && old.Version >= next.Version {
 			return
 		}
 		if old != nil {
-			st.replacedConfig.Store(st.newReplacedConfig(old, next, now))
+			st.keepPeriod(old)
 		}
 		if st.snapshot.CompareAndSwap(old, next) {
 			break
