Parts are freed at a store only when no node plans a fetch of them or has one under way

Cause: "no replica is known to have these weights" was taken for "nobody fetches their parts". An entry lapses while its replica runs on, and a node that is cut off from the store and the other nodes goes on sending to it, for as long as it is cut off. The class: absence of a row is taken for absence of the thing. The term after which no answer begins on replaced weights does not bound this either: a node that can reach nobody does not count it.

Who is known to have the weights does not matter, so the count of replicas by weights is gone, with the line of a test that compared it.

--- a/pkg/route/large_pool_test.go
+++ b/pkg/route/large_pool_test.go
@@ -116,14 +116,13 @@
 			}
 		}
 		assert.Equal(t, len(p.members), len(listed))
-		counts, software, inOrder := map[modelVersion]int{}, map[string]int{}, 0
+		software, inOrder := map[string]int{}, 0
 		for i, m := range p.members {
 			assert.Equal(t, m.index, i)
 			assert.Assert(t, p.byID[m.ID] == m && p.byStart[m.startHash] == m)
 			assert.Equal(t, m.startKey, m.StartKey())
 			u := listed[m.ID]
 			assert.DeepEqual(t, m.Weights, u.Weights)
-			counts[modelVersion{"m", u.Weights["m"]}]++
 			software[u.Software]++
 		}
 		for hall, order := range p.hallOrder {
@@ -134,7 +133,6 @@
 			inOrder += len(order)
 		}
 		assert.Equal(t, inOrder, len(listed))
-		assert.DeepEqual(t, p.weightCounts, counts)
 		assert.DeepEqual(t, p.softwareCounts, software)
 	})
 }
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -32,8 +32,6 @@
 	ejected   []*member            // Replicas that were ejected and may still be.
 	// revision counts the changes of the list and of the versions of weights.
 	revision uint64
-	// weightCounts counts the replicas that serve a version of a model's weights.
-	weightCounts map[modelVersion]int
 	// softwareCounts counts the replicas by the version of their software.
 	softwareCounts map[string]int
 	// secondsPerToken and baseSeconds are learnt from answers: the time to prefill one
@@ -85,12 +83,6 @@
 	candidates []candidate
 }
 
-// modelVersion is one version of a model's weights.
-type modelVersion struct {
-	model   string
-	version int64
-}
-
 // member is one replica of a pool.
 type member struct {
 	site.Upstream
@@ -195,7 +187,6 @@
 		byStart:          map[NameHash]*member{},
 		hallOrder:        map[string][]*member{},
 		busy:             map[*member]struct{}{},
-		weightCounts:     map[modelVersion]int{},
 		softwareCounts:   map[string]int{},
 		secondsPerToken:  initialSecondsPerToken,
 		baseSeconds:      initialBaseSeconds,
--- a/pkg/route/pool_members.go
+++ b/pkg/route/pool_members.go
@@ -33,13 +33,6 @@
 	return p.revision
 }
 
-// ServesWeights reports whether any replica has a version of a model's weights.
-func (p *Pool) ServesWeights(model string, version int64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.weightCounts[modelVersion{model, version}] > 0
-}
-
 // put adds or updates a replica; the caller holds mu.
 func (p *Pool) put(u *site.Upstream, now time.Time) {
 	m, ok := p.byID[u.ID]
@@ -174,17 +167,4 @@
 	if p.softwareCounts[m.Software] == 0 {
 		delete(p.softwareCounts, m.Software)
 	}
-	p.countWeights(m, n)
-}
-
-// countWeights adds n for each version of weights that a replica serves; the caller holds
-// mu.
-func (p *Pool) countWeights(m *member, n int) {
-	for model, version := range m.Weights {
-		key := modelVersion{model, version}
-		p.weightCounts[key] += n
-		if p.weightCounts[key] == 0 {
-			delete(p.weightCounts, key)
-		}
-	}
 }
--- a/pkg/route/pool_updates.go
+++ b/pkg/route/pool_updates.go
@@ -112,9 +112,7 @@
 	defer p.mu.Unlock()
 	m, ok := p.find(ref)
 	if ok && version > 0 && m.Weights[model] != version {
-		p.countWeights(m, -1)
 		m.setWeights(model, version)
-		p.countWeights(m, 1)
 		p.revision++
 		m.avoidUntil, m.swapUntil = time.Time{}, time.Time{}
 	}
--- a/pkg/route/weight_history.go
+++ b/pkg/route/weight_history.go
@@ -130,6 +130,20 @@
 	return replaced
 }
 
+// ReplacedAfter returns a time after which the first version after the given one was named, zero if none is known; replaced is
+// false if there is no such version.
+func (h WeightHistory) ReplacedAfter(version int64) (at time.Time, replaced bool) {
+	for _, v := range h {
+		if v.Version > version {
+			if v.Estimated {
+				return v.Earliest, true
+			}
+			return v.Since, true
+		}
+	}
+	return at, false
+}
+
 // MayBeReplacedAt returns when the first version after the given one may have been named at the earliest, zero if there is
 // none. What was made before that was made with the given version.
 func (h WeightHistory) MayBeReplacedAt(version int64) (replaced time.Time) {
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -50,11 +50,12 @@
 	if !x.service.Engine.PlannedFetch || len(shared) == 0 {
 		return d, &route.Plan{}
 	}
-	rules := x.g.siteState.sourceRules(r)
+	rules := x.g.sourceRules(r, now)
 	plan := x.g.cacheIndex.Plan(d.Realm, c.Upstream, shared, x.service.Engine, route.PlanLimits{
 		MaxFetchTime: x.maxExpectedFetch(),
-		// While weights are being replaced, the cache a replica computes may be of either version.
-		Save:        rules.CompleteBefore.IsZero(),
+		// While weights are being replaced, the cache a replica computes may be of either version. What may not be
+		// fetched from stores may be there already.
+		Save:        rules.CompleteBefore.IsZero() && !rules.NoStores,
 		SourceRules: rules,
 		HomesOnly:   x.pickInput.HomesOnly,
 		Homes:       x.pickInput.Homes,
--- a/service/gateway/exchange_pick.go
+++ b/service/gateway/exchange_pick.go
@@ -102,7 +102,7 @@
 		version := candidates[i].Weights[x.pickInput.Model]
 		if _, known := realms[version]; !known {
 			r := x.realm(version)
-			realms[version] = route.Realm{Name: r.String(), SourceRules: x.g.siteState.sourceRules(r)}
+			realms[version] = route.Realm{Name: r.String(), SourceRules: x.g.sourceRules(r, now)}
 		}
 	}
 	x.pickInput.Coverage = x.g.cacheIndex.Coverage(candidates, x.pickInput.Model, realms, x.info.Shared(), e, x.maxExpectedFetch(), now)
--- a/service/gateway/realm.go
+++ b/service/gateway/realm.go
@@ -132,8 +132,3 @@
 	}
 	return realm{model: x.pickInput.Model, weights: weights, group: x.g.siteState.cacheGroup(organisation), homes: x.pickInput.Homes}
 }
-
-// sourceRules returns the rules for fetches of a realm's parts.
-func (st *SiteState) sourceRules(r realm) route.SourceRules {
-	return route.SourceRules{CompleteBefore: st.WeightHistory(r.model).MayBeReplacedAt(r.weights)}
-}
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -61,10 +61,6 @@
 	owners     map[string]string
 	ownersView *control.View
 	wg         sync.WaitGroup
-
-	// unservedSince has the realms of replaced weights in the stores that this node is responsible for, and since when no
-	// replica is known to have those weights. Only freeUnusedAt uses it.
-	unservedSince map[string]time.Time
 }
 
 // storeFollowInputs determine which KV cache stores a node follows itself and which relays
@@ -282,8 +278,8 @@
 	return true
 }
 
-// freeUnused frees parts made under replaced weights in the stores that this node is
-// responsible for; the timer service calls it.
+// freeUnused frees parts that are ruled out in the stores that this node is responsible for; the timer service calls
+// it.
 func (s *kvStoreFollower) freeUnused(ctx context.Context) { s.freeUnusedAt(ctx, boottime.Now()) }
 
 func (s *kvStoreFollower) freeUnusedAt(ctx context.Context, now time.Time) {
@@ -291,23 +287,18 @@
 	if snapshot == nil || !s.siteState.AnyWeightsReplaced() {
 		return
 	}
-	unserved := map[string]time.Time{}
-	defer func() { s.unservedSince = unserved }()
 	for _, v := range snapshot.Stores() {
 		if !v.Store.Managed || !s.owns(v.Name) {
 			continue
 		}
 		unused := s.cacheIndex.StoreRealms(v.Name)
-		maps.DeleteFunc(unused, func(realm string, _ bool) bool {
-			if !s.replaced(realm, now) {
+		maps.DeleteFunc(unused, func(name string, _ bool) bool {
+			r, ok := parseRealm(name)
+			if !ok {
 				return true
 			}
-			since, known := s.unservedSince[realm]
-			if !known {
-				since = now
-			}
-			unserved[realm] = since
-			return now.Sub(since) < unservedTerm
+			since, ruledOut := s.siteState.ruledOutSince(r)
+			return !ruledOut || now.Sub(since) < freeDelay
 		})
 		list, boot := s.cacheIndex.PartsOf(v.Name, unused, maxFreedPerCall)
 		if len(list) == 0 {
@@ -339,30 +330,3 @@
 	}
 	return owner == s.self
 }
-
-// replaced reports whether no prompt will use KV cache of a realm again that is not sent yet: newer weights were named long
-// enough ago that nodes know them, and no replica has the old ones.
-func (s *kvStoreFollower) replaced(name string, now time.Time) bool {
-	r, ok := parseRealm(name)
-	if !ok {
-		return false
-	}
-	newest := s.siteState.WeightHistory(r.model).Newest()
-	if r.weights >= newest.Version || now.Sub(newest.Heard) < replacedTerm {
-		return false
-	}
-	for _, p := range s.siteState.Pools() {
-		if p.ServesWeights(r.model, r.weights) {
-			return false
-		}
-	}
-	return true
-}
-
-// replacedTerm is twice the longest fetch, plus a margin for nodes that learn of new
-// weights late.
-const replacedTerm = 2*maxFetchTimeout + time.Second
-
-// unservedTerm is how long after no replica is known to have weights any more their parts may still be fetched: for the
-// longest fetch, by a prompt that a node sent which learned that a little later.
-const unservedTerm = maxFetchTimeout + time.Second
--- a/service/gateway/stores_test.go
+++ b/service/gateway/stores_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/drumpath/drumpath/pkg/control"
 	"github.com/drumpath/drumpath/pkg/history"
@@ -256,34 +257,120 @@
 	return nil
 }
 
-// Parts for replaced weights were freed as soon as the last replica with these had left or loaded others, while prompts that had
-// just been sent there still fetched them.
-func TestPartsAreNotFreedWhileThePromptsOfTheLastReplicaFetchThem(t *testing.T) {
+// freeingNode is a node that is responsible for a store, which has one part of the first version of the weights.
+func freeingNode(now time.Time) (*kvStoreFollower, *freeingEngines) {
 	log := slog.New(slog.DiscardHandler)
 	self := control.Member{Name: "n0", DataHall: "h", Incarnation: 1}
 	m := control.NewMembers(self, time.Second, nil, newRand())
 	v := &site.Service{Name: "kv", Store: &site.Store{Managed: true, Capacity: 1000, LinkRate: 1e9}}
 	cacheIndex := route.NewCacheIndex()
 	cacheIndex.Configure([]*site.Service{v})
-	now := time.Now()
-	cacheIndex.ApplyStoreChanges("kv", site.CacheChanges{Boot: 1, Next: 1, Changes: []site.CacheChange{part("a", 100)}}, now)
+	first := site.CacheChange{Realm: realm{model: "m", weights: 1}.String(), Part: "a", Tokens: 100}
+	cacheIndex.ApplyStoreChanges("kv", site.CacheChanges{Boot: 1, Next: 1, Changes: []site.CacheChange{first}}, now)
 	st := NewSiteState(nil, "h", time.Second, cacheIndex, log)
+	st.weightsTerm = 10 * time.Second
 	st.snapshot.Store(site.NewSnapshot(1, nil, map[string]*site.Service{"kv": v}, site.Limits{}))
-	st.LearnWeights("m", route.WeightVersion{Version: 2, Since: now, Heard: now}, weightsTold)
-	u := site.Upstream{ID: "e", Service: "s", DataHall: "h", Weights: map[string]int64{"m": 1}}
-	st.applyRow(u, now)
 	engines := &freeingEngines{}
-	s := newKVStoreFollower(self, engines, nil, st, cacheIndex, m, new(replicaClock), log)
-	freedAt := func(at time.Time) int {
-		s.freeUnusedAt(t.Context(), at)
-		return len(engines.freed)
+	return newKVStoreFollower(self, engines, nil, st, cacheIndex, m, new(replicaClock), log), engines
+}
+
+// Parts of replaced weights were freed once no replica was known to have these, while a node that was cut off still knew one,
+// whose row had lapsed, and had it fetch them. Here the fetch is under way as the node's term ends.
+func TestPartsAreNotFreedWhileANodeThatIsCutOffHasThemFetched(t *testing.T) {
+	now := time.Now()
+	s, engines := freeingNode(now)
+	u := site.Upstream{ID: "e", Service: "s", DataHall: "h", Weights: map[string]int64{"m": 1}}
+	s.siteState.applyRow(u, now)
+	cutOff := newWeightsState()
+	old := realm{model: "m", weights: 1}
+	cutOff.MarkOperatorRead(now)
+	s.siteState.ApplyUpstreams([]site.Row{{Key: "e", Position: at(9), Gone: true}}, false, now)
+	s.siteState.MarkOperatorRead(now)
+	s.siteState.hearWeights("m", 2, false, now)
+	var fetchEnds, freed time.Time
+	for at := now; at.Sub(now) < time.Minute; at = at.Add(100 * time.Millisecond) {
+		if cutOff.mayFetchFromStores(old, at) {
+			assert.Assert(t, freed.IsZero(), "a fetch is planned after %v", at.Sub(now))
+			fetchEnds = at.Add(maxFetchTimeout)
+		}
+		if s.freeUnusedAt(t.Context(), at); len(engines.freed) > 0 && freed.IsZero() {
+			freed = at
+		}
 	}
-	gone := now.Add(replacedTerm + time.Second)
-	assert.Equal(t, freedAt(gone), 0, "a replica has the weights")
-	st.ApplyUpstreams([]site.Row{{Key: "e", Position: at(9), Gone: true}}, false, gone)
-	assert.Equal(t, freedAt(gone.Add(freeInterval)), 0)
-	assert.Equal(t, freedAt(gone.Add(maxFetchTimeout)), 0, "prompts that were sent there may still fetch it")
-	assert.Equal(t, freedAt(gone.Add(freeInterval+unservedTerm)), 1)
+	assert.Assert(t, fetchEnds.Sub(now) > fetchPlanTerm, "the node that is cut off goes on with fetches for a while")
+	assert.Assert(t, !freed.IsZero() && freed.Sub(fetchEnds) >= fetchClockError/2, "freed after %v, while a fetch may last until %v", freed.Sub(now), fetchEnds.Sub(now))
+	assert.Assert(t, freed.Sub(now) <= freeDelay+freeInterval, "%v", freed.Sub(now))
+}
+
+// Parts that a node still had fetched were freed, as it had heard late of new weights, or of another version than the node that
+// freed them. Here nodes hear late or not at all, miss versions, restart, tell each other, and each of them may be responsible for the
+// store.
+func TestPartsAreFreedOnlyWhenNoFetchOfThemIsPlannedOrUnderWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		newest := int64(1)
+		nodes := make([]*SiteState, 4)
+		rows := map[*SiteState]int64{} // The version in the row that the node has read last.
+		read := func(st *SiteState) {
+			if before, known := rows[st]; newest > max(before, firstWeights) {
+				st.hearWeights("m", newest, !known, now)
+			}
+			rows[st] = newest
+			st.MarkOperatorRead(now)
+		}
+		start := func(i int) {
+			nodes[i] = newWeightsState()
+			read(nodes[i])
+		}
+		for i := range nodes {
+			start(i)
+		}
+		fetchEnds, freed := map[int64]time.Time{}, map[int64]bool{}
+		draw := func(t *rapid.T) int { return rapid.IntRange(0, len(nodes)-1).Draw(t, "node") }
+		t.Repeat(map[string]func(*rapid.T){
+			"name":    func(*rapid.T) { newest++ },
+			"read":    func(t *rapid.T) { read(nodes[draw(t)]) },
+			"restart": func(t *rapid.T) { start(draw(t)) },
+			"cut off": func(t *rapid.T) {
+				st := nodes[draw(t)]
+				st.MarkOperatorUnreachable(now.Add(-time.Second), now)
+			},
+			"tell": func(t *rapid.T) {
+				nodes[draw(t)].learnWeightAges(nodes[draw(t)].recentWeightAges(now), now)
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Second, 2500 * time.Millisecond, 6 * time.Second}).Draw(t, "time"))
+			},
+			"": func(t *rapid.T) {
+				for v := range newest + 1 {
+					r := realm{model: "m", weights: v}
+					for _, st := range nodes {
+						if st.mayFetchFromStores(r, now) {
+							assert.Assert(t, !freed[v], "version %d is fetched after it was freed", v)
+							fetchEnds[v] = now.Add(maxFetchTimeout)
+						}
+					}
+					for _, st := range nodes {
+						if since, ok := st.ruledOutSince(r); ok && now.Sub(since) >= freeDelay {
+							assert.Assert(t, !now.Before(fetchEnds[v]), "version %d is freed %v before a fetch may end", v, fetchEnds[v].Sub(now))
+							freed[v] = true
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
+// A node that does not know the replicas' clock can't tell them when to abandon a fetch, so it plans none.
+func TestNoFetchFromStoresIsPlannedWithoutAnEnd(t *testing.T) {
+	now := time.Now()
+	g := &Gateway{siteState: newWeightsState(), clock: new(replicaClock)}
+	g.siteState.MarkOperatorRead(now)
+	r := realm{model: "m", weights: 1}
+	assert.Assert(t, g.sourceRules(r, now).NoStores)
+	g.clock.update(time.Second, now)
+	assert.Assert(t, !g.sourceRules(r, now).NoStores)
 }
 
 // A node that had started just after a store's restart saved parts there at once. Nodes that had not noticed the restart yet took
