What no request may use any more is freed at stores

What callers saw: nothing at once; but what organisations had shared until one of them became isolated, and what organisations had kept that are isolated no longer or were removed, stayed at managed stores for good and took the room of what is used (those stores drop nothing by themselves).

Cause: only parts of replaced weights were freed. Since a period of shared cache can end, its parts must go too.

Change: parts are also ruled out by the end of their period and as their organisation is not isolated any more. The latter can be reversed under the same name, so a node has parts freed only within 4 s of its last reading of the operator's table, stores ignore the call after 1 s, and no fetch is planned for an organisation within 6 s of when it has become isolated, as far as a node knows.

--- a/internal/standin/onplatform/isolation_test.go
+++ b/internal/standin/onplatform/isolation_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/drumpath/drumpath/internal/standin/onplatform"
 )
@@ -44,7 +46,7 @@
 	assert.NilError(s.t, err)
 	s.t.Cleanup(r.Close)
 	store = newPartKeeper(r)
-	store.Script(store.serveEvents)
+	store.Script(store.serveStore)
 	s.extraServices = append(s.extraServices, map[string]any{
 		"name": "kv", "kv_store_addr": r.Addr().String(), "zone": "hall-a", "kv_capacity_tokens": 1_000_000,
 		"link_mbps": 10_000.0, "max_inflight": 12, "managed": true, "first_ms": 0.5,
@@ -61,12 +63,55 @@
 	return engine, store
 }
 
-// serveEvents answers a poll for a store's events.
-func (k *partKeeper) serveEvents(w io.Writer, r *onplatform.Request) bool {
+// serveStore answers a store's calls.
+func (k *partKeeper) serveStore(w io.Writer, r *onplatform.Request) bool {
 	target, err := url.Parse(r.Target)
-	if err != nil || target.Path != "/-/kv-events" {
+	switch {
+	case err == nil && target.Path == "/-/kv-events":
+		return k.serveEvents(w, r, target)
+	case err == nil && target.Path == "/-/kv-free":
+		return k.serveFree(w, r)
+	default:
 		return onplatform.NotExecuted(http.StatusServiceUnavailable)(w, r)
 	}
+}
+
+// serveFree frees parts.
+func (k *partKeeper) serveFree(w io.Writer, r *onplatform.Request) bool {
+	var call struct {
+		Parts [][2]string `json:"parts"`
+		Until int64       `json:"until_ms"`
+	}
+	if json.Unmarshal([]byte(r.Body), &call) != nil || call.Until < time.Since(k.startedAt).Milliseconds() {
+		return onplatform.NotExecuted(http.StatusConflict)(w, r)
+	}
+	k.mu.Lock()
+	for part := range k.makers {
+		name, _, _ := strings.Cut(part.id, ":")
+		if slices.Contains(call.Parts, [2]string{part.salt, name}) {
+			delete(k.makers, part)
+			k.events = append(k.events, []any{len(k.events) + 1, "-", part.salt, name, 0, model})
+		}
+	}
+	k.mu.Unlock()
+	return onplatform.OK("{}")(w, r)
+}
+
+// kept returns the tokens that a store keeps, by salt.
+func (k *partKeeper) kept() map[string]int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	tokens := map[string]int{}
+	for part := range k.makers {
+		_, n, _ := strings.Cut(part.id, ":")
+		count, _ := strconv.Atoi(n) // The test's own prompts have numbers here.
+		tokens[part.salt] += count
+	}
+	return tokens
+}
+
+// serveEvents answers a poll for a store's events.
+func (k *partKeeper) serveEvents(w io.Writer, r *onplatform.Request, target *url.URL) bool {
 	since, _ := strconv.Atoi(target.Query().Get("since")) // 0 for none.
 	k.mu.Lock()
 	body, err := json.Marshal(map[string]any{
@@ -155,9 +200,13 @@
 // at stores.
 func TestIsolatedOrganisationsMemoryOfEarlierIsNotUsed(t *testing.T) {
 	s := newSite(t)
-	engine, _ := s.startPartKeeping()
+	engine, store := s.startPartKeeping()
 	nodes := []*node{s.startReadyNode("n1"), s.startReadyNode("n2")}
 	s.waitUntilJoined(nodes...)
+	s.waitUntil("parts are saved", func() bool {
+		nodes[0].send(prompt("other"))
+		return len(store.kept()) > 0
+	})
 	ask := func(isolated map[string]bool) {
 		for round := range 3 {
 			for name := range isolated {
@@ -225,3 +274,41 @@
 		assert.Check(t, hitShare > 0.66, "%.3f of the parts were kept", hitShare)
 	}
 }
+
+// What organisations had shared until one of them became isolated stayed at managed stores for good.
+func TestStoreKeepsNothingOfAPeriodThatHasEnded(t *testing.T) {
+	const freedWithin = 16 * time.Second
+	s := newSite(t)
+	engine, store := s.startPartKeeping()
+	nodes := []*node{s.startReadyNode("n1"), s.startReadyNode("n2")}
+	s.waitUntilJoined(nodes...)
+	ask := func() {
+		for _, name := range []string{"alpha", "beta"} {
+			for _, n := range nodes {
+				assert.Equal(t, n.send(strings.Replace(prompt("b0"), key, "key-"+name, 1)).status, http.StatusOK)
+			}
+		}
+	}
+	s.setOrganisations(map[string]bool{"alpha": false, "beta": false}, nodes...)
+	s.waitUntil("parts are saved", func() bool {
+		ask()
+		return len(store.kept()) > 0
+	})
+	before := store.kept()
+	assert.Equal(t, len(before), 1)
+	s.setOrganisations(map[string]bool{"alpha": true, "beta": false}, nodes...)
+	time.Sleep(time.Second)
+	engine.forget()
+	ask()
+	for salt, tokens := range before {
+		assert.Equal(t, tokens, 800)
+		assert.Assert(t, store.kept()[salt] == tokens, "fetches may be under way")
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if left := store.kept()[salt]; left > 0 {
+				return poll.Continue("%d of %d tokens of the ended period are kept", left, tokens)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(freedWithin), poll.WithDelay(50*time.Millisecond))
+	}
+	assert.Assert(t, len(store.kept()) > 0, "what is used is kept")
+}
--- a/internal/standin/onplatform/silent_connections_test.go
+++ b/internal/standin/onplatform/silent_connections_test.go
@@ -184,7 +184,7 @@
 			return err
 		},
 		"free": func(e *platform.Engines, addr netip.AddrPort) error {
-			return e.Free(t.Context(), addr, []sitepkg.PartRef{{Realm: "r", Part: "p"}}, 1)
+			return e.Free(t.Context(), addr, []sitepkg.PartRef{{Realm: "r", Part: "p"}}, 1, time.Hour)
 		},
 		"report": func(e *platform.Engines, addr netip.AddrPort) error {
 			_, err := e.Report(t.Context(), addr)
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -435,7 +435,7 @@
 	{"engine cache updates from peer lost", Failure, "The node that informs this one of what the engines' KV caches hold does not answer.", []Key{keyPeer, keyErr}},
 	{"engine cache updates from peer restored", Change, "The node that informs this one of what the engines' KV caches hold answers again.", []Key{keyPeer}},
 	{"engine cache update from peer can't be decoded", Failure, "Another node's update on what an engine's KV cache holds is invalid; it is ignored.", []Key{keyErr}},
-	{"parts freed", Change, "Parts computed with replaced weights were freed.", []Key{keyStore, keyParts, keyBoot}},
+	{"parts freed", Change, "Parts were freed that no request may use any more: newer weights were named, another period of shared cache has begun, or their organisation is no longer isolated.", []Key{keyStore, keyParts, keyBoot}},
 	{"parts not freed", Failure, "A KV cache store did not free parts; the call is retried.", []Key{keyStore, keyParts, keyErr}},
 
 	{"lease acquired", Change, "This node may give orders to a group of replicas.", []Key{keyLease, keyFence, keyPosition}},
--- a/service/gateway/fetch_terms.go
+++ b/service/gateway/fetch_terms.go
@@ -19,6 +19,13 @@
 	fetchClockError = time.Second
 	// freeDelay is how long after this node has heard that they are ruled out parts are freed.
 	freeDelay = fetchPlanTerm + maxFetchTimeout + fetchClockError
+	// freeKnownTerm is for how long after its last reading of the operator's table a node has parts freed, and freeCallTime how long
+	// a call to do so may take.
+	freeKnownTerm = 4 * time.Second
+	freeCallTime  = time.Second
+	// isolationFetchDelay is how long after an organisation has become isolated nodes plan no fetches for it. It may have been so
+	// before, and a node that does not know yet that it is again may have its parts freed.
+	isolationFetchDelay = freeKnownTerm + freeCallTime + fetchClockError
 )
 
 // sourceRules returns the rules for fetches of a realm's parts.
@@ -33,14 +40,13 @@
 
 // mayFetchFromStores reports whether fetches of a realm's parts from stores may be planned.
 func (st *SiteState) mayFetchFromStores(r realm, now time.Time) bool {
-	if r.group.provisional {
+	if r.group.provisional || !st.operatorKnown(fetchPlanTerm, now) {
 		return false
 	}
-	st.mu.Lock()
-	heard := !st.operatorReadAt.IsZero() && st.operatorUnheard(now) <= fetchPlanTerm
-	st.mu.Unlock()
-	if !heard {
-		return false
+	if r.group.kind == groupOrganisation {
+		if c := st.isolationOf(r.group.organisation); !c.isolated || now.Sub(c.since) < isolationFetchDelay {
+			return false
+		}
 	}
 	namedAfter, replaced := st.WeightHistory(r.model).ReplacedAfter(r.weights)
 	return !replaced || !namedAfter.IsZero() && now.Sub(namedAfter) <= fetchPlanTerm-maxChangeDelay
@@ -54,5 +60,29 @@
 			return v.Heard, true
 		}
 	}
-	return since, false
+	switch r.group.kind {
+	case groupOrganisation:
+		c := st.isolationOf(r.group.organisation)
+		return c.since, !c.isolated
+	case groupPeriod:
+		return st.periodEndedSince(r.group.period)
+	default:
+		return since, false
+	}
+}
+
+// operatorKnown reports whether the operator's table was known within a time.
+func (st *SiteState) operatorKnown(within time.Duration, now time.Time) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return !st.mayHaveMissedOperator(within, now)
+}
+
+// periodEndedSince returns since when this node knows that a period has ended; ok is false if it has not, or if it is of another
+// era of the store: nodes may take two periods of one configuration for the newest then.
+func (st *SiteState) periodEndedSince(p route.SharingPeriod) (since time.Time, ok bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	newest := st.sharingHistory().Newest().Period
+	return st.periodSince, p.Era == newest.Era && p.Config < newest.Config
 }
--- a/service/gateway/loads_received.go
+++ b/service/gateway/loads_received.go
@@ -109,7 +109,7 @@
 		n.eras.Observe(note.Era, now)
 	}
 	n.siteState.learnWeightAges(note.Weights, now)
-	n.siteState.LearnSharing(note.Sharing, sharingTold)
+	n.siteState.LearnSharing(note.Sharing, sharingTold, now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	old = received[key(&note)]
--- a/service/gateway/nodes.go
+++ b/service/gateway/nodes.go
@@ -275,6 +275,6 @@
 	}
 	n.siteState.learnWeightAges(s.Weights, now)
 	for _, known := range s.Sharing {
-		n.siteState.LearnSharing(known, sharingTold)
+		n.siteState.LearnSharing(known, sharingTold, now)
 	}
 }
--- a/service/gateway/platform.go
+++ b/service/gateway/platform.go
@@ -30,7 +30,7 @@
 	Report(ctx context.Context, addr netip.AddrPort) (site.EngineReport, error)
 	Order(ctx context.Context, addr netip.AddrPort, o site.Order) (site.OrderOutcome, error)
 	Changes(ctx context.Context, addr netip.AddrPort, since int64, wait time.Duration) (site.CacheChanges, error)
-	Free(ctx context.Context, addr netip.AddrPort, parts []site.PartRef, boot int64) error
+	Free(ctx context.Context, addr netip.AddrPort, parts []site.PartRef, boot int64, until time.Duration) error
 	// MoveRun has an engine copy the memory of a run to another engine. The result has a
 	// handle also with an error if the run was stopped but the copy is not complete.
 	MoveRun(ctx context.Context, addr netip.AddrPort, o site.MoveOrder) (site.MoveResult, error)
--- a/service/gateway/sharing.go
+++ b/service/gateway/sharing.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/drumpath/drumpath/pkg/route"
 	"github.com/drumpath/drumpath/pkg/site"
 )
@@ -31,8 +33,14 @@
 	return true
 }
 
+// isolationChange is since when an organisation is isolated, or no longer is.
+type isolationChange struct {
+	isolated bool
+	since    time.Time
+}
+
 // LearnSharing takes in in which period organisations share under a configuration.
-func (st *SiteState) LearnSharing(s route.Sharing, source sharingSource) {
+func (st *SiteState) LearnSharing(s route.Sharing, source sharingSource, now time.Time) {
 	if s.Config == 0 {
 		return
 	}
@@ -45,6 +53,7 @@
 	}
 	st.sharing.Store(&h)
 	if h.Newest().Period != old.Newest().Period {
+		st.periodSince = now
 		st.log.Info("period of shared cache known", "version", s.Config, "period", s.Period.String(), "learned", string(source))
 	}
 }
@@ -64,6 +73,37 @@
 	}
 }
 
+// recordIsolation records since when the organisations of a configuration that comes in force are isolated. If this node may have
+// missed that one was not in between, that counts from now.
+func (st *SiteState) recordIsolation(next *site.Snapshot, now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.configuredSince.IsZero() {
+		st.configuredSince = now
+	}
+	late := st.mayHaveMissedOperator(fetchPlanTerm, now)
+	for name, isolated := range next.Isolation() {
+		if isolated && (late || !st.isolation[name].isolated) {
+			st.isolation[name] = isolationChange{isolated: true, since: now}
+		}
+	}
+	for name, c := range st.isolation {
+		if c.isolated && !next.Isolation()[name] {
+			st.isolation[name] = isolationChange{since: now}
+		}
+	}
+}
+
+// isolationOf returns since when an organisation is isolated, or is not, as far as this node knows.
+func (st *SiteState) isolationOf(organisation string) isolationChange {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if c, ok := st.isolation[organisation]; ok {
+		return c
+	}
+	return isolationChange{since: st.configuredSince}
+}
+
 // cacheGroup returns the group of requests with which an organisation's share KV cache, for requests without an organisation if
 // the name is empty.
 func (st *SiteState) cacheGroup(organisation string) cacheGroup {
--- a/service/gateway/sharing_register.go
+++ b/service/gateway/sharing_register.go
@@ -130,7 +130,7 @@
 	}
 	next, changed := record.Next(s, l.Position.Era)
 	if !changed {
-		r.siteState.LearnSharing(record.Sharing, sharingStored)
+		r.siteState.LearnSharing(record.Sharing, sharingStored, r.now())
 		return nil
 	}
 	if !write {
@@ -145,6 +145,6 @@
 		return err
 	}
 	r.log.Info("shared cache recorded", "version", s.Version, "period", next.Period.String(), "before", record.Period.String(), "position", written.Position)
-	r.siteState.LearnSharing(next.Sharing, sharingStored)
+	r.siteState.LearnSharing(next.Sharing, sharingStored, r.now())
 	return nil
 }
--- a/service/gateway/sharing_register_test.go
+++ b/service/gateway/sharing_register_test.go
@@ -74,13 +74,13 @@
 
 // read lets a node read the operator's table.
 func (f *sharingFleet) read(n *sharingNode) {
-	n.siteState.configure(f.config)
+	n.siteState.configure(f.config, f.clock)
 	n.inForce = f.config
 }
 
 // gossip has a node tell another one what it knows.
 func (f *sharingFleet) gossip(from, to *sharingNode) {
-	to.siteState.LearnSharing(from.siteState.sharingHistory().Newest(), sharingTold)
+	to.siteState.LearnSharing(from.siteState.sharingHistory().Newest(), sharingTold, f.clock)
 }
 
 // run lets time pass in which all nodes take their steps and tell the others.
--- a/service/gateway/site_state.go
+++ b/service/gateway/site_state.go
@@ -59,7 +59,13 @@
 	// lastShared is the last configuration before the one in force whose period this node knew, nil for none.
 	lastShared atomic.Pointer[sharedConfig]
 
-	mu        locks.Mutex
+	mu locks.Mutex
+	// configuredSince is when this node first knew a configuration, isolation since when organisations are isolated or no longer
+	// are, and periodSince since when this node knows the newest period of shared cache.
+	configuredSince time.Time
+	isolation       map[string]isolationChange
+	periodSince     time.Time
+
 	upstreams map[string]*upstreamEntry
 	missing   map[string]bool // IDs of upstreams whose rows are gone and may return.
 	pools     map[string]*route.Pool
@@ -124,6 +130,7 @@
 		evacuated:  map[string]*evacuation{},
 		draining:   map[string]drainReport{},
 		left:       map[string]leftReplica{},
+		isolation:  map[string]isolationChange{},
 
 		unconfirmed: map[string]site.Row{},
 		onRestart:   func(string, bool, time.Time) {},
@@ -178,7 +185,7 @@
 		for _, v := range s.Stores() {
 			v.Store.Region = st.regions[v.Store.DataHall]
 		}
-		st.configure(s)
+		st.configure(s, now)
 		return nil
 	}
 	model, version, ok, err := st.codec.Weights(r)
@@ -190,7 +197,7 @@
 }
 
 // configure puts a configuration in force unless that one or a newer one already is.
-func (st *SiteState) configure(next *site.Snapshot) {
+func (st *SiteState) configure(next *site.Snapshot, now time.Time) {
 	for {
 		old := st.snapshot.Load()
 		if old != nil && old.Version >= next.Version {
@@ -203,6 +210,7 @@
 			break
 		}
 	}
+	st.recordIsolation(next, now)
 	st.cacheIndex.Configure(next.Stores())
 	st.applyColdLimits(next)
 	st.log.Info("configuration in force", "version", next.Version, "routes", len(next.Routes()))
--- a/service/gateway/stores.go
+++ b/service/gateway/stores.go
@@ -284,7 +284,8 @@
 
 func (s *kvStoreFollower) freeUnusedAt(ctx context.Context, now time.Time) {
 	snapshot := s.siteState.Snapshot()
-	if snapshot == nil || !s.siteState.AnyWeightsReplaced() {
+	clock, clockKnown := s.clock.read(now)
+	if snapshot == nil || !clockKnown || !s.siteState.operatorKnown(freeKnownTerm, now) {
 		return
 	}
 	for _, v := range snapshot.Stores() {
@@ -304,7 +305,7 @@
 		if len(list) == 0 {
 			continue
 		}
-		if err := s.engines.Free(ctx, v.Store.Addr, list, boot); err != nil {
+		if err := s.engines.Free(ctx, v.Store.Addr, list, boot, clock+freeCallTime); err != nil {
 			s.log.Warn("parts not freed", "store", v.Name, "parts", len(list), "err", err)
 			continue
 		}
--- a/service/gateway/stores_test.go
+++ b/service/gateway/stores_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -252,7 +253,7 @@
 	freed []site.PartRef
 }
 
-func (e *freeingEngines) Free(_ context.Context, _ netip.AddrPort, parts []site.PartRef, _ int64) error {
+func (e *freeingEngines) Free(_ context.Context, _ netip.AddrPort, parts []site.PartRef, _ int64, _ time.Duration) error {
 	e.freed = append(e.freed, parts...)
 	return nil
 }
@@ -271,7 +272,9 @@
 	st.weightsTerm = 10 * time.Second
 	st.snapshot.Store(site.NewSnapshot(1, nil, map[string]*site.Service{"kv": v}, site.Limits{}))
 	engines := &freeingEngines{}
-	return newKVStoreFollower(self, engines, nil, st, cacheIndex, m, new(replicaClock), log), engines
+	clock := new(replicaClock)
+	clock.update(time.Hour, now)
+	return newKVStoreFollower(self, engines, nil, st, cacheIndex, m, clock, log), engines
 }
 
 // Parts of replaced weights were freed once no replica was known to have these, while a node that was cut off still knew one,
@@ -293,6 +296,7 @@
 			assert.Assert(t, freed.IsZero(), "a fetch is planned after %v", at.Sub(now))
 			fetchEnds = at.Add(maxFetchTimeout)
 		}
+		s.siteState.MarkOperatorRead(at)
 		if s.freeUnusedAt(t.Context(), at); len(engines.freed) > 0 && freed.IsZero() {
 			freed = at
 		}
@@ -362,6 +366,89 @@
 	})
 }
 
+// What organisations had shared until one of them became isolated, and what organisations had kept that are isolated no longer or were
+// removed, stayed at managed stores for good, and displaced what is used.
+func TestPartsThatNoRequestMayUseAreFreed(t *testing.T) {
+	now := time.Now()
+	s, engines := freeingNode(now)
+	period := func(config int64) cacheGroup {
+		return cacheGroup{kind: groupPeriod, period: route.SharingPeriod{Config: config}}
+	}
+	only := func(organisation string) cacheGroup {
+		return cacheGroup{kind: groupOrganisation, organisation: organisation}
+	}
+	used := []cacheGroup{period(5), only("a"), {kind: groupAll}}
+	unused := []cacheGroup{period(2), only("b"), only("removed"), only("never known")}
+	var changes []site.CacheChange
+	for _, g := range slices.Concat(used, unused) {
+		changes = append(changes, site.CacheChange{Realm: realm{model: "m", weights: 1, group: g}.String(), Part: "p", Tokens: 100})
+	}
+	s.cacheIndex.ApplyStoreChanges("kv", site.CacheChanges{Boot: 1, Next: 2, Changes: changes}, now)
+	configure := func(version int64, isolated map[string]bool) {
+		c := site.NewSnapshot(version, nil, s.siteState.Snapshot().Services, site.Limits{})
+		for name, is := range isolated {
+			c.AddOrganisation(&site.Organisation{Name: name, Isolated: is})
+		}
+		s.siteState.configure(c, now)
+		s.siteState.MarkOperatorRead(now)
+	}
+	configure(2, map[string]bool{"a": false, "b": true, "removed": true})
+	s.siteState.LearnSharing(route.Sharing{Config: 2, Period: route.SharingPeriod{Config: 2}}, sharingStored, now)
+	now = now.Add(time.Minute)
+	configure(5, map[string]bool{"a": true, "b": false})
+	s.siteState.LearnSharing(route.Sharing{Config: 5, Period: route.SharingPeriod{Config: 5}}, sharingStored, now)
+	free := func(after time.Duration) int {
+		s.siteState.MarkOperatorRead(now.Add(after))
+		s.freeUnusedAt(t.Context(), now.Add(after))
+		return s.cacheIndex.Status()[0].Used
+	}
+	assert.Equal(t, free(freeDelay-time.Second), 700, "what is unused since before this node's start is freed, and nothing else")
+	assert.Equal(t, free(freeDelay), 400)
+	assert.Equal(t, len(engines.freed), len(unused))
+	assert.Equal(t, free(time.Hour), 400)
+	now = now.Add(2 * time.Hour)
+	s.freeUnusedAt(t.Context(), now)
+	configure(6, map[string]bool{"a": false})
+	assert.Equal(t, free(freeDelay), 300)
+	s.siteState.hearWeights("m", 2, false, now.Add(freeDelay))
+	now = now.Add(freeDelay)
+	s.freeUnusedAt(t.Context(), now.Add(freeDelay))
+	assert.Equal(t, s.cacheIndex.Status()[0].Used, 300, "a node that does not know the operator's table frees nothing")
+	assert.Equal(t, free(freeDelay), 0)
+}
+
+// The parts of an organisation that is isolated again may still be freed by a node that does not know that.
+func TestNoFetchIsPlannedForAnOrganisationThatHasJustBecomeIsolatedAgain(t *testing.T) {
+	now := time.Now()
+	st := newWeightsState()
+	r := realm{model: "m", weights: 1, group: cacheGroup{kind: groupOrganisation, organisation: "a"}}
+	configure := func(version int64, isolated bool) {
+		c := site.NewSnapshot(version, nil, nil, site.Limits{})
+		c.AddOrganisation(&site.Organisation{Name: "a", Isolated: isolated})
+		st.configure(c, now)
+		st.MarkOperatorRead(now)
+	}
+	mayFetch := func(after time.Duration) bool {
+		st.MarkOperatorRead(now.Add(after))
+		return st.mayFetchFromStores(r, now.Add(after))
+	}
+	configure(1, true)
+	assert.Assert(t, !mayFetch(0), "it may have become isolated just now")
+	assert.Assert(t, mayFetch(isolationFetchDelay))
+	now = now.Add(time.Minute)
+	configure(2, false)
+	now = now.Add(time.Minute)
+	configure(3, true)
+	assert.Assert(t, !mayFetch(isolationFetchDelay-time.Millisecond))
+	assert.Assert(t, mayFetch(isolationFetchDelay))
+	now = now.Add(time.Minute)
+	configure(4, true)
+	assert.Assert(t, !mayFetch(0), "this node may have missed a version in which it was not isolated")
+	now = now.Add(isolationFetchDelay)
+	configure(5, true)
+	assert.Assert(t, mayFetch(0), "this node has missed none")
+}
+
 // A node that does not know the replicas' clock can't tell them when to abandon a fetch, so it plans none.
 func TestNoFetchFromStoresIsPlannedWithoutAnEnd(t *testing.T) {
 	now := time.Now()
--- a/service/gateway/weights.go
+++ b/service/gateway/weights.go
@@ -135,17 +135,6 @@
 // WeightHistory returns the versions of a model's weights.
 func (st *SiteState) WeightHistory(model string) route.WeightHistory { return st.allWeights()[model] }
 
-// AnyWeightsReplaced reports whether a later version than the first of any model's weights is
-// named.
-func (st *SiteState) AnyWeightsReplaced() bool {
-	for _, h := range st.allWeights() {
-		if h.Newest().Version > firstWeights {
-			return true
-		}
-	}
-	return false
-}
-
 // firstWeights is the version with which each model begins.
 const firstWeights = 1
 
