An answer whose connection was reset while its request was written is not whole

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; clients got that part as a whole answer, on each kind of route, from the replica itself and through another node.

Cause: one goroutine writes the request, another reads the answer. The kernel reports a reset once. If the write got it, the read got an orderly end, and a body without a length ends with its connection.

Change: such an end counts only if the whole request had been written; for half a second after the end it may go on being written, as a replica may answer first and read later. Otherwise the answer is broken off: a client that has its head sees a cut, one that has nothing gets 502 or, on a route that allows it, another attempt. The node that forwards requests does the same. Answers with a length or chunks are not concerned.

--- a/internal/standin/onplatform/replica.go
+++ b/internal/standin/onplatform/replica.go
@@ -31,6 +31,9 @@
 // the connection is closed.
 type Script func(w io.Writer, r *Request) bool
 
+// EarlyScript answers a request of which only the head has been read, and closes its connection.
+type EarlyScript func(conn *net.TCPConn, r *Request)
+
 // Replica is a replica whose answers a test scripts.
 type Replica struct {
 	ID string
@@ -38,6 +41,7 @@
 
 	mu       sync.Mutex
 	script   Script
+	early    EarlyScript
 	received []*Request
 	conns    map[net.Conn]struct{}
 	closed   bool
@@ -93,6 +97,13 @@
 	r.script = s
 }
 
+// AnswerEarly sets how requests are answered from now on whose bodies are still being sent.
+func (r *Replica) AnswerEarly(s EarlyScript) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.early = s
+}
+
 // Received returns the requests received, except those to the platform's own paths under /-/.
 func (r *Replica) Received() []*Request {
 	r.mu.Lock()
@@ -143,6 +154,10 @@
 		if err != nil {
 			return
 		}
+		if early, tcp := r.answersEarly(conn); early != nil && req.ContentLength > 0 {
+			early(tcp, &Request{Method: req.Method, Target: req.RequestURI, Header: req.Header})
+			return
+		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
@@ -169,6 +184,17 @@
 	}
 }
 
+// answersEarly returns how a request is answered whose body has not been read, nil if it is not.
+func (r *Replica) answersEarly(conn net.Conn) (EarlyScript, *net.TCPConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, nil
+	}
+	return r.early, tcp
+}
+
 // OK answers 200 with a body.
 func OK(body string) Script {
 	return func(w io.Writer, r *Request) bool {
--- a/internal/standin/onplatform/resumption_answers_test.go
+++ b/internal/standin/onplatform/resumption_answers_test.go
@@ -131,6 +131,12 @@
 	for _, r := range replicas {
 		r.Script(breakAfterTwoEvents(answer))
 	}
+	return s.startForwarded(cutOff, replicas...)
+}
+
+// startForwarded starts a node. If it is cut off from the replicas, which are those of the site, another node forwards its
+// requests.
+func (s *site) startForwarded(cutOff bool, replicas ...*onplatform.Replica) *node {
 	if !cutOff {
 		return s.startReadyNode("n1")
 	}
@@ -138,7 +144,8 @@
 	n := s.startNodeDialing(s.settings("n1"), links.dial)
 	other := s.startNode("n2")
 	s.waitUntil("the nodes know each other and the replicas", func() bool {
-		return n.isReady() && other.isReady() && replicaCount(n, appService) == 2 && nodeCount(n) == 2 && nodeCount(other) == 2
+		known := replicaCount(n, appService) + replicaCount(n, llmService)
+		return n.isReady() && other.isReady() && known == len(replicas) && nodeCount(n) == 2 && nodeCount(other) == 2
 	})
 	links.cutOff(cutReset, replicas...)
 	s.waitUntil("requests are forwarded", func() bool {
--- a/service/gateway/forward_serve.go
+++ b/service/gateway/forward_serve.go
@@ -86,7 +86,7 @@
 func (f *forwarding) serveStream(conn net.Conn, r *bufio.Reader) {
 	for {
 		_ = conn.SetDeadline(time.Now().Add(streamIdleTimeout)) // If it fails, so does the next read.
-		s := &forwardedRequest{f: f, conn: conn, r: r, pumped: make(chan error, 1)}
+		s := &forwardedRequest{f: f, conn: conn, r: r, sendDone: make(chan struct{}), pumped: make(chan error, 1)}
 		if err := readForwardLine(r, &s.forwardHead); err != nil {
 			if !errors.Is(err, io.EOF) {
 				f.g.log.Debug("stream of another node ended", "peer", conn.RemoteAddr(), "err", err)
@@ -111,8 +111,9 @@
 	replica    *site.Upstream
 	pool       *route.Pool
 	upstream   *upstreamConn
-	status     int         // Of the replica's answer, 0 before.
-	written    atomic.Bool // The replica has been sent the whole request.
+	status     int           // Of the replica's answer, 0 before.
+	written    atomic.Bool   // The replica has been sent the whole request.
+	sendDone   chan struct{} // Closed when sendOn returns.
 	// pumped receives what ended pump, nil once the next request has begun.
 	pumped chan error
 }
@@ -262,6 +263,9 @@
 	err := s.sendOn(head, body)
 	if err == nil {
 		s.written.Store(true)
+	}
+	close(s.sendDone)
+	if err == nil {
 		_, err = s.r.Peek(1)
 	}
 	if err != nil {
@@ -320,19 +324,29 @@
 	}
 }
 
-// endChunks ends the answer to the other node after the last pieces, unless it ended with its connection because the
-// replica has ended.
+// endChunks ends the answer to the other node after the last pieces, unless it ended with its connection and is not known to
+// be whole.
 func (s *forwardedRequest) endChunks(body *http1.Body, pieces []byte) error {
-	if body.Framing() == http1.FramingClose {
-		if _, err := s.f.g.checkEndOfConnection(s.pool, s.replica); err != nil {
-			_, _ = s.conn.Write(pieces) // The answer is cut short in any case.
-			return err
-		}
+	if err := s.confirmEnd(body); err != nil {
+		_, _ = s.conn.Write(pieces) // The answer is cut short in any case.
+		return err
 	}
 	_, err := s.conn.Write(append(pieces, http1.LastChunk...))
 	return err
 }
 
+// confirmEnd is as for an exchange.
+func (s *forwardedRequest) confirmEnd(body *http1.Body) error {
+	if body.Framing() != http1.FramingClose {
+		return nil
+	}
+	if !sentWhole(s.sendDone, &s.written) {
+		return http1.ErrBodyTruncated
+	}
+	_, err := s.f.g.checkEndOfConnection(s.pool, s.replica)
+	return err
+}
+
 // appendPiece appends a piece of a body, as a chunk if the body is chunked.
 func appendPiece(b, piece []byte, chunked bool) []byte {
 	if chunked {
--- a/service/gateway/whole_answer.go
+++ b/service/gateway/whole_answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/drumpath/drumpath/pkg/boottime"
@@ -57,17 +58,34 @@
 	endChecks = 2
 )
 
-// confirmEnd returns an error if the answer ended with its connection because its replica has ended. Without it a
-// replica that was killed between two events had its streams passed on as whole ones.
+// confirmEnd returns an error if the answer ended with its connection, but not as its replica had sent it whole: the
+// replica has ended, or the connection has failed. Without it a replica that was killed between two events had its streams
+// passed on as whole ones.
 func (x *exchange) confirmEnd(a *attempt) error {
 	if a.body.Framing() != http1.FramingClose {
 		return nil
 	}
+	if !sentWhole(a.writeDone, &a.written) {
+		return http1.ErrBodyTruncated
+	}
 	alive, err := x.g.checkEndOfConnection(x.pool, &a.choice.Upstream)
 	a.endUnconfirmed = !alive
 	return err
 }
 
+// sendSettleTime is how long after the end of its answer a request may go on being sent.
+const sendSettleTime = 500 * time.Millisecond
+
+// sentWhole reports whether a request has been sent to its end, done being closed when sending ends. If that failed, the end of
+// the connection tells nothing: the kernel reports a reset once, so if a write gets it, reads get an orderly end.
+func sentWhole(done <-chan struct{}, written *atomic.Bool) bool {
+	select {
+	case <-done:
+	case <-time.After(sendSettleTime):
+	}
+	return written.Load()
+}
+
 // checkEndOfConnection finds out whether a replica has ended that has just closed the connection of an answer with
 // neither a length nor chunks. The error is http1.ErrBodyTruncated if it has, without having announced it; alive means
 // that it has not.
