What is no answer by the grammar is not passed on

What callers saw: an answer whose reason held a control byte, whose status was over 599, with a blank line or a switch of protocols before it, a malformed interim answer, chunk extension or trailer was passed on as an answer, or as a promise that the request had not run. In calls of the store, of engines and of services also a status of 000, another version, a blank in a field's name, both a length and chunks.

Cause: the parser checked what it needed to find the end of an answer. Calls had no parser of their own but the one of fasthttp, which takes more.

Change: status lines, interim answers, chunk lines and trailers are read by the grammar (RFC 9112, RFC 9110). A space that is missing where there is no reason is still allowed: some senders leave it out, and the status is clear. Calls have their answers read by the same parser before fasthttp gets them.

--- a/pkg/http1/body.go
+++ b/pkg/http1/body.go
@@ -215,9 +215,9 @@
 	if err != nil {
 		return chunkLineError(err)
 	}
-	size, _, _ := strings.Cut(line, ";")
-	n, err := strconv.ParseUint(strings.TrimRight(size, " \t"), 16, 62)
-	if err != nil || !isHex(size[:1]) {
+	size := line[:hexDigits(line)]
+	n, err := strconv.ParseUint(size, 16, 62)
+	if err != nil || !isChunkExtension(line[len(size):]) {
 		return ErrMalformed
 	}
 	b.remaining = int64(n)
@@ -235,7 +235,69 @@
 // maxCountedChunk keeps the sum of announced sizes within an int64.
 const maxCountedChunk = 1 << 30
 
-func isHex(s string) bool { return strings.Contains("0123456789abcdefABCDEF", s) }
+// hexDigits returns how many hexadecimal digits a string begins with.
+func hexDigits(s string) int {
+	return len(s) - len(strings.TrimLeft(s, "0123456789abcdefABCDEF"))
+}
+
+// isChunkExtension reports whether a string is a list of chunk extensions (RFC 9112, 7.1.1), which may be empty.
+func isChunkExtension(s string) bool {
+	for s != "" {
+		rest, ok := strings.CutPrefix(skipBlanks(s), ";")
+		if !ok {
+			return false
+		}
+		name := tokenPrefix(skipBlanks(rest))
+		if name == "" {
+			return false
+		}
+		s = skipBlanks(rest)[len(name):]
+		value, ok := strings.CutPrefix(skipBlanks(s), "=")
+		if !ok {
+			continue
+		}
+		value = skipBlanks(value)
+		n := len(tokenPrefix(value))
+		if n == 0 {
+			n = quotedLength(value)
+		}
+		if n == 0 {
+			return false
+		}
+		s = value[n:]
+	}
+	return true
+}
+
+func skipBlanks(s string) string { return strings.TrimLeft(s, " \t") }
+
+// tokenPrefix returns the token that a string begins with, "" for none.
+func tokenPrefix(s string) string {
+	n := 0
+	for n < len(s) && isToken(s[n:n+1]) {
+		n++
+	}
+	return s[:n]
+}
+
+// quotedLength returns the length of the quoted string that a string begins with, 0 for none.
+func quotedLength(s string) int {
+	if !strings.HasPrefix(s, `"`) {
+		return 0
+	}
+	for i := 1; i < len(s); i++ {
+		switch {
+		case s[i] == '"':
+			return i + 1
+		case s[i] == '\\':
+			i++
+		}
+		if i < len(s) && !isValue(s[i:i+1]) {
+			return 0
+		}
+	}
+	return 0
+}
 
 // skipTrailers reads and drops the trailers after the last chunk.
 func (b *Body) skipTrailers() error {
@@ -248,6 +310,9 @@
 			b.done = true
 			return nil
 		}
+		if _, ok := parseField(line); !ok {
+			return ErrMalformed
+		}
 		total += len(line) + lineEnd
 	}
 	return ErrMalformed
--- a/pkg/http1/read.go
+++ b/pkg/http1/read.go
@@ -5,7 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
-	"strconv"
+	"net/http"
 	"strings"
 )
 
@@ -31,27 +31,43 @@
 
 // ReadResponse reads the head of a response of at most limit bytes.
 func ReadResponse(r *bufio.Reader, limit int) (*Head, error) {
-	line, remaining, err := readStartLine(r, limit)
+	line, err := readLine(r, limit)
 	if err != nil {
 		return nil, err
 	}
+	// The space before the reason is left out by some senders that have none.
 	proto, after, ok := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(after, " ")
-	if !ok || len(code) != 3 {
+	if !ok || !isValue(reason) {
 		return nil, ErrMalformed
 	}
 	h := &Head{Reason: reason}
 	if h.Minor, err = minorVersion(proto); err != nil {
 		return nil, err
 	}
-	if h.Status, err = strconv.Atoi(code); err != nil || h.Status < 100 {
-		return nil, ErrMalformed
+	if h.Status, err = parseStatus(code); err != nil {
+		return nil, err
 	}
-	h.Fields, err = readFields(r, remaining)
+	h.Fields, err = readFields(r, limit-len(line))
 	return h, err
 }
 
-// readStartLine reads the first line. It skips one empty line before it, as some
+const (
+	statusDigits = 3
+	minStatus    = 100
+	maxStatus    = 599
+)
+
+// parseStatus returns a status code of a response. No request asks to switch protocols.
+func parseStatus(code string) (int, error) {
+	n, ok := parseLength(code)
+	if !ok || len(code) != statusDigits || n < minStatus || n > maxStatus || n == http.StatusSwitchingProtocols {
+		return 0, ErrMalformed
+	}
+	return int(n), nil
+}
+
+// readStartLine reads the first line of a request. It skips one empty line before it, as some
 // senders put one after a body (RFC 9112, 2.2).
 func readStartLine(r *bufio.Reader, limit int) (line string, remaining int, err error) {
 	for range 2 {
@@ -117,18 +133,20 @@
 		if line == "" {
 			return list, nil
 		}
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || !isToken(name) {
+		f, ok := parseField(line)
+		if !ok {
 			return nil, ErrMalformed
 		}
-		value = strings.Trim(value, " \t")
-		if !isValue(value) {
-			return nil, ErrMalformed
-		}
-		list = append(list, Field{Name: name, Value: value})
+		list = append(list, f)
 	}
 }
 
+func parseField(line string) (f Field, ok bool) {
+	name, value, ok := strings.Cut(line, ":")
+	value = strings.Trim(value, " \t")
+	return Field{Name: name, Value: value}, ok && isToken(name) && isValue(value)
+}
+
 func isToken(s string) bool {
 	for i := range len(s) {
 		c := s[i]
--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -53,7 +53,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &progressConn{Conn: conn, client: c}, nil
+			return newAnswerConn(conn, c), nil
 		},
 		// Only the caller knows whether a call may be repeated.
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
