--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -47,7 +48,7 @@
 func (s *soak) newReplica() (*replica, error) {
 	s.replicasMade++
 	id := fmt.Sprintf("replica-%d", s.replicasMade)
-	r := &replica{checker: s.checker, version: fmt.Sprintf("v%d", s.replicasMade%softwareVersions), onCrashRequest: s.crashOnRequest, nodeByName: s.nodeByName, advice: map[*node]*advice{}}
+	r := &replica{checker: s.checker, version: cmp.Or(s.software, fmt.Sprintf("v%d", s.replicasMade%softwareVersions)), onCrashRequest: s.crashOnRequest, nodeByName: s.nodeByName, advice: map[*node]*advice{}}
 	var err error
 	if r.Replica, err = onplatform.NewReplica(id); err != nil {
 		return nil, err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -82,7 +82,8 @@
 	replicas     []*replica
 	retired      []*replica
 	replicasMade int
-	version      int // Of the newest configuration.
+	software     string // The version of new replicas; they have several if it is empty.
+	version      int    // Of the newest configuration.
 	faultCounts  map[string]int
 	crashes      map[string]int // How many replicas have crashed under a body or a part of prompts.
 }
