The stand-in of a store lists parts under the salt that prompts have

TestClientDisconnectStopsEngineFetch waited for a fetch from a store that listed parts under the name of a namespace as it was before organisations shared by periods. The name is the nodes' own choice, so the stand-in now takes it from the prompts that the engine has received, as engines and stores do. What the test asserts is unchanged.

--- a/internal/standin/onplatform/client_disconnect_test.go
+++ b/internal/standin/onplatform/client_disconnect_test.go
@@ -105,18 +105,23 @@
 	assert.Equal(t, len(r.Received()), len(held))
 }
 
-// startCacheStore starts a KV cache store whose events list two parts of the prompt.
-func (s *site) startCacheStore() {
+// startCacheStore starts a KV cache store whose events list two parts of the prompt, under the cache salt of the prompts that an
+// engine has received.
+func (s *site) startCacheStore(engine *onplatform.Replica) {
 	r, err := onplatform.NewReplica("kv")
 	assert.NilError(s.t, err)
 	s.t.Cleanup(r.Close)
 	r.Script(func(w io.Writer, r *onplatform.Request) bool {
-		changes := `[[1,"+","` + model + `@1","aa",500,"` + model + `"],[2,"+","` + model + `@1","b0",300,"` + model + `"]]`
-		if !strings.Contains(r.Target, "since=0") {
-			time.Sleep(workTime)
-			changes = "[]"
+		time.Sleep(workTime)
+		changes, next := "[]", 0
+		if seen := engine.Received(); len(seen) > 0 {
+			next = 2
+			if strings.Contains(r.Target, "since=0") {
+				salt := seen[0].Header.Get("Cache-Salt")
+				changes = fmt.Sprintf(`[[1,"+",%[1]q,"aa",500,%[2]q],[2,"+",%[1]q,"b0",300,%[2]q]]`, salt, model)
+			}
 		}
-		body := `{"boot_epoch":1,"next_token":3,"lost":false,"clock_ms":1000,"events":` + changes + `}`
+		body := fmt.Sprintf(`{"boot_epoch":1,"next_token":%d,"lost":false,"clock_ms":1000,"events":%s}`, next, changes)
 		_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "+fmt.Sprint(len(body))+"\r\n\r\n"+body)
 		return err == nil
 	})
@@ -129,9 +134,9 @@
 
 func TestClientDisconnectStopsEngineFetch(t *testing.T) {
 	s := newSite(t)
-	s.startCacheStore()
 	work := &workCounter{}
 	r := s.startReplica(llmService, "e")
+	s.startCacheStore(r)
 	r.Script(work.counted(onplatform.Events(1, 1, 0, true)))
 	n := s.startReadyNode("n1")
 	fetched := func() bool {
