A stopping node sends nothing that can't end in its grace, and answers what is left at its end

What callers saw: requests that came late in the grace of a planned stop were passed on, and cut at the end of the grace without an answer, among them some that may not be repeated. Shown with real processes and SIGTERM: 24 of 70 requests that replicas had begun, all of them requests whose last bytes came after the signal, on routes whose timeout is longer than the grace.

Cause: what a connection carries when the signal comes is read and served whenever its rest comes, whatever time is left; at the end of the grace all connections were closed.

Change: while a node stops, a request is sent only if it can be expected to be answered in the rest of the grace, by the longest of the route's last answers or by its own deadline. Others get 503 with a short Retry-After and the close of the connection at once. What is left at the end of the grace, 0.7 s before the process must have ended, gets 504 if it may have run, 503 otherwise, and its replica is told to stop by the close of the connection.

TestRequestIsNotSentThatCannotEndInTheGrace for the decision.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -28,8 +29,12 @@
 	Duration time.Duration // How long faults are injected.
 	Rounds   int           // Of naming weights after that, while only processes are disturbed.
 	Dir      string        // Receives the settings and logs of the nodes.
+	// RouteTimeout is the timeout of the routes, 0 for defaultRouteTimeout.
+	RouteTimeout time.Duration
 }
 
+const defaultRouteTimeout = 4 * time.Second
+
 // Report is the result of a soak; Broken lists the violated guarantees.
 type Report struct {
 	Seed    uint64 `json:"seed"`
@@ -251,7 +256,7 @@
 	}
 	route := func(name, kind string, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000,
+			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": cmp.Or(s.cfg.RouteTimeout, defaultRouteTimeout).Milliseconds(),
 			"target_latency_ms": 300, "service": service, "max_attempts": attempts, "priority": 1,
 		}
 	}
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -524,6 +524,7 @@
 	{"request_bytes", "this node's share of the bytes of requests that the replicas may hold is used up (503)"},
 	{"response_memory", "the response waited at its replica for memory of the node until the connection ended; the request has run (502)"},
 	{"ends_replicas", "replicas have ended under the request's content, or under the part of its prompt that the answer names; it was not sent (400), or not again (502)"},
+	{"stopping", "the node stops: the request would not be answered within the grace period, so it was not sent (503), or it was not by its end (504)"},
 	{"suspended", "the node's machine was suspended, and the node has not refreshed its state yet (503)"},
 	{"suspected", "replicas have ended under the request's content or a part of its prompt, and another such request is running; retry later (503)"},
 }
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -108,6 +108,8 @@
 		why = "replicas ended under " + blockedCause(r) + ": " + listEndedReplicas(r)
 	case "suspected":
 		why = "replicas ended under the same content or a part of its prompt, and another such request was under way"
+	case "stopping":
+		why = "the node was stopping, and the request would not be answered within its grace period, or was not by its end"
 	case "suspended":
 		why = "the node's machine had been suspended, and the node had not refreshed its state yet"
 	case "no_configuration":
--- a/service/gateway/client_conn.go
+++ b/service/gateway/client_conn.go
@@ -227,7 +227,7 @@
 	_ = c.conn.SetWriteDeadline(boottime.Monotonic(receivedAt.Add(c.g.maxRequestTime(&info) + writeGrace)))
 	c.g.inFlight.Add(1)
 	defer c.g.inFlight.Add(-1)
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(c.g.requests)
 	defer cancel(nil)
 	c.awaitFirstByte(ctx, cancel)
 	x := &exchange{g: c.g, out: w, head: head, body: body, info: info, receivedAt: receivedAt, cancel: cancel}
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -132,6 +132,9 @@
 // status, the client is still connected, no stream has begun and no replica's error
 // answer is kept.
 func (x *exchange) endRequest(ctx context.Context, f refusal) {
+	if context.Cause(ctx) == errGraceOver && f.status != 0 {
+		f = x.stopRefusal()
+	}
 	switch {
 	case context.Cause(ctx) == errClientLeft:
 		x.g.metrics.clientsLeft.Add(1)
@@ -176,6 +179,9 @@
 	if x.abandoned(ctx) {
 		return false, x.deadlineRefusal()
 	}
+	if !x.endsInGrace() {
+		return false, x.stopRefusal()
+	}
 	if f, ok := x.awaitClearance(ctx); !ok {
 		return false, f
 	}
--- a/service/gateway/exchange_canary.go
+++ b/service/gateway/exchange_canary.go
@@ -37,7 +37,7 @@
 // recordCanary counts the outcome of an attempt, unless its client has left.
 func (x *exchange) recordCanary(ctx context.Context, a *attempt, failed bool) {
 	cause := context.Cause(ctx)
-	if a.canary.end == nil || cause == errClientLeft || cause == errNodeStopped || x.out.failed {
+	if a.canary.end == nil || cause == errClientLeft || cause == errNodeStopped || cause == errGraceOver || x.out.failed {
 		return
 	}
 	firstByte := a.firstByteAfter
--- a/service/gateway/exchange_log.go
+++ b/service/gateway/exchange_log.go
@@ -16,6 +16,7 @@
 		x.g.metrics.endedByClose.Add(1)
 	}
 	coverage := x.pickInput.Coverage[a.choice.ID]
+	x.g.answerTimes.record(x.route.Name, now.Sub(a.startedAt))
 	x.g.metrics.countAnswer(x.route.Kind(), a.startedAt.Sub(x.receivedAt), a.firstByteAfter, now.Sub(x.receivedAt))
 	x.g.log.Info("answered", "request", x.info.ID, "route", x.route.Name, "replica", a.choice.ID,
 		"body_bytes", len(x.body), "tokens", x.pickInput.Tokens, "shared", x.pickInput.Shared, "kept", coverage.Cached+coverage.Fetched, "held", coverage.Cached, "read", a.choice.PrefillTokens,
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -116,10 +116,14 @@
 	inFlight        atomic.Int64
 	stopRequestedAt atomic.Pointer[time.Time] // Nil before the stop is requested.
 	stopRequested   chan struct{}             // Closed when the stop is requested.
-	closing         atomic.Bool
-	ctx             context.Context
-	cancel          context.CancelFunc
-	wg              sync.WaitGroup
+	answerTimes     *answerTimes
+	// requests is the context of all requests; endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	closing     atomic.Bool
+	ctx         context.Context
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
 }
 
 // New builds a node and opens its listeners. It serves nothing before Start.
@@ -168,7 +172,9 @@
 		suspension: newSuspension(),
 
 		stopRequested: make(chan struct{}),
+		answerTimes:   newAnswerTimes(),
 	}
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	if s.Disabled.ResponseMemoryBound {
 		g.responses = nil
 	}
@@ -385,7 +391,7 @@
 
 // Drain stops the node gracefully. It still accepts connections for acceptAfterStop, then
 // closes the listener and idle connections, and waits until the remaining requests are
-// answered or the grace period is nearly over.
+// answered or the grace period is nearly over. What is left then gets a final answer.
 func (g *Gateway) Drain() {
 	start := time.Now()
 	grace := g.conf().Stop.Grace.Std() - shutdownReserve
@@ -401,6 +407,8 @@
 	_ = g.entry.Close() // Clients whose connection was not accepted try another node.
 	g.origins.HandOver()
 	g.clients.drain(ctx)
+	g.endRequests(errGraceOver)
+	g.clients.awaitEnd(finalAnswerTime)
 	g.forwarding.drain(ctx)
 	g.origins.HandOver() // With the streams that began meanwhile.
 }
--- a/service/gateway/refusal.go
+++ b/service/gateway/refusal.go
@@ -58,6 +58,7 @@
 	reasonSuspended        = "suspended"
 	reasonResponseMemory   = "response_memory"
 	reasonRequestBytes     = "request_bytes"
+	reasonStopping         = "stopping"
 )
 
 func refuse(status int, reason string) refusal { return refusal{status: status, reason: reason} }
