Calls of engines keep within a budget, and heads have at most 1,000 fields

What callers saw, by a report: machines ran out of memory that had called faulty replicas, which sent bytes without end. Each such answer was read up to 64 MB.

A head has at most 1,000 fields.

Services and engines of the product's own interface still have 64 MB for each answer.

--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -31,6 +31,7 @@
 	logFile      *os.File
 	storeProxy   *netproxy.Proxy // In front of the platform's store.
 	program      string          // The program under test.
+	memoryMB     int             // Limit of its memory, 0 for none.
 
 	processMu sync.Mutex // Held during a fault of the process itself.
 	// suspended is the total time for which its machine was suspended; guarded by processMu.
@@ -48,9 +49,9 @@
 
 func (n *node) entry() string { return n.ip + ":8001" }
 
-func newNode(dir, name, ip, program string, storeProxy *netproxy.Proxy, addViolation func(string, ...any)) (n *node, err error) {
+func newNode(dir, name, ip, program string, memoryMB int, storeProxy *netproxy.Proxy, addViolation func(string, ...any)) (n *node, err error) {
 	defer func() { err = eris.Wrapf(err, "node %s", name) }()
-	n = &node{name: name, ip: ip, settingsFile: filepath.Join(dir, name+".json"), storeProxy: storeProxy, program: program, addViolation: addViolation}
+	n = &node{name: name, ip: ip, settingsFile: filepath.Join(dir, name+".json"), storeProxy: storeProxy, program: program, memoryMB: memoryMB, addViolation: addViolation}
 	if err := n.writeSettings(); err != nil {
 		return nil, err
 	}
@@ -70,8 +71,9 @@
 	"retry": {"share": 0.2, "window": "10s", "slack": 50},
 	"stop": {"grace": %[4]q},
 	"orders": {"pause": "1s", "within": %[6]q},
-	"test": {"suspended": %[5]q}
-}`, n.name, n.ip, n.storeProxy.Addr().String(), grace, n.suspended, weightsTerm)
+	"test": {"suspended": %[5]q},
+	"limits": {"memory_mb": %[7]d}
+}`, n.name, n.ip, n.storeProxy.Addr().String(), grace, n.suspended, weightsTerm, n.memoryMB)
 	return os.WriteFile(n.settingsFile, []byte(text), 0o600)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,6 +31,8 @@
 	Dir      string        // Receives the settings and logs of the nodes.
 	// RouteTimeout is the timeout of the routes, 0 for defaultRouteTimeout.
 	RouteTimeout time.Duration
+	// MemoryMB is the limit of the memory of each node, 0 for none.
+	MemoryMB int
 }
 
 const defaultRouteTimeout = 4 * time.Second
@@ -180,7 +182,7 @@
 			return err
 		}
 		ip := fmt.Sprintf("127.%d.%d.%d", 32+os.Getpid()%32, (s.cfg.Seed+uint64(os.Getpid()/32))%250+1, i+1)
-		n, err := newNode(s.cfg.Dir, fmt.Sprintf("node-%d", i), ip, s.cfg.Program, p, s.checker.addViolation)
+		n, err := newNode(s.cfg.Dir, fmt.Sprintf("node-%d", i), ip, s.cfg.Program, s.cfg.MemoryMB, p, s.checker.addViolation)
 		if err != nil {
 			return err
 		}
--- a/pkg/http1/read.go
+++ b/pkg/http1/read.go
@@ -119,6 +119,9 @@
 	}
 }
 
+// maxFields bounds the number of fields of a head: short ones take up many times their bytes.
+const maxFields = 1000
+
 func readFields(r *bufio.Reader, limit int) ([]Field, error) {
 	var list []Field
 	for {
@@ -137,6 +140,9 @@
 		if !ok {
 			return nil, ErrMalformed
 		}
+		if len(list) == maxFields {
+			return nil, ErrHeadTooLarge
+		}
 		list = append(list, f)
 	}
 }
--- a/pkg/http1/read_test.go
+++ b/pkg/http1/read_test.go
@@ -269,3 +269,12 @@
 		}
 	})
 }
+
+// A head of 64 KiB with fields of four bytes took up a megabyte.
+func TestHeadWithTooManyFieldsIsRefused(t *testing.T) {
+	head := func(fields int) string { return "HTTP/1.1 200 OK\r\n" + strings.Repeat("A:\r\n", fields) + "\r\n" }
+	_, err := ReadResponse(reader(head(maxFields)), 64<<10)
+	assert.NilError(t, err)
+	_, err = ReadResponse(reader(head(maxFields+1)), 64<<10)
+	assert.ErrorIs(t, err, ErrHeadTooLarge)
+}
--- a/pkg/httpjson/answer_conn.go
+++ b/pkg/httpjson/answer_conn.go
@@ -3,9 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+
+	"golang.org/x/sync/semaphore"
 
 	"github.com/drumpath/drumpath/pkg/http1"
 )
@@ -18,6 +22,22 @@
 	readBufferBytes   = 4 << 10
 )
 
+// AnswerBudget bounds the answers of several servers while they are read: of one, and of all together.
+type AnswerBudget struct {
+	perAnswer int64
+	all       *semaphore.Weighted
+}
+
+// NewAnswerBudget returns a budget of numbers of bytes.
+func NewAnswerBudget(perAnswer, all int64) *AnswerBudget {
+	return &AnswerBudget{perAnswer: perAnswer, all: semaphore.NewWeighted(all)}
+}
+
+// uncountedAnswer is the size in bytes up to which an answer is not counted.
+const uncountedAnswer = 64 << 10
+
+var errAnswerTooLarge = errors.New("the answer is too large, or there is no memory for it beside others")
+
 // answerConn has answers read by pkg/http1 before fasthttp gets them, which takes heads for answers that are none by the
 // grammar. It gets each answer with a new head, and a body without a length in chunks.
 type answerConn struct {
@@ -31,6 +51,9 @@
 	body *http1.Body
 	out  []byte
 	buf  []byte
+	// read is how much of the body was read, and reserved how much of that is reserved in the client's budget.
+	read     int64
+	reserved atomic.Int64
 }
 
 func newAnswerConn(conn net.Conn, client *Client) *answerConn {
@@ -100,6 +123,7 @@
 	if c.isChunked() {
 		length = http1.NoLength
 	}
+	c.read = 0
 	closes := h.Close() || c.body.Framing() == http1.FramingClose
 	c.out = http1.AppendResponse(c.out[:0], h.Status, h.EndToEnd(), length, closes)
 	c.endIfDone()
@@ -113,6 +137,9 @@
 func (c *answerConn) readBody() error {
 	n, err := c.body.Read(c.buf)
 	c.out = c.out[:0]
+	if err := c.reserve(int64(n)); err != nil {
+		return err
+	}
 	switch chunked := c.isChunked(); {
 	case n > 0 && chunked:
 		c.out = http1.AppendChunk(c.out, c.buf[:n])
@@ -136,5 +163,33 @@
 func (c *answerConn) endIfDone() {
 	if c.body.Done() {
 		c.body, c.answered = nil, true
+		c.release()
+	}
+}
+
+// Close implements net.Conn.
+func (c *answerConn) Close() error {
+	c.release()
+	return c.progressConn.Close()
+}
+
+// reserve takes more of an answer from the client's budget.
+func (c *answerConn) reserve(n int64) error {
+	c.read += n
+	b := c.client.budget
+	if b == nil || c.read <= uncountedAnswer {
+		return nil
+	}
+	if c.read > b.perAnswer || !b.all.TryAcquire(n) {
+		return errAnswerTooLarge
+	}
+	c.reserved.Add(n)
+	return nil
+}
+
+// release gives back what the answer has taken from the client's budget.
+func (c *answerConn) release() {
+	if n := c.reserved.Swap(0); n > 0 {
+		c.client.budget.all.Release(n)
 	}
 }
--- a/pkg/httpjson/answer_conn_test.go
+++ b/pkg/httpjson/answer_conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -145,6 +146,36 @@
 	}
 }
 
+// Calls of several faulty servers read up to the bound of an answer from each of them.
+func TestAnswersKeepWithinTheirBudget(t *testing.T) {
+	const perAnswer, all = 1 << 20, 3 << 20
+	budget := NewAnswerBudget(perAnswer, all)
+	text := strings.Repeat("x", perAnswer/2)
+	c := startRawServer(t, func(conn *net.TCPConn, _ *bufio.Reader, in *http.Request) {
+		size := len(text)
+		if in.Method == http.MethodPut {
+			size = 10 * perAnswer
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, text)
+		if in.Method == http.MethodPut {
+			_, _ = io.WriteString(conn, strings.Repeat(text, 20)) // The client closes before the end.
+		}
+	})
+	c.budget = budget
+	for range 10 {
+		_, err := do(t, c, http.MethodGet, "")
+		assert.NilError(t, err)
+		_, err = do(t, c, http.MethodPut, "")
+		assert.ErrorIs(t, err, errAnswerTooLarge)
+	}
+	assert.Assert(t, budget.all.TryAcquire(all), "what answers have taken is given back")
+	_, err := do(t, c, http.MethodGet, "")
+	assert.ErrorIs(t, err, errAnswerTooLarge)
+	budget.all.Release(all)
+	_, err = do(t, c, http.MethodGet, "")
+	assert.NilError(t, err)
+}
+
 // Bytes after an answer were taken for the answer to the next call.
 func TestBytesAfterAnAnswerBelongToNoCall(t *testing.T) {
 	first := true
--- a/pkg/httpjson/client.go
+++ b/pkg/httpjson/client.go
@@ -33,12 +33,16 @@
 type Client struct {
 	addr      string
 	http      *fasthttp.HostClient
+	budget    *AnswerBudget             // Nil for no bound but maxResponseBody.
 	lastLarge atomic.Pointer[time.Time] // When an answer last reached largeResponseBytes.
 }
 
 // NewClient returns a client of the server at addr.
-func NewClient(addr netip.AddrPort) *Client {
-	c := &Client{addr: addr.String()}
+func NewClient(addr netip.AddrPort) *Client { return NewBoundedClient(addr, nil) }
+
+// NewBoundedClient returns a client of the server at addr whose answers keep within a budget, which may be nil.
+func NewBoundedClient(addr netip.AddrPort, budget *AnswerBudget) *Client {
+	c := &Client{addr: addr.String(), budget: budget}
 	c.http = &fasthttp.HostClient{
 		Addr:                   addr.String(),
 		MaxConns:               maxConns,
