--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -421,7 +421,7 @@
 	},
 	{
 		"freeing: an ended period is freed", "service/gateway/fetch_terms.go",
-		"p.Era == newest.Era && p.Config < newest.Config", "false",
+		"p.Config < newest.Config", "p.Config > newest.Config",
 		"./service/gateway", "TestPartsThatNoRequestMayUseAreFreed",
 	},
 	{
@@ -441,7 +441,7 @@
 	},
 	{
 		"grace: what can't end is not sent", "service/gateway/grace.go",
-		"	if !stopping || x.stream != nil {", "	if true {",
+		"	if !stopping || x.stream != nil {", "	if stopping || x.stream == nil {",
 		"./service/gateway", "TestRequestIsNotSentThatCannotEndInTheGrace",
 	},
 	{
