--- a/pkg/route/cache_index.go
+++ b/pkg/route/cache_index.go
@@ -245,8 +245,8 @@
 	// CompleteBefore, if set, is by when a part must have been complete. While weights are replaced, later
 	// parts may have been computed with either version.
 	CompleteBefore time.Time
-	// NoStores is set if nothing may be fetched from stores.
-	NoStores bool
+	// NoManagedStores is set if nothing may be fetched from managed stores, which may free it.
+	NoManagedStores bool
 }
 
 // Coverage returns for each engine how many of a prompt's shared tokens, from the start
@@ -351,7 +351,7 @@
 	for _, name := range x.names {
 		s := x.stores[name]
 		stored := s.parts[key]
-		if x.disabled.StoreFetches || rules.NoStores || !s.fresh || stored.tokens < tokens ||
+		if x.disabled.StoreFetches || rules.NoManagedStores && s.Managed || !s.fresh || stored.tokens < tokens ||
 			!rules.CompleteBefore.IsZero() && stored.completeSince.After(rules.CompleteBefore) {
 			continue
 		}
--- a/service/gateway/dispatch.go
+++ b/service/gateway/dispatch.go
@@ -55,7 +55,7 @@
 		MaxFetchTime: x.maxExpectedFetch(),
 		// While weights are being replaced, the cache a replica computes may be of either version. What may not be
 		// fetched from stores may be there already.
-		Save:        rules.CompleteBefore.IsZero() && !rules.NoStores,
+		Save:        rules.CompleteBefore.IsZero() && !rules.NoManagedStores,
 		SourceRules: rules,
 		HomesOnly:   x.pickInput.HomesOnly,
 		Homes:       x.pickInput.Homes,
--- a/service/gateway/fetch_terms.go
+++ b/service/gateway/fetch_terms.go
@@ -33,8 +33,8 @@
 	// Without the replicas' clock a fetch has no end.
 	_, clockKnown := g.clock.read(now)
 	return route.SourceRules{
-		CompleteBefore: g.siteState.WeightHistory(r.model).MayBeReplacedAt(r.weights),
-		NoStores:       !clockKnown || !g.siteState.mayFetchFromStores(r, now),
+		CompleteBefore:  g.siteState.WeightHistory(r.model).MayBeReplacedAt(r.weights),
+		NoManagedStores: !clockKnown || !g.siteState.mayFetchFromStores(r, now),
 	}
 }
 
