One backoff for the calls of both records in the store

The record of shared cache had written again what the record of weights has: a random pause after a failed call, which doubles up to a limit.

--- a/service/gateway/sharing_register.go
+++ b/service/gateway/sharing_register.go
@@ -58,13 +58,14 @@
 	// config is the configuration that the rest is of.
 	config  int64
 	heardAt time.Time
-	// nextTry is the earliest time of the next call, and retryPause the pause after the next failure.
-	nextTry    time.Time
-	retryPause time.Duration
+	calls   callBackoff
 }
 
 func newSharingRegister(self control.Member, members *control.Members, store Store, st *SiteState, log *slog.Logger) *sharingRegister {
-	return &sharingRegister{self: self, members: members, store: store, siteState: st, log: log, now: boottime.RefreshNow}
+	return &sharingRegister{
+		self: self, members: members, store: store, siteState: st, log: log, now: boottime.RefreshNow,
+		calls: callBackoff{least: minSharingRecordRetry, most: maxSharingRecordRetry},
+	}
 }
 
 // step reads or writes the record if the period of the configuration in force is not known. The timer service calls it.
@@ -86,11 +87,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil { // The period is known, or a newer configuration is recorded, which this node will learn soon.
-		r.nextTry = r.now().Add(maxSharingRecordRetry)
+		r.calls.reset(r.now().Add(maxSharingRecordRetry))
 		return
 	}
-	r.retryPause = min(maxSharingRecordRetry, max(minSharingRecordRetry, 2*r.retryPause))
-	r.nextTry = r.now().Add(r.retryPause/2 + rand.N(r.retryPause))
+	r.calls.recordFailure(r.now())
 	if !errors.Is(err, site.ErrConflict) && !errors.Is(err, site.ErrEraEnded) && !errors.Is(err, errSharingNotRecorded) {
 		r.log.Warn("record of shared cache not synced", "write", write, "err", err)
 	}
@@ -104,13 +104,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.config != config {
-		r.config, r.heardAt, r.retryPause = config, now, 0
-		r.nextTry = now.Add(time.Duration(min(rank, sharingRecorders)) * sharingRecorderDelay)
+		r.config, r.heardAt = config, now
+		delay := time.Duration(min(rank, sharingRecorders)) * sharingRecorderDelay
 		if rank >= sharingRecorders {
-			r.nextTry = r.nextTry.Add(rand.N(time.Duration(len(working)) * sharingReadSpread))
+			delay += rand.N(time.Duration(len(working)) * sharingReadSpread)
 		}
+		r.calls.reset(now.Add(delay))
 	}
-	return rank < sharingRecorders || now.Sub(r.heardAt) >= sharingWriteDelay, !now.Before(r.nextTry)
+	return rank < sharingRecorders || now.Sub(r.heardAt) >= sharingWriteDelay, !now.Before(r.calls.next)
 }
 
 // sync reads the record, and writes it if it is of an earlier configuration and write is set.
--- a/service/gateway/weight_register.go
+++ b/service/gateway/weight_register.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -56,15 +55,14 @@
 	era     history.Era
 	// readFor has the newest version of each model for which the record was read, as its age was not known.
 	readFor map[string]int64
-	// nextTry is the earliest time of the next call, and retryPause the pause after the next failure.
-	nextTry    time.Time
-	retryPause time.Duration
+	calls   callBackoff
 }
 
 func newWeightRegister(self control.Member, members *control.Members, store Store, st *SiteState, log *slog.Logger) *weightRegister {
 	return &weightRegister{
 		self: self, members: members, store: store, siteState: st, log: log, now: boottime.RefreshNow,
 		settled: map[string]route.WeightHistory{}, readFor: map[string]int64{},
+		calls: callBackoff{least: minWeightRecordRetry, most: maxWeightRecordRetry},
 	}
 }
 
@@ -81,11 +79,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
-		r.retryPause = 0
+		r.calls.reset(r.calls.next)
 		return
 	}
-	r.retryPause = min(maxWeightRecordRetry, max(minWeightRecordRetry, 2*r.retryPause))
-	r.nextTry = r.now().Add(r.retryPause/2 + rand.N(r.retryPause))
+	r.calls.recordFailure(r.now())
 	if !errors.Is(err, site.ErrConflict) && !errors.Is(err, site.ErrEraEnded) {
 		r.log.Warn("record of weights not synced", "write", write, "err", err)
 	}
@@ -101,7 +98,7 @@
 		r.settled = nil // Not cleared: the map is the one that SiteState has published.
 		clear(r.readFor)
 	}
-	if now.Before(r.nextTry) {
+	if now.Before(r.calls.next) {
 		return false, false
 	}
 	rank := -1
