--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -706,7 +706,7 @@
 	},
 	{
 		"ages: calls that fail are not repeated at once", "service/gateway/weight_register.go",
-		"	if now.Before(r.nextTry) {", "	if false {",
+		"	if now.Before(r.calls.next) {", "	if false {",
 		"./service/gateway", "TestFailingStoreIsCalledWithPauses",
 	},
 	{
