--- a/internal/standin/onplatform/isolation_test.go
+++ b/internal/standin/onplatform/isolation_test.go
@@ -114,15 +114,16 @@
 func (k *partKeeper) serveEvents(w io.Writer, r *onplatform.Request, target *url.URL) bool {
 	since, _ := strconv.Atoi(target.Query().Get("since")) // 0 for none.
 	k.mu.Lock()
+	newest := len(k.events)
 	body, err := json.Marshal(map[string]any{
-		"boot_epoch": 7, "next_token": len(k.events), "lost": false, "clock_ms": 1 + time.Since(k.startedAt).Milliseconds(),
-		"events": append([]any{}, k.events[min(since, len(k.events)):]...),
+		"boot_epoch": 7, "next_token": newest, "lost": false, "clock_ms": 1 + time.Since(k.startedAt).Milliseconds(),
+		"events": append([]any{}, k.events[min(since, newest):]...),
 	})
 	k.mu.Unlock()
 	if err != nil {
 		return false
 	}
-	if since == len(k.events) {
+	if since == newest {
 		time.Sleep(20 * time.Millisecond)
 	}
 	return onplatform.OK(string(body))(w, r)
