Versions older than the history of weights count as replaced long ago

A node keeps the namings of nine versions of a model's weights. Of a version that is older than all of them it took the oldest one kept for the first after it, so the older version counted as replaced later than it was. A node that heard of ten versions within 6.8 s planned fetches of parts from stores that another node had freed meanwhile, old weights could be used for longer than allowed, and what was made after the first replacement counted as made before it. A note that had no room for all versions of a model had its newest ones only, with the same effect on its reader.

A full history does not tell what came right after an older version, so such a version was replaced long ago, whatever is asked. Notes tell a model as a whole or not, and namings are taken in oldest first, so that no version counts as replaced too late in between.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -414,6 +414,16 @@
 		"				return v.Earliest, true", "				return v.Since, true",
 		"./service/gateway", "TestPartsAreFreedOnlyWhenNoFetchOfThemIsPlannedOrUnderWay",
 	},
+	{
+		"freeing: versions older than the history were replaced long ago", "pkg/route/weight_history.go",
+		"len(h) == maxWeightHistory && version < h[0].Version", "false",
+		"./service/gateway", "TestPartsAreFreedOnlyWhenNoFetchOfThemIsPlannedOrUnderWay",
+	},
+	{
+		"ages: notes tell all recent versions of a model", "service/gateway/weight_ages.go",
+		"len(list)+len(ages) <= maxWeightAges", "len(list) <= maxWeightAges",
+		"./service/gateway", "TestNotesTellAllRecentVersionsOfAModel",
+	},
 	{
 		"freeing: waits for the term of senders", "service/gateway/fetch_terms.go",
 		"freeDelay = fetchPlanTerm + maxFetchTimeout", "freeDelay = maxFetchTimeout",
--- a/pkg/route/weight_history.go
+++ b/pkg/route/weight_history.go
@@ -52,6 +52,14 @@
 // maxWeightHistory is how many versions are kept.
 const maxWeightHistory = 9
 
+// longAgo is when versions count as replaced that are older than a full history.
+var longAgo = time.Unix(0, 0)
+
+// isForgotten reports whether the versions that replaced the given one may have been dropped.
+func (h WeightHistory) isForgotten(version int64) bool {
+	return len(h) == maxWeightHistory && version < h[0].Version
+}
+
 // Find returns what is known of a version.
 func (h WeightHistory) Find(version int64) (v WeightVersion, ok bool) {
 	i, ok := h.index(version)
@@ -121,6 +129,9 @@
 
 // ReplacedAt returns when the first version after the given one was named, zero if there is none.
 func (h WeightHistory) ReplacedAt(version int64) (replaced time.Time) {
+	if h.isForgotten(version) {
+		return longAgo
+	}
 	for _, v := range slices.Backward(h) {
 		if v.Version <= version {
 			break
@@ -133,6 +144,9 @@
 // ReplacedAfter returns a time after which the first version after the given one was named, zero if none is known; replaced is
 // false if there is no such version.
 func (h WeightHistory) ReplacedAfter(version int64) (at time.Time, replaced bool) {
+	if h.isForgotten(version) {
+		return longAgo, true
+	}
 	for _, v := range h {
 		if v.Version > version {
 			if v.Estimated {
@@ -147,6 +161,9 @@
 // MayBeReplacedAt returns when the first version after the given one may have been named at the earliest, zero if there is
 // none. What was made before that was made with the given version.
 func (h WeightHistory) MayBeReplacedAt(version int64) (replaced time.Time) {
+	if h.isForgotten(version) {
+		return longAgo
+	}
 	for _, v := range h {
 		if v.Version <= version {
 			continue
--- a/pkg/route/weight_history_test.go
+++ b/pkg/route/weight_history_test.go
@@ -90,3 +90,23 @@
 	h, _ = h.With(WeightVersion{Version: 4, Since: before(7500 * time.Millisecond), Heard: now, Estimated: true})
 	assert.Equal(t, h.ReplacedAt(1), before(2500*time.Millisecond))
 }
+
+// A version counted as replaced by the oldest one that was kept, so later than it was.
+func TestVersionsOlderThanTheHistoryAreReplacedLongAgo(t *testing.T) {
+	now := time.Now()
+	var h WeightHistory
+	for version := range int64(maxWeightHistory) {
+		h, _ = h.With(WeightVersion{Version: version + 2, Since: now, Heard: now})
+	}
+	assert.Equal(t, h.ReplacedAt(1), longAgo)
+	h, _ = h.With(WeightVersion{Version: maxWeightHistory + 2, Since: now, Heard: now})
+	for _, version := range []int64{1, 2} {
+		assert.Equal(t, h.ReplacedAt(version), longAgo)
+		assert.Equal(t, h.MayBeReplacedAt(version), longAgo)
+		at, replaced := h.ReplacedAfter(version)
+		assert.Assert(t, replaced)
+		assert.Equal(t, at, longAgo)
+	}
+	assert.Equal(t, h.ReplacedAt(3), now)
+	assert.Equal(t, h.MayBeReplacedAt(3), now)
+}
--- a/service/gateway/stores_test.go
+++ b/service/gateway/stores_test.go
@@ -332,7 +332,14 @@
 		fetchEnds, freed := map[int64]time.Time{}, map[int64]bool{}
 		draw := func(t *rapid.T) int { return rapid.IntRange(0, len(nodes)-1).Draw(t, "node") }
 		t.Repeat(map[string]func(*rapid.T){
-			"name":    func(*rapid.T) { newest++ },
+			"name": func(*rapid.T) { newest++ },
+			"name many": func(t *rapid.T) {
+				reader := nodes[draw(t)]
+				for range 10 { // More than a node remembers.
+					newest++
+					read(reader)
+				}
+			},
 			"read":    func(t *rapid.T) { read(nodes[draw(t)]) },
 			"restart": func(t *rapid.T) { start(draw(t)) },
 			"cut off": func(t *rapid.T) {
--- a/service/gateway/weight_ages.go
+++ b/service/gateway/weight_ages.go
@@ -27,42 +27,50 @@
 	maxWeightAge = 30 * 24 * time.Hour
 )
 
-// recentWeightAges returns the ages of the weights that were named lately, for notes that are sent often.
-func (st *SiteState) recentWeightAges(now time.Time) []weightAge {
-	list := st.weightAges(now, weightAgeTerms*st.weightsTerm)
-	return list[:min(maxWeightAges, len(list))]
+// recentWeightAges returns the ages of the weights that were named lately, for notes that are sent often. A model is told as a whole
+// or left out: with only its newest versions older ones would count as replaced too late. The order of the models changes.
+func (st *SiteState) recentWeightAges(now time.Time) (list []weightAge) {
+	maxAge := max(weightAgeTerms*st.weightsTerm, fetchPlanTerm)
+	for model, h := range st.allWeights() {
+		if ages := modelWeightAges(model, h, now, maxAge); len(list)+len(ages) <= maxWeightAges {
+			list = append(list, ages...)
+		}
+	}
+	return list
 }
 
 // allWeightAges returns all known ages of weights, for a node that starts.
-func (st *SiteState) allWeightAges(now time.Time) []weightAge {
-	return st.weightAges(now, math.MaxInt64)
+func (st *SiteState) allWeightAges(now time.Time) (list []weightAge) {
+	for model, h := range st.allWeights() {
+		list = append(list, modelWeightAges(model, h, now, math.MaxInt64)...)
+	}
+	return list
 }
 
-// weightAges returns the ages of the weights of models whose newest version is not older than a maximum, that version
-// first. The last one of a model is the first that is older: it has ended the term of all before it. The first version has
+// modelWeightAges returns the ages of a model's weights whose newest version is not older than a maximum, that version
+// first. The last one is the first that is older: it has ended the term of all before it. The first version has
 // replaced nothing, so its age does not matter.
-func (st *SiteState) weightAges(now time.Time, maxAge time.Duration) (list []weightAge) {
-	for model, h := range st.allWeights() {
-		if now.Sub(h.Newest().Since) > maxAge {
-			continue
+func modelWeightAges(model string, h route.WeightHistory, now time.Time, maxAge time.Duration) (list []weightAge) {
+	if now.Sub(h.Newest().Since) > maxAge {
+		return nil
+	}
+	for _, v := range slices.Backward(h) {
+		if v.Version <= firstWeights {
+			break
 		}
-		for _, v := range slices.Backward(h) {
-			if v.Version <= firstWeights {
-				break
-			}
-			age := now.Sub(v.Since)
-			list = append(list, weightAge{Model: model, Version: v.Version, AgeMS: min(age, maxWeightAge).Milliseconds(), Estimated: v.Estimated})
-			if age > maxAge {
-				break
-			}
+		age := now.Sub(v.Since)
+		list = append(list, weightAge{Model: model, Version: v.Version, AgeMS: min(age, maxWeightAge).Milliseconds(), Estimated: v.Estimated})
+		if age > maxAge {
+			break
 		}
 	}
 	return list
 }
 
-// learnWeightAges takes in what another node knows of the ages of weights.
+// learnWeightAges takes in what another node knows of the ages of weights, older versions first, so that none counts as replaced
+// too late meanwhile.
 func (st *SiteState) learnWeightAges(list []weightAge, now time.Time) {
-	for _, a := range list {
+	for _, a := range slices.Backward(list) {
 		if a.Model == "" || a.Version <= firstWeights || a.AgeMS < 0 {
 			continue
 		}
--- a/service/gateway/weights_test.go
+++ b/service/gateway/weights_test.go
@@ -146,3 +146,24 @@
 	st.learnWeightAges([]weightAge{{Model: "m", Version: 2, AgeMS: 2000}}, now)
 	assert.Equal(t, st.WeightHistory("m").MayBeReplacedAt(1), now.Add(-2*time.Second), "another node knows")
 }
+
+// A note had only the newest versions of the model that did not fit, so its reader took older ones for replaced later than they were.
+func TestNotesTellAllRecentVersionsOfAModel(t *testing.T) {
+	st, now := newWeightsState(), time.Now()
+	st.MarkOperatorRead(now)
+	for _, model := range []string{"m", "n"} {
+		for version := range int64(8) {
+			st.hearWeights(model, version+2, false, now)
+		}
+	}
+	told := map[string]bool{}
+	for range 200 {
+		list := st.recentWeightAges(now)
+		assert.Equal(t, len(list), 8)
+		told[list[0].Model] = true
+		fresh := newWeightsState()
+		fresh.learnWeightAges(list, now)
+		assert.Equal(t, len(fresh.WeightHistory(list[0].Model)), 8)
+	}
+	assert.Equal(t, len(told), 2)
+}
