Nodes learn what one end of a replica tells of all parts at once

Callers could get 400 ends_replicas for prompts with a part that is common and sound, after all nodes had restarted, for up to an hour. Parts that were in flight together wherever replicas ended are blocked as a group, and a prompt with only some of them runs once at a time. A node merged the evidence about the parts one after the other, and a block went out in one note for each of them. In between the ends of the parts differed, so each counted as blocked by itself; a row that was written in such a moment kept that.

Evidence about several parts is merged under one lock now, and cases that are decided together are sent together.

--- a/_scripts/mutate/mutations.go
+++ b/_scripts/mutate/mutations.go
@@ -414,6 +414,11 @@
 		"				return v.Earliest, true", "				return v.Since, true",
 		"./service/gateway", "TestPartsAreFreedOnlyWhenNoFetchOfThemIsPlannedOrUnderWay",
 	},
+	{
+		"suspects: evidence of one end is learned at once", "pkg/suspect/register.go",
+		"		results[i] = r.merge(c)", "		results[i] = r.merge(c)\n		r.mu.Unlock()\n		r.mu.Lock()",
+		"./service/suspects", "TestPartsThatNoEvidenceTellsApartAreLearnedTogether",
+	},
 	{
 		"freeing: versions older than the history were replaced long ago", "pkg/route/weight_history.go",
 		"len(h) == maxWeightHistory && version < h[0].Version", "false",
@@ -511,7 +516,7 @@
 	},
 	{
 		"suspects: owners broadcast changes to all nodes", "service/suspects/notes.go",
-		"	case collect && change.New && change.After != suspect.Allowed:\n		s.broadcast(c)\n", "",
+		"			flagged = append(flagged, c)\n", "",
 		"./service/suspects", "TestRepeatedCrashRequestIsBlockedAtAllSizes",
 	},
 	{
--- a/pkg/suspect/register.go
+++ b/pkg/suspect/register.go
@@ -110,9 +110,22 @@
 }
 
 // Merge adds evidence seen here or received from another node, and the finishes of the cause that this node remembers.
-func (r *Register) Merge(c Case) (result MergeResult) {
+func (r *Register) Merge(c Case) MergeResult { return r.MergeAll([]Case{c})[0] }
+
+// MergeAll is Merge for evidence about several causes. No one sees the register with only a part of it: parts that it does not tell
+// apart would seem to be.
+func (r *Register) MergeAll(cases []Case) []MergeResult {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	results := make([]MergeResult, len(cases))
+	for i, c := range cases {
+		results[i] = r.merge(c)
+	}
+	return results
+}
+
+// merge is Merge for one cause. The caller holds mu.
+func (r *Register) merge(c Case) (result MergeResult) {
 	r.recordServiceEnds(&c)
 	e := r.entries[c.Fingerprint]
 	c.Ends = r.unexplained(&c)
--- a/service/suspects/blocked_row.go
+++ b/service/suspects/blocked_row.go
@@ -46,11 +46,14 @@
 		return
 	}
 	written := now.Add(-max(0, time.Duration(now.UnixMilli()-row.Written)*time.Millisecond))
+	cases := make([]suspect.Case, len(row.Cases))
 	for i := range row.Cases {
-		change := s.register.Merge(row.Cases[i].decode(written))
-		s.logChange(s.register.Case(row.Cases[i].Fingerprint), change)
+		cases[i] = row.Cases[i].decode(written)
+	}
+	for i, change := range s.register.MergeAll(cases) {
+		s.logChange(s.register.Case(cases[i].Fingerprint), change)
 		s.mu.Lock()
-		s.stored[row.Cases[i].Fingerprint] = true
+		s.stored[cases[i].Fingerprint] = true
 		s.mu.Unlock()
 	}
 }
--- a/service/suspects/notes.go
+++ b/service/suspects/notes.go
@@ -174,13 +174,19 @@
 	return s.announced <= maxFirstEndsPerSecond
 }
 
-// broadcast sends a case to all nodes.
-func (s *Suspects) broadcast(c suspect.Case) {
+// broadcast sends cases to all nodes, those of parts that the evidence does not tell apart together.
+func (s *Suspects) broadcast(cases ...suspect.Case) {
+	if len(cases) == 0 {
+		return
+	}
 	s.sendTwice(func(try int) {
-		messages := []caseMessage{newCaseMessage(c, boottime.Now())}
 		direct, relays := s.notifier.Recipients(try)
-		s.notifier.SendNote(direct, NoteCases, casesNote{Cases: messages})
-		s.notifier.SendNote(relays, NoteCases, casesNote{Cases: messages, Relay: true})
+		for left := cases; len(left) > 0; {
+			messages := newCaseMessages(left, casesPerNote, maxNoteBytes, boottime.Now())
+			left = left[len(messages):]
+			s.notifier.SendNote(direct, NoteCases, casesNote{Cases: messages})
+			s.notifier.SendNote(relays, NoteCases, casesNote{Cases: messages, Relay: true})
+		}
 	})
 }
 
@@ -204,10 +210,13 @@
 		s.notifier.SendNote(s.notifier.HallPeers(), NoteCases, casesNote{Cases: note.Cases})
 	}
 	now := boottime.Now()
-	var missed []caseMessage
+	cases := make([]suspect.Case, len(note.Cases))
 	for i := range note.Cases {
-		c := note.Cases[i].decode(now)
-		change := s.mergeReceived(c, note.Collect)
+		cases[i] = note.Cases[i].decode(now)
+	}
+	var missed []caseMessage
+	for i, change := range s.mergeReceived(cases, note.Collect) {
+		c := &cases[i]
 		if c.Kind == suspect.KindPart && change.New && (note.Collect || s.collects(c.Service)) {
 			s.decide(c.Service)
 		}
@@ -232,24 +241,27 @@
 // suspect. The first ones make the rest unnecessary.
 const finishJitter = 400 * time.Millisecond
 
-// mergeReceived merges a case that another node has sent. It is broadcast if this node
-// collects its evidence as an owner and it is watched or blocked, or if this node has
-// finished the request.
-func (s *Suspects) mergeReceived(received suspect.Case, collect bool) (change suspect.MergeResult) {
-	change = s.register.Merge(received)
-	c := s.register.Case(received.Fingerprint)
-	s.logChange(c, change)
-	switch {
-	case collect && change.New && change.After != suspect.Allowed:
-		s.broadcast(c)
-	case change.OwnFinish && received.Verdict() != suspect.Allowed:
-		time.AfterFunc(rand.N(finishJitter), func() {
-			if s.register.TryAnnounce(c.Fingerprint) {
-				s.broadcast(s.register.Case(c.Fingerprint))
-			}
-		})
+// mergeReceived merges cases that another node has sent. One is broadcast if this node collects its evidence as an owner and it is
+// watched or blocked, or if this node has finished the request.
+func (s *Suspects) mergeReceived(received []suspect.Case, collect bool) []suspect.MergeResult {
+	changes := s.register.MergeAll(received)
+	var flagged []suspect.Case
+	for i, change := range changes {
+		c := s.register.Case(received[i].Fingerprint)
+		s.logChange(c, change)
+		switch {
+		case collect && change.New && change.After != suspect.Allowed:
+			flagged = append(flagged, c)
+		case change.OwnFinish && received[i].Verdict() != suspect.Allowed:
+			time.AfterFunc(rand.N(finishJitter), func() {
+				if s.register.TryAnnounce(c.Fingerprint) {
+					s.broadcast(s.register.Case(c.Fingerprint))
+				}
+			})
+		}
 	}
-	return change
+	s.broadcast(flagged...)
+	return changes
 }
 
 // Step deletes old cases and compares the digest of this node with that of another one. The
--- a/service/suspects/parts.go
+++ b/service/suspects/parts.go
@@ -48,12 +48,15 @@
 	if len(r.Parts) == 0 {
 		return
 	}
-	note := lostRunNote{Service: r.Service}
+	var cases []suspect.Case
 	for _, cause := range partCauses(r.Service, r.Parts) {
-		change := s.register.Merge(suspect.Case{Cause: cause, Ends: []suspect.ReplicaEnd{end}})
-		c := s.register.Case(cause.Fingerprint)
+		cases = append(cases, suspect.Case{Cause: cause, Ends: []suspect.ReplicaEnd{end}})
+	}
+	note := lostRunNote{Service: r.Service}
+	for i, change := range s.register.MergeAll(cases) {
+		c := s.register.Case(cases[i].Fingerprint)
 		s.logChange(c, change)
-		note.Parts = append(note.Parts, partMessage{Part: cause.Part, Finishes: newFinishMessages(c.Finishes, now)})
+		note.Parts = append(note.Parts, partMessage{Part: cases[i].Part, Finishes: newFinishMessages(c.Finishes, now)})
 	}
 	s.sendLostRun(note, end, now)
 	if s.collects(r.Service) {
@@ -92,13 +95,13 @@
 	}
 	now := boottime.Now()
 	end := note.End.decode(now)
+	var cases []suspect.Case
 	for _, p := range note.Parts[:min(len(note.Parts), maxParts)] {
-		if !isValidPart(p.Part) {
-			continue
+		if isValidPart(p.Part) {
+			cases = append(cases, suspect.Case{Cause: suspect.PartCause(note.Service, p.Part), Ends: []suspect.ReplicaEnd{end}, Finishes: decodeFinishes(p.Finishes, now)})
 		}
-		c := suspect.Case{Cause: suspect.PartCause(note.Service, p.Part), Ends: []suspect.ReplicaEnd{end}, Finishes: decodeFinishes(p.Finishes, now)}
-		s.mergeReceived(c, true)
 	}
+	s.mergeReceived(cases, true)
 	s.decide(note.Service)
 }
 
@@ -112,8 +115,8 @@
 			change.Before = suspect.Allowed
 		}
 		s.logChange(c, change)
-		s.broadcast(c)
 	}
+	s.broadcast(changed...)
 	if !unasked {
 		return
 	}
--- a/service/suspects/parts_test.go
+++ b/service/suspects/parts_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -383,3 +385,106 @@
 		assert.Equal(t, blocked, 0)
 	})
 }
+
+// Of two parts that were in flight together wherever replicas ended, nodes learned one after the other, and stored what they knew in between:
+// after a restart of all nodes one of them was blocked by itself, though most prompts with it are sound.
+func TestPartsThatNoEvidenceTellsApartAreLearnedTogether(t *testing.T) {
+	s := newTestCluster(1, 1, func() time.Duration { return 0 }).nodes[0]
+	store := &oneRowStore{}
+	s.store = store
+	parts := []string{"common", "bad"}
+	end := func(i int, ago time.Duration) endMessage {
+		return endMessage{Replica: fmt.Sprint("i-", i), StartedAgo: ago.Milliseconds() + 5, EndedAgo: ago.Milliseconds(), Runs: []uint32{uint32(i)}}
+	}
+	handle := func(handler func(json.RawMessage), note any) {
+		text, err := json.Marshal(note)
+		assert.Check(t, err)
+		handler(text)
+	}
+	var blocked casesNote
+	for _, p := range parts {
+		c := newCaseMessage(suspect.Case{Cause: suspect.PartCause("llm", p), Decisions: 1}, time.Now())
+		for i := range 5 {
+			c.Ends = append(c.Ends, end(i, time.Duration(10-i)*time.Second))
+		}
+		blocked.Cases = append(blocked.Cases, c)
+	}
+	handle(s.HandleCases, blocked)
+	var learner sync.WaitGroup
+	learner.Go(func() {
+		for i := 5; i < 2000; i++ {
+			handle(s.HandleLostRun, lostRunNote{Service: "llm", End: end(i, 0), Parts: []partMessage{{Part: parts[0]}, {Part: parts[1]}}})
+		}
+	})
+	defer learner.Wait()
+	for range 1000 {
+		_, verdict := s.Judge(suspect.Cause{}, "llm", parts[:1])
+		assert.Equal(t, verdict, suspect.Watched)
+		s.HandleEra()
+		s.nextSave = time.Time{}
+		s.SaveRow(t.Context())
+		var row blockedRow
+		assert.NilError(t, json.Unmarshal(store.row.Value, &row))
+		assert.Equal(t, len(row.Cases), len(parts))
+		var ends [][]string
+		for _, c := range row.Cases {
+			decoded := c.decode(time.Now())
+			ends = append(ends, decoded.Replicas())
+		}
+		assert.DeepEqual(t, ends[0], ends[1])
+	}
+}
+
+// A block of two parts that no evidence tells apart reached other nodes in two notes.
+func TestBlockOfPartsIsBroadcastInOneNote(t *testing.T) {
+	s := newTestCluster(1, 1, func() time.Duration { return 0 }).nodes[0]
+	sent := &sentNotes{}
+	s.SetNotifier(sent)
+	now := time.Now()
+	for i := range 5 {
+		var cases []suspect.Case
+		for _, p := range []string{"common", "bad"} {
+			end := suspect.ReplicaEnd{Replica: fmt.Sprint("i-", i), StartedAt: now, EndedAt: now, Runs: []uint32{uint32(i)}}
+			cases = append(cases, suspect.Case{Cause: suspect.PartCause("llm", p), Ends: []suspect.ReplicaEnd{end}})
+		}
+		now = now.Add(time.Second)
+		s.register.MergeAll(cases)
+	}
+	s.register.TakeUnasked("llm", maxPartsAsked, time.Now().Add(-time.Second))
+	s.decide("llm")
+	assert.Equal(t, s.Status().BlockedParts, 2)
+	cases := sent.cases()
+	assert.Assert(t, len(cases) > 0)
+	for _, note := range cases {
+		assert.Equal(t, len(note.Cases), 2)
+	}
+}
+
+// sentNotes is a Notifier that records what is sent.
+type sentNotes struct {
+	mu    sync.Mutex
+	notes []any
+}
+
+func (s *sentNotes) SendNote(_ []netip.AddrPort, _ string, params any) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notes = append(s.notes, params)
+	return 0
+}
+
+func (s *sentNotes) Recipients(int) (direct, relays []netip.AddrPort) { return nil, nil }
+
+func (s *sentNotes) HallPeers() []netip.AddrPort { return nil }
+
+// cases returns the notes that carried cases.
+func (s *sentNotes) cases() (list []casesNote) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.notes {
+		if c, ok := n.(casesNote); ok {
+			list = append(list, c)
+		}
+	}
+	return list
+}
