One row of the store for the records of both registers; one way to drain

The registers of weights and of shared cache each listed a table, decoded its only row and wrote it under a condition. recordRow does that for both. The connections of clients were drained in two ways, and the end of the grace was computed twice. No change of behaviour: tests of both packages pass.

--- a/service/gateway/client_conns.go
+++ b/service/gateway/client_conns.go
@@ -98,17 +98,6 @@
 	}
 }
 
-// awaitEnd waits until no connection is left, at most for a time.
-func (s *clientConns) awaitEnd(d time.Duration) {
-	if s.closeIdle() {
-		return
-	}
-	select {
-	case <-s.drained:
-	case <-time.After(d):
-	}
-}
-
 // closeIdle closes all connections that carry no request, and reports whether there were
 // no connections at all.
 func (s *clientConns) closeIdle() (none bool) {
--- a/service/gateway/gateway.go
+++ b/service/gateway/gateway.go
@@ -394,21 +394,23 @@
 // answered or the grace period is nearly over. What is left then gets a final answer.
 func (g *Gateway) Drain() {
 	start := time.Now()
-	grace := g.conf().Stop.Grace.Std() - shutdownReserve
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace))
+	g.stopRequestedAt.Store(&start)
+	end, _ := g.graceEnd()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	g.log.Info("stopping", "node", g.conf().Node.Name, "in_flight", g.inFlight.Load())
-	g.stopRequestedAt.Store(&start)
 	close(g.stopRequested)
 	g.nodes.announceStop()
 	g.releaseLeases(ctx)
-	time.Sleep(time.Until(start.Add(min(acceptAfterStop, grace))))
+	time.Sleep(min(time.Until(start.Add(acceptAfterStop)), time.Until(end)))
 	g.closing.Store(true)
 	_ = g.entry.Close() // Clients whose connection was not accepted try another node.
 	g.origins.HandOver()
 	g.clients.drain(ctx)
 	g.endRequests(errGraceOver)
-	g.clients.awaitEnd(finalAnswerTime)
+	finalCtx, cancelFinal := context.WithTimeout(context.Background(), finalAnswerTime)
+	defer cancelFinal()
+	g.clients.drain(finalCtx)
 	g.forwarding.drain(ctx)
 	g.origins.HandOver() // With the streams that began meanwhile.
 }
--- a/service/gateway/sharing_register.go
+++ b/service/gateway/sharing_register.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
@@ -48,7 +47,7 @@
 type sharingRegister struct {
 	self      control.Member
 	members   *control.Members
-	store     Store
+	row       recordRow[route.SharingRecord]
 	siteState *SiteState
 	log       *slog.Logger
 	// now returns the time including all suspensions of the machine.
@@ -63,7 +62,8 @@
 
 func newSharingRegister(self control.Member, members *control.Members, store Store, st *SiteState, log *slog.Logger) *sharingRegister {
 	return &sharingRegister{
-		self: self, members: members, store: store, siteState: st, log: log, now: boottime.RefreshNow,
+		self: self, members: members, siteState: st, log: log, now: boottime.RefreshNow,
+		row:   recordRow[route.SharingRecord]{store: store, table: site.TableSharing, key: sharingRecordKey},
 		calls: callBackoff{least: minSharingRecordRetry, most: maxSharingRecordRetry},
 	}
 }
@@ -117,35 +117,26 @@
 // sync reads the record, and writes it if it is of an earlier configuration and write is set.
 func (r *sharingRegister) sync(ctx context.Context, s *site.Snapshot, write bool) (err error) {
 	defer func() { err = eris.Wrap(err, "record of shared cache") }()
-	l, err := r.store.List(ctx, site.TableSharing)
+	record, err := r.row.read(ctx)
 	if err != nil {
 		return err
 	}
-	row, found := l.Find(sharingRecordKey)
-	var record route.SharingRecord
-	if found {
-		if err := json.Unmarshal(row.Value, &record); err != nil {
-			r.log.Error("record of shared cache can't be decoded, replaced by the next one", "position", row.Position, "err", err)
-			record = route.SharingRecord{}
-		}
+	if record.decodeErr != nil {
+		r.log.Error("record of shared cache can't be decoded, replaced by the next one", "position", record.position, "err", record.decodeErr)
 	}
-	next, changed := record.Next(s, l.Position.Era)
+	next, changed := record.value.Next(s, record.listing.Position.Era)
 	if !changed {
-		r.siteState.LearnSharing(record.Sharing, sharingStored, r.now())
+		r.siteState.LearnSharing(record.value.Sharing, sharingStored, r.now())
 		return nil
 	}
 	if !write {
 		return errSharingNotRecorded
 	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return err
-	}
-	written, err := r.store.Put(ctx, site.TableSharing, sharingRecordKey, value, row.Position)
+	position, err := r.row.replace(ctx, record, next)
 	if err != nil {
 		return err
 	}
-	r.log.Info("shared cache recorded", "version", s.Version, "period", next.Period.String(), "before", record.Period.String(), "position", written.Position)
+	r.log.Info("shared cache recorded", "version", s.Version, "period", next.Period.String(), "before", record.value.Period.String(), "position", position)
 	r.siteState.LearnSharing(next.Sharing, sharingStored, r.now())
 	return nil
 }
--- a/service/gateway/weight_register.go
+++ b/service/gateway/weight_register.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"slices"
@@ -43,7 +42,8 @@
 type weightRegister struct {
 	self      control.Member
 	members   *control.Members
-	store     Store
+	eras      *history.Eras
+	row       recordRow[route.WeightRecord]
 	siteState *SiteState
 	log       *slog.Logger
 	// now returns the time including all suspensions of the machine.
@@ -60,7 +60,8 @@
 
 func newWeightRegister(self control.Member, members *control.Members, store Store, st *SiteState, log *slog.Logger) *weightRegister {
 	return &weightRegister{
-		self: self, members: members, store: store, siteState: st, log: log, now: boottime.RefreshNow,
+		self: self, members: members, eras: store.Eras(), siteState: st, log: log, now: boottime.RefreshNow,
+		row:     recordRow[route.WeightRecord]{store: store, table: site.TableWeights, key: weightRecordKey},
 		settled: map[string]route.WeightHistory{}, readFor: map[string]int64{},
 		calls: callBackoff{least: minWeightRecordRetry, most: maxWeightRecordRetry},
 	}
@@ -93,7 +94,7 @@
 func (r *weightRegister) due(now time.Time) (read, write bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if era, _, _ := r.store.Eras().Current(); era != r.era {
+	if era, _, _ := r.eras.Current(); era != r.era {
 		r.era = era
 		r.settled = nil // Not cleared: the map is the one that SiteState has published.
 		clear(r.readFor)
@@ -139,41 +140,33 @@
 func (r *weightRegister) sync(ctx context.Context, write bool) (err error) {
 	defer func() { err = eris.Wrap(err, "record of weights") }()
 	askedAt := r.now()
-	l, err := r.store.List(ctx, site.TableWeights)
+	record, err := r.row.read(ctx)
 	if err != nil {
 		return err
 	}
-	at := route.StoreTime{Era: l.Position.Era, Reading: l.Now, Before: askedAt, After: r.now()}
-	row, found := l.Find(weightRecordKey)
-	var record route.WeightRecord
-	if found {
-		if err := json.Unmarshal(row.Value, &record); err != nil {
-			r.log.Error("record of weights can't be decoded, replaced by the next one", "position", row.Position, "err", err)
-			record = route.WeightRecord{}
-		}
+	if record.decodeErr != nil {
+		r.log.Error("record of weights can't be decoded, replaced by the next one", "position", record.position, "err", record.decodeErr)
 	}
-	for model, list := range record.News(r.siteState.allWeights(), at) {
+	era := record.listing.Position.Era
+	at := route.StoreTime{Era: era, Reading: record.listing.Now, Before: askedAt, After: r.now()}
+	for model, list := range record.value.News(r.siteState.allWeights(), at) {
 		for _, v := range list {
 			r.siteState.LearnWeights(model, v, weightsStored)
 		}
 	}
 	known := r.siteState.allWeights()
 	r.recordRead(known)
-	next, changed := record.Next(known, at)
+	next, changed := record.value.Next(known, at)
 	if !write || !changed {
-		r.recordSettled(known, l.Position.Era, !changed)
+		r.recordSettled(known, era, !changed)
 		return nil
 	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return err
-	}
-	written, err := r.store.Put(ctx, site.TableWeights, weightRecordKey, value, row.Position)
+	position, err := r.row.replace(ctx, record, next)
 	if err != nil {
 		return err
 	}
-	r.log.Info("weights recorded", "models", len(next.Models), "position", written.Position)
-	r.recordSettled(known, l.Position.Era, true)
+	r.log.Info("weights recorded", "models", len(next.Models), "position", position)
+	r.recordSettled(known, era, true)
 	return nil
 }
 
